--- /dev/null
+++ b/crates/bankvalve_cell/src/contract/mod.rs
@@ -0,0 +1,9 @@
+//! Contracts of a cell: jobs, the bundle that governs them, and leases.
+
+mod cell_bundle;
+mod job_spec;
+mod worker_lease;
+
+pub use cell_bundle::{CellBundle, TeamContract};
+pub use job_spec::{JobKind, JobSpec, PlaceRule, SpecProblem};
+pub use worker_lease::{WorkerLease, CLOCK_RATE_BOUND};
--- /dev/null
+++ b/crates/bankvalve_cell/src/instance/instance_core.rs
@@ -0,0 +1,370 @@
+//! The state machine of an entry instance.
+
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::time::Duration;
+
+use super::bundle::BundleState;
+use super::commands::OpenCommand;
+use super::committing::CommitState;
+use super::ownership::LeaseState;
+use super::peers::PeerState;
+use super::storing::{ObjectPurpose, StorePurpose};
+use super::{CoreAction, CoreEvent, CoreSettings};
+use crate::ids::{CellTime, Epoch, Incarnation, PartitionIndex, RowVersion, Ticket, UnixMillis};
+use crate::link::{ObjectRequest, PeerMessage, StoreRequest};
+use crate::machine::{worker_partition_of, ListedWorker};
+use crate::membership::{MemberRoster, PartitionKey, PartitionRow};
+use crate::owner::{OwnerAction, OwnerContext, TeamPartition, TeamView, WorkerPartition};
+use crate::placement::RoomBoard;
+use crate::refusal::RefusalReason;
+use crate::tally::CellTally;
+
+/// The decisions of one entry instance.
+///
+/// [`InstanceCore::step`] takes an event and the time and returns what is to
+/// be done. It never blocks, sleeps or reads a clock.
+#[derive(Debug)]
+pub struct InstanceCore {
+    pub(super) settings: CoreSettings,
+    pub(super) now: CellTime,
+    pub(super) wall: UnixMillis,
+    pub(super) incarnation: Incarnation,
+    pub(super) lease: LeaseState,
+    pub(super) roster: MemberRoster,
+    pub(super) partition_rows: BTreeMap<PartitionKey, (PartitionRow, RowVersion)>,
+    /// Epochs and row versions of the worker partitions, for quick look-up.
+    pub(super) worker_rows: BTreeMap<PartitionIndex, (Epoch, RowVersion)>,
+    pub(super) workers: BTreeMap<PartitionIndex, WorkerPartition>,
+    pub(super) teams: BTreeMap<PartitionIndex, TeamPartition>,
+    pub(super) releasing: BTreeSet<PartitionKey>,
+    /// Partitions whose rows are to be read, and when.
+    pub(super) loads: BTreeMap<PartitionKey, CellTime>,
+    pub(super) board: RoomBoard,
+    pub(super) listed: Vec<ListedWorker>,
+    pub(super) bundle: BundleState,
+    pub(super) commits: CommitState,
+    pub(super) peers: PeerState,
+    pub(super) open_commands: BTreeMap<Ticket, OpenCommand>,
+    pub(super) store_tickets: BTreeMap<Ticket, (StorePurpose, CellTime)>,
+    pub(super) object_tickets: BTreeMap<Ticket, ObjectPurpose>,
+    pub(super) next_ticket: Ticket,
+    pub(super) store_answered_at: Option<CellTime>,
+    pub(super) stopping: bool,
+    pub(super) stopped: bool,
+    pub(super) tally: CellTally,
+    pub(super) owner_actions: Vec<OwnerAction>,
+    pub(super) actions: Vec<CoreAction>,
+}
+
+impl InstanceCore {
+    /// Makes an instance that knows nothing yet.
+    pub fn new(settings: CoreSettings) -> Self {
+        Self {
+            incarnation: settings.least_incarnation,
+            settings,
+            now: Duration::ZERO,
+            wall: 0,
+            lease: LeaseState::default(),
+            roster: MemberRoster::default(),
+            partition_rows: BTreeMap::new(),
+            worker_rows: BTreeMap::new(),
+            workers: BTreeMap::new(),
+            teams: BTreeMap::new(),
+            releasing: BTreeSet::new(),
+            loads: BTreeMap::new(),
+            board: RoomBoard::default(),
+            listed: Vec::new(),
+            bundle: BundleState::default(),
+            commits: CommitState::default(),
+            peers: PeerState::default(),
+            open_commands: BTreeMap::new(),
+            store_tickets: BTreeMap::new(),
+            object_tickets: BTreeMap::new(),
+            next_ticket: 1,
+            store_answered_at: None,
+            stopping: false,
+            stopped: false,
+            tally: CellTally::default(),
+            owner_actions: Vec::new(),
+            actions: Vec::new(),
+        }
+    }
+
+    /// Takes an event at a time and returns what is to be done.
+    ///
+    /// `now` is the process' monotonic clock and must not fall; `wall` is
+    /// used for the record only.
+    pub fn step(&mut self, now: CellTime, wall: UnixMillis, event: CoreEvent) -> Vec<CoreAction> {
+        self.now = self.now.max(now);
+        self.wall = wall;
+        match event {
+            CoreEvent::Tick => self.tick(),
+            CoreEvent::Peer(batch) => self.take_batch(batch),
+            CoreEvent::Store { ticket, outcome } => self.take_store(ticket, outcome),
+            CoreEvent::Object { ticket, outcome } => self.take_object(ticket, &outcome),
+            CoreEvent::Worker {
+                partition,
+                worker,
+                token,
+                answer,
+            } => self.with_worker_partition(partition, |owner, ctx| {
+                owner.take_answer(&worker, token, answer, ctx);
+                owner.run_due(ctx);
+            }),
+            CoreEvent::List(listed) => self.take_list(listed),
+            CoreEvent::Command { ticket, command } => self.take_command(ticket, command),
+            CoreEvent::Stop => self.begin_stop(),
+        }
+        self.run_owner_actions();
+        self.send_batches();
+        std::mem::take(&mut self.actions)
+    }
+
+    /// Counters.
+    pub fn tally(&self) -> &CellTally {
+        &self.tally
+    }
+
+    /// The instance's life.
+    pub fn incarnation(&self) -> Incarnation {
+        self.incarnation
+    }
+
+    /// Tells whether the instance has registered, knows its peers and the bundle in force.
+    pub fn is_ready(&self) -> bool {
+        self.lease.is_registered()
+            && self.roster_known()
+            && self.bundle.is_known()
+            && !self.stopping
+    }
+
+    /// Tells whether everything has been handed over.
+    pub fn is_stopped(&self) -> bool {
+        self.stopped
+    }
+
+    /// Partitions of workers that the instance owns.
+    pub fn worker_partitions(&self) -> impl Iterator<Item = &WorkerPartition> {
+        self.workers.values()
+    }
+
+    /// Partitions of teams that the instance owns.
+    pub fn team_partitions(&self) -> impl Iterator<Item = (PartitionIndex, &TeamPartition)> {
+        self.teams.iter().map(|(index, owner)| (*index, owner))
+    }
+
+    /// Tells whether the store has answered lately.
+    pub fn store_answers(&self) -> bool {
+        let silence = self.settings.timings.store_silence;
+        self.store_answered_at
+            .is_some_and(|at| self.now.saturating_sub(at) < silence)
+    }
+
+    fn roster_known(&self) -> bool {
+        !self.partition_rows.is_empty()
+    }
+
+    fn tick(&mut self) {
+        self.expire_store_tickets();
+        self.run_lease();
+        self.run_scan();
+        self.run_loads();
+        self.run_bundle();
+        self.expire_commands();
+        let worker_indexes: Vec<PartitionIndex> = self.workers.keys().copied().collect();
+        for index in worker_indexes {
+            self.tick_worker_partition(index);
+        }
+        self.run_owner_actions();
+        let team_indexes: Vec<PartitionIndex> = self.teams.keys().copied().collect();
+        for index in team_indexes {
+            self.tick_team_partition(index);
+        }
+        self.run_commit();
+        self.run_releases();
+        self.run_heartbeats();
+    }
+
+    fn tick_worker_partition(&mut self, index: PartitionIndex) {
+        let mut digest = None;
+        self.with_worker_partition(index, |owner, ctx| {
+            owner.tick(ctx);
+            digest = owner.due_digest(ctx);
+        });
+        if self
+            .workers
+            .get(&index)
+            .is_some_and(WorkerPartition::is_superseded)
+        {
+            self.workers.remove(&index);
+            self.lease.scan_soon();
+            return;
+        }
+        if let Some(digest) = digest {
+            self.board.take(self.now, digest.clone());
+            self.tell_all_peers(&PeerMessage::Digest(digest));
+        }
+    }
+
+    fn tick_team_partition(&mut self, index: PartitionIndex) {
+        let releasing = self.releasing.contains(&PartitionKey::team(index));
+        let mut archive = None;
+        self.with_team_partition(index, |owner, view, ctx| {
+            if !releasing {
+                owner.tick(view, ctx);
+            }
+            archive = owner.begin_archive(ctx);
+        });
+        if let Some(request) = archive {
+            self.ask_objects(ObjectPurpose::Archive(index), request);
+        }
+    }
+
+    fn take_list(&mut self, listed: Vec<ListedWorker>) {
+        self.listed = listed;
+        let indexes: Vec<PartitionIndex> = self.workers.keys().copied().collect();
+        for index in indexes {
+            self.give_list(index);
+        }
+    }
+
+    /// Gives a worker partition its part of the instance list.
+    pub(super) fn give_list(&mut self, index: PartitionIndex) {
+        let plan = &self.settings.plan;
+        let part: Vec<ListedWorker> = self
+            .listed
+            .iter()
+            .filter(|worker| worker_partition_of(plan, &worker.detail) == Some(index))
+            .cloned()
+            .collect();
+        if let Some(owner) = self.workers.get_mut(&index) {
+            owner.take_list(&part, self.now);
+        }
+    }
+
+    /// Runs a step of a worker partition, if the instance owns it.
+    pub(super) fn with_worker_partition(
+        &mut self,
+        index: PartitionIndex,
+        step: impl FnOnce(&mut WorkerPartition, &mut OwnerContext<'_>),
+    ) {
+        let Some(owner) = self.workers.get_mut(&index) else {
+            return;
+        };
+        let mut ctx = OwnerContext {
+            now: self.now,
+            wall: self.wall,
+            timings: &self.settings.timings,
+            guards: self.settings.guards,
+            bundle: self.bundle.in_force(),
+            tally: &mut self.tally,
+            actions: &mut self.owner_actions,
+        };
+        step(owner, &mut ctx);
+    }
+
+    /// Runs a step of a team partition, if the instance owns it.
+    pub(super) fn with_team_partition(
+        &mut self,
+        index: PartitionIndex,
+        step: impl FnOnce(&mut TeamPartition, &mut TeamView<'_>, &mut OwnerContext<'_>),
+    ) {
+        let store_answers = self.store_answers();
+        let Some(owner) = self.teams.get_mut(&index) else {
+            return;
+        };
+        let mut ctx = OwnerContext {
+            now: self.now,
+            wall: self.wall,
+            timings: &self.settings.timings,
+            guards: self.settings.guards,
+            bundle: self.bundle.in_force(),
+            tally: &mut self.tally,
+            actions: &mut self.owner_actions,
+        };
+        let mut view = TeamView {
+            board: &mut self.board,
+            worker_rows: &self.worker_rows,
+            listed: &self.listed,
+            store_answers,
+        };
+        step(owner, &mut view, &mut ctx);
+    }
+
+    /// Carries out what owners asked for, until they ask for nothing more.
+    pub(super) fn run_owner_actions(&mut self) {
+        while !self.owner_actions.is_empty() {
+            let batch: VecDeque<_> = std::mem::take(&mut self.owner_actions).into();
+            for action in batch {
+                self.run_owner_action(action);
+            }
+        }
+    }
+
+    fn run_owner_action(&mut self, action: OwnerAction) {
+        match action {
+            OwnerAction::ToWorkerPartition { partition, message } => {
+                self.tell_owner(PartitionKey::worker(partition), message);
+            }
+            OwnerAction::ToTeamPartition { partition, message } => {
+                self.tell_owner(PartitionKey::team(partition), message);
+            }
+            OwnerAction::Exchange {
+                partition,
+                worker,
+                address,
+                exchange,
+            } => self.actions.push(CoreAction::Worker {
+                partition,
+                worker,
+                address,
+                exchange,
+            }),
+            OwnerAction::Answer {
+                origin,
+                ticket,
+                answer,
+            } => self.answer(&origin, ticket, answer),
+            OwnerAction::WriteRoster { partition, roster } => {
+                self.write_roster(partition, roster);
+            }
+        }
+    }
+
+    /// Says something to the owner of a partition, which may be this instance.
+    fn tell_owner(&mut self, key: PartitionKey, message: PeerMessage) {
+        let owner = self.partition_rows.get(&key).map(|(row, _)| &row.owner);
+        match owner {
+            Some(owner) if *owner == self.settings.detail.name => {
+                let from = owner.clone();
+                self.take_message(&from, message);
+            }
+            Some(owner) if !owner.is_empty() => {
+                let owner = owner.clone();
+                self.tell_peer(&owner, message);
+            }
+            _ => self.tally.refuse(RefusalReason::NoOwner),
+        }
+    }
+
+    /// Asks the table service.
+    pub(super) fn ask_store(&mut self, purpose: StorePurpose, request: StoreRequest) -> Ticket {
+        let ticket = self.take_ticket();
+        self.store_tickets.insert(ticket, (purpose, self.now));
+        self.actions.push(CoreAction::Store { ticket, request });
+        ticket
+    }
+
+    /// Asks the object store.
+    pub(super) fn ask_objects(&mut self, purpose: ObjectPurpose, request: ObjectRequest) {
+        let ticket = self.take_ticket();
+        self.object_tickets.insert(ticket, purpose);
+        self.actions.push(CoreAction::Object { ticket, request });
+    }
+
+    pub(super) fn take_ticket(&mut self) -> Ticket {
+        let ticket = self.next_ticket;
+        self.next_ticket += 1;
+        ticket
+    }
+}
--- /dev/null
+++ b/crates/bankvalve_cell/src/instance/mod.rs
@@ -0,0 +1,17 @@
+//! An entry instance: membership, the partitions it owns, and its links.
+
+mod bundle;
+mod commands;
+mod committing;
+mod core_event;
+mod core_settings;
+mod instance_core;
+mod ownership;
+mod peers;
+mod routes;
+mod storing;
+
+pub use core_event::{CoreAction, CoreEvent, PeerBatch};
+pub use core_settings::CoreSettings;
+pub use instance_core::InstanceCore;
+pub use routes::{OwnWorker, RoutePoint};
--- /dev/null
+++ b/crates/bankvalve_cell/src/instance/routes.rs
@@ -0,0 +1,67 @@
+//! What the request path needs to know: where services run and which workers are owned here.
+
+use super::InstanceCore;
+use crate::ids::{Epoch, InstanceName, PartitionIndex, RegionName, WorkerName};
+use crate::link::ServicePoint;
+use crate::membership::PartitionKey;
+
+/// A running task of a service, and the instance to reach it through.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct RoutePoint {
+    /// The task.
+    pub point: ServicePoint,
+    /// Region of its worker.
+    pub region: RegionName,
+    /// Owner of the worker's partition.
+    pub owner: InstanceName,
+    /// Address of the owner's peer listener.
+    pub owner_address: String,
+}
+
+/// A worker of a partition that this instance owns.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct OwnWorker {
+    /// The worker.
+    pub name: WorkerName,
+    /// Base URL of its API.
+    pub address: String,
+    /// Its partition.
+    pub partition: PartitionIndex,
+    /// The owner's epoch.
+    pub epoch: Epoch,
+    /// Requests that it serves at once.
+    pub slots: u32,
+    /// Connections that it accepts at once.
+    pub connections: u32,
+}
+
+impl InstanceCore {
+    /// Where services run, as last heard.
+    pub fn route_points(&self) -> Vec<RoutePoint> {
+        let mut points = Vec::new();
+        for digest in self.board.digests() {
+            let key = PartitionKey::worker(digest.partition);
+            let Some((row, _)) = self.partition_rows.get(&key) else {
+                continue;
+            };
+            let Some((member, _)) = self.roster.row_of(&row.owner) else {
+                continue;
+            };
+            points.extend(digest.points.iter().map(|point| RoutePoint {
+                point: point.clone(),
+                region: digest.region.clone(),
+                owner: row.owner.clone(),
+                owner_address: member.detail.peer_address.clone(),
+            }));
+        }
+        points
+    }
+
+    /// Workers that this instance may send requests to.
+    pub fn own_workers(&self) -> Vec<OwnWorker> {
+        self.workers
+            .values()
+            .flat_map(|owner| owner.serving_workers())
+            .collect()
+    }
+}
--- /dev/null
+++ b/crates/bankvalve_cell/src/ledger/mod.rs
@@ -0,0 +1,14 @@
+//! The ledger: what was decided about each job, in order, and the record made of it.
+
+mod job_state;
+mod ledger_batch;
+mod ledger_event;
+mod team_ledger;
+
+pub use job_state::{JobPhase, JobState, TaskPhase, TaskState, FAILURE_LIMIT};
+pub use ledger_batch::{
+    read_batches, verify_chain, BatchWriter, ChainHash, ChainProblem, LedgerBatch, LedgerSnapshot,
+    RecordSegment,
+};
+pub use ledger_event::{LedgerEvent, ReleaseReason};
+pub use team_ledger::TeamLedger;
--- /dev/null
+++ b/crates/bankvalve_cell/src/ledger/team_ledger.rs
@@ -0,0 +1,176 @@
+//! State of a team partition: a fold over the ledger's events.
+
+use std::collections::{BTreeMap, VecDeque};
+
+use serde::{Deserialize, Serialize};
+
+use super::{JobPhase, JobState, LedgerEvent, TaskPhase};
+use crate::ids::{JobId, TeamName};
+use crate::link::TaskKey;
+use crate::machine::TaskSize;
+
+/// Jobs that are over and still answerable from the partition's state.
+const CLOSED_LIMIT: usize = 2_000;
+
+/// Jobs of a team partition, as the committed events leave them.
+///
+/// # Examples
+///
+/// ```
+/// use bankvalve_cell::contract::JobSpec;
+/// use bankvalve_cell::ledger::{LedgerEvent, TeamLedger};
+///
+/// let spec: JobSpec = serde_json::from_str(
+///     r#"{"id": "credits", "team": "billing", "kind": {"batch": {"tasks": 2}},
+///         "size": {"millicores": 500, "memory_mib": 256}}"#,
+/// ).unwrap();
+/// let mut ledger = TeamLedger::default();
+/// ledger.apply(&LedgerEvent::Submitted { spec: Box::new(spec), at: 1_000 });
+/// assert_eq!(ledger.job("billing", "credits").unwrap().tasks.len(), 2);
+/// ```
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct TeamLedger {
+    teams: BTreeMap<TeamName, BTreeMap<JobId, JobState>>,
+    usage: BTreeMap<TeamName, TaskSize>,
+    closed: VecDeque<(TeamName, JobId)>,
+    accepted: u64,
+}
+
+impl TeamLedger {
+    /// A job by team and id.
+    pub fn job(&self, team: &str, job: &str) -> Option<&JobState> {
+        self.teams.get(team)?.get(job)
+    }
+
+    /// All jobs of a team.
+    pub fn jobs_of(&self, team: &str) -> impl Iterator<Item = &JobState> {
+        self.teams.get(team).into_iter().flat_map(BTreeMap::values)
+    }
+
+    /// All jobs.
+    pub fn jobs(&self) -> impl Iterator<Item = &JobState> {
+        self.teams.values().flat_map(BTreeMap::values)
+    }
+
+    /// Room reserved for the active attempts of a team.
+    pub fn usage_of(&self, team: &str) -> TaskSize {
+        self.usage.get(team).copied().unwrap_or_default()
+    }
+
+    /// Jobs accepted since the partition came to be.
+    pub fn accepted(&self) -> u64 {
+        self.accepted
+    }
+
+    /// Tells whether the attempt is the task's latest and may be running.
+    pub fn is_active(&self, key: &TaskKey) -> bool {
+        self.job(&key.team, &key.job)
+            .and_then(|job| job.tasks.get(key.task as usize))
+            .is_some_and(|task| task.attempt == key.attempt && task.is_active())
+    }
+
+    /// Applies an event; one that does not fit the state changes nothing.
+    pub fn apply(&mut self, event: &LedgerEvent) {
+        match event {
+            LedgerEvent::OwnerTook { .. } => {}
+            LedgerEvent::Submitted { spec, at } => {
+                let jobs = self.teams.entry(spec.team.clone()).or_default();
+                if !jobs.contains_key(&spec.id) {
+                    self.accepted += 1;
+                    let state = JobState::new((**spec).clone(), self.accepted, *at);
+                    jobs.insert(spec.id.clone(), state);
+                }
+            }
+            LedgerEvent::Cancelled { team, job, .. } => {
+                self.change(team, job, JobState::apply_cancel);
+            }
+            LedgerEvent::GangCommitted { team, job, .. } => {
+                self.change(team, job, |state| state.gang_committed = true);
+            }
+            LedgerEvent::Intended {
+                key,
+                partition,
+                epoch,
+                ..
+            } => self.change(&key.team, &key.job, |state| {
+                state.gang_committed = false;
+                let task = &mut state.tasks[key.task as usize];
+                task.attempt = key.attempt;
+                task.worker = None;
+                task.domain = None;
+                task.rack = None;
+                task.phase = TaskPhase::Assigned {
+                    partition: *partition,
+                    epoch: *epoch,
+                };
+            }),
+            LedgerEvent::Started {
+                key,
+                worker,
+                domain,
+                rack,
+                at,
+            } if self.is_active(key) => self.change(&key.team, &key.job, |state| {
+                let task = &mut state.tasks[key.task as usize];
+                task.worker = Some(worker.clone());
+                task.domain = Some(domain.clone());
+                task.rack = Some(rack.clone());
+                task.first_started_at.get_or_insert(*at);
+                if let Some((partition, epoch)) = task.placed_in() {
+                    task.phase = TaskPhase::Running { partition, epoch };
+                }
+            }),
+            LedgerEvent::Released { key, reason, .. } if self.is_active(key) => {
+                self.change(&key.team, &key.job, |state| {
+                    state.apply_release(key.task, *reason);
+                });
+            }
+            LedgerEvent::Ended {
+                key,
+                worker,
+                outcome,
+                ran_ms,
+                peak,
+                ..
+            } if self.is_active(key) => self.change(&key.team, &key.job, |state| {
+                state.tasks[key.task as usize].worker = Some(worker.clone());
+                state.apply_end(key.task, *outcome, *ran_ms, *peak);
+            }),
+            _ => {}
+        }
+    }
+
+    fn change(&mut self, team: &str, job: &str, edit: impl FnOnce(&mut JobState)) {
+        let Some(state) = self.teams.get_mut(team).and_then(|jobs| jobs.get_mut(job)) else {
+            return;
+        };
+        let before = reserved(state);
+        let was_active = state.phase() == JobPhase::Active;
+        edit(state);
+        let after = reserved(state);
+        let closes = was_active && state.phase() != JobPhase::Active;
+        let usage = self.usage.entry(team.to_owned()).or_default();
+        *usage = usage.plus(after).minus(before);
+        if closes {
+            self.close(team, job);
+        }
+    }
+
+    fn close(&mut self, team: &str, job: &str) {
+        self.closed.push_back((team.to_owned(), job.to_owned()));
+        if self.closed.len() <= CLOSED_LIMIT {
+            return;
+        }
+        let Some((team, job)) = self.closed.pop_front() else {
+            return;
+        };
+        if let Some(jobs) = self.teams.get_mut(&team) {
+            jobs.remove(&job);
+        }
+    }
+}
+
+fn reserved(state: &JobState) -> TaskSize {
+    let active = state.tasks.iter().filter(|task| task.is_active()).count();
+    state.reserve.times(active as u32)
+}
--- /dev/null
+++ b/crates/bankvalve_cell/src/link/mod.rs
@@ -0,0 +1,23 @@
+//! Links of an entry instance: to workers, to peers and to the platform's services.
+
+mod caller_command;
+mod peer_message;
+mod store_request;
+mod worker_exchange;
+
+pub use caller_command::{
+    CallerAnswer, CallerCommand, InstanceView, JobView, PartitionView, Refusal, TaskView,
+    WorkerView,
+};
+pub use peer_message::{
+    LinkFailure, PartitionDigest, PeerMessage, PlaceGate, PlaceOrder, PlacementStatus, RoomGroup,
+    ServicePoint,
+};
+pub use store_request::{
+    ObjectOutcome, ObjectRequest, RowCondition, RowImage, RowWrite, StoreOutcome, StoreRequest,
+    TableTransaction,
+};
+pub use worker_exchange::{
+    FenceToken, HeldPhase, HeldTask, TaskId, TaskKey, TaskLabel, TaskOutcome, WorkerCommand,
+    WorkerExchange, WorkerRefusal, WorkerReport,
+};
--- /dev/null
+++ b/crates/bankvalve_cell/src/membership/rendezvous.rs
@@ -0,0 +1,100 @@
+//! Weighted rendezvous hashing with a bound on each owner's load.
+
+use std::collections::BTreeMap;
+
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+use super::PartitionKey;
+use crate::ids::{InstanceName, RegionName};
+
+/// Room above an even share that an owner may fill, in percent.
+const LOAD_MARGIN_PERCENT: u64 = 10;
+
+/// An entry instance that may own partitions.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Candidate {
+    /// Its name.
+    pub name: InstanceName,
+    /// Its region.
+    pub region: RegionName,
+    /// Its share relative to the others.
+    pub weight: u32,
+}
+
+/// Score of a candidate for a partition; the highest score owns it.
+///
+/// # Examples
+///
+/// ```
+/// use bankvalve_cell::membership::{rendezvous_score, PartitionKey};
+///
+/// let key = PartitionKey::team(3);
+/// assert!(rendezvous_score(key, "entry-1", 2) > rendezvous_score(key, "entry-1", 1));
+/// ```
+pub fn rendezvous_score(key: PartitionKey, name: &str, weight: u32) -> f64 {
+    let seed = u64::from(key.index) << 1 | u64::from(key.is_team());
+    let hash = xxh3_64_with_seed(name.as_bytes(), seed);
+    let unit = (hash as f64 + 1.0) / (u64::MAX as f64 + 2.0);
+    -f64::from(weight) / unit.ln()
+}
+
+/// Chooses an owner for each partition.
+///
+/// Each partition goes to the candidate with the highest score that still
+/// has room; candidates in the partition's region come before all others.
+/// Without the bound, nine equal owners of 32 partitions differ by a factor
+/// of three in load; with it, a change of membership moves a few partitions
+/// more than it must. docs/DESIGN.md has both figures.
+pub fn assign_partitions(
+    partitions: &[(PartitionKey, Option<RegionName>)],
+    candidates: &[Candidate],
+) -> BTreeMap<PartitionKey, InstanceName> {
+    let mut loads = BTreeMap::<(bool, &str), u64>::new();
+    let mut owners = BTreeMap::new();
+    for (key, region) in partitions {
+        let eligible = eligible_for(region.as_ref(), candidates);
+        let total: u64 = eligible.iter().map(|member| u64::from(member.weight)).sum();
+        let same = partitions
+            .iter()
+            .filter(|(other, place)| other.is_team() == key.is_team() && place == region)
+            .count() as u64;
+        let mut ranked = eligible;
+        ranked.sort_by(|a, b| {
+            let (a_score, b_score) = (score(*key, a), score(*key, b));
+            b_score
+                .total_cmp(&a_score)
+                .then_with(|| a.name.cmp(&b.name))
+        });
+        let has_room = |member: &&&Candidate| {
+            let load = loads.get(&(key.is_team(), member.name.as_str()));
+            load.copied().unwrap_or(0) < load_bound(same, u64::from(member.weight), total)
+        };
+        let chosen = ranked.iter().find(has_room).or_else(|| ranked.first());
+        if let Some(member) = chosen {
+            *loads.entry((key.is_team(), &member.name)).or_default() += 1;
+            owners.insert(*key, member.name.clone());
+        }
+    }
+    owners
+}
+
+fn score(key: PartitionKey, member: &Candidate) -> f64 {
+    rendezvous_score(key, &member.name, member.weight)
+}
+
+fn eligible_for<'a>(region: Option<&RegionName>, all: &'a [Candidate]) -> Vec<&'a Candidate> {
+    let near: Vec<_> = all
+        .iter()
+        .filter(|member| region.is_none_or(|region| *region == member.region))
+        .collect();
+    if near.is_empty() {
+        all.iter().collect()
+    } else {
+        near
+    }
+}
+
+fn load_bound(partitions: u64, weight: u64, total_weight: u64) -> u64 {
+    let even = partitions * weight * (100 + LOAD_MARGIN_PERCENT);
+    even.div_ceil(total_weight.max(1) * 100).max(1)
+}
--- /dev/null
+++ b/crates/bankvalve_cell/src/owner/team/commands.rs
@@ -0,0 +1,348 @@
+//! Commands of callers: submit, cancel, status.
+
+use super::commit::Proposal;
+use super::team_partition::{span_ms, TeamPartition, TeamView};
+use crate::contract::{JobSpec, PlaceRule, TeamContract};
+use crate::ids::{InstanceName, Ticket};
+use crate::ledger::{JobState, LedgerEvent, TaskPhase};
+use crate::link::{CallerAnswer, CallerCommand, JobView, Refusal, TaskId, TaskView};
+use crate::machine::{ListedWorker, TaskSize};
+use crate::owner::{OwnerAction, OwnerContext};
+use crate::refusal::RefusalReason;
+
+/// Events that may wait to be committed before new jobs are refused.
+const PENDING_LIMIT: usize = 4_000;
+/// Batches that may wait to be archived before new jobs are refused.
+const ARCHIVE_LIMIT: usize = 4_096;
+/// Time after which a refused caller may come back, in milliseconds.
+const COME_BACK_MS: u64 = 2_000;
+
+impl TeamPartition {
+    /// Takes a command; the answer may have to wait for a commit.
+    pub fn command(
+        &mut self,
+        origin: InstanceName,
+        ticket: Ticket,
+        command: CallerCommand,
+        view: &TeamView<'_>,
+        ctx: &mut OwnerContext<'_>,
+    ) {
+        let answer = match command {
+            CallerCommand::Submit { spec } => self.submit(&origin, ticket, *spec, view, ctx),
+            CallerCommand::Cancel { team, job } => {
+                self.cancel(&origin, ticket, &team, &job, view, ctx)
+            }
+            CallerCommand::Status { team, job } if self.is_pending(&team, &job) => {
+                let detail = "the job is being recorded".into();
+                Some(CallerAnswer::Unknown { detail })
+            }
+            CallerCommand::Status { team, job } => Some(self.status(&team, &job)),
+            CallerCommand::Jobs { team } => {
+                let jobs = self.ledger.jobs_of(&team);
+                Some(CallerAnswer::Jobs(jobs.map(listed_view).collect()))
+            }
+            _ => None,
+        };
+        let Some(answer) = answer else { return };
+        if let CallerAnswer::NotRun(refusal) = &answer {
+            ctx.tally.refuse(refusal.reason);
+        }
+        ctx.act(OwnerAction::Answer {
+            origin,
+            ticket,
+            answer,
+        });
+    }
+
+    /// Answers everybody who still waits for a commit that this owner will not see.
+    pub fn abandon(&mut self, ctx: &mut OwnerContext<'_>) {
+        let pending = std::mem::take(&mut self.pending);
+        for proposal in pending {
+            for effect in proposal.effects {
+                if let OwnerAction::Answer { origin, ticket, .. } = effect {
+                    let refusal = Refusal::passing(
+                        RefusalReason::NoOwner,
+                        "the team's partition has changed hands",
+                        COME_BACK_MS,
+                    );
+                    ctx.tally.refuse(refusal.reason);
+                    let answer = CallerAnswer::NotRun(refusal);
+                    ctx.act(OwnerAction::Answer {
+                        origin,
+                        ticket,
+                        answer,
+                    });
+                }
+            }
+        }
+    }
+
+    fn submit(
+        &mut self,
+        origin: &InstanceName,
+        ticket: Ticket,
+        spec: JobSpec,
+        view: &TeamView<'_>,
+        ctx: &mut OwnerContext<'_>,
+    ) -> Option<CallerAnswer> {
+        if let Some(known) = self.ledger.job(&spec.team, &spec.id) {
+            return Some(answer_again(known, &spec));
+        }
+        let answer = OwnerAction::Answer {
+            origin: origin.clone(),
+            ticket,
+            answer: CallerAnswer::Accepted { again: false },
+        };
+        if let Some(pending) = self.pending_submission(&spec) {
+            let LedgerEvent::Submitted { spec: known, .. } = &pending.event else {
+                return None;
+            };
+            if **known != spec {
+                return Some(CallerAnswer::NotRun(conflict(&spec)));
+            }
+            pending.effects.push(answer);
+            return None;
+        }
+        if let Err(refusal) = self.admit(&spec, view, ctx) {
+            return Some(CallerAnswer::NotRun(refusal));
+        }
+        let event = LedgerEvent::Submitted {
+            spec: Box::new(spec),
+            at: ctx.wall,
+        };
+        self.propose(Proposal {
+            effects: vec![answer],
+            ..Proposal::of(event)
+        });
+        None
+    }
+
+    fn pending_submission(&mut self, spec: &JobSpec) -> Option<&mut Proposal> {
+        let in_flight = self
+            .flight
+            .iter_mut()
+            .flat_map(|flight| flight.proposals_mut());
+        let mut all = in_flight.chain(self.pending.iter_mut());
+        all.find(|proposal| {
+            matches!(&proposal.event, LedgerEvent::Submitted { spec: known, .. }
+                if known.id == spec.id && known.team == spec.team)
+        })
+    }
+
+    fn is_pending(&mut self, team: &str, job: &str) -> bool {
+        let in_flight = self
+            .flight
+            .iter_mut()
+            .flat_map(|flight| flight.proposals_mut());
+        let mut all = in_flight.chain(self.pending.iter_mut());
+        all.any(|proposal| {
+            matches!(&proposal.event, LedgerEvent::Submitted { spec, .. }
+                if spec.id == job && spec.team == team)
+        })
+    }
+
+    fn admit(
+        &self,
+        spec: &JobSpec,
+        view: &TeamView<'_>,
+        ctx: &OwnerContext<'_>,
+    ) -> Result<(), Refusal> {
+        spec.check().map_err(Refusal::field)?;
+        let Some(contract) = ctx.bundle.teams.get(&spec.team) else {
+            let detail = format!("expected a team of the bundle, found {}", spec.team);
+            return Err(Refusal::lasting(RefusalReason::UnknownTeam, detail));
+        };
+        check_quota(spec, contract)?;
+        check_possible(spec, contract, view.listed)?;
+        if !view.store_answers {
+            let detail = "the table service does not answer; nothing was recorded";
+            let reason = RefusalReason::StoreUnavailable;
+            return Err(Refusal::passing(reason, detail, COME_BACK_MS));
+        }
+        if self.log.len() > ARCHIVE_LIMIT {
+            let detail = "too many finished batches wait to be archived";
+            let reason = RefusalReason::ArchiveBacklog;
+            return Err(Refusal::passing(reason, detail, COME_BACK_MS));
+        }
+        if self.pending.len() > PENDING_LIMIT {
+            let detail = "too many events wait to be committed";
+            return Err(Refusal::passing(
+                RefusalReason::QueueFull,
+                detail,
+                COME_BACK_MS,
+            ));
+        }
+        Ok(())
+    }
+
+    fn cancel(
+        &mut self,
+        origin: &InstanceName,
+        ticket: Ticket,
+        team: &str,
+        job: &str,
+        view: &TeamView<'_>,
+        ctx: &mut OwnerContext<'_>,
+    ) -> Option<CallerAnswer> {
+        let Some(state) = self.ledger.job(team, job) else {
+            return Some(unknown_job(team, job));
+        };
+        if state.cancelled || state.phase() != crate::ledger::JobPhase::Active {
+            return Some(CallerAnswer::Cancelled);
+        }
+        if !view.store_answers {
+            let detail = "the table service does not answer; the job goes on";
+            let reason = RefusalReason::StoreUnavailable;
+            let refusal = Refusal::passing(reason, detail, COME_BACK_MS);
+            return Some(CallerAnswer::NotRun(refusal));
+        }
+        let event = LedgerEvent::Cancelled {
+            team: team.to_owned(),
+            job: job.to_owned(),
+            at: ctx.wall,
+        };
+        let answer = OwnerAction::Answer {
+            origin: origin.clone(),
+            ticket,
+            answer: CallerAnswer::Cancelled,
+        };
+        self.propose(Proposal {
+            effects: vec![answer],
+            ..Proposal::of(event)
+        });
+        None
+    }
+
+    fn status(&self, team: &str, job: &str) -> CallerAnswer {
+        let Some(state) = self.ledger.job(team, job) else {
+            return unknown_job(team, job);
+        };
+        let mut view = listed_view(state);
+        let tasks = state.tasks.iter().enumerate();
+        view.tasks = tasks
+            .map(|(index, task)| {
+                let id = TaskId {
+                    team: team.to_owned(),
+                    job: job.to_owned(),
+                    task: index as u32,
+                };
+                let phase = match task.phase {
+                    TaskPhase::Waiting => "waiting",
+                    TaskPhase::Assigned { .. } => "assigned",
+                    TaskPhase::Running { .. } => "running",
+                    TaskPhase::Done(outcome) => outcome.as_str(),
+                };
+                let waits = matches!(task.phase, TaskPhase::Waiting);
+                TaskView {
+                    task: index as u32,
+                    attempt: task.attempt,
+                    phase: phase.into(),
+                    worker: task.worker.clone(),
+                    waited_ms: task
+                        .first_started_at
+                        .map(|at| span_ms(state.submitted_at, at)),
+                    why: self.waits.get(&id).filter(|_| waits).map(|wait| wait.why),
+                }
+            })
+            .collect();
+        CallerAnswer::Job(Box::new(view))
+    }
+}
+
+fn listed_view(state: &JobState) -> JobView {
+    JobView {
+        team: state.spec.team.clone(),
+        job: state.spec.id.clone(),
+        kind: state.spec.kind_name().into(),
+        phase: state.phase().as_str().into(),
+        submitted_at: state.submitted_at,
+        tasks: Vec::new(),
+    }
+}
+
+fn answer_again(known: &JobState, spec: &JobSpec) -> CallerAnswer {
+    if known.spec == *spec {
+        CallerAnswer::Accepted { again: true }
+    } else {
+        CallerAnswer::NotRun(conflict(spec))
+    }
+}
+
+fn conflict(spec: &JobSpec) -> Refusal {
+    let detail = format!(
+        "expected the content that job {} was accepted with",
+        spec.id
+    );
+    Refusal::lasting(RefusalReason::JobConflict, detail)
+}
+
+fn unknown_job(team: &str, job: &str) -> CallerAnswer {
+    let detail = format!("no job {job} of team {team} is known");
+    CallerAnswer::NotRun(Refusal::lasting(RefusalReason::UnknownJob, detail))
+}
+
+/// Checks that the job's smallest possible use fits the team's quota.
+fn check_quota(spec: &JobSpec, contract: &TeamContract) -> Result<(), Refusal> {
+    let least = if spec.is_gang() {
+        spec.size.times(spec.task_count())
+    } else {
+        spec.size
+    };
+    if least.fits_in(contract.quota) {
+        return Ok(());
+    }
+    let detail = format!("needs {least} at once, and the quota is {}", contract.quota);
+    Err(Refusal::lasting(RefusalReason::CanNeverRun, detail))
+}
+
+/// Checks that the listed workers, if empty, could hold the job.
+fn check_possible(
+    spec: &JobSpec,
+    contract: &TeamContract,
+    listed: &[ListedWorker],
+) -> Result<(), Refusal> {
+    if listed.is_empty() {
+        let detail = "the instance list has not been read yet";
+        return Err(Refusal::passing(
+            RefusalReason::NoOwner,
+            detail,
+            COME_BACK_MS,
+        ));
+    }
+    let rules: [&PlaceRule; 2] = [&spec.place, &contract.place];
+    let admitted: Vec<&ListedWorker> = listed
+        .iter()
+        .filter(|worker| rules.iter().all(|rule| rule.admits_worker(&worker.detail)))
+        .collect();
+    if admitted.is_empty() {
+        let detail = format!(
+            "rules leave none of {} workers: allow {:?} and {:?}, deny {:?} and {:?}",
+            listed.len(),
+            spec.place.allow,
+            contract.place.allow,
+            spec.place.deny,
+            contract.place.deny
+        );
+        return Err(Refusal::lasting(RefusalReason::CanNeverRun, detail));
+    }
+    let hold = |worker: &&ListedWorker| worker.detail.size.count_of(spec.size);
+    let at_once: u64 = admitted.iter().map(|worker| u64::from(hold(worker))).sum();
+    let needed = if spec.is_gang() {
+        u64::from(spec.task_count())
+    } else {
+        1
+    };
+    if at_once >= needed {
+        return Ok(());
+    }
+    let largest = admitted.iter().fold(TaskSize::default(), |most, worker| {
+        most.max(worker.detail.size)
+    });
+    let detail = format!(
+        "needs {needed} tasks of {} at once; the {} workers that rules admit hold {at_once}, \
+         the largest has {largest}",
+        spec.size,
+        admitted.len()
+    );
+    Err(Refusal::lasting(RefusalReason::CanNeverRun, detail))
+}
--- /dev/null
+++ b/crates/bankvalve_cell/src/owner/team/commit.rs
@@ -0,0 +1,356 @@
+//! Group commit: proposals become events in one conditional write.
+
+use serde::{Deserialize, Serialize};
+
+use super::team_partition::TeamPartition;
+use crate::ids::{PartitionIndex, RowVersion, TeamName};
+use crate::ledger::{LedgerBatch, LedgerEvent, LedgerSnapshot, RecordSegment};
+use crate::link::{ObjectRequest, TableTransaction, TaskId};
+use crate::machine::TaskSize;
+use crate::membership::PartitionKey;
+use crate::owner::{GuardName, OwnerAction, OwnerContext};
+use crate::refusal::RetryReason;
+use crate::tally::InvariantKind;
+
+/// Events in one batch.
+const BATCH_LIMIT: usize = 400;
+/// Batches between two snapshots.
+const SNAPSHOT_EVERY: u64 = 64;
+/// Log rows deleted together with a snapshot.
+const DELETE_LIMIT: usize = 128;
+/// Batches archived as one object.
+const SEGMENT_LIMIT: usize = 64;
+/// Batches that wait before a segment is archived early.
+const SEGMENT_FLOOR: usize = 24;
+/// Time after which fewer batches are archived too.
+const ARCHIVE_AFTER: std::time::Duration = std::time::Duration::from_secs(30);
+
+/// An event that waits to be committed, and what follows once it is.
+#[derive(Debug)]
+pub(super) struct Proposal {
+    pub(super) event: LedgerEvent,
+    /// Worker partition whose row must still stand at this version.
+    pub(super) condition: Option<(PartitionIndex, RowVersion)>,
+    pub(super) effects: Vec<OwnerAction>,
+    /// Room that the event will reserve, and the quota that admitted it.
+    pub(super) usage: Option<(TeamName, TaskSize, TaskSize)>,
+}
+
+impl Proposal {
+    pub(super) fn of(event: LedgerEvent) -> Self {
+        Self {
+            event,
+            condition: None,
+            effects: Vec::new(),
+            usage: None,
+        }
+    }
+
+    pub(super) fn task(&self) -> Option<TaskId> {
+        self.event.key().map(crate::link::TaskKey::id)
+    }
+}
+
+/// A batch that was sent to the table service.
+#[derive(Debug)]
+pub(super) struct Flight {
+    sequence: u64,
+    bytes: Vec<u8>,
+    proposals: Vec<Proposal>,
+    snapshot: bool,
+    deleted: Vec<u64>,
+}
+
+/// What became of the batch in flight.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum FlushOutcome {
+    /// It is committed, its rows at this version.
+    Committed(RowVersion),
+    /// Nothing was written: these rows were not at the version required.
+    Conflict(Vec<String>),
+}
+
+/// Row that orders all commits of a partition.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+struct HeadRow {
+    sequence: u64,
+    #[serde(with = "serde_bytes")]
+    hash: [u8; 32],
+}
+
+impl TeamPartition {
+    /// Puts an event in line for the next commit.
+    pub(super) fn propose(&mut self, proposal: Proposal) {
+        if let Some(task) = proposal.task() {
+            self.busy.insert(task);
+        }
+        if let Some((team, size, _)) = &proposal.usage {
+            let pending = self.pending_usage.entry(team.clone()).or_default();
+            *pending = pending.plus(*size);
+        }
+        self.pending.push(proposal);
+    }
+
+    /// Adds the next batch to a transaction; returns whether there was one.
+    pub fn begin_flush(&mut self, txn: &mut TableTransaction, ctx: &OwnerContext<'_>) -> bool {
+        if !self.loaded || self.flight.is_some() || self.pending.is_empty() {
+            return false;
+        }
+        let rest = self.pending.split_off(self.pending.len().min(BATCH_LIMIT));
+        let proposals = std::mem::replace(&mut self.pending, rest);
+        let batch = LedgerBatch {
+            partition: self.index,
+            sequence: self.sequence + 1,
+            previous: self.chain,
+            writer: self.writer.clone(),
+            events: proposals
+                .iter()
+                .map(|proposal| proposal.event.clone())
+                .collect(),
+        };
+        let bytes = batch.encode();
+        let snapshot = batch.sequence >= self.snapshot_sequence + SNAPSHOT_EVERY;
+        self.require_rows(txn, &proposals, ctx);
+        self.write_rows(txn, &batch, &bytes);
+        let deleted = if snapshot {
+            self.write_snapshot(txn, &batch, &bytes)
+        } else {
+            Vec::new()
+        };
+        self.flight = Some(Flight {
+            sequence: batch.sequence,
+            bytes,
+            proposals,
+            snapshot,
+            deleted,
+        });
+        true
+    }
+
+    /// Key of the row whose content tells whether the batch in flight was committed.
+    pub fn head_key(&self) -> String {
+        format!("{}head", Self::row_prefix(self.index))
+    }
+
+    /// Tells whether a head row is the one that the batch in flight writes.
+    pub fn is_own_head(&self, value: &[u8]) -> bool {
+        let head = rmp_serde::from_slice::<HeadRow>(value).ok();
+        let flight = self.flight.as_ref();
+        head.zip(flight).is_some_and(|(head, flight)| {
+            head.sequence == flight.sequence && head.hash == LedgerBatch::hash_of(&flight.bytes)
+        })
+    }
+
+    /// Settles the batch in flight; returns whether the partition is still owned.
+    pub fn end_flush(&mut self, outcome: &FlushOutcome, ctx: &mut OwnerContext<'_>) -> bool {
+        match outcome {
+            FlushOutcome::Committed(version) => {
+                self.commit(*version, ctx);
+                true
+            }
+            FlushOutcome::Conflict(keys) => {
+                let own_row = PartitionKey::team(self.index).row_key();
+                if keys.contains(&own_row) || keys.contains(&self.head_key()) {
+                    return false;
+                }
+                self.drop_conflicting(keys, ctx);
+                true
+            }
+        }
+    }
+
+    /// The next object to archive, if one is due.
+    pub fn begin_archive(&mut self, ctx: &OwnerContext<'_>) -> Option<ObjectRequest> {
+        let due = self.log.len() >= SEGMENT_FLOOR
+            || (!self.log.is_empty() && ctx.now >= self.archive_due);
+        if self.archiving.is_some() || !due {
+            return None;
+        }
+        self.archive_due = ctx.now + ARCHIVE_AFTER;
+        let segment: Vec<_> = self.log.iter().take(SEGMENT_LIMIT).collect();
+        let first = segment.first()?.0;
+        let last = segment.last()?.0;
+        let batches = segment
+            .iter()
+            .map(|(_, bytes)| bytes.clone().into())
+            .collect();
+        self.archiving = Some(last);
+        Some(ObjectRequest::Put {
+            name: format!("record/{:04}/{first:012}-{last:012}", self.index),
+            value: RecordSegment { batches }.encode(),
+        })
+    }
+
+    /// Takes word of what became of the object being archived.
+    pub fn end_archive(&mut self, stored: bool, ctx: &mut OwnerContext<'_>) {
+        let Some(last) = self.archiving.take() else {
+            return;
+        };
+        if !stored {
+            ctx.tally.retry(RetryReason::ObjectFailed);
+            return;
+        }
+        self.archived = self.archived.max(last);
+        self.log.retain(|(sequence, _)| *sequence > last);
+    }
+
+    fn require_rows(
+        &self,
+        txn: &mut TableTransaction,
+        proposals: &[Proposal],
+        ctx: &OwnerContext<'_>,
+    ) {
+        if ctx.guards.has(GuardName::CommitFence) {
+            txn.require(PartitionKey::team(self.index).row_key(), self.row_version);
+            txn.require(self.head_key(), self.head_version);
+        }
+        if !ctx.guards.has(GuardName::ReleaseFence) {
+            return;
+        }
+        let mut rows: Vec<_> = proposals
+            .iter()
+            .filter_map(|proposal| proposal.condition)
+            .collect();
+        rows.sort_unstable();
+        rows.dedup();
+        for (partition, version) in rows {
+            txn.require(PartitionKey::worker(partition).row_key(), version);
+        }
+    }
+
+    fn write_rows(&self, txn: &mut TableTransaction, batch: &LedgerBatch, bytes: &[u8]) {
+        let head = HeadRow {
+            sequence: batch.sequence,
+            hash: LedgerBatch::hash_of(bytes),
+        };
+        let head = rmp_serde::to_vec_named(&head).expect("a head can be encoded");
+        txn.put(self.head_key(), head);
+        txn.put(self.log_key(batch.sequence), bytes.to_vec());
+    }
+
+    fn write_snapshot(
+        &self,
+        txn: &mut TableTransaction,
+        batch: &LedgerBatch,
+        bytes: &[u8],
+    ) -> Vec<u64> {
+        let mut ledger = self.ledger.clone();
+        for event in &batch.events {
+            ledger.apply(event);
+        }
+        let snapshot = LedgerSnapshot {
+            sequence: batch.sequence,
+            chain: LedgerBatch::hash_of(bytes),
+            archived: self.archived,
+            ledger,
+        };
+        let key = format!("{}snap", Self::row_prefix(self.index));
+        txn.put(key, snapshot.encode());
+        let archived = |sequence: &&u64| **sequence <= self.archived;
+        let deleted: Vec<u64> = self
+            .rows
+            .iter()
+            .take_while(archived)
+            .take(DELETE_LIMIT)
+            .copied()
+            .collect();
+        for sequence in &deleted {
+            txn.delete(self.log_key(*sequence));
+        }
+        deleted
+    }
+
+    fn log_key(&self, sequence: u64) -> String {
+        format!("{}log/{sequence:012}", Self::row_prefix(self.index))
+    }
+
+    fn commit(&mut self, version: RowVersion, ctx: &mut OwnerContext<'_>) {
+        let Some(flight) = self.flight.take() else {
+            return;
+        };
+        self.head_version = version;
+        self.sequence = flight.sequence;
+        self.chain = LedgerBatch::hash_of(&flight.bytes);
+        self.rows.insert(flight.sequence);
+        self.log.push_back((flight.sequence, flight.bytes));
+        if flight.snapshot {
+            self.snapshot_sequence = flight.sequence;
+        }
+        for sequence in flight.deleted {
+            self.rows.remove(&sequence);
+        }
+        ctx.tally.ledger_commits += 1;
+        for proposal in flight.proposals {
+            ctx.tally.ledger_events += 1;
+            self.commit_one(proposal, ctx);
+        }
+    }
+
+    fn commit_one(&mut self, proposal: Proposal, ctx: &mut OwnerContext<'_>) {
+        self.ledger.apply(&proposal.event);
+        self.settle(&proposal);
+        if let Some((team, _, quota)) = &proposal.usage {
+            let used = self.ledger.usage_of(team);
+            ctx.tally
+                .assert(InvariantKind::Quota, used.fits_in(*quota), || {
+                    format!("team {team} holds {used} of {quota}")
+                });
+        }
+        if let Some(task) = proposal.task() {
+            self.index_task(&task, ctx.now);
+            if matches!(proposal.event, LedgerEvent::Intended { .. }) {
+                self.waits.remove(&task);
+            }
+        } else if let Some((team, job)) = proposal.event.job() {
+            self.index_job(team, job, ctx.now);
+            if matches!(proposal.event, LedgerEvent::GangCommitted { .. }) {
+                self.hasten_job(team, job, ctx.now, |_| true);
+            }
+        }
+        for effect in proposal.effects {
+            ctx.act(effect);
+        }
+    }
+
+    /// Takes a proposal out of what is pending.
+    fn settle(&mut self, proposal: &Proposal) {
+        if let Some(task) = proposal.task() {
+            self.busy.remove(&task);
+        }
+        if let Some((team, size, _)) = &proposal.usage {
+            if let Some(pending) = self.pending_usage.get_mut(team) {
+                *pending = pending.minus(*size);
+            }
+        }
+    }
+
+    /// Drops what rests on a worker partition that has changed hands, and keeps the rest.
+    fn drop_conflicting(&mut self, keys: &[String], ctx: &mut OwnerContext<'_>) {
+        let Some(flight) = self.flight.take() else {
+            return;
+        };
+        let conflicts = |proposal: &Proposal| {
+            proposal.condition.is_some_and(|(partition, _)| {
+                keys.contains(&PartitionKey::worker(partition).row_key())
+            })
+        };
+        let (dropped, mut kept): (Vec<_>, Vec<_>) =
+            flight.proposals.into_iter().partition(conflicts);
+        for proposal in &dropped {
+            ctx.tally.retry(RetryReason::StoreConflict);
+            self.settle(proposal);
+        }
+        kept.append(&mut self.pending);
+        self.pending = kept;
+    }
+}
+
+impl Flight {
+    pub(super) fn proposals(&self) -> impl Iterator<Item = &Proposal> {
+        self.proposals.iter()
+    }
+
+    pub(super) fn proposals_mut(&mut self) -> impl Iterator<Item = &mut Proposal> {
+        self.proposals.iter_mut()
+    }
+}
--- /dev/null
+++ b/crates/bankvalve_cell/src/owner/team/mod.rs
@@ -0,0 +1,11 @@
+//! Owner of a team partition: the only one that decides on its teams' jobs.
+
+mod commands;
+mod commit;
+mod gangs;
+mod scheduling;
+mod team_partition;
+mod watching;
+
+pub use commit::FlushOutcome;
+pub use team_partition::{TeamPartition, TeamView};
--- /dev/null
+++ b/crates/bankvalve_cell/src/owner/team/scheduling.rs
@@ -0,0 +1,250 @@
+//! Assignment of waiting tasks to worker partitions, within quota and rules.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use super::commit::Proposal;
+use super::team_partition::{ReadyJob, TaskWait, TeamPartition, TeamView};
+use crate::contract::PlaceRule;
+use crate::ids::{DomainName, TaskIndex, TeamName};
+use crate::ledger::{JobState, LedgerEvent};
+use crate::link::TaskId;
+use crate::machine::TaskSize;
+use crate::owner::{GuardName, OwnerContext};
+use crate::placement::{PartitionChoice, PlaceWish};
+use crate::refusal::RefusalReason;
+
+/// Tasks that are assigned in one step at most.
+const DECISION_LIMIT: usize = 256;
+/// Jobs without a place that are looked at in one step at most.
+const MISS_LIMIT: usize = 24;
+/// First wait of a task that was refused; it doubles up to a limit.
+const FIRST_WAIT: Duration = Duration::from_millis(200);
+/// Times that the wait doubles at most.
+const DOUBLINGS: u32 = 5;
+
+impl TeamPartition {
+    /// Does what is due: assignments, messages that need repeating, gangs, drains.
+    pub fn tick(&mut self, view: &mut TeamView<'_>, ctx: &mut OwnerContext<'_>) {
+        if !self.loaded {
+            return;
+        }
+        if view.store_answers {
+            self.assign_waiting(view, ctx);
+        }
+        self.attend_jobs(ctx);
+        self.say_what_is_due(view, ctx);
+    }
+
+    /// Assigns waiting tasks: urgent jobs first, then by the team's share of its quota in use.
+    fn assign_waiting(&mut self, view: &mut TeamView<'_>, ctx: &mut OwnerContext<'_>) {
+        let mut decided = 0;
+        let mut missed = 0;
+        for ready in self.jobs_in_turn(ctx) {
+            let Some(job) = self.ledger.job(&ready.team, &ready.job) else {
+                continue;
+            };
+            let gang = job.spec.is_gang();
+            let placed = if gang {
+                self.assign_gang(&ready, view, ctx)
+            } else {
+                self.assign_tasks(&ready, DECISION_LIMIT - decided, view, ctx)
+            };
+            decided += placed;
+            missed += usize::from(placed == 0);
+            if decided >= DECISION_LIMIT || missed >= MISS_LIMIT {
+                break;
+            }
+        }
+    }
+
+    fn jobs_in_turn(&self, ctx: &OwnerContext<'_>) -> Vec<ReadyJob> {
+        let mut jobs: Vec<(u64, ReadyJob)> = self
+            .ready
+            .keys()
+            .map(|job| (self.share_in_use(&job.team, ctx), job.clone()))
+            .collect();
+        jobs.sort_by(|(a_share, a), (b_share, b)| {
+            (a.patient, a_share, a.order).cmp(&(b.patient, b_share, b.order))
+        });
+        jobs.into_iter().map(|(_, job)| job).collect()
+    }
+
+    fn share_in_use(&self, team: &TeamName, ctx: &OwnerContext<'_>) -> u64 {
+        let Some(contract) = ctx.bundle.teams.get(team) else {
+            return u64::MAX;
+        };
+        let share = self.ledger.usage_of(team).share_of(contract.quota);
+        (share * 1_000.0 / f64::from(contract.weight)) as u64
+    }
+
+    fn assign_tasks(
+        &mut self,
+        ready: &ReadyJob,
+        limit: usize,
+        view: &mut TeamView<'_>,
+        ctx: &mut OwnerContext<'_>,
+    ) -> usize {
+        let tasks: Vec<TaskIndex> = self.ready[ready].iter().copied().collect();
+        let mut placed = 0;
+        for task in tasks {
+            if placed >= limit {
+                break;
+            }
+            let id = TaskId {
+                team: ready.team.clone(),
+                job: ready.job.clone(),
+                task,
+            };
+            if self.busy.contains(&id) || self.must_wait(&id, ctx) {
+                continue;
+            }
+            match self.assign_one(&id, view, ctx) {
+                Ok(()) => placed += 1,
+                Err(why) => {
+                    self.note_wait(&id, why, Duration::ZERO, ctx);
+                    break;
+                }
+            }
+        }
+        placed
+    }
+
+    fn assign_one(
+        &mut self,
+        id: &TaskId,
+        view: &mut TeamView<'_>,
+        ctx: &mut OwnerContext<'_>,
+    ) -> Result<(), RefusalReason> {
+        let job = self.ledger.job(&id.team, &id.job).expect("ready");
+        let need = job.reserve;
+        let quota = self.quota_left(&id.team, need, ctx)?;
+        let spread = spread_of(job);
+        let rules = rules_of(job, ctx);
+        let wish = PlaceWish {
+            need,
+            rules: &rules,
+            urgent: job.spec.urgent,
+            service: job.spec.service().is_some(),
+            spread: &spread,
+            may_queue: true,
+            except: None,
+        };
+        let choice = view
+            .board
+            .choose(&wish, &self.policy, &mut self.rng)
+            .ok_or(RefusalReason::NoRoom)?;
+        view.board.deduct(&choice, need);
+        self.propose_intent(id, &choice, need, quota, ctx);
+        Ok(())
+    }
+
+    /// Checks a team's quota for one more task; returns the quota.
+    pub(super) fn quota_left(
+        &self,
+        team: &TeamName,
+        need: TaskSize,
+        ctx: &OwnerContext<'_>,
+    ) -> Result<TaskSize, RefusalReason> {
+        let contract = ctx.bundle.teams.get(team);
+        let quota = contract.ok_or(RefusalReason::UnknownTeam)?.quota;
+        let mut used = self.ledger.usage_of(team);
+        if ctx.guards.has(GuardName::QuotaPending) {
+            let pending = self.pending_usage.get(team).copied();
+            used = used.plus(pending.unwrap_or_default());
+        }
+        if used.plus(need).fits_in(quota) {
+            Ok(quota)
+        } else {
+            Err(RefusalReason::QuotaExceeded)
+        }
+    }
+
+    /// Puts the intent to run a task's next attempt in line for the next commit.
+    pub(super) fn propose_intent(
+        &mut self,
+        id: &TaskId,
+        choice: &PartitionChoice,
+        need: TaskSize,
+        quota: TaskSize,
+        ctx: &mut OwnerContext<'_>,
+    ) {
+        let job = self.ledger.job(&id.team, &id.job).expect("ready");
+        let attempt = job.tasks[id.task as usize].attempt + 1;
+        let event = LedgerEvent::Intended {
+            key: id.attempt(attempt),
+            partition: choice.partition,
+            epoch: choice.epoch,
+            bundle: ctx.bundle.version,
+            choices: choice.choices,
+            at: ctx.wall,
+        };
+        let mut proposal = Proposal::of(event);
+        proposal.usage = Some((id.team.clone(), need, quota));
+        self.propose(proposal);
+        if !ctx.guards.has(GuardName::IntentFirst) {
+            self.say_before_commit(id, attempt, choice, ctx);
+        }
+    }
+
+    fn must_wait(&self, id: &TaskId, ctx: &OwnerContext<'_>) -> bool {
+        self.waits.get(id).is_some_and(|wait| wait.until > ctx.now)
+    }
+
+    /// Notes why a task waits, and for how long it is left alone.
+    pub(super) fn note_wait(
+        &mut self,
+        id: &TaskId,
+        why: RefusalReason,
+        at_least: Duration,
+        ctx: &mut OwnerContext<'_>,
+    ) {
+        let known = self.waits.get(id).filter(|wait| wait.why == why);
+        let times = known.map_or(0, |wait| (wait.times + 1).min(DOUBLINGS));
+        if known.is_none() {
+            ctx.tally.refuse(why);
+        }
+        let until = ctx.now + at_least.max(FIRST_WAIT / 4 * 2_u32.pow(times.min(2)));
+        self.waits
+            .insert(id.clone(), TaskWait { until, why, times });
+    }
+
+    /// Notes that an attempt came back without having run, and waits longer each time.
+    pub(super) fn note_come_back(
+        &mut self,
+        id: &TaskId,
+        why: RefusalReason,
+        ctx: &mut OwnerContext<'_>,
+    ) {
+        let times = self.waits.get(id).map_or(0, |wait| wait.times);
+        let wait = FIRST_WAIT * 2_u32.pow(times.min(DOUBLINGS));
+        let until = ctx.now + wait;
+        let times = times + 1;
+        self.waits
+            .insert(id.clone(), TaskWait { until, why, times });
+    }
+}
+
+/// Active tasks of a job by failure domain.
+pub(super) fn spread_of(job: &JobState) -> BTreeMap<DomainName, u32> {
+    let mut spread = BTreeMap::new();
+    if job.spec.service().is_none() {
+        return spread;
+    }
+    for task in job.tasks.iter().filter(|task| task.is_active()) {
+        if let Some(domain) = &task.domain {
+            *spread.entry(domain.clone()).or_default() += 1;
+        }
+    }
+    spread
+}
+
+/// Rules that must all admit a job's place.
+pub(super) fn rules_of(job: &JobState, ctx: &OwnerContext<'_>) -> Vec<PlaceRule> {
+    let mut rules = vec![job.spec.place.clone()];
+    if let Some(contract) = ctx.bundle.teams.get(&job.spec.team) {
+        rules.push(contract.place.clone());
+    }
+    rules.retain(|rule| *rule != PlaceRule::default());
+    rules
+}
--- /dev/null
+++ b/crates/bankvalve_cell/src/owner/team/watching.rs
@@ -0,0 +1,459 @@
+//! What is said to and heard from the owners of worker partitions.
+
+use std::time::Duration;
+
+use super::commit::Proposal;
+use super::team_partition::{TeamPartition, TeamView};
+use crate::ids::{CellTime, Epoch, PartitionIndex, RowVersion};
+use crate::ledger::{LedgerEvent, ReleaseReason, TaskPhase};
+use crate::link::{
+    PeerMessage, PlaceGate, PlaceOrder, PlacementStatus, TaskId, TaskKey, TaskLabel, TaskOutcome,
+};
+use crate::owner::{GuardName, OwnerContext};
+use crate::placement::{PartitionChoice, PlaceWish};
+use crate::refusal::{RefusalReason, RetryReason};
+use crate::tally::InvariantKind;
+
+/// Time between two questions about an attempt that is known to run.
+const ASK_RUNNING: Duration = Duration::from_secs(60);
+
+impl TeamPartition {
+    /// Takes word of how an attempt stands.
+    pub fn take_status(
+        &mut self,
+        partition: PartitionIndex,
+        epoch: Epoch,
+        key: &TaskKey,
+        status: PlacementStatus,
+        view: &TeamView<'_>,
+        ctx: &mut OwnerContext<'_>,
+    ) {
+        if !self.loaded {
+            return;
+        }
+        let id = key.id();
+        if !self.ledger.is_active(key) {
+            self.answer_inactive(partition, epoch, key, &status, ctx);
+            return;
+        }
+        if self.busy.contains(&id) {
+            return;
+        }
+        match status {
+            PlacementStatus::Queued => self.note_watch(&id, |watch| {
+                watch.queued = true;
+                watch.held = false;
+            }),
+            PlacementStatus::Held => {
+                self.note_watch(&id, |watch| {
+                    watch.queued = false;
+                    watch.held = true;
+                });
+                self.hasten_job(&id.team, &id.job, ctx.now, |watch| !watch.held);
+            }
+            PlacementStatus::Unfenced => {}
+            PlacementStatus::Started {
+                worker,
+                domain,
+                rack,
+                leaving,
+            } => {
+                self.note_watch(&id, |watch| {
+                    watch.queued = false;
+                    watch.leaving = leaving;
+                });
+                self.note_running(&id, ctx);
+                let job = self.ledger.job(&id.team, &id.job).expect("active");
+                if job.tasks[id.task as usize].worker.is_none() {
+                    self.propose(Proposal::of(LedgerEvent::Started {
+                        key: key.clone(),
+                        worker,
+                        domain,
+                        rack,
+                        at: ctx.wall,
+                    }));
+                }
+            }
+            PlacementStatus::Ended {
+                worker,
+                outcome,
+                ran_ms,
+                peak,
+            } => {
+                if outcome == TaskOutcome::Failed {
+                    ctx.tally.retry(RetryReason::TaskFailed);
+                }
+                let mut proposal = Proposal::of(LedgerEvent::Ended {
+                    key: key.clone(),
+                    worker,
+                    outcome,
+                    ran_ms,
+                    peak,
+                    at: ctx.wall,
+                });
+                proposal.effects.push(end_recorded(partition, key));
+                self.propose(proposal);
+            }
+            PlacementStatus::Lost => {
+                ctx.tally.retry(RetryReason::TaskLost);
+                let reason = if ctx.guards.has(GuardName::RepeatOnlyIfAllowed) {
+                    ReleaseReason::Lost
+                } else {
+                    ReleaseReason::NotRun(RefusalReason::WorkerUnreachable)
+                };
+                self.propose_release(partition, epoch, key, reason, view, ctx);
+            }
+            PlacementStatus::NotRun(why) => {
+                ctx.tally.retry(RetryReason::PlacementRefused);
+                self.note_come_back(&id, why, ctx);
+                let reason = ReleaseReason::NotRun(why);
+                self.propose_release(partition, epoch, key, reason, view, ctx);
+            }
+        }
+    }
+
+    /// Marks attempts to be withdrawn; the orders go out with what is due.
+    pub(super) fn withdraw_all(&mut self, ids: &[TaskId]) {
+        for id in ids {
+            if let Some(watch) = self.watches.get_mut(id) {
+                if !watch.withdrawing {
+                    watch.withdrawing = true;
+                    watch.next_say = CellTime::ZERO;
+                }
+            }
+        }
+    }
+
+    /// Makes what is to be said of a job's attempts due at once.
+    pub(super) fn hasten_job(
+        &mut self,
+        team: &str,
+        job: &str,
+        now: CellTime,
+        which: impl Fn(&super::team_partition::AttemptWatch) -> bool,
+    ) {
+        let same_job = |id: &TaskId| id.job == job && id.team == team;
+        for (_, watch) in self.watches.iter_mut().filter(|(id, _)| same_job(id)) {
+            if which(watch) {
+                watch.next_say = now;
+            }
+        }
+    }
+
+    /// Says again what has had no answer.
+    pub(super) fn say_what_is_due(&mut self, view: &TeamView<'_>, ctx: &mut OwnerContext<'_>) {
+        let due: Vec<TaskId> = self
+            .watches
+            .iter()
+            .filter(|(id, watch)| watch.next_say <= ctx.now || self.owner_changed(id, view))
+            .map(|(id, _)| id.clone())
+            .collect();
+        for id in due {
+            self.say(&id, view, ctx);
+        }
+    }
+
+    /// Sends an order before its intent is committed; only a check that takes the guard away does.
+    pub(super) fn say_before_commit(
+        &mut self,
+        id: &TaskId,
+        attempt: u32,
+        choice: &PartitionChoice,
+        ctx: &mut OwnerContext<'_>,
+    ) {
+        let key = id.attempt(attempt);
+        let place = (choice.partition, choice.epoch);
+        let order = self.order_for(&key, place, PlaceGate::Start, ctx);
+        self.send_order(choice.partition, choice.epoch, order, ctx);
+    }
+
+    fn owner_changed(&self, id: &TaskId, view: &TeamView<'_>) -> bool {
+        let Some(watch) = self.watches.get(id) else {
+            return false;
+        };
+        let Some((partition, _)) = self.placed_in(id) else {
+            return false;
+        };
+        let current = view.worker_rows.get(&partition).map(|row| row.0);
+        watch.said_epoch.is_some() && current.is_some() && watch.said_epoch != current
+    }
+
+    fn placed_in(&self, id: &TaskId) -> Option<(PartitionIndex, Epoch)> {
+        let job = self.ledger.job(&id.team, &id.job)?;
+        job.tasks[id.task as usize].placed_in()
+    }
+
+    fn say(&mut self, id: &TaskId, view: &TeamView<'_>, ctx: &mut OwnerContext<'_>) {
+        let Some((partition, intent_epoch)) = self.placed_in(id) else {
+            return;
+        };
+        let Some((epoch, _)) = view.worker_rows.get(&partition).copied() else {
+            return;
+        };
+        let job = self.ledger.job(&id.team, &id.job).expect("placed");
+        let cancelled = job.cancelled;
+        let task = &job.tasks[id.task as usize];
+        let running = matches!(task.phase, TaskPhase::Running { .. });
+        let waits_for_commit = job.spec.is_gang() && !job.gang_committed && !running;
+        let started_on = task.worker.clone();
+        let key = id.attempt(task.attempt);
+        let repeat = ctx.timings.repeat;
+        let Some(watch) = self.watches.get_mut(id) else {
+            return;
+        };
+        let repeated = watch.said_epoch.is_some() && !running && !watch.held && !watch.queued;
+        let settled = running && !watch.withdrawing && watch.said_epoch == Some(epoch);
+        watch.next_say = ctx.now + if settled { ASK_RUNNING } else { repeat };
+        watch.said_epoch = Some(epoch);
+        if repeated {
+            ctx.tally.retry(RetryReason::PlacementUnanswered);
+        }
+        if watch.withdrawing {
+            let message = PeerMessage::Withdraw {
+                partition,
+                epoch,
+                team_epoch: self.writer.epoch,
+                team_partition: self.index,
+                intent_epoch,
+                started_on,
+                key,
+                outcome: if cancelled {
+                    TaskOutcome::Cancelled
+                } else {
+                    TaskOutcome::Preempted
+                },
+                only_waiting: false,
+            };
+            ctx.tell_worker_owner(partition, message);
+            return;
+        }
+        if waits_for_commit && !self.is_turn_to_hold(id) {
+            return;
+        }
+        if self.should_move(id, view, ctx) {
+            self.ask_back(&key, partition, epoch, intent_epoch, ctx);
+            return;
+        }
+        let gate = if waits_for_commit {
+            PlaceGate::Hold
+        } else {
+            PlaceGate::Start
+        };
+        let mut order = self.order_for(&key, (partition, intent_epoch), gate, ctx);
+        order.started_on = started_on;
+        self.send_order(partition, epoch, order, ctx);
+    }
+
+    /// Tells whether all tasks of the gang in earlier partitions hold room.
+    ///
+    /// Gangs that take partitions in the same order cannot each hold what
+    /// the other waits for.
+    fn is_turn_to_hold(&self, id: &TaskId) -> bool {
+        let Some((own, _)) = self.placed_in(id) else {
+            return false;
+        };
+        let job = self.ledger.job(&id.team, &id.job).expect("placed");
+        let tasks = job.tasks.iter().enumerate();
+        tasks
+            .filter_map(|(index, task)| Some((index as u32, task.placed_in()?.0)))
+            .filter(|(_, partition)| *partition < own)
+            .all(|(task, _)| {
+                let other = TaskId { task, ..id.clone() };
+                self.watches.get(&other).is_some_and(|watch| watch.held)
+            })
+    }
+
+    /// Tells whether an attempt has queued for long while another partition has room.
+    fn should_move(&mut self, id: &TaskId, view: &TeamView<'_>, ctx: &OwnerContext<'_>) -> bool {
+        let Some(watch) = self.watches.get(id) else {
+            return false;
+        };
+        if !watch.queued || ctx.now < watch.since + ctx.timings.move_after || !view.store_answers {
+            return false;
+        }
+        let Some((partition, _)) = self.placed_in(id) else {
+            return false;
+        };
+        let job = self.ledger.job(&id.team, &id.job).expect("placed");
+        if job.spec.is_gang() {
+            return false;
+        }
+        let rules = super::scheduling::rules_of(job, ctx);
+        let spread = super::scheduling::spread_of(job);
+        let wish = PlaceWish {
+            need: job.reserve,
+            rules: &rules,
+            urgent: false,
+            service: job.spec.service().is_some(),
+            spread: &spread,
+            may_queue: false,
+            except: Some(partition),
+        };
+        let choice = view.board.choose(&wish, &self.policy, &mut self.rng);
+        choice.is_some()
+    }
+
+    fn ask_back(
+        &self,
+        key: &TaskKey,
+        partition: PartitionIndex,
+        epoch: Epoch,
+        intent_epoch: Epoch,
+        ctx: &mut OwnerContext<'_>,
+    ) {
+        let message = PeerMessage::Withdraw {
+            partition,
+            epoch,
+            team_epoch: self.writer.epoch,
+            team_partition: self.index,
+            intent_epoch,
+            started_on: None,
+            key: key.clone(),
+            outcome: TaskOutcome::Preempted,
+            only_waiting: true,
+        };
+        ctx.tell_worker_owner(partition, message);
+    }
+
+    fn order_for(
+        &self,
+        key: &TaskKey,
+        place: (PartitionIndex, Epoch),
+        gate: PlaceGate,
+        ctx: &OwnerContext<'_>,
+    ) -> PlaceOrder {
+        let job = self.ledger.job(&key.team, &key.job).expect("placed");
+        let contract = ctx.bundle.teams.get(&key.team);
+        PlaceOrder {
+            key: key.clone(),
+            label: TaskLabel {
+                team_partition: self.index,
+                size: job.reserve,
+                service: job.spec.service().cloned(),
+                repeatable: job.spec.repeatable,
+                urgent: job.spec.urgent,
+                gang: job.spec.is_gang(),
+            },
+            team_epoch: self.writer.epoch,
+            intent_epoch: place.1,
+            started_on: None,
+            gate,
+            rules: super::scheduling::rules_of(job, ctx),
+            prefer_domain: self.preferred_domain(&key.id()),
+            weight: contract.map_or(1, |contract| contract.weight),
+            run_time_ms: job.spec.run_time_ms,
+            payload: job.spec.payload.clone(),
+        }
+    }
+
+    fn send_order(
+        &self,
+        partition: PartitionIndex,
+        epoch: Epoch,
+        order: PlaceOrder,
+        ctx: &mut OwnerContext<'_>,
+    ) {
+        let committed = self.ledger.is_active(&order.key);
+        ctx.tally.assert(InvariantKind::IntentFirst, committed, || {
+            format!("{} was sent before its intent was committed", order.key)
+        });
+        let order = Box::new(order);
+        let message = PeerMessage::Place {
+            partition,
+            epoch,
+            order,
+        };
+        ctx.tell_worker_owner(partition, message);
+    }
+
+    fn propose_release(
+        &mut self,
+        partition: PartitionIndex,
+        epoch: Epoch,
+        key: &TaskKey,
+        reason: ReleaseReason,
+        view: &TeamView<'_>,
+        ctx: &mut OwnerContext<'_>,
+    ) {
+        let Some(version) = release_condition(partition, epoch, view, ctx) else {
+            ctx.tally.refuse(RefusalReason::StaleEpoch);
+            return;
+        };
+        let mut proposal = Proposal::of(LedgerEvent::Released {
+            key: key.clone(),
+            reason,
+            at: ctx.wall,
+        });
+        proposal.condition = Some((partition, version));
+        proposal.effects.push(end_recorded(partition, key));
+        self.propose(proposal);
+    }
+
+    /// Answers word of an attempt that is over or was never intended.
+    fn answer_inactive(
+        &self,
+        partition: PartitionIndex,
+        epoch: Epoch,
+        key: &TaskKey,
+        status: &PlacementStatus,
+        ctx: &mut OwnerContext<'_>,
+    ) {
+        let over = matches!(
+            status,
+            PlacementStatus::Ended { .. } | PlacementStatus::Lost | PlacementStatus::NotRun(_)
+        );
+        if over {
+            let key = key.clone();
+            ctx.tell_worker_owner(partition, PeerMessage::EndRecorded { partition, key });
+            return;
+        }
+        let message = PeerMessage::Withdraw {
+            partition,
+            epoch,
+            team_epoch: self.writer.epoch,
+            team_partition: self.index,
+            intent_epoch: epoch,
+            started_on: None,
+            key: key.clone(),
+            outcome: TaskOutcome::Cancelled,
+            only_waiting: false,
+        };
+        ctx.tell_worker_owner(partition, message);
+    }
+
+    fn note_running(&mut self, id: &TaskId, ctx: &OwnerContext<'_>) {
+        let next = ctx.now + ASK_RUNNING;
+        self.note_watch(id, |watch| {
+            if !watch.withdrawing {
+                watch.next_say = next;
+            }
+        });
+    }
+
+    fn note_watch(
+        &mut self,
+        id: &TaskId,
+        edit: impl FnOnce(&mut super::team_partition::AttemptWatch),
+    ) {
+        if let Some(watch) = self.watches.get_mut(id) {
+            edit(watch);
+        }
+    }
+}
+
+/// Version at which the worker partition's row must stand for its word to count.
+fn release_condition(
+    partition: PartitionIndex,
+    epoch: Epoch,
+    view: &TeamView<'_>,
+    ctx: &OwnerContext<'_>,
+) -> Option<RowVersion> {
+    let (known, version) = view.worker_rows.get(&partition).copied()?;
+    (known == epoch || !ctx.guards.has(GuardName::ReleaseFence)).then_some(version)
+}
+
+fn end_recorded(partition: PartitionIndex, key: &TaskKey) -> crate::owner::OwnerAction {
+    let key = key.clone();
+    let message = PeerMessage::EndRecorded { partition, key };
+    crate::owner::OwnerAction::ToWorkerPartition { partition, message }
+}
--- /dev/null
+++ b/crates/bankvalve_cell/src/owner/worker/digest.rs
@@ -0,0 +1,166 @@
+//! Summaries of a worker partition for those who choose among partitions, and for people.
+
+use std::collections::BTreeMap;
+
+use super::placement_entry::PlacementEntry;
+use super::worker_seat::WorkerSeat;
+use super::WorkerPartition;
+use crate::ids::{CellTime, DomainName, InstanceName};
+use crate::instance::OwnWorker;
+use crate::link::{PartitionDigest, RoomGroup, ServicePoint, WorkerView};
+use crate::machine::TaskSize;
+use crate::owner::OwnerContext;
+
+/// Workers of a group whose free room is given one by one.
+const LARGEST_COUNT: usize = 4;
+
+impl WorkerPartition {
+    /// The partition's digest, if one is due.
+    pub fn due_digest(&mut self, ctx: &OwnerContext<'_>) -> Option<PartitionDigest> {
+        if ctx.now < self.digest_due || !self.has_roster() {
+            return None;
+        }
+        self.digest_due = ctx.now + ctx.timings.digest;
+        self.digest_sequence += 1;
+        Some(self.digest())
+    }
+
+    /// Summary of the partition as it stands.
+    pub fn digest(&self) -> PartitionDigest {
+        PartitionDigest {
+            partition: self.index,
+            epoch: self.epoch,
+            sequence: self.digest_sequence,
+            region: self.region.clone(),
+            queued: self.queue_len() as u32,
+            groups: self.room_groups(),
+            points: self.service_points(),
+        }
+    }
+
+    /// How the partition's workers stand.
+    pub fn worker_views(&self, owner: &InstanceName) -> Vec<WorkerView> {
+        let view = |seat: &WorkerSeat| WorkerView {
+            detail: seat.detail.clone(),
+            partition: self.index,
+            owner: owner.clone(),
+            state: seat.state_name().into(),
+            reserved: seat.reserved,
+            tasks: seat.tasks,
+        };
+        self.seats.values().map(view).collect()
+    }
+
+    /// Workers that requests may be sent to.
+    pub fn serving_workers(&self) -> Vec<OwnWorker> {
+        let serving = |seat: &&WorkerSeat| seat.fenced && !seat.given_up;
+        self.seats
+            .values()
+            .filter(serving)
+            .map(|seat| OwnWorker {
+                name: seat.detail.name.clone(),
+                address: seat.detail.address.clone(),
+                partition: self.index,
+                epoch: self.epoch,
+                slots: seat.detail.slots,
+                connections: seat.detail.connections,
+            })
+            .collect()
+    }
+
+    /// Room reserved and room in all, summed over workers that answer.
+    pub fn room_in_use(&self) -> (TaskSize, TaskSize) {
+        let zero = (TaskSize::default(), TaskSize::default());
+        self.seats
+            .values()
+            .filter(|seat| seat.fenced && !seat.given_up)
+            .fold(zero, |(used, all), seat| {
+                (used.plus(seat.reserved), all.plus(seat.detail.size))
+            })
+    }
+
+    /// Time of the oldest attempt that waits for room.
+    pub fn oldest_wait(&self) -> Option<CellTime> {
+        let waiting = self.entries.values().filter(|entry| entry.is_queued());
+        waiting.map(|entry| entry.arrived).min()
+    }
+
+    fn room_groups(&self) -> Vec<RoomGroup> {
+        let mut groups = BTreeMap::<DomainName, Vec<&WorkerSeat>>::new();
+        for seat in self.seats.values().filter(|seat| seat.takes_tasks()) {
+            let domain = seat.detail.domain.clone();
+            groups.entry(domain).or_default().push(seat);
+        }
+        let mut waiting = self
+            .entries
+            .values()
+            .filter(|entry| entry.is_queued())
+            .fold(TaskSize::default(), |sum, entry| sum.plus(entry.label.size));
+        let preemptible = self.preemptible_by_worker();
+        groups
+            .into_iter()
+            .map(|(domain, seats)| {
+                let group = room_group(domain, &seats, waiting, &preemptible);
+                waiting = TaskSize::default();
+                group
+            })
+            .collect()
+    }
+
+    fn preemptible_by_worker(&self) -> BTreeMap<&str, TaskSize> {
+        let mut rooms = BTreeMap::<&str, TaskSize>::new();
+        for entry in self.entries.values().filter(|entry| entry.is_preemptible()) {
+            if let Some(worker) = entry.worker.as_deref() {
+                let room = rooms.entry(worker).or_default();
+                *room = room.plus(entry.label.size);
+            }
+        }
+        rooms
+    }
+
+    fn service_points(&self) -> Vec<ServicePoint> {
+        let point = |entry: &PlacementEntry| {
+            let service = entry.label.service.clone()?;
+            let seat = self.seats.get(entry.worker.as_ref()?)?;
+            let serves = entry.phase == super::placement_entry::PlacementPhase::Running;
+            if !serves || seat.is_leaving() || seat.given_up {
+                return None;
+            }
+            Some(ServicePoint {
+                service,
+                key: entry.key.clone(),
+                worker: seat.detail.name.clone(),
+                domain: seat.detail.domain.clone(),
+            })
+        };
+        self.entries.values().filter_map(point).collect()
+    }
+}
+
+fn room_group(
+    domain: DomainName,
+    seats: &[&WorkerSeat],
+    waiting: TaskSize,
+    preemptible: &BTreeMap<&str, TaskSize>,
+) -> RoomGroup {
+    let mut rooms: Vec<TaskSize> = seats.iter().map(|seat| seat.free()).collect();
+    rooms.sort_by(|a, b| b.cmp(a));
+    let free = rooms
+        .iter()
+        .fold(TaskSize::default(), |sum, room| sum.plus(*room));
+    let mut classes: Vec<TaskSize> = seats.iter().map(|seat| seat.detail.size).collect();
+    classes.sort();
+    classes.dedup();
+    let room_of = |seat: &&WorkerSeat| preemptible.get(seat.detail.name.as_str()).copied();
+    RoomGroup {
+        domain,
+        workers: seats.len() as u32,
+        free: free.minus(waiting),
+        largest: rooms.into_iter().take(LARGEST_COUNT).collect(),
+        preemptible: seats
+            .iter()
+            .filter_map(room_of)
+            .fold(TaskSize::default(), TaskSize::plus),
+        classes,
+    }
+}
--- /dev/null
+++ b/crates/bankvalve_cell/src/owner/worker/placing.rs
@@ -0,0 +1,258 @@
+//! Placement of waiting attempts on workers, and preemption for urgent ones.
+
+use std::cmp::Reverse;
+use std::collections::BTreeMap;
+
+use std::time::Duration;
+
+use xxhash_rust::xxh3::xxh3_64;
+
+use super::placement_entry::{PlacementEntry, PlacementPhase};
+use super::worker_seat::WorkerSeat;
+use super::WorkerPartition;
+use crate::contract::PlaceRule;
+use crate::ids::{RackName, TeamName, WorkerName};
+use crate::link::{PlaceGate, TaskId, TaskOutcome};
+use crate::machine::TaskSize;
+use crate::owner::{GuardName, OwnerContext};
+use crate::placement::{choose_victims, RoomView, VictimCandidate};
+use crate::refusal::{RefusalReason, RetryReason};
+use crate::tally::InvariantKind;
+
+/// Wait after which the first attempt in line has a worker kept free for it.
+const KEEP_FREE_AFTER: Duration = Duration::from_secs(3);
+/// Time after which a preemption that made no room is tried again.
+const PREEMPT_AGAIN: Duration = Duration::from_secs(2);
+
+/// Tasks of one job that the partition holds, by failure domain and rack.
+#[derive(Default)]
+struct JobSpread {
+    domains: BTreeMap<String, u32>,
+    racks: BTreeMap<RackName, u32>,
+}
+
+impl WorkerPartition {
+    /// Places what waits, in order, as far as there is room.
+    pub(super) fn place_waiting(&mut self, ctx: &mut OwnerContext<'_>) {
+        let line = self.waiting_line();
+        if line.is_empty() {
+            return;
+        }
+        let mut kept_free: Option<WorkerName> = None;
+        for id in line {
+            if let Some(worker) = self.choose_worker(&id, kept_free.as_deref(), ctx) {
+                self.seat_entry(&id, &worker, ctx);
+                continue;
+            }
+            let entry = &self.entries[&id];
+            if entry.label.urgent {
+                self.preempt_for(&id, ctx);
+            } else if kept_free.is_none() && ctx.now > entry.arrived + KEEP_FREE_AFTER {
+                kept_free = self.worker_to_keep_free(&id);
+            }
+        }
+    }
+
+    /// Waiting attempts: urgent first, then by the team's share in use, then by arrival.
+    fn waiting_line(&self) -> Vec<TaskId> {
+        let usage = self.usage_by_team();
+        let total = self.total_size();
+        let share = |entry: &PlacementEntry| {
+            let used = usage.get(&entry.key.team).copied();
+            let weight = entry.need.as_ref().map_or(1, |need| need.weight.max(1));
+            let share = used.unwrap_or_default().share_of(total) / f64::from(weight);
+            (share * 1_000.0) as u64
+        };
+        let mut waiting: Vec<_> = self
+            .entries
+            .iter()
+            .filter(|(_, entry)| entry.is_queued())
+            .map(|(id, entry)| {
+                let rank = (Reverse(entry.label.urgent), share(entry), entry.order);
+                (rank, id.clone())
+            })
+            .collect();
+        waiting.sort();
+        waiting.into_iter().map(|(_, id)| id).collect()
+    }
+
+    fn usage_by_team(&self) -> BTreeMap<TeamName, TaskSize> {
+        let mut usage = BTreeMap::<TeamName, TaskSize>::new();
+        for entry in self.entries.values().filter(|entry| entry.takes_room()) {
+            let used = usage.entry(entry.key.team.clone()).or_default();
+            *used = used.plus(entry.label.size);
+        }
+        usage
+    }
+
+    fn total_size(&self) -> TaskSize {
+        self.seats
+            .values()
+            .fold(TaskSize::default(), |sum, seat| sum.plus(seat.detail.size))
+    }
+
+    fn choose_worker(
+        &self,
+        id: &TaskId,
+        kept_free: Option<&str>,
+        ctx: &OwnerContext<'_>,
+    ) -> Option<WorkerName> {
+        let entry = &self.entries[id];
+        let spread = self.spread_of(id);
+        let mut best: Option<(f64, &WorkerSeat)> = None;
+        for seat in self.seats.values() {
+            let fits =
+                !ctx.guards.has(GuardName::OwnerCapacity) || entry.label.size.fits_in(seat.free());
+            let kept = Some(seat.detail.name.as_str()) == kept_free;
+            if kept || !fits || !seat.takes_tasks() || !admitted(entry, seat) {
+                continue;
+            }
+            let score = self.score_of(entry, seat, &spread);
+            if best.is_none_or(|(other, _)| score > other) {
+                best = Some((score, seat));
+            }
+        }
+        best.map(|(_, seat)| seat.detail.name.clone())
+    }
+
+    fn spread_of(&self, id: &TaskId) -> JobSpread {
+        let mut spread = JobSpread::default();
+        let same_job = self
+            .entries
+            .values()
+            .filter(|entry| entry.takes_room())
+            .filter(|entry| entry.key.job == id.job && entry.key.team == id.team);
+        for entry in same_job {
+            let seat = entry.worker.as_ref().and_then(|name| self.seats.get(name));
+            if let Some(seat) = seat {
+                let detail = &seat.detail;
+                *spread.domains.entry(detail.domain.clone()).or_default() += 1;
+                *spread.racks.entry(detail.rack.clone()).or_default() += 1;
+            }
+        }
+        spread
+    }
+
+    fn score_of(&self, entry: &PlacementEntry, seat: &WorkerSeat, spread: &JobSpread) -> f64 {
+        let detail = &seat.detail;
+        let preferred = entry
+            .need
+            .as_ref()
+            .and_then(|need| need.prefer_domain.as_ref())
+            .is_none_or(|domain| *domain == detail.domain);
+        let here = spread.domains.get(&detail.domain).copied().unwrap_or(0);
+        let service = entry.label.service.is_some();
+        let view = RoomView {
+            total: detail.size,
+            free: seat.free(),
+            need: entry.label.size,
+            same_domain: here + u32::from(service && !preferred),
+            same_rack: spread.racks.get(&detail.rack).copied().unwrap_or(0),
+            service,
+            draw: draw_for(entry, &detail.name),
+        };
+        (self.policy.score)(&view)
+    }
+
+    fn seat_entry(&mut self, id: &TaskId, worker: &str, ctx: &mut OwnerContext<'_>) {
+        let entry = self.entries.get_mut(id).expect("waiting");
+        entry.worker = Some(worker.to_owned());
+        let gate = entry
+            .need
+            .as_ref()
+            .map_or(PlaceGate::Start, |need| need.gate);
+        let held = gate == PlaceGate::Hold && ctx.guards.has(GuardName::GangCommit);
+        let phase = if held {
+            let until = ctx.now + ctx.timings.hold_lapse;
+            PlacementPhase::Held { until }
+        } else {
+            ctx.tally.assert(
+                InvariantKind::GangTogether,
+                gate == PlaceGate::Start,
+                || format!("{} starts before its gang holds room", entry.key),
+            );
+            PlacementPhase::Starting { sent: false }
+        };
+        ctx.tally.placed += 1;
+        self.set_phase(id, phase);
+        if held {
+            self.say(id, ctx);
+        } else {
+            self.hasten(Some(worker), ctx.now);
+        }
+    }
+
+    /// Stops the cheapest batch tasks of one worker to make room for an urgent attempt.
+    fn preempt_for(&mut self, id: &TaskId, ctx: &mut OwnerContext<'_>) {
+        let entry = &self.entries[id];
+        if entry
+            .preempting
+            .is_some_and(|since| ctx.now < since + PREEMPT_AGAIN)
+        {
+            return;
+        }
+        let need = entry.label.size;
+        let mut best: Option<(f64, WorkerName, Vec<TaskId>)> = None;
+        for seat in self.seats.values() {
+            if !seat.takes_tasks() || !admitted(entry, seat) {
+                continue;
+            }
+            let victims = self.victims_on(&seat.detail.name);
+            let Some((chosen, cost)) = choose_victims(need, seat.free(), victims) else {
+                continue;
+            };
+            if best.as_ref().is_none_or(|(other, _, _)| cost < *other) {
+                best = Some((cost, seat.detail.name.clone(), chosen));
+            }
+        }
+        let Some((_, worker, victims)) = best else {
+            ctx.tally.refuse(RefusalReason::NoRoom);
+            return;
+        };
+        self.entries.get_mut(id).expect("waiting").preempting = Some(ctx.now);
+        for victim in victims {
+            let outcome = TaskOutcome::Preempted;
+            self.set_phase(&victim, PlacementPhase::Stopping { outcome });
+            ctx.tally.preempted += 1;
+            ctx.tally.retry(RetryReason::TaskPreempted);
+        }
+        self.hasten(Some(&worker), ctx.now);
+    }
+
+    fn victims_on(&self, worker: &str) -> Vec<VictimCandidate> {
+        self.entries
+            .iter()
+            .filter(|(_, entry)| entry.worker.as_deref() == Some(worker))
+            .filter(|(_, entry)| entry.is_preemptible())
+            .map(|(id, entry)| VictimCandidate {
+                id: id.clone(),
+                size: entry.label.size,
+                cost: entry.ran_ms as f64 * f64::from(entry.label.size.millicores) / 1_000.0,
+            })
+            .collect()
+    }
+
+    /// The worker that will have room for a waiting attempt with the least more to be freed.
+    fn worker_to_keep_free(&self, id: &TaskId) -> Option<WorkerName> {
+        let entry = &self.entries[id];
+        let need = entry.label.size;
+        let lacking = |seat: &WorkerSeat| need.minus(seat.free()).share_of(seat.detail.size);
+        self.seats
+            .values()
+            .filter(|seat| seat.takes_tasks() && admitted(entry, seat))
+            .filter(|seat| need.fits_in(seat.detail.size))
+            .min_by(|a, b| lacking(a).total_cmp(&lacking(b)))
+            .map(|seat| seat.detail.name.clone())
+    }
+}
+
+fn admitted(entry: &PlacementEntry, seat: &WorkerSeat) -> bool {
+    let rules: &[PlaceRule] = entry.need.as_ref().map_or(&[], |need| &need.rules);
+    rules.iter().all(|rule| rule.admits_worker(&seat.detail))
+}
+
+/// A number in `0..1` that is the same for the same attempt and worker.
+fn draw_for(entry: &PlacementEntry, worker: &str) -> f64 {
+    let text = format!("{}@{worker}", entry.key);
+    (xxh3_64(text.as_bytes()) >> 11) as f64 / (1_u64 << 53) as f64
+}
--- /dev/null
+++ b/crates/bankvalve_cell/src/owner/worker/worker_partition.rs
@@ -0,0 +1,634 @@
+//! State of a worker partition and the messages that change it.
+
+use std::collections::BTreeMap;
+
+use super::placement_entry::{PlacementEntry, PlacementPhase};
+use super::worker_seat::WorkerSeat;
+use crate::contract::CLOCK_RATE_BOUND;
+use crate::ids::{CellTime, Epoch, PartitionIndex, RegionName, RowVersion, WorkerName};
+use crate::link::{
+    PeerMessage, PlaceGate, PlaceOrder, PlacementStatus, TaskId, TaskKey, TaskLabel, TaskOutcome,
+    WorkerCommand,
+};
+use crate::machine::ListedWorker;
+use crate::membership::WorkerRoster;
+use crate::owner::{GuardName, OwnerAction, OwnerContext};
+use crate::placement::PlacePolicy;
+use crate::refusal::RefusalReason;
+use crate::tally::InvariantKind;
+
+/// Attempts that a partition's queue takes for each worker.
+const QUEUE_PER_WORKER: usize = 6;
+/// Attempts that a partition's queue takes besides.
+const QUEUE_BASE: usize = 24;
+
+/// A worker partition that this instance owns.
+#[derive(Debug)]
+pub struct WorkerPartition {
+    pub(super) index: PartitionIndex,
+    pub(super) epoch: Epoch,
+    pub(super) region: RegionName,
+    pub(super) policy: PlacePolicy,
+    pub(super) claimed_at: CellTime,
+    pub(super) seats: BTreeMap<WorkerName, WorkerSeat>,
+    pub(super) entries: BTreeMap<TaskId, PlacementEntry>,
+    pub(super) digest_sequence: u64,
+    pub(super) digest_due: CellTime,
+    pub(super) superseded: bool,
+    /// What to say of tasks that workers hold but that are not known here.
+    pub(super) strays: BTreeMap<WorkerName, Vec<WorkerCommand>>,
+    team_epochs: BTreeMap<PartitionIndex, Epoch>,
+    roster: Option<WorkerRoster>,
+    roster_version: RowVersion,
+    roster_writing: Option<WorkerRoster>,
+    numbered: u64,
+}
+
+impl WorkerPartition {
+    /// Takes a partition over; its roster must be given next.
+    pub fn new(
+        index: PartitionIndex,
+        epoch: Epoch,
+        region: RegionName,
+        policy: PlacePolicy,
+        now: CellTime,
+    ) -> Self {
+        Self {
+            index,
+            epoch,
+            region,
+            policy,
+            claimed_at: now,
+            seats: BTreeMap::new(),
+            entries: BTreeMap::new(),
+            digest_sequence: 0,
+            digest_due: now,
+            superseded: false,
+            strays: BTreeMap::new(),
+            team_epochs: BTreeMap::new(),
+            roster: None,
+            roster_version: 0,
+            roster_writing: None,
+            numbered: 0,
+        }
+    }
+
+    /// The owner's epoch.
+    pub fn epoch(&self) -> Epoch {
+        self.epoch
+    }
+
+    /// Tells whether a worker has shown that a later owner exists.
+    pub fn is_superseded(&self) -> bool {
+        self.superseded
+    }
+
+    /// Version of the roster's row, as last read or written.
+    pub fn roster_version(&self) -> RowVersion {
+        self.roster_version
+    }
+
+    /// Takes in the roster's row as read or written.
+    pub fn take_roster(&mut self, roster: WorkerRoster, version: RowVersion, now: CellTime) {
+        for seat in self.seats.values_mut() {
+            seat.recorded = false;
+        }
+        for detail in &roster.workers {
+            let seat = self
+                .seats
+                .entry(detail.name.clone())
+                .or_insert_with(|| WorkerSeat::new(detail.clone(), now));
+            seat.recorded = true;
+            seat.drained = roster.drained.contains(&detail.name);
+        }
+        self.roster = Some(roster);
+        self.roster_version = version;
+        self.roster_writing = None;
+    }
+
+    /// Says that a write of the roster did not take effect.
+    pub fn roster_failed(&mut self) {
+        self.roster_writing = None;
+    }
+
+    /// Tells whether the roster has been read, so that the owner knows whom to fence.
+    pub fn has_roster(&self) -> bool {
+        self.roster.is_some()
+    }
+
+    /// Takes in the platform's instance list, reduced to this partition.
+    pub fn take_list(&mut self, listed: &[ListedWorker], now: CellTime) {
+        for seat in self.seats.values_mut() {
+            seat.listed = None;
+        }
+        for worker in listed {
+            let seat = self
+                .seats
+                .entry(worker.detail.name.clone())
+                .or_insert_with(|| WorkerSeat::new(worker.detail.clone(), now));
+            seat.listed = Some(worker.state);
+            if seat.detail != worker.detail && seat.tasks == 0 {
+                seat.detail = worker.detail.clone();
+            }
+        }
+        let gone = |seat: &WorkerSeat| seat.listed.is_none() && !seat.recorded;
+        self.seats.retain(|_, seat| !gone(seat));
+    }
+
+    /// Drains a worker or undoes that; returns whether the worker is known.
+    pub fn drain(&mut self, worker: &str, drain: bool, ctx: &mut OwnerContext<'_>) -> bool {
+        let Some(roster) = &self.roster else {
+            return false;
+        };
+        if !self.seats.contains_key(worker) {
+            return false;
+        }
+        let mut roster = self.roster_writing.as_ref().unwrap_or(roster).clone();
+        roster.drained.retain(|name| name != worker);
+        if drain {
+            roster.drained.push(worker.to_owned());
+        }
+        self.write_roster(roster, ctx);
+        true
+    }
+
+    /// Does what is due: exchanges, placements, messages that need repeating.
+    pub fn tick(&mut self, ctx: &mut OwnerContext<'_>) {
+        if self.roster.is_none() {
+            return;
+        }
+        self.record_new_workers(ctx);
+        self.give_up_silent_workers(ctx);
+        self.judge_workers(ctx);
+        self.lapse_holds(ctx);
+        self.place_waiting(ctx);
+        self.run_exchanges(ctx);
+        self.say_what_is_due(ctx);
+        self.assert_capacity(ctx);
+    }
+
+    /// Starts the exchanges that are due, without waiting for the next tick.
+    pub fn run_due(&mut self, ctx: &mut OwnerContext<'_>) {
+        if self.roster.is_some() {
+            self.run_exchanges(ctx);
+        }
+    }
+
+    /// Takes an order to place an attempt.
+    pub fn place(&mut self, order: PlaceOrder, ctx: &mut OwnerContext<'_>) {
+        let team_partition = order.label.team_partition;
+        if !self.admit_team_epoch(team_partition, order.team_epoch, ctx) {
+            return;
+        }
+        let id = order.key.id();
+        if let Some(entry) = self.entries.get_mut(&id) {
+            if entry.key.attempt == order.key.attempt {
+                self.repeat_order(&id, &order, ctx);
+                return;
+            }
+            if entry.key.attempt > order.key.attempt {
+                ctx.tally.refuse(RefusalReason::StaleEpoch);
+                return;
+            }
+            let over = matches!(
+                entry.phase,
+                PlacementPhase::Over(_) | PlacementPhase::Recorded
+            );
+            ctx.tally.assert(InvariantKind::SinglePlace, over, || {
+                format!("{} ordered while {} is held", order.key, entry.key)
+            });
+            if !over {
+                return;
+            }
+            self.drop_entry(&id);
+        }
+        if order.intent_epoch != self.epoch {
+            let worker = order.started_on.as_ref();
+            self.answer_for_earlier_epoch(order.key, team_partition, worker, ctx);
+            return;
+        }
+        self.enqueue(order, ctx);
+    }
+
+    /// Takes an order to end an attempt.
+    pub fn withdraw(&mut self, request: PeerMessage, ctx: &mut OwnerContext<'_>) {
+        let PeerMessage::Withdraw {
+            team_epoch,
+            team_partition,
+            intent_epoch,
+            started_on,
+            key,
+            outcome,
+            only_waiting,
+            ..
+        } = request
+        else {
+            return;
+        };
+        if !self.admit_team_epoch(team_partition, team_epoch, ctx) {
+            return;
+        }
+        let id = key.id();
+        let known = self.entries.get(&id).map(|entry| entry.key.attempt);
+        if known == Some(key.attempt) {
+            self.end_entry(&id, outcome, only_waiting, ctx);
+            return;
+        }
+        if only_waiting {
+            return;
+        }
+        if known.is_some_and(|attempt| attempt > key.attempt) {
+            return;
+        }
+        if intent_epoch == self.epoch {
+            let status = PlacementStatus::NotRun(RefusalReason::NoRoom);
+            self.note_over(key, team_partition, status, ctx);
+            return;
+        }
+        self.answer_for_earlier_epoch(key, team_partition, started_on.as_ref(), ctx);
+    }
+
+    /// Takes word that the end of an attempt is recorded.
+    pub fn end_recorded(&mut self, key: &TaskKey, ctx: &mut OwnerContext<'_>) {
+        let id = key.id();
+        let Some(entry) = self.entries.get_mut(&id) else {
+            return;
+        };
+        if entry.key.attempt != key.attempt {
+            return;
+        }
+        let PlacementPhase::Over(status) = &entry.phase else {
+            return;
+        };
+        if matches!(status, PlacementStatus::Ended { .. }) {
+            entry.phase = PlacementPhase::Recorded;
+            entry.say_at = None;
+            let worker = entry.worker.clone();
+            self.hasten(worker.as_deref(), ctx.now);
+        } else {
+            self.entries.remove(&id);
+        }
+    }
+
+    /// Number of attempts that are not over.
+    pub fn open_entries(&self) -> usize {
+        let open = |entry: &&PlacementEntry| entry.takes_room() || entry.is_queued();
+        self.entries.values().filter(open).count()
+    }
+
+    pub(super) fn queue_len(&self) -> usize {
+        self.entries
+            .values()
+            .filter(|entry| entry.is_queued())
+            .count()
+    }
+
+    /// Makes the next exchange with a worker due at once.
+    pub(super) fn hasten(&mut self, worker: Option<&str>, now: CellTime) {
+        if let Some(seat) = worker.and_then(|name| self.seats.get_mut(name)) {
+            seat.next_exchange = now;
+        }
+    }
+
+    /// Changes an entry's phase, keeping the worker's reservation in step.
+    pub(super) fn set_phase(&mut self, id: &TaskId, phase: PlacementPhase) {
+        let Some(entry) = self.entries.get_mut(id) else {
+            return;
+        };
+        let before = entry.takes_room();
+        entry.phase = phase;
+        let after = entry.takes_room();
+        let Some(seat) = entry
+            .worker
+            .as_ref()
+            .and_then(|name| self.seats.get_mut(name))
+        else {
+            return;
+        };
+        if before && !after {
+            seat.reserved = seat.reserved.minus(entry.label.size);
+            seat.tasks -= 1;
+        } else if !before && after {
+            seat.reserved = seat.reserved.plus(entry.label.size);
+            seat.tasks += 1;
+        }
+    }
+
+    /// Forgets an entry and gives its room back.
+    pub(super) fn drop_entry(&mut self, id: &TaskId) {
+        self.set_phase(id, PlacementPhase::Recorded);
+        self.entries.remove(id);
+    }
+
+    /// Marks an entry over and tells its team's owner.
+    pub(super) fn set_over(
+        &mut self,
+        id: &TaskId,
+        status: PlacementStatus,
+        ctx: &mut OwnerContext<'_>,
+    ) {
+        self.set_phase(id, PlacementPhase::Over(status));
+        self.say(id, ctx);
+    }
+
+    /// Tells an entry's team's owner how it stands.
+    pub(super) fn say(&mut self, id: &TaskId, ctx: &mut OwnerContext<'_>) {
+        let Some(entry) = self.entries.get_mut(id) else {
+            return;
+        };
+        let status = match &entry.phase {
+            PlacementPhase::Queued => PlacementStatus::Queued,
+            PlacementPhase::Held { .. } => PlacementStatus::Held,
+            PlacementPhase::Starting { .. } | PlacementPhase::Recorded => return,
+            PlacementPhase::Running | PlacementPhase::Stopping { .. } => {
+                let Some(seat) = entry.worker.as_ref().and_then(|name| self.seats.get(name)) else {
+                    return;
+                };
+                PlacementStatus::Started {
+                    worker: seat.detail.name.clone(),
+                    domain: seat.detail.domain.clone(),
+                    rack: seat.detail.rack.clone(),
+                    leaving: seat.is_leaving(),
+                }
+            }
+            PlacementPhase::Over(status) => {
+                entry.say_at = Some(ctx.now + ctx.timings.repeat);
+                status.clone()
+            }
+        };
+        let message = PeerMessage::Status {
+            team_partition: entry.label.team_partition,
+            partition: self.index,
+            epoch: self.epoch,
+            key: entry.key.clone(),
+            status,
+        };
+        ctx.tell_team(entry.label.team_partition, message);
+    }
+
+    /// Says how an attempt that is not kept stands.
+    fn say_of(
+        &self,
+        key: TaskKey,
+        team_partition: PartitionIndex,
+        status: PlacementStatus,
+        ctx: &mut OwnerContext<'_>,
+    ) {
+        let message = PeerMessage::Status {
+            team_partition,
+            partition: self.index,
+            epoch: self.epoch,
+            key,
+            status,
+        };
+        ctx.tell_team(team_partition, message);
+    }
+
+    fn admit_team_epoch(
+        &mut self,
+        team_partition: PartitionIndex,
+        epoch: Epoch,
+        ctx: &mut OwnerContext<'_>,
+    ) -> bool {
+        let known = self.team_epochs.entry(team_partition).or_insert(epoch);
+        if epoch < *known {
+            ctx.tally.refuse(RefusalReason::StaleEpoch);
+            return false;
+        }
+        *known = epoch;
+        true
+    }
+
+    fn repeat_order(&mut self, id: &TaskId, order: &PlaceOrder, ctx: &mut OwnerContext<'_>) {
+        let Some(entry) = self.entries.get_mut(id) else {
+            return;
+        };
+        if let Some(need) = &mut entry.need {
+            need.gate = order.gate;
+        }
+        if let PlacementPhase::Held { until } = &mut entry.phase {
+            *until = ctx.now + ctx.timings.hold_lapse;
+            if order.gate == PlaceGate::Start {
+                let worker = entry.worker.clone();
+                self.set_phase(id, PlacementPhase::Starting { sent: false });
+                self.hasten(worker.as_deref(), ctx.now);
+            }
+        }
+        self.say(id, ctx);
+    }
+
+    fn enqueue(&mut self, order: PlaceOrder, ctx: &mut OwnerContext<'_>) {
+        let limit = QUEUE_BASE + QUEUE_PER_WORKER * self.seats.len();
+        if self.queue_len() >= limit {
+            ctx.tally.refuse(RefusalReason::QueueFull);
+            let status = PlacementStatus::NotRun(RefusalReason::QueueFull);
+            let team_partition = order.label.team_partition;
+            self.note_over(order.key, team_partition, status, ctx);
+            return;
+        }
+        self.numbered += 1;
+        let id = order.key.id();
+        let entry = PlacementEntry::ordered(order, ctx.now, self.numbered);
+        self.entries.insert(id.clone(), entry);
+        self.place_waiting(ctx);
+        if self.entries.get(&id).is_some_and(PlacementEntry::is_queued) {
+            self.say(&id, ctx);
+        }
+    }
+
+    /// Keeps and says the end of an attempt that never was in the partition.
+    fn note_over(
+        &mut self,
+        key: TaskKey,
+        team_partition: PartitionIndex,
+        status: PlacementStatus,
+        ctx: &mut OwnerContext<'_>,
+    ) {
+        self.numbered += 1;
+        let id = key.id();
+        let phase = PlacementPhase::Over(status);
+        let label = blank_label(team_partition);
+        let entry = PlacementEntry::found(key, label, phase, ctx.now, self.numbered);
+        self.entries.insert(id.clone(), entry);
+        self.say(&id, ctx);
+    }
+
+    /// Answers for an attempt whose intent was recorded for an earlier owner.
+    ///
+    /// Once every worker that it may run on has answered under this epoch
+    /// and none holds it, it runs nowhere and never will.
+    fn answer_for_earlier_epoch(
+        &mut self,
+        key: TaskKey,
+        team_partition: PartitionIndex,
+        started_on: Option<&WorkerName>,
+        ctx: &mut OwnerContext<'_>,
+    ) {
+        let settled = |seat: &WorkerSeat| seat.fenced || seat.given_up;
+        let known = match started_on {
+            Some(worker) => self.seats.get(worker).is_none_or(settled),
+            None => self
+                .seats
+                .values()
+                .filter(|seat| seat.recorded)
+                .all(settled),
+        };
+        if known || !ctx.guards.has(GuardName::WorkerFence) {
+            self.note_over(key, team_partition, PlacementStatus::Lost, ctx);
+        } else {
+            ctx.tally.refuse(RefusalReason::NotFenced);
+            self.say_of(key, team_partition, PlacementStatus::Unfenced, ctx);
+        }
+    }
+
+    fn end_entry(
+        &mut self,
+        id: &TaskId,
+        outcome: TaskOutcome,
+        only_waiting: bool,
+        ctx: &mut OwnerContext<'_>,
+    ) {
+        let Some(entry) = self.entries.get(id) else {
+            return;
+        };
+        let worker = entry.worker.clone();
+        match entry.phase {
+            PlacementPhase::Queued
+            | PlacementPhase::Held { .. }
+            | PlacementPhase::Starting { sent: false } => {
+                let status = PlacementStatus::NotRun(RefusalReason::NoRoom);
+                self.set_over(id, status, ctx);
+            }
+            PlacementPhase::Starting { sent: true } | PlacementPhase::Running if !only_waiting => {
+                self.set_phase(id, PlacementPhase::Stopping { outcome });
+                self.hasten(worker.as_deref(), ctx.now);
+            }
+            PlacementPhase::Over(_) => self.say(id, ctx),
+            _ => {}
+        }
+    }
+
+    fn record_new_workers(&mut self, ctx: &mut OwnerContext<'_>) {
+        if self.roster_writing.is_some() || self.seats.values().all(|seat| seat.recorded) {
+            return;
+        }
+        let Some(roster) = &self.roster else { return };
+        let mut roster = roster.clone();
+        let gone = |seat: &WorkerSeat| seat.listed.is_none() && seat.given_up;
+        let kept = self.seats.values().filter(|seat| !gone(seat));
+        roster.workers = kept.map(|seat| seat.detail.clone()).collect();
+        self.write_roster(roster, ctx);
+    }
+
+    fn write_roster(&mut self, roster: WorkerRoster, ctx: &mut OwnerContext<'_>) {
+        self.roster_writing = Some(roster.clone());
+        let partition = self.index;
+        ctx.act(OwnerAction::WriteRoster { partition, roster });
+    }
+
+    /// Gives up workers whose leases are surely over.
+    fn give_up_silent_workers(&mut self, ctx: &mut OwnerContext<'_>) {
+        let lease_length = ctx.timings.worker_lease;
+        let never_reached = (ctx.timings.unattended + lease_length).mul_f64(1.0 + CLOCK_RATE_BOUND);
+        let unattended_until = self.claimed_at + never_reached;
+        let mut silent = Vec::new();
+        for (name, seat) in &mut self.seats {
+            let over_at = match seat.lease {
+                Some(lease) if ctx.guards.has(GuardName::LeaseEnd) => {
+                    lease.surely_over_at(lease_length)
+                }
+                Some(lease) => lease.received + ctx.timings.worker_heartbeat * 2,
+                None => unattended_until,
+            };
+            if !seat.given_up && ctx.now > over_at {
+                seat.given_up = true;
+                silent.push(name.clone());
+            }
+        }
+        for name in silent {
+            ctx.tally.refuse(RefusalReason::WorkerUnreachable);
+            self.lose_tasks_of(&name, ctx);
+        }
+    }
+
+    /// Settles all tasks of a worker that surely runs none of them.
+    pub(super) fn lose_tasks_of(&mut self, worker: &str, ctx: &mut OwnerContext<'_>) {
+        let on_worker =
+            |entry: &PlacementEntry| entry.takes_room() && entry.worker.as_deref() == Some(worker);
+        let lost: Vec<TaskId> = self
+            .entries
+            .iter()
+            .filter(|(_, entry)| on_worker(entry))
+            .map(|(id, _)| id.clone())
+            .collect();
+        for id in lost {
+            match self.entries[&id].phase {
+                PlacementPhase::Held { .. } | PlacementPhase::Starting { sent: false } => {
+                    self.set_phase(&id, PlacementPhase::Queued);
+                    self.entries.get_mut(&id).expect("listed").worker = None;
+                }
+                _ => self.set_over(&id, PlacementStatus::Lost, ctx),
+            }
+        }
+    }
+
+    fn judge_workers(&mut self, ctx: &mut OwnerContext<'_>) {
+        let count = self.seats.len().max(1) as f64;
+        let sum: f64 = self.seats.values().map(WorkerSeat::failure_share).sum();
+        for seat in self.seats.values_mut() {
+            let others = (sum - seat.failure_share()) / (count - 1.0).max(1.0);
+            seat.judge(ctx.now, others, ctx.timings.quarantine);
+        }
+    }
+
+    fn lapse_holds(&mut self, ctx: &mut OwnerContext<'_>) {
+        let now = ctx.now;
+        let lapsed: Vec<TaskId> = self
+            .entries
+            .iter()
+            .filter(
+                |(_, entry)| matches!(entry.phase, PlacementPhase::Held { until } if until <= now),
+            )
+            .map(|(id, _)| id.clone())
+            .collect();
+        for id in lapsed {
+            self.drop_entry(&id);
+        }
+    }
+
+    fn say_what_is_due(&mut self, ctx: &mut OwnerContext<'_>) {
+        let now = ctx.now;
+        let due: Vec<TaskId> = self
+            .entries
+            .iter()
+            .filter(|(_, entry)| entry.say_at.is_some_and(|at| at <= now))
+            .map(|(id, _)| id.clone())
+            .collect();
+        for id in due {
+            self.say(&id, ctx);
+        }
+    }
+
+    fn assert_capacity(&self, ctx: &mut OwnerContext<'_>) {
+        for seat in self.seats.values() {
+            let holds = seat.reserved.fits_in(seat.detail.size);
+            ctx.tally.assert(InvariantKind::Capacity, holds, || {
+                format!(
+                    "worker {} holds {} of {}",
+                    seat.detail.name, seat.reserved, seat.detail.size
+                )
+            });
+        }
+    }
+}
+
+fn blank_label(team_partition: PartitionIndex) -> TaskLabel {
+    TaskLabel {
+        team_partition,
+        size: Default::default(),
+        service: None,
+        repeatable: false,
+        urgent: false,
+        gang: false,
+    }
+}
--- /dev/null
+++ b/crates/bankvalve_cell/src/placement/place_policy.rs
@@ -0,0 +1,105 @@
+//! The scores by which places are compared; baselines are further scores.
+
+use std::fmt;
+use std::sync::Arc;
+
+use crate::machine::TaskSize;
+
+/// A place with room, as a score sees it.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct RoomView {
+    /// Room that the place has in all.
+    pub total: TaskSize,
+    /// Room that is free.
+    pub free: TaskSize,
+    /// Size of the task.
+    pub need: TaskSize,
+    /// Tasks of the same job in the same failure domain.
+    pub same_domain: u32,
+    /// Tasks of the same job in the same rack.
+    pub same_rack: u32,
+    /// Whether the task belongs to a service.
+    pub service: bool,
+    /// Number in `0..1` drawn for this place and task.
+    pub draw: f64,
+}
+
+/// How places are compared.
+#[derive(Clone)]
+pub struct PlacePolicy {
+    /// Name shown in reports.
+    pub name: &'static str,
+    /// Score of a place.
+    pub score: Arc<dyn Fn(&RoomView) -> f64 + Send + Sync>,
+}
+
+impl fmt::Debug for PlacePolicy {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("PlacePolicy")
+            .field("name", &self.name)
+            .finish()
+    }
+}
+
+impl Default for PlacePolicy {
+    fn default() -> Self {
+        Self::tight()
+    }
+}
+
+impl PlacePolicy {
+    /// Spreads services over domains and racks, and packs all else tightly.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use bankvalve_cell::machine::TaskSize;
+    /// use bankvalve_cell::placement::{PlacePolicy, RoomView};
+    ///
+    /// let total = TaskSize { millicores: 16_000, memory_mib: 65_536, accelerators: 0 };
+    /// let need = TaskSize { millicores: 4_000, memory_mib: 4_096, accelerators: 0 };
+    /// let view = |free| RoomView {
+    ///     total, free, need, same_domain: 0, same_rack: 0, service: false, draw: 0.5,
+    /// };
+    /// let policy = PlacePolicy::tight();
+    /// let score = &policy.score;
+    /// assert!(score(&view(need)) > score(&view(total)));
+    /// ```
+    pub fn tight() -> Self {
+        Self::new("tight", |view| {
+            let left = left_share(view);
+            if view.service {
+                return -f64::from(view.same_domain) * 10.0 - f64::from(view.same_rack) + left;
+            }
+            -left
+        })
+    }
+
+    /// Baseline: the place with the most room left.
+    pub fn least_loaded() -> Self {
+        Self::new("least-loaded", left_share)
+    }
+
+    /// Baseline: any place that fits.
+    pub fn random() -> Self {
+        Self::new("random", |view| view.draw)
+    }
+
+    /// Baseline: the first thin version took the first place that fits.
+    pub fn first_fit() -> Self {
+        Self::new("first-fit", |_| 0.0)
+    }
+
+    fn new(name: &'static str, score: impl Fn(&RoomView) -> f64 + Send + Sync + 'static) -> Self {
+        let score = Arc::new(score);
+        Self { name, score }
+    }
+}
+
+/// Room left after the task, as the mean share of processors and memory.
+fn left_share(view: &RoomView) -> f64 {
+    let left = view.free.minus(view.need);
+    let share = |part: u32, whole: u32| f64::from(part) / f64::from(whole.max(1));
+    (share(left.millicores, view.total.millicores) + share(left.memory_mib, view.total.memory_mib))
+        / 2.0
+}
--- /dev/null
+++ b/crates/bankvalve_cell/src/placement/preempt_choice.rs
@@ -0,0 +1,68 @@
+//! Choice of the tasks to preempt on one worker.
+
+use crate::link::TaskId;
+use crate::machine::TaskSize;
+
+/// A task that may be preempted.
+#[derive(Clone, Debug, PartialEq)]
+pub struct VictimCandidate {
+    /// The task.
+    pub id: TaskId,
+    /// Room that it holds.
+    pub size: TaskSize,
+    /// Work lost if it is stopped, in core milliseconds.
+    pub cost: f64,
+}
+
+/// Chooses the cheapest tasks whose room, with what is free, holds `need`.
+///
+/// Takes the cheapest first until there is room, then gives back each that
+/// turns out not to be needed, dearest first. Returns the tasks and their
+/// cost, or none if all of them together do not make room.
+///
+/// # Examples
+///
+/// ```
+/// use bankvalve_cell::link::TaskId;
+/// use bankvalve_cell::machine::TaskSize;
+/// use bankvalve_cell::placement::{choose_victims, VictimCandidate};
+///
+/// let size = |millicores| TaskSize { millicores, memory_mib: 1, accelerators: 0 };
+/// let candidate = |task, millicores, cost| VictimCandidate {
+///     id: TaskId { team: "leakage".into(), job: "nightly".into(), task },
+///     size: size(millicores),
+///     cost,
+/// };
+/// let candidates = vec![candidate(0, 500, 1.0), candidate(1, 4_000, 2.0)];
+/// let (victims, cost) = choose_victims(size(3_000), size(0), candidates).unwrap();
+/// assert_eq!(victims[0].task, 1);
+/// assert_eq!((victims.len(), cost), (1, 2.0));
+/// ```
+pub fn choose_victims(
+    need: TaskSize,
+    free: TaskSize,
+    mut candidates: Vec<VictimCandidate>,
+) -> Option<(Vec<TaskId>, f64)> {
+    candidates.sort_by(|a, b| a.cost.total_cmp(&b.cost).then_with(|| a.id.cmp(&b.id)));
+    let mut room = free;
+    let mut taken = Vec::new();
+    for candidate in candidates {
+        if need.fits_in(room) {
+            break;
+        }
+        room = room.plus(candidate.size);
+        taken.push(candidate);
+    }
+    if !need.fits_in(room) {
+        return None;
+    }
+    for index in (0..taken.len()).rev() {
+        let without = room.minus(taken[index].size);
+        if need.fits_in(without) {
+            room = without;
+            taken.remove(index);
+        }
+    }
+    let cost = taken.iter().map(|victim| victim.cost).sum();
+    Some((taken.into_iter().map(|victim| victim.id).collect(), cost))
+}
--- /dev/null
+++ b/crates/bankvalve_link/src/lib.rs
@@ -0,0 +1,1 @@
+//! Placeholder.
