--- /dev/null
+++ b/crates/bankvalve/src/command/api_client.rs
@@ -0,0 +1,189 @@
+//! Calls the versioned interface of entry instances.
+
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use attohttpc::{Method, RequestBuilder};
+use bankvalve_link::{sign_command, OperatorSigner};
+use serde::de::DeserializeOwned;
+use serde_json::Value;
+
+use super::{ClientSettings, CommandFailure, FailureKind};
+use crate::api::ErrorBody;
+
+/// Time in which an instance must be connected to.
+const CONNECT_TIME: Duration = Duration::from_secs(2);
+/// Time in which it must answer.
+const ANSWER_TIME: Duration = Duration::from_secs(30);
+
+/// Calls entry instances, the next one if one cannot be reached.
+#[derive(Clone, Debug)]
+pub struct ApiClient {
+    settings: ClientSettings,
+    signer: Option<OperatorSigner>,
+}
+
+/// Who signs a call.
+#[derive(Clone, Copy, Debug)]
+pub(crate) enum CallAs<'a> {
+    /// A caller of a team.
+    Team(&'a str),
+    /// The operator.
+    Operator,
+}
+
+impl ApiClient {
+    /// Makes a client.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the operator's key is malformed.
+    pub fn new(settings: ClientSettings) -> Result<Self, CommandFailure> {
+        let signer = match &settings.operator {
+            None => None,
+            Some(operator) => {
+                let signer = OperatorSigner::new(&operator.name, &operator.secret_key);
+                let text = "operator.secret_key: expected 64 hexadecimal digits";
+                let failure = || CommandFailure::new(FailureKind::BadInput, text);
+                Some(signer.ok_or_else(failure)?)
+            }
+        };
+        Ok(Self { settings, signer })
+    }
+
+    /// Calls a path and reads the answer.
+    pub(crate) fn call<T: DeserializeOwned>(
+        &self,
+        call_as: CallAs<'_>,
+        method: &Method,
+        path: &str,
+        headers: &[(&'static str, String)],
+        body: &[u8],
+    ) -> Result<T, CommandFailure> {
+        let (status, bytes) = self.call_any(call_as, method, path, headers, body)?;
+        if (200..300).contains(&status) {
+            return serde_json::from_slice(&bytes).map_err(|error| {
+                let text = format!("{path}: the answer cannot be read: {error}");
+                CommandFailure::new(FailureKind::Unknown, text)
+            });
+        }
+        Err(failure_of(status, &bytes))
+    }
+
+    /// Calls a path with a JSON body.
+    pub(crate) fn post<T: DeserializeOwned>(
+        &self,
+        call_as: CallAs<'_>,
+        path: &str,
+        body: &Value,
+    ) -> Result<T, CommandFailure> {
+        let body = body.to_string().into_bytes();
+        self.call(call_as, &Method::POST, path, &[], &body)
+    }
+
+    /// Reads a path.
+    pub(crate) fn get<T: DeserializeOwned>(
+        &self,
+        call_as: CallAs<'_>,
+        path: &str,
+    ) -> Result<T, CommandFailure> {
+        self.call(call_as, &Method::GET, path, &[], &[])
+    }
+
+    fn call_any(
+        &self,
+        call_as: CallAs<'_>,
+        method: &Method,
+        path: &str,
+        headers: &[(&'static str, String)],
+        body: &[u8],
+    ) -> Result<(u16, Vec<u8>), CommandFailure> {
+        let mut last = String::new();
+        for entry in &self.settings.entries {
+            let url = format!("{}{path}", entry.trim_end_matches('/'));
+            let mut builder = RequestBuilder::new(method.clone(), &url)
+                .connect_timeout(CONNECT_TIME)
+                .timeout(ANSWER_TIME);
+            for (name, value) in headers {
+                builder = builder.header(*name, value);
+            }
+            let (name, value) = self.key_header(call_as, method, path, body)?;
+            let sent = builder.header(name, value).bytes(body.to_vec()).send();
+            match sent {
+                Ok(response) => {
+                    let status = response.status().as_u16();
+                    let read = response.bytes();
+                    return read.map(|bytes| (status, bytes)).map_err(|error| {
+                        let text = format!("{url}: the answer was cut off: {error}");
+                        CommandFailure::new(FailureKind::Unknown, text)
+                    });
+                }
+                Err(error) if is_connect(&error) => last = format!("{url}: {error}"),
+                Err(error) => {
+                    let text = format!("{url}: no answer: {error}");
+                    return Err(CommandFailure::new(FailureKind::Unknown, text));
+                }
+            }
+        }
+        Err(CommandFailure::new(FailureKind::Unreachable, last))
+    }
+
+    fn key_header(
+        &self,
+        call_as: CallAs<'_>,
+        method: &Method,
+        path: &str,
+        body: &[u8],
+    ) -> Result<(&'static str, String), CommandFailure> {
+        match call_as {
+            CallAs::Team(team) => match (self.settings.tokens.get(team), &self.signer) {
+                (Some(token), _) => Ok(("authorization", format!("Bearer {token}"))),
+                (None, Some(_)) => self.key_header(CallAs::Operator, method, path, body),
+                (None, None) => {
+                    let text = format!("tokens: expected a token of team {team}");
+                    Err(CommandFailure::new(FailureKind::BadInput, text))
+                }
+            },
+            CallAs::Operator => {
+                let text = "operator: expected an operator's name and key";
+                let failure = || CommandFailure::new(FailureKind::BadInput, text);
+                let signer = self.signer.as_ref().ok_or_else(failure)?;
+                let since = SystemTime::now().duration_since(UNIX_EPOCH);
+                let seconds = since.map_or(0, |since| since.as_secs());
+                Ok(sign_command(signer, seconds, method.as_str(), path, body))
+            }
+        }
+    }
+}
+
+fn is_connect(error: &attohttpc::Error) -> bool {
+    match error.kind() {
+        attohttpc::ErrorKind::ConnectError { .. } => true,
+        attohttpc::ErrorKind::Io(io) => io.kind() == std::io::ErrorKind::ConnectionRefused,
+        _ => false,
+    }
+}
+
+fn failure_of(status: u16, bytes: &[u8]) -> CommandFailure {
+    let Ok(body) = serde_json::from_slice::<ErrorBody>(bytes) else {
+        let text = format!("status {status}: {}", String::from_utf8_lossy(bytes).trim());
+        return CommandFailure::new(FailureKind::NotRun, text);
+    };
+    let error = body.error;
+    let mut text = format!("{}: {}", error.step, error.reason);
+    if let Some(field) = &error.field {
+        text.push_str(&format!(": {field}"));
+    }
+    text.push_str(&format!(": {}", error.detail));
+    if let Some(wait) = error.retry_after_ms {
+        text.push_str(&format!("; come back in {wait} ms"));
+    }
+    let kind = if error.outcome == "unknown" {
+        FailureKind::Unknown
+    } else {
+        FailureKind::NotRun
+    };
+    CommandFailure {
+        retry_after_ms: error.retry_after_ms,
+        ..CommandFailure::new(kind, text)
+    }
+}
--- /dev/null
+++ b/crates/bankvalve/src/command/job_commands.rs
@@ -0,0 +1,339 @@
+//! Commands of callers: submit, cancel, status, record, request.
+
+use std::process::ExitCode;
+use std::time::{Duration, Instant};
+
+use attohttpc::Method;
+use bankvalve_cell::contract::JobSpec;
+use bankvalve_cell::link::JobView;
+use serde_json::Value;
+
+use super::api_client::{ApiClient, CallAs};
+use super::options::ClientOptions;
+use super::render::{print_rows, print_value};
+use super::{ClientSettings, CommandFailure, FailureKind, JobFile};
+use crate::serve::RecordEntry;
+
+/// Time between two looks at a job that is waited for.
+const LOOK: Duration = Duration::from_millis(500);
+/// Time for which a refused job is submitted again when that may help.
+const COME_BACK_TIME: Duration = Duration::from_secs(20);
+/// Time for which a job is looked for while instances cannot say how it stands.
+const PATIENCE: Duration = Duration::from_secs(60);
+
+fn client_of(options: &ClientOptions) -> Result<ApiClient, CommandFailure> {
+    ApiClient::new(ClientSettings::load(options.client.as_deref())?)
+}
+
+/// Submits the jobs of a file.
+pub(super) fn submit(
+    options: &ClientOptions,
+    file: &str,
+    wait: bool,
+) -> Result<ExitCode, CommandFailure> {
+    let jobs = JobFile::load(file)?.jobs;
+    let client = client_of(options)?;
+    for job in &jobs {
+        let again = submit_one(&client, job)?;
+        let word = if again {
+            "was accepted before"
+        } else {
+            "accepted"
+        };
+        eprintln!("job {} of team {}: {word}", job.id, job.team);
+    }
+    if !wait {
+        return Ok(ExitCode::SUCCESS);
+    }
+    let mut good = true;
+    for job in &jobs {
+        good &= wait_for(&client, &job.team, &job.id)?.phase == "done";
+    }
+    Ok(if good {
+        ExitCode::SUCCESS
+    } else {
+        ExitCode::FAILURE
+    })
+}
+
+/// Submits one job; tells whether it had been accepted before.
+///
+/// Comes back when it is told to, for a while. Submitting again is safe
+/// even if an answer was lost: the job's id makes it the same job.
+pub(crate) fn submit_one(client: &ApiClient, job: &JobSpec) -> Result<bool, CommandFailure> {
+    let body = serde_json::to_value(job).unwrap_or_default();
+    let begun = Instant::now();
+    loop {
+        match client.post::<Value>(CallAs::Team(&job.team), "/v1/jobs", &body) {
+            Ok(answer) => return Ok(answer["again"] == Value::Bool(true)),
+            Err(failure) => {
+                let wait = match failure.kind {
+                    FailureKind::Unknown => Some(LOOK),
+                    _ => failure.retry_after_ms.map(Duration::from_millis),
+                };
+                match wait {
+                    Some(wait) if begun.elapsed() + wait < COME_BACK_TIME => {
+                        eprintln!("job {}: {failure}", job.id);
+                        std::thread::sleep(wait);
+                    }
+                    _ => return Err(failure),
+                }
+            }
+        }
+    }
+}
+
+/// Cancels a job.
+pub(super) fn cancel(
+    options: &ClientOptions,
+    team: &str,
+    job: &str,
+) -> Result<ExitCode, CommandFailure> {
+    let client = client_of(options)?;
+    cancel_one(&client, team, job)?;
+    eprintln!("job {job} of team {team}: cancelled");
+    Ok(ExitCode::SUCCESS)
+}
+
+/// Cancels one job.
+pub(crate) fn cancel_one(client: &ApiClient, team: &str, job: &str) -> Result<(), CommandFailure> {
+    let path = format!("/v1/jobs/{team}/{job}");
+    let _: Value = client.call(CallAs::Team(team), &Method::DELETE, &path, &[], &[])?;
+    Ok(())
+}
+
+/// Tells how a team's jobs stand, or the tasks of one.
+pub(super) fn status(
+    options: &ClientOptions,
+    team: &str,
+    job: Option<&str>,
+    wait: bool,
+) -> Result<ExitCode, CommandFailure> {
+    let client = client_of(options)?;
+    let Some(job) = job else {
+        let views: Vec<JobView> = client.get(CallAs::Team(team), &format!("/v1/jobs/{team}"))?;
+        print_value(options.output, &views, |views| print_jobs(views));
+        return Ok(ExitCode::SUCCESS);
+    };
+    let view = if wait {
+        wait_for(&client, team, job)?
+    } else {
+        status_of(&client, team, job)?
+    };
+    print_value(options.output, &view, print_job);
+    Ok(if view.phase == "failed" {
+        ExitCode::FAILURE
+    } else {
+        ExitCode::SUCCESS
+    })
+}
+
+/// How one job stands.
+pub(crate) fn status_of(
+    client: &ApiClient,
+    team: &str,
+    job: &str,
+) -> Result<JobView, CommandFailure> {
+    client.get(CallAs::Team(team), &format!("/v1/jobs/{team}/{job}"))
+}
+
+/// Waits until a job is over, or a service runs whole, showing progress.
+pub(crate) fn wait_for(
+    client: &ApiClient,
+    team: &str,
+    job: &str,
+) -> Result<JobView, CommandFailure> {
+    let mut shown = String::new();
+    let mut heard = Instant::now();
+    loop {
+        match status_of(client, team, job) {
+            Ok(view) => {
+                heard = Instant::now();
+                let progress = progress_of(&view);
+                if progress != shown {
+                    eprintln!("job {job} of team {team}: {progress}");
+                    shown = progress;
+                }
+                let running = view.tasks.iter().all(|task| task.phase == "running");
+                if view.phase != "active" || (view.kind == "service" && running) {
+                    return Ok(view);
+                }
+            }
+            Err(failure) if heard.elapsed() > PATIENCE => return Err(failure),
+            Err(failure) if failure.kind == FailureKind::BadInput => return Err(failure),
+            Err(_) => {}
+        }
+        std::thread::sleep(LOOK);
+    }
+}
+
+fn progress_of(view: &JobView) -> String {
+    let count = |phase: &str| view.tasks.iter().filter(|task| task.phase == phase).count();
+    let mut text = format!(
+        "{} of {} tasks ran to their end, {} running, {} assigned, {} waiting",
+        count("succeeded"),
+        view.tasks.len(),
+        count("running"),
+        count("assigned"),
+        count("waiting")
+    );
+    let why = view.tasks.iter().find_map(|task| task.why);
+    if let Some(why) = why {
+        text.push_str(&format!(" ({why})"));
+    }
+    text
+}
+
+/// Prints the verified record.
+pub(super) fn record(
+    options: &ClientOptions,
+    team: &str,
+    job: Option<&str>,
+) -> Result<ExitCode, CommandFailure> {
+    let client = client_of(options)?;
+    let path = match job {
+        Some(job) => format!("/v1/record/{team}/{job}"),
+        None => format!("/v1/record/{team}"),
+    };
+    let entries: Vec<RecordEntry> = client.get(CallAs::Team(team), &path)?;
+    print_value(options.output, &entries, |entries| {
+        let rows: Vec<Vec<String>> = entries
+            .iter()
+            .map(|entry| {
+                vec![
+                    entry.batch.to_string(),
+                    entry.instance.clone(),
+                    entry.epoch.to_string(),
+                    describe(entry),
+                ]
+            })
+            .collect();
+        print_rows(&["batch", "instance", "epoch", "event"], &rows);
+    });
+    Ok(ExitCode::SUCCESS)
+}
+
+fn describe(entry: &RecordEntry) -> String {
+    use bankvalve_cell::ledger::LedgerEvent;
+    match &entry.event {
+        LedgerEvent::Submitted { spec, at } => {
+            format!("{at} job {} submitted: {}", spec.id, spec.kind_name())
+        }
+        LedgerEvent::Cancelled { job, at, .. } => format!("{at} job {job} cancelled"),
+        LedgerEvent::GangCommitted { job, at, .. } => format!("{at} gang {job} may start"),
+        LedgerEvent::Intended {
+            key,
+            partition,
+            epoch,
+            bundle,
+            choices,
+            at,
+        } => format!(
+            "{at} {key} assigned to worker partition {partition} (epoch {epoch}) under bundle \
+             {bundle}, best of {choices} places"
+        ),
+        LedgerEvent::Started {
+            key,
+            worker,
+            domain,
+            at,
+            ..
+        } => format!("{at} {key} runs on {worker} in {domain}"),
+        LedgerEvent::Released { key, reason, at } => format!("{at} {key} released: {reason:?}"),
+        LedgerEvent::Ended {
+            key,
+            worker,
+            outcome,
+            ran_ms,
+            at,
+            ..
+        } => format!(
+            "{at} {key} {} on {worker} after {ran_ms} ms",
+            outcome.as_str()
+        ),
+        LedgerEvent::OwnerTook { owner, epoch, at } => {
+            format!("{at} {owner} took over, epoch {epoch}")
+        }
+    }
+}
+
+/// Sends a request to a service and prints the answer.
+pub(super) fn request(
+    options: &ClientOptions,
+    team: &str,
+    service: &str,
+    body: &str,
+    once: bool,
+) -> Result<ExitCode, CommandFailure> {
+    let client = client_of(options)?;
+    let answer = request_one(&client, team, service, body, once)?;
+    println!("{answer}");
+    Ok(ExitCode::SUCCESS)
+}
+
+/// Sends one request to a service.
+pub(crate) fn request_one(
+    client: &ApiClient,
+    team: &str,
+    service: &str,
+    body: &str,
+    once: bool,
+) -> Result<Value, CommandFailure> {
+    let id = format!("{:016x}", rand::random::<u64>());
+    let headers = [
+        ("bankvalve-request", id.clone()),
+        ("bankvalve-repeatable", (!once).to_string()),
+    ];
+    let path = format!("/v1/services/{team}/{service}/requests");
+    let body = body.as_bytes();
+    let answer: Value = client.call(CallAs::Team(team), &Method::POST, &path, &headers, body)?;
+    if answer
+        .get("id")
+        .is_some_and(|found| *found != Value::String(id))
+    {
+        let text = "expected the answer to this request, found another's";
+        return Err(CommandFailure::new(FailureKind::Unknown, text));
+    }
+    Ok(answer)
+}
+
+fn print_jobs(views: &[JobView]) {
+    let rows: Vec<Vec<String>> = views
+        .iter()
+        .map(|view| vec![view.job.clone(), view.kind.clone(), view.phase.clone()])
+        .collect();
+    print_rows(&["job", "kind", "phase"], &rows);
+}
+
+fn print_job(view: &JobView) {
+    println!(
+        "job {} of team {}: {}, {}",
+        view.job, view.team, view.kind, view.phase
+    );
+    let show = |value: Option<String>| value.unwrap_or_else(|| "-".into());
+    let rows: Vec<Vec<String>> = view
+        .tasks
+        .iter()
+        .map(|task| {
+            vec![
+                task.task.to_string(),
+                task.attempt.to_string(),
+                task.phase.clone(),
+                show(task.worker.clone()),
+                show(task.waited_ms.map(|ms| ms.to_string())),
+                show(task.why.map(|why| why.to_string())),
+            ]
+        })
+        .collect();
+    print_rows(
+        &[
+            "task",
+            "attempt",
+            "phase",
+            "worker",
+            "waited ms",
+            "why it waits",
+        ],
+        &rows,
+    );
+}
--- /dev/null
+++ b/crates/bankvalve/src/command/operator_commands.rs
@@ -0,0 +1,219 @@
+//! Commands of operators: workers, instances, bundles, keys.
+
+use std::process::ExitCode;
+
+use bankvalve_cell::contract::CellBundle;
+use bankvalve_cell::link::{InstanceView, PartitionView, WorkerView};
+use bankvalve_link::OperatorSigner;
+use serde::{Deserialize, Serialize};
+use serde_json::{json, Value};
+use sha2::{Digest, Sha256};
+
+use super::api_client::{ApiClient, CallAs};
+use super::options::ClientOptions;
+use super::render::{print_rows, print_value};
+use super::{ClientSettings, CommandFailure};
+use crate::settings::parse_jsonc;
+
+#[derive(Serialize, Deserialize)]
+struct InstanceList {
+    instances: Vec<InstanceView>,
+    partitions: Vec<PartitionView>,
+}
+
+fn client_of(options: &ClientOptions) -> Result<ApiClient, CommandFailure> {
+    ApiClient::new(ClientSettings::load(options.client.as_deref())?)
+}
+
+/// Lists all workers.
+pub(super) fn workers(options: &ClientOptions) -> Result<ExitCode, CommandFailure> {
+    let views = worker_views(&client_of(options)?)?;
+    print_value(options.output, &views, |views| print_workers(views));
+    Ok(ExitCode::SUCCESS)
+}
+
+/// All workers, as their owners see them.
+pub(crate) fn worker_views(client: &ApiClient) -> Result<Vec<WorkerView>, CommandFailure> {
+    client.get(CallAs::Operator, "/v1/workers")
+}
+
+fn print_workers(views: &[WorkerView]) {
+    let rows: Vec<Vec<String>> = views
+        .iter()
+        .map(|view| {
+            vec![
+                view.detail.name.clone(),
+                view.detail.domain.clone(),
+                view.detail.rack.clone(),
+                view.state.clone(),
+                view.tasks.to_string(),
+                format!(
+                    "{}/{}",
+                    view.reserved.millicores, view.detail.size.millicores
+                ),
+                format!(
+                    "{}/{}",
+                    view.reserved.memory_mib, view.detail.size.memory_mib
+                ),
+                view.owner.clone(),
+            ]
+        })
+        .collect();
+    let headings = [
+        "worker",
+        "domain",
+        "rack",
+        "state",
+        "tasks",
+        "millicores",
+        "memory MiB",
+        "owner",
+    ];
+    print_rows(&headings, &rows);
+}
+
+/// Drains a worker, or undoes that.
+pub(super) fn drain_worker(
+    options: &ClientOptions,
+    name: &str,
+    drain: bool,
+) -> Result<ExitCode, CommandFailure> {
+    let client = client_of(options)?;
+    let path = format!("/v1/workers/{name}/drain");
+    let _: Value = client.post(CallAs::Operator, &path, &json!({ "drain": drain }))?;
+    let word = if drain { "drains" } else { "takes work again" };
+    eprintln!("worker {name}: {word}");
+    Ok(ExitCode::SUCCESS)
+}
+
+/// Lists all entry instances and what they own.
+pub(super) fn instances(options: &ClientOptions) -> Result<ExitCode, CommandFailure> {
+    let list: InstanceList = client_of(options)?.get(CallAs::Operator, "/v1/instances")?;
+    print_value(options.output, &list, |list| {
+        let rows: Vec<Vec<String>> = list
+            .instances
+            .iter()
+            .map(|view| {
+                vec![
+                    view.detail.name.clone(),
+                    view.detail.region.clone(),
+                    view.detail.domain.clone(),
+                    view.state.clone(),
+                    view.partitions.to_string(),
+                    view.detail.peer_address.clone(),
+                ]
+            })
+            .collect();
+        let headings = [
+            "instance",
+            "region",
+            "domain",
+            "state",
+            "partitions",
+            "peers",
+        ];
+        print_rows(&headings, &rows);
+    });
+    Ok(ExitCode::SUCCESS)
+}
+
+/// Stops an entry instance as planned.
+pub(super) fn drain_instance(
+    options: &ClientOptions,
+    name: &str,
+) -> Result<ExitCode, CommandFailure> {
+    let client = client_of(options)?;
+    let path = format!("/v1/instances/{name}/drain");
+    let _: Value = client.post(CallAs::Operator, &path, &json!({}))?;
+    eprintln!("instance {name}: hands over what it owns");
+    Ok(ExitCode::SUCCESS)
+}
+
+/// Shows the bundle in force.
+pub(super) fn bundle(options: &ClientOptions) -> Result<ExitCode, CommandFailure> {
+    let shown: Value = client_of(options)?.get(CallAs::Operator, "/v1/bundle")?;
+    let text = serde_json::to_string_pretty(&shown).unwrap_or_default();
+    println!("{text}");
+    Ok(ExitCode::SUCCESS)
+}
+
+/// Checks a bundle without a cell.
+pub(super) fn check_bundle(file: &str) -> Result<ExitCode, CommandFailure> {
+    let bundle = load_bundle(file)?;
+    println!("{file}: version {} is well formed", bundle.version);
+    Ok(ExitCode::SUCCESS)
+}
+
+fn load_bundle(file: &str) -> Result<CellBundle, CommandFailure> {
+    let text = std::fs::read_to_string(file);
+    let text = text.map_err(|error| CommandFailure::file(file, error))?;
+    parse_jsonc(&text, |bundle: &CellBundle| {
+        bundle
+            .check()
+            .map_err(|problem| (problem.field, format!("expected {}", problem.expected)))
+    })
+    .map_err(|problem| CommandFailure::file(file, problem))
+}
+
+/// Puts a bundle in force.
+pub(super) fn accept_bundle(
+    options: &ClientOptions,
+    file: &str,
+) -> Result<ExitCode, CommandFailure> {
+    let bundle = load_bundle(file)?;
+    let client = client_of(options)?;
+    accept_one(&client, &bundle)?;
+    eprintln!("bundle {}: in force", bundle.version);
+    Ok(ExitCode::SUCCESS)
+}
+
+/// Puts one bundle in force.
+pub(crate) fn accept_one(client: &ApiClient, bundle: &CellBundle) -> Result<(), CommandFailure> {
+    let body = serde_json::to_value(bundle).unwrap_or_default();
+    let _: Value = client.post(CallAs::Operator, "/v1/bundle", &body)?;
+    Ok(())
+}
+
+/// Changes the log level of an entry instance.
+pub(super) fn log_level(options: &ClientOptions, level: &str) -> Result<ExitCode, CommandFailure> {
+    let client = client_of(options)?;
+    let body = json!({ "level": level });
+    let _: Value = client.post(CallAs::Operator, "/v1/log-level", &body)?;
+    eprintln!("log level: {level}");
+    Ok(ExitCode::SUCCESS)
+}
+
+/// Makes a key for an operator.
+pub(super) fn new_operator(name: &str) -> Result<ExitCode, CommandFailure> {
+    let secret = hex::encode(rand::random::<[u8; 32]>());
+    let signer = OperatorSigner::new(name, &secret);
+    let public = signer.map(|signer| signer.public_key()).unwrap_or_default();
+    let shown = json!({
+        "for_the_client_file": { "operator": { "name": name, "secret_key": secret } },
+        "for_the_settings": { "name": name, "public_key": public },
+    });
+    println!(
+        "{}",
+        serde_json::to_string_pretty(&shown).unwrap_or_default()
+    );
+    Ok(ExitCode::SUCCESS)
+}
+
+/// Makes a token for a team's callers.
+pub(super) fn new_token(team: &str) -> Result<ExitCode, CommandFailure> {
+    let token = hex::encode(rand::random::<[u8; 24]>());
+    let shown = json!({
+        "for_the_client_file": { "tokens": { team: token } },
+        "for_the_settings": { "team": team, "token_sha256": token_hash(&token) },
+    });
+    println!(
+        "{}",
+        serde_json::to_string_pretty(&shown).unwrap_or_default()
+    );
+    Ok(ExitCode::SUCCESS)
+}
+
+/// SHA-256 of a token in hexadecimal, as the settings hold it.
+pub(crate) fn token_hash(token: &str) -> String {
+    hex::encode(Sha256::digest(token.as_bytes()))
+}
--- /dev/null
+++ b/crates/bankvalve/src/command/render.rs
@@ -0,0 +1,38 @@
+//! Tables for people, JSON for programs.
+
+use serde::Serialize;
+
+use super::options::OutputFormat;
+
+/// Prints rows under headings, columns lined up.
+pub(crate) fn print_rows(headings: &[&str], rows: &[Vec<String>]) {
+    let mut widths: Vec<usize> = headings.iter().map(|heading| heading.len()).collect();
+    for row in rows {
+        for (width, cell) in widths.iter_mut().zip(row) {
+            *width = (*width).max(cell.chars().count());
+        }
+    }
+    let line = |cells: Vec<&str>| {
+        let padded: Vec<String> = cells
+            .iter()
+            .zip(&widths)
+            .map(|(cell, width)| format!("{cell:<width$}"))
+            .collect();
+        println!("{}", padded.join("  ").trim_end());
+    };
+    line(headings.to_vec());
+    for row in rows {
+        line(row.iter().map(String::as_str).collect());
+    }
+}
+
+/// Prints a value as JSON, or as a table through `table`.
+pub(super) fn print_value<T: Serialize>(output: OutputFormat, value: &T, table: impl FnOnce(&T)) {
+    match output {
+        OutputFormat::Table => table(value),
+        OutputFormat::Json => {
+            let text = serde_json::to_string_pretty(value).unwrap_or_default();
+            println!("{text}");
+        }
+    }
+}
--- /dev/null
+++ b/crates/bankvalve/src/logging.rs
@@ -0,0 +1,44 @@
+//! Logs through log4rs, with a level that can be changed while running.
+
+use std::sync::{Mutex, OnceLock};
+
+use log::LevelFilter;
+use log4rs::append::console::{ConsoleAppender, Target};
+use log4rs::config::{Appender, Config, Root};
+use log4rs::encode::pattern::PatternEncoder;
+
+/// Layout of a line; the message itself begins with the prefix of its part.
+const LINE: &str = "{d(%Y-%m-%dT%H:%M:%S%.3f%Z)(utc)} {l:<5} {m}{n}";
+
+static HANDLE: OnceLock<Mutex<log4rs::Handle>> = OnceLock::new();
+
+fn config(level: LevelFilter) -> Config {
+    let encoder = Box::new(PatternEncoder::new(LINE));
+    let console = ConsoleAppender::builder()
+        .target(Target::Stderr)
+        .encoder(encoder)
+        .build();
+    Config::builder()
+        .appender(Appender::builder().build("stderr", Box::new(console)))
+        .build(Root::builder().appender("stderr").build(level))
+        .expect("one appender and one root make a configuration")
+}
+
+/// Starts logging to standard error; a second call only changes the level.
+///
+/// # Examples
+///
+/// ```
+/// bankvalve::logging::set_level(log::LevelFilter::Warn);
+/// log::warn!("demo: the level is set");
+/// ```
+pub fn set_level(level: LevelFilter) {
+    if let Some(handle) = HANDLE.get() {
+        let handle = handle.lock().unwrap_or_else(|error| error.into_inner());
+        handle.set_config(config(level));
+        return;
+    }
+    if let Ok(handle) = log4rs::init_config(config(level)) {
+        let _ = HANDLE.set(Mutex::new(handle));
+    }
+}
--- /dev/null
+++ b/crates/bankvalve/src/serve/core_thread.rs
@@ -0,0 +1,333 @@
+//! The thread that makes all decisions.
+
+use std::collections::BTreeMap;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, RwLock};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+use bankvalve_cell::ids::{Ticket, UnixMillis};
+use bankvalve_cell::instance::{CoreAction, CoreEvent, CoreSettings, InstanceCore};
+use bankvalve_cell::link::{CallerAnswer, CallerCommand, LinkFailure, Refusal, StoreOutcome};
+use bankvalve_cell::machine::TaskSize;
+use bankvalve_cell::refusal::RefusalReason;
+use bankvalve_cell::tally::CellTally;
+use crossbeam::channel::{Receiver, RecvTimeoutError, Sender, TrySendError};
+use tokio::sync::{mpsc, oneshot};
+
+use super::RouteTable;
+
+/// Time between two ticks.
+const TICK: Duration = Duration::from_millis(10);
+/// Time between two publications of routes and counters.
+const PUBLISH: Duration = Duration::from_millis(100);
+/// Time after which a caller may come back when the ring is full, in milliseconds.
+const COME_BACK_MS: u64 = 500;
+
+/// Something for the core thread.
+pub(super) enum CoreInput {
+    End,
+    Event(CoreEvent),
+    Command {
+        command: CallerCommand,
+        reply: oneshot::Sender<CallerAnswer>,
+    },
+}
+
+/// What others may see of the core.
+#[derive(Clone, Debug, Default)]
+pub struct CoreView {
+    /// Counters.
+    pub tally: CellTally,
+    /// Partitions owned: of workers, of teams.
+    pub partitions: (usize, usize),
+    /// Tasks that wait to be assigned by the teams' owners here.
+    pub waiting: usize,
+    /// Room reserved and room in all, of the workers owned here.
+    pub room: (TaskSize, TaskSize),
+    /// Version of the bundle in force.
+    pub bundle: u64,
+    /// Whether the table service has answered lately.
+    pub store_answers: bool,
+    /// Batches that wait to be archived.
+    pub unarchived: usize,
+}
+
+/// What the core thread shares.
+#[derive(Debug, Default)]
+pub(super) struct CoreShared {
+    pub(super) routes: RwLock<Arc<RouteTable>>,
+    pub(super) view: Mutex<CoreView>,
+    pub(super) ready: AtomicBool,
+    pub(super) stopped: AtomicBool,
+    pub(super) steps: AtomicU64,
+    pub(super) ring_full: AtomicU64,
+    /// Processor time of all steps, in nanoseconds.
+    pub(super) step_nanos: AtomicU64,
+}
+
+/// Handle to the core thread.
+#[derive(Clone)]
+pub struct CoreHandle {
+    ring: Sender<CoreInput>,
+    shared: Arc<CoreShared>,
+}
+
+impl std::fmt::Debug for CoreHandle {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str("CoreHandle")
+    }
+}
+
+impl CoreHandle {
+    /// Makes a handle and the ring's other end.
+    pub(super) fn new(ring: usize) -> (Self, Receiver<CoreInput>) {
+        let (sender, receiver) = crossbeam::channel::bounded(ring);
+        let shared = Arc::new(CoreShared::default());
+        let handle = Self {
+            ring: sender,
+            shared,
+        };
+        (handle, receiver)
+    }
+
+    pub(super) fn shared(&self) -> &Arc<CoreShared> {
+        &self.shared
+    }
+
+    /// Gives the core an event; returns whether the ring had room.
+    pub fn give(&self, event: CoreEvent) -> bool {
+        let given = self.ring.try_send(CoreInput::Event(event)).is_ok();
+        if !given {
+            self.shared.ring_full.fetch_add(1, Ordering::Relaxed);
+        }
+        given
+    }
+
+    /// Ends the core thread, and with it the links.
+    pub(super) fn end(&self) {
+        let _ = self.ring.send(CoreInput::End);
+    }
+
+    /// Gives the core a command and waits for the answer.
+    pub async fn command(&self, command: CallerCommand) -> CallerAnswer {
+        let (reply, answer) = oneshot::channel();
+        match self.ring.try_send(CoreInput::Command { command, reply }) {
+            Ok(()) => {}
+            Err(TrySendError::Full(_)) => {
+                self.shared.ring_full.fetch_add(1, Ordering::Relaxed);
+                let detail = "too many events wait for the core";
+                let reason = RefusalReason::QueueFull;
+                return CallerAnswer::NotRun(Refusal::passing(reason, detail, COME_BACK_MS));
+            }
+            Err(TrySendError::Disconnected(_)) => return stopping(),
+        }
+        let gone = || CallerAnswer::Unknown {
+            detail: "the instance stopped before it had an answer".into(),
+        };
+        answer.await.unwrap_or_else(|_| gone())
+    }
+
+    /// The routes in force.
+    pub fn routes(&self) -> Arc<RouteTable> {
+        let routes = self.shared.routes.read();
+        routes.unwrap_or_else(|error| error.into_inner()).clone()
+    }
+
+    /// What the core last published.
+    pub fn view(&self) -> CoreView {
+        let view = self.shared.view.lock();
+        view.unwrap_or_else(|error| error.into_inner()).clone()
+    }
+
+    /// Tells whether the instance may be given callers.
+    pub fn is_ready(&self) -> bool {
+        self.shared.ready.load(Ordering::Acquire)
+    }
+
+    /// Tells whether everything has been handed over.
+    pub fn is_stopped(&self) -> bool {
+        self.shared.stopped.load(Ordering::Acquire)
+    }
+
+    /// Steps made, their processor time in nanoseconds, and events refused by a full ring.
+    pub fn effort(&self) -> (u64, u64, u64) {
+        let read = |counter: &AtomicU64| counter.load(Ordering::Relaxed);
+        let shared = &self.shared;
+        (
+            read(&shared.steps),
+            read(&shared.step_nanos),
+            read(&shared.ring_full),
+        )
+    }
+}
+
+fn stopping() -> CallerAnswer {
+    let detail = "the instance is stopping";
+    let reason = RefusalReason::Stopping;
+    CallerAnswer::NotRun(Refusal::passing(reason, detail, COME_BACK_MS))
+}
+
+/// The core thread's own state.
+pub(super) struct CoreThread {
+    core: InstanceCore,
+    started: Instant,
+    shared: Arc<CoreShared>,
+    links: mpsc::Sender<CoreAction>,
+    replies: BTreeMap<Ticket, oneshot::Sender<CallerAnswer>>,
+    next_ticket: Ticket,
+    breaches_told: u64,
+}
+
+impl CoreThread {
+    pub(super) fn new(
+        settings: CoreSettings,
+        shared: Arc<CoreShared>,
+        links: mpsc::Sender<CoreAction>,
+    ) -> Self {
+        Self {
+            core: InstanceCore::new(settings),
+            started: Instant::now(),
+            shared,
+            links,
+            replies: BTreeMap::new(),
+            next_ticket: 1,
+            breaches_told: 0,
+        }
+    }
+
+    /// Runs until the ring is closed.
+    pub(super) fn run(mut self, ring: &Receiver<CoreInput>) {
+        let mut next_tick = Instant::now();
+        let mut next_publication = Instant::now();
+        loop {
+            let wait = next_tick.saturating_duration_since(Instant::now());
+            match ring.recv_timeout(wait) {
+                Ok(CoreInput::End) => return,
+                Ok(CoreInput::Event(event)) => self.step(event),
+                Ok(CoreInput::Command { command, reply }) => self.command(command, reply),
+                Err(RecvTimeoutError::Timeout) => {}
+                Err(RecvTimeoutError::Disconnected) => return,
+            }
+            let now = Instant::now();
+            if now >= next_tick {
+                next_tick = now + TICK;
+                self.step(CoreEvent::Tick);
+            }
+            if now >= next_publication {
+                next_publication = now + PUBLISH;
+                self.publish();
+            }
+        }
+    }
+
+    fn command(&mut self, command: CallerCommand, reply: oneshot::Sender<CallerAnswer>) {
+        let ticket = self.next_ticket;
+        self.next_ticket += 1;
+        self.replies.insert(ticket, reply);
+        self.step(CoreEvent::Command { ticket, command });
+    }
+
+    fn step(&mut self, event: CoreEvent) {
+        let begun = Instant::now();
+        let now = self.started.elapsed();
+        let actions = self.core.step(now, unix_millis(), event);
+        let nanos = begun.elapsed().as_nanos() as u64;
+        self.shared.steps.fetch_add(1, Ordering::Relaxed);
+        self.shared.step_nanos.fetch_add(nanos, Ordering::Relaxed);
+        for action in actions {
+            self.act(action);
+        }
+    }
+
+    fn act(&mut self, action: CoreAction) {
+        match action {
+            CoreAction::Answer { ticket, answer } => {
+                if let Some(reply) = self.replies.remove(&ticket) {
+                    let _ = reply.send(answer);
+                }
+            }
+            CoreAction::Stopped => self.shared.stopped.store(true, Ordering::Release),
+            action => {
+                if let Err(mpsc::error::TrySendError::Full(action)) = self.links.try_send(action) {
+                    self.shared.ring_full.fetch_add(1, Ordering::Relaxed);
+                    self.fail(action);
+                }
+            }
+        }
+    }
+
+    /// Tells the core that something was not sent because the ring was full.
+    fn fail(&mut self, action: CoreAction) {
+        match action {
+            CoreAction::Store { ticket, .. } => self.step(CoreEvent::Store {
+                ticket,
+                outcome: StoreOutcome::Busy,
+            }),
+            CoreAction::Worker {
+                partition,
+                worker,
+                exchange,
+                ..
+            } => self.step(CoreEvent::Worker {
+                partition,
+                worker,
+                token: exchange.token,
+                answer: Err(LinkFailure::NotSent),
+            }),
+            _ => {}
+        }
+    }
+
+    fn publish(&mut self) {
+        let points = self.core.route_points();
+        let own = self.core.own_workers();
+        {
+            let mut routes = match self.shared.routes.write() {
+                Ok(routes) => routes,
+                Err(error) => error.into_inner(),
+            };
+            *routes = Arc::new(routes.next(points, own));
+        }
+        let view = self.view();
+        for breach in view
+            .tally
+            .breaches()
+            .iter()
+            .skip(self.breaches_told as usize)
+        {
+            log::error!("core: an invariant does not hold: {breach}");
+        }
+        self.breaches_told = view.tally.breaches().len() as u64;
+        match self.shared.view.lock() {
+            Ok(mut shared) => *shared = view,
+            Err(error) => *error.into_inner() = view,
+        }
+        self.shared
+            .ready
+            .store(self.core.is_ready(), Ordering::Release);
+    }
+
+    fn view(&self) -> CoreView {
+        let zero = (TaskSize::default(), TaskSize::default());
+        let room = self.core.worker_partitions().fold(zero, |sum, owner| {
+            let (used, all) = owner.room_in_use();
+            (sum.0.plus(used), sum.1.plus(all))
+        });
+        let teams = || self.core.team_partitions().map(|(_, owner)| owner);
+        CoreView {
+            tally: self.core.tally().clone(),
+            partitions: (self.core.worker_partitions().count(), teams().count()),
+            waiting: teams().map(|owner| owner.waiting_tasks()).sum(),
+            room,
+            bundle: self.core.bundle_version(),
+            store_answers: self.core.store_answers(),
+            unarchived: teams().map(|owner| owner.unarchived()).sum(),
+        }
+    }
+}
+
+/// The wall clock in milliseconds since the Unix epoch.
+pub(super) fn unix_millis() -> UnixMillis {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH);
+    since.map_or(0, |since| since.as_millis() as UnixMillis)
+}
--- /dev/null
+++ b/crates/bankvalve/src/serve/link_thread.rs
@@ -0,0 +1,182 @@
+//! The thread that carries what the core asks for to the platform, workers and peers.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use bankvalve_cell::instance::{CoreAction, CoreEvent, PeerBatch};
+use bankvalve_cell::link::{
+    LinkFailure, ObjectOutcome, ObjectRequest, StoreOutcome, StoreRequest, WorkerExchange,
+    WorkerRefusal, WorkerReport,
+};
+use bankvalve_link::{
+    decode_message, encode_message, ClientFailure, HttpClient, HttpReply, PeerSigner, WIRE_TYPE,
+};
+use hyper::Method;
+use tokio::sync::mpsc;
+
+use super::CoreHandle;
+
+/// Path of peers' batches.
+pub(crate) const BATCH_PATH: &str = "/peer/batch";
+/// Batches that wait for one peer at most.
+const PEER_RING: usize = 64;
+/// Time in which a peer must take a batch.
+const PEER_TIME: Duration = Duration::from_secs(1);
+/// Idle connections kept to each host.
+const IDLE: usize = 8;
+/// Largest reply in bytes.
+const REPLY_BYTES: usize = 64 * 1024 * 1024;
+
+/// Addresses and times of the links.
+#[derive(Clone, Debug)]
+pub(super) struct LinkPlan {
+    pub(super) table_url: String,
+    pub(super) objects_url: String,
+    pub(super) store_time: Duration,
+    pub(super) worker_time: Duration,
+    pub(super) signer: PeerSigner,
+}
+
+/// Carries actions until the ring is closed.
+pub(super) async fn carry_all(
+    plan: LinkPlan,
+    mut ring: mpsc::Receiver<CoreAction>,
+    core: CoreHandle,
+) {
+    let client = HttpClient::new(IDLE, REPLY_BYTES);
+    let mut peers = BTreeMap::<String, mpsc::Sender<PeerBatch>>::new();
+    while let Some(action) = ring.recv().await {
+        match action {
+            CoreAction::Store { ticket, request } => {
+                let (client, core, plan) = (client.clone(), core.clone(), plan.clone());
+                tokio::spawn(async move {
+                    let outcome = ask_table(&client, &plan, &request).await;
+                    core.give(CoreEvent::Store { ticket, outcome });
+                });
+            }
+            CoreAction::Object { ticket, request } => {
+                let (client, core, plan) = (client.clone(), core.clone(), plan.clone());
+                tokio::spawn(async move {
+                    let url = &plan.objects_url;
+                    let outcome = ask_objects(&client, url, plan.store_time, &request).await;
+                    core.give(CoreEvent::Object { ticket, outcome });
+                });
+            }
+            CoreAction::Worker {
+                partition,
+                worker,
+                address,
+                exchange,
+            } => {
+                let (client, core, plan) = (client.clone(), core.clone(), plan.clone());
+                tokio::spawn(async move {
+                    let token = exchange.token;
+                    let answer = ask_worker(&client, &plan, &address, &exchange).await;
+                    core.give(CoreEvent::Worker {
+                        partition,
+                        worker,
+                        token,
+                        answer,
+                    });
+                });
+            }
+            CoreAction::Peer { address, batch, .. } => {
+                let sender = peers.entry(address.clone()).or_insert_with(|| {
+                    let (sender, batches) = mpsc::channel(PEER_RING);
+                    let carrying =
+                        carry_batches(address, batches, client.clone(), plan.signer.clone());
+                    tokio::spawn(carrying);
+                    sender
+                });
+                if sender.try_send(batch).is_err() {
+                    log::debug!("links: a peer's ring is full; a batch is dropped");
+                }
+            }
+            CoreAction::Answer { .. } | CoreAction::Stopped => {}
+        }
+    }
+}
+
+/// Carries batches to one peer, one after the other.
+async fn carry_batches(
+    address: String,
+    mut batches: mpsc::Receiver<PeerBatch>,
+    client: HttpClient,
+    signer: PeerSigner,
+) {
+    let url = format!("http://{address}{BATCH_PATH}");
+    while let Some(batch) = batches.recv().await {
+        let body = encode_message(&batch);
+        let headers = [signer.header(BATCH_PATH, &body)];
+        let sent = client
+            .send(Method::POST, &url, &headers, WIRE_TYPE, body, PEER_TIME)
+            .await;
+        if let Err(failure) = sent {
+            log::debug!("links: a batch to peer {address} was dropped: {failure}");
+        }
+    }
+}
+
+async fn ask_table(client: &HttpClient, plan: &LinkPlan, request: &StoreRequest) -> StoreOutcome {
+    let body = encode_message(request);
+    let sent = client
+        .send(
+            Method::POST,
+            &plan.table_url,
+            &[],
+            WIRE_TYPE,
+            body,
+            plan.store_time,
+        )
+        .await;
+    match sent {
+        Ok(reply) => decode_ok(&reply).unwrap_or(StoreOutcome::Lost),
+        Err(ClientFailure::NotSent(text)) => {
+            log::debug!("links: the table service was not reached: {text}");
+            StoreOutcome::Busy
+        }
+        Err(ClientFailure::NoReply(_)) => StoreOutcome::Lost,
+    }
+}
+
+/// Asks the object store.
+pub(super) async fn ask_objects(
+    client: &HttpClient,
+    url: &str,
+    time: Duration,
+    request: &ObjectRequest,
+) -> ObjectOutcome {
+    let body = encode_message(request);
+    let sent = client
+        .send(Method::POST, url, &[], WIRE_TYPE, body, time)
+        .await;
+    let reply = sent.ok();
+    reply
+        .and_then(|reply| decode_ok(&reply))
+        .unwrap_or(ObjectOutcome::Failed)
+}
+
+async fn ask_worker(
+    client: &HttpClient,
+    plan: &LinkPlan,
+    address: &str,
+    exchange: &WorkerExchange,
+) -> Result<Result<WorkerReport, WorkerRefusal>, LinkFailure> {
+    let url = format!("{address}/exchange");
+    let body = encode_message(exchange);
+    let sent = client
+        .send(Method::POST, &url, &[], WIRE_TYPE, body, plan.worker_time)
+        .await;
+    match sent {
+        Ok(reply) => decode_ok(&reply).ok_or(LinkFailure::NoAnswer),
+        Err(ClientFailure::NotSent(_)) => Err(LinkFailure::NotSent),
+        Err(ClientFailure::NoReply(_)) => Err(LinkFailure::NoAnswer),
+    }
+}
+
+fn decode_ok<T: serde::de::DeserializeOwned>(reply: &HttpReply) -> Option<T> {
+    if reply.status != 200 {
+        return None;
+    }
+    decode_message(&reply.body)
+}
--- /dev/null
+++ b/crates/bankvalve/src/serve/request_router.rs
@@ -0,0 +1,334 @@
+//! Carries callers' requests to running tasks of a service, with one hop at most.
+
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use bankvalve_cell::instance::RoutePoint;
+use bankvalve_cell::refusal::{RefusalReason, RetryReason};
+use bankvalve_link::{ClientFailure, HttpClient, PeerSigner};
+use bytes::Bytes;
+use hyper::Method;
+use rand::seq::SliceRandom;
+
+use super::route_table::{RouteTable, SlotGate};
+use super::CoreHandle;
+
+/// Targets that one request is tried on at most.
+const TRY_LIMIT: usize = 4;
+/// Part of a second try's cost that each request earns, in thousandths.
+const BUDGET_EARNED: u64 = 100;
+/// Cost of a second try, in thousandths.
+const BUDGET_COST: u64 = 1_000;
+/// Most that the budget saves up, in thousandths.
+const BUDGET_LIMIT: u64 = 50_000;
+/// Time kept back at each hop, for the way back.
+const HOP_TIME: Duration = Duration::from_millis(5);
+/// Idle connections kept to each host.
+const IDLE: usize = 64;
+/// Largest answer of a service in bytes.
+const ANSWER_BYTES: usize = 16 * 1024 * 1024;
+/// Content type of requests and answers of services.
+const CONTENT: &str = "application/octet-stream";
+
+/// A request for a service.
+#[derive(Clone, Debug)]
+pub struct ServiceRequest {
+    /// The team.
+    pub team: String,
+    /// The service.
+    pub service: String,
+    /// Id that the caller gave it.
+    pub id: String,
+    /// When the caller's patience ends.
+    pub deadline: Instant,
+    /// Whether it may run again when it is not known whether it ran.
+    pub repeatable: bool,
+    /// Body.
+    pub body: Bytes,
+}
+
+/// What became of a request.
+#[derive(Clone, Debug)]
+pub enum RequestOutcome {
+    /// The service answered, with this status and body.
+    Answered(u16, Bytes),
+    /// It certainly did not run.
+    NotRun(RefusalReason),
+    /// It may have run.
+    Unknown,
+}
+
+/// Second tries are a share of the traffic.
+#[derive(Debug)]
+struct RetryBudget {
+    saved: AtomicU64,
+}
+
+impl RetryBudget {
+    fn earn(&self) {
+        let more = |saved: u64| Some((saved + BUDGET_EARNED).min(BUDGET_LIMIT));
+        let _ = self
+            .saved
+            .fetch_update(Ordering::AcqRel, Ordering::Acquire, more);
+    }
+
+    fn spend(&self) -> bool {
+        let less = |saved: u64| saved.checked_sub(BUDGET_COST);
+        self.saved
+            .fetch_update(Ordering::AcqRel, Ordering::Acquire, less)
+            .is_ok()
+    }
+}
+
+/// Counters of the request path.
+#[derive(Debug, Default)]
+struct RouterCounters {
+    answered: AtomicU64,
+    unknown: AtomicU64,
+    hops: AtomicU64,
+    refused: [AtomicU64; RefusalReason::ALL.len()],
+    retried: [AtomicU64; RetryReason::ALL.len()],
+}
+
+/// What the request path has counted.
+#[derive(Clone, Debug, Default)]
+pub struct RequestCounts {
+    /// Requests refused, by reason.
+    pub refused: Vec<(RefusalReason, u64)>,
+    /// Second tries, by reason.
+    pub retried: Vec<(RetryReason, u64)>,
+    /// Requests answered by their service.
+    pub answered: u64,
+    /// Requests of which it is not known whether they ran.
+    pub unknown: u64,
+    /// Requests carried through a peer.
+    pub hops: u64,
+}
+
+/// Carries requests.
+#[derive(Clone, Debug)]
+pub struct RequestRouter {
+    core: CoreHandle,
+    client: HttpClient,
+    signer: PeerSigner,
+    name: String,
+    domain: String,
+    budget: Arc<RetryBudget>,
+    counters: Arc<RouterCounters>,
+}
+
+impl RequestRouter {
+    pub(super) fn new(core: CoreHandle, signer: PeerSigner, name: &str, domain: &str) -> Self {
+        Self {
+            core,
+            client: HttpClient::new(IDLE, ANSWER_BYTES),
+            signer,
+            name: name.to_owned(),
+            domain: domain.to_owned(),
+            budget: Arc::new(RetryBudget {
+                saved: AtomicU64::new(BUDGET_LIMIT),
+            }),
+            counters: Arc::new(RouterCounters::default()),
+        }
+    }
+
+    /// A router with a client of its own, for another runtime; counters and budget are shared.
+    pub(super) fn for_other_runtime(&self) -> Self {
+        Self {
+            client: HttpClient::new(IDLE, ANSWER_BYTES),
+            ..self.clone()
+        }
+    }
+
+    /// What has been counted.
+    pub fn counts(&self) -> RequestCounts {
+        let read = |counter: &AtomicU64| counter.load(Ordering::Relaxed);
+        let refused = RefusalReason::ALL.iter().zip(&self.counters.refused);
+        let retried = RetryReason::ALL.iter().zip(&self.counters.retried);
+        RequestCounts {
+            refused: refused
+                .map(|(reason, count)| (*reason, read(count)))
+                .collect(),
+            retried: retried
+                .map(|(reason, count)| (*reason, read(count)))
+                .collect(),
+            answered: read(&self.counters.answered),
+            unknown: read(&self.counters.unknown),
+            hops: read(&self.counters.hops),
+        }
+    }
+
+    /// Carries a caller's request; tries again only what certainly did not run, or may be repeated.
+    pub async fn carry(&self, request: &ServiceRequest) -> RequestOutcome {
+        self.budget.earn();
+        let routes = self.core.routes();
+        let mut points = self.order_points(routes.points_of(&request.team, &request.service));
+        points.truncate(TRY_LIMIT);
+        let mut last = RefusalReason::UnknownService;
+        let mut doubtful = false;
+        for (index, point) in points.iter().enumerate() {
+            if index > 0 && !self.budget.spend() {
+                break;
+            }
+            if Instant::now() >= request.deadline {
+                last = RefusalReason::DeadlinePassed;
+                break;
+            }
+            match self.try_point(&routes, point, request).await {
+                RequestOutcome::NotRun(reason) => {
+                    last = reason;
+                    self.count_retry(RetryReason::RequestNotRun);
+                }
+                RequestOutcome::Unknown if request.repeatable => {
+                    doubtful = true;
+                    self.count_retry(RetryReason::WorkerAnswerLost);
+                }
+                outcome => return self.counted(outcome),
+            }
+        }
+        self.counted(if doubtful {
+            RequestOutcome::Unknown
+        } else {
+            RequestOutcome::NotRun(last)
+        })
+    }
+
+    /// Carries a request to a worker that is owned here; a peer asked for it.
+    pub async fn carry_to_own(&self, worker: &str, request: &ServiceRequest) -> RequestOutcome {
+        let routes = self.core.routes();
+        self.send_to_worker(&routes, worker, request).await
+    }
+
+    /// Own workers first, then those of the same failure domain, else in random order.
+    fn order_points<'a>(&self, points: &'a [RoutePoint]) -> Vec<&'a RoutePoint> {
+        let mut ordered: Vec<&RoutePoint> = points.iter().collect();
+        ordered.shuffle(&mut rand::rng());
+        ordered.sort_by_key(|point| {
+            let own = point.owner == self.name;
+            let near = point.point.domain == self.domain;
+            (!own, !near)
+        });
+        ordered
+    }
+
+    async fn try_point(
+        &self,
+        routes: &RouteTable,
+        point: &RoutePoint,
+        request: &ServiceRequest,
+    ) -> RequestOutcome {
+        if point.owner == self.name {
+            return self
+                .send_to_worker(routes, &point.point.worker, request)
+                .await;
+        }
+        self.counters.hops.fetch_add(1, Ordering::Relaxed);
+        self.send_to_peer(point, request).await
+    }
+
+    async fn send_to_worker(
+        &self,
+        routes: &RouteTable,
+        worker: &str,
+        request: &ServiceRequest,
+    ) -> RequestOutcome {
+        let Some(gated) = routes.own_worker(worker) else {
+            return RequestOutcome::NotRun(RefusalReason::StaleEpoch);
+        };
+        let Some(_permit) = SlotGate::acquire(&gated.gate) else {
+            return RequestOutcome::NotRun(RefusalReason::NoFreeSlot);
+        };
+        let url = format!("{}/requests/{}", gated.worker.address, request.service);
+        let headers = [
+            ("bankvalve-epoch", gated.worker.epoch.to_string()),
+            ("bankvalve-request", request.id.clone()),
+        ];
+        let sent = self.send(&url, &headers, request).await;
+        match sent {
+            Ok((200, body)) => RequestOutcome::Answered(200, body),
+            Ok((409, _)) => RequestOutcome::NotRun(RefusalReason::StaleEpoch),
+            Ok((404, _)) => RequestOutcome::NotRun(RefusalReason::UnknownService),
+            Ok((429, _)) => RequestOutcome::NotRun(RefusalReason::NoFreeSlot),
+            Ok((status, body)) => RequestOutcome::Answered(status, body),
+            Err(ClientFailure::NotSent(_)) => {
+                RequestOutcome::NotRun(RefusalReason::WorkerUnreachable)
+            }
+            Err(ClientFailure::NoReply(_)) => RequestOutcome::Unknown,
+        }
+    }
+
+    async fn send_to_peer(&self, point: &RoutePoint, request: &ServiceRequest) -> RequestOutcome {
+        let path = format!(
+            "/peer/requests/{}/{}/{}",
+            request.team, request.service, point.point.worker
+        );
+        let url = format!("http://{}{path}", point.owner_address);
+        let left = request.deadline.saturating_duration_since(Instant::now());
+        let left = left.saturating_sub(HOP_TIME);
+        let headers = [
+            self.signer.header(&path, &request.body),
+            ("bankvalve-request", request.id.clone()),
+            ("bankvalve-deadline-ms", left.as_millis().to_string()),
+        ];
+        match self.send(&url, &headers, request).await {
+            Ok((status, body)) => outcome_from_peer(status, body),
+            Err(ClientFailure::NotSent(_)) => {
+                RequestOutcome::NotRun(RefusalReason::PeerUnreachable)
+            }
+            Err(ClientFailure::NoReply(_)) => RequestOutcome::Unknown,
+        }
+    }
+
+    async fn send(
+        &self,
+        url: &str,
+        headers: &[(&'static str, String)],
+        request: &ServiceRequest,
+    ) -> Result<(u16, Bytes), ClientFailure> {
+        let time = request.deadline.saturating_duration_since(Instant::now());
+        let body = request.body.clone();
+        let reply = self
+            .client
+            .send(Method::POST, url, headers, CONTENT, body, time)
+            .await?;
+        Ok((reply.status, reply.body))
+    }
+
+    fn counted(&self, outcome: RequestOutcome) -> RequestOutcome {
+        let counter = match &outcome {
+            RequestOutcome::Answered(..) => &self.counters.answered,
+            RequestOutcome::Unknown => &self.counters.unknown,
+            RequestOutcome::NotRun(reason) => {
+                let index = RefusalReason::ALL.iter().position(|known| known == reason);
+                &self.counters.refused[index.unwrap_or(0)]
+            }
+        };
+        counter.fetch_add(1, Ordering::Relaxed);
+        outcome
+    }
+
+    fn count_retry(&self, reason: RetryReason) {
+        let index = RetryReason::ALL.iter().position(|known| *known == reason);
+        self.counters.retried[index.unwrap_or(0)].fetch_add(1, Ordering::Relaxed);
+    }
+}
+
+/// Status with which a peer says that a request certainly did not run.
+pub(crate) const PEER_NOT_RUN: u16 = 570;
+/// Status with which a peer says that a request may have run.
+pub(crate) const PEER_UNKNOWN: u16 = 571;
+
+fn outcome_from_peer(status: u16, body: Bytes) -> RequestOutcome {
+    match status {
+        PEER_NOT_RUN => {
+            let name = String::from_utf8_lossy(&body);
+            let known = RefusalReason::ALL
+                .iter()
+                .find(|reason| reason.as_str() == name);
+            RequestOutcome::NotRun(known.copied().unwrap_or(RefusalReason::PeerUnreachable))
+        }
+        PEER_UNKNOWN => RequestOutcome::Unknown,
+        status => RequestOutcome::Answered(status, body),
+    }
+}
--- /dev/null
+++ b/crates/bankvalve/src/serve/route_table.rs
@@ -0,0 +1,106 @@
+//! Where services run, and the slots of the workers owned here.
+
+use std::collections::BTreeMap;
+use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::Arc;
+
+use bankvalve_cell::instance::{OwnWorker, RoutePoint};
+
+/// Slots and connections of one worker, counted by its only owner.
+///
+/// # Examples
+///
+/// ```
+/// use std::sync::Arc;
+/// use bankvalve::serve::SlotGate;
+///
+/// let gate = Arc::new(SlotGate::new(1, 60));
+/// let permit = SlotGate::acquire(&gate).unwrap();
+/// assert!(SlotGate::acquire(&gate).is_none());
+/// drop(permit);
+/// assert!(SlotGate::acquire(&gate).is_some());
+/// ```
+#[derive(Debug)]
+pub struct SlotGate {
+    limit: u32,
+    in_use: AtomicU32,
+}
+
+/// A slot that is held until this is dropped.
+#[derive(Debug)]
+pub struct SlotPermit {
+    gate: Arc<SlotGate>,
+}
+
+impl SlotGate {
+    /// Makes a gate for a worker with so many slots and connections.
+    pub fn new(slots: u32, connections: u32) -> Self {
+        let limit = slots.min(connections);
+        let in_use = AtomicU32::new(0);
+        Self { limit, in_use }
+    }
+
+    /// Takes a slot, if one is free.
+    pub fn acquire(gate: &Arc<Self>) -> Option<SlotPermit> {
+        let more = |used: u32| (used < gate.limit).then_some(used + 1);
+        let taken = gate
+            .in_use
+            .fetch_update(Ordering::AcqRel, Ordering::Acquire, more);
+        taken.ok().map(|_| SlotPermit { gate: gate.clone() })
+    }
+
+    /// Slots in use.
+    pub fn in_use(&self) -> u32 {
+        self.in_use.load(Ordering::Acquire)
+    }
+}
+
+impl Drop for SlotPermit {
+    fn drop(&mut self) {
+        self.gate.in_use.fetch_sub(1, Ordering::AcqRel);
+    }
+}
+
+/// A worker owned here, with its gate.
+#[derive(Clone, Debug)]
+pub(super) struct GatedWorker {
+    pub(super) worker: OwnWorker,
+    pub(super) gate: Arc<SlotGate>,
+}
+
+/// Where services run, and the workers owned here.
+#[derive(Clone, Debug, Default)]
+pub struct RouteTable {
+    points: BTreeMap<(String, String), Vec<RoutePoint>>,
+    own: BTreeMap<String, GatedWorker>,
+}
+
+impl RouteTable {
+    /// Makes the next table, keeping the gates of workers that stay.
+    pub fn next(&self, points: Vec<RoutePoint>, own: Vec<OwnWorker>) -> Self {
+        let mut table = Self::default();
+        for point in points {
+            let name = (point.point.key.team.clone(), point.point.service.clone());
+            table.points.entry(name).or_default().push(point);
+        }
+        for worker in own {
+            let known = self.own.get(&worker.name).map(|known| known.gate.clone());
+            let fresh = || Arc::new(SlotGate::new(worker.slots, worker.connections));
+            let gate = known.unwrap_or_else(fresh);
+            table
+                .own
+                .insert(worker.name.clone(), GatedWorker { worker, gate });
+        }
+        table
+    }
+
+    /// Running tasks of a team's service.
+    pub fn points_of(&self, team: &str, service: &str) -> &[RoutePoint] {
+        let name = (team.to_owned(), service.to_owned());
+        self.points.get(&name).map_or(&[], Vec::as_slice)
+    }
+
+    pub(super) fn own_worker(&self, name: &str) -> Option<&GatedWorker> {
+        self.own.get(name)
+    }
+}
--- /dev/null
+++ b/crates/bankvalve/src/serve/serve_failure.rs
@@ -0,0 +1,26 @@
+//! Why an instance could not be started.
+
+use std::fmt;
+
+/// Step at which an instance could not be started.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ServeFailure {
+    /// The settings are not as they must be.
+    Settings,
+    /// An address could not be listened on.
+    Listen,
+    /// A thread could not be started.
+    Thread,
+}
+
+impl fmt::Display for ServeFailure {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            ServeFailure::Settings => "step settings: expected settings that pass the check",
+            ServeFailure::Listen => "step listen: expected a free address",
+            ServeFailure::Thread => "step thread: expected room for one more thread",
+        })
+    }
+}
+
+impl std::error::Error for ServeFailure {}
--- /dev/null
+++ b/crates/bankvalve_link/src/server/mod.rs
@@ -0,0 +1,7 @@
+//! HTTP servers that bound what each peer can cost.
+
+mod http_server;
+mod server_limits;
+
+pub use http_server::{AnswerBody, HttpAnswer, HttpRequest, HttpServer};
+pub use server_limits::{ServerCounters, ServerLimits};
--- /dev/null
+++ b/crates/bankvalve_standin/src/http/mod.rs
@@ -0,0 +1,9 @@
+//! The platform's services over HTTP, on one listener.
+
+mod fault_settings;
+mod platform_standin;
+mod standin_plan;
+
+pub use fault_settings::{FaultSettings, WorkerFault};
+pub use platform_standin::{PlatformStandin, ServiceAnswer};
+pub use standin_plan::{StandinPlan, WorkerGroup};
