feat(check): randomised runs of the real decisions under virtual time

Cause: the decisions had never met a fault. Found and mended, each now caused by these runs: a task was first sent to a worker that had begun to leave; a scan that mixed old and new rows was loaded as a ledger; an attempt that queued under an earlier owner was asked back for ever; a takeover acted before a write had proved its rows. Conclusion: loads are believed only when the head row names their last batch, and owners act only after their first conditional write.

--- a/crates/bankvalve_cell/src/instance/commands.rs
+++ b/crates/bankvalve_cell/src/instance/commands.rs
@@ -150,7 +150,7 @@
         let loaded = self
             .teams
             .get(&index)
-            .is_some_and(|owner| owner.is_loaded());
+            .is_some_and(|owner| owner.is_confirmed());
         if !loaded || releasing {
             let detail = "the team's partition is changing hands";
             self.refuse(origin, ticket, RefusalReason::NoOwner, detail);
--- a/crates/bankvalve_cell/src/instance/instance_core.rs
+++ b/crates/bankvalve_cell/src/instance/instance_core.rs
@@ -11,7 +11,7 @@
 use super::storing::{ObjectPurpose, StorePurpose};
 use super::{CoreAction, CoreEvent, CoreSettings};
 use crate::ids::{CellTime, Epoch, Incarnation, PartitionIndex, RowVersion, Ticket, UnixMillis};
-use crate::link::{ObjectRequest, PeerMessage, StoreRequest};
+use crate::link::{ObjectRequest, PeerMessage, StoreRequest, TaskId};
 use crate::machine::{worker_partition_of, ListedWorker};
 use crate::membership::{MemberRoster, PartitionKey, PartitionRow};
 use crate::owner::{OwnerAction, OwnerContext, TeamPartition, TeamView, WorkerPartition};
@@ -97,6 +97,7 @@
     pub fn step(&mut self, now: CellTime, wall: UnixMillis, event: CoreEvent) -> Vec<CoreAction> {
         self.now = self.now.max(now);
         self.wall = wall;
+        self.drop_unattended();
         match event {
             CoreEvent::Tick => self.tick(),
             CoreEvent::Peer(batch) => self.take_batch(batch),
@@ -153,6 +154,17 @@
         self.teams.iter().map(|(index, owner)| (*index, owner))
     }
 
+    /// What the owners here know of a task, for diagnosis.
+    pub fn describe_task(&self, id: &TaskId) -> Vec<String> {
+        let here = &self.settings.detail.name;
+        let teams = self.teams.values().filter_map(|owner| owner.describe(id));
+        let workers = self.workers.values().filter_map(|owner| owner.describe(id));
+        teams
+            .chain(workers)
+            .map(|text| format!("{here}: {text}"))
+            .collect()
+    }
+
     /// Tells whether the store has answered lately.
     pub fn store_answers(&self) -> bool {
         let silence = self.settings.timings.store_silence;
--- a/crates/bankvalve_cell/src/instance/ownership.rs
+++ b/crates/bankvalve_cell/src/instance/ownership.rs
@@ -33,6 +33,8 @@
     confirmed: Option<CellTime>,
     scanning: bool,
     next_scan: CellTime,
+    /// When the last scan that was answered had been sent.
+    attended: CellTime,
     last_scan: CellTime,
 }
 
@@ -190,6 +192,7 @@
                 self.note_partition(key, row, image.version);
             }
         }
+        self.lease.attended = self.lease.last_scan;
         let prefix = INSTANCE_PREFIX.to_owned();
         self.ask_store(StorePurpose::ScanInstances, StoreRequest::Scan { prefix });
     }
@@ -208,6 +211,20 @@
         self.settle_ownership();
     }
 
+    /// Drops the worker partitions when the table service has not confirmed them for too long.
+    ///
+    /// A successor counts on this: after that time, and a worker's lease,
+    /// nothing that this instance granted can still be running.
+    pub(super) fn drop_unattended(&mut self) {
+        let limit = self.settings.timings.unattended;
+        if self.workers.is_empty() || self.now <= self.lease.attended + limit {
+            return;
+        }
+        self.tally
+            .refuse(crate::refusal::RefusalReason::StoreUnavailable);
+        self.workers.clear();
+    }
+
     fn note_partition(&mut self, key: PartitionKey, row: PartitionRow, version: RowVersion) {
         let known = self.partition_rows.get(&key);
         if known.is_some_and(|(_, known)| *known >= version) {
--- a/crates/bankvalve_cell/src/instance/storing.rs
+++ b/crates/bankvalve_cell/src/instance/storing.rs
@@ -157,14 +157,17 @@
         }
         match outcome {
             StoreOutcome::Rows(rows) => {
-                self.with_team_partition(index, |owner, _, ctx| owner.load(&rows, ctx));
+                let mut whole = false;
+                self.with_team_partition(index, |owner, _, ctx| whole = owner.load(&rows, ctx));
+                if !whole {
+                    self.load_later(PartitionKey::team(index));
+                }
             }
             _ => self.load_later(PartitionKey::team(index)),
         }
     }
 
     fn take_roster(&mut self, index: PartitionIndex, epoch: Epoch, outcome: StoreOutcome) {
-        let now = self.now;
         let Some(owner) = self.workers.get_mut(&index) else {
             return;
         };
@@ -177,8 +180,8 @@
         };
         let decode = |row: &RowImage| Some((WorkerRoster::decode(&row.value)?, row.version));
         let (roster, version) = rows.first().and_then(decode).unwrap_or_default();
-        owner.take_roster(roster, version, now);
-        self.give_list(index);
+        owner.note_roster_version(version);
+        self.write_roster(index, roster);
     }
 
     fn take_roster_written(
@@ -196,8 +199,10 @@
             return;
         }
         match outcome {
-            StoreOutcome::Applied { version } => owner.take_roster(roster, *version, now),
-            StoreOutcome::Busy => owner.roster_failed(),
+            StoreOutcome::Applied { version } => {
+                owner.take_roster(roster, *version, now);
+                self.give_list(index);
+            }
             _ => {
                 owner.roster_failed();
                 self.load_later(PartitionKey::worker(index));
--- a/crates/bankvalve_cell/src/owner/team/commit.rs
+++ b/crates/bankvalve_cell/src/owner/team/commit.rs
@@ -5,7 +5,7 @@
 use super::team_partition::TeamPartition;
 use crate::ids::{PartitionIndex, RowVersion, TeamName};
 use crate::ledger::{LedgerBatch, LedgerEvent, LedgerSnapshot, RecordSegment};
-use crate::link::{ObjectRequest, TableTransaction, TaskId};
+use crate::link::{ObjectRequest, RowImage, TableTransaction, TaskId};
 use crate::machine::TaskSize;
 use crate::membership::PartitionKey;
 use crate::owner::{GuardName, OwnerAction, OwnerContext};
@@ -141,6 +141,15 @@
         })
     }
 
+    /// Tells whether a head row names the last batch that was read.
+    pub(super) fn is_headed_by(&self, row: Option<&RowImage>) -> bool {
+        let head = row.and_then(|row| rmp_serde::from_slice::<HeadRow>(&row.value).ok());
+        match head {
+            None => self.sequence == 0,
+            Some(head) => head.sequence == self.sequence && head.hash == self.chain,
+        }
+    }
+
     /// Settles the batch in flight; returns whether the partition is still owned.
     pub fn end_flush(&mut self, outcome: &FlushOutcome, ctx: &mut OwnerContext<'_>) -> bool {
         match outcome {
@@ -268,6 +277,19 @@
         let Some(flight) = self.flight.take() else {
             return;
         };
+        let next = self.sequence + 1;
+        ctx.tally.assert(
+            InvariantKind::ChainUnbroken,
+            flight.sequence == next && version > self.head_version,
+            || {
+                format!(
+                    "team partition {}: batch {} after {}",
+                    self.index,
+                    flight.sequence,
+                    next - 1
+                )
+            },
+        );
         self.head_version = version;
         self.sequence = flight.sequence;
         self.chain = LedgerBatch::hash_of(&flight.bytes);
@@ -279,6 +301,7 @@
         for sequence in flight.deleted {
             self.rows.remove(&sequence);
         }
+        self.confirmed = true;
         ctx.tally.ledger_commits += 1;
         for proposal in flight.proposals {
             ctx.tally.ledger_events += 1;
--- a/crates/bankvalve_cell/src/owner/team/scheduling.rs
+++ b/crates/bankvalve_cell/src/owner/team/scheduling.rs
@@ -26,7 +26,7 @@
 impl TeamPartition {
     /// Does what is due: assignments, messages that need repeating, gangs, drains.
     pub fn tick(&mut self, view: &mut TeamView<'_>, ctx: &mut OwnerContext<'_>) {
-        if !self.loaded {
+        if !self.confirmed {
             return;
         }
         if view.store_answers {
--- a/crates/bankvalve_cell/src/owner/team/watching.rs
+++ b/crates/bankvalve_cell/src/owner/team/watching.rs
@@ -28,7 +28,7 @@
         view: &TeamView<'_>,
         ctx: &mut OwnerContext<'_>,
     ) {
-        if !self.loaded {
+        if !self.confirmed {
             return;
         }
         let id = key.id();
@@ -201,6 +201,10 @@
         let Some(watch) = self.watches.get_mut(id) else {
             return;
         };
+        if watch.said_epoch != Some(epoch) {
+            watch.queued = false;
+            watch.held = false;
+        }
         let repeated = watch.said_epoch.is_some() && !running && !watch.held && !watch.queued;
         let settled = running && !watch.withdrawing && watch.said_epoch == Some(epoch);
         watch.next_say = ctx.now + if settled { ASK_RUNNING } else { repeat };
--- a/crates/bankvalve_cell/src/owner/worker/exchange.rs
+++ b/crates/bankvalve_cell/src/owner/worker/exchange.rs
@@ -83,6 +83,9 @@
         let address = seat.detail.address.clone();
         let incarnation = seat.incarnation.filter(|_| commands_too);
         let leaving = seat.is_leaving();
+        if leaving {
+            self.take_back_unsent(worker, ctx);
+        }
         let commands = if commands_too {
             self.commands_for(worker, leaving, ctx)
         } else {
@@ -102,6 +105,21 @@
         });
     }
 
+    /// Puts what was never sent to a worker that now leaves back in line.
+    fn take_back_unsent(&mut self, worker: &str, ctx: &mut OwnerContext<'_>) {
+        let unsent: Vec<TaskId> = self
+            .entries
+            .iter()
+            .filter(|(_, entry)| entry.worker.as_deref() == Some(worker))
+            .filter(|(_, entry)| entry.is_unsent())
+            .map(|(id, _)| id.clone())
+            .collect();
+        for id in unsent {
+            self.requeue(&id);
+            self.say(&id, ctx);
+        }
+    }
+
     fn commands_for(
         &mut self,
         worker: &str,
--- a/crates/bankvalve_cell/src/owner/worker/placement_entry.rs
+++ b/crates/bankvalve_cell/src/owner/worker/placement_entry.rs
@@ -113,6 +113,14 @@
         self.phase == PlacementPhase::Queued
     }
 
+    /// Tells whether it has a worker that was not told of it yet.
+    pub(super) fn is_unsent(&self) -> bool {
+        matches!(
+            self.phase,
+            PlacementPhase::Held { .. } | PlacementPhase::Starting { sent: false }
+        )
+    }
+
     /// Tells whether it may be stopped for urgent work.
     pub(super) fn is_preemptible(&self) -> bool {
         let label = &self.label;
--- /dev/null
+++ b/crates/bankvalve_check/src/command/mod.rs
@@ -0,0 +1,58 @@
+//! The command line of the checks.
+
+use std::process::ExitCode;
+
+use bankvalve_cell::owner::GuardName;
+use bpaf::Bpaf;
+
+use crate::random::run_random;
+
+/// Checks and measures bankvalve's decisions
+#[derive(Clone, Debug, Bpaf)]
+#[bpaf(options)]
+enum CheckCommand {
+    /// Runs the decisions under random faults and checks the history
+    #[bpaf(command)]
+    Random {
+        /// Seed; the same seed repeats exactly
+        #[bpaf(argument("S"), fallback(1))]
+        seed: u64,
+        /// Events that are to happen at least
+        #[bpaf(argument("N"), fallback(200_000))]
+        events: u64,
+        /// Take a guard away and expect to fail; `list` names the guards
+        #[bpaf(long("break"), argument("NAME"), optional)]
+        guard: Option<String>,
+    },
+}
+
+/// Runs the command line of this process.
+pub fn run() -> ExitCode {
+    match check_command().run() {
+        CheckCommand::Random {
+            seed,
+            events,
+            guard,
+        } => random(seed, events, guard.as_deref()),
+    }
+}
+
+fn random(seed: u64, events: u64, guard: Option<&str>) -> ExitCode {
+    let Some(name) = guard else {
+        return run_random(seed, events, None);
+    };
+    if name == "list" {
+        for guard in GuardName::ALL {
+            println!("{}", guard.as_str());
+        }
+        return ExitCode::SUCCESS;
+    }
+    let found = GuardName::ALL.iter().find(|guard| guard.as_str() == name);
+    match found {
+        Some(guard) => run_random(seed, events, Some(*guard)),
+        None => {
+            eprintln!("error: --break: expected a name that --break list prints, found {name}");
+            ExitCode::from(2)
+        }
+    }
+}
--- a/crates/bankvalve_check/src/lib.rs
+++ b/crates/bankvalve_check/src/lib.rs
@@ -1,1 +1,15 @@
-//! Placeholder.
+//! Drives the real decision code under virtual time, with faults, and checks what came of it.
+//!
+//! [`world::CellWorld`] holds many entry instances, the platform and the
+//! workers in one process. [`random::run_episode`] lets faults strike it
+//! and checks the history; [`history`] holds the checks.
+
+#![forbid(unsafe_code)]
+#![warn(missing_docs)]
+
+pub mod command;
+pub mod fault;
+pub mod history;
+pub mod load;
+pub mod random;
+pub mod world;
--- a/crates/bankvalve_standin/src/model/table_model.rs
+++ b/crates/bankvalve_standin/src/model/table_model.rs
@@ -53,12 +53,20 @@
 
     /// Handles a read as a replica that lags behind would; writes are handled as usual.
     pub fn handle_stale(&mut self, request: &StoreRequest) -> StoreOutcome {
-        let StoreRequest::Read { key } = request else {
-            return self.handle(request);
+        let old = |row: RowImage| match self.before.get(&row.key) {
+            Some(before) => image(&row.key, before),
+            None => row,
+        };
+        let rows = match request {
+            StoreRequest::Apply(_) => return self.handle(request),
+            StoreRequest::Read { key } => {
+                let row = self.rows.get(key).map(|row| image(key, row));
+                row.into_iter().map(old).collect()
+            }
+            StoreRequest::Scan { prefix } => self.rows_with(prefix).into_iter().map(old).collect(),
         };
         self.reads += 1;
-        let row = self.before.get(key).or_else(|| self.rows.get(key));
-        StoreOutcome::Rows(row.map(|row| image(key, row)).into_iter().collect())
+        StoreOutcome::Rows(rows)
     }
 
     /// All rows whose key starts with a prefix, in key order.
