--- a/crates/bankvalve/src/command/job_commands.rs
+++ b/crates/bankvalve/src/command/job_commands.rs
@@ -3,12 +3,9 @@
 use std::process::ExitCode;
 use std::time::{Duration, Instant};
 
-use attohttpc::Method;
-use bankvalve_cell::contract::JobSpec;
 use bankvalve_cell::link::JobView;
-use serde_json::Value;
 
-use super::api_client::{ApiClient, CallAs};
+use super::api_client::ApiClient;
 use super::options::ClientOptions;
 use super::render::{print_rows, print_value};
 use super::{ClientSettings, CommandFailure, FailureKind, JobFile};
@@ -16,8 +13,6 @@
 
 /// Time between two looks at a job that is waited for.
 const LOOK: Duration = Duration::from_millis(500);
-/// Time for which a refused job is submitted again when that may help.
-const COME_BACK_TIME: Duration = Duration::from_secs(20);
 /// Time for which a job is looked for while instances cannot say how it stands.
 const PATIENCE: Duration = Duration::from_secs(60);
 
@@ -34,7 +29,7 @@
     let jobs = JobFile::load(file)?.jobs;
     let client = client_of(options)?;
     for job in &jobs {
-        let again = submit_one(&client, job)?;
+        let again = client.submit(job)?;
         let word = if again {
             "was accepted before"
         } else {
@@ -56,33 +51,6 @@
     })
 }
 
-/// Submits one job; tells whether it had been accepted before.
-///
-/// Comes back when it is told to, for a while. Submitting again is safe
-/// even if an answer was lost: the job's id makes it the same job.
-pub(crate) fn submit_one(client: &ApiClient, job: &JobSpec) -> Result<bool, CommandFailure> {
-    let body = serde_json::to_value(job).unwrap_or_default();
-    let begun = Instant::now();
-    loop {
-        match client.post::<Value>(CallAs::Team(&job.team), "/v1/jobs", &body) {
-            Ok(answer) => return Ok(answer["again"] == Value::Bool(true)),
-            Err(failure) => {
-                let wait = match failure.kind {
-                    FailureKind::Unknown => Some(LOOK),
-                    _ => failure.retry_after_ms.map(Duration::from_millis),
-                };
-                match wait {
-                    Some(wait) if begun.elapsed() + wait < COME_BACK_TIME => {
-                        eprintln!("job {}: {failure}", job.id);
-                        std::thread::sleep(wait);
-                    }
-                    _ => return Err(failure),
-                }
-            }
-        }
-    }
-}
-
 /// Cancels a job.
 pub(super) fn cancel(
     options: &ClientOptions,
@@ -90,18 +58,11 @@
     job: &str,
 ) -> Result<ExitCode, CommandFailure> {
     let client = client_of(options)?;
-    cancel_one(&client, team, job)?;
+    client.cancel(team, job)?;
     eprintln!("job {job} of team {team}: cancelled");
     Ok(ExitCode::SUCCESS)
 }
 
-/// Cancels one job.
-pub(crate) fn cancel_one(client: &ApiClient, team: &str, job: &str) -> Result<(), CommandFailure> {
-    let path = format!("/v1/jobs/{team}/{job}");
-    let _: Value = client.call(CallAs::Team(team), &Method::DELETE, &path, &[], &[])?;
-    Ok(())
-}
-
 /// Tells how a team's jobs stand, or the tasks of one.
 pub(super) fn status(
     options: &ClientOptions,
@@ -111,14 +72,14 @@
 ) -> Result<ExitCode, CommandFailure> {
     let client = client_of(options)?;
     let Some(job) = job else {
-        let views: Vec<JobView> = client.get(CallAs::Team(team), &format!("/v1/jobs/{team}"))?;
+        let views = client.jobs(team)?;
         print_value(options.output, &views, |views| print_jobs(views));
         return Ok(ExitCode::SUCCESS);
     };
     let view = if wait {
         wait_for(&client, team, job)?
     } else {
-        status_of(&client, team, job)?
+        client.status(team, job)?
     };
     print_value(options.output, &view, print_job);
     Ok(if view.phase == "failed" {
@@ -128,15 +89,6 @@
     })
 }
 
-/// How one job stands.
-pub(crate) fn status_of(
-    client: &ApiClient,
-    team: &str,
-    job: &str,
-) -> Result<JobView, CommandFailure> {
-    client.get(CallAs::Team(team), &format!("/v1/jobs/{team}/{job}"))
-}
-
 /// Waits until a job is over, or a service runs whole, showing progress.
 pub(crate) fn wait_for(
     client: &ApiClient,
@@ -146,7 +98,7 @@
     let mut shown = String::new();
     let mut heard = Instant::now();
     loop {
-        match status_of(client, team, job) {
+        match client.status(team, job) {
             Ok(view) => {
                 heard = Instant::now();
                 let progress = progress_of(&view);
@@ -191,11 +143,7 @@
     job: Option<&str>,
 ) -> Result<ExitCode, CommandFailure> {
     let client = client_of(options)?;
-    let path = match job {
-        Some(job) => format!("/v1/record/{team}/{job}"),
-        None => format!("/v1/record/{team}"),
-    };
-    let entries: Vec<RecordEntry> = client.get(CallAs::Team(team), &path)?;
+    let entries = client.record(team, job)?;
     print_value(options.output, &entries, |entries| {
         let rows: Vec<Vec<String>> = entries
             .iter()
@@ -266,37 +214,11 @@
     once: bool,
 ) -> Result<ExitCode, CommandFailure> {
     let client = client_of(options)?;
-    let answer = request_one(&client, team, service, body, once)?;
+    let answer = client.request(team, service, body, once)?;
     println!("{answer}");
     Ok(ExitCode::SUCCESS)
 }
 
-/// Sends one request to a service.
-pub(crate) fn request_one(
-    client: &ApiClient,
-    team: &str,
-    service: &str,
-    body: &str,
-    once: bool,
-) -> Result<Value, CommandFailure> {
-    let id = format!("{:016x}", rand::random::<u64>());
-    let headers = [
-        ("bankvalve-request", id.clone()),
-        ("bankvalve-repeatable", (!once).to_string()),
-    ];
-    let path = format!("/v1/services/{team}/{service}/requests");
-    let body = body.as_bytes();
-    let answer: Value = client.call(CallAs::Team(team), &Method::POST, &path, &headers, body)?;
-    if answer
-        .get("id")
-        .is_some_and(|found| *found != Value::String(id))
-    {
-        let text = "expected the answer to this request, found another's";
-        return Err(CommandFailure::new(FailureKind::Unknown, text));
-    }
-    Ok(answer)
-}
-
 fn print_jobs(views: &[JobView]) {
     let rows: Vec<Vec<String>> = views
         .iter()
--- a/crates/bankvalve/src/command/mod.rs
+++ b/crates/bankvalve/src/command/mod.rs
@@ -1,6 +1,7 @@
 //! The command line: one binary for the daemon, callers and operators.
 
 mod api_client;
+mod cell_client;
 mod client_settings;
 mod command_failure;
 mod job_commands;
@@ -13,17 +14,14 @@
 use std::process::ExitCode;
 
 pub use api_client::ApiClient;
+pub use cell_client::InstanceList;
 pub use client_settings::{ClientSettings, OperatorSecret};
 pub use command_failure::{CommandFailure, FailureKind};
 pub use job_file::JobFile;
+pub use operator_commands::token_hash;
 pub use options::{command_line, CommandLine};
 #[cfg(feature = "dev")]
-pub(crate) use {
-    job_commands::{cancel_one, request_one, submit_one, wait_for},
-    operator_commands::{accept_one, token_hash, worker_views},
-    options::DevOptions,
-    render::print_rows,
-};
+pub(crate) use {job_commands::wait_for, options::DevOptions, render::print_rows};
 
 use options::{BundleCommand, InstanceCommand, KeyCommand, SettingsCommand, WorkerCommand};
 
--- a/crates/bankvalve/src/command/operator_commands.rs
+++ b/crates/bankvalve/src/command/operator_commands.rs
@@ -3,40 +3,28 @@
 use std::process::ExitCode;
 
 use bankvalve_cell::contract::CellBundle;
-use bankvalve_cell::link::{InstanceView, PartitionView, WorkerView};
+use bankvalve_cell::link::WorkerView;
 use bankvalve_link::OperatorSigner;
-use serde::{Deserialize, Serialize};
-use serde_json::{json, Value};
+use serde_json::json;
 use sha2::{Digest, Sha256};
 
-use super::api_client::{ApiClient, CallAs};
+use super::api_client::ApiClient;
 use super::options::ClientOptions;
 use super::render::{print_rows, print_value};
 use super::{ClientSettings, CommandFailure};
 use crate::settings::parse_jsonc;
 
-#[derive(Serialize, Deserialize)]
-struct InstanceList {
-    instances: Vec<InstanceView>,
-    partitions: Vec<PartitionView>,
-}
-
 fn client_of(options: &ClientOptions) -> Result<ApiClient, CommandFailure> {
     ApiClient::new(ClientSettings::load(options.client.as_deref())?)
 }
 
 /// Lists all workers.
 pub(super) fn workers(options: &ClientOptions) -> Result<ExitCode, CommandFailure> {
-    let views = worker_views(&client_of(options)?)?;
+    let views = client_of(options)?.workers()?;
     print_value(options.output, &views, |views| print_workers(views));
     Ok(ExitCode::SUCCESS)
 }
 
-/// All workers, as their owners see them.
-pub(crate) fn worker_views(client: &ApiClient) -> Result<Vec<WorkerView>, CommandFailure> {
-    client.get(CallAs::Operator, "/v1/workers")
-}
-
 fn print_workers(views: &[WorkerView]) {
     let rows: Vec<Vec<String>> = views
         .iter()
@@ -79,8 +67,7 @@
     drain: bool,
 ) -> Result<ExitCode, CommandFailure> {
     let client = client_of(options)?;
-    let path = format!("/v1/workers/{name}/drain");
-    let _: Value = client.post(CallAs::Operator, &path, &json!({ "drain": drain }))?;
+    client.drain_worker(name, drain)?;
     let word = if drain { "drains" } else { "takes work again" };
     eprintln!("worker {name}: {word}");
     Ok(ExitCode::SUCCESS)
@@ -88,7 +75,7 @@
 
 /// Lists all entry instances and what they own.
 pub(super) fn instances(options: &ClientOptions) -> Result<ExitCode, CommandFailure> {
-    let list: InstanceList = client_of(options)?.get(CallAs::Operator, "/v1/instances")?;
+    let list = client_of(options)?.instances()?;
     print_value(options.output, &list, |list| {
         let rows: Vec<Vec<String>> = list
             .instances
@@ -123,15 +110,14 @@
     name: &str,
 ) -> Result<ExitCode, CommandFailure> {
     let client = client_of(options)?;
-    let path = format!("/v1/instances/{name}/drain");
-    let _: Value = client.post(CallAs::Operator, &path, &json!({}))?;
+    client.drain_instance(name)?;
     eprintln!("instance {name}: hands over what it owns");
     Ok(ExitCode::SUCCESS)
 }
 
 /// Shows the bundle in force.
 pub(super) fn bundle(options: &ClientOptions) -> Result<ExitCode, CommandFailure> {
-    let shown: Value = client_of(options)?.get(CallAs::Operator, "/v1/bundle")?;
+    let shown = client_of(options)?.bundle()?;
     let text = serde_json::to_string_pretty(&shown).unwrap_or_default();
     println!("{text}");
     Ok(ExitCode::SUCCESS)
@@ -162,23 +148,15 @@
 ) -> Result<ExitCode, CommandFailure> {
     let bundle = load_bundle(file)?;
     let client = client_of(options)?;
-    accept_one(&client, &bundle)?;
+    client.accept_bundle(&bundle)?;
     eprintln!("bundle {}: in force", bundle.version);
     Ok(ExitCode::SUCCESS)
 }
 
-/// Puts one bundle in force.
-pub(crate) fn accept_one(client: &ApiClient, bundle: &CellBundle) -> Result<(), CommandFailure> {
-    let body = serde_json::to_value(bundle).unwrap_or_default();
-    let _: Value = client.post(CallAs::Operator, "/v1/bundle", &body)?;
-    Ok(())
-}
-
 /// Changes the log level of an entry instance.
 pub(super) fn log_level(options: &ClientOptions, level: &str) -> Result<ExitCode, CommandFailure> {
     let client = client_of(options)?;
-    let body = json!({ "level": level });
-    let _: Value = client.post(CallAs::Operator, "/v1/log-level", &body)?;
+    client.set_log_level(level)?;
     eprintln!("log level: {level}");
     Ok(ExitCode::SUCCESS)
 }
@@ -214,6 +192,6 @@
 }
 
 /// SHA-256 of a token in hexadecimal, as the settings hold it.
-pub(crate) fn token_hash(token: &str) -> String {
+pub fn token_hash(token: &str) -> String {
     hex::encode(Sha256::digest(token.as_bytes()))
 }
--- a/crates/bankvalve/src/command/serve_command.rs
+++ b/crates/bankvalve/src/command/serve_command.rs
@@ -28,6 +28,9 @@
     let mut signals = Signals::new([SIGTERM, SIGINT])
         .map_err(|error| CommandFailure::new(FailureKind::BadInput, error.to_string()))?;
     let listeners = InstanceListeners::bind(&settings).map_err(|report| failed(&report))?;
+    let settings = listeners
+        .bound_settings(&settings)
+        .map_err(|report| failed(&report))?;
     let process = InstanceProcess::start(&settings, listeners).map_err(|report| failed(&report))?;
     let core = process.core().clone();
     while signals.pending().next().is_none() && !core.is_stopped() {
--- a/crates/bankvalve/src/dev/dev_cell.rs
+++ b/crates/bankvalve/src/dev/dev_cell.rs
@@ -10,8 +10,7 @@
 use bankvalve_standin::{PlatformStandin, StandinPlan};
 
 use crate::command::{
-    accept_one, token_hash, worker_views, ApiClient, ClientSettings, CommandFailure, FailureKind,
-    OperatorSecret,
+    token_hash, ApiClient, ClientSettings, CommandFailure, FailureKind, OperatorSecret,
 };
 use crate::serve::{InstanceListeners, InstanceProcess};
 use crate::settings::{ServeSettings, DEFAULT_SETTINGS};
@@ -149,7 +148,7 @@
             let ready = owned == self.partitions
                 && self.entries.iter().all(|entry| entry.core().is_ready());
             let views = if ready {
-                worker_views(&client).unwrap_or_default()
+                client.workers().unwrap_or_default()
             } else {
                 Vec::new()
             };
@@ -193,7 +192,7 @@
         let client = self.client()?;
         let begun = Instant::now();
         loop {
-            match accept_one(&client, &bundle) {
+            match client.accept_bundle(&bundle) {
                 Ok(()) => return Ok(()),
                 Err(failure) if begun.elapsed() > Duration::from_secs(10) => return Err(failure),
                 Err(_) => std::thread::sleep(LOOK),
@@ -217,9 +216,6 @@
     let base = platform.base_url();
     settings.instance.name = format!("entry-{}", index + 1);
     settings.instance.domain = DOMAINS[index as usize % DOMAINS.len()].into();
-    settings.listen.callers = listeners.callers.local_addr().map_err(|e| failure(&e))?;
-    settings.listen.peers = listeners.peers.local_addr().map_err(|e| failure(&e))?;
-    settings.listen.admin = listeners.admin.local_addr().map_err(|e| failure(&e))?;
     settings.platform.table_url = format!("{base}/table");
     settings.platform.objects_url = format!("{base}/objects");
     settings.platform.list_url = format!("{base}/list");
@@ -235,6 +231,9 @@
         name: OPERATOR.into(),
         public_key: signer.map(|key| key.public_key()).unwrap_or_default(),
     }];
+    let settings = listeners
+        .bound_settings(&settings)
+        .map_err(|report| failure(&format!("{report:?}")))?;
     Ok((settings, listeners))
 }
 
--- a/crates/bankvalve/src/dev/dev_report.rs
+++ b/crates/bankvalve/src/dev/dev_report.rs
@@ -12,7 +12,7 @@
 use hdrhistogram::Histogram;
 
 use super::DevCell;
-use crate::command::{cancel_one, print_rows, request_one, submit_one, wait_for, CommandFailure};
+use crate::command::{print_rows, wait_for, CommandFailure};
 use crate::serve::CoreHandle;
 
 /// Time between two samples of the room in use.
@@ -36,7 +36,7 @@
     let sampler = sample_packing(cell, &stop);
     let begun = Instant::now();
     for job in jobs {
-        submit_one(&client, job)?;
+        client.submit(job)?;
         eprintln!("job {} of team {}: accepted", job.id, job.team);
     }
     let mut views = Vec::new();
@@ -50,16 +50,10 @@
         };
         for number in 0..REQUESTS {
             let sent = Instant::now();
-            request_one(
-                &client,
-                &job.team,
-                service,
-                &format!("request {number}"),
-                false,
-            )?;
+            client.request(&job.team, service, &format!("request {number}"), false)?;
             latencies.saturating_record(sent.elapsed().as_micros() as u64);
         }
-        cancel_one(&client, &job.team, &job.id)?;
+        client.cancel(&job.team, &job.id)?;
     }
     stop.store(true, Ordering::Release);
     let packing = sampler.join().unwrap_or_default();
--- a/crates/bankvalve/src/serve/instance_process.rs
+++ b/crates/bankvalve/src/serve/instance_process.rs
@@ -56,6 +56,24 @@
             admin: bind("listen.admin", settings.listen.admin)?,
         })
     }
+
+    /// Settings with the ports that were really bound, where port 0 asked for any.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if a listener has no address.
+    pub fn bound_settings(
+        &self,
+        settings: &ServeSettings,
+    ) -> Result<ServeSettings, Report<ServeFailure>> {
+        let address =
+            |listener: &TcpListener| listener.local_addr().change_context(ServeFailure::Listen);
+        let mut bound = settings.clone();
+        bound.listen.callers = address(&self.callers)?;
+        bound.listen.peers = address(&self.peers)?;
+        bound.listen.admin = address(&self.admin)?;
+        Ok(bound)
+    }
 }
 
 /// A running entry instance.
--- /dev/null
+++ b/crates/bankvalve/tests/cell/outage.rs
@@ -0,0 +1,93 @@
+//! The platform's services are down, slow, or lose answers.
+
+use bankvalve::command::FailureKind;
+use serde_json::json;
+
+use super::test_cell::{batch, service, wait_until, TestCell};
+
+#[test]
+fn requests_go_on_while_the_table_is_down() {
+    let cell = TestCell::start(3, 6);
+    cell.client().submit(&service("balance", 3)).unwrap();
+    wait_until("the service answers", || {
+        let answer = cell.client().request("billing", "balance", "before", false);
+        answer.is_ok()
+    });
+    cell.set_faults(&json!({"table_outage": true}));
+    let mut tries = 0;
+    wait_until("new jobs are refused as not run", || {
+        tries += 1;
+        let job = batch(&format!("during-{tries}"), 3, 100);
+        let refused = cell.client().submit_once(&job);
+        refused.is_err_and(|failure| {
+            failure.kind == FailureKind::NotRun
+                && failure.text.contains("store_unavailable")
+                && failure.retry_after_ms.is_some()
+        })
+    });
+    for number in 0..20 {
+        let body = format!("during {number}");
+        let answer = cell.client().request("billing", "balance", &body, false);
+        assert_eq!(answer.unwrap()["echo"], json!(body));
+    }
+    cell.set_faults(&json!({}));
+    wait_until("new jobs are accepted again", || {
+        cell.client().submit_once(&batch("after", 3, 100)).is_ok()
+    });
+    cell.wait_done("billing", "after");
+    cell.assert_runs_sound();
+    cell.assert_no_breach();
+}
+
+#[test]
+fn lost_answers_of_the_table_lose_and_repeat_nothing() {
+    let cell = TestCell::start(3, 6);
+    cell.set_faults(&json!({"lose_answers": 0.4}));
+    let mut sent = Vec::new();
+    for number in 0..8 {
+        let job = batch(&format!("job-{number}"), 4, 100);
+        if cell.client().submit(&job).is_ok() {
+            sent.push(job.id);
+        }
+    }
+    cell.set_faults(&json!({}));
+    assert!(!sent.is_empty());
+    for id in &sent {
+        cell.wait_done("billing", id);
+    }
+    let record = cell.client().record("billing", None).unwrap();
+    for id in &sent {
+        let submitted = record.iter().filter(|entry| {
+            matches!(&entry.event,
+                bankvalve_cell::ledger::LedgerEvent::Submitted { spec, .. } if spec.id == *id)
+        });
+        assert_eq!(submitted.count(), 1, "job {id}");
+    }
+    cell.assert_runs_sound();
+    cell.assert_no_breach();
+}
+
+#[test]
+fn worker_cut_off_gives_its_tasks_up_before_they_run_again() {
+    let cell = TestCell::start(3, 6);
+    cell.client().submit(&batch("long", 12, 6_000)).unwrap();
+    wait_until("all tasks run", || {
+        let view = cell.client().status("billing", "long");
+        view.is_ok_and(|view| view.tasks.iter().all(|task| task.phase == "running"))
+    });
+    let view = cell.client().status("billing", "long").unwrap();
+    let worker = view.tasks[0].worker.clone().unwrap();
+    cell.set_faults(&json!({"workers": {worker.clone(): {"cut_off": true}}}));
+    wait_until("the task runs elsewhere", || {
+        let view = cell.client().status("billing", "long");
+        view.is_ok_and(|view| {
+            let task = &view.tasks[0];
+            task.attempt > 1 && task.worker.as_ref().is_some_and(|other| *other != worker)
+        })
+    });
+    cell.assert_runs_sound();
+    cell.set_faults(&json!({}));
+    cell.wait_done("billing", "long");
+    cell.assert_runs_sound();
+    cell.assert_no_breach();
+}
--- a/crates/bankvalve_cell/src/owner/team/commands.rs
+++ b/crates/bankvalve_cell/src/owner/team/commands.rs
@@ -56,24 +56,26 @@
 
     /// Answers everybody who still waits for a commit that this owner will not see.
     pub fn abandon(&mut self, ctx: &mut OwnerContext<'_>) {
+        let detail = "the team's partition has changed hands";
+        let refusal = Refusal::passing(RefusalReason::NoOwner, detail, COME_BACK_MS);
+        for proposal in std::mem::take(&mut self.pending) {
+            refuse_waiting(proposal, &refusal, ctx);
+        }
+    }
+
+    /// Refuses jobs that were not sent to the table service, which does not answer.
+    pub(super) fn refuse_unsent_jobs(&mut self, ctx: &mut OwnerContext<'_>) {
+        let submits = |proposal: &Proposal| matches!(proposal.event, LedgerEvent::Submitted { .. });
+        if !self.pending.iter().any(submits) {
+            return;
+        }
+        let detail = "the table service does not answer; nothing was recorded";
+        let refusal = Refusal::passing(RefusalReason::StoreUnavailable, detail, COME_BACK_MS);
         let pending = std::mem::take(&mut self.pending);
-        for proposal in pending {
-            for effect in proposal.effects {
-                if let OwnerAction::Answer { origin, ticket, .. } = effect {
-                    let refusal = Refusal::passing(
-                        RefusalReason::NoOwner,
-                        "the team's partition has changed hands",
-                        COME_BACK_MS,
-                    );
-                    ctx.tally.refuse(refusal.reason);
-                    let answer = CallerAnswer::NotRun(refusal);
-                    ctx.act(OwnerAction::Answer {
-                        origin,
-                        ticket,
-                        answer,
-                    });
-                }
-            }
+        let (jobs, rest): (Vec<_>, Vec<_>) = pending.into_iter().partition(submits);
+        self.pending = rest;
+        for proposal in jobs {
+            refuse_waiting(proposal, &refusal, ctx);
         }
     }
 
@@ -249,6 +251,21 @@
     }
 }
 
+/// Tells everybody who waits for a proposal that it was not done.
+fn refuse_waiting(proposal: Proposal, refusal: &Refusal, ctx: &mut OwnerContext<'_>) {
+    for effect in proposal.effects {
+        if let OwnerAction::Answer { origin, ticket, .. } = effect {
+            ctx.tally.refuse(refusal.reason);
+            let answer = CallerAnswer::NotRun(refusal.clone());
+            ctx.act(OwnerAction::Answer {
+                origin,
+                ticket,
+                answer,
+            });
+        }
+    }
+}
+
 fn listed_view(state: &JobState) -> JobView {
     JobView {
         team: state.spec.team.clone(),
--- a/crates/bankvalve_cell/src/owner/team/scheduling.rs
+++ b/crates/bankvalve_cell/src/owner/team/scheduling.rs
@@ -31,6 +31,8 @@
         }
         if view.store_answers {
             self.assign_waiting(view, ctx);
+        } else {
+            self.refuse_unsent_jobs(ctx);
         }
         self.attend_jobs(ctx);
         self.say_what_is_due(view, ctx);
--- a/crates/bankvalve_cell/src/owner/worker/worker_partition.rs
+++ b/crates/bankvalve_cell/src/owner/worker/worker_partition.rs
@@ -168,6 +168,7 @@
         self.record_new_workers(ctx);
         self.give_up_silent_workers(ctx);
         self.judge_workers(ctx);
+        self.tell_of_leaving(ctx);
         self.lapse_holds(ctx);
         self.place_waiting(ctx);
         self.run_exchanges(ctx);
@@ -367,6 +368,9 @@
                 let Some(seat) = entry.worker.as_ref().and_then(|name| self.seats.get(name)) else {
                     return;
                 };
+                // Said again until the service's owner has moved the task.
+                let again = seat.is_leaving() && entry.label.service.is_some();
+                entry.say_at = again.then_some(ctx.now + ctx.timings.repeat);
                 PlacementStatus::Started {
                     worker: seat.detail.name.clone(),
                     domain: seat.detail.domain.clone(),
@@ -609,6 +613,26 @@
         }
     }
 
+    /// Has the services' owners told when a worker begins or ceases to leave.
+    fn tell_of_leaving(&mut self, ctx: &mut OwnerContext<'_>) {
+        let changed: Vec<WorkerName> = self
+            .seats
+            .values_mut()
+            .filter(|seat| seat.fenced && seat.told_leaving != seat.is_leaving())
+            .map(|seat| {
+                seat.told_leaving = seat.is_leaving();
+                seat.detail.name.clone()
+            })
+            .collect();
+        for entry in self.entries.values_mut() {
+            let here = |worker: &WorkerName| changed.contains(worker);
+            let serves = entry.label.service.is_some();
+            if serves && entry.worker.as_ref().is_some_and(here) {
+                entry.say_at = Some(ctx.now);
+            }
+        }
+    }
+
     fn lapse_holds(&mut self, ctx: &mut OwnerContext<'_>) {
         let now = ctx.now;
         let lapsed: Vec<TaskId> = self
--- a/crates/bankvalve_cell/src/owner/worker/worker_seat.rs
+++ b/crates/bankvalve_cell/src/owner/worker/worker_seat.rs
@@ -73,6 +73,8 @@
     pub(super) detail: WorkerDetail,
     pub(super) listed: Option<ListState>,
     pub(super) drained: bool,
+    /// Whether the tasks' owners were last told that it is to be emptied.
+    pub(super) told_leaving: bool,
     pub(super) recorded: bool,
     pub(super) incarnation: Option<Incarnation>,
     pub(super) lease: Option<WorkerLease>,
@@ -95,6 +97,7 @@
             detail,
             listed: None,
             drained: false,
+            told_leaving: false,
             recorded: false,
             incarnation: None,
             lease: None,
