--- a/crates/bankvalve_check/src/command/mod.rs
+++ b/crates/bankvalve_check/src/command/mod.rs
@@ -5,6 +5,7 @@
 use bankvalve_cell::owner::GuardName;
 use bpaf::Bpaf;
 
+use crate::measure::{run_decisions, run_measure};
 use crate::random::run_random;
 
 /// Checks and measures bankvalve's decisions
@@ -24,6 +25,19 @@
         #[bpaf(long("break"), argument("NAME"), optional)]
         guard: Option<String>,
     },
+    /// Measures waiting, packing and control cost under virtual time, beside baselines
+    #[bpaf(command)]
+    Measure {
+        /// Seed; the same seed gives the same load
+        #[bpaf(argument("S"), fallback(1))]
+        seed: u64,
+        /// sunshare, logcloud or target
+        #[bpaf(argument("NAME"))]
+        profile: String,
+    },
+    /// Measures the time of single decisions at growing sizes
+    #[bpaf(command)]
+    Decide,
 }
 
 /// Runs the command line of this process.
@@ -34,6 +48,8 @@
             events,
             guard,
         } => random(seed, events, guard.as_deref()),
+        CheckCommand::Measure { seed, profile } => run_measure(&profile, seed),
+        CheckCommand::Decide => run_decisions(),
     }
 }
 
--- a/crates/bankvalve_check/src/lib.rs
+++ b/crates/bankvalve_check/src/lib.rs
@@ -11,5 +11,6 @@
 pub mod fault;
 pub mod history;
 pub mod load;
+pub mod measure;
 pub mod random;
 pub mod world;
--- a/crates/bankvalve_check/src/world/cell_world.rs
+++ b/crates/bankvalve_check/src/world/cell_world.rs
@@ -48,6 +48,8 @@
     pub peer_bytes: u64,
     /// Exchanges with workers.
     pub exchanges: u64,
+    /// Bytes of them, both ways, encoded.
+    pub exchange_bytes: u64,
     /// Requests to the table service.
     pub store_requests: u64,
     /// Bytes written to the table service.
@@ -360,6 +362,7 @@
                 ..
             } => {
                 self.cost.exchanges += 1;
+                self.count_exchange(&exchange);
                 let mut delay = self.link_delay();
                 let mute_until = self.platform.workers[&worker].mute_until;
                 let late = self.now < mute_until && self.rng.random_bool(LATE);
@@ -401,6 +404,13 @@
         }
     }
 
+    fn count_exchange<T: serde::Serialize>(&mut self, message: &T) {
+        if self.count_bytes {
+            let bytes = rmp_serde::to_vec(message).map_or(0, |bytes| bytes.len());
+            self.cost.exchange_bytes += bytes as u64;
+        }
+    }
+
     fn link_delay(&mut self) -> Duration {
         let base = self.plan.delay.as_micros() as u64;
         Duration::from_micros(base + self.rng.random_range(0..=base / 2))
@@ -521,6 +531,9 @@
                 answer = Ok(report);
             }
         }
+        if let Ok(report) = &answer {
+            self.count_exchange(report);
+        }
         let delay = if answer.is_ok() { delay } else { NO_ANSWER };
         let event = CoreEvent::Worker {
             partition,
--- a/crates/bankvalve_check/src/world/mod.rs
+++ b/crates/bankvalve_check/src/world/mod.rs
@@ -12,5 +12,5 @@
 pub use link_state::LinkState;
 pub use platform_state::{PlatformState, WorkerSlot};
 pub use world_event::WorldEvent;
-pub(crate) use world_plan::team_name;
 pub use world_plan::WorldPlan;
+pub(crate) use world_plan::{team_name, worker_group};
