perf(cell): look only at attempts that are due

Cause: each step of a team's owner walked all attempts and looked each up in the ledger. Change: AttemptBook keeps attempts by time and by worker partition; a step takes what is due.

--- a/crates/bankvalve_cell/src/owner/team/gangs.rs
+++ b/crates/bankvalve_cell/src/owner/team/gangs.rs
@@ -192,7 +192,7 @@
             return;
         }
         let leaving = active.iter().find(|id| {
-            let watch = self.watches.get(*id);
+            let watch = self.watches.get(id);
             watch.is_some_and(|watch| watch.leaving && !watch.withdrawing)
         });
         if let Some(id) = leaving.cloned() {
--- a/crates/bankvalve_cell/src/owner/team/mod.rs
+++ b/crates/bankvalve_cell/src/owner/team/mod.rs
@@ -1,5 +1,6 @@
 //! Owner of a team partition: the only one that decides on its teams' jobs.
 
+mod attempt_book;
 mod commands;
 mod commit;
 mod gangs;
--- a/crates/bankvalve_cell/src/owner/team/team_partition.rs
+++ b/crates/bankvalve_cell/src/owner/team/team_partition.rs
@@ -5,6 +5,7 @@
 use rand::SeedableRng;
 use rand_pcg::Pcg64Mcg;
 
+use super::attempt_book::{AttemptBook, AttemptWatch};
 use super::commit::{Flight, Proposal};
 use crate::ids::{
     CellTime, Epoch, JobId, PartitionIndex, RowVersion, TaskIndex, TeamName, UnixMillis,
@@ -30,19 +31,6 @@
     pub store_answers: bool,
 }
 
-/// An attempt that may be running, and what was last said and heard of it.
-#[derive(Clone, Debug)]
-pub(super) struct AttemptWatch {
-    pub(super) attempt: u32,
-    pub(super) next_say: CellTime,
-    pub(super) said_epoch: Option<Epoch>,
-    pub(super) since: CellTime,
-    pub(super) queued: bool,
-    pub(super) held: bool,
-    pub(super) leaving: bool,
-    pub(super) withdrawing: bool,
-}
-
 /// Why a task waits, and until when it is not looked at.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct TaskWait {
@@ -87,7 +75,7 @@
     pub(super) flight: Option<Flight>,
     pub(super) busy: BTreeSet<TaskId>,
     pub(super) pending_usage: BTreeMap<TeamName, TaskSize>,
-    pub(super) watches: BTreeMap<TaskId, AttemptWatch>,
+    pub(super) watches: AttemptBook,
     pub(super) waits: BTreeMap<TaskId, TaskWait>,
     pub(super) gang_since: BTreeMap<(TeamName, JobId), CellTime>,
     pub(super) ready: BTreeMap<ReadyJob, BTreeSet<TaskIndex>>,
@@ -126,7 +114,7 @@
             flight: None,
             busy: BTreeSet::new(),
             pending_usage: BTreeMap::new(),
-            watches: BTreeMap::new(),
+            watches: AttemptBook::default(),
             waits: BTreeMap::new(),
             gang_since: BTreeMap::new(),
             ready: BTreeMap::new(),
@@ -240,7 +228,7 @@
         };
         let state = &job.tasks[id.task as usize];
         let waits = state.phase == crate::ledger::TaskPhase::Waiting && !job.cancelled;
-        let active = state.is_active();
+        let placed = state.placed_in();
         let attempt = state.attempt;
         let needs_attention = job.cancelled || job.spec.is_gang() || job.spec.service().is_some();
         let tasks = self.ready.entry(ready.clone()).or_default();
@@ -252,10 +240,9 @@
         if tasks.is_empty() {
             self.ready.remove(&ready);
         }
-        if active {
-            self.watch(id, attempt, now);
-        } else {
-            self.watches.remove(id);
+        match placed {
+            Some((partition, _)) => self.watch(id, attempt, partition, now),
+            None => self.watches.remove(id),
         }
         if needs_attention {
             self.attention.insert((id.team.clone(), id.job.clone()));
@@ -277,22 +264,12 @@
         }
     }
 
-    fn watch(&mut self, id: &TaskId, attempt: u32, now: CellTime) {
+    fn watch(&mut self, id: &TaskId, attempt: u32, partition: PartitionIndex, now: CellTime) {
         let known = self.watches.get(id).map(|watch| watch.attempt);
-        if known == Some(attempt) {
-            return;
+        if known != Some(attempt) {
+            let watch = AttemptWatch::new(attempt, partition, now);
+            self.watches.insert(id, watch);
         }
-        let watch = AttemptWatch {
-            attempt,
-            next_say: now,
-            said_epoch: None,
-            since: now,
-            queued: false,
-            held: false,
-            leaving: false,
-            withdrawing: false,
-        };
-        self.watches.insert(id.clone(), watch);
     }
 
     fn forget_rows(&mut self) {
--- a/crates/bankvalve_cell/src/owner/team/watching.rs
+++ b/crates/bankvalve_cell/src/owner/team/watching.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use super::attempt_book::AttemptWatch;
 use super::commit::Proposal;
 use super::team_partition::{TeamPartition, TeamView};
 use crate::ids::{CellTime, Epoch, PartitionIndex, RowVersion};
@@ -115,12 +116,12 @@
     /// Marks attempts to be withdrawn; the orders go out with what is due.
     pub(super) fn withdraw_all(&mut self, ids: &[TaskId]) {
         for id in ids {
-            if let Some(watch) = self.watches.get_mut(id) {
+            self.watches.edit(id, |watch| {
                 if !watch.withdrawing {
                     watch.withdrawing = true;
                     watch.next_say = CellTime::ZERO;
                 }
-            }
+            });
         }
     }
 
@@ -130,25 +131,30 @@
         team: &str,
         job: &str,
         now: CellTime,
-        which: impl Fn(&super::team_partition::AttemptWatch) -> bool,
+        which: impl Fn(&AttemptWatch) -> bool,
     ) {
-        let same_job = |id: &TaskId| id.job == job && id.team == team;
-        for (_, watch) in self.watches.iter_mut().filter(|(id, _)| same_job(id)) {
-            if which(watch) {
-                watch.next_say = now;
-            }
+        let Some(state) = self.ledger.job(team, job) else {
+            return;
+        };
+        for task in state.spec.tasks() {
+            let id = TaskId {
+                team: team.to_owned(),
+                job: job.to_owned(),
+                task,
+            };
+            self.watches.edit(&id, |watch| {
+                if which(watch) {
+                    watch.next_say = now;
+                }
+            });
         }
     }
 
     /// Says again what has had no answer.
     pub(super) fn say_what_is_due(&mut self, view: &TeamView<'_>, ctx: &mut OwnerContext<'_>) {
-        let due: Vec<TaskId> = self
-            .watches
-            .iter()
-            .filter(|(id, watch)| watch.next_say <= ctx.now || self.owner_changed(id, view))
-            .map(|(id, _)| id.clone())
-            .collect();
-        for id in due {
+        let epochs = view.worker_rows.iter().map(|(index, row)| (index, row.0));
+        self.watches.note_epochs(ctx.now, epochs);
+        for id in self.watches.due_by(ctx.now) {
             self.say(&id, view, ctx);
         }
     }
@@ -167,17 +173,6 @@
         self.send_order(choice.partition, choice.epoch, order, ctx);
     }
 
-    fn owner_changed(&self, id: &TaskId, view: &TeamView<'_>) -> bool {
-        let Some(watch) = self.watches.get(id) else {
-            return false;
-        };
-        let Some((partition, _)) = self.placed_in(id) else {
-            return false;
-        };
-        let current = view.worker_rows.get(&partition).map(|row| row.0);
-        watch.said_epoch.is_some() && current.is_some() && watch.said_epoch != current
-    }
-
     fn placed_in(&self, id: &TaskId) -> Option<(PartitionIndex, Epoch)> {
         let job = self.ledger.job(&id.team, &id.job)?;
         job.tasks[id.task as usize].placed_in()
@@ -198,21 +193,24 @@
         let started_on = task.worker.clone();
         let key = id.attempt(task.attempt);
         let repeat = ctx.timings.repeat;
-        let Some(watch) = self.watches.get_mut(id) else {
-            return;
-        };
-        if watch.said_epoch != Some(epoch) {
-            watch.queued = false;
-            watch.held = false;
-        }
-        let repeated = watch.said_epoch.is_some() && !running && !watch.held && !watch.queued;
-        let settled = running && !watch.withdrawing && watch.said_epoch == Some(epoch);
-        watch.next_say = ctx.now + if settled { ASK_RUNNING } else { repeat };
-        watch.said_epoch = Some(epoch);
+        let now = ctx.now;
+        let mut repeated = false;
+        let mut withdrawing = false;
+        self.watches.edit(id, |watch| {
+            if watch.said_epoch != Some(epoch) {
+                watch.queued = false;
+                watch.held = false;
+            }
+            repeated = watch.said_epoch.is_some() && !running && !watch.held && !watch.queued;
+            withdrawing = watch.withdrawing;
+            let settled = running && !withdrawing && watch.said_epoch == Some(epoch);
+            watch.next_say = now + if settled { ASK_RUNNING } else { repeat };
+            watch.said_epoch = Some(epoch);
+        });
         if repeated {
             ctx.tally.retry(RetryReason::PlacementUnanswered);
         }
-        if watch.withdrawing {
+        if withdrawing {
             let message = PeerMessage::Withdraw {
                 partition,
                 epoch,
@@ -434,14 +432,8 @@
         });
     }
 
-    fn note_watch(
-        &mut self,
-        id: &TaskId,
-        edit: impl FnOnce(&mut super::team_partition::AttemptWatch),
-    ) {
-        if let Some(watch) = self.watches.get_mut(id) {
-            edit(watch);
-        }
+    fn note_watch(&mut self, id: &TaskId, change: impl FnOnce(&mut AttemptWatch)) {
+        self.watches.edit(id, change);
     }
 }
 
--- a/crates/bankvalve_check/src/measure/decision_time.rs
+++ b/crates/bankvalve_check/src/measure/decision_time.rs
@@ -118,7 +118,7 @@
             incarnation: 1,
             epoch: 1,
         };
-        let mut bundle = plan.bundle.clone();
+        let mut bundle = plan.bundle;
         for contract in bundle.teams.values_mut() {
             contract.quota = TaskSize {
                 millicores: u32::MAX,
