perf(cell): tell partitions' news on change, and services apart from room

Cause: each second every partition told all instances its room and all its service tasks; that was most of what peers sent. Change: digests without service tasks, both told on change and every tenth time; the bundle's version rides on every batch, and heartbeats go only to peers that heard nothing for a while;

--- a/crates/bankvalve_cell/src/instance/bundle.rs
+++ b/crates/bankvalve_cell/src/instance/bundle.rs
@@ -99,11 +99,7 @@
         });
         self.bundle.bundle = bundle;
         self.bundle.row_version = row_version;
-        let message = PeerMessage::Heartbeat {
-            bundle: self.bundle.bundle.version,
-            stopping: self.stopping,
-        };
-        self.tell_all_peers(&message);
+        self.tell_all_peers(&PeerMessage::Heartbeat);
     }
 
     pub(super) fn bundle_answer(&self) -> CallerAnswer {
--- a/crates/bankvalve_cell/src/instance/core_event.rs
+++ b/crates/bankvalve_cell/src/instance/core_event.rs
@@ -2,7 +2,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::ids::{Incarnation, InstanceName, PartitionIndex, Ticket, WorkerName};
+use crate::ids::{BundleVersion, Incarnation, InstanceName, PartitionIndex, Ticket, WorkerName};
 use crate::link::{
     CallerAnswer, CallerCommand, FenceToken, LinkFailure, ObjectOutcome, ObjectRequest,
     PeerMessage, StoreOutcome, StoreRequest, WorkerExchange, WorkerRefusal, WorkerReport,
@@ -20,6 +20,8 @@
     pub incarnation: Incarnation,
     /// Number of the batch in what this life sends to this peer.
     pub sequence: u64,
+    /// Version of the bundle that the sender has in force.
+    pub bundle: BundleVersion,
     /// The messages.
     pub messages: Vec<PeerMessage>,
 }
--- a/crates/bankvalve_cell/src/instance/instance_core.rs
+++ b/crates/bankvalve_cell/src/instance/instance_core.rs
@@ -11,7 +11,7 @@
 use super::storing::{ObjectPurpose, StorePurpose};
 use super::{CoreAction, CoreEvent, CoreSettings};
 use crate::ids::{CellTime, Epoch, Incarnation, PartitionIndex, RowVersion, Ticket, UnixMillis};
-use crate::link::{ObjectRequest, PeerMessage, StoreRequest, TaskId};
+use crate::link::{ObjectRequest, PartitionPoints, PeerMessage, StoreRequest, TaskId};
 use crate::machine::{worker_partition_of, ListedWorker};
 use crate::membership::{MemberRoster, PartitionKey, PartitionRow};
 use crate::owner::{OwnerAction, OwnerContext, TeamPartition, TeamView, WorkerPartition};
@@ -40,6 +40,8 @@
     /// Partitions whose rows are to be read, and when.
     pub(super) loads: BTreeMap<PartitionKey, CellTime>,
     pub(super) board: RoomBoard,
+    /// Running tasks of services by worker partition, as last heard.
+    pub(super) points: BTreeMap<PartitionIndex, PartitionPoints>,
     pub(super) listed: Vec<ListedWorker>,
     pub(super) bundle: BundleState,
     pub(super) commits: CommitState,
@@ -73,6 +75,7 @@
             releasing: BTreeSet::new(),
             loads: BTreeMap::new(),
             board: RoomBoard::default(),
+            points: BTreeMap::new(),
             listed: Vec::new(),
             bundle: BundleState::default(),
             commits: CommitState::default(),
@@ -203,10 +206,10 @@
     }
 
     fn tick_worker_partition(&mut self, index: PartitionIndex) {
-        let mut digest = None;
+        let mut news = Vec::new();
         self.with_worker_partition(index, |owner, ctx| {
             owner.tick(ctx);
-            digest = owner.due_digest(ctx);
+            news = owner.due_news(ctx);
         });
         if self
             .workers
@@ -217,9 +220,10 @@
             self.lease.scan_soon();
             return;
         }
-        if let Some(digest) = digest {
-            self.board.take(self.now, digest.clone());
-            self.tell_all_peers(&PeerMessage::Digest(digest));
+        let here = self.settings.detail.name.clone();
+        for message in news {
+            self.tell_all_peers(&message);
+            self.take_message(&here, message);
         }
     }
 
--- a/crates/bankvalve_cell/src/instance/peers.rs
+++ b/crates/bankvalve_cell/src/instance/peers.rs
@@ -18,6 +18,7 @@
     messages: Vec<PeerMessage>,
     sequence: u64,
     next: CellTime,
+    last: CellTime,
 }
 
 /// What is known of the links to peers.
@@ -83,28 +84,32 @@
             let address = row.detail.peer_address.clone();
             let outbox = self.peers.outboxes.get_mut(&to).expect("due");
             outbox.next = now + pace;
+            outbox.last = now;
             outbox.sequence += 1;
             let batch = PeerBatch {
                 from: self.settings.detail.name.clone(),
                 incarnation: self.incarnation,
                 sequence: outbox.sequence,
+                bundle: self.bundle.in_force().version,
                 messages: std::mem::take(&mut outbox.messages),
             };
             self.actions.push(CoreAction::Peer { to, address, batch });
         }
     }
 
-    /// Tells all peers that the instance lives.
+    /// Tells peers that have heard nothing for a while that the instance lives.
     pub(super) fn run_heartbeats(&mut self) {
         if self.now < self.peers.next_heartbeat || !self.lease.is_registered() {
             return;
         }
-        self.peers.next_heartbeat = self.now + self.settings.timings.peer_heartbeat;
-        let message = PeerMessage::Heartbeat {
-            bundle: self.bundle.in_force().version,
-            stopping: self.stopping,
-        };
-        self.tell_all_peers(&message);
+        let interval = self.settings.timings.peer_heartbeat;
+        self.peers.next_heartbeat = self.now + interval / 4;
+        for to in self.peer_names() {
+            let last = self.peers.outboxes.get(&to).map(|outbox| outbox.last);
+            if last.is_none_or(|last| self.now >= last + interval) {
+                self.tell_peer(&to, PeerMessage::Heartbeat);
+            }
+        }
     }
 
     /// Takes a peer's batch, unless it is late or repeated.
@@ -116,6 +121,7 @@
             return;
         }
         *taken = (*taken).max(place);
+        self.note_bundle_version(batch.bundle);
         for message in batch.messages {
             self.take_message(&batch.from, message);
         }
@@ -124,9 +130,10 @@
     /// Takes a message of a peer, or of this instance itself.
     pub(super) fn take_message(&mut self, from: &InstanceName, message: PeerMessage) {
         match message {
-            PeerMessage::Heartbeat { bundle, .. } => self.note_bundle_version(bundle),
+            PeerMessage::Heartbeat => {}
             PeerMessage::OwnerChanged => self.lease.scan_soon(),
             PeerMessage::Digest(digest) => self.board.take(self.now, digest),
+            PeerMessage::Points(points) => self.take_points(points),
             PeerMessage::Place {
                 partition,
                 epoch,
--- a/crates/bankvalve_cell/src/instance/routes.rs
+++ b/crates/bankvalve_cell/src/instance/routes.rs
@@ -2,7 +2,7 @@
 
 use super::InstanceCore;
 use crate::ids::{Epoch, InstanceName, PartitionIndex, RegionName, WorkerName};
-use crate::link::ServicePoint;
+use crate::link::{PartitionPoints, ServicePoint};
 use crate::membership::PartitionKey;
 
 /// A running task of a service, and the instance to reach it through.
@@ -38,23 +38,32 @@
 impl InstanceCore {
     /// Where services run, as last heard.
     pub fn route_points(&self) -> Vec<RoutePoint> {
-        let mut points = Vec::new();
-        for digest in self.board.digests() {
-            let key = PartitionKey::worker(digest.partition);
+        let mut routes = Vec::new();
+        for list in self.points.values() {
+            let key = PartitionKey::worker(list.partition);
             let Some((row, _)) = self.partition_rows.get(&key) else {
                 continue;
             };
             let Some((member, _)) = self.roster.row_of(&row.owner) else {
                 continue;
             };
-            points.extend(digest.points.iter().map(|point| RoutePoint {
+            routes.extend(list.points.iter().map(|point| RoutePoint {
                 point: point.clone(),
-                region: digest.region.clone(),
+                region: list.region.clone(),
                 owner: row.owner.clone(),
                 owner_address: member.detail.peer_address.clone(),
             }));
         }
-        points
+        routes
+    }
+
+    /// Takes in a list of running tasks of services, unless a later one is known.
+    pub(super) fn take_points(&mut self, list: PartitionPoints) {
+        let place = |list: &PartitionPoints| (list.epoch, list.sequence);
+        let known = self.points.get(&list.partition);
+        if known.is_none_or(|known| place(known) < place(&list)) {
+            self.points.insert(list.partition, list);
+        }
     }
 
     /// Workers that this instance may send requests to.
--- a/crates/bankvalve_cell/src/ledger/ledger_batch.rs
+++ b/crates/bankvalve_cell/src/ledger/ledger_batch.rs
@@ -76,13 +76,19 @@
 }
 
 impl LedgerSnapshot {
-    /// Encodes the snapshot as it is stored.
+    /// Encodes a snapshot as it is stored, without copying the state.
     ///
     /// # Panics
     ///
     /// Never: every field can be encoded.
-    pub fn encode(&self) -> Vec<u8> {
-        rmp_serde::to_vec_named(self).expect("a snapshot can be encoded")
+    pub fn encode(sequence: u64, chain: &ChainHash, archived: u64, ledger: &TeamLedger) -> Vec<u8> {
+        let snapshot = SnapshotView {
+            sequence,
+            chain,
+            archived,
+            ledger,
+        };
+        rmp_serde::to_vec_named(&snapshot).expect("a snapshot can be encoded")
     }
 
     /// Decodes a stored snapshot.
@@ -91,6 +97,16 @@
     }
 }
 
+/// A snapshot about to be written.
+#[derive(Serialize)]
+struct SnapshotView<'a> {
+    sequence: u64,
+    #[serde(with = "serde_bytes")]
+    chain: &'a ChainHash,
+    archived: u64,
+    ledger: &'a TeamLedger,
+}
+
 /// Batches archived together as one object, byte for byte as committed.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct RecordSegment {
--- a/crates/bankvalve_cell/src/ledger/team_ledger.rs
+++ b/crates/bankvalve_cell/src/ledger/team_ledger.rs
@@ -10,7 +10,7 @@
 use crate::machine::TaskSize;
 
 /// Jobs that are over and still answerable from the partition's state.
-const CLOSED_LIMIT: usize = 2_000;
+const CLOSED_LIMIT: usize = 1_000;
 
 /// Jobs of a team partition, as the committed events leave them.
 ///
--- a/crates/bankvalve_cell/src/link/peer_message.rs
+++ b/crates/bankvalve_cell/src/link/peer_message.rs
@@ -8,8 +8,8 @@
 use super::{CallerAnswer, CallerCommand, TaskKey, TaskLabel, TaskOutcome};
 use crate::contract::PlaceRule;
 use crate::ids::{
-    BundleVersion, DomainName, Epoch, InstanceName, PartitionIndex, RackName, RegionName,
-    ServiceName, Ticket, WorkerName,
+    DomainName, Epoch, InstanceName, PartitionIndex, RackName, RegionName, ServiceName, Ticket,
+    WorkerName,
 };
 use crate::machine::TaskSize;
 use crate::refusal::RefusalReason;
@@ -143,24 +143,34 @@
     pub queued: u32,
     /// Room by failure domain.
     pub groups: Vec<RoomGroup>,
-    /// Running tasks of services.
+}
+
+/// Running tasks of services in a worker partition.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PartitionPoints {
+    /// The partition.
+    pub partition: PartitionIndex,
+    /// Its owner's epoch.
+    pub epoch: Epoch,
+    /// Counts the lists of this epoch.
+    pub sequence: u64,
+    /// Region that it lies in.
+    pub region: RegionName,
+    /// The tasks.
     pub points: Vec<ServicePoint>,
 }
 
 /// A message between two entry instances.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum PeerMessage {
-    /// Says that the sender lives and which bundle it has in force.
-    Heartbeat {
-        /// Bundle in force.
-        bundle: BundleVersion,
-        /// Whether the sender is stopping.
-        stopping: bool,
-    },
+    /// Says that the sender lives; the batch says which bundle it has in force.
+    Heartbeat,
     /// A partition has a new owner, or none.
     OwnerChanged,
     /// Summary of a worker partition.
     Digest(PartitionDigest),
+    /// Running tasks of services in a worker partition.
+    Points(PartitionPoints),
     /// Order to place an attempt; goes to a worker partition's owner.
     Place {
         /// The partition.
--- a/crates/bankvalve_cell/src/owner/team/commit.rs
+++ b/crates/bankvalve_cell/src/owner/team/commit.rs
@@ -15,9 +15,9 @@
 /// Events in one batch.
 const BATCH_LIMIT: usize = 400;
 /// Batches between two snapshots.
-const SNAPSHOT_EVERY: u64 = 64;
+const SNAPSHOT_EVERY: u64 = 160;
 /// Log rows deleted together with a snapshot.
-const DELETE_LIMIT: usize = 128;
+const DELETE_LIMIT: usize = 320;
 /// Batches archived as one object.
 const SEGMENT_LIMIT: usize = 64;
 /// Batches that wait before a segment is archived early.
@@ -109,11 +109,11 @@
                 .collect(),
         };
         let bytes = batch.encode();
-        let snapshot = batch.sequence >= self.snapshot_sequence + SNAPSHOT_EVERY;
+        let snapshot = self.sequence >= self.snapshot_sequence + SNAPSHOT_EVERY;
         self.require_rows(txn, &proposals, ctx);
         self.write_rows(txn, &batch, &bytes);
         let deleted = if snapshot {
-            self.write_snapshot(txn, &batch, &bytes)
+            self.write_snapshot(txn)
         } else {
             Vec::new()
         };
@@ -237,24 +237,12 @@
         txn.put(self.log_key(batch.sequence), bytes.to_vec());
     }
 
-    fn write_snapshot(
-        &self,
-        txn: &mut TableTransaction,
-        batch: &LedgerBatch,
-        bytes: &[u8],
-    ) -> Vec<u64> {
-        let mut ledger = self.ledger.clone();
-        for event in &batch.events {
-            ledger.apply(event);
-        }
-        let snapshot = LedgerSnapshot {
-            sequence: batch.sequence,
-            chain: LedgerBatch::hash_of(bytes),
-            archived: self.archived,
-            ledger,
-        };
+    /// Writes the state as committed so far beside the next batch.
+    fn write_snapshot(&self, txn: &mut TableTransaction) -> Vec<u64> {
         let key = format!("{}snap", Self::row_prefix(self.index));
-        txn.put(key, snapshot.encode());
+        let snapshot =
+            LedgerSnapshot::encode(self.sequence, &self.chain, self.archived, &self.ledger);
+        txn.put(key, snapshot);
         let archived = |sequence: &&u64| **sequence <= self.archived;
         let deleted: Vec<u64> = self
             .rows
@@ -296,7 +284,7 @@
         self.rows.insert(flight.sequence);
         self.log.push_back((flight.sequence, flight.bytes));
         if flight.snapshot {
-            self.snapshot_sequence = flight.sequence;
+            self.snapshot_sequence = flight.sequence - 1;
         }
         for sequence in flight.deleted {
             self.rows.remove(&sequence);
--- a/crates/bankvalve_cell/src/owner/worker/digest.rs
+++ b/crates/bankvalve_cell/src/owner/worker/digest.rs
@@ -7,22 +7,52 @@
 use super::WorkerPartition;
 use crate::ids::{CellTime, DomainName, InstanceName};
 use crate::instance::OwnWorker;
-use crate::link::{PartitionDigest, RoomGroup, ServicePoint, WorkerView};
+use crate::link::{
+    PartitionDigest, PartitionPoints, PeerMessage, RoomGroup, ServicePoint, WorkerView,
+};
 use crate::machine::TaskSize;
 use crate::owner::OwnerContext;
 
+/// Digests after which what has not changed is told again.
+const REPEAT_EVERY: u32 = 10;
 /// Workers of a group whose free room is given one by one.
 const LARGEST_COUNT: usize = 4;
 
 impl WorkerPartition {
-    /// The partition's digest, if one is due.
-    pub fn due_digest(&mut self, ctx: &OwnerContext<'_>) -> Option<PartitionDigest> {
+    /// What is due to be told of the partition to all instances.
+    ///
+    /// What has not changed is told again only now and then, for those who
+    /// missed it.
+    pub fn due_news(&mut self, ctx: &OwnerContext<'_>) -> Vec<PeerMessage> {
+        let mut news = Vec::new();
         if ctx.now < self.digest_due || !self.has_roster() {
-            return None;
+            return news;
         }
         self.digest_due = ctx.now + ctx.timings.digest;
+        let repeat = ctx.now >= self.news_repeat;
+        if repeat {
+            self.news_repeat = ctx.now + ctx.timings.digest * REPEAT_EVERY;
+        }
         self.digest_sequence += 1;
-        Some(self.digest())
+        let digest = self.digest();
+        let told = self.told_groups == digest.groups && self.told_queued == digest.queued;
+        if repeat || !told {
+            self.told_groups = digest.groups.clone();
+            self.told_queued = digest.queued;
+            news.push(PeerMessage::Digest(digest));
+        }
+        let points = self.service_points();
+        if repeat || points != self.told_points {
+            self.told_points = points.clone();
+            news.push(PeerMessage::Points(PartitionPoints {
+                partition: self.index,
+                epoch: self.epoch,
+                sequence: self.digest_sequence,
+                region: self.region.clone(),
+                points,
+            }));
+        }
+        news
     }
 
     /// Summary of the partition as it stands.
@@ -34,7 +64,6 @@
             region: self.region.clone(),
             queued: self.queue_len() as u32,
             groups: self.room_groups(),
-            points: self.service_points(),
         }
     }
 
--- a/crates/bankvalve_cell/src/owner/worker/placing.rs
+++ b/crates/bankvalve_cell/src/owner/worker/placing.rs
@@ -5,7 +5,7 @@
 
 use std::time::Duration;
 
-use xxhash_rust::xxh3::xxh3_64;
+use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use super::placement_entry::{PlacementEntry, PlacementPhase};
 use super::worker_seat::WorkerSeat;
@@ -55,6 +55,11 @@
 
     /// Waiting attempts: urgent first, then by the team's share in use, then by arrival.
     fn waiting_line(&self) -> Vec<TaskId> {
+        let mut queued = self.entries.iter().filter(|(_, entry)| entry.is_queued());
+        let first = queued.next();
+        if queued.next().is_none() {
+            return first.map(|(id, _)| id.clone()).into_iter().collect();
+        }
         let usage = self.usage_by_team();
         let total = self.total_size();
         let share = |entry: &PlacementEntry| {
@@ -117,6 +122,9 @@
 
     fn spread_of(&self, id: &TaskId) -> JobSpread {
         let mut spread = JobSpread::default();
+        if self.entries[id].label.service.is_none() {
+            return spread;
+        }
         let same_job = self
             .entries
             .values()
@@ -253,6 +261,5 @@
 
 /// A number in `0..1` that is the same for the same attempt and worker.
 fn draw_for(entry: &PlacementEntry, worker: &str) -> f64 {
-    let text = format!("{}@{worker}", entry.key);
-    (xxh3_64(text.as_bytes()) >> 11) as f64 / (1_u64 << 53) as f64
+    (xxh3_64_with_seed(worker.as_bytes(), entry.order) >> 11) as f64 / (1_u64 << 53) as f64
 }
--- a/crates/bankvalve_cell/src/owner/worker/worker_partition.rs
+++ b/crates/bankvalve_cell/src/owner/worker/worker_partition.rs
@@ -7,8 +7,8 @@
 use crate::contract::CLOCK_RATE_BOUND;
 use crate::ids::{CellTime, Epoch, PartitionIndex, RegionName, RowVersion, WorkerName};
 use crate::link::{
-    PeerMessage, PlaceGate, PlaceOrder, PlacementStatus, TaskId, TaskKey, TaskLabel, TaskOutcome,
-    WorkerCommand,
+    PeerMessage, PlaceGate, PlaceOrder, PlacementStatus, RoomGroup, ServicePoint, TaskId, TaskKey,
+    TaskLabel, TaskOutcome, WorkerCommand,
 };
 use crate::machine::ListedWorker;
 use crate::membership::WorkerRoster;
@@ -34,6 +34,10 @@
     pub(super) entries: BTreeMap<TaskId, PlacementEntry>,
     pub(super) digest_sequence: u64,
     pub(super) digest_due: CellTime,
+    pub(super) news_repeat: CellTime,
+    pub(super) told_groups: Vec<RoomGroup>,
+    pub(super) told_queued: u32,
+    pub(super) told_points: Vec<ServicePoint>,
     pub(super) superseded: bool,
     /// What to say of tasks that workers hold but that are not known here.
     pub(super) strays: BTreeMap<WorkerName, Vec<WorkerCommand>>,
@@ -63,6 +67,10 @@
             entries: BTreeMap::new(),
             digest_sequence: 0,
             digest_due: now,
+            news_repeat: now,
+            told_groups: Vec::new(),
+            told_queued: 0,
+            told_points: Vec::new(),
             superseded: false,
             strays: BTreeMap::new(),
             team_epochs: BTreeMap::new(),
--- a/crates/bankvalve_check/src/measure/decision_time.rs
+++ b/crates/bankvalve_check/src/measure/decision_time.rs
@@ -1,13 +1,13 @@
 //! Time of single decisions, by the wall clock of this machine.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 use std::time::{Duration, Instant};
 
 use bankvalve_cell::contract::{CellBundle, JobKind, JobSpec, PlaceRule};
 use bankvalve_cell::ids::{CellTime, WorkerName};
 use bankvalve_cell::ledger::BatchWriter;
 use bankvalve_cell::link::{
-    CallerCommand, FenceToken, PartitionDigest, PeerMessage, TableTransaction,
+    CallerCommand, PartitionDigest, PeerMessage, TableTransaction, WorkerExchange,
 };
 use bankvalve_cell::machine::{ListState, ListedWorker, TaskSize, WorkerDetail};
 use bankvalve_cell::membership::WorkerRoster;
@@ -28,6 +28,12 @@
 const SINGLES: u32 = 2_000;
 /// Gangs that are decided on.
 const GANGS: u32 = 60;
+/// Run time of each task in milliseconds.
+const RUN_TIME_MS: u64 = 500;
+/// Steps in which all tasks end.
+const SETTLE_STEPS: u32 = 12;
+/// Time of each such step.
+const SETTLE_STEP: Duration = Duration::from_millis(1_000);
 /// Tasks of each gang.
 const GANG_TASKS: u32 = 100;
 
@@ -75,11 +81,11 @@
         spent += time;
         singles.saturating_record(time.as_nanos() as u64);
         if number % 50 == 49 {
-            bench.empty_workers();
+            bench.settle();
         }
     }
     for number in 0..GANGS {
-        bench.empty_workers();
+        bench.settle();
         let time = bench.decide(SINGLES + number, GANG_TASKS);
         gangs.saturating_record(time.as_nanos() as u64);
     }
@@ -141,8 +147,8 @@
         for (index, part) in details.chunks(PARTITION_WORKERS).enumerate() {
             bench.add_partition(index as u32, part);
         }
-        bench.empty_workers();
         bench.load_team();
+        bench.settle();
         bench
     }
 
@@ -228,45 +234,93 @@
             if team.begin_flush(&mut txn, ctx) {
                 team.end_flush(&outcome, ctx);
             }
+            if team.begin_archive(ctx).is_some() {
+                team.end_archive(true, ctx);
+            }
         })
     }
 
-    /// Restarts all workers and lets their owners see it, so that there is room again.
-    fn empty_workers(&mut self) {
-        for model in self.workers.values_mut() {
-            model.restart(self.now.as_millis() as u64);
-        }
-        for _ in 0..4 {
-            self.now += self.timings.worker_heartbeat;
+    /// Lets time pass until all tasks have ended and all owners know it.
+    fn settle(&mut self) {
+        for _ in 0..SETTLE_STEPS {
+            self.now += SETTLE_STEP;
             for index in 0..self.partitions.len() {
                 let actions = self.with_partition(index, |owner, ctx| owner.tick(ctx));
-                self.exchange(index, actions);
-                let digest = self.partitions[index].digest();
+                self.carry(actions);
                 let sequence = self.now.as_millis() as u64;
-                let digest = PartitionDigest { sequence, ..digest };
+                let digest = PartitionDigest {
+                    sequence,
+                    ..self.partitions[index].digest()
+                };
                 self.board.take(self.now, digest);
             }
+            let actions = self.with_team(|team, view, ctx| team.tick(view, ctx));
+            self.carry(actions);
+            let actions = self.commit();
+            self.carry(actions);
         }
     }
 
-    fn exchange(&mut self, index: usize, actions: Vec<OwnerAction>) {
-        for action in actions {
-            let OwnerAction::Exchange {
-                worker, exchange, ..
-            } = action
-            else {
-                continue;
+    /// Carries what owners ask for to workers and to each other.
+    fn carry(&mut self, actions: Vec<OwnerAction>) {
+        let mut left: VecDeque<OwnerAction> = actions.into();
+        while let Some(action) = left.pop_front() {
+            let more = match action {
+                OwnerAction::Exchange {
+                    partition,
+                    worker,
+                    exchange,
+                    ..
+                } => self.exchange(partition as usize, &worker, &exchange),
+                OwnerAction::ToTeamPartition { message, .. } => self.tell_team(message),
+                OwnerAction::ToWorkerPartition { partition, message } => {
+                    self.tell_partition(partition as usize, message)
+                }
+                _ => Vec::new(),
             };
-            let clock = self.now.as_millis() as u64;
-            let model = self.workers.get_mut(&worker).expect("known");
-            let answer = Ok(model.exchange(clock, &exchange));
-            let token: FenceToken = exchange.token;
-            self.with_partition(index, |owner, ctx| {
-                owner.take_answer(&worker, token, answer, ctx);
-            });
+            left.extend(more);
         }
     }
 
+    fn exchange(
+        &mut self,
+        index: usize,
+        worker: &str,
+        exchange: &WorkerExchange,
+    ) -> Vec<OwnerAction> {
+        let clock = self.now.as_millis() as u64;
+        let model = self.workers.get_mut(worker).expect("known");
+        let answer = Ok(model.exchange(clock, exchange));
+        let token = exchange.token;
+        self.with_partition(index, |owner, ctx| {
+            owner.take_answer(worker, token, answer, ctx);
+        })
+    }
+
+    fn tell_team(&mut self, message: PeerMessage) -> Vec<OwnerAction> {
+        let PeerMessage::Status {
+            partition,
+            epoch,
+            key,
+            status,
+            ..
+        } = message
+        else {
+            return Vec::new();
+        };
+        self.with_team(|team, view, ctx| {
+            team.take_status(partition, epoch, &key, status, view, ctx);
+        })
+    }
+
+    fn tell_partition(&mut self, index: usize, message: PeerMessage) -> Vec<OwnerAction> {
+        self.with_partition(index, |owner, ctx| match message {
+            PeerMessage::Place { order, .. } => owner.place(*order, ctx),
+            PeerMessage::EndRecorded { key, .. } => owner.end_recorded(&key, ctx),
+            message => owner.withdraw(message, ctx),
+        })
+    }
+
     /// Decides on a job and returns the time that it took.
     fn decide(&mut self, number: u32, tasks: u32) -> Duration {
         let spec = JobSpec {
@@ -282,7 +336,7 @@
                 memory_mib: 512,
                 accelerators: 0,
             },
-            run_time_ms: 1_000_000,
+            run_time_ms: RUN_TIME_MS,
             urgent: false,
             repeatable: true,
             place: PlaceRule::default(),
@@ -300,15 +354,14 @@
         self.with_team(|team, view, ctx| team.tick(view, ctx));
         self.commit();
         let orders = self.with_team(|team, view, ctx| team.tick(view, ctx));
+        let mut said = Vec::new();
         for action in orders {
-            if let OwnerAction::ToWorkerPartition {
-                partition,
-                message: PeerMessage::Place { order, .. },
-            } = action
-            {
-                self.with_partition(partition as usize, |owner, ctx| owner.place(*order, ctx));
+            if let OwnerAction::ToWorkerPartition { partition, message } = action {
+                said.extend(self.tell_partition(partition as usize, message));
             }
         }
-        begun.elapsed()
+        let time = begun.elapsed();
+        self.carry(said);
+        time
     }
 }
