perf(cell): draw partitions, pack workers; gangs in few partitions; urgent work by worker room

Cause: owners packed partitions by digests that are up to a second old, so all crowded into the fullest; gangs took one partition after the other over dozens; urgent work was sent where the sum of batch room was large although no worker's was, and came back with a doubling wait.

--- a/crates/bankvalve_cell/src/link/peer_message.rs
+++ b/crates/bankvalve_cell/src/link/peer_message.rs
@@ -109,8 +109,8 @@
     pub free: TaskSize,
     /// Free room of the workers with the most, up to a few.
     pub largest: Vec<TaskSize>,
-    /// Room that urgent work could take from batch tasks, summed.
-    pub preemptible: TaskSize,
+    /// Free room and room held by batch tasks together, of the workers with the most, up to a few.
+    pub preemptible: Vec<TaskSize>,
     /// The distinct sizes that workers have in all.
     pub classes: Vec<TaskSize>,
 }
--- a/crates/bankvalve_cell/src/owner/team/gangs.rs
+++ b/crates/bankvalve_cell/src/owner/team/gangs.rs
@@ -9,11 +9,11 @@
 use super::scheduling::{rules_of, spread_of};
 use super::team_partition::{ReadyJob, TeamPartition, TeamView};
 use crate::contract::JobKind;
-use crate::ids::{JobId, TaskIndex, TeamName};
+use crate::ids::{JobId, PartitionIndex, TaskIndex, TeamName};
 use crate::ledger::{JobPhase, JobState, LedgerEvent};
 use crate::link::TaskId;
 use crate::owner::{GuardName, OwnerContext};
-use crate::placement::PlaceWish;
+use crate::placement::{PartitionChoice, PlaceWish};
 use crate::refusal::{RefusalReason, RetryReason};
 
 /// Wait after which a gang queues for room instead of waiting for it to be free.
@@ -79,13 +79,18 @@
             spread: &spread,
             may_queue: ctx.now > since + QUEUE_AFTER,
             except: None,
+            together: tasks.len() as u32,
         };
         let mut trial = view.board.clone();
-        let mut choices = Vec::new();
+        let mut choices: Vec<PartitionChoice> = Vec::new();
         for _ in tasks {
-            let choice = trial
-                .choose(&wish, &self.policy, &mut self.rng)
-                .ok_or(RefusalReason::NoRoom)?;
+            let again = choices.last().filter(|last| trial.has_room(last, need));
+            let choice = match again {
+                Some(choice) => choice.clone(),
+                None => trial
+                    .choose(&wish, &self.policy, &mut self.rng)
+                    .ok_or(RefusalReason::NoRoom)?,
+            };
             trial.deduct(&choice, need);
             choices.push(choice);
         }
@@ -106,6 +111,7 @@
             };
             if state.phase() != JobPhase::Active {
                 self.gang_since.remove(&(team.clone(), job.clone()));
+                self.gang_turns.remove(&(team.clone(), job.clone()));
                 self.attention.remove(&(team, job));
                 continue;
             }
@@ -143,7 +149,14 @@
         if watches().any(|watch| watch.withdrawing) {
             return;
         }
-        if watches().all(|watch| watch.held) && !self.is_committing(team, job) {
+        let lacking = watches().filter(|watch| !watch.held);
+        let turn = lacking.map(|watch| watch.partition).min();
+        let name = (team.to_owned(), job.to_owned());
+        // Gangs that take partitions in the same order cannot each hold what
+        // the other waits for.
+        self.gang_turns
+            .insert(name, turn.unwrap_or(PartitionIndex::MAX));
+        if turn.is_none() && !self.is_committing(team, job) {
             let event = LedgerEvent::GangCommitted {
                 team: team.to_owned(),
                 job: job.to_owned(),
@@ -152,7 +165,8 @@
             self.propose(Proposal::of(event));
             return;
         }
-        let since = watches().map(|watch| watch.since).min().unwrap_or(ctx.now);
+        let watches = active.iter().filter_map(|id| self.watches.get(id));
+        let since = watches.map(|watch| watch.since).min().unwrap_or(ctx.now);
         if ctx.now > since + ctx.timings.gang_hold && !self.is_committing(team, job) {
             ctx.tally.retry(RetryReason::GangHoldLapsed);
             self.withdraw_all(active);
--- a/crates/bankvalve_cell/src/owner/team/scheduling.rs
+++ b/crates/bankvalve_cell/src/owner/team/scheduling.rs
@@ -131,6 +131,7 @@
             spread: &spread,
             may_queue: true,
             except: None,
+            together: 1,
         };
         let choice = view
             .board
@@ -189,6 +190,12 @@
         }
     }
 
+    /// Tells whether a task belongs to an urgent job.
+    pub(super) fn is_urgent(&self, id: &TaskId) -> bool {
+        let job = self.ledger.job(&id.team, &id.job);
+        job.is_some_and(|job| job.spec.urgent)
+    }
+
     fn must_wait(&self, id: &TaskId, ctx: &OwnerContext<'_>) -> bool {
         self.waits.get(id).is_some_and(|wait| wait.until > ctx.now)
     }
@@ -219,7 +226,9 @@
         ctx: &mut OwnerContext<'_>,
     ) {
         let times = self.waits.get(id).map_or(0, |wait| wait.times);
-        let wait = FIRST_WAIT * 2_u32.pow(times.min(DOUBLINGS));
+        let urgent = self.is_urgent(id);
+        let doublings = if urgent { 0 } else { times.min(DOUBLINGS) };
+        let wait = FIRST_WAIT * 2_u32.pow(doublings);
         let until = ctx.now + wait;
         let times = times + 1;
         self.waits
--- a/crates/bankvalve_cell/src/owner/team/team_partition.rs
+++ b/crates/bankvalve_cell/src/owner/team/team_partition.rs
@@ -78,6 +78,8 @@
     pub(super) watches: AttemptBook,
     pub(super) waits: BTreeMap<TaskId, TaskWait>,
     pub(super) gang_since: BTreeMap<(TeamName, JobId), CellTime>,
+    /// The first worker partition in which a gang does not hold all its room yet.
+    pub(super) gang_turns: BTreeMap<(TeamName, JobId), PartitionIndex>,
     pub(super) ready: BTreeMap<ReadyJob, BTreeSet<TaskIndex>>,
     pub(super) attention: BTreeSet<(TeamName, JobId)>,
 }
@@ -117,6 +119,7 @@
             watches: AttemptBook::default(),
             waits: BTreeMap::new(),
             gang_since: BTreeMap::new(),
+            gang_turns: BTreeMap::new(),
             ready: BTreeMap::new(),
             attention: BTreeSet::new(),
         }
--- a/crates/bankvalve_cell/src/owner/worker/digest.rs
+++ b/crates/bankvalve_cell/src/owner/worker/digest.rs
@@ -180,16 +180,19 @@
     let mut classes: Vec<TaskSize> = seats.iter().map(|seat| seat.detail.size).collect();
     classes.sort();
     classes.dedup();
-    let room_of = |seat: &&WorkerSeat| preemptible.get(seat.detail.name.as_str()).copied();
+    let taken = |seat: &&WorkerSeat| preemptible.get(seat.detail.name.as_str()).copied();
+    let mut with_preemption: Vec<TaskSize> = seats
+        .iter()
+        .map(|seat| seat.free().plus(taken(seat).unwrap_or_default()))
+        .collect();
+    with_preemption.sort_by(|a, b| b.cmp(a));
+    with_preemption.truncate(LARGEST_COUNT);
     RoomGroup {
         domain,
         workers: seats.len() as u32,
         free: free.minus(waiting),
         largest: rooms.into_iter().take(LARGEST_COUNT).collect(),
-        preemptible: seats
-            .iter()
-            .filter_map(room_of)
-            .fold(TaskSize::default(), TaskSize::plus),
+        preemptible: with_preemption,
         classes,
     }
 }
--- a/crates/bankvalve_cell/src/owner/worker/placing.rs
+++ b/crates/bankvalve_cell/src/owner/worker/placing.rs
@@ -159,7 +159,7 @@
             service,
             draw: draw_for(entry, &detail.name),
         };
-        (self.policy.score)(&view)
+        self.policy.score_worker(&view)
     }
 
     fn seat_entry(&mut self, id: &TaskId, worker: &str, ctx: &mut OwnerContext<'_>) {
--- a/crates/bankvalve_cell/src/placement/partition_choice.rs
+++ b/crates/bankvalve_cell/src/placement/partition_choice.rs
@@ -33,6 +33,8 @@
     pub may_queue: bool,
     /// Partition not to choose.
     pub except: Option<PartitionIndex>,
+    /// Tasks that are sought together; more than one for a gang.
+    pub together: u32,
 }
 
 /// A partition that was chosen.
@@ -109,7 +111,12 @@
             let preemptible: Vec<_> = admitted
                 .iter()
                 .copied()
-                .filter(|(_, group)| wish.need.fits_in(group.free.plus(group.preemptible)))
+                .filter(|(_, group)| {
+                    group
+                        .preemptible
+                        .iter()
+                        .any(|room| wish.need.fits_in(*room))
+                })
                 .collect();
             if let Some(choice) = most_room(&preemptible) {
                 return Some(choice);
@@ -121,6 +128,13 @@
         None
     }
 
+    /// Tells whether the place of an earlier choice still has room for a task.
+    pub fn has_room(&self, choice: &PartitionChoice, need: TaskSize) -> bool {
+        let entry = self.entries.get(&choice.partition);
+        let mut groups = entry.into_iter().flat_map(|entry| &entry.digest.groups);
+        groups.any(|group| group.domain == choice.domain && room_for(group, need) > 0)
+    }
+
     /// Deducts an assignment, so that the next choice sees the room taken.
     pub fn deduct(&mut self, choice: &PartitionChoice, need: TaskSize) {
         let Some(entry) = self.entries.get_mut(&choice.partition) else {
@@ -133,6 +147,15 @@
             .iter_mut()
             .find(|group| group.domain == choice.domain);
         let Some(group) = group else { return };
+        if !need.fits_in(group.free) {
+            let room = group
+                .preemptible
+                .iter_mut()
+                .find(|room| need.fits_in(**room));
+            if let Some(room) = room {
+                *room = room.minus(need);
+            }
+        }
         group.free = group.free.minus(need);
         let fitting = group
             .largest
@@ -168,7 +191,11 @@
         let drawn = rand::seq::index::sample(rng, groups.len(), sample);
         let mut best: Option<(f64, usize)> = None;
         for index in drawn {
-            let score = (policy.score)(&view_of(groups[index].1, wish, rng));
+            let score = if wish.together > 1 {
+                f64::from(room_for(groups[index].1, wish.need).min(wish.together))
+            } else {
+                policy.score_partition(&view_of(groups[index].1, wish, rng))
+            };
             if best.is_none_or(|(other, _)| score > other) {
                 best = Some((score, index));
             }
@@ -201,6 +228,11 @@
     }
 }
 
+/// Tasks that the roomiest workers of a group hold side by side.
+fn room_for(group: &RoomGroup, need: TaskSize) -> u32 {
+    group.largest.iter().map(|room| room.count_of(need)).sum()
+}
+
 fn choice_of(digest: &PartitionDigest, group: &RoomGroup, choices: usize) -> PartitionChoice {
     PartitionChoice {
         partition: digest.partition,
@@ -213,7 +245,7 @@
 fn most_room(groups: &[(&PartitionDigest, &RoomGroup)]) -> Option<PartitionChoice> {
     let best = groups
         .iter()
-        .max_by_key(|(_, group)| group.free.plus(group.preemptible).millicores)?;
+        .max_by_key(|(_, group)| group.preemptible.iter().max().copied())?;
     Some(choice_of(best.0, best.1, groups.len()))
 }
 
--- a/crates/bankvalve_cell/src/placement/place_policy.rs
+++ b/crates/bankvalve_cell/src/placement/place_policy.rs
@@ -24,13 +24,16 @@
     pub draw: f64,
 }
 
-/// How places are compared.
+/// A score; the place with the highest is chosen.
+type PlaceScore = Arc<dyn Fn(&RoomView) -> f64 + Send + Sync>;
+
+/// How places are compared: worker partitions first, then workers inside one.
 #[derive(Clone)]
 pub struct PlacePolicy {
     /// Name shown in reports.
     pub name: &'static str,
-    /// Score of a place.
-    pub score: Arc<dyn Fn(&RoomView) -> f64 + Send + Sync>,
+    partition_score: PlaceScore,
+    worker_score: PlaceScore,
 }
 
 impl fmt::Debug for PlacePolicy {
@@ -50,6 +53,9 @@
 impl PlacePolicy {
     /// Spreads services over domains and racks, and packs all else tightly.
     ///
+    /// Partitions are drawn at random among those with room: their digests
+    /// are some time old, and all owners would crowd into the fullest.
+    ///
     /// # Examples
     ///
     /// ```
@@ -62,37 +68,73 @@
     ///     total, free, need, same_domain: 0, same_rack: 0, service: false, draw: 0.5,
     /// };
     /// let policy = PlacePolicy::tight();
-    /// let score = &policy.score;
-    /// assert!(score(&view(need)) > score(&view(total)));
+    /// assert!(policy.score_worker(&view(need)) > policy.score_worker(&view(total)));
     /// ```
     pub fn tight() -> Self {
-        Self::new("tight", |view| {
-            let left = left_share(view);
-            if view.service {
-                return -f64::from(view.same_domain) * 10.0 - f64::from(view.same_rack) + left;
-            }
-            -left
-        })
+        let spread =
+            |view: &RoomView| -f64::from(view.same_domain) * 10.0 - f64::from(view.same_rack);
+        Self::new(
+            "tight",
+            move |view| {
+                if view.service {
+                    spread(view) + view.draw
+                } else {
+                    view.draw
+                }
+            },
+            move |view| {
+                if view.service {
+                    spread(view) + left_share(view)
+                } else {
+                    -left_share(view)
+                }
+            },
+        )
     }
 
     /// Baseline: the place with the most room left.
     pub fn least_loaded() -> Self {
-        Self::new("least-loaded", left_share)
+        Self::new("least-loaded", left_share, left_share)
     }
 
     /// Baseline: any place that fits.
     pub fn random() -> Self {
-        Self::new("random", |view| view.draw)
+        Self::new("random", |view| view.draw, |view| view.draw)
+    }
+
+    /// Baseline: the first thin version packed partitions and workers alike.
+    pub fn first_version() -> Self {
+        let score = |view: &RoomView| {
+            let left = left_share(view);
+            if view.service {
+                -f64::from(view.same_domain) * 10.0 - f64::from(view.same_rack) + left
+            } else {
+                -left
+            }
+        };
+        Self::new("first-version", score, score)
+    }
+
+    /// Score of a worker partition.
+    pub fn score_partition(&self, view: &RoomView) -> f64 {
+        (self.partition_score)(view)
     }
 
-    /// Baseline: the first thin version took the first place that fits.
-    pub fn first_fit() -> Self {
-        Self::new("first-fit", |_| 0.0)
+    /// Score of a worker.
+    pub fn score_worker(&self, view: &RoomView) -> f64 {
+        (self.worker_score)(view)
     }
 
-    fn new(name: &'static str, score: impl Fn(&RoomView) -> f64 + Send + Sync + 'static) -> Self {
-        let score = Arc::new(score);
-        Self { name, score }
+    fn new(
+        name: &'static str,
+        partition_score: impl Fn(&RoomView) -> f64 + Send + Sync + 'static,
+        worker_score: impl Fn(&RoomView) -> f64 + Send + Sync + 'static,
+    ) -> Self {
+        Self {
+            name,
+            partition_score: Arc::new(partition_score),
+            worker_score: Arc::new(worker_score),
+        }
     }
 }
 
--- a/crates/bankvalve_check/src/load/stream_load.rs
+++ b/crates/bankvalve_check/src/load/stream_load.rs
@@ -74,7 +74,10 @@
     /// Refusals that were answered.
     pub refused: u64,
     shape: StreamShape,
+    /// Draws the jobs, so that the same seed gives the same jobs under any policy.
     rng: Pcg64Mcg,
+    /// Draws the entry instances that jobs go through.
+    entry_rng: Pcg64Mcg,
     next: Duration,
     numbered: u64,
     open: BTreeMap<Ticket, JobSpec>,
@@ -88,6 +91,7 @@
             sent: BTreeMap::new(),
             refused: 0,
             rng: Pcg64Mcg::seed_from_u64(seed),
+            entry_rng: Pcg64Mcg::seed_from_u64(seed + 1),
             next: begin,
             numbered: 0,
             open: BTreeMap::new(),
@@ -138,7 +142,7 @@
         let kind = kind_of(&spec);
         let count = spec.task_count();
         self.sent.entry(name).or_insert((world.now, kind, count));
-        let entry = self.rng.random_range(0..world.entries.len());
+        let entry = self.entry_rng.random_range(0..world.entries.len());
         let command = CallerCommand::Submit {
             spec: Box::new(spec.clone()),
         };
--- a/crates/bankvalve_check/src/measure/measure_command.rs
+++ b/crates/bankvalve_check/src/measure/measure_command.rs
@@ -30,7 +30,7 @@
         PlacePolicy::tight(),
         PlacePolicy::least_loaded(),
         PlacePolicy::random(),
-        PlacePolicy::first_fit(),
+        PlacePolicy::first_version(),
     ];
     for policy in policies {
         let report = run_measurement(&profile, policy, seed);
