--- a/crates/bankvalve_check/src/command/mod.rs
+++ b/crates/bankvalve_check/src/command/mod.rs
@@ -7,6 +7,7 @@
 
 use crate::measure::{run_decisions, run_measure};
 use crate::random::run_random;
+use crate::slopes::run_slopes;
 
 /// Checks and measures bankvalve's decisions
 #[derive(Clone, Debug, Bpaf)]
@@ -38,6 +39,13 @@
     /// Measures the time of single decisions at growing sizes
     #[bpaf(command)]
     Decide,
+    /// Measures control cost at four sizes of each quantity; writes CSV and plots
+    #[bpaf(command)]
+    Slopes {
+        /// Folder to write to
+        #[bpaf(argument("FOLDER"), fallback("docs/capacity".into()))]
+        folder: String,
+    },
 }
 
 /// Runs the command line of this process.
@@ -50,6 +58,7 @@
         } => random(seed, events, guard.as_deref()),
         CheckCommand::Measure { seed, profile } => run_measure(&profile, seed),
         CheckCommand::Decide => run_decisions(),
+        CheckCommand::Slopes { folder } => run_slopes(&folder),
     }
 }
 
--- a/crates/bankvalve_check/src/lib.rs
+++ b/crates/bankvalve_check/src/lib.rs
@@ -13,4 +13,5 @@
 pub mod load;
 pub mod measure;
 pub mod random;
+pub mod slopes;
 pub mod world;
