--- a/crates/bankvalve/src/serve/core_thread.rs
+++ b/crates/bankvalve/src/serve/core_thread.rs
@@ -17,7 +17,7 @@
 use super::RouteTable;
 
 /// Time between two ticks.
-const TICK: Duration = Duration::from_millis(10);
+const TICK: Duration = Duration::from_millis(20);
 /// Time between two publications of routes and counters.
 const PUBLISH: Duration = Duration::from_millis(100);
 /// Time after which a caller may come back when the ring is full, in milliseconds.
