--- a/crates/bankvalve_cell/tests/properties.rs
+++ b/crates/bankvalve_cell/tests/properties.rs
@@ -165,7 +165,7 @@
         let byte = byte.index(altered[place].len());
         altered[place][byte] ^= 0x01;
         prop_assert!(verify(&altered).is_err());
-        let mut swapped = whole.clone();
+        let mut swapped = whole;
         swapped.swap(place, place + 1);
         prop_assert!(verify(&swapped).is_err());
         Ok(())
