feat(link): TLS on the callers' listener and in the command line

Cause: callers' tokens crossed the network in the clear. Change: listen.callers_tls names a certificate and a key; the client file may name the authority's certificate; a connection that does not finish its handshake in time is ended and counted.

--- a/crates/bankvalve/src/command/api_client.rs
+++ b/crates/bankvalve/src/command/api_client.rs
@@ -4,6 +4,8 @@
 
 use attohttpc::{Method, RequestBuilder};
 use bankvalve_link::{sign_command, OperatorSigner};
+use rustls::pki_types::pem::PemObject;
+use rustls::pki_types::CertificateDer;
 use serde::de::DeserializeOwned;
 use serde_json::Value;
 
@@ -20,6 +22,7 @@
 pub struct ApiClient {
     settings: ClientSettings,
     signer: Option<OperatorSigner>,
+    certificate: Option<CertificateDer<'static>>,
 }
 
 /// Who signs a call.
@@ -47,7 +50,20 @@
                 Some(signer.ok_or_else(failure)?)
             }
         };
-        Ok(Self { settings, signer })
+        let certificate = match &settings.certificate {
+            None => None,
+            Some(text) => {
+                let read = CertificateDer::from_pem_slice(text.as_bytes());
+                let problem = "certificate: expected a certificate in PEM";
+                let failure = |_| CommandFailure::new(FailureKind::BadInput, problem);
+                Some(read.map_err(failure)?)
+            }
+        };
+        Ok(Self {
+            settings,
+            signer,
+            certificate,
+        })
     }
 
     /// Calls a path and reads the answer.
@@ -103,6 +119,9 @@
             let mut builder = RequestBuilder::new(method.clone(), &url)
                 .connect_timeout(CONNECT_TIME)
                 .timeout(ANSWER_TIME);
+            if let Some(certificate) = &self.certificate {
+                builder = builder.add_root_certificate(certificate.clone());
+            }
             for (name, value) in headers {
                 builder = builder.header(*name, value);
             }
--- a/crates/bankvalve/src/command/client_settings.rs
+++ b/crates/bankvalve/src/command/client_settings.rs
@@ -40,6 +40,9 @@
     /// The operator, if the user is one.
     #[serde(default)]
     pub operator: Option<OperatorSecret>,
+    /// Certificate in PEM that signs those of the entry instances, for `https` URLs.
+    #[serde(default)]
+    pub certificate: Option<String>,
 }
 
 impl ClientSettings {
--- a/crates/bankvalve/src/dev/dev_cell.rs
+++ b/crates/bankvalve/src/dev/dev_cell.rs
@@ -87,6 +87,7 @@
                 name: OPERATOR.into(),
                 secret_key: secret,
             }),
+            certificate: None,
         };
         let cell = Self {
             platform,
--- a/crates/bankvalve/src/serve/instance_process.rs
+++ b/crates/bankvalve/src/serve/instance_process.rs
@@ -142,10 +142,14 @@
             settings.partition_plan(),
             in_flight.clone(),
         );
-        let callers = HttpServer::start(
+        let tls = settings.caller_tls().map_err(|(field, expected)| {
+            Report::new(ServeFailure::Settings).attach(format!("{field}: {expected}"))
+        })?;
+        let callers = HttpServer::start_with(
             "callers",
             listeners.callers,
             settings.caller_limits(),
+            tls,
             move |request| caller_api.clone().handle(request),
         )
         .change_context(ServeFailure::Thread)?;
--- a/crates/bankvalve/src/settings/instance_settings.rs
+++ b/crates/bankvalve/src/settings/instance_settings.rs
@@ -5,7 +5,7 @@
 
 use bankvalve_cell::machine::{InstanceDetail, PartitionPlan};
 use bankvalve_cell::owner::CellTimings;
-use bankvalve_link::{CallerKey, KeyRing, OperatorKey, ServerLimits};
+use bankvalve_link::{CallerKey, KeyRing, OperatorKey, ServerLimits, ServerTls};
 use schemars::JsonSchema;
 use serde::{Deserialize, Serialize};
 
@@ -52,6 +52,19 @@
     /// Address that peers are told to use.
     #[serde(default)]
     pub peers_advertised: Option<SocketAddr>,
+    /// Encrypts the callers' listener.
+    #[serde(default)]
+    pub callers_tls: Option<TlsSettings>,
+}
+
+/// Files of the certificate chain and the private key, both in PEM.
+#[derive(Clone, Debug, Serialize, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields)]
+pub struct TlsSettings {
+    /// Certificate chain.
+    pub certificate_file: String,
+    /// Private key.
+    pub key_file: String,
 }
 
 /// The platform's services.
@@ -244,6 +257,7 @@
         self.check_keys()?;
         self.check_timings()?;
         self.check_limits()?;
+        self.caller_tls()?;
         self.log_level().map(|_| ())
     }
 
@@ -316,6 +330,28 @@
         })
     }
 
+    /// Key and certificate of the callers' listener, if it encrypts.
+    ///
+    /// # Errors
+    ///
+    /// Returns the field and what was expected of it.
+    pub fn caller_tls(&self) -> Result<Option<ServerTls>, (String, String)> {
+        let Some(files) = &self.listen.callers_tls else {
+            return Ok(None);
+        };
+        let read = |field: &str, path: &str| {
+            std::fs::read_to_string(path).map_err(|error| {
+                let field = format!("listen.callers_tls.{field}");
+                (field, format!("expected a readable file: {path}: {error}"))
+            })
+        };
+        let certificates = read("certificate_file", &files.certificate_file)?;
+        let key = read("key_file", &files.key_file)?;
+        ServerTls::from_pem(&certificates, &key)
+            .map(Some)
+            .map_err(|expected| ("listen.callers_tls".into(), expected))
+    }
+
     /// Limits of the callers' listener.
     pub fn caller_limits(&self) -> ServerLimits {
         ServerLimits {
--- a/crates/bankvalve/src/settings/mod.rs
+++ b/crates/bankvalve/src/settings/mod.rs
@@ -5,7 +5,7 @@
 
 pub use instance_settings::{
     CellSettings, InstanceSettings, KeySettings, LimitSettings, ListenSettings, LogSettings,
-    PlatformSettings, ServeSettings, TimingSettings,
+    PlatformSettings, ServeSettings, TimingSettings, TlsSettings,
 };
 pub use settings_file::{parse_jsonc, SettingsProblem};
 
--- a/crates/bankvalve/tests/cell/access.rs
+++ b/crates/bankvalve/tests/cell/access.rs
@@ -3,7 +3,7 @@
 use bankvalve_link::{sign_command, OperatorSigner, PeerSigner};
 use serde_json::{json, Value};
 
-use super::test_cell::{token_of, TestCell, PEER_KEY};
+use super::test_cell::{batch, token_of, TestCell, PEER_KEY};
 
 /// Status of a request with one header.
 fn status(method: &str, url: &str, header: (&'static str, String), body: &str) -> (u16, Value) {
@@ -58,6 +58,17 @@
     );
 }
 
+#[test]
+fn encrypted_listener_serves_callers_and_operators() {
+    let cell = TestCell::start_encrypted(1, 3);
+    cell.client().submit(&batch("sealed", 3, 50)).unwrap();
+    cell.wait_done("billing", "sealed");
+    let entry = cell.entries[0].as_ref().unwrap();
+    let clear = entry.callers.replace("https://", "http://");
+    let sent = attohttpc::get(format!("{clear}/v1/workers")).send();
+    assert!(sent.is_err());
+}
+
 #[test]
 fn errors_have_one_shape() {
     let cell = TestCell::start(1, 3);
--- a/crates/bankvalve/tests/cell/test_cell.rs
+++ b/crates/bankvalve/tests/cell/test_cell.rs
@@ -53,6 +53,8 @@
     secret: String,
     limits: Value,
     workers: usize,
+    /// Certificate of the callers' listeners in PEM, if they encrypt.
+    certificate: Option<String>,
 }
 
 /// Waits until a condition holds.
@@ -70,6 +72,15 @@
     }
 
     pub(crate) fn start_limited(entries: usize, workers: u32, limits: Value) -> Self {
+        Self::start_any(entries, workers, limits, false)
+    }
+
+    /// Starts a cell whose callers' listeners encrypt.
+    pub(crate) fn start_encrypted(entries: usize, workers: u32) -> Self {
+        Self::start_any(entries, workers, json!({}), true)
+    }
+
+    fn start_any(entries: usize, workers: u32, limits: Value, encrypted: bool) -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").unwrap();
         let mut plan = StandinPlan::small(&["hobart", "launceston", "devonport"], workers);
         plan.list_lag = Duration::from_millis(500);
@@ -81,7 +92,11 @@
             secret: "5a".repeat(32),
             limits,
             workers: workers as usize,
+            certificate: None,
         };
+        if encrypted {
+            cell.make_certificate();
+        }
         for index in 0..entries {
             let process = cell.spawn(index);
             cell.entries.push(Some(process));
@@ -110,6 +125,27 @@
                 name: "tester".into(),
                 secret_key: self.secret.clone(),
             }),
+            certificate: self.certificate.clone(),
+        }
+    }
+
+    fn make_certificate(&mut self) {
+        let made = rcgen::generate_simple_self_signed(vec!["127.0.0.1".into()]).unwrap();
+        let certificate = made.cert.pem();
+        let folder = self.folder.path();
+        std::fs::write(folder.join("certificate.pem"), &certificate).unwrap();
+        std::fs::write(folder.join("key.pem"), made.signing_key.serialize_pem()).unwrap();
+        self.certificate = Some(certificate);
+    }
+
+    fn tls_settings(&self) -> Value {
+        let path = |name: &str| self.folder.path().join(name);
+        match self.certificate {
+            None => Value::Null,
+            Some(_) => json!({
+                "certificate_file": path("certificate.pem"),
+                "key_file": path("key.pem"),
+            }),
         }
     }
 
@@ -284,6 +320,10 @@
                 kept.lock().unwrap().push(line);
             }
         });
+        let scheme = match self.certificate {
+            None => "http",
+            Some(_) => "https",
+        };
         let mut addresses = Vec::new();
         wait_until("the instance listens", || {
             let log = log.lock().unwrap();
@@ -293,7 +333,7 @@
         });
         EntryProcess {
             child,
-            callers: format!("http://{}", addresses[0]),
+            callers: format!("{scheme}://{}", addresses[0]),
             peers: addresses[1].clone(),
             admin: addresses[2].clone(),
             log,
@@ -316,6 +356,7 @@
                 "callers": "127.0.0.1:0",
                 "peers": "127.0.0.1:0",
                 "admin": "127.0.0.1:0",
+                "callers_tls": self.tls_settings(),
             },
             "platform": {
                 "table_url": format!("{base}/table"),
--- a/crates/bankvalve/tests/settings.rs
+++ b/crates/bankvalve/tests/settings.rs
@@ -29,7 +29,14 @@
     }
 }
 
-const CASES: [BrokenCase; 24] = [
+const CASES: [BrokenCase; 25] = [
+    broken(
+        "no certificate",
+        "\"callers_tls\": null",
+        "\"callers_tls\": {\"certificate_file\": \"no.pem\", \"key_file\": \"no.pem\"}",
+        "listen.callers_tls.certificate_file",
+        "readable file",
+    ),
     broken(
         "no comma",
         "\"name\": \"entry-1\",",
--- a/crates/bankvalve_link/src/lib.rs
+++ b/crates/bankvalve_link/src/lib.rs
@@ -18,5 +18,7 @@
     sign_command, CallerKey, KeyFailure, KeyRing, OperatorKey, OperatorSigner, PeerSigner,
     CLOCK_SLACK,
 };
-pub use server::{AnswerBody, HttpAnswer, HttpRequest, HttpServer, ServerCounters, ServerLimits};
+pub use server::{
+    AnswerBody, HttpAnswer, HttpRequest, HttpServer, ServerCounters, ServerLimits, ServerTls,
+};
 pub use wire::{decode_message, encode_message, WIRE_TYPE};
--- a/crates/bankvalve_link/src/server/http_server.rs
+++ b/crates/bankvalve_link/src/server/http_server.rs
@@ -16,7 +16,7 @@
 use hyper_util::rt::{TokioIo, TokioTimer};
 use tokio::sync::watch;
 
-use super::{ServerCounters, ServerLimits};
+use super::{ServerCounters, ServerLimits, ServerTls};
 
 /// Largest head of a request in bytes.
 const HEAD_BYTES: usize = 16 * 1024;
@@ -122,6 +122,24 @@
         limits: ServerLimits,
         handler: impl Fn(HttpRequest) -> F + Send + Sync + 'static,
     ) -> std::io::Result<Self>
+    where
+        F: Future<Output = HttpAnswer> + Send + 'static,
+    {
+        Self::start_with(name, listener, limits, None, handler)
+    }
+
+    /// Starts a server that encrypts if it is given a key and certificate.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the listener or the thread cannot be set up.
+    pub fn start_with<F>(
+        name: &str,
+        listener: TcpListener,
+        limits: ServerLimits,
+        tls: Option<ServerTls>,
+        handler: impl Fn(HttpRequest) -> F + Send + Sync + 'static,
+    ) -> std::io::Result<Self>
     where
         F: Future<Output = HttpAnswer> + Send + 'static,
     {
@@ -137,7 +155,7 @@
         let thread = thread::Builder::new()
             .name(name.to_owned())
             .spawn(move || {
-                let accepting = accept_all(listener, limits, handler, counted, stopped);
+                let accepting = accept_all(listener, limits, tls, handler, counted, stopped);
                 if let Err(error) = runtime.block_on(accepting) {
                     log::error!("server: listening on {address} failed: {error}");
                 }
@@ -173,6 +191,7 @@
 async fn accept_all(
     listener: TcpListener,
     limits: ServerLimits,
+    tls: Option<ServerTls>,
     handler: RequestHandler,
     counters: Arc<ServerCounters>,
     mut stopped: watch::Receiver<bool>,
@@ -196,17 +215,53 @@
         }
         ServerCounters::count(&counters.open);
         let _ = stream.set_nodelay(true);
-        let connection = serve_connection(stream, limits, handler.clone(), counters.clone());
+        let connection = serve_stream(
+            stream,
+            limits,
+            tls.clone(),
+            handler.clone(),
+            counters.clone(),
+        );
         tokio::spawn(connection);
     }
 }
 
-async fn serve_connection(
+/// Serves a connection, after the handshake if the server encrypts.
+async fn serve_stream(
     stream: tokio::net::TcpStream,
     limits: ServerLimits,
+    tls: Option<ServerTls>,
     handler: RequestHandler,
     counters: Arc<ServerCounters>,
 ) {
+    let served = match tls {
+        None => serve_connection(stream, limits, handler, &counters).await,
+        Some(tls) => {
+            let handshake = tls.acceptor.accept(stream);
+            match tokio::time::timeout(limits.header_time, handshake).await {
+                Ok(Ok(stream)) => serve_connection(stream, limits, handler, &counters).await,
+                _ => false,
+            }
+        }
+    };
+    if !served {
+        ServerCounters::count(&counters.malformed);
+    }
+    counters
+        .open
+        .fetch_sub(1, std::sync::atomic::Ordering::Relaxed);
+}
+
+/// Serves a connection to its end; returns whether all requests were well formed.
+async fn serve_connection<S>(
+    stream: S,
+    limits: ServerLimits,
+    handler: RequestHandler,
+    counters: &Arc<ServerCounters>,
+) -> bool
+where
+    S: tokio::io::AsyncRead + tokio::io::AsyncWrite + Unpin,
+{
     let counted = counters.clone();
     let service = service_fn(move |request| {
         let handler = handler.clone();
@@ -222,12 +277,7 @@
     let served = builder
         .serve_connection(TokioIo::new(stream), service)
         .await;
-    if served.is_err() {
-        ServerCounters::count(&counters.malformed);
-    }
-    counters
-        .open
-        .fetch_sub(1, std::sync::atomic::Ordering::Relaxed);
+    served.is_ok()
 }
 
 async fn serve_request(
--- a/crates/bankvalve_link/src/server/mod.rs
+++ b/crates/bankvalve_link/src/server/mod.rs
@@ -2,6 +2,8 @@
 
 mod http_server;
 mod server_limits;
+mod server_tls;
 
 pub use http_server::{AnswerBody, HttpAnswer, HttpRequest, HttpServer};
 pub use server_limits::{ServerCounters, ServerLimits};
+pub use server_tls::ServerTls;
