--- a/crates/bankvalve/src/command/serve_command.rs
+++ b/crates/bankvalve/src/command/serve_command.rs
@@ -3,14 +3,15 @@
 use std::process::ExitCode;
 
 use bpaf::{Args, ParseFailure};
-use signal_hook::consts::{SIGINT, SIGTERM};
+use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
 use signal_hook::iterator::Signals;
 
 use super::options::command_line;
 use super::render::print_line;
 use super::{CommandFailure, FailureKind};
+use crate::entry::EntryProcess;
 use crate::serve::{InstanceListeners, InstanceProcess};
-use crate::settings::{ServeSettings, DEFAULT_SETTINGS};
+use crate::settings::{ServeSettings, SiteSettings, DEFAULT_SETTINGS};
 
 fn load(file: &str) -> Result<ServeSettings, CommandFailure> {
     let text = std::fs::read_to_string(file);
@@ -18,8 +19,49 @@
     ServeSettings::parse(&text).map_err(|problem| CommandFailure::file(file, problem))
 }
 
+/// Settings of a site, if the file holds such.
+fn load_site(file: &str) -> Result<Option<SiteSettings>, CommandFailure> {
+    let text = std::fs::read_to_string(file);
+    let text = text.map_err(|error| CommandFailure::file(file, error))?;
+    if !SiteSettings::is_meant(&text) {
+        return Ok(None);
+    }
+    let settings = SiteSettings::parse(&text);
+    settings
+        .map(Some)
+        .map_err(|problem| CommandFailure::file(file, problem))
+}
+
+/// Runs an entry instance at a site until SIGTERM or SIGINT.
+fn serve_site(file: &str, settings: &SiteSettings) -> Result<ExitCode, CommandFailure> {
+    let failed = |report: &dyn std::fmt::Debug| {
+        CommandFailure::new(FailureKind::BadInput, format!("{report:?}"))
+    };
+    let level = settings.log_level().unwrap_or(log::LevelFilter::Info);
+    crate::logging::set_level(level);
+    let mut signals = Signals::new([SIGTERM, SIGINT, SIGHUP])
+        .map_err(|error| CommandFailure::new(FailureKind::BadInput, error.to_string()))?;
+    let process = EntryProcess::start(settings, bankvalve_platform::port())
+        .map_err(|report| failed(&report))?;
+    for signal in signals.forever() {
+        if signal != SIGHUP {
+            break;
+        }
+        match load_site(file) {
+            Ok(Some(settings)) => process.reload(&settings),
+            Ok(None) => log::error!("settings: {file}: expected the settings of a site"),
+            Err(failure) => log::error!("settings: kept as they were: {failure}"),
+        }
+    }
+    process.stop();
+    Ok(ExitCode::SUCCESS)
+}
+
 /// Runs an entry instance until SIGTERM or SIGINT, then stops as planned.
 pub(super) fn serve(file: &str) -> Result<ExitCode, CommandFailure> {
+    if let Some(site) = load_site(file)? {
+        return serve_site(file, &site);
+    }
     let settings = load(file)?;
     let level = settings.log_level().unwrap_or(log::LevelFilter::Info);
     crate::logging::set_level(level);
@@ -46,11 +88,11 @@
 
 /// Checks settings without starting.
 pub(super) fn check_settings(file: &str) -> Result<ExitCode, CommandFailure> {
-    let settings = load(file)?;
-    print_line(format!(
-        "{file}: settings of {} are well formed",
-        settings.instance.name
-    ));
+    let name = match load_site(file)? {
+        Some(site) => site.site.name,
+        None => load(file)?.instance.name,
+    };
+    print_line(format!("{file}: settings of {name} are well formed"));
     Ok(ExitCode::SUCCESS)
 }
 
--- /dev/null
+++ b/crates/bankvalve/src/entry/core_loop.rs
@@ -0,0 +1,254 @@
+//! The thread that makes all decisions.
+
+use std::collections::BTreeMap;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, RwLock};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+use bankvalve_queue::{
+    CallerAnswer, CoreAction, CoreEvent, EntryCore, EntrySettings, EntryView, PlatformPort,
+    QueueTable, RefusalReason, ResolvedRequest, Ticket,
+};
+use crossbeam::channel::{Receiver, RecvTimeoutError, Sender};
+use tokio::sync::{mpsc, oneshot};
+
+use super::decision_log::DecisionLog;
+
+/// Events that are taken before what they led to is handed on.
+const EVENTS_AT_ONCE: usize = 64;
+/// Time between two publications of the view.
+const PUBLISH: Duration = Duration::from_millis(100);
+/// When a caller may come back if the ring is full, in milliseconds.
+const RING_RETRY_MS: u64 = 1_000;
+/// First ticket of callers' requests, far above those that the core takes itself.
+const FIRST_CALLER_TICKET: Ticket = 1 << 48;
+
+/// Something for the core thread.
+pub(super) enum CoreInput {
+    Event(CoreEvent),
+    Request {
+        request: ResolvedRequest,
+        reply: oneshot::Sender<CallerAnswer>,
+    },
+    End,
+}
+
+/// What the core thread shares.
+#[derive(Debug, Default)]
+struct CoreShared {
+    table: RwLock<Option<Arc<QueueTable>>>,
+    view: Mutex<EntryView>,
+    ring_full: AtomicU64,
+}
+
+/// Handle to the core thread.
+#[derive(Clone)]
+pub struct EntryHandle {
+    ring: Sender<CoreInput>,
+    shared: Arc<CoreShared>,
+}
+
+impl std::fmt::Debug for EntryHandle {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str("EntryHandle")
+    }
+}
+
+impl EntryHandle {
+    pub(super) fn new(ring: usize) -> (Self, Receiver<CoreInput>) {
+        let (sender, receiver) = crossbeam::channel::bounded(ring);
+        let shared = Arc::new(CoreShared::default());
+        let handle = Self {
+            ring: sender,
+            shared,
+        };
+        (handle, receiver)
+    }
+
+    /// Gives the core an event; returns whether the ring had room.
+    pub fn give(&self, event: CoreEvent) -> bool {
+        let given = self.ring.try_send(CoreInput::Event(event)).is_ok();
+        if !given {
+            self.shared.ring_full.fetch_add(1, Ordering::Relaxed);
+        }
+        given
+    }
+
+    /// Gives the core a caller's request and waits for the answer.
+    pub async fn ask(&self, request: ResolvedRequest) -> CallerAnswer {
+        let (reply, answer) = oneshot::channel();
+        let input = CoreInput::Request { request, reply };
+        if self.ring.try_send(input).is_err() {
+            self.shared.ring_full.fetch_add(1, Ordering::Relaxed);
+            return CallerAnswer::Refused {
+                reason: RefusalReason::Overload,
+                retry_ms: RING_RETRY_MS,
+            };
+        }
+        answer.await.unwrap_or(CallerAnswer::Unknown)
+    }
+
+    /// The configuration in force, if there is one.
+    pub fn table(&self) -> Option<Arc<QueueTable>> {
+        let table = self.shared.table.read();
+        table.unwrap_or_else(|error| error.into_inner()).clone()
+    }
+
+    /// What the core last published.
+    pub fn view(&self) -> EntryView {
+        let view = self.shared.view.lock();
+        view.unwrap_or_else(|error| error.into_inner()).clone()
+    }
+
+    /// Events refused because the ring was full.
+    pub fn ring_full(&self) -> u64 {
+        self.shared.ring_full.load(Ordering::Relaxed)
+    }
+
+    /// Ends the core thread, and with it the links.
+    pub(super) fn end(&self) {
+        let _ = self.ring.send(CoreInput::End);
+    }
+}
+
+/// The core thread's own state.
+pub(super) struct CoreLoop {
+    core: EntryCore,
+    port: PlatformPort,
+    started: Instant,
+    shared: Arc<CoreShared>,
+    links: mpsc::Sender<Vec<CoreAction>>,
+    log: DecisionLog,
+    replies: BTreeMap<Ticket, oneshot::Sender<CallerAnswer>>,
+    next_ticket: Ticket,
+    outbox: Vec<CoreAction>,
+}
+
+impl CoreLoop {
+    pub(super) fn new(
+        settings: EntrySettings,
+        port: PlatformPort,
+        handle: &EntryHandle,
+        links: mpsc::Sender<Vec<CoreAction>>,
+        log: DecisionLog,
+    ) -> Self {
+        Self {
+            core: EntryCore::new(settings),
+            port,
+            started: Instant::now(),
+            shared: handle.shared.clone(),
+            links,
+            log,
+            replies: BTreeMap::new(),
+            next_ticket: FIRST_CALLER_TICKET,
+            outbox: Vec::new(),
+        }
+    }
+
+    /// Runs until the ring is closed.
+    pub(super) fn run(mut self, ring: &Receiver<CoreInput>) {
+        let mut next_tick = Instant::now();
+        let mut next_publication = Instant::now();
+        loop {
+            let wait = next_tick.saturating_duration_since(Instant::now());
+            match ring.recv_timeout(wait) {
+                Ok(CoreInput::End) | Err(RecvTimeoutError::Disconnected) => return,
+                Ok(input) => {
+                    self.take(input);
+                    for input in ring.try_iter().take(EVENTS_AT_ONCE) {
+                        if matches!(input, CoreInput::End) {
+                            return;
+                        }
+                        self.take(input);
+                    }
+                }
+                Err(RecvTimeoutError::Timeout) => {}
+            }
+            let now = Instant::now();
+            if now >= next_tick {
+                self.step(CoreEvent::Tick);
+            }
+            next_tick = next_tick.max(now).min(now + self.core.wake_after());
+            if now >= next_tick {
+                next_tick = now + self.core.wake_after();
+            }
+            self.flush();
+            if now >= next_publication {
+                next_publication = now + PUBLISH;
+                self.publish();
+            }
+        }
+    }
+
+    fn take(&mut self, input: CoreInput) {
+        match input {
+            CoreInput::Event(event) => self.step(event),
+            CoreInput::Request { request, reply } => {
+                let ticket = self.next_ticket;
+                self.next_ticket += 1;
+                self.replies.insert(ticket, reply);
+                self.step(CoreEvent::Caller { ticket, request });
+            }
+            CoreInput::End => {}
+        }
+    }
+
+    fn step(&mut self, event: CoreEvent) {
+        let actions = self.core.step(self.started.elapsed(), unix_millis(), event);
+        self.act_all(actions);
+    }
+
+    fn act_all(&mut self, actions: Vec<CoreAction>) {
+        for action in actions {
+            match action {
+                CoreAction::Answer { ticket, answer } => {
+                    if let Some(reply) = self.replies.remove(&ticket) {
+                        // A caller that left takes no answer.
+                        let _ = reply.send(answer);
+                    }
+                }
+                CoreAction::UseTable(table) => {
+                    let mut shared = match self.shared.table.write() {
+                        Ok(shared) => shared,
+                        Err(error) => error.into_inner(),
+                    };
+                    *shared = Some(Arc::new(table));
+                }
+                CoreAction::DecodeTable(raw) => {
+                    if let Some(table) = (self.port.read_table)(&raw) {
+                        let actions = self.core.give_table(table, raw);
+                        self.act_all(actions);
+                    }
+                }
+                CoreAction::Log(line) => self.log.give(unix_millis(), line),
+                action => self.outbox.push(action),
+            }
+        }
+    }
+
+    fn flush(&mut self) {
+        if self.outbox.is_empty() {
+            return;
+        }
+        let actions = std::mem::take(&mut self.outbox);
+        if let Err(mpsc::error::TrySendError::Full(actions)) = self.links.try_send(actions) {
+            self.shared.ring_full.fetch_add(1, Ordering::Relaxed);
+            // They are tried again with what comes next.
+            self.outbox = actions;
+        }
+    }
+
+    fn publish(&mut self) {
+        let view = self.core.view();
+        match self.shared.view.lock() {
+            Ok(mut shared) => *shared = view,
+            Err(error) => *error.into_inner() = view,
+        }
+    }
+}
+
+/// The time of day in milliseconds since 1970.
+pub(super) fn unix_millis() -> u64 {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH);
+    since.map_or(0, |since| since.as_millis() as u64)
+}
--- /dev/null
+++ b/crates/bankvalve/src/entry/entry_metrics.rs
@@ -0,0 +1,109 @@
+//! Metrics of an entry instance through opentelemetry, served for scraping.
+
+use std::time::Duration;
+
+use opentelemetry::metrics::{Histogram, Meter, MeterProvider};
+use opentelemetry::KeyValue;
+use opentelemetry_sdk::metrics::SdkMeterProvider;
+use prometheus::{Registry, TextEncoder};
+
+use super::core_loop::EntryHandle;
+
+/// Bounds of the latency histogram, in milliseconds: from one hop to a caller's usual patience.
+const LATENCY_BOUNDS_MS: [f64; 10] = [
+    2.0, 5.0, 10.0, 20.0, 50.0, 100.0, 250.0, 500.0, 1_000.0, 3_000.0,
+];
+
+/// Metrics of one entry instance.
+pub struct EntryMetrics {
+    registry: Registry,
+    latency: Histogram<f64>,
+    _provider: SdkMeterProvider,
+}
+
+impl std::fmt::Debug for EntryMetrics {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str("EntryMetrics")
+    }
+}
+
+impl EntryMetrics {
+    pub(super) fn new(core: &EntryHandle) -> Self {
+        let registry = Registry::new();
+        let exporter = opentelemetry_prometheus::exporter()
+            .with_registry(registry.clone())
+            .build()
+            .expect("an empty registry takes an exporter");
+        let provider = SdkMeterProvider::builder().with_reader(exporter).build();
+        let meter = provider.meter("bankvalve");
+        register_counters(&meter, core);
+        register_state(&meter, core);
+        let latency = meter
+            .f64_histogram("bankvalve_request_ms")
+            .with_description("Time to the answer of a caller's request, by method and status")
+            .with_boundaries(LATENCY_BOUNDS_MS.to_vec())
+            .build();
+        Self {
+            registry,
+            latency,
+            _provider: provider,
+        }
+    }
+
+    /// Notes an answer to a caller.
+    pub(super) fn note_request(&self, method: &str, status: u16, time: Duration) {
+        let labels = [
+            KeyValue::new("method", method.to_owned()),
+            KeyValue::new("status", i64::from(status)),
+        ];
+        self.latency.record(time.as_secs_f64() * 1_000.0, &labels);
+    }
+
+    /// All metrics in the text format that scrapers read.
+    pub fn render(&self) -> String {
+        let families = self.registry.gather();
+        TextEncoder::new()
+            .encode_to_string(&families)
+            .unwrap_or_default()
+    }
+}
+
+fn register_counters(meter: &Meter, core: &EntryHandle) {
+    let of_core = core.clone();
+    meter
+        .u64_observable_counter("bankvalve_decisions")
+        .with_description("Decisions, refusals and retries, by family and kind")
+        .with_callback(move |observer| {
+            for (family, kind, count) in of_core.view().counters.all() {
+                let labels = [KeyValue::new("family", family), KeyValue::new("kind", kind)];
+                observer.observe(count, &labels);
+            }
+            let labels = [
+                KeyValue::new("family", "refusals"),
+                KeyValue::new("kind", "ring_full"),
+            ];
+            observer.observe(of_core.ring_full(), &labels);
+        })
+        .build();
+}
+
+fn register_state(meter: &Meter, core: &EntryHandle) {
+    let of_core = core.clone();
+    meter
+        .u64_observable_gauge("bankvalve_state")
+        .with_description("How the instance stands, by quantity")
+        .with_callback(move |observer| {
+            let view = of_core.view();
+            let quantities = [
+                ("ready", u64::from(view.ready)),
+                ("leading", u64::from(view.leading)),
+                ("jobs", view.jobs),
+                ("waiting_tasks", view.waiting_tasks),
+                ("live_runs", view.live_runs),
+            ];
+            for (quantity, value) in quantities {
+                observer.observe(value, &[KeyValue::new("quantity", quantity)]);
+            }
+        })
+        .build();
+}
--- /dev/null
+++ b/crates/bankvalve/src/entry/link_loop.rs
@@ -0,0 +1,224 @@
+//! The thread that carries what the core asks for.
+
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bankvalve_link::{
+    encode_message, ClientFailure, ClientLimits, HttpClient, WIRE_TYPE,
+};
+use bankvalve_queue::{
+    AdviceAnswer, CoreAction, CoreEvent, PeerAddress, PeerBatch, PeerMessage, PlatformPort,
+    WireCall, WireReply,
+};
+use hyper::Method;
+use tokio::sync::mpsc;
+
+use super::core_loop::EntryHandle;
+
+/// Path of peers' messages.
+pub(super) const PEER_PATH: &str = "/messages";
+/// Requests on their way to one peer at most; more messages wait and travel together.
+const PEER_FLIGHTS: usize = 3;
+/// Messages that wait for one peer at most; more are dropped, and whoever needs an answer asks again.
+const PEER_QUEUE: usize = 2_000;
+/// Longest wait for a peer to take messages.
+const PEER_TIME: Duration = Duration::from_millis(700);
+/// Time in which a connection must be made: some ten ways across the site.
+const CONNECT_TIME: Duration = Duration::from_millis(400);
+/// Time for which sent bytes may stay unacknowledged before a connection is given up.
+const SILENCE: Duration = Duration::from_millis(1_500);
+/// Time after which an idle connection is closed; new ones to workers are dear.
+const IDLE_TIME: Duration = Duration::from_secs(90);
+/// Idle connections kept to each worker, peer and service.
+const IDLE: usize = 6;
+/// Largest reply: a page of rows.
+const REPLY_BYTES: usize = 8 * 1024 * 1024;
+
+/// Where the platform's services are.
+#[derive(Clone, Debug)]
+pub(super) struct LinkPlan {
+    pub(super) own: PeerAddress,
+    pub(super) table: SocketAddr,
+    pub(super) policy: Option<SocketAddr>,
+}
+
+/// Messages that wait for a peer.
+#[derive(Default)]
+struct PeerLane {
+    queue: Vec<PeerMessage>,
+    flights: usize,
+}
+
+struct LinkLoop {
+    plan: LinkPlan,
+    port: PlatformPort,
+    core: EntryHandle,
+    client: HttpClient,
+    lanes: RefCell<BTreeMap<PeerAddress, PeerLane>>,
+}
+
+/// Carries actions until the core's end of the ring is closed.
+pub(super) async fn carry_all(
+    plan: LinkPlan,
+    port: PlatformPort,
+    core: EntryHandle,
+    mut actions: mpsc::Receiver<Vec<CoreAction>>,
+) {
+    let client = HttpClient::with_limits(ClientLimits {
+        idle: IDLE,
+        idle_time: IDLE_TIME,
+        connect_time: CONNECT_TIME,
+        silence: Some(SILENCE),
+        reply_bytes: REPLY_BYTES,
+    });
+    let links = Rc::new(LinkLoop {
+        plan,
+        port,
+        core,
+        client,
+        lanes: RefCell::new(BTreeMap::new()),
+    });
+    let local = tokio::task::LocalSet::new();
+    local
+        .run_until(async move {
+            while let Some(batch) = actions.recv().await {
+                for action in batch {
+                    links.clone().carry(action);
+                }
+                links.clone().send_lanes();
+            }
+        })
+        .await;
+}
+
+impl LinkLoop {
+    fn carry(self: Rc<Self>, action: CoreAction) {
+        match action {
+            CoreAction::Store {
+                ticket,
+                request,
+                time,
+            } => {
+                tokio::task::spawn_local(async move {
+                    let call = (self.port.store_call)(&request);
+                    let reply = self.call(self.plan.table, call, time).await;
+                    let outcome = (self.port.store_outcome)(&request, &reply);
+                    self.core.give(CoreEvent::Store { ticket, outcome });
+                });
+            }
+            CoreAction::Worker {
+                ticket,
+                worker,
+                address,
+                token,
+                call,
+                time,
+            } => {
+                tokio::task::spawn_local(async move {
+                    let wire = (self.port.worker_call)(&worker, token, &call);
+                    let reply = self.call(address, wire, time).await;
+                    let answer = (self.port.worker_answer)(&call, &reply);
+                    self.core.give(CoreEvent::Worker { ticket, answer });
+                });
+            }
+            CoreAction::Advice { ticket, ask } => {
+                tokio::task::spawn_local(async move {
+                    let answer = match self.plan.policy {
+                        None => AdviceAnswer::NoReply,
+                        Some(policy) => {
+                            let call = (self.port.advice_call)(&ask);
+                            let reply = self.call(policy, call, ask.time).await;
+                            (self.port.advice_answer)(&reply)
+                        }
+                    };
+                    self.core.give(CoreEvent::Advice { ticket, answer });
+                });
+            }
+            CoreAction::Peer { to, message } => {
+                let mut lanes = self.lanes.borrow_mut();
+                let lane = lanes.entry(to).or_default();
+                if lane.queue.len() < PEER_QUEUE {
+                    lane.queue.push(message);
+                }
+            }
+            CoreAction::Answer { .. }
+            | CoreAction::UseTable(_)
+            | CoreAction::DecodeTable(_)
+            | CoreAction::Log(_) => {}
+        }
+    }
+
+    /// Sends what waits for peers that have room for one more request.
+    fn send_lanes(self: Rc<Self>) {
+        let mut lanes = self.lanes.borrow_mut();
+        for (peer, lane) in lanes.iter_mut() {
+            if lane.queue.is_empty() || lane.flights >= PEER_FLIGHTS {
+                continue;
+            }
+            lane.flights += 1;
+            let messages = std::mem::take(&mut lane.queue);
+            let links = self.clone();
+            let peer = *peer;
+            tokio::task::spawn_local(async move { links.send_batch(peer, messages).await });
+        }
+    }
+
+    async fn send_batch(self: Rc<Self>, peer: PeerAddress, messages: Vec<PeerMessage>) {
+        let batch = PeerBatch {
+            from: self.plan.own,
+            messages,
+        };
+        let call = WireCall {
+            method: "POST",
+            path: PEER_PATH.to_owned(),
+            headers: Vec::new(),
+            content_type: WIRE_TYPE,
+            body: encode_message(&batch),
+        };
+        let reply = self.call(peer, call, PEER_TIME).await;
+        let refused = reply == WireReply::NotSent;
+        let reached = matches!(reply, WireReply::Answer { status: 200, .. });
+        if !reached {
+            self.core.give(CoreEvent::PeerUnreached { peer, refused });
+        }
+        if let Some(lane) = self.lanes.borrow_mut().get_mut(&peer) {
+            lane.flights -= 1;
+        }
+        self.send_lanes();
+    }
+
+    async fn call(
+        &self,
+        address: impl std::fmt::Display,
+        call: WireCall,
+        time: Duration,
+    ) -> WireReply {
+        let url = format!("http://{address}{}", call.path);
+        let method = match call.method {
+            "GET" => Method::GET,
+            _ => Method::POST,
+        };
+        let sent = self
+            .client
+            .send(
+                method,
+                &url,
+                &call.headers,
+                call.content_type,
+                call.body,
+                time,
+            )
+            .await;
+        match sent {
+            Ok(reply) => WireReply::Answer {
+                status: reply.status,
+                body: reply.body.to_vec(),
+            },
+            Err(ClientFailure::NotSent(_)) => WireReply::NotSent,
+            Err(ClientFailure::NoReply(_)) => WireReply::NoReply,
+        }
+    }
+}
--- /dev/null
+++ b/crates/bankvalve/src/entry/listeners.rs
@@ -0,0 +1,103 @@
+//! What the listening threads do with requests.
+
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::Arc;
+use std::time::Instant;
+
+use bankvalve_link::{decode_message, HttpAnswer, HttpRequest};
+use bankvalve_queue::{CoreEvent, PeerBatch, PlatformPort, WireAnswer, WireRequest};
+
+use super::core_loop::EntryHandle;
+use super::entry_metrics::EntryMetrics;
+use super::link_loop::PEER_PATH;
+
+/// When a caller may come back while there is no configuration yet, in milliseconds.
+const NO_TABLE_RETRY_MS: u64 = 1_000;
+
+/// What all listeners share.
+#[derive(Clone, Debug)]
+pub(super) struct ListenerState {
+    pub(super) core: EntryHandle,
+    pub(super) port: PlatformPort,
+    pub(super) metrics: Arc<EntryMetrics>,
+    pub(super) stopping: Arc<AtomicBool>,
+    pub(super) in_flight: Arc<AtomicU64>,
+}
+
+impl ListenerState {
+    /// Answers a caller.
+    pub(super) async fn serve_caller(self, request: HttpRequest) -> HttpAnswer {
+        self.in_flight.fetch_add(1, Ordering::AcqRel);
+        let begun = Instant::now();
+        let answer = self.decide(&request).await;
+        self.metrics
+            .note_request(request.method.as_str(), answer.status, begun.elapsed());
+        self.in_flight.fetch_sub(1, Ordering::AcqRel);
+        HttpAnswer {
+            close: self.stopping.load(Ordering::Acquire),
+            ..HttpAnswer {
+                retry_after_ms: answer.retry_ms,
+                ..HttpAnswer::new(answer.status, answer.content_type, answer.body)
+            }
+        }
+    }
+
+    async fn decide(&self, request: &HttpRequest) -> WireAnswer {
+        let Some(table) = self.core.table() else {
+            return WireAnswer {
+                status: 503,
+                content_type: "text/plain",
+                body: b"no configuration yet".to_vec(),
+                retry_ms: Some(NO_TABLE_RETRY_MS),
+            };
+        };
+        let headers: Vec<(&str, &str)> = request
+            .headers
+            .iter()
+            .filter_map(|(name, value)| Some((name.as_str(), value.to_str().ok()?)))
+            .collect();
+        let host = request.header("host").unwrap_or_default();
+        let wire = WireRequest {
+            method: request.method.as_str(),
+            path: &request.path,
+            host: host.split(':').next().unwrap_or_default(),
+            headers: &headers,
+            body: &request.body,
+        };
+        match (self.port.read_request)(&wire, &table) {
+            Ok(resolved) => (self.port.write_answer)(&self.core.ask(resolved).await),
+            Err(answer) => answer,
+        }
+    }
+
+    /// Takes a peer's messages.
+    pub(super) fn serve_peer(&self, request: &HttpRequest) -> HttpAnswer {
+        if request.path != PEER_PATH {
+            return HttpAnswer::empty(404);
+        }
+        let Some(batch) = decode_message::<PeerBatch>(&request.body) else {
+            return HttpAnswer::empty(400);
+        };
+        let from = batch.from;
+        for message in batch.messages {
+            if !self.core.give(CoreEvent::Peer { from, message }) {
+                return HttpAnswer::empty(503);
+            }
+        }
+        HttpAnswer::empty(200)
+    }
+
+    /// Tells the platform whether the instance may be given callers.
+    pub(super) fn serve_readiness(&self, request: &HttpRequest) -> HttpAnswer {
+        if request.path != self.port.ready_path {
+            return HttpAnswer::empty(404);
+        }
+        let ready = self.core.view().ready && !self.stopping.load(Ordering::Acquire);
+        HttpAnswer::empty(if ready { 200 } else { 503 })
+    }
+
+    /// Shows the metrics.
+    pub(super) fn serve_metrics(&self) -> HttpAnswer {
+        HttpAnswer::new(200, "text/plain; version=0.0.4", self.metrics.render())
+    }
+}
--- /dev/null
+++ b/crates/bankvalve/src/entry/mod.rs
@@ -0,0 +1,18 @@
+//! An entry instance on the users' platform, as threads joined by bounded rings.
+//!
+//! The `core` thread makes all decisions of [`bankvalve_queue::EntryCore`].
+//! The `links` thread carries what it asks for to the table, the policy
+//! service, the workers and the peers. The `callers`, `peers`, `readiness`
+//! and `metrics` threads listen; the `decisions` thread writes the log.
+
+mod core_loop;
+mod decision_log;
+mod entry_metrics;
+mod entry_process;
+mod link_loop;
+mod listeners;
+
+pub use core_loop::EntryHandle;
+pub use decision_log::DecisionLog;
+pub use entry_metrics::EntryMetrics;
+pub use entry_process::EntryProcess;
--- a/crates/bankvalve/src/lib.rs
+++ b/crates/bankvalve/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod command;
 #[cfg(feature = "dev")]
 pub mod dev;
+pub mod entry;
 pub mod logging;
 pub mod metrics;
 pub mod serve;
--- a/crates/bankvalve/src/settings/instance_settings.rs
+++ b/crates/bankvalve/src/settings/instance_settings.rs
@@ -206,6 +206,20 @@
     }
 }
 
+impl LogSettings {
+    /// The log level.
+    ///
+    /// # Errors
+    ///
+    /// Returns the field and what was expected of it.
+    pub fn parse_level(&self) -> Result<log::LevelFilter, (String, String)> {
+        let expected = "expected error, warn, info, debug or trace";
+        self.level
+            .parse()
+            .map_err(|_| ("log.level".into(), expected.into()))
+    }
+}
+
 /// Settings of an entry instance.
 #[derive(Clone, Debug, Serialize, Deserialize, JsonSchema)]
 #[serde(deny_unknown_fields)]
@@ -267,11 +281,7 @@
     ///
     /// Returns the field and what was expected of it.
     pub fn log_level(&self) -> Result<log::LevelFilter, (String, String)> {
-        let expected = "expected error, warn, info, debug or trace";
-        self.log
-            .level
-            .parse()
-            .map_err(|_| ("log.level".into(), expected.into()))
+        self.log.parse_level()
     }
 
     /// The instance, as peers see it.
@@ -481,7 +491,7 @@
     }
 }
 
-fn check_name(field: &str, name: &str) -> Result<(), (String, String)> {
+pub(super) fn check_name(field: &str, name: &str) -> Result<(), (String, String)> {
     let letters = |byte: u8| byte.is_ascii_alphanumeric() || b"-_.".contains(&byte);
     if !name.is_empty() && name.len() <= NAME_LIMIT && name.bytes().all(letters) {
         return Ok(());
@@ -490,7 +500,7 @@
     Err((field.to_owned(), expected))
 }
 
-fn check_range(field: &str, value: u64, least: u64, most: u64) -> Result<(), (String, String)> {
+pub(super) fn check_range(field: &str, value: u64, least: u64, most: u64) -> Result<(), (String, String)> {
     if (least..=most).contains(&value) {
         return Ok(());
     }
--- a/crates/bankvalve/src/settings/mod.rs
+++ b/crates/bankvalve/src/settings/mod.rs
@@ -2,6 +2,7 @@
 
 mod instance_settings;
 mod settings_file;
+mod site_settings;
 
 pub use instance_settings::{
     CellSettings, InstanceSettings, KeySettings, LimitSettings, ListenSettings, LogSettings,
@@ -9,5 +10,9 @@
 };
 pub use settings_file::{parse_jsonc, SettingsProblem};
 
+pub use site_settings::{
+    SiteBounds, SiteInstance, SiteLimits, SiteListen, SitePlatform, SiteSettings,
+};
+
 /// The commented default settings.
 pub const DEFAULT_SETTINGS: &str = include_str!("default.jsonc");
--- /dev/null
+++ b/crates/bankvalve/src/settings/site_settings.rs
@@ -0,0 +1,168 @@
+//! The settings of an entry instance on the users' platform, typed.
+
+use std::net::SocketAddr;
+
+use schemars::JsonSchema;
+use serde::{Deserialize, Serialize};
+
+use super::instance_settings::{check_name, check_range};
+use super::{parse_jsonc, LogSettings, SettingsProblem};
+
+/// Key that tells settings of this kind from those of a cell of one's own.
+const SITE_KEY: &str = "site";
+/// Longest time that may be set, in milliseconds: a day.
+const TIME_LIMIT_MS: u64 = 86_400_000;
+
+/// Who the instance is and where it stands.
+#[derive(Clone, Debug, Serialize, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields)]
+pub struct SiteInstance {
+    /// Unique at the site.
+    pub name: String,
+    /// Failure domain.
+    pub domain: String,
+}
+
+/// Addresses to listen on.
+#[derive(Clone, Debug, Serialize, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields)]
+pub struct SiteListen {
+    /// Callers.
+    pub callers: SocketAddr,
+    /// The platform's question whether the instance is ready.
+    pub readiness: SocketAddr,
+    /// Other entry instances.
+    pub peers: SocketAddr,
+    /// Metrics.
+    pub metrics: SocketAddr,
+}
+
+/// The platform's services, as IP and port.
+#[derive(Clone, Debug, Serialize, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields)]
+pub struct SitePlatform {
+    /// Table.
+    pub table: SocketAddr,
+    /// Policy that permits starts; null if there is none.
+    #[serde(default)]
+    pub policy: Option<SocketAddr>,
+    /// Machines that workers run on; null if there is none.
+    #[serde(default)]
+    pub machines: Option<SocketAddr>,
+}
+
+/// Bounds that the site sets, in milliseconds.
+#[derive(Clone, Debug, Serialize, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields)]
+pub struct SiteBounds {
+    /// Longest hold that a worker grants.
+    pub hold_limit: u64,
+    /// How much earlier than due a task may start.
+    pub early: u64,
+    /// How long an ended job's state is told.
+    pub status: u64,
+    /// Time from SIGTERM in which the process must have ended.
+    pub stop: u64,
+}
+
+/// Limits.
+#[derive(Clone, Debug, Serialize, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields, default)]
+pub struct SiteLimits {
+    /// Longest value of a row of the table, in bytes.
+    pub row_bytes: u64,
+    /// Open connections of callers.
+    pub caller_connections: u64,
+    /// Largest body of a caller's request in bytes.
+    pub body_bytes: u64,
+    /// Entries in each ring between two threads.
+    pub ring: u64,
+}
+
+impl Default for SiteLimits {
+    fn default() -> Self {
+        Self {
+            row_bytes: 65_536,
+            caller_connections: 2_000,
+            body_bytes: 262_144,
+            ring: 8_192,
+        }
+    }
+}
+
+/// Settings of an entry instance on the users' platform.
+#[derive(Clone, Debug, Serialize, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields)]
+pub struct SiteSettings {
+    /// Who the instance is and where it stands.
+    pub site: SiteInstance,
+    /// Addresses to listen on.
+    pub listen: SiteListen,
+    /// The platform's services.
+    pub platform: SitePlatform,
+    /// Bounds that the site sets.
+    pub bounds_ms: SiteBounds,
+    /// Limits.
+    #[serde(default)]
+    pub limits: SiteLimits,
+    /// Logs.
+    #[serde(default)]
+    pub log: LogSettings,
+}
+
+impl SiteSettings {
+    /// Tells whether a text holds settings of this kind.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use bankvalve::settings::SiteSettings;
+    ///
+    /// assert!(SiteSettings::is_meant("{ \"site\": {} }"));
+    /// assert!(!SiteSettings::is_meant("{ \"instance\": {} }"));
+    /// ```
+    pub fn is_meant(text: &str) -> bool {
+        let value = jsonc_parser::parse_to_serde_value::<serde_json::Value>(text, &Default::default());
+        value.is_ok_and(|value: serde_json::Value| value.get(SITE_KEY).is_some())
+    }
+
+    /// Reads settings from text and checks every field.
+    ///
+    /// # Errors
+    ///
+    /// Returns the first problem, with its line and field.
+    pub fn parse(text: &str) -> Result<Self, SettingsProblem> {
+        parse_jsonc(text, Self::check)
+    }
+
+    /// The log level.
+    ///
+    /// # Errors
+    ///
+    /// Returns the field and what was expected of it.
+    pub fn log_level(&self) -> Result<log::LevelFilter, (String, String)> {
+        self.log.parse_level()
+    }
+
+    fn check(&self) -> Result<(), (String, String)> {
+        check_name("site.name", &self.site.name)?;
+        check_name("site.domain", &self.site.domain)?;
+        let bounds = &self.bounds_ms;
+        let times = [
+            ("bounds_ms.hold_limit", bounds.hold_limit, 1_000),
+            ("bounds_ms.early", bounds.early, 0),
+            ("bounds_ms.status", bounds.status, 1_000),
+            ("bounds_ms.stop", bounds.stop, 500),
+        ];
+        for (field, value, least) in times {
+            check_range(field, value, least, TIME_LIMIT_MS)?;
+        }
+        let limits = &self.limits;
+        check_range("limits.row_bytes", limits.row_bytes, 4_096, 1 << 24)?;
+        let connections = limits.caller_connections;
+        check_range("limits.caller_connections", connections, 1, 100_000)?;
+        check_range("limits.body_bytes", limits.body_bytes, 1_024, 64 << 20)?;
+        check_range("limits.ring", limits.ring, 64, 1 << 20)?;
+        self.log_level().map(|_| ())
+    }
+}
--- a/crates/bankvalve_link/src/client/mod.rs
+++ b/crates/bankvalve_link/src/client/mod.rs
@@ -15,6 +15,21 @@
 /// Time in which a connection must be made.
 const CONNECT_TIME: Duration = Duration::from_secs(2);
 
+/// How a client keeps its connections.
+#[derive(Clone, Copy, Debug)]
+pub struct ClientLimits {
+    /// Connections that stay open to each host while idle.
+    pub idle: usize,
+    /// Time after which an idle connection is closed.
+    pub idle_time: Duration,
+    /// Time in which a connection must be made.
+    pub connect_time: Duration,
+    /// Time for which sent bytes may stay unacknowledged.
+    pub silence: Option<Duration>,
+    /// Largest reply in bytes.
+    pub reply_bytes: usize,
+}
+
 /// Why a request has no reply.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum ClientFailure {
@@ -63,16 +78,31 @@
     /// let client = bankvalve_link::HttpClient::new(4, 1024 * 1024);
     /// ```
     pub fn new(idle: usize, reply_bytes: usize) -> Self {
+        Self::with_limits(ClientLimits {
+            idle,
+            idle_time: IDLE_TIME,
+            connect_time: CONNECT_TIME,
+            silence: None,
+            reply_bytes,
+        })
+    }
+
+    /// Makes a client that keeps its connections as the limits say.
+    pub fn with_limits(limits: ClientLimits) -> Self {
         let mut connector = HttpConnector::new();
         connector.set_nodelay(true);
-        connector.set_connect_timeout(Some(CONNECT_TIME));
+        connector.set_connect_timeout(Some(limits.connect_time));
+        connector.set_tcp_user_timeout(limits.silence);
         let inner = Client::builder(TokioExecutor::new())
             .pool_timer(TokioTimer::new())
-            .pool_idle_timeout(IDLE_TIME)
-            .pool_max_idle_per_host(idle)
+            .pool_idle_timeout(limits.idle_time)
+            .pool_max_idle_per_host(limits.idle)
             .retry_canceled_requests(false)
             .build(connector);
-        Self { inner, reply_bytes }
+        Self {
+            inner,
+            reply_bytes: limits.reply_bytes,
+        }
     }
 
     /// Sends a request and waits for the whole reply.
--- a/crates/bankvalve_link/src/server/http_server.rs
+++ b/crates/bankvalve_link/src/server/http_server.rs
@@ -63,6 +63,8 @@
     pub body: AnswerBody,
     /// Time after which to come back, in milliseconds.
     pub retry_after_ms: Option<u64>,
+    /// Whether the connection is closed after the answer.
+    pub close: bool,
 }
 
 impl HttpAnswer {
@@ -76,6 +78,7 @@
                 content,
             },
             retry_after_ms: None,
+            close: false,
         }
     }
 
@@ -326,6 +329,9 @@
     if let Some(wait) = answer.retry_after_ms {
         builder = builder.header(RETRY_AFTER, wait.div_ceil(1_000));
     }
+    if answer.close {
+        builder = builder.header(hyper::header::CONNECTION, "close");
+    }
     builder
         .body(Full::new(answer.body.content))
         .unwrap_or_else(|_| closing(StatusCode::INTERNAL_SERVER_ERROR))
--- /dev/null
+++ b/crates/bankvalve_queue/src/core/advice.rs
@@ -0,0 +1,246 @@
+//! Questions to the policy service, spread over the instances.
+//!
+//! The service answers one question at a time for each calling instance, so
+//! the leader has its peers ask too. Answers do not change and are kept;
+//! permits run out and are renewed before a start that needs one.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+use super::EntryCore;
+use crate::core::CoreAction;
+use crate::ids::{CoreTime, StepKey, Ticket, WorkerId};
+use crate::peer::{PeerAddress, PeerMessage};
+use crate::queue_table::AdviceRule;
+use crate::worker::{AdviceAnswer, AdviceAsk};
+
+/// Most workers in one question.
+pub(super) const ASK_LIMIT: usize = 100;
+/// A permit is used only this long before it runs out: the order takes its way, and may be repeated.
+const PERMIT_MARGIN: Duration = Duration::from_millis(250);
+/// Questions that take longer go to some of the instances only, so that short ones do not wait.
+const LONG_QUESTION: Duration = Duration::from_millis(60);
+/// Time for the way of a question and its answer.
+const ASK_SLACK: Duration = Duration::from_millis(6);
+/// Wait beyond the reckoned time before a question is given up.
+const ASK_TIMEOUT: Duration = Duration::from_millis(900);
+/// Pause after a question that got no answer.
+const ASK_PAUSE: Duration = Duration::from_millis(200);
+
+/// A permit for one worker.
+#[derive(Clone, Debug)]
+struct Permit {
+    text: String,
+    until: CoreTime,
+}
+
+/// A question on its way.
+#[derive(Debug)]
+struct AdviceFlight {
+    ticket: Ticket,
+    adviser: PeerAddress,
+    asked: Vec<WorkerId>,
+    until: CoreTime,
+}
+
+/// What is known of the policy's answers for one step.
+#[derive(Debug, Default)]
+pub(super) struct StepAdvice {
+    good: BTreeMap<WorkerId, Permit>,
+    known: BTreeSet<WorkerId>,
+    flight: Option<AdviceFlight>,
+    retry_at: CoreTime,
+}
+
+impl StepAdvice {
+    pub(super) fn is_good(&self, worker: &WorkerId) -> bool {
+        self.good.contains_key(worker)
+    }
+
+    pub(super) fn is_known(&self, worker: &WorkerId) -> bool {
+        self.known.contains(worker)
+    }
+
+    /// The permit for a worker, if it holds for long enough.
+    pub(super) fn permit(&self, worker: &WorkerId, now: CoreTime) -> Option<&str> {
+        let permit = self.good.get(worker)?;
+        (permit.until > now).then_some(permit.text.as_str())
+    }
+
+    pub(super) fn can_ask(&self, now: CoreTime) -> bool {
+        self.flight.is_none() && now >= self.retry_at
+    }
+
+    pub(super) fn is_new(&self) -> bool {
+        self.known.is_empty()
+    }
+}
+
+impl EntryCore {
+    /// Asks about workers for a step; the answer leads to another placement.
+    pub(super) fn ask_advice(&mut self, step: StepKey, rule: AdviceRule, workers: Vec<WorkerId>) -> CoreTime {
+        let now = self.now;
+        let takes = rule.time_for(workers.len());
+        let adviser = self.choose_adviser(takes);
+        let ticket = self.take_ticket();
+        let own = self.settings.address;
+        let Some(lead) = self.lead.as_deref_mut() else {
+            return now;
+        };
+        let busy = lead.adviser_busy.entry(adviser).or_insert(now);
+        *busy = (*busy).max(now) + takes + ASK_SLACK;
+        let until = *busy + ASK_TIMEOUT;
+        let expected = *busy;
+        let time = until.saturating_sub(now);
+        let advice = lead.advice.entry(step).or_default();
+        advice.flight = Some(AdviceFlight {
+            ticket,
+            adviser,
+            asked: workers.clone(),
+            until,
+        });
+        let ask = AdviceAsk {
+            step,
+            workers,
+            time,
+        };
+        self.counters.count("calls", "advice");
+        if adviser == own {
+            self.actions.push(CoreAction::Advice { ticket, ask });
+        } else {
+            self.tell(adviser, PeerMessage::Advise { ticket, ask });
+        }
+        expected
+    }
+
+    /// The instance that would answer first; long questions leave a third of them free.
+    fn choose_adviser(&self, takes: Duration) -> PeerAddress {
+        let own = self.settings.address;
+        let mut advisers: Vec<PeerAddress> = self
+            .live_peers()
+            .filter(|(_, peer)| !peer.news.stopping)
+            .map(|(address, _)| address)
+            .collect();
+        advisers.sort_unstable();
+        advisers.push(own);
+        let short_only = advisers.len().div_ceil(3);
+        if takes > LONG_QUESTION && advisers.len() > short_only {
+            advisers.truncate(advisers.len() - short_only);
+        }
+        let now = self.now;
+        let busy = |address: &PeerAddress| {
+            let lead = self.lead.as_deref();
+            let until = lead.and_then(|lead| lead.adviser_busy.get(address).copied());
+            until.unwrap_or(now).max(now)
+        };
+        let from_own = |address: &PeerAddress| u8::from(*address != own);
+        advisers
+            .iter()
+            .copied()
+            .min_by_key(|address| (busy(address), from_own(address)))
+            .unwrap_or(own)
+    }
+
+    /// Carries a question for the leader.
+    pub(super) fn carry_advice(&mut self, from: PeerAddress, ticket: Ticket, ask: AdviceAsk) {
+        let own_ticket = self.take_ticket();
+        self.advising.insert(own_ticket, (from, ticket));
+        self.actions.push(CoreAction::Advice {
+            ticket: own_ticket,
+            ask,
+        });
+    }
+
+    pub(super) fn take_advice(&mut self, ticket: Ticket, answer: AdviceAnswer) {
+        match self.advising.remove(&ticket) {
+            Some((peer, ticket)) => self.tell(peer, PeerMessage::Advised { ticket, answer }),
+            None => self.end_advice(ticket, answer),
+        }
+    }
+
+    pub(super) fn end_advice(&mut self, ticket: Ticket, answer: AdviceAnswer) {
+        let now = self.now;
+        let Some(lead) = self.lead.as_deref_mut() else {
+            return;
+        };
+        let found = lead.advice.iter_mut().find(|(_, advice)| {
+            advice
+                .flight
+                .as_ref()
+                .is_some_and(|flight| flight.ticket == ticket)
+        });
+        let Some((_, advice)) = found else {
+            return;
+        };
+        let Some(flight) = advice.flight.take() else {
+            return;
+        };
+        lead.stale = true;
+        match answer {
+            AdviceAnswer::Good { permits, valid_ms } => {
+                let valid = Duration::from_millis(valid_ms).saturating_sub(PERMIT_MARGIN);
+                advice.known.extend(flight.asked);
+                for (worker, text) in permits {
+                    let until = now + valid;
+                    advice.good.insert(worker, Permit { text, until });
+                }
+            }
+            AdviceAnswer::Busy => {
+                advice.retry_at = now + ASK_PAUSE;
+                self.counters.count("retries", "advice_busy");
+            }
+            AdviceAnswer::NoReply => {
+                advice.retry_at = now;
+                self.counters.count("retries", "advice_unanswered");
+            }
+        }
+    }
+
+    pub(super) fn drop_permit(&mut self, step: StepKey, worker: &WorkerId) {
+        let Some(lead) = self.lead.as_deref_mut() else {
+            return;
+        };
+        if let Some(permit) = lead
+            .advice
+            .get_mut(&step)
+            .and_then(|advice| advice.good.get_mut(worker))
+        {
+            permit.until = CoreTime::ZERO;
+        }
+    }
+
+    /// Asks others in place of a peer that does not answer.
+    pub(super) fn reassign_advice(&mut self, peer: PeerAddress) {
+        let Some(lead) = self.lead.as_deref_mut() else {
+            return;
+        };
+        lead.adviser_busy.remove(&peer);
+        for advice in lead.advice.values_mut() {
+            if advice.flight.as_ref().is_some_and(|flight| flight.adviser == peer) {
+                advice.flight = None;
+                lead.stale = true;
+            }
+        }
+    }
+
+    /// Gives up questions that have had no answer for too long.
+    pub(super) fn run_advice(&mut self) {
+        let now = self.now;
+        let Some(lead) = self.lead.as_deref_mut() else {
+            return;
+        };
+        let mut lost = 0;
+        for advice in lead.advice.values_mut() {
+            if advice.flight.as_ref().is_some_and(|flight| now > flight.until) {
+                advice.flight = None;
+                lost += 1;
+            }
+        }
+        if lost > 0 {
+            lead.stale = true;
+        }
+        for _ in 0..lost {
+            self.counters.count("retries", "advice_unanswered");
+        }
+    }
+}
--- /dev/null
+++ b/crates/bankvalve_queue/src/core/callers.rs
@@ -0,0 +1,278 @@
+//! Callers' requests: carried to the leader, and answered there.
+
+use std::time::Duration;
+
+use super::commit::{Effect, Origin};
+use super::EntryCore;
+use crate::caller::{CallerAnswer, CallerRequest, JobState, RefusalReason, ResolvedRequest};
+use crate::core::CoreAction;
+use crate::ids::{CoreTime, JobId, Ticket};
+use crate::ledger::{JobOutcome, LedgerEvent};
+use crate::peer::{PeerAddress, PeerMessage};
+
+/// Wait for a leader's answer before the question is sent again.
+const RESEND_AFTER: Duration = Duration::from_millis(700);
+/// Longest that a request waits for a leader to be known.
+const LEADER_WAIT: Duration = Duration::from_millis(1_800);
+/// Share of a caller's patience after which it gets its final answer, in percent.
+const PATIENCE_PERCENT: u64 = 85;
+/// When a refused caller may come back, in milliseconds.
+const RETRY_MS: u64 = 1_000;
+/// Most events that may wait to be kept.
+const PENDING_LIMIT: usize = 5_000;
+/// Most requests that wait for the leader.
+const ASK_LIMIT: usize = 4_000;
+
+/// A caller's request that has no answer yet.
+#[derive(Debug)]
+pub(super) struct OpenAsk {
+    request: CallerRequest,
+    since: CoreTime,
+    until: CoreTime,
+    /// Leader that it was last sent to, and when.
+    sent: Option<(PeerAddress, CoreTime)>,
+    /// Copies that a leader may have taken up and that have no answer.
+    copies: u32,
+}
+
+impl EntryCore {
+    pub(super) fn take_request(&mut self, ticket: Ticket, request: ResolvedRequest) {
+        if self.asks.len() >= ASK_LIMIT {
+            self.refuse(ticket, RefusalReason::Overload);
+            return;
+        }
+        let patience = Duration::from_millis(request.patience_ms * PATIENCE_PERCENT / 100);
+        let ask = OpenAsk {
+            request: request.request,
+            since: self.now,
+            until: self.now + patience,
+            sent: None,
+            copies: 0,
+        };
+        self.asks.insert(ticket, ask);
+        self.send_ask(ticket);
+    }
+
+    fn refuse(&mut self, ticket: Ticket, reason: RefusalReason) {
+        self.counters.refuse(reason);
+        let answer = CallerAnswer::Refused {
+            reason,
+            retry_ms: RETRY_MS,
+        };
+        self.actions.push(CoreAction::Answer { ticket, answer });
+    }
+
+    fn send_ask(&mut self, ticket: Ticket) {
+        let now = self.now;
+        let Some(leader) = self.leader.as_ref().map(|leader| leader.address) else {
+            return;
+        };
+        let own = leader == self.settings.address;
+        if own && !self.lead.as_ref().is_some_and(|lead| lead.loaded) {
+            return;
+        }
+        let Some(ask) = self.asks.get_mut(&ticket) else {
+            return;
+        };
+        ask.sent = Some((leader, now));
+        let request = ask.request.clone();
+        if own {
+            self.serve_request(Origin::Own(ticket), request);
+        } else {
+            ask.copies += 1;
+            self.tell(leader, PeerMessage::Ask { ticket, request });
+        }
+    }
+
+    /// Sends all open requests to the leader that is known now.
+    pub(super) fn resend_asks(&mut self) {
+        let tickets: Vec<Ticket> = self.asks.keys().copied().collect();
+        for ticket in tickets {
+            if let Some(ask) = self.asks.get_mut(&ticket) {
+                if ask.sent.is_some_and(|(to, _)| to == self.settings.address) {
+                    ask.copies += 1;
+                }
+                ask.sent = None;
+            }
+            self.send_ask(ticket);
+        }
+    }
+
+    /// Sends again what had no answer, and gives up what would come too late.
+    pub(super) fn run_asks(&mut self) {
+        let now = self.now;
+        let own = self.settings.address;
+        let mut again = Vec::new();
+        let mut over = Vec::new();
+        for (ticket, ask) in &self.asks {
+            let waited = now.saturating_sub(ask.since);
+            if now >= ask.until || (waited > LEADER_WAIT && ask.sent.is_none()) {
+                over.push(*ticket);
+            } else if ask.sent.is_none_or(|(to, at)| to != own && now.saturating_sub(at) > RESEND_AFTER) {
+                again.push(*ticket);
+            }
+        }
+        for ticket in over {
+            self.give_up(ticket);
+        }
+        for ticket in again {
+            self.send_ask(ticket);
+        }
+    }
+
+    fn give_up(&mut self, ticket: Ticket) {
+        let Some(ask) = self.asks.remove(&ticket) else {
+            return;
+        };
+        if ask.copies > 0 || ask.sent.is_some() {
+            self.counters.count("refusals", "unknown");
+            let answer = CallerAnswer::Unknown;
+            self.actions.push(CoreAction::Answer { ticket, answer });
+        } else {
+            self.refuse(ticket, RefusalReason::NoLeader);
+        }
+    }
+
+    pub(super) fn end_ask(&mut self, ticket: Ticket, answer: CallerAnswer) {
+        let Some(ask) = self.asks.remove(&ticket) else {
+            return;
+        };
+        let answer = match answer {
+            // A leader before may have kept it, so it is not sure that it never runs.
+            CallerAnswer::Refused { .. } if ask.copies > 1 => CallerAnswer::Unknown,
+            answer => answer,
+        };
+        if let CallerAnswer::Refused { reason, .. } = &answer {
+            self.counters.refuse(*reason);
+        }
+        self.actions.push(CoreAction::Answer { ticket, answer });
+    }
+
+    pub(super) fn take_ask(&mut self, from: PeerAddress, ticket: Ticket, request: CallerRequest) {
+        let loaded = self.lead.as_ref().is_some_and(|lead| lead.loaded);
+        if loaded {
+            self.serve_request(Origin::Peer(from, ticket), request);
+        } else {
+            let answer = None;
+            self.tell(from, PeerMessage::Reply { ticket, answer });
+        }
+    }
+
+    pub(super) fn take_reply(
+        &mut self,
+        from: PeerAddress,
+        ticket: Ticket,
+        answer: Option<CallerAnswer>,
+    ) {
+        match answer {
+            Some(answer) => self.end_ask(ticket, answer),
+            None => {
+                let Some(ask) = self.asks.get_mut(&ticket) else {
+                    return;
+                };
+                ask.copies = ask.copies.saturating_sub(1);
+                if ask.sent.is_some_and(|(to, _)| to == from) {
+                    // It did not take this copy up; it goes out again soon.
+                    let back = RESEND_AFTER - Duration::from_millis(100);
+                    ask.sent = Some((from, self.now.saturating_sub(back)));
+                }
+            }
+        }
+    }
+
+    fn serve_request(&mut self, origin: Origin, request: CallerRequest) {
+        match request {
+            CallerRequest::Submit { spec, terms } => self.serve_submit(origin, spec, terms),
+            CallerRequest::Status { job } => self.serve_status(origin, job),
+            CallerRequest::Cancel { job } => self.serve_cancel(origin, job),
+            CallerRequest::Count { queue } => {
+                let waits = |job: &&crate::ledger::JobRecord| {
+                    job.outcome == JobOutcome::Open && !job.begun && job.spec.queue == queue
+                };
+                let count = self.book.jobs().filter(waits).count() as u64;
+                self.answer(origin, CallerAnswer::Waiting(count));
+            }
+        }
+    }
+
+    fn serve_submit(
+        &mut self,
+        origin: Origin,
+        spec: std::sync::Arc<crate::job::JobSpec>,
+        terms: crate::job::JobTerms,
+    ) {
+        let job = spec.id;
+        if self.book.job(job).is_some() {
+            self.follow_up(Effect::Answer(origin, CallerAnswer::Accepted));
+            return;
+        }
+        let pending = self.lead.as_ref().map_or(0, |lead| lead.pending.len());
+        let refusal = if self.store_is_away() {
+            Some(RefusalReason::StoreAway)
+        } else if pending > PENDING_LIMIT {
+            Some(RefusalReason::Overload)
+        } else if self.stopping {
+            Some(RefusalReason::Stopping)
+        } else {
+            None
+        };
+        if let Some(reason) = refusal {
+            let id = format!("{job:016x}");
+            self.log("callers", "refuse", id, reason.as_str().to_owned());
+            let answer = CallerAnswer::Refused {
+                reason,
+                retry_ms: RETRY_MS,
+            };
+            self.answer(origin, answer);
+            return;
+        }
+        let detail = format!("queue {} steps {}", spec.queue, spec.steps.len());
+        self.log("callers", "accept", format!("{job:016x}"), detail);
+        self.counters.count("jobs", "accepted");
+        let at = self.wall;
+        let event = LedgerEvent::Accepted { spec, terms, at };
+        self.propose(event, Effect::Answer(origin, CallerAnswer::Accepted));
+        self.schedule_times(job);
+    }
+
+    fn serve_status(&mut self, origin: Origin, job: JobId) {
+        let Some(record) = self.book.job(job) else {
+            self.confirm_unknown(origin);
+            return;
+        };
+        let state = record.state();
+        let lead = self.lead.as_deref();
+        let kept = lead.is_some_and(|lead| !lead.uncommitted.contains_key(&job));
+        let state = match state {
+            JobState::Succeeded | JobState::Failed | JobState::Cancelled if !kept => {
+                JobState::Running
+            }
+            state => state,
+        };
+        self.answer(origin, CallerAnswer::State(state));
+    }
+
+    fn serve_cancel(&mut self, origin: Origin, job: JobId) {
+        let Some(record) = self.book.job(job) else {
+            self.confirm_unknown(origin);
+            return;
+        };
+        let effect = Effect::Answer(origin, CallerAnswer::Cancelled);
+        if record.outcome == JobOutcome::Open {
+            self.log("callers", "cancel", format!("{job:016x}"), String::new());
+            self.counters.count("jobs", "cancelled");
+            let at = self.wall;
+            self.propose(LedgerEvent::Cancelled { job, at }, effect);
+        } else {
+            self.follow_up(effect);
+        }
+    }
+
+    /// Says that there is no such job only after it is sure that this instance leads.
+    fn confirm_unknown(&mut self, origin: Origin) {
+        let now = self.now;
+        if let Some(lead) = self.lead.as_deref_mut() {
+            lead.confirm_waiting.push((now, origin));
+        }
+    }
+}
--- /dev/null
+++ b/crates/bankvalve_queue/src/core/commit.rs
@@ -0,0 +1,372 @@
+//! Keeping the ledger: events are gathered and written under the leader's row.
+
+use std::time::Duration;
+
+use super::following::batch_key;
+use super::store_link::{StorePurpose, CELL_TABLE, LEAD_PART, LEDGER_TABLE};
+use super::EntryCore;
+use crate::caller::CallerAnswer;
+use crate::ids::{CoreTime, TaskKey, Ticket, WorkerId};
+use crate::ledger::{LedgerBatch, LedgerEvent};
+use crate::peer::{PeerAddress, PeerMessage};
+use crate::store::{RowCondition, RowKey, RowWrite, StoreOutcome, StoreRequest, StoredRow};
+
+/// Most events in one batch.
+const BATCH_EVENTS: usize = 400;
+/// Share of the longest row that a batch may take, since values grow when they are encoded.
+const ROW_SHARE: usize = 2;
+/// Time between the starts of two commits: events that come meanwhile go together.
+const COMMIT_PACE: Duration = Duration::from_millis(12);
+/// Pause after a write that was refused.
+const BUSY_PAUSE: Duration = Duration::from_millis(60);
+/// Silence after which the leader asks whether it still leads.
+const CONFIRM_EVERY: Duration = Duration::from_millis(600);
+/// A write without an answer for so long: the table counts as away.
+pub(super) const STORE_AWAY: Duration = Duration::from_millis(450);
+
+/// Who asked.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Origin {
+    /// A caller of this instance.
+    Own(Ticket),
+    /// A caller of a peer.
+    Peer(PeerAddress, Ticket),
+}
+
+/// What follows once an event is kept.
+#[derive(Clone, Debug)]
+pub(super) enum Effect {
+    None,
+    Answer(Origin, CallerAnswer),
+    Order(TaskKey, u64),
+    ForgetEnd(WorkerId, u64),
+}
+
+/// An event that is to be kept; without one, the effect waits for those before it.
+#[derive(Debug)]
+pub(super) struct Proposal {
+    pub(super) event: Option<LedgerEvent>,
+    pub(super) effect: Effect,
+}
+
+/// A batch that is being written.
+#[derive(Debug)]
+pub(super) struct CommitFlight {
+    sequence: u64,
+    bytes: Vec<u8>,
+    jobs: Vec<u64>,
+    effects: Vec<Effect>,
+    since: CoreTime,
+    busy: bool,
+    next_at: CoreTime,
+}
+
+impl EntryCore {
+    /// Applies an event at once and has it kept; the effect follows when it is.
+    pub(super) fn propose(&mut self, event: LedgerEvent, effect: Effect) {
+        self.book.apply(&event);
+        let Some(lead) = self.lead.as_deref_mut() else {
+            return;
+        };
+        let job = event.job();
+        *lead.uncommitted.entry(job).or_default() += 1;
+        lead.touched.insert(job);
+        lead.pending.push_back(Proposal {
+            event: Some(event),
+            effect,
+        });
+    }
+
+    /// Has an effect follow once all events before it are kept.
+    pub(super) fn follow_up(&mut self, effect: Effect) {
+        if let Some(lead) = self.lead.as_deref_mut() {
+            lead.pending.push_back(Proposal {
+                event: None,
+                effect,
+            });
+        }
+    }
+
+    /// Tells whether the table has left a write unanswered for long.
+    pub(super) fn store_is_away(&self) -> bool {
+        let Some(lead) = self.lead.as_deref() else {
+            return false;
+        };
+        let flight = lead.flight.as_ref();
+        flight.is_some_and(|flight| self.age(flight.since) > STORE_AWAY)
+    }
+
+    pub(super) fn run_commit(&mut self) {
+        let now = self.now;
+        let row_bytes = self.settings.row_bytes / ROW_SHARE;
+        let Some(lead) = self.lead.as_deref_mut() else {
+            return;
+        };
+        if !lead.loaded {
+            return;
+        }
+        if let Some(flight) = lead.flight.as_mut() {
+            if !flight.busy && now >= flight.next_at {
+                flight.busy = true;
+                self.send_flight();
+            }
+            return;
+        }
+        if lead.pending.is_empty() || now < lead.next_commit_at {
+            return;
+        }
+        let mut events = Vec::new();
+        let mut effects = Vec::new();
+        let mut bytes = 0;
+        while let Some(proposal) = lead.pending.front() {
+            bytes += proposal.event.as_ref().map_or(0, rough_bytes);
+            if events.len() >= BATCH_EVENTS || (bytes > row_bytes && !events.is_empty()) {
+                break;
+            }
+            let proposal = lead.pending.pop_front().expect("it was just seen");
+            events.extend(proposal.event);
+            effects.push(proposal.effect);
+        }
+        if events.is_empty() {
+            self.run_effects(effects);
+            return;
+        }
+        lead.next_commit_at = now + COMMIT_PACE;
+        let jobs = events.iter().map(LedgerEvent::job).collect();
+        lead.flight = Some(CommitFlight {
+            sequence: lead.sequence + 1,
+            bytes: LedgerBatch { events }.encode(),
+            jobs,
+            effects,
+            since: now,
+            busy: true,
+            next_at: now,
+        });
+        self.send_flight();
+    }
+
+    fn send_flight(&mut self) {
+        let Some(lead) = self.lead.as_deref() else {
+            return;
+        };
+        let Some(flight) = lead.flight.as_ref() else {
+            return;
+        };
+        let leader = RowKey::new(CELL_TABLE, LEAD_PART, "leader");
+        let row = RowKey::new(LEDGER_TABLE, LEAD_PART, batch_key(flight.sequence));
+        let request = StoreRequest::Transact {
+            conditions: vec![
+                RowCondition {
+                    key: leader,
+                    version: lead.row_version,
+                },
+                RowCondition {
+                    key: row.clone(),
+                    version: 0,
+                },
+            ],
+            writes: vec![RowWrite {
+                key: row,
+                value: flight.bytes.clone(),
+            }],
+            removals: Vec::new(),
+        };
+        self.counters.count("commits", "sent");
+        self.ask_store(StorePurpose::Commit, request);
+    }
+
+    pub(super) fn end_commit(&mut self, outcome: StoreOutcome) {
+        let now = self.now;
+        let Some(lead) = self.lead.as_deref_mut() else {
+            return;
+        };
+        let Some(flight) = lead.flight.as_mut() else {
+            return;
+        };
+        match outcome {
+            StoreOutcome::Applied { .. } => self.finish_commit(),
+            StoreOutcome::Conflict { rows } => {
+                let own = own_batch_stands(&rows, flight, lead.row_version);
+                if own {
+                    self.finish_commit();
+                } else {
+                    self.depose("a write under the own row was refused");
+                    self.read_leader_row();
+                }
+            }
+            StoreOutcome::Lost => {
+                flight.busy = false;
+                flight.next_at = now;
+            }
+            _ => {
+                flight.busy = false;
+                flight.next_at = now + BUSY_PAUSE;
+            }
+        }
+    }
+
+    fn finish_commit(&mut self) {
+        let now = self.now;
+        let Some(lead) = self.lead.as_deref_mut() else {
+            return;
+        };
+        let Some(flight) = lead.flight.take() else {
+            return;
+        };
+        lead.sequence = flight.sequence;
+        lead.confirmed_at = now;
+        lead.store_answered = now;
+        self.applied = flight.sequence;
+        for job in flight.jobs {
+            if let Some(count) = lead.uncommitted.get_mut(&job) {
+                *count -= 1;
+                if *count == 0 {
+                    lead.uncommitted.remove(&job);
+                }
+            }
+        }
+        let epoch = lead.epoch;
+        self.counters.count("commits", "kept");
+        let peers: Vec<PeerAddress> = self.live_peers().map(|(address, _)| address).collect();
+        for peer in peers {
+            let message = PeerMessage::Committed {
+                epoch,
+                sequence: flight.sequence,
+                batch: flight.bytes.clone(),
+            };
+            self.tell(peer, message);
+        }
+        self.run_effects(flight.effects);
+    }
+
+    fn run_effects(&mut self, effects: Vec<Effect>) {
+        for effect in effects {
+            match effect {
+                Effect::None => {}
+                Effect::Answer(origin, answer) => self.answer(origin, answer),
+                Effect::Order(task, run) => self.begin_order(task, run),
+                Effect::ForgetEnd(worker, number) => {
+                    if let Some(lead) = self.lead.as_deref_mut() {
+                        if let Some(seat) = lead.seats.get_mut(&worker) {
+                            seat.kept = seat.kept.max(number);
+                        }
+                    }
+                }
+            }
+        }
+    }
+
+    pub(super) fn answer(&mut self, origin: Origin, answer: CallerAnswer) {
+        match origin {
+            Origin::Own(ticket) => self.end_ask(ticket, answer),
+            Origin::Peer(peer, ticket) => {
+                let answer = Some(answer);
+                self.tell(peer, PeerMessage::Reply { ticket, answer });
+            }
+        }
+    }
+
+    /// Asks whether the own row still stands, if nothing has been kept for a while.
+    pub(super) fn run_confirm(&mut self) {
+        let now = self.now;
+        let Some(lead) = self.lead.as_deref_mut() else {
+            return;
+        };
+        let due = now.saturating_sub(lead.confirmed_at) > CONFIRM_EVERY;
+        let wanted = !lead.confirm_waiting.is_empty() || due;
+        if !wanted || lead.confirming.is_some() {
+            return;
+        }
+        lead.confirming = Some(now);
+        let request = StoreRequest::Read {
+            table: CELL_TABLE.to_owned(),
+            part: LEAD_PART.to_owned(),
+            from: String::new(),
+        };
+        self.ask_store(StorePurpose::Confirm, request);
+    }
+
+    pub(super) fn end_confirm(&mut self, outcome: &StoreOutcome) {
+        let now = self.now;
+        let Some(lead) = self.lead.as_deref_mut() else {
+            return;
+        };
+        let Some(asked_at) = lead.confirming.take() else {
+            return;
+        };
+        let StoreOutcome::Rows { rows, .. } = outcome else {
+            return;
+        };
+        lead.store_answered = now;
+        if !rows.iter().any(|row| row.version == lead.row_version) {
+            self.depose("the row names another leader");
+            self.take_leader_rows(rows);
+            return;
+        }
+        lead.confirmed_at = now;
+        if !lead.loaded {
+            return;
+        }
+        let waiting = std::mem::take(&mut lead.confirm_waiting);
+        let (ready, later): (Vec<_>, Vec<_>) =
+            waiting.into_iter().partition(|(at, _)| *at <= asked_at);
+        lead.confirm_waiting = later;
+        for (_, origin) in ready {
+            self.answer(origin, CallerAnswer::NoSuchJob);
+        }
+    }
+
+    pub(super) fn load_ledger(&mut self) {
+        self.ask_ledger(StorePurpose::LoadLedger);
+    }
+
+    pub(super) fn end_load(&mut self, outcome: StoreOutcome) {
+        let Some(lead) = self.lead.as_deref_mut() else {
+            return;
+        };
+        if lead.loaded {
+            return;
+        }
+        let StoreOutcome::Rows { rows, more, .. } = outcome else {
+            self.load_ledger();
+            return;
+        };
+        lead.store_answered = self.now;
+        self.take_ledger_rows(&rows);
+        if more {
+            self.load_ledger();
+            return;
+        }
+        let applied = self.applied;
+        if let Some(lead) = self.lead.as_deref_mut() {
+            lead.sequence = applied;
+            lead.loaded = true;
+        }
+        self.adopt_book();
+    }
+}
+
+/// Tells whether the rows of a conflict show that an earlier copy of the write was done.
+fn own_batch_stands(rows: &[StoredRow], flight: &CommitFlight, row_version: u64) -> bool {
+    let key = batch_key(flight.sequence);
+    let leader_stands = rows
+        .iter()
+        .any(|row| row.key.table == CELL_TABLE && row.version == row_version);
+    let batch_stands = rows.iter().any(|row| {
+        row.key.table == LEDGER_TABLE && row.key.key == key && row.value == flight.bytes
+    });
+    leader_stands && batch_stands
+}
+
+/// Bytes that an event takes, roughly.
+fn rough_bytes(event: &LedgerEvent) -> usize {
+    /// An event without texts, encoded.
+    const SMALL: usize = 64;
+    /// A step of a job, encoded.
+    const STEP: usize = 96;
+    match event {
+        LedgerEvent::Accepted { spec, .. } => SMALL + spec.payload.len() + STEP * spec.steps.len(),
+        LedgerEvent::Ended { saved, .. } => SMALL + saved.len(),
+        _ => SMALL,
+    }
+}
--- /dev/null
+++ b/crates/bankvalve_queue/src/core/entry_core.rs
@@ -0,0 +1,345 @@
+//! The state of an instance, and how an event passes through it.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use super::callers::OpenAsk;
+use super::election::{LeaderView, PeerView};
+use super::lead::LeadState;
+use super::store_link::{StorePurpose, WatchState};
+use crate::caller::{CallerAnswer, ResolvedRequest};
+use crate::decision::{DecisionLine, EntryCounters, EntryView};
+use crate::ids::{CoreTime, FenceToken, Ticket, WallMillis, WorkerId};
+use crate::ledger::JobBook;
+use crate::peer::{PeerAddress, PeerMessage};
+use crate::queue_table::QueueTable;
+use crate::store::{StoreOutcome, StoreRequest};
+use crate::worker::{AdviceAnswer, AdviceAsk, WorkerAnswer, WorkerCall};
+
+/// Time between two ticks of a leader that has something to keep or to place.
+const BUSY_TICK: Duration = Duration::from_millis(5);
+/// Time between two ticks of a leader.
+const LEAD_TICK: Duration = Duration::from_millis(20);
+/// Time between two ticks of an instance that follows.
+const FOLLOW_TICK: Duration = Duration::from_millis(50);
+
+/// What an instance is told about itself and its cell.
+#[derive(Clone, Debug)]
+pub struct EntrySettings {
+    /// Where it listens for peers.
+    pub address: PeerAddress,
+    /// Start of its life, milliseconds since 1970.
+    pub life: WallMillis,
+    /// Longest hold that a worker grants.
+    pub hold_limit: Duration,
+    /// How much earlier than due a task may start.
+    pub early: Duration,
+    /// How long an ended job's state is told.
+    pub status_time: Duration,
+    /// Longest value of a row, in bytes before encoding.
+    pub row_bytes: usize,
+}
+
+impl EntrySettings {
+    /// Settings for tests and examples.
+    pub fn example(address: PeerAddress) -> Self {
+        Self {
+            address,
+            life: 1,
+            hold_limit: Duration::from_secs(6),
+            early: Duration::from_millis(250),
+            status_time: Duration::from_secs(120),
+            row_bytes: 65_536,
+        }
+    }
+}
+
+/// Something that happened.
+#[derive(Clone, Debug)]
+pub enum CoreEvent {
+    /// Time has passed.
+    Tick,
+    /// A peer said something.
+    Peer {
+        /// Who.
+        from: PeerAddress,
+        /// What.
+        message: PeerMessage,
+    },
+    /// Messages to a peer did not arrive, as far as is known.
+    PeerUnreached {
+        /// Who.
+        peer: PeerAddress,
+        /// Whether its port refused the connection.
+        refused: bool,
+    },
+    /// The table answered, or did not.
+    Store {
+        /// Number of the request.
+        ticket: Ticket,
+        /// What became of it.
+        outcome: StoreOutcome,
+    },
+    /// A worker answered, or did not.
+    Worker {
+        /// Number of the call.
+        ticket: Ticket,
+        /// What became of it.
+        answer: WorkerAnswer,
+    },
+    /// The policy service answered, or did not.
+    Advice {
+        /// Number of the question.
+        ticket: Ticket,
+        /// The answer.
+        answer: AdviceAnswer,
+    },
+    /// A caller asks.
+    Caller {
+        /// Number of the request.
+        ticket: Ticket,
+        /// The request.
+        request: ResolvedRequest,
+    },
+    /// A planned stop begins.
+    Stop,
+}
+
+/// Something to be done.
+#[derive(Clone, Debug)]
+pub enum CoreAction {
+    /// Ask the table.
+    Store {
+        /// Number of the request.
+        ticket: Ticket,
+        /// The request.
+        request: StoreRequest,
+        /// Longest time to wait for the answer.
+        time: Duration,
+    },
+    /// Call a worker.
+    Worker {
+        /// Number of the call.
+        ticket: Ticket,
+        /// Life of the worker that is meant.
+        worker: WorkerId,
+        /// Where it listens.
+        address: String,
+        /// Token that goes with the call.
+        token: FenceToken,
+        /// The call.
+        call: WorkerCall,
+        /// Longest time to wait for the answer.
+        time: Duration,
+    },
+    /// Ask the policy service.
+    Advice {
+        /// Number of the question.
+        ticket: Ticket,
+        /// The question.
+        ask: AdviceAsk,
+    },
+    /// Say something to a peer.
+    Peer {
+        /// To whom.
+        to: PeerAddress,
+        /// What.
+        message: PeerMessage,
+    },
+    /// Answer a caller.
+    Answer {
+        /// Number of the request.
+        ticket: Ticket,
+        /// The answer.
+        answer: CallerAnswer,
+    },
+    /// Use a configuration for routing callers.
+    UseTable(QueueTable),
+    /// Decode a configuration that a peer passed on.
+    DecodeTable(Vec<u8>),
+    /// Log a decision.
+    Log(DecisionLine),
+}
+
+/// One entry instance.
+///
+/// # Examples
+///
+/// ```
+/// use std::time::Duration;
+/// use bankvalve_queue::{CoreAction, CoreEvent, EntryCore, EntrySettings};
+///
+/// let mut core = EntryCore::new(EntrySettings::example("127.0.0.1:7300".parse().unwrap()));
+/// let actions = core.step(Duration::ZERO, 1, CoreEvent::Tick);
+/// assert!(actions.iter().any(|action| matches!(action, CoreAction::Store { .. })));
+/// ```
+#[derive(Debug)]
+pub struct EntryCore {
+    pub(super) settings: EntrySettings,
+    pub(super) now: CoreTime,
+    pub(super) wall: WallMillis,
+    pub(super) table: Option<QueueTable>,
+    pub(super) table_raw: Vec<u8>,
+    pub(super) peers: BTreeMap<PeerAddress, PeerView>,
+    pub(super) leader: Option<LeaderView>,
+    pub(super) highest_epoch: u64,
+    pub(super) registered: bool,
+    pub(super) members_known: bool,
+    pub(super) claim: Option<super::election::ClaimState>,
+    pub(super) suspect_since: Option<CoreTime>,
+    pub(super) asked_to_lead: Option<u64>,
+    pub(super) predecessor_over: Option<(u64, CoreTime)>,
+    pub(super) next_heartbeat: CoreTime,
+    pub(super) book: JobBook,
+    pub(super) applied: u64,
+    pub(super) catch_up_at: Option<CoreTime>,
+    pub(super) lead: Option<Box<LeadState>>,
+    pub(super) asks: BTreeMap<Ticket, OpenAsk>,
+    pub(super) advising: BTreeMap<Ticket, (PeerAddress, Ticket)>,
+    pub(super) store_tickets: BTreeMap<Ticket, StorePurpose>,
+    pub(super) cell_watch: WatchState,
+    pub(super) operator_watch: WatchState,
+    pub(super) worker_watch: WatchState,
+    pub(super) store_answered_at: CoreTime,
+    pub(super) next_ticket: Ticket,
+    pub(super) stopping: bool,
+    pub(super) counters: EntryCounters,
+    pub(super) actions: Vec<CoreAction>,
+}
+
+impl EntryCore {
+    /// Makes an instance that knows nothing yet.
+    pub fn new(settings: EntrySettings) -> Self {
+        Self {
+            settings,
+            now: Duration::ZERO,
+            wall: 0,
+            table: None,
+            table_raw: Vec::new(),
+            peers: BTreeMap::new(),
+            leader: None,
+            highest_epoch: 0,
+            registered: false,
+            members_known: false,
+            claim: None,
+            suspect_since: None,
+            asked_to_lead: None,
+            predecessor_over: None,
+            next_heartbeat: Duration::ZERO,
+            book: JobBook::default(),
+            applied: 0,
+            catch_up_at: None,
+            lead: None,
+            asks: BTreeMap::new(),
+            advising: BTreeMap::new(),
+            store_tickets: BTreeMap::new(),
+            cell_watch: WatchState::default(),
+            operator_watch: WatchState::default(),
+            worker_watch: WatchState::default(),
+            store_answered_at: Duration::ZERO,
+            next_ticket: 1,
+            stopping: false,
+            counters: EntryCounters::default(),
+            actions: Vec::new(),
+        }
+    }
+
+    /// Takes an event at a time and returns what is to be done.
+    ///
+    /// `now` is the instance's steady clock and must not fall; `wall` is the
+    /// time of day.
+    pub fn step(&mut self, now: CoreTime, wall: WallMillis, event: CoreEvent) -> Vec<CoreAction> {
+        self.now = self.now.max(now);
+        self.wall = wall;
+        match event {
+            CoreEvent::Tick => self.tick(),
+            CoreEvent::Peer { from, message } => self.take_message(from, message),
+            CoreEvent::PeerUnreached { peer, refused } => self.peer_unreached(peer, refused),
+            CoreEvent::Store { ticket, outcome } => self.take_store(ticket, outcome),
+            CoreEvent::Worker { ticket, answer } => self.take_worker_answer(ticket, answer),
+            CoreEvent::Advice { ticket, answer } => self.take_advice(ticket, answer),
+            CoreEvent::Caller { ticket, request } => self.take_request(ticket, request),
+            CoreEvent::Stop => self.begin_stop(),
+        }
+        self.run_lead();
+        std::mem::take(&mut self.actions)
+    }
+
+    /// How the instance stands.
+    pub fn view(&self) -> EntryView {
+        let lead = self.lead.as_deref();
+        EntryView {
+            ready: self.is_ready(),
+            leading: lead.is_some(),
+            stopped: self.stopping && lead.is_none() && self.asks.is_empty(),
+            jobs: self.book.len() as u64,
+            waiting_tasks: lead.map_or(0, LeadState::waiting_tasks),
+            live_runs: lead.map_or(0, LeadState::live_runs),
+            counters: self.counters.clone(),
+        }
+    }
+
+    /// The jobs as this instance knows them.
+    pub fn book(&self) -> &JobBook {
+        &self.book
+    }
+
+    /// Gives the instance a configuration that was decoded for it.
+    pub fn give_table(&mut self, table: QueueTable, raw: Vec<u8>) -> Vec<CoreAction> {
+        self.use_table(table, raw);
+        std::mem::take(&mut self.actions)
+    }
+
+    /// Time until the next tick is due, if nothing else happens.
+    pub fn wake_after(&self) -> Duration {
+        match self.lead.as_deref() {
+            Some(lead) if lead.is_busy() => BUSY_TICK,
+            Some(_) => LEAD_TICK,
+            None => FOLLOW_TICK,
+        }
+    }
+
+    fn tick(&mut self) {
+        self.run_watches();
+        self.run_membership();
+        self.run_election();
+        self.run_heartbeats();
+        self.run_asks();
+        self.run_following();
+    }
+
+    fn begin_stop(&mut self) {
+        self.stopping = true;
+        self.log("entry", "stop", String::new(), String::new());
+        self.next_heartbeat = self.now;
+    }
+
+    pub(super) fn take_ticket(&mut self) -> Ticket {
+        let ticket = self.next_ticket;
+        self.next_ticket += 1;
+        ticket
+    }
+
+    pub(super) fn tell(&mut self, to: PeerAddress, message: PeerMessage) {
+        self.actions.push(CoreAction::Peer { to, message });
+    }
+
+    pub(super) fn log(
+        &mut self,
+        part: &'static str,
+        event: &'static str,
+        id: String,
+        detail: String,
+    ) {
+        self.actions.push(CoreAction::Log(DecisionLine {
+            part,
+            event,
+            id,
+            detail,
+        }));
+    }
+
+    pub(super) fn age(&self, at: CoreTime) -> Duration {
+        self.now.saturating_sub(at)
+    }
+}
--- /dev/null
+++ b/crates/bankvalve_queue/src/core/following.rs
@@ -0,0 +1,116 @@
+//! An instance that does not lead: it keeps its book close to the ledger's end.
+
+use std::time::Duration;
+
+use super::store_link::{StorePurpose, LEAD_PART, LEDGER_TABLE};
+use super::EntryCore;
+use crate::ledger::LedgerBatch;
+use crate::peer::{PeerAddress, PeerMessage};
+use crate::store::{StoreOutcome, StoreRequest};
+
+/// Wait before missing batches are read, since they may still be on their way.
+const CATCH_UP_PAUSE: Duration = Duration::from_millis(1_500);
+
+pub(super) fn batch_key(sequence: u64) -> String {
+    format!("{sequence:012}")
+}
+
+impl EntryCore {
+    pub(super) fn take_message(&mut self, from: PeerAddress, message: PeerMessage) {
+        match message {
+            PeerMessage::Heartbeat(news) => self.take_heartbeat(from, news),
+            PeerMessage::Ask { ticket, request } => self.take_ask(from, ticket, request),
+            PeerMessage::Reply { ticket, answer } => self.take_reply(from, ticket, answer),
+            PeerMessage::Advise { ticket, ask } => self.carry_advice(from, ticket, ask),
+            PeerMessage::Advised { ticket, answer } => self.end_advice(ticket, answer),
+            PeerMessage::Committed {
+                epoch,
+                sequence,
+                batch,
+            } => self.take_committed(epoch, sequence, &batch),
+            PeerMessage::TakeOver { epoch } => self.take_over(from, epoch),
+            PeerMessage::Table { raw } => {
+                self.actions.push(super::CoreAction::DecodeTable(raw));
+            }
+        }
+    }
+
+    fn take_committed(&mut self, epoch: u64, sequence: u64, batch: &[u8]) {
+        if self.lead.is_some() || epoch < self.highest_epoch || sequence <= self.applied {
+            return;
+        }
+        if sequence == self.applied + 1 {
+            self.apply_batch(sequence, batch);
+        } else if self.catch_up_at.is_none() {
+            self.catch_up_at = Some(self.now + CATCH_UP_PAUSE);
+        }
+    }
+
+    /// Applies the next batch of the ledger to the book.
+    pub(super) fn apply_batch(&mut self, sequence: u64, batch: &[u8]) {
+        match LedgerBatch::decode(batch) {
+            Ok(batch) => {
+                for event in &batch.events {
+                    self.book.apply(event);
+                }
+            }
+            Err(error) => {
+                let id = sequence.to_string();
+                self.log("ledger", "unreadable", id, error.to_string());
+            }
+        }
+        self.applied = sequence;
+    }
+
+    pub(super) fn run_following(&mut self) {
+        if self.lead.is_some() || self.catch_up_at.is_none_or(|at| self.now < at) {
+            return;
+        }
+        self.catch_up_at = None;
+        self.ask_ledger(StorePurpose::CatchUp);
+    }
+
+    pub(super) fn ask_ledger(&mut self, purpose: StorePurpose) {
+        let request = StoreRequest::Read {
+            table: LEDGER_TABLE.to_owned(),
+            part: LEAD_PART.to_owned(),
+            from: batch_key(self.applied + 1),
+        };
+        self.ask_store(purpose, request);
+    }
+
+    /// Takes rows of the ledger, or of the leader, that were read while following.
+    pub(super) fn end_catch_up(&mut self, outcome: StoreOutcome) {
+        let StoreOutcome::Rows { rows, more, .. } = outcome else {
+            self.catch_up_at = Some(self.now + CATCH_UP_PAUSE);
+            if !matches!(outcome, StoreOutcome::Conflict { .. }) && self.leader.is_none() {
+                self.read_leader_later();
+            }
+            return;
+        };
+        self.take_leader_rows(&rows);
+        if self.lead.is_some() {
+            return;
+        }
+        self.take_ledger_rows(&rows);
+        if more {
+            self.ask_ledger(StorePurpose::CatchUp);
+        }
+    }
+
+    fn read_leader_later(&mut self) {
+        // The next look at the cell's rows reads the leader's row too.
+        self.members_known = false;
+        self.cell_watch.after = None;
+    }
+
+    /// Applies those rows that follow each other without a gap.
+    pub(super) fn take_ledger_rows(&mut self, rows: &[crate::store::StoredRow]) {
+        for row in rows.iter().filter(|row| row.key.table == LEDGER_TABLE) {
+            let sequence = row.key.key.parse::<u64>().unwrap_or(0);
+            if sequence == self.applied + 1 {
+                self.apply_batch(sequence, &row.value);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/bankvalve_queue/src/core/holds.rs
@@ -0,0 +1,449 @@
+//! Holds: prolonged by looks at workers, whose lists tell what runs and what ended.
+
+use std::time::Duration;
+
+use super::commit::Effect;
+use super::lead::CallPurpose;
+use super::seat::{LiveRun, RunPhase, Seat};
+use super::EntryCore;
+use crate::core::CoreAction;
+use crate::ids::{CoreTime, TaskKey, Ticket, WorkerId};
+use crate::job::TaskSize;
+use crate::ledger::{EndKind, LedgerEvent, TaskPhase};
+use crate::worker::{EndReport, HoldReport, RunReport, StartRefusal, WorkerAnswer, WorkerCall};
+
+/// Longest hold that is asked for; a lost worker's tasks start again only when it is over,
+/// and what a cut-off worker runs lives so long.
+const HOLD: Duration = Duration::from_millis(5_000);
+/// Longest that a worker waits for an end before it answers.
+const LOOK_WAIT: Duration = Duration::from_millis(900);
+/// Time for the way there and back, and a slow worker.
+const LOOK_SLACK: Duration = Duration::from_millis(600);
+/// Least time between two looks, so that ends that come close together travel together.
+const LOOK_PACE: Duration = Duration::from_millis(15);
+/// Pause of looks while ends wait to be kept.
+const KEEP_PAUSE: Duration = Duration::from_millis(500);
+/// Pause after a look without an answer.
+const SILENT_PAUSE: Duration = Duration::from_millis(250);
+/// A worker that was heard so lately gets work.
+pub(super) const HEARD_LATELY: Duration = Duration::from_millis(1_300);
+/// A worker that was heard so lately has its hold prolonged.
+const PROLONG_IF_HEARD: Duration = Duration::from_millis(2_200);
+/// Longest that a leader commands workers without being sure that it leads.
+pub(super) const UNCONFIRMED_LIMIT: Duration = Duration::from_secs(15);
+/// A clock of a worker may run 2% slow, and answers take their way.
+const SLOW_CLOCK_FACTOR: f64 = 1.03;
+/// Silence after which an unlisted worker without runs is forgotten.
+const FORGET_SEAT: Duration = Duration::from_secs(8);
+
+impl EntryCore {
+    /// The hold that is asked of workers.
+    pub(super) fn hold_time(&self) -> Duration {
+        HOLD.min(self.settings.hold_limit)
+    }
+
+    /// Whether this leader may still command workers.
+    pub(super) fn may_command(&self) -> bool {
+        self.lead
+            .as_ref()
+            .is_some_and(|lead| self.age(lead.confirmed_at) < UNCONFIRMED_LIMIT)
+    }
+
+    /// Looks at workers that are due, and gives up those whose holds are over.
+    pub(super) fn run_holds(&mut self) {
+        if !self.may_command() {
+            return;
+        }
+        let now = self.now;
+        let Some(lead) = self.lead.as_deref() else {
+            return;
+        };
+        let mut due = Vec::new();
+        let mut over = Vec::new();
+        let mut gone = Vec::new();
+        for (id, seat) in &lead.seats {
+            let silent = seat.heard_at.map_or(now, |at| now.saturating_sub(at));
+            let silent_long = silent > HEARD_LATELY || seat.heard_at.is_none();
+            if !seat.runs.is_empty() && silent_long && self.is_over(seat) {
+                over.push(id.clone());
+            }
+            let idle = now.saturating_sub(seat.heard_at.unwrap_or(seat.known_at));
+            if !seat.listed && seat.runs.is_empty() && idle > FORGET_SEAT {
+                gone.push(id.clone());
+            } else if !seat.hold_busy && now >= seat.next_hold && !seat.entry.address.is_empty() {
+                due.push(id.clone());
+            }
+        }
+        for id in due {
+            self.look(&id);
+        }
+        for id in over {
+            self.give_up_seat(&id, "its hold is over");
+        }
+        if let Some(lead) = self.lead.as_deref_mut() {
+            for id in gone {
+                lead.seats.remove(&id);
+            }
+        }
+    }
+
+    /// Tells whether all that runs on a silent worker has surely ended.
+    fn is_over(&self, seat: &Seat) -> bool {
+        if seat.proved {
+            return seat.hold_is_over(self.now);
+        }
+        let Some(lead) = self.lead.as_deref() else {
+            return false;
+        };
+        let known = self
+            .predecessor_over
+            .filter(|(epoch, _)| *epoch == lead.epoch)
+            .map(|(_, at)| at);
+        let stopped = known.unwrap_or(lead.began_at + UNCONFIRMED_LIMIT);
+        let hold = self.settings.hold_limit.mul_f64(SLOW_CLOCK_FACTOR);
+        self.now > stopped + hold + Duration::from_millis(200)
+    }
+
+    fn look(&mut self, id: &WorkerId) {
+        let now = self.now;
+        let hold = self.hold_time();
+        let Some(lead) = self.lead.as_deref_mut() else {
+            return;
+        };
+        let Some(seat) = lead.seats.get_mut(id) else {
+            return;
+        };
+        let heard = seat.heard_at.is_some_and(|at| now.saturating_sub(at) < PROLONG_IF_HEARD);
+        let until_ms = if heard && seat.proved {
+            seat.hold_until(now, hold)
+        } else {
+            None
+        };
+        if let Some(until) = until_ms {
+            seat.granted_until = seat.granted_until.max(until);
+        }
+        let settled = seat.seen == seat.kept;
+        let wait = if seat.proved && settled && heard {
+            LOOK_WAIT
+        } else {
+            Duration::ZERO
+        };
+        seat.hold_busy = true;
+        let call = WorkerCall::Hold {
+            until_ms,
+            kept: seat.kept,
+            wait_ms: wait.as_millis() as u64,
+        };
+        self.counters.count("calls", "look");
+        let purpose = CallPurpose::Hold { sent_at: now };
+        self.call_worker(id, purpose, call, wait + LOOK_SLACK);
+    }
+
+    pub(super) fn call_worker(
+        &mut self,
+        id: &WorkerId,
+        purpose: CallPurpose,
+        call: WorkerCall,
+        time: Duration,
+    ) {
+        let ticket = self.take_ticket();
+        let Some(lead) = self.lead.as_deref_mut() else {
+            return;
+        };
+        let Some(seat) = lead.seats.get(id) else {
+            return;
+        };
+        let address = seat.entry.address.clone();
+        lead.calls.insert(ticket, (id.clone(), purpose));
+        let token = lead.epoch;
+        self.actions.push(CoreAction::Worker {
+            ticket,
+            worker: id.clone(),
+            address,
+            token,
+            call,
+            time,
+        });
+    }
+
+    pub(super) fn take_worker_answer(&mut self, ticket: Ticket, answer: WorkerAnswer) {
+        let now = self.now;
+        let Some(lead) = self.lead.as_deref_mut() else {
+            return;
+        };
+        let Some((id, purpose)) = lead.calls.remove(&ticket) else {
+            return;
+        };
+        let Some(seat) = lead.seats.get_mut(&id) else {
+            return;
+        };
+        let clock = match &answer {
+            WorkerAnswer::Done { clock_ms, .. } | WorkerAnswer::Refused { clock_ms, .. } => {
+                *clock_ms
+            }
+            _ => None,
+        };
+        if let Some(clock) = clock {
+            seat.note_clock(now, clock);
+        }
+        match answer {
+            WorkerAnswer::OtherLife => {
+                self.give_up_seat(&id, "another life answers");
+                if let Some(seat) = self.lead.as_deref_mut().and_then(|lead| lead.seats.get_mut(&id)) {
+                    seat.listed = false;
+                    seat.hold_busy = false;
+                    seat.next_hold = now + FORGET_SEAT;
+                }
+            }
+            WorkerAnswer::Refused {
+                reason: StartRefusal::Fenced,
+                ..
+            } => {
+                self.depose("a worker has seen a later token");
+                self.read_leader_row();
+            }
+            answer => match purpose {
+                CallPurpose::Hold { sent_at } => self.end_look(&id, sent_at, answer),
+                CallPurpose::Start { task, run } => self.end_start(&id, task, run, answer),
+                CallPurpose::Stop { task, run } => self.end_stop(&id, task, run, &answer),
+            },
+        }
+    }
+
+    fn end_look(&mut self, id: &WorkerId, sent_at: CoreTime, answer: WorkerAnswer) {
+        let now = self.now;
+        let Some(seat) = self.lead.as_deref_mut().and_then(|lead| lead.seats.get_mut(id)) else {
+            return;
+        };
+        seat.hold_busy = false;
+        let WorkerAnswer::Done {
+            report: Some(report),
+            ..
+        } = answer
+        else {
+            seat.next_hold = now + SILENT_PAUSE;
+            self.counters.count("retries", "worker_silent");
+            return;
+        };
+        let first = !seat.proved;
+        seat.proved = true;
+        seat.heard_at = Some(now);
+        seat.next_hold = if first { now } else { (sent_at + LOOK_PACE).max(now) };
+        self.take_report(id, sent_at, report);
+        let Some(lead) = self.lead.as_deref_mut() else {
+            return;
+        };
+        if first {
+            lead.stale = true;
+        }
+        if let Some(seat) = lead.seats.get_mut(id) {
+            if seat.seen != seat.kept {
+                seat.next_hold = now + KEEP_PAUSE;
+            }
+        }
+    }
+
+    fn take_report(&mut self, id: &WorkerId, sent_at: CoreTime, report: HoldReport) {
+        for end in &report.ended {
+            self.take_end(id, end);
+        }
+        self.take_running(id, &report.running);
+        self.settle_missing(id, sent_at, &report);
+    }
+
+    fn take_end(&mut self, id: &WorkerId, end: &EndReport) {
+        let now = self.now;
+        let Some(lead) = self.lead.as_deref_mut() else {
+            return;
+        };
+        let Some(seat) = lead.seats.get_mut(id) else {
+            return;
+        };
+        if end.number <= seat.seen {
+            return;
+        }
+        seat.seen = end.number;
+        lead.stale = true;
+        let held = seat.runs.get(&end.task).is_some_and(|live| live.run == end.run);
+        let mut ran = Duration::ZERO;
+        if held {
+            if let Some(live) = seat.remove_run(&end.task) {
+                ran = now.saturating_sub(live.began);
+            }
+        }
+        let job = end.task.step.job;
+        let rests = match end.how {
+            EndKind::Done => seat.note_result(job, true, now),
+            EndKind::Failed => seat.note_result(job, false, now),
+            _ => false,
+        };
+        if rests {
+            self.counters.count("workers", "rest");
+            self.log("workers", "rest", id.to_string(), "fails what it starts".into());
+        }
+        let detail = format!("run {} on {id}: {} after {ran:?}", end.run, end.how.as_str());
+        self.log("runs", "end", end.task.to_string(), detail);
+        self.counters.count("ends", end.how.as_str());
+        let effect = Effect::ForgetEnd(id.clone(), end.number);
+        if self.is_current(end.task, end.run) {
+            self.propose_end(end.task, end.run, end.how, end.saved.clone(), effect);
+        } else {
+            self.follow_up(effect);
+        }
+    }
+
+    fn is_current(&self, task: TaskKey, run: u64) -> bool {
+        let record = self.book.job(task.step.job).and_then(|job| job.task(task));
+        record.is_some_and(
+            |record| matches!(record.phase, TaskPhase::Placed { run: now, .. } if now == run),
+        )
+    }
+
+    pub(super) fn propose_end(
+        &mut self,
+        task: TaskKey,
+        run: u64,
+        how: EndKind,
+        saved: String,
+        effect: Effect,
+    ) {
+        let event = LedgerEvent::Ended {
+            task,
+            run,
+            how,
+            saved,
+            at: self.wall,
+        };
+        self.propose(event, effect);
+    }
+
+    fn take_running(&mut self, id: &WorkerId, running: &[RunReport]) {
+        let now = self.now;
+        for report in running {
+            let room = self.room_of(report.task);
+            let Some(lead) = self.lead.as_deref_mut() else {
+                return;
+            };
+            let Some(seat) = lead.seats.get_mut(id) else {
+                return;
+            };
+            match seat.runs.get_mut(&report.task) {
+                Some(live) if live.run == report.run => {
+                    if matches!(live.phase, RunPhase::Adopted | RunPhase::Ordered) {
+                        live.phase = RunPhase::Running { since: now };
+                        lead.touched.insert(report.task.step.job);
+                    }
+                    if !report.saved.is_empty() && live.saved != report.saved {
+                        live.saved.clone_from(&report.saved);
+                    }
+                }
+                Some(_) => {}
+                None => {
+                    let live = LiveRun {
+                        run: report.run,
+                        room,
+                        phase: RunPhase::Stopping { confirmed: None },
+                        began: now,
+                        estimate: Duration::ZERO,
+                        copies: 0,
+                        busy: false,
+                        next_at: now,
+                        tries: 0,
+                        saved: String::new(),
+                        permit: None,
+                    };
+                    seat.add_run(report.task, live);
+                    let detail = format!("run {} on {id}", report.run);
+                    self.log("runs", "unknown", report.task.to_string(), detail);
+                }
+            }
+        }
+    }
+
+    fn room_of(&self, task: TaskKey) -> TaskSize {
+        let job = self.book.job(task.step.job);
+        let step = job.and_then(|job| job.spec.steps.get(usize::from(task.step.step)));
+        step.map_or_else(TaskSize::default, crate::job::StepSpec::room)
+    }
+
+    /// Runs that are in neither list never began, or are gone.
+    fn settle_missing(&mut self, id: &WorkerId, sent_at: CoreTime, report: &HoldReport) {
+        let Some(lead) = self.lead.as_deref_mut() else {
+            return;
+        };
+        let Some(seat) = lead.seats.get_mut(id) else {
+            return;
+        };
+        let listed = |task: &TaskKey, run: u64| {
+            report
+                .running
+                .iter()
+                .any(|entry| entry.task == *task && entry.run == run)
+        };
+        let mut missing = Vec::new();
+        for (task, live) in &seat.runs {
+            let settled = match live.phase {
+                RunPhase::Adopted => true,
+                RunPhase::Stopping {
+                    confirmed: Some(at),
+                } => at < sent_at,
+                // It was confirmed before the worker was asked, so the list is newer.
+                RunPhase::Running { since } => since < sent_at,
+                _ => false,
+            };
+            if settled && !listed(task, live.run) {
+                missing.push((*task, live.run, live.saved.clone()));
+            }
+        }
+        for (task, run, saved) in missing {
+            self.end_without_report(id, task, run, EndKind::NeverRan, saved);
+        }
+    }
+
+    /// Ends a run that no list will tell of.
+    pub(super) fn end_without_report(
+        &mut self,
+        id: &WorkerId,
+        task: TaskKey,
+        run: u64,
+        how: EndKind,
+        saved: String,
+    ) {
+        let Some(lead) = self.lead.as_deref_mut() else {
+            return;
+        };
+        lead.stale = true;
+        if let Some(seat) = lead.seats.get_mut(id) {
+            if seat.runs.get(&task).is_some_and(|live| live.run == run) {
+                seat.remove_run(&task);
+            }
+        }
+        let detail = format!("run {run} on {id}: {}", how.as_str());
+        self.log("runs", "end", task.to_string(), detail);
+        self.counters.count("ends", how.as_str());
+        if self.is_current(task, run) {
+            self.propose_end(task, run, how, saved, Effect::None);
+        }
+    }
+
+    /// Ends all runs of a worker that surely runs nothing any more.
+    fn give_up_seat(&mut self, id: &WorkerId, why: &str) {
+        let Some(lead) = self.lead.as_deref() else {
+            return;
+        };
+        let Some(seat) = lead.seats.get(id) else {
+            return;
+        };
+        let runs: Vec<(TaskKey, u64, String)> = seat
+            .runs
+            .iter()
+            .map(|(task, live)| (*task, live.run, live.saved.clone()))
+            .collect();
+        let detail = format!("{why}, {} runs", runs.len());
+        self.log("workers", "lost", id.to_string(), detail);
+        self.counters.count("workers", "lost");
+        for (task, run, saved) in runs {
+            self.end_without_report(id, task, run, EndKind::Lost, saved);
+        }
+    }
+}
--- /dev/null
+++ b/crates/bankvalve_queue/src/core/lead.rs
@@ -0,0 +1,190 @@
+//! What only the leader knows.
+
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::time::Duration;
+
+use super::advice::StepAdvice;
+use super::commit::{CommitFlight, Origin, Proposal};
+use super::seat::Seat;
+use super::waiting::WaitingStep;
+use super::EntryCore;
+use crate::ids::{CoreTime, JobId, StepKey, TaskKey, Ticket, WallMillis, WorkerId};
+use crate::ledger::JobOutcome;
+use crate::peer::PeerAddress;
+
+/// Time between two looks for jobs that ended so long ago that they are forgotten.
+const FORGET_EVERY: Duration = Duration::from_secs(5);
+
+/// What a call to a worker was for.
+#[derive(Clone, Debug)]
+pub(super) enum CallPurpose {
+    Hold { sent_at: CoreTime },
+    Start { task: TaskKey, run: u64 },
+    Stop { task: TaskKey, run: u64 },
+}
+
+/// State of a leader.
+#[derive(Debug)]
+pub(super) struct LeadState {
+    pub(super) epoch: u64,
+    pub(super) row_version: u64,
+    pub(super) predecessor: Option<(PeerAddress, u64)>,
+    pub(super) began_at: CoreTime,
+    /// Whether the whole ledger has been read.
+    pub(super) loaded: bool,
+    /// Whether the workers' entries have been read.
+    pub(super) workers_known: bool,
+    /// When the table last answered a request that was conditional on the own row.
+    pub(super) confirmed_at: CoreTime,
+    pub(super) store_answered: CoreTime,
+    pub(super) confirming: Option<CoreTime>,
+    pub(super) confirm_waiting: Vec<(CoreTime, Origin)>,
+    pub(super) sequence: u64,
+    pub(super) pending: VecDeque<Proposal>,
+    pub(super) flight: Option<CommitFlight>,
+    pub(super) next_commit_at: CoreTime,
+    pub(super) uncommitted: BTreeMap<JobId, u32>,
+    pub(super) seats: BTreeMap<WorkerId, Seat>,
+    pub(super) calls: BTreeMap<Ticket, (WorkerId, CallPurpose)>,
+    pub(super) waiting: BTreeMap<StepKey, WaitingStep>,
+    pub(super) touched: BTreeSet<JobId>,
+    pub(super) due: BTreeSet<(WallMillis, JobId, u32)>,
+    pub(super) advice: BTreeMap<StepKey, StepAdvice>,
+    pub(super) adviser_busy: BTreeMap<PeerAddress, CoreTime>,
+    /// Whether room, permits or waiting steps changed since the last placement.
+    pub(super) stale: bool,
+    pub(super) place_at: CoreTime,
+    pub(super) stop_since: Option<CoreTime>,
+    pub(super) next_forget: CoreTime,
+}
+
+impl LeadState {
+    pub(super) fn new(
+        epoch: u64,
+        row_version: u64,
+        predecessor: Option<(PeerAddress, u64)>,
+        now: CoreTime,
+    ) -> Self {
+        Self {
+            epoch,
+            row_version,
+            predecessor,
+            began_at: now,
+            loaded: false,
+            workers_known: false,
+            confirmed_at: now,
+            store_answered: now,
+            confirming: None,
+            confirm_waiting: Vec::new(),
+            sequence: 0,
+            pending: VecDeque::new(),
+            flight: None,
+            next_commit_at: now,
+            uncommitted: BTreeMap::new(),
+            seats: BTreeMap::new(),
+            calls: BTreeMap::new(),
+            waiting: BTreeMap::new(),
+            touched: BTreeSet::new(),
+            due: BTreeSet::new(),
+            advice: BTreeMap::new(),
+            adviser_busy: BTreeMap::new(),
+            stale: true,
+            place_at: now,
+            stop_since: None,
+            next_forget: now,
+        }
+    }
+
+    pub(super) fn waiting_tasks(&self) -> u64 {
+        self.waiting.values().map(|step| u64::from(step.tasks)).sum()
+    }
+
+    pub(super) fn live_runs(&self) -> u64 {
+        self.seats.values().map(|seat| seat.runs.len() as u64).sum()
+    }
+
+    /// Tells whether something is to be kept or placed soon.
+    pub(super) fn is_busy(&self) -> bool {
+        self.stale || (self.flight.is_none() && !self.pending.is_empty())
+    }
+
+    /// Tells whether something is asked of the table that has no answer yet.
+    pub(super) fn is_waiting_for_store(&self) -> bool {
+        self.flight.is_some() || self.confirming.is_some() || !self.loaded
+    }
+}
+
+impl EntryCore {
+    /// Does what the leader has to do now; nothing on an instance that does not lead.
+    pub(super) fn run_lead(&mut self) {
+        if self.lead.is_none() {
+            return;
+        }
+        self.run_confirm();
+        self.run_holds();
+        if self.lead.as_ref().is_some_and(|lead| lead.loaded) {
+            self.open_due_times();
+            self.run_orders();
+            self.refresh_touched();
+            self.run_placing();
+            self.run_advice();
+        }
+        self.run_commit();
+        self.forget_ended();
+    }
+
+    /// Opens the times of repeated jobs that have fallen due.
+    fn open_due_times(&mut self) {
+        let early = self.settings.early.as_millis() as u64 / 2;
+        let now = self.wall + early;
+        let Some(lead) = self.lead.as_deref_mut() else {
+            return;
+        };
+        while let Some(&(due, job, time)) = lead.due.first() {
+            if due > now {
+                return;
+            }
+            lead.due.pop_first();
+            if let Some(record) = self.book.job_mut(job) {
+                record.open_time(time);
+                lead.touched.insert(job);
+                if time + 1 < record.spec.times() {
+                    let next = record.spec.due_ms(time + 1);
+                    lead.due.insert((next, job, time + 1));
+                }
+            }
+        }
+    }
+
+    fn forget_ended(&mut self) {
+        let Some(lead) = self.lead.as_deref_mut() else {
+            return;
+        };
+        if self.now < lead.next_forget {
+            return;
+        }
+        lead.next_forget = self.now + FORGET_EVERY;
+        let kept = self.settings.status_time.as_millis() as u64 * 2;
+        self.book.forget_ended(self.wall.saturating_sub(kept));
+        let book = &self.book;
+        lead.advice.retain(|step, _| {
+            book.job(step.job)
+                .is_some_and(|job| job.outcome == JobOutcome::Open)
+        });
+    }
+
+    /// Prepares the times of a job that repeats.
+    pub(super) fn schedule_times(&mut self, job: JobId) {
+        let Some(lead) = self.lead.as_deref_mut() else {
+            return;
+        };
+        let Some(record) = self.book.job(job) else {
+            return;
+        };
+        let open = record.outcome == JobOutcome::Open;
+        if open && record.spec.repeats > 0 && record.next_time < record.spec.times() {
+            let due = record.spec.due_ms(record.next_time);
+            lead.due.insert((due, job, record.next_time));
+        }
+    }
+}
--- /dev/null
+++ b/crates/bankvalve_queue/src/core/orders.rs
@@ -0,0 +1,291 @@
+//! Orders to workers: starts and stops, repeated until it is sure what became of them.
+
+use std::time::Duration;
+
+use super::lead::CallPurpose;
+use super::seat::RunPhase;
+use super::EntryCore;
+use crate::ids::{TaskKey, WorkerId};
+use crate::ledger::{EndKind, JobOutcome, TaskPhase};
+use crate::worker::{StartOrder, StartRefusal, WorkerAnswer, WorkerCall};
+
+/// Longest wait for the answer to an order.
+const ORDER_TIME: Duration = Duration::from_millis(350);
+/// Pause before an order that was not sent is tried again.
+const ORDER_PAUSE: Duration = Duration::from_millis(120);
+/// Tries of an order that was surely not carried out.
+const ORDER_TRIES: u32 = 3;
+/// Pause before a stop is repeated.
+const STOP_PAUSE: Duration = Duration::from_millis(250);
+/// Rest of a worker that turned an order away as unwell.
+const UNWELL_REST: Duration = Duration::from_millis(1_500);
+
+impl EntryCore {
+    /// Sends the order for a run that is kept now.
+    pub(super) fn begin_order(&mut self, task: TaskKey, run: u64) {
+        let Some((worker, open)) = self.placed_on(task, run) else {
+            return;
+        };
+        if !open || self.gang_is_broken(task.step) {
+            self.end_without_report(&worker, task, run, EndKind::NeverRan, String::new());
+            return;
+        }
+        let Some(lead) = self.lead.as_deref_mut() else {
+            return;
+        };
+        let live = lead
+            .seats
+            .get_mut(&worker)
+            .and_then(|seat| seat.runs.get_mut(&task));
+        let Some(live) = live else {
+            return;
+        };
+        if live.run != run || live.phase != RunPhase::Proposed {
+            return;
+        }
+        live.phase = RunPhase::Ordered;
+        self.send_start(&worker, task);
+    }
+
+    /// Tells whether a gang has lost a member, so that the others need not start.
+    fn gang_is_broken(&self, step: crate::ids::StepKey) -> bool {
+        let Some(job) = self.book.job(step.job) else {
+            return false;
+        };
+        let gang = job.spec.steps[usize::from(step.step)].gang;
+        gang && job.step(step).is_some_and(|record| record.waiting > 0)
+    }
+
+    fn placed_on(&self, task: TaskKey, run: u64) -> Option<(WorkerId, bool)> {
+        let job = self.book.job(task.step.job)?;
+        match &job.task(task)?.phase {
+            TaskPhase::Placed { worker, run: now } if *now == run => {
+                Some((worker.clone(), job.outcome == JobOutcome::Open))
+            }
+            _ => None,
+        }
+    }
+
+    fn send_start(&mut self, id: &WorkerId, task: TaskKey) {
+        let now = self.now;
+        let hold = self.hold_time();
+        let Some(job) = self.book.job(task.step.job) else {
+            return;
+        };
+        let saved = job.task(task).map(|task| task.saved.clone());
+        let spec = job.spec.clone();
+        let Some(seat) = self.lead.as_deref_mut().and_then(|lead| lead.seats.get_mut(id)) else {
+            return;
+        };
+        let Some(until_ms) = seat.hold_until(now, hold) else {
+            return;
+        };
+        seat.granted_until = seat.granted_until.max(until_ms);
+        let Some(live) = seat.runs.get_mut(&task) else {
+            return;
+        };
+        live.busy = true;
+        live.tries += 1;
+        let run = live.run;
+        let order = StartOrder {
+            task,
+            run,
+            job: spec,
+            saved: saved.unwrap_or_default(),
+            permit: live.permit.clone(),
+            until_ms,
+        };
+        self.counters.count("calls", "start");
+        let call = WorkerCall::Start(Box::new(order));
+        self.call_worker(id, CallPurpose::Start { task, run }, call, ORDER_TIME);
+    }
+
+    pub(super) fn end_start(
+        &mut self,
+        id: &WorkerId,
+        task: TaskKey,
+        run: u64,
+        answer: WorkerAnswer,
+    ) {
+        let now = self.now;
+        let Some(lead) = self.lead.as_deref_mut() else {
+            return;
+        };
+        let Some(seat) = lead.seats.get_mut(id) else {
+            return;
+        };
+        let Some(live) = seat.runs.get_mut(&task).filter(|live| live.run == run) else {
+            return;
+        };
+        live.busy = false;
+        if live.phase != RunPhase::Ordered {
+            return;
+        }
+        match answer {
+            WorkerAnswer::Done { .. } => {
+                live.phase = RunPhase::Running { since: now };
+                live.began = now;
+                self.log("runs", "start", task.to_string(), format!("run {run} on {id}"));
+                return;
+            }
+            WorkerAnswer::NoReply => {
+                live.copies += 1;
+                live.next_at = now;
+                self.counters.count("retries", "order_unanswered");
+                return;
+            }
+            WorkerAnswer::NotSent if live.tries < ORDER_TRIES => {
+                live.next_at = now + ORDER_PAUSE;
+                self.counters.count("retries", "order_not_sent");
+                return;
+            }
+            WorkerAnswer::Refused {
+                reason: StartRefusal::Late,
+                ..
+            } if live.tries < ORDER_TRIES => {
+                live.next_at = now;
+                return;
+            }
+            _ => {}
+        }
+        let why = match &answer {
+            WorkerAnswer::Refused { reason, .. } => reason.as_str(),
+            WorkerAnswer::Unwell => "unwell",
+            _ => "not_sent",
+        };
+        let sure = live.copies == 0;
+        let old = matches!(
+            answer,
+            WorkerAnswer::Refused {
+                reason: StartRefusal::Old,
+                ..
+            }
+        );
+        if answer == WorkerAnswer::Unwell {
+            seat.resting_until = seat.resting_until.max(now + UNWELL_REST);
+        }
+        self.counters.count("order_refusals", why);
+        self.log("runs", "refused", task.to_string(), format!("run {run} on {id}: {why}"));
+        if why == "permit" {
+            self.drop_permit(task.step, id);
+        }
+        if sure && !old {
+            self.end_without_report(id, task, run, EndKind::NeverRan, String::new());
+        } else {
+            self.begin_stop_run(id, task);
+        }
+    }
+
+    /// Stops a run; its end, or its absence from the lists, frees the room.
+    pub(super) fn begin_stop_run(&mut self, id: &WorkerId, task: TaskKey) {
+        let Some(lead) = self.lead.as_deref_mut() else {
+            return;
+        };
+        let live = lead
+            .seats
+            .get_mut(id)
+            .and_then(|seat| seat.runs.get_mut(&task));
+        let Some(live) = live else {
+            return;
+        };
+        match live.phase {
+            RunPhase::Stopping { .. } => return,
+            // It is ordered or found absent first; then this is asked for again.
+            RunPhase::Proposed | RunPhase::Adopted => return,
+            _ => {}
+        }
+        live.phase = RunPhase::Stopping { confirmed: None };
+        live.next_at = self.now;
+        live.busy = false;
+    }
+
+    /// Repeats orders that have no answer.
+    pub(super) fn run_orders(&mut self) {
+        if !self.may_command() {
+            return;
+        }
+        let now = self.now;
+        let Some(lead) = self.lead.as_deref() else {
+            return;
+        };
+        let mut starts = Vec::new();
+        let mut stops = Vec::new();
+        for (id, seat) in &lead.seats {
+            for (task, live) in &seat.runs {
+                if live.busy || now < live.next_at {
+                    continue;
+                }
+                match live.phase {
+                    RunPhase::Ordered => starts.push((id.clone(), *task)),
+                    RunPhase::Stopping { confirmed: None } => stops.push((id.clone(), *task)),
+                    _ => {}
+                }
+            }
+        }
+        for (id, task) in starts {
+            self.send_start(&id, task);
+        }
+        for (id, task) in stops {
+            self.send_stop(&id, task);
+        }
+    }
+
+    fn send_stop(&mut self, id: &WorkerId, task: TaskKey) {
+        let Some(lead) = self.lead.as_deref_mut() else {
+            return;
+        };
+        let live = lead
+            .seats
+            .get_mut(id)
+            .and_then(|seat| seat.runs.get_mut(&task));
+        let Some(live) = live else {
+            return;
+        };
+        live.busy = true;
+        let run = live.run;
+        self.counters.count("calls", "stop");
+        let call = WorkerCall::Stop { task, run };
+        self.call_worker(id, CallPurpose::Stop { task, run }, call, ORDER_TIME);
+    }
+
+    pub(super) fn end_stop(
+        &mut self,
+        id: &WorkerId,
+        task: TaskKey,
+        run: u64,
+        answer: &WorkerAnswer,
+    ) {
+        let now = self.now;
+        let Some(lead) = self.lead.as_deref_mut() else {
+            return;
+        };
+        let live = lead
+            .seats
+            .get_mut(id)
+            .and_then(|seat| seat.runs.get_mut(&task))
+            .filter(|live| live.run == run);
+        let Some(live) = live else {
+            return;
+        };
+        live.busy = false;
+        live.next_at = now + STOP_PAUSE;
+        if matches!(answer, WorkerAnswer::Done { .. }) {
+            self.log("runs", "stop", task.to_string(), format!("run {run} on {id}"));
+            live_confirmed(self, id, task);
+        }
+    }
+}
+
+fn live_confirmed(core: &mut EntryCore, id: &WorkerId, task: TaskKey) {
+    let now = core.now;
+    let live = core
+        .lead
+        .as_deref_mut()
+        .and_then(|lead| lead.seats.get_mut(id))
+        .and_then(|seat| seat.runs.get_mut(&task));
+    if let Some(live) = live {
+        live.phase = RunPhase::Stopping {
+            confirmed: Some(now),
+        };
+    }
+}
--- /dev/null
+++ b/crates/bankvalve_queue/src/core/placing.rs
@@ -0,0 +1,367 @@
+//! Placement: which waiting task runs on which worker.
+
+use std::cmp::Reverse;
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use super::advice::{StepAdvice, ASK_LIMIT};
+use super::commit::Effect;
+use super::holds::HEARD_LATELY;
+use super::seat::{LiveRun, Reservation, RunPhase, Seat};
+use super::waiting::WaitingRank;
+use super::EntryCore;
+use crate::ids::{CoreTime, RunId, StepKey, TaskKey, WorkerId};
+use crate::job::{StepSpec, TaskSize};
+use crate::ledger::{LedgerEvent, TaskPhase};
+use crate::queue_table::AdviceRule;
+
+/// Steps that are looked at in one placement, by rank.
+const LOOK_LIMIT: usize = 160;
+/// Least time between two placements.
+const PLACE_PACE: Duration = Duration::from_millis(4);
+/// Time between two placements when nothing is known to have changed.
+const PLACE_IDLE: Duration = Duration::from_millis(250);
+/// Time beyond a question's own for which room is kept for its step.
+const RESERVE_SLACK: Duration = Duration::from_millis(60);
+/// Workers asked about for each task, and at least, in a first question.
+const ASK_PER_TASK: usize = 4;
+const ASK_LEAST: usize = 16;
+
+/// A step that is being placed.
+struct PlacedStep {
+    key: StepKey,
+    spec: StepSpec,
+    service: String,
+    rule: Option<AdviceRule>,
+    tasks: Vec<TaskKey>,
+    run: RunId,
+    room: TaskSize,
+}
+
+/// Choice of workers for tasks of a step.
+type Choice = Vec<(TaskKey, WorkerId)>;
+
+impl EntryCore {
+    pub(super) fn run_placing(&mut self) {
+        let now = self.now;
+        let blocked = self.store_is_away() || !self.may_command() || self.stopping;
+        let Some(lead) = self.lead.as_deref_mut() else {
+            return;
+        };
+        if !lead.workers_known || blocked || now < lead.place_at {
+            return;
+        }
+        let idle = now.saturating_sub(lead.place_at) < PLACE_IDLE;
+        if !lead.stale && idle {
+            return;
+        }
+        lead.stale = false;
+        lead.place_at = now + PLACE_PACE;
+        let wall = self.wall;
+        let mut ranked: Vec<(WaitingRank, StepKey)> = lead
+            .waiting
+            .iter()
+            .map(|(key, step)| (step.rank(wall), *key))
+            .collect();
+        ranked.sort_unstable();
+        ranked.truncate(LOOK_LIMIT);
+        for (_, key) in ranked {
+            if let Some(step) = self.step_to_place(key) {
+                self.place_step(&step);
+            }
+        }
+        self.refresh_touched_steps();
+    }
+
+    /// Steps whose tasks were just placed leave the waiting ones.
+    fn refresh_touched_steps(&mut self) {
+        self.refresh_touched();
+        if let Some(lead) = self.lead.as_deref_mut() {
+            lead.stale = false;
+        }
+    }
+
+    fn step_to_place(&self, key: StepKey) -> Option<PlacedStep> {
+        let job = self.book.job(key.job)?;
+        let spec = job.spec.steps.get(usize::from(key.step))?.clone();
+        let record = job.step(key)?;
+        let queue = self
+            .table
+            .as_ref()
+            .and_then(|table| table.queue(&job.spec.queue));
+        let terms = queue.map_or(&job.terms, |queue| &queue.terms);
+        let tasks: Vec<TaskKey> = record
+            .tasks
+            .iter()
+            .enumerate()
+            .filter(|(_, task)| task.phase == TaskPhase::Waiting)
+            .map(|(index, _)| key.task(index as u32))
+            .collect();
+        if tasks.is_empty() {
+            return None;
+        }
+        Some(PlacedStep {
+            key,
+            service: terms.service.clone(),
+            rule: terms.advice,
+            room: spec.room(),
+            run: record.last_run() + 1,
+            spec,
+            tasks,
+        })
+    }
+
+    fn place_step(&mut self, step: &PlacedStep) {
+        let now = self.now;
+        let Some(lead) = self.lead.as_deref() else {
+            return;
+        };
+        let empty = StepAdvice::default();
+        let advice = lead.advice.get(&step.key).unwrap_or(&empty);
+        let seats: Vec<(&WorkerId, &Seat)> = lead
+            .seats
+            .iter()
+            .filter(|(_, seat)| admits(seat, step, now))
+            .collect();
+        let Some(rule) = step.rule else {
+            let choice = choose(step, &seats, now);
+            self.start_choice(step, choice);
+            return;
+        };
+        if advice.is_new() {
+            if advice.can_ask(now) {
+                let workers = first_question(step, &seats, now);
+                if !workers.is_empty() {
+                    self.ask_advice(step.key, rule, workers);
+                }
+            }
+            return;
+        }
+        let permitted: Vec<(&WorkerId, &Seat)> = seats
+            .iter()
+            .copied()
+            .filter(|(id, _)| advice.permit(id, now).is_some())
+            .collect();
+        let choice = choose(step, &permitted, now);
+        let whole = choice.len() == step.tasks.len();
+        let can_ask = advice.can_ask(now);
+        let mut question = Vec::new();
+        let mut kept = Vec::new();
+        if !whole && can_ask {
+            let good: Vec<(&WorkerId, &Seat)> = seats
+                .iter()
+                .copied()
+                .filter(|(id, _)| advice.is_good(id))
+                .collect();
+            let wider = choose(step, &good, now);
+            if wider.len() > choice.len() {
+                question = workers_of(&wider);
+                question.retain(|id| advice.permit(id, now).is_none() || step.spec.gang);
+                kept = wider;
+            } else {
+                question = unknown_with_room(step, &seats, advice, now);
+            }
+        }
+        let placed: Vec<TaskKey> = choice.iter().map(|(task, _)| *task).collect();
+        self.start_choice(step, choice);
+        if !question.is_empty() {
+            let until = self.ask_advice(step.key, rule, question);
+            kept.retain(|(task, _)| !placed.contains(task));
+            self.reserve(step, &kept, until + RESERVE_SLACK);
+        }
+    }
+
+    /// Keeps room for a step while its permits are renewed.
+    fn reserve(&mut self, step: &PlacedStep, choice: &Choice, until: CoreTime) {
+        let now = self.now;
+        let Some(lead) = self.lead.as_deref_mut() else {
+            return;
+        };
+        let mut counts: BTreeMap<&WorkerId, u64> = BTreeMap::new();
+        for (_, worker) in choice {
+            *counts.entry(worker).or_default() += 1;
+        }
+        for (worker, count) in counts {
+            if let Some(seat) = lead.seats.get_mut(worker) {
+                seat.drop_reservation(step.key, now);
+                seat.reserved.push(Reservation {
+                    step: step.key,
+                    room: step.room.times(count),
+                    until,
+                });
+            }
+        }
+    }
+
+    fn start_choice(&mut self, step: &PlacedStep, choice: Choice) {
+        let now = self.now;
+        for (task, worker) in choice {
+            let Some(lead) = self.lead.as_deref_mut() else {
+                return;
+            };
+            let permit = lead
+                .advice
+                .get(&step.key)
+                .and_then(|advice| advice.permit(&worker, now))
+                .map(str::to_owned);
+            let Some(seat) = lead.seats.get_mut(&worker) else {
+                continue;
+            };
+            seat.drop_reservation(step.key, now);
+            let live = LiveRun {
+                run: step.run,
+                room: step.room,
+                phase: RunPhase::Proposed,
+                began: now,
+                estimate: Duration::from_millis(step.spec.estimate_ms),
+                copies: 0,
+                busy: false,
+                next_at: now,
+                tries: 0,
+                saved: String::new(),
+                permit,
+            };
+            seat.add_run(task, live);
+            let detail = format!("run {} on {worker}, room left {}", step.run, seat.entry.room.minus(&seat.used).millicores);
+            self.log("placer", "place", task.to_string(), detail);
+            let run = step.run;
+            let event = LedgerEvent::Started { task, run, worker };
+            self.propose(event, Effect::Order(task, run));
+        }
+    }
+}
+
+/// Tells whether a worker may be given tasks of a step at all.
+fn admits(seat: &Seat, step: &PlacedStep, now: CoreTime) -> bool {
+    let heard = seat
+        .heard_at
+        .is_some_and(|at| now.saturating_sub(at) < HEARD_LATELY);
+    let label = step
+        .spec
+        .required_label
+        .as_ref()
+        .is_none_or(|label| seat.entry.labels.contains(label));
+    heard
+        && label
+        && seat.proved
+        && seat.listed
+        && !seat.entry.leaving
+        && now >= seat.resting_until
+        && seat.entry.service == step.service
+        && step.room.fits(&seat.entry.room)
+}
+
+/// Tasks of a step that a worker holds.
+fn held_of(seat: &Seat, step: StepKey) -> usize {
+    let first = step.task(0);
+    let last = step.task(u32::MAX);
+    seat.runs.range(first..=last).count()
+}
+
+/// Chooses workers for as many tasks as fit; for a gang, for all or none.
+fn choose(step: &PlacedStep, seats: &[(&WorkerId, &Seat)], now: CoreTime) -> Choice {
+    if step.spec.gang && step.spec.same_rack {
+        let choice = choose_on_one_rack(step, seats, now);
+        if !choice.is_empty() {
+            return choice;
+        }
+    }
+    choose_among(step, seats, now)
+}
+
+fn choose_on_one_rack(step: &PlacedStep, seats: &[(&WorkerId, &Seat)], now: CoreTime) -> Choice {
+    let mut racks: BTreeMap<&str, Vec<(&WorkerId, &Seat)>> = BTreeMap::new();
+    for (id, seat) in seats {
+        if let Some(rack) = rack_of(seat) {
+            racks.entry(rack).or_default().push((*id, *seat));
+        }
+    }
+    let whole = racks
+        .values()
+        .map(|seats| choose_among(step, seats, now))
+        .find(|choice| !choice.is_empty());
+    whole.unwrap_or_default()
+}
+
+/// The label of a worker that names its rack: the last one.
+fn rack_of(seat: &Seat) -> Option<&str> {
+    seat.entry.labels.last().map(String::as_str)
+}
+
+fn choose_among(step: &PlacedStep, seats: &[(&WorkerId, &Seat)], now: CoreTime) -> Choice {
+    let limit = match step.spec.per_worker_limit {
+        0 => usize::MAX,
+        limit => limit as usize,
+    };
+    let mut free: Vec<(&WorkerId, TaskSize, usize, bool)> = seats
+        .iter()
+        .map(|(id, seat)| {
+            let held = held_of(seat, step.key);
+            let near = step
+                .spec
+                .data_rack
+                .as_ref()
+                .is_some_and(|rack| seat.entry.labels.contains(rack));
+            (*id, seat.room_for(step.key, now), held, near)
+        })
+        .filter(|(_, room, held, _)| step.room.fits(room) && *held < limit)
+        .collect();
+    let mut choice = Vec::new();
+    for task in &step.tasks {
+        let best = free
+            .iter_mut()
+            .filter(|(_, room, held, _)| step.room.fits(room) && *held < limit)
+            .min_by_key(|(_, room, _, near)| (Reverse(*near), room.minus(&step.room).millicores));
+        let Some((id, room, held, _)) = best else {
+            break;
+        };
+        *room = room.minus(&step.room);
+        *held += 1;
+        choice.push((*task, (*id).clone()));
+    }
+    if step.spec.gang && choice.len() < step.tasks.len() {
+        choice.clear();
+    }
+    choice
+}
+
+fn workers_of(choice: &Choice) -> Vec<WorkerId> {
+    let mut workers: Vec<WorkerId> = choice.iter().map(|(_, worker)| worker.clone()).collect();
+    workers.sort_unstable();
+    workers.dedup();
+    workers.truncate(ASK_LIMIT);
+    workers
+}
+
+/// Workers for a step's first question: those with the most room.
+fn first_question(step: &PlacedStep, seats: &[(&WorkerId, &Seat)], now: CoreTime) -> Vec<WorkerId> {
+    let wanted = (step.tasks.len() * ASK_PER_TASK).max(ASK_LEAST);
+    let wanted = if step.spec.gang { ASK_LIMIT } else { wanted.min(ASK_LIMIT) };
+    let mut by_room: Vec<(u64, &WorkerId)> = seats
+        .iter()
+        .map(|(id, seat)| (seat.room_for(step.key, now).millicores, *id))
+        .collect();
+    by_room.sort_unstable_by(|left, right| right.cmp(left));
+    by_room
+        .into_iter()
+        .take(wanted)
+        .map(|(_, id)| id.clone())
+        .collect()
+}
+
+/// Workers with room of which the policy has not been asked yet.
+fn unknown_with_room(
+    step: &PlacedStep,
+    seats: &[(&WorkerId, &Seat)],
+    advice: &StepAdvice,
+    now: CoreTime,
+) -> Vec<WorkerId> {
+    seats
+        .iter()
+        .filter(|(id, seat)| {
+            !advice.is_known(id) && step.room.fits(&seat.room_for(step.key, now))
+        })
+        .map(|(id, _)| (*id).clone())
+        .take(ASK_LIMIT)
+        .collect()
+}
--- /dev/null
+++ b/crates/bankvalve_queue/src/core/seat.rs
@@ -0,0 +1,184 @@
+//! A worker as its leader sees it: room, clock, hold and runs.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use crate::ids::{CoreTime, RunId, StepKey, TaskKey};
+use crate::job::TaskSize;
+use crate::worker::WorkerEntry;
+
+/// How much slower than ours a worker's clock may run, in percent.
+const SLOW_CLOCK_PERCENT: u32 = 2;
+/// Added to every bound on a worker's clock.
+const CLOCK_SLACK: Duration = Duration::from_millis(60);
+/// Failures in a row, of different jobs, after which a worker rests.
+const FAILURES_TO_REST: u32 = 3;
+/// First rest of a worker that fails what it starts; it doubles each time.
+const FIRST_REST: Duration = Duration::from_secs(3);
+/// Most doublings of it.
+const REST_DOUBLINGS: u32 = 3;
+
+/// Where a run stands.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(super) enum RunPhase {
+    /// It was found in the ledger; the worker's lists will tell.
+    Adopted,
+    /// It is being kept; nothing was sent yet.
+    Proposed,
+    /// An order was sent.
+    Ordered,
+    /// The worker has it.
+    Running { since: CoreTime },
+    /// A stop was sent, and confirmed at a time.
+    Stopping { confirmed: Option<CoreTime> },
+}
+
+/// A run on a worker.
+#[derive(Clone, Debug)]
+pub(super) struct LiveRun {
+    pub(super) run: RunId,
+    pub(super) room: TaskSize,
+    pub(super) phase: RunPhase,
+    pub(super) began: CoreTime,
+    pub(super) estimate: Duration,
+    /// Copies of the order that have no answer and may be carried out late.
+    pub(super) copies: u32,
+    pub(super) busy: bool,
+    pub(super) next_at: CoreTime,
+    pub(super) tries: u32,
+    pub(super) saved: String,
+    pub(super) permit: Option<String>,
+}
+
+/// Room kept for a step while it waits for permits.
+#[derive(Clone, Debug)]
+pub(super) struct Reservation {
+    pub(super) step: StepKey,
+    pub(super) room: TaskSize,
+    pub(super) until: CoreTime,
+}
+
+/// A worker.
+#[derive(Debug)]
+pub(super) struct Seat {
+    pub(super) entry: WorkerEntry,
+    pub(super) listed: bool,
+    /// Whether it has answered under the own token.
+    pub(super) proved: bool,
+    /// When an answer came, and the worker's clock in it.
+    pub(super) clock: Option<(CoreTime, u64)>,
+    /// Greatest reading of its clock to which a hold was prolonged.
+    pub(super) granted_until: u64,
+    pub(super) heard_at: Option<CoreTime>,
+    pub(super) known_at: CoreTime,
+    pub(super) hold_busy: bool,
+    pub(super) next_hold: CoreTime,
+    pub(super) runs: BTreeMap<TaskKey, LiveRun>,
+    pub(super) used: TaskSize,
+    pub(super) reserved: Vec<Reservation>,
+    /// Greatest number of an end that was taken.
+    pub(super) seen: u64,
+    /// Greatest number of an end that is kept.
+    pub(super) kept: u64,
+    failures: u32,
+    failed_job: u64,
+    rests: u32,
+    pub(super) resting_until: CoreTime,
+}
+
+impl Seat {
+    pub(super) fn new(entry: WorkerEntry, listed: bool, now: CoreTime) -> Self {
+        Self {
+            entry,
+            listed,
+            proved: false,
+            clock: None,
+            granted_until: 0,
+            heard_at: None,
+            known_at: now,
+            hold_busy: false,
+            next_hold: now,
+            runs: BTreeMap::new(),
+            used: TaskSize::default(),
+            reserved: Vec::new(),
+            seen: 0,
+            kept: 0,
+            failures: 0,
+            failed_job: 0,
+            rests: 0,
+            resting_until: CoreTime::ZERO,
+        }
+    }
+
+    /// Takes a reading of the worker's clock from an answer.
+    pub(super) fn note_clock(&mut self, now: CoreTime, clock_ms: u64) {
+        self.clock = Some((now, clock_ms));
+    }
+
+    /// Reading that its clock surely has by now.
+    fn least_clock(&self, now: CoreTime) -> Option<u64> {
+        let (at, reading) = self.clock?;
+        let passed = now.saturating_sub(at + CLOCK_SLACK);
+        let slow = passed * (100 - SLOW_CLOCK_PERCENT) / 100;
+        Some(reading + slow.as_millis() as u64)
+    }
+
+    /// Reading of its clock up to which it is to hold what runs, if its clock is known.
+    pub(super) fn hold_until(&self, now: CoreTime, hold: Duration) -> Option<u64> {
+        let (at, reading) = self.clock?;
+        Some(reading + (now.saturating_sub(at) + hold).as_millis() as u64)
+    }
+
+    /// Tells whether every hold that this leader prolonged is surely over.
+    pub(super) fn hold_is_over(&self, now: CoreTime) -> bool {
+        self.least_clock(now)
+            .is_some_and(|clock| clock > self.granted_until)
+    }
+
+    pub(super) fn add_run(&mut self, task: TaskKey, run: LiveRun) {
+        self.used = self.used.plus(&run.room);
+        self.runs.insert(task, run);
+    }
+
+    pub(super) fn remove_run(&mut self, task: &TaskKey) -> Option<LiveRun> {
+        let run = self.runs.remove(task)?;
+        self.used = self.used.minus(&run.room);
+        Some(run)
+    }
+
+    /// Room that a step may use now.
+    pub(super) fn room_for(&self, step: StepKey, now: CoreTime) -> TaskSize {
+        let reserved = self
+            .reserved
+            .iter()
+            .filter(|entry| entry.step != step && entry.until > now)
+            .fold(TaskSize::default(), |sum, entry| sum.plus(&entry.room));
+        self.entry.room.minus(&self.used).minus(&reserved)
+    }
+
+    pub(super) fn drop_reservation(&mut self, step: StepKey, now: CoreTime) {
+        self.reserved
+            .retain(|entry| entry.step != step && entry.until > now);
+    }
+
+    /// Notes how a run ended; returns whether the worker begins to rest.
+    pub(super) fn note_result(&mut self, job: u64, good: bool, now: CoreTime) -> bool {
+        if good {
+            self.failures = 0;
+            self.rests = 0;
+            return false;
+        }
+        if self.failed_job != job {
+            self.failed_job = job;
+            self.failures += 1;
+        }
+        if self.failures < FAILURES_TO_REST {
+            return false;
+        }
+        self.failures = FAILURES_TO_REST - 1;
+        let doublings = self.rests.min(REST_DOUBLINGS);
+        self.rests += 1;
+        self.resting_until = now + FIRST_REST * 2_u32.pow(doublings);
+        true
+    }
+}
--- /dev/null
+++ b/crates/bankvalve_queue/src/core/store_link.rs
@@ -0,0 +1,259 @@
+//! Requests to the table: watches, and where answers go.
+
+use std::time::Duration;
+
+use super::EntryCore;
+use crate::core::CoreAction;
+use crate::ids::{CoreTime, Ticket};
+use crate::queue_table::QueueTable;
+use crate::store::{StoreOutcome, StoreRequest};
+
+/// Table that holds the leader's row and the members' rows.
+pub(super) const CELL_TABLE: &str = "cell";
+/// Table that holds the ledger.
+pub(super) const LEDGER_TABLE: &str = "ledger";
+/// Part of the leader's row and of the ledger, so that they change together.
+pub(super) const LEAD_PART: &str = "lead";
+/// Part of the members' rows.
+pub(super) const MEMBER_PART: &str = "member";
+
+/// Longest that a watch waits; a connection on which an answer was lost says nothing more,
+/// so this bounds how old the configuration can get.
+const WATCH_WAIT: Duration = Duration::from_millis(1_000);
+/// Added to the wait before a watch counts as lost.
+const WATCH_SLACK: Duration = Duration::from_millis(700);
+/// Longest wait for a read.
+const READ_TIME: Duration = Duration::from_millis(900);
+/// Longest wait for a write; it is repeated unchanged after that.
+const WRITE_TIME: Duration = Duration::from_millis(700);
+/// Pause after a request that failed.
+const RETRY_PAUSE: Duration = Duration::from_millis(120);
+
+/// What a request to the table was for.
+#[derive(Clone, Debug)]
+pub(super) enum StorePurpose {
+    Register,
+    Claim,
+    Commit,
+    Confirm,
+    LoadLedger,
+    CatchUp,
+    ReadCell,
+    WatchCell,
+    Operator,
+    Workers { full: bool },
+    DropMember,
+}
+
+/// A watch on a table.
+#[derive(Debug, Default)]
+pub(super) struct WatchState {
+    /// Version up to which changes are known; none before the first read.
+    pub(super) after: Option<u64>,
+    pub(super) busy: bool,
+    pub(super) next_at: CoreTime,
+}
+
+impl WatchState {
+    fn is_due(&self, now: CoreTime) -> bool {
+        !self.busy && now >= self.next_at
+    }
+}
+
+impl EntryCore {
+    pub(super) fn ask_store(&mut self, purpose: StorePurpose, request: StoreRequest) -> Ticket {
+        let ticket = self.take_ticket();
+        let time = match &request {
+            StoreRequest::Transact { .. } => WRITE_TIME,
+            StoreRequest::Watch { wait_ms, .. }
+            | StoreRequest::WatchOperator { wait_ms, .. }
+            | StoreRequest::WatchWorkers { wait_ms, .. } => {
+                Duration::from_millis(*wait_ms) + WATCH_SLACK
+            }
+            _ => READ_TIME,
+        };
+        self.store_tickets.insert(ticket, purpose);
+        self.actions.push(CoreAction::Store {
+            ticket,
+            request,
+            time,
+        });
+        ticket
+    }
+
+    pub(super) fn run_watches(&mut self) {
+        let wait_ms = WATCH_WAIT.as_millis() as u64;
+        if self.cell_watch.is_due(self.now) {
+            self.cell_watch.busy = true;
+            match self.cell_watch.after {
+                None => self.read_cell(),
+                Some(after) => {
+                    let table = CELL_TABLE.to_owned();
+                    let request = StoreRequest::Watch {
+                        table,
+                        after,
+                        wait_ms,
+                    };
+                    self.ask_store(StorePurpose::WatchCell, request);
+                }
+            }
+        }
+        if self.operator_watch.is_due(self.now) {
+            self.operator_watch.busy = true;
+            let request = match self.operator_watch.after {
+                None => StoreRequest::ReadOperator,
+                Some(after) => StoreRequest::WatchOperator { after, wait_ms },
+            };
+            self.ask_store(StorePurpose::Operator, request);
+        }
+        if self.lead.is_some() && self.worker_watch.is_due(self.now) {
+            self.worker_watch.busy = true;
+            let (request, full) = match self.worker_watch.after {
+                None => {
+                    let from = String::new();
+                    (StoreRequest::ReadWorkers { from }, true)
+                }
+                Some(after) => (StoreRequest::WatchWorkers { after, wait_ms }, false),
+            };
+            self.ask_store(StorePurpose::Workers { full }, request);
+        }
+    }
+
+    fn read_cell(&mut self) {
+        let table = CELL_TABLE.to_owned();
+        let part = MEMBER_PART.to_owned();
+        let from = String::new();
+        self.ask_store(
+            StorePurpose::ReadCell,
+            StoreRequest::Read { table, part, from },
+        );
+    }
+
+    pub(super) fn take_store(&mut self, ticket: Ticket, outcome: StoreOutcome) {
+        let Some(purpose) = self.store_tickets.remove(&ticket) else {
+            return;
+        };
+        match &outcome {
+            StoreOutcome::Lost => self.counters.count("retries", "store_lost"),
+            StoreOutcome::Busy => self.counters.count("retries", "store_busy"),
+            StoreOutcome::HistoryGone => self.counters.count("retries", "store_history_gone"),
+            _ => self.store_answered_at = self.now,
+        }
+        match purpose {
+            StorePurpose::Register => self.end_register(&outcome),
+            StorePurpose::Claim => self.end_claim(outcome),
+            StorePurpose::Commit => self.end_commit(outcome),
+            StorePurpose::Confirm => self.end_confirm(&outcome),
+            StorePurpose::LoadLedger => self.end_load(outcome),
+            StorePurpose::CatchUp => self.end_catch_up(outcome),
+            StorePurpose::ReadCell => self.end_read_cell(outcome),
+            StorePurpose::WatchCell => self.end_watch_cell(outcome),
+            StorePurpose::Operator => self.end_operator(outcome),
+            StorePurpose::Workers { full } => self.end_workers(outcome, full),
+            StorePurpose::DropMember => {}
+        }
+    }
+
+    fn end_read_cell(&mut self, outcome: StoreOutcome) {
+        let StoreOutcome::Rows { rows, version, .. } = outcome else {
+            self.cell_watch = WatchState {
+                next_at: self.now + RETRY_PAUSE,
+                ..WatchState::default()
+            };
+            return;
+        };
+        for row in rows {
+            self.take_cell_row(&row.key, Some(&row.value), row.version);
+        }
+        self.cell_watch.after = Some(version);
+        self.cell_watch.busy = false;
+        if !self.members_known {
+            self.members_known = true;
+            self.read_leader_row();
+        }
+    }
+
+    fn end_watch_cell(&mut self, outcome: StoreOutcome) {
+        let watch = &mut self.cell_watch;
+        watch.busy = false;
+        match outcome {
+            StoreOutcome::Changes { changes, version } => {
+                watch.after = Some(version);
+                for change in changes {
+                    self.take_cell_row(&change.key, change.value.as_deref(), change.version);
+                }
+            }
+            StoreOutcome::HistoryGone => {
+                watch.after = None;
+                self.read_leader_row();
+            }
+            _ => watch.next_at = self.now + RETRY_PAUSE,
+        }
+        self.run_watches();
+    }
+
+    fn end_operator(&mut self, outcome: StoreOutcome) {
+        let watch = &mut self.operator_watch;
+        watch.busy = false;
+        match outcome {
+            StoreOutcome::Operator { news, version } => {
+                watch.after = Some(version);
+                if let Some(table) = news.table {
+                    self.use_table(table, news.raw);
+                }
+            }
+            StoreOutcome::HistoryGone => watch.after = None,
+            _ => watch.next_at = self.now + RETRY_PAUSE,
+        }
+        self.run_watches();
+    }
+
+    fn end_workers(&mut self, outcome: StoreOutcome, full: bool) {
+        match outcome {
+            StoreOutcome::Workers {
+                entries,
+                more,
+                version,
+            } => {
+                let last = entries.last().map(|(id, _)| id.to_string());
+                self.take_worker_entries(entries, full);
+                if more {
+                    // A sign before all that ids are made of, so that the last one is not read again.
+                    let from = format!("{}!", last.unwrap_or_default());
+                    let request = StoreRequest::ReadWorkers { from };
+                    self.ask_store(StorePurpose::Workers { full }, request);
+                    return;
+                }
+                self.worker_watch.after = Some(version);
+                self.worker_watch.busy = false;
+                if full {
+                    self.end_worker_list();
+                }
+            }
+            StoreOutcome::HistoryGone => {
+                self.worker_watch.after = None;
+                self.worker_watch.busy = false;
+            }
+            _ => {
+                self.worker_watch.busy = false;
+                self.worker_watch.next_at = self.now + RETRY_PAUSE;
+            }
+        }
+        self.run_watches();
+    }
+
+    /// Puts a configuration in force, unless it is older than the one that is.
+    pub(super) fn use_table(&mut self, table: QueueTable, raw: Vec<u8>) {
+        let version = table.version;
+        if self.table.as_ref().is_some_and(|now| now.version >= version) {
+            return;
+        }
+        self.log("config", "in_force", version.to_string(), String::new());
+        self.actions.push(CoreAction::UseTable(table.clone()));
+        self.table = Some(table);
+        self.table_raw = raw;
+        if let Some(lead) = self.lead.as_deref_mut() {
+            lead.stale = true;
+        }
+    }
+}
--- /dev/null
+++ b/crates/bankvalve_queue/src/core/waiting.rs
@@ -0,0 +1,146 @@
+//! Steps whose turn has come, and in which order they get room.
+
+use super::EntryCore;
+use crate::ids::{JobId, StepKey, TaskKey, WorkerId};
+use crate::job::StepSpec;
+use crate::ledger::{JobOutcome, JobRecord, TaskPhase, TimeRecord};
+
+/// A job that takes this many times its objective earns nothing more.
+const LATE_FACTOR: f64 = 3.0;
+
+/// A step with tasks that wait for room.
+#[derive(Clone, Debug)]
+pub(super) struct WaitingStep {
+    pub(super) tasks: u32,
+    priority: u32,
+    /// Latest start with which the job still ends within its objective, by the time of day.
+    on_time_ms: i64,
+    /// Latest start with which it still earns anything.
+    late_ms: i64,
+}
+
+/// Order of waiting steps; smaller ones come first.
+pub(super) type WaitingRank = (u32, i64);
+
+impl WaitingStep {
+    fn new(job: &JobRecord, key: StepKey, tasks: u32) -> Self {
+        let chains = job.spec.chains_ms();
+        let whole = chains.iter().copied().max().unwrap_or(0) as f64;
+        let rest = chains[usize::from(key.step)] as f64;
+        let objective = job.terms.stretch * whole + job.terms.target_ms as f64;
+        let begin = match job.spec.due_ms(key.time) {
+            0 => job.accepted_at,
+            due => due,
+        } as f64;
+        Self {
+            tasks,
+            priority: job.terms.priority,
+            on_time_ms: (begin + objective - rest) as i64,
+            late_ms: (begin + LATE_FACTOR * objective - rest) as i64,
+        }
+    }
+
+    /// Rank at a time of day: urgent work first, then what can still end in time by its latest
+    /// start, then what can still end late, then the rest.
+    pub(super) fn rank(&self, wall_ms: u64) -> WaitingRank {
+        let now = wall_ms as i64;
+        let class = if self.priority == 0 {
+            0
+        } else if now <= self.on_time_ms {
+            1
+        } else if now <= self.late_ms {
+            2
+        } else {
+            3
+        };
+        (class, self.on_time_ms)
+    }
+}
+
+impl EntryCore {
+    /// Looks again at the steps of jobs to which something happened.
+    pub(super) fn refresh_touched(&mut self) {
+        let Some(lead) = self.lead.as_deref_mut() else {
+            return;
+        };
+        let touched = std::mem::take(&mut lead.touched);
+        if !touched.is_empty() {
+            lead.stale = true;
+        }
+        for job in touched {
+            self.refresh_job(job);
+        }
+    }
+
+    fn refresh_job(&mut self, id: JobId) {
+        let Some(lead) = self.lead.as_deref_mut() else {
+            return;
+        };
+        let first = StepKey {
+            job: id,
+            time: 0,
+            step: 0,
+        };
+        let last = StepKey {
+            job: id,
+            time: u32::MAX,
+            step: u16::MAX,
+        };
+        let old: Vec<StepKey> = lead.waiting.range(first..=last).map(|(key, _)| *key).collect();
+        for key in old {
+            lead.waiting.remove(&key);
+        }
+        let Some(job) = self.book.job(id) else {
+            return;
+        };
+        let mut stops = Vec::new();
+        if job.outcome != JobOutcome::Open {
+            for (time, record) in &job.times {
+                placed_tasks(id, *time, record, &mut stops);
+            }
+        } else {
+            for (time, record) in &job.times {
+                for (number, spec) in job.spec.steps.iter().enumerate() {
+                    let key = StepKey {
+                        job: id,
+                        time: *time,
+                        step: number as u16,
+                    };
+                    let waiting = record.steps[number].waiting;
+                    if waiting == 0 || !record.is_ready(&job.spec, key.step) {
+                        continue;
+                    }
+                    if gang_is_partial(spec, waiting) {
+                        placed_of_step(key, record, &mut stops);
+                    } else {
+                        lead.waiting.insert(key, WaitingStep::new(job, key, waiting));
+                    }
+                }
+            }
+        }
+        for (task, worker) in stops {
+            self.begin_stop_run(&worker, task);
+        }
+    }
+}
+
+/// A gang starts whole; what is left of a broken one ends first.
+fn gang_is_partial(spec: &StepSpec, waiting: u32) -> bool {
+    spec.gang && waiting < spec.count
+}
+
+fn placed_tasks(job: JobId, time: u32, record: &TimeRecord, into: &mut Vec<(TaskKey, WorkerId)>) {
+    for number in 0..record.steps.len() {
+        let step = number as u16;
+        placed_of_step(StepKey { job, time, step }, record, into);
+    }
+}
+
+fn placed_of_step(key: StepKey, record: &TimeRecord, into: &mut Vec<(TaskKey, WorkerId)>) {
+    let tasks = &record.steps[usize::from(key.step)].tasks;
+    for (index, task) in tasks.iter().enumerate() {
+        if let TaskPhase::Placed { worker, .. } = &task.phase {
+            into.push((key.task(index as u32), worker.clone()));
+        }
+    }
+}
--- /dev/null
+++ b/crates/bankvalve_queue/src/decision.rs
@@ -0,0 +1,75 @@
+//! What an instance tells about its decisions.
+
+use std::collections::BTreeMap;
+
+use crate::caller::RefusalReason;
+
+/// One decision, to be logged.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct DecisionLine {
+    /// Part that decided.
+    pub part: &'static str,
+    /// What was decided.
+    pub event: &'static str,
+    /// Job, task, worker or peer that it is about.
+    pub id: String,
+    /// What decided it, and its age or version.
+    pub detail: String,
+}
+
+/// Counters of an instance.
+#[derive(Clone, Debug, Default)]
+pub struct EntryCounters {
+    counts: BTreeMap<(&'static str, &'static str), u64>,
+}
+
+impl EntryCounters {
+    /// Counts something of a family by its kind.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// let mut counters = bankvalve_queue::EntryCounters::default();
+    /// counters.count("retries", "store_lost");
+    /// assert_eq!(counters.of("retries", "store_lost"), 1);
+    /// ```
+    pub fn count(&mut self, family: &'static str, kind: &'static str) {
+        *self.counts.entry((family, kind)).or_default() += 1;
+    }
+
+    /// Counts a refusal.
+    pub fn refuse(&mut self, reason: RefusalReason) {
+        self.count("refusals", reason.as_str());
+    }
+
+    /// One counter.
+    pub fn of(&self, family: &'static str, kind: &'static str) -> u64 {
+        self.counts.get(&(family, kind)).copied().unwrap_or(0)
+    }
+
+    /// All counters: family, kind, count.
+    pub fn all(&self) -> impl Iterator<Item = (&'static str, &'static str, u64)> + '_ {
+        self.counts
+            .iter()
+            .map(|((family, kind), count)| (*family, *kind, *count))
+    }
+}
+
+/// How an instance stands, for readiness and metrics.
+#[derive(Clone, Debug, Default)]
+pub struct EntryView {
+    /// Whether it may be given callers.
+    pub ready: bool,
+    /// Whether it leads.
+    pub leading: bool,
+    /// Whether a planned stop is over.
+    pub stopped: bool,
+    /// Jobs known.
+    pub jobs: u64,
+    /// Tasks that wait for room.
+    pub waiting_tasks: u64,
+    /// Runs on workers.
+    pub live_runs: u64,
+    /// Counters.
+    pub counters: EntryCounters,
+}
--- /dev/null
+++ b/crates/bankvalve_queue/src/ledger/job_book.rs
@@ -0,0 +1,379 @@
+//! The state of all jobs, as the ledger's events make it.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use super::{EndKind, LedgerEvent};
+use crate::caller::JobState;
+use crate::ids::{JobId, RunId, StepKey, TaskKey, WallMillis, WorkerId};
+use crate::job::{JobSpec, JobTerms, StepSpec};
+
+/// Where a task stands.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum TaskPhase {
+    /// It has no run.
+    Waiting,
+    /// A run was ordered, or is about to be.
+    Placed {
+        /// The worker.
+        worker: WorkerId,
+        /// The run.
+        run: RunId,
+    },
+    /// It has ended well.
+    Done,
+}
+
+/// A task.
+#[derive(Clone, Debug)]
+pub struct TaskRecord {
+    /// Where it stands.
+    pub phase: TaskPhase,
+    /// Number of its newest run.
+    pub last_run: RunId,
+    /// Runs that failed.
+    pub failures: u32,
+    /// Progress saved last; empty for none.
+    pub saved: String,
+}
+
+impl TaskRecord {
+    fn new() -> Self {
+        Self {
+            phase: TaskPhase::Waiting,
+            last_run: 0,
+            failures: 0,
+            saved: String::new(),
+        }
+    }
+}
+
+/// A step of one time.
+#[derive(Clone, Debug)]
+pub struct StepRecord {
+    /// Its tasks.
+    pub tasks: Vec<TaskRecord>,
+    /// Tasks that ended well.
+    pub done: u32,
+    /// Tasks without a run.
+    pub waiting: u32,
+    /// Newest run of a gang that failed.
+    failed_run: RunId,
+}
+
+impl StepRecord {
+    fn new(spec: &StepSpec) -> Self {
+        Self {
+            tasks: vec![TaskRecord::new(); spec.count as usize],
+            done: 0,
+            waiting: spec.count,
+            failed_run: 0,
+        }
+    }
+
+    /// Tells whether all tasks have ended well.
+    pub fn is_done(&self) -> bool {
+        self.done as usize == self.tasks.len()
+    }
+
+    /// Greatest run number that any of its tasks has had.
+    pub fn last_run(&self) -> RunId {
+        self.tasks.iter().map(|task| task.last_run).max().unwrap_or(0)
+    }
+
+    fn set_phase(&mut self, index: usize, phase: TaskPhase) {
+        let task = &mut self.tasks[index];
+        match task.phase {
+            TaskPhase::Waiting => self.waiting -= 1,
+            TaskPhase::Done => self.done -= 1,
+            TaskPhase::Placed { .. } => {}
+        }
+        match phase {
+            TaskPhase::Waiting => self.waiting += 1,
+            TaskPhase::Done => self.done += 1,
+            TaskPhase::Placed { .. } => {}
+        }
+        task.phase = phase;
+    }
+}
+
+/// One time of a job.
+#[derive(Clone, Debug)]
+pub struct TimeRecord {
+    /// Its steps.
+    pub steps: Vec<StepRecord>,
+}
+
+impl TimeRecord {
+    fn new(spec: &JobSpec) -> Self {
+        Self {
+            steps: spec.steps.iter().map(StepRecord::new).collect(),
+        }
+    }
+
+    /// Tells whether all steps are done.
+    pub fn is_done(&self) -> bool {
+        self.steps.iter().all(StepRecord::is_done)
+    }
+
+    /// Tells whether the steps that a step waits for are done.
+    pub fn is_ready(&self, spec: &JobSpec, step: u16) -> bool {
+        let after = &spec.steps[usize::from(step)].after;
+        after
+            .iter()
+            .all(|before| self.steps[usize::from(*before)].is_done())
+    }
+}
+
+/// How a job ended, if it has.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum JobOutcome {
+    /// It goes on.
+    Open,
+    /// All times are done.
+    Succeeded,
+    /// A task failed for good.
+    Failed,
+    /// It was cancelled.
+    Cancelled,
+}
+
+/// A job.
+#[derive(Clone, Debug)]
+pub struct JobRecord {
+    /// As its caller described it.
+    pub spec: Arc<JobSpec>,
+    /// Terms of its queue when it was accepted.
+    pub terms: JobTerms,
+    /// When it was accepted.
+    pub accepted_at: WallMillis,
+    /// When it ended.
+    pub ended_at: WallMillis,
+    /// How it ended.
+    pub outcome: JobOutcome,
+    /// Whether a task has begun.
+    pub begun: bool,
+    /// Times that have begun to be worked on and are not done.
+    pub times: BTreeMap<u32, TimeRecord>,
+    /// Times that are done.
+    pub times_done: u32,
+    /// Least time that has not been opened yet.
+    pub next_time: u32,
+}
+
+impl JobRecord {
+    /// How the job stands, as its caller is told.
+    pub fn state(&self) -> JobState {
+        match self.outcome {
+            JobOutcome::Succeeded => JobState::Succeeded,
+            JobOutcome::Failed => JobState::Failed,
+            JobOutcome::Cancelled => JobState::Cancelled,
+            JobOutcome::Open if self.begun => JobState::Running,
+            JobOutcome::Open => JobState::Pending,
+        }
+    }
+
+    /// Opens a time, so that its steps can be worked on.
+    pub fn open_time(&mut self, time: u32) {
+        while self.next_time <= time {
+            let record = TimeRecord::new(&self.spec);
+            self.times.insert(self.next_time, record);
+            self.next_time += 1;
+        }
+    }
+
+    /// A step of an open time.
+    pub fn step(&self, key: StepKey) -> Option<&StepRecord> {
+        self.times.get(&key.time)?.steps.get(usize::from(key.step))
+    }
+
+    /// A task of an open time.
+    pub fn task(&self, key: TaskKey) -> Option<&TaskRecord> {
+        self.step(key.step)?.tasks.get(key.index as usize)
+    }
+
+    fn apply_start(&mut self, task: TaskKey, run: RunId, worker: &WorkerId) {
+        self.open_time(task.step.time);
+        self.begun = true;
+        let Some(time) = self.times.get_mut(&task.step.time) else {
+            return;
+        };
+        let Some(step) = time.steps.get_mut(usize::from(task.step.step)) else {
+            return;
+        };
+        let index = task.index as usize;
+        let phase = TaskPhase::Placed {
+            worker: worker.clone(),
+            run,
+        };
+        step.set_phase(index, phase);
+        step.tasks[index].last_run = run;
+    }
+
+    fn apply_end(&mut self, task: TaskKey, run: RunId, how: EndKind, saved: &str) {
+        let number = usize::from(task.step.step);
+        let Some(spec) = self.spec.steps.get(number) else {
+            return;
+        };
+        let (gang, lasting, attempts) = (spec.gang, spec.lasting, self.terms.attempts);
+        let Some(time) = self.times.get_mut(&task.step.time) else {
+            return;
+        };
+        let step = &mut time.steps[number];
+        let index = task.index as usize;
+        let current = matches!(&step.tasks[index].phase, TaskPhase::Placed { run: now, .. } if *now == run);
+        if !current {
+            return;
+        }
+        if !saved.is_empty() {
+            keep_progress(step, index, gang, saved);
+        }
+        match how {
+            EndKind::Done if lasting => step.set_phase(index, TaskPhase::Waiting),
+            EndKind::Done if gang => finish_gang(step, run),
+            EndKind::Done => step.set_phase(index, TaskPhase::Done),
+            EndKind::Failed => {
+                count_failure(step, index, gang, run);
+                step.set_phase(index, TaskPhase::Waiting);
+                if !lasting && step.tasks[index].failures >= attempts {
+                    self.outcome = JobOutcome::Failed;
+                }
+            }
+            _ => step.set_phase(index, TaskPhase::Waiting),
+        }
+        if self.times[&task.step.time].is_done() {
+            self.times.remove(&task.step.time);
+            self.times_done += 1;
+        }
+        if self.times_done == self.spec.times() && self.outcome == JobOutcome::Open {
+            self.outcome = JobOutcome::Succeeded;
+        }
+    }
+}
+
+/// Progress of one member of a gang is good for all of them.
+fn keep_progress(step: &mut StepRecord, index: usize, gang: bool, saved: &str) {
+    if gang {
+        for task in &mut step.tasks {
+            task.saved = saved.to_owned();
+        }
+    } else {
+        step.tasks[index].saved = saved.to_owned();
+    }
+}
+
+/// One good end of a gang stands for all members of the run.
+fn finish_gang(step: &mut StepRecord, run: RunId) {
+    for index in 0..step.tasks.len() {
+        let same = matches!(&step.tasks[index].phase, TaskPhase::Placed { run: now, .. } if *now == run);
+        if same || step.tasks[index].phase == TaskPhase::Waiting {
+            step.set_phase(index, TaskPhase::Done);
+        }
+    }
+}
+
+/// A failure of any member of a gang counts once a run, for all members.
+fn count_failure(step: &mut StepRecord, index: usize, gang: bool, run: RunId) {
+    if !gang {
+        step.tasks[index].failures += 1;
+    } else if step.failed_run != run {
+        step.failed_run = run;
+        for task in &mut step.tasks {
+            task.failures += 1;
+        }
+    }
+}
+
+/// All jobs.
+#[derive(Clone, Debug, Default)]
+pub struct JobBook {
+    jobs: BTreeMap<JobId, JobRecord>,
+}
+
+impl JobBook {
+    /// Applies an event.
+    pub fn apply(&mut self, event: &LedgerEvent) {
+        if let LedgerEvent::Accepted { spec, terms, at } = event {
+            self.accept(spec, terms, *at);
+            return;
+        }
+        let Some(job) = self.jobs.get_mut(&event.job()) else {
+            return;
+        };
+        match event {
+            LedgerEvent::Accepted { .. } => {}
+            LedgerEvent::Cancelled { at, .. } => {
+                if job.outcome == JobOutcome::Open {
+                    job.outcome = JobOutcome::Cancelled;
+                    job.ended_at = *at;
+                }
+            }
+            LedgerEvent::Started { task, run, worker } => job.apply_start(*task, *run, worker),
+            LedgerEvent::Ended {
+                task,
+                run,
+                how,
+                saved,
+                at,
+            } => {
+                let open = job.outcome == JobOutcome::Open;
+                job.apply_end(*task, *run, *how, saved);
+                if open && job.outcome != JobOutcome::Open {
+                    job.ended_at = *at;
+                }
+            }
+        }
+    }
+
+    fn accept(&mut self, spec: &Arc<JobSpec>, terms: &JobTerms, at: WallMillis) {
+        if self.jobs.contains_key(&spec.id) {
+            return;
+        }
+        let mut record = JobRecord {
+            spec: spec.clone(),
+            terms: terms.clone(),
+            accepted_at: at,
+            ended_at: 0,
+            outcome: JobOutcome::Open,
+            begun: false,
+            times: BTreeMap::new(),
+            times_done: 0,
+            next_time: 0,
+        };
+        if spec.repeats == 0 {
+            record.open_time(0);
+        }
+        self.jobs.insert(spec.id, record);
+    }
+
+    /// A job.
+    pub fn job(&self, id: JobId) -> Option<&JobRecord> {
+        self.jobs.get(&id)
+    }
+
+    /// A job, to open a time of it.
+    pub fn job_mut(&mut self, id: JobId) -> Option<&mut JobRecord> {
+        self.jobs.get_mut(&id)
+    }
+
+    /// All jobs.
+    pub fn jobs(&self) -> impl Iterator<Item = &JobRecord> {
+        self.jobs.values()
+    }
+
+    /// Number of jobs.
+    pub fn len(&self) -> usize {
+        self.jobs.len()
+    }
+
+    /// Tells whether there are none.
+    pub fn is_empty(&self) -> bool {
+        self.jobs.is_empty()
+    }
+
+    /// Forgets jobs that ended before a time.
+    pub fn forget_ended(&mut self, before: WallMillis) {
+        self.jobs
+            .retain(|_, job| job.outcome == JobOutcome::Open || job.ended_at >= before);
+    }
+}
--- /dev/null
+++ b/crates/bankvalve_queue/src/lib.rs
@@ -0,0 +1,41 @@
+//! Decisions for queues of jobs of steps, as state machines without I/O.
+//!
+//! [`EntryCore`] is one entry instance: it takes events and the time, and
+//! returns actions. All instances are equal; one of them leads a cell at a
+//! time, which is agreed by a conditional write on a row of the platform's
+//! table. [`JobBook`] is what the ledger's events add up to.
+
+#![forbid(unsafe_code)]
+#![warn(missing_docs)]
+
+mod caller;
+mod core;
+mod decision;
+mod ids;
+mod job;
+mod ledger;
+mod peer;
+mod port;
+mod queue_table;
+mod store;
+mod worker;
+
+pub use caller::{CallerAnswer, CallerRequest, JobState, RefusalReason, ResolvedRequest};
+pub use core::{CoreAction, CoreEvent, EntryCore, EntrySettings};
+pub use decision::{DecisionLine, EntryCounters, EntryView};
+pub use ids::{CoreTime, FenceToken, JobId, RunId, StepKey, TaskKey, Ticket, WallMillis, WorkerId};
+pub use job::{JobProblem, JobSpec, JobTerms, StepSpec, TaskSize};
+pub use ledger::{
+    EndKind, JobBook, JobOutcome, JobRecord, LedgerBatch, LedgerEvent, StepRecord, TaskPhase,
+    TaskRecord, TimeRecord,
+};
+pub use peer::{HeartbeatNews, PeerAddress, PeerBatch, PeerMessage};
+pub use port::{PlatformPort, WireAnswer, WireCall, WireReply, WireRequest};
+pub use queue_table::{AdviceRule, QueueRule, QueueTable};
+pub use store::{
+    OperatorNews, RowChange, RowCondition, RowKey, RowWrite, StoreOutcome, StoreRequest, StoredRow,
+};
+pub use worker::{
+    AdviceAnswer, AdviceAsk, EndReport, HoldReport, RunReport, StartOrder, StartRefusal,
+    WorkerAnswer, WorkerCall, WorkerEntry,
+};
--- /dev/null
+++ b/crates/bankvalve_queue/src/peer.rs
@@ -0,0 +1,98 @@
+//! What entry instances say to each other.
+
+use std::net::SocketAddr;
+
+use serde::{Deserialize, Serialize};
+
+use crate::caller::{CallerAnswer, CallerRequest};
+use crate::ids::Ticket;
+use crate::worker::{AdviceAnswer, AdviceAsk};
+
+/// Address at which a peer listens for peers.
+pub type PeerAddress = SocketAddr;
+
+/// What a heartbeat tells.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct HeartbeatNews {
+    /// Start of the sender's life, milliseconds since 1970.
+    pub life: u64,
+    /// Highest epoch that it knows to lead.
+    pub epoch: u64,
+    /// Who leads in that epoch.
+    pub leader: Option<PeerAddress>,
+    /// Whether the sender itself leads.
+    pub leading: bool,
+    /// Milliseconds since it last heard from that leader.
+    pub leader_age_ms: u64,
+    /// Milliseconds since the table last answered it.
+    pub store_age_ms: u64,
+    /// Version of its configuration.
+    pub table_version: u64,
+    /// Whether it stops.
+    pub stopping: bool,
+}
+
+/// A message to a peer.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum PeerMessage {
+    /// The sender is alive.
+    Heartbeat(HeartbeatNews),
+    /// A caller's request, to the leader.
+    Ask {
+        /// Number of the question.
+        ticket: Ticket,
+        /// The request.
+        request: CallerRequest,
+    },
+    /// Its answer.
+    Reply {
+        /// Number of the question.
+        ticket: Ticket,
+        /// The answer; none if the receiver does not lead.
+        answer: Option<CallerAnswer>,
+    },
+    /// A question to the policy service, carried for the leader.
+    Advise {
+        /// Number of the question.
+        ticket: Ticket,
+        /// The question.
+        ask: AdviceAsk,
+    },
+    /// Its answer.
+    Advised {
+        /// Number of the question.
+        ticket: Ticket,
+        /// The answer.
+        answer: AdviceAnswer,
+    },
+    /// A batch of the ledger that is kept.
+    Committed {
+        /// Epoch of the leader.
+        epoch: u64,
+        /// Number of the batch.
+        sequence: u64,
+        /// The batch, encoded.
+        #[serde(with = "serde_bytes")]
+        batch: Vec<u8>,
+    },
+    /// The sender has stopped leading; the receiver is to lead.
+    TakeOver {
+        /// Epoch that has ended.
+        epoch: u64,
+    },
+    /// A configuration, to a peer that has an older one.
+    Table {
+        /// The configuration as the operator wrote it.
+        #[serde(with = "serde_bytes")]
+        raw: Vec<u8>,
+    },
+}
+
+/// Messages that travel together.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct PeerBatch {
+    /// Who sends.
+    pub from: PeerAddress,
+    /// The messages.
+    pub messages: Vec<PeerMessage>,
+}
