fix(queue): take no ends before the ledger is read

Ruled out: rows of the ledger read wrongly (adopted counts agree with the log of the leader before). Change: workers are looked at once the ledger is read.

--- a/crates/bankvalve_queue/src/core/callers.rs
+++ b/crates/bankvalve_queue/src/core/callers.rs
@@ -226,7 +226,13 @@
             self.answer(origin, answer);
             return;
         }
-        let detail = format!("queue {} steps {}", spec.queue, spec.steps.len());
+        let tasks: u32 = spec.steps.iter().map(|step| step.count).sum();
+        let chain = spec.chains_ms().into_iter().max().unwrap_or(0);
+        let detail = format!(
+            "queue {} steps {} tasks {tasks} chain {chain} ms",
+            spec.queue,
+            spec.steps.len()
+        );
         self.log("callers", "accept", format!("{job:016x}"), detail);
         self.counters.count("jobs", "accepted");
         let at = self.wall;
--- a/crates/bankvalve_queue/src/core/lead.rs
+++ b/crates/bankvalve_queue/src/core/lead.rs
@@ -121,8 +121,9 @@
             return;
         }
         self.run_confirm();
-        self.run_holds();
+        // Ends must not be taken before the jobs that they belong to are known.
         if self.lead.as_ref().is_some_and(|lead| lead.loaded) {
+            self.run_holds();
             self.open_due_times();
             self.run_orders();
             self.refresh_touched();
