perf(queue): final answers at once while the table is away; urgent tasks on fast workers

Cause: jobs that could not be kept were held until 85% of their callers' patience; short lookups took 1.25 times as long on a third of the workers. Change: what was never sent or surely not carried out is taken back and refused at once, the rest is answered as unknown; run times measured against guesses tell slow workers from fast ones, and urgent tasks prefer fast ones.

--- a/crates/bankvalve_queue/src/core/callers.rs
+++ b/crates/bankvalve_queue/src/core/callers.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use super::commit::{Effect, Origin};
+use super::commit::{Effect, Origin, STORE_RETRY_MS};
 use super::EntryCore;
 use crate::caller::{CallerAnswer, CallerRequest, JobState, RefusalReason, ResolvedRequest};
 use crate::core::CoreAction;
@@ -203,6 +203,10 @@
     ) {
         let job = spec.id;
         if self.book.job(job).is_some() {
+            if self.store_is_away() && self.is_unkept(job) {
+                self.answer(origin, CallerAnswer::Unknown);
+                return;
+            }
             self.follow_up(Effect::Answer(origin, CallerAnswer::Accepted));
             return;
         }
@@ -219,11 +223,11 @@
         if let Some(reason) = refusal {
             let id = format!("{job:016x}");
             self.log("callers", "refuse", id, reason.as_str().to_owned());
-            let answer = CallerAnswer::Refused {
-                reason,
-                retry_ms: RETRY_MS,
+            let retry_ms = match reason {
+                RefusalReason::StoreAway => STORE_RETRY_MS,
+                _ => RETRY_MS,
             };
-            self.answer(origin, answer);
+            self.answer(origin, CallerAnswer::Refused { reason, retry_ms });
             return;
         }
         let tasks: u32 = spec.steps.iter().map(|step| step.count).sum();
@@ -247,10 +251,9 @@
             return;
         };
         let state = record.state();
-        let lead = self.lead.as_deref();
-        let kept = lead.is_some_and(|lead| !lead.uncommitted.contains_key(&job));
+        let unkept = self.is_unkept(job);
         let state = match state {
-            JobState::Succeeded | JobState::Failed | JobState::Cancelled if !kept => {
+            JobState::Succeeded | JobState::Failed | JobState::Cancelled if unkept => {
                 JobState::Running
             }
             state => state,
@@ -258,6 +261,12 @@
         self.answer(origin, CallerAnswer::State(state));
     }
 
+    /// Tells whether something about a job is not kept yet.
+    fn is_unkept(&self, job: JobId) -> bool {
+        let lead = self.lead.as_deref();
+        lead.is_some_and(|lead| lead.uncommitted.contains_key(&job))
+    }
+
     fn serve_cancel(&mut self, origin: Origin, job: JobId) {
         let Some(record) = self.book.job(job) else {
             self.confirm_unknown(origin);
--- a/crates/bankvalve_queue/src/core/commit.rs
+++ b/crates/bankvalve_queue/src/core/commit.rs
@@ -1,11 +1,12 @@
 //! Keeping the ledger: events are gathered and written under the leader's row.
 
+use std::collections::{BTreeSet, VecDeque};
 use std::time::Duration;
 
 use super::following::batch_key;
 use super::store_link::{StorePurpose, CELL_TABLE, LEAD_PART, LEDGER_TABLE};
 use super::EntryCore;
-use crate::caller::CallerAnswer;
+use crate::caller::{CallerAnswer, RefusalReason};
 use crate::ids::{CoreTime, TaskKey, Ticket, WorkerId};
 use crate::ledger::{LedgerBatch, LedgerEvent};
 use crate::peer::{PeerAddress, PeerMessage};
@@ -21,6 +22,12 @@
 const BUSY_PAUSE: Duration = Duration::from_millis(60);
 /// Silence after which the leader asks whether it still leads.
 const CONFIRM_EVERY: Duration = Duration::from_millis(600);
+/// Time between two such questions while the table is away.
+const AWAY_CONFIRM: Duration = Duration::from_millis(120);
+/// Copies of one write that the table turned away, after which it counts as away.
+const REFUSED_AWAY: u32 = 3;
+/// When a caller may come back whose job was not kept, in milliseconds.
+pub(super) const STORE_RETRY_MS: u64 = 2_000;
 /// A write without an answer for so long: the table counts as away.
 pub(super) const STORE_AWAY: Duration = Duration::from_millis(450);
 
@@ -54,11 +61,16 @@
 pub(super) struct CommitFlight {
     sequence: u64,
     bytes: Vec<u8>,
-    jobs: Vec<u64>,
-    effects: Vec<Effect>,
+    events: Vec<LedgerEvent>,
+    /// What follows, and whether it came with an event.
+    effects: Vec<(bool, Effect)>,
     since: CoreTime,
     busy: bool,
     next_at: CoreTime,
+    /// Whether a copy had no answer, so that it may have been done or be done later.
+    uncertain: bool,
+    /// Copies that the table surely did not carry out.
+    refused: u32,
 }
 
 impl EntryCore {
@@ -93,7 +105,10 @@
             return false;
         };
         let flight = lead.flight.as_ref();
-        flight.is_some_and(|flight| self.age(flight.since) > STORE_AWAY)
+        lead.away_since.is_some()
+            || flight.is_some_and(|flight| {
+                flight.refused >= REFUSED_AWAY || self.age(flight.since) > STORE_AWAY
+            })
     }
 
     pub(super) fn run_commit(&mut self) {
@@ -124,23 +139,25 @@
                 break;
             }
             let proposal = lead.pending.pop_front().expect("it was just seen");
+            effects.push((proposal.event.is_some(), proposal.effect));
             events.extend(proposal.event);
-            effects.push(proposal.effect);
         }
         if events.is_empty() {
             self.run_effects(effects);
             return;
         }
         lead.next_commit_at = now + COMMIT_PACE;
-        let jobs = events.iter().map(LedgerEvent::job).collect();
+        let batch = LedgerBatch { events };
         lead.flight = Some(CommitFlight {
             sequence: lead.sequence + 1,
-            bytes: LedgerBatch { events }.encode(),
-            jobs,
+            bytes: batch.encode(),
+            events: batch.events,
             effects,
             since: now,
             busy: true,
             next_at: now,
+            uncertain: false,
+            refused: 0,
         });
         self.send_flight();
     }
@@ -197,14 +214,112 @@
             StoreOutcome::Lost => {
                 flight.busy = false;
                 flight.next_at = now;
+                flight.uncertain = true;
+                self.withdraw_unkept();
             }
             _ => {
                 flight.busy = false;
                 flight.next_at = now + BUSY_PAUSE;
+                flight.refused += 1;
+                self.withdraw_unkept();
             }
         }
     }
 
+    /// Gives jobs that are not kept their final answer while the table is away.
+    ///
+    /// What was never sent, or surely not carried out, is taken back and refused; of the rest
+    /// it is only said that it is not known.
+    fn withdraw_unkept(&mut self) {
+        if !self.store_is_away() {
+            return;
+        }
+        let Some(lead) = self.lead.as_deref_mut() else {
+            return;
+        };
+        let mut unknown = Vec::new();
+        if let Some(flight) = lead.flight.as_mut() {
+            if flight.uncertain {
+                for (_, effect) in &mut flight.effects {
+                    if matches!(effect, Effect::Answer(..)) {
+                        unknown.push(std::mem::replace(effect, Effect::None));
+                    }
+                }
+            } else if !flight.busy {
+                let flight = lead.flight.take().expect("it was just seen");
+                lead.away_since = Some(flight.since);
+                lead.next_commit_at = flight.next_at;
+                let mut events = flight.events.into_iter();
+                for (has_event, effect) in flight.effects.into_iter().rev() {
+                    let event = if has_event { events.next_back() } else { None };
+                    lead.pending.push_front(Proposal { event, effect });
+                }
+            }
+        }
+        for effect in unknown {
+            if let Effect::Answer(origin, _) = effect {
+                self.answer(origin, CallerAnswer::Unknown);
+            }
+        }
+        self.withdraw_jobs();
+    }
+
+    /// Takes back jobs of which no event was sent, and refuses them.
+    fn withdraw_jobs(&mut self) {
+        let Some(lead) = self.lead.as_deref_mut() else {
+            return;
+        };
+        let jobs: BTreeSet<u64> = lead
+            .pending
+            .iter()
+            .filter_map(|proposal| match &proposal.event {
+                Some(LedgerEvent::Accepted { spec, .. }) => Some(spec.id),
+                _ => None,
+            })
+            .collect();
+        let mut answers = Vec::new();
+        let mut rest = VecDeque::new();
+        for proposal in std::mem::take(&mut lead.pending) {
+            let job = proposal.event.as_ref().map(LedgerEvent::job);
+            let withdrawn = job.is_some_and(|job| jobs.contains(&job));
+            match proposal.effect {
+                Effect::Answer(origin, _) if withdrawn => answers.push((origin, true)),
+                // It asks about a job that may be among those that are taken back.
+                Effect::Answer(origin, _) if job.is_none() => answers.push((origin, false)),
+                _ if withdrawn => {}
+                effect => rest.push_back(Proposal {
+                    event: proposal.event,
+                    effect,
+                }),
+            }
+        }
+        lead.pending = rest;
+        for job in &jobs {
+            lead.uncommitted.remove(job);
+            lead.touched.insert(*job);
+            lead.due.retain(|(_, due, _)| due != job);
+            for seat in lead.seats.values_mut() {
+                seat.drop_job(*job);
+            }
+            self.book.withdraw(*job);
+        }
+        for (origin, surely) in answers {
+            let answer = if surely {
+                CallerAnswer::Refused {
+                    reason: RefusalReason::StoreAway,
+                    retry_ms: STORE_RETRY_MS,
+                }
+            } else {
+                CallerAnswer::Unknown
+            };
+            self.answer(origin, answer);
+        }
+        if !jobs.is_empty() {
+            let detail = format!("{} jobs, table away", jobs.len());
+            self.log("ledger", "withdraw", String::new(), detail);
+        }
+    }
+
     fn finish_commit(&mut self) {
         let now = self.now;
         let Some(lead) = self.lead.as_deref_mut() else {
@@ -216,8 +331,9 @@
         lead.sequence = flight.sequence;
         lead.confirmed_at = now;
         lead.store_answered = now;
+        lead.away_since = None;
         self.applied = flight.sequence;
-        for job in flight.jobs {
+        for job in flight.events.iter().map(LedgerEvent::job) {
             if let Some(count) = lead.uncommitted.get_mut(&job) {
                 *count -= 1;
                 if *count == 0 {
@@ -239,8 +355,8 @@
         self.run_effects(flight.effects);
     }
 
-    fn run_effects(&mut self, effects: Vec<Effect>) {
-        for effect in effects {
+    fn run_effects(&mut self, effects: Vec<(bool, Effect)>) {
+        for (_, effect) in effects {
             match effect {
                 Effect::None => {}
                 Effect::Answer(origin, answer) => self.answer(origin, answer),
@@ -272,12 +388,17 @@
         let Some(lead) = self.lead.as_deref_mut() else {
             return;
         };
-        let due = now.saturating_sub(lead.confirmed_at) > CONFIRM_EVERY;
+        let pace = match lead.away_since {
+            Some(_) => AWAY_CONFIRM,
+            None => CONFIRM_EVERY,
+        };
+        let due = now.saturating_sub(lead.confirmed_at) > pace && now >= lead.next_confirm;
         let wanted = !lead.confirm_waiting.is_empty() || due;
         if !wanted || lead.confirming.is_some() {
             return;
         }
         lead.confirming = Some(now);
+        lead.next_confirm = now + pace;
         let request = StoreRequest::Read {
             table: CELL_TABLE.to_owned(),
             part: LEAD_PART.to_owned(),
@@ -304,6 +425,9 @@
             return;
         }
         lead.confirmed_at = now;
+        if lead.flight.is_none() {
+            lead.away_since = None;
+        }
         if !lead.loaded {
             return;
         }
--- a/crates/bankvalve_queue/src/core/holds.rs
+++ b/crates/bankvalve_queue/src/core/holds.rs
@@ -31,6 +31,10 @@
 const PROLONG_IF_HEARD: Duration = Duration::from_millis(2_200);
 /// Longest that a leader commands workers without being sure that it leads.
 pub(super) const UNCONFIRMED_LIMIT: Duration = Duration::from_secs(15);
+/// Weight of one task in what is known of a queue's guesses.
+const GUESS_WEIGHT: f64 = 0.02;
+/// Least ratio of a measured to a guessed run time that is taken for one.
+const LEAST_RATIO: f64 = 0.05;
 /// A clock of a worker may run 2% slow, and answers take their way.
 const SLOW_CLOCK_FACTOR: f64 = 1.03;
 /// Silence after which an unlisted worker without runs is forgotten.
@@ -266,12 +270,23 @@
         lead.stale = true;
         let held = seat.runs.get(&end.task).is_some_and(|live| live.run == end.run);
         let mut ran = Duration::ZERO;
+        let mut guess = Duration::ZERO;
         if held {
             if let Some(live) = seat.remove_run(&end.task) {
                 ran = now.saturating_sub(live.began);
+                if live.measured && end.saved.is_empty() {
+                    guess = live.estimate;
+                }
             }
         }
         let job = end.task.step.job;
+        if end.how == EndKind::Done && !guess.is_zero() {
+            let queue = self.book.job(job).map(|job| job.spec.queue.clone());
+            let ratio = (ran.as_secs_f64() / guess.as_secs_f64()).max(LEAST_RATIO).ln();
+            let error = lead.guess_error.entry(queue.unwrap_or_default()).or_insert(ratio);
+            *error += GUESS_WEIGHT * (ratio - *error);
+            seat.note_slowness(ratio - *error);
+        }
         let rests = match end.how {
             EndKind::Done => seat.note_result(job, true, now),
             EndKind::Failed => seat.note_result(job, false, now),
@@ -350,6 +365,7 @@
                         next_at: now,
                         tries: 0,
                         saved: String::new(),
+                        measured: false,
                         permit: None,
                     };
                     seat.add_run(report.task, live);
--- a/crates/bankvalve_queue/src/core/lead.rs
+++ b/crates/bankvalve_queue/src/core/lead.rs
@@ -38,6 +38,9 @@
     pub(super) confirmed_at: CoreTime,
     pub(super) store_answered: CoreTime,
     pub(super) confirming: Option<CoreTime>,
+    pub(super) next_confirm: CoreTime,
+    /// Since when the table has turned all writes away, while none is on its way.
+    pub(super) away_since: Option<CoreTime>,
     pub(super) confirm_waiting: Vec<(CoreTime, Origin)>,
     pub(super) sequence: u64,
     pub(super) pending: VecDeque<Proposal>,
@@ -50,6 +53,8 @@
     pub(super) touched: BTreeSet<JobId>,
     pub(super) due: BTreeSet<(WallMillis, JobId, u32)>,
     pub(super) advice: BTreeMap<StepKey, StepAdvice>,
+    /// Logarithm of measured to guessed run time by queue, on average.
+    pub(super) guess_error: BTreeMap<String, f64>,
     pub(super) adviser_busy: BTreeMap<PeerAddress, CoreTime>,
     /// Whether room, permits or waiting steps changed since the last placement.
     pub(super) stale: bool,
@@ -75,6 +80,8 @@
             confirmed_at: now,
             store_answered: now,
             confirming: None,
+            next_confirm: now,
+            away_since: None,
             confirm_waiting: Vec::new(),
             sequence: 0,
             pending: VecDeque::new(),
@@ -87,6 +94,7 @@
             touched: BTreeSet::new(),
             due: BTreeSet::new(),
             advice: BTreeMap::new(),
+            guess_error: BTreeMap::new(),
             adviser_busy: BTreeMap::new(),
             stale: true,
             place_at: now,
@@ -110,7 +118,10 @@
 
     /// Tells whether something is asked of the table that has no answer yet.
     pub(super) fn is_waiting_for_store(&self) -> bool {
-        self.flight.is_some() || self.confirming.is_some() || !self.loaded
+        self.flight.is_some()
+            || self.confirming.is_some()
+            || self.away_since.is_some()
+            || !self.loaded
     }
 }
 
--- a/crates/bankvalve_queue/src/core/orders.rs
+++ b/crates/bankvalve_queue/src/core/orders.rs
@@ -125,6 +125,7 @@
             WorkerAnswer::Done { .. } => {
                 live.phase = RunPhase::Running { since: now };
                 live.began = now;
+                live.measured = live.copies == 0;
                 self.log("runs", "start", task.to_string(), format!("run {run} on {id}"));
                 return;
             }
--- a/crates/bankvalve_queue/src/core/placing.rs
+++ b/crates/bankvalve_queue/src/core/placing.rs
@@ -23,6 +23,8 @@
 const PLACE_IDLE: Duration = Duration::from_millis(250);
 /// Time beyond a question's own for which room is kept for its step.
 const RESERVE_SLACK: Duration = Duration::from_millis(60);
+/// Workers whose slowness differs by less count as alike, as a logarithm.
+const SLOWNESS_STEP: f64 = 0.06;
 /// Workers asked about for each task, and at least, in a first question.
 const ASK_PER_TASK: usize = 4;
 const ASK_LEAST: usize = 16;
@@ -36,6 +38,7 @@
     tasks: Vec<TaskKey>,
     run: RunId,
     room: TaskSize,
+    urgent: bool,
 }
 
 /// Choice of workers for tasks of a step.
@@ -104,6 +107,7 @@
             key,
             service: terms.service.clone(),
             rule: terms.advice,
+            urgent: terms.priority == 0,
             room: spec.room(),
             run: record.last_run() + 1,
             spec,
@@ -219,6 +223,7 @@
                 next_at: now,
                 tries: 0,
                 saved: String::new(),
+                measured: false,
                 permit,
             };
             seat.add_run(task, live);
@@ -288,36 +293,62 @@
     seat.entry.labels.last().map(String::as_str)
 }
 
+/// A worker that may be chosen, with what choices so far leave of it.
+struct Candidate<'a> {
+    id: &'a WorkerId,
+    room: TaskSize,
+    held: usize,
+    near: bool,
+    /// How slow it is, in steps.
+    slow: i64,
+}
+
+impl<'a> Candidate<'a> {
+    fn new(id: &'a WorkerId, seat: &Seat, step: &PlacedStep, now: CoreTime) -> Self {
+        let rack = step.spec.data_rack.as_ref();
+        Self {
+            id,
+            room: seat.room_for(step.key, now),
+            held: held_of(seat, step.key),
+            near: rack.is_some_and(|rack| seat.entry.labels.contains(rack)),
+            slow: (seat.slowness / SLOWNESS_STEP).round() as i64,
+        }
+    }
+
+    fn takes(&self, step: &PlacedStep, limit: usize) -> bool {
+        step.room.fits(&self.room) && self.held < limit
+    }
+
+    /// Least is best: near its data; for urgent work fast; then the one that is left fullest.
+    fn rank(&self, step: &PlacedStep) -> (Reverse<bool>, i64, u64) {
+        let left = self.room.minus(&step.room).millicores;
+        let slow = if step.urgent { self.slow } else { 0 };
+        (Reverse(self.near), slow, left)
+    }
+}
+
 fn choose_among(step: &PlacedStep, seats: &[(&WorkerId, &Seat)], now: CoreTime) -> Choice {
     let limit = match step.spec.per_worker_limit {
         0 => usize::MAX,
         limit => limit as usize,
     };
-    let mut free: Vec<(&WorkerId, TaskSize, usize, bool)> = seats
+    let mut free: Vec<Candidate<'_>> = seats
         .iter()
-        .map(|(id, seat)| {
-            let held = held_of(seat, step.key);
-            let near = step
-                .spec
-                .data_rack
-                .as_ref()
-                .is_some_and(|rack| seat.entry.labels.contains(rack));
-            (*id, seat.room_for(step.key, now), held, near)
-        })
-        .filter(|(_, room, held, _)| step.room.fits(room) && *held < limit)
+        .map(|(id, seat)| Candidate::new(id, seat, step, now))
+        .filter(|candidate| candidate.takes(step, limit))
         .collect();
     let mut choice = Vec::new();
     for task in &step.tasks {
         let best = free
             .iter_mut()
-            .filter(|(_, room, held, _)| step.room.fits(room) && *held < limit)
-            .min_by_key(|(_, room, _, near)| (Reverse(*near), room.minus(&step.room).millicores));
-        let Some((id, room, held, _)) = best else {
+            .filter(|candidate| candidate.takes(step, limit))
+            .min_by_key(|candidate| candidate.rank(step));
+        let Some(best) = best else {
             break;
         };
-        *room = room.minus(&step.room);
-        *held += 1;
-        choice.push((*task, (*id).clone()));
+        best.room = best.room.minus(&step.room);
+        best.held += 1;
+        choice.push((*task, best.id.clone()));
     }
     if step.spec.gang && choice.len() < step.tasks.len() {
         choice.clear();
--- a/crates/bankvalve_queue/src/core/seat.rs
+++ b/crates/bankvalve_queue/src/core/seat.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use crate::ids::{CoreTime, RunId, StepKey, TaskKey};
+use crate::ids::{CoreTime, JobId, RunId, StepKey, TaskKey};
 use crate::job::TaskSize;
 use crate::worker::WorkerEntry;
 
@@ -15,6 +15,10 @@
 const FAILURES_TO_REST: u32 = 3;
 /// First rest of a worker that fails what it starts; it doubles each time.
 const FIRST_REST: Duration = Duration::from_secs(3);
+/// Least weight of a new measurement of how slow a worker is: some twenty tasks are remembered.
+const SLOWNESS_WEIGHT: f64 = 0.05;
+/// Most that one task says about it; guesses of run times are off by up to 90%.
+const SLOWNESS_BOUND: f64 = 0.8;
 /// Most doublings of it.
 const REST_DOUBLINGS: u32 = 3;
 
@@ -47,6 +51,8 @@
     pub(super) next_at: CoreTime,
     pub(super) tries: u32,
     pub(super) saved: String,
+    /// Whether its begin is known, so that its time can be measured.
+    pub(super) measured: bool,
     pub(super) permit: Option<String>,
 }
 
@@ -80,6 +86,9 @@
     pub(super) seen: u64,
     /// Greatest number of an end that is kept.
     pub(super) kept: u64,
+    /// Logarithm of how much longer than elsewhere tasks take here.
+    pub(super) slowness: f64,
+    measured: u32,
     failures: u32,
     failed_job: u64,
     rests: u32,
@@ -103,6 +112,8 @@
             reserved: Vec::new(),
             seen: 0,
             kept: 0,
+            slowness: 0.0,
+            measured: 0,
             failures: 0,
             failed_job: 0,
             rests: 0,
@@ -146,6 +157,20 @@
         Some(run)
     }
 
+    /// Forgets the runs of a job of which nothing was ever sent.
+    pub(super) fn drop_job(&mut self, job: JobId) {
+        let tasks: Vec<TaskKey> = self
+            .runs
+            .keys()
+            .filter(|task| task.step.job == job)
+            .copied()
+            .collect();
+        for task in tasks {
+            self.remove_run(&task);
+        }
+        self.reserved.retain(|entry| entry.step.job != job);
+    }
+
     /// Room that a step may use now.
     pub(super) fn room_for(&self, step: StepKey, now: CoreTime) -> TaskSize {
         let reserved = self
@@ -161,6 +186,14 @@
             .retain(|entry| entry.step != step && entry.until > now);
     }
 
+    /// Notes how much longer than usual for its queue a task took, as a logarithm.
+    pub(super) fn note_slowness(&mut self, excess: f64) {
+        self.measured += 1;
+        let weight = (1.0 / f64::from(self.measured + 1)).max(SLOWNESS_WEIGHT);
+        let bounded = excess.clamp(-SLOWNESS_BOUND, SLOWNESS_BOUND);
+        self.slowness += weight * (bounded - self.slowness);
+    }
+
     /// Notes how a run ended; returns whether the worker begins to rest.
     pub(super) fn note_result(&mut self, job: u64, good: bool, now: CoreTime) -> bool {
         if good {
--- a/crates/bankvalve_queue/src/core/seat_list.rs
+++ b/crates/bankvalve_queue/src/core/seat_list.rs
@@ -113,6 +113,7 @@
                 next_at: now,
                 tries: 0,
                 saved: String::new(),
+                measured: false,
                 permit: None,
             };
             seat.add_run(task, live);
--- a/crates/bankvalve_queue/src/ledger/job_book.rs
+++ b/crates/bankvalve_queue/src/ledger/job_book.rs
@@ -371,6 +371,11 @@
         self.jobs.is_empty()
     }
 
+    /// Takes back a job that was applied but surely not kept.
+    pub fn withdraw(&mut self, id: JobId) {
+        self.jobs.remove(&id);
+    }
+
     /// Forgets jobs that ended before a time.
     pub fn forget_ended(&mut self, before: WallMillis) {
         self.jobs
