fix(queue): yield only to a peer that reaches the table; no request sent to a silent leader

Change: the peer's last answer must be later than ours by 350 ms; claims back off; requests wait unsent while the leader is silent and are refused at once after 2 s without one.

--- a/crates/bankvalve_queue/src/core/callers.rs
+++ b/crates/bankvalve_queue/src/core/callers.rs
@@ -12,6 +12,8 @@
 
 /// Wait for a leader's answer before the question is sent again.
 const RESEND_AFTER: Duration = Duration::from_millis(700);
+/// A leader that is silent for so long is not sent requests until it is heard again.
+const SILENT_LEADER: Duration = Duration::from_millis(650);
 /// Longest that a request waits for a leader to be known.
 const LEADER_WAIT: Duration = Duration::from_millis(1_800);
 /// Share of a caller's patience after which it gets its final answer, in percent.
@@ -41,6 +43,10 @@
             self.refuse(ticket, RefusalReason::Overload);
             return;
         }
+        if self.is_leaderless() {
+            self.refuse(ticket, RefusalReason::NoLeader);
+            return;
+        }
         let patience = Duration::from_millis(request.patience_ms * PATIENCE_PERCENT / 100);
         let ask = OpenAsk {
             request: request.request,
@@ -64,10 +70,15 @@
 
     fn send_ask(&mut self, ticket: Ticket) {
         let now = self.now;
-        let Some(leader) = self.leader.as_ref().map(|leader| leader.address) else {
+        let Some(view) = self.leader.as_ref() else {
             return;
         };
+        let leader = view.address;
         let own = leader == self.settings.address;
+        if !own && self.age(view.heard_at) > SILENT_LEADER {
+            // It stays certain that the request was not taken up.
+            return;
+        }
         if own && !self.lead.as_ref().is_some_and(|lead| lead.loaded) {
             return;
         }
--- a/crates/bankvalve_queue/src/core/election.rs
+++ b/crates/bankvalve_queue/src/core/election.rs
@@ -27,12 +27,17 @@
 const DROP_MEMBER_AFTER: Duration = Duration::from_secs(60);
 /// Silence of the table after which a leader lets a peer lead that reaches it.
 const YIELD_AFTER: Duration = Duration::from_millis(900);
-/// A peer whose table answered this lately reaches it.
-const STORE_LATELY: Duration = Duration::from_millis(1_400);
+/// A peer reaches the table if it answered the peer this much later than us: watches come back
+/// within a second, so that by the time of the yield each peer that reaches it shows so.
+const STORE_LATER: Duration = Duration::from_millis(350);
 /// Longest that a planned stop waits for a write before it lets a peer lead.
 const STOP_FLUSH: Duration = Duration::from_millis(300);
-/// Pause before a claim is tried again.
-const CLAIM_PAUSE: Duration = Duration::from_millis(150);
+/// Pause before a claim is tried again; it doubles with each one that the table does not answer.
+const CLAIM_PAUSE: Duration = Duration::from_millis(120);
+/// Most doublings of it.
+const CLAIM_DOUBLINGS: u32 = 3;
+/// Silence of a leader after which requests are refused at once: a takeover takes some 1.2 s.
+const LEADERLESS: Duration = Duration::from_millis(2_000);
 /// Wait for a leader's own heartbeat after its row was read.
 const ROW_GRACE: Duration = Duration::from_millis(400);
 
@@ -84,6 +89,15 @@
         self.table.is_some() && !self.stopping && (self.lead.is_some() || self.leader_is_heard())
     }
 
+    /// Tells whether nobody has led for longer than a takeover takes.
+    pub(super) fn is_leaderless(&self) -> bool {
+        let silence = match &self.leader {
+            Some(leader) => self.age(leader.heard_at),
+            None => self.now,
+        };
+        self.lead.is_none() && silence > LEADERLESS
+    }
+
     fn leader_is_heard(&self) -> bool {
         let limit = SUSPECT_AFTER * 2;
         self.leader
@@ -455,8 +469,13 @@
             return;
         };
         claim.busy = false;
-        claim.next_at = self.now + CLAIM_PAUSE;
         let epoch = claim.epoch;
+        self.claims_unanswered = match outcome {
+            StoreOutcome::Busy | StoreOutcome::Lost => self.claims_unanswered + 1,
+            _ => 0,
+        };
+        let doublings = self.claims_unanswered.min(CLAIM_DOUBLINGS);
+        claim.next_at = self.now + CLAIM_PAUSE * 2_u32.pow(doublings);
         match outcome {
             StoreOutcome::Applied { version } => self.begin_lead(epoch, version),
             StoreOutcome::Conflict { rows } => self.lose_claim(epoch, &rows),
@@ -532,7 +551,8 @@
         let Some(lead) = self.lead.as_deref() else {
             return;
         };
-        let cut_off = self.age(lead.store_answered) > YIELD_AFTER && lead.is_waiting_for_store();
+        let silence = self.age(lead.store_answered);
+        let cut_off = silence > YIELD_AFTER && lead.is_waiting_for_store();
         let waited = lead.stop_since.map_or(Duration::ZERO, |at| self.age(at));
         let flushed = lead.flight.is_none() && lead.pending.is_empty();
         let stop_due = self.stopping && (flushed || waited > STOP_FLUSH);
@@ -546,8 +566,8 @@
             return;
         }
         let reaches = |peer: &PeerView| {
-            !peer.news.stopping
-                && u128::from(peer.news.store_age_ms) < STORE_LATELY.as_millis()
+            let peer_silence = Duration::from_millis(peer.news.store_age_ms);
+            !peer.news.stopping && (!cut_off || peer_silence + STORE_LATER < silence)
         };
         let heir = self
             .live_peers()
