perf(queue): look again as soon as ends are kept; take over at once from a leader that is gone

Cause: after an end a worker was not looked at for half a second, even when the end was kept 20 ms later; a killed leader was waited for in silence though its port refused; the own claim, heard of through the watch before its answer, was taken for a predecessor. Ruled out: placement (first start after 49 ms) and interference of tasks (5% between empty and full workers).

--- a/crates/bankvalve/src/entry/link_loop.rs
+++ b/crates/bankvalve/src/entry/link_loop.rs
@@ -6,9 +6,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use bankvalve_link::{
-    encode_message, ClientFailure, ClientLimits, HttpClient, WIRE_TYPE,
-};
+use bankvalve_link::{encode_message, ClientFailure, ClientLimits, HttpClient, WIRE_TYPE};
 use bankvalve_queue::{
     AdviceAnswer, CoreAction, CoreEvent, PeerAddress, PeerBatch, PeerMessage, PlatformPort,
     WireCall, WireReply,
--- a/crates/bankvalve/src/settings/instance_settings.rs
+++ b/crates/bankvalve/src/settings/instance_settings.rs
@@ -500,7 +500,12 @@
     Err((field.to_owned(), expected))
 }
 
-pub(super) fn check_range(field: &str, value: u64, least: u64, most: u64) -> Result<(), (String, String)> {
+pub(super) fn check_range(
+    field: &str,
+    value: u64,
+    least: u64,
+    most: u64,
+) -> Result<(), (String, String)> {
     if (least..=most).contains(&value) {
         return Ok(());
     }
--- a/crates/bankvalve/src/settings/site_settings.rs
+++ b/crates/bankvalve/src/settings/site_settings.rs
@@ -122,7 +122,8 @@
     /// assert!(!SiteSettings::is_meant("{ \"instance\": {} }"));
     /// ```
     pub fn is_meant(text: &str) -> bool {
-        let value = jsonc_parser::parse_to_serde_value::<serde_json::Value>(text, &Default::default());
+        let value =
+            jsonc_parser::parse_to_serde_value::<serde_json::Value>(text, &Default::default());
         value.is_ok_and(|value: serde_json::Value| value.get(SITE_KEY).is_some())
     }
 
--- a/crates/bankvalve_queue/src/core/advice.rs
+++ b/crates/bankvalve_queue/src/core/advice.rs
@@ -78,7 +78,12 @@
 
 impl EntryCore {
     /// Asks about workers for a step; the answer leads to another placement.
-    pub(super) fn ask_advice(&mut self, step: StepKey, rule: AdviceRule, workers: Vec<WorkerId>) -> CoreTime {
+    pub(super) fn ask_advice(
+        &mut self,
+        step: StepKey,
+        rule: AdviceRule,
+        workers: Vec<WorkerId>,
+    ) -> CoreTime {
         let now = self.now;
         let takes = rule.time_for(workers.len());
         let adviser = self.choose_adviser(takes);
@@ -216,7 +221,11 @@
         };
         lead.adviser_busy.remove(&peer);
         for advice in lead.advice.values_mut() {
-            if advice.flight.as_ref().is_some_and(|flight| flight.adviser == peer) {
+            if advice
+                .flight
+                .as_ref()
+                .is_some_and(|flight| flight.adviser == peer)
+            {
                 advice.flight = None;
                 lead.stale = true;
             }
@@ -231,7 +240,11 @@
         };
         let mut lost = 0;
         for advice in lead.advice.values_mut() {
-            if advice.flight.as_ref().is_some_and(|flight| now > flight.until) {
+            if advice
+                .flight
+                .as_ref()
+                .is_some_and(|flight| now > flight.until)
+            {
                 advice.flight = None;
                 lost += 1;
             }
--- a/crates/bankvalve_queue/src/core/callers.rs
+++ b/crates/bankvalve_queue/src/core/callers.rs
@@ -119,7 +119,10 @@
             let waited = now.saturating_sub(ask.since);
             if now >= ask.until || (waited > LEADER_WAIT && ask.sent.is_none()) {
                 over.push(*ticket);
-            } else if ask.sent.is_none_or(|(to, at)| to != own && now.saturating_sub(at) > RESEND_AFTER) {
+            } else if ask
+                .sent
+                .is_none_or(|(to, at)| to != own && now.saturating_sub(at) > RESEND_AFTER)
+            {
                 again.push(*ticket);
             }
         }
--- a/crates/bankvalve_queue/src/core/commit.rs
+++ b/crates/bankvalve_queue/src/core/commit.rs
@@ -365,6 +365,9 @@
                     if let Some(lead) = self.lead.as_deref_mut() {
                         if let Some(seat) = lead.seats.get_mut(&worker) {
                             seat.kept = seat.kept.max(number);
+                            if seat.kept == seat.seen {
+                                seat.next_hold = self.now;
+                            }
                         }
                     }
                 }
--- a/crates/bankvalve_queue/src/core/election.rs
+++ b/crates/bankvalve_queue/src/core/election.rs
@@ -12,11 +12,11 @@
 use crate::store::{RowCondition, RowKey, RowWrite, StoreOutcome, StoreRequest, StoredRow};
 
 /// Time between two heartbeats; a takeover within about a second needs some four of them.
-const HEARTBEAT: Duration = Duration::from_millis(200);
+const HEARTBEAT: Duration = Duration::from_millis(160);
 /// Silence after which a leader is suspected: four heartbeats and the delay of a slow one.
-const SUSPECT_AFTER: Duration = Duration::from_millis(900);
+const SUSPECT_AFTER: Duration = Duration::from_millis(750);
 /// A peer that heard the leader this lately speaks against the suspicion.
-const HEARD_LATELY: Duration = Duration::from_millis(700);
+const HEARD_LATELY: Duration = Duration::from_millis(550);
 /// Suspicion of an instance that no peer answers: it is more likely cut off itself.
 const ALONE_AFTER: Duration = Duration::from_millis(2_500);
 /// Pause for each peer that comes first in the order of claims.
@@ -50,6 +50,8 @@
     /// Version of its row; 0 if only peers told of it.
     pub(super) row_version: u64,
     pub(super) heard_at: CoreTime,
+    /// Whether its process is surely gone: its port refused, or another life answers there.
+    pub(super) gone: bool,
 }
 
 /// A peer, as far as is known.
@@ -167,6 +169,12 @@
             self.log("election", "row_unreadable", String::new(), String::new());
             return;
         };
+        let claimed = self.claim.as_ref().map(|claim| claim.epoch);
+        if self.lead.is_none() && claimed.is_some_and(|epoch| self.is_own_claim(&row, epoch)) {
+            // The change was heard of before the claim's own answer.
+            self.begin_lead(row.epoch, version);
+            return;
+        }
         self.highest_epoch = self.highest_epoch.max(row.epoch);
         if let Some(lead) = &self.lead {
             if row.epoch > lead.epoch {
@@ -192,12 +200,15 @@
             }
             return;
         }
+        let gone = row.address == self.settings.address;
+        let grace = if gone { Duration::ZERO } else { ROW_GRACE };
         self.follow(LeaderView {
             address: row.address,
             life: row.life,
             epoch: row.epoch,
             row_version: version,
-            heard_at: self.now.saturating_sub(SUSPECT_AFTER - ROW_GRACE),
+            heard_at: self.now.saturating_sub(SUSPECT_AFTER - grace),
+            gone,
         });
     }
 
@@ -210,10 +221,12 @@
         let own = leader.address == self.settings.address;
         if !own {
             let now = self.now;
-            self.peers.entry(leader.address).or_insert_with(|| PeerView {
-                known_at: now,
-                ..PeerView::default()
-            });
+            self.peers
+                .entry(leader.address)
+                .or_insert_with(|| PeerView {
+                    known_at: now,
+                    ..PeerView::default()
+                });
         }
         self.leader = Some(leader);
         self.resend_asks();
@@ -233,7 +246,11 @@
         self.applied = 0;
         self.catch_up_at = Some(self.now + Duration::from_millis(300));
         let own = self.settings.address;
-        if self.leader.as_ref().is_some_and(|leader| leader.address == own) {
+        if self
+            .leader
+            .as_ref()
+            .is_some_and(|leader| leader.address == own)
+        {
             self.leader = None;
         }
         self.resend_asks();
@@ -302,6 +319,8 @@
         }
         if news.leading {
             self.hear_leader(from, &news);
+        } else if self.is_gone_leader(from, &news) {
+            self.lose_leader();
         } else if let Some((over, at)) = self.predecessor_over_candidate(from, &news) {
             self.predecessor_over = Some((over, at));
         }
@@ -311,6 +330,23 @@
         peer.news = news;
     }
 
+    /// Another life at the leader's address shows that the one that led is over.
+    fn is_gone_leader(&self, from: PeerAddress, news: &HeartbeatNews) -> bool {
+        self.lead.is_none()
+            && self
+                .leader
+                .as_ref()
+                .is_some_and(|leader| leader.address == from && leader.life != news.life)
+    }
+
+    fn lose_leader(&mut self) {
+        let old = self.now.saturating_sub(SUSPECT_AFTER);
+        if let Some(leader) = self.leader.as_mut() {
+            leader.heard_at = leader.heard_at.min(old);
+            leader.gone = true;
+        }
+    }
+
     /// A former leader that says it does not lead has stopped commanding.
     fn predecessor_over_candidate(
         &self,
@@ -320,7 +356,9 @@
         let lead = self.lead.as_ref()?;
         let (address, life) = lead.predecessor?;
         let over = from == address && (news.life != life || news.epoch >= lead.epoch);
-        let unknown = self.predecessor_over.is_none_or(|(epoch, _)| epoch != lead.epoch);
+        let unknown = self
+            .predecessor_over
+            .is_none_or(|(epoch, _)| epoch != lead.epoch);
         (over && unknown).then_some((lead.epoch, self.now))
     }
 
@@ -336,6 +374,7 @@
                 epoch: news.epoch,
                 row_version: 0,
                 heard_at: self.now,
+                gone: false,
             });
             return;
         }
@@ -344,6 +383,7 @@
             if leader.address == from {
                 leader.heard_at = now;
                 leader.life = news.life;
+                leader.gone = false;
                 self.suspect_since = None;
             }
         }
@@ -355,16 +395,19 @@
         if let Some(view) = self.peers.get_mut(&peer) {
             if refused {
                 view.heard_at = None;
-                view.known_at = view.known_at.max(self.now.saturating_sub(DROP_MEMBER_AFTER / 2));
+                view.known_at = view
+                    .known_at
+                    .max(self.now.saturating_sub(DROP_MEMBER_AFTER / 2));
             }
         }
         self.reassign_advice(peer);
-        if refused {
-            if let Some(leader) = self.leader.as_mut() {
-                if leader.address == peer {
-                    leader.heard_at = leader.heard_at.min(self.now.saturating_sub(SUSPECT_AFTER));
-                }
-            }
+        let leads = self.lead.is_none()
+            && self
+                .leader
+                .as_ref()
+                .is_some_and(|leader| leader.address == peer);
+        if refused && leads {
+            self.lose_leader();
         }
     }
 
@@ -411,12 +454,14 @@
             None => SUSPECT_AFTER,
         };
         let epoch = self.highest_epoch;
-        let others_hear = self.live_peers().any(|(_, peer)| {
-            peer.news.epoch >= epoch
-                && peer.news.leader.is_some()
-                && u128::from(peer.news.leader_age_ms) < HEARD_LATELY.as_millis()
-        });
-        let alone = self.live_peers().next().is_none() && !self.peers.is_empty();
+        let gone = self.leader.as_ref().is_some_and(|leader| leader.gone);
+        let others_hear = !gone
+            && self.live_peers().any(|(_, peer)| {
+                peer.news.epoch >= epoch
+                    && peer.news.leader.is_some()
+                    && u128::from(peer.news.leader_age_ms) < HEARD_LATELY.as_millis()
+            });
+        let alone = !gone && self.live_peers().next().is_none() && !self.peers.is_empty();
         let limit = if alone { ALONE_AFTER } else { SUSPECT_AFTER };
         if silence < limit || (others_hear && silence < ALONE_AFTER * 2) {
             self.suspect_since = None;
@@ -477,43 +522,31 @@
         let doublings = self.claims_unanswered.min(CLAIM_DOUBLINGS);
         claim.next_at = self.now + CLAIM_PAUSE * 2_u32.pow(doublings);
         match outcome {
-            StoreOutcome::Applied { version } => self.begin_lead(epoch, version),
-            StoreOutcome::Conflict { rows } => self.lose_claim(epoch, &rows),
+            StoreOutcome::Applied { version } if self.lead.is_none() => {
+                self.begin_lead(epoch, version);
+            }
+            StoreOutcome::Applied { .. } => {}
+            StoreOutcome::Conflict { rows } => self.lose_claim(&rows),
             // It may have been done: the row tells when it is read.
             _ => self.read_leader_row(),
         }
     }
 
-    fn lose_claim(&mut self, epoch: u64, rows: &[StoredRow]) {
+    /// The row as it stands may also show that an earlier copy of the claim was done.
+    fn lose_claim(&mut self, rows: &[StoredRow]) {
         for row in rows {
-            let content = rmp_serde::from_slice::<LeaderRow>(&row.value);
-            let own = content.is_ok_and(|content| self.is_own_claim(&content, epoch));
-            if own {
-                self.begin_lead(epoch, row.version);
-                return;
-            }
             self.take_leader_row(&row.value, row.version);
         }
     }
 
     fn is_own_claim(&self, row: &LeaderRow, epoch: u64) -> bool {
-        row.address == self.settings.address
-            && row.life == self.settings.life
-            && row.epoch == epoch
+        row.address == self.settings.address && row.life == self.settings.life && row.epoch == epoch
     }
 
     /// Takes the leader's row as it was read, which may show a claim whose answer was lost.
     pub(super) fn take_leader_rows(&mut self, rows: &[StoredRow]) {
         for row in rows.iter().filter(|row| row.key == leader_key()) {
-            let claimed = self.claim.as_ref().map(|claim| claim.epoch);
-            let content = rmp_serde::from_slice::<LeaderRow>(&row.value);
-            let own = content.is_ok_and(|content| {
-                claimed.is_some_and(|epoch| self.is_own_claim(&content, epoch))
-            });
-            match claimed {
-                Some(epoch) if own && self.lead.is_none() => self.begin_lead(epoch, row.version),
-                _ => self.take_leader_row(&row.value, row.version),
-            }
+            self.take_leader_row(&row.value, row.version);
         }
     }
 
@@ -539,6 +572,7 @@
             epoch,
             row_version,
             heard_at: self.now,
+            gone: false,
         });
         self.next_heartbeat = self.now;
         self.run_heartbeats();
@@ -578,7 +612,11 @@
             return;
         };
         let epoch = self.highest_epoch;
-        let why = if cut_off { "table away" } else { "planned stop" };
+        let why = if cut_off {
+            "table away"
+        } else {
+            "planned stop"
+        };
         self.log("election", "yield", heir.to_string(), why.to_owned());
         self.counters.count("elections", "yielded");
         self.depose(why);
@@ -589,7 +627,12 @@
         if epoch < self.highest_epoch || self.lead.is_some() || self.stopping {
             return;
         }
-        self.log("election", "asked_to_lead", from.to_string(), format!("epoch {epoch}"));
+        self.log(
+            "election",
+            "asked_to_lead",
+            from.to_string(),
+            format!("epoch {epoch}"),
+        );
         self.asked_to_lead = Some(epoch);
         self.claim = None;
         self.run_election();
--- a/crates/bankvalve_queue/src/core/holds.rs
+++ b/crates/bankvalve_queue/src/core/holds.rs
@@ -117,7 +117,9 @@
         let Some(seat) = lead.seats.get_mut(id) else {
             return;
         };
-        let heard = seat.heard_at.is_some_and(|at| now.saturating_sub(at) < PROLONG_IF_HEARD);
+        let heard = seat
+            .heard_at
+            .is_some_and(|at| now.saturating_sub(at) < PROLONG_IF_HEARD);
         let until_ms = if heard && seat.proved {
             seat.hold_until(now, hold)
         } else {
@@ -193,7 +195,11 @@
         match answer {
             WorkerAnswer::OtherLife => {
                 self.give_up_seat(&id, "another life answers");
-                if let Some(seat) = self.lead.as_deref_mut().and_then(|lead| lead.seats.get_mut(&id)) {
+                if let Some(seat) = self
+                    .lead
+                    .as_deref_mut()
+                    .and_then(|lead| lead.seats.get_mut(&id))
+                {
                     seat.listed = false;
                     seat.hold_busy = false;
                     seat.next_hold = now + FORGET_SEAT;
@@ -216,7 +222,11 @@
 
     fn end_look(&mut self, id: &WorkerId, sent_at: CoreTime, answer: WorkerAnswer) {
         let now = self.now;
-        let Some(seat) = self.lead.as_deref_mut().and_then(|lead| lead.seats.get_mut(id)) else {
+        let Some(seat) = self
+            .lead
+            .as_deref_mut()
+            .and_then(|lead| lead.seats.get_mut(id))
+        else {
             return;
         };
         seat.hold_busy = false;
@@ -232,7 +242,11 @@
         let first = !seat.proved;
         seat.proved = true;
         seat.heard_at = Some(now);
-        seat.next_hold = if first { now } else { (sent_at + LOOK_PACE).max(now) };
+        seat.next_hold = if first {
+            now
+        } else {
+            (sent_at + LOOK_PACE).max(now)
+        };
         self.take_report(id, sent_at, report);
         let Some(lead) = self.lead.as_deref_mut() else {
             return;
@@ -268,7 +282,10 @@
         }
         seat.seen = end.number;
         lead.stale = true;
-        let held = seat.runs.get(&end.task).is_some_and(|live| live.run == end.run);
+        let held = seat
+            .runs
+            .get(&end.task)
+            .is_some_and(|live| live.run == end.run);
         let mut ran = Duration::ZERO;
         let mut guess = Duration::ZERO;
         if held {
@@ -282,8 +299,13 @@
         let job = end.task.step.job;
         if end.how == EndKind::Done && !guess.is_zero() {
             let queue = self.book.job(job).map(|job| job.spec.queue.clone());
-            let ratio = (ran.as_secs_f64() / guess.as_secs_f64()).max(LEAST_RATIO).ln();
-            let error = lead.guess_error.entry(queue.unwrap_or_default()).or_insert(ratio);
+            let ratio = (ran.as_secs_f64() / guess.as_secs_f64())
+                .max(LEAST_RATIO)
+                .ln();
+            let error = lead
+                .guess_error
+                .entry(queue.unwrap_or_default())
+                .or_insert(ratio);
             *error += GUESS_WEIGHT * (ratio - *error);
             seat.note_slowness(ratio - *error);
         }
@@ -294,9 +316,18 @@
         };
         if rests {
             self.counters.count("workers", "rest");
-            self.log("workers", "rest", id.to_string(), "fails what it starts".into());
+            self.log(
+                "workers",
+                "rest",
+                id.to_string(),
+                "fails what it starts".into(),
+            );
         }
-        let detail = format!("run {} on {id}: {} after {ran:?}", end.run, end.how.as_str());
+        let detail = format!(
+            "run {} on {id}: {} after {ran:?}",
+            end.run,
+            end.how.as_str()
+        );
         self.log("runs", "end", end.task.to_string(), detail);
         self.counters.count("ends", end.how.as_str());
         let effect = Effect::ForgetEnd(id.clone(), end.number);
--- a/crates/bankvalve_queue/src/core/lead.rs
+++ b/crates/bankvalve_queue/src/core/lead.rs
@@ -104,7 +104,10 @@
     }
 
     pub(super) fn waiting_tasks(&self) -> u64 {
-        self.waiting.values().map(|step| u64::from(step.tasks)).sum()
+        self.waiting
+            .values()
+            .map(|step| u64::from(step.tasks))
+            .sum()
     }
 
     pub(super) fn live_runs(&self) -> u64 {
--- a/crates/bankvalve_queue/src/core/orders.rs
+++ b/crates/bankvalve_queue/src/core/orders.rs
@@ -74,7 +74,11 @@
         };
         let saved = job.task(task).map(|task| task.saved.clone());
         let spec = job.spec.clone();
-        let Some(seat) = self.lead.as_deref_mut().and_then(|lead| lead.seats.get_mut(id)) else {
+        let Some(seat) = self
+            .lead
+            .as_deref_mut()
+            .and_then(|lead| lead.seats.get_mut(id))
+        else {
             return;
         };
         let Some(until_ms) = seat.hold_until(now, hold) else {
@@ -126,7 +130,12 @@
                 live.phase = RunPhase::Running { since: now };
                 live.began = now;
                 live.measured = live.copies == 0;
-                self.log("runs", "start", task.to_string(), format!("run {run} on {id}"));
+                self.log(
+                    "runs",
+                    "start",
+                    task.to_string(),
+                    format!("run {run} on {id}"),
+                );
                 return;
             }
             WorkerAnswer::NoReply => {
@@ -166,7 +175,12 @@
             seat.resting_until = seat.resting_until.max(now + UNWELL_REST);
         }
         self.counters.count("order_refusals", why);
-        self.log("runs", "refused", task.to_string(), format!("run {run} on {id}: {why}"));
+        self.log(
+            "runs",
+            "refused",
+            task.to_string(),
+            format!("run {run} on {id}: {why}"),
+        );
         if why == "permit" {
             self.drop_permit(task.step, id);
         }
@@ -271,7 +285,12 @@
         live.busy = false;
         live.next_at = now + STOP_PAUSE;
         if matches!(answer, WorkerAnswer::Done { .. }) {
-            self.log("runs", "stop", task.to_string(), format!("run {run} on {id}"));
+            self.log(
+                "runs",
+                "stop",
+                task.to_string(),
+                format!("run {run} on {id}"),
+            );
             live_confirmed(self, id, task);
         }
     }
--- a/crates/bankvalve_queue/src/core/placing.rs
+++ b/crates/bankvalve_queue/src/core/placing.rs
@@ -227,7 +227,11 @@
                 permit,
             };
             seat.add_run(task, live);
-            let detail = format!("run {} on {worker}, room left {}", step.run, seat.entry.room.minus(&seat.used).millicores);
+            let detail = format!(
+                "run {} on {worker}, room left {}",
+                step.run,
+                seat.entry.room.minus(&seat.used).millicores
+            );
             self.log("placer", "place", task.to_string(), detail);
             let run = step.run;
             let event = LedgerEvent::Started { task, run, worker };
@@ -367,7 +371,11 @@
 /// Workers for a step's first question: those with the most room.
 fn first_question(step: &PlacedStep, seats: &[(&WorkerId, &Seat)], now: CoreTime) -> Vec<WorkerId> {
     let wanted = (step.tasks.len() * ASK_PER_TASK).max(ASK_LEAST);
-    let wanted = if step.spec.gang { ASK_LIMIT } else { wanted.min(ASK_LIMIT) };
+    let wanted = if step.spec.gang {
+        ASK_LIMIT
+    } else {
+        wanted.min(ASK_LIMIT)
+    };
     let mut by_room: Vec<(u64, &WorkerId)> = seats
         .iter()
         .map(|(id, seat)| (seat.room_for(step.key, now).millicores, *id))
@@ -389,9 +397,7 @@
 ) -> Vec<WorkerId> {
     seats
         .iter()
-        .filter(|(id, seat)| {
-            !advice.is_known(id) && step.room.fits(&seat.room_for(step.key, now))
-        })
+        .filter(|(id, seat)| !advice.is_known(id) && step.room.fits(&seat.room_for(step.key, now)))
         .map(|(id, _)| (*id).clone())
         .take(ASK_LIMIT)
         .collect()
--- a/crates/bankvalve_queue/src/core/seat_list.rs
+++ b/crates/bankvalve_queue/src/core/seat_list.rs
@@ -137,7 +137,10 @@
         let too_long = |live: &LiveRun| match live.phase {
             RunPhase::Running { since } => {
                 let ran = now.saturating_sub(since);
-                let rest = live.estimate.saturating_sub(ran).max(live.estimate / OVERDUE_REST);
+                let rest = live
+                    .estimate
+                    .saturating_sub(ran)
+                    .max(live.estimate / OVERDUE_REST);
                 rest > left
             }
             _ => false,
@@ -148,7 +151,11 @@
             .filter(|(_, live)| too_long(live))
             .map(|(task, _)| *task)
             .collect();
-        let detail = format!("{left:?} left, {} runs, {} moved", seat.runs.len(), moved.len());
+        let detail = format!(
+            "{left:?} left, {} runs, {} moved",
+            seat.runs.len(),
+            moved.len()
+        );
         self.log("workers", "leaving", id.to_string(), detail);
         for task in moved {
             self.begin_stop_run(id, task);
--- a/crates/bankvalve_queue/src/core/store_link.rs
+++ b/crates/bankvalve_queue/src/core/store_link.rs
@@ -245,7 +245,11 @@
     /// Puts a configuration in force, unless it is older than the one that is.
     pub(super) fn use_table(&mut self, table: QueueTable, raw: Vec<u8>) {
         let version = table.version;
-        if self.table.as_ref().is_some_and(|now| now.version >= version) {
+        if self
+            .table
+            .as_ref()
+            .is_some_and(|now| now.version >= version)
+        {
             return;
         }
         self.log("config", "in_force", version.to_string(), String::new());
--- a/crates/bankvalve_queue/src/core/waiting.rs
+++ b/crates/bankvalve_queue/src/core/waiting.rs
@@ -86,7 +86,11 @@
             time: u32::MAX,
             step: u16::MAX,
         };
-        let old: Vec<StepKey> = lead.waiting.range(first..=last).map(|(key, _)| *key).collect();
+        let old: Vec<StepKey> = lead
+            .waiting
+            .range(first..=last)
+            .map(|(key, _)| *key)
+            .collect();
         for key in old {
             lead.waiting.remove(&key);
         }
@@ -113,7 +117,8 @@
                     if gang_is_partial(spec, waiting) {
                         placed_of_step(key, record, &mut stops);
                     } else {
-                        lead.waiting.insert(key, WaitingStep::new(job, key, waiting));
+                        lead.waiting
+                            .insert(key, WaitingStep::new(job, key, waiting));
                     }
                 }
             }
--- a/crates/bankvalve_queue/src/ledger/job_book.rs
+++ b/crates/bankvalve_queue/src/ledger/job_book.rs
@@ -78,7 +78,11 @@
 
     /// Greatest run number that any of its tasks has had.
     pub fn last_run(&self) -> RunId {
-        self.tasks.iter().map(|task| task.last_run).max().unwrap_or(0)
+        self.tasks
+            .iter()
+            .map(|task| task.last_run)
+            .max()
+            .unwrap_or(0)
     }
 
     fn set_phase(&mut self, index: usize, phase: TaskPhase) {
@@ -221,7 +225,8 @@
         };
         let step = &mut time.steps[number];
         let index = task.index as usize;
-        let current = matches!(&step.tasks[index].phase, TaskPhase::Placed { run: now, .. } if *now == run);
+        let current =
+            matches!(&step.tasks[index].phase, TaskPhase::Placed { run: now, .. } if *now == run);
         if !current {
             return;
         }
@@ -265,7 +270,8 @@
 /// One good end of a gang stands for all members of the run.
 fn finish_gang(step: &mut StepRecord, run: RunId) {
     for index in 0..step.tasks.len() {
-        let same = matches!(&step.tasks[index].phase, TaskPhase::Placed { run: now, .. } if *now == run);
+        let same =
+            matches!(&step.tasks[index].phase, TaskPhase::Placed { run: now, .. } if *now == run);
         if same || step.tasks[index].phase == TaskPhase::Waiting {
             step.set_phase(index, TaskPhase::Done);
         }
--- a/crates/bankvalve_queue/src/ledger/mod.rs
+++ b/crates/bankvalve_queue/src/ledger/mod.rs
@@ -4,6 +4,4 @@
 mod job_book;
 
 pub use event::{EndKind, LedgerBatch, LedgerEvent};
-pub use job_book::{
-    JobBook, JobOutcome, JobRecord, StepRecord, TaskPhase, TaskRecord, TimeRecord,
-};
+pub use job_book::{JobBook, JobOutcome, JobRecord, StepRecord, TaskPhase, TaskRecord, TimeRecord};
--- a/crates/bankvalve_queue/src/worker.rs
+++ b/crates/bankvalve_queue/src/worker.rs
@@ -196,4 +196,3 @@
     /// No answer.
     NoReply,
 }
-
