--- a/crates/bankvalve_check/src/command/mod.rs
+++ b/crates/bankvalve_check/src/command/mod.rs
@@ -7,6 +7,7 @@
 
 use crate::measure::{run_decisions, run_measure};
 use crate::random::run_random;
+use crate::site::run_site_random;
 use crate::slopes::run_slopes;
 
 /// Checks and measures bankvalve's decisions
@@ -26,6 +27,16 @@
         #[bpaf(long("break"), argument("NAME"), optional)]
         guard: Option<String>,
     },
+    /// Runs entry instances on the users' platform under random troubles and checks its rules
+    #[bpaf(command)]
+    Site {
+        /// First seed; the same seed repeats exactly
+        #[bpaf(argument("S"), fallback(1))]
+        seed: u64,
+        /// Events that are to happen at least
+        #[bpaf(argument("N"), fallback(1_000_000))]
+        events: u64,
+    },
     /// Measures waiting, packing and control cost under virtual time, beside baselines
     #[bpaf(command)]
     Measure {
@@ -56,6 +67,7 @@
             events,
             guard,
         } => random(seed, events, guard.as_deref()),
+        CheckCommand::Site { seed, events } => run_site_random(seed, events),
         CheckCommand::Measure { seed, profile } => run_measure(&profile, seed),
         CheckCommand::Decide => run_decisions(),
         CheckCommand::Slopes { folder } => run_slopes(&folder),
--- a/crates/bankvalve_check/src/lib.rs
+++ b/crates/bankvalve_check/src/lib.rs
@@ -2,7 +2,8 @@
 //!
 //! [`world::CellWorld`] holds many entry instances, the platform and the
 //! workers in one process. [`random::run_episode`] lets faults strike it
-//! and checks the history; [`history`] holds the checks.
+//! and checks the history; [`history`] holds the checks. [`site`] does the same
+//! for entry instances on the users' platform.
 
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
@@ -13,5 +14,6 @@
 pub mod load;
 pub mod measure;
 pub mod random;
+pub mod site;
 pub mod slopes;
 pub mod world;
--- /dev/null
+++ b/crates/bankvalve_check/src/site/site_random.rs
@@ -0,0 +1,161 @@
+//! Randomised runs of a site: jobs and troubles drawn from a seed, rules checked to the end.
+
+use std::collections::BTreeMap;
+use std::process::ExitCode;
+use std::time::Instant;
+
+use bankvalve_queue::JobState;
+use rand::Rng;
+
+use super::{job_of, RuleBreach, SiteFault, SitePlan, SiteWorld, QUEUE, URGENT_QUEUE};
+
+/// Virtual time in which jobs and troubles come, in milliseconds.
+const TROUBLED_MS: u64 = 40_000;
+/// Virtual time in which all jobs must end after the troubles, in milliseconds.
+const CALM_MS: u64 = 90_000;
+/// First virtual time at which trouble strikes, in milliseconds.
+const FIRST_MS: u64 = 1_500;
+/// Most tasks of a step that is drawn.
+const WIDTH: u32 = 4;
+
+/// What came of a run.
+#[derive(Debug)]
+pub struct SiteReport {
+    /// Rules that were broken.
+    pub breaches: Vec<RuleBreach>,
+    /// Events of the run.
+    pub events: u64,
+    /// Starts seen.
+    pub starts: u64,
+    /// Jobs accepted.
+    pub accepted: u64,
+    /// Troubles that struck.
+    pub faults: BTreeMap<SiteFault, u64>,
+}
+
+/// Runs one episode: troubles of the kinds given strike a site under load.
+pub fn run_site_episode(seed: u64, kinds: &[SiteFault]) -> SiteReport {
+    let mut world = SiteWorld::new(SitePlan {
+        seed,
+        entries: 3 + (seed % 3) as usize,
+        workers: 12,
+        good_percent: (seed % 2 == 0).then_some(85),
+    });
+    let mut faults = BTreeMap::new();
+    let mut next_fault = FIRST_MS + world.rng.random_range(0..2_000);
+    let mut job = seed.wrapping_mul(1_000_000);
+    world.run_until(FIRST_MS / 2);
+    while world.now_ms < TROUBLED_MS {
+        let pause = world.rng.random_range(20..180);
+        let until = world.now_ms + pause;
+        world.run_until(until);
+        job += 1;
+        submit_drawn(&mut world, job);
+        if world.rng.random_range(0..20) == 0 {
+            let old = job - world.rng.random_range(0..5).min(job);
+            world.cancel(old);
+        }
+        if world.now_ms >= next_fault && !kinds.is_empty() {
+            let kind = kinds[world.rng.random_range(0..kinds.len())];
+            *faults.entry(kind).or_default() += 1;
+            kind.strike(&mut world);
+            next_fault = world.now_ms + world.rng.random_range(300..5_000);
+            if world.rng.random_range(0..3) == 0 {
+                SiteFault::calm(&mut world);
+            }
+        }
+    }
+    SiteFault::calm(&mut world);
+    world.run_until(TROUBLED_MS + CALM_MS);
+    check_ends(&mut world);
+    SiteReport {
+        events: world.events,
+        starts: world.rules.starts,
+        accepted: world.rules.accepted().len() as u64,
+        breaches: std::mem::take(&mut world.rules.breaches),
+        faults,
+    }
+}
+
+fn submit_drawn(world: &mut SiteWorld, job: u64) {
+    let steps = world.rng.random_range(1..4);
+    let counts: Vec<u32> = (0..steps)
+        .map(|_| world.rng.random_range(1..=WIDTH))
+        .collect();
+    let gang = world.rng.random_range(0..4) == 0;
+    let queue = if world.rng.random_range(0..2) == 0 {
+        QUEUE
+    } else {
+        URGENT_QUEUE
+    };
+    let mut spec = job_of(job, queue, &counts, gang);
+    if world.rng.random_range(0..5) == 0 {
+        for step in &mut spec.steps {
+            step.per_worker_limit = 2;
+        }
+    }
+    world.submit(spec);
+}
+
+/// All accepted jobs must have ended.
+fn check_ends(world: &mut SiteWorld) {
+    let now = world.now_ms;
+    let open: Vec<u64> = world
+        .rules
+        .accepted()
+        .iter()
+        .filter(|job| !world.shown.contains_key(job))
+        .copied()
+        .collect();
+    for job in open {
+        let text = format!("{job:016x} has not ended: {}", world.describe(job));
+        world.rules.breach("LOST", now, text);
+    }
+    world.rules.check_refused(now);
+    let cancelled: Vec<u64> = world.rules.cancelled().copied().collect();
+    for (job, state) in world.shown.clone() {
+        if state == JobState::Cancelled && !cancelled.contains(&job) {
+            let text = format!("{job:016x} is shown as cancelled");
+            world.rules.breach("LOST", now, text);
+        }
+    }
+}
+
+/// Runs episodes from a seed until so many events have happened.
+pub fn run_site_random(seed: u64, events: u64) -> ExitCode {
+    let begun = Instant::now();
+    let (mut done, mut starts, mut accepted) = (0, 0, 0);
+    let (mut passed, mut failed) = (0, 0);
+    let mut faults: BTreeMap<SiteFault, u64> = BTreeMap::new();
+    let mut number = seed;
+    while done < events {
+        let report = run_site_episode(number, &SiteFault::ALL);
+        done += report.events;
+        starts += report.starts;
+        accepted += report.accepted;
+        for (kind, count) in report.faults {
+            *faults.entry(kind).or_default() += count;
+        }
+        if report.breaches.is_empty() {
+            passed += 1;
+        } else {
+            failed += 1;
+            println!("run with seed {number} broke rules:");
+            for breach in report.breaches.iter().take(4) {
+                println!("  {}: {}", breach.rule, breach.text);
+            }
+        }
+        number += 1;
+    }
+    for (kind, count) in &faults {
+        println!("{:<24}{count}", format!("{kind:?}"));
+    }
+    let seconds = begun.elapsed().as_secs_f64();
+    println!("{done} events, {accepted} jobs accepted, {starts} starts, {seconds:.1} s");
+    println!("{passed} passed, {failed} failed");
+    if failed == 0 {
+        ExitCode::SUCCESS
+    } else {
+        ExitCode::FAILURE
+    }
+}
--- /dev/null
+++ b/crates/bankvalve_check/src/site/site_rules.rs
@@ -0,0 +1,224 @@
+//! The platform's rules, checked on what workers and callers see.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use bankvalve_queue::{EndKind, JobId, JobSpec, JobState, RunId, StepKey, TaskKey, WorkerId};
+
+/// A rule that was broken.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct RuleBreach {
+    /// Which rule.
+    pub rule: &'static str,
+    /// When, in milliseconds of virtual time, and what happened.
+    pub text: String,
+}
+
+/// What is known of a task from outside.
+#[derive(Clone, Debug, Default)]
+struct TaskHistory {
+    live: BTreeMap<(WorkerId, RunId), ()>,
+    done_at: Option<u64>,
+    done_kept: bool,
+    failed_kept: u32,
+}
+
+/// What workers and callers have seen, and which rules were broken.
+#[derive(Debug, Default)]
+pub struct RuleBook {
+    specs: BTreeMap<JobId, (std::sync::Arc<JobSpec>, u32)>,
+    tasks: BTreeMap<TaskKey, TaskHistory>,
+    accepted: BTreeSet<JobId>,
+    /// Jobs of which an attempt to hand them in ended.
+    attempted: BTreeSet<JobId>,
+    /// Jobs of which an attempt was not surely refused.
+    uncertain: BTreeSet<JobId>,
+    cancelled: BTreeMap<JobId, u64>,
+    succeeded: BTreeSet<JobId>,
+    /// Rules that were broken.
+    pub breaches: Vec<RuleBreach>,
+    /// Starts seen.
+    pub starts: u64,
+    end_waits: Vec<u64>,
+}
+
+impl RuleBook {
+    /// A job is about to be handed in.
+    pub fn submit(&mut self, spec: &std::sync::Arc<JobSpec>, attempts: u32) {
+        self.specs.insert(spec.id, (spec.clone(), attempts));
+    }
+
+    /// An attempt to hand a job in ended.
+    pub fn attempt_ended(&mut self, job: JobId, accepted: bool, surely_refused: bool) {
+        if accepted {
+            self.accepted.insert(job);
+        }
+        if !surely_refused {
+            self.uncertain.insert(job);
+        }
+        self.attempted.insert(job);
+    }
+
+    /// Checks, once all is over, that nothing ran that was refused each time.
+    pub fn check_refused(&mut self, now_ms: u64) {
+        let started: BTreeSet<JobId> = self.tasks.keys().map(|task| task.step.job).collect();
+        let wrong: Vec<JobId> = started
+            .into_iter()
+            .filter(|job| self.attempted.contains(job) && !self.uncertain.contains(job))
+            .collect();
+        for job in wrong {
+            self.breach("REFUSED", now_ms, format!("{job:016x} ran"));
+        }
+    }
+
+    /// Jobs that were accepted.
+    pub fn accepted(&self) -> &BTreeSet<JobId> {
+        &self.accepted
+    }
+
+    /// Jobs whose cancelling was confirmed.
+    pub fn cancelled(&self) -> impl Iterator<Item = &JobId> {
+        self.cancelled.keys()
+    }
+
+    /// The cancelling of a job was confirmed.
+    pub fn cancel_confirmed(&mut self, job: JobId, now_ms: u64) {
+        self.cancelled.entry(job).or_insert(now_ms);
+    }
+
+    /// A caller was told how a job stands.
+    pub fn shown(&mut self, job: JobId, state: Option<JobState>, now_ms: u64) {
+        let Some((spec, _)) = self.specs.get(&job).cloned() else {
+            return;
+        };
+        match state {
+            None if self.accepted.contains(&job) => {
+                self.breach("LOST", now_ms, format!("{job:016x} is not known"));
+            }
+            Some(JobState::Succeeded) => {
+                self.succeeded.insert(job);
+                let open = all_tasks(&spec).any(|task| !self.is_done(task));
+                if open {
+                    self.breach("MIXED", now_ms, format!("{job:016x} shown too early"));
+                }
+            }
+            Some(JobState::Cancelled) if !self.cancelled.contains_key(&job) => {}
+            _ => {}
+        }
+    }
+
+    fn is_done(&self, task: TaskKey) -> bool {
+        let done = |task: &TaskKey| {
+            self.tasks
+                .get(task)
+                .is_some_and(|history| history.done_at.is_some())
+        };
+        let gang = self
+            .specs
+            .get(&task.step.job)
+            .is_some_and(|(spec, _)| spec.steps[usize::from(task.step.step)].gang);
+        if !gang {
+            return done(&task);
+        }
+        // One good end stands for all members.
+        let count = self.specs[&task.step.job].0.steps[usize::from(task.step.step)].count;
+        (0..count).any(|index| done(&task.step.task(index)))
+    }
+
+    /// A worker began a run.
+    pub fn started(&mut self, worker: &WorkerId, task: TaskKey, run: RunId, now_ms: u64) {
+        self.starts += 1;
+        let job = task.step.job;
+        let Some((spec, attempts)) = self.specs.get(&job).cloned() else {
+            self.breach("UNASKED", now_ms, format!("{task} run {run}"));
+            return;
+        };
+        let history = self.tasks.entry(task).or_default();
+        let others = history.live.keys().any(|(at, _)| at != worker);
+        let done = history.done_kept;
+        let failed = history.failed_kept;
+        history.live.insert((worker.clone(), run), ());
+        if others {
+            self.breach(
+                "TWICE",
+                now_ms,
+                format!("{task} run {run} on {worker} beside another"),
+            );
+        }
+        if done {
+            self.breach(
+                "TWICE",
+                now_ms,
+                format!("{task} run {run} on {worker} after a good end"),
+            );
+        }
+        if failed >= attempts {
+            self.breach(
+                "BUDGET",
+                now_ms,
+                format!("{task} run {run} after {failed} failures"),
+            );
+        }
+        let step = &spec.steps[usize::from(task.step.step)];
+        for before in &step.after {
+            let key = StepKey {
+                step: *before,
+                ..task.step
+            };
+            let count = spec.steps[usize::from(*before)].count;
+            if (0..count).any(|index| !self.is_done(key.task(index))) {
+                self.breach("ORDER", now_ms, format!("{task} before step {before}"));
+            }
+        }
+    }
+
+    /// A run ended on a worker, or with it.
+    pub fn ended(
+        &mut self,
+        worker: &WorkerId,
+        task: TaskKey,
+        run: RunId,
+        how: EndKind,
+        now_ms: u64,
+    ) {
+        let history = self.tasks.entry(task).or_default();
+        history.live.remove(&(worker.clone(), run));
+        if how == EndKind::Done {
+            history.done_at = Some(now_ms);
+        }
+    }
+
+    /// Milliseconds from each good end to its being acknowledged.
+    pub fn end_waits_ms(&self) -> &[u64] {
+        &self.end_waits
+    }
+
+    /// An end was acknowledged.
+    pub fn kept(&mut self, task: TaskKey, how: EndKind, now_ms: u64) {
+        let history = self.tasks.entry(task).or_default();
+        if let (EndKind::Done, Some(at)) = (how, history.done_at) {
+            self.end_waits.push(now_ms - at);
+        }
+        match how {
+            EndKind::Done => history.done_kept = true,
+            EndKind::Failed => history.failed_kept += 1,
+            _ => {}
+        }
+    }
+
+    /// Notes a broken rule.
+    pub fn breach(&mut self, rule: &'static str, now_ms: u64, text: String) {
+        let text = format!("{now_ms} ms: {text}");
+        self.breaches.push(RuleBreach { rule, text });
+    }
+}
+
+fn all_tasks(spec: &JobSpec) -> impl Iterator<Item = TaskKey> + '_ {
+    spec.steps.iter().enumerate().flat_map(|(number, step)| {
+        let key = StepKey {
+            job: spec.id,
+            time: 0,
+            step: number as u16,
+        };
+        (0..step.count).map(move |index| key.task(index))
+    })
+}
--- /dev/null
+++ b/crates/bankvalve_check/tests/site.rs
@@ -0,0 +1,315 @@
+//! Entry instances on the users' platform, under virtual time: each fault found once stays found.
+
+use std::sync::Arc;
+
+use bankvalve_check::site::{
+    job_of, run_site_episode, SiteFault, SitePlan, SiteWorld, QUEUE, URGENT_QUEUE,
+};
+use bankvalve_queue::{JobState, StepSpec};
+
+fn world(seed: u64) -> SiteWorld {
+    let mut world = SiteWorld::new(SitePlan {
+        seed,
+        entries: 3,
+        workers: 4,
+        good_percent: None,
+    });
+    world.run_until(1_000);
+    world
+}
+
+fn follower(world: &SiteWorld) -> usize {
+    let leader = world.leader().expect("an instance leads");
+    (0..world.nodes.len())
+        .find(|node| *node != leader)
+        .expect("another instance")
+}
+
+fn assert_kept(world: &SiteWorld) {
+    assert_eq!(world.rules.breaches, []);
+}
+
+#[test]
+fn a_calm_site_ends_all_jobs() {
+    let mut world = world(1);
+    for job in 1..40 {
+        world.submit(job_of(job, QUEUE, &[3, 2], job % 3 == 0));
+        let until = world.now_ms + 150;
+        world.run_until(until);
+    }
+    world.run_until(60_000);
+    assert_kept(&world);
+    assert_eq!(world.shown.len(), 39);
+    assert!(world
+        .shown
+        .values()
+        .all(|state| *state == JobState::Succeeded));
+}
+
+#[test]
+fn troubles_of_all_kinds_break_no_rule() {
+    for seed in 1..9 {
+        let report = run_site_episode(seed, &SiteFault::ALL);
+        assert_eq!(report.breaches, [], "seed {seed}");
+        assert!(report.starts > 500, "seed {seed}: {} starts", report.starts);
+    }
+}
+
+#[test]
+fn the_same_id_at_two_instances_at_once_runs_once() {
+    let mut world = world(2);
+    let spec = Arc::new(job_of(7, QUEUE, &[2], false));
+    for node in 0..3 {
+        world.submit_at(node, &spec);
+    }
+    world.run_until(20_000);
+    assert_kept(&world);
+    assert_eq!(world.rules.starts, 2);
+}
+
+#[test]
+fn ends_are_not_forgotten_before_the_ledger_is_read() {
+    let mut world = world(3);
+    for job in 1..60 {
+        world.submit(job_of(job, QUEUE, &[2], false));
+    }
+    world.run_until(2_500);
+    for node in 0..3 {
+        world.kill(node, 900);
+    }
+    world.run_until(60_000);
+    assert_kept(&world);
+    assert_eq!(world.shown.len(), 59);
+}
+
+#[test]
+fn an_end_whose_write_has_no_answer_is_kept_once() {
+    let mut world = world(4);
+    world.lost_percent = 40;
+    for job in 1..20 {
+        world.submit(job_of(job, QUEUE, &[2, 1], false));
+    }
+    world.run_until(40_000);
+    world.lost_percent = 0;
+    world.run_until(90_000);
+    assert_kept(&world);
+    assert_eq!(world.shown.len(), 19);
+}
+
+#[test]
+fn an_order_carried_out_late_starts_nothing_twice() {
+    let mut world = world(5);
+    world.late_orders_percent = 60;
+    for job in 1..30 {
+        world.submit(job_of(job, URGENT_QUEUE, &[2], false));
+        let until = world.now_ms + 100;
+        world.run_until(until);
+    }
+    let leader = world.leader().expect("an instance leads");
+    world.kill(leader, 500);
+    world.run_until(60_000);
+    assert_kept(&world);
+    assert_eq!(world.shown.len(), 29);
+}
+
+#[test]
+fn a_successor_counts_what_its_predecessor_started() {
+    let mut world = world(6);
+    // Four workers of four cores: sixteen tasks fill them.
+    for job in 1..30 {
+        world.submit(job_of(job, QUEUE, &[4], false));
+    }
+    world.run_until(1_600);
+    let leader = world.leader().expect("an instance leads");
+    world.kill(leader, 5_000);
+    world.run_until(90_000);
+    assert_kept(&world);
+    assert_eq!(world.shown.len(), 29);
+}
+
+#[test]
+fn a_takeover_after_a_kill_takes_under_half_a_second() {
+    let mut world = world(7);
+    let leader = world.leader().expect("an instance leads");
+    world.kill(leader, 10_000);
+    world.run_until(1_500);
+    let next = world.leader().expect("another instance leads");
+    assert_ne!(next, leader);
+}
+
+#[test]
+fn a_forgotten_history_is_read_anew() {
+    let mut world = world(8);
+    for round in 0..10 {
+        world.store.forget_history();
+        world.submit(job_of(round + 1, QUEUE, &[2], false));
+        world.crash_worker("10.9.0.0:80", 400);
+        let until = world.now_ms + 1_500;
+        world.run_until(until);
+    }
+    world.run_until(60_000);
+    assert_kept(&world);
+    assert_eq!(world.shown.len(), 10);
+}
+
+#[test]
+fn jobs_are_refused_at_once_while_the_table_is_away() {
+    let mut world = world(9);
+    world.store_away_until = 7_000;
+    world.run_until(1_200);
+    let spec = Arc::new(job_of(9, QUEUE, &[1], false));
+    let node = follower(&world);
+    world.submit_at(node, &spec);
+    // The first copies show that the table is away; then the answer is final.
+    world.run_until(1_800);
+    assert_eq!(world.open_calls(), 0);
+    world.run_until(30_000);
+    assert_kept(&world);
+    assert_eq!(world.rules.starts, 0);
+}
+
+#[test]
+fn a_table_away_for_all_changes_no_leader() {
+    let mut world = world(10);
+    let leader = world.leader().expect("an instance leads");
+    world.store_away_until = 7_000;
+    world.store_silent = true;
+    for step in 1..12 {
+        world.run_until(1_000 + step * 500);
+        assert_eq!(world.leader(), Some(leader));
+    }
+    world.submit(job_of(1, QUEUE, &[1], false));
+    world.run_until(30_000);
+    assert_kept(&world);
+    assert_eq!(world.shown.len(), 1);
+}
+
+#[test]
+fn a_leader_that_alone_misses_the_table_lets_a_peer_lead() {
+    let mut world = world(11);
+    let leader = world.leader().expect("an instance leads");
+    world.nodes[leader].cut_from_store_until = 60_000;
+    world.run_until(4_500);
+    assert_ne!(world.leader(), Some(leader));
+    world.submit(job_of(1, QUEUE, &[2], false));
+    world.run_until(20_000);
+    assert_kept(&world);
+    assert_eq!(world.shown.len(), 1);
+}
+
+#[test]
+fn looks_go_on_as_soon_as_ends_are_kept() {
+    let mut world = world(12);
+    for job in 1..4 {
+        world.submit(job_of(job, URGENT_QUEUE, &[4], false));
+    }
+    world.run_until(20_000);
+    assert_kept(&world);
+    let waits = world.rules.end_waits_ms();
+    assert_eq!(waits.len(), 12);
+    let longest = waits.iter().max().copied().unwrap_or(0);
+    assert!(longest < 120, "an end was kept only after {longest} ms");
+}
+
+#[test]
+fn a_cancelled_job_starts_nothing_more() {
+    let mut world = world(13);
+    // More than fits, so that some tasks wait.
+    world.submit(job_of(1, QUEUE, &[60], false));
+    world.run_until(1_400);
+    world.cancel(1);
+    world.run_until(2_000);
+    let starts = world.rules.starts;
+    assert!(starts >= 16);
+    world.run_until(20_000);
+    assert_eq!(world.rules.starts, starts);
+    assert_eq!(world.shown.get(&1), Some(&JobState::Cancelled));
+}
+
+#[test]
+fn steps_wait_for_earlier_ones_and_limits_of_a_worker_hold() {
+    let mut world = world(14);
+    for job in 1..10 {
+        let mut spec = job_of(job, QUEUE, &[4, 4, 2], false);
+        for step in &mut spec.steps {
+            step.per_worker_limit = 1;
+        }
+        world.submit(spec);
+    }
+    world.run_until(60_000);
+    assert_kept(&world);
+    assert_eq!(world.shown.len(), 9);
+}
+
+#[test]
+fn a_required_label_decides_the_worker() {
+    let mut world = world(15);
+    let mut spec = job_of(1, QUEUE, &[1], false);
+    spec.steps[0] = StepSpec {
+        required_label: Some("missing".into()),
+        ..spec.steps[0].clone()
+    };
+    world.submit(spec);
+    world.run_until(5_000);
+    assert_eq!(world.rules.starts, 0);
+}
+
+#[test]
+fn a_task_that_always_fails_fails_its_job_within_its_attempts() {
+    let mut world = world(16);
+    world.fail_percent = 100;
+    world.submit(job_of(1, QUEUE, &[1], false));
+    world.run_until(20_000);
+    assert_kept(&world);
+    assert_eq!(world.rules.starts, 3);
+    assert_eq!(world.shown.get(&1), Some(&JobState::Failed));
+}
+
+#[test]
+fn a_repeated_job_starts_each_time_when_it_is_due() {
+    let mut world = world(17);
+    let mut spec = job_of(1, QUEUE, &[1], false);
+    spec.repeats = 3;
+    spec.first_due_ms = world.wall_ms() + 1_000;
+    spec.period_ms = 2_000;
+    world.submit(spec);
+    world.run_until(1_700);
+    assert_eq!(world.rules.starts, 0);
+    world.run_until(2_100);
+    assert_eq!(world.rules.starts, 1);
+    world.run_until(20_000);
+    assert_eq!(world.rules.starts, 3);
+    assert_eq!(world.shown.get(&1), Some(&JobState::Succeeded));
+}
+
+#[test]
+fn an_older_configuration_is_not_taken_after_a_newer_one() {
+    let mut world = world(18);
+    world.configure(5);
+    world.run_until(1_500);
+    let node = follower(&world);
+    world.kill(node, 100);
+    world.run_until(2_500);
+    assert_eq!(world.table_version(node), 5);
+    world.give_table(node, 3);
+    world.run_until(3_000);
+    assert_eq!(world.table_version(node), 5);
+}
+
+#[test]
+fn a_leader_that_the_table_alone_turns_away_lets_a_peer_lead_under_load() {
+    let mut world = world(19);
+    let leader = world.leader().expect("an instance leads");
+    for job in 1..100 {
+        world.submit(job_of(job, QUEUE, &[2], false));
+        let until = world.now_ms + 40;
+        world.run_until(until);
+        if job == 10 {
+            world.nodes[leader].turned_away_until = 60_000;
+        }
+    }
+    assert_ne!(world.leader(), Some(leader));
+    world.run_until(90_000);
+    assert_kept(&world);
+    assert_eq!(world.shown.len(), 99);
+}
--- a/crates/bankvalve_queue/src/core/commit.rs
+++ b/crates/bankvalve_queue/src/core/commit.rs
@@ -73,6 +73,13 @@
     refused: u32,
 }
 
+impl CommitFlight {
+    /// When it was first sent.
+    pub(super) fn since(&self) -> CoreTime {
+        self.since
+    }
+}
+
 impl EntryCore {
     /// Applies an event at once and has it kept; the effect follows when it is.
     pub(super) fn propose(&mut self, event: LedgerEvent, effect: Effect) {
@@ -247,7 +254,7 @@
                 }
             } else if !flight.busy {
                 let flight = lead.flight.take().expect("it was just seen");
-                lead.away_since = Some(flight.since);
+                lead.away_since.get_or_insert(flight.since);
                 lead.next_commit_at = flight.next_at;
                 let mut events = flight.events.into_iter();
                 for (has_event, effect) in flight.effects.into_iter().rev() {
--- a/crates/bankvalve_queue/src/core/election.rs
+++ b/crates/bankvalve_queue/src/core/election.rs
@@ -25,11 +25,10 @@
 pub(super) const PEER_ALIVE: Duration = Duration::from_millis(900);
 /// Silence after which a member's row is dropped.
 const DROP_MEMBER_AFTER: Duration = Duration::from_secs(60);
-/// Silence of the table after which a leader lets a peer lead that reaches it.
-const YIELD_AFTER: Duration = Duration::from_millis(900);
-/// A peer reaches the table if it answered the peer this much later than us: watches come back
-/// within a second, so that by the time of the yield each peer that reaches it shows so.
-const STORE_LATER: Duration = Duration::from_millis(350);
+/// Silence of the table after which a leader tells its peers, which then ask the table.
+const TROUBLE_AFTER: Duration = Duration::from_millis(350);
+/// Time between two such questions.
+const PROBE_EVERY: Duration = Duration::from_millis(250);
 /// Longest that a planned stop waits for a write before it lets a peer lead.
 const STOP_FLUSH: Duration = Duration::from_millis(300);
 /// Pause before a claim is tried again; it doubles with each one that the table does not answer.
@@ -128,13 +127,14 @@
     }
 
     pub(super) fn read_leader_row(&mut self) {
+        self.ask_leader_row(StorePurpose::CatchUp);
+    }
+
+    pub(super) fn ask_leader_row(&mut self, purpose: StorePurpose) {
         let table = CELL_TABLE.to_owned();
         let part = LEAD_PART.to_owned();
         let from = String::new();
-        self.ask_store(
-            StorePurpose::CatchUp,
-            StoreRequest::Read { table, part, from },
-        );
+        self.ask_store(purpose, StoreRequest::Read { table, part, from });
     }
 
     pub(super) fn take_cell_row(&mut self, key: &RowKey, value: Option<&[u8]>, version: u64) {
@@ -262,6 +262,7 @@
         }
         self.next_heartbeat = self.now + HEARTBEAT;
         let leader = self.leader.as_ref();
+        let lead = self.lead.as_deref();
         let news = HeartbeatNews {
             life: self.settings.life,
             epoch: self.highest_epoch,
@@ -272,8 +273,11 @@
                 (None, Some(leader)) => self.age(leader.heard_at).as_millis() as u64,
                 (None, None) => u64::MAX,
             },
-            store_age_ms: self.age(self.store_answered_at).as_millis() as u64,
-            table_version: self.table.as_ref().map_or(0, |table| table.version),
+            store_trouble: lead.is_some_and(|lead| lead.trouble_since.is_some()),
+            probe_age_ms: self
+                .probe_answered
+                .map(|at| self.age(at).as_millis() as u64),
+            table_version: self.table_version(),
             stopping: self.stopping,
         };
         let peers: Vec<PeerAddress> = self.peers.keys().copied().collect();
@@ -307,7 +311,7 @@
     }
 
     pub(super) fn take_heartbeat(&mut self, from: PeerAddress, news: HeartbeatNews) {
-        let own_version = self.table.as_ref().map_or(0, |table| table.version);
+        let own_version = self.table_version();
         if news.table_version < own_version {
             let raw = self.table_raw.clone();
             self.tell(from, PeerMessage::Table { raw });
@@ -317,6 +321,9 @@
                 self.depose("a peer knows a later epoch");
             }
         }
+        if news.store_trouble {
+            self.probe_store();
+        }
         if news.leading {
             self.hear_leader(from, &news);
         } else if self.is_gone_leader(from, &news) {
@@ -580,42 +587,67 @@
         self.run_watches();
     }
 
+    /// Asks the table because it does not answer the leader.
+    fn probe_store(&mut self) {
+        if self.now < self.next_probe || self.lead.is_some() {
+            return;
+        }
+        self.next_probe = self.now + PROBE_EVERY;
+        self.ask_leader_row(StorePurpose::Probe);
+    }
+
+    pub(super) fn end_probe(&mut self, outcome: &StoreOutcome) {
+        if let StoreOutcome::Rows { rows, .. } = outcome {
+            self.probe_answered = Some(self.now);
+            self.take_leader_rows(rows);
+        }
+    }
+
     /// Lets a peer lead: at a planned stop, or if the table answers it and not us.
     fn consider_yield(&mut self) {
-        let Some(lead) = self.lead.as_deref() else {
+        let now = self.now;
+        let stopping = self.stopping;
+        let Some(lead) = self.lead.as_deref_mut() else {
             return;
         };
-        let silence = self.age(lead.store_answered);
-        let cut_off = silence > YIELD_AFTER && lead.is_waiting_for_store();
-        let waited = lead.stop_since.map_or(Duration::ZERO, |at| self.age(at));
+        let silence = now.saturating_sub(lead.store_answered);
+        let waited = lead
+            .waiting_for_store_since()
+            .map_or(Duration::ZERO, |at| now.saturating_sub(at));
+        if silence < TROUBLE_AFTER {
+            lead.trouble_since = None;
+        } else if waited > TROUBLE_AFTER && lead.trouble_since.is_none() {
+            lead.trouble_since = Some(now);
+            self.next_heartbeat = now;
+        }
+        if stopping && lead.stop_since.is_none() {
+            lead.stop_since = Some(now);
+        }
+        let waited = lead
+            .stop_since
+            .map_or(Duration::ZERO, |at| now.saturating_sub(at));
         let flushed = lead.flight.is_none() && lead.pending.is_empty();
-        let stop_due = self.stopping && (flushed || waited > STOP_FLUSH);
-        if self.stopping && lead.stop_since.is_none() {
-            let now = self.now;
-            if let Some(lead) = self.lead.as_deref_mut() {
-                lead.stop_since = Some(now);
-            }
-        }
-        if !cut_off && !stop_due {
+        let stop_due = stopping && (flushed || waited > STOP_FLUSH);
+        let trouble = lead.trouble_since;
+        if trouble.is_none() && !stop_due {
             return;
         }
         let reaches = |peer: &PeerView| {
-            let peer_silence = Duration::from_millis(peer.news.store_age_ms);
-            !peer.news.stopping && (!cut_off || peer_silence + STORE_LATER < silence)
+            let probed = peer.news.probe_age_ms.map(Duration::from_millis);
+            let answered = trouble
+                .zip(probed)
+                .is_some_and(|(since, probed)| probed < now.saturating_sub(since));
+            !peer.news.stopping && (stop_due || answered)
         };
-        let heir = self
-            .live_peers()
-            .filter(|(_, peer)| reaches(peer))
-            .min_by_key(|(_, peer)| peer.news.store_age_ms)
-            .map(|(address, _)| address);
-        let Some(heir) = heir else {
+        let heir = self.live_peers().find(|(_, peer)| reaches(peer));
+        let Some(heir) = heir.map(|(address, _)| address) else {
             return;
         };
         let epoch = self.highest_epoch;
-        let why = if cut_off {
-            "table away"
-        } else {
+        let why = if stop_due {
             "planned stop"
+        } else {
+            "table away"
         };
         self.log("election", "yield", heir.to_string(), why.to_owned());
         self.counters.count("elections", "yielded");
--- a/crates/bankvalve_queue/src/core/entry_core.rs
+++ b/crates/bankvalve_queue/src/core/entry_core.rs
@@ -201,7 +201,8 @@
     pub(super) cell_watch: WatchState,
     pub(super) operator_watch: WatchState,
     pub(super) worker_watch: WatchState,
-    pub(super) store_answered_at: CoreTime,
+    pub(super) probe_answered: Option<CoreTime>,
+    pub(super) next_probe: CoreTime,
     pub(super) next_ticket: Ticket,
     pub(super) stopping: bool,
     pub(super) counters: EntryCounters,
@@ -238,7 +239,8 @@
             cell_watch: WatchState::default(),
             operator_watch: WatchState::default(),
             worker_watch: WatchState::default(),
-            store_answered_at: Duration::ZERO,
+            probe_answered: None,
+            next_probe: Duration::ZERO,
             next_ticket: 1,
             stopping: false,
             counters: EntryCounters::default(),
@@ -281,6 +283,11 @@
         }
     }
 
+    /// Version of the configuration in force; 0 before the first.
+    pub fn table_version(&self) -> u64 {
+        self.table.as_ref().map_or(0, |table| table.version)
+    }
+
     /// The jobs as this instance knows them.
     pub fn book(&self) -> &JobBook {
         &self.book
--- a/crates/bankvalve_queue/src/core/lead.rs
+++ b/crates/bankvalve_queue/src/core/lead.rs
@@ -37,6 +37,8 @@
     /// When the table last answered a request that was conditional on the own row.
     pub(super) confirmed_at: CoreTime,
     pub(super) store_answered: CoreTime,
+    /// Since when peers are told that the table leaves requests unanswered.
+    pub(super) trouble_since: Option<CoreTime>,
     pub(super) confirming: Option<CoreTime>,
     pub(super) next_confirm: CoreTime,
     /// Since when the table has turned all writes away, while none is on its way.
@@ -79,6 +81,7 @@
             workers_known: false,
             confirmed_at: now,
             store_answered: now,
+            trouble_since: None,
             confirming: None,
             next_confirm: now,
             away_since: None,
@@ -119,12 +122,14 @@
         self.stale || (self.flight.is_none() && !self.pending.is_empty())
     }
 
-    /// Tells whether something is asked of the table that has no answer yet.
-    pub(super) fn is_waiting_for_store(&self) -> bool {
-        self.flight.is_some()
-            || self.confirming.is_some()
-            || self.away_since.is_some()
-            || !self.loaded
+    /// Since when something asked of the table has had no answer, if something has none.
+    pub(super) fn waiting_for_store_since(&self) -> Option<CoreTime> {
+        let flight = self.flight.as_ref().map(CommitFlight::since);
+        let loading = (!self.loaded).then_some(self.began_at);
+        [flight, self.confirming, self.away_since, loading]
+            .into_iter()
+            .flatten()
+            .min()
     }
 }
 
--- a/crates/bankvalve_queue/src/core/store_link.rs
+++ b/crates/bankvalve_queue/src/core/store_link.rs
@@ -43,6 +43,7 @@
     Operator,
     Workers { full: bool },
     DropMember,
+    Probe,
 }
 
 /// A watch on a table.
@@ -137,7 +138,7 @@
             StoreOutcome::Lost => self.counters.count("retries", "store_lost"),
             StoreOutcome::Busy => self.counters.count("retries", "store_busy"),
             StoreOutcome::HistoryGone => self.counters.count("retries", "store_history_gone"),
-            _ => self.store_answered_at = self.now,
+            _ => {}
         }
         match purpose {
             StorePurpose::Register => self.end_register(&outcome),
@@ -151,6 +152,7 @@
             StorePurpose::Operator => self.end_operator(outcome),
             StorePurpose::Workers { full } => self.end_workers(outcome, full),
             StorePurpose::DropMember => {}
+            StorePurpose::Probe => self.end_probe(&outcome),
         }
     }
 
--- a/crates/bankvalve_queue/src/peer.rs
+++ b/crates/bankvalve_queue/src/peer.rs
@@ -24,8 +24,11 @@
     pub leading: bool,
     /// Milliseconds since it last heard from that leader.
     pub leader_age_ms: u64,
-    /// Milliseconds since the table last answered it.
-    pub store_age_ms: u64,
+    /// Whether it leads and the table leaves its requests unanswered.
+    pub store_trouble: bool,
+    /// Milliseconds since the table answered a question that it was asked because of such
+    /// trouble; none if it did not.
+    pub probe_age_ms: Option<u64>,
     /// Version of its configuration.
     pub table_version: u64,
     /// Whether it stops.
--- /dev/null
+++ b/crates/bankvalve_standin/src/site/site_store.rs
@@ -0,0 +1,215 @@
+//! The platform's table: rows with versions, conditions and a history of changes.
+
+use std::collections::BTreeMap;
+
+use bankvalve_queue::{
+    OperatorNews, QueueTable, RowChange, RowKey, StoreOutcome, StoreRequest, StoredRow,
+    WorkerEntry, WorkerId,
+};
+
+/// Rows of one answer at most.
+const PAGE: usize = 500;
+
+/// The table, with the operator's and the workers' rows beside it.
+#[derive(Clone, Debug, Default)]
+pub struct SiteStore {
+    version: u64,
+    rows: BTreeMap<RowKey, (Vec<u8>, u64)>,
+    changes: Vec<RowChange>,
+    config: Option<(QueueTable, u64)>,
+    workers: BTreeMap<WorkerId, WorkerEntry>,
+    worker_changes: Vec<(u64, WorkerId, Option<WorkerEntry>)>,
+    /// Version before which the history of changes is forgotten.
+    forgotten: u64,
+}
+
+impl SiteStore {
+    /// Handles a request that arrives now; a watch without changes has no answer yet.
+    pub fn handle(&mut self, request: &StoreRequest) -> Option<StoreOutcome> {
+        match request {
+            StoreRequest::Transact { .. } => Some(self.transact(request)),
+            StoreRequest::Read { table, part, from } => Some(self.read(table, part, from)),
+            StoreRequest::Watch { table, after, .. } => {
+                let changed =
+                    |change: &&RowChange| change.key.table == *table && change.version > *after;
+                let changes: Vec<RowChange> =
+                    self.changes.iter().filter(changed).cloned().collect();
+                self.watched(*after, !changes.is_empty(), |version| {
+                    StoreOutcome::Changes { changes, version }
+                })
+            }
+            StoreRequest::ReadOperator => Some(self.operator(0)),
+            StoreRequest::WatchOperator { after, .. } => {
+                let news = self.config.as_ref().is_some_and(|(_, at)| at > after);
+                let outcome = self.operator(*after);
+                self.watched(*after, news, |_| outcome)
+            }
+            StoreRequest::ReadWorkers { .. } => {
+                let entries = self.workers.iter();
+                Some(StoreOutcome::Workers {
+                    entries: entries
+                        .map(|(id, entry)| (id.clone(), Some(entry.clone())))
+                        .collect(),
+                    more: false,
+                    version: self.version,
+                })
+            }
+            StoreRequest::WatchWorkers { after, .. } => {
+                let entries: Vec<_> = self
+                    .worker_changes
+                    .iter()
+                    .filter(|(version, _, _)| version > after)
+                    .map(|(_, id, entry)| (id.clone(), entry.clone()))
+                    .collect();
+                self.watched(*after, !entries.is_empty(), |version| {
+                    StoreOutcome::Workers {
+                        entries,
+                        more: false,
+                        version,
+                    }
+                })
+            }
+        }
+    }
+
+    /// The answer to a watch whose wait is over.
+    pub fn unchanged(&self, request: &StoreRequest) -> StoreOutcome {
+        let version = self.version;
+        match request {
+            StoreRequest::WatchOperator { .. } => StoreOutcome::Operator {
+                news: OperatorNews::default(),
+                version,
+            },
+            StoreRequest::WatchWorkers { .. } => StoreOutcome::Workers {
+                entries: Vec::new(),
+                more: false,
+                version,
+            },
+            _ => StoreOutcome::Changes {
+                changes: Vec::new(),
+                version,
+            },
+        }
+    }
+
+    /// The operator writes a configuration.
+    pub fn configure(&mut self, table: QueueTable) {
+        self.version += 1;
+        self.config = Some((table, self.version));
+    }
+
+    /// A worker writes its entry, or its entry goes.
+    pub fn set_worker(&mut self, id: &WorkerId, entry: Option<WorkerEntry>) {
+        self.version += 1;
+        match &entry {
+            Some(entry) => self.workers.insert(id.clone(), entry.clone()),
+            None => self.workers.remove(id),
+        };
+        self.worker_changes.push((self.version, id.clone(), entry));
+    }
+
+    /// Forgets the history of changes.
+    pub fn forget_history(&mut self) {
+        self.forgotten = self.version;
+        self.changes.clear();
+        self.worker_changes.clear();
+    }
+
+    /// Number of rows of a table.
+    pub fn count_rows(&self, table: &str) -> usize {
+        self.rows.keys().filter(|key| key.table == table).count()
+    }
+
+    fn watched(
+        &self,
+        after: u64,
+        news: bool,
+        outcome: impl FnOnce(u64) -> StoreOutcome,
+    ) -> Option<StoreOutcome> {
+        if after < self.forgotten {
+            return Some(StoreOutcome::HistoryGone);
+        }
+        news.then(|| outcome(self.version))
+    }
+
+    fn operator(&self, after: u64) -> StoreOutcome {
+        let config = self.config.as_ref().filter(|(_, at)| *at > after);
+        StoreOutcome::Operator {
+            news: OperatorNews {
+                table: config.map(|(table, _)| table.clone()),
+                raw: Vec::new(),
+            },
+            version: self.version,
+        }
+    }
+
+    fn transact(&mut self, request: &StoreRequest) -> StoreOutcome {
+        let StoreRequest::Transact {
+            conditions,
+            writes,
+            removals,
+        } = request
+        else {
+            return StoreOutcome::Busy;
+        };
+        let version_of = |key: &RowKey| self.rows.get(key).map_or(0, |(_, version)| *version);
+        if conditions
+            .iter()
+            .any(|condition| version_of(&condition.key) != condition.version)
+        {
+            let rows = conditions.iter().filter_map(|condition| {
+                let (value, version) = self.rows.get(&condition.key)?;
+                Some(StoredRow {
+                    key: condition.key.clone(),
+                    value: value.clone(),
+                    version: *version,
+                })
+            });
+            return StoreOutcome::Conflict {
+                rows: rows.collect(),
+            };
+        }
+        self.version += 1;
+        let version = self.version;
+        for write in writes {
+            self.rows
+                .insert(write.key.clone(), (write.value.clone(), version));
+            self.changes.push(RowChange {
+                key: write.key.clone(),
+                value: Some(write.value.clone()),
+                version,
+            });
+        }
+        for key in removals {
+            self.rows.remove(key);
+            self.changes.push(RowChange {
+                key: key.clone(),
+                value: None,
+                version,
+            });
+        }
+        StoreOutcome::Applied { version }
+    }
+
+    fn read(&self, table: &str, part: &str, from: &str) -> StoreOutcome {
+        let first = RowKey::new(table, part, from);
+        let mut rows: Vec<StoredRow> = self
+            .rows
+            .range(first..)
+            .take_while(|(key, _)| key.table == table && key.part == part)
+            .take(PAGE + 1)
+            .map(|(key, (value, version))| StoredRow {
+                key: key.clone(),
+                value: value.clone(),
+                version: *version,
+            })
+            .collect();
+        let more = rows.len() > PAGE;
+        rows.truncate(PAGE);
+        StoreOutcome::Rows {
+            rows,
+            more,
+            version: self.version,
+        }
+    }
+}
