fix(queue): answers only to one's own life; permits that outlast a slow write

Ruled out: the ledger (states agree with it); copies of writes (22 writes in 7 s with and without). Change: tickets carry the life; a permit is used only if it lasts until the start is kept; two copies of a write at most. Test an_answer_to_an_earlier_life_is_nobodys failed before.

--- a/crates/bankvalve/src/entry/core_loop.rs
+++ b/crates/bankvalve/src/entry/core_loop.rs
@@ -20,8 +20,6 @@
 const PUBLISH: Duration = Duration::from_millis(100);
 /// When a caller may come back if the ring is full, in milliseconds.
 const RING_RETRY_MS: u64 = 1_000;
-/// First ticket of callers' requests, far above those that the core takes itself.
-const FIRST_CALLER_TICKET: Ticket = 1 << 48;
 
 /// Something for the core thread.
 pub(super) enum CoreInput {
@@ -120,7 +118,6 @@
     links: mpsc::Sender<Vec<CoreAction>>,
     log: DecisionLog,
     replies: BTreeMap<Ticket, oneshot::Sender<CallerAnswer>>,
-    next_ticket: Ticket,
     outbox: Vec<CoreAction>,
 }
 
@@ -140,7 +137,6 @@
             links,
             log,
             replies: BTreeMap::new(),
-            next_ticket: FIRST_CALLER_TICKET,
             outbox: Vec::new(),
         }
     }
@@ -184,8 +180,7 @@
         match input {
             CoreInput::Event(event) => self.step(event),
             CoreInput::Request { request, reply } => {
-                let ticket = self.next_ticket;
-                self.next_ticket += 1;
+                let ticket = self.core.new_ticket();
                 self.replies.insert(ticket, reply);
                 self.step(CoreEvent::Caller { ticket, request });
             }
--- a/crates/bankvalve_check/src/site/site_world.rs
+++ b/crates/bankvalve_check/src/site/site_world.rs
@@ -158,8 +158,7 @@
     lives: u64,
     policy: Option<SitePolicy>,
     specs: BTreeMap<JobId, Arc<JobSpec>>,
-    calls: BTreeMap<Ticket, OpenCall>,
-    next_call: Ticket,
+    calls: BTreeMap<(usize, Ticket), OpenCall>,
     /// Jobs whose end was shown, with the state.
     pub shown: BTreeMap<JobId, JobState>,
     /// What workers and callers saw.
@@ -210,7 +209,6 @@
             policy,
             specs: BTreeMap::new(),
             calls: BTreeMap::new(),
-            next_call: 1 << 40,
             shown: BTreeMap::new(),
             rules: RuleBook::default(),
             store_away_until: 0,
@@ -288,10 +286,10 @@
         self.nodes[number].core = None;
         self.nodes[number].parked.clear();
         self.watches.retain(|(node, ..)| *node != number);
-        let calls: Vec<Ticket> = self.calls.keys().copied().collect();
-        for ticket in calls {
-            if ticket % self.nodes.len() as u64 == number as u64 {
-                self.finish_call(ticket, CallerAnswer::Unknown);
+        let calls: Vec<(usize, Ticket)> = self.calls.keys().copied().collect();
+        for (node, ticket) in calls {
+            if node == number {
+                self.finish_call(node, ticket, CallerAnswer::Unknown);
             }
         }
         self.after(down_ms, Later::Restart { node: number });
@@ -457,11 +455,11 @@
     }
 
     fn call(&mut self, node: usize, call: OpenCall, request: CallerRequest) {
-        // The ticket tells the instance, so that its death ends the call.
-        let count = self.nodes.len() as u64;
-        self.next_call += count;
-        let ticket = self.next_call - self.next_call % count + node as u64;
-        self.calls.insert(ticket, call);
+        let Some(core) = self.nodes[node].core.as_mut() else {
+            return;
+        };
+        let ticket = core.new_ticket();
+        self.calls.insert((node, ticket), call);
         let request = ResolvedRequest {
             request,
             patience_ms: PATIENCE_MS,
@@ -469,9 +467,9 @@
         self.deliver(node, CoreEvent::Caller { ticket, request });
     }
 
-    fn finish_call(&mut self, ticket: Ticket, answer: CallerAnswer) {
+    fn finish_call(&mut self, node: usize, ticket: Ticket, answer: CallerAnswer) {
         let now = self.now_ms;
-        match self.calls.remove(&ticket) {
+        match self.calls.remove(&(node, ticket)) {
             Some(OpenCall::Submit { job, tries }) => {
                 let accepted = answer == CallerAnswer::Accepted;
                 let refused = matches!(answer, CallerAnswer::Refused { .. });
@@ -487,10 +485,15 @@
                 let state = match answer {
                     CallerAnswer::State(state) => Some(state),
                     CallerAnswer::NoSuchJob => None,
-                    _ => {
+                    CallerAnswer::Unknown | CallerAnswer::Refused { .. } => {
                         self.after(300, Later::Ask { job });
                         return;
                     }
+                    other => {
+                        let text = format!("{job:016x}: {other:?} in place of its state");
+                        self.rules.breach("ANSWER", now, text);
+                        return;
+                    }
                 };
                 self.rules.shown(job, state, now);
                 match state {
@@ -694,7 +697,7 @@
                 );
             }
             CoreAction::Peer { to, message } => self.send_peer(node, to, message),
-            CoreAction::Answer { ticket, answer } => self.finish_call(ticket, answer),
+            CoreAction::Answer { ticket, answer } => self.finish_call(node, ticket, answer),
             CoreAction::UseTable(_) | CoreAction::DecodeTable(_) | CoreAction::Log(_) => {}
         }
     }
--- a/crates/bankvalve_queue/src/core/advice.rs
+++ b/crates/bankvalve_queue/src/core/advice.rs
@@ -16,8 +16,9 @@
 
 /// Most workers in one question.
 pub(super) const ASK_LIMIT: usize = 100;
-/// A permit is used only this long before it runs out: the order takes its way, and may be repeated.
-const PERMIT_MARGIN: Duration = Duration::from_millis(250);
+/// A permit is used only this long before it runs out, since the order takes its way and may be
+/// repeated; the time that the start takes to be kept comes on top.
+const PERMIT_MARGIN: Duration = Duration::from_millis(200);
 /// Questions that take longer go to some of the instances only, so that short ones do not wait.
 const LONG_QUESTION: Duration = Duration::from_millis(60);
 /// Time for the way of a question and its answer.
@@ -61,10 +62,10 @@
         self.known.contains(worker)
     }
 
-    /// The permit for a worker, if it holds for long enough.
-    pub(super) fn permit(&self, worker: &WorkerId, now: CoreTime) -> Option<&str> {
+    /// The permit for a worker, if it holds until a time.
+    pub(super) fn permit(&self, worker: &WorkerId, until: CoreTime) -> Option<&str> {
         let permit = self.good.get(worker)?;
-        (permit.until > now).then_some(permit.text.as_str())
+        (permit.until > until).then_some(permit.text.as_str())
     }
 
     pub(super) fn can_ask(&self, now: CoreTime) -> bool {
--- a/crates/bankvalve_queue/src/core/commit.rs
+++ b/crates/bankvalve_queue/src/core/commit.rs
@@ -18,6 +18,13 @@
 const ROW_SHARE: usize = 2;
 /// Time between the starts of two commits: events that come meanwhile go together.
 const COMMIT_PACE: Duration = Duration::from_millis(12);
+/// Least time after which another copy of a write is sent; copies do no harm, since the row
+/// of the batch must not be there.
+const HEDGE_LEAST: Duration = Duration::from_millis(150);
+/// The usual time of a write, times this, after which another copy is sent.
+const HEDGE_FACTOR: u32 = 3;
+/// Most copies without an answer: a slow table carries them out one after another.
+const HEDGE_COPIES: u32 = 2;
 /// Pause after a write that was refused.
 const BUSY_PAUSE: Duration = Duration::from_millis(60);
 /// Silence after which the leader asks whether it still leads.
@@ -29,7 +36,7 @@
 /// When a caller may come back whose job was not kept, in milliseconds.
 pub(super) const STORE_RETRY_MS: u64 = 2_000;
 /// A write without an answer for so long: the table counts as away.
-pub(super) const STORE_AWAY: Duration = Duration::from_millis(450);
+pub(super) const STORE_AWAY: Duration = Duration::from_millis(1_100);
 
 /// Who asked.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -65,7 +72,9 @@
     /// What follows, and whether it came with an event.
     effects: Vec<(bool, Effect)>,
     since: CoreTime,
-    busy: bool,
+    /// Copies that have no answer yet.
+    copies: u32,
+    sent_at: CoreTime,
     next_at: CoreTime,
     /// Whether a copy had no answer, so that it may have been done or be done later.
     uncertain: bool,
@@ -128,8 +137,12 @@
             return;
         }
         if let Some(flight) = lead.flight.as_mut() {
-            if !flight.busy && now >= flight.next_at {
-                flight.busy = true;
+            let hedge = HEDGE_LEAST.max(lead.commit_time * HEDGE_FACTOR);
+            let unanswered = flight.copies < HEDGE_COPIES && now > flight.sent_at + hedge;
+            let again = flight.copies == 0 && now >= flight.next_at;
+            if again || (flight.copies > 0 && unanswered) {
+                flight.copies += 1;
+                flight.sent_at = now;
                 self.send_flight();
             }
             return;
@@ -161,7 +174,8 @@
             events: batch.events,
             effects,
             since: now,
-            busy: true,
+            copies: 1,
+            sent_at: now,
             next_at: now,
             uncertain: false,
             refused: 0,
@@ -196,15 +210,20 @@
             removals: Vec::new(),
         };
         self.counters.count("commits", "sent");
-        self.ask_store(StorePurpose::Commit, request);
+        let sequence = flight.sequence;
+        self.ask_store(StorePurpose::Commit { sequence }, request);
     }
 
-    pub(super) fn end_commit(&mut self, outcome: StoreOutcome) {
+    pub(super) fn end_commit(&mut self, sequence: u64, outcome: StoreOutcome) {
         let now = self.now;
         let Some(lead) = self.lead.as_deref_mut() else {
             return;
         };
-        let Some(flight) = lead.flight.as_mut() else {
+        let Some(flight) = lead
+            .flight
+            .as_mut()
+            .filter(|flight| flight.sequence == sequence)
+        else {
             return;
         };
         match outcome {
@@ -219,13 +238,13 @@
                 }
             }
             StoreOutcome::Lost => {
-                flight.busy = false;
+                flight.copies = flight.copies.saturating_sub(1);
                 flight.next_at = now;
                 flight.uncertain = true;
                 self.withdraw_unkept();
             }
             _ => {
-                flight.busy = false;
+                flight.copies = flight.copies.saturating_sub(1);
                 flight.next_at = now + BUSY_PAUSE;
                 flight.refused += 1;
                 self.withdraw_unkept();
@@ -252,7 +271,7 @@
                         unknown.push(std::mem::replace(effect, Effect::None));
                     }
                 }
-            } else if !flight.busy {
+            } else if flight.copies == 0 {
                 let flight = lead.flight.take().expect("it was just seen");
                 lead.away_since.get_or_insert(flight.since);
                 lead.next_commit_at = flight.next_at;
@@ -336,6 +355,7 @@
             return;
         };
         lead.sequence = flight.sequence;
+        lead.commit_time = (lead.commit_time + now.saturating_sub(flight.since)) / 2;
         lead.confirmed_at = now;
         lead.store_answered = now;
         lead.away_since = None;
--- a/crates/bankvalve_queue/src/core/election.rs
+++ b/crates/bankvalve_queue/src/core/election.rs
@@ -26,7 +26,7 @@
 /// Silence after which a member's row is dropped.
 const DROP_MEMBER_AFTER: Duration = Duration::from_secs(60);
 /// Silence of the table after which a leader tells its peers, which then ask the table.
-const TROUBLE_AFTER: Duration = Duration::from_millis(350);
+const TROUBLE_AFTER: Duration = Duration::from_millis(800);
 /// Time between two such questions.
 const PROBE_EVERY: Duration = Duration::from_millis(250);
 /// Longest that a planned stop waits for a write before it lets a peer lead.
@@ -614,9 +614,11 @@
         let waited = lead
             .waiting_for_store_since()
             .map_or(Duration::ZERO, |at| now.saturating_sub(at));
-        if silence < TROUBLE_AFTER {
+        let turned_away = lead.away_since.is_some();
+        let silent = silence > TROUBLE_AFTER && waited > TROUBLE_AFTER;
+        if !turned_away && silence < TROUBLE_AFTER {
             lead.trouble_since = None;
-        } else if waited > TROUBLE_AFTER && lead.trouble_since.is_none() {
+        } else if (turned_away || silent) && lead.trouble_since.is_none() {
             lead.trouble_since = Some(now);
             self.next_heartbeat = now;
         }
--- a/crates/bankvalve_queue/src/core/entry_core.rs
+++ b/crates/bankvalve_queue/src/core/entry_core.rs
@@ -16,6 +16,9 @@
 use crate::store::{StoreOutcome, StoreRequest};
 use crate::worker::{AdviceAnswer, AdviceAsk, WorkerAnswer, WorkerCall};
 
+/// Tickets that a life has room for, as a power of two, so that an answer to an earlier life is
+/// never taken for one to this; with a life in milliseconds since 1970 they last for centuries.
+const TICKETS_OF_LIFE_BITS: u32 = 22;
 /// Time between two ticks of a leader that has something to keep or to place.
 const BUSY_TICK: Duration = Duration::from_millis(5);
 /// Time between two ticks of a leader.
@@ -212,6 +215,7 @@
 impl EntryCore {
     /// Makes an instance that knows nothing yet.
     pub fn new(settings: EntrySettings) -> Self {
+        let next_ticket = settings.life << TICKETS_OF_LIFE_BITS;
         Self {
             settings,
             now: Duration::ZERO,
@@ -241,7 +245,7 @@
             worker_watch: WatchState::default(),
             probe_answered: None,
             next_probe: Duration::ZERO,
-            next_ticket: 1,
+            next_ticket,
             stopping: false,
             counters: EntryCounters::default(),
             actions: Vec::new(),
@@ -308,6 +312,11 @@
         }
     }
 
+    /// A number for a caller's request, unlike all others of this instance and its earlier lives.
+    pub fn new_ticket(&mut self) -> Ticket {
+        self.take_ticket()
+    }
+
     fn tick(&mut self) {
         self.run_watches();
         self.run_membership();
--- a/crates/bankvalve_queue/src/core/lead.rs
+++ b/crates/bankvalve_queue/src/core/lead.rs
@@ -48,6 +48,8 @@
     pub(super) pending: VecDeque<Proposal>,
     pub(super) flight: Option<CommitFlight>,
     pub(super) next_commit_at: CoreTime,
+    /// Time that a write takes, lately.
+    pub(super) commit_time: Duration,
     pub(super) uncommitted: BTreeMap<JobId, u32>,
     pub(super) seats: BTreeMap<WorkerId, Seat>,
     pub(super) calls: BTreeMap<Ticket, (WorkerId, CallPurpose)>,
@@ -90,6 +92,7 @@
             pending: VecDeque::new(),
             flight: None,
             next_commit_at: now,
+            commit_time: Duration::ZERO,
             uncommitted: BTreeMap::new(),
             seats: BTreeMap::new(),
             calls: BTreeMap::new(),
@@ -122,6 +125,13 @@
         self.stale || (self.flight.is_none() && !self.pending.is_empty())
     }
 
+    /// Time until an event that is proposed now is kept: what is left of the write on its way,
+    /// and one more.
+    pub(super) fn time_to_keep(&self) -> Duration {
+        let flights = if self.flight.is_some() { 2 } else { 1 };
+        self.commit_time * flights
+    }
+
     /// Since when something asked of the table has had no answer, if something has none.
     pub(super) fn waiting_for_store_since(&self) -> Option<CoreTime> {
         let flight = self.flight.as_ref().map(CommitFlight::since);
--- a/crates/bankvalve_queue/src/core/placing.rs
+++ b/crates/bankvalve_queue/src/core/placing.rs
@@ -120,6 +120,7 @@
         let Some(lead) = self.lead.as_deref() else {
             return;
         };
+        let kept_at = now + lead.time_to_keep();
         let empty = StepAdvice::default();
         let advice = lead.advice.get(&step.key).unwrap_or(&empty);
         let seats: Vec<(&WorkerId, &Seat)> = lead
@@ -144,7 +145,7 @@
         let permitted: Vec<(&WorkerId, &Seat)> = seats
             .iter()
             .copied()
-            .filter(|(id, _)| advice.permit(id, now).is_some())
+            .filter(|(id, _)| advice.permit(id, kept_at).is_some())
             .collect();
         let choice = choose(step, &permitted, now);
         let whole = choice.len() == step.tasks.len();
@@ -160,7 +161,7 @@
             let wider = choose(step, &good, now);
             if wider.len() > choice.len() {
                 question = workers_of(&wider);
-                question.retain(|id| advice.permit(id, now).is_none() || step.spec.gang);
+                question.retain(|id| advice.permit(id, kept_at).is_none() || step.spec.gang);
                 kept = wider;
             } else {
                 question = unknown_with_room(step, &seats, advice, now);
--- a/crates/bankvalve_queue/src/core/store_link.rs
+++ b/crates/bankvalve_queue/src/core/store_link.rs
@@ -24,8 +24,8 @@
 const WATCH_SLACK: Duration = Duration::from_millis(700);
 /// Longest wait for a read.
 const READ_TIME: Duration = Duration::from_millis(900);
-/// Longest wait for a write; it is repeated unchanged after that.
-const WRITE_TIME: Duration = Duration::from_millis(700);
+/// Longest wait for a write: a slow table takes some half a second.
+const WRITE_TIME: Duration = Duration::from_millis(1_200);
 /// Pause after a request that failed.
 const RETRY_PAUSE: Duration = Duration::from_millis(120);
 
@@ -34,7 +34,7 @@
 pub(super) enum StorePurpose {
     Register,
     Claim,
-    Commit,
+    Commit { sequence: u64 },
     Confirm,
     LoadLedger,
     CatchUp,
@@ -143,7 +143,7 @@
         match purpose {
             StorePurpose::Register => self.end_register(&outcome),
             StorePurpose::Claim => self.end_claim(outcome),
-            StorePurpose::Commit => self.end_commit(outcome),
+            StorePurpose::Commit { sequence } => self.end_commit(sequence, outcome),
             StorePurpose::Confirm => self.end_confirm(&outcome),
             StorePurpose::LoadLedger => self.end_load(outcome),
             StorePurpose::CatchUp => self.end_catch_up(outcome),
--- /dev/null
+++ b/crates/bankvalve_queue/tests/entry.rs
@@ -0,0 +1,102 @@
+//! One instance alone: what it sends, and what it takes for an answer.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bankvalve_queue::{
+    CallerAnswer, CallerRequest, CoreAction, CoreEvent, EntryCore, EntrySettings, HeartbeatNews,
+    JobState, PeerAddress, PeerMessage, ResolvedRequest, Ticket,
+};
+
+fn address(last: u8) -> PeerAddress {
+    PeerAddress::from(([10, 0, 0, last], 7_300))
+}
+
+fn core_of_life(life: u64) -> EntryCore {
+    let mut settings = EntrySettings::example(address(1));
+    settings.life = life;
+    EntryCore::new(settings)
+}
+
+/// An instance that follows a leader at another address.
+fn follower(life: u64) -> EntryCore {
+    let mut core = core_of_life(life);
+    let news = HeartbeatNews {
+        life: 9,
+        epoch: 4,
+        leader: Some(address(2)),
+        leading: true,
+        ..HeartbeatNews::default()
+    };
+    let message = PeerMessage::Heartbeat(news);
+    let event = CoreEvent::Peer {
+        from: address(2),
+        message,
+    };
+    core.step(Duration::from_millis(10), 1_000, event);
+    core
+}
+
+/// Hands a request in and returns its ticket and that of the question to the leader.
+fn ask(core: &mut EntryCore) -> (Ticket, Ticket) {
+    let ticket = core.new_ticket();
+    let request = ResolvedRequest {
+        request: CallerRequest::Status { job: 7 },
+        patience_ms: 3_000,
+    };
+    let event = CoreEvent::Caller { ticket, request };
+    let actions = core.step(Duration::from_millis(20), 1_010, event);
+    let asked = actions.iter().find_map(|action| match action {
+        CoreAction::Peer {
+            message: PeerMessage::Ask { ticket, .. },
+            ..
+        } => Some(*ticket),
+        _ => None,
+    });
+    (ticket, asked.expect("the leader is asked"))
+}
+
+#[test]
+fn an_answer_to_an_earlier_life_is_nobodys() {
+    let (_, asked_before) = ask(&mut follower(1_000));
+    let mut core = follower(1_001);
+    let (ticket, asked) = ask(&mut core);
+    assert_ne!(asked_before, asked);
+    let reply = |ticket, state| CoreEvent::Peer {
+        from: address(2),
+        message: PeerMessage::Reply {
+            ticket,
+            answer: Some(CallerAnswer::State(state)),
+        },
+    };
+    let at = Duration::from_millis(30);
+    let late = core.step(at, 1_020, reply(asked_before, JobState::Failed));
+    assert!(!late
+        .iter()
+        .any(|action| matches!(action, CoreAction::Answer { .. })));
+    let own = core.step(at, 1_020, reply(asked, JobState::Running));
+    let answered = own.iter().any(|action| {
+        matches!(action, CoreAction::Answer { ticket: to, answer: CallerAnswer::State(JobState::Running) } if *to == ticket)
+    });
+    assert!(answered);
+}
+
+#[test]
+fn without_a_leader_a_request_is_refused_with_a_time_to_come_back() {
+    let mut core = core_of_life(1);
+    let ticket = core.new_ticket();
+    let spec = Arc::default();
+    let request = ResolvedRequest {
+        request: CallerRequest::Submit {
+            spec,
+            terms: Default::default(),
+        },
+        patience_ms: 3_000,
+    };
+    let at = Duration::from_secs(5);
+    let actions = core.step(at, 1, CoreEvent::Caller { ticket, request });
+    let refused = actions.iter().any(|action| {
+        matches!(action, CoreAction::Answer { answer: CallerAnswer::Refused { retry_ms, .. }, .. } if *retry_ms > 0)
+    });
+    assert!(refused);
+}
