fix(queue): a silent worker's hold runs out also while orders to it are repeated

Also: an instance that had just started could not tell that a leader was silent before its start and waited 0.7 s; questions that timed out one after another never showed that the table was away; a new leader measured workers' speed anew. Ruled out: the proof that a hold is over (it fires for workers without orders). Change: orders to a silent worker prolong nothing; the inner clock begins at an hour; trouble counts from the first question without an answer; the leader tells its measures to peers.

--- a/crates/bankvalve_check/tests/site.rs
+++ b/crates/bankvalve_check/tests/site.rs
@@ -313,3 +313,34 @@
     assert_kept(&world);
     assert_eq!(world.shown.len(), 99);
 }
+
+#[test]
+fn a_leader_is_found_within_half_a_second_of_a_start_of_all() {
+    let mut world = world(20);
+    world.submit(job_of(1, QUEUE, &[2], false));
+    world.run_until(1_500);
+    for node in 0..3 {
+        world.kill(node, 1_000);
+    }
+    world.run_until(2_500);
+    assert_eq!(world.leader(), None);
+    world.run_until(3_000);
+    assert!(world.leader().is_some());
+}
+
+#[test]
+fn orders_without_an_answer_do_not_keep_a_silent_worker_alive() {
+    let mut world = world(21);
+    for job in 1..60 {
+        world.submit(job_of(job, QUEUE, &[1], false));
+        let until = world.now_ms + 120;
+        world.run_until(until);
+        if job == 20 {
+            let address = "10.9.0.1:80".to_owned();
+            world.worker_cut_until.insert(address, 200_000);
+        }
+    }
+    world.run_until(30_000);
+    assert_kept(&world);
+    assert_eq!(world.shown.len(), 59);
+}
--- a/crates/bankvalve_queue/src/core/commit.rs
+++ b/crates/bankvalve_queue/src/core/commit.rs
@@ -82,13 +82,6 @@
     refused: u32,
 }
 
-impl CommitFlight {
-    /// When it was first sent.
-    pub(super) fn since(&self) -> CoreTime {
-        self.since
-    }
-}
-
 impl EntryCore {
     /// Applies an event at once and has it kept; the effect follows when it is.
     pub(super) fn propose(&mut self, event: LedgerEvent, effect: Effect) {
@@ -115,6 +108,13 @@
         }
     }
 
+    fn note_store_question(&mut self) {
+        let now = self.now;
+        if let Some(lead) = self.lead.as_deref_mut() {
+            lead.asked_since.get_or_insert(now);
+        }
+    }
+
     /// Tells whether the table has left a write unanswered for long.
     pub(super) fn store_is_away(&self) -> bool {
         let Some(lead) = self.lead.as_deref() else {
@@ -211,6 +211,7 @@
         };
         self.counters.count("commits", "sent");
         let sequence = flight.sequence;
+        self.note_store_question();
         self.ask_store(StorePurpose::Commit { sequence }, request);
     }
 
@@ -357,7 +358,7 @@
         lead.sequence = flight.sequence;
         lead.commit_time = (lead.commit_time + now.saturating_sub(flight.since)) / 2;
         lead.confirmed_at = now;
-        lead.store_answered = now;
+        lead.note_store_answer();
         lead.away_since = None;
         self.applied = flight.sequence;
         for job in flight.events.iter().map(LedgerEvent::job) {
@@ -434,6 +435,7 @@
             part: LEAD_PART.to_owned(),
             from: String::new(),
         };
+        self.note_store_question();
         self.ask_store(StorePurpose::Confirm, request);
     }
 
@@ -448,7 +450,7 @@
         let StoreOutcome::Rows { rows, .. } = outcome else {
             return;
         };
-        lead.store_answered = now;
+        lead.note_store_answer();
         if !rows.iter().any(|row| row.version == lead.row_version) {
             self.depose("the row names another leader");
             self.take_leader_rows(rows);
@@ -471,6 +473,7 @@
     }
 
     pub(super) fn load_ledger(&mut self) {
+        self.note_store_question();
         self.ask_ledger(StorePurpose::LoadLedger);
     }
 
@@ -485,7 +488,7 @@
             self.load_ledger();
             return;
         };
-        lead.store_answered = self.now;
+        lead.note_store_answer();
         self.take_ledger_rows(&rows);
         if more {
             self.load_ledger();
--- a/crates/bankvalve_queue/src/core/election.rs
+++ b/crates/bankvalve_queue/src/core/election.rs
@@ -94,7 +94,7 @@
     pub(super) fn is_leaderless(&self) -> bool {
         let silence = match &self.leader {
             Some(leader) => self.age(leader.heard_at),
-            None => self.now,
+            None => self.uptime(),
         };
         self.lead.is_none() && silence > LEADERLESS
     }
@@ -284,6 +284,7 @@
         for peer in peers {
             self.tell(peer, PeerMessage::Heartbeat(news.clone()));
         }
+        self.tell_measures();
         self.drop_gone_members();
     }
 
@@ -570,7 +571,8 @@
         if asked || predecessor.is_none() {
             self.predecessor_over = Some((epoch, self.now));
         }
-        let lead = LeadState::new(epoch, row_version, predecessor, self.now);
+        let mut lead = LeadState::new(epoch, row_version, predecessor, self.now);
+        lead.guess_error = self.measures.1.clone();
         self.lead = Some(Box::new(lead));
         self.worker_watch = Default::default();
         self.leader = Some(LeaderView {
@@ -610,13 +612,12 @@
         let Some(lead) = self.lead.as_deref_mut() else {
             return;
         };
-        let silence = now.saturating_sub(lead.store_answered);
-        let waited = lead
-            .waiting_for_store_since()
+        let unanswered = lead
+            .asked_since
             .map_or(Duration::ZERO, |at| now.saturating_sub(at));
         let turned_away = lead.away_since.is_some();
-        let silent = silence > TROUBLE_AFTER && waited > TROUBLE_AFTER;
-        if !turned_away && silence < TROUBLE_AFTER {
+        let silent = unanswered > TROUBLE_AFTER;
+        if !turned_away && !silent {
             lead.trouble_since = None;
         } else if (turned_away || silent) && lead.trouble_since.is_none() {
             lead.trouble_since = Some(now);
--- a/crates/bankvalve_queue/src/core/entry_core.rs
+++ b/crates/bankvalve_queue/src/core/entry_core.rs
@@ -26,6 +26,9 @@
 /// Time between two ticks of an instance that follows.
 const FOLLOW_TICK: Duration = Duration::from_millis(50);
 
+/// Reading of the inner clock at the start, so that times before the start can be told.
+const TIME_BASE: Duration = Duration::from_secs(3_600);
+
 /// What an instance is told about itself and its cell.
 #[derive(Clone, Debug)]
 pub struct EntrySettings {
@@ -198,6 +201,8 @@
     pub(super) applied: u64,
     pub(super) catch_up_at: Option<CoreTime>,
     pub(super) lead: Option<Box<LeadState>>,
+    /// What the leader last told of workers' slowness and queues' guesses.
+    pub(super) measures: (BTreeMap<WorkerId, f64>, BTreeMap<String, f64>),
     pub(super) asks: BTreeMap<Ticket, OpenAsk>,
     pub(super) advising: BTreeMap<Ticket, (PeerAddress, Ticket)>,
     pub(super) store_tickets: BTreeMap<Ticket, StorePurpose>,
@@ -218,7 +223,7 @@
         let next_ticket = settings.life << TICKETS_OF_LIFE_BITS;
         Self {
             settings,
-            now: Duration::ZERO,
+            now: TIME_BASE,
             wall: 0,
             table: None,
             table_raw: Vec::new(),
@@ -237,6 +242,7 @@
             applied: 0,
             catch_up_at: None,
             lead: None,
+            measures: Default::default(),
             asks: BTreeMap::new(),
             advising: BTreeMap::new(),
             store_tickets: BTreeMap::new(),
@@ -257,7 +263,7 @@
     /// `now` is the instance's steady clock and must not fall; `wall` is the
     /// time of day.
     pub fn step(&mut self, now: CoreTime, wall: WallMillis, event: CoreEvent) -> Vec<CoreAction> {
-        self.now = self.now.max(now);
+        self.now = self.now.max(now + TIME_BASE);
         self.wall = wall;
         match event {
             CoreEvent::Tick => self.tick(),
@@ -357,6 +363,11 @@
         }));
     }
 
+    /// Time since the instance started.
+    pub(super) fn uptime(&self) -> Duration {
+        self.now.saturating_sub(TIME_BASE)
+    }
+
     pub(super) fn age(&self, at: CoreTime) -> Duration {
         self.now.saturating_sub(at)
     }
--- a/crates/bankvalve_queue/src/core/following.rs
+++ b/crates/bankvalve_queue/src/core/following.rs
@@ -4,6 +4,7 @@
 
 use super::store_link::{StorePurpose, LEAD_PART, LEDGER_TABLE};
 use super::EntryCore;
+use crate::ids::WorkerId;
 use crate::ledger::LedgerBatch;
 use crate::peer::{PeerAddress, PeerMessage};
 use crate::store::{StoreOutcome, StoreRequest};
@@ -11,6 +12,9 @@
 /// Wait before missing batches are read, since they may still be on their way.
 const CATCH_UP_PAUSE: Duration = Duration::from_millis(1_500);
 
+/// Time between two tellings of what was measured.
+const MEASURES_EVERY: Duration = Duration::from_secs(2);
+
 pub(super) fn batch_key(sequence: u64) -> String {
     format!("{sequence:012}")
 }
@@ -28,6 +32,7 @@
                 sequence,
                 batch,
             } => self.take_committed(epoch, sequence, &batch),
+            PeerMessage::Measured { workers, queues } => self.take_measures(workers, queues),
             PeerMessage::TakeOver { epoch } => self.take_over(from, epoch),
             PeerMessage::Table { raw } => {
                 self.actions.push(super::CoreAction::DecodeTable(raw));
@@ -35,6 +40,46 @@
         }
     }
 
+    /// Tells peers what was measured of workers and queues, every now and then.
+    pub(super) fn tell_measures(&mut self) {
+        let now = self.now;
+        let Some(lead) = self.lead.as_deref_mut() else {
+            return;
+        };
+        if now < lead.next_measures {
+            return;
+        }
+        lead.next_measures = now + MEASURES_EVERY;
+        let workers: Vec<(WorkerId, f64)> = lead
+            .seats
+            .iter()
+            .filter(|(_, seat)| seat.slowness != 0.0)
+            .map(|(id, seat)| (id.clone(), seat.slowness))
+            .collect();
+        let queues: Vec<(String, f64)> = lead
+            .guess_error
+            .iter()
+            .map(|(queue, error)| (queue.clone(), *error))
+            .collect();
+        if workers.is_empty() {
+            return;
+        }
+        let peers: Vec<PeerAddress> = self.live_peers().map(|(address, _)| address).collect();
+        for peer in peers {
+            let message = PeerMessage::Measured {
+                workers: workers.clone(),
+                queues: queues.clone(),
+            };
+            self.tell(peer, message);
+        }
+    }
+
+    fn take_measures(&mut self, workers: Vec<(WorkerId, f64)>, queues: Vec<(String, f64)>) {
+        if self.lead.is_none() {
+            self.measures = (workers.into_iter().collect(), queues.into_iter().collect());
+        }
+    }
+
     fn take_committed(&mut self, epoch: u64, sequence: u64, batch: &[u8]) {
         if self.lead.is_some() || epoch < self.highest_epoch || sequence <= self.applied {
             return;
--- a/crates/bankvalve_queue/src/core/holds.rs
+++ b/crates/bankvalve_queue/src/core/holds.rs
@@ -28,7 +28,7 @@
 /// A worker that was heard so lately gets work.
 pub(super) const HEARD_LATELY: Duration = Duration::from_millis(1_300);
 /// A worker that was heard so lately has its hold prolonged.
-const PROLONG_IF_HEARD: Duration = Duration::from_millis(2_200);
+pub(super) const PROLONG_IF_HEARD: Duration = Duration::from_millis(2_200);
 /// Longest that a leader commands workers without being sure that it leads.
 pub(super) const UNCONFIRMED_LIMIT: Duration = Duration::from_secs(15);
 /// Weight of one task in what is known of a queue's guesses.
@@ -117,9 +117,7 @@
         let Some(seat) = lead.seats.get_mut(id) else {
             return;
         };
-        let heard = seat
-            .heard_at
-            .is_some_and(|at| now.saturating_sub(at) < PROLONG_IF_HEARD);
+        let heard = seat.is_heard(now, PROLONG_IF_HEARD);
         let until_ms = if heard && seat.proved {
             seat.hold_until(now, hold)
         } else {
--- a/crates/bankvalve_queue/src/core/lead.rs
+++ b/crates/bankvalve_queue/src/core/lead.rs
@@ -36,7 +36,8 @@
     pub(super) workers_known: bool,
     /// When the table last answered a request that was conditional on the own row.
     pub(super) confirmed_at: CoreTime,
-    pub(super) store_answered: CoreTime,
+    /// Since when something was asked of the table without any answer coming.
+    pub(super) asked_since: Option<CoreTime>,
     /// Since when peers are told that the table leaves requests unanswered.
     pub(super) trouble_since: Option<CoreTime>,
     pub(super) confirming: Option<CoreTime>,
@@ -65,6 +66,7 @@
     pub(super) place_at: CoreTime,
     pub(super) stop_since: Option<CoreTime>,
     pub(super) next_forget: CoreTime,
+    pub(super) next_measures: CoreTime,
 }
 
 impl LeadState {
@@ -82,7 +84,7 @@
             loaded: false,
             workers_known: false,
             confirmed_at: now,
-            store_answered: now,
+            asked_since: None,
             trouble_since: None,
             confirming: None,
             next_confirm: now,
@@ -106,6 +108,7 @@
             place_at: now,
             stop_since: None,
             next_forget: now,
+            next_measures: now,
         }
     }
 
@@ -125,22 +128,17 @@
         self.stale || (self.flight.is_none() && !self.pending.is_empty())
     }
 
+    /// The table has answered.
+    pub(super) fn note_store_answer(&mut self) {
+        self.asked_since = None;
+    }
+
     /// Time until an event that is proposed now is kept: what is left of the write on its way,
     /// and one more.
     pub(super) fn time_to_keep(&self) -> Duration {
         let flights = if self.flight.is_some() { 2 } else { 1 };
         self.commit_time * flights
     }
-
-    /// Since when something asked of the table has had no answer, if something has none.
-    pub(super) fn waiting_for_store_since(&self) -> Option<CoreTime> {
-        let flight = self.flight.as_ref().map(CommitFlight::since);
-        let loading = (!self.loaded).then_some(self.began_at);
-        [flight, self.confirming, self.away_since, loading]
-            .into_iter()
-            .flatten()
-            .min()
-    }
 }
 
 impl EntryCore {
--- a/crates/bankvalve_queue/src/core/orders.rs
+++ b/crates/bankvalve_queue/src/core/orders.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use super::holds::PROLONG_IF_HEARD;
 use super::lead::CallPurpose;
 use super::seat::RunPhase;
 use super::EntryCore;
@@ -84,6 +85,12 @@
         let Some(until_ms) = seat.hold_until(now, hold) else {
             return;
         };
+        // A silent worker's hold must run out, or what it may run is never given up.
+        let until_ms = if seat.is_heard(now, PROLONG_IF_HEARD) {
+            until_ms
+        } else {
+            seat.granted_until
+        };
         seat.granted_until = seat.granted_until.max(until_ms);
         let Some(live) = seat.runs.get_mut(&task) else {
             return;
--- a/crates/bankvalve_queue/src/core/placing.rs
+++ b/crates/bankvalve_queue/src/core/placing.rs
@@ -243,9 +243,7 @@
 
 /// Tells whether a worker may be given tasks of a step at all.
 fn admits(seat: &Seat, step: &PlacedStep, now: CoreTime) -> bool {
-    let heard = seat
-        .heard_at
-        .is_some_and(|at| now.saturating_sub(at) < HEARD_LATELY);
+    let heard = seat.is_heard(now, HEARD_LATELY);
     let label = step
         .spec
         .required_label
--- a/crates/bankvalve_queue/src/core/seat.rs
+++ b/crates/bankvalve_queue/src/core/seat.rs
@@ -17,6 +17,8 @@
 const FIRST_REST: Duration = Duration::from_secs(3);
 /// Least weight of a new measurement of how slow a worker is: some twenty tasks are remembered.
 const SLOWNESS_WEIGHT: f64 = 0.05;
+/// Tasks that a predecessor's measurement counts for.
+const MEASURED_BEFORE: u32 = 10;
 /// Most that one task says about it; guesses of run times are off by up to 90%.
 const SLOWNESS_BOUND: f64 = 0.8;
 /// Most doublings of it.
@@ -121,6 +123,12 @@
         }
     }
 
+    /// Tells whether it has answered within a time.
+    pub(super) fn is_heard(&self, now: CoreTime, within: Duration) -> bool {
+        self.heard_at
+            .is_some_and(|at| now.saturating_sub(at) < within)
+    }
+
     /// Takes a reading of the worker's clock from an answer.
     pub(super) fn note_clock(&mut self, now: CoreTime, clock_ms: u64) {
         self.clock = Some((now, clock_ms));
@@ -186,6 +194,12 @@
             .retain(|entry| entry.step != step && entry.until > now);
     }
 
+    /// Begins with what a predecessor measured.
+    pub(super) fn begin_slowness(&mut self, slowness: f64) {
+        self.slowness = slowness;
+        self.measured = MEASURED_BEFORE;
+    }
+
     /// Notes how much longer than usual for its queue a task took, as a logarithm.
     pub(super) fn note_slowness(&mut self, excess: f64) {
         self.measured += 1;
--- a/crates/bankvalve_queue/src/core/seat_list.rs
+++ b/crates/bankvalve_queue/src/core/seat_list.rs
@@ -33,6 +33,9 @@
             };
             match lead.seats.get_mut(&id) {
                 Some(seat) => {
+                    if let Some(slowness) = self.measures.0.get(&id).filter(|_| full) {
+                        seat.begin_slowness(*slowness);
+                    }
                     let notice = entry.leaving && !seat.entry.leaving;
                     seat.entry = entry;
                     seat.listed = true;
@@ -41,7 +44,10 @@
                     }
                 }
                 None => {
-                    let seat = Seat::new(entry, true, now);
+                    let mut seat = Seat::new(entry, true, now);
+                    if let Some(slowness) = self.measures.0.get(&id) {
+                        seat.begin_slowness(*slowness);
+                    }
                     lead.seats.insert(id.clone(), seat);
                     if !full {
                         self.log("workers", "listed", id.to_string(), String::new());
--- a/crates/bankvalve_queue/src/peer.rs
+++ b/crates/bankvalve_queue/src/peer.rs
@@ -5,7 +5,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::caller::{CallerAnswer, CallerRequest};
-use crate::ids::Ticket;
+use crate::ids::{Ticket, WorkerId};
 use crate::worker::{AdviceAnswer, AdviceAsk};
 
 /// Address at which a peer listens for peers.
@@ -78,6 +78,13 @@
         #[serde(with = "serde_bytes")]
         batch: Vec<u8>,
     },
+    /// What the leader has measured, so that a successor need not begin anew.
+    Measured {
+        /// Workers, each with the logarithm of how much longer than elsewhere tasks take there.
+        workers: Vec<(WorkerId, f64)>,
+        /// Queues, each with the logarithm of measured to guessed run times.
+        queues: Vec<(String, f64)>,
+    },
     /// The sender has stopped leading; the receiver is to lead.
     TakeOver {
         /// Epoch that has ended.
