--- a/crates/bankvalve_check/src/site/site_world.rs
+++ b/crates/bankvalve_check/src/site/site_world.rs
@@ -307,6 +307,15 @@
         }
     }
 
+    /// Workers that run tasks of jobs of both kinds that a test tells apart.
+    pub fn workers_shared_by(&self, kind: impl Fn(JobId) -> bool) -> usize {
+        let both = |worker: &&SiteWorker| {
+            let kinds = worker.runs().keys().map(|task| kind(task.step.job));
+            kinds.collect::<std::collections::BTreeSet<bool>>().len() > 1
+        };
+        self.workers.values().flatten().filter(both).count()
+    }
+
     /// Callers' requests without an answer.
     pub fn open_calls(&self) -> usize {
         self.calls.len()
--- a/crates/bankvalve_check/tests/site.rs
+++ b/crates/bankvalve_check/tests/site.rs
@@ -344,3 +344,23 @@
     assert_kept(&world);
     assert_eq!(world.shown.len(), 59);
 }
+
+#[test]
+fn tasks_that_fill_and_tasks_that_serve_never_share_a_worker() {
+    let mut world = world(22);
+    for job in 1..40 {
+        let mut spec = job_of(job, QUEUE, &[2], false);
+        spec.steps[0].fills = job % 2 == 0;
+        spec.steps[0].latency_target_ms = 40 * (job % 2);
+        world.submit(spec);
+    }
+    let mut shared = 0;
+    for _ in 0..200 {
+        let until = world.now_ms + 50;
+        world.run_until(until);
+        shared += world.workers_shared_by(|job| job % 2 == 0);
+    }
+    assert_eq!(shared, 0);
+    world.run_until(60_000);
+    assert_eq!(world.shown.len(), 39);
+}
--- a/crates/bankvalve_queue/src/core/commit.rs
+++ b/crates/bankvalve_queue/src/core/commit.rs
@@ -23,8 +23,8 @@
 const HEDGE_LEAST: Duration = Duration::from_millis(150);
 /// The usual time of a write, times this, after which another copy is sent.
 const HEDGE_FACTOR: u32 = 3;
-/// Most copies without an answer: a slow table carries them out one after another.
-const HEDGE_COPIES: u32 = 2;
+/// Most copies without an answer.
+const HEDGE_COPIES: u32 = 5;
 /// Pause after a write that was refused.
 const BUSY_PAUSE: Duration = Duration::from_millis(60);
 /// Silence after which the leader asks whether it still leads.
@@ -210,12 +210,15 @@
             removals: Vec::new(),
         };
         self.counters.count("commits", "sent");
-        let sequence = flight.sequence;
+        let purpose = StorePurpose::Commit {
+            sequence: flight.sequence,
+            sent_at: self.now,
+        };
         self.note_store_question();
-        self.ask_store(StorePurpose::Commit { sequence }, request);
+        self.ask_store(purpose, request);
     }
 
-    pub(super) fn end_commit(&mut self, sequence: u64, outcome: StoreOutcome) {
+    pub(super) fn end_commit(&mut self, sequence: u64, sent_at: CoreTime, outcome: StoreOutcome) {
         let now = self.now;
         let Some(lead) = self.lead.as_deref_mut() else {
             return;
@@ -227,6 +230,12 @@
         else {
             return;
         };
+        if matches!(
+            outcome,
+            StoreOutcome::Applied { .. } | StoreOutcome::Conflict { .. }
+        ) {
+            lead.commit_time = (lead.commit_time + now.saturating_sub(sent_at)) / 2;
+        }
         match outcome {
             StoreOutcome::Applied { .. } => self.finish_commit(),
             StoreOutcome::Conflict { rows } => {
@@ -356,7 +365,6 @@
             return;
         };
         lead.sequence = flight.sequence;
-        lead.commit_time = (lead.commit_time + now.saturating_sub(flight.since)) / 2;
         lead.confirmed_at = now;
         lead.note_store_answer();
         lead.away_since = None;
--- a/crates/bankvalve_queue/src/core/holds.rs
+++ b/crates/bankvalve_queue/src/core/holds.rs
@@ -8,7 +8,7 @@
 use super::EntryCore;
 use crate::core::CoreAction;
 use crate::ids::{CoreTime, TaskKey, Ticket, WorkerId};
-use crate::job::TaskSize;
+use crate::job::StepSpec;
 use crate::ledger::{EndKind, LedgerEvent, TaskPhase};
 use crate::worker::{EndReport, HoldReport, RunReport, StartRefusal, WorkerAnswer, WorkerCall};
 
@@ -234,6 +234,9 @@
         } = answer
         else {
             seat.next_hold = now + SILENT_PAUSE;
+            let asked = now.saturating_sub(sent_at);
+            let detail = format!("{answer:?} after {asked:?}, {} runs", seat.runs.len());
+            self.log("workers", "silent", id.to_string(), detail);
             self.counters.count("retries", "worker_silent");
             return;
         };
@@ -364,7 +367,7 @@
     fn take_running(&mut self, id: &WorkerId, running: &[RunReport]) {
         let now = self.now;
         for report in running {
-            let room = self.room_of(report.task);
+            let spec = self.spec_of(report.task);
             let Some(lead) = self.lead.as_deref_mut() else {
                 return;
             };
@@ -383,20 +386,8 @@
                 }
                 Some(_) => {}
                 None => {
-                    let live = LiveRun {
-                        run: report.run,
-                        room,
-                        phase: RunPhase::Stopping { confirmed: None },
-                        began: now,
-                        estimate: Duration::ZERO,
-                        copies: 0,
-                        busy: false,
-                        next_at: now,
-                        tries: 0,
-                        saved: String::new(),
-                        measured: false,
-                        permit: None,
-                    };
+                    let phase = RunPhase::Stopping { confirmed: None };
+                    let live = LiveRun::new(report.run, &spec, phase, now);
                     seat.add_run(report.task, live);
                     let detail = format!("run {} on {id}", report.run);
                     self.log("runs", "unknown", report.task.to_string(), detail);
@@ -405,10 +396,11 @@
         }
     }
 
-    fn room_of(&self, task: TaskKey) -> TaskSize {
+    /// The step that a task belongs to; an empty one if its job is not known.
+    fn spec_of(&self, task: TaskKey) -> StepSpec {
         let job = self.book.job(task.step.job);
         let step = job.and_then(|job| job.spec.steps.get(usize::from(task.step.step)));
-        step.map_or_else(TaskSize::default, crate::job::StepSpec::room)
+        step.cloned().unwrap_or_default()
     }
 
     /// Runs that are in neither list never began, or are gone.
--- a/crates/bankvalve_queue/src/core/placing.rs
+++ b/crates/bankvalve_queue/src/core/placing.rs
@@ -7,7 +7,7 @@
 use super::advice::{StepAdvice, ASK_LIMIT};
 use super::commit::Effect;
 use super::holds::HEARD_LATELY;
-use super::seat::{LiveRun, Reservation, RunPhase, Seat};
+use super::seat::{LiveRun, Reservation, RunLoad, RunPhase, Seat};
 use super::waiting::WaitingRank;
 use super::EntryCore;
 use crate::ids::{CoreTime, RunId, StepKey, TaskKey, WorkerId};
@@ -213,20 +213,8 @@
                 continue;
             };
             seat.drop_reservation(step.key, now);
-            let live = LiveRun {
-                run: step.run,
-                room: step.room,
-                phase: RunPhase::Proposed,
-                began: now,
-                estimate: Duration::from_millis(step.spec.estimate_ms),
-                copies: 0,
-                busy: false,
-                next_at: now,
-                tries: 0,
-                saved: String::new(),
-                measured: false,
-                permit,
-            };
+            let mut live = LiveRun::new(step.run, &step.spec, RunPhase::Proposed, now);
+            live.permit = permit;
             seat.add_run(task, live);
             let detail = format!(
                 "run {} on {worker}, room left {}",
@@ -251,6 +239,7 @@
         .is_none_or(|label| seat.entry.labels.contains(label));
     heard
         && label
+        && !seat.is_disturbed_by(RunLoad::of(&step.spec))
         && seat.proved
         && seat.listed
         && !seat.entry.leaving
--- a/crates/bankvalve_queue/src/core/seat.rs
+++ b/crates/bankvalve_queue/src/core/seat.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use crate::ids::{CoreTime, JobId, RunId, StepKey, TaskKey};
-use crate::job::TaskSize;
+use crate::job::{StepSpec, TaskSize};
 use crate::worker::WorkerEntry;
 
 /// How much slower than ours a worker's clock may run, in percent.
@@ -39,10 +39,41 @@
     Stopping { confirmed: Option<CoreTime> },
 }
 
+/// What a run does to others on its worker.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum RunLoad {
+    Plain,
+    /// It serves users of its own, whose waits must stay short.
+    Serves,
+    /// It uses what others leave, and disturbs those that serve.
+    Fills,
+}
+
+impl RunLoad {
+    pub(super) fn of(spec: &StepSpec) -> Self {
+        if spec.fills {
+            RunLoad::Fills
+        } else if spec.latency_target_ms > 0 {
+            RunLoad::Serves
+        } else {
+            RunLoad::Plain
+        }
+    }
+
+    /// Tells whether two loads must not meet on one worker.
+    fn disturbs(self, other: RunLoad) -> bool {
+        matches!(
+            (self, other),
+            (RunLoad::Serves, RunLoad::Fills) | (RunLoad::Fills, RunLoad::Serves)
+        )
+    }
+}
+
 /// A run on a worker.
 #[derive(Clone, Debug)]
 pub(super) struct LiveRun {
     pub(super) run: RunId,
+    load: RunLoad,
     pub(super) room: TaskSize,
     pub(super) phase: RunPhase,
     pub(super) began: CoreTime,
@@ -58,6 +89,26 @@
     pub(super) permit: Option<String>,
 }
 
+impl LiveRun {
+    pub(super) fn new(run: RunId, spec: &StepSpec, phase: RunPhase, now: CoreTime) -> Self {
+        Self {
+            run,
+            load: RunLoad::of(spec),
+            room: spec.room(),
+            phase,
+            began: now,
+            estimate: Duration::from_millis(spec.estimate_ms),
+            copies: 0,
+            busy: false,
+            next_at: now,
+            tries: 0,
+            saved: String::new(),
+            measured: false,
+            permit: None,
+        }
+    }
+}
+
 /// Room kept for a step while it waits for permits.
 #[derive(Clone, Debug)]
 pub(super) struct Reservation {
@@ -179,6 +230,11 @@
         self.reserved.retain(|entry| entry.step.job != job);
     }
 
+    /// Tells whether a load must not join what runs here.
+    pub(super) fn is_disturbed_by(&self, load: RunLoad) -> bool {
+        self.runs.values().any(|live| load.disturbs(live.load))
+    }
+
     /// Room that a step may use now.
     pub(super) fn room_for(&self, step: StepKey, now: CoreTime) -> TaskSize {
         let reserved = self
--- a/crates/bankvalve_queue/src/core/seat_list.rs
+++ b/crates/bankvalve_queue/src/core/seat_list.rs
@@ -5,7 +5,7 @@
 use super::seat::{LiveRun, RunPhase, Seat};
 use super::EntryCore;
 use crate::ids::{TaskKey, WorkerId};
-use crate::job::TaskSize;
+use crate::job::StepSpec;
 use crate::ledger::{JobOutcome, TaskPhase};
 use crate::worker::WorkerEntry;
 
@@ -67,7 +67,7 @@
     /// Fills the seats with the runs that the ledger knows, after a takeover.
     pub(super) fn adopt_book(&mut self) {
         let now = self.now;
-        let mut placed: Vec<(TaskKey, WorkerId, u64, TaskSize, Duration)> = Vec::new();
+        let mut placed: Vec<(TaskKey, WorkerId, u64, StepSpec)> = Vec::new();
         let mut open = Vec::new();
         for job in self.book.jobs() {
             if job.outcome == JobOutcome::Open {
@@ -83,9 +83,8 @@
                     };
                     for (index, task) in step.tasks.iter().enumerate() {
                         if let TaskPhase::Placed { worker, run } = &task.phase {
-                            let estimate = Duration::from_millis(spec.estimate_ms);
                             let task = key.task(index as u32);
-                            placed.push((task, worker.clone(), *run, spec.room(), estimate));
+                            placed.push((task, worker.clone(), *run, spec.clone()));
                         }
                     }
                 }
@@ -102,26 +101,13 @@
             return;
         };
         lead.touched.extend(open.iter().copied());
-        for (task, worker, run, room, estimate) in placed {
+        for (task, worker, run, spec) in placed {
             lead.touched.insert(task.step.job);
             let seat = lead
                 .seats
                 .entry(worker)
                 .or_insert_with(|| Seat::new(WorkerEntry::default(), false, now));
-            let live = LiveRun {
-                run,
-                room,
-                phase: RunPhase::Adopted,
-                began: now,
-                estimate,
-                copies: 0,
-                busy: false,
-                next_at: now,
-                tries: 0,
-                saved: String::new(),
-                measured: false,
-                permit: None,
-            };
+            let live = LiveRun::new(run, &spec, RunPhase::Adopted, now);
             seat.add_run(task, live);
         }
         for job in open {
--- a/crates/bankvalve_queue/src/core/store_link.rs
+++ b/crates/bankvalve_queue/src/core/store_link.rs
@@ -34,7 +34,7 @@
 pub(super) enum StorePurpose {
     Register,
     Claim,
-    Commit { sequence: u64 },
+    Commit { sequence: u64, sent_at: CoreTime },
     Confirm,
     LoadLedger,
     CatchUp,
@@ -143,7 +143,9 @@
         match purpose {
             StorePurpose::Register => self.end_register(&outcome),
             StorePurpose::Claim => self.end_claim(outcome),
-            StorePurpose::Commit { sequence } => self.end_commit(sequence, outcome),
+            StorePurpose::Commit { sequence, sent_at } => {
+                self.end_commit(sequence, sent_at, outcome);
+            }
             StorePurpose::Confirm => self.end_confirm(&outcome),
             StorePurpose::LoadLedger => self.end_load(outcome),
             StorePurpose::CatchUp => self.end_catch_up(outcome),
