perf(queue): waits for further copies of a write double

Change: each wait for another copy is twice the one before; a start is reckoned to be kept within 0.9 s.

--- a/crates/bankvalve_queue/src/core/commit.rs
+++ b/crates/bankvalve_queue/src/core/commit.rs
@@ -24,7 +24,7 @@
 /// The usual time of a write, times this, after which another copy is sent.
 const HEDGE_FACTOR: u32 = 3;
 /// Most copies without an answer.
-const HEDGE_COPIES: u32 = 5;
+const HEDGE_COPIES: u32 = 4;
 /// Pause after a write that was refused.
 const BUSY_PAUSE: Duration = Duration::from_millis(60);
 /// Silence after which the leader asks whether it still leads.
@@ -137,7 +137,9 @@
             return;
         }
         if let Some(flight) = lead.flight.as_mut() {
-            let hedge = HEDGE_LEAST.max(lead.commit_time * HEDGE_FACTOR);
+            // Each wait is twice the one before, since a slow table carries copies out in turn.
+            let doublings = 2_u32.pow(flight.copies.saturating_sub(1));
+            let hedge = HEDGE_LEAST.max(lead.commit_time * HEDGE_FACTOR) * doublings;
             let unanswered = flight.copies < HEDGE_COPIES && now > flight.sent_at + hedge;
             let again = flight.copies == 0 && now >= flight.next_at;
             if again || (flight.copies > 0 && unanswered) {
--- a/crates/bankvalve_queue/src/core/lead.rs
+++ b/crates/bankvalve_queue/src/core/lead.rs
@@ -15,6 +15,10 @@
 /// Time between two looks for jobs that ended so long ago that they are forgotten.
 const FORGET_EVERY: Duration = Duration::from_secs(5);
 
+/// Longest time that a start is reckoned to take to be kept: permits last some 1.5 s, and must
+/// stay usable while the table is slow.
+const KEEP_LIMIT: Duration = Duration::from_millis(900);
+
 /// What a call to a worker was for.
 #[derive(Clone, Debug)]
 pub(super) enum CallPurpose {
@@ -137,7 +141,7 @@
     /// and one more.
     pub(super) fn time_to_keep(&self) -> Duration {
         let flights = if self.flight.is_some() { 2 } else { 1 };
-        self.commit_time * flights
+        (self.commit_time * flights).min(KEEP_LIMIT)
     }
 }
 
