--- a/crates/bankvalve/src/settings/instance_settings.rs
+++ b/crates/bankvalve/src/settings/instance_settings.rs
@@ -9,10 +9,9 @@
 use schemars::JsonSchema;
 use serde::{Deserialize, Serialize};
 
+use super::field_check::{check_name, check_range};
 use super::{parse_jsonc, SettingsProblem};
 
-/// Longest name of an instance, region or failure domain, in bytes.
-const NAME_LIMIT: usize = 60;
 /// Shortest key that peers share, in characters.
 const PEER_KEY_LEAST: usize = 16;
 /// Most partitions of one kind.
@@ -490,25 +489,3 @@
         check_range("limits.ring", number(limits.ring), 64, 1 << 20)
     }
 }
-
-pub(super) fn check_name(field: &str, name: &str) -> Result<(), (String, String)> {
-    let letters = |byte: u8| byte.is_ascii_alphanumeric() || b"-_.".contains(&byte);
-    if !name.is_empty() && name.len() <= NAME_LIMIT && name.bytes().all(letters) {
-        return Ok(());
-    }
-    let expected = format!("expected 1 to {NAME_LIMIT} letters, digits, '-', '_' or '.'");
-    Err((field.to_owned(), expected))
-}
-
-pub(super) fn check_range(
-    field: &str,
-    value: u64,
-    least: u64,
-    most: u64,
-) -> Result<(), (String, String)> {
-    if (least..=most).contains(&value) {
-        return Ok(());
-    }
-    let expected = format!("expected {least} to {most}, found {value}");
-    Err((field.to_owned(), expected))
-}
--- a/crates/bankvalve/src/settings/mod.rs
+++ b/crates/bankvalve/src/settings/mod.rs
@@ -1,5 +1,6 @@
 //! Settings of an entry instance: JSON with comments, every key checked.
 
+mod field_check;
 mod instance_settings;
 mod settings_file;
 mod site_settings;
--- a/crates/bankvalve/src/settings/site_settings.rs
+++ b/crates/bankvalve/src/settings/site_settings.rs
@@ -5,7 +5,7 @@
 use schemars::JsonSchema;
 use serde::{Deserialize, Serialize};
 
-use super::instance_settings::{check_name, check_range};
+use super::field_check::{check_name, check_range};
 use super::{parse_jsonc, LogSettings, SettingsProblem};
 
 /// Key that tells settings of this kind from those of a cell of one's own.
--- a/crates/bankvalve/tests/settings.rs
+++ b/crates/bankvalve/tests/settings.rs
@@ -274,3 +274,47 @@
     let least = ServeSettings::parse(&required.to_string()).unwrap();
     assert_eq!(serde_json::to_value(&least).unwrap(), shown);
 }
+
+mod site {
+    use bankvalve::settings::SiteSettings;
+
+    const GOOD: &str = r#"{
+  "site": { "name": "front-1", "domain": "hobart" },
+  "listen": {
+    "callers": "127.0.0.1:0", "readiness": "127.0.0.1:0",
+    "peers": "127.0.0.1:0", "metrics": "127.0.0.1:0"
+  },
+  "platform": { "table": "127.0.0.1:1", "policy": null },
+  // Milliseconds.
+  "bounds_ms": { "hold_limit": 6000, "early": 250, "status": 120000, "stop": 4200 }
+}"#;
+
+    fn problem(text: &str) -> (usize, String) {
+        let problem = SiteSettings::parse(text).expect_err("a problem");
+        (problem.line, problem.field)
+    }
+
+    #[test]
+    fn settings_of_a_site_are_read_with_comments() {
+        let settings = SiteSettings::parse(GOOD).expect("good settings");
+        assert_eq!(settings.bounds_ms.hold_limit, 6_000);
+        assert_eq!(settings.platform.machines, None);
+    }
+
+    #[test]
+    fn a_fault_is_named_by_line_and_field() {
+        let cases = [
+            ("\"front-1\"", "\"a b\"", (2, "site.name")),
+            ("6000", "5", (9, "bounds_ms.hold_limit")),
+            ("\"early\"", "\"earlier\"", (9, "bounds_ms.earlier")),
+            ("\"127.0.0.1:1\"", "\"nowhere\"", (7, "platform.table")),
+            ("\"stop\": 4200", "\"stop\": 1", (9, "bounds_ms.stop")),
+        ];
+        for (old, new, (line, field)) in cases {
+            let text = GOOD.replacen(old, new, 1);
+            assert_eq!(problem(&text), (line, field.to_owned()), "{new}");
+        }
+        let text = GOOD.replacen("}\n}", "},\n \"limits\": { \"ring\": 1 }\n}", 1);
+        assert_eq!(problem(&text).1, "limits.ring");
+    }
+}
--- /dev/null
+++ b/crates/bankvalve_check/src/site/site_calls.rs
@@ -0,0 +1,131 @@
+//! Callers of a site: they hand jobs in, ask how they stand and cancel them.
+
+use std::sync::Arc;
+
+use bankvalve_queue::{
+    CallerAnswer, CallerRequest, CoreEvent, JobId, JobSpec, JobState, ResolvedRequest, Ticket,
+};
+use rand::Rng;
+
+use super::site_world::{Later, OpenCall, SiteWorld};
+
+/// How long callers wait for an answer.
+const PATIENCE_MS: u64 = 3_000;
+
+impl SiteWorld {
+    /// A caller hands a job in, and asks how it stands until it is over.
+    pub fn submit(&mut self, spec: JobSpec) {
+        let spec = Arc::new(spec);
+        self.rules.submit(&spec, 3);
+        let job = spec.id;
+        self.specs.insert(job, spec);
+        self.after(1, Later::Submit { job, tries: 0 });
+    }
+
+    /// A caller hands a job in at one instance, once.
+    pub fn submit_at(&mut self, node: usize, spec: &Arc<JobSpec>) {
+        self.rules.submit(spec, 3);
+        self.specs.insert(spec.id, spec.clone());
+        let job = spec.id;
+        let request = self.submission(spec);
+        self.call(
+            node,
+            OpenCall::Submit {
+                job,
+                tries: u32::MAX,
+            },
+            request,
+        );
+    }
+
+    /// A caller cancels a job.
+    pub fn cancel(&mut self, job: JobId) {
+        match self.any_node() {
+            Some(node) => {
+                self.call(
+                    node,
+                    OpenCall::Cancel { job },
+                    CallerRequest::Cancel { job },
+                );
+            }
+            None => self.after(300, Later::Cancel { job }),
+        }
+    }
+
+    pub(super) fn submission(&self, spec: &Arc<JobSpec>) -> CallerRequest {
+        let table = self.table(1);
+        let terms = table.queue(&spec.queue).map(|rule| rule.terms.clone());
+        CallerRequest::Submit {
+            spec: spec.clone(),
+            terms: terms.unwrap_or_default(),
+        }
+    }
+
+    pub(super) fn any_node(&mut self) -> Option<usize> {
+        let up: Vec<usize> = (0..self.nodes.len())
+            .filter(|number| self.nodes[*number].is_up())
+            .collect();
+        (!up.is_empty()).then(|| up[self.rng.random_range(0..up.len())])
+    }
+
+    pub(super) fn call(&mut self, node: usize, call: OpenCall, request: CallerRequest) {
+        let Some(core) = self.nodes[node].core.as_mut() else {
+            return;
+        };
+        let ticket = core.new_ticket();
+        self.calls.insert((node, ticket), call);
+        let request = ResolvedRequest {
+            request,
+            patience_ms: PATIENCE_MS,
+        };
+        self.deliver(node, CoreEvent::Caller { ticket, request });
+    }
+
+    pub(super) fn finish_call(&mut self, node: usize, ticket: Ticket, answer: CallerAnswer) {
+        let now = self.now_ms;
+        match self.calls.remove(&(node, ticket)) {
+            Some(OpenCall::Submit { job, tries }) => {
+                let accepted = answer == CallerAnswer::Accepted;
+                let refused = matches!(answer, CallerAnswer::Refused { .. });
+                self.rules.attempt_ended(job, accepted, refused);
+                if accepted {
+                    self.after(300, Later::Ask { job });
+                } else if tries < 12 {
+                    let tries = tries + 1;
+                    self.after(500, Later::Submit { job, tries });
+                }
+            }
+            Some(OpenCall::Ask { job }) => {
+                let state = match answer {
+                    CallerAnswer::State(state) => Some(state),
+                    CallerAnswer::NoSuchJob => None,
+                    CallerAnswer::Unknown | CallerAnswer::Refused { .. } => {
+                        self.after(300, Later::Ask { job });
+                        return;
+                    }
+                    other => {
+                        let text = format!("{job:016x}: {other:?} in place of its state");
+                        self.rules.breach("ANSWER", now, &text);
+                        return;
+                    }
+                };
+                self.rules.shown(job, state, now);
+                match state {
+                    Some(JobState::Pending | JobState::Running) => {
+                        self.after(300, Later::Ask { job });
+                    }
+                    Some(state) => {
+                        self.shown.insert(job, state);
+                    }
+                    None => {}
+                }
+            }
+            Some(OpenCall::Cancel { job }) => match answer {
+                CallerAnswer::Cancelled => self.rules.cancel_confirmed(job, now),
+                CallerAnswer::NoSuchJob => {}
+                _ => self.after(300, Later::Cancel { job }),
+            },
+            None => {}
+        }
+    }
+}
--- /dev/null
+++ b/crates/bankvalve_check/src/site/site_links.rs
@@ -0,0 +1,219 @@
+//! What instances ask for, carried to peers and the table.
+
+use bankvalve_queue::{
+    CoreAction, CoreEvent, PeerAddress, StoreOutcome, StoreRequest, Ticket, WorkerAnswer,
+};
+use rand::Rng;
+
+use super::site_world::{Later, SiteNode, SiteWorld};
+
+impl SiteWorld {
+    pub(super) fn act(&mut self, node: usize, action: CoreAction) {
+        let life = self.nodes[node].life;
+        match action {
+            CoreAction::Store {
+                ticket, request, ..
+            } => {
+                let delay = self.rng.random_range(3..8);
+                self.after(
+                    delay,
+                    Later::StoreArrives {
+                        node,
+                        life,
+                        ticket,
+                        request,
+                    },
+                );
+            }
+            CoreAction::Worker {
+                ticket,
+                worker,
+                address,
+                token,
+                call,
+                ..
+            } => {
+                let start = matches!(call, bankvalve_queue::WorkerCall::Start(_));
+                let late = start && self.rng.random_range(0..100) < self.late_orders_percent;
+                let delay = if late {
+                    self.rng.random_range(2_000..12_000)
+                } else {
+                    self.rng.random_range(1..4)
+                };
+                if late {
+                    let event = CoreEvent::Worker {
+                        ticket,
+                        answer: WorkerAnswer::NoReply,
+                    };
+                    self.after(350, Later::Event { node, life, event });
+                }
+                // A late order's answer finds nobody.
+                let life = if late { 0 } else { life };
+                self.after(
+                    delay,
+                    Later::WorkerArrives {
+                        node,
+                        life,
+                        ticket,
+                        worker,
+                        address,
+                        token,
+                        call,
+                    },
+                );
+            }
+            CoreAction::Advice { ticket, ask } => {
+                let answer = match &self.policy {
+                    Some(policy) => policy.answer(&ask, self.now_ms + 10),
+                    None => bankvalve_queue::AdviceAnswer::NoReply,
+                };
+                self.after(
+                    10,
+                    Later::Event {
+                        node,
+                        life,
+                        event: CoreEvent::Advice { ticket, answer },
+                    },
+                );
+            }
+            CoreAction::Peer { to, message } => self.send_peer(node, to, message),
+            CoreAction::Answer { ticket, answer } => self.finish_call(node, ticket, answer),
+            CoreAction::UseTable(_) | CoreAction::DecodeTable(_) | CoreAction::Log(_) => {}
+        }
+    }
+
+    pub(super) fn send_peer(
+        &mut self,
+        from: usize,
+        to: PeerAddress,
+        message: bankvalve_queue::PeerMessage,
+    ) {
+        let now = self.now_ms;
+        let target = self.nodes.iter().position(|node| node.address == to);
+        let cut = |node: &SiteNode| node.cut_from_peers_until > now;
+        let life = self.nodes[from].life;
+        let unreached = |refused| CoreEvent::PeerUnreached { peer: to, refused };
+        match target {
+            Some(target) if !cut(&self.nodes[from]) && !cut(&self.nodes[target]) => {
+                if self.nodes[target].core.is_none() {
+                    let event = unreached(true);
+                    self.after(
+                        2,
+                        Later::Event {
+                            node: from,
+                            life,
+                            event,
+                        },
+                    );
+                    return;
+                }
+                let event = CoreEvent::Peer {
+                    from: self.nodes[from].address,
+                    message,
+                };
+                let target_life = self.nodes[target].life;
+                let delay = self.rng.random_range(1..4);
+                self.after(
+                    delay,
+                    Later::Event {
+                        node: target,
+                        life: target_life,
+                        event,
+                    },
+                );
+            }
+            _ => {
+                let event = unreached(false);
+                self.after(
+                    700,
+                    Later::Event {
+                        node: from,
+                        life,
+                        event,
+                    },
+                );
+            }
+        }
+    }
+
+    pub(super) fn store_arrives(
+        &mut self,
+        node: usize,
+        life: u64,
+        ticket: Ticket,
+        request: StoreRequest,
+    ) {
+        let now = self.now_ms;
+        let cut = self.nodes[node].cut_from_store_until > now;
+        let answer = |outcome| CoreEvent::Store { ticket, outcome };
+        if cut || (self.store_away_until > now && self.store_silent) {
+            let event = answer(StoreOutcome::Lost);
+            self.after(700, Later::Event { node, life, event });
+            return;
+        }
+        let turned_away = self.nodes[node].turned_away_until > now;
+        if turned_away || self.store_away_until > now {
+            let event = answer(StoreOutcome::Busy);
+            self.after(4, Later::Event { node, life, event });
+            return;
+        }
+        let write = matches!(request, StoreRequest::Transact { .. });
+        if write && self.rng.random_range(0..100) < self.lost_percent {
+            let event = answer(StoreOutcome::Lost);
+            self.after(700, Later::Event { node, life, event });
+            if self.lost_late {
+                let delay = self.rng.random_range(1_000..6_000);
+                self.after(delay, Later::ApplyLate { request });
+            } else {
+                self.store.handle(&request);
+                self.answer_watches();
+            }
+            return;
+        }
+        match self.store.handle(&request) {
+            Some(outcome) => {
+                let event = answer(outcome);
+                self.after(4, Later::Event { node, life, event });
+            }
+            None => {
+                self.watches.push((node, life, ticket, request));
+                self.after(1_000, Later::WatchEnds { node, life, ticket });
+            }
+        }
+        if write {
+            self.answer_watches();
+        }
+    }
+
+    pub(super) fn answer_watches(&mut self) {
+        for (node, life, ticket, request) in std::mem::take(&mut self.watches) {
+            match self.store.handle(&request) {
+                Some(outcome) => {
+                    let event = CoreEvent::Store { ticket, outcome };
+                    self.after(4, Later::Event { node, life, event });
+                }
+                None => self.watches.push((node, life, ticket, request)),
+            }
+        }
+    }
+
+    pub(super) fn end_watch(&mut self, node: usize, life: u64, ticket: Ticket) {
+        let Some(place) = self
+            .watches
+            .iter()
+            .position(|watch| watch.2 == ticket && watch.0 == node)
+        else {
+            return;
+        };
+        let (_, _, _, request) = self.watches.remove(place);
+        let outcome = self.store.unchanged(&request);
+        self.after(
+            1,
+            Later::Event {
+                node,
+                life,
+                event: CoreEvent::Store { ticket, outcome },
+            },
+        );
+    }
+}
--- a/crates/bankvalve_check/src/site/site_random.rs
+++ b/crates/bankvalve_check/src/site/site_random.rs
@@ -109,14 +109,14 @@
         .collect();
     for job in open {
         let text = format!("{job:016x} has not ended: {}", world.describe(job));
-        world.rules.breach("LOST", now, text);
+        world.rules.breach("LOST", now, &text);
     }
     world.rules.check_refused(now);
     let cancelled: Vec<u64> = world.rules.cancelled().copied().collect();
     for (job, state) in world.shown.clone() {
         if state == JobState::Cancelled && !cancelled.contains(&job) {
             let text = format!("{job:016x} is shown as cancelled");
-            world.rules.breach("LOST", now, text);
+            world.rules.breach("LOST", now, &text);
         }
     }
 }
--- a/crates/bankvalve_check/src/site/site_rules.rs
+++ b/crates/bankvalve_check/src/site/site_rules.rs
@@ -66,7 +66,7 @@
             .filter(|job| self.attempted.contains(job) && !self.uncertain.contains(job))
             .collect();
         for job in wrong {
-            self.breach("REFUSED", now_ms, format!("{job:016x} ran"));
+            self.breach("REFUSED", now_ms, &format!("{job:016x} ran"));
         }
     }
 
@@ -92,13 +92,13 @@
         };
         match state {
             None if self.accepted.contains(&job) => {
-                self.breach("LOST", now_ms, format!("{job:016x} is not known"));
+                self.breach("LOST", now_ms, &format!("{job:016x} is not known"));
             }
             Some(JobState::Succeeded) => {
                 self.succeeded.insert(job);
                 let open = all_tasks(&spec).any(|task| !self.is_done(task));
                 if open {
-                    self.breach("MIXED", now_ms, format!("{job:016x} shown too early"));
+                    self.breach("MIXED", now_ms, &format!("{job:016x} shown too early"));
                 }
             }
             Some(JobState::Cancelled) if !self.cancelled.contains_key(&job) => {}
@@ -129,7 +129,7 @@
         self.starts += 1;
         let job = task.step.job;
         let Some((spec, attempts)) = self.specs.get(&job).cloned() else {
-            self.breach("UNASKED", now_ms, format!("{task} run {run}"));
+            self.breach("UNASKED", now_ms, &format!("{task} run {run}"));
             return;
         };
         let history = self.tasks.entry(task).or_default();
@@ -141,21 +141,21 @@
             self.breach(
                 "TWICE",
                 now_ms,
-                format!("{task} run {run} on {worker} beside another"),
+                &format!("{task} run {run} on {worker} beside another"),
             );
         }
         if done {
             self.breach(
                 "TWICE",
                 now_ms,
-                format!("{task} run {run} on {worker} after a good end"),
+                &format!("{task} run {run} on {worker} after a good end"),
             );
         }
         if failed >= attempts {
             self.breach(
                 "BUDGET",
                 now_ms,
-                format!("{task} run {run} after {failed} failures"),
+                &format!("{task} run {run} after {failed} failures"),
             );
         }
         let step = &spec.steps[usize::from(task.step.step)];
@@ -166,7 +166,7 @@
             };
             let count = spec.steps[usize::from(*before)].count;
             if (0..count).any(|index| !self.is_done(key.task(index))) {
-                self.breach("ORDER", now_ms, format!("{task} before step {before}"));
+                self.breach("ORDER", now_ms, &format!("{task} before step {before}"));
             }
         }
     }
@@ -206,7 +206,7 @@
     }
 
     /// Notes a broken rule.
-    pub fn breach(&mut self, rule: &'static str, now_ms: u64, text: String) {
+    pub fn breach(&mut self, rule: &'static str, now_ms: u64, text: &str) {
         let text = format!("{now_ms} ms: {text}");
         self.breaches.push(RuleBreach { rule, text });
     }
--- /dev/null
+++ b/crates/bankvalve_check/src/site/site_workers.rs
@@ -0,0 +1,200 @@
+//! Workers of a site: their lives, their runs and their gangs.
+
+use bankvalve_queue::{
+    CoreEvent, EndKind, StepKey, TaskKey, TaskSize, Ticket, WorkerAnswer, WorkerEntry, WorkerId,
+};
+use bankvalve_standin::site::{SiteWorker, WorkerNews};
+use rand::Rng;
+
+use super::site_jobs::plan_of;
+use super::site_world::{Later, SiteWorld, SERVICE};
+
+impl SiteWorld {
+    pub(super) fn add_worker(&mut self, address: String) {
+        self.lives += 1;
+        let id: WorkerId = format!("w-{}", self.lives).into();
+        let entry = WorkerEntry {
+            service: SERVICE.into(),
+            address: address.clone(),
+            domain: "domain".into(),
+            labels: vec!["a".into(), format!("r{}", self.lives % 3)],
+            room: TaskSize {
+                millicores: 4_000,
+                memory_mib: 8_000,
+                accelerators: 0,
+            },
+            leaving: false,
+            remaining_ms: None,
+        };
+        self.store.set_worker(&id, Some(entry.clone()));
+        let offset = self.rng.random_range(0..100_000);
+        let worker = SiteWorker::new(id, entry, offset);
+        self.workers.insert(address, Some(worker));
+        self.answer_watches();
+    }
+
+    /// A worker dies; another life begins at its address after a time.
+    pub fn crash_worker(&mut self, address: &str, down_ms: u64) {
+        let Some(worker) = self.workers.get_mut(address).and_then(Option::take) else {
+            return;
+        };
+        for (task, run) in worker.runs() {
+            let now = self.now_ms;
+            self.rules
+                .ended(&worker.id, *task, run.run, EndKind::Lost, now);
+        }
+        self.store.set_worker(&worker.id, None);
+        self.answer_watches();
+        let address = address.to_owned();
+        self.after(down_ms, Later::ReviveWorker { address });
+    }
+
+    /// A worker says that it leaves.
+    pub fn drain_worker(&mut self, address: &str, remaining_ms: u64) {
+        let Some(Some(worker)) = self.workers.get_mut(address) else {
+            return;
+        };
+        worker.entry.leaving = true;
+        worker.entry.remaining_ms = Some(remaining_ms);
+        let (id, entry) = (worker.id.clone(), worker.entry.clone());
+        self.store.set_worker(&id, Some(entry));
+        self.answer_watches();
+    }
+
+    pub(super) fn worker_arrives(
+        &mut self,
+        origin: (usize, u64, Ticket),
+        meant: &WorkerId,
+        address: &str,
+        token: u64,
+        call: &bankvalve_queue::WorkerCall,
+    ) {
+        let (node, life, ticket) = origin;
+        let now = self.now_ms;
+        let cut = self
+            .worker_cut_until
+            .get(address)
+            .is_some_and(|until| *until > now);
+        if cut {
+            let event = CoreEvent::Worker {
+                ticket,
+                answer: WorkerAnswer::NoReply,
+            };
+            self.after(900, Later::Event { node, life, event });
+            return;
+        }
+        let fails = self.rng.random_range(0..100) < self.fail_percent;
+        let time = self.rng.random_range(100..1_500);
+        let specs = &self.specs;
+        let plan = |task: TaskKey| plan_of(specs, task, time, fails);
+        let answer = match self.workers.get_mut(address) {
+            Some(Some(worker)) if worker.id == *meant => {
+                worker.handle(now, token, call, self.policy.as_ref(), plan)
+            }
+            Some(Some(_)) => WorkerAnswer::OtherLife,
+            _ => WorkerAnswer::NotSent,
+        };
+        self.worker_time(address);
+        let event = CoreEvent::Worker { ticket, answer };
+        self.after(2, Later::Event { node, life, event });
+    }
+
+    /// Lets a worker's runs go on, and checks what happened.
+    pub(super) fn worker_time(&mut self, address: &str) {
+        let now = self.now_ms;
+        let Some(Some(worker)) = self.workers.get_mut(address) else {
+            return;
+        };
+        worker.run_until(now);
+        let news = worker.take_news();
+        let id = worker.id.clone();
+        if !worker.used().fits(&worker.entry.room) {
+            let text = format!("{id} holds {:?}", worker.used());
+            self.rules.breach("LIMIT", now, &text);
+        }
+        let offset = worker.clock_offset_ms;
+        let next = worker
+            .runs()
+            .values()
+            .filter_map(|run| run.ends)
+            .map(|(at, _)| (at - offset).max(now + 1))
+            .min()
+            .unwrap_or(now + 500)
+            .min(now + 500);
+        if !worker.runs().is_empty() {
+            let address = address.to_owned();
+            self.after(next - now, Later::WorkerTime { address });
+        }
+        for entry in news {
+            self.take_news(&id, &entry);
+        }
+    }
+
+    pub(super) fn take_news(&mut self, id: &WorkerId, news: &WorkerNews) {
+        let now = self.now_ms;
+        match *news {
+            WorkerNews::Started(task, run) => {
+                self.rules.started(id, task, run, now);
+                self.check_limit(task.step, id);
+                self.gang_news(task.step, run, None);
+            }
+            WorkerNews::Ended(task, run, how) => {
+                self.rules.ended(id, task, run, how, now);
+                self.gang_news(task.step, run, Some(how));
+            }
+            WorkerNews::Kept(task, _, how) => self.rules.kept(task, how, now),
+        }
+    }
+
+    pub(super) fn check_limit(&mut self, step: StepKey, id: &WorkerId) {
+        let spec = &self.specs[&step.job].steps[usize::from(step.step)];
+        let limit = spec.per_worker_limit as usize;
+        let held = self
+            .workers
+            .values()
+            .flatten()
+            .find(|worker| worker.id == *id)
+            .map_or(0, |worker| worker.held_of(step));
+        if limit > 0 && held > limit {
+            let text = format!("{step} has {held} tasks on {id}");
+            self.rules.breach("ROUTE", self.now_ms, &text);
+        }
+    }
+
+    /// Begins a gang's work when all members of a run are there, and breaks it when one ends.
+    pub(super) fn gang_news(&mut self, step: StepKey, run: u64, ended: Option<EndKind>) {
+        let spec = self.specs[&step.job].steps[usize::from(step.step)].clone();
+        if !spec.gang {
+            return;
+        }
+        let now = self.now_ms;
+        let members: Vec<(String, TaskKey, u64)> = self
+            .workers
+            .iter()
+            .filter_map(|(address, worker)| Some((address, worker.as_ref()?)))
+            .flat_map(|(address, worker)| {
+                let runs = worker.runs().iter();
+                runs.filter(|(task, live)| task.step == step && live.run == run)
+                    .map(|(task, _)| (address.clone(), *task, worker.clock_offset_ms))
+                    .collect::<Vec<_>>()
+            })
+            .collect();
+        let work = match ended {
+            Some(EndKind::Done) => Some((0, EndKind::Done)),
+            Some(_) => Some((0, EndKind::Broken)),
+            None if members.len() == spec.count as usize => {
+                Some((self.rng.random_range(200..1_200), EndKind::Done))
+            }
+            None => None,
+        };
+        let Some(work) = work else {
+            return;
+        };
+        for (address, task, _) in members {
+            if let Some(Some(worker)) = self.workers.get_mut(&address) {
+                worker.begin_work(task, now, work);
+            }
+            self.after(work.0 + 1, Later::WorkerTime { address });
+        }
+    }
+}
--- a/crates/bankvalve_queue/src/core/callers.rs
+++ b/crates/bankvalve_queue/src/core/callers.rs
@@ -2,7 +2,8 @@
 
 use std::time::Duration;
 
-use super::commit::{Effect, Origin, STORE_RETRY_MS};
+use super::commit::{Effect, Origin};
+use super::withdraw::STORE_RETRY_MS;
 use super::EntryCore;
 use crate::caller::{CallerAnswer, CallerRequest, JobState, RefusalReason, ResolvedRequest};
 use crate::core::CoreAction;
--- a/crates/bankvalve_queue/src/core/commit.rs
+++ b/crates/bankvalve_queue/src/core/commit.rs
@@ -1,12 +1,11 @@
 //! Keeping the ledger: events are gathered and written under the leader's row.
 
-use std::collections::{BTreeSet, VecDeque};
 use std::time::Duration;
 
 use super::following::batch_key;
 use super::store_link::{StorePurpose, CELL_TABLE, LEAD_PART, LEDGER_TABLE};
 use super::EntryCore;
-use crate::caller::{CallerAnswer, RefusalReason};
+use crate::caller::CallerAnswer;
 use crate::ids::{CoreTime, TaskKey, Ticket, WorkerId};
 use crate::ledger::{LedgerBatch, LedgerEvent};
 use crate::peer::{PeerAddress, PeerMessage};
@@ -27,14 +26,8 @@
 const HEDGE_COPIES: u32 = 4;
 /// Pause after a write that was refused.
 const BUSY_PAUSE: Duration = Duration::from_millis(60);
-/// Silence after which the leader asks whether it still leads.
-const CONFIRM_EVERY: Duration = Duration::from_millis(600);
-/// Time between two such questions while the table is away.
-const AWAY_CONFIRM: Duration = Duration::from_millis(120);
 /// Copies of one write that the table turned away, after which it counts as away.
 const REFUSED_AWAY: u32 = 3;
-/// When a caller may come back whose job was not kept, in milliseconds.
-pub(super) const STORE_RETRY_MS: u64 = 2_000;
 /// A write without an answer for so long: the table counts as away.
 pub(super) const STORE_AWAY: Duration = Duration::from_millis(1_100);
 
@@ -66,20 +59,20 @@
 /// A batch that is being written.
 #[derive(Debug)]
 pub(super) struct CommitFlight {
-    sequence: u64,
-    bytes: Vec<u8>,
-    events: Vec<LedgerEvent>,
+    pub(super) sequence: u64,
+    pub(super) bytes: Vec<u8>,
+    pub(super) events: Vec<LedgerEvent>,
     /// What follows, and whether it came with an event.
-    effects: Vec<(bool, Effect)>,
-    since: CoreTime,
+    pub(super) effects: Vec<(bool, Effect)>,
+    pub(super) since: CoreTime,
     /// Copies that have no answer yet.
-    copies: u32,
-    sent_at: CoreTime,
-    next_at: CoreTime,
+    pub(super) copies: u32,
+    pub(super) sent_at: CoreTime,
+    pub(super) next_at: CoreTime,
     /// Whether a copy had no answer, so that it may have been done or be done later.
-    uncertain: bool,
+    pub(super) uncertain: bool,
     /// Copies that the table surely did not carry out.
-    refused: u32,
+    pub(super) refused: u32,
 }
 
 impl EntryCore {
@@ -108,7 +101,7 @@
         }
     }
 
-    fn note_store_question(&mut self) {
+    pub(super) fn note_store_question(&mut self) {
         let now = self.now;
         if let Some(lead) = self.lead.as_deref_mut() {
             lead.asked_since.get_or_insert(now);
@@ -264,100 +257,6 @@
         }
     }
 
-    /// Gives jobs that are not kept their final answer while the table is away.
-    ///
-    /// What was never sent, or surely not carried out, is taken back and refused; of the rest
-    /// it is only said that it is not known.
-    fn withdraw_unkept(&mut self) {
-        if !self.store_is_away() {
-            return;
-        }
-        let Some(lead) = self.lead.as_deref_mut() else {
-            return;
-        };
-        let mut unknown = Vec::new();
-        if let Some(flight) = lead.flight.as_mut() {
-            if flight.uncertain {
-                for (_, effect) in &mut flight.effects {
-                    if matches!(effect, Effect::Answer(..)) {
-                        unknown.push(std::mem::replace(effect, Effect::None));
-                    }
-                }
-            } else if flight.copies == 0 {
-                let flight = lead.flight.take().expect("it was just seen");
-                lead.away_since.get_or_insert(flight.since);
-                lead.next_commit_at = flight.next_at;
-                let mut events = flight.events.into_iter();
-                for (has_event, effect) in flight.effects.into_iter().rev() {
-                    let event = if has_event { events.next_back() } else { None };
-                    lead.pending.push_front(Proposal { event, effect });
-                }
-            }
-        }
-        for effect in unknown {
-            if let Effect::Answer(origin, _) = effect {
-                self.answer(origin, CallerAnswer::Unknown);
-            }
-        }
-        self.withdraw_jobs();
-    }
-
-    /// Takes back jobs of which no event was sent, and refuses them.
-    fn withdraw_jobs(&mut self) {
-        let Some(lead) = self.lead.as_deref_mut() else {
-            return;
-        };
-        let jobs: BTreeSet<u64> = lead
-            .pending
-            .iter()
-            .filter_map(|proposal| match &proposal.event {
-                Some(LedgerEvent::Accepted { spec, .. }) => Some(spec.id),
-                _ => None,
-            })
-            .collect();
-        let mut answers = Vec::new();
-        let mut rest = VecDeque::new();
-        for proposal in std::mem::take(&mut lead.pending) {
-            let job = proposal.event.as_ref().map(LedgerEvent::job);
-            let withdrawn = job.is_some_and(|job| jobs.contains(&job));
-            match proposal.effect {
-                Effect::Answer(origin, _) if withdrawn => answers.push((origin, true)),
-                // It asks about a job that may be among those that are taken back.
-                Effect::Answer(origin, _) if job.is_none() => answers.push((origin, false)),
-                _ if withdrawn => {}
-                effect => rest.push_back(Proposal {
-                    event: proposal.event,
-                    effect,
-                }),
-            }
-        }
-        lead.pending = rest;
-        for job in &jobs {
-            lead.uncommitted.remove(job);
-            lead.touched.insert(*job);
-            lead.due.retain(|(_, due, _)| due != job);
-            for seat in lead.seats.values_mut() {
-                seat.drop_job(*job);
-            }
-            self.book.withdraw(*job);
-        }
-        for (origin, surely) in answers {
-            let answer = if surely {
-                CallerAnswer::Refused {
-                    reason: RefusalReason::StoreAway,
-                    retry_ms: STORE_RETRY_MS,
-                }
-            } else {
-                CallerAnswer::Unknown
-            };
-            self.answer(origin, answer);
-        }
-        if !jobs.is_empty() {
-            let detail = format!("{} jobs, table away", jobs.len());
-            self.log("ledger", "withdraw", String::new(), detail);
-        }
-    }
-
     fn finish_commit(&mut self) {
         let now = self.now;
         let Some(lead) = self.lead.as_deref_mut() else {
@@ -423,65 +322,6 @@
         }
     }
 
-    /// Asks whether the own row still stands, if nothing has been kept for a while.
-    pub(super) fn run_confirm(&mut self) {
-        let now = self.now;
-        let Some(lead) = self.lead.as_deref_mut() else {
-            return;
-        };
-        let pace = match lead.away_since {
-            Some(_) => AWAY_CONFIRM,
-            None => CONFIRM_EVERY,
-        };
-        let due = now.saturating_sub(lead.confirmed_at) > pace && now >= lead.next_confirm;
-        let wanted = !lead.confirm_waiting.is_empty() || due;
-        if !wanted || lead.confirming.is_some() {
-            return;
-        }
-        lead.confirming = Some(now);
-        lead.next_confirm = now + pace;
-        let request = StoreRequest::Read {
-            table: CELL_TABLE.to_owned(),
-            part: LEAD_PART.to_owned(),
-            from: String::new(),
-        };
-        self.note_store_question();
-        self.ask_store(StorePurpose::Confirm, request);
-    }
-
-    pub(super) fn end_confirm(&mut self, outcome: &StoreOutcome) {
-        let now = self.now;
-        let Some(lead) = self.lead.as_deref_mut() else {
-            return;
-        };
-        let Some(asked_at) = lead.confirming.take() else {
-            return;
-        };
-        let StoreOutcome::Rows { rows, .. } = outcome else {
-            return;
-        };
-        lead.note_store_answer();
-        if !rows.iter().any(|row| row.version == lead.row_version) {
-            self.depose("the row names another leader");
-            self.take_leader_rows(rows);
-            return;
-        }
-        lead.confirmed_at = now;
-        if lead.flight.is_none() {
-            lead.away_since = None;
-        }
-        if !lead.loaded {
-            return;
-        }
-        let waiting = std::mem::take(&mut lead.confirm_waiting);
-        let (ready, later): (Vec<_>, Vec<_>) =
-            waiting.into_iter().partition(|(at, _)| *at <= asked_at);
-        lead.confirm_waiting = later;
-        for (_, origin) in ready {
-            self.answer(origin, CallerAnswer::NoSuchJob);
-        }
-    }
-
     pub(super) fn load_ledger(&mut self) {
         self.note_store_question();
         self.ask_ledger(StorePurpose::LoadLedger);
--- a/crates/bankvalve_queue/src/core/election.rs
+++ b/crates/bankvalve_queue/src/core/election.rs
@@ -5,14 +5,12 @@
 use serde::{Deserialize, Serialize};
 
 use super::lead::LeadState;
-use super::store_link::{StorePurpose, CELL_TABLE, LEAD_PART, MEMBER_PART};
+use super::store_link::{StorePurpose, CELL_TABLE, LEAD_PART};
 use super::EntryCore;
 use crate::ids::CoreTime;
-use crate::peer::{HeartbeatNews, PeerAddress, PeerMessage};
+use crate::peer::{HeartbeatNews, PeerAddress};
 use crate::store::{RowCondition, RowKey, RowWrite, StoreOutcome, StoreRequest, StoredRow};
 
-/// Time between two heartbeats; a takeover within about a second needs some four of them.
-const HEARTBEAT: Duration = Duration::from_millis(160);
 /// Silence after which a leader is suspected: four heartbeats and the delay of a slow one.
 const SUSPECT_AFTER: Duration = Duration::from_millis(750);
 /// A peer that heard the leader this lately speaks against the suspicion.
@@ -21,16 +19,6 @@
 const ALONE_AFTER: Duration = Duration::from_millis(2_500);
 /// Pause for each peer that comes first in the order of claims.
 const RANK_PAUSE: Duration = Duration::from_millis(120);
-/// A peer that was heard this lately counts as alive.
-pub(super) const PEER_ALIVE: Duration = Duration::from_millis(900);
-/// Silence after which a member's row is dropped.
-const DROP_MEMBER_AFTER: Duration = Duration::from_secs(60);
-/// Silence of the table after which a leader tells its peers, which then ask the table.
-const TROUBLE_AFTER: Duration = Duration::from_millis(800);
-/// Time between two such questions.
-const PROBE_EVERY: Duration = Duration::from_millis(250);
-/// Longest that a planned stop waits for a write before it lets a peer lead.
-const STOP_FLUSH: Duration = Duration::from_millis(300);
 /// Pause before a claim is tried again; it doubles with each one that the table does not answer.
 const CLAIM_PAUSE: Duration = Duration::from_millis(120);
 /// Most doublings of it.
@@ -82,10 +70,6 @@
 }
 
 impl EntryCore {
-    fn member_key(&self, address: PeerAddress) -> RowKey {
-        RowKey::new(CELL_TABLE, MEMBER_PART, address.to_string())
-    }
-
     pub(super) fn is_ready(&self) -> bool {
         self.table.is_some() && !self.stopping && (self.lead.is_some() || self.leader_is_heard())
     }
@@ -106,26 +90,6 @@
             .is_some_and(|leader| self.age(leader.heard_at) < limit)
     }
 
-    /// Keeps the own row in place and drops those of members that are long gone.
-    pub(super) fn run_membership(&mut self) {
-        if self.registered || self.store_tickets.values().any(is_register) {
-            return;
-        }
-        let key = self.member_key(self.settings.address);
-        let value = self.settings.life.to_be_bytes().to_vec();
-        let writes = vec![RowWrite { key, value }];
-        let request = StoreRequest::Transact {
-            conditions: Vec::new(),
-            writes,
-            removals: Vec::new(),
-        };
-        self.ask_store(StorePurpose::Register, request);
-    }
-
-    pub(super) fn end_register(&mut self, outcome: &StoreOutcome) {
-        self.registered = matches!(outcome, StoreOutcome::Applied { .. });
-    }
-
     pub(super) fn read_leader_row(&mut self) {
         self.ask_leader_row(StorePurpose::CatchUp);
     }
@@ -137,34 +101,7 @@
         self.ask_store(purpose, StoreRequest::Read { table, part, from });
     }
 
-    pub(super) fn take_cell_row(&mut self, key: &RowKey, value: Option<&[u8]>, version: u64) {
-        if key.part == LEAD_PART {
-            if let Some(value) = value {
-                self.take_leader_row(value, version);
-            }
-            return;
-        }
-        let Ok(address) = key.key.parse::<PeerAddress>() else {
-            return;
-        };
-        if address == self.settings.address {
-            if value.is_none() && !self.stopping {
-                self.registered = false;
-            }
-            return;
-        }
-        if value.is_none() {
-            self.peers.remove(&address);
-            return;
-        }
-        let now = self.now;
-        self.peers.entry(address).or_insert_with(|| PeerView {
-            known_at: now,
-            ..PeerView::default()
-        });
-    }
-
-    fn take_leader_row(&mut self, value: &[u8], version: u64) {
+    pub(super) fn take_leader_row(&mut self, value: &[u8], version: u64) {
         let Ok(row) = rmp_serde::from_slice::<LeaderRow>(value) else {
             self.log("election", "row_unreadable", String::new(), String::new());
             return;
@@ -256,90 +193,8 @@
         self.resend_asks();
     }
 
-    pub(super) fn run_heartbeats(&mut self) {
-        if self.now < self.next_heartbeat {
-            return;
-        }
-        self.next_heartbeat = self.now + HEARTBEAT;
-        let leader = self.leader.as_ref();
-        let lead = self.lead.as_deref();
-        let news = HeartbeatNews {
-            life: self.settings.life,
-            epoch: self.highest_epoch,
-            leader: leader.map(|leader| leader.address),
-            leading: self.lead.is_some(),
-            leader_age_ms: match (&self.lead, leader) {
-                (Some(_), _) => 0,
-                (None, Some(leader)) => self.age(leader.heard_at).as_millis() as u64,
-                (None, None) => u64::MAX,
-            },
-            store_trouble: lead.is_some_and(|lead| lead.trouble_since.is_some()),
-            probe_age_ms: self
-                .probe_answered
-                .map(|at| self.age(at).as_millis() as u64),
-            table_version: self.table_version(),
-            stopping: self.stopping,
-        };
-        let peers: Vec<PeerAddress> = self.peers.keys().copied().collect();
-        for peer in peers {
-            self.tell(peer, PeerMessage::Heartbeat(news.clone()));
-        }
-        self.tell_measures();
-        self.drop_gone_members();
-    }
-
-    fn drop_gone_members(&mut self) {
-        if self.lead.is_none() {
-            return;
-        }
-        let silent = |peer: &PeerView| {
-            let since = peer.heard_at.unwrap_or(peer.known_at);
-            self.now.saturating_sub(since) > DROP_MEMBER_AFTER
-        };
-        let gone = self.peers.iter().find(|(_, peer)| silent(peer));
-        let Some(address) = gone.map(|(address, _)| *address) else {
-            return;
-        };
-        self.peers.remove(&address);
-        let removals = vec![self.member_key(address)];
-        let request = StoreRequest::Transact {
-            conditions: Vec::new(),
-            writes: Vec::new(),
-            removals,
-        };
-        self.log("members", "drop", address.to_string(), String::new());
-        self.ask_store(StorePurpose::DropMember, request);
-    }
-
-    pub(super) fn take_heartbeat(&mut self, from: PeerAddress, news: HeartbeatNews) {
-        let own_version = self.table_version();
-        if news.table_version < own_version {
-            let raw = self.table_raw.clone();
-            self.tell(from, PeerMessage::Table { raw });
-        }
-        if let Some(lead) = &self.lead {
-            if news.epoch > lead.epoch {
-                self.depose("a peer knows a later epoch");
-            }
-        }
-        if news.store_trouble {
-            self.probe_store();
-        }
-        if news.leading {
-            self.hear_leader(from, &news);
-        } else if self.is_gone_leader(from, &news) {
-            self.lose_leader();
-        } else if let Some((over, at)) = self.predecessor_over_candidate(from, &news) {
-            self.predecessor_over = Some((over, at));
-        }
-        let now = self.now;
-        let peer = self.peers.entry(from).or_default();
-        peer.heard_at = Some(now);
-        peer.news = news;
-    }
-
     /// Another life at the leader's address shows that the one that led is over.
-    fn is_gone_leader(&self, from: PeerAddress, news: &HeartbeatNews) -> bool {
+    pub(super) fn is_gone_leader(&self, from: PeerAddress, news: &HeartbeatNews) -> bool {
         self.lead.is_none()
             && self
                 .leader
@@ -347,7 +202,7 @@
                 .is_some_and(|leader| leader.address == from && leader.life != news.life)
     }
 
-    fn lose_leader(&mut self) {
+    pub(super) fn lose_leader(&mut self) {
         let old = self.now.saturating_sub(SUSPECT_AFTER);
         if let Some(leader) = self.leader.as_mut() {
             leader.heard_at = leader.heard_at.min(old);
@@ -356,7 +211,7 @@
     }
 
     /// A former leader that says it does not lead has stopped commanding.
-    fn predecessor_over_candidate(
+    pub(super) fn predecessor_over_candidate(
         &self,
         from: PeerAddress,
         news: &HeartbeatNews,
@@ -370,7 +225,7 @@
         (over && unknown).then_some((lead.epoch, self.now))
     }
 
-    fn hear_leader(&mut self, from: PeerAddress, news: &HeartbeatNews) {
+    pub(super) fn hear_leader(&mut self, from: PeerAddress, news: &HeartbeatNews) {
         let known = self.leader.as_ref().map_or(0, |leader| leader.epoch);
         if news.epoch < self.highest_epoch {
             return;
@@ -397,39 +252,6 @@
         }
     }
 
-    /// A peer does not answer; a leader that refuses connections is suspected at once.
-    pub(super) fn peer_unreached(&mut self, peer: PeerAddress, refused: bool) {
-        self.counters.count("retries", "peer_unreached");
-        if let Some(view) = self.peers.get_mut(&peer) {
-            if refused {
-                view.heard_at = None;
-                view.known_at = view
-                    .known_at
-                    .max(self.now.saturating_sub(DROP_MEMBER_AFTER / 2));
-            }
-        }
-        self.reassign_advice(peer);
-        let leads = self.lead.is_none()
-            && self
-                .leader
-                .as_ref()
-                .is_some_and(|leader| leader.address == peer);
-        if refused && leads {
-            self.lose_leader();
-        }
-    }
-
-    pub(super) fn live_peers(&self) -> impl Iterator<Item = (PeerAddress, &PeerView)> {
-        let now = self.now;
-        self.peers
-            .iter()
-            .filter(move |(_, peer)| {
-                peer.heard_at
-                    .is_some_and(|at| now.saturating_sub(at) < PEER_ALIVE)
-            })
-            .map(|(address, peer)| (*address, peer))
-    }
-
     pub(super) fn run_election(&mut self) {
         if self.lead.is_some() {
             self.consider_yield();
@@ -588,92 +410,4 @@
         self.load_ledger();
         self.run_watches();
     }
-
-    /// Asks the table because it does not answer the leader.
-    fn probe_store(&mut self) {
-        if self.now < self.next_probe || self.lead.is_some() {
-            return;
-        }
-        self.next_probe = self.now + PROBE_EVERY;
-        self.ask_leader_row(StorePurpose::Probe);
-    }
-
-    pub(super) fn end_probe(&mut self, outcome: &StoreOutcome) {
-        if let StoreOutcome::Rows { rows, .. } = outcome {
-            self.probe_answered = Some(self.now);
-            self.take_leader_rows(rows);
-        }
-    }
-
-    /// Lets a peer lead: at a planned stop, or if the table answers it and not us.
-    fn consider_yield(&mut self) {
-        let now = self.now;
-        let stopping = self.stopping;
-        let Some(lead) = self.lead.as_deref_mut() else {
-            return;
-        };
-        let unanswered = lead
-            .asked_since
-            .map_or(Duration::ZERO, |at| now.saturating_sub(at));
-        let turned_away = lead.away_since.is_some();
-        let silent = unanswered > TROUBLE_AFTER;
-        if !turned_away && !silent {
-            lead.trouble_since = None;
-        } else if (turned_away || silent) && lead.trouble_since.is_none() {
-            lead.trouble_since = Some(now);
-            self.next_heartbeat = now;
-        }
-        if stopping && lead.stop_since.is_none() {
-            lead.stop_since = Some(now);
-        }
-        let waited = lead
-            .stop_since
-            .map_or(Duration::ZERO, |at| now.saturating_sub(at));
-        let flushed = lead.flight.is_none() && lead.pending.is_empty();
-        let stop_due = stopping && (flushed || waited > STOP_FLUSH);
-        let trouble = lead.trouble_since;
-        if trouble.is_none() && !stop_due {
-            return;
-        }
-        let reaches = |peer: &PeerView| {
-            let probed = peer.news.probe_age_ms.map(Duration::from_millis);
-            let answered = trouble
-                .zip(probed)
-                .is_some_and(|(since, probed)| probed < now.saturating_sub(since));
-            !peer.news.stopping && (stop_due || answered)
-        };
-        let heir = self.live_peers().find(|(_, peer)| reaches(peer));
-        let Some(heir) = heir.map(|(address, _)| address) else {
-            return;
-        };
-        let epoch = self.highest_epoch;
-        let why = if stop_due {
-            "planned stop"
-        } else {
-            "table away"
-        };
-        self.log("election", "yield", heir.to_string(), why.to_owned());
-        self.counters.count("elections", "yielded");
-        self.depose(why);
-        self.tell(heir, PeerMessage::TakeOver { epoch });
-    }
-
-    pub(super) fn take_over(&mut self, from: PeerAddress, epoch: u64) {
-        if epoch < self.highest_epoch || self.lead.is_some() || self.stopping {
-            return;
-        }
-        self.log(
-            "election",
-            "asked_to_lead",
-            from.to_string(),
-            format!("epoch {epoch}"),
-        );
-        self.asked_to_lead = Some(epoch);
-        self.claim = None;
-        self.run_election();
-    }
-}
-
-fn is_register(purpose: &StorePurpose) -> bool {
-    matches!(purpose, StorePurpose::Register)
 }
--- a/crates/bankvalve_queue/src/core/holds.rs
+++ b/crates/bankvalve_queue/src/core/holds.rs
@@ -212,7 +212,7 @@
             }
             answer => match purpose {
                 CallPurpose::Hold { sent_at } => self.end_look(&id, sent_at, answer),
-                CallPurpose::Start { task, run } => self.end_start(&id, task, run, answer),
+                CallPurpose::Start { task, run } => self.end_start(&id, task, run, &answer),
                 CallPurpose::Stop { task, run } => self.end_stop(&id, task, run, &answer),
             },
         }
@@ -248,7 +248,7 @@
         } else {
             (sent_at + LOOK_PACE).max(now)
         };
-        self.take_report(id, sent_at, report);
+        self.take_report(id, sent_at, &report);
         let Some(lead) = self.lead.as_deref_mut() else {
             return;
         };
@@ -262,12 +262,12 @@
         }
     }
 
-    fn take_report(&mut self, id: &WorkerId, sent_at: CoreTime, report: HoldReport) {
+    fn take_report(&mut self, id: &WorkerId, sent_at: CoreTime, report: &HoldReport) {
         for end in &report.ended {
             self.take_end(id, end);
         }
         self.take_running(id, &report.running);
-        self.settle_missing(id, sent_at, &report);
+        self.settle_missing(id, sent_at, report);
     }
 
     fn take_end(&mut self, id: &WorkerId, end: &EndReport) {
--- /dev/null
+++ b/crates/bankvalve_queue/src/core/members.rs
@@ -0,0 +1,188 @@
+//! Members of the site: their rows, and heartbeats between them.
+
+use std::time::Duration;
+
+use super::election::PeerView;
+use super::store_link::{StorePurpose, CELL_TABLE, LEAD_PART, MEMBER_PART};
+use super::EntryCore;
+use crate::peer::{HeartbeatNews, PeerAddress, PeerMessage};
+use crate::store::{RowKey, RowWrite, StoreOutcome, StoreRequest};
+
+/// Time between two heartbeats; a takeover within about a second needs some four of them.
+const HEARTBEAT: Duration = Duration::from_millis(160);
+/// A peer that was heard this lately counts as alive.
+pub(super) const PEER_ALIVE: Duration = Duration::from_millis(900);
+/// Silence after which a member's row is dropped.
+const DROP_MEMBER_AFTER: Duration = Duration::from_secs(60);
+
+impl EntryCore {
+    pub(super) fn member_key(&self, address: PeerAddress) -> RowKey {
+        RowKey::new(CELL_TABLE, MEMBER_PART, address.to_string())
+    }
+
+    /// Keeps the own row in place and drops those of members that are long gone.
+    pub(super) fn run_membership(&mut self) {
+        if self.registered || self.store_tickets.values().any(is_register) {
+            return;
+        }
+        let key = self.member_key(self.settings.address);
+        let value = self.settings.life.to_be_bytes().to_vec();
+        let writes = vec![RowWrite { key, value }];
+        let request = StoreRequest::Transact {
+            conditions: Vec::new(),
+            writes,
+            removals: Vec::new(),
+        };
+        self.ask_store(StorePurpose::Register, request);
+    }
+
+    pub(super) fn end_register(&mut self, outcome: &StoreOutcome) {
+        self.registered = matches!(outcome, StoreOutcome::Applied { .. });
+    }
+
+    pub(super) fn take_cell_row(&mut self, key: &RowKey, value: Option<&[u8]>, version: u64) {
+        if key.part == LEAD_PART {
+            if let Some(value) = value {
+                self.take_leader_row(value, version);
+            }
+            return;
+        }
+        let Ok(address) = key.key.parse::<PeerAddress>() else {
+            return;
+        };
+        if address == self.settings.address {
+            if value.is_none() && !self.stopping {
+                self.registered = false;
+            }
+            return;
+        }
+        if value.is_none() {
+            self.peers.remove(&address);
+            return;
+        }
+        let now = self.now;
+        self.peers.entry(address).or_insert_with(|| PeerView {
+            known_at: now,
+            ..PeerView::default()
+        });
+    }
+
+    pub(super) fn run_heartbeats(&mut self) {
+        if self.now < self.next_heartbeat {
+            return;
+        }
+        self.next_heartbeat = self.now + HEARTBEAT;
+        let leader = self.leader.as_ref();
+        let lead = self.lead.as_deref();
+        let news = HeartbeatNews {
+            life: self.settings.life,
+            epoch: self.highest_epoch,
+            leader: leader.map(|leader| leader.address),
+            leading: self.lead.is_some(),
+            leader_age_ms: match (&self.lead, leader) {
+                (Some(_), _) => 0,
+                (None, Some(leader)) => self.age(leader.heard_at).as_millis() as u64,
+                (None, None) => u64::MAX,
+            },
+            store_trouble: lead.is_some_and(|lead| lead.trouble_since.is_some()),
+            probe_age_ms: self
+                .probe_answered
+                .map(|at| self.age(at).as_millis() as u64),
+            table_version: self.table_version(),
+            stopping: self.stopping,
+        };
+        let peers: Vec<PeerAddress> = self.peers.keys().copied().collect();
+        for peer in peers {
+            self.tell(peer, PeerMessage::Heartbeat(news.clone()));
+        }
+        self.tell_measures();
+        self.drop_gone_members();
+    }
+
+    pub(super) fn drop_gone_members(&mut self) {
+        if self.lead.is_none() {
+            return;
+        }
+        let silent = |peer: &PeerView| {
+            let since = peer.heard_at.unwrap_or(peer.known_at);
+            self.now.saturating_sub(since) > DROP_MEMBER_AFTER
+        };
+        let gone = self.peers.iter().find(|(_, peer)| silent(peer));
+        let Some(address) = gone.map(|(address, _)| *address) else {
+            return;
+        };
+        self.peers.remove(&address);
+        let removals = vec![self.member_key(address)];
+        let request = StoreRequest::Transact {
+            conditions: Vec::new(),
+            writes: Vec::new(),
+            removals,
+        };
+        self.log("members", "drop", address.to_string(), String::new());
+        self.ask_store(StorePurpose::DropMember, request);
+    }
+
+    pub(super) fn take_heartbeat(&mut self, from: PeerAddress, news: HeartbeatNews) {
+        let own_version = self.table_version();
+        if news.table_version < own_version {
+            let raw = self.table_raw.clone();
+            self.tell(from, PeerMessage::Table { raw });
+        }
+        if let Some(lead) = &self.lead {
+            if news.epoch > lead.epoch {
+                self.depose("a peer knows a later epoch");
+            }
+        }
+        if news.store_trouble {
+            self.probe_store();
+        }
+        if news.leading {
+            self.hear_leader(from, &news);
+        } else if self.is_gone_leader(from, &news) {
+            self.lose_leader();
+        } else if let Some((over, at)) = self.predecessor_over_candidate(from, &news) {
+            self.predecessor_over = Some((over, at));
+        }
+        let now = self.now;
+        let peer = self.peers.entry(from).or_default();
+        peer.heard_at = Some(now);
+        peer.news = news;
+    }
+
+    /// A peer does not answer; a leader that refuses connections is suspected at once.
+    pub(super) fn peer_unreached(&mut self, peer: PeerAddress, refused: bool) {
+        self.counters.count("retries", "peer_unreached");
+        if let Some(view) = self.peers.get_mut(&peer) {
+            if refused {
+                view.heard_at = None;
+                view.known_at = view
+                    .known_at
+                    .max(self.now.saturating_sub(DROP_MEMBER_AFTER / 2));
+            }
+        }
+        self.reassign_advice(peer);
+        let leads = self.lead.is_none()
+            && self
+                .leader
+                .as_ref()
+                .is_some_and(|leader| leader.address == peer);
+        if refused && leads {
+            self.lose_leader();
+        }
+    }
+
+    pub(super) fn live_peers(&self) -> impl Iterator<Item = (PeerAddress, &PeerView)> {
+        let now = self.now;
+        self.peers
+            .iter()
+            .filter(move |(_, peer)| {
+                peer.heard_at
+                    .is_some_and(|at| now.saturating_sub(at) < PEER_ALIVE)
+            })
+            .map(|(address, peer)| (*address, peer))
+    }
+}
+
+fn is_register(purpose: &StorePurpose) -> bool {
+    matches!(purpose, StorePurpose::Register)
+}
--- a/crates/bankvalve_queue/src/core/mod.rs
+++ b/crates/bankvalve_queue/src/core/mod.rs
@@ -1,22 +1,27 @@
 //! The state machine of an entry instance.
 //!
-//! `election` decides who leads, `commit` keeps the ledger, `callers` answers
+//! `members` hears peers, `election` and `yielding` decide who leads, `commit`,
+//! `confirm` and `withdraw` keep the ledger, `callers` answers
 //! requests, `holds` and `orders` deal with workers, `advice` asks the policy
 //! service and `placing` decides which task runs where.
 
 mod advice;
 mod callers;
 mod commit;
+mod confirm;
 mod election;
 mod entry_core;
 mod following;
 mod holds;
 mod lead;
+mod members;
 mod orders;
 mod placing;
 mod seat;
 mod seat_list;
 mod store_link;
 mod waiting;
+mod withdraw;
+mod yielding;
 
 pub use entry_core::{CoreAction, CoreEvent, EntryCore, EntrySettings};
--- a/crates/bankvalve_queue/src/core/orders.rs
+++ b/crates/bankvalve_queue/src/core/orders.rs
@@ -116,7 +116,7 @@
         id: &WorkerId,
         task: TaskKey,
         run: u64,
-        answer: WorkerAnswer,
+        answer: &WorkerAnswer,
     ) {
         let now = self.now;
         let Some(lead) = self.lead.as_deref_mut() else {
@@ -165,7 +165,7 @@
             }
             _ => {}
         }
-        let why = match &answer {
+        let why = match answer {
             WorkerAnswer::Refused { reason, .. } => reason.as_str(),
             WorkerAnswer::Unwell => "unwell",
             _ => "not_sent",
@@ -178,7 +178,7 @@
                 ..
             }
         );
-        if answer == WorkerAnswer::Unwell {
+        if *answer == WorkerAnswer::Unwell {
             seat.resting_until = seat.resting_until.max(now + UNWELL_REST);
         }
         self.counters.count("order_refusals", why);
