--- a/crates/bankvalve_queue/src/core/commit.rs
+++ b/crates/bankvalve_queue/src/core/commit.rs
@@ -19,11 +19,11 @@
 const COMMIT_PACE: Duration = Duration::from_millis(12);
 /// Least time after which another copy of a write is sent; copies do no harm, since the row
 /// of the batch must not be there.
-const HEDGE_LEAST: Duration = Duration::from_millis(150);
+const HEDGE_LEAST: Duration = Duration::from_millis(200);
 /// The usual time of a write, times this, after which another copy is sent.
-const HEDGE_FACTOR: u32 = 3;
+const HEDGE_FACTOR: u32 = 5;
 /// Most copies without an answer.
-const HEDGE_COPIES: u32 = 4;
+const HEDGE_COPIES: u32 = 3;
 /// Pause after a write that was refused.
 const BUSY_PAUSE: Duration = Duration::from_millis(60);
 /// Copies of one write that the table turned away, after which it counts as away.
