fix(queue): a long queue no longer takes the leader's whole processor

Ruled out: the table (10 ms a write again by then), copies of writes. Change: the pause between placements grows with the queue; 100 steps at most; what fits nowhere is passed over cheaply; permits must last as long as the last starts took to be ordered.

--- a/crates/bankvalve_queue/src/core/lead.rs
+++ b/crates/bankvalve_queue/src/core/lead.rs
@@ -9,6 +9,7 @@
 use super::waiting::WaitingStep;
 use super::EntryCore;
 use crate::ids::{CoreTime, JobId, StepKey, TaskKey, Ticket, WallMillis, WorkerId};
+use crate::job::TaskSize;
 use crate::ledger::JobOutcome;
 use crate::peer::PeerAddress;
 
@@ -55,6 +56,8 @@
     pub(super) next_commit_at: CoreTime,
     /// Time that a write takes, lately.
     pub(super) commit_time: Duration,
+    /// Time from a proposal of a start to its order, lately.
+    order_wait: Duration,
     pub(super) uncommitted: BTreeMap<JobId, u32>,
     pub(super) seats: BTreeMap<WorkerId, Seat>,
     pub(super) calls: BTreeMap<Ticket, (WorkerId, CallPurpose)>,
@@ -99,6 +102,7 @@
             flight: None,
             next_commit_at: now,
             commit_time: Duration::ZERO,
+            order_wait: Duration::ZERO,
             uncommitted: BTreeMap::new(),
             seats: BTreeMap::new(),
             calls: BTreeMap::new(),
@@ -137,11 +141,27 @@
         self.asked_since = None;
     }
 
-    /// Time until an event that is proposed now is kept: what is left of the write on its way,
-    /// and one more.
+    /// Time until a start that is proposed now is ordered, as the last ones took.
     pub(super) fn time_to_keep(&self) -> Duration {
-        let flights = if self.flight.is_some() { 2 } else { 1 };
-        (self.commit_time * flights).min(KEEP_LIMIT)
+        self.order_wait.max(self.commit_time).min(KEEP_LIMIT)
+    }
+
+    /// A start was ordered so long after it was proposed.
+    pub(super) fn note_order_wait(&mut self, wait: Duration) {
+        self.order_wait = (self.order_wait * 3 + wait) / 4;
+    }
+
+    /// The most that is free of each kind of room, on whichever workers.
+    pub(super) fn most_room(&self) -> TaskSize {
+        let free = self
+            .seats
+            .values()
+            .map(|seat| seat.entry.room.minus(&seat.used));
+        free.fold(TaskSize::default(), |most, room| TaskSize {
+            millicores: most.millicores.max(room.millicores),
+            memory_mib: most.memory_mib.max(room.memory_mib),
+            accelerators: most.accelerators.max(room.accelerators),
+        })
     }
 }
 
--- a/crates/bankvalve_queue/src/core/orders.rs
+++ b/crates/bankvalve_queue/src/core/orders.rs
@@ -24,6 +24,7 @@
 impl EntryCore {
     /// Sends the order for a run that is kept now.
     pub(super) fn begin_order(&mut self, task: TaskKey, run: u64) {
+        let now = self.now;
         let Some((worker, open)) = self.placed_on(task, run) else {
             return;
         };
@@ -45,6 +46,8 @@
             return;
         }
         live.phase = RunPhase::Ordered;
+        let wait = now.saturating_sub(live.began);
+        lead.note_order_wait(wait);
         self.send_start(&worker, task);
     }
 
--- a/crates/bankvalve_queue/src/core/placing.rs
+++ b/crates/bankvalve_queue/src/core/placing.rs
@@ -16,9 +16,12 @@
 use crate::queue_table::AdviceRule;
 
 /// Steps that are looked at in one placement, by rank.
-const LOOK_LIMIT: usize = 160;
+const LOOK_LIMIT: usize = 100;
 /// Least time between two placements.
 const PLACE_PACE: Duration = Duration::from_millis(4);
+/// Added to it for each step that is looked at, so that a long queue does not take the whole
+/// processor: some three times what a look costs on a quarter of a core.
+const PLACE_EACH: Duration = Duration::from_micros(300);
 /// Time between two placements when nothing is known to have changed.
 const PLACE_IDLE: Duration = Duration::from_millis(250);
 /// Time beyond a question's own for which room is kept for its step.
@@ -68,7 +71,12 @@
             .collect();
         ranked.sort_unstable();
         ranked.truncate(LOOK_LIMIT);
+        lead.place_at += PLACE_EACH * ranked.len() as u32;
+        let most = lead.most_room();
         for (_, key) in ranked {
+            if !self.may_fit(key, &most) {
+                continue;
+            }
             if let Some(step) = self.step_to_place(key) {
                 self.place_step(&step);
             }
@@ -84,6 +92,13 @@
         }
     }
 
+    /// Tells cheaply whether a task of a step could fit anywhere.
+    fn may_fit(&self, key: StepKey, most: &TaskSize) -> bool {
+        let job = self.book.job(key.job);
+        let spec = job.and_then(|job| job.spec.steps.get(usize::from(key.step)));
+        spec.is_some_and(|spec| spec.room().fits(most))
+    }
+
     fn step_to_place(&self, key: StepKey) -> Option<PlacedStep> {
         let job = self.book.job(key.job)?;
         let spec = job.spec.steps.get(usize::from(key.step))?.clone();
