--- /dev/null
+++ b/crates/bankvalve_queue/tests/book.rs
@@ -0,0 +1,140 @@
+//! What the ledger's events add up to.
+
+use std::sync::Arc;
+
+use bankvalve_queue::{
+    EndKind, JobBook, JobSpec, JobState, JobTerms, LedgerEvent, StepKey, StepSpec, TaskKey,
+    TaskPhase,
+};
+
+fn task(index: u32) -> TaskKey {
+    StepKey {
+        job: 1,
+        time: 0,
+        step: 0,
+    }
+    .task(index)
+}
+
+fn book_of(step: StepSpec) -> JobBook {
+    let spec = Arc::new(JobSpec {
+        id: 1,
+        steps: vec![step],
+        ..JobSpec::default()
+    });
+    let terms = JobTerms {
+        attempts: 2,
+        ..JobTerms::default()
+    };
+    let mut book = JobBook::default();
+    book.apply(&LedgerEvent::Accepted { spec, terms, at: 5 });
+    book
+}
+
+fn start(book: &mut JobBook, index: u32, run: u64) {
+    let worker = format!("w-{index}").as_str().into();
+    let task = task(index);
+    book.apply(&LedgerEvent::Started { task, run, worker });
+}
+
+fn end(book: &mut JobBook, index: u32, run: u64, how: EndKind, saved: &str) {
+    book.apply(&LedgerEvent::Ended {
+        task: task(index),
+        run,
+        how,
+        saved: saved.into(),
+        at: 9,
+    });
+}
+
+fn state(book: &JobBook) -> JobState {
+    book.job(1).expect("the job").state()
+}
+
+#[test]
+fn a_gangs_failure_counts_once_a_run_and_its_progress_is_good_for_all() {
+    let mut book = book_of(StepSpec {
+        count: 2,
+        gang: true,
+        ..StepSpec::default()
+    });
+    start(&mut book, 0, 1);
+    start(&mut book, 1, 1);
+    end(&mut book, 0, 1, EndKind::Failed, "half");
+    end(&mut book, 1, 1, EndKind::Failed, "");
+    let job = book.job(1).expect("the job");
+    assert_eq!(job.task(task(1)).expect("a task").failures, 1);
+    assert_eq!(job.task(task(1)).expect("a task").saved, "half");
+    assert_eq!(state(&book), JobState::Running);
+    start(&mut book, 0, 2);
+    start(&mut book, 1, 2);
+    end(&mut book, 1, 2, EndKind::Failed, "");
+    assert_eq!(state(&book), JobState::Failed);
+}
+
+#[test]
+fn one_good_end_of_a_gang_stands_for_all() {
+    let mut book = book_of(StepSpec {
+        count: 3,
+        gang: true,
+        ..StepSpec::default()
+    });
+    for index in 0..3 {
+        start(&mut book, index, 1);
+    }
+    end(&mut book, 2, 1, EndKind::Done, "");
+    assert_eq!(state(&book), JobState::Succeeded);
+}
+
+#[test]
+fn a_lasting_task_is_started_again_however_it_ends() {
+    let mut book = book_of(StepSpec {
+        count: 1,
+        lasting: true,
+        ..StepSpec::default()
+    });
+    let ends = [
+        EndKind::Done,
+        EndKind::Failed,
+        EndKind::Failed,
+        EndKind::Failed,
+    ];
+    for (number, how) in ends.into_iter().enumerate() {
+        start(&mut book, 0, number as u64 + 1);
+        end(&mut book, 0, number as u64 + 1, how, "");
+        assert_eq!(state(&book), JobState::Running);
+        let job = book.job(1).expect("the job");
+        assert_eq!(job.task(task(0)).expect("a task").phase, TaskPhase::Waiting);
+    }
+    book.apply(&LedgerEvent::Cancelled { job: 1, at: 9 });
+    assert_eq!(state(&book), JobState::Cancelled);
+}
+
+#[test]
+fn ends_of_earlier_runs_change_nothing() {
+    let mut book = book_of(StepSpec {
+        count: 1,
+        ..StepSpec::default()
+    });
+    start(&mut book, 0, 1);
+    end(&mut book, 0, 1, EndKind::Lost, "part");
+    start(&mut book, 0, 2);
+    end(&mut book, 0, 1, EndKind::Failed, "");
+    end(&mut book, 0, 1, EndKind::Done, "");
+    assert_eq!(state(&book), JobState::Running);
+    let job = book.job(1).expect("the job");
+    assert_eq!(job.task(task(0)).expect("a task").saved, "part");
+    end(&mut book, 0, 2, EndKind::Done, "");
+    assert_eq!(state(&book), JobState::Succeeded);
+}
+
+#[test]
+fn a_job_that_was_not_kept_is_taken_back_and_may_come_again() {
+    let mut book = book_of(StepSpec {
+        count: 1,
+        ..StepSpec::default()
+    });
+    book.withdraw(1);
+    assert!(book.job(1).is_none());
+    assert!(book.is_empty());
+}
