--- a/crates/bankvalve_queue/src/core/lead.rs
+++ b/crates/bankvalve_queue/src/core/lead.rs
@@ -5,7 +5,7 @@
 
 use super::advice::StepAdvice;
 use super::commit::{CommitFlight, Origin, Proposal};
-use super::seat::Seat;
+use super::seat::{LiveRun, Seat};
 use super::waiting::WaitingStep;
 use super::EntryCore;
 use crate::ids::{CoreTime, JobId, StepKey, TaskKey, Ticket, WallMillis, WorkerId};
@@ -120,6 +120,11 @@
         }
     }
 
+    /// A run that a worker has, or is about to have.
+    pub(super) fn live_run(&mut self, worker: &WorkerId, task: &TaskKey) -> Option<&mut LiveRun> {
+        self.seats.get_mut(worker)?.runs.get_mut(task)
+    }
+
     pub(super) fn waiting_tasks(&self) -> u64 {
         self.waiting
             .values()
--- a/crates/bankvalve_queue/src/core/orders.rs
+++ b/crates/bankvalve_queue/src/core/orders.rs
@@ -35,11 +35,7 @@
         let Some(lead) = self.lead.as_deref_mut() else {
             return;
         };
-        let live = lead
-            .seats
-            .get_mut(&worker)
-            .and_then(|seat| seat.runs.get_mut(&task));
-        let Some(live) = live else {
+        let Some(live) = lead.live_run(&worker, &task) else {
             return;
         };
         if live.run != run || live.phase != RunPhase::Proposed {
@@ -206,11 +202,7 @@
         let Some(lead) = self.lead.as_deref_mut() else {
             return;
         };
-        let live = lead
-            .seats
-            .get_mut(id)
-            .and_then(|seat| seat.runs.get_mut(&task));
-        let Some(live) = live else {
+        let Some(live) = lead.live_run(id, &task) else {
             return;
         };
         match live.phase {
@@ -259,11 +251,7 @@
         let Some(lead) = self.lead.as_deref_mut() else {
             return;
         };
-        let live = lead
-            .seats
-            .get_mut(id)
-            .and_then(|seat| seat.runs.get_mut(&task));
-        let Some(live) = live else {
+        let Some(live) = lead.live_run(id, &task) else {
             return;
         };
         live.busy = true;
@@ -284,38 +272,18 @@
         let Some(lead) = self.lead.as_deref_mut() else {
             return;
         };
-        let live = lead
-            .seats
-            .get_mut(id)
-            .and_then(|seat| seat.runs.get_mut(&task))
-            .filter(|live| live.run == run);
+        let live = lead.live_run(id, &task).filter(|live| live.run == run);
         let Some(live) = live else {
             return;
         };
         live.busy = false;
         live.next_at = now + STOP_PAUSE;
         if matches!(answer, WorkerAnswer::Done { .. }) {
-            self.log(
-                "runs",
-                "stop",
-                task.to_string(),
-                format!("run {run} on {id}"),
-            );
-            live_confirmed(self, id, task);
+            live.phase = RunPhase::Stopping {
+                confirmed: Some(now),
+            };
+            let detail = format!("run {run} on {id}");
+            self.log("runs", "stop", task.to_string(), detail);
         }
     }
 }
-
-fn live_confirmed(core: &mut EntryCore, id: &WorkerId, task: TaskKey) {
-    let now = core.now;
-    let live = core
-        .lead
-        .as_deref_mut()
-        .and_then(|lead| lead.seats.get_mut(id))
-        .and_then(|seat| seat.runs.get_mut(&task));
-    if let Some(live) = live {
-        live.phase = RunPhase::Stopping {
-            confirmed: Some(now),
-        };
-    }
-}
