perf(queue): strong instances lead; on large sites only near members hear each other and keep the book

Cause: on sites of 42 and 32 unlike instances every instance sent a heartbeat to every other (some 250 a second each, a fifth of the processor of a small one), the leader sent each batch of the ledger to all, and any instance could lead, also one with 0.12 of a core.

Ruled out: more leaders, since one with 0.5 of a core is enough once it has less to send; pacing the heartbeats of all alike, which would slow takeovers.

Change: members are ranked by the processor that the settings tell. The first six are near: they hear each other at the full pace, and those that live are sent batches and measures. The others hear the leader and the near ones every 400 ms. Claims go by rank; a leader lets one lead that has half as much again, follows it, reaches the table and has its book. Members that told only a former leader that they live are no longer dropped by its successor.

--- a/crates/bankvalve/src/entry/entry_process.rs
+++ b/crates/bankvalve/src/entry/entry_process.rs
@@ -112,6 +112,7 @@
     EntrySettings {
         address: settings.listen.peers,
         life: unix_millis(),
+        strength: settings.processor.strength(),
         hold_limit: Duration::from_millis(bounds.hold_limit),
         early: Duration::from_millis(bounds.early),
         status_time: Duration::from_millis(bounds.status),
--- a/crates/bankvalve/src/settings/field_check.rs
+++ b/crates/bankvalve/src/settings/field_check.rs
@@ -12,6 +12,14 @@
     Err((field.to_owned(), expected))
 }
 
+pub(super) fn check_positive(field: &str, value: f64, most: f64) -> Result<(), (String, String)> {
+    if value > 0.0 && value <= most {
+        return Ok(());
+    }
+    let expected = format!("expected more than 0 and at most {most}, found {value}");
+    Err((field.to_owned(), expected))
+}
+
 pub(super) fn check_range(
     field: &str,
     value: u64,
--- a/crates/bankvalve/src/settings/site_settings.rs
+++ b/crates/bankvalve/src/settings/site_settings.rs
@@ -5,13 +5,15 @@
 use schemars::JsonSchema;
 use serde::{Deserialize, Serialize};
 
-use super::field_check::{check_name, check_range};
+use super::field_check::{check_name, check_positive, check_range};
 use super::{parse_jsonc, LogSettings, SettingsProblem};
 
 /// Key that tells settings of this kind from those of a cell of one's own.
 const SITE_KEY: &str = "site";
 /// Longest time that may be set, in milliseconds: a day.
 const TIME_LIMIT_MS: u64 = 86_400_000;
+/// Greatest share or speed of a processor that may be set.
+const PROCESSOR_LIMIT: f64 = 1_000.0;
 
 /// Who the instance is and where it stands.
 #[derive(Clone, Debug, Serialize, Deserialize, JsonSchema)]
@@ -65,6 +67,41 @@
     pub stop: u64,
 }
 
+/// Processor that the instance may use.
+#[derive(Clone, Debug, Serialize, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields)]
+pub struct SiteProcessor {
+    /// Share of one core.
+    pub share: f64,
+    /// Speed of that core, as a factor.
+    pub speed: f64,
+}
+
+impl Default for SiteProcessor {
+    fn default() -> Self {
+        Self {
+            share: 1.0,
+            speed: 1.0,
+        }
+    }
+}
+
+impl SiteProcessor {
+    /// The processor in thousandths of a usual core.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use bankvalve::settings::SiteProcessor;
+    ///
+    /// let processor = SiteProcessor { share: 0.25, speed: 2.0 };
+    /// assert_eq!(processor.strength(), 500);
+    /// ```
+    pub fn strength(&self) -> u64 {
+        (self.share * self.speed * 1_000.0).round() as u64
+    }
+}
+
 /// Limits.
 #[derive(Clone, Debug, Serialize, Deserialize, JsonSchema)]
 #[serde(deny_unknown_fields, default)]
@@ -102,6 +139,9 @@
     pub platform: SitePlatform,
     /// Bounds that the site sets.
     pub bounds_ms: SiteBounds,
+    /// Processor that the instance may use; strong instances lead.
+    #[serde(default)]
+    pub processor: SiteProcessor,
     /// Limits.
     #[serde(default)]
     pub limits: SiteLimits,
@@ -158,6 +198,14 @@
         for (field, value, least) in times {
             check_range(field, value, least, TIME_LIMIT_MS)?;
         }
+        let processor = &self.processor;
+        let fields = [
+            ("processor.share", processor.share),
+            ("processor.speed", processor.speed),
+        ];
+        for (field, value) in fields {
+            check_positive(field, value, PROCESSOR_LIMIT)?;
+        }
         let limits = &self.limits;
         check_range("limits.row_bytes", limits.row_bytes, 4_096, 1 << 24)?;
         let connections = limits.caller_connections;
--- a/crates/bankvalve/tests/settings.rs
+++ b/crates/bankvalve/tests/settings.rs
@@ -299,6 +299,7 @@
         let settings = SiteSettings::parse(GOOD).expect("good settings");
         assert_eq!(settings.bounds_ms.hold_limit, 6_000);
         assert_eq!(settings.platform.machines, None);
+        assert_eq!(settings.processor.strength(), 1_000);
     }
 
     #[test]
@@ -316,5 +317,8 @@
         }
         let text = GOOD.replacen("}\n}", "},\n \"limits\": { \"ring\": 1 }\n}", 1);
         assert_eq!(problem(&text).1, "limits.ring");
+        let no_processor = "},\n \"processor\": { \"share\": 0, \"speed\": 1 }\n}";
+        let text = GOOD.replacen("}\n}", no_processor, 1);
+        assert_eq!(problem(&text).1, "processor.share");
     }
 }
--- a/crates/bankvalve_check/src/site/site_links.rs
+++ b/crates/bankvalve_check/src/site/site_links.rs
@@ -88,6 +88,7 @@
         to: PeerAddress,
         message: bankvalve_queue::PeerMessage,
     ) {
+        *self.peer_messages.entry(from).or_default() += 1;
         let now = self.now_ms;
         let target = self.nodes.iter().position(|node| node.address == to);
         let cut = |node: &SiteNode| node.cut_from_peers_until > now;
--- a/crates/bankvalve_check/src/site/site_random.rs
+++ b/crates/bankvalve_check/src/site/site_random.rs
@@ -35,9 +35,21 @@
 
 /// Runs one episode: troubles of the kinds given strike a site under load.
 pub fn run_site_episode(seed: u64, kinds: &[SiteFault]) -> SiteReport {
+    // Each fourth site has more instances than are near each other, and unlike ones.
+    let large = seed % 4 == 3;
+    let strengths = [120, 120, 500, 120, 120, 500, 120, 500, 120];
     let mut world = SiteWorld::new(SitePlan {
         seed,
-        entries: 3 + (seed % 3) as usize,
+        entries: if large {
+            strengths.len()
+        } else {
+            3 + (seed % 3) as usize
+        },
+        strengths: if large {
+            strengths.to_vec()
+        } else {
+            Vec::new()
+        },
         workers: 12,
         good_percent: (seed % 2 == 0).then_some(85),
     });
--- a/crates/bankvalve_check/src/site/site_world.rs
+++ b/crates/bankvalve_check/src/site/site_world.rs
@@ -31,6 +31,8 @@
     pub seed: u64,
     /// Entry instances.
     pub entries: usize,
+    /// Processors of the instances, in thousandths of a core; those not named have a whole one.
+    pub strengths: Vec<u64>,
     /// Workers.
     pub workers: usize,
     /// Share of workers that the policy finds good, in percent; none without a policy.
@@ -173,6 +175,8 @@
     pub worker_cut_until: BTreeMap<String, u64>,
     /// Events so far.
     pub events: u64,
+    /// Messages that each instance sent to peers.
+    pub peer_messages: BTreeMap<usize, u64>,
 }
 
 impl std::fmt::Debug for SiteWorld {
@@ -213,6 +217,7 @@
             fail_percent: 0,
             worker_cut_until: BTreeMap::new(),
             events: 0,
+            peer_messages: BTreeMap::new(),
             plan,
         };
         world.store.configure(world.table(1));
@@ -270,6 +275,9 @@
         node.started_ms = now;
         let mut settings = EntrySettings::example(node.address);
         settings.life = WALL_START + now + node.life;
+        if let Some(strength) = self.plan.strengths.get(number) {
+            settings.strength = *strength;
+        }
         node.core = Some(EntryCore::new(settings));
         let life = node.life;
         self.after(1, Later::Tick { node: number, life });
--- a/crates/bankvalve_check/tests/site.rs
+++ b/crates/bankvalve_check/tests/site.rs
@@ -11,6 +11,7 @@
     let mut world = SiteWorld::new(SitePlan {
         seed,
         entries: 3,
+        strengths: Vec::new(),
         workers: 4,
         good_percent: None,
     });
@@ -364,3 +365,70 @@
     world.run_until(60_000);
     assert_eq!(world.shown.len(), 39);
 }
+
+/// A site of many weak instances and three strong ones, the last ones.
+fn unlike_world(seed: u64, entries: usize) -> SiteWorld {
+    let strength = |node| if node + 3 < entries { 120 } else { 500 };
+    let mut world = SiteWorld::new(SitePlan {
+        seed,
+        entries,
+        strengths: (0..entries).map(strength).collect(),
+        workers: 4,
+        good_percent: None,
+    });
+    world.run_until(1_000);
+    world
+}
+
+#[test]
+fn the_strongest_instances_lead() {
+    let mut world = unlike_world(31, 12);
+    for downs in 0..3 {
+        let leader = world.leader().expect("an instance leads");
+        assert!(leader >= 9, "instance {leader} leads after {downs} deaths");
+        world.kill(leader, 60_000);
+        let until = world.now_ms + 1_500;
+        world.run_until(until);
+    }
+    assert!(world.leader().is_some_and(|leader| leader < 9));
+    // Once a strong one is back, it is let lead.
+    world.run_until(70_000);
+    assert!(world.leader().is_some_and(|leader| leader >= 9));
+    assert_kept(&world);
+}
+
+#[test]
+fn on_a_large_site_a_weak_instance_hears_the_leader_and_few_others() {
+    let mut world = unlike_world(32, 40);
+    world.run_until(2_000);
+    let before = world.peer_messages.clone();
+    world.run_until(12_000);
+    let sent = |node: usize| world.peer_messages[&node] - before[&node];
+    // A heartbeat from each to each would be some 244 messages a second.
+    assert!(sent(3) < 10 * 30, "{} messages in 10 s", sent(3));
+    for job in 1..20 {
+        world.submit(job_of(job, QUEUE, &[2], false));
+    }
+    let leader = world.leader().expect("an instance leads");
+    world.kill(leader, 5_000);
+    world.run_until(60_000);
+    assert_kept(&world);
+    assert_eq!(world.shown.len(), 19);
+}
+
+#[test]
+fn a_large_site_whose_near_members_all_die_goes_on() {
+    let mut world = unlike_world(33, 20);
+    world.run_until(3_000);
+    for job in 1..20 {
+        world.submit(job_of(job, QUEUE, &[2], false));
+    }
+    world.run_until(3_500);
+    for node in (0..3).chain(17..20) {
+        world.kill(node, 90_000);
+    }
+    world.run_until(60_000);
+    assert_kept(&world);
+    assert!(world.leader().is_some());
+    assert_eq!(world.shown.len(), 19);
+}
--- a/crates/bankvalve_queue/src/core/commit.rs
+++ b/crates/bankvalve_queue/src/core/commit.rs
@@ -280,8 +280,7 @@
         }
         let epoch = lead.epoch;
         self.counters.count("commits", "kept");
-        let peers: Vec<PeerAddress> = self.live_peers().map(|(address, _)| address).collect();
-        for peer in peers {
+        for peer in self.live_standbys() {
             let message = PeerMessage::Committed {
                 epoch,
                 sequence: flight.sequence,
--- a/crates/bankvalve_queue/src/core/election.rs
+++ b/crates/bankvalve_queue/src/core/election.rs
@@ -17,8 +17,10 @@
 const HEARD_LATELY: Duration = Duration::from_millis(550);
 /// Suspicion of an instance that no peer answers: it is more likely cut off itself.
 const ALONE_AFTER: Duration = Duration::from_millis(2_500);
-/// Pause for each peer that comes first in the order of claims.
+/// Pause for each near member that comes first in the order of claims.
 const RANK_PAUSE: Duration = Duration::from_millis(120);
+/// Pause for each other member that does, once all near ones have had their time.
+const FAR_RANK_PAUSE: Duration = Duration::from_millis(15);
 /// Pause before a claim is tried again; it doubles with each one that the table does not answer.
 const CLAIM_PAUSE: Duration = Duration::from_millis(120);
 /// Most doublings of it.
@@ -46,6 +48,8 @@
 pub(super) struct PeerView {
     pub(super) heard_at: Option<CoreTime>,
     pub(super) known_at: CoreTime,
+    /// Processor that it has, in thousandths of a core.
+    pub(super) strength: u64,
     pub(super) news: HeartbeatNews,
 }
 
@@ -298,15 +302,8 @@
             return false;
         }
         let since = *self.suspect_since.get_or_insert(self.now);
-        let leader = self.leader.as_ref().map(|leader| leader.address);
-        let own = self.settings.address;
-        let first = self
-            .live_peers()
-            .filter(|(address, peer)| {
-                *address < own && Some(*address) != leader && !peer.news.stopping
-            })
-            .count();
-        self.age(since) >= RANK_PAUSE * first as u32
+        let (near, far) = self.members_before_own();
+        self.age(since) >= RANK_PAUSE * near + FAR_RANK_PAUSE * far
     }
 
     fn begin_claim(&mut self) {
--- a/crates/bankvalve_queue/src/core/entry_core.rs
+++ b/crates/bankvalve_queue/src/core/entry_core.rs
@@ -36,6 +36,8 @@
     pub address: PeerAddress,
     /// Start of its life, milliseconds since 1970.
     pub life: WallMillis,
+    /// Processor that it has, in thousandths of a core; the strongest instances lead.
+    pub strength: u64,
     /// Longest hold that a worker grants.
     pub hold_limit: Duration,
     /// How much earlier than due a task may start.
@@ -52,6 +54,7 @@
         Self {
             address,
             life: 1,
+            strength: 1_000,
             hold_limit: Duration::from_secs(6),
             early: Duration::from_millis(250),
             status_time: Duration::from_secs(120),
@@ -197,6 +200,7 @@
     pub(super) asked_to_lead: Option<u64>,
     pub(super) predecessor_over: Option<(u64, CoreTime)>,
     pub(super) next_heartbeat: CoreTime,
+    pub(super) next_far_heartbeat: CoreTime,
     pub(super) book: JobBook,
     pub(super) applied: u64,
     pub(super) catch_up_at: Option<CoreTime>,
@@ -210,6 +214,8 @@
     pub(super) operator_watch: WatchState,
     pub(super) worker_watch: WatchState,
     pub(super) probe_answered: Option<CoreTime>,
+    /// When the table last answered anything.
+    pub(super) store_heard: Option<CoreTime>,
     pub(super) next_probe: CoreTime,
     pub(super) next_ticket: Ticket,
     pub(super) stopping: bool,
@@ -238,6 +244,7 @@
             asked_to_lead: None,
             predecessor_over: None,
             next_heartbeat: Duration::ZERO,
+            next_far_heartbeat: Duration::ZERO,
             book: JobBook::default(),
             applied: 0,
             catch_up_at: None,
@@ -250,6 +257,7 @@
             operator_watch: WatchState::default(),
             worker_watch: WatchState::default(),
             probe_answered: None,
+            store_heard: None,
             next_probe: Duration::ZERO,
             next_ticket,
             stopping: false,
--- a/crates/bankvalve_queue/src/core/following.rs
+++ b/crates/bankvalve_queue/src/core/following.rs
@@ -64,8 +64,7 @@
         if workers.is_empty() {
             return;
         }
-        let peers: Vec<PeerAddress> = self.live_peers().map(|(address, _)| address).collect();
-        for peer in peers {
+        for peer in self.live_standbys() {
             let message = PeerMessage::Measured {
                 workers: workers.clone(),
                 queues: queues.clone(),
--- a/crates/bankvalve_queue/src/core/members.rs
+++ b/crates/bankvalve_queue/src/core/members.rs
@@ -3,13 +3,18 @@
 use std::time::Duration;
 
 use super::election::PeerView;
+use super::standby::MemberRow;
 use super::store_link::{StorePurpose, CELL_TABLE, LEAD_PART, MEMBER_PART};
 use super::EntryCore;
 use crate::peer::{HeartbeatNews, PeerAddress, PeerMessage};
 use crate::store::{RowKey, RowWrite, StoreOutcome, StoreRequest};
 
-/// Time between two heartbeats; a takeover within about a second needs some four of them.
+/// Time between two heartbeats of near members; a takeover within about a second needs some four
+/// of them.
 const HEARTBEAT: Duration = Duration::from_millis(160);
+/// Time between two heartbeats to and from the others, which follow and do not take over: two of
+/// them fit into the time for which a peer counts as alive.
+const FAR_HEARTBEAT: Duration = Duration::from_millis(400);
 /// A peer that was heard this lately counts as alive.
 pub(super) const PEER_ALIVE: Duration = Duration::from_millis(900);
 /// Silence after which a member's row is dropped.
@@ -26,7 +31,11 @@
             return;
         }
         let key = self.member_key(self.settings.address);
-        let value = self.settings.life.to_be_bytes().to_vec();
+        let row = MemberRow {
+            life: self.settings.life,
+            strength: self.settings.strength,
+        };
+        let value = row.encode();
         let writes = vec![RowWrite { key, value }];
         let request = StoreRequest::Transact {
             conditions: Vec::new(),
@@ -56,15 +65,21 @@
             }
             return;
         }
-        if value.is_none() {
+        let Some(value) = value else {
             self.peers.remove(&address);
             return;
+        };
+        let row = MemberRow::decode(value);
+        if row.is_none() {
+            let id = address.to_string();
+            self.log("members", "row_unreadable", id, String::new());
         }
         let now = self.now;
-        self.peers.entry(address).or_insert_with(|| PeerView {
+        let peer = self.peers.entry(address).or_insert_with(|| PeerView {
             known_at: now,
             ..PeerView::default()
         });
+        peer.strength = row.map_or(peer.strength, |row| row.strength);
     }
 
     pub(super) fn run_heartbeats(&mut self) {
@@ -72,10 +87,25 @@
             return;
         }
         self.next_heartbeat = self.now + HEARTBEAT;
+        let far_due = self.now >= self.next_far_heartbeat;
+        if far_due {
+            self.next_far_heartbeat = self.now + FAR_HEARTBEAT;
+        }
+        let news = self.own_news();
+        for peer in self.heartbeat_targets(far_due) {
+            self.tell(peer, PeerMessage::Heartbeat(news.clone()));
+        }
+        self.tell_measures();
+        self.drop_gone_members();
+    }
+
+    /// What the own heartbeats tell now.
+    pub(super) fn own_news(&self) -> HeartbeatNews {
         let leader = self.leader.as_ref();
         let lead = self.lead.as_deref();
-        let news = HeartbeatNews {
+        HeartbeatNews {
             life: self.settings.life,
+            strength: self.settings.strength,
             epoch: self.highest_epoch,
             leader: leader.map(|leader| leader.address),
             leading: self.lead.is_some(),
@@ -88,23 +118,21 @@
             probe_age_ms: self
                 .probe_answered
                 .map(|at| self.age(at).as_millis() as u64),
+            store_age_ms: self.store_heard.map(|at| self.age(at).as_millis() as u64),
+            applied: self.applied,
             table_version: self.table_version(),
             stopping: self.stopping,
-        };
-        let peers: Vec<PeerAddress> = self.peers.keys().copied().collect();
-        for peer in peers {
-            self.tell(peer, PeerMessage::Heartbeat(news.clone()));
         }
-        self.tell_measures();
-        self.drop_gone_members();
     }
 
     pub(super) fn drop_gone_members(&mut self) {
-        if self.lead.is_none() {
+        let Some(lead) = self.lead.as_deref() else {
             return;
-        }
+        };
+        // Members may have told only the leader before that they are alive.
+        let began_at = lead.began_at;
         let silent = |peer: &PeerView| {
-            let since = peer.heard_at.unwrap_or(peer.known_at);
+            let since = peer.heard_at.unwrap_or(peer.known_at).max(began_at);
             self.now.saturating_sub(since) > DROP_MEMBER_AFTER
         };
         let gone = self.peers.iter().find(|(_, peer)| silent(peer));
@@ -144,9 +172,19 @@
             self.predecessor_over = Some((over, at));
         }
         let now = self.now;
-        let peer = self.peers.entry(from).or_default();
+        let peer = self.peers.entry(from).or_insert_with(|| PeerView {
+            known_at: now,
+            ..PeerView::default()
+        });
+        let first = peer.heard_at.is_none();
         peer.heard_at = Some(now);
+        peer.strength = news.strength;
         peer.news = news;
+        if first && self.lead.is_some() {
+            // It should not have to wait for the next heartbeat to know who leads.
+            let news = self.own_news();
+            self.tell(from, PeerMessage::Heartbeat(news));
+        }
     }
 
     /// A peer does not answer; a leader that refuses connections is suspected at once.
--- a/crates/bankvalve_queue/src/core/mod.rs
+++ b/crates/bankvalve_queue/src/core/mod.rs
@@ -1,6 +1,6 @@
 //! The state machine of an entry instance.
 //!
-//! `members` hears peers, `election` and `yielding` decide who leads, `commit`,
+//! `members` hears peers, `standby` ranks them, `election` and `yielding` decide who leads, `commit`,
 //! `confirm` and `withdraw` keep the ledger, `callers` answers
 //! requests, `holds` and `orders` deal with workers, `advice` asks the policy
 //! service and `placing` decides which task runs where.
@@ -19,6 +19,7 @@
 mod placing;
 mod seat;
 mod seat_list;
+mod standby;
 mod store_link;
 mod waiting;
 mod withdraw;
--- /dev/null
+++ b/crates/bankvalve_queue/src/core/standby.rs
@@ -0,0 +1,128 @@
+//! Who is near: the strongest members hear each other often and keep the leader's book.
+//!
+//! On a site of many instances a heartbeat from each to each, and every batch of the ledger to
+//! each, would take most of the processor of the small ones. So the first few members, by
+//! strength, are near: they hear each other and the leader at the full pace, and those that live
+//! are sent what is kept, so that they can take over at once. The others hear the leader only.
+
+use std::cmp::Reverse;
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+
+use super::election::PeerView;
+use super::members::PEER_ALIVE;
+use super::EntryCore;
+use crate::peer::PeerAddress;
+
+/// Members that are near, by rank: on sites of today all of them, or two thirds.
+const NEAR_MEMBERS: usize = 6;
+/// A leader that is silent for so long is looked for by heartbeats to all members.
+const LOST_LEADER: Duration = Duration::from_millis(1_500);
+/// Time in which a member that is known from its row only is reckoned to be starting.
+const STARTING: Duration = Duration::from_millis(500);
+
+/// Order of members; smaller ones come first.
+type MemberRank = (Reverse<u64>, PeerAddress);
+
+/// Content of a member's row.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub(super) struct MemberRow {
+    /// Start of its life, milliseconds since 1970.
+    pub(super) life: u64,
+    /// Processor that it has, in thousandths of a core.
+    pub(super) strength: u64,
+}
+
+impl MemberRow {
+    pub(super) fn encode(self) -> Vec<u8> {
+        rmp_serde::to_vec(&self).expect("a member's row can be encoded")
+    }
+
+    pub(super) fn decode(value: &[u8]) -> Option<Self> {
+        rmp_serde::from_slice(value).ok()
+    }
+}
+
+impl EntryCore {
+    fn own_rank(&self) -> MemberRank {
+        (Reverse(self.settings.strength), self.settings.address)
+    }
+
+    /// All members but this one, the strongest first.
+    fn ranked_peers(&self) -> Vec<(MemberRank, &PeerView)> {
+        let mut ranked: Vec<(MemberRank, &PeerView)> = self
+            .peers
+            .iter()
+            .map(|(address, peer)| ((Reverse(peer.strength), *address), peer))
+            .collect();
+        ranked.sort_unstable_by_key(|(rank, _)| *rank);
+        ranked
+    }
+
+    /// The near members, with this one if it is near.
+    fn near_members(&self) -> Vec<PeerAddress> {
+        let mut ranks: Vec<MemberRank> =
+            self.ranked_peers().iter().map(|(rank, _)| *rank).collect();
+        ranks.push(self.own_rank());
+        ranks.sort_unstable();
+        ranks.truncate(NEAR_MEMBERS);
+        ranks.into_iter().map(|(_, address)| address).collect()
+    }
+
+    /// Members that are sent a heartbeat now; the far ones only when theirs is due.
+    pub(super) fn heartbeat_targets(&self, far_due: bool) -> Vec<PeerAddress> {
+        let near = self.near_members();
+        let is_near = |address: &PeerAddress| near.contains(address);
+        let own_near = is_near(&self.settings.address);
+        let leads = self.lead.is_some();
+        let leader = self.leader.as_ref().map(|leader| leader.address);
+        let lost = match &self.leader {
+            Some(leader) => self.age(leader.heard_at) > LOST_LEADER,
+            None => self.uptime() > LOST_LEADER,
+        };
+        let pairs = |peer: &PeerAddress| {
+            let near_pair = own_near && is_near(peer);
+            let led_near = (leads && is_near(peer)) || (own_near && leader == Some(*peer));
+            let far_pair = leads || is_near(peer) || leader == Some(*peer) || lost;
+            near_pair || led_near || (far_due && far_pair)
+        };
+        self.peers.keys().copied().filter(pairs).collect()
+    }
+
+    /// Live members that keep the leader's book, the strongest first.
+    pub(super) fn live_standbys(&self) -> Vec<PeerAddress> {
+        let live = |peer: &PeerView| peer.heard_at.is_some_and(|at| self.age(at) < PEER_ALIVE);
+        self.ranked_peers()
+            .into_iter()
+            .filter(|(_, peer)| live(peer))
+            .map(|((_, address), _)| address)
+            .take(NEAR_MEMBERS - 1)
+            .collect()
+    }
+
+    /// Members that may claim the lead before this one: near ones, and others.
+    ///
+    /// Of members that it hears often only those that are alive count; of the others, which a
+    /// member that is not near does not hear, all do.
+    pub(super) fn members_before_own(&self) -> (u32, u32) {
+        let own = self.own_rank();
+        let near = self.near_members();
+        let own_near = near.contains(&self.settings.address);
+        let leader = self.leader.as_ref().map(|leader| leader.address);
+        let mut before = (0, 0);
+        for ((strength, address), peer) in self.ranked_peers() {
+            if (strength, address) >= own || Some(address) == leader || peer.news.stopping {
+                continue;
+            }
+            let starting = peer.heard_at.is_none() && self.age(peer.known_at) < STARTING;
+            let live = peer.heard_at.is_some_and(|at| self.age(at) < PEER_ALIVE);
+            if !near.contains(&address) {
+                before.1 += 1;
+            } else if live || starting || !own_near {
+                before.0 += 1;
+            }
+        }
+        before
+    }
+}
--- a/crates/bankvalve_queue/src/core/store_link.rs
+++ b/crates/bankvalve_queue/src/core/store_link.rs
@@ -134,6 +134,9 @@
         let Some(purpose) = self.store_tickets.remove(&ticket) else {
             return;
         };
+        if !matches!(outcome, StoreOutcome::Lost | StoreOutcome::Busy) {
+            self.store_heard = Some(self.now);
+        }
         match &outcome {
             StoreOutcome::Lost => self.counters.count("retries", "store_lost"),
             StoreOutcome::Busy => self.counters.count("retries", "store_busy"),
--- a/crates/bankvalve_queue/src/core/yielding.rs
+++ b/crates/bankvalve_queue/src/core/yielding.rs
@@ -1,5 +1,7 @@
-//! Letting a peer lead: at a planned stop, or when the table answers it and not the leader.
+//! Letting a peer lead: at a planned stop, when the table answers it and not the leader, or when
+//! it is much stronger.
 
+use std::cmp::Reverse;
 use std::time::Duration;
 
 use super::election::PeerView;
@@ -14,6 +16,15 @@
 const PROBE_EVERY: Duration = Duration::from_millis(250);
 /// Longest that a planned stop waits for a write before it lets a peer lead.
 const STOP_FLUSH: Duration = Duration::from_millis(300);
+/// Batches that are kept between two heartbeats, and some.
+const BATCHES_ON_THEIR_WAY: u64 = 60;
+/// Least time for which an instance leads before it lets a stronger one lead.
+const SETTLED: Duration = Duration::from_millis(1_200);
+/// A peer that the table answered this lately reaches it: a watch waits for a second.
+const REACHES_TABLE: Duration = Duration::from_millis(1_400);
+/// A peer must have this share of the own processor, in percent, to be let lead for its strength:
+/// a change of leader costs some tenths of a second.
+const MUCH_STRONGER_PERCENT: u64 = 150;
 
 impl EntryCore {
     /// Asks the table because it does not answer the leader.
@@ -60,6 +71,7 @@
         let stop_due = stopping && (flushed || waited > STOP_FLUSH);
         let trouble = lead.trouble_since;
         if trouble.is_none() && !stop_due {
+            self.yield_to_stronger();
             return;
         }
         let reaches = |peer: &PeerView| {
@@ -69,16 +81,52 @@
                 .is_some_and(|(since, probed)| probed < now.saturating_sub(since));
             !peer.news.stopping && (stop_due || answered)
         };
-        let heir = self.live_peers().find(|(_, peer)| reaches(peer));
-        let Some(heir) = heir.map(|(address, _)| address) else {
-            return;
-        };
-        let epoch = self.highest_epoch;
         let why = if stop_due {
             "planned stop"
         } else {
             "table away"
         };
+        self.yield_to_first(why, reaches);
+    }
+
+    /// Lets a much stronger peer lead: on a site of unlike instances a weak one would keep all
+    /// waiting.
+    fn yield_to_stronger(&mut self) {
+        let Some(lead) = self.lead.as_deref() else {
+            return;
+        };
+        let settled = lead.loaded && self.age(lead.began_at) > SETTLED;
+        if !settled || lead.flight.is_some() {
+            return;
+        }
+        let epoch = lead.epoch;
+        let least = self.settings.strength * MUCH_STRONGER_PERCENT / 100;
+        let own_book = self.applied;
+        let suits = |peer: &PeerView| {
+            let news = &peer.news;
+            let reaches = news
+                .store_age_ms
+                .is_some_and(|age| Duration::from_millis(age) < REACHES_TABLE);
+            let follows = news.epoch == epoch && !news.stopping;
+            peer.strength >= least && reaches && follows && is_up_to_date(peer, own_book)
+        };
+        self.yield_to_first("a stronger instance", suits);
+    }
+
+    /// Lets the first peer lead that suits: one whose book is up to date, then the strongest.
+    fn yield_to_first(&mut self, why: &str, suits: impl Fn(&PeerView) -> bool) {
+        let own_book = self.applied;
+        let heir = self
+            .live_peers()
+            .filter(|(_, peer)| suits(peer))
+            .min_by_key(|(address, peer)| {
+                let behind = !is_up_to_date(peer, own_book);
+                (behind, Reverse(peer.strength), *address)
+            });
+        let Some(heir) = heir.map(|(address, _)| address) else {
+            return;
+        };
+        let epoch = self.highest_epoch;
         self.log("election", "yield", heir.to_string(), why.to_owned());
         self.counters.count("elections", "yielded");
         self.depose(why);
@@ -100,3 +148,8 @@
         self.run_election();
     }
 }
+
+/// Tells whether a peer's book lacks no more batches than may be on their way.
+fn is_up_to_date(peer: &PeerView, own_book: u64) -> bool {
+    peer.news.applied + BATCHES_ON_THEIR_WAY >= own_book
+}
--- a/crates/bankvalve_queue/src/peer.rs
+++ b/crates/bankvalve_queue/src/peer.rs
@@ -16,6 +16,8 @@
 pub struct HeartbeatNews {
     /// Start of the sender's life, milliseconds since 1970.
     pub life: u64,
+    /// Processor that the sender has, in thousandths of a core.
+    pub strength: u64,
     /// Highest epoch that it knows to lead.
     pub epoch: u64,
     /// Who leads in that epoch.
@@ -29,6 +31,10 @@
     /// Milliseconds since the table answered a question that it was asked because of such
     /// trouble; none if it did not.
     pub probe_age_ms: Option<u64>,
+    /// Milliseconds since the table last answered it anything; none if it never did.
+    pub store_age_ms: Option<u64>,
+    /// Number of the last batch of the ledger in its book.
+    pub applied: u64,
     /// Version of its configuration.
     pub table_version: u64,
     /// Whether it stops.
