feat(standin): the users' platform over HTTP, in its own protocol; a site of real processes in tests

Cause: the stand-in held the platform as state machines only, so nothing but the users' bench ran the threads, sockets and codecs of a site.

Change: `bankvalve_platform::counterpart` speaks the other side of each call (table, policy, workers, callers), with one copy of every name; both sides are held against each other in platform/tests/counterpart.rs. `SitePlatform` of the stand-in serves table, policy and workers on one address, with troubles (turns away, silent, answers lost, history forgotten, workers silent). crates/bankvalve/tests/site starts real `serve` processes against it: jobs of steps, one id at all instances at once, gangs, cancels, routes added and removed, bad input by field, a killed leader, all killed, a planned stop, refusals with a time to come back, lost answers, a worker whose hold runs out.

Gangs are plain tasks to this stand-in.

--- /dev/null
+++ b/crates/bankvalve/tests/site/main.rs
@@ -0,0 +1,6 @@
+//! Tests of real processes at a site, against a platform that speaks its own protocol.
+
+mod serving;
+mod stopping;
+mod test_site;
+mod trouble;
--- /dev/null
+++ b/crates/bankvalve/tests/site/test_site.rs
@@ -0,0 +1,329 @@
+//! A site of real `serve` processes and a stand-in platform.
+
+use std::collections::BTreeMap;
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::path::PathBuf;
+use std::process::{Child, Command, ExitStatus, Stdio};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use bankvalve_platform::counterpart;
+use bankvalve_queue::{
+    CallerAnswer, CallerRequest, JobId, JobSpec, JobState, JobTerms, QueueRule, QueueTable,
+    StepSpec, TaskKey, TaskSize, WireCall, WireReply,
+};
+use bankvalve_standin::site::{SeenRun, SitePlatform, SitePolicy};
+use nix::sys::signal::{kill, Signal};
+use nix::unistd::Pid;
+
+/// Longest that anything is waited for; never reached when all goes well.
+pub(crate) const LONGEST: Duration = Duration::from_secs(60);
+/// Service of all queues.
+const SERVICE: &str = "billing";
+/// Time that callers wait, in milliseconds.
+const PATIENCE_MS: u64 = 3_000;
+
+/// A `serve` process.
+pub(crate) struct EntryChild {
+    child: Child,
+    pub(crate) callers: SocketAddr,
+    readiness: SocketAddr,
+    metrics: SocketAddr,
+}
+
+impl Drop for EntryChild {
+    fn drop(&mut self) {
+        // It may have ended already.
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+/// A site of real processes.
+pub(crate) struct TestSite {
+    pub(crate) platform: SitePlatform,
+    pub(crate) entries: Vec<Option<EntryChild>>,
+    pub(crate) rule: QueueRule,
+    folder: tempfile::TempDir,
+}
+
+/// Waits until a condition holds that talks to a process each time.
+pub(crate) fn wait_until(what: &str, mut holds: impl FnMut() -> bool) {
+    let begun = Instant::now();
+    while !holds() {
+        assert!(begun.elapsed() < LONGEST, "not in time: {what}");
+        std::thread::yield_now();
+    }
+}
+
+/// A job with steps of so many tasks, each after the one before.
+pub(crate) fn job_of(id: JobId, payload: &str, counts: &[u32]) -> JobSpec {
+    let steps = counts.iter().enumerate().map(|(number, count)| StepSpec {
+        count: *count,
+        size: TaskSize {
+            millicores: 1_000,
+            memory_mib: 64,
+            accelerators: 0,
+        },
+        estimate_ms: 100,
+        after: (0..number as u16).collect(),
+        ..StepSpec::default()
+    });
+    JobSpec {
+        id,
+        queue: "lookups".into(),
+        payload: payload.into(),
+        steps: steps.collect(),
+        ..JobSpec::default()
+    }
+}
+
+/// Tells whether so many tasks have ended well.
+pub(crate) fn done_tasks(runs: &[SeenRun]) -> usize {
+    let done = |run: &&SeenRun| matches!(run.ended, Some((_, how)) if how == bankvalve_queue::EndKind::Done);
+    runs.iter().filter(done).count()
+}
+
+/// No task runs twice at once, and none after it has ended well.
+pub(crate) fn assert_once(runs: &[SeenRun]) {
+    let mut by_task: BTreeMap<TaskKey, Vec<&SeenRun>> = BTreeMap::new();
+    for run in runs {
+        by_task.entry(run.task).or_default().push(run);
+    }
+    for (task, runs) in by_task {
+        for pair in runs.windows(2) {
+            let ended = pair[0].ended.expect("a later run after one that goes on");
+            assert!(ended.0 <= pair[1].began_ms, "{task} ran twice at once");
+            assert_ne!(ended.1, bankvalve_queue::EndKind::Done, "{task} ran again");
+        }
+    }
+}
+
+impl TestSite {
+    pub(crate) fn start(entries: usize, workers: usize) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+        let policy = SitePolicy {
+            good_percent: 80,
+            valid_ms: 1_500,
+        };
+        let platform = SitePlatform::start(listener, Some(policy)).expect("a platform");
+        for _ in 0..workers {
+            platform.add_worker(SERVICE, 4_000);
+        }
+        let mut site = Self {
+            platform,
+            entries: Vec::new(),
+            rule: rule_of("lookups", "/lookups/"),
+            folder: tempfile::tempdir().expect("a folder"),
+        };
+        site.configure(1, vec![site.rule.clone()]);
+        for index in 0..entries {
+            let child = site.spawn(index);
+            site.entries.push(Some(child));
+        }
+        for index in 0..entries {
+            wait_until("an instance is ready", || site.is_ready(index));
+        }
+        site
+    }
+
+    pub(crate) fn configure(&self, version: u64, rules: Vec<QueueRule>) {
+        let table = QueueTable::new(version, rules, BTreeMap::new());
+        self.platform.configure(table);
+    }
+
+    /// Starts an instance with settings of its own; the system chooses the ports.
+    pub(crate) fn spawn(&self, index: usize) -> EntryChild {
+        let [callers, readiness, peers, metrics] = free_addresses();
+        let file = self.folder.path().join(format!("entry-{index}.jsonc"));
+        let settings = serde_json::json!({
+            "site": { "name": format!("front-{index}"), "domain": "hobart" },
+            "listen": {
+                "callers": callers, "readiness": readiness, "peers": peers, "metrics": metrics
+            },
+            "platform": { "table": self.platform.address(), "policy": self.platform.address() },
+            "bounds_ms": { "hold_limit": 6000, "early": 250, "status": 120000, "stop": 4200 }
+        });
+        std::fs::write(&file, settings.to_string()).expect("settings are written");
+        let child = Command::new(program())
+            .arg("serve")
+            .arg(format!("--settings={}", file.display()))
+            .stdout(Stdio::null())
+            .spawn()
+            .expect("an instance starts");
+        EntryChild {
+            child,
+            callers,
+            readiness,
+            metrics,
+        }
+    }
+
+    pub(crate) fn entry(&self, index: usize) -> &EntryChild {
+        self.entries[index].as_ref().expect("a running instance")
+    }
+
+    pub(crate) fn is_ready(&self, index: usize) -> bool {
+        let call = WireCall {
+            method: "GET",
+            path: (bankvalve_platform::port().ready_path).to_owned(),
+            ..WireCall::default()
+        };
+        matches!(
+            exchange(self.entry(index).readiness, &call),
+            WireReply::Answer { status: 200, .. }
+        )
+    }
+
+    /// The instance that leads, by the instances' own metrics.
+    pub(crate) fn leader(&self) -> Option<usize> {
+        let leads = |entry: &EntryChild| {
+            metrics_of(entry).lines().any(|line| {
+                line.starts_with("bankvalve_state{")
+                    && line.contains("leading")
+                    && line.ends_with(" 1")
+            })
+        };
+        self.entries
+            .iter()
+            .position(|entry| entry.as_ref().is_some_and(leads))
+    }
+
+    pub(crate) fn metrics(&self, index: usize) -> String {
+        metrics_of(self.entry(index))
+    }
+
+    /// Sends SIGKILL and waits for the end.
+    pub(crate) fn kill(&mut self, index: usize) {
+        self.entries[index] = None;
+    }
+
+    pub(crate) fn signal(&self, index: usize, signal: Signal) {
+        let pid = Pid::from_raw(self.entry(index).child.id() as i32);
+        kill(pid, signal).expect("the signal is sent");
+    }
+
+    pub(crate) fn wait_for_end(&mut self, index: usize) -> ExitStatus {
+        let entry = self.entries[index].as_mut().expect("a running instance");
+        entry.child.wait().expect("an end")
+    }
+
+    /// A caller's request at an instance, as it is answered.
+    pub(crate) fn ask(&self, index: usize, request: &CallerRequest) -> WireReply {
+        let call = counterpart::write_request(&self.rule, request);
+        exchange(self.entry(index).callers, &call)
+    }
+
+    /// Hands a job in at any instance, and again until it is accepted.
+    pub(crate) fn submit(&self, spec: JobSpec) {
+        let spec = Arc::new(spec);
+        let request = submission(&spec);
+        let mut turn = spec.id as usize;
+        wait_until("a job is accepted", || {
+            turn += 1;
+            let index = turn % self.entries.len();
+            self.entries[index].is_some()
+                && counterpart::read_answer(&request, &self.ask(index, &request))
+                    == Some(CallerAnswer::Accepted)
+        });
+    }
+
+    pub(crate) fn state(&self, index: usize, job: JobId) -> Option<CallerAnswer> {
+        let request = CallerRequest::Status { job };
+        counterpart::read_answer(&request, &self.ask(index, &request))
+    }
+
+    /// Waits until jobs are shown as succeeded by an instance.
+    pub(crate) fn wait_for_success(&self, index: usize, jobs: impl Iterator<Item = JobId>) {
+        for job in jobs {
+            let wanted = Some(CallerAnswer::State(JobState::Succeeded));
+            wait_until("a job succeeds", || self.state(index, job) == wanted);
+        }
+    }
+}
+
+pub(crate) fn submission(spec: &Arc<JobSpec>) -> CallerRequest {
+    CallerRequest::Submit {
+        spec: spec.clone(),
+        terms: JobTerms::default(),
+    }
+}
+
+pub(crate) fn rule_of(name: &str, prefix: &str) -> QueueRule {
+    QueueRule {
+        name: name.into(),
+        host: "hobart.example".into(),
+        prefix: prefix.into(),
+        terms: JobTerms {
+            service: SERVICE.into(),
+            priority: 1,
+            attempts: 3,
+            stretch: 2.0,
+            target_ms: 500,
+            advice: Some(bankvalve_queue::AdviceRule {
+                decide_ms: 1.0,
+                each_ms: 0.1,
+                valid_ms: 1_500,
+            }),
+        },
+    }
+}
+
+/// Addresses that are free now.
+fn free_addresses() -> [SocketAddr; 4] {
+    let bind = || TcpListener::bind("127.0.0.1:0").expect("a port");
+    let listeners = [bind(), bind(), bind(), bind()];
+    listeners.map(|listener| listener.local_addr().expect("an address"))
+}
+
+fn program() -> PathBuf {
+    PathBuf::from(env!("CARGO_BIN_EXE_bankvalve"))
+}
+
+fn metrics_of(entry: &EntryChild) -> String {
+    let call = WireCall {
+        method: "GET",
+        path: "/metrics".into(),
+        ..WireCall::default()
+    };
+    match exchange(entry.metrics, &call) {
+        WireReply::Answer { body, .. } => String::from_utf8_lossy(&body).into_owned(),
+        WireReply::NotSent | WireReply::NoReply => String::new(),
+    }
+}
+
+/// One call on a connection of its own.
+pub(crate) fn exchange(to: SocketAddr, call: &WireCall) -> WireReply {
+    match exchange_whole(to, call) {
+        Some((status, _, body)) => WireReply::Answer { status, body },
+        None => WireReply::NoReply,
+    }
+}
+
+/// Status, head and body of the answer to a call.
+pub(crate) fn exchange_whole(to: SocketAddr, call: &WireCall) -> Option<(u16, String, Vec<u8>)> {
+    let mut stream = TcpStream::connect(to).ok()?;
+    stream.set_read_timeout(Some(LONGEST)).ok()?;
+    let mut head = format!(
+        "{} {} HTTP/1.1\r\nconnection: close\r\nx-deadline-ms: {PATIENCE_MS}\r\ncontent-length: {}\r\n",
+        call.method,
+        call.path,
+        call.body.len()
+    );
+    if !call.headers.iter().any(|(name, _)| *name == "host") {
+        head.push_str("host: localhost\r\n");
+    }
+    for (name, value) in &call.headers {
+        head.push_str(&format!("{name}: {value}\r\n"));
+    }
+    head.push_str("\r\n");
+    stream.write_all(head.as_bytes()).ok()?;
+    stream.write_all(&call.body).ok()?;
+    let mut answer = Vec::new();
+    stream.read_to_end(&mut answer).ok()?;
+    let end = answer.windows(4).position(|part| part == b"\r\n\r\n")?;
+    let head = String::from_utf8_lossy(&answer[..end]).to_lowercase();
+    let status = head.split_whitespace().nth(1)?.parse().ok()?;
+    Some((status, head, answer[end + 4..].to_vec()))
+}
--- a/crates/bankvalve_queue/src/ids.rs
+++ b/crates/bankvalve_queue/src/ids.rs
@@ -39,6 +39,21 @@
     }
 }
 
+impl std::str::FromStr for StepKey {
+    type Err = ();
+
+    /// Reads what [`fmt::Display`] writes.
+    fn from_str(text: &str) -> Result<Self, ()> {
+        let mut parts = text.splitn(3, '.');
+        let mut next = || parts.next().ok_or(());
+        Ok(StepKey {
+            job: u64::from_str_radix(next()?, 16).map_err(|_| ())?,
+            time: next()?.parse().map_err(|_| ())?,
+            step: next()?.parse().map_err(|_| ())?,
+        })
+    }
+}
+
 impl fmt::Display for StepKey {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(f, "{:016x}.{}.{}", self.job, self.time, self.step)
@@ -75,16 +90,10 @@
     /// assert_eq!(key.to_string(), "5c0e7a21d94b36f8.0.1.17");
     /// ```
     fn from_str(text: &str) -> Result<Self, ()> {
-        let mut parts = text.split('.');
-        let mut next = || parts.next().ok_or(());
-        let job = u64::from_str_radix(next()?, 16).map_err(|_| ())?;
-        let time = next()?.parse().map_err(|_| ())?;
-        let step = next()?.parse().map_err(|_| ())?;
-        let index = next()?.parse().map_err(|_| ())?;
-        if parts.next().is_some() {
-            return Err(());
-        }
-        let step = StepKey { job, time, step };
-        Ok(TaskKey { step, index })
+        let (step, index) = text.rsplit_once('.').ok_or(())?;
+        Ok(TaskKey {
+            step: step.parse()?,
+            index: index.parse().map_err(|_| ())?,
+        })
     }
 }
--- a/crates/bankvalve_standin/src/site/mod.rs
+++ b/crates/bankvalve_standin/src/site/mod.rs
@@ -1,9 +1,12 @@
-//! The users' platform as plain state machines: table, workers and policy.
+//! The users' platform: table, workers and policy as plain state machines, and all three over
+//! HTTP as [`SitePlatform`].
 
+mod site_platform;
 mod site_policy;
 mod site_store;
 mod site_worker;
 
+pub use site_platform::{SeenRun, SitePlatform, StoreTrouble};
 pub use site_policy::SitePolicy;
 pub use site_store::SiteStore;
 pub use site_worker::{SiteRun, SiteWorker, WorkerNews};
