perf(queue): a write keeps up to ten batches, so that a slow table keeps up with the load

Cause: a write held one row of 400 events.

Ruled out: several writes on their way at once, since one part is written in turn; larger rows, since a row has 64 KiB.

Change: a write takes up to ten rows, the first of which must not be there; peers are sent them one by one. The virtual site has a slow table, which the randomised runs draw as a nineteenth kind of trouble.

--- a/crates/bankvalve_check/src/site/site_faults.rs
+++ b/crates/bankvalve_check/src/site/site_faults.rs
@@ -27,6 +27,8 @@
     StoreBusy,
     /// The table is silent.
     StoreSilent,
+    /// The table is slow.
+    StoreSlow,
     /// Answers of the table are lost.
     StoreLost,
     /// Answers of the table are lost and the writes done later.
@@ -47,7 +49,7 @@
 
 impl SiteFault {
     /// All kinds.
-    pub const ALL: [SiteFault; 18] = [
+    pub const ALL: [SiteFault; 19] = [
         SiteFault::KillLeader,
         SiteFault::KillAny,
         SiteFault::KillAll,
@@ -58,6 +60,7 @@
         SiteFault::CutFromPeers,
         SiteFault::StoreBusy,
         SiteFault::StoreSilent,
+        SiteFault::StoreSlow,
         SiteFault::StoreLost,
         SiteFault::StoreLate,
         SiteFault::ForgetHistory,
@@ -101,6 +104,7 @@
                 world.store_away_until = now + span;
                 world.store_silent = self == SiteFault::StoreSilent;
             }
+            SiteFault::StoreSlow => world.store_delay_ms = world.rng.random_range(50..600),
             SiteFault::StoreLost | SiteFault::StoreLate => {
                 world.lost_percent = 30;
                 world.lost_late = self == SiteFault::StoreLate;
@@ -124,6 +128,7 @@
     /// Ends the troubles that last.
     pub fn calm(world: &mut SiteWorld) {
         world.store_away_until = 0;
+        world.store_delay_ms = 0;
         world.lost_percent = 0;
         world.late_orders_percent = 0;
         world.fail_percent = 0;
--- a/crates/bankvalve_check/src/site/site_links.rs
+++ b/crates/bankvalve_check/src/site/site_links.rs
@@ -14,7 +14,7 @@
             CoreAction::Store {
                 ticket, request, ..
             } => {
-                let delay = self.rng.random_range(3..8);
+                let delay = self.rng.random_range(3..8) + self.store_delay_ms;
                 self.after(
                     delay,
                     Later::StoreArrives {
--- a/crates/bankvalve_check/src/site/site_world.rs
+++ b/crates/bankvalve_check/src/site/site_world.rs
@@ -7,7 +7,8 @@
 
 use bankvalve_queue::{
     AdviceRule, CallerAnswer, CallerRequest, CoreEvent, EntryCore, EntrySettings, JobId, JobSpec,
-    JobState, JobTerms, PeerAddress, QueueRule, QueueTable, StoreRequest, Ticket, WorkerId,
+    JobState, JobTerms, PeerAddress, QueueRule, QueueTable, StoreRequest, Ticket,
+    WorkerId,
 };
 use bankvalve_standin::site::{SitePolicy, SiteStore, SiteWorker};
 use rand::SeedableRng;
@@ -163,6 +164,8 @@
     pub store_away_until: u64,
     /// Whether it is silent then; else it refuses.
     pub store_silent: bool,
+    /// Time that the table takes for each request, besides the usual, in milliseconds.
+    pub store_delay_ms: u64,
     /// Share of writes whose answer is lost, in percent.
     pub lost_percent: u32,
     /// Whether such writes are done only later.
@@ -211,6 +214,7 @@
             rules: RuleBook::default(),
             store_away_until: 0,
             store_silent: false,
+            store_delay_ms: 0,
             lost_percent: 0,
             lost_late: false,
             late_orders_percent: 0,
--- a/crates/bankvalve_check/tests/site.rs
+++ b/crates/bankvalve_check/tests/site.rs
@@ -432,3 +432,18 @@
     assert!(world.leader().is_some());
     assert_eq!(world.shown.len(), 19);
 }
+
+#[test]
+fn a_slow_table_keeps_all_that_waits_in_one_write() {
+    let mut world = world(35);
+    world.store_delay_ms = 480;
+    // Some 2,600 events: more than one row holds, and more than a few slow writes of one row.
+    for job in 1..=1_300 {
+        world.submit(job_of(job, QUEUE, &[1], false));
+    }
+    world.run_until(3_000);
+    assert_eq!(world.rules.accepted().len(), 1_300);
+    world.store_delay_ms = 0;
+    world.run_until(4_000);
+    assert_kept(&world);
+}
--- a/crates/bankvalve_queue/src/core/commit.rs
+++ b/crates/bankvalve_queue/src/core/commit.rs
@@ -1,5 +1,6 @@
 //! Keeping the ledger: events are gathered and written under the leader's row.
 
+use std::collections::VecDeque;
 use std::time::Duration;
 
 use super::following::batch_key;
@@ -11,8 +12,11 @@
 use crate::peer::{PeerAddress, PeerMessage};
 use crate::store::{RowCondition, RowKey, RowWrite, StoreOutcome, StoreRequest, StoredRow};
 
-/// Most events in one batch.
+/// Most events in one batch, which is a row.
 const BATCH_EVENTS: usize = 400;
+/// Most rows in one write, of 64 KiB each in the table's encoding: well below the 1 MB that a
+/// transaction takes. A slow table takes some half a second for a write, however long it is.
+const WRITE_ROWS: usize = 10;
 /// Share of the longest row that a batch may take, since values grow when they are encoded.
 const ROW_SHARE: usize = 2;
 /// Time between the starts of two commits: events that come meanwhile go together.
@@ -56,11 +60,13 @@
     pub(super) effect: Effect,
 }
 
-/// A batch that is being written.
+/// Batches that are being written.
 #[derive(Debug)]
 pub(super) struct CommitFlight {
+    /// Number of the first batch.
     pub(super) sequence: u64,
-    pub(super) bytes: Vec<u8>,
+    /// The batches, encoded.
+    pub(super) rows: Vec<Vec<u8>>,
     pub(super) events: Vec<LedgerEvent>,
     /// What follows, and whether it came with an event.
     pub(super) effects: Vec<(bool, Effect)>,
@@ -145,28 +151,26 @@
         if lead.pending.is_empty() || now < lead.next_commit_at {
             return;
         }
+        let mut rows = Vec::new();
         let mut events = Vec::new();
         let mut effects = Vec::new();
-        let mut bytes = 0;
-        while let Some(proposal) = lead.pending.front() {
-            bytes += proposal.event.as_ref().map_or(0, rough_bytes);
-            if events.len() >= BATCH_EVENTS || (bytes > row_bytes && !events.is_empty()) {
+        while rows.len() < WRITE_ROWS && !lead.pending.is_empty() {
+            let batch = take_batch(&mut lead.pending, row_bytes, &mut effects);
+            if batch.events.is_empty() {
                 break;
             }
-            let proposal = lead.pending.pop_front().expect("it was just seen");
-            effects.push((proposal.event.is_some(), proposal.effect));
-            events.extend(proposal.event);
+            rows.push(batch.encode());
+            events.extend(batch.events);
         }
         if events.is_empty() {
             self.run_effects(effects);
             return;
         }
         lead.next_commit_at = now + COMMIT_PACE;
-        let batch = LedgerBatch { events };
         lead.flight = Some(CommitFlight {
             sequence: lead.sequence + 1,
-            bytes: batch.encode(),
-            events: batch.events,
+            rows,
+            events,
             effects,
             since: now,
             copies: 1,
@@ -186,22 +190,25 @@
             return;
         };
         let leader = RowKey::new(CELL_TABLE, LEAD_PART, "leader");
-        let row = RowKey::new(LEDGER_TABLE, LEAD_PART, batch_key(flight.sequence));
+        let numbered = flight.sequence..;
+        let writes = numbered.zip(&flight.rows).map(|(sequence, row)| RowWrite {
+            key: batch_row(sequence),
+            value: row.clone(),
+        });
+        let conditions = [
+            RowCondition {
+                key: leader,
+                version: lead.row_version,
+            },
+            // The others follow it in the same write, so it stands for all of them.
+            RowCondition {
+                key: batch_row(flight.sequence),
+                version: 0,
+            },
+        ];
         let request = StoreRequest::Transact {
-            conditions: vec![
-                RowCondition {
-                    key: leader,
-                    version: lead.row_version,
-                },
-                RowCondition {
-                    key: row.clone(),
-                    version: 0,
-                },
-            ],
-            writes: vec![RowWrite {
-                key: row,
-                value: flight.bytes.clone(),
-            }],
+            conditions: conditions.into(),
+            writes: writes.collect(),
             removals: Vec::new(),
         };
         self.counters.count("commits", "sent");
@@ -265,11 +272,11 @@
         let Some(flight) = lead.flight.take() else {
             return;
         };
-        lead.sequence = flight.sequence;
+        lead.sequence = flight.sequence + flight.rows.len() as u64 - 1;
         lead.confirmed_at = now;
         lead.note_store_answer();
         lead.away_since = None;
-        self.applied = flight.sequence;
+        self.applied = lead.sequence;
         for job in flight.events.iter().map(LedgerEvent::job) {
             if let Some(count) = lead.uncommitted.get_mut(&job) {
                 *count -= 1;
@@ -281,12 +288,14 @@
         let epoch = lead.epoch;
         self.counters.count("commits", "kept");
         for peer in self.live_standbys() {
-            let message = PeerMessage::Committed {
-                epoch,
-                sequence: flight.sequence,
-                batch: flight.bytes.clone(),
-            };
-            self.tell(peer, message);
+            for (sequence, row) in (flight.sequence..).zip(&flight.rows) {
+                let message = PeerMessage::Committed {
+                    epoch,
+                    sequence,
+                    batch: row.clone(),
+                };
+                self.tell(peer, message);
+            }
         }
         self.run_effects(flight.effects);
     }
@@ -352,15 +361,40 @@
     }
 }
 
+fn batch_row(sequence: u64) -> RowKey {
+    RowKey::new(LEDGER_TABLE, LEAD_PART, batch_key(sequence))
+}
+
+/// Takes as many events as one row holds, with what follows when they are kept.
+fn take_batch(
+    pending: &mut VecDeque<Proposal>,
+    row_bytes: usize,
+    effects: &mut Vec<(bool, Effect)>,
+) -> LedgerBatch {
+    let mut batch = LedgerBatch::default();
+    let mut bytes = 0;
+    while let Some(proposal) = pending.front() {
+        bytes += proposal.event.as_ref().map_or(0, rough_bytes);
+        let full = bytes > row_bytes && !batch.events.is_empty();
+        if batch.events.len() >= BATCH_EVENTS || full {
+            break;
+        }
+        let proposal = pending.pop_front().expect("it was just seen");
+        effects.push((proposal.event.is_some(), proposal.effect));
+        batch.events.extend(proposal.event);
+    }
+    batch
+}
+
 /// Tells whether the rows of a conflict show that an earlier copy of the write was done.
 fn own_batch_stands(rows: &[StoredRow], flight: &CommitFlight, row_version: u64) -> bool {
-    let key = batch_key(flight.sequence);
+    let key = batch_row(flight.sequence);
     let leader_stands = rows
         .iter()
         .any(|row| row.key.table == CELL_TABLE && row.version == row_version);
-    let batch_stands = rows.iter().any(|row| {
-        row.key.table == LEDGER_TABLE && row.key.key == key && row.value == flight.bytes
-    });
+    let batch_stands = rows
+        .iter()
+        .any(|row| row.key == key && row.value == flight.rows[0]);
     leader_stands && batch_stands
 }
 
