test(queue): seven guards of a site that can be taken away, each noticed by the randomised runs

Cause: nothing showed that the randomised runs of a site would notice a missing guard, and two they did not: a job said to be refused though its write may have been done (callers always asked again, so it was accepted in the end), and a run given up by an older list (all answers took the same time).

In the drawn worlds one caller in three leaves when its job is refused, and one answer of a worker in sixteen is slow, so that answers pass each other.

--- a/crates/bankvalve/src/entry/entry_process.rs
+++ b/crates/bankvalve/src/entry/entry_process.rs
@@ -117,6 +117,7 @@
         early: Duration::from_millis(bounds.early),
         status_time: Duration::from_millis(bounds.status),
         row_bytes: settings.limits.row_bytes as usize,
+        broken: None,
     }
 }
 
--- a/crates/bankvalve_check/src/command/mod.rs
+++ b/crates/bankvalve_check/src/command/mod.rs
@@ -3,6 +3,7 @@
 use std::process::ExitCode;
 
 use bankvalve_cell::owner::GuardName;
+use bankvalve_queue::SiteGuard;
 use bpaf::Bpaf;
 
 use crate::measure::{run_decisions, run_measure};
@@ -36,6 +37,9 @@
         /// Events that are to happen at least
         #[bpaf(argument("N"), fallback(1_000_000))]
         events: u64,
+        /// Take a guard away and expect to fail; `list` names the guards
+        #[bpaf(long("break"), argument("NAME"), optional)]
+        guard: Option<String>,
     },
     /// Measures waiting, packing and control cost under virtual time, beside baselines
     #[bpaf(command)]
@@ -67,7 +71,11 @@
             events,
             guard,
         } => random(seed, events, guard.as_deref()),
-        CheckCommand::Site { seed, events } => run_site_random(seed, events),
+        CheckCommand::Site {
+            seed,
+            events,
+            guard,
+        } => site(seed, events, guard.as_deref()),
         CheckCommand::Measure { seed, profile } => run_measure(&profile, seed),
         CheckCommand::Decide => run_decisions(),
         CheckCommand::Slopes { folder } => run_slopes(&folder),
@@ -75,21 +83,38 @@
 }
 
 fn random(seed: u64, events: u64, guard: Option<&str>) -> ExitCode {
-    let Some(name) = guard else {
-        return run_random(seed, events, None);
+    let names = GuardName::ALL.iter().map(|guard| (guard.as_str(), *guard));
+    match guard_named(guard, names) {
+        Ok(guard) => run_random(seed, events, guard),
+        Err(code) => code,
+    }
+}
+
+fn site(seed: u64, events: u64, guard: Option<&str>) -> ExitCode {
+    let names = SiteGuard::ALL.map(|guard| (guard.as_str(), guard));
+    match guard_named(guard, names.into_iter()) {
+        Ok(guard) => run_site_random(seed, events, guard),
+        Err(code) => code,
+    }
+}
+
+/// The guard that is to be taken away; `list` prints the names and ends the command.
+fn guard_named<Guard>(
+    name: Option<&str>,
+    mut guards: impl Iterator<Item = (&'static str, Guard)>,
+) -> Result<Option<Guard>, ExitCode> {
+    let Some(name) = name else {
+        return Ok(None);
     };
     if name == "list" {
-        for guard in GuardName::ALL {
-            println!("{}", guard.as_str());
-        }
-        return ExitCode::SUCCESS;
+        guards.for_each(|(known, _)| println!("{known}"));
+        return Err(ExitCode::SUCCESS);
     }
-    let found = GuardName::ALL.iter().find(|guard| guard.as_str() == name);
-    match found {
-        Some(guard) => run_random(seed, events, Some(*guard)),
+    match guards.find(|(known, _)| *known == name) {
+        Some((_, guard)) => Ok(Some(guard)),
         None => {
             eprintln!("error: --break: expected a name that --break list prints, found {name}");
-            ExitCode::from(2)
+            Err(ExitCode::from(2))
         }
     }
 }
--- a/crates/bankvalve_check/src/site/mod.rs
+++ b/crates/bankvalve_check/src/site/mod.rs
@@ -11,6 +11,6 @@
 
 pub use site_faults::SiteFault;
 pub use site_jobs::job_of;
-pub use site_random::{run_site_episode, run_site_random, SiteReport};
+pub use site_random::{run_broken_episode, run_site_episode, run_site_random, SiteReport};
 pub use site_rules::{RuleBook, RuleBreach};
 pub use site_world::{SiteNode, SitePlan, SiteWorld, QUEUE, URGENT_QUEUE};
--- a/crates/bankvalve_check/src/site/site_calls.rs
+++ b/crates/bankvalve_check/src/site/site_calls.rs
@@ -11,6 +11,8 @@
 
 /// How long callers wait for an answer.
 const PATIENCE_MS: u64 = 3_000;
+/// One caller in so many leaves when its job is refused.
+const LEAVING: u32 = 3;
 
 impl SiteWorld {
     /// A caller hands a job in, and asks how it stands until it is over.
@@ -90,6 +92,8 @@
                 self.rules.attempt_ended(job, accepted, refused);
                 if accepted {
                     self.after(300, Later::Ask { job });
+                } else if refused && self.callers_leave && self.rng.random_range(0..LEAVING) == 0 {
+                    // It was told that the job does not run, and leaves.
                 } else if tries < 12 {
                     let tries = tries + 1;
                     self.after(500, Later::Submit { job, tries });
--- a/crates/bankvalve_check/src/site/site_random.rs
+++ b/crates/bankvalve_check/src/site/site_random.rs
@@ -4,7 +4,7 @@
 use std::process::ExitCode;
 use std::time::Instant;
 
-use bankvalve_queue::JobState;
+use bankvalve_queue::{JobState, SiteGuard};
 use rand::Rng;
 
 use super::{job_of, RuleBreach, SiteFault, SitePlan, SiteWorld, QUEUE, URGENT_QUEUE};
@@ -35,6 +35,11 @@
 
 /// Runs one episode: troubles of the kinds given strike a site under load.
 pub fn run_site_episode(seed: u64, kinds: &[SiteFault]) -> SiteReport {
+    run_broken_episode(seed, kinds, None)
+}
+
+/// Runs one episode with a guard taken away.
+pub fn run_broken_episode(seed: u64, kinds: &[SiteFault], broken: Option<SiteGuard>) -> SiteReport {
     // Each fourth site has more instances than are near each other, and unlike ones.
     let large = seed % 4 == 3;
     let strengths = [120, 120, 500, 120, 120, 500, 120, 500, 120];
@@ -51,8 +56,10 @@
             Vec::new()
         },
         workers: 12,
+        broken,
         good_percent: (seed % 2 == 0).then_some(85),
     });
+    world.callers_leave = true;
     let mut faults = BTreeMap::new();
     let mut next_fault = FIRST_MS + world.rng.random_range(0..2_000);
     let mut job = seed.wrapping_mul(1_000_000);
@@ -133,15 +140,15 @@
     }
 }
 
-/// Runs episodes from a seed until so many events have happened.
-pub fn run_site_random(seed: u64, events: u64) -> ExitCode {
+/// Runs episodes from a seed until so many events have happened, with a guard taken away if asked.
+pub fn run_site_random(seed: u64, events: u64, broken: Option<SiteGuard>) -> ExitCode {
     let begun = Instant::now();
     let (mut done, mut starts, mut accepted) = (0, 0, 0);
     let (mut passed, mut failed) = (0, 0);
     let mut faults: BTreeMap<SiteFault, u64> = BTreeMap::new();
     let mut number = seed;
     while done < events {
-        let report = run_site_episode(number, &SiteFault::ALL);
+        let report = run_broken_episode(number, &SiteFault::ALL, broken);
         done += report.events;
         starts += report.starts;
         accepted += report.accepted;
--- a/crates/bankvalve_check/src/site/site_workers.rs
+++ b/crates/bankvalve_check/src/site/site_workers.rs
@@ -9,6 +9,9 @@
 use super::site_jobs::plan_of;
 use super::site_world::{Later, SiteWorld, SERVICE};
 
+/// One answer of a worker in so many is slow.
+const SLOW_ANSWERS: u32 = 16;
+
 impl SiteWorld {
     pub(super) fn add_worker(&mut self, address: String) {
         self.lives += 1;
@@ -96,7 +99,14 @@
         };
         self.worker_time(address);
         let event = CoreEvent::Worker { ticket, answer };
-        self.after(2, Later::Event { node, life, event });
+        // Answers pass each other now and then.
+        let slow = self.rng.random_range(0..SLOW_ANSWERS) == 0;
+        let delay = if slow {
+            self.rng.random_range(3..60)
+        } else {
+            2
+        };
+        self.after(delay, Later::Event { node, life, event });
     }
 
     /// Lets a worker's runs go on, and checks what happened.
--- a/crates/bankvalve_check/src/site/site_world.rs
+++ b/crates/bankvalve_check/src/site/site_world.rs
@@ -7,7 +7,7 @@
 
 use bankvalve_queue::{
     AdviceRule, CallerAnswer, CallerRequest, CoreEvent, EntryCore, EntrySettings, JobId, JobSpec,
-    JobState, JobTerms, PeerAddress, QueueRule, QueueTable, StoreRequest, Ticket,
+    JobState, JobTerms, PeerAddress, QueueRule, QueueTable, SiteGuard, StoreRequest, Ticket,
     WorkerId,
 };
 use bankvalve_standin::site::{SitePolicy, SiteStore, SiteWorker};
@@ -34,6 +34,8 @@
     pub entries: usize,
     /// Processors of the instances, in thousandths of a core; those not named have a whole one.
     pub strengths: Vec<u64>,
+    /// Guard that all instances lack; none but in checks of the checks.
+    pub broken: Option<SiteGuard>,
     /// Workers.
     pub workers: usize,
     /// Share of workers that the policy finds good, in percent; none without a policy.
@@ -176,6 +178,8 @@
     pub fail_percent: u32,
     /// Until when a worker is cut off, by address.
     pub worker_cut_until: BTreeMap<String, u64>,
+    /// Whether some callers leave when their job is refused, in place of asking again.
+    pub callers_leave: bool,
     /// Events so far.
     pub events: u64,
     /// Messages that each instance sent to peers.
@@ -220,6 +224,7 @@
             late_orders_percent: 0,
             fail_percent: 0,
             worker_cut_until: BTreeMap::new(),
+            callers_leave: false,
             events: 0,
             peer_messages: BTreeMap::new(),
             plan,
@@ -279,6 +284,7 @@
         node.started_ms = now;
         let mut settings = EntrySettings::example(node.address);
         settings.life = WALL_START + now + node.life;
+        settings.broken = self.plan.broken;
         if let Some(strength) = self.plan.strengths.get(number) {
             settings.strength = *strength;
         }
--- a/crates/bankvalve_check/tests/site.rs
+++ b/crates/bankvalve_check/tests/site.rs
@@ -3,15 +3,17 @@
 use std::sync::Arc;
 
 use bankvalve_check::site::{
-    job_of, run_site_episode, SiteFault, SitePlan, SiteWorld, QUEUE, URGENT_QUEUE,
+    job_of, run_broken_episode, run_site_episode, SiteFault, SitePlan, SiteWorld, QUEUE,
+    URGENT_QUEUE,
 };
-use bankvalve_queue::{JobState, StepSpec};
+use bankvalve_queue::{JobState, SiteGuard, StepSpec};
 
 fn world(seed: u64) -> SiteWorld {
     let mut world = SiteWorld::new(SitePlan {
         seed,
         entries: 3,
         strengths: Vec::new(),
+        broken: None,
         workers: 4,
         good_percent: None,
     });
@@ -373,6 +375,7 @@
         seed,
         entries,
         strengths: (0..entries).map(strength).collect(),
+        broken: None,
         workers: 4,
         good_percent: None,
     });
@@ -447,3 +450,25 @@
     world.run_until(4_000);
     assert_kept(&world);
 }
+
+#[test]
+fn a_guard_that_is_taken_away_is_noticed() {
+    // With the first seed that notices it; some of the next ones do if the drawn world changes.
+    let guards = [
+        (SiteGuard::LedgerFirst, 5),
+        (SiteGuard::OwnRow, 17),
+        (SiteGuard::KeptEnds, 1),
+        (SiteGuard::HoldOver, 1),
+        (SiteGuard::StopsCount, 1),
+        (SiteGuard::SureRefusal, 18),
+        (SiteGuard::NewerList, 1),
+    ];
+    assert_eq!(guards.map(|(guard, _)| guard), SiteGuard::ALL);
+    for (guard, first) in guards {
+        let noticed = (first..first + 40).any(|seed| {
+            let report = run_broken_episode(seed, &SiteFault::ALL, Some(guard));
+            !report.breaches.is_empty()
+        });
+        assert!(noticed, "nothing notices that {} is gone", guard.as_str());
+    }
+}
--- a/crates/bankvalve_queue/src/core/commit.rs
+++ b/crates/bankvalve_queue/src/core/commit.rs
@@ -7,6 +7,7 @@
 use super::store_link::{StorePurpose, CELL_TABLE, LEAD_PART, LEDGER_TABLE};
 use super::EntryCore;
 use crate::caller::CallerAnswer;
+use crate::guard::SiteGuard;
 use crate::ids::{CoreTime, TaskKey, Ticket, WorkerId};
 use crate::ledger::{LedgerBatch, LedgerEvent};
 use crate::peer::{PeerAddress, PeerMessage};
@@ -190,6 +191,7 @@
             return;
         };
         let leader = RowKey::new(CELL_TABLE, LEAD_PART, "leader");
+        let fenced = self.keeps(SiteGuard::OwnRow);
         let numbered = flight.sequence..;
         let writes = numbered.zip(&flight.rows).map(|(sequence, row)| RowWrite {
             key: batch_row(sequence),
@@ -207,7 +209,7 @@
             },
         ];
         let request = StoreRequest::Transact {
-            conditions: conditions.into(),
+            conditions: conditions.into_iter().filter(|_| fenced).collect(),
             writes: writes.collect(),
             removals: Vec::new(),
         };
--- a/crates/bankvalve_queue/src/core/entry_core.rs
+++ b/crates/bankvalve_queue/src/core/entry_core.rs
@@ -9,6 +9,7 @@
 use super::store_link::{StorePurpose, WatchState};
 use crate::caller::{CallerAnswer, ResolvedRequest};
 use crate::decision::{DecisionLine, EntryCounters, EntryView};
+use crate::guard::SiteGuard;
 use crate::ids::{CoreTime, FenceToken, Ticket, WallMillis, WorkerId};
 use crate::ledger::JobBook;
 use crate::peer::{PeerAddress, PeerMessage};
@@ -46,6 +47,8 @@
     pub status_time: Duration,
     /// Longest value of a row, in bytes before encoding.
     pub row_bytes: usize,
+    /// Guard that is taken away; none but in checks.
+    pub broken: Option<SiteGuard>,
 }
 
 impl EntrySettings {
@@ -59,6 +62,7 @@
             early: Duration::from_millis(250),
             status_time: Duration::from_secs(120),
             row_bytes: 65_536,
+            broken: None,
         }
     }
 }
@@ -371,6 +375,11 @@
         }));
     }
 
+    /// Tells whether a guard stands.
+    pub(super) fn keeps(&self, guard: SiteGuard) -> bool {
+        self.settings.broken != Some(guard)
+    }
+
     /// Time since the instance started.
     pub(super) fn uptime(&self) -> Duration {
         self.now.saturating_sub(TIME_BASE)
--- a/crates/bankvalve_queue/src/core/holds.rs
+++ b/crates/bankvalve_queue/src/core/holds.rs
@@ -7,6 +7,7 @@
 use super::seat::{LiveRun, RunPhase, Seat};
 use super::EntryCore;
 use crate::core::CoreAction;
+use crate::guard::SiteGuard;
 use crate::ids::{CoreTime, TaskKey, Ticket, WorkerId};
 use crate::job::StepSpec;
 use crate::ledger::{EndKind, LedgerEvent, TaskPhase};
@@ -93,6 +94,9 @@
 
     /// Tells whether all that runs on a silent worker has surely ended.
     fn is_over(&self, seat: &Seat) -> bool {
+        if !self.keeps(SiteGuard::HoldOver) {
+            return true;
+        }
         if seat.proved {
             return seat.hold_is_over(self.now);
         }
@@ -272,6 +276,7 @@
 
     fn take_end(&mut self, id: &WorkerId, end: &EndReport) {
         let now = self.now;
+        let kept_first = self.keeps(SiteGuard::KeptEnds);
         let Some(lead) = self.lead.as_deref_mut() else {
             return;
         };
@@ -282,6 +287,9 @@
             return;
         }
         seat.seen = end.number;
+        if !kept_first {
+            seat.kept = end.number;
+        }
         lead.stale = true;
         let held = seat
             .runs
@@ -405,6 +413,7 @@
 
     /// Runs that are in neither list never began, or are gone.
     fn settle_missing(&mut self, id: &WorkerId, sent_at: CoreTime, report: &HoldReport) {
+        let newer = self.keeps(SiteGuard::NewerList);
         let Some(lead) = self.lead.as_deref_mut() else {
             return;
         };
@@ -423,9 +432,9 @@
                 RunPhase::Adopted => true,
                 RunPhase::Stopping {
                     confirmed: Some(at),
-                } => at < sent_at,
+                } => at < sent_at || !newer,
                 // It was confirmed before the worker was asked, so the list is newer.
-                RunPhase::Running { since } => since < sent_at,
+                RunPhase::Running { since } => since < sent_at || !newer,
                 _ => false,
             };
             if settled && !listed(task, live.run) {
--- a/crates/bankvalve_queue/src/core/lead.rs
+++ b/crates/bankvalve_queue/src/core/lead.rs
@@ -8,6 +8,7 @@
 use super::seat::{LiveRun, Seat};
 use super::waiting::WaitingStep;
 use super::EntryCore;
+use crate::guard::SiteGuard;
 use crate::ids::{CoreTime, JobId, StepKey, TaskKey, Ticket, WallMillis, WorkerId};
 use crate::job::TaskSize;
 use crate::ledger::JobOutcome;
@@ -178,7 +179,8 @@
         }
         self.run_confirm();
         // Ends must not be taken before the jobs that they belong to are known.
-        if self.lead.as_ref().is_some_and(|lead| lead.loaded) {
+        let loaded = self.lead.as_ref().is_some_and(|lead| lead.loaded);
+        if loaded || !self.keeps(SiteGuard::LedgerFirst) {
             self.run_holds();
             self.open_due_times();
             self.run_orders();
--- a/crates/bankvalve_queue/src/core/orders.rs
+++ b/crates/bankvalve_queue/src/core/orders.rs
@@ -6,6 +6,7 @@
 use super::lead::CallPurpose;
 use super::seat::RunPhase;
 use super::EntryCore;
+use crate::guard::SiteGuard;
 use crate::ids::{TaskKey, WorkerId};
 use crate::ledger::{EndKind, JobOutcome, TaskPhase};
 use crate::worker::{StartOrder, StartRefusal, WorkerAnswer, WorkerCall};
@@ -199,6 +200,8 @@
 
     /// Stops a run; its end, or its absence from the lists, frees the room.
     pub(super) fn begin_stop_run(&mut self, id: &WorkerId, task: TaskKey) {
+        let now = self.now;
+        let counts = self.keeps(SiteGuard::StopsCount);
         let Some(lead) = self.lead.as_deref_mut() else {
             return;
         };
@@ -212,8 +215,18 @@
             _ => {}
         }
         live.phase = RunPhase::Stopping { confirmed: None };
-        live.next_at = self.now;
+        live.next_at = now;
         live.busy = false;
+        if counts {
+            return;
+        }
+        let seat = self
+            .lead
+            .as_deref_mut()
+            .and_then(|lead| lead.seats.get_mut(id));
+        if let Some(seat) = seat {
+            seat.free_room(&task);
+        }
     }
 
     /// Repeats orders that have no answer.
--- a/crates/bankvalve_queue/src/core/seat.rs
+++ b/crates/bankvalve_queue/src/core/seat.rs
@@ -216,6 +216,14 @@
         Some(run)
     }
 
+    /// Counts a run's room as free while the run is still there.
+    pub(super) fn free_room(&mut self, task: &TaskKey) {
+        if let Some(run) = self.runs.get_mut(task) {
+            self.used = self.used.minus(&run.room);
+            run.room = TaskSize::default();
+        }
+    }
+
     /// Forgets the runs of a job of which nothing was ever sent.
     pub(super) fn drop_job(&mut self, job: JobId) {
         let tasks: Vec<TaskKey> = self
--- a/crates/bankvalve_queue/src/core/withdraw.rs
+++ b/crates/bankvalve_queue/src/core/withdraw.rs
@@ -5,6 +5,7 @@
 use super::commit::{Effect, Proposal};
 use super::EntryCore;
 use crate::caller::{CallerAnswer, RefusalReason};
+use crate::guard::SiteGuard;
 use crate::ledger::LedgerEvent;
 
 /// When a caller may come back whose job was not kept, in milliseconds.
@@ -19,12 +20,13 @@
         if !self.store_is_away() {
             return;
         }
+        let sure = self.keeps(SiteGuard::SureRefusal);
         let Some(lead) = self.lead.as_deref_mut() else {
             return;
         };
         let mut unknown = Vec::new();
         if let Some(flight) = lead.flight.as_mut() {
-            if flight.uncertain {
+            if flight.uncertain && sure {
                 for (_, effect) in &mut flight.effects {
                     if matches!(effect, Effect::Answer(..)) {
                         unknown.push(std::mem::replace(effect, Effect::None));
--- /dev/null
+++ b/crates/bankvalve_queue/src/guard.rs
@@ -0,0 +1,60 @@
+//! The guards on which the platform's rules rest, so that a check can take one away.
+
+/// A guard that can be taken away to show that its absence is noticed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum SiteGuard {
+    /// A new leader takes no ends before it has read the whole ledger.
+    LedgerFirst,
+    /// A write requires the leader's own row, and that its batch is not there.
+    OwnRow,
+    /// An end is acknowledged only once it is kept.
+    KeptEnds,
+    /// A silent worker's tasks are given up only when its hold is surely over.
+    HoldOver,
+    /// Room of a run that is being stopped is free only when it has ended.
+    StopsCount,
+    /// Of a job whose write may have been done it is not said that it never runs.
+    SureRefusal,
+    /// A run that a list lacks is gone only if the list was asked for after the run was confirmed.
+    NewerList,
+}
+
+impl SiteGuard {
+    /// All guards.
+    pub const ALL: [SiteGuard; 7] = [
+        SiteGuard::LedgerFirst,
+        SiteGuard::OwnRow,
+        SiteGuard::KeptEnds,
+        SiteGuard::HoldOver,
+        SiteGuard::StopsCount,
+        SiteGuard::SureRefusal,
+        SiteGuard::NewerList,
+    ];
+
+    /// Name used on the command line.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use bankvalve_queue::SiteGuard;
+    ///
+    /// assert_eq!(SiteGuard::named("own-row"), Some(SiteGuard::OwnRow));
+    /// assert_eq!(SiteGuard::OwnRow.as_str(), "own-row");
+    /// ```
+    pub fn as_str(self) -> &'static str {
+        match self {
+            SiteGuard::LedgerFirst => "ledger-first",
+            SiteGuard::OwnRow => "own-row",
+            SiteGuard::KeptEnds => "kept-ends",
+            SiteGuard::HoldOver => "hold-over",
+            SiteGuard::StopsCount => "stops-count",
+            SiteGuard::SureRefusal => "sure-refusal",
+            SiteGuard::NewerList => "newer-list",
+        }
+    }
+
+    /// The guard of a name.
+    pub fn named(name: &str) -> Option<Self> {
+        Self::ALL.into_iter().find(|guard| guard.as_str() == name)
+    }
+}
--- a/crates/bankvalve_queue/src/lib.rs
+++ b/crates/bankvalve_queue/src/lib.rs
@@ -11,6 +11,7 @@
 mod caller;
 mod core;
 mod decision;
+mod guard;
 mod ids;
 mod job;
 mod ledger;
@@ -23,6 +24,7 @@
 pub use caller::{CallerAnswer, CallerRequest, JobState, RefusalReason, ResolvedRequest};
 pub use core::{CoreAction, CoreEvent, EntryCore, EntrySettings};
 pub use decision::{DecisionLine, EntryCounters, EntryView};
+pub use guard::SiteGuard;
 pub use ids::{CoreTime, FenceToken, JobId, RunId, StepKey, TaskKey, Ticket, WallMillis, WorkerId};
 pub use job::{JobProblem, JobSpec, JobTerms, StepSpec, TaskSize};
 pub use ledger::{
