feat(check): `trace` reads decision logs and tells where the time of jobs goes

Change: `ledger over` when the end of a job is kept, `callers shown` with each answer that shows an end; `bankvalve_check trace FILE... [--plot SVG]` prints p50 and p99 of wait, order, run, keep, show and the whole by queue, jobs of 16 tasks or more apart.

--- a/crates/bankvalve_check/src/command/mod.rs
+++ b/crates/bankvalve_check/src/command/mod.rs
@@ -10,6 +10,7 @@
 use crate::random::run_random;
 use crate::site::run_site_random;
 use crate::slopes::run_slopes;
+use crate::trace::run_trace;
 
 /// Checks and measures bankvalve's decisions
 #[derive(Clone, Debug, Bpaf)]
@@ -41,6 +42,16 @@
         #[bpaf(long("break"), argument("NAME"), optional)]
         guard: Option<String>,
     },
+    /// Reads the decision logs of a run and tells where the time of jobs goes
+    #[bpaf(command)]
+    Trace {
+        /// File to draw the medians to, as SVG
+        #[bpaf(argument("FILE"), optional)]
+        plot: Option<String>,
+        /// Logs, of as many instances as there are
+        #[bpaf(positional("FILE"), many)]
+        files: Vec<String>,
+    },
     /// Measures waiting, packing and control cost under virtual time, beside baselines
     #[bpaf(command)]
     Measure {
@@ -76,6 +87,7 @@
             events,
             guard,
         } => site(seed, events, guard.as_deref()),
+        CheckCommand::Trace { files, plot } => run_trace(&files, plot.as_deref()),
         CheckCommand::Measure { seed, profile } => run_measure(&profile, seed),
         CheckCommand::Decide => run_decisions(),
         CheckCommand::Slopes { folder } => run_slopes(&folder),
--- a/crates/bankvalve_check/src/lib.rs
+++ b/crates/bankvalve_check/src/lib.rs
@@ -3,7 +3,7 @@
 //! [`world::CellWorld`] holds many entry instances, the platform and the
 //! workers in one process. [`random::run_episode`] lets faults strike it
 //! and checks the history; [`history`] holds the checks. [`site`] does the same
-//! for entry instances on the users' platform.
+//! for entry instances on the users' platform. [`trace`] reads the logs of real runs.
 
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
@@ -16,4 +16,5 @@
 pub mod random;
 pub mod site;
 pub mod slopes;
+pub mod trace;
 pub mod world;
--- a/crates/bankvalve_queue/src/core/callers.rs
+++ b/crates/bankvalve_queue/src/core/callers.rs
@@ -273,6 +273,14 @@
             }
             state => state,
         };
+        if !matches!(state, JobState::Pending | JobState::Running) {
+            self.log(
+                "callers",
+                "shown",
+                format!("{job:016x}"),
+                format!("{state:?}"),
+            );
+        }
         self.answer(origin, CallerAnswer::State(state));
     }
 
--- a/crates/bankvalve_queue/src/core/commit.rs
+++ b/crates/bankvalve_queue/src/core/commit.rs
@@ -8,8 +8,8 @@
 use super::EntryCore;
 use crate::caller::CallerAnswer;
 use crate::guard::SiteGuard;
-use crate::ids::{CoreTime, TaskKey, Ticket, WorkerId};
-use crate::ledger::{LedgerBatch, LedgerEvent};
+use crate::ids::{CoreTime, JobId, TaskKey, Ticket, WorkerId};
+use crate::ledger::{JobOutcome, LedgerBatch, LedgerEvent};
 use crate::peer::{PeerAddress, PeerMessage};
 use crate::store::{RowCondition, RowKey, RowWrite, StoreOutcome, StoreRequest, StoredRow};
 
@@ -52,6 +52,8 @@
     Answer(Origin, CallerAnswer),
     Order(TaskKey, u64),
     ForgetEnd(WorkerId, u64),
+    /// A job is over.
+    Over(JobId),
 }
 
 /// An event that is to be kept; without one, the effect waits for those before it.
@@ -85,17 +87,38 @@
 impl EntryCore {
     /// Applies an event at once and has it kept; the effect follows when it is.
     pub(super) fn propose(&mut self, event: LedgerEvent, effect: Effect) {
+        let job = event.job();
+        let was_open = self.is_open(job);
         self.book.apply(&event);
+        let over = was_open && !self.is_open(job);
         let Some(lead) = self.lead.as_deref_mut() else {
             return;
         };
-        let job = event.job();
         *lead.uncommitted.entry(job).or_default() += 1;
         lead.touched.insert(job);
         lead.pending.push_back(Proposal {
             event: Some(event),
             effect,
         });
+        if over {
+            self.follow_up(Effect::Over(job));
+        }
+    }
+
+    fn is_open(&self, job: JobId) -> bool {
+        let record = self.book.job(job);
+        record.is_some_and(|record| record.outcome == JobOutcome::Open)
+    }
+
+    /// Logs that the end of a job is kept.
+    fn note_over(&mut self, job: JobId) {
+        let Some(record) = self.book.job(job) else {
+            return;
+        };
+        let age = self.wall.saturating_sub(record.accepted_at);
+        let detail = format!("{:?} kept {age} ms after its acceptance", record.outcome);
+        self.counters.count("jobs", "over");
+        self.log("ledger", "over", format!("{job:016x}"), detail);
     }
 
     /// Has an effect follow once all events before it are kept.
@@ -308,6 +331,7 @@
                 Effect::None => {}
                 Effect::Answer(origin, answer) => self.answer(origin, answer),
                 Effect::Order(task, run) => self.begin_order(task, run),
+                Effect::Over(job) => self.note_over(job),
                 Effect::ForgetEnd(worker, number) => {
                     if let Some(lead) = self.lead.as_deref_mut() {
                         if let Some(seat) = lead.seats.get_mut(&worker) {
