--- a/crates/bankvalve/src/command/options.rs
+++ b/crates/bankvalve/src/command/options.rs
@@ -63,6 +63,8 @@
     /// Run the jobs of a file, print what came of them, and exit
     #[bpaf(argument("FILE"), optional)]
     pub submit: Option<String>,
+    /// Run a site on the users' platform in place of a cell of one's own
+    pub site: bool,
     /// Log level
     #[bpaf(argument("LEVEL"), fallback("warn".into()))]
     pub log: String,
--- /dev/null
+++ b/crates/bankvalve/src/dev/dev_site.rs
@@ -0,0 +1,129 @@
+//! A small site in one process: entry instances and the users' platform over HTTP.
+
+use std::collections::BTreeMap;
+use std::net::{Ipv4Addr, SocketAddr, TcpListener};
+use std::process::ExitCode;
+use std::time::{Duration, Instant};
+
+use bankvalve_queue::{JobTerms, QueueRule, QueueTable};
+use bankvalve_standin::site::SitePlatform;
+use signal_hook::consts::{SIGINT, SIGTERM};
+use signal_hook::iterator::Signals;
+
+use crate::command::{CommandFailure, DevOptions, FailureKind};
+use crate::entry::EntryProcess;
+use crate::settings::{
+    LogSettings, SiteBounds, SiteInstance, SiteLimits, SiteListen, SitePlatform as PlatformPlaces,
+    SiteProcessor, SiteSettings,
+};
+
+/// Service of the site's workers.
+const SERVICE: &str = "billing";
+/// The site's only queue.
+const QUEUE: &str = "lookups";
+/// Host that requests to it name.
+const HOST: &str = "site.example";
+/// Beginning of their path.
+const PREFIX: &str = "/lookups/";
+/// Room of each worker in thousandths of a core.
+const WORKER_MILLICORES: u64 = 4_000;
+/// Time in which the site must be ready.
+const READY_TIME: Duration = Duration::from_secs(30);
+/// Time between two looks.
+const LOOK: Duration = Duration::from_millis(50);
+
+/// Runs a small site until SIGTERM or SIGINT.
+pub(super) fn run(options: &DevOptions) -> Result<ExitCode, CommandFailure> {
+    if options.submit.is_some() {
+        let text = "--submit: expected no --site beside it; a site takes jobs over HTTP";
+        return Err(CommandFailure::new(FailureKind::BadInput, text));
+    }
+    let mut signals = Signals::new([SIGTERM, SIGINT]).map_err(|error| failed(&error))?;
+    let any = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
+    let listener = TcpListener::bind(any).map_err(|error| failed(&error))?;
+    let platform = SitePlatform::start(listener, None).map_err(|error| failed(&error))?;
+    for _ in 0..options.workers {
+        platform.add_worker(SERVICE, WORKER_MILLICORES);
+    }
+    platform.configure(QueueTable::new(1, vec![rule()], BTreeMap::new()));
+    let mut entries = Vec::new();
+    for number in 0..options.entries {
+        let settings = settings_of(number, any, platform.address());
+        let entry = EntryProcess::start(&settings, bankvalve_platform::port());
+        entries.push(entry.map_err(|report| failed(&format!("{report:?}")))?);
+    }
+    wait_until_ready(&entries)?;
+    for entry in &entries {
+        eprintln!("dev: callers: http://{}{PREFIX}", entry.listen().callers);
+        eprintln!("dev: metrics: http://{}/metrics", entry.listen().metrics);
+    }
+    eprintln!(
+        "dev: requests name the host {HOST}; a task's text `work=MS` tells how long it works"
+    );
+    eprintln!("dev: Ctrl-C ends");
+    while signals.pending().next().is_none() {
+        std::thread::sleep(LOOK);
+    }
+    entries.iter().for_each(EntryProcess::stop);
+    Ok(ExitCode::SUCCESS)
+}
+
+fn failed(error: &dyn std::fmt::Display) -> CommandFailure {
+    CommandFailure::new(FailureKind::Unreachable, error.to_string())
+}
+
+fn rule() -> QueueRule {
+    QueueRule {
+        name: QUEUE.into(),
+        host: HOST.into(),
+        prefix: PREFIX.into(),
+        terms: JobTerms {
+            service: SERVICE.into(),
+            priority: 1,
+            attempts: 3,
+            stretch: 2.0,
+            target_ms: 500,
+            advice: None,
+        },
+    }
+}
+
+fn settings_of(number: u32, any: SocketAddr, platform: SocketAddr) -> SiteSettings {
+    SiteSettings {
+        site: SiteInstance {
+            name: format!("front-{number}"),
+            domain: "local".into(),
+        },
+        listen: SiteListen {
+            callers: any,
+            readiness: any,
+            peers: any,
+            metrics: any,
+        },
+        platform: PlatformPlaces {
+            table: platform,
+            policy: None,
+            machines: None,
+        },
+        bounds_ms: SiteBounds {
+            hold_limit: 6_000,
+            early: 250,
+            status: 120_000,
+            stop: 4_200,
+        },
+        processor: SiteProcessor::default(),
+        limits: SiteLimits::default(),
+        log: LogSettings::default(),
+    }
+}
+
+fn wait_until_ready(entries: &[EntryProcess]) -> Result<(), CommandFailure> {
+    let begun = Instant::now();
+    while !entries.iter().all(EntryProcess::is_ready) {
+        if begun.elapsed() > READY_TIME {
+            return Err(failed(&"expected all entry instances to be ready in 30 s"));
+        }
+        std::thread::sleep(LOOK);
+    }
+    Ok(())
+}
--- a/crates/bankvalve/src/dev/mod.rs
+++ b/crates/bankvalve/src/dev/mod.rs
@@ -1,7 +1,8 @@
-//! A small cell in one process: entry instances, stand-ins for the platform, sample runs.
+//! A small cell or site in one process: entry instances, stand-ins for the platform, sample runs.
 
 mod dev_cell;
 mod dev_report;
+mod dev_site;
 
 use std::process::ExitCode;
 use std::time::{Duration, Instant};
@@ -25,6 +26,9 @@
         CommandFailure::new(FailureKind::BadInput, text)
     })?;
     crate::logging::set_level(level);
+    if options.site {
+        return dev_site::run(options);
+    }
     let jobs = match &options.submit {
         Some(file) => JobFile::load(file)?.jobs,
         None => Vec::new(),
--- a/crates/bankvalve/src/entry/entry_process.rs
+++ b/crates/bankvalve/src/entry/entry_process.rs
@@ -17,7 +17,7 @@
 use super::link_loop::{carry_all, LinkPlan};
 use super::listeners::ListenerState;
 use crate::serve::ServeFailure;
-use crate::settings::SiteSettings;
+use crate::settings::{SiteListen, SiteSettings};
 
 /// Time for which callers are still taken after a stop began: the platform asks each second
 /// whether the instance is ready, and twice before it sends callers elsewhere.
@@ -26,12 +26,50 @@
 const LOOK: Duration = Duration::from_millis(20);
 /// Time for last bytes to leave.
 const LAST_BYTES: Duration = Duration::from_millis(60);
-/// Peers that may be connected at once, for each of their few connections.
-const PEER_CONNECTIONS: usize = 512;
+/// Connections of peers at once: three of each on a site of some 400 instances.
+const PEER_CONNECTIONS: usize = 1_200;
+
+/// The sockets that an instance listens on.
+#[derive(Debug)]
+struct EntryListeners {
+    callers: TcpListener,
+    readiness: TcpListener,
+    peers: TcpListener,
+    metrics: TcpListener,
+}
+
+impl EntryListeners {
+    fn bind(listen: &SiteListen) -> Result<Self, Report<ServeFailure>> {
+        let bind = |field: &str, address: SocketAddr| {
+            TcpListener::bind(address)
+                .change_context(ServeFailure::Listen)
+                .attach(format!("listen.{field} {address}"))
+        };
+        Ok(Self {
+            callers: bind("callers", listen.callers)?,
+            readiness: bind("readiness", listen.readiness)?,
+            peers: bind("peers", listen.peers)?,
+            metrics: bind("metrics", listen.metrics)?,
+        })
+    }
+
+    /// The addresses, with the ports that the system chose where 0 was asked for.
+    fn addresses(&self) -> Result<SiteListen, Report<ServeFailure>> {
+        let of =
+            |listener: &TcpListener| listener.local_addr().change_context(ServeFailure::Listen);
+        Ok(SiteListen {
+            callers: of(&self.callers)?,
+            readiness: of(&self.readiness)?,
+            peers: of(&self.peers)?,
+            metrics: of(&self.metrics)?,
+        })
+    }
+}
 
 /// A running entry instance.
 #[derive(Debug)]
 pub struct EntryProcess {
+    listen: SiteListen,
     state: ListenerState,
     stop_time: Duration,
     _servers: Vec<HttpServer>,
@@ -47,11 +85,14 @@
         settings: &SiteSettings,
         port: PlatformPort,
     ) -> Result<Self, Report<ServeFailure>> {
+        let listeners = EntryListeners::bind(&settings.listen)?;
+        let listen = listeners.addresses()?;
         let ring = settings.limits.ring as usize;
         let (core, inputs) = EntryHandle::new(ring);
         let (links, actions) = mpsc::channel(ring);
         let (log, _) = DecisionLog::start().change_context(ServeFailure::Thread)?;
-        let core_loop = CoreLoop::new(core_settings(settings), port, &core, links, log);
+        let own = core_settings(settings, listen.peers);
+        let core_loop = CoreLoop::new(own, port, &core, links, log);
         let state = ListenerState {
             metrics: Arc::new(EntryMetrics::new(&core)),
             core: core.clone(),
@@ -59,9 +100,9 @@
             stopping: Arc::new(AtomicBool::new(false)),
             in_flight: Arc::new(AtomicU64::new(0)),
         };
-        let servers = start_servers(settings, &state)?;
+        let servers = start_servers(settings, listeners, &state)?;
         let plan = LinkPlan {
-            own: settings.listen.peers,
+            own: listen.peers,
             table: settings.platform.table,
             policy: settings.platform.policy,
         };
@@ -74,12 +115,23 @@
         })?;
         spawn("core", move || core_loop.run(&inputs))?;
         Ok(Self {
+            listen,
             state,
             stop_time: Duration::from_millis(settings.bounds_ms.stop),
             _servers: servers,
         })
     }
 
+    /// Where it listens.
+    pub fn listen(&self) -> &SiteListen {
+        &self.listen
+    }
+
+    /// Whether it may be given callers.
+    pub fn is_ready(&self) -> bool {
+        self.state.core.view().ready
+    }
+
     /// Takes changed settings that need no new start: the log level.
     pub fn reload(&self, settings: &SiteSettings) {
         if let Ok(level) = settings.log_level() {
@@ -107,10 +159,10 @@
     }
 }
 
-fn core_settings(settings: &SiteSettings) -> EntrySettings {
+fn core_settings(settings: &SiteSettings, address: SocketAddr) -> EntrySettings {
     let bounds = &settings.bounds_ms;
     EntrySettings {
-        address: settings.listen.peers,
+        address,
         life: unix_millis(),
         strength: settings.processor.strength(),
         hold_limit: Duration::from_millis(bounds.hold_limit),
@@ -123,14 +175,9 @@
 
 fn start_servers(
     settings: &SiteSettings,
+    listeners: EntryListeners,
     state: &ListenerState,
 ) -> Result<Vec<HttpServer>, Report<ServeFailure>> {
-    let listen = &settings.listen;
-    let bind = |field: &str, address: SocketAddr| {
-        TcpListener::bind(address)
-            .change_context(ServeFailure::Listen)
-            .attach(format!("listen.{field} {address}"))
-    };
     let limits = ServerLimits {
         connections: settings.limits.caller_connections as usize,
         body_bytes: settings.limits.body_bytes as usize,
@@ -146,30 +193,18 @@
     let readiness = state.clone();
     let metrics = state.clone();
     let servers = [
-        HttpServer::start(
-            "callers",
-            bind("callers", listen.callers)?,
-            limits,
-            move |request| callers.clone().serve_caller(request),
-        ),
-        HttpServer::start(
-            "peers",
-            bind("peers", listen.peers)?,
-            peer_limits,
-            move |request| std::future::ready(peers.serve_peer(&request)),
-        ),
-        HttpServer::start(
-            "readiness",
-            bind("readiness", listen.readiness)?,
-            limits,
-            move |request| std::future::ready(readiness.serve_readiness(&request)),
-        ),
-        HttpServer::start(
-            "metrics",
-            bind("metrics", listen.metrics)?,
-            limits,
-            move |_| std::future::ready(metrics.serve_metrics()),
-        ),
+        HttpServer::start("callers", listeners.callers, limits, move |request| {
+            callers.clone().serve_caller(request)
+        }),
+        HttpServer::start("peers", listeners.peers, peer_limits, move |request| {
+            std::future::ready(peers.serve_peer(&request))
+        }),
+        HttpServer::start("readiness", listeners.readiness, limits, move |request| {
+            std::future::ready(readiness.serve_readiness(&request))
+        }),
+        HttpServer::start("metrics", listeners.metrics, limits, move |_| {
+            std::future::ready(metrics.serve_metrics())
+        }),
     ];
     servers
         .into_iter()
--- a/crates/bankvalve/tests/site/main.rs
+++ b/crates/bankvalve/tests/site/main.rs
@@ -1,5 +1,6 @@
 //! Tests of real processes at a site, against a platform that speaks its own protocol.
 
+mod dev;
 mod serving;
 mod stopping;
 mod test_site;
--- a/crates/bankvalve/tests/site/test_site.rs
+++ b/crates/bankvalve/tests/site/test_site.rs
@@ -277,7 +277,7 @@
     listeners.map(|listener| listener.local_addr().expect("an address"))
 }
 
-fn program() -> PathBuf {
+pub(crate) fn program() -> PathBuf {
     PathBuf::from(env!("CARGO_BIN_EXE_bankvalve"))
 }
 
