perf(queue): workers gone through at a pace, two starts at once to each; a site of 1,000 workers holds

The leader had up to 4,806 connections, since each start to a worker took one of its own beside the look, where an instance has 4,100 or 8,192 descriptors; it went through all workers after each event, and looked at idle ones each 0.9 s.

Ruled out: the processor as such, 18.9% of a core at the most.

--- a/crates/bankvalve_queue/src/core/commit.rs
+++ b/crates/bankvalve_queue/src/core/commit.rs
@@ -341,6 +341,7 @@
                             }
                         }
                     }
+                    self.look_if_due(&worker);
                 }
             }
         }
--- a/crates/bankvalve_queue/src/core/holds.rs
+++ b/crates/bankvalve_queue/src/core/holds.rs
@@ -26,8 +26,13 @@
 const KEEP_PAUSE: Duration = Duration::from_millis(500);
 /// Pause after a look without an answer.
 const SILENT_PAUSE: Duration = Duration::from_millis(250);
-/// A worker that was heard so lately gets work.
-pub(super) const HEARD_LATELY: Duration = Duration::from_millis(1_300);
+/// The same for a worker that runs nothing, on a site of many workers.
+const IDLE_LOOK_WAIT: Duration = Duration::from_millis(2_000);
+/// Workers from which on a site has many: looks at a thousand idle ones each second would take a
+/// tenth of a core.
+const MANY_WORKERS: usize = 500;
+/// Silence from which on it is asked whether a worker's hold is over.
+const SILENT_LONG: Duration = Duration::from_millis(1_300);
 /// A worker that was heard so lately has its hold prolonged.
 pub(super) const PROLONG_IF_HEARD: Duration = Duration::from_millis(2_200);
 /// Longest that a leader commands workers without being sure that it leads.
@@ -60,6 +65,13 @@
             return;
         }
         let now = self.now;
+        let Some(lead) = self.lead.as_deref_mut() else {
+            return;
+        };
+        if now < lead.next_hold_scan {
+            return;
+        }
+        lead.next_hold_scan = now + lead.scan_pace();
         let Some(lead) = self.lead.as_deref() else {
             return;
         };
@@ -68,14 +80,14 @@
         let mut gone = Vec::new();
         for (id, seat) in &lead.seats {
             let silent = seat.heard_at.map_or(now, |at| now.saturating_sub(at));
-            let silent_long = silent > HEARD_LATELY || seat.heard_at.is_none();
+            let silent_long = silent > SILENT_LONG || seat.heard_at.is_none();
             if !seat.runs.is_empty() && silent_long && self.is_over(seat) {
                 over.push(id.clone());
             }
             let idle = now.saturating_sub(seat.heard_at.unwrap_or(seat.known_at));
             if !seat.listed && seat.runs.is_empty() && idle > FORGET_SEAT {
                 gone.push(id.clone());
-            } else if !seat.hold_busy && now >= seat.next_hold && !seat.entry.address.is_empty() {
+            } else if seat.look_is_due(now) {
                 due.push(id.clone());
             }
         }
@@ -112,12 +124,22 @@
         self.now > stopped + hold + Duration::from_millis(200)
     }
 
+    /// Looks at a worker at once if that is due, without going through all of them.
+    pub(super) fn look_if_due(&mut self, id: &WorkerId) {
+        let now = self.now;
+        let seat = self.lead.as_ref().and_then(|lead| lead.seats.get(id));
+        if self.may_command() && seat.is_some_and(|seat| seat.look_is_due(now)) {
+            self.look(id);
+        }
+    }
+
     fn look(&mut self, id: &WorkerId) {
         let now = self.now;
         let hold = self.hold_time();
         let Some(lead) = self.lead.as_deref_mut() else {
             return;
         };
+        let many = lead.seats.len() > MANY_WORKERS;
         let Some(seat) = lead.seats.get_mut(id) else {
             return;
         };
@@ -131,12 +153,15 @@
             seat.granted_until = seat.granted_until.max(until);
         }
         let settled = seat.seen == seat.kept;
-        let wait = if seat.proved && settled && heard {
-            LOOK_WAIT
-        } else {
+        let wait = if !(seat.proved && settled && heard) {
             Duration::ZERO
+        } else if many && seat.runs.is_empty() {
+            IDLE_LOOK_WAIT
+        } else {
+            LOOK_WAIT
         };
         seat.hold_busy = true;
+        seat.look_wait = wait;
         let call = WorkerCall::Hold {
             until_ms,
             kept: seat.kept,
@@ -264,6 +289,7 @@
                 seat.next_hold = now + KEEP_PAUSE;
             }
         }
+        self.look_if_due(id);
     }
 
     fn take_report(&mut self, id: &WorkerId, sent_at: CoreTime, report: &HoldReport) {
--- a/crates/bankvalve_queue/src/core/lead.rs
+++ b/crates/bankvalve_queue/src/core/lead.rs
@@ -21,6 +21,12 @@
 /// stay usable while the table is slow.
 const KEEP_LIMIT: Duration = Duration::from_millis(900);
 
+/// Time between two goes through all workers, for each of them: some hundred times what a look at
+/// one costs.
+const SCAN_EACH: Duration = Duration::from_micros(10);
+/// Longest time between two of them.
+const SCAN_MOST: Duration = Duration::from_millis(20);
+
 /// What a call to a worker was for.
 #[derive(Clone, Debug)]
 pub(super) enum CallPurpose {
@@ -72,6 +78,9 @@
     /// Whether room, permits or waiting steps changed since the last placement.
     pub(super) stale: bool,
     pub(super) place_at: CoreTime,
+    /// When all workers are gone through again for looks and for orders that are due.
+    pub(super) next_hold_scan: CoreTime,
+    pub(super) next_order_scan: CoreTime,
     pub(super) stop_since: Option<CoreTime>,
     pub(super) next_forget: CoreTime,
     pub(super) next_measures: CoreTime,
@@ -115,6 +124,8 @@
             adviser_busy: BTreeMap::new(),
             stale: true,
             place_at: now,
+            next_hold_scan: now,
+            next_order_scan: now,
             stop_since: None,
             next_forget: now,
             next_measures: now,
@@ -126,6 +137,12 @@
         self.seats.get_mut(worker)?.runs.get_mut(task)
     }
 
+    /// Time between two goes through all workers: a small share of the processor, whatever their
+    /// number.
+    pub(super) fn scan_pace(&self) -> Duration {
+        (SCAN_EACH * self.seats.len() as u32).min(SCAN_MOST)
+    }
+
     pub(super) fn waiting_tasks(&self) -> u64 {
         self.waiting
             .values()
--- a/crates/bankvalve_queue/src/core/orders.rs
+++ b/crates/bankvalve_queue/src/core/orders.rs
@@ -4,7 +4,7 @@
 
 use super::holds::PROLONG_IF_HEARD;
 use super::lead::CallPurpose;
-use super::seat::RunPhase;
+use super::seat::{LiveRun, RunPhase};
 use super::EntryCore;
 use crate::guard::SiteGuard;
 use crate::ids::{TaskKey, WorkerId};
@@ -13,6 +13,8 @@
 
 /// Longest wait for the answer to an order.
 const ORDER_TIME: Duration = Duration::from_millis(350);
+/// Starts on their way to one worker, since each takes a connection of its own.
+const STARTS_AT_ONCE: usize = 2;
 /// Pause before an order that was not sent is tried again.
 const ORDER_PAUSE: Duration = Duration::from_millis(120);
 /// Tries of an order that was surely not carried out.
@@ -92,6 +94,10 @@
             seat.granted_until
         };
         seat.granted_until = seat.granted_until.max(until_ms);
+        if seat.open_starts() >= STARTS_AT_ONCE {
+            // The answer to one of them sends the next.
+            return;
+        }
         let Some(live) = seat.runs.get_mut(&task) else {
             return;
         };
@@ -118,6 +124,30 @@
         run: u64,
         answer: &WorkerAnswer,
     ) {
+        self.settle_start(id, task, run, answer);
+        self.send_waiting_starts(id);
+    }
+
+    /// Sends starts that waited for others to the same worker.
+    fn send_waiting_starts(&mut self, id: &WorkerId) {
+        let now = self.now;
+        let seat = self.lead.as_ref().and_then(|lead| lead.seats.get(id));
+        let waits = |live: &LiveRun| {
+            live.phase == RunPhase::Ordered && !live.busy && live.tries == 0 && now >= live.next_at
+        };
+        let waiting: Vec<TaskKey> = seat
+            .into_iter()
+            .flat_map(|seat| &seat.runs)
+            .filter(|(_, live)| waits(live))
+            .map(|(task, _)| *task)
+            .take(STARTS_AT_ONCE)
+            .collect();
+        for task in waiting {
+            self.send_start(id, task);
+        }
+    }
+
+    fn settle_start(&mut self, id: &WorkerId, task: TaskKey, run: u64, answer: &WorkerAnswer) {
         let now = self.now;
         let Some(lead) = self.lead.as_deref_mut() else {
             return;
@@ -217,6 +247,7 @@
         live.phase = RunPhase::Stopping { confirmed: None };
         live.next_at = now;
         live.busy = false;
+        lead.next_order_scan = now;
         if counts {
             return;
         }
@@ -235,6 +266,13 @@
             return;
         }
         let now = self.now;
+        let Some(lead) = self.lead.as_deref_mut() else {
+            return;
+        };
+        if now < lead.next_order_scan {
+            return;
+        }
+        lead.next_order_scan = now + lead.scan_pace();
         let Some(lead) = self.lead.as_deref() else {
             return;
         };
--- a/crates/bankvalve_queue/src/core/placing.rs
+++ b/crates/bankvalve_queue/src/core/placing.rs
@@ -6,7 +6,6 @@
 
 use super::advice::{StepAdvice, ASK_LIMIT};
 use super::commit::Effect;
-use super::holds::HEARD_LATELY;
 use super::seat::{LiveRun, Reservation, RunLoad, RunPhase, Seat};
 use super::waiting::WaitingRank;
 use super::EntryCore;
@@ -246,13 +245,13 @@
 
 /// Tells whether a worker may be given tasks of a step at all.
 fn admits(seat: &Seat, step: &PlacedStep, now: CoreTime) -> bool {
-    let heard = seat.is_heard(now, HEARD_LATELY);
+    let lively = seat.is_lively(now);
     let label = step
         .spec
         .required_label
         .as_ref()
         .is_none_or(|label| seat.entry.labels.contains(label));
-    heard
+    lively
         && label
         && !seat.is_disturbed_by(RunLoad::of(&step.spec))
         && seat.proved
--- a/crates/bankvalve_queue/src/core/seat.rs
+++ b/crates/bankvalve_queue/src/core/seat.rs
@@ -7,6 +7,10 @@
 use crate::job::{StepSpec, TaskSize};
 use crate::worker::WorkerEntry;
 
+/// A worker that was heard so lately gets work.
+const HEARD_LATELY: Duration = Duration::from_millis(1_300);
+/// Time for the way of a look and a slow worker, beyond the wait that the look asks for.
+const ANSWER_SLACK: Duration = Duration::from_millis(400);
 /// How much slower than ours a worker's clock may run, in percent.
 const SLOW_CLOCK_PERCENT: u32 = 2;
 /// Added to every bound on a worker's clock.
@@ -131,6 +135,8 @@
     pub(super) heard_at: Option<CoreTime>,
     pub(super) known_at: CoreTime,
     pub(super) hold_busy: bool,
+    /// Time for which the last look lets the worker wait.
+    pub(super) look_wait: Duration,
     pub(super) next_hold: CoreTime,
     pub(super) runs: BTreeMap<TaskKey, LiveRun>,
     pub(super) used: TaskSize,
@@ -159,6 +165,7 @@
             heard_at: None,
             known_at: now,
             hold_busy: false,
+            look_wait: Duration::ZERO,
             next_hold: now,
             runs: BTreeMap::new(),
             used: TaskSize::default(),
@@ -180,6 +187,22 @@
             .is_some_and(|at| now.saturating_sub(at) < within)
     }
 
+    /// Tells whether it answers as it should: within the time that its last look gave it.
+    pub(super) fn is_lively(&self, now: CoreTime) -> bool {
+        self.is_heard(now, HEARD_LATELY.max(self.look_wait + ANSWER_SLACK))
+    }
+
+    /// Tells whether its next look is due.
+    pub(super) fn look_is_due(&self, now: CoreTime) -> bool {
+        !self.hold_busy && now >= self.next_hold && !self.entry.address.is_empty()
+    }
+
+    /// Starts that have no answer yet.
+    pub(super) fn open_starts(&self) -> usize {
+        let open = |live: &&LiveRun| live.busy && live.phase == RunPhase::Ordered;
+        self.runs.values().filter(open).count()
+    }
+
     /// Takes a reading of the worker's clock from an answer.
     pub(super) fn note_clock(&mut self, now: CoreTime, clock_ms: u64) {
         self.clock = Some((now, clock_ms));
--- a/crates/bankvalve_queue/src/core/store_link.rs
+++ b/crates/bankvalve_queue/src/core/store_link.rs
@@ -26,6 +26,11 @@
 const READ_TIME: Duration = Duration::from_millis(900);
 /// Longest wait for a write: a slow table takes some half a second.
 const WRITE_TIME: Duration = Duration::from_millis(1_200);
+/// Members from which on a site has many: when all start at once, each row that is written wakes
+/// every one of them.
+const MANY_MEMBERS: usize = 12;
+/// Pause between two watches of members' rows on such a site, so that changes come together.
+const MANY_PAUSE: Duration = Duration::from_millis(150);
 /// Pause after a request that failed.
 const RETRY_PAUSE: Duration = Duration::from_millis(120);
 
@@ -181,11 +186,15 @@
     }
 
     fn end_watch_cell(&mut self, outcome: StoreOutcome) {
+        let many = self.peers.len() > MANY_MEMBERS;
         let watch = &mut self.cell_watch;
         watch.busy = false;
         match outcome {
             StoreOutcome::Changes { changes, version } => {
                 watch.after = Some(version);
+                if many {
+                    watch.next_at = self.now + MANY_PAUSE;
+                }
                 for change in changes {
                     self.take_cell_row(&change.key, change.value.as_deref(), change.version);
                 }
