--- a/crates/bankvalve_check/src/site/site_workers.rs
+++ b/crates/bankvalve_check/src/site/site_workers.rs
@@ -1,7 +1,8 @@
 //! Workers of a site: their lives, their runs and their gangs.
 
 use bankvalve_queue::{
-    CoreEvent, EndKind, StepKey, TaskKey, TaskSize, Ticket, WorkerAnswer, WorkerEntry, WorkerId,
+    CoreEvent, EndKind, StartRefusal, StepKey, TaskKey, TaskSize, Ticket, WorkerAnswer,
+    WorkerEntry, WorkerId,
 };
 use bankvalve_standin::site::{SiteWorker, WorkerNews};
 use rand::Rng;
@@ -97,6 +98,10 @@
             Some(Some(_)) => WorkerAnswer::OtherLife,
             _ => WorkerAnswer::NotSent,
         };
+        let refused = |reason| matches!(&answer, WorkerAnswer::Refused { reason: found, .. } if *found == reason);
+        if refused(StartRefusal::Permit) {
+            self.permit_refusals += 1;
+        }
         self.worker_time(address);
         let event = CoreEvent::Worker { ticket, answer };
         // Answers pass each other now and then.
--- a/crates/bankvalve_check/src/site/site_world.rs
+++ b/crates/bankvalve_check/src/site/site_world.rs
@@ -182,6 +182,8 @@
     pub callers_leave: bool,
     /// Events so far.
     pub events: u64,
+    /// Starts that workers turned away since their permit had run out.
+    pub permit_refusals: u64,
     /// Messages that each instance sent to peers.
     pub peer_messages: BTreeMap<usize, u64>,
 }
@@ -226,6 +228,7 @@
             worker_cut_until: BTreeMap::new(),
             callers_leave: false,
             events: 0,
+            permit_refusals: 0,
             peer_messages: BTreeMap::new(),
             plan,
         };
@@ -364,6 +367,14 @@
         self.nodes.iter().position(SiteNode::leads)
     }
 
+    /// A counter of the leader; 0 without one.
+    pub fn counter(&self, family: &'static str, kind: &'static str) -> u64 {
+        let leader = self
+            .leader()
+            .and_then(|node| self.nodes[node].core.as_ref());
+        leader.map_or(0, |core| core.view().counters.of(family, kind))
+    }
+
     /// Asks an instance to stop as planned.
     pub fn stop(&mut self, number: usize) {
         self.deliver(number, CoreEvent::Stop);
--- a/crates/bankvalve_check/tests/site.rs
+++ b/crates/bankvalve_check/tests/site.rs
@@ -495,3 +495,56 @@
         assert_eq!(world.shown.len(), 200);
     }
 }
+
+#[test]
+fn permits_outlast_a_slow_write() {
+    let mut world = SiteWorld::new(SitePlan {
+        seed: 47,
+        entries: 3,
+        strengths: Vec::new(),
+        broken: None,
+        workers: 6,
+        good_percent: Some(70),
+    });
+    world.run_until(1_000);
+    // Full workers: tasks wait for room while their permits, which last 1.5 s, grow old.
+    world.store_delay_ms = 300;
+    for job in 1..=120 {
+        world.submit(job_of(job, QUEUE, &[2], false));
+        let until = world.now_ms + 40;
+        world.run_until(until);
+    }
+    world.run_until(60_000);
+    assert_kept(&world);
+    assert_eq!(world.shown.len(), 120);
+    let share = world.permit_refusals * 100 / world.rules.starts;
+    assert!(
+        share < 5,
+        "{} of {} starts",
+        world.permit_refusals,
+        world.rules.starts
+    );
+}
+
+#[test]
+fn a_long_queue_is_looked_at_no_more_often_than_the_processor_bears() {
+    let mut world = SiteWorld::new(SitePlan {
+        seed: 48,
+        entries: 3,
+        strengths: Vec::new(),
+        broken: None,
+        workers: 100,
+        good_percent: None,
+    });
+    world.run_until(1_000);
+    // Some ten times what the workers hold; a task ends each two milliseconds.
+    for job in 1..=4_000 {
+        world.submit(job_of(job, QUEUE, &[1], false));
+    }
+    world.run_until(2_500);
+    let before = world.counter("placements", "steps_looked_at");
+    world.run_until(4_500);
+    let looked = world.counter("placements", "steps_looked_at") - before;
+    // Three looks a millisecond are a tenth of a core, as measured on the bench.
+    assert!(looked < 2 * 3_300, "{looked} steps in 2 s");
+}
--- a/crates/bankvalve_queue/src/core/placing.rs
+++ b/crates/bankvalve_queue/src/core/placing.rs
@@ -72,6 +72,9 @@
         ranked.truncate(LOOK_LIMIT);
         lead.place_at += PLACE_EACH * ranked.len() as u32;
         let most = lead.most_room();
+        let looked = ranked.len() as u64;
+        self.counters
+            .count_many("placements", "steps_looked_at", looked);
         for (_, key) in ranked {
             if !self.may_fit(key, &most) {
                 continue;
--- a/crates/bankvalve_queue/src/decision.rs
+++ b/crates/bankvalve_queue/src/decision.rs
@@ -34,7 +34,12 @@
     /// assert_eq!(counters.of("retries", "store_lost"), 1);
     /// ```
     pub fn count(&mut self, family: &'static str, kind: &'static str) {
-        *self.counts.entry((family, kind)).or_default() += 1;
+        self.count_many(family, kind, 1);
+    }
+
+    /// Counts several things of a family by their kind.
+    pub fn count_many(&mut self, family: &'static str, kind: &'static str, number: u64) {
+        *self.counts.entry((family, kind)).or_default() += number;
     }
 
     /// Counts a refusal.
