feat(check): `trace` times changes of leader

Change: for each change of leader the time from the last start of a task before it to the first one after it; p50 and p99 over the logs given.

--- a/crates/bankvalve_check/src/trace/job_trace.rs
+++ b/crates/bankvalve_check/src/trace/job_trace.rs
@@ -103,6 +103,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct TraceBook {
     jobs: BTreeMap<String, JobTrace>,
+    starts: Vec<u64>,
+    leads: Vec<u64>,
     left_out: u64,
 }
 
@@ -127,7 +129,11 @@
                 trace.tasks = word_after(&line.detail, "tasks").parse().unwrap_or(0);
             }
             ("placer", "place") => earliest(&mut self.jobs.entry(job).or_default().placed),
-            ("runs", "start") => earliest(&mut self.jobs.entry(job).or_default().started),
+            ("runs", "start") => {
+                earliest(&mut self.jobs.entry(job).or_default().started);
+                self.starts.push(line.time);
+            }
+            ("election", "lead") => self.leads.push(line.time),
             ("runs", "end") => {
                 let ended = &mut self.jobs.entry(job).or_default().ended;
                 *ended = Some(ended.map_or(line.time, |at| at.max(line.time)));
@@ -144,6 +150,22 @@
         self.jobs.values().filter(|job| job.accepted.is_some())
     }
 
+    /// For each change of leader, the time from the last start of a task before it to the first
+    /// one after it; the first leader of the logs is no change.
+    pub fn pauses(&self) -> Vec<Duration> {
+        let mut starts = self.starts.clone();
+        starts.sort_unstable();
+        let mut leads = self.leads.clone();
+        leads.sort_unstable();
+        let pause = |lead: &u64| {
+            let after = starts.partition_point(|start| start < lead);
+            let last = starts.get(after.checked_sub(1)?)?;
+            let first = starts.get(after)?;
+            Some(Duration::from_millis(first - last))
+        };
+        leads.iter().skip(1).filter_map(pause).collect()
+    }
+
     /// Lines that told that others were left out; with any, some moments are missing.
     pub fn left_out(&self) -> u64 {
         self.left_out
--- a/crates/bankvalve_check/src/trace/trace_command.rs
+++ b/crates/bankvalve_check/src/trace/trace_command.rs
@@ -31,6 +31,11 @@
     }
     let kinds = by_kind(&book);
     print_table(&kinds);
+    let mut pauses = book.pauses();
+    pauses.sort_unstable();
+    let (p50, p99) = (percentile(&pauses, 50), percentile(&pauses, 99));
+    let (count, p50, p99) = (pauses.len(), p50.as_millis(), p99.as_millis());
+    println!("{count} changes of leader, without a start for: p50 {p50} ms, p99 {p99} ms");
     if book.left_out() > 0 {
         println!("{} lines tell that others were left out", book.left_out());
     }
--- a/crates/bankvalve_check/tests/trace.rs
+++ b/crates/bankvalve_check/tests/trace.rs
@@ -54,3 +54,23 @@
     book.read_line(LINES[4]);
     assert_eq!(book.jobs().count(), 0);
 }
+
+#[test]
+fn a_change_of_leader_is_timed_between_the_starts_around_it() {
+    let mut book = TraceBook::default();
+    let line = |time: u64, part: &str, event: &str| {
+        format!(r#"{{"time":{time},"part":"{part}","event":"{event}","id":"7.0.0.0"}}"#)
+    };
+    let lines = [
+        line(100, "election", "lead"),
+        line(150, "runs", "start"),
+        line(400, "runs", "start"),
+        line(1_300, "election", "lead"),
+        line(1_450, "runs", "start"),
+        line(1_460, "runs", "start"),
+    ];
+    for line in lines.iter().rev() {
+        book.read_line(line);
+    }
+    assert_eq!(book.pauses(), [Duration::from_millis(1_050)]);
+}
