perf(queue): no heartbeats to all when no leader is heard

Cause: an instance that heard no leader for 1.5 s sent heartbeats to all members. With 300 instances that all start at once no leader is known by then: each sent 750 messages a second, and had 455 connections in the middle.

Ruled out: that they are needed. A member that hears nobody claims by the table, and the new leader sends heartbeats to all.

Test: a_large_site_whose_near_members_all_die_goes_on holds without them.

--- a/crates/bankvalve_queue/src/core/standby.rs
+++ b/crates/bankvalve_queue/src/core/standby.rs
@@ -20,8 +20,6 @@
 /// Members, by rank, that read the ledger as soon as they start: reading it takes some tenths of a
 /// second, in which a leader is being agreed on after a loss of all.
 const FIRST_HEIRS: usize = 2;
-/// A leader that is silent for so long is looked for by heartbeats to all members.
-const LOST_LEADER: Duration = Duration::from_millis(1_500);
 /// Time in which a member that is known from its row only is reckoned to be starting.
 const STARTING: Duration = Duration::from_millis(500);
 
@@ -80,14 +78,10 @@
         let own_near = is_near(&self.settings.address);
         let leads = self.lead.is_some();
         let leader = self.leader.as_ref().map(|leader| leader.address);
-        let lost = match &self.leader {
-            Some(leader) => self.age(leader.heard_at) > LOST_LEADER,
-            None => self.uptime() > LOST_LEADER,
-        };
         let pairs = |peer: &PeerAddress| {
             let near_pair = own_near && is_near(peer);
             let led_near = (leads && is_near(peer)) || (own_near && leader == Some(*peer));
-            let far_pair = leads || is_near(peer) || leader == Some(*peer) || lost;
+            let far_pair = leads || is_near(peer) || leader == Some(*peer);
             near_pair || led_near || (far_due && far_pair)
         };
         self.peers.keys().copied().filter(pairs).collect()
