perf(queue): 150 first looks at workers at once

Cause: a new leader of a site of 3,000 workers connects to all of them in one moment; that takes its processor for longer than a connection waits, and they are all tried again.

--- a/crates/bankvalve_check/tests/site.rs
+++ b/crates/bankvalve_check/tests/site.rs
@@ -548,3 +548,25 @@
     // Three looks a millisecond are a tenth of a core, as measured on the bench.
     assert!(looked < 2 * 3_300, "{looked} steps in 2 s");
 }
+
+#[test]
+fn a_new_leader_does_not_connect_to_all_workers_of_a_large_site_at_once() {
+    let mut world = SiteWorld::new(SitePlan {
+        seed: 49,
+        entries: 3,
+        strengths: Vec::new(),
+        broken: None,
+        workers: 700,
+        good_percent: None,
+    });
+    let mut looks = world.counter("calls", "look");
+    while looks == 0 {
+        let until = world.now_ms + 1;
+        world.run_until(until);
+        looks = world.counter("calls", "look");
+    }
+    assert!(looks <= 150, "{looks} looks in a millisecond");
+    let until = world.now_ms + 500;
+    world.run_until(until);
+    assert!(world.counter("calls", "look") >= 700);
+}
--- a/crates/bankvalve_queue/src/core/holds.rs
+++ b/crates/bankvalve_queue/src/core/holds.rs
@@ -31,6 +31,9 @@
 /// Workers from which on a site has many: looks at a thousand idle ones each second would take a
 /// tenth of a core.
 const MANY_WORKERS: usize = 500;
+/// First looks on their way at once: each needs a new connection, and thousands of them would
+/// take the processor for longer than any of them waits.
+const FIRST_LOOKS: usize = 150;
 /// Silence from which on it is asked whether a worker's hold is over.
 const SILENT_LONG: Duration = Duration::from_millis(1_300);
 /// A worker that was heard so lately has its hold prolonged.
@@ -76,6 +79,11 @@
             return;
         };
         let mut due = Vec::new();
+        let mut first_looks = lead
+            .seats
+            .values()
+            .filter(|seat| seat.is_first_look())
+            .count();
         let mut over = Vec::new();
         let mut gone = Vec::new();
         for (id, seat) in &lead.seats {
@@ -87,7 +95,8 @@
             let idle = now.saturating_sub(seat.heard_at.unwrap_or(seat.known_at));
             if !seat.listed && seat.runs.is_empty() && idle > FORGET_SEAT {
                 gone.push(id.clone());
-            } else if seat.look_is_due(now) {
+            } else if seat.look_is_due(now) && (seat.proved || first_looks < FIRST_LOOKS) {
+                first_looks += usize::from(!seat.proved);
                 due.push(id.clone());
             }
         }
--- a/crates/bankvalve_queue/src/core/seat.rs
+++ b/crates/bankvalve_queue/src/core/seat.rs
@@ -197,6 +197,11 @@
         !self.hold_busy && now >= self.next_hold && !self.entry.address.is_empty()
     }
 
+    /// Tells whether it has been asked for its lists and has not answered the own token yet.
+    pub(super) fn is_first_look(&self) -> bool {
+        self.hold_busy && !self.proved
+    }
+
     /// Starts that have no answer yet.
     pub(super) fn open_starts(&self) -> usize {
         let open = |live: &&LiveRun| live.busy && live.phase == RunPhase::Ordered;
