--- /dev/null
+++ b/crates/bankvalve_check/tests/site/leading.rs
@@ -0,0 +1,204 @@
+//! Who leads, and what a successor finds.
+
+use bankvalve_check::site::{job_of, SitePlan, SiteWorld, QUEUE};
+
+use crate::{assert_kept, unlike_world, world};
+
+#[test]
+fn the_strongest_instances_lead() {
+    let mut world = unlike_world(31, 12);
+    for downs in 0..3 {
+        let leader = world.leader().expect("an instance leads");
+        assert!(leader >= 9, "instance {leader} leads after {downs} deaths");
+        world.kill(leader, 60_000);
+        let until = world.now_ms + 1_500;
+        world.run_until(until);
+    }
+    assert!(world.leader().is_some_and(|leader| leader < 9));
+    // Once a strong one is back, it is let lead.
+    world.run_until(70_000);
+    assert!(world.leader().is_some_and(|leader| leader >= 9));
+    assert_kept(&world);
+}
+
+#[test]
+fn on_a_large_site_a_weak_instance_hears_the_leader_and_few_others() {
+    let mut world = unlike_world(32, 40);
+    world.run_until(2_000);
+    let before = world.peer_messages.clone();
+    world.run_until(12_000);
+    let sent = |node: usize| world.peer_messages[&node] - before[&node];
+    // A heartbeat from each to each would be some 244 messages a second.
+    assert!(sent(3) < 10 * 30, "{} messages in 10 s", sent(3));
+    for job in 1..20 {
+        world.submit(job_of(job, QUEUE, &[2], false));
+    }
+    let leader = world.leader().expect("an instance leads");
+    world.kill(leader, 5_000);
+    world.run_until(60_000);
+    assert_kept(&world);
+    assert_eq!(world.shown.len(), 19);
+}
+
+#[test]
+fn a_large_site_whose_near_members_all_die_goes_on() {
+    let mut world = unlike_world(33, 20);
+    world.run_until(3_000);
+    for job in 1..20 {
+        world.submit(job_of(job, QUEUE, &[2], false));
+    }
+    world.run_until(3_500);
+    for node in (0..3).chain(17..20) {
+        world.kill(node, 90_000);
+    }
+    world.run_until(60_000);
+    assert_kept(&world);
+    assert!(world.leader().is_some());
+    assert_eq!(world.shown.len(), 19);
+}
+
+#[test]
+fn a_takeover_after_a_kill_takes_under_half_a_second() {
+    let mut world = world(7);
+    let leader = world.leader().expect("an instance leads");
+    world.kill(leader, 10_000);
+    world.run_until(1_500);
+    let next = world.leader().expect("another instance leads");
+    assert_ne!(next, leader);
+}
+
+#[test]
+fn a_leader_is_found_within_half_a_second_of_a_start_of_all() {
+    let mut world = world(20);
+    world.submit(job_of(1, QUEUE, &[2], false));
+    world.run_until(1_500);
+    for node in 0..3 {
+        world.kill(node, 1_000);
+    }
+    world.run_until(2_500);
+    assert_eq!(world.leader(), None);
+    world.run_until(3_000);
+    assert!(world.leader().is_some());
+}
+
+#[test]
+fn after_the_loss_of_all_the_first_in_rank_leads_at_once_and_has_its_book() {
+    for seed in 36..46 {
+        let mut world = world(seed);
+        for job in 1..=200 {
+            world.submit(job_of(job, QUEUE, &[2], false));
+            let until = world.now_ms + 13;
+            world.run_until(until);
+        }
+        let lost_at = world.now_ms;
+        let leader = world.leader().expect("an instance leads");
+        for node in 0..3 {
+            // The others start a little later, when its first heartbeat has found nobody.
+            world.kill(node, if node == leader { 1_000 } else { 1_040 });
+        }
+        world.run_until(lost_at + 1_130);
+        assert!(world.leader().is_some(), "seed {seed}: nobody leads");
+        world.run_until(lost_at + 60_000);
+        assert_kept(&world);
+        assert_eq!(world.shown.len(), 200);
+    }
+}
+
+#[test]
+fn a_leader_that_alone_misses_the_table_lets_a_peer_lead() {
+    let mut world = world(11);
+    let leader = world.leader().expect("an instance leads");
+    world.nodes[leader].cut_from_store_until = 60_000;
+    world.run_until(4_500);
+    assert_ne!(world.leader(), Some(leader));
+    world.submit(job_of(1, QUEUE, &[2], false));
+    world.run_until(20_000);
+    assert_kept(&world);
+    assert_eq!(world.shown.len(), 1);
+}
+
+#[test]
+fn a_leader_that_the_table_alone_turns_away_lets_a_peer_lead_under_load() {
+    let mut world = world(19);
+    let leader = world.leader().expect("an instance leads");
+    for job in 1..100 {
+        world.submit(job_of(job, QUEUE, &[2], false));
+        let until = world.now_ms + 40;
+        world.run_until(until);
+        if job == 10 {
+            world.nodes[leader].turned_away_until = 60_000;
+        }
+    }
+    assert_ne!(world.leader(), Some(leader));
+    world.run_until(90_000);
+    assert_kept(&world);
+    assert_eq!(world.shown.len(), 99);
+}
+
+#[test]
+fn a_table_away_for_all_changes_no_leader() {
+    let mut world = world(10);
+    let leader = world.leader().expect("an instance leads");
+    world.store_away_until = 7_000;
+    world.store_silent = true;
+    for step in 1..12 {
+        world.run_until(1_000 + step * 500);
+        assert_eq!(world.leader(), Some(leader));
+    }
+    world.submit(job_of(1, QUEUE, &[1], false));
+    world.run_until(30_000);
+    assert_kept(&world);
+    assert_eq!(world.shown.len(), 1);
+}
+
+#[test]
+fn a_successor_counts_what_its_predecessor_started() {
+    let mut world = world(6);
+    // Four workers of four cores: sixteen tasks fill them.
+    for job in 1..30 {
+        world.submit(job_of(job, QUEUE, &[4], false));
+    }
+    world.run_until(1_600);
+    let leader = world.leader().expect("an instance leads");
+    world.kill(leader, 5_000);
+    world.run_until(90_000);
+    assert_kept(&world);
+    assert_eq!(world.shown.len(), 29);
+}
+
+#[test]
+fn ends_are_not_forgotten_before_the_ledger_is_read() {
+    let mut world = world(3);
+    for job in 1..60 {
+        world.submit(job_of(job, QUEUE, &[2], false));
+    }
+    world.run_until(2_500);
+    for node in 0..3 {
+        world.kill(node, 900);
+    }
+    world.run_until(60_000);
+    assert_kept(&world);
+    assert_eq!(world.shown.len(), 59);
+}
+
+#[test]
+fn a_new_leader_does_not_connect_to_all_workers_of_a_large_site_at_once() {
+    let mut world = SiteWorld::new(SitePlan {
+        seed: 49,
+        entries: 3,
+        strengths: Vec::new(),
+        broken: None,
+        workers: 700,
+        good_percent: None,
+    });
+    let mut looks = world.counter("calls", "look");
+    while looks == 0 {
+        let until = world.now_ms + 1;
+        world.run_until(until);
+        looks = world.counter("calls", "look");
+    }
+    assert!(looks <= 150, "{looks} looks in a millisecond");
+    let until = world.now_ms + 500;
+    world.run_until(until);
+    assert!(world.counter("calls", "look") >= 700);
+}
--- /dev/null
+++ b/crates/bankvalve_check/tests/site/main.rs
@@ -0,0 +1,48 @@
+//! Entry instances on the users' platform, under virtual time: each fault found once stays found.
+
+mod jobs;
+mod leading;
+mod random;
+mod table;
+mod workers;
+
+use bankvalve_check::site::{SitePlan, SiteWorld};
+
+fn world(seed: u64) -> SiteWorld {
+    let mut world = SiteWorld::new(SitePlan {
+        seed,
+        entries: 3,
+        strengths: Vec::new(),
+        broken: None,
+        workers: 4,
+        good_percent: None,
+    });
+    world.run_until(1_000);
+    world
+}
+
+fn follower(world: &SiteWorld) -> usize {
+    let leader = world.leader().expect("an instance leads");
+    (0..world.nodes.len())
+        .find(|node| *node != leader)
+        .expect("another instance")
+}
+
+fn assert_kept(world: &SiteWorld) {
+    assert_eq!(world.rules.breaches, []);
+}
+
+/// A site of many weak instances and three strong ones, the last ones.
+fn unlike_world(seed: u64, entries: usize) -> SiteWorld {
+    let strength = |node| if node + 3 < entries { 120 } else { 500 };
+    let mut world = SiteWorld::new(SitePlan {
+        seed,
+        entries,
+        strengths: (0..entries).map(strength).collect(),
+        broken: None,
+        workers: 4,
+        good_percent: None,
+    });
+    world.run_until(1_000);
+    world
+}
--- /dev/null
+++ b/crates/bankvalve_check/tests/site/workers.rs
@@ -0,0 +1,86 @@
+//! Workers: late orders, looks, silence, what they may share.
+
+use bankvalve_check::site::{job_of, QUEUE, URGENT_QUEUE};
+use bankvalve_queue::StepSpec;
+
+use crate::{assert_kept, world};
+
+#[test]
+fn an_order_carried_out_late_starts_nothing_twice() {
+    let mut world = world(5);
+    world.late_orders_percent = 60;
+    for job in 1..30 {
+        world.submit(job_of(job, URGENT_QUEUE, &[2], false));
+        let until = world.now_ms + 100;
+        world.run_until(until);
+    }
+    let leader = world.leader().expect("an instance leads");
+    world.kill(leader, 500);
+    world.run_until(60_000);
+    assert_kept(&world);
+    assert_eq!(world.shown.len(), 29);
+}
+
+#[test]
+fn looks_go_on_as_soon_as_ends_are_kept() {
+    let mut world = world(12);
+    for job in 1..4 {
+        world.submit(job_of(job, URGENT_QUEUE, &[4], false));
+    }
+    world.run_until(20_000);
+    assert_kept(&world);
+    let waits = world.rules.end_waits_ms();
+    assert_eq!(waits.len(), 12);
+    let longest = waits.iter().max().copied().unwrap_or(0);
+    assert!(longest < 120, "an end was kept only after {longest} ms");
+}
+
+#[test]
+fn orders_without_an_answer_do_not_keep_a_silent_worker_alive() {
+    let mut world = world(21);
+    for job in 1..60 {
+        world.submit(job_of(job, QUEUE, &[1], false));
+        let until = world.now_ms + 120;
+        world.run_until(until);
+        if job == 20 {
+            let address = "10.9.0.1:80".to_owned();
+            world.worker_cut_until.insert(address, 200_000);
+        }
+    }
+    world.run_until(30_000);
+    assert_kept(&world);
+    assert_eq!(world.shown.len(), 59);
+}
+
+#[test]
+fn tasks_that_fill_and_tasks_that_serve_never_share_a_worker() {
+    let mut world = world(22);
+    for job in 1..40 {
+        let mut spec = job_of(job, QUEUE, &[2], false);
+        spec.steps[0].fills = job % 2 == 0;
+        spec.steps[0].latency_target_ms = 40 * (job % 2);
+        world.submit(spec);
+    }
+    let mut shared = 0;
+    for _ in 0..200 {
+        let until = world.now_ms + 50;
+        world.run_until(until);
+        shared += world.workers_shared_by(|job| job % 2 == 0);
+    }
+    assert_eq!(shared, 0);
+    world.run_until(60_000);
+    assert_eq!(world.shown.len(), 39);
+}
+
+#[test]
+fn a_required_label_decides_the_worker() {
+    let mut world = world(15);
+    let mut spec = job_of(1, QUEUE, &[1], false);
+    spec.steps[0] = StepSpec {
+        required_label: Some("missing".into()),
+        ..spec.steps[0].clone()
+    };
+    world.submit(spec);
+    world.run_until(5_000);
+    assert_eq!(world.rules.starts, 0);
+}
--- a/crates/bankvalve_queue/src/core/holds.rs
+++ b/crates/bankvalve_queue/src/core/holds.rs
@@ -1,17 +1,14 @@
-//! Holds: prolonged by looks at workers, whose lists tell what runs and what ended.
+//! Holds: prolonged by looks at workers, which answer with their lists.
 
 use std::time::Duration;
 
-use super::commit::Effect;
 use super::lead::CallPurpose;
-use super::seat::{LiveRun, RunPhase, Seat};
+use super::seat::Seat;
 use super::EntryCore;
 use crate::core::CoreAction;
 use crate::guard::SiteGuard;
-use crate::ids::{CoreTime, TaskKey, Ticket, WorkerId};
-use crate::job::StepSpec;
-use crate::ledger::{EndKind, LedgerEvent, TaskPhase};
-use crate::worker::{EndReport, HoldReport, RunReport, StartRefusal, WorkerAnswer, WorkerCall};
+use crate::ids::{CoreTime, Ticket, WorkerId};
+use crate::worker::{StartRefusal, WorkerAnswer, WorkerCall};
 
 /// Longest hold that is asked for; a lost worker's tasks start again only when it is over,
 /// and what a cut-off worker runs lives so long.
@@ -40,10 +37,6 @@
 pub(super) const PROLONG_IF_HEARD: Duration = Duration::from_millis(2_200);
 /// Longest that a leader commands workers without being sure that it leads.
 pub(super) const UNCONFIRMED_LIMIT: Duration = Duration::from_secs(15);
-/// Weight of one task in what is known of a queue's guesses.
-const GUESS_WEIGHT: f64 = 0.02;
-/// Least ratio of a measured to a guessed run time that is taken for one.
-const LEAST_RATIO: f64 = 0.05;
 /// A clock of a worker may run 2% slow, and answers take their way.
 const SLOW_CLOCK_FACTOR: f64 = 1.03;
 /// Silence after which an unlisted worker without runs is forgotten.
@@ -300,231 +293,4 @@
         }
         self.look_if_due(id);
     }
-
-    fn take_report(&mut self, id: &WorkerId, sent_at: CoreTime, report: &HoldReport) {
-        for end in &report.ended {
-            self.take_end(id, end);
-        }
-        self.take_running(id, &report.running);
-        self.settle_missing(id, sent_at, report);
-    }
-
-    fn take_end(&mut self, id: &WorkerId, end: &EndReport) {
-        let now = self.now;
-        let kept_first = self.keeps(SiteGuard::KeptEnds);
-        let Some(lead) = self.lead.as_deref_mut() else {
-            return;
-        };
-        let Some(seat) = lead.seats.get_mut(id) else {
-            return;
-        };
-        if end.number <= seat.seen {
-            return;
-        }
-        seat.seen = end.number;
-        if !kept_first {
-            seat.kept = end.number;
-        }
-        lead.stale = true;
-        let held = seat
-            .runs
-            .get(&end.task)
-            .is_some_and(|live| live.run == end.run);
-        let mut ran = Duration::ZERO;
-        let mut guess = Duration::ZERO;
-        if held {
-            if let Some(live) = seat.remove_run(&end.task) {
-                ran = now.saturating_sub(live.began);
-                if live.measured && end.saved.is_empty() {
-                    guess = live.estimate;
-                }
-            }
-        }
-        let job = end.task.step.job;
-        if end.how == EndKind::Done && !guess.is_zero() {
-            let queue = self.book.job(job).map(|job| job.spec.queue.clone());
-            let ratio = (ran.as_secs_f64() / guess.as_secs_f64())
-                .max(LEAST_RATIO)
-                .ln();
-            let error = lead
-                .guess_error
-                .entry(queue.unwrap_or_default())
-                .or_insert(ratio);
-            *error += GUESS_WEIGHT * (ratio - *error);
-            seat.note_slowness(ratio - *error);
-        }
-        let rests = match end.how {
-            EndKind::Done => seat.note_result(job, true, now),
-            EndKind::Failed => seat.note_result(job, false, now),
-            _ => false,
-        };
-        if rests {
-            self.counters.count("workers", "rest");
-            self.log(
-                "workers",
-                "rest",
-                id.to_string(),
-                "fails what it starts".into(),
-            );
-        }
-        let detail = format!(
-            "run {} on {id}: {} after {ran:?}",
-            end.run,
-            end.how.as_str()
-        );
-        self.log("runs", "end", end.task.to_string(), detail);
-        self.counters.count("ends", end.how.as_str());
-        let effect = Effect::ForgetEnd(id.clone(), end.number);
-        if self.is_current(end.task, end.run) {
-            self.propose_end(end.task, end.run, end.how, end.saved.clone(), effect);
-        } else {
-            self.follow_up(effect);
-        }
-    }
-
-    fn is_current(&self, task: TaskKey, run: u64) -> bool {
-        let record = self.book.job(task.step.job).and_then(|job| job.task(task));
-        record.is_some_and(
-            |record| matches!(record.phase, TaskPhase::Placed { run: now, .. } if now == run),
-        )
-    }
-
-    pub(super) fn propose_end(
-        &mut self,
-        task: TaskKey,
-        run: u64,
-        how: EndKind,
-        saved: String,
-        effect: Effect,
-    ) {
-        let event = LedgerEvent::Ended {
-            task,
-            run,
-            how,
-            saved,
-            at: self.wall,
-        };
-        self.propose(event, effect);
-    }
-
-    fn take_running(&mut self, id: &WorkerId, running: &[RunReport]) {
-        let now = self.now;
-        for report in running {
-            let spec = self.spec_of(report.task);
-            let Some(lead) = self.lead.as_deref_mut() else {
-                return;
-            };
-            let Some(seat) = lead.seats.get_mut(id) else {
-                return;
-            };
-            match seat.runs.get_mut(&report.task) {
-                Some(live) if live.run == report.run => {
-                    if matches!(live.phase, RunPhase::Adopted | RunPhase::Ordered) {
-                        live.phase = RunPhase::Running { since: now };
-                        lead.touched.insert(report.task.step.job);
-                    }
-                    if !report.saved.is_empty() && live.saved != report.saved {
-                        live.saved.clone_from(&report.saved);
-                    }
-                }
-                Some(_) => {}
-                None => {
-                    let phase = RunPhase::Stopping { confirmed: None };
-                    let live = LiveRun::new(report.run, &spec, phase, now);
-                    seat.add_run(report.task, live);
-                    let detail = format!("run {} on {id}", report.run);
-                    self.log("runs", "unknown", report.task.to_string(), detail);
-                }
-            }
-        }
-    }
-
-    /// The step that a task belongs to; an empty one if its job is not known.
-    fn spec_of(&self, task: TaskKey) -> StepSpec {
-        let job = self.book.job(task.step.job);
-        let step = job.and_then(|job| job.spec.steps.get(usize::from(task.step.step)));
-        step.cloned().unwrap_or_default()
-    }
-
-    /// Runs that are in neither list never began, or are gone.
-    fn settle_missing(&mut self, id: &WorkerId, sent_at: CoreTime, report: &HoldReport) {
-        let newer = self.keeps(SiteGuard::NewerList);
-        let Some(lead) = self.lead.as_deref_mut() else {
-            return;
-        };
-        let Some(seat) = lead.seats.get_mut(id) else {
-            return;
-        };
-        let listed = |task: &TaskKey, run: u64| {
-            report
-                .running
-                .iter()
-                .any(|entry| entry.task == *task && entry.run == run)
-        };
-        let mut missing = Vec::new();
-        for (task, live) in &seat.runs {
-            let settled = match live.phase {
-                RunPhase::Adopted => true,
-                RunPhase::Stopping {
-                    confirmed: Some(at),
-                } => at < sent_at || !newer,
-                // It was confirmed before the worker was asked, so the list is newer.
-                RunPhase::Running { since } => since < sent_at || !newer,
-                _ => false,
-            };
-            if settled && !listed(task, live.run) {
-                missing.push((*task, live.run, live.saved.clone()));
-            }
-        }
-        for (task, run, saved) in missing {
-            self.end_without_report(id, task, run, EndKind::NeverRan, saved);
-        }
-    }
-
-    /// Ends a run that no list will tell of.
-    pub(super) fn end_without_report(
-        &mut self,
-        id: &WorkerId,
-        task: TaskKey,
-        run: u64,
-        how: EndKind,
-        saved: String,
-    ) {
-        let Some(lead) = self.lead.as_deref_mut() else {
-            return;
-        };
-        lead.stale = true;
-        if let Some(seat) = lead.seats.get_mut(id) {
-            if seat.runs.get(&task).is_some_and(|live| live.run == run) {
-                seat.remove_run(&task);
-            }
-        }
-        let detail = format!("run {run} on {id}: {}", how.as_str());
-        self.log("runs", "end", task.to_string(), detail);
-        self.counters.count("ends", how.as_str());
-        if self.is_current(task, run) {
-            self.propose_end(task, run, how, saved, Effect::None);
-        }
-    }
-
-    /// Ends all runs of a worker that surely runs nothing any more.
-    fn give_up_seat(&mut self, id: &WorkerId, why: &str) {
-        let Some(lead) = self.lead.as_deref() else {
-            return;
-        };
-        let Some(seat) = lead.seats.get(id) else {
-            return;
-        };
-        let runs: Vec<(TaskKey, u64, String)> = seat
-            .runs
-            .iter()
-            .map(|(task, live)| (*task, live.run, live.saved.clone()))
-            .collect();
-        let detail = format!("{why}, {} runs", runs.len());
-        self.log("workers", "lost", id.to_string(), detail);
-        self.counters.count("workers", "lost");
-        for (task, run, saved) in runs {
-            self.end_without_report(id, task, run, EndKind::Lost, saved);
-        }
-    }
 }
--- a/crates/bankvalve_queue/src/core/mod.rs
+++ b/crates/bankvalve_queue/src/core/mod.rs
@@ -1,9 +1,10 @@
 //! The state machine of an entry instance.
 //!
-//! `members` hears peers, `standby` ranks them, `election` and `yielding` decide who leads, `commit`,
-//! `confirm` and `withdraw` keep the ledger, `callers` answers
-//! requests, `holds` and `orders` deal with workers, `advice` asks the policy
-//! service and `placing` decides which task runs where.
+//! `members` hears peers, `standby` ranks them, `election` and `yielding`
+//! decide who leads, `commit`, `confirm` and `withdraw` keep the ledger,
+//! `callers` answers requests, `holds`, `reports` and `orders` deal with
+//! workers, `advice` asks the policy service and `placing` decides which task
+//! runs where.
 
 mod advice;
 mod callers;
@@ -17,6 +18,7 @@
 mod members;
 mod orders;
 mod placing;
+mod reports;
 mod seat;
 mod seat_list;
 mod standby;
