test: each instance of a test site on a loopback address of its own

The log of that instance says `listen.callers 127.0.0.1:33145 … in use`: a port that was free when the test chose it was taken by another test, or by an outgoing connection, before the instance bound it.

Ruled out: a slow start; the process had ended at once.

Change: ports are chosen on an address of 127.0.0.0/8 that only this instance uses. The product is unchanged.

--- a/crates/bankvalve/tests/site/test_site.rs
+++ b/crates/bankvalve/tests/site/test_site.rs
@@ -2,9 +2,10 @@
 
 use std::collections::BTreeMap;
 use std::io::{Read, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream};
 use std::path::PathBuf;
 use std::process::{Child, Command, ExitStatus, Stdio};
+use std::sync::atomic::{AtomicU8, Ordering};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -270,9 +271,14 @@
     }
 }
 
-/// Addresses that are free now.
+/// Addresses that stay free until an instance takes them: on a loopback address of its own, since
+/// a port that is free on a shared one may be taken by another test, or by a connection.
 fn free_addresses() -> [SocketAddr; 4] {
-    let bind = || TcpListener::bind("127.0.0.1:0").expect("a port");
+    static NEXT: AtomicU8 = AtomicU8::new(1);
+    let number = NEXT.fetch_add(1, Ordering::Relaxed);
+    let [.., high, low] = std::process::id().to_be_bytes();
+    let own = Ipv4Addr::new(127, 1 + high / 2, low, number);
+    let bind = || TcpListener::bind((own, 0)).expect("a port");
     let listeners = [bind(), bind(), bind(), bind()];
     listeners.map(|listener| listener.local_addr().expect("an address"))
 }
