perf(queue): a slow write is read back, not sent again

Cause: three copies of each write after 0.2 s. A slow table carries out the writes of a part in turn, half a second each, so copies queued behind their original, the leader took the table for away after 1.1 s, withdrew what waited and let peers lead, each of whom began anew. Ruled out: fewer copies alone; they are needed when answers are lost. Change: after 0.12 to 0.45 s it is read back whether the write was done. If it was, it is finished; if reads are quick and it was not, a copy is sent. A table that answers anything is not away, and no reason to let a peer lead.

--- a/crates/bankvalve_check/src/site/site_world.rs
+++ b/crates/bankvalve_check/src/site/site_world.rs
@@ -58,6 +58,8 @@
     pub turned_away_until: u64,
     /// Until when peers do not reach it.
     pub cut_from_peers_until: u64,
+    /// Bytes of rows that its link carries in a millisecond; none for as many as there are.
+    pub link_bytes_per_ms: Option<u64>,
     pub(super) parked: Vec<CoreEvent>,
 }
 
@@ -168,6 +170,9 @@
     pub store_silent: bool,
     /// Time that the table takes for each request, besides the usual, in milliseconds.
     pub store_delay_ms: u64,
+    /// Time for which the table carries out one write, while the others wait, in milliseconds.
+    pub store_turn_ms: u64,
+    pub(super) store_busy_until: u64,
     /// Share of writes whose answer is lost, in percent.
     pub lost_percent: u32,
     /// Whether such writes are done only later.
@@ -184,6 +189,8 @@
     pub events: u64,
     /// Starts that workers turned away since their permit had run out.
     pub permit_refusals: u64,
+    /// Configurations that instances passed on to peers.
+    pub tables_passed: u64,
     /// Messages that each instance sent to peers.
     pub peer_messages: BTreeMap<usize, u64>,
 }
@@ -221,6 +228,8 @@
             store_away_until: 0,
             store_silent: false,
             store_delay_ms: 0,
+            store_turn_ms: 0,
+            store_busy_until: 0,
             lost_percent: 0,
             lost_late: false,
             late_orders_percent: 0,
@@ -229,6 +238,7 @@
             callers_leave: false,
             events: 0,
             permit_refusals: 0,
+            tables_passed: 0,
             peer_messages: BTreeMap::new(),
             plan,
         };
@@ -246,6 +256,7 @@
                 cut_from_store_until: 0,
                 turned_away_until: 0,
                 cut_from_peers_until: 0,
+                link_bytes_per_ms: None,
                 parked: Vec::new(),
             });
             world.start(number);
--- a/crates/bankvalve_check/tests/site/table.rs
+++ b/crates/bankvalve_check/tests/site/table.rs
@@ -4,7 +4,7 @@
 
 use bankvalve_check::site::{job_of, SitePlan, SiteWorld, QUEUE};
 
-use crate::{assert_kept, follower, world};
+use crate::{assert_kept, follower, unlike_world, world};
 
 #[test]
 fn an_end_whose_write_has_no_answer_is_kept_once() {
@@ -109,3 +109,59 @@
         world.rules.starts
     );
 }
+
+#[test]
+fn a_slow_write_is_not_sent_again() {
+    let mut world = world(51);
+    // Each write takes its turn of half a second, and 0.4 s on its way.
+    world.store_delay_ms = 400;
+    world.store_turn_ms = 495;
+    let leader = world.leader();
+    for job in 1..=100 {
+        world.submit(job_of(job, QUEUE, &[1], false));
+        let until = world.now_ms + 50;
+        world.run_until(until);
+    }
+    assert_eq!(world.leader(), leader);
+    let sent = world.counter("commits", "sent");
+    let kept = world.counter("commits", "kept");
+    assert!(kept >= 4 && sent <= kept + 1, "{sent} sent, {kept} kept");
+    world.store_delay_ms = 0;
+    world.store_turn_ms = 0;
+    world.run_until(60_000);
+    assert_kept(&world);
+    assert_eq!(world.shown.len(), 100);
+}
+
+#[test]
+fn a_write_whose_answer_is_lost_is_read_back_at_once() {
+    let mut world = world(52);
+    world.lost_percent = 100;
+    let accepted_by = world.now_ms + 400;
+    world.submit(job_of(1, QUEUE, &[1], false));
+    world.run_until(accepted_by);
+    assert_eq!(world.rules.accepted().len(), 1);
+    world.lost_percent = 0;
+    world.run_until(20_000);
+    assert_kept(&world);
+    assert_eq!(world.shown.len(), 1);
+}
+
+#[test]
+fn a_series_of_configurations_is_passed_on_seldom() {
+    let mut world = unlike_world(53, 12);
+    let cut = (0..12).find(|node| !world.nodes[*node].leads());
+    let cut = cut.expect("an instance follows");
+    world.nodes[cut].cut_from_store_until = 60_000;
+    for version in 2..=30 {
+        world.configure(version);
+        let until = world.now_ms + 200;
+        world.run_until(until);
+    }
+    // From each peer at each heartbeat it would be some 30 a second.
+    assert!(world.tables_passed <= 7, "{}", world.tables_passed);
+    let until = world.now_ms + 3_000;
+    world.run_until(until);
+    assert!(world.tables_passed >= 1);
+    assert_kept(&world);
+}
--- a/crates/bankvalve_queue/src/core/callers.rs
+++ b/crates/bankvalve_queue/src/core/callers.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use super::commit::{Effect, Origin};
-use super::lead::LeadState;
+use super::lead::{LeadState, UnknownAsk};
 use super::withdraw::STORE_RETRY_MS;
 use super::EntryCore;
 use crate::caller::{CallerAnswer, CallerRequest, JobState, RefusalReason, ResolvedRequest};
@@ -196,6 +196,22 @@
         }
     }
 
+    /// Answers a request about a job that was not known when it came, now that it is sure that this
+    /// instance led then; meanwhile the job may have been handed in.
+    pub(super) fn serve_unknown(&mut self, ask: UnknownAsk) {
+        let known = match &ask.request {
+            CallerRequest::Status { job } | CallerRequest::Cancel { job } => {
+                self.book.job(*job).is_some()
+            }
+            CallerRequest::Submit { .. } | CallerRequest::Count { .. } => true,
+        };
+        if known {
+            self.serve_request(ask.origin, ask.request);
+        } else {
+            self.answer(ask.origin, CallerAnswer::NoSuchJob);
+        }
+    }
+
     fn serve_request(&mut self, origin: Origin, request: CallerRequest) {
         match request {
             CallerRequest::Submit { spec, terms } => self.serve_submit(origin, spec, terms),
@@ -263,7 +279,7 @@
 
     fn serve_status(&mut self, origin: Origin, job: JobId) {
         let Some(record) = self.book.job(job) else {
-            self.confirm_unknown(origin);
+            self.confirm_unknown(origin, CallerRequest::Status { job });
             return;
         };
         let state = record.state();
@@ -292,7 +308,7 @@
 
     fn serve_cancel(&mut self, origin: Origin, job: JobId) {
         let Some(record) = self.book.job(job) else {
-            self.confirm_unknown(origin);
+            self.confirm_unknown(origin, CallerRequest::Cancel { job });
             return;
         };
         let effect = Effect::Answer(origin, CallerAnswer::Cancelled);
@@ -307,10 +323,14 @@
     }
 
     /// Says that there is no such job only after it is sure that this instance leads.
-    fn confirm_unknown(&mut self, origin: Origin) {
-        let now = self.now;
+    fn confirm_unknown(&mut self, origin: Origin, request: CallerRequest) {
+        let at = self.now;
         if let Some(lead) = self.lead.as_deref_mut() {
-            lead.confirm_waiting.push((now, origin));
+            lead.confirm_waiting.push(UnknownAsk {
+                at,
+                origin,
+                request,
+            });
         }
     }
 }
--- a/crates/bankvalve_queue/src/core/commit.rs
+++ b/crates/bankvalve_queue/src/core/commit.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use super::following::batch_key;
+use super::lead::LeadState;
 use super::store_link::{StorePurpose, CELL_TABLE, LEAD_PART, LEDGER_TABLE};
 use super::EntryCore;
 use crate::caller::CallerAnswer;
@@ -22,19 +23,34 @@
 const ROW_SHARE: usize = 2;
 /// Time between the starts of two commits: events that come meanwhile go together.
 const COMMIT_PACE: Duration = Duration::from_millis(24);
-/// Least time after which another copy of a write is sent; copies do no harm, since the row
-/// of the batch must not be there.
-const HEDGE_LEAST: Duration = Duration::from_millis(200);
-/// The usual time of a write, times this, after which another copy is sent.
-const HEDGE_FACTOR: u32 = 5;
-/// Most copies without an answer.
-const HEDGE_COPIES: u32 = 3;
+/// Longest wait for the answer to a write. It only frees the connection: whether the write was done
+/// is read back long before.
+const COMMIT_TIME: Duration = Duration::from_millis(3_000);
+/// Least and longest time after which it is read back whether a write without an answer was done.
+const CHECK_LEAST: Duration = Duration::from_millis(120);
+const CHECK_MOST: Duration = Duration::from_millis(450);
+/// The usual time of a write, times this, after which it is read back.
+const CHECK_FACTOR: u32 = 4;
+/// A read-back takes this long at most; a slow table takes some 0.4 s.
+const CHECK_TIME: Duration = Duration::from_millis(700);
+/// A write that is not done though reads take less than this share of its age is lost rather than
+/// slow: a slow table takes twice as long for a write as for a read, and longer if others wait.
+const LOST_FACTOR: u32 = 6;
+/// Least age of a write that counts as lost.
+const LOST_LEAST: Duration = Duration::from_millis(200);
+/// Most copies without an answer; they do no harm, since the row of the batch must not be there,
+/// but a slow table carries them out in turn.
+const MOST_COPIES: u32 = 3;
 /// Pause after a write that was refused.
 const BUSY_PAUSE: Duration = Duration::from_millis(60);
 /// Copies of one write that the table turned away, after which it counts as away.
 const REFUSED_AWAY: u32 = 3;
-/// A write without an answer for so long: the table counts as away.
-pub(super) const STORE_AWAY: Duration = Duration::from_millis(1_100);
+/// A write without an answer for so long, while nothing else has one: the table counts as away.
+const STORE_AWAY: Duration = Duration::from_millis(1_100);
+/// A table that has answered anything so lately is there, if only slow.
+const STORE_HEARD: Duration = Duration::from_millis(800);
+/// A write without an answer for so long: the table counts as away whatever else it answers.
+const STORE_STUCK: Duration = Duration::from_millis(3_000);
 
 /// Who asked.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -78,6 +94,9 @@
     pub(super) copies: u32,
     pub(super) sent_at: CoreTime,
     pub(super) next_at: CoreTime,
+    /// When it is read back whether it was done, unless that is asked already.
+    pub(super) check_at: CoreTime,
+    pub(super) checking: bool,
     /// Whether a copy had no answer, so that it may have been done or be done later.
     pub(super) uncertain: bool,
     /// Copies that the table surely did not carry out.
@@ -150,7 +169,9 @@
         let flight = lead.flight.as_ref();
         lead.away_since.is_some()
             || flight.is_some_and(|flight| {
-                flight.refused >= REFUSED_AWAY || self.age(flight.since) > STORE_AWAY
+                let age = self.age(flight.since);
+                let silent = self.store_heard.is_none_or(|at| self.age(at) > STORE_HEARD);
+                flight.refused >= REFUSED_AWAY || (silent && age > STORE_AWAY) || age > STORE_STUCK
             })
     }
 
@@ -163,17 +184,8 @@
         if !lead.loaded {
             return;
         }
-        if let Some(flight) = lead.flight.as_mut() {
-            // Each wait is twice the one before, since a slow table carries copies out in turn.
-            let doublings = 2_u32.pow(flight.copies.saturating_sub(1));
-            let hedge = HEDGE_LEAST.max(lead.commit_time * HEDGE_FACTOR) * doublings;
-            let unanswered = flight.copies < HEDGE_COPIES && now > flight.sent_at + hedge;
-            let again = flight.copies == 0 && now >= flight.next_at;
-            if again || (flight.copies > 0 && unanswered) {
-                flight.copies += 1;
-                flight.sent_at = now;
-                self.send_flight();
-            }
+        if lead.flight.is_some() {
+            self.pursue_flight();
             return;
         }
         if lead.pending.is_empty() || now < lead.next_commit_at {
@@ -204,12 +216,120 @@
             copies: 1,
             sent_at: now,
             next_at: now,
+            check_at: now + lead.check_pause(),
+            checking: false,
             uncertain: false,
             refused: 0,
         });
         self.send_flight();
     }
 
+    /// Sees to a write that has no answer yet.
+    fn pursue_flight(&mut self) {
+        let now = self.now;
+        let away = self.store_is_away();
+        let Some(flight) = self
+            .lead
+            .as_deref_mut()
+            .and_then(|lead| lead.flight.as_mut())
+        else {
+            return;
+        };
+        if flight.copies == 0 {
+            if now >= flight.next_at {
+                self.send_copy();
+            }
+            return;
+        }
+        if away && !flight.uncertain {
+            flight.uncertain = true;
+            self.withdraw_unkept();
+            return;
+        }
+        if !flight.checking && now >= flight.check_at {
+            self.check_flight();
+        }
+    }
+
+    /// Reads back whether a write without an answer was done.
+    fn check_flight(&mut self) {
+        let now = self.now;
+        let Some(flight) = self
+            .lead
+            .as_deref_mut()
+            .and_then(|lead| lead.flight.as_mut())
+        else {
+            return;
+        };
+        flight.checking = true;
+        let sequence = flight.sequence;
+        let request = StoreRequest::Read {
+            table: LEDGER_TABLE.to_owned(),
+            part: LEAD_PART.to_owned(),
+            from: batch_key(sequence),
+            limit: Some(1),
+        };
+        self.counters.count("commits", "read_back");
+        let purpose = StorePurpose::CheckCommit {
+            sequence,
+            sent_at: now,
+        };
+        self.ask_store_within(purpose, request, CHECK_TIME);
+    }
+
+    pub(super) fn end_check(&mut self, sequence: u64, sent_at: CoreTime, outcome: &StoreOutcome) {
+        let now = self.now;
+        let Some(lead) = self.lead.as_deref_mut() else {
+            return;
+        };
+        let same = |flight: &&mut CommitFlight| flight.sequence == sequence;
+        let Some(flight) = lead.flight.as_mut().filter(same) else {
+            return;
+        };
+        flight.checking = false;
+        flight.check_at = now + CHECK_LEAST;
+        let StoreOutcome::Rows { rows, .. } = outcome else {
+            return;
+        };
+        lead.asked_since = None;
+        let key = batch_row(sequence);
+        match rows.iter().find(|row| row.key == key) {
+            Some(row) if row.value == flight.rows[0] => {
+                self.log("ledger", "read_back", sequence.to_string(), "done".into());
+                self.finish_commit();
+            }
+            Some(_) => {
+                self.depose("another leader wrote the ledger on");
+                self.read_leader_row();
+            }
+            None => {
+                let took = now.saturating_sub(sent_at);
+                let age = now.saturating_sub(flight.sent_at);
+                let lost = age > LOST_LEAST.max(took * LOST_FACTOR);
+                if lost && flight.copies < MOST_COPIES {
+                    let detail = format!("not done after {age:?}, reads take {took:?}");
+                    self.log("ledger", "copy", sequence.to_string(), detail);
+                    self.send_copy();
+                }
+            }
+        }
+    }
+
+    /// Sends the write that is on its way once more.
+    fn send_copy(&mut self) {
+        let now = self.now;
+        let Some(lead) = self.lead.as_deref_mut() else {
+            return;
+        };
+        let pause = lead.check_pause();
+        if let Some(flight) = lead.flight.as_mut() {
+            flight.copies += 1;
+            flight.sent_at = now;
+            flight.check_at = now + pause;
+            self.send_flight();
+        }
+    }
+
     fn send_flight(&mut self) {
         let Some(lead) = self.lead.as_deref() else {
             return;
@@ -246,7 +366,7 @@
             sent_at: self.now,
         };
         self.note_store_question();
-        self.ask_store(purpose, request);
+        self.ask_store_within(purpose, request, COMMIT_TIME);
     }
 
     pub(super) fn end_commit(&mut self, sequence: u64, sent_at: CoreTime, outcome: StoreOutcome) {
@@ -392,6 +512,13 @@
     }
 }
 
+impl LeadState {
+    /// Wait for a write's answer before it is read back.
+    fn check_pause(&self) -> Duration {
+        (self.commit_time * CHECK_FACTOR).clamp(CHECK_LEAST, CHECK_MOST)
+    }
+}
+
 fn batch_row(sequence: u64) -> RowKey {
     RowKey::new(LEDGER_TABLE, LEAD_PART, batch_key(sequence))
 }
--- a/crates/bankvalve_queue/src/core/confirm.rs
+++ b/crates/bankvalve_queue/src/core/confirm.rs
@@ -4,7 +4,6 @@
 
 use super::store_link::{StorePurpose, CELL_TABLE, LEAD_PART};
 use super::EntryCore;
-use crate::caller::CallerAnswer;
 use crate::store::{StoreOutcome, StoreRequest};
 
 /// Silence after which the leader asks whether it still leads.
@@ -34,6 +33,7 @@
             table: CELL_TABLE.to_owned(),
             part: LEAD_PART.to_owned(),
             from: String::new(),
+            limit: None,
         };
         self.note_store_question();
         self.ask_store(StorePurpose::Confirm, request);
@@ -65,10 +65,10 @@
         }
         let waiting = std::mem::take(&mut lead.confirm_waiting);
         let (ready, later): (Vec<_>, Vec<_>) =
-            waiting.into_iter().partition(|(at, _)| *at <= asked_at);
+            waiting.into_iter().partition(|ask| ask.at <= asked_at);
         lead.confirm_waiting = later;
-        for (_, origin) in ready {
-            self.answer(origin, CallerAnswer::NoSuchJob);
+        for ask in ready {
+            self.serve_unknown(ask);
         }
     }
 }
--- a/crates/bankvalve_queue/src/core/election.rs
+++ b/crates/bankvalve_queue/src/core/election.rs
@@ -50,6 +50,8 @@
     pub(super) known_at: CoreTime,
     /// Processor that it has, in thousandths of a core.
     pub(super) strength: u64,
+    /// When a configuration may be passed on to it again.
+    pub(super) next_table: CoreTime,
     pub(super) news: HeartbeatNews,
 }
 
@@ -102,7 +104,13 @@
         let table = CELL_TABLE.to_owned();
         let part = LEAD_PART.to_owned();
         let from = String::new();
-        self.ask_store(purpose, StoreRequest::Read { table, part, from });
+        let request = StoreRequest::Read {
+            table,
+            part,
+            from,
+            limit: None,
+        };
+        self.ask_store(purpose, request);
     }
 
     pub(super) fn take_leader_row(&mut self, value: &[u8], version: u64) {
--- a/crates/bankvalve_queue/src/core/entry_core.rs
+++ b/crates/bankvalve_queue/src/core/entry_core.rs
@@ -193,6 +193,8 @@
     pub(super) wall: WallMillis,
     pub(super) table: Option<QueueTable>,
     pub(super) table_raw: Vec<u8>,
+    /// When the configuration in force came.
+    pub(super) table_since: CoreTime,
     pub(super) peers: BTreeMap<PeerAddress, PeerView>,
     pub(super) leader: Option<LeaderView>,
     pub(super) highest_epoch: u64,
@@ -237,6 +239,7 @@
             wall: 0,
             table: None,
             table_raw: Vec::new(),
+            table_since: Duration::ZERO,
             peers: BTreeMap::new(),
             leader: None,
             highest_epoch: 0,
--- a/crates/bankvalve_queue/src/core/following.rs
+++ b/crates/bankvalve_queue/src/core/following.rs
@@ -119,6 +119,7 @@
             table: LEDGER_TABLE.to_owned(),
             part: LEAD_PART.to_owned(),
             from: batch_key(self.applied + 1),
+            limit: None,
         };
         self.ask_store(purpose, request);
     }
--- a/crates/bankvalve_queue/src/core/lead.rs
+++ b/crates/bankvalve_queue/src/core/lead.rs
@@ -8,6 +8,7 @@
 use super::seat::{LiveRun, Seat};
 use super::waiting::WaitingStep;
 use super::EntryCore;
+use crate::caller::CallerRequest;
 use crate::guard::SiteGuard;
 use crate::ids::{CoreTime, JobId, StepKey, TaskKey, Ticket, WallMillis, WorkerId};
 use crate::job::TaskSize;
@@ -35,6 +36,14 @@
     Stop { task: TaskKey, run: u64 },
 }
 
+/// A request about a job that the leader does not know, until it is sure that it leads.
+#[derive(Debug)]
+pub(super) struct UnknownAsk {
+    pub(super) at: CoreTime,
+    pub(super) origin: Origin,
+    pub(super) request: CallerRequest,
+}
+
 /// State of a leader.
 #[derive(Debug)]
 pub(super) struct LeadState {
@@ -56,7 +65,7 @@
     pub(super) next_confirm: CoreTime,
     /// Since when the table has turned all writes away, while none is on its way.
     pub(super) away_since: Option<CoreTime>,
-    pub(super) confirm_waiting: Vec<(CoreTime, Origin)>,
+    pub(super) confirm_waiting: Vec<UnknownAsk>,
     pub(super) sequence: u64,
     pub(super) pending: VecDeque<Proposal>,
     pub(super) flight: Option<CommitFlight>,
--- a/crates/bankvalve_queue/src/core/store_link.rs
+++ b/crates/bankvalve_queue/src/core/store_link.rs
@@ -31,6 +31,9 @@
 const MANY_MEMBERS: usize = 12;
 /// Pause between two watches of members' rows on such a site, so that changes come together.
 const MANY_PAUSE: Duration = Duration::from_millis(150);
+/// Pause between two changes of the configuration that are read: a large one takes a small
+/// instance some 0.1 s, and in a quick series only the last one counts.
+const OPERATOR_PAUSE: Duration = Duration::from_millis(300);
 /// Pause after a request that failed.
 const RETRY_PAUSE: Duration = Duration::from_millis(120);
 
@@ -40,6 +43,7 @@
     Register,
     Claim,
     Commit { sequence: u64, sent_at: CoreTime },
+    CheckCommit { sequence: u64, sent_at: CoreTime },
     Confirm,
     LoadLedger,
     CatchUp,
@@ -68,7 +72,6 @@
 
 impl EntryCore {
     pub(super) fn ask_store(&mut self, purpose: StorePurpose, request: StoreRequest) -> Ticket {
-        let ticket = self.take_ticket();
         let time = match &request {
             StoreRequest::Transact { .. } => WRITE_TIME,
             StoreRequest::Watch { wait_ms, .. }
@@ -78,6 +81,17 @@
             }
             _ => READ_TIME,
         };
+        self.ask_store_within(purpose, request, time)
+    }
+
+    /// Asks the table and waits for its answer no longer than a time.
+    pub(super) fn ask_store_within(
+        &mut self,
+        purpose: StorePurpose,
+        request: StoreRequest,
+        time: Duration,
+    ) -> Ticket {
+        let ticket = self.take_ticket();
         self.store_tickets.insert(ticket, purpose);
         self.actions.push(CoreAction::Store {
             ticket,
@@ -131,7 +145,12 @@
         let from = String::new();
         self.ask_store(
             StorePurpose::ReadCell,
-            StoreRequest::Read { table, part, from },
+            StoreRequest::Read {
+                table,
+                part,
+                from,
+                limit: None,
+            },
         );
     }
 
@@ -154,6 +173,9 @@
             StorePurpose::Commit { sequence, sent_at } => {
                 self.end_commit(sequence, sent_at, outcome);
             }
+            StorePurpose::CheckCommit { sequence, sent_at } => {
+                self.end_check(sequence, sent_at, &outcome);
+            }
             StorePurpose::Confirm => self.end_confirm(&outcome),
             StorePurpose::LoadLedger => self.end_load(outcome),
             StorePurpose::CatchUp => self.end_catch_up(outcome),
@@ -220,6 +242,7 @@
             StoreOutcome::Operator { news, version } => {
                 watch.after = Some(version);
                 if let Some(table) = news.table {
+                    watch.next_at = self.now + OPERATOR_PAUSE;
                     self.use_table(table, news.raw);
                 }
             }
@@ -277,6 +300,7 @@
         self.actions.push(CoreAction::UseTable(table.clone()));
         self.table = Some(table);
         self.table_raw = raw;
+        self.table_since = self.now;
         if let Some(lead) = self.lead.as_deref_mut() {
             lead.stale = true;
         }
--- a/crates/bankvalve_queue/src/core/yielding.rs
+++ b/crates/bankvalve_queue/src/core/yielding.rs
@@ -50,9 +50,11 @@
         let Some(lead) = self.lead.as_deref_mut() else {
             return;
         };
+        // A table that answers anything is there, however slow it is with the rest.
+        let heard = self.store_heard.unwrap_or_default();
         let unanswered = lead
             .asked_since
-            .map_or(Duration::ZERO, |at| now.saturating_sub(at));
+            .map_or(Duration::ZERO, |at| now.saturating_sub(at.max(heard)));
         let turned_away = lead.away_since.is_some();
         let silent = unanswered > TROUBLE_AFTER;
         if !turned_away && !silent {
--- a/crates/bankvalve_queue/src/store.rs
+++ b/crates/bankvalve_queue/src/store.rs
@@ -88,6 +88,8 @@
         part: String,
         /// Least key.
         from: String,
+        /// Most rows; none for as many as the table gives.
+        limit: Option<u32>,
     },
     /// Waits for changes in one of our own tables.
     Watch {
--- a/crates/bankvalve_standin/src/site/site_store.rs
+++ b/crates/bankvalve_standin/src/site/site_store.rs
@@ -28,7 +28,12 @@
     pub fn handle(&mut self, request: &StoreRequest) -> Option<StoreOutcome> {
         match request {
             StoreRequest::Transact { .. } => Some(self.transact(request)),
-            StoreRequest::Read { table, part, from } => Some(self.read(table, part, from)),
+            StoreRequest::Read {
+                table,
+                part,
+                from,
+                limit,
+            } => Some(self.read(table, part, from, *limit)),
             StoreRequest::Watch { table, after, .. } => {
                 let changed =
                     |change: &&RowChange| change.key.table == *table && change.version > *after;
@@ -191,21 +196,22 @@
         StoreOutcome::Applied { version }
     }
 
-    fn read(&self, table: &str, part: &str, from: &str) -> StoreOutcome {
+    fn read(&self, table: &str, part: &str, from: &str, limit: Option<u32>) -> StoreOutcome {
+        let most = limit.map_or(PAGE, |limit| PAGE.min(limit as usize));
         let first = RowKey::new(table, part, from);
         let mut rows: Vec<StoredRow> = self
             .rows
             .range(first..)
             .take_while(|(key, _)| key.table == table && key.part == part)
-            .take(PAGE + 1)
+            .take(most + 1)
             .map(|(key, (value, version))| StoredRow {
                 key: key.clone(),
                 value: value.clone(),
                 version: *version,
             })
             .collect();
-        let more = rows.len() > PAGE;
-        rows.truncate(PAGE);
+        let more = rows.len() > most;
+        rows.truncate(most);
         StoreOutcome::Rows {
             rows,
             more,
