perf(queue): lost answers of workers are asked for anew within a tenth of a second

Cause: an order without an answer was repeated after 0.35 s, and a look whose answer was lost was missed only after 1.5 s, so that all ends on that worker came to light 1.75 s late. Change: the time that answers take is learned; an order is repeated after eight times that, 80 ms at least, and a look is missed so long after its wait. Looks at workers with urgent runs wait 0.35 s in place of 0.9 s. The first look that is missed is sent again at once. Both new tests fail with the times as they were.

--- a/crates/bankvalve_check/src/site/site_faults.rs
+++ b/crates/bankvalve_check/src/site/site_faults.rs
@@ -131,6 +131,7 @@
         world.store_delay_ms = 0;
         world.lost_percent = 0;
         world.late_orders_percent = 0;
+        world.lost_looks_percent = 0;
         world.fail_percent = 0;
         world.worker_cut_until.clear();
         for node in &mut world.nodes {
--- a/crates/bankvalve_check/src/site/site_links.rs
+++ b/crates/bankvalve_check/src/site/site_links.rs
@@ -48,8 +48,12 @@
                 address,
                 token,
                 call,
-                ..
+                time,
             } => {
+                let hold = matches!(call, bankvalve_queue::WorkerCall::Hold { .. });
+                let lost = hold
+                    && self.lost_looks_percent > 0
+                    && self.rng.random_range(0..100) < self.lost_looks_percent;
                 let start = matches!(call, bankvalve_queue::WorkerCall::Start(_));
                 let late = start && self.rng.random_range(0..100) < self.late_orders_percent;
                 let delay = if late {
@@ -57,15 +61,16 @@
                 } else {
                     self.rng.random_range(1..4)
                 };
-                if late {
+                if late || lost {
                     let event = CoreEvent::Worker {
                         ticket,
                         answer: WorkerAnswer::NoReply,
                     };
-                    self.after(350, Later::Event { node, life, event });
+                    let limit = time.as_millis() as u64;
+                    self.after(limit, Later::Event { node, life, event });
                 }
-                // A late order's answer finds nobody.
-                let life = if late { 0 } else { life };
+                // A late order's answer finds nobody, and neither does a lost one.
+                let life = if late || lost { 0 } else { life };
                 self.after(
                     delay,
                     Later::WorkerArrives {
--- a/crates/bankvalve_check/src/site/site_world.rs
+++ b/crates/bankvalve_check/src/site/site_world.rs
@@ -179,6 +179,8 @@
     pub lost_late: bool,
     /// Share of orders that have no answer and are carried out late, in percent.
     pub late_orders_percent: u32,
+    /// Share of looks whose answer is lost, in percent.
+    pub lost_looks_percent: u32,
     /// Share of runs that fail, in percent.
     pub fail_percent: u32,
     /// Until when a worker is cut off, by address.
@@ -233,6 +235,7 @@
             lost_percent: 0,
             lost_late: false,
             late_orders_percent: 0,
+            lost_looks_percent: 0,
             fail_percent: 0,
             worker_cut_until: BTreeMap::new(),
             callers_leave: false,
--- a/crates/bankvalve_check/tests/site/workers.rs
+++ b/crates/bankvalve_check/tests/site/workers.rs
@@ -84,3 +84,37 @@
     world.run_until(5_000);
     assert_eq!(world.rules.starts, 0);
 }
+
+#[test]
+fn an_order_without_an_answer_is_repeated_at_once() {
+    let mut world = world(54);
+    world.late_orders_percent = 100;
+    world.submit(job_of(1, URGENT_QUEUE, &[1], false));
+    world.run_until(1_060);
+    assert_eq!(world.rules.starts, 0);
+    world.late_orders_percent = 0;
+    world.run_until(1_250);
+    assert_eq!(world.rules.starts, 1);
+    world.run_until(20_000);
+    assert_kept(&world);
+}
+
+#[test]
+fn an_urgent_end_is_seen_soon_though_the_answer_that_told_it_is_lost() {
+    let mut world = world(55);
+    for job in 1..=12 {
+        world.submit(job_of(job, URGENT_QUEUE, &[1], false));
+        let until = world.now_ms + 150;
+        world.lost_looks_percent = 40;
+        world.run_until(until);
+    }
+    world.run_until(6_000);
+    world.lost_looks_percent = 0;
+    world.run_until(20_000);
+    assert_kept(&world);
+    let waits = world.rules.end_waits_ms();
+    assert_eq!(waits.len(), 12);
+    // A look that waits for an end as long as for the others would take 1.5 s to be missed.
+    let mean = waits.iter().sum::<u64>() / 12;
+    assert!(mean < 350, "ends were kept after {mean} ms");
+}
--- a/crates/bankvalve_queue/src/core/holds.rs
+++ b/crates/bankvalve_queue/src/core/holds.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use super::lead::CallPurpose;
+use super::lead::{CallPurpose, OpenCall};
 use super::seat::Seat;
 use super::EntryCore;
 use crate::core::CoreAction;
@@ -15,12 +15,17 @@
 const HOLD: Duration = Duration::from_millis(5_000);
 /// Longest that a worker waits for an end before it answers.
 const LOOK_WAIT: Duration = Duration::from_millis(900);
-/// Time for the way there and back, and a slow worker.
+/// The same for a worker with runs whose end is urgent: an answer that is lost shows only when the
+/// wait is over, and a short lookup takes about as long.
+const URGENT_LOOK_WAIT: Duration = Duration::from_millis(350);
+/// Longest time for the way there and back, and a slow worker.
 const LOOK_SLACK: Duration = Duration::from_millis(600);
 /// Least time between two looks, so that ends that come close together travel together.
 const LOOK_PACE: Duration = Duration::from_millis(15);
 /// Pause of looks while ends wait to be kept.
 const KEEP_PAUSE: Duration = Duration::from_millis(500);
+/// A worker that was heard so lately has left one look without an answer, no more.
+const FIRST_SILENCE: Duration = Duration::from_millis(1_300);
 /// Pause after a look without an answer.
 const SILENT_PAUSE: Duration = Duration::from_millis(250);
 /// The same for a worker that runs nothing, on a site of many workers.
@@ -142,6 +147,7 @@
             return;
         };
         let many = lead.seats.len() > MANY_WORKERS;
+        let slack = lead.answer_limit(LOOK_SLACK);
         let Some(seat) = lead.seats.get_mut(id) else {
             return;
         };
@@ -159,9 +165,12 @@
             Duration::ZERO
         } else if many && seat.runs.is_empty() {
             IDLE_LOOK_WAIT
+        } else if seat.has_urgent_run() {
+            URGENT_LOOK_WAIT
         } else {
             LOOK_WAIT
         };
+        let slack = if seat.proved { slack } else { LOOK_SLACK };
         seat.hold_busy = true;
         seat.look_wait = wait;
         let call = WorkerCall::Hold {
@@ -170,8 +179,7 @@
             wait_ms: wait.as_millis() as u64,
         };
         self.counters.count("calls", "look");
-        let purpose = CallPurpose::Hold { sent_at: now };
-        self.call_worker(id, purpose, call, wait + LOOK_SLACK);
+        self.call_worker(id, CallPurpose::Hold, call, wait + slack);
     }
 
     pub(super) fn call_worker(
@@ -189,7 +197,12 @@
             return;
         };
         let address = seat.entry.address.clone();
-        lead.calls.insert(ticket, (id.clone(), purpose));
+        let open = OpenCall {
+            worker: id.clone(),
+            purpose,
+            sent_at: self.now,
+        };
+        lead.calls.insert(ticket, open);
         let token = lead.epoch;
         self.actions.push(CoreAction::Worker {
             ticket,
@@ -206,9 +219,14 @@
         let Some(lead) = self.lead.as_deref_mut() else {
             return;
         };
-        let Some((id, purpose)) = lead.calls.remove(&ticket) else {
+        let Some(open) = lead.calls.remove(&ticket) else {
             return;
         };
+        let (id, purpose) = (open.worker, open.purpose);
+        let order = !matches!(purpose, CallPurpose::Hold);
+        if order && matches!(answer, WorkerAnswer::Done { .. }) {
+            lead.note_answer(now.saturating_sub(open.sent_at));
+        }
         let Some(seat) = lead.seats.get_mut(&id) else {
             return;
         };
@@ -242,7 +260,7 @@
                 self.read_leader_row();
             }
             answer => match purpose {
-                CallPurpose::Hold { sent_at } => self.end_look(&id, sent_at, answer),
+                CallPurpose::Hold => self.end_look(&id, open.sent_at, answer),
                 CallPurpose::Start { task, run } => self.end_start(&id, task, run, &answer),
                 CallPurpose::Stop { task, run } => self.end_stop(&id, task, run, &answer),
             },
@@ -264,7 +282,13 @@
             ..
         } = answer
         else {
-            seat.next_hold = now + SILENT_PAUSE;
+            // One lost answer is asked for anew at once; a worker that stays silent is not pressed.
+            let first_silence = seat.is_heard(now, FIRST_SILENCE);
+            seat.next_hold = if first_silence {
+                now
+            } else {
+                now + SILENT_PAUSE
+            };
             let asked = now.saturating_sub(sent_at);
             let detail = format!("{answer:?} after {asked:?}, {} runs", seat.runs.len());
             self.log("workers", "silent", id.to_string(), detail);
--- a/crates/bankvalve_queue/src/core/lead.rs
+++ b/crates/bankvalve_queue/src/core/lead.rs
@@ -28,14 +28,28 @@
 /// Longest time between two of them.
 const SCAN_MOST: Duration = Duration::from_millis(20);
 
+/// The usual time of an answer, times this, after which it is taken for lost: an order that is
+/// repeated needlessly does no harm, and costs what one call costs.
+const ANSWER_FACTOR: u32 = 8;
+/// Least time of that kind: some ten ways across a site, and a small instance's turn.
+const ANSWER_LEAST: Duration = Duration::from_millis(80);
+
 /// What a call to a worker was for.
 #[derive(Clone, Debug)]
 pub(super) enum CallPurpose {
-    Hold { sent_at: CoreTime },
+    Hold,
     Start { task: TaskKey, run: u64 },
     Stop { task: TaskKey, run: u64 },
 }
 
+/// A call to a worker that has no answer yet.
+#[derive(Clone, Debug)]
+pub(super) struct OpenCall {
+    pub(super) worker: WorkerId,
+    pub(super) purpose: CallPurpose,
+    pub(super) sent_at: CoreTime,
+}
+
 /// A request about a job that the leader does not know, until it is sure that it leads.
 #[derive(Debug)]
 pub(super) struct UnknownAsk {
@@ -78,7 +92,9 @@
     /// Jobs that are over, of which it is not kept yet.
     pub(super) ending: BTreeSet<JobId>,
     pub(super) seats: BTreeMap<WorkerId, Seat>,
-    pub(super) calls: BTreeMap<Ticket, (WorkerId, CallPurpose)>,
+    pub(super) calls: BTreeMap<Ticket, OpenCall>,
+    /// Time that workers take to answer an order, lately; it rises quickly and falls slowly.
+    answer_time: Duration,
     pub(super) waiting: BTreeMap<StepKey, WaitingStep>,
     pub(super) touched: BTreeSet<JobId>,
     pub(super) due: BTreeSet<(WallMillis, JobId, u32)>,
@@ -128,6 +144,7 @@
             ending: BTreeSet::new(),
             seats: BTreeMap::new(),
             calls: BTreeMap::new(),
+            answer_time: Duration::ZERO,
             waiting: BTreeMap::new(),
             touched: BTreeSet::new(),
             due: BTreeSet::new(),
@@ -181,6 +198,20 @@
         self.order_wait.max(self.commit_time).min(KEEP_LIMIT)
     }
 
+    /// A worker answered an order after so long.
+    pub(super) fn note_answer(&mut self, took: Duration) {
+        self.answer_time = if took > self.answer_time {
+            (self.answer_time * 3 + took) / 4
+        } else {
+            (self.answer_time * 15 + took) / 16
+        };
+    }
+
+    /// Time after which an answer that should come at once is taken for lost.
+    pub(super) fn answer_limit(&self, most: Duration) -> Duration {
+        (self.answer_time * ANSWER_FACTOR).clamp(ANSWER_LEAST, most)
+    }
+
     /// A start was ordered so long after it was proposed.
     pub(super) fn note_order_wait(&mut self, wait: Duration) {
         self.order_wait = (self.order_wait * 3 + wait) / 4;
--- a/crates/bankvalve_queue/src/core/orders.rs
+++ b/crates/bankvalve_queue/src/core/orders.rs
@@ -11,7 +11,7 @@
 use crate::ledger::{EndKind, JobOutcome, TaskPhase};
 use crate::worker::{StartOrder, StartRefusal, WorkerAnswer, WorkerCall};
 
-/// Longest wait for the answer to an order.
+/// Longest wait for the answer to an order; as a rule it is repeated long before.
 const ORDER_TIME: Duration = Duration::from_millis(350);
 /// Starts on their way to one worker, since each takes a connection of its own.
 const STARTS_AT_ONCE: usize = 2;
@@ -114,7 +114,13 @@
         };
         self.counters.count("calls", "start");
         let call = WorkerCall::Start(Box::new(order));
-        self.call_worker(id, CallPurpose::Start { task, run }, call, ORDER_TIME);
+        let time = self.order_time();
+        self.call_worker(id, CallPurpose::Start { task, run }, call, time);
+    }
+
+    fn order_time(&self) -> Duration {
+        let lead = self.lead.as_deref();
+        lead.map_or(ORDER_TIME, |lead| lead.answer_limit(ORDER_TIME))
     }
 
     pub(super) fn end_start(
@@ -309,7 +315,8 @@
         let run = live.run;
         self.counters.count("calls", "stop");
         let call = WorkerCall::Stop { task, run };
-        self.call_worker(id, CallPurpose::Stop { task, run }, call, ORDER_TIME);
+        let time = self.order_time();
+        self.call_worker(id, CallPurpose::Stop { task, run }, call, time);
     }
 
     pub(super) fn end_stop(
--- a/crates/bankvalve_queue/src/core/placing.rs
+++ b/crates/bankvalve_queue/src/core/placing.rs
@@ -232,6 +232,7 @@
             seat.drop_reservation(step.key, now);
             let mut live = LiveRun::new(step.run, &step.spec, RunPhase::Proposed, now);
             live.permit = permit;
+            live.urgent = step.urgent;
             seat.add_run(task, live);
             let detail = format!(
                 "run {} on {worker}, room left {}",
--- a/crates/bankvalve_queue/src/core/seat.rs
+++ b/crates/bankvalve_queue/src/core/seat.rs
@@ -91,6 +91,8 @@
     /// Whether its begin is known, so that its time can be measured.
     pub(super) measured: bool,
     pub(super) permit: Option<String>,
+    /// Whether its job is of a queue that comes first.
+    pub(super) urgent: bool,
 }
 
 impl LiveRun {
@@ -109,6 +111,7 @@
             saved: String::new(),
             measured: false,
             permit: None,
+            urgent: false,
         }
     }
 }
@@ -202,6 +205,11 @@
         self.hold_busy && !self.proved
     }
 
+    /// Tells whether it has a run whose end is urgent.
+    pub(super) fn has_urgent_run(&self) -> bool {
+        self.runs.values().any(|live| live.urgent)
+    }
+
     /// Starts that have no answer yet.
     pub(super) fn open_starts(&self) -> usize {
         let open = |live: &&LiveRun| live.busy && live.phase == RunPhase::Ordered;
