feat(queue): urgent runs that stand still or are slow are started elsewhere

Cause: a hung or slow worker was noticed only when a task ended there. Ruled out: the time of the run against its guess alone; guesses are off by up to a factor of two. Change: a worker's list tells how much of each run is done. Policies that decide have switches now, so that each can be taken away in a measurement.

--- a/crates/bankvalve/src/entry/entry_process.rs
+++ b/crates/bankvalve/src/entry/entry_process.rs
@@ -7,7 +7,7 @@
 use std::time::{Duration, Instant};
 
 use bankvalve_link::{HttpServer, ServerLimits};
-use bankvalve_queue::{CoreEvent, EntrySettings, PlatformPort};
+use bankvalve_queue::{CoreEvent, EntrySettings, PlatformPort, PolicySwitch};
 use error_stack::{Report, ResultExt};
 use tokio::sync::mpsc;
 
@@ -19,6 +19,9 @@
 use crate::serve::ServeFailure;
 use crate::settings::{SiteListen, SiteSettings};
 
+/// Policy that is switched off: none, but in a scratch copy that measures what one is worth.
+const POLICY_OFF: Option<PolicySwitch> = None;
+
 /// Time for which callers are still taken after a stop began: the platform asks each second
 /// whether the instance is ready, and twice before it sends callers elsewhere.
 const BALANCER_TIME: Duration = Duration::from_millis(2_300);
@@ -170,6 +173,7 @@
         status_time: Duration::from_millis(bounds.status),
         row_bytes: settings.limits.row_bytes as usize,
         broken: None,
+        without: POLICY_OFF,
     }
 }
 
--- a/crates/bankvalve_queue/src/core/advice.rs
+++ b/crates/bankvalve_queue/src/core/advice.rs
@@ -11,6 +11,7 @@
 use crate::core::CoreAction;
 use crate::ids::{CoreTime, StepKey, Ticket, WorkerId};
 use crate::peer::{PeerAddress, PeerMessage};
+use crate::policy::PolicySwitch;
 use crate::queue_table::AdviceRule;
 use crate::worker::{AdviceAnswer, AdviceAsk};
 
@@ -130,7 +131,8 @@
         advisers.sort_unstable();
         advisers.push(own);
         let short_only = advisers.len().div_ceil(3);
-        if takes > LONG_QUESTION && advisers.len() > short_only {
+        let spare = self.uses(PolicySwitch::ShortQuestions);
+        if spare && takes > LONG_QUESTION && advisers.len() > short_only {
             advisers.truncate(advisers.len() - short_only);
         }
         let now = self.now;
--- a/crates/bankvalve_queue/src/core/commit.rs
+++ b/crates/bankvalve_queue/src/core/commit.rs
@@ -12,6 +12,7 @@
 use crate::ids::{CoreTime, JobId, TaskKey, Ticket, WorkerId};
 use crate::ledger::{JobOutcome, LedgerBatch, LedgerEvent};
 use crate::peer::{PeerAddress, PeerMessage};
+use crate::policy::PolicySwitch;
 use crate::store::{RowCondition, RowKey, RowWrite, StoreOutcome, StoreRequest, StoredRow};
 
 /// Most events in one batch, which is a row.
@@ -228,6 +229,7 @@
     fn pursue_flight(&mut self) {
         let now = self.now;
         let away = self.store_is_away();
+        let read_back = self.uses(PolicySwitch::ReadBack);
         let Some(flight) = self
             .lead
             .as_deref_mut()
@@ -247,7 +249,11 @@
             return;
         }
         if !flight.checking && now >= flight.check_at {
-            self.check_flight();
+            if read_back {
+                self.check_flight();
+            } else if flight.copies < MOST_COPIES {
+                self.send_copy();
+            }
         }
     }
 
--- a/crates/bankvalve_queue/src/core/entry_core.rs
+++ b/crates/bankvalve_queue/src/core/entry_core.rs
@@ -13,6 +13,7 @@
 use crate::ids::{CoreTime, FenceToken, Ticket, WallMillis, WorkerId};
 use crate::ledger::JobBook;
 use crate::peer::{PeerAddress, PeerMessage};
+use crate::policy::PolicySwitch;
 use crate::queue_table::QueueTable;
 use crate::store::{StoreOutcome, StoreRequest};
 use crate::worker::{AdviceAnswer, AdviceAsk, WorkerAnswer, WorkerCall};
@@ -49,6 +50,8 @@
     pub row_bytes: usize,
     /// Guard that is taken away; none but in checks.
     pub broken: Option<SiteGuard>,
+    /// Policy that is switched off; none but in measurements.
+    pub without: Option<PolicySwitch>,
 }
 
 impl EntrySettings {
@@ -63,6 +66,7 @@
             status_time: Duration::from_secs(120),
             row_bytes: 65_536,
             broken: None,
+            without: None,
         }
     }
 }
@@ -383,6 +387,11 @@
         self.settings.broken != Some(guard)
     }
 
+    /// Tells whether a policy is on.
+    pub(super) fn uses(&self, policy: PolicySwitch) -> bool {
+        self.settings.without != Some(policy)
+    }
+
     /// Time since the instance started.
     pub(super) fn uptime(&self) -> Duration {
         self.now.saturating_sub(TIME_BASE)
--- a/crates/bankvalve_queue/src/core/holds.rs
+++ b/crates/bankvalve_queue/src/core/holds.rs
@@ -8,6 +8,7 @@
 use crate::core::CoreAction;
 use crate::guard::SiteGuard;
 use crate::ids::{CoreTime, Ticket, WorkerId};
+use crate::policy::PolicySwitch;
 use crate::worker::{StartRefusal, WorkerAnswer, WorkerCall};
 
 /// Longest hold that is asked for; a lost worker's tasks start again only when it is over,
@@ -143,6 +144,7 @@
     fn look(&mut self, id: &WorkerId) {
         let now = self.now;
         let hold = self.hold_time();
+        let short_looks = self.uses(PolicySwitch::ShortLooks);
         let Some(lead) = self.lead.as_deref_mut() else {
             return;
         };
@@ -165,7 +167,7 @@
             Duration::ZERO
         } else if many && seat.runs.is_empty() {
             IDLE_LOOK_WAIT
-        } else if seat.has_urgent_run() {
+        } else if short_looks && seat.has_urgent_run() {
             URGENT_LOOK_WAIT
         } else {
             LOOK_WAIT
--- a/crates/bankvalve_queue/src/core/lead.rs
+++ b/crates/bankvalve_queue/src/core/lead.rs
@@ -89,6 +89,8 @@
     /// Time from a proposal of a start to its order, lately.
     order_wait: Duration,
     pub(super) uncommitted: BTreeMap<JobId, u32>,
+    /// How often a task was stopped because its run was overdue.
+    pub(super) moves: BTreeMap<TaskKey, u32>,
     /// Jobs that are over, of which it is not kept yet.
     pub(super) ending: BTreeSet<JobId>,
     pub(super) seats: BTreeMap<WorkerId, Seat>,
@@ -141,6 +143,7 @@
             commit_time: Duration::ZERO,
             order_wait: Duration::ZERO,
             uncommitted: BTreeMap::new(),
+            moves: BTreeMap::new(),
             ending: BTreeSet::new(),
             seats: BTreeMap::new(),
             calls: BTreeMap::new(),
@@ -286,6 +289,10 @@
         let kept = self.settings.status_time.as_millis() as u64 * 2;
         self.book.forget_ended(self.wall.saturating_sub(kept));
         let book = &self.book;
+        lead.moves.retain(|task, _| {
+            book.job(task.step.job)
+                .is_some_and(|job| job.outcome == JobOutcome::Open)
+        });
         lead.advice.retain(|step, _| {
             book.job(step.job)
                 .is_some_and(|job| job.outcome == JobOutcome::Open)
--- a/crates/bankvalve_queue/src/core/mod.rs
+++ b/crates/bankvalve_queue/src/core/mod.rs
@@ -17,6 +17,7 @@
 mod lead;
 mod members;
 mod orders;
+mod overdue;
 mod placing;
 mod reports;
 mod seat;
--- a/crates/bankvalve_queue/src/core/orders.rs
+++ b/crates/bankvalve_queue/src/core/orders.rs
@@ -9,6 +9,7 @@
 use crate::guard::SiteGuard;
 use crate::ids::{TaskKey, WorkerId};
 use crate::ledger::{EndKind, JobOutcome, TaskPhase};
+use crate::policy::PolicySwitch;
 use crate::worker::{StartOrder, StartRefusal, WorkerAnswer, WorkerCall};
 
 /// Longest wait for the answer to an order; as a rule it is repeated long before.
@@ -120,7 +121,9 @@
 
     fn order_time(&self) -> Duration {
         let lead = self.lead.as_deref();
-        lead.map_or(ORDER_TIME, |lead| lead.answer_limit(ORDER_TIME))
+        let quick = self.uses(PolicySwitch::QuickRepeat);
+        lead.filter(|_| quick)
+            .map_or(ORDER_TIME, |lead| lead.answer_limit(ORDER_TIME))
     }
 
     pub(super) fn end_start(
--- a/crates/bankvalve_queue/src/core/placing.rs
+++ b/crates/bankvalve_queue/src/core/placing.rs
@@ -12,6 +12,7 @@
 use crate::ids::{CoreTime, RunId, StepKey, TaskKey, WorkerId};
 use crate::job::{StepSpec, TaskSize};
 use crate::ledger::{LedgerEvent, TaskPhase};
+use crate::policy::PolicySwitch;
 use crate::queue_table::AdviceRule;
 
 /// Steps that are looked at in one placement, by rank.
@@ -41,6 +42,8 @@
     run: RunId,
     room: TaskSize,
     urgent: bool,
+    /// Whether it prefers workers that were measured as fast.
+    fast_first: bool,
 }
 
 /// Choice of workers for tasks of a step.
@@ -49,6 +52,7 @@
 impl EntryCore {
     pub(super) fn run_placing(&mut self) {
         let now = self.now;
+        let by_time = self.uses(PolicySwitch::LatestStart);
         let blocked = self.store_is_away() || !self.may_command() || self.stopping;
         let Some(lead) = self.lead.as_deref_mut() else {
             return;
@@ -66,7 +70,7 @@
         let mut ranked: Vec<(WaitingRank, StepKey)> = lead
             .waiting
             .iter()
-            .map(|(key, step)| (step.rank(wall), *key))
+            .map(|(key, step)| (step.rank(wall, by_time), *key))
             .collect();
         ranked.sort_unstable();
         ranked.truncate(LOOK_LIMIT);
@@ -125,6 +129,7 @@
             service: terms.service.clone(),
             rule: terms.advice,
             urgent: terms.priority == 0,
+            fast_first: terms.priority == 0 && self.uses(PolicySwitch::FastWorkers),
             room: spec.room(),
             run: record.last_run() + 1,
             spec,
@@ -195,6 +200,9 @@
 
     /// Keeps room for a step while its permits are renewed.
     fn reserve(&mut self, step: &PlacedStep, choice: &Choice, until: CoreTime) {
+        if !self.uses(PolicySwitch::PermitRoom) {
+            return;
+        }
         let now = self.now;
         let Some(lead) = self.lead.as_deref_mut() else {
             return;
@@ -332,7 +340,7 @@
     /// Least is best: near its data; for urgent work fast; then the one that is left fullest.
     fn rank(&self, step: &PlacedStep) -> (Reverse<bool>, i64, u64) {
         let left = self.room.minus(&step.room).millicores;
-        let slow = if step.urgent { self.slow } else { 0 };
+        let slow = if step.fast_first { self.slow } else { 0 };
         (Reverse(self.near), slow, left)
     }
 }
--- a/crates/bankvalve_queue/src/core/reports.rs
+++ b/crates/bankvalve_queue/src/core/reports.rs
@@ -9,6 +9,7 @@
 use crate::ids::{CoreTime, TaskKey, WorkerId};
 use crate::job::StepSpec;
 use crate::ledger::{EndKind, LedgerEvent, TaskPhase};
+use crate::policy::PolicySwitch;
 use crate::worker::{EndReport, HoldReport, RunReport};
 
 /// Weight of one task in what is known of a queue's guesses.
@@ -23,6 +24,7 @@
         }
         self.take_running(id, &report.running);
         self.settle_missing(id, sent_at, report);
+        self.judge_progress(id, sent_at, &report.running);
     }
 
     fn take_end(&mut self, id: &WorkerId, end: &EndReport) {
@@ -69,9 +71,10 @@
             *error += GUESS_WEIGHT * (ratio - *error);
             seat.note_slowness(ratio - *error);
         }
+        let may_rest = self.settings.without != Some(PolicySwitch::FailureRest);
         let rests = match end.how {
             EndKind::Done => seat.note_result(job, true, now),
-            EndKind::Failed => seat.note_result(job, false, now),
+            EndKind::Failed if may_rest => seat.note_result(job, false, now),
             _ => false,
         };
         if rests {
--- a/crates/bankvalve_queue/src/core/seat.rs
+++ b/crates/bankvalve_queue/src/core/seat.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
+use super::overdue::RunProgress;
 use crate::ids::{CoreTime, JobId, RunId, StepKey, TaskKey};
 use crate::job::{StepSpec, TaskSize};
 use crate::worker::WorkerEntry;
@@ -93,6 +94,10 @@
     pub(super) permit: Option<String>,
     /// Whether its job is of a queue that comes first.
     pub(super) urgent: bool,
+    /// Whether it lasts or works with others, so that it is not stopped to end sooner.
+    pub(super) together: bool,
+    /// How far it has come, once a list has told.
+    pub(super) progress: Option<RunProgress>,
 }
 
 impl LiveRun {
@@ -112,6 +117,8 @@
             measured: false,
             permit: None,
             urgent: false,
+            together: spec.gang || spec.lasting,
+            progress: None,
         }
     }
 }
--- a/crates/bankvalve_queue/src/core/waiting.rs
+++ b/crates/bankvalve_queue/src/core/waiting.rs
@@ -15,6 +15,7 @@
     priority: u32,
     /// Latest start with which the job still ends within its objective, by the time of day.
     on_time_ms: i64,
+    begin_ms: i64,
     /// Latest start with which it still earns anything.
     late_ms: i64,
 }
@@ -35,6 +36,7 @@
         Self {
             tasks,
             priority: job.terms.priority,
+            begin_ms: begin as i64,
             on_time_ms: (begin + objective - rest) as i64,
             late_ms: (begin + LATE_FACTOR * objective - rest) as i64,
         }
@@ -42,7 +44,12 @@
 
     /// Rank at a time of day: urgent work first, then what can still end in time by its latest
     /// start, then what can still end late, then the rest.
-    pub(super) fn rank(&self, wall_ms: u64) -> WaitingRank {
+    ///
+    /// Without regard to time, by priority and acceptance alone.
+    pub(super) fn rank(&self, wall_ms: u64, by_time: bool) -> WaitingRank {
+        if !by_time {
+            return (self.priority, self.begin_ms);
+        }
         let now = wall_ms as i64;
         let class = if self.priority == 0 {
             0
--- a/crates/bankvalve_queue/src/core/withdraw.rs
+++ b/crates/bankvalve_queue/src/core/withdraw.rs
@@ -7,6 +7,7 @@
 use crate::caller::{CallerAnswer, RefusalReason};
 use crate::guard::SiteGuard;
 use crate::ledger::LedgerEvent;
+use crate::policy::PolicySwitch;
 
 /// When a caller may come back whose job was not kept, in milliseconds.
 pub(super) const STORE_RETRY_MS: u64 = 2_000;
@@ -17,7 +18,7 @@
     /// What was never sent, or surely not carried out, is taken back and refused; of the rest
     /// it is only said that it is not known.
     pub(super) fn withdraw_unkept(&mut self) {
-        if !self.store_is_away() {
+        if !self.store_is_away() || !self.uses(PolicySwitch::Withdrawal) {
             return;
         }
         let sure = self.keeps(SiteGuard::SureRefusal);
--- a/crates/bankvalve_queue/src/core/yielding.rs
+++ b/crates/bankvalve_queue/src/core/yielding.rs
@@ -8,6 +8,7 @@
 use super::store_link::StorePurpose;
 use super::EntryCore;
 use crate::peer::{PeerAddress, PeerMessage};
+use crate::policy::PolicySwitch;
 use crate::store::StoreOutcome;
 
 /// Silence of the table after which a leader tells its peers, which then ask the table.
@@ -73,7 +74,12 @@
         let stop_due = stopping && (flushed || waited > STOP_FLUSH);
         let trouble = lead.trouble_since;
         if trouble.is_none() && !stop_due {
-            self.yield_to_stronger();
+            if self.uses(PolicySwitch::StrongLeader) {
+                self.yield_to_stronger();
+            }
+            return;
+        }
+        if !stop_due && !self.uses(PolicySwitch::TableYield) {
             return;
         }
         let reaches = |peer: &PeerView| {
--- a/crates/bankvalve_queue/src/lib.rs
+++ b/crates/bankvalve_queue/src/lib.rs
@@ -16,6 +16,7 @@
 mod job;
 mod ledger;
 mod peer;
+mod policy;
 mod port;
 mod queue_table;
 mod store;
@@ -32,6 +33,7 @@
     TaskRecord, TimeRecord,
 };
 pub use peer::{HeartbeatNews, PeerAddress, PeerBatch, PeerMessage};
+pub use policy::PolicySwitch;
 pub use port::{PlatformPort, WireAnswer, WireCall, WireReply, WireRequest};
 pub use queue_table::{AdviceRule, QueueRule, QueueTable};
 pub use store::{
--- a/crates/bankvalve_queue/src/worker.rs
+++ b/crates/bankvalve_queue/src/worker.rs
@@ -113,7 +113,7 @@
     pub run: RunId,
     /// Progress saved last; empty for none.
     pub saved: String,
-    /// Share at which it works, in percent.
+    /// How much of its work is done, in percent.
     pub percent: u32,
     /// Tail of its answers' times in milliseconds, or millicores in use.
     pub figure: Option<u64>,
--- a/crates/bankvalve_standin/src/site/site_worker.rs
+++ b/crates/bankvalve_standin/src/site/site_worker.rs
@@ -27,6 +27,18 @@
     pub began: u64,
 }
 
+impl SiteRun {
+    /// How much of its work is done, in percent, at a time of the worker's clock.
+    fn percent(&self, clock: u64) -> u32 {
+        let Some((ends, _)) = self.ends else {
+            return 0;
+        };
+        let whole = ends.saturating_sub(self.began).max(1);
+        let done = clock.saturating_sub(self.began);
+        (done * 100 / whole).min(100) as u32
+    }
+}
+
 /// What happened on a worker.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum WorkerNews {
@@ -147,7 +159,7 @@
                     self.prolong(*until, clock);
                 }
                 self.keep(*kept);
-                report = Some(self.report());
+                report = Some(self.report(clock));
             }
             WorkerCall::Pace { .. } => {}
         }
@@ -172,12 +184,12 @@
         self.ends.retain(|end| end.number > kept);
     }
 
-    fn report(&self) -> HoldReport {
+    fn report(&self, clock: u64) -> HoldReport {
         let running = self.runs.iter().map(|(task, run)| RunReport {
             task: *task,
             run: run.run,
             saved: String::new(),
-            percent: 100,
+            percent: run.percent(clock),
             figure: None,
         });
         HoldReport {
