feat(queue): room is made for steps that find none

Cause: small tasks filled every worker again and again, so a task that takes a whole worker, eight accelerators of it say, waited for up to 36 s; the largest tenth of its queue failed. In a burst lookups waited for batch runs that save their progress and have time. Ruled out: fit by accelerators first (tried before, no gain). Change: a step that has waited for room, 60 ms if urgent and 0.8 s if not, chooses the workers on which it starts first, by what their runs still have to do and by what may be stopped there: runs of later queues that save at a stop, three times a task at most. The room is kept for it for 1.2 s and chosen anew. Two steps at once that are not urgent. The new test takes over 8 s without the policy and under 3 s with it.

--- a/crates/bankvalve_check/src/site/site_random.rs
+++ b/crates/bankvalve_check/src/site/site_random.rs
@@ -57,6 +57,7 @@
         },
         workers: 12,
         broken,
+        without: None,
         good_percent: (seed % 2 == 0).then_some(85),
     });
     world.callers_leave = true;
@@ -108,6 +109,11 @@
         URGENT_QUEUE
     };
     let mut spec = job_of(job, queue, &counts, gang);
+    for step in &mut spec.steps {
+        step.checkpoints = job % 3 == 0;
+        // Each seventh job takes half a worker for a task.
+        step.size.millicores *= if job % 7 == 0 { 2 } else { 1 };
+    }
     if world.rng.random_range(0..5) == 0 {
         for step in &mut spec.steps {
             step.per_worker_limit = 2;
--- a/crates/bankvalve_check/src/site/site_world.rs
+++ b/crates/bankvalve_check/src/site/site_world.rs
@@ -7,8 +7,8 @@
 
 use bankvalve_queue::{
     AdviceRule, CallerAnswer, CallerRequest, CoreEvent, EntryCore, EntrySettings, JobId, JobSpec,
-    JobState, JobTerms, PeerAddress, QueueRule, QueueTable, SiteGuard, StoreRequest, Ticket,
-    WorkerId,
+    JobState, JobTerms, PeerAddress, PolicySwitch, QueueRule, QueueTable, SiteGuard, StoreRequest,
+    Ticket, WorkerId,
 };
 use bankvalve_standin::site::{SitePolicy, SiteStore, SiteWorker};
 use rand::SeedableRng;
@@ -36,6 +36,8 @@
     pub strengths: Vec<u64>,
     /// Guard that all instances lack; none but in checks of the checks.
     pub broken: Option<SiteGuard>,
+    /// Policy that all instances lack; none but in measurements.
+    pub without: Option<PolicySwitch>,
     /// Workers.
     pub workers: usize,
     /// Share of workers that the policy finds good, in percent; none without a policy.
@@ -302,6 +304,7 @@
         let mut settings = EntrySettings::example(node.address);
         settings.life = WALL_START + now + node.life;
         settings.broken = self.plan.broken;
+        settings.without = self.plan.without;
         if let Some(strength) = self.plan.strengths.get(number) {
             settings.strength = *strength;
         }
--- a/crates/bankvalve_check/tests/site/jobs.rs
+++ b/crates/bankvalve_check/tests/site/jobs.rs
@@ -101,6 +101,7 @@
         entries: 3,
         strengths: Vec::new(),
         broken: None,
+        without: None,
         workers: 100,
         good_percent: None,
     });
--- a/crates/bankvalve_check/tests/site/leading.rs
+++ b/crates/bankvalve_check/tests/site/leading.rs
@@ -188,6 +188,7 @@
         entries: 3,
         strengths: Vec::new(),
         broken: None,
+        without: None,
         workers: 700,
         good_percent: None,
     });
--- a/crates/bankvalve_check/tests/site/main.rs
+++ b/crates/bankvalve_check/tests/site/main.rs
@@ -14,6 +14,7 @@
         entries: 3,
         strengths: Vec::new(),
         broken: None,
+        without: None,
         workers: 4,
         good_percent: None,
     });
@@ -40,6 +41,7 @@
         entries,
         strengths: (0..entries).map(strength).collect(),
         broken: None,
+        without: None,
         workers: 4,
         good_percent: None,
     });
--- a/crates/bankvalve_check/tests/site/random.rs
+++ b/crates/bankvalve_check/tests/site/random.rs
@@ -55,6 +55,7 @@
         entries: 3,
         strengths: Vec::new(),
         broken,
+        without: None,
         workers: 4,
         good_percent: None,
     });
--- a/crates/bankvalve_check/tests/site/table.rs
+++ b/crates/bankvalve_check/tests/site/table.rs
@@ -87,6 +87,7 @@
         entries: 3,
         strengths: Vec::new(),
         broken: None,
+        without: None,
         workers: 6,
         good_percent: Some(70),
     });
--- a/crates/bankvalve_check/tests/site/workers.rs
+++ b/crates/bankvalve_check/tests/site/workers.rs
@@ -1,7 +1,7 @@
 //! Workers: late orders, looks, silence, what they may share.
 
-use bankvalve_check::site::{job_of, QUEUE, URGENT_QUEUE};
-use bankvalve_queue::StepSpec;
+use bankvalve_check::site::{job_of, SitePlan, SiteWorld, QUEUE, URGENT_QUEUE};
+use bankvalve_queue::{PolicySwitch, StepSpec};
 
 use crate::{assert_kept, world};
 
@@ -118,3 +118,44 @@
     let mean = waits.iter().sum::<u64>() / 12;
     assert!(mean < 350, "ends were kept after {mean} ms");
 }
+
+/// Milliseconds until a job is shown as over whose task takes a whole worker, beside small jobs
+/// that fill every worker again and again.
+fn time_of_a_wide_task(without: Option<PolicySwitch>) -> u64 {
+    let mut world = SiteWorld::new(SitePlan {
+        seed: 56,
+        entries: 3,
+        strengths: Vec::new(),
+        broken: None,
+        without,
+        workers: 4,
+        good_percent: None,
+    });
+    world.run_until(1_000);
+    for job in 1..=300 {
+        let mut spec = job_of(job, QUEUE, &[1], false);
+        spec.steps[0].checkpoints = true;
+        world.submit(spec);
+    }
+    world.run_until(2_000);
+    let mut wide = job_of(1_000, URGENT_QUEUE, &[1], false);
+    wide.steps[0].size.millicores = 4_000;
+    world.submit(wide);
+    while !world.shown.contains_key(&1_000) {
+        let until = world.now_ms + 100;
+        world.run_until(until);
+    }
+    let shown_at = world.now_ms;
+    world.run_until(60_000);
+    assert_kept(&world);
+    assert_eq!(world.shown.len(), 301);
+    shown_at - 2_000
+}
+
+#[test]
+fn a_wide_task_is_not_kept_waiting_by_small_ones() {
+    let with = time_of_a_wide_task(None);
+    assert!(with < 3_000, "it took {with} ms");
+    let without = time_of_a_wide_task(Some(PolicySwitch::Preemption));
+    assert!(without > 8_000, "it took {without} ms without room made");
+}
--- a/crates/bankvalve_queue/src/core/lead.rs
+++ b/crates/bankvalve_queue/src/core/lead.rs
@@ -91,6 +91,12 @@
     pub(super) uncommitted: BTreeMap<JobId, u32>,
     /// How often a task was stopped because its run was overdue.
     pub(super) moves: BTreeMap<TaskKey, u32>,
+    /// Since when steps have found no room for all their tasks.
+    pub(super) room_waits: BTreeMap<StepKey, CoreTime>,
+    /// Until when room is kept for steps that wait for it.
+    pub(super) room_claims: BTreeMap<StepKey, CoreTime>,
+    /// How often a task was stopped to make room.
+    pub(super) stops: BTreeMap<TaskKey, u32>,
     /// Jobs that are over, of which it is not kept yet.
     pub(super) ending: BTreeSet<JobId>,
     pub(super) seats: BTreeMap<WorkerId, Seat>,
@@ -144,6 +150,9 @@
             order_wait: Duration::ZERO,
             uncommitted: BTreeMap::new(),
             moves: BTreeMap::new(),
+            room_waits: BTreeMap::new(),
+            room_claims: BTreeMap::new(),
+            stops: BTreeMap::new(),
             ending: BTreeSet::new(),
             seats: BTreeMap::new(),
             calls: BTreeMap::new(),
@@ -289,14 +298,15 @@
         let kept = self.settings.status_time.as_millis() as u64 * 2;
         self.book.forget_ended(self.wall.saturating_sub(kept));
         let book = &self.book;
-        lead.moves.retain(|task, _| {
-            book.job(task.step.job)
+        let open = |job: JobId| {
+            book.job(job)
                 .is_some_and(|job| job.outcome == JobOutcome::Open)
-        });
-        lead.advice.retain(|step, _| {
-            book.job(step.job)
-                .is_some_and(|job| job.outcome == JobOutcome::Open)
-        });
+        };
+        lead.moves.retain(|task, _| open(task.step.job));
+        lead.stops.retain(|task, _| open(task.step.job));
+        lead.room_waits.retain(|step, _| open(step.job));
+        lead.room_claims.retain(|step, _| open(step.job));
+        lead.advice.retain(|step, _| open(step.job));
     }
 
     /// Prepares the times of a job that repeats.
--- /dev/null
+++ b/crates/bankvalve_queue/src/core/making_room.rs
@@ -0,0 +1,296 @@
+//! Room for steps that find none: from runs that save their progress, or kept as it becomes free.
+//!
+//! A step that has waited for room chooses the workers on which it can start first, by what their
+//! runs still have to do and by what may be stopped there: runs of queues that come later, whose
+//! progress is saved at a stop. The room is kept for it, so that smaller steps do not fill it again
+//! and again.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use super::placing::{admits, held_of, PlacedStep};
+use super::seat::{LiveRun, Reservation, RunPhase, Seat};
+use super::EntryCore;
+use crate::ids::{StepKey, TaskKey, WorkerId};
+use crate::job::TaskSize;
+use crate::policy::PolicySwitch;
+
+/// Wait for room after which an urgent step makes room: about what one placement takes.
+const URGENT_WAIT: Duration = Duration::from_millis(60);
+/// The same for other steps: about the time of a short task.
+const WAIT: Duration = Duration::from_millis(800);
+/// Steps that are not urgent and for which room is kept at once, for each service: room that is
+/// kept stands empty for a while.
+const MOST_WAITING: usize = 2;
+/// Tasks of a step for which room is made at once.
+const MOST_TASKS: usize = 12;
+/// Time from the order to stop a run until its room is free, as a rule.
+const STOP_TIME: Duration = Duration::from_millis(300);
+/// Longest time for which room is kept before it is chosen anew.
+const KEEP_TIME: Duration = Duration::from_millis(1_200);
+/// Longest time until room is free for which it is kept.
+const LONGEST_WAIT: Duration = Duration::from_millis(5_000);
+/// Time that a step which is not urgent rather waits than that a run is stopped for it.
+const PATIENCE: Duration = Duration::from_millis(700);
+/// Stops of one task for others, so that it is not kept from ending.
+const MOST_STOPS: u32 = 3;
+/// Weight of an accelerator against a core when runs to stop are chosen, in millicores: the
+/// platform's own figure.
+const ACCELERATOR_WEIGHT: u64 = 8_000;
+
+/// A way to room for one task on one worker.
+#[derive(Clone, Debug)]
+struct RoomPlan {
+    worker: WorkerId,
+    /// Time until the room is free.
+    after: Duration,
+    /// Runs to stop for it.
+    stops: Vec<TaskKey>,
+    /// Weight of what is stopped, in millicores.
+    weight: u64,
+}
+
+impl RoomPlan {
+    fn rank(&self) -> (Duration, u64) {
+        (self.after, self.weight)
+    }
+}
+
+/// A worker with what plans so far leave of it.
+struct PlannedSeat<'a> {
+    id: &'a WorkerId,
+    seat: &'a Seat,
+    room: TaskSize,
+    gone: Vec<TaskKey>,
+    held: usize,
+}
+
+impl EntryCore {
+    /// Tells whether a step has waited so long for room that room is made for it.
+    pub(super) fn may_make_room(&self, key: StepKey) -> bool {
+        let Some(lead) = self.lead.as_deref() else {
+            return false;
+        };
+        let Some(since) = lead.room_waits.get(&key) else {
+            return false;
+        };
+        let urgent = lead.waiting.get(&key).is_some_and(|step| step.is_urgent());
+        let wait = if urgent { URGENT_WAIT } else { WAIT };
+        self.uses(PolicySwitch::Preemption) && self.age(*since) >= wait
+    }
+
+    /// Notes that tasks of a step found no room.
+    pub(super) fn note_room_wait(&mut self, key: StepKey) {
+        let now = self.now;
+        if let Some(lead) = self.lead.as_deref_mut() {
+            lead.room_waits.entry(key).or_insert(now);
+        }
+    }
+
+    /// Forgets that a step waited for room, and what was kept for it.
+    pub(super) fn drop_room_claim(&mut self, key: StepKey) {
+        let now = self.now;
+        let Some(lead) = self.lead.as_deref_mut() else {
+            return;
+        };
+        lead.room_waits.remove(&key);
+        if lead.room_claims.remove(&key).is_some() {
+            for seat in lead.seats.values_mut() {
+                seat.drop_reservation(key, now);
+            }
+        }
+    }
+
+    /// Makes room for tasks of a step that found none.
+    pub(super) fn make_room(&mut self, step: &PlacedStep, missing: usize) {
+        let now = self.now;
+        let key = step.key;
+        let Some(lead) = self.lead.as_deref() else {
+            return;
+        };
+        let kept = |seat: &Seat| seat.keeps_room_for(key, now);
+        if lead.seats.values().any(kept) {
+            return;
+        }
+        let others = lead
+            .room_claims
+            .iter()
+            .filter(|(other, until)| **other != key && **until > now);
+        if !step.urgent && others.count() >= MOST_WAITING {
+            return;
+        }
+        let plans = self.plan_room(step, missing.min(MOST_TASKS));
+        if plans.is_empty() || (step.spec.gang && plans.len() < missing) {
+            return;
+        }
+        self.carry_out(step, &plans);
+    }
+
+    fn plan_room(&self, step: &PlacedStep, tasks: usize) -> Vec<RoomPlan> {
+        let now = self.now;
+        let Some(lead) = self.lead.as_deref() else {
+            return Vec::new();
+        };
+        let advice = lead.advice.get(&step.key);
+        let permitted =
+            |id: &WorkerId| step.rule.is_none() || advice.is_some_and(|advice| advice.is_good(id));
+        let mut seats: Vec<PlannedSeat<'_>> = lead
+            .seats
+            .iter()
+            .filter(|(id, seat)| permitted(id) && admits(seat, step, now))
+            .map(|(id, seat)| PlannedSeat {
+                id,
+                seat,
+                room: seat.room_for(step.key, now),
+                gone: Vec::new(),
+                held: held_of(seat, step.key),
+            })
+            .collect();
+        let mut plans = Vec::new();
+        for _ in 0..tasks {
+            let best = seats
+                .iter()
+                .enumerate()
+                .filter(|(_, seat)| seat.held < step.worker_limit())
+                .filter_map(|(place, seat)| Some((place, self.plan_on(step, seat)?)))
+                .min_by_key(|(_, plan)| plan.rank());
+            let Some((place, plan)) = best else {
+                break;
+            };
+            seats[place].take(step, &plan);
+            plans.push(plan);
+        }
+        plans
+    }
+
+    /// The soonest way to room for one task on a worker.
+    fn plan_on(&self, step: &PlacedStep, planned: &PlannedSeat<'_>) -> Option<RoomPlan> {
+        let patience = if step.urgent {
+            Duration::ZERO
+        } else {
+            PATIENCE
+        };
+        let mut room = planned.room;
+        let mut plan = RoomPlan {
+            worker: planned.id.clone(),
+            after: Duration::ZERO,
+            stops: Vec::new(),
+            weight: 0,
+        };
+        if step.room.fits(&room) {
+            return Some(plan);
+        }
+        let mut ways: Vec<(Duration, u64, bool, TaskKey, TaskSize)> = planned
+            .seat
+            .runs
+            .iter()
+            .filter(|(task, _)| !planned.gone.contains(task))
+            .map(|(task, live)| {
+                let left = self.time_left(*task, live);
+                let stop = self.may_stop_for(step, *task, live) && left > STOP_TIME;
+                let after = if stop { STOP_TIME } else { left };
+                let weight = if stop { weight_of(&live.room) } else { 0 };
+                let patience = if stop { patience } else { Duration::ZERO };
+                (after + patience, weight, stop, *task, live.room)
+            })
+            .collect();
+        // Of those that are free as soon, the largest first, so that few are stopped.
+        ways.sort_unstable_by_key(|(after, _, _, task, size)| {
+            (*after, std::cmp::Reverse(weight_of(size)), *task)
+        });
+        for (after, weight, stop, task, size) in ways {
+            if step.room.fits(&room) {
+                break;
+            }
+            room = room.plus(&size);
+            plan.after = plan.after.max(after);
+            plan.weight += weight;
+            if stop {
+                plan.stops.push(task);
+            }
+        }
+        (step.room.fits(&room) && plan.after <= LONGEST_WAIT).then_some(plan)
+    }
+
+    /// Time that a run still takes, by how far it has come and what is expected of its like.
+    fn time_left(&self, task: TaskKey, live: &LiveRun) -> Duration {
+        if matches!(live.phase, RunPhase::Stopping { .. }) {
+            return STOP_TIME;
+        }
+        if live.lasting {
+            return LONGEST_WAIT * 2;
+        }
+        let ran = self.age(live.began);
+        let expected = self.expected_time(task).saturating_sub(ran);
+        let by_pace = live.progress.and_then(|progress| progress.time_left(ran));
+        by_pace.unwrap_or(expected)
+    }
+
+    fn may_stop_for(&self, step: &PlacedStep, task: TaskKey, live: &LiveRun) -> bool {
+        let stops = self.lead.as_deref().and_then(|lead| lead.stops.get(&task));
+        live.saves
+            && !live.together
+            && live.priority > step.priority
+            && matches!(live.phase, RunPhase::Running { .. })
+            && stops.copied().unwrap_or(0) < MOST_STOPS
+    }
+
+    fn carry_out(&mut self, step: &PlacedStep, plans: &[RoomPlan]) {
+        let now = self.now;
+        let until = now + KEEP_TIME;
+        let mut counts: BTreeMap<&WorkerId, u64> = BTreeMap::new();
+        for plan in plans {
+            *counts.entry(&plan.worker).or_default() += 1;
+        }
+        let Some(lead) = self.lead.as_deref_mut() else {
+            return;
+        };
+        lead.room_claims.insert(step.key, until);
+        for (worker, count) in counts {
+            if let Some(seat) = lead.seats.get_mut(worker) {
+                seat.drop_reservation(step.key, now);
+                seat.reserved.push(Reservation {
+                    step: step.key,
+                    room: step.room.times(count),
+                    until,
+                });
+            }
+        }
+        let stops = plans.iter().map(|plan| plan.stops.len()).sum::<usize>();
+        let after = plans.iter().map(|plan| plan.after).max();
+        let detail = format!(
+            "room for {} tasks on {} after {after:?}, {stops} runs stopped",
+            plans.len(),
+            plans[0].worker
+        );
+        self.log("placer", "make_room", step.key.to_string(), detail);
+        self.counters.count("placements", "room_made");
+        self.counters
+            .count_many("placements", "stopped_for_room", stops as u64);
+        for plan in plans {
+            for task in &plan.stops {
+                if let Some(lead) = self.lead.as_deref_mut() {
+                    *lead.stops.entry(*task).or_default() += 1;
+                }
+                self.begin_stop_run(&plan.worker, *task);
+            }
+        }
+    }
+}
+
+impl PlannedSeat<'_> {
+    fn take(&mut self, step: &PlacedStep, plan: &RoomPlan) {
+        for task in &plan.stops {
+            if let Some(live) = self.seat.runs.get(task) {
+                self.room = self.room.plus(&live.room);
+            }
+        }
+        self.gone.extend(plan.stops.iter().copied());
+        self.room = self.room.minus(&step.room);
+        self.held += 1;
+    }
+}
+
+fn weight_of(size: &TaskSize) -> u64 {
+    size.millicores + size.accelerators * ACCELERATOR_WEIGHT
+}
--- a/crates/bankvalve_queue/src/core/overdue.rs
+++ b/crates/bankvalve_queue/src/core/overdue.rs
@@ -76,6 +76,12 @@
         }
     }
 
+    /// Time that a run still takes at its pace, if that can be told.
+    pub(super) fn time_left(&self, ran: Duration) -> Option<Duration> {
+        let known = self.percent > 0 && ran >= PACE_LEAST;
+        known.then(|| (ran * 100 / self.percent).saturating_sub(ran))
+    }
+
     /// Judges a run that began at a time and is expected to take a time.
     fn judge(&self, began: CoreTime, expected: Duration) -> Option<OverdueReason> {
         let stall = STALL_LEAST.max(expected * STALL_PERCENTS / 100);
@@ -114,12 +120,12 @@
             };
             let moves = lead.moves.get(&report.task).copied().unwrap_or(0);
             let live = lead.live_run(id, &report.task);
-            let Some(live) = live.filter(|live| live.run == report.run && may_move(live)) else {
+            let Some(live) = live.filter(|live| live.run == report.run) else {
                 continue;
             };
             let progress = RunProgress::note(live.progress, report.percent, asked_at, now);
             live.progress = Some(progress);
-            if moves >= MOST_MOVES {
+            if moves >= MOST_MOVES || !may_move(live) {
                 continue;
             }
             if let Some(reason) = progress.judge(live.began, expected) {
@@ -133,7 +139,7 @@
 
     /// The time that a task is expected to run: what its job says, and how far its queue's jobs
     /// were off lately.
-    fn expected_time(&self, task: TaskKey) -> Duration {
+    pub(super) fn expected_time(&self, task: TaskKey) -> Duration {
         let Some(job) = self.book.job(task.step.job) else {
             return Duration::ZERO;
         };
--- a/crates/bankvalve_queue/src/core/placing.rs
+++ b/crates/bankvalve_queue/src/core/placing.rs
@@ -33,15 +33,16 @@
 const ASK_LEAST: usize = 16;
 
 /// A step that is being placed.
-struct PlacedStep {
-    key: StepKey,
-    spec: StepSpec,
+pub(super) struct PlacedStep {
+    pub(super) key: StepKey,
+    pub(super) spec: StepSpec,
     service: String,
-    rule: Option<AdviceRule>,
+    pub(super) rule: Option<AdviceRule>,
     tasks: Vec<TaskKey>,
     run: RunId,
-    room: TaskSize,
-    urgent: bool,
+    pub(super) room: TaskSize,
+    pub(super) priority: u32,
+    pub(super) urgent: bool,
     /// Whether it prefers workers that were measured as fast.
     fast_first: bool,
 }
@@ -49,6 +50,16 @@
 /// Choice of workers for tasks of a step.
 type Choice = Vec<(TaskKey, WorkerId)>;
 
+impl PlacedStep {
+    /// Most tasks of the step on one worker.
+    pub(super) fn worker_limit(&self) -> usize {
+        match self.spec.per_worker_limit {
+            0 => usize::MAX,
+            limit => limit as usize,
+        }
+    }
+}
+
 impl EntryCore {
     pub(super) fn run_placing(&mut self) {
         let now = self.now;
@@ -81,7 +92,10 @@
             .count_many("placements", "steps_looked_at", looked);
         for (_, key) in ranked {
             if !self.may_fit(key, &most) {
-                continue;
+                self.note_room_wait(key);
+                if !self.may_make_room(key) {
+                    continue;
+                }
             }
             if let Some(step) = self.step_to_place(key) {
                 self.place_step(&step);
@@ -128,6 +142,7 @@
             key,
             service: terms.service.clone(),
             rule: terms.advice,
+            priority: terms.priority,
             urgent: terms.priority == 0,
             fast_first: terms.priority == 0 && self.uses(PolicySwitch::FastWorkers),
             room: spec.room(),
@@ -152,7 +167,9 @@
             .collect();
         let Some(rule) = step.rule else {
             let choice = choose(step, &seats, now);
+            let placed = choice.len();
             self.start_choice(step, choice);
+            self.settle_room(step, placed);
             return;
         };
         if advice.is_new() {
@@ -191,6 +208,9 @@
         }
         let placed: Vec<TaskKey> = choice.iter().map(|(task, _)| *task).collect();
         self.start_choice(step, choice);
+        if whole || (can_ask && question.is_empty()) {
+            self.settle_room(step, placed.len());
+        }
         if !question.is_empty() {
             let until = self.ask_advice(step.key, rule, question);
             kept.retain(|(task, _)| !placed.contains(task));
@@ -198,6 +218,19 @@
         }
     }
 
+    /// Makes room for the tasks of a step that found none, if it has waited long enough.
+    fn settle_room(&mut self, step: &PlacedStep, placed: usize) {
+        let missing = step.tasks.len() - placed;
+        if missing == 0 {
+            self.drop_room_claim(step.key);
+            return;
+        }
+        self.note_room_wait(step.key);
+        if self.may_make_room(step.key) {
+            self.make_room(step, missing);
+        }
+    }
+
     /// Keeps room for a step while its permits are renewed.
     fn reserve(&mut self, step: &PlacedStep, choice: &Choice, until: CoreTime) {
         if !self.uses(PolicySwitch::PermitRoom) {
@@ -240,7 +273,7 @@
             seat.drop_reservation(step.key, now);
             let mut live = LiveRun::new(step.run, &step.spec, RunPhase::Proposed, now);
             live.permit = permit;
-            live.urgent = step.urgent;
+            live.set_priority(step.priority);
             seat.add_run(task, live);
             let detail = format!(
                 "run {} on {worker}, room left {}",
@@ -256,7 +289,7 @@
 }
 
 /// Tells whether a worker may be given tasks of a step at all.
-fn admits(seat: &Seat, step: &PlacedStep, now: CoreTime) -> bool {
+pub(super) fn admits(seat: &Seat, step: &PlacedStep, now: CoreTime) -> bool {
     let lively = seat.is_lively(now);
     let label = step
         .spec
@@ -275,7 +308,7 @@
 }
 
 /// Tasks of a step that a worker holds.
-fn held_of(seat: &Seat, step: StepKey) -> usize {
+pub(super) fn held_of(seat: &Seat, step: StepKey) -> usize {
     let first = step.task(0);
     let last = step.task(u32::MAX);
     seat.runs.range(first..=last).count()
@@ -346,10 +379,7 @@
 }
 
 fn choose_among(step: &PlacedStep, seats: &[(&WorkerId, &Seat)], now: CoreTime) -> Choice {
-    let limit = match step.spec.per_worker_limit {
-        0 => usize::MAX,
-        limit => limit as usize,
-    };
+    let limit = step.worker_limit();
     let mut free: Vec<Candidate<'_>> = seats
         .iter()
         .map(|(id, seat)| Candidate::new(id, seat, step, now))
--- a/crates/bankvalve_queue/src/core/seat.rs
+++ b/crates/bankvalve_queue/src/core/seat.rs
@@ -92,8 +92,14 @@
     /// Whether its begin is known, so that its time can be measured.
     pub(super) measured: bool,
     pub(super) permit: Option<String>,
+    /// Priority of its queue; 0 comes first.
+    pub(super) priority: u32,
     /// Whether its job is of a queue that comes first.
     pub(super) urgent: bool,
+    /// Whether a stop saves its progress.
+    pub(super) saves: bool,
+    /// Whether it runs until its job is cancelled.
+    pub(super) lasting: bool,
     /// Whether it lasts or works with others, so that it is not stopped to end sooner.
     pub(super) together: bool,
     /// How far it has come, once a list has told.
@@ -116,14 +122,23 @@
             saved: String::new(),
             measured: false,
             permit: None,
+            priority: u32::MAX,
             urgent: false,
+            saves: spec.checkpoints,
+            lasting: spec.lasting,
             together: spec.gang || spec.lasting,
             progress: None,
         }
     }
+
+    /// Sets the priority of its queue.
+    pub(super) fn set_priority(&mut self, priority: u32) {
+        self.priority = priority;
+        self.urgent = priority == 0;
+    }
 }
 
-/// Room kept for a step while it waits for permits.
+/// Room kept for a step while it waits for permits, or for that room.
 #[derive(Clone, Debug)]
 pub(super) struct Reservation {
     pub(super) step: StepKey,
@@ -296,6 +311,13 @@
         self.entry.room.minus(&self.used).minus(&reserved)
     }
 
+    /// Tells whether room is kept here for a step.
+    pub(super) fn keeps_room_for(&self, step: StepKey, now: CoreTime) -> bool {
+        self.reserved
+            .iter()
+            .any(|entry| entry.step == step && entry.until > now)
+    }
+
     pub(super) fn drop_reservation(&mut self, step: StepKey, now: CoreTime) {
         self.reserved
             .retain(|entry| entry.step != step && entry.until > now);
--- a/crates/bankvalve_queue/src/core/seat_list.rs
+++ b/crates/bankvalve_queue/src/core/seat_list.rs
@@ -67,7 +67,7 @@
     /// Fills the seats with the runs that the ledger knows, after a takeover.
     pub(super) fn adopt_book(&mut self) {
         let now = self.now;
-        let mut placed: Vec<(TaskKey, WorkerId, u64, StepSpec)> = Vec::new();
+        let mut placed: Vec<(TaskKey, WorkerId, u64, StepSpec, u32)> = Vec::new();
         let mut open = Vec::new();
         for job in self.book.jobs() {
             if job.outcome == JobOutcome::Open {
@@ -84,7 +84,8 @@
                     for (index, task) in step.tasks.iter().enumerate() {
                         if let TaskPhase::Placed { worker, run } = &task.phase {
                             let task = key.task(index as u32);
-                            placed.push((task, worker.clone(), *run, spec.clone()));
+                            let priority = job.terms.priority;
+                            placed.push((task, worker.clone(), *run, spec.clone(), priority));
                         }
                     }
                 }
@@ -101,13 +102,14 @@
             return;
         };
         lead.touched.extend(open.iter().copied());
-        for (task, worker, run, spec) in placed {
+        for (task, worker, run, spec, priority) in placed {
             lead.touched.insert(task.step.job);
             let seat = lead
                 .seats
                 .entry(worker)
                 .or_insert_with(|| Seat::new(WorkerEntry::default(), false, now));
-            let live = LiveRun::new(run, &spec, RunPhase::Adopted, now);
+            let mut live = LiveRun::new(run, &spec, RunPhase::Adopted, now);
+            live.set_priority(priority);
             seat.add_run(task, live);
         }
         for job in open {
--- a/crates/bankvalve_queue/src/core/waiting.rs
+++ b/crates/bankvalve_queue/src/core/waiting.rs
@@ -42,6 +42,11 @@
         }
     }
 
+    /// Tells whether it is of a queue that comes first.
+    pub(super) fn is_urgent(&self) -> bool {
+        self.priority == 0
+    }
+
     /// Rank at a time of day: urgent work first, then what can still end in time by its latest
     /// start, then what can still end late, then the rest.
     ///
