perf(queue): a leader without the table tells it after 0.45 s; failed watches back off

Change: 0.45 s, since a slow table answers the read-back of a write before that; a peer whose question is answered says so at once; watches that fail wait twice as long each time, up to 1 s; members' rows are watched for 3 s in place of 1.

--- a/crates/bankvalve_queue/src/core/store_link.rs
+++ b/crates/bankvalve_queue/src/core/store_link.rs
@@ -20,6 +20,8 @@
 /// Longest that a watch waits; a connection on which an answer was lost says nothing more,
 /// so this bounds how old the configuration can get.
 const WATCH_WAIT: Duration = Duration::from_millis(1_000);
+/// The same for members' rows and the leader's, of which heartbeats tell sooner.
+const CELL_WATCH_WAIT: Duration = Duration::from_millis(3_000);
 /// Added to the wait before a watch counts as lost.
 const WATCH_SLACK: Duration = Duration::from_millis(700);
 /// Longest wait for a read.
@@ -34,8 +36,11 @@
 /// Pause between two changes of the configuration that are read: a large one takes a small
 /// instance some 0.1 s, and in a quick series only the last one counts.
 const OPERATOR_PAUSE: Duration = Duration::from_millis(300);
-/// Pause after a request that failed.
+/// Pause after a request that failed; it doubles with each one that does, since each instance that
+/// asks a table that is away is paid for, and delays its return.
 const RETRY_PAUSE: Duration = Duration::from_millis(120);
+/// Most doublings of it.
+const RETRY_DOUBLINGS: u32 = 3;
 
 /// What a request to the table was for.
 #[derive(Clone, Debug)]
@@ -62,12 +67,21 @@
     pub(super) after: Option<u64>,
     pub(super) busy: bool,
     pub(super) next_at: CoreTime,
+    /// Requests that failed since the last one that did not.
+    failures: u32,
 }
 
 impl WatchState {
     fn is_due(&self, now: CoreTime) -> bool {
         !self.busy && now >= self.next_at
     }
+
+    /// A request failed; the next one waits.
+    fn back_off(&mut self, now: CoreTime) {
+        let doublings = self.failures.min(RETRY_DOUBLINGS);
+        self.failures += 1;
+        self.next_at = now + RETRY_PAUSE * 2_u32.pow(doublings);
+    }
 }
 
 impl EntryCore {
@@ -112,7 +126,7 @@
                     let request = StoreRequest::Watch {
                         table,
                         after,
-                        wait_ms,
+                        wait_ms: CELL_WATCH_WAIT.as_millis() as u64,
                     };
                     self.ask_store(StorePurpose::WatchCell, request);
                 }
@@ -190,10 +204,9 @@
 
     fn end_read_cell(&mut self, outcome: StoreOutcome) {
         let StoreOutcome::Rows { rows, version, .. } = outcome else {
-            self.cell_watch = WatchState {
-                next_at: self.now + RETRY_PAUSE,
-                ..WatchState::default()
-            };
+            self.cell_watch.after = None;
+            self.cell_watch.busy = false;
+            self.cell_watch.back_off(self.now);
             return;
         };
         for row in rows {
@@ -201,6 +214,7 @@
         }
         self.cell_watch.after = Some(version);
         self.cell_watch.busy = false;
+        self.cell_watch.failures = 0;
         if !self.members_known {
             self.members_known = true;
             self.read_leader_row();
@@ -219,6 +233,7 @@
         match outcome {
             StoreOutcome::Changes { changes, version } => {
                 watch.after = Some(version);
+                watch.failures = 0;
                 if many {
                     watch.next_at = self.now + MANY_PAUSE;
                 }
@@ -230,7 +245,7 @@
                 watch.after = None;
                 self.read_leader_row();
             }
-            _ => watch.next_at = self.now + RETRY_PAUSE,
+            _ => watch.back_off(self.now),
         }
         self.run_watches();
     }
@@ -241,13 +256,14 @@
         match outcome {
             StoreOutcome::Operator { news, version } => {
                 watch.after = Some(version);
+                watch.failures = 0;
                 if let Some(table) = news.table {
                     watch.next_at = self.now + OPERATOR_PAUSE;
                     self.use_table(table, news.raw);
                 }
             }
             StoreOutcome::HistoryGone => watch.after = None,
-            _ => watch.next_at = self.now + RETRY_PAUSE,
+            _ => watch.back_off(self.now),
         }
         self.run_watches();
     }
--- a/crates/bankvalve_queue/src/core/yielding.rs
+++ b/crates/bankvalve_queue/src/core/yielding.rs
@@ -12,7 +12,8 @@
 use crate::store::StoreOutcome;
 
 /// Silence of the table after which a leader tells its peers, which then ask the table.
-const TROUBLE_AFTER: Duration = Duration::from_millis(800);
+/// A slow table answers the read-back of a write before that.
+const TROUBLE_AFTER: Duration = Duration::from_millis(450);
 /// Time between two such questions.
 const PROBE_EVERY: Duration = Duration::from_millis(250);
 /// Longest that a planned stop waits for a write before it lets a peer lead.
@@ -40,6 +41,8 @@
     pub(super) fn end_probe(&mut self, outcome: &StoreOutcome) {
         if let StoreOutcome::Rows { rows, .. } = outcome {
             self.probe_answered = Some(self.now);
+            // The leader that asked for it should not wait for the usual heartbeat.
+            self.next_heartbeat = self.now;
             self.take_leader_rows(rows);
         }
     }
