fix(queue): a leader that cannot read the ledger in time reads smaller pages or gives way

Cause: a page of the ledger is up to 1 MB, 0.8 s and more on a link of 10 Mbit/s, while a read had 0.9 s and began anew for ever without a log line. A weak instance that was let lead, since it was the first to tell that the table answers it, led for 15 s without serving. Change: pages begin with 200 rows and adapt to the time that they take; a page that does not come is asked for anew after a pause, a quarter as large and with twice the time; each is logged. A leader that has not read the ledger after 1.5 s lets a peer lead that has more of it. A peer without the book is let lead only 0.7 s after those with it could have told. A member that is not near does not claim for 1.5 s while a near one lives that the table answers.

Also: a claim requires that the ledger has no more than the own book, if that was followed; then nothing is read after it. A leader that stops as planned goes on until its heir's claim stands. Tests that fail without the change: a_weak_instance_on_a_thin_link_reads_the_ ledger_when_it_must_lead, a_leader_without_the_table_waits_for_one_that_has_the_ book; the guard complete-book is noticed.

--- a/crates/bankvalve_check/tests/site/leading.rs
+++ b/crates/bankvalve_check/tests/site/leading.rs
@@ -203,3 +203,65 @@
     world.run_until(until);
     assert!(world.counter("calls", "look") >= 700);
 }
+
+/// A site of six strong instances and six weak ones on thin links, with a ledger of some 1.5 MB.
+fn world_of_thin_links() -> SiteWorld {
+    let mut world = SiteWorld::new(SitePlan {
+        seed: 57,
+        entries: 12,
+        strengths: (0..12)
+            .map(|node| if node < 6 { 500 } else { 120 })
+            .collect(),
+        broken: None,
+        without: None,
+        workers: 4,
+        good_percent: None,
+    });
+    world.run_until(1_000);
+    for node in 6..12 {
+        // 2 Mbit/s.
+        world.nodes[node].link_bytes_per_ms = Some(250);
+    }
+    for job in 1..=400 {
+        let mut spec = job_of(job, QUEUE, &[1], false);
+        spec.payload = "x".repeat(3_900);
+        world.submit(spec);
+        let until = world.now_ms + 10;
+        world.run_until(until);
+    }
+    world
+}
+
+#[test]
+fn a_weak_instance_on_a_thin_link_reads_the_ledger_when_it_must_lead() {
+    let mut world = world_of_thin_links();
+    for node in 0..6 {
+        world.kill(node, 120_000);
+    }
+    let starts = world.rules.starts;
+    let until = world.now_ms + 14_000;
+    world.run_until(until);
+    assert!(world.rules.starts > starts, "nothing is started");
+    world.run_until(110_000);
+    assert_kept(&world);
+    assert_eq!(world.shown.len(), 400);
+}
+
+#[test]
+fn a_leader_without_the_table_waits_for_one_that_has_the_book() {
+    let mut world = world_of_thin_links();
+    let leader = world.leader().expect("an instance leads");
+    let cut_at = world.now_ms;
+    world.nodes[leader].cut_from_store_until = cut_at + 9_000;
+    // Of the others that have the book, one is told late that the table is in trouble.
+    for node in (0..6).filter(|node| *node != leader) {
+        world.nodes[node].cut_from_peers_until = cut_at + 1_000;
+    }
+    let starts = world.rules.starts;
+    world.run_until(cut_at + 1_900);
+    let next = world.leader().expect("an instance leads");
+    assert!(next < 6, "instance {next} leads");
+    assert!(world.rules.starts > starts, "nothing is started for 1.9 s");
+    world.run_until(60_000);
+    assert_kept(&world);
+}
--- a/crates/bankvalve_check/tests/site/random.rs
+++ b/crates/bankvalve_check/tests/site/random.rs
@@ -23,6 +23,7 @@
         (SiteGuard::KeptEnds, 1),
         (SiteGuard::HoldOver, 1),
         (SiteGuard::StopsCount, 1),
+        (SiteGuard::CompleteBook, 1),
         (SiteGuard::NewerList, 1),
     ];
     // The drawn worlds notice this one seldom: it has a world of its own below.
--- a/crates/bankvalve_queue/src/core/callers.rs
+++ b/crates/bankvalve_queue/src/core/callers.rs
@@ -247,8 +247,6 @@
             Some(RefusalReason::StoreAway)
         } else if pending > PENDING_LIMIT {
             Some(RefusalReason::Overload)
-        } else if self.stopping {
-            Some(RefusalReason::Stopping)
         } else {
             None
         };
--- a/crates/bankvalve_queue/src/core/commit.rs
+++ b/crates/bankvalve_queue/src/core/commit.rs
@@ -42,6 +42,8 @@
 /// Most copies without an answer; they do no harm, since the row of the batch must not be there,
 /// but a slow table carries them out in turn.
 const MOST_COPIES: u32 = 3;
+/// Pause before a page of the ledger that did not come is asked for anew.
+const LOAD_PAUSE: Duration = Duration::from_millis(120);
 /// Pause after a write that was refused.
 const BUSY_PAUSE: Duration = Duration::from_millis(60);
 /// Copies of one write that the table turned away, after which it counts as away.
@@ -487,7 +489,18 @@
         }
     }
 
+    /// Asks for the page of the ledger anew that did not come.
+    pub(super) fn run_loading(&mut self) {
+        let due = |lead: &LeadState| lead.load_at.is_some_and(|at| self.now >= at);
+        if self.lead.as_deref().is_some_and(due) {
+            self.load_ledger();
+        }
+    }
+
     pub(super) fn load_ledger(&mut self) {
+        if let Some(lead) = self.lead.as_deref_mut() {
+            lead.load_at = None;
+        }
         self.note_store_question();
         self.ask_ledger(StorePurpose::LoadLedger);
     }
@@ -499,21 +512,32 @@
         if lead.loaded {
             return;
         }
+        self.note_page(&outcome);
         let StoreOutcome::Rows { rows, more, .. } = outcome else {
-            self.load_ledger();
+            if let Some(lead) = self.lead.as_deref_mut() {
+                lead.load_at = Some(self.now + LOAD_PAUSE);
+            }
             return;
         };
-        lead.note_store_answer();
+        if let Some(lead) = self.lead.as_deref_mut() {
+            lead.note_store_answer();
+        }
         self.take_ledger_rows(&rows);
         if more {
             self.load_ledger();
             return;
         }
+        self.end_loading();
+    }
+
+    /// The book holds the whole ledger.
+    pub(super) fn end_loading(&mut self) {
         let applied = self.applied;
         if let Some(lead) = self.lead.as_deref_mut() {
             lead.sequence = applied;
             lead.loaded = true;
         }
+        self.catching_up = false;
         self.adopt_book();
     }
 }
@@ -525,7 +549,7 @@
     }
 }
 
-fn batch_row(sequence: u64) -> RowKey {
+pub(super) fn batch_row(sequence: u64) -> RowKey {
     RowKey::new(LEDGER_TABLE, LEAD_PART, batch_key(sequence))
 }
 
--- a/crates/bankvalve_queue/src/core/election.rs
+++ b/crates/bankvalve_queue/src/core/election.rs
@@ -4,9 +4,11 @@
 
 use serde::{Deserialize, Serialize};
 
+use super::commit::batch_row;
 use super::lead::LeadState;
-use super::store_link::{StorePurpose, CELL_TABLE, LEAD_PART};
+use super::store_link::{StorePurpose, CELL_TABLE, LEAD_PART, LEDGER_TABLE};
 use super::EntryCore;
+use crate::guard::SiteGuard;
 use crate::ids::CoreTime;
 use crate::peer::{HeartbeatNews, PeerAddress};
 use crate::store::{RowCondition, RowKey, RowWrite, StoreOutcome, StoreRequest, StoredRow};
@@ -21,6 +23,9 @@
 const RANK_PAUSE: Duration = Duration::from_millis(120);
 /// Pause for each other member that does, once all near ones have had their time.
 const FAR_RANK_PAUSE: Duration = Duration::from_millis(15);
+/// Added for a member that is not near while one lives that is, and that the table answers: it has
+/// the book, and as a rule the stronger processor and link.
+const FAR_HOLD: Duration = Duration::from_millis(1_500);
 /// Pause before a claim is tried again; it doubles with each one that the table does not answer.
 const CLAIM_PAUSE: Duration = Duration::from_millis(120);
 /// Most doublings of it.
@@ -61,6 +66,8 @@
     pub(super) epoch: u64,
     pub(super) busy: bool,
     pub(super) next_at: CoreTime,
+    /// Batches of the own book, if the claim stands only where the ledger has no more.
+    complete: Option<u64>,
 }
 
 /// Content of the leader's row.
@@ -97,7 +104,7 @@
     }
 
     pub(super) fn read_leader_row(&mut self) {
-        self.ask_leader_row(StorePurpose::CatchUp);
+        self.ask_leader_row(StorePurpose::LeaderRow);
     }
 
     pub(super) fn ask_leader_row(&mut self, purpose: StorePurpose) {
@@ -311,7 +318,12 @@
         }
         let since = *self.suspect_since.get_or_insert(self.now);
         let (near, far) = self.members_before_own();
-        self.age(since) >= RANK_PAUSE * near + FAR_RANK_PAUSE * far
+        let held_back = if self.is_behind_near_members() {
+            FAR_HOLD
+        } else {
+            Duration::ZERO
+        };
+        self.age(since) >= RANK_PAUSE * near + FAR_RANK_PAUSE * far + held_back
     }
 
     fn begin_claim(&mut self) {
@@ -324,11 +336,19 @@
         };
         let value = rmp_serde::to_vec(&row).expect("a leader's row can be encoded");
         let key = leader_key();
+        let complete = self.complete_book(epoch);
+        let next_batch = complete.map(|applied| RowCondition {
+            key: batch_row(applied + 1),
+            version: 0,
+        });
+        let own_row = RowCondition {
+            key: key.clone(),
+            version,
+        };
+        let guarded = self.keeps(SiteGuard::CompleteBook);
+        let next_batch = next_batch.filter(|_| guarded);
         let request = StoreRequest::Transact {
-            conditions: vec![RowCondition {
-                key: key.clone(),
-                version,
-            }],
+            conditions: std::iter::once(own_row).chain(next_batch).collect(),
             writes: vec![RowWrite { key, value }],
             removals: Vec::new(),
         };
@@ -340,10 +360,25 @@
             epoch,
             busy: true,
             next_at: self.now + CLAIM_PAUSE,
+            complete,
         });
         self.ask_store(StorePurpose::Claim, request);
     }
 
+    /// Number of batches of the own book if a claim may require that the ledger has no more.
+    ///
+    /// Then the book is whole once the claim stands, and the ledger need not be read: a slow table
+    /// takes half a second for that. A second claim to the same epoch requires nothing, since it
+    /// could not be told from the first.
+    fn complete_book(&mut self, epoch: u64) -> Option<u64> {
+        let first = self.claimed_epoch < epoch;
+        self.claimed_epoch = epoch;
+        let followed = self.applied > 0 || self.highest_epoch == 0;
+        // A leader that goes on until the claim stands writes the ledger on.
+        let racing = self.asked_to_lead.is_some() && !self.asked_over;
+        (first && followed && !racing && !self.catching_up).then_some(self.applied)
+    }
+
     pub(super) fn end_claim(&mut self, outcome: StoreOutcome) {
         let Some(claim) = self.claim.as_mut() else {
             return;
@@ -361,7 +396,10 @@
                 self.begin_lead(epoch, version);
             }
             StoreOutcome::Applied { .. } => {}
-            StoreOutcome::Conflict { rows } => self.lose_claim(&rows),
+            StoreOutcome::Conflict { rows } => {
+                self.lose_claim(&rows);
+                self.claim_again_if_behind(&rows);
+            }
             // It may have been done: the row tells when it is read.
             _ => self.read_leader_row(),
         }
@@ -369,9 +407,27 @@
 
     /// The row as it stands may also show that an earlier copy of the claim was done.
     fn lose_claim(&mut self, rows: &[StoredRow]) {
-        for row in rows {
-            self.take_leader_row(&row.value, row.version);
+        self.take_leader_rows(rows);
+    }
+
+    /// The ledger had more than the own book: the claim is repeated, and the ledger read.
+    fn claim_again_if_behind(&mut self, rows: &[StoredRow]) {
+        let behind = rows.iter().any(|row| row.key.table == LEDGER_TABLE);
+        let leader_row = rows.iter().find(|row| row.key == leader_key());
+        let known = self.leader.as_ref().map_or(0, |leader| leader.row_version);
+        let stands = leader_row.is_none_or(|row| row.version == known);
+        if !behind || !stands || self.lead.is_some() {
+            return;
+        }
+        if let Some(claim) = self.claim.as_mut() {
+            claim.next_at = self.now;
         }
+        self.log(
+            "election",
+            "book_behind",
+            String::new(),
+            self.applied.to_string(),
+        );
     }
 
     fn is_own_claim(&self, row: &LeaderRow, epoch: u64) -> bool {
@@ -387,7 +443,9 @@
 
     fn begin_lead(&mut self, epoch: u64, row_version: u64) {
         let predecessor = self.leader.as_ref().map(|old| (old.address, old.life));
-        let asked = self.asked_to_lead.take().is_some();
+        let asked = self.asked_to_lead.take().is_some() && self.asked_over;
+        let complete = self.claim.as_ref().and_then(|claim| claim.complete);
+        let complete = complete.is_some_and(|applied| applied == self.applied);
         self.claim = None;
         self.suspect_since = None;
         self.highest_epoch = self.highest_epoch.max(epoch);
@@ -412,7 +470,11 @@
         });
         self.next_heartbeat = self.now;
         self.run_heartbeats();
-        self.load_ledger();
+        if complete {
+            self.end_loading();
+        } else {
+            self.load_ledger();
+        }
         self.run_watches();
     }
 }
--- a/crates/bankvalve_queue/src/core/entry_core.rs
+++ b/crates/bankvalve_queue/src/core/entry_core.rs
@@ -6,6 +6,7 @@
 use super::callers::OpenAsk;
 use super::election::{LeaderView, PeerView};
 use super::lead::LeadState;
+use super::ledger_page::LedgerPage;
 use super::store_link::{StorePurpose, WatchState};
 use crate::caller::{CallerAnswer, ResolvedRequest};
 use crate::decision::{DecisionLine, EntryCounters, EntryView};
@@ -206,14 +207,21 @@
     pub(super) members_known: bool,
     pub(super) claim: Option<super::election::ClaimState>,
     pub(super) claims_unanswered: u32,
+    /// Latest epoch that was claimed.
+    pub(super) claimed_epoch: u64,
     pub(super) suspect_since: Option<CoreTime>,
     pub(super) asked_to_lead: Option<u64>,
+    /// Whether the leader that asked had stopped commanding.
+    pub(super) asked_over: bool,
     pub(super) predecessor_over: Option<(u64, CoreTime)>,
     pub(super) next_heartbeat: CoreTime,
     pub(super) next_far_heartbeat: CoreTime,
     pub(super) book: JobBook,
     pub(super) applied: u64,
     pub(super) catch_up_at: Option<CoreTime>,
+    pub(super) ledger_page: LedgerPage,
+    /// Whether the ledger is being read on, so that the book surely lacks some of it.
+    pub(super) catching_up: bool,
     pub(super) lead: Option<Box<LeadState>>,
     /// What the leader last told of workers' slowness and queues' guesses.
     pub(super) measures: (BTreeMap<WorkerId, f64>, BTreeMap<String, f64>),
@@ -251,14 +259,18 @@
             members_known: false,
             claim: None,
             claims_unanswered: 0,
+            claimed_epoch: 0,
             suspect_since: None,
             asked_to_lead: None,
+            asked_over: false,
             predecessor_over: None,
             next_heartbeat: Duration::ZERO,
             next_far_heartbeat: Duration::ZERO,
             book: JobBook::default(),
             applied: 0,
             catch_up_at: None,
+            ledger_page: LedgerPage::default(),
+            catching_up: false,
             lead: None,
             measures: Default::default(),
             asks: BTreeMap::new(),
--- a/crates/bankvalve_queue/src/core/following.rs
+++ b/crates/bankvalve_queue/src/core/following.rs
@@ -33,7 +33,7 @@
                 batch,
             } => self.take_committed(epoch, sequence, &batch),
             PeerMessage::Measured { workers, queues } => self.take_measures(workers, queues),
-            PeerMessage::TakeOver { epoch } => self.take_over(from, epoch),
+            PeerMessage::TakeOver { epoch, over } => self.take_over(from, epoch, over),
             PeerMessage::Table { raw } => {
                 self.actions.push(super::CoreAction::DecodeTable(raw));
             }
@@ -115,29 +115,60 @@
     }
 
     pub(super) fn ask_ledger(&mut self, purpose: StorePurpose) {
+        self.catching_up = true;
         let request = StoreRequest::Read {
             table: LEDGER_TABLE.to_owned(),
             part: LEAD_PART.to_owned(),
             from: batch_key(self.applied + 1),
-            limit: None,
+            limit: Some(self.ledger_page.rows),
         };
-        self.ask_store(purpose, request);
+        self.ledger_page.asked_at = self.now;
+        let time = self.ledger_page.time;
+        self.ask_store_within(purpose, request, time);
     }
 
-    /// Takes rows of the ledger, or of the leader, that were read while following.
+    /// Notes how a page of the ledger came, and logs it: a thin link takes long for a large one.
+    pub(super) fn note_page(&mut self, outcome: &StoreOutcome) {
+        let took = self.age(self.ledger_page.asked_at);
+        let rows = match outcome {
+            StoreOutcome::Rows { rows, .. } => {
+                self.ledger_page.note_came(took);
+                Some(rows.len())
+            }
+            _ => {
+                self.ledger_page.note_missed();
+                None
+            }
+        };
+        let next = self.ledger_page;
+        let detail = match rows {
+            Some(rows) => format!("{rows} rows after {took:?}, next {}", next.rows),
+            None => format!("none after {took:?}, next {} in {:?}", next.rows, next.time),
+        };
+        self.log("ledger", "page", self.applied.to_string(), detail);
+    }
+
+    /// Takes the leader's row that was read while following.
+    pub(super) fn end_leader_row(&mut self, outcome: &StoreOutcome) {
+        match outcome {
+            StoreOutcome::Rows { rows, .. } => self.take_leader_rows(rows),
+            _ if self.leader.is_none() => self.read_leader_later(),
+            _ => {}
+        }
+    }
+
+    /// Takes rows of the ledger that were read while following.
     pub(super) fn end_catch_up(&mut self, outcome: StoreOutcome) {
+        self.note_page(&outcome);
         let StoreOutcome::Rows { rows, more, .. } = outcome else {
             self.catch_up_at = Some(self.now + CATCH_UP_PAUSE);
-            if !matches!(outcome, StoreOutcome::Conflict { .. }) && self.leader.is_none() {
-                self.read_leader_later();
-            }
             return;
         };
-        self.take_leader_rows(&rows);
         if self.lead.as_ref().is_some_and(|lead| lead.loaded) {
             return;
         }
         self.take_ledger_rows(&rows);
+        self.catching_up = false;
         if more && self.lead.is_none() {
             self.ask_ledger(StorePurpose::CatchUp);
         }
--- a/crates/bankvalve_queue/src/core/lead.rs
+++ b/crates/bankvalve_queue/src/core/lead.rs
@@ -67,6 +67,8 @@
     pub(super) began_at: CoreTime,
     /// Whether the whole ledger has been read.
     pub(super) loaded: bool,
+    /// When a page of the ledger that did not come is asked for anew.
+    pub(super) load_at: Option<CoreTime>,
     /// Whether the workers' entries have been read.
     pub(super) workers_known: bool,
     /// When the table last answered a request that was conditional on the own row.
@@ -116,7 +118,8 @@
     /// When all workers are gone through again for looks and for orders that are due.
     pub(super) next_hold_scan: CoreTime,
     pub(super) next_order_scan: CoreTime,
-    pub(super) stop_since: Option<CoreTime>,
+    /// When a peer was asked to lead, while this leader goes on.
+    pub(super) handed_at: Option<CoreTime>,
     pub(super) next_forget: CoreTime,
     pub(super) next_measures: CoreTime,
 }
@@ -134,6 +137,7 @@
             predecessor,
             began_at: now,
             loaded: false,
+            load_at: None,
             workers_known: false,
             confirmed_at: now,
             asked_since: None,
@@ -167,7 +171,7 @@
             place_at: now,
             next_hold_scan: now,
             next_order_scan: now,
-            stop_since: None,
+            handed_at: None,
             next_forget: now,
             next_measures: now,
         }
@@ -250,6 +254,7 @@
             return;
         }
         self.run_confirm();
+        self.run_loading();
         // Ends must not be taken before the jobs that they belong to are known.
         let loaded = self.lead.as_ref().is_some_and(|lead| lead.loaded);
         if loaded || !self.keeps(SiteGuard::LedgerFirst) {
--- a/crates/bankvalve_queue/src/core/mod.rs
+++ b/crates/bankvalve_queue/src/core/mod.rs
@@ -15,6 +15,7 @@
 mod following;
 mod holds;
 mod lead;
+mod ledger_page;
 mod making_room;
 mod members;
 mod orders;
--- a/crates/bankvalve_queue/src/core/placing.rs
+++ b/crates/bankvalve_queue/src/core/placing.rs
@@ -64,7 +64,7 @@
     pub(super) fn run_placing(&mut self) {
         let now = self.now;
         let by_time = self.uses(PolicySwitch::LatestStart);
-        let blocked = self.store_is_away() || !self.may_command() || self.stopping;
+        let blocked = self.store_is_away() || !self.may_command();
         let Some(lead) = self.lead.as_deref_mut() else {
             return;
         };
--- a/crates/bankvalve_queue/src/core/standby.rs
+++ b/crates/bankvalve_queue/src/core/standby.rs
@@ -12,6 +12,7 @@
 
 use super::election::PeerView;
 use super::members::PEER_ALIVE;
+use super::yielding::reaches_table;
 use super::EntryCore;
 use crate::peer::PeerAddress;
 
@@ -107,6 +108,19 @@
             .collect()
     }
 
+    /// Tells whether this member is not near while a near one lives that the table answers.
+    pub(super) fn is_behind_near_members(&self) -> bool {
+        let near = self.near_members();
+        let leader = self.leader.as_ref().map(|leader| leader.address);
+        let fit = |address: &PeerAddress| {
+            let peer = self.peers.get(address);
+            let live = peer.and_then(|peer| peer.heard_at);
+            let live = live.is_some_and(|at| self.age(at) < PEER_ALIVE);
+            live && Some(*address) != leader && peer.is_some_and(reaches_table)
+        };
+        !near.contains(&self.settings.address) && near.iter().any(fit)
+    }
+
     /// Members that may claim the lead before this one: near ones, and others.
     ///
     /// Of members that it hears often only those that are alive count; of the others, which a
--- a/crates/bankvalve_queue/src/core/yielding.rs
+++ b/crates/bankvalve_queue/src/core/yielding.rs
@@ -16,10 +16,16 @@
 const TROUBLE_AFTER: Duration = Duration::from_millis(450);
 /// Time between two such questions.
 const PROBE_EVERY: Duration = Duration::from_millis(250);
-/// Longest that a planned stop waits for a write before it lets a peer lead.
-const STOP_FLUSH: Duration = Duration::from_millis(300);
+/// Longest that a leader goes on for a peer that it has asked to lead: a slow table takes a second
+/// for the claim.
+const HAND_OVER_LIMIT: Duration = Duration::from_millis(1_600);
 /// Batches that are kept between two heartbeats, and some.
 const BATCHES_ON_THEIR_WAY: u64 = 60;
+/// Time in which a new leader should have read the ledger; on a thin link it may take longer.
+const ADOPT_LIMIT: Duration = Duration::from_millis(1_500);
+/// Time in which the peers that have the book tell whether the table answers them, before one
+/// without it is let lead: a few heartbeats.
+const BEHIND_GRACE: Duration = Duration::from_millis(700);
 /// Least time for which an instance leads before it lets a stronger one lead.
 const SETTLED: Duration = Duration::from_millis(1_200);
 /// A peer that the table answered this lately reaches it: a watch waits for a second.
@@ -67,15 +73,19 @@
             lead.trouble_since = Some(now);
             self.next_heartbeat = now;
         }
-        if stopping && lead.stop_since.is_none() {
-            lead.stop_since = Some(now);
+        let handing = lead
+            .handed_at
+            .is_some_and(|at| now.saturating_sub(at) < HAND_OVER_LIMIT);
+        if handing {
+            return;
         }
-        let waited = lead
-            .stop_since
-            .map_or(Duration::ZERO, |at| now.saturating_sub(at));
-        let flushed = lead.flight.is_none() && lead.pending.is_empty();
-        let stop_due = stopping && (flushed || waited > STOP_FLUSH);
+        let stop_due = stopping;
         let trouble = lead.trouble_since;
+        let slow_start = !lead.loaded && now.saturating_sub(lead.began_at) > ADOPT_LIMIT;
+        if slow_start && !stop_due {
+            self.yield_to_whole_book();
+            return;
+        }
         if trouble.is_none() && !stop_due {
             if self.uses(PolicySwitch::StrongLeader) {
                 self.yield_to_stronger();
@@ -85,19 +95,32 @@
         if !stop_due && !self.uses(PolicySwitch::TableYield) {
             return;
         }
+        let own_book = self.applied;
+        let grace_over = trouble.is_some_and(|at| now.saturating_sub(at) > BEHIND_GRACE);
         let reaches = |peer: &PeerView| {
             let probed = peer.news.probe_age_ms.map(Duration::from_millis);
             let answered = trouble
                 .zip(probed)
                 .is_some_and(|(since, probed)| probed < now.saturating_sub(since));
-            !peer.news.stopping && (stop_due || answered)
+            let ready = stop_due || grace_over || is_up_to_date(peer, own_book);
+            !peer.news.stopping && (stop_due || answered) && ready
         };
         let why = if stop_due {
             "planned stop"
         } else {
             "table away"
         };
-        self.yield_to_first(why, reaches);
+        self.yield_to_first(why, stop_due, reaches);
+    }
+
+    /// Lets a peer lead that has more of the ledger, when reading it takes too long here.
+    fn yield_to_whole_book(&mut self) {
+        let own_book = self.applied;
+        let suits = |peer: &PeerView| {
+            let ahead = peer.news.applied > own_book + BATCHES_ON_THEIR_WAY;
+            ahead && reaches_table(peer) && !peer.news.stopping
+        };
+        self.yield_to_first("the ledger is read too slowly", false, suits);
     }
 
     /// Lets a much stronger peer lead: on a site of unlike instances a weak one would keep all
@@ -115,17 +138,19 @@
         let own_book = self.applied;
         let suits = |peer: &PeerView| {
             let news = &peer.news;
-            let reaches = news
-                .store_age_ms
-                .is_some_and(|age| Duration::from_millis(age) < REACHES_TABLE);
             let follows = news.epoch == epoch && !news.stopping;
-            peer.strength >= least && reaches && follows && is_up_to_date(peer, own_book)
+            peer.strength >= least
+                && reaches_table(peer)
+                && follows
+                && is_up_to_date(peer, own_book)
         };
-        self.yield_to_first("a stronger instance", suits);
+        self.yield_to_first("a stronger instance", true, suits);
     }
 
     /// Lets the first peer lead that suits: one whose book is up to date, then the strongest.
-    fn yield_to_first(&mut self, why: &str, suits: impl Fn(&PeerView) -> bool) {
+    ///
+    /// Gently, it goes on until the peer's claim stands.
+    fn yield_to_first(&mut self, why: &str, gently: bool, suits: impl Fn(&PeerView) -> bool) {
         let own_book = self.applied;
         let heir = self
             .live_peers()
@@ -140,11 +165,31 @@
         let epoch = self.highest_epoch;
         self.log("election", "yield", heir.to_string(), why.to_owned());
         self.counters.count("elections", "yielded");
+        if gently && self.begin_hand_over(heir) {
+            return;
+        }
         self.depose(why);
-        self.tell(heir, PeerMessage::TakeOver { epoch });
+        let over = true;
+        self.tell(heir, PeerMessage::TakeOver { epoch, over });
+    }
+
+    /// Asks a peer to lead and goes on until its claim stands; not twice.
+    fn begin_hand_over(&mut self, heir: PeerAddress) -> bool {
+        let now = self.now;
+        let epoch = self.highest_epoch;
+        let Some(lead) = self.lead.as_deref_mut() else {
+            return false;
+        };
+        if lead.handed_at.is_some() {
+            return false;
+        }
+        lead.handed_at = Some(now);
+        let over = false;
+        self.tell(heir, PeerMessage::TakeOver { epoch, over });
+        true
     }
 
-    pub(super) fn take_over(&mut self, from: PeerAddress, epoch: u64) {
+    pub(super) fn take_over(&mut self, from: PeerAddress, epoch: u64, over: bool) {
         if epoch < self.highest_epoch || self.lead.is_some() || self.stopping {
             return;
         }
@@ -155,11 +200,18 @@
             format!("epoch {epoch}"),
         );
         self.asked_to_lead = Some(epoch);
+        self.asked_over = over;
         self.claim = None;
         self.run_election();
     }
 }
 
+/// Tells whether the table has answered a peer lately.
+pub(super) fn reaches_table(peer: &PeerView) -> bool {
+    let age = peer.news.store_age_ms.map(Duration::from_millis);
+    age.is_some_and(|age| age < REACHES_TABLE)
+}
+
 /// Tells whether a peer's book lacks no more batches than may be on their way.
 fn is_up_to_date(peer: &PeerView, own_book: u64) -> bool {
     peer.news.applied + BATCHES_ON_THEIR_WAY >= own_book
--- a/crates/bankvalve_queue/src/guard.rs
+++ b/crates/bankvalve_queue/src/guard.rs
@@ -15,19 +15,22 @@
     StopsCount,
     /// Of a job whose write may have been done it is not said that it never runs.
     SureRefusal,
+    /// A claim that spares reading the ledger requires that it has no more than the own book.
+    CompleteBook,
     /// A run that a list lacks is gone only if the list was asked for after the run was confirmed.
     NewerList,
 }
 
 impl SiteGuard {
     /// All guards.
-    pub const ALL: [SiteGuard; 7] = [
+    pub const ALL: [SiteGuard; 8] = [
         SiteGuard::LedgerFirst,
         SiteGuard::OwnRow,
         SiteGuard::KeptEnds,
         SiteGuard::HoldOver,
         SiteGuard::StopsCount,
         SiteGuard::SureRefusal,
+        SiteGuard::CompleteBook,
         SiteGuard::NewerList,
     ];
 
@@ -49,6 +52,7 @@
             SiteGuard::HoldOver => "hold-over",
             SiteGuard::StopsCount => "stops-count",
             SiteGuard::SureRefusal => "sure-refusal",
+            SiteGuard::CompleteBook => "complete-book",
             SiteGuard::NewerList => "newer-list",
         }
     }
--- a/crates/bankvalve_queue/src/peer.rs
+++ b/crates/bankvalve_queue/src/peer.rs
@@ -95,6 +95,8 @@
     TakeOver {
         /// Epoch that has ended.
         epoch: u64,
+        /// Whether the sender has stopped commanding; if not, it does until the claim stands.
+        over: bool,
     },
     /// A configuration, to a peer that has an older one.
     Table {
