--- a/crates/bankvalve_queue/src/core/advice.rs
+++ b/crates/bankvalve_queue/src/core/advice.rs
@@ -42,6 +42,9 @@
     ticket: Ticket,
     adviser: PeerAddress,
     asked: Vec<WorkerId>,
+    /// When its answer is expected.
+    expected: CoreTime,
+    long: bool,
     until: CoreTime,
 }
 
@@ -104,6 +107,8 @@
             ticket,
             adviser,
             asked: workers.clone(),
+            expected,
+            long: takes > LONG_QUESTION,
             until,
         });
         let ask = AdviceAsk {
@@ -112,6 +117,14 @@
             time,
         };
         self.counters.count("calls", "advice");
+        if takes > LONG_QUESTION {
+            let detail = format!(
+                "{} workers by {adviser}, expected after {:?}",
+                ask.workers.len(),
+                expected.saturating_sub(now)
+            );
+            self.log("advice", "ask", step.to_string(), detail);
+        }
         if adviser == own {
             self.actions.push(CoreAction::Advice { ticket, ask });
         } else {
@@ -177,13 +190,21 @@
                 .as_ref()
                 .is_some_and(|flight| flight.ticket == ticket)
         });
-        let Some((_, advice)) = found else {
+        let Some((step, advice)) = found else {
             return;
         };
         let Some(flight) = advice.flight.take() else {
             return;
         };
+        let step = *step;
         lead.stale = true;
+        let kind = match &answer {
+            AdviceAnswer::Good { permits, .. } => {
+                format!("{} good of {}", permits.len(), flight.asked.len())
+            }
+            other => format!("{other:?}"),
+        };
+        let late = now.saturating_sub(flight.expected);
         match answer {
             AdviceAnswer::Good { permits, valid_ms } => {
                 let valid = Duration::from_millis(valid_ms).saturating_sub(PERMIT_MARGIN);
@@ -202,6 +223,14 @@
                 self.counters.count("retries", "advice_unanswered");
             }
         }
+        if flight.long {
+            self.log(
+                "advice",
+                "answer",
+                step.to_string(),
+                format!("{kind}, {late:?} late"),
+            );
+        }
     }
 
     pub(super) fn drop_permit(&mut self, step: StepKey, worker: &WorkerId) {
