--- a/crates/bankvalve_queue/src/core/commit.rs
+++ b/crates/bankvalve_queue/src/core/commit.rs
@@ -12,7 +12,6 @@
 use crate::ids::{CoreTime, JobId, TaskKey, Ticket, WorkerId};
 use crate::ledger::{JobOutcome, LedgerBatch, LedgerEvent};
 use crate::peer::{PeerAddress, PeerMessage};
-use crate::policy::PolicySwitch;
 use crate::store::{RowCondition, RowKey, RowWrite, StoreOutcome, StoreRequest, StoredRow};
 
 /// Most events in one batch, which is a row.
@@ -27,21 +26,6 @@
 /// Longest wait for the answer to a write. It only frees the connection: whether the write was done
 /// is read back long before.
 const COMMIT_TIME: Duration = Duration::from_millis(3_000);
-/// Least and longest time after which it is read back whether a write without an answer was done.
-const CHECK_LEAST: Duration = Duration::from_millis(120);
-const CHECK_MOST: Duration = Duration::from_millis(450);
-/// The usual time of a write, times this, after which it is read back.
-const CHECK_FACTOR: u32 = 4;
-/// A read-back takes this long at most; a slow table takes some 0.4 s.
-const CHECK_TIME: Duration = Duration::from_millis(700);
-/// A write that is not done though reads take less than this share of its age is lost rather than
-/// slow: a slow table takes twice as long for a write as for a read, and longer if others wait.
-const LOST_FACTOR: u32 = 6;
-/// Least age of a write that counts as lost.
-const LOST_LEAST: Duration = Duration::from_millis(200);
-/// Most copies without an answer; they do no harm, since the row of the batch must not be there,
-/// but a slow table carries them out in turn.
-const MOST_COPIES: u32 = 3;
 /// Pause before a page of the ledger that did not come is asked for anew.
 const LOAD_PAUSE: Duration = Duration::from_millis(120);
 /// Pause after a write that was refused.
@@ -227,118 +211,7 @@
         self.send_flight();
     }
 
-    /// Sees to a write that has no answer yet.
-    fn pursue_flight(&mut self) {
-        let now = self.now;
-        let away = self.store_is_away();
-        let read_back = self.uses(PolicySwitch::ReadBack);
-        let Some(flight) = self
-            .lead
-            .as_deref_mut()
-            .and_then(|lead| lead.flight.as_mut())
-        else {
-            return;
-        };
-        if flight.copies == 0 {
-            if now >= flight.next_at {
-                self.send_copy();
-            }
-            return;
-        }
-        if away && !flight.uncertain {
-            flight.uncertain = true;
-            self.withdraw_unkept();
-            return;
-        }
-        if !flight.checking && now >= flight.check_at {
-            if read_back {
-                self.check_flight();
-            } else if flight.copies < MOST_COPIES {
-                self.send_copy();
-            }
-        }
-    }
-
-    /// Reads back whether a write without an answer was done.
-    fn check_flight(&mut self) {
-        let now = self.now;
-        let Some(flight) = self
-            .lead
-            .as_deref_mut()
-            .and_then(|lead| lead.flight.as_mut())
-        else {
-            return;
-        };
-        flight.checking = true;
-        let sequence = flight.sequence;
-        let request = StoreRequest::Read {
-            table: LEDGER_TABLE.to_owned(),
-            part: LEAD_PART.to_owned(),
-            from: batch_key(sequence),
-            limit: Some(1),
-        };
-        self.counters.count("commits", "read_back");
-        let purpose = StorePurpose::CheckCommit {
-            sequence,
-            sent_at: now,
-        };
-        self.ask_store_within(purpose, request, CHECK_TIME);
-    }
-
-    pub(super) fn end_check(&mut self, sequence: u64, sent_at: CoreTime, outcome: &StoreOutcome) {
-        let now = self.now;
-        let Some(lead) = self.lead.as_deref_mut() else {
-            return;
-        };
-        let same = |flight: &&mut CommitFlight| flight.sequence == sequence;
-        let Some(flight) = lead.flight.as_mut().filter(same) else {
-            return;
-        };
-        flight.checking = false;
-        flight.check_at = now + CHECK_LEAST;
-        let StoreOutcome::Rows { rows, .. } = outcome else {
-            return;
-        };
-        lead.asked_since = None;
-        let key = batch_row(sequence);
-        match rows.iter().find(|row| row.key == key) {
-            Some(row) if row.value == flight.rows[0] => {
-                self.log("ledger", "read_back", sequence.to_string(), "done".into());
-                self.finish_commit();
-            }
-            Some(_) => {
-                self.depose("another leader wrote the ledger on");
-                self.read_leader_row();
-            }
-            None => {
-                let took = now.saturating_sub(sent_at);
-                let age = now.saturating_sub(flight.sent_at);
-                let lost = age > LOST_LEAST.max(took * LOST_FACTOR);
-                if lost && flight.copies < MOST_COPIES {
-                    let detail = format!("not done after {age:?}, reads take {took:?}");
-                    self.log("ledger", "copy", sequence.to_string(), detail);
-                    self.send_copy();
-                }
-            }
-        }
-    }
-
-    /// Sends the write that is on its way once more.
-    fn send_copy(&mut self) {
-        let now = self.now;
-        let Some(lead) = self.lead.as_deref_mut() else {
-            return;
-        };
-        let pause = lead.check_pause();
-        if let Some(flight) = lead.flight.as_mut() {
-            flight.copies += 1;
-            flight.sent_at = now;
-            flight.check_at = now + pause;
-            self.send_flight();
-        }
-    }
-
-    fn send_flight(&mut self) {
+    pub(super) fn send_flight(&mut self) {
         let Some(lead) = self.lead.as_deref() else {
             return;
         };
@@ -421,7 +294,7 @@
         }
     }
 
-    fn finish_commit(&mut self) {
+    pub(super) fn finish_commit(&mut self) {
         let now = self.now;
         let Some(lead) = self.lead.as_deref_mut() else {
             return;
@@ -542,13 +415,6 @@
     }
 }
 
-impl LeadState {
-    /// Wait for a write's answer before it is read back.
-    fn check_pause(&self) -> Duration {
-        (self.commit_time * CHECK_FACTOR).clamp(CHECK_LEAST, CHECK_MOST)
-    }
-}
-
 pub(super) fn batch_row(sequence: u64) -> RowKey {
     RowKey::new(LEDGER_TABLE, LEAD_PART, batch_key(sequence))
 }
--- a/crates/bankvalve_queue/src/core/members.rs
+++ b/crates/bankvalve_queue/src/core/members.rs
@@ -6,6 +6,7 @@
 use super::standby::MemberRow;
 use super::store_link::{StorePurpose, CELL_TABLE, LEAD_PART, MEMBER_PART};
 use super::EntryCore;
+use crate::ids::CoreTime;
 use crate::peer::{HeartbeatNews, PeerAddress, PeerMessage};
 use crate::store::{RowKey, RowWrite, StoreOutcome, StoreRequest};
 
@@ -16,7 +17,7 @@
 /// them fit into the time for which a peer counts as alive.
 const FAR_HEARTBEAT: Duration = Duration::from_millis(400);
 /// A peer that was heard this lately counts as alive.
-pub(super) const PEER_ALIVE: Duration = Duration::from_millis(900);
+const PEER_ALIVE: Duration = Duration::from_millis(900);
 /// Time in which the table itself tells a peer of a new configuration, as a rule.
 const TABLE_GRACE: Duration = Duration::from_millis(500);
 /// Least time between two configurations that are passed on to one peer.
@@ -239,14 +240,19 @@
         let now = self.now;
         self.peers
             .iter()
-            .filter(move |(_, peer)| {
-                peer.heard_at
-                    .is_some_and(|at| now.saturating_sub(at) < PEER_ALIVE)
-            })
+            .filter(move |(_, peer)| peer.is_live(now))
             .map(|(address, peer)| (*address, peer))
     }
 }
 
+impl PeerView {
+    /// Tells whether the peer was heard so lately that it counts as alive.
+    pub(super) fn is_live(&self, now: CoreTime) -> bool {
+        self.heard_at
+            .is_some_and(|at| now.saturating_sub(at) < PEER_ALIVE)
+    }
+}
+
 fn is_register(purpose: &StorePurpose) -> bool {
     matches!(purpose, StorePurpose::Register)
 }
--- a/crates/bankvalve_queue/src/core/mod.rs
+++ b/crates/bankvalve_queue/src/core/mod.rs
@@ -1,10 +1,10 @@
 //! The state machine of an entry instance.
 //!
 //! `members` hears peers, `standby` ranks them, `election` and `yielding`
-//! decide who leads, `commit`, `confirm` and `withdraw` keep the ledger,
-//! `callers` answers requests, `holds`, `reports` and `orders` deal with
-//! workers, `advice` asks the policy service and `placing` decides which task
-//! runs where.
+//! decide who leads, `commit`, `read_back`, `confirm` and `withdraw` keep the
+//! ledger, `callers` answers requests, `holds`, `reports`, `orders` and
+//! `overdue` deal with workers, `advice` asks the policy service, `placing`
+//! decides which task runs where, and `making_room` what gives way to it.
 
 mod advice;
 mod callers;
@@ -21,6 +21,7 @@
 mod orders;
 mod overdue;
 mod placing;
+mod read_back;
 mod reports;
 mod seat;
 mod seat_list;
--- a/crates/bankvalve_queue/src/core/standby.rs
+++ b/crates/bankvalve_queue/src/core/standby.rs
@@ -11,7 +11,6 @@
 use serde::{Deserialize, Serialize};
 
 use super::election::PeerView;
-use super::members::PEER_ALIVE;
 use super::yielding::reaches_table;
 use super::EntryCore;
 use crate::peer::PeerAddress;
@@ -91,18 +90,15 @@
     /// Tells whether this member is among the first to take over, by rank.
     pub(super) fn is_first_heir(&self) -> bool {
         let near = self.near_members();
-        let first = near.iter().take(FIRST_HEIRS);
-        first
-            .into_iter()
-            .any(|address| *address == self.settings.address)
+        let first = &near[..near.len().min(FIRST_HEIRS)];
+        first.contains(&self.settings.address)
     }
 
     /// Live members that keep the leader's book, the strongest first.
     pub(super) fn live_standbys(&self) -> Vec<PeerAddress> {
-        let live = |peer: &PeerView| peer.heard_at.is_some_and(|at| self.age(at) < PEER_ALIVE);
         self.ranked_peers()
             .into_iter()
-            .filter(|(_, peer)| live(peer))
+            .filter(|(_, peer)| peer.is_live(self.now))
             .map(|((_, address), _)| address)
             .take(NEAR_MEMBERS - 1)
             .collect()
@@ -114,9 +110,8 @@
         let leader = self.leader.as_ref().map(|leader| leader.address);
         let fit = |address: &PeerAddress| {
             let peer = self.peers.get(address);
-            let live = peer.and_then(|peer| peer.heard_at);
-            let live = live.is_some_and(|at| self.age(at) < PEER_ALIVE);
-            live && Some(*address) != leader && peer.is_some_and(reaches_table)
+            let able = |peer: &PeerView| peer.is_live(self.now) && reaches_table(peer);
+            Some(*address) != leader && peer.is_some_and(able)
         };
         !near.contains(&self.settings.address) && near.iter().any(fit)
     }
@@ -136,7 +131,7 @@
                 continue;
             }
             let starting = peer.heard_at.is_none() && self.age(peer.known_at) < STARTING;
-            let live = peer.heard_at.is_some_and(|at| self.age(at) < PEER_ALIVE);
+            let live = peer.is_live(self.now);
             if !near.contains(&address) {
                 before.1 += 1;
             } else if live || starting || !own_near {
