fix(queue): a job whose orders have no answer counts as waiting

Asked at 20.09 s, the leader said that 1 job waits; 5 had waited for 5 s. Ruled out: a count that is old; it is made at the question. Change: a job has begun once a worker has told so, by its answer to a start, by its lists or by an end; a successor learns it from the lists. Before and after: the new test, in which all orders are left unanswered, counts 0 of 5 jobs before and 5 after.

--- a/crates/bankvalve_check/src/site/site_calls.rs
+++ b/crates/bankvalve_check/src/site/site_calls.rs
@@ -1,9 +1,11 @@
 //! Callers of a site: they hand jobs in, ask how they stand and cancel them.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use bankvalve_queue::{
-    CallerAnswer, CallerRequest, CoreEvent, JobId, JobSpec, JobState, ResolvedRequest, Ticket,
+    CallerAnswer, CallerRequest, CoreAction, CoreEvent, JobId, JobSpec, JobState, ResolvedRequest,
+    Ticket,
 };
 use rand::Rng;
 
@@ -54,6 +56,33 @@
         }
     }
 
+    /// Asks the leader how many jobs of a queue have not begun; none without a leader.
+    pub fn count_waiting(&mut self, queue: &str) -> Option<u64> {
+        let leader = self.leader()?;
+        let since = Duration::from_millis(self.now_ms - self.nodes[leader].started_ms);
+        let wall = self.wall_ms();
+        let core = self.nodes[leader].core.as_mut()?;
+        let ticket = core.new_ticket();
+        let request = ResolvedRequest {
+            request: CallerRequest::Count {
+                queue: queue.to_owned(),
+            },
+            patience_ms: PATIENCE_MS,
+        };
+        let actions = core.step(since, wall, CoreEvent::Caller { ticket, request });
+        let mut count = None;
+        for action in actions {
+            match action {
+                CoreAction::Answer {
+                    answer: CallerAnswer::Waiting(waiting),
+                    ..
+                } => count = Some(waiting),
+                action => self.act(leader, action),
+            }
+        }
+        count
+    }
+
     pub(super) fn submission(&self, spec: &Arc<JobSpec>) -> CallerRequest {
         let table = self.table(1);
         let terms = table.queue(&spec.queue).map(|rule| rule.terms.clone());
--- a/crates/bankvalve_check/tests/site/jobs.rs
+++ b/crates/bankvalve_check/tests/site/jobs.rs
@@ -117,3 +117,26 @@
     // Three looks a millisecond are a tenth of a core, as measured on the bench.
     assert!(looked < 2 * 3_300, "{looked} steps in 2 s");
 }
+
+#[test]
+fn a_job_whose_orders_have_no_answer_counts_as_waiting() {
+    let mut world = world(58);
+    world.late_orders_percent = 100;
+    for job in 1..=5 {
+        world.submit(job_of(job, QUEUE, &[1], false));
+    }
+    world.run_until(1_900);
+    assert_eq!(world.rules.accepted().len(), 5);
+    assert_eq!(world.rules.starts, 0);
+    assert_eq!(world.count_waiting(QUEUE), Some(5));
+    world.late_orders_percent = 0;
+    world.run_until(2_200);
+    assert_eq!(world.rules.starts, 5);
+    assert_eq!(world.count_waiting(QUEUE), Some(0));
+    // A successor learns from the workers' lists what has begun.
+    let leader = world.leader().expect("an instance leads");
+    world.kill(leader, 10_000);
+    world.run_until(60_000);
+    assert_kept(&world);
+    assert_eq!(world.shown.len(), 5);
+}
--- a/crates/bankvalve_queue/src/core/callers.rs
+++ b/crates/bankvalve_queue/src/core/callers.rs
@@ -218,15 +218,25 @@
             CallerRequest::Status { job } => self.serve_status(origin, job),
             CallerRequest::Cancel { job } => self.serve_cancel(origin, job),
             CallerRequest::Count { queue } => {
-                let waits = |job: &&crate::ledger::JobRecord| {
-                    job.outcome == JobOutcome::Open && !job.begun && job.spec.queue == queue
-                };
-                let count = self.book.jobs().filter(waits).count() as u64;
+                let count = self.count_waiting(&queue);
                 self.answer(origin, CallerAnswer::Waiting(count));
             }
         }
     }
 
+    /// Number of a queue's jobs of which no task has begun, as far as workers have told: an order
+    /// without an answer may have begun nothing.
+    fn count_waiting(&self, queue: &str) -> u64 {
+        let Some(lead) = self.lead.as_deref() else {
+            return 0;
+        };
+        let waits = |job: &&crate::ledger::JobRecord| {
+            let open = job.outcome == JobOutcome::Open && job.spec.queue == queue;
+            open && !lead.begun.contains(&job.spec.id)
+        };
+        self.book.jobs().filter(waits).count() as u64
+    }
+
     fn serve_submit(
         &mut self,
         origin: Origin,
--- a/crates/bankvalve_queue/src/core/lead.rs
+++ b/crates/bankvalve_queue/src/core/lead.rs
@@ -91,6 +91,8 @@
     /// Time from a proposal of a start to its order, lately.
     order_wait: Duration,
     pub(super) uncommitted: BTreeMap<JobId, u32>,
+    /// Open jobs of which a worker has told that a task began.
+    pub(super) begun: BTreeSet<JobId>,
     /// How often a task was stopped because its run was overdue.
     pub(super) moves: BTreeMap<TaskKey, u32>,
     /// Since when steps have found no room for all their tasks.
@@ -153,6 +155,7 @@
             commit_time: Duration::ZERO,
             order_wait: Duration::ZERO,
             uncommitted: BTreeMap::new(),
+            begun: BTreeSet::new(),
             moves: BTreeMap::new(),
             room_waits: BTreeMap::new(),
             room_claims: BTreeMap::new(),
@@ -307,6 +310,7 @@
             book.job(job)
                 .is_some_and(|job| job.outcome == JobOutcome::Open)
         };
+        lead.begun.retain(|job| open(*job));
         lead.moves.retain(|task, _| open(task.step.job));
         lead.stops.retain(|task, _| open(task.step.job));
         lead.room_waits.retain(|step, _| open(step.job));
--- a/crates/bankvalve_queue/src/core/orders.rs
+++ b/crates/bankvalve_queue/src/core/orders.rs
@@ -176,6 +176,7 @@
                 live.phase = RunPhase::Running { since: now };
                 live.began = now;
                 live.measured = live.copies == 0;
+                lead.begun.insert(task.step.job);
                 self.log(
                     "runs",
                     "start",
--- a/crates/bankvalve_queue/src/core/reports.rs
+++ b/crates/bankvalve_queue/src/core/reports.rs
@@ -44,6 +44,7 @@
             seat.kept = end.number;
         }
         lead.stale = true;
+        lead.begun.insert(end.task.step.job);
         let held = seat
             .runs
             .get(&end.task)
@@ -141,6 +142,7 @@
                     if matches!(live.phase, RunPhase::Adopted | RunPhase::Ordered) {
                         live.phase = RunPhase::Running { since: now };
                         lead.touched.insert(report.task.step.job);
+                        lead.begun.insert(report.task.step.job);
                     }
                     if !report.saved.is_empty() && live.saved != report.saved {
                         live.saved.clone_from(&report.saved);
--- a/crates/bankvalve_queue/src/core/seat_list.rs
+++ b/crates/bankvalve_queue/src/core/seat_list.rs
@@ -69,9 +69,11 @@
         let now = self.now;
         let mut placed: Vec<(TaskKey, WorkerId, u64, StepSpec, u32)> = Vec::new();
         let mut open = Vec::new();
+        let mut begun = Vec::new();
         for job in self.book.jobs() {
             if job.outcome == JobOutcome::Open {
                 open.push(job.spec.id);
+                begun.extend(job.has_done_task().then_some(job.spec.id));
             }
             for (time, record) in &job.times {
                 for (number, step) in record.steps.iter().enumerate() {
@@ -102,6 +104,7 @@
             return;
         };
         lead.touched.extend(open.iter().copied());
+        lead.begun.extend(begun);
         for (task, worker, run, spec, priority) in placed {
             lead.touched.insert(task.step.job);
             let seat = lead
--- a/crates/bankvalve_queue/src/ledger/job_book.rs
+++ b/crates/bankvalve_queue/src/ledger/job_book.rs
@@ -166,6 +166,13 @@
 }
 
 impl JobRecord {
+    /// Tells whether a task of it has ended well.
+    pub fn has_done_task(&self) -> bool {
+        let steps = self.times.values().flat_map(|time| &time.steps);
+        let mut tasks = steps.flat_map(|step| &step.tasks);
+        self.times_done > 0 || tasks.any(|task| task.phase == TaskPhase::Done)
+    }
+
     /// How the job stands, as its caller is told.
     pub fn state(&self) -> JobState {
         match self.outcome {
