refactor(queue): one function keeps room for a step; one look-up of the write on its way

Cause: keeping room while permits are renewed and keeping it for a step that found none counted tasks by worker and pushed reservations in the same words; the read-back looked the write up twice alike.

--- a/crates/bankvalve_queue/src/core/making_room.rs
+++ b/crates/bankvalve_queue/src/core/making_room.rs
@@ -5,11 +5,10 @@
 //! progress is saved at a stop. The room is kept for it, so that smaller steps do not fill it again
 //! and again.
 
-use std::collections::BTreeMap;
 use std::time::Duration;
 
 use super::placing::{admits, held_of, PlacedStep};
-use super::seat::{LiveRun, Reservation, RunPhase, Seat};
+use super::seat::{LiveRun, RunPhase, Seat};
 use super::EntryCore;
 use crate::ids::{StepKey, TaskKey, WorkerId};
 use crate::job::TaskSize;
@@ -238,24 +237,11 @@
     fn carry_out(&mut self, step: &PlacedStep, plans: &[RoomPlan]) {
         let now = self.now;
         let until = now + KEEP_TIME;
-        let mut counts: BTreeMap<&WorkerId, u64> = BTreeMap::new();
-        for plan in plans {
-            *counts.entry(&plan.worker).or_default() += 1;
-        }
         let Some(lead) = self.lead.as_deref_mut() else {
             return;
         };
         lead.room_claims.insert(step.key, until);
-        for (worker, count) in counts {
-            if let Some(seat) = lead.seats.get_mut(worker) {
-                seat.drop_reservation(step.key, now);
-                seat.reserved.push(Reservation {
-                    step: step.key,
-                    room: step.room.times(count),
-                    until,
-                });
-            }
-        }
+        self.keep_room(step, plans.iter().map(|plan| &plan.worker), until);
         let stops = plans.iter().map(|plan| plan.stops.len()).sum::<usize>();
         let after = plans.iter().map(|plan| plan.after).max();
         let detail = format!(
--- a/crates/bankvalve_queue/src/core/placing.rs
+++ b/crates/bankvalve_queue/src/core/placing.rs
@@ -236,12 +236,23 @@
         if !self.uses(PolicySwitch::PermitRoom) {
             return;
         }
+        self.keep_room(step, choice.iter().map(|(_, worker)| worker), until);
+    }
+
+    /// Keeps room for a task of a step on each of these workers, once for each time that one is
+    /// named.
+    pub(super) fn keep_room<'a>(
+        &mut self,
+        step: &PlacedStep,
+        workers: impl Iterator<Item = &'a WorkerId>,
+        until: CoreTime,
+    ) {
         let now = self.now;
         let Some(lead) = self.lead.as_deref_mut() else {
             return;
         };
         let mut counts: BTreeMap<&WorkerId, u64> = BTreeMap::new();
-        for (_, worker) in choice {
+        for worker in workers {
             *counts.entry(worker).or_default() += 1;
         }
         for (worker, count) in counts {
--- a/crates/bankvalve_queue/src/core/read_back.rs
+++ b/crates/bankvalve_queue/src/core/read_back.rs
@@ -32,16 +32,17 @@
 const MOST_COPIES: u32 = 3;
 
 impl EntryCore {
+    /// The write that is on its way.
+    fn open_flight(&mut self) -> Option<&mut CommitFlight> {
+        self.lead.as_deref_mut()?.flight.as_mut()
+    }
+
     /// Sees to a write that has no answer yet.
     pub(super) fn pursue_flight(&mut self) {
         let now = self.now;
         let away = self.store_is_away();
         let read_back = self.uses(PolicySwitch::ReadBack);
-        let Some(flight) = self
-            .lead
-            .as_deref_mut()
-            .and_then(|lead| lead.flight.as_mut())
-        else {
+        let Some(flight) = self.open_flight() else {
             return;
         };
         if flight.copies == 0 {
@@ -67,11 +68,7 @@
     /// Reads back whether a write without an answer was done.
     fn check_flight(&mut self) {
         let now = self.now;
-        let Some(flight) = self
-            .lead
-            .as_deref_mut()
-            .and_then(|lead| lead.flight.as_mut())
-        else {
+        let Some(flight) = self.open_flight() else {
             return;
         };
         flight.checking = true;
