test(site): instances that start side by side do not all listen

Cause: the test's process binds four ports, reads them and closes them before it starts the instance. Any child that another thread starts in between is born with copies of all open sockets, and keeps them until it runs its own program, so the port is still listened on after it was closed here.

Ruled out: another test that takes the port (each instance has an address of its own), a connection of the system's choice (those leave from 127.0.0.1).

--- a/crates/bankvalve/tests/site/main.rs
+++ b/crates/bankvalve/tests/site/main.rs
@@ -2,6 +2,7 @@
 
 mod dev;
 mod serving;
+mod starting;
 mod stopping;
 mod test_site;
 mod trouble;
--- a/crates/bankvalve/tests/site/test_site.rs
+++ b/crates/bankvalve/tests/site/test_site.rs
@@ -41,6 +41,18 @@
     }
 }
 
+impl EntryChild {
+    /// Waits until the instance listens or has ended, and tells whether it listens.
+    pub(crate) fn listens(mut self) -> bool {
+        let mut listens = false;
+        wait_until("an instance listens or has ended", || {
+            listens = TcpStream::connect(self.metrics).is_ok();
+            listens || self.child.try_wait().expect("a status").is_some()
+        });
+        listens
+    }
+}
+
 /// A site of real processes.
 pub(crate) struct TestSite {
     pub(crate) platform: SitePlatform,
