fix(entry): an instance says where it listens and tries again for a held address

The instance gave up at its first try, and told so on standard error alone.

Change: - `process started` on the log holds the four addresses, with the ports that the system chose for 0. The tests read them there and find no ports themselves. - An address that is still held is tried again every 100 ms for `bounds_ms.stop`, the longest that the process of before may take to end. Each try is a line `process address_held`. SIGTERM ends the wait: `process stopped`, exit code 0. - A start that fails is `process start_failed` on the log, as one line of plain text that also stands on standard error; exit code 2 as before. The log is flushed before the process ends, within 1 s a step if nobody reads it. - Lines have a level of their own: warn for a held address, error for a failed start. - `all_killed_at_once_find_what_was_accepted` starts its instances anew at the addresses that they had, where it took new ones before. Each instance keeps a loopback address of its own, so that no other test takes its ports meanwhile.

Seen to fail on the code before (source of, tests of this commit): an_address_that_is_still_held_is_tried_again_and_each_try_is_logged, a_start_that_fails_is_told_on_the_log_and_by_the_exit_code, an_instance_that_waits_for_an_address_stops_when_told.

Not changed: `serve` with the settings of a cell still gives up at the first try.

--- a/crates/bankvalve/src/command/serve_command.rs
+++ b/crates/bankvalve/src/command/serve_command.rs
@@ -1,28 +1,34 @@
 //! The daemon, and commands that need no cell.
 
 use std::process::ExitCode;
+use std::sync::atomic::AtomicBool;
+use std::sync::Arc;
 
+use bankvalve_queue::DecisionLine;
 use bpaf::{Args, ParseFailure};
+use error_stack::Report;
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
 use signal_hook::iterator::Signals;
 
 use super::options::command_line;
 use super::render::print_line;
 use super::{CommandFailure, FailureKind};
-use crate::entry::EntryProcess;
-use crate::serve::{InstanceListeners, InstanceProcess};
+use crate::entry::{DecisionLog, EntryProcess, LineLevel};
+use crate::serve::{InstanceListeners, InstanceProcess, ServeFailure};
 use crate::settings::{ServeSettings, SiteSettings, DEFAULT_SETTINGS};
 
+fn read(file: &str) -> Result<String, CommandFailure> {
+    std::fs::read_to_string(file).map_err(|error| CommandFailure::file(file, error))
+}
+
 fn load(file: &str) -> Result<ServeSettings, CommandFailure> {
-    let text = std::fs::read_to_string(file);
-    let text = text.map_err(|error| CommandFailure::file(file, error))?;
+    let text = read(file)?;
     ServeSettings::parse(&text).map_err(|problem| CommandFailure::file(file, problem))
 }
 
 /// Settings of a site, if the file holds such.
 fn load_site(file: &str) -> Result<Option<SiteSettings>, CommandFailure> {
-    let text = std::fs::read_to_string(file);
-    let text = text.map_err(|error| CommandFailure::file(file, error))?;
+    let text = read(file)?;
     if !SiteSettings::is_meant(&text) {
         return Ok(None);
     }
@@ -32,17 +38,40 @@
         .map_err(|problem| CommandFailure::file(file, problem))
 }
 
-/// Runs an entry instance at a site until SIGTERM or SIGINT.
-fn serve_site(file: &str, settings: &SiteSettings) -> Result<ExitCode, CommandFailure> {
-    let failed = |report: &dyn std::fmt::Debug| {
-        CommandFailure::new(FailureKind::BadInput, format!("{report:?}"))
-    };
+/// Runs an entry instance at a site until SIGTERM or SIGINT. Why a start failed is told on the
+/// log as well.
+fn serve_site(file: &str, text: &str) -> Result<ExitCode, CommandFailure> {
+    let (log, _) = DecisionLog::start().map_err(bad_input)?;
+    let outcome = run_site(file, text, &log);
+    if let Err(failure) = &outcome {
+        log.note(
+            LineLevel::Error,
+            process_line("start_failed", failure.text.clone()),
+        );
+    }
+    log.flush();
+    outcome
+}
+
+fn run_site(file: &str, text: &str, log: &DecisionLog) -> Result<ExitCode, CommandFailure> {
+    let settings = SiteSettings::parse(text);
+    let settings = settings.map_err(|problem| CommandFailure::file(file, problem))?;
     let level = settings.log_level().unwrap_or(log::LevelFilter::Info);
     crate::logging::set_level(level);
-    let mut signals = Signals::new([SIGTERM, SIGINT, SIGHUP])
-        .map_err(|error| CommandFailure::new(FailureKind::BadInput, error.to_string()))?;
-    let process = EntryProcess::start(settings, bankvalve_platform::port())
-        .map_err(|report| failed(&report))?;
+    let mut signals = Signals::new([SIGTERM, SIGINT, SIGHUP]).map_err(bad_input)?;
+    let told_to_stop = Arc::new(AtomicBool::new(false));
+    for signal in [SIGTERM, SIGINT] {
+        signal_hook::flag::register(signal, told_to_stop.clone()).map_err(bad_input)?;
+    }
+    let port = bankvalve_platform::port();
+    let process = match EntryProcess::start(&settings, port, log, &told_to_stop) {
+        Ok(process) => process,
+        Err(report) if *report.current_context() == ServeFailure::Stopped => {
+            log.note(LineLevel::Info, process_line("stopped", one_line(&report)));
+            return Ok(ExitCode::SUCCESS);
+        }
+        Err(report) => return Err(bad_input(one_line(&report))),
+    };
     for signal in signals.forever() {
         if signal != SIGHUP {
             break;
@@ -57,10 +86,33 @@
     Ok(ExitCode::SUCCESS)
 }
 
+fn process_line(event: &'static str, detail: String) -> DecisionLine {
+    DecisionLine {
+        part: "process",
+        event,
+        id: String::new(),
+        detail,
+    }
+}
+
+fn bad_input(problem: impl std::fmt::Display) -> CommandFailure {
+    CommandFailure::new(FailureKind::BadInput, problem.to_string())
+}
+
+/// The step that failed, its causes and what was attached to them, as one line of plain text.
+fn one_line(report: &Report<ServeFailure>) -> String {
+    let attached = report
+        .frames()
+        .filter_map(|frame| frame.downcast_ref::<String>());
+    let attached = attached.map(|text| format!(" ({text})"));
+    format!("{report:#}{}", attached.collect::<String>())
+}
+
 /// Runs an entry instance until SIGTERM or SIGINT, then stops as planned.
 pub(super) fn serve(file: &str) -> Result<ExitCode, CommandFailure> {
-    if let Some(site) = load_site(file)? {
-        return serve_site(file, &site);
+    let text = read(file)?;
+    if SiteSettings::is_meant(&text) {
+        return serve_site(file, &text);
     }
     let settings = load(file)?;
     let level = settings.log_level().unwrap_or(log::LevelFilter::Info);
--- a/crates/bankvalve/src/dev/dev_site.rs
+++ b/crates/bankvalve/src/dev/dev_site.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 use std::net::{Ipv4Addr, SocketAddr, TcpListener};
 use std::process::ExitCode;
+use std::sync::atomic::AtomicBool;
 use std::time::{Duration, Instant};
 
 use bankvalve_queue::{JobTerms, QueueRule, QueueTable};
@@ -11,7 +12,7 @@
 use signal_hook::iterator::Signals;
 
 use crate::command::{CommandFailure, DevOptions, FailureKind};
-use crate::entry::EntryProcess;
+use crate::entry::{DecisionLog, EntryProcess};
 use crate::settings::{
     LogSettings, SiteBounds, SiteInstance, SiteLimits, SiteListen, SitePlatform as PlatformPlaces,
     SiteProcessor, SiteSettings,
@@ -46,10 +47,13 @@
         platform.add_worker(SERVICE, WORKER_MILLICORES);
     }
     platform.configure(QueueTable::new(1, vec![rule()], BTreeMap::new()));
+    let (log, _) = DecisionLog::start().map_err(|error| failed(&error))?;
+    let told_to_stop = AtomicBool::new(false);
     let mut entries = Vec::new();
     for number in 0..options.entries {
         let settings = settings_of(number, any, platform.address());
-        let entry = EntryProcess::start(&settings, bankvalve_platform::port());
+        let port = bankvalve_platform::port();
+        let entry = EntryProcess::start(&settings, port, &log, &told_to_stop);
         entries.push(entry.map_err(|report| failed(&format!("{report:?}")))?);
     }
     wait_until_ready(&entries)?;
--- a/crates/bankvalve/src/entry/entry_process.rs
+++ b/crates/bankvalve/src/entry/entry_process.rs
@@ -1,18 +1,19 @@
 //! Starts an entry instance's threads and stops them.
 
-use std::net::{SocketAddr, TcpListener};
+use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::Arc;
 use std::thread;
 use std::time::{Duration, Instant};
 
 use bankvalve_link::{HttpServer, ServerLimits};
-use bankvalve_queue::{CoreEvent, EntrySettings, PlatformPort, PolicySwitch};
+use bankvalve_queue::{CoreEvent, DecisionLine, EntrySettings, PlatformPort, PolicySwitch};
 use error_stack::{Report, ResultExt};
 use tokio::sync::mpsc;
 
 use super::core_loop::{unix_millis, CoreLoop, EntryHandle};
-use super::decision_log::DecisionLog;
+use super::decision_log::{DecisionLog, LineLevel};
+use super::entry_listeners::EntryListeners;
 use super::entry_metrics::EntryMetrics;
 use super::link_loop::{carry_all, LinkPlan};
 use super::listeners::ListenerState;
@@ -32,43 +33,6 @@
 /// Connections of peers at once: three of each on a site of some 400 instances.
 const PEER_CONNECTIONS: usize = 1_200;
 
-/// The sockets that an instance listens on.
-#[derive(Debug)]
-struct EntryListeners {
-    callers: TcpListener,
-    readiness: TcpListener,
-    peers: TcpListener,
-    metrics: TcpListener,
-}
-
-impl EntryListeners {
-    fn bind(listen: &SiteListen) -> Result<Self, Report<ServeFailure>> {
-        let bind = |field: &str, address: SocketAddr| {
-            TcpListener::bind(address)
-                .change_context(ServeFailure::Listen)
-                .attach(format!("listen.{field} {address}"))
-        };
-        Ok(Self {
-            callers: bind("callers", listen.callers)?,
-            readiness: bind("readiness", listen.readiness)?,
-            peers: bind("peers", listen.peers)?,
-            metrics: bind("metrics", listen.metrics)?,
-        })
-    }
-
-    /// The addresses, with the ports that the system chose where 0 was asked for.
-    fn addresses(&self) -> Result<SiteListen, Report<ServeFailure>> {
-        let of =
-            |listener: &TcpListener| listener.local_addr().change_context(ServeFailure::Listen);
-        Ok(SiteListen {
-            callers: of(&self.callers)?,
-            readiness: of(&self.readiness)?,
-            peers: of(&self.peers)?,
-            metrics: of(&self.metrics)?,
-        })
-    }
-}
-
 /// A running entry instance.
 #[derive(Debug)]
 pub struct EntryProcess {
@@ -79,7 +43,8 @@
 }
 
 impl EntryProcess {
-    /// Starts an instance.
+    /// Starts an instance and logs where it listens. An address that is still held is waited
+    /// for, until the time for a stop is over or `told_to_stop` is set.
     ///
     /// # Errors
     ///
@@ -87,15 +52,16 @@
     pub fn start(
         settings: &SiteSettings,
         port: PlatformPort,
+        log: &DecisionLog,
+        told_to_stop: &AtomicBool,
     ) -> Result<Self, Report<ServeFailure>> {
-        let listeners = EntryListeners::bind(&settings.listen)?;
+        let listeners = EntryListeners::bind(settings, log, told_to_stop)?;
         let listen = listeners.addresses()?;
         let ring = settings.limits.ring as usize;
         let (core, inputs) = EntryHandle::new(ring);
         let (links, actions) = mpsc::channel(ring);
-        let (log, _) = DecisionLog::start().change_context(ServeFailure::Thread)?;
         let own = core_settings(settings, listen.peers);
-        let core_loop = CoreLoop::new(own, port, &core, links, log);
+        let core_loop = CoreLoop::new(own, port, &core, links, log.clone());
         let state = ListenerState {
             metrics: Arc::new(EntryMetrics::new(&core)),
             core: core.clone(),
@@ -117,6 +83,7 @@
             runtime.block_on(carry_all(plan, port, core, actions));
         })?;
         spawn("core", move || core_loop.run(&inputs))?;
+        log.note(LineLevel::Info, started_line(&settings.site.name, &listen));
         Ok(Self {
             listen,
             state,
@@ -162,6 +129,21 @@
     }
 }
 
+fn started_line(name: &str, listen: &SiteListen) -> DecisionLine {
+    let SiteListen {
+        callers,
+        readiness,
+        peers,
+        metrics,
+    } = listen;
+    DecisionLine {
+        part: "process",
+        event: "started",
+        id: name.to_owned(),
+        detail: format!("callers={callers} readiness={readiness} peers={peers} metrics={metrics}"),
+    }
+}
+
 fn core_settings(settings: &SiteSettings, address: SocketAddr) -> EntrySettings {
     let bounds = &settings.bounds_ms;
     EntrySettings {
--- a/crates/bankvalve/src/entry/mod.rs
+++ b/crates/bankvalve/src/entry/mod.rs
@@ -7,12 +7,13 @@
 
 mod core_loop;
 mod decision_log;
+mod entry_listeners;
 mod entry_metrics;
 mod entry_process;
 mod link_loop;
 mod listeners;
 
 pub use core_loop::EntryHandle;
-pub use decision_log::DecisionLog;
+pub use decision_log::{DecisionLog, LineLevel};
 pub use entry_metrics::EntryMetrics;
 pub use entry_process::EntryProcess;
--- a/crates/bankvalve/src/serve/serve_failure.rs
+++ b/crates/bankvalve/src/serve/serve_failure.rs
@@ -9,6 +9,8 @@
     Settings,
     /// An address could not be listened on.
     Listen,
+    /// It was told to stop while it waited for an address.
+    Stopped,
     /// A thread could not be started.
     Thread,
 }
@@ -18,6 +20,7 @@
         f.write_str(match self {
             ServeFailure::Settings => "step settings: expected settings that pass the check",
             ServeFailure::Listen => "step listen: expected a free address",
+            ServeFailure::Stopped => "step listen: told to stop before an address was free",
             ServeFailure::Thread => "step thread: expected room for one more thread",
         })
     }
--- a/crates/bankvalve/src/settings/site_settings.rs
+++ b/crates/bankvalve/src/settings/site_settings.rs
@@ -63,7 +63,8 @@
     pub early: u64,
     /// How long an ended job's state is told.
     pub status: u64,
-    /// Time from SIGTERM in which the process must have ended.
+    /// Time from SIGTERM in which the process must have ended; also the time for which a start
+    /// tries again if an address is still held, as by the process of before.
     pub stop: u64,
 }
 
--- a/crates/bankvalve/tests/site/main.rs
+++ b/crates/bankvalve/tests/site/main.rs
@@ -1,6 +1,7 @@
 //! Tests of real processes at a site, against a platform that speaks its own protocol.
 
 mod dev;
+mod entry_child;
 mod serving;
 mod starting;
 mod stopping;
--- a/crates/bankvalve/tests/site/serving.rs
+++ b/crates/bankvalve/tests/site/serving.rs
@@ -114,7 +114,7 @@
         headers: vec![("host", "hobart.example".into())],
         ..WireCall::default()
     };
-    let reply = exchange(site.entry(0).callers, &elsewhere);
+    let reply = exchange(site.entry(0).plan().callers, &elsewhere);
     assert!(matches!(reply, WireReply::Answer { status: 404, .. }));
     // A route that the operator adds is served, and one that is taken away is not.
     let added = rule_of("other", "/other/");
--- a/crates/bankvalve/tests/site/stopping.rs
+++ b/crates/bankvalve/tests/site/stopping.rs
@@ -30,15 +30,9 @@
     for job in 1..=6 {
         site.submit(job_of(job, "work=700", &[2]));
     }
+    site.restart_all();
     for index in 0..2 {
-        site.kill(index);
-    }
-    for index in 0..2 {
-        let child = site.spawn(index);
-        site.entries[index] = Some(child);
-    }
-    for index in 0..2 {
-        wait_until("an instance is ready again", || site.is_ready(index));
+        site.wait_until_ready(index);
         site.wait_for_success(index, 1..=6);
     }
     assert_once(&site.platform.runs());
--- a/crates/bankvalve/tests/site/test_site.rs
+++ b/crates/bankvalve/tests/site/test_site.rs
@@ -2,10 +2,9 @@
 
 use std::collections::BTreeMap;
 use std::io::{Read, Write};
-use std::net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream};
+use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::path::PathBuf;
-use std::process::{Child, Command, ExitStatus, Stdio};
-use std::sync::atomic::{AtomicU8, Ordering};
+use std::process::ExitStatus;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -15,8 +14,9 @@
     StepSpec, TaskKey, TaskSize, WireCall, WireReply,
 };
 use bankvalve_standin::site::{SeenRun, SitePlatform, SitePolicy};
-use nix::sys::signal::{kill, Signal};
-use nix::unistd::Pid;
+use nix::sys::signal::Signal;
+
+use crate::entry_child::{EntryChild, ListenPlan};
 
 /// Longest that anything is waited for; never reached when all goes well.
 pub(crate) const LONGEST: Duration = Duration::from_secs(60);
@@ -24,34 +24,8 @@
 const SERVICE: &str = "billing";
 /// Time that callers wait, in milliseconds.
 const PATIENCE_MS: u64 = 3_000;
-
-/// A `serve` process.
-pub(crate) struct EntryChild {
-    child: Child,
-    pub(crate) callers: SocketAddr,
-    readiness: SocketAddr,
-    metrics: SocketAddr,
-}
-
-impl Drop for EntryChild {
-    fn drop(&mut self) {
-        // It may have ended already.
-        let _ = self.child.kill();
-        let _ = self.child.wait();
-    }
-}
-
-impl EntryChild {
-    /// Waits until the instance listens or has ended, and tells whether it listens.
-    pub(crate) fn listens(mut self) -> bool {
-        let mut listens = false;
-        wait_until("an instance listens or has ended", || {
-            listens = TcpStream::connect(self.metrics).is_ok();
-            listens || self.child.try_wait().expect("a status").is_some()
-        });
-        listens
-    }
-}
+/// Time that instances have for a stop, in milliseconds, as on the platform.
+const STOP_MS: u64 = 4_200;
 
 /// A site of real processes.
 pub(crate) struct TestSite {
@@ -136,7 +110,7 @@
             site.entries.push(Some(child));
         }
         for index in 0..entries {
-            wait_until("an instance is ready", || site.is_ready(index));
+            site.wait_until_ready(index);
         }
         site
     }
@@ -148,29 +122,34 @@
 
     /// Starts an instance with settings of its own; the system chooses the ports.
     pub(crate) fn spawn(&self, index: usize) -> EntryChild {
-        let [callers, readiness, peers, metrics] = free_addresses();
+        self.spawn_with(index, &ListenPlan::any(), STOP_MS)
+    }
+
+    /// Kills all instances and starts them anew, all at once, where they listened before.
+    pub(crate) fn restart_all(&mut self) {
+        let plans = self.entries.drain(..).flatten();
+        let plans = plans.map(|entry| entry.plan().clone()).collect::<Vec<_>>();
+        let spawned = plans.iter().enumerate();
+        let spawned = spawned.map(|(index, plan)| Some(self.spawn_with(index, plan, STOP_MS)));
+        self.entries = spawned.collect();
+        for (index, plan) in plans.iter().enumerate() {
+            assert_eq!(self.entry(index).plan(), plan);
+        }
+    }
+
+    /// Starts an instance that has so many milliseconds for a stop, or to find an address free.
+    pub(crate) fn spawn_with(&self, index: usize, plan: &ListenPlan, stop_ms: u64) -> EntryChild {
         let file = self.folder.path().join(format!("entry-{index}.jsonc"));
         let settings = serde_json::json!({
             "site": { "name": format!("front-{index}"), "domain": "hobart" },
-            "listen": {
-                "callers": callers, "readiness": readiness, "peers": peers, "metrics": metrics
-            },
+            "listen": plan,
             "platform": { "table": self.platform.address(), "policy": self.platform.address() },
-            "bounds_ms": { "hold_limit": 6000, "early": 250, "status": 120000, "stop": 4200 }
+            "bounds_ms": {
+                "hold_limit": 6000, "early": 250, "status": 120000, "stop": stop_ms
+            }
         });
         std::fs::write(&file, settings.to_string()).expect("settings are written");
-        let child = Command::new(program())
-            .arg("serve")
-            .arg(format!("--settings={}", file.display()))
-            .stdout(Stdio::null())
-            .spawn()
-            .expect("an instance starts");
-        EntryChild {
-            child,
-            callers,
-            readiness,
-            metrics,
-        }
+        EntryChild::start(&file)
     }
 
     pub(crate) fn entry(&self, index: usize) -> &EntryChild {
@@ -184,11 +163,18 @@
             ..WireCall::default()
         };
         matches!(
-            exchange(self.entry(index).readiness, &call),
+            exchange(self.entry(index).plan().readiness, &call),
             WireReply::Answer { status: 200, .. }
         )
     }
 
+    pub(crate) fn wait_until_ready(&self, index: usize) {
+        wait_until("an instance is ready", || {
+            self.entry(index).assert_runs();
+            self.is_ready(index)
+        });
+    }
+
     /// The instance that leads, by the instances' own metrics.
     pub(crate) fn leader(&self) -> Option<usize> {
         let leads = |entry: &EntryChild| {
@@ -213,19 +199,18 @@
     }
 
     pub(crate) fn signal(&self, index: usize, signal: Signal) {
-        let pid = Pid::from_raw(self.entry(index).child.id() as i32);
-        kill(pid, signal).expect("the signal is sent");
+        self.entry(index).signal(signal);
     }
 
     pub(crate) fn wait_for_end(&mut self, index: usize) -> ExitStatus {
         let entry = self.entries[index].as_mut().expect("a running instance");
-        entry.child.wait().expect("an end")
+        entry.wait_for_end()
     }
 
     /// A caller's request at an instance, as it is answered.
     pub(crate) fn ask(&self, index: usize, request: &CallerRequest) -> WireReply {
         let call = counterpart::write_request(&self.rule, request);
-        exchange(self.entry(index).callers, &call)
+        exchange(self.entry(index).plan().callers, &call)
     }
 
     /// Hands a job in at any instance, and again until it is accepted.
@@ -283,18 +268,6 @@
     }
 }
 
-/// Addresses that stay free until an instance takes them: on a loopback address of its own, since
-/// a port that is free on a shared one may be taken by another test, or by a connection.
-fn free_addresses() -> [SocketAddr; 4] {
-    static NEXT: AtomicU8 = AtomicU8::new(1);
-    let number = NEXT.fetch_add(1, Ordering::Relaxed);
-    let [.., high, low] = std::process::id().to_be_bytes();
-    let own = Ipv4Addr::new(127, 1 + high / 2, low, number);
-    let bind = || TcpListener::bind((own, 0)).expect("a port");
-    let listeners = [bind(), bind(), bind(), bind()];
-    listeners.map(|listener| listener.local_addr().expect("an address"))
-}
-
 pub(crate) fn program() -> PathBuf {
     PathBuf::from(env!("CARGO_BIN_EXE_bankvalve"))
 }
@@ -305,7 +278,7 @@
         path: "/metrics".into(),
         ..WireCall::default()
     };
-    match exchange(entry.metrics, &call) {
+    match exchange(entry.plan().metrics, &call) {
         WireReply::Answer { body, .. } => String::from_utf8_lossy(&body).into_owned(),
         WireReply::NotSent | WireReply::NoReply => String::new(),
     }
--- a/crates/bankvalve/tests/site/trouble.rs
+++ b/crates/bankvalve/tests/site/trouble.rs
@@ -18,7 +18,7 @@
     let call = bankvalve_platform::counterpart::write_request(&site.rule, &submission(&refused));
     let mut head = String::new();
     wait_until("a job is refused", || {
-        let answer = exchange_whole(site.entry(0).callers, &call);
+        let answer = exchange_whole(site.entry(0).plan().callers, &call);
         let refusal = answer.filter(|(status, ..)| *status == 503);
         head = refusal.map_or(String::new(), |(_, head, _)| head);
         !head.is_empty()
