feat(queue): why an instance is not ready, what it gave up, and which configuration it has are logged

Ruled out: a line for each heartbeat that does not arrive; only peers that count as alive are named, since one that is gone is tried for a minute. Change: `callers give_up` with job, time, leader and copies; `entry ready` and `entry not_ready` with the reason and the age of the leader's last word; `config in_force` with source, queues and bytes; `config older`, `config unreadable`; `members unreached`. Gauges: configuration and ledger_batches in `bankvalve_state`, configuration and leader in `bankvalve_age_ms`. Decisions are as before.

--- a/crates/bankvalve/src/entry/core_loop.rs
+++ b/crates/bankvalve/src/entry/core_loop.rs
@@ -6,8 +6,8 @@
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use bankvalve_queue::{
-    CallerAnswer, CoreAction, CoreEvent, EntryCore, EntrySettings, EntryView, PlatformPort,
-    QueueTable, RefusalReason, ResolvedRequest, Ticket,
+    CallerAnswer, CoreAction, CoreEvent, DecisionLine, EntryCore, EntrySettings, EntryView,
+    PlatformPort, QueueTable, RefusalReason, ResolvedRequest, Ticket,
 };
 use crossbeam::channel::{Receiver, RecvTimeoutError, Sender};
 use tokio::sync::{mpsc, oneshot};
@@ -213,6 +213,8 @@
                     if let Some(table) = (self.port.read_table)(&raw) {
                         let actions = self.core.give_table(table, raw);
                         self.act_all(actions);
+                    } else {
+                        self.log.give(unix_millis(), unreadable_table(raw.len()));
                     }
                 }
                 CoreAction::Log(line) => self.log.give(unix_millis(), line),
@@ -242,6 +244,15 @@
     }
 }
 
+fn unreadable_table(bytes: usize) -> DecisionLine {
+    DecisionLine {
+        part: "config",
+        event: "unreadable",
+        id: String::new(),
+        detail: format!("{bytes} bytes from a peer"),
+    }
+}
+
 /// The time of day in milliseconds since 1970.
 pub(super) fn unix_millis() -> u64 {
     let since = SystemTime::now().duration_since(UNIX_EPOCH);
--- a/crates/bankvalve/src/entry/entry_metrics.rs
+++ b/crates/bankvalve/src/entry/entry_metrics.rs
@@ -38,6 +38,7 @@
         let meter = provider.meter("bankvalve");
         register_counters(&meter, core);
         register_state(&meter, core);
+        register_ages(&meter, core);
         let latency = meter
             .f64_histogram("bankvalve_request_ms")
             .with_description("Time to the answer of a caller's request, by method and status")
@@ -87,6 +88,28 @@
         .build();
 }
 
+/// Ages that are not known are left out.
+fn register_ages(meter: &Meter, core: &EntryHandle) {
+    let of_core = core.clone();
+    meter
+        .u64_observable_gauge("bankvalve_age_ms")
+        .with_description("Time since something was last heard, by source")
+        .with_callback(move |observer| {
+            let view = of_core.view();
+            let ages = [
+                ("configuration", view.table_age),
+                ("leader", view.leader_age),
+            ];
+            for (source, age) in ages {
+                if let Some(age) = age {
+                    let labels = [KeyValue::new("source", source)];
+                    observer.observe(age.as_millis() as u64, &labels);
+                }
+            }
+        })
+        .build();
+}
+
 fn register_state(meter: &Meter, core: &EntryHandle) {
     let of_core = core.clone();
     meter
@@ -100,6 +123,8 @@
                 ("jobs", view.jobs),
                 ("waiting_tasks", view.waiting_tasks),
                 ("live_runs", view.live_runs),
+                ("configuration", view.table_version),
+                ("ledger_batches", view.ledger_batches),
             ];
             for (quantity, value) in quantities {
                 observer.observe(value, &[KeyValue::new("quantity", quantity)]);
--- a/crates/bankvalve_queue/src/core/callers.rs
+++ b/crates/bankvalve_queue/src/core/callers.rs
@@ -30,13 +30,13 @@
 /// A caller's request that has no answer yet.
 #[derive(Debug)]
 pub(super) struct OpenAsk {
-    request: CallerRequest,
-    since: CoreTime,
+    pub(super) request: CallerRequest,
+    pub(super) since: CoreTime,
     until: CoreTime,
     /// Leader that it was last sent to, and when.
-    sent: Option<(PeerAddress, CoreTime)>,
+    pub(super) sent: Option<(PeerAddress, CoreTime)>,
     /// Copies that a leader may have taken up and that have no answer.
-    copies: u32,
+    pub(super) copies: u32,
 }
 
 impl EntryCore {
@@ -140,6 +140,7 @@
         let Some(ask) = self.asks.remove(&ticket) else {
             return;
         };
+        self.log_given_up(&ask);
         if ask.copies > 0 || ask.sent.is_some() {
             self.counters.count("refusals", "unknown");
             let answer = CallerAnswer::Unknown;
--- a/crates/bankvalve_queue/src/core/election.rs
+++ b/crates/bankvalve_queue/src/core/election.rs
@@ -84,7 +84,7 @@
 
 impl EntryCore {
     pub(super) fn is_ready(&self) -> bool {
-        self.table.is_some() && !self.stopping && (self.lead.is_some() || self.leader_is_heard())
+        self.unready_reason().is_none()
     }
 
     /// Tells whether nobody has led for longer than a takeover takes.
@@ -96,7 +96,7 @@
         self.lead.is_none() && silence > LEADERLESS
     }
 
-    fn leader_is_heard(&self) -> bool {
+    pub(super) fn leader_is_heard(&self) -> bool {
         let limit = SUSPECT_AFTER * 2;
         self.leader
             .as_ref()
--- a/crates/bankvalve_queue/src/core/entry_core.rs
+++ b/crates/bankvalve_queue/src/core/entry_core.rs
@@ -7,7 +7,8 @@
 use super::election::{LeaderView, PeerView};
 use super::lead::LeadState;
 use super::ledger_page::LedgerPage;
-use super::store_link::{StorePurpose, WatchState};
+use super::sight::UnreadyReason;
+use super::store_link::{StorePurpose, TableSource, WatchState};
 use crate::caller::{CallerAnswer, ResolvedRequest};
 use crate::decision::{DecisionLine, EntryCounters, EntryView};
 use crate::guard::SiteGuard;
@@ -237,6 +238,10 @@
     pub(super) next_probe: CoreTime,
     pub(super) next_ticket: Ticket,
     pub(super) stopping: bool,
+    /// What was last logged of its readiness: why it was not ready, or that it was.
+    pub(super) told_unready: Option<Option<UnreadyReason>>,
+    /// When the table last answered a question about the configuration.
+    pub(super) table_confirmed: Option<CoreTime>,
     pub(super) counters: EntryCounters,
     pub(super) actions: Vec<CoreAction>,
 }
@@ -284,6 +289,8 @@
             next_probe: Duration::ZERO,
             next_ticket,
             stopping: false,
+            told_unready: None,
+            table_confirmed: None,
             counters: EntryCounters::default(),
             actions: Vec::new(),
         }
@@ -320,6 +327,14 @@
             jobs: self.book.len() as u64,
             waiting_tasks: lead.map_or(0, LeadState::waiting_tasks),
             live_runs: lead.map_or(0, LeadState::live_runs),
+            table_version: self.table_version(),
+            table_age: self.table_confirmed.map(|at| self.age(at)),
+            leader_age: match &self.leader {
+                _ if lead.is_some() => Some(Duration::ZERO),
+                Some(leader) => Some(self.age(leader.heard_at)),
+                None => None,
+            },
+            ledger_batches: self.applied,
             counters: self.counters.clone(),
         }
     }
@@ -336,7 +351,7 @@
 
     /// Gives the instance a configuration that was decoded for it.
     pub fn give_table(&mut self, table: QueueTable, raw: Vec<u8>) -> Vec<CoreAction> {
-        self.use_table(table, raw);
+        self.use_table(table, raw, TableSource::Peer);
         std::mem::take(&mut self.actions)
     }
 
@@ -361,6 +376,7 @@
         self.run_heartbeats();
         self.run_asks();
         self.run_following();
+        self.tell_readiness();
     }
 
     fn begin_stop(&mut self) {
--- a/crates/bankvalve_queue/src/core/members.rs
+++ b/crates/bankvalve_queue/src/core/members.rs
@@ -217,6 +217,16 @@
     /// A peer does not answer; a leader that refuses connections is suspected at once.
     pub(super) fn peer_unreached(&mut self, peer: PeerAddress, refused: bool) {
         self.counters.count("retries", "peer_unreached");
+        let why = if refused {
+            "no connection"
+        } else {
+            "no answer"
+        };
+        // Only while it counts as alive: one that is gone is tried for a minute.
+        let live = |view: &PeerView| view.is_live(self.now);
+        if self.peers.get(&peer).is_some_and(live) {
+            self.log("members", "unreached", peer.to_string(), why.to_owned());
+        }
         if let Some(view) = self.peers.get_mut(&peer) {
             if refused {
                 view.heard_at = None;
--- a/crates/bankvalve_queue/src/core/mod.rs
+++ b/crates/bankvalve_queue/src/core/mod.rs
@@ -4,7 +4,8 @@
 //! decide who leads, `commit`, `read_back`, `confirm` and `withdraw` keep the
 //! ledger, `callers` answers requests, `holds`, `reports`, `orders` and
 //! `overdue` deal with workers, `advice` asks the policy service, `placing`
-//! decides which task runs where, and `making_room` what gives way to it.
+//! decides which task runs where, and `making_room` what gives way to it. `sight`
+//! tells how the instance stands.
 
 mod advice;
 mod callers;
@@ -25,6 +26,7 @@
 mod reports;
 mod seat;
 mod seat_list;
+mod sight;
 mod standby;
 mod store_link;
 mod waiting;
--- /dev/null
+++ b/crates/bankvalve_queue/src/core/sight.rs
@@ -0,0 +1,112 @@
+//! What an instance tells of itself beside its decisions: whether it may be given callers and why
+//! not, and which requests it gave up.
+
+use super::callers::OpenAsk;
+use super::EntryCore;
+use crate::caller::CallerRequest;
+use crate::ids::JobId;
+
+/// Why an instance may not be given callers.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum UnreadyReason {
+    /// It has no configuration.
+    NoTable,
+    /// It stops.
+    Stopping,
+    /// It has never heard of a leader.
+    NoLeader,
+    /// It has not heard its leader for too long.
+    SilentLeader,
+}
+
+impl UnreadyReason {
+    fn as_str(self) -> &'static str {
+        match self {
+            UnreadyReason::NoTable => "no configuration",
+            UnreadyReason::Stopping => "it stops",
+            UnreadyReason::NoLeader => "no leader is known",
+            UnreadyReason::SilentLeader => "its leader is silent",
+        }
+    }
+}
+
+impl EntryCore {
+    /// Why the instance may not be given callers; none if it may.
+    pub(super) fn unready_reason(&self) -> Option<UnreadyReason> {
+        if self.table.is_none() {
+            Some(UnreadyReason::NoTable)
+        } else if self.stopping {
+            Some(UnreadyReason::Stopping)
+        } else if self.lead.is_some() || self.leader_is_heard() {
+            None
+        } else if self.leader.is_none() {
+            Some(UnreadyReason::NoLeader)
+        } else {
+            Some(UnreadyReason::SilentLeader)
+        }
+    }
+
+    /// Logs that the instance has become ready, or is not and why.
+    pub(super) fn tell_readiness(&mut self) {
+        let reason = self.unready_reason();
+        if self.told_unready == Some(reason) {
+            return;
+        }
+        self.told_unready = Some(reason);
+        let event = if reason.is_some() {
+            "not_ready"
+        } else {
+            "ready"
+        };
+        let why = reason.map_or("", UnreadyReason::as_str);
+        let detail = format!(
+            "{why}, {}, configuration {}",
+            self.leader_text(),
+            self.table_version()
+        );
+        let detail = detail.trim_start_matches(", ").to_owned();
+        self.log("entry", event, String::new(), detail);
+    }
+
+    /// Logs a request that is given up: what was asked, how long ago, and where it was last sent.
+    pub(super) fn log_given_up(&mut self, ask: &OpenAsk) {
+        let (kind, job) = request_kind(&ask.request);
+        let sent = match ask.sent {
+            Some((to, at)) => format!("last sent to {to} {:?} ago", self.age(at)),
+            None => "not sent".to_owned(),
+        };
+        let detail = format!(
+            "{kind} after {:?}, {sent}, {} copies unanswered, {}",
+            self.age(ask.since),
+            ask.copies,
+            self.leader_text()
+        );
+        let id = job.map_or(String::new(), |job| format!("{job:016x}"));
+        self.log("callers", "give_up", id, detail);
+    }
+
+    /// Who leads, and how long ago that was heard.
+    fn leader_text(&self) -> String {
+        match &self.leader {
+            None => "no leader".to_owned(),
+            Some(leader) => {
+                let age = self.age(leader.heard_at);
+                let gone = if leader.gone { ", gone" } else { "" };
+                format!(
+                    "leader {} of epoch {} heard {age:?} ago{gone}",
+                    leader.address, leader.epoch
+                )
+            }
+        }
+    }
+}
+
+/// What a request asks for, and of which job.
+fn request_kind(request: &CallerRequest) -> (&'static str, Option<JobId>) {
+    match request {
+        CallerRequest::Submit { spec, .. } => ("submit", Some(spec.id)),
+        CallerRequest::Status { job } => ("status", Some(*job)),
+        CallerRequest::Cancel { job } => ("cancel", Some(*job)),
+        CallerRequest::Count { .. } => ("count", None),
+    }
+}
--- a/crates/bankvalve_queue/src/core/store_link.rs
+++ b/crates/bankvalve_queue/src/core/store_link.rs
@@ -61,6 +61,15 @@
     Probe,
 }
 
+/// Where a configuration came from.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum TableSource {
+    /// The platform's table.
+    Table,
+    /// A peer.
+    Peer,
+}
+
 /// A watch on a table.
 #[derive(Debug, Default)]
 pub(super) struct WatchState {
@@ -259,9 +268,13 @@
             StoreOutcome::Operator { news, version } => {
                 watch.after = Some(version);
                 watch.failures = 0;
+                self.table_confirmed = Some(self.now);
                 if let Some(table) = news.table {
                     watch.next_at = self.now + OPERATOR_PAUSE;
-                    self.use_table(table, news.raw);
+                    self.use_table(table, news.raw, TableSource::Table);
+                } else if !news.raw.is_empty() {
+                    let detail = format!("{} bytes at version {version}", news.raw.len());
+                    self.log("config", "unreadable", String::new(), detail);
                 }
             }
             StoreOutcome::HistoryGone => watch.after = None,
@@ -305,16 +318,23 @@
     }
 
     /// Puts a configuration in force, unless it is older than the one that is.
-    pub(super) fn use_table(&mut self, table: QueueTable, raw: Vec<u8>) {
+    pub(super) fn use_table(&mut self, table: QueueTable, raw: Vec<u8>, source: TableSource) {
         let version = table.version;
-        if self
-            .table
-            .as_ref()
-            .is_some_and(|now| now.version >= version)
-        {
+        let known = self.table_version();
+        if self.table.is_some() && known >= version {
+            // The whole row is read again when the history is forgotten.
+            if known > version {
+                let detail = format!("from {source:?}, {known} is in force");
+                self.log("config", "older", version.to_string(), detail);
+            }
             return;
         }
-        self.log("config", "in_force", version.to_string(), String::new());
+        let detail = format!(
+            "from {source:?} after {known}, {} queues, {} bytes",
+            table.queues().count(),
+            raw.len()
+        );
+        self.log("config", "in_force", version.to_string(), detail);
         self.actions.push(CoreAction::UseTable(table.clone()));
         self.table = Some(table);
         self.table_raw = raw;
--- a/crates/bankvalve_queue/src/decision.rs
+++ b/crates/bankvalve_queue/src/decision.rs
@@ -1,6 +1,7 @@
 //! What an instance tells about its decisions.
 
 use std::collections::BTreeMap;
+use std::time::Duration;
 
 use crate::caller::RefusalReason;
 
@@ -75,6 +76,14 @@
     pub waiting_tasks: u64,
     /// Runs on workers.
     pub live_runs: u64,
+    /// Version of the configuration in force; 0 before the first.
+    pub table_version: u64,
+    /// Time since the table last told whether there is a newer one; none if it never did.
+    pub table_age: Option<Duration>,
+    /// Time since the leader was heard; zero on the leader, none if none is known.
+    pub leader_age: Option<Duration>,
+    /// Batches of the ledger in its book.
+    pub ledger_batches: u64,
     /// Counters.
     pub counters: EntryCounters,
 }
--- a/crates/bankvalve_queue/tests/entry.rs
+++ b/crates/bankvalve_queue/tests/entry.rs
@@ -100,3 +100,44 @@
     });
     assert!(refused);
 }
+
+/// Lines that an instance logs for an event of a part.
+fn lines(actions: &[CoreAction], part: &str, event: &str) -> Vec<(String, String)> {
+    let wanted = |action: &CoreAction| match action {
+        CoreAction::Log(line) if line.part == part && line.event == event => {
+            Some((line.id.clone(), line.detail.clone()))
+        }
+        _ => None,
+    };
+    actions.iter().filter_map(wanted).collect()
+}
+
+#[test]
+fn a_request_that_is_given_up_is_logged_with_its_job_and_its_leader() {
+    let mut core = follower(1_000);
+    ask(&mut core);
+    let mut given_up = Vec::new();
+    for at_ms in (50..3_000).step_by(50) {
+        let actions = core.step(Duration::from_millis(at_ms), 1_000 + at_ms, CoreEvent::Tick);
+        given_up.extend(lines(&actions, "callers", "give_up"));
+    }
+    let [(job, detail)] = given_up.as_slice() else {
+        panic!("expected one line, found {given_up:?}");
+    };
+    assert_eq!(job, "0000000000000007");
+    assert!(detail.starts_with("status after"), "{detail}");
+    assert!(detail.contains("last sent to 10.0.0.2:7300"), "{detail}");
+    assert!(detail.contains("of epoch 4 heard"), "{detail}");
+}
+
+#[test]
+fn why_an_instance_is_not_ready_is_logged_once() {
+    let mut core = core_of_life(1);
+    let mut told = Vec::new();
+    for at_ms in [10, 60, 110] {
+        let actions = core.step(Duration::from_millis(at_ms), at_ms, CoreEvent::Tick);
+        told.extend(lines(&actions, "entry", "not_ready"));
+    }
+    assert_eq!(told.len(), 1);
+    assert!(told[0].1.starts_with("no configuration"), "{told:?}");
+}
