fix(link): after a call without an answer no connection that was open is used again

Cause: a client gave up only the connection on which a call had no answer in time. Ruled out: a keep-alive of our own. Change: each address has a pool of its own, which is replaced after a call that had no answer in time, or that the system gave up as unacknowledged (TCP_USER_TIMEOUT: a watch of the table waits longer than that). Calls on their way go on with the old pool. A pool that never answered keeps nothing and stays.

--- a/crates/bankvalve_link/src/client/mod.rs
+++ b/crates/bankvalve_link/src/client/mod.rs
@@ -1,14 +1,15 @@
 //! An HTTP client that keeps connections open.
 
+mod kept_connections;
+
 use std::time::Duration;
 
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::header::{HeaderName, HeaderValue, CONTENT_TYPE};
 use hyper::{Method, Request};
-use hyper_util::client::legacy::connect::HttpConnector;
-use hyper_util::client::legacy::Client;
-use hyper_util::rt::{TokioExecutor, TokioTimer};
+
+use self::kept_connections::{ConnectionPool, KeptConnections};
 
 /// Time after which an idle connection is closed.
 const IDLE_TIME: Duration = Duration::from_secs(20);
@@ -48,6 +49,28 @@
     }
 }
 
+/// How a call ended that has no reply, though its connection was made.
+enum CallEnd {
+    /// Nothing acknowledged what was sent.
+    Silent,
+    /// Anything else.
+    Failed(ClientFailure),
+}
+
+impl CallEnd {
+    fn of(error: &(dyn std::error::Error + 'static)) -> Self {
+        let mut cause = Some(error);
+        while let Some(error) = cause {
+            let io = error.downcast_ref::<std::io::Error>();
+            if io.is_some_and(|error| error.kind() == std::io::ErrorKind::TimedOut) {
+                return CallEnd::Silent;
+            }
+            cause = error.source();
+        }
+        CallEnd::Failed(ClientFailure::NoReply(error.to_string()))
+    }
+}
+
 /// A reply.
 #[derive(Clone, Debug)]
 pub struct HttpReply {
@@ -61,10 +84,13 @@
 
 /// A client; clones share their connections.
 ///
-/// Must be used inside a tokio runtime with I/O and time enabled.
+/// A call without an answer in time shows that the connections open to its address may be silent:
+/// none of them is used for a later call.
+///
+/// **NOTE** Must be used inside a tokio runtime with I/O and time enabled.
 #[derive(Clone, Debug)]
 pub struct HttpClient {
-    inner: Client<HttpConnector, Full<Bytes>>,
+    kept: KeptConnections,
     reply_bytes: usize,
 }
 
@@ -89,18 +115,8 @@
 
     /// Makes a client that keeps its connections as the limits say.
     pub fn with_limits(limits: ClientLimits) -> Self {
-        let mut connector = HttpConnector::new();
-        connector.set_nodelay(true);
-        connector.set_connect_timeout(Some(limits.connect_time));
-        connector.set_tcp_user_timeout(limits.silence);
-        let inner = Client::builder(TokioExecutor::new())
-            .pool_timer(TokioTimer::new())
-            .pool_idle_timeout(limits.idle_time)
-            .pool_max_idle_per_host(limits.idle)
-            .retry_canceled_requests(false)
-            .build(connector);
         Self {
-            inner,
+            kept: KeptConnections::new(limits),
             reply_bytes: limits.reply_bytes,
         }
     }
@@ -131,19 +147,36 @@
         let request = builder
             .body(Full::new(body.into()))
             .map_err(|error| ClientFailure::NotSent(error.to_string()))?;
-        match tokio::time::timeout(time, self.exchange(request)).await {
-            Ok(reply) => reply,
-            Err(_) => Err(ClientFailure::NoReply("out of time".into())),
+        let Some(address) = request.uri().authority().cloned() else {
+            return Err(ClientFailure::NotSent(format!(
+                "{url}: expected an address"
+            )));
+        };
+        let (pool, generation) = self.kept.pool(&address);
+        let exchange = self.exchange(&pool, request);
+        match tokio::time::timeout(time, exchange).await {
+            Ok(Ok(reply)) => {
+                self.kept.note_answer(&address, generation);
+                Ok(reply)
+            }
+            Ok(Err(CallEnd::Failed(failure))) => Err(failure),
+            Ok(Err(CallEnd::Silent)) | Err(_) => {
+                self.kept.give_up(&address, generation);
+                Err(ClientFailure::NoReply("out of time".into()))
+            }
         }
     }
 
-    async fn exchange(&self, request: Request<Full<Bytes>>) -> Result<HttpReply, ClientFailure> {
-        let response = self.inner.request(request).await.map_err(|error| {
-            let text = error.to_string();
+    async fn exchange(
+        &self,
+        pool: &ConnectionPool,
+        request: Request<Full<Bytes>>,
+    ) -> Result<HttpReply, CallEnd> {
+        let response = pool.request(request).await.map_err(|error| {
             if error.is_connect() {
-                ClientFailure::NotSent(text)
+                CallEnd::Failed(ClientFailure::NotSent(error.to_string()))
             } else {
-                ClientFailure::NoReply(text)
+                CallEnd::of(&error)
             }
         })?;
         let status = response.status().as_u16();
@@ -155,7 +188,7 @@
         let body = Limited::new(response.into_body(), self.reply_bytes)
             .collect()
             .await
-            .map_err(|error| ClientFailure::NoReply(error.to_string()))?
+            .map_err(|error| CallEnd::of(&*error))?
             .to_bytes();
         Ok(HttpReply {
             status,
--- a/crates/bankvalve_link/tests/silence.rs
+++ b/crates/bankvalve_link/tests/silence.rs
@@ -90,11 +90,15 @@
 }
 
 fn client() -> HttpClient {
+    client_with(None)
+}
+
+fn client_with(silence: Option<Duration>) -> HttpClient {
     HttpClient::with_limits(ClientLimits {
         idle: KEPT,
         idle_time: Duration::from_secs(90),
         connect_time: ANSWER_TIME,
-        silence: None,
+        silence,
         reply_bytes: 1_024,
     })
 }
@@ -143,6 +147,49 @@
     });
 }
 
+#[test]
+fn calls_side_by_side_after_a_time_out_are_all_answered() {
+    run(async {
+        let server = SilentServer::start(KEPT);
+        let client = client();
+        assert_eq!(call_together(&client, server.address, KEPT).await, KEPT);
+        server.silence();
+        assert_eq!(call_together(&client, server.address, 3).await, 0);
+        assert_eq!(call_together(&client, server.address, 3).await, 3);
+    });
+}
+
+#[test]
+fn a_later_silence_costs_one_time_out_again() {
+    run(async {
+        let server = SilentServer::start(KEPT);
+        let client = client();
+        assert_eq!(call_together(&client, server.address, KEPT).await, KEPT);
+        for _ in 0..3 {
+            server.silence();
+            assert!(call(&client, server.address).await.is_err());
+            assert_eq!(call_together(&client, server.address, KEPT).await, KEPT);
+        }
+    });
+}
+
+#[test]
+fn a_connection_that_the_system_gives_up_counts_as_a_time_out() {
+    run(async {
+        let server = SilentServer::start(KEPT);
+        let client = client_with(Some(ANSWER_TIME / 2));
+        assert_eq!(call_together(&client, server.address, KEPT).await, KEPT);
+        server.silence();
+        let url = format!("http://{}/", server.address);
+        // More than the sockets hold, so that the system sees that nobody reads it.
+        let body = vec![0; 32 << 20];
+        let time = ANSWER_TIME * 100;
+        let long = client.send(Method::POST, &url, &[], "text/plain", body, time);
+        assert!(matches!(long.await, Err(ClientFailure::NoReply(_))));
+        assert!(call(&client, server.address).await.is_ok());
+    });
+}
+
 #[test]
 fn a_calm_address_keeps_its_connection() {
     run(async {
