test(check): each instance answers for each job in time, also when connections go silent

The promise itself as a test under virtual time: every accepted job is asked about at each instance, one by one, and must be answered with its state within the 3 s that a caller waits.

--- a/crates/bankvalve_check/src/site/site_calls.rs
+++ b/crates/bankvalve_check/src/site/site_calls.rs
@@ -12,7 +12,7 @@
 use super::site_world::{Later, OpenCall, SiteWorld};
 
 /// How long callers wait for an answer.
-const PATIENCE_MS: u64 = 3_000;
+pub(super) const PATIENCE_MS: u64 = 3_000;
 /// One caller in so many leaves when its job is refused.
 const LEAVING: u32 = 3;
 
@@ -153,6 +153,9 @@
                     None => {}
                 }
             }
+            Some(OpenCall::Check { job, asked_at }) => {
+                self.note_answer(node, job, asked_at, answer);
+            }
             Some(OpenCall::Cancel { job }) => match answer {
                 CallerAnswer::Cancelled => self.rules.cancel_confirmed(job, now),
                 CallerAnswer::NoSuchJob => {}
--- a/crates/bankvalve_check/src/site/site_links.rs
+++ b/crates/bankvalve_check/src/site/site_links.rs
@@ -110,6 +110,9 @@
         to: PeerAddress,
         message: bankvalve_queue::PeerMessage,
     ) {
+        let Some(message) = self.pass_silent_lane(from, to, message) else {
+            return;
+        };
         *self.peer_messages.entry(from).or_default() += 1;
         let table = matches!(message, bankvalve_queue::PeerMessage::Table { .. });
         self.tables_passed += u64::from(table);
--- a/crates/bankvalve_check/src/site/site_world.rs
+++ b/crates/bankvalve_check/src/site/site_world.rs
@@ -14,7 +14,8 @@
 use rand::SeedableRng;
 use rand_pcg::Pcg64Mcg;
 
-use super::RuleBook;
+use super::site_silence::SilentLane;
+use super::{RuleBook, SiteAnswer};
 
 /// Name of the usual queue.
 pub const QUEUE: &str = "batch";
@@ -131,6 +132,12 @@
     ApplyLate {
         request: StoreRequest,
     },
+    SendPeer {
+        node: usize,
+        life: u64,
+        to: PeerAddress,
+        message: bankvalve_queue::PeerMessage,
+    },
 }
 
 /// A caller's request on its way.
@@ -139,6 +146,7 @@
     Submit { job: JobId, tries: u32 },
     Ask { job: JobId },
     Cancel { job: JobId },
+    Check { job: JobId, asked_at: u64 },
 }
 
 /// The world.
@@ -197,6 +205,12 @@
     pub tables_passed: u64,
     /// Messages that each instance sent to peers.
     pub peer_messages: BTreeMap<usize, u64>,
+    pub(super) silent_lanes: BTreeMap<(usize, usize), SilentLane>,
+    /// Whether a call without an answer gives up all connections to that peer, as `HttpClient`
+    /// does; else each is given up by itself.
+    pub given_up_together: bool,
+    /// What callers were told that asked one instance about one job.
+    pub answers: Vec<SiteAnswer>,
 }
 
 impl std::fmt::Debug for SiteWorld {
@@ -245,6 +259,9 @@
             permit_refusals: 0,
             tables_passed: 0,
             peer_messages: BTreeMap::new(),
+            silent_lanes: BTreeMap::new(),
+            given_up_together: true,
+            answers: Vec::new(),
             plan,
         };
         world.store.configure(world.table(1));
@@ -317,6 +334,7 @@
     pub fn kill(&mut self, number: usize, down_ms: u64) {
         self.nodes[number].core = None;
         self.nodes[number].parked.clear();
+        self.end_silence_of(number);
         self.watches.retain(|(node, ..)| *node != number);
         let calls: Vec<(usize, Ticket)> = self.calls.keys().copied().collect();
         for (node, ticket) in calls {
@@ -490,6 +508,16 @@
                 self.store.handle(&request);
                 self.answer_watches();
             }
+            Later::SendPeer {
+                node,
+                life,
+                to,
+                message,
+            } => {
+                if self.is_life(node, life) {
+                    self.send_peer(node, to, message);
+                }
+            }
         }
     }
 
--- /dev/null
+++ b/crates/bankvalve_check/tests/site/answers.rs
@@ -0,0 +1,86 @@
+//! Each accepted job has an answer at the end, from each instance, in time.
+
+use bankvalve_check::site::{job_of, SiteWorld, QUEUE};
+
+use crate::{assert_kept, unlike_world, world};
+
+/// Jobs handed in; each is asked about at each instance.
+const JOBS: u64 = 20;
+
+/// Hands jobs in and runs until they have ended.
+fn finish_jobs(world: &mut SiteWorld) {
+    for job in 1..=JOBS {
+        world.submit(job_of(job, QUEUE, &[2], false));
+    }
+    let until = world.now_ms + 20_000;
+    world.run_until(until);
+    assert_eq!(world.shown.len() as u64, JOBS);
+}
+
+/// Asks each instance about each job, one after another from a moment on; runs until all who asked
+/// have had their time.
+fn ask_about_all(world: &mut SiteWorld, apart_ms: u64) {
+    for job in 1..=JOBS {
+        world.ask_each(&[job]);
+        let until = world.now_ms + apart_ms;
+        world.run_until(until);
+    }
+    let until = world.now_ms + 4_000;
+    world.run_until(until);
+    world.check_answers();
+    assert_eq!(world.answers.len() as u64, JOBS * world.nodes.len() as u64);
+}
+
+fn longest_ms(world: &SiteWorld) -> u64 {
+    let times = world.answers.iter().map(|told| told.took_ms);
+    times.max().unwrap_or(0)
+}
+
+#[test]
+fn on_a_calm_site_each_instance_answers_for_each_job_at_once() {
+    for mut world in [world(61), unlike_world(62, 12)] {
+        finish_jobs(&mut world);
+        ask_about_all(&mut world, 40);
+        assert_kept(&world);
+        assert!(longest_ms(&world) <= 20, "{} ms", longest_ms(&world));
+    }
+}
+
+#[test]
+fn each_instance_answers_for_each_job_in_time_though_all_connections_go_silent() {
+    for seed in 63..73 {
+        for mut world in [world(seed), unlike_world(seed, 12)] {
+            finish_jobs(&mut world);
+            world.silence_peers();
+            ask_about_all(&mut world, 60);
+            assert_kept(&world);
+        }
+    }
+}
+
+#[test]
+fn connections_that_are_given_up_one_by_one_leave_questions_without_an_answer() {
+    // The client's part in the promise: without it the promise is seen to be broken.
+    let mut world = unlike_world(63, 12);
+    world.given_up_together = false;
+    finish_jobs(&mut world);
+    world.silence_peers();
+    ask_about_all(&mut world, 60);
+    assert!(!world.rules.breaches.is_empty());
+}
+
+#[test]
+fn each_instance_answers_for_each_job_after_rolling_restarts() {
+    let mut world = unlike_world(64, 12);
+    finish_jobs(&mut world);
+    for node in 0..12 {
+        world.stop(node);
+        let until = world.now_ms + 800;
+        world.run_until(until);
+        world.kill(node, 1_500);
+    }
+    let until = world.now_ms + 5_000;
+    world.run_until(until);
+    ask_about_all(&mut world, 60);
+    assert_kept(&world);
+}
--- a/crates/bankvalve_check/tests/site/main.rs
+++ b/crates/bankvalve_check/tests/site/main.rs
@@ -1,5 +1,6 @@
 //! Entry instances on the users' platform, under virtual time: each fault found once stays found.
 
+mod answers;
 mod jobs;
 mod leading;
 mod random;
