fix(queue): a peer has 0.4 s for a small batch, and time by its size for a large one

Cause: a batch to a peer had 0.7 s, whatever its size. For a heartbeat or a question, answered in 2 to 5 ms as a rule, that is long: where connections go silent a second time 0.8 s after the first, instances hear the leader of nobody for 2 s and refuse callers, or a question has no answer within 2.55 s. For a large one it is too short: a configuration of 1.1 MB takes 0.88 s on a link of 10 Mbit/s, so it could not be passed on to an instance with such a link at all, and was tried again each second. Ruled out: questions repeated after 0.35 s in place of 0.7. Change: 0.4 s and a millisecond for each 500 bytes. The figures of the links between peers stand in bankvalve_queue now, so that the world under virtual time has the same ones; there a cut takes 0.4 s to be noticed as well.

--- a/crates/bankvalve/src/entry/link_loop.rs
+++ b/crates/bankvalve/src/entry/link_loop.rs
@@ -8,8 +8,8 @@
 
 use bankvalve_link::{encode_message, ClientFailure, ClientLimits, HttpClient, WIRE_TYPE};
 use bankvalve_queue::{
-    AdviceAnswer, CoreAction, CoreEvent, PeerAddress, PeerBatch, PeerMessage, PlatformPort,
-    WireCall, WireReply,
+    peer_time, AdviceAnswer, CoreAction, CoreEvent, PeerAddress, PeerBatch, PeerMessage,
+    PlatformPort, WireCall, WireReply, KEPT_CONNECTIONS, PEER_FLIGHTS,
 };
 use hyper::Method;
 use tokio::sync::mpsc;
@@ -18,20 +18,14 @@
 
 /// Path of peers' messages.
 pub(super) const PEER_PATH: &str = "/messages";
-/// Requests on their way to one peer at most; more messages wait and travel together.
-const PEER_FLIGHTS: usize = 3;
 /// Messages that wait for one peer at most; more are dropped, and whoever needs an answer asks again.
 const PEER_QUEUE: usize = 2_000;
-/// Longest wait for a peer to take messages.
-const PEER_TIME: Duration = Duration::from_millis(700);
 /// Time in which a connection must be made: some ten ways across the site.
 const CONNECT_TIME: Duration = Duration::from_millis(400);
 /// Time for which sent bytes may stay unacknowledged before a connection is given up.
 const SILENCE: Duration = Duration::from_millis(1_500);
 /// Time after which an idle connection is closed; new ones to workers are dear.
 const IDLE_TIME: Duration = Duration::from_secs(90);
-/// Idle connections kept to each worker, peer and service.
-const IDLE: usize = 6;
 /// Largest reply: a page of rows.
 const REPLY_BYTES: usize = 8 * 1024 * 1024;
 
@@ -66,7 +60,7 @@
     mut actions: mpsc::Receiver<Vec<CoreAction>>,
 ) {
     let client = HttpClient::with_limits(ClientLimits {
-        idle: IDLE,
+        idle: KEPT_CONNECTIONS,
         idle_time: IDLE_TIME,
         connect_time: CONNECT_TIME,
         silence: Some(SILENCE),
@@ -176,7 +170,8 @@
             content_type: WIRE_TYPE,
             body: encode_message(&batch),
         };
-        let reply = self.call(peer, call, PEER_TIME).await;
+        let time = peer_time(call.body.len());
+        let reply = self.call(peer, call, time).await;
         let refused = reply == WireReply::NotSent;
         let reached = matches!(reply, WireReply::Answer { status: 200, .. });
         if !reached {
--- a/crates/bankvalve_check/src/site/site_links.rs
+++ b/crates/bankvalve_check/src/site/site_links.rs
@@ -5,6 +5,7 @@
 };
 use rand::Rng;
 
+use super::site_silence::call_ms;
 use super::site_world::{Later, SiteNode, SiteWorld};
 
 /// Share of writes that a silent table carries out after all, later, in percent.
@@ -153,7 +154,7 @@
             _ => {
                 let event = unreached(false);
                 self.after(
-                    700,
+                    call_ms(),
                     Later::Event {
                         node: from,
                         life,
--- a/crates/bankvalve_queue/src/lib.rs
+++ b/crates/bankvalve_queue/src/lib.rs
@@ -32,7 +32,9 @@
     EndKind, JobBook, JobOutcome, JobRecord, LedgerBatch, LedgerEvent, StepRecord, TaskPhase,
     TaskRecord, TimeRecord,
 };
-pub use peer::{HeartbeatNews, PeerAddress, PeerBatch, PeerMessage};
+pub use peer::{
+    peer_time, HeartbeatNews, PeerAddress, PeerBatch, PeerMessage, KEPT_CONNECTIONS, PEER_FLIGHTS,
+};
 pub use policy::PolicySwitch;
 pub use port::{PlatformPort, WireAnswer, WireCall, WireReply, WireRequest};
 pub use queue_table::{AdviceRule, QueueRule, QueueTable};
--- a/crates/bankvalve_queue/src/peer.rs
+++ b/crates/bankvalve_queue/src/peer.rs
@@ -1,6 +1,7 @@
 //! What entry instances say to each other.
 
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
 
@@ -11,6 +12,28 @@
 /// Address at which a peer listens for peers.
 pub type PeerAddress = SocketAddr;
 
+/// Connections that an instance keeps open to each peer, worker and service.
+pub const KEPT_CONNECTIONS: usize = 6;
+/// Batches on their way to one peer at most; more messages wait and travel together.
+pub const PEER_FLIGHTS: usize = 3;
+/// Longest wait for a peer to take a small batch: usual are 2 to 5 ms, and an instance that has
+/// spent its share of a core stands still for up to 100.
+const PEER_TIME: Duration = Duration::from_millis(400);
+/// Bytes of a batch that a link is reckoned to carry in a millisecond: two fifths of the thinnest
+/// one of the users' sites, 10 Mbit/s.
+const LINK_BYTES_PER_MS: usize = 500;
+
+/// Longest wait for a peer to take a batch of so many bytes.
+///
+/// # Examples
+///
+/// ```
+/// assert!(bankvalve_queue::peer_time(1_000_000) >= bankvalve_queue::peer_time(100));
+/// ```
+pub fn peer_time(bytes: usize) -> Duration {
+    PEER_TIME + Duration::from_millis((bytes / LINK_BYTES_PER_MS) as u64)
+}
+
 /// What a heartbeat tells.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct HeartbeatNews {
