feat(check): the randomised runs ask each instance about accepted jobs at the end

Cause: the runs checked that jobs end, asked by callers that come again until they are answered; that each instance answers in time was not looked at, and connections that go silent were no trouble of the runs. Change: SilentPeers is a kind of trouble. At the end of each episode, right after all connections between instances went silent, four accepted jobs are asked about at each instance that runs, 250 ms apart; an answer that is not the job's state, or takes over 3 s, breaks LOST. The guard ResentAsk, a question without an answer is sent again, can be taken away.

--- a/crates/bankvalve_check/src/site/site_faults.rs
+++ b/crates/bankvalve_check/src/site/site_faults.rs
@@ -45,11 +45,13 @@
     LateOrders,
     /// Runs fail.
     FailRuns,
+    /// The connections between instances go silent for good, while new ones work.
+    SilentPeers,
 }
 
 impl SiteFault {
     /// All kinds.
-    pub const ALL: [SiteFault; 19] = [
+    pub const ALL: [SiteFault; 20] = [
         SiteFault::KillLeader,
         SiteFault::KillAny,
         SiteFault::KillAll,
@@ -69,6 +71,7 @@
         SiteFault::DrainWorker,
         SiteFault::LateOrders,
         SiteFault::FailRuns,
+        SiteFault::SilentPeers,
     ];
 
     /// Strikes.
@@ -122,6 +125,7 @@
             }
             SiteFault::LateOrders => world.late_orders_percent = 10,
             SiteFault::FailRuns => world.fail_percent = 15,
+            SiteFault::SilentPeers => world.silence_peers(),
         }
     }
 
--- a/crates/bankvalve_check/src/site/site_random.rs
+++ b/crates/bankvalve_check/src/site/site_random.rs
@@ -15,6 +15,12 @@
 const CALM_MS: u64 = 90_000;
 /// First virtual time at which trouble strikes, in milliseconds.
 const FIRST_MS: u64 = 1_500;
+/// Jobs that are asked about at each instance at the end.
+const ASKED_JOBS: usize = 4;
+/// Virtual time from one of them to the next, in milliseconds.
+const ASK_PAUSE_MS: u64 = 250;
+/// Virtual time in which all who asked have their answers, in milliseconds.
+const ASK_MS: u64 = 4_000;
 /// Most tasks of a step that is drawn.
 const WIDTH: u32 = 4;
 
@@ -88,6 +94,7 @@
     SiteFault::calm(&mut world);
     world.run_until(TROUBLED_MS + CALM_MS);
     check_ends(&mut world);
+    ask_at_end(&mut world);
     SiteReport {
         events: world.events,
         starts: world.rules.starts,
@@ -146,6 +153,24 @@
     }
 }
 
+/// Each instance must answer for each accepted job in time, also when connections go silent.
+///
+/// The jobs are drawn from the later quarter: how they ended is told for two minutes only.
+fn ask_at_end(world: &mut SiteWorld) {
+    let accepted: Vec<u64> = world.rules.accepted().iter().copied().collect();
+    let later = &accepted[accepted.len() - accepted.len() / 4..];
+    world.silence_peers();
+    for _ in 0..ASKED_JOBS.min(later.len()) {
+        let job = later[world.rng.random_range(0..later.len())];
+        world.ask_each(&[job]);
+        let until = world.now_ms + ASK_PAUSE_MS;
+        world.run_until(until);
+    }
+    let until = world.now_ms + ASK_MS;
+    world.run_until(until);
+    world.check_answers();
+}
+
 /// Runs episodes from a seed until so many events have happened, with a guard taken away if asked.
 pub fn run_site_random(seed: u64, events: u64, broken: Option<SiteGuard>) -> ExitCode {
     let begun = Instant::now();
--- a/crates/bankvalve_check/tests/site/random.rs
+++ b/crates/bankvalve_check/tests/site/random.rs
@@ -25,6 +25,7 @@
         (SiteGuard::StopsCount, 1),
         (SiteGuard::CompleteBook, 1),
         (SiteGuard::NewerList, 1),
+        (SiteGuard::ResentAsk, 1),
     ];
     // The drawn worlds notice this one seldom: it has a world of its own below.
     let others = SiteGuard::ALL.into_iter();
--- a/crates/bankvalve_queue/src/core/callers.rs
+++ b/crates/bankvalve_queue/src/core/callers.rs
@@ -8,6 +8,7 @@
 use super::EntryCore;
 use crate::caller::{CallerAnswer, CallerRequest, JobState, RefusalReason, ResolvedRequest};
 use crate::core::CoreAction;
+use crate::guard::SiteGuard;
 use crate::ids::{CoreTime, JobId, Ticket};
 use crate::ledger::{JobOutcome, LedgerEvent};
 use crate::peer::{PeerAddress, PeerMessage};
@@ -115,16 +116,15 @@
     pub(super) fn run_asks(&mut self) {
         let now = self.now;
         let own = self.settings.address;
+        let resent = self.keeps(SiteGuard::ResentAsk);
+        let unanswered = |(to, at)| to != own && now.saturating_sub(at) > RESEND_AFTER;
         let mut again = Vec::new();
         let mut over = Vec::new();
         for (ticket, ask) in &self.asks {
             let waited = now.saturating_sub(ask.since);
             if now >= ask.until || (waited > LEADER_WAIT && ask.sent.is_none()) {
                 over.push(*ticket);
-            } else if ask
-                .sent
-                .is_none_or(|(to, at)| to != own && now.saturating_sub(at) > RESEND_AFTER)
-            {
+            } else if ask.sent.is_none_or(|sent| resent && unanswered(sent)) {
                 again.push(*ticket);
             }
         }
--- a/crates/bankvalve_queue/src/guard.rs
+++ b/crates/bankvalve_queue/src/guard.rs
@@ -19,11 +19,13 @@
     CompleteBook,
     /// A run that a list lacks is gone only if the list was asked for after the run was confirmed.
     NewerList,
+    /// A question that has no answer is sent again.
+    ResentAsk,
 }
 
 impl SiteGuard {
     /// All guards.
-    pub const ALL: [SiteGuard; 8] = [
+    pub const ALL: [SiteGuard; 9] = [
         SiteGuard::LedgerFirst,
         SiteGuard::OwnRow,
         SiteGuard::KeptEnds,
@@ -32,6 +34,7 @@
         SiteGuard::SureRefusal,
         SiteGuard::CompleteBook,
         SiteGuard::NewerList,
+        SiteGuard::ResentAsk,
     ];
 
     /// Name used on the command line.
@@ -54,6 +57,7 @@
             SiteGuard::SureRefusal => "sure-refusal",
             SiteGuard::CompleteBook => "complete-book",
             SiteGuard::NewerList => "newer-list",
+            SiteGuard::ResentAsk => "resent-ask",
         }
     }
 
