fix(link): 1,024 new connections may wait to be accepted, in place of 128

The listeners had the standard library's queue of 128. An instance that has spent its share of a core stands still for a tenth of a second and accepts nobody meanwhile, and at the end all jobs are asked about. Ruled out: nothing else in the way of a new connection waits that long; one over `caller_connections` is closed at once. Change: `bankvalve_link::listen`, for all listeners of an instance and of a cell. Cost: none while fewer wait. socket2 was in the lock file already, for tokio.

--- a/crates/bankvalve/src/entry/entry_process.rs
+++ b/crates/bankvalve/src/entry/entry_process.rs
@@ -44,7 +44,7 @@
 impl EntryListeners {
     fn bind(listen: &SiteListen) -> Result<Self, Report<ServeFailure>> {
         let bind = |field: &str, address: SocketAddr| {
-            TcpListener::bind(address)
+            bankvalve_link::listen(address)
                 .change_context(ServeFailure::Listen)
                 .attach(format!("listen.{field} {address}"))
         };
--- a/crates/bankvalve/src/serve/instance_process.rs
+++ b/crates/bankvalve/src/serve/instance_process.rs
@@ -46,7 +46,7 @@
     /// Returns the step and the address.
     pub fn bind(settings: &ServeSettings) -> Result<Self, Report<ServeFailure>> {
         let bind = |field: &str, address: SocketAddr| {
-            TcpListener::bind(address)
+            bankvalve_link::listen(address)
                 .change_context(ServeFailure::Listen)
                 .attach(format!("{field} {address}"))
         };
--- a/crates/bankvalve_link/src/lib.rs
+++ b/crates/bankvalve_link/src/lib.rs
@@ -19,6 +19,7 @@
     CLOCK_SLACK,
 };
 pub use server::{
-    AnswerBody, HttpAnswer, HttpRequest, HttpServer, ServerCounters, ServerLimits, ServerTls,
+    listen, AnswerBody, HttpAnswer, HttpRequest, HttpServer, ServerCounters, ServerLimits,
+    ServerTls,
 };
 pub use wire::{decode_message, encode_message, WIRE_TYPE};
