fix(link): an address that makes no connection in time is not one that refused

Cause: "not sent" stood for a port that refuses and for a connection that was not made in time, as behind a cut. For a peer both counted as refused: it was taken for gone, and a leader so reached was given up without asking whether others hear it. Change: `ClientFailure::Refused`; only it is a peer's refusal. To the table and to workers both stay "surely not sent". The log line for a peer that is not reached says which of the two it was.

--- a/crates/bankvalve/src/entry/link_loop.rs
+++ b/crates/bankvalve/src/entry/link_loop.rs
@@ -6,7 +6,9 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use bankvalve_link::{encode_message, ClientFailure, ClientLimits, HttpClient, WIRE_TYPE};
+use bankvalve_link::{
+    encode_message, ClientFailure, ClientLimits, HttpClient, HttpReply, WIRE_TYPE,
+};
 use bankvalve_queue::{
     peer_time, AdviceAnswer, CoreAction, CoreEvent, PeerAddress, PeerBatch, PeerMessage,
     PlatformPort, WireCall, WireReply, KEPT_CONNECTIONS, PEER_FLIGHTS,
@@ -171,9 +173,10 @@
             body: encode_message(&batch),
         };
         let time = peer_time(call.body.len());
-        let reply = self.call(peer, call, time).await;
-        let refused = reply == WireReply::NotSent;
-        let reached = matches!(reply, WireReply::Answer { status: 200, .. });
+        let sent = self.exchange(peer, call, time).await;
+        // One that no connection was made to in time may be cut off, and live.
+        let refused = matches!(sent, Err(ClientFailure::Refused(_)));
+        let reached = sent.is_ok_and(|reply| reply.status == 200);
         if !reached {
             self.core.give(CoreEvent::PeerUnreached { peer, refused });
         }
@@ -189,13 +192,28 @@
         call: WireCall,
         time: Duration,
     ) -> WireReply {
+        match self.exchange(address, call, time).await {
+            Ok(reply) => WireReply::Answer {
+                status: reply.status,
+                body: reply.body.to_vec(),
+            },
+            Err(ClientFailure::Refused(_) | ClientFailure::NotSent(_)) => WireReply::NotSent,
+            Err(ClientFailure::NoReply(_)) => WireReply::NoReply,
+        }
+    }
+
+    async fn exchange(
+        &self,
+        address: impl std::fmt::Display,
+        call: WireCall,
+        time: Duration,
+    ) -> Result<HttpReply, ClientFailure> {
         let url = format!("http://{address}{}", call.path);
         let method = match call.method {
             "GET" => Method::GET,
             _ => Method::POST,
         };
-        let sent = self
-            .client
+        self.client
             .send(
                 method,
                 &url,
@@ -204,14 +222,6 @@
                 call.body,
                 time,
             )
-            .await;
-        match sent {
-            Ok(reply) => WireReply::Answer {
-                status: reply.status,
-                body: reply.body.to_vec(),
-            },
-            Err(ClientFailure::NotSent(_)) => WireReply::NotSent,
-            Err(ClientFailure::NoReply(_)) => WireReply::NoReply,
-        }
+            .await
     }
 }
--- a/crates/bankvalve/src/serve/link_thread.rs
+++ b/crates/bankvalve/src/serve/link_thread.rs
@@ -131,7 +131,7 @@
         .await;
     match sent {
         Ok(reply) => decode_ok(&reply).unwrap_or(StoreOutcome::Lost),
-        Err(ClientFailure::NotSent(text)) => {
+        Err(ClientFailure::Refused(text) | ClientFailure::NotSent(text)) => {
             log::debug!("links: the table service was not reached: {text}");
             StoreOutcome::Busy
         }
@@ -169,7 +169,7 @@
         .await;
     match sent {
         Ok(reply) => decode_ok(&reply).ok_or(LinkFailure::NoAnswer),
-        Err(ClientFailure::NotSent(_)) => Err(LinkFailure::NotSent),
+        Err(ClientFailure::Refused(_) | ClientFailure::NotSent(_)) => Err(LinkFailure::NotSent),
         Err(ClientFailure::NoReply(_)) => Err(LinkFailure::NoAnswer),
     }
 }
--- a/crates/bankvalve/src/serve/request_router.rs
+++ b/crates/bankvalve/src/serve/request_router.rs
@@ -251,7 +251,7 @@
             Ok((404, _)) => RequestOutcome::NotRun(RefusalReason::UnknownService),
             Ok((429, _)) => RequestOutcome::NotRun(RefusalReason::NoFreeSlot),
             Ok((status, body)) => RequestOutcome::Answered(status, body),
-            Err(ClientFailure::NotSent(_)) => {
+            Err(ClientFailure::Refused(_) | ClientFailure::NotSent(_)) => {
                 RequestOutcome::NotRun(RefusalReason::WorkerUnreachable)
             }
             Err(ClientFailure::NoReply(_)) => RequestOutcome::Unknown,
@@ -273,7 +273,7 @@
         ];
         match self.send(&url, &headers, request).await {
             Ok((status, body)) => outcome_from_peer(status, body),
-            Err(ClientFailure::NotSent(_)) => {
+            Err(ClientFailure::Refused(_) | ClientFailure::NotSent(_)) => {
                 RequestOutcome::NotRun(RefusalReason::PeerUnreachable)
             }
             Err(ClientFailure::NoReply(_)) => RequestOutcome::Unknown,
--- a/crates/bankvalve_link/src/client/mod.rs
+++ b/crates/bankvalve_link/src/client/mod.rs
@@ -2,6 +2,7 @@
 
 mod kept_connections;
 
+use std::io::ErrorKind;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -34,7 +35,9 @@
 /// Why a request has no reply.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum ClientFailure {
-    /// It was surely not sent: no connection could be made.
+    /// It was surely not sent: its port refused the connection, so nothing listens there.
+    Refused(String),
+    /// It was surely not sent: no connection could be made, in time or at all.
     NotSent(String),
     /// It may have been received.
     NoReply(String),
@@ -43,6 +46,7 @@
 impl std::fmt::Display for ClientFailure {
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
         match self {
+            ClientFailure::Refused(text) => write!(f, "refused: {text}"),
             ClientFailure::NotSent(text) => write!(f, "not sent: {text}"),
             ClientFailure::NoReply(text) => write!(f, "no reply: {text}"),
         }
@@ -59,16 +63,23 @@
 
 impl CallEnd {
     fn of(error: &(dyn std::error::Error + 'static)) -> Self {
-        let mut cause = Some(error);
-        while let Some(error) = cause {
-            let io = error.downcast_ref::<std::io::Error>();
-            if io.is_some_and(|error| error.kind() == std::io::ErrorKind::TimedOut) {
-                return CallEnd::Silent;
-            }
-            cause = error.source();
+        match system_cause(error) {
+            Some(ErrorKind::TimedOut) => CallEnd::Silent,
+            _ => CallEnd::Failed(ClientFailure::NoReply(error.to_string())),
+        }
+    }
+}
+
+/// What the system said, if an error comes from it.
+fn system_cause(error: &(dyn std::error::Error + 'static)) -> Option<ErrorKind> {
+    let mut cause = Some(error);
+    while let Some(error) = cause {
+        if let Some(error) = error.downcast_ref::<std::io::Error>() {
+            return Some(error.kind());
         }
-        CallEnd::Failed(ClientFailure::NoReply(error.to_string()))
+        cause = error.source();
     }
+    None
 }
 
 /// A reply.
@@ -173,10 +184,13 @@
         request: Request<Full<Bytes>>,
     ) -> Result<HttpReply, CallEnd> {
         let response = pool.request(request).await.map_err(|error| {
-            if error.is_connect() {
-                CallEnd::Failed(ClientFailure::NotSent(error.to_string()))
-            } else {
-                CallEnd::of(&error)
+            let text = error.to_string();
+            match (error.is_connect(), system_cause(&error)) {
+                (true, Some(ErrorKind::ConnectionRefused | ErrorKind::ConnectionReset)) => {
+                    CallEnd::Failed(ClientFailure::Refused(text))
+                }
+                (true, _) => CallEnd::Failed(ClientFailure::NotSent(text)),
+                (false, _) => CallEnd::of(&error),
             }
         })?;
         let status = response.status().as_u16();
--- a/crates/bankvalve_queue/src/core/members.rs
+++ b/crates/bankvalve_queue/src/core/members.rs
@@ -218,9 +218,9 @@
     pub(super) fn peer_unreached(&mut self, peer: PeerAddress, refused: bool) {
         self.counters.count("retries", "peer_unreached");
         let why = if refused {
-            "no connection"
+            "refused"
         } else {
-            "no answer"
+            "no answer or no connection in time"
         };
         // Only while it counts as alive: one that is gone is tried for a minute.
         let live = |view: &PeerView| view.is_live(self.now);
