--- a/crates/bankvalve/src/entry/entry_listeners.rs
+++ b/crates/bankvalve/src/entry/entry_listeners.rs
@@ -77,7 +77,7 @@
         address: SocketAddr,
     ) -> Result<TcpListener, Report<ServeFailure>> {
         loop {
-            let error = match TcpListener::bind(address) {
+            let error = match bankvalve_link::listen(address) {
                 Ok(listener) => return Ok(listener),
                 Err(error) => error,
             };
--- a/crates/bankvalve_check/src/site/site_links.rs
+++ b/crates/bankvalve_check/src/site/site_links.rs
@@ -5,6 +5,7 @@
 };
 use rand::Rng;
 
+use super::site_silence::call_ms;
 use super::site_world::{Later, SiteNode, SiteWorld};
 
 /// Share of writes that a silent table carries out after all, later, in percent.
@@ -110,6 +111,9 @@
         to: PeerAddress,
         message: bankvalve_queue::PeerMessage,
     ) {
+        let Some(message) = self.pass_silent_lane(from, to, message) else {
+            return;
+        };
         *self.peer_messages.entry(from).or_default() += 1;
         let table = matches!(message, bankvalve_queue::PeerMessage::Table { .. });
         self.tables_passed += u64::from(table);
@@ -150,7 +154,7 @@
             _ => {
                 let event = unreached(false);
                 self.after(
-                    700,
+                    call_ms(),
                     Later::Event {
                         node: from,
                         life,
