feat(queue): logs say how long no leader has worked, and what is waited for

Change: `election without_leader` once a second at most, from the first second on, with the time, the step (members not read, own row not written, claim on its way, turn to claim) and how old the table's last answer is; `ledger loading` from a leader that has not read its book; `election leader_back` at the end; counter `elections seconds_without_leader`; gauge `bankvalve_state{quantity="leaderless_ms"}`. No decision changes.

Test: an_instance_without_a_leader_says_once_a_second_what_it_waits_for.

--- a/crates/bankvalve/src/entry/entry_metrics.rs
+++ b/crates/bankvalve/src/entry/entry_metrics.rs
@@ -100,6 +100,7 @@
                 ("jobs", view.jobs),
                 ("waiting_tasks", view.waiting_tasks),
                 ("live_runs", view.live_runs),
+                ("leaderless_ms", view.leaderless_ms),
             ];
             for (quantity, value) in quantities {
                 observer.observe(value, &[KeyValue::new("quantity", quantity)]);
--- a/crates/bankvalve_queue/src/core/election.rs
+++ b/crates/bankvalve_queue/src/core/election.rs
@@ -96,7 +96,7 @@
         self.lead.is_none() && silence > LEADERLESS
     }
 
-    fn leader_is_heard(&self) -> bool {
+    pub(super) fn leader_is_heard(&self) -> bool {
         let limit = SUSPECT_AFTER * 2;
         self.leader
             .as_ref()
--- a/crates/bankvalve_queue/src/core/entry_core.rs
+++ b/crates/bankvalve_queue/src/core/entry_core.rs
@@ -8,6 +8,7 @@
 use super::lead::LeadState;
 use super::ledger_page::LedgerPage;
 use super::store_link::{StorePurpose, WatchState};
+use super::without_leader::LeaderGap;
 use crate::caller::{CallerAnswer, ResolvedRequest};
 use crate::decision::{DecisionLine, EntryCounters, EntryView};
 use crate::guard::SiteGuard;
@@ -235,6 +236,8 @@
     /// When the table last answered anything.
     pub(super) store_heard: Option<CoreTime>,
     pub(super) next_probe: CoreTime,
+    /// Since when no leader has worked, as far as is known.
+    pub(super) leader_gap: LeaderGap,
     pub(super) next_ticket: Ticket,
     pub(super) stopping: bool,
     pub(super) counters: EntryCounters,
@@ -282,6 +285,7 @@
             probe_answered: None,
             store_heard: None,
             next_probe: Duration::ZERO,
+            leader_gap: LeaderGap::default(),
             next_ticket,
             stopping: false,
             counters: EntryCounters::default(),
@@ -320,6 +324,7 @@
             jobs: self.book.len() as u64,
             waiting_tasks: lead.map_or(0, LeadState::waiting_tasks),
             live_runs: lead.map_or(0, LeadState::live_runs),
+            leaderless_ms: self.leaderless_ms(),
             counters: self.counters.clone(),
         }
     }
@@ -361,6 +366,7 @@
         self.run_heartbeats();
         self.run_asks();
         self.run_following();
+        self.watch_leader();
     }
 
     fn begin_stop(&mut self) {
--- a/crates/bankvalve_queue/src/core/mod.rs
+++ b/crates/bankvalve_queue/src/core/mod.rs
@@ -29,6 +29,7 @@
 mod store_link;
 mod waiting;
 mod withdraw;
+mod without_leader;
 mod yielding;
 
 pub use entry_core::{CoreAction, CoreEvent, EntryCore, EntrySettings};
--- a/crates/bankvalve_queue/tests/entry.rs
+++ b/crates/bankvalve_queue/tests/entry.rs
@@ -100,3 +100,20 @@
     });
     assert!(refused);
 }
+
+#[test]
+fn an_instance_without_a_leader_says_once_a_second_what_it_waits_for() {
+    let mut core = core_of_life(3);
+    let mut lines = Vec::new();
+    for tick in 0..100 {
+        let now = Duration::from_millis(50 * tick);
+        for action in core.step(now, 1_000, CoreEvent::Tick) {
+            if let CoreAction::Log(line) = action {
+                lines.extend((line.event == "without_leader").then_some(line.detail));
+            }
+        }
+    }
+    assert_eq!(lines.len(), 4, "{lines:?}");
+    assert!(lines[0].contains("members not read, table never heard"));
+    assert!(core.view().leaderless_ms >= 4_900);
+}
