test(queue): pages of the ledger are read up to three times at once (red)

Cause: a batch that a peer passes on and that does not follow the own book sets a time at which missing batches are read. It does so also while a reading is on its way, and at that time a second chain of pages begins beside the first; a leader that begins while it reads adds another. Each chain sets when the page was asked for, so pages look quicker than they are and grow beyond what a thin link carries.

Change: a site of unlike instances, a quarter strong, on links of 200 and 10 Mbit/s, with a ledger of 4,000 batches of about 1.2 KB; reads of a page are counted by instance and life. The test loses all instances and has them come back 0.2 s apart under load.

--- a/crates/bankvalve_check/src/site/site_links.rs
+++ b/crates/bankvalve_check/src/site/site_links.rs
@@ -19,6 +19,7 @@
                 request,
                 time,
             } => {
+                self.note_page_read(node, &request);
                 let mut delay = self.rng.random_range(3..8) + self.store_delay_ms;
                 if self.store_turn_ms > 0 && matches!(request, StoreRequest::Transact { .. }) {
                     let begins = self.store_busy_until.max(self.now_ms + delay);
@@ -216,23 +217,13 @@
         }
     }
 
-    /// Milliseconds that an instance's link takes for the rows of an answer.
-    fn time_on_link(&self, node: usize, outcome: &StoreOutcome) -> u64 {
-        let (Some(rate), StoreOutcome::Rows { rows, .. }) =
-            (self.nodes[node].link_bytes_per_ms, outcome)
-        else {
-            return 0;
-        };
-        let bytes: usize = rows.iter().map(|row| row.value.len()).sum();
-        bytes as u64 / rate
-    }
-
     pub(super) fn answer_watches(&mut self) {
         for (node, life, ticket, request) in std::mem::take(&mut self.watches) {
             match self.store.handle(&request) {
                 Some(outcome) => {
+                    let carried = self.time_on_link(node, &outcome);
                     let event = CoreEvent::Store { ticket, outcome };
-                    self.after(4, Later::Event { node, life, event });
+                    self.after(4 + carried, Later::Event { node, life, event });
                 }
                 None => self.watches.push((node, life, ticket, request)),
             }
--- a/crates/bankvalve_check/src/site/site_world.rs
+++ b/crates/bankvalve_check/src/site/site_world.rs
@@ -14,7 +14,7 @@
 use rand::SeedableRng;
 use rand_pcg::Pcg64Mcg;
 
-use super::RuleBook;
+use super::{LinkRecord, RuleBook};
 
 /// Name of the usual queue.
 pub const QUEUE: &str = "batch";
@@ -175,6 +175,8 @@
     /// Time for which the table carries out one write, while the others wait, in milliseconds.
     pub store_turn_ms: u64,
     pub(super) store_busy_until: u64,
+    /// What passes over the links of instances.
+    pub links: LinkRecord,
     /// Share of writes whose answer is lost, in percent.
     pub lost_percent: u32,
     /// Whether such writes are done only later.
@@ -234,6 +236,7 @@
             store_delay_ms: 0,
             store_turn_ms: 0,
             store_busy_until: 0,
+            links: LinkRecord::default(),
             lost_percent: 0,
             lost_late: false,
             late_orders_percent: 0,
--- a/crates/bankvalve_check/tests/site/main.rs
+++ b/crates/bankvalve_check/tests/site/main.rs
@@ -3,6 +3,7 @@
 mod jobs;
 mod leading;
 mod random;
+mod recover;
 mod table;
 mod workers;
 
--- a/crates/bankvalve_queue/src/core/entry_core.rs
+++ b/crates/bankvalve_queue/src/core/entry_core.rs
@@ -324,6 +324,7 @@
             jobs: self.book.len() as u64,
             waiting_tasks: lead.map_or(0, LeadState::waiting_tasks),
             live_runs: lead.map_or(0, LeadState::live_runs),
+            batches: self.applied,
             leaderless_ms: self.leaderless_ms(),
             counters: self.counters.clone(),
         }
--- a/crates/bankvalve_queue/src/decision.rs
+++ b/crates/bankvalve_queue/src/decision.rs
@@ -75,6 +75,8 @@
     pub waiting_tasks: u64,
     /// Runs on workers.
     pub live_runs: u64,
+    /// Batches of the ledger in its book.
+    pub batches: u64,
     /// Milliseconds for which it has known of no leader that works.
     pub leaderless_ms: u64,
     /// Counters.
