--- a/crates/bankvalve_check/src/site/site_recovery.rs
+++ b/crates/bankvalve_check/src/site/site_recovery.rs
@@ -79,7 +79,7 @@
         let leader = self
             .leader()
             .and_then(|node| self.nodes[node].core.as_ref());
-        leader.map_or(0, |core| core.view().batches)
+        leader.map_or(0, |core| core.view().ledger_batches)
     }
 
     /// Gives all instances links by their strength.
