test(queue): randomised runs check that service is back in time after the last trouble

Cause: an episode ended with 90 calm seconds in which all jobs had to end, so a site that found a leader after a minute passed; links carried everything at once, the ledger began empty, and answers to reads were never lost.

Change: after the last trouble, and 15 s after all instances are back, jobs handed in must be accepted within 3 s, and each instance has a configuration. Large sites begin with a ledger of long rows, on links of 2 Mbit/s or with a configuration of 1.5 MB on links of 10 Mbit/s, and end with a loss of all: at once, one by one, twice, or with the strong ones 30 s later. New troubles: the table loses answers of all kinds, or is so slow that requests are given up; seeds of 1 and 7 beyond a multiple of 8 draw from those that leave the table without answers. The kinds of all other seeds are as before.

--- a/crates/bankvalve_check/src/site/mod.rs
+++ b/crates/bankvalve_check/src/site/mod.rs
@@ -6,6 +6,7 @@
 mod site_links;
 mod site_random;
 mod site_recovery;
+mod site_return;
 mod site_rules;
 mod site_workers;
 mod site_world;
--- a/crates/bankvalve_check/src/site/site_faults.rs
+++ b/crates/bankvalve_check/src/site/site_faults.rs
@@ -45,10 +45,14 @@
     LateOrders,
     /// Runs fail.
     FailRuns,
+    /// Answers of the table to requests of all kinds are lost.
+    LoseAnswers,
+    /// The table is so slow that requests are given up.
+    StoreVerySlow,
 }
 
 impl SiteFault {
-    /// All kinds.
+    /// Kinds that are drawn; seeds of earlier findings repeat with these.
     pub const ALL: [SiteFault; 19] = [
         SiteFault::KillLeader,
         SiteFault::KillAny,
@@ -71,6 +75,18 @@
         SiteFault::FailRuns,
     ];
 
+    /// Kinds by which requests to the table end without an answer, beside losses of instances.
+    pub const UNANSWERED: [SiteFault; 8] = [
+        SiteFault::KillLeader,
+        SiteFault::KillAll,
+        SiteFault::CutLeaderFromStore,
+        SiteFault::StoreBusy,
+        SiteFault::StoreSilent,
+        SiteFault::StoreLate,
+        SiteFault::LoseAnswers,
+        SiteFault::StoreVerySlow,
+    ];
+
     /// Strikes.
     pub fn strike(self, world: &mut SiteWorld) {
         let now = world.now_ms;
@@ -122,6 +138,10 @@
             }
             SiteFault::LateOrders => world.late_orders_percent = 10,
             SiteFault::FailRuns => world.fail_percent = 15,
+            SiteFault::LoseAnswers => {
+                world.links.lost_answers_percent = world.rng.random_range(10..60);
+            }
+            SiteFault::StoreVerySlow => world.store_delay_ms = world.rng.random_range(600..2_500),
         }
     }
 
@@ -130,6 +150,7 @@
         world.store_away_until = 0;
         world.store_delay_ms = 0;
         world.lost_percent = 0;
+        world.links.lost_answers_percent = 0;
         world.late_orders_percent = 0;
         world.lost_looks_percent = 0;
         world.fail_percent = 0;
--- a/crates/bankvalve_check/src/site/site_random.rs
+++ b/crates/bankvalve_check/src/site/site_random.rs
@@ -13,6 +13,8 @@
 const TROUBLED_MS: u64 = 40_000;
 /// Virtual time in which all jobs must end after the troubles, in milliseconds.
 const CALM_MS: u64 = 90_000;
+/// Longest time for which a trouble keeps an instance down or frozen, in milliseconds.
+const LONGEST_DOWN_MS: u64 = 8_000;
 /// First virtual time at which trouble strikes, in milliseconds.
 const FIRST_MS: u64 = 1_500;
 /// Most tasks of a step that is drawn.
@@ -61,6 +63,9 @@
         good_percent: (seed % 2 == 0).then_some(85),
     });
     world.callers_leave = true;
+    if large {
+        world.burden(seed);
+    }
     let mut faults = BTreeMap::new();
     let mut next_fault = FIRST_MS + world.rng.random_range(0..2_000);
     let mut job = seed.wrapping_mul(1_000_000);
@@ -86,6 +91,12 @@
         }
     }
     SiteFault::calm(&mut world);
+    if large {
+        world.lose_all_at_the_end();
+    } else {
+        world.run_until(TROUBLED_MS + LONGEST_DOWN_MS);
+    }
+    world.check_return(job + 1);
     world.run_until(TROUBLED_MS + CALM_MS);
     check_ends(&mut world);
     SiteReport {
@@ -146,6 +157,15 @@
     }
 }
 
+/// Troubles that strike in the episode of a seed.
+fn kinds_of(seed: u64) -> &'static [SiteFault] {
+    if matches!(seed % 8, 1 | 7) {
+        &SiteFault::UNANSWERED
+    } else {
+        &SiteFault::ALL
+    }
+}
+
 /// Runs episodes from a seed until so many events have happened, with a guard taken away if asked.
 pub fn run_site_random(seed: u64, events: u64, broken: Option<SiteGuard>) -> ExitCode {
     let begun = Instant::now();
@@ -154,7 +174,7 @@
     let mut faults: BTreeMap<SiteFault, u64> = BTreeMap::new();
     let mut number = seed;
     while done < events {
-        let report = run_broken_episode(number, &SiteFault::ALL, broken);
+        let report = run_broken_episode(number, kinds_of(number), broken);
         done += report.events;
         starts += report.starts;
         accepted += report.accepted;
--- a/crates/bankvalve_check/tests/site/random.rs
+++ b/crates/bankvalve_check/tests/site/random.rs
@@ -14,6 +14,15 @@
     }
 }
 
+#[test]
+fn troubles_that_leave_the_table_without_answers_break_no_rule() {
+    for seed in 201..209 {
+        let report = run_site_episode(seed, &SiteFault::UNANSWERED);
+        assert_eq!(report.breaches, [], "seed {seed}");
+        assert!(report.starts > 100, "seed {seed}: {} starts", report.starts);
+    }
+}
+
 #[test]
 fn a_guard_that_is_taken_away_is_noticed() {
     // With the first seed that notices it; some of the next ones do if the drawn world changes.
@@ -25,6 +34,8 @@
         (SiteGuard::StopsCount, 1),
         (SiteGuard::CompleteBook, 1),
         (SiteGuard::NewerList, 1),
+        (SiteGuard::LedgerProgress, 3),
+        (SiteGuard::GrowingPatience, 3),
     ];
     // The drawn worlds notice this one seldom: it has a world of its own below.
     let others = SiteGuard::ALL.into_iter();
--- a/crates/bankvalve_queue/src/core/following.rs
+++ b/crates/bankvalve_queue/src/core/following.rs
@@ -5,6 +5,7 @@
 use super::questions::OpenQuestion;
 use super::store_link::{StorePurpose, LEAD_PART, LEDGER_TABLE};
 use super::EntryCore;
+use crate::guard::SiteGuard;
 use crate::ids::{CoreTime, WorkerId};
 use crate::ledger::LedgerBatch;
 use crate::peer::{PeerAddress, PeerMessage};
@@ -202,7 +203,9 @@
             // The table did nothing: it says nothing of the link.
             StoreOutcome::Busy => None,
             _ => {
-                self.ledger_page.note_missed(latency);
+                if self.keeps(SiteGuard::LedgerProgress) {
+                    self.ledger_page.note_missed(latency);
+                }
                 None
             }
         };
--- a/crates/bankvalve_queue/src/core/questions.rs
+++ b/crates/bankvalve_queue/src/core/questions.rs
@@ -11,6 +11,7 @@
 use super::store_link::StorePurpose;
 use super::EntryCore;
 use crate::core::CoreAction;
+use crate::guard::SiteGuard;
 use crate::ids::{CoreTime, Ticket};
 use crate::store::{StoreOutcome, StoreRequest};
 
@@ -153,6 +154,7 @@
         let patience = &self.store_patience;
         let kind = (purpose.name(), !waits.is_zero());
         let doublings = patience.doublings.get(&kind).copied();
+        let doublings = doublings.filter(|_| self.keeps(SiteGuard::GrowingPatience));
         let time = (base * 2_u32.pow(doublings.unwrap_or(0)))
             .max(patience.usual() * LATENCY_FACTOR)
             .min(LONGEST_TIME);
--- a/crates/bankvalve_queue/src/guard.rs
+++ b/crates/bankvalve_queue/src/guard.rs
@@ -19,11 +19,15 @@
     CompleteBook,
     /// A run that a list lacks is gone only if the list was asked for after the run was confirmed.
     NewerList,
+    /// A page of the ledger that did not come is asked for with more time, and smaller.
+    LedgerProgress,
+    /// Another request to the table that did not come is asked for with more time.
+    GrowingPatience,
 }
 
 impl SiteGuard {
     /// All guards.
-    pub const ALL: [SiteGuard; 8] = [
+    pub const ALL: [SiteGuard; 10] = [
         SiteGuard::LedgerFirst,
         SiteGuard::OwnRow,
         SiteGuard::KeptEnds,
@@ -32,6 +36,8 @@
         SiteGuard::SureRefusal,
         SiteGuard::CompleteBook,
         SiteGuard::NewerList,
+        SiteGuard::LedgerProgress,
+        SiteGuard::GrowingPatience,
     ];
 
     /// Name used on the command line.
@@ -54,6 +60,8 @@
             SiteGuard::SureRefusal => "sure-refusal",
             SiteGuard::CompleteBook => "complete-book",
             SiteGuard::NewerList => "newer-list",
+            SiteGuard::LedgerProgress => "ledger-progress",
+            SiteGuard::GrowingPatience => "growing-patience",
         }
     }
 
