--- a/crates/bankvalve_check/src/site/site_faults.rs
+++ b/crates/bankvalve_check/src/site/site_faults.rs
@@ -45,6 +45,8 @@
     LateOrders,
     /// Runs fail.
     FailRuns,
+    /// The connections between instances go silent for good, while new ones work.
+    SilentPeers,
     /// Answers of the table to requests of all kinds are lost.
     LoseAnswers,
     /// The table is so slow that requests are given up.
@@ -52,8 +54,8 @@
 }
 
 impl SiteFault {
-    /// Kinds that are drawn; seeds of earlier findings repeat with these.
-    pub const ALL: [SiteFault; 19] = [
+    /// Kinds that are drawn.
+    pub const ALL: [SiteFault; 20] = [
         SiteFault::KillLeader,
         SiteFault::KillAny,
         SiteFault::KillAll,
@@ -73,6 +75,7 @@
         SiteFault::DrainWorker,
         SiteFault::LateOrders,
         SiteFault::FailRuns,
+        SiteFault::SilentPeers,
     ];
 
     /// Kinds by which requests to the table end without an answer, beside losses of instances.
@@ -138,6 +141,7 @@
             }
             SiteFault::LateOrders => world.late_orders_percent = 10,
             SiteFault::FailRuns => world.fail_percent = 15,
+            SiteFault::SilentPeers => world.silence_peers(),
             SiteFault::LoseAnswers => {
                 world.links.lost_answers_percent = world.rng.random_range(10..60);
             }
--- a/crates/bankvalve_check/tests/site/random.rs
+++ b/crates/bankvalve_check/tests/site/random.rs
@@ -34,6 +34,7 @@
         (SiteGuard::StopsCount, 1),
         (SiteGuard::CompleteBook, 1),
         (SiteGuard::NewerList, 1),
+        (SiteGuard::ResentAsk, 1),
         (SiteGuard::LedgerProgress, 7),
         (SiteGuard::GrowingPatience, 3),
     ];
--- a/crates/bankvalve_queue/src/guard.rs
+++ b/crates/bankvalve_queue/src/guard.rs
@@ -19,6 +19,8 @@
     CompleteBook,
     /// A run that a list lacks is gone only if the list was asked for after the run was confirmed.
     NewerList,
+    /// A question that has no answer is sent again.
+    ResentAsk,
     /// A page of the ledger that did not come is asked for with more time, also for a slow table,
     /// and smaller.
     LedgerProgress,
@@ -28,7 +30,7 @@
 
 impl SiteGuard {
     /// All guards.
-    pub const ALL: [SiteGuard; 10] = [
+    pub const ALL: [SiteGuard; 11] = [
         SiteGuard::LedgerFirst,
         SiteGuard::OwnRow,
         SiteGuard::KeptEnds,
@@ -37,6 +39,7 @@
         SiteGuard::SureRefusal,
         SiteGuard::CompleteBook,
         SiteGuard::NewerList,
+        SiteGuard::ResentAsk,
         SiteGuard::LedgerProgress,
         SiteGuard::GrowingPatience,
     ];
@@ -61,6 +64,7 @@
             SiteGuard::SureRefusal => "sure-refusal",
             SiteGuard::CompleteBook => "complete-book",
             SiteGuard::NewerList => "newer-list",
+            SiteGuard::ResentAsk => "resent-ask",
             SiteGuard::LedgerProgress => "ledger-progress",
             SiteGuard::GrowingPatience => "growing-patience",
         }
