--- a/crates/bankvalve_check/src/site/site_links.rs
+++ b/crates/bankvalve_check/src/site/site_links.rs
@@ -10,6 +10,8 @@
 
 /// Share of writes that a silent table carries out after all, later, in percent.
 const SILENT_DONE_PERCENT: u32 = 25;
+/// Time after which an answer that was lost is given up, in milliseconds.
+const SILENT_MS: u64 = 900;
 
 impl SiteWorld {
     pub(super) fn act(&mut self, node: usize, action: CoreAction) {
@@ -20,6 +22,7 @@
                 request,
                 time,
             } => {
+                self.note_page_read(node, &request);
                 let mut delay = self.rng.random_range(3..8) + self.store_delay_ms;
                 if self.store_turn_ms > 0 && matches!(request, StoreRequest::Transact { .. }) {
                     let begins = self.store_busy_until.max(self.now_ms + delay);
@@ -141,7 +144,7 @@
                     message,
                 };
                 let target_life = self.nodes[target].life;
-                let delay = self.rng.random_range(1..4);
+                let delay = self.rng.random_range(1..4).max(self.link_wait(target));
                 self.after(
                     delay,
                     Later::Event {
@@ -191,6 +194,13 @@
             self.after(4, Later::Event { node, life, event });
             return;
         }
+        if self.loses_answer() {
+            self.store.handle(&request);
+            self.answer_watches();
+            let event = answer(StoreOutcome::Lost);
+            self.after(SILENT_MS, Later::Event { node, life, event });
+            return;
+        }
         let write = matches!(request, StoreRequest::Transact { .. });
         if write && self.rng.random_range(0..100) < self.lost_percent {
             let event = answer(StoreOutcome::Lost);
@@ -220,23 +230,13 @@
         }
     }
 
-    /// Milliseconds that an instance's link takes for the rows of an answer.
-    fn time_on_link(&self, node: usize, outcome: &StoreOutcome) -> u64 {
-        let (Some(rate), StoreOutcome::Rows { rows, .. }) =
-            (self.nodes[node].link_bytes_per_ms, outcome)
-        else {
-            return 0;
-        };
-        let bytes: usize = rows.iter().map(|row| row.value.len()).sum();
-        bytes as u64 / rate
-    }
-
     pub(super) fn answer_watches(&mut self) {
         for (node, life, ticket, request) in std::mem::take(&mut self.watches) {
             match self.store.handle(&request) {
                 Some(outcome) => {
+                    let carried = self.time_on_link(node, &outcome);
                     let event = CoreEvent::Store { ticket, outcome };
-                    self.after(4, Later::Event { node, life, event });
+                    self.after(4 + carried, Later::Event { node, life, event });
                 }
                 None => self.watches.push((node, life, ticket, request)),
             }
--- a/crates/bankvalve_check/src/site/site_world.rs
+++ b/crates/bankvalve_check/src/site/site_world.rs
@@ -15,7 +15,7 @@
 use rand_pcg::Pcg64Mcg;
 
 use super::site_silence::SilentLane;
-use super::{RuleBook, SiteAnswer};
+use super::{LinkRecord, RuleBook, SiteAnswer};
 
 /// Name of the usual queue.
 pub const QUEUE: &str = "batch";
@@ -183,6 +183,8 @@
     /// Time for which the table carries out one write, while the others wait, in milliseconds.
     pub store_turn_ms: u64,
     pub(super) store_busy_until: u64,
+    /// What passes over the links of instances.
+    pub links: LinkRecord,
     /// Share of writes whose answer is lost, in percent.
     pub lost_percent: u32,
     /// Whether such writes are done only later.
@@ -248,6 +250,7 @@
             store_delay_ms: 0,
             store_turn_ms: 0,
             store_busy_until: 0,
+            links: LinkRecord::default(),
             lost_percent: 0,
             lost_late: false,
             late_orders_percent: 0,
@@ -334,6 +337,7 @@
     pub fn kill(&mut self, number: usize, down_ms: u64) {
         self.nodes[number].core = None;
         self.nodes[number].parked.clear();
+        self.clear_link(number);
         self.end_silence_of(number);
         self.watches.retain(|(node, ..)| *node != number);
         let calls: Vec<(usize, Ticket)> = self.calls.keys().copied().collect();
--- a/crates/bankvalve_check/tests/site/main.rs
+++ b/crates/bankvalve_check/tests/site/main.rs
@@ -4,6 +4,7 @@
 mod jobs;
 mod leading;
 mod random;
+mod recover;
 mod table;
 mod workers;
 
--- a/crates/bankvalve_queue/src/core/mod.rs
+++ b/crates/bankvalve_queue/src/core/mod.rs
@@ -22,6 +22,7 @@
 mod orders;
 mod overdue;
 mod placing;
+mod questions;
 mod read_back;
 mod reports;
 mod seat;
@@ -31,6 +32,7 @@
 mod store_link;
 mod waiting;
 mod withdraw;
+mod without_leader;
 mod yielding;
 
 pub use entry_core::{CoreAction, CoreEvent, EntryCore, EntrySettings};
--- a/crates/bankvalve_queue/src/decision.rs
+++ b/crates/bankvalve_queue/src/decision.rs
@@ -84,6 +84,8 @@
     pub leader_age: Option<Duration>,
     /// Batches of the ledger in its book.
     pub ledger_batches: u64,
+    /// Milliseconds for which it has known of no leader that works.
+    pub leaderless_ms: u64,
     /// Counters.
     pub counters: EntryCounters,
 }
--- a/crates/bankvalve_queue/src/guard.rs
+++ b/crates/bankvalve_queue/src/guard.rs
@@ -21,11 +21,16 @@
     NewerList,
     /// A question that has no answer is sent again.
     ResentAsk,
+    /// A page of the ledger that did not come is asked for with more time, also for a slow table,
+    /// and smaller.
+    LedgerProgress,
+    /// Another request to the table that did not come is asked for with more time.
+    GrowingPatience,
 }
 
 impl SiteGuard {
     /// All guards.
-    pub const ALL: [SiteGuard; 9] = [
+    pub const ALL: [SiteGuard; 11] = [
         SiteGuard::LedgerFirst,
         SiteGuard::OwnRow,
         SiteGuard::KeptEnds,
@@ -35,6 +40,8 @@
         SiteGuard::CompleteBook,
         SiteGuard::NewerList,
         SiteGuard::ResentAsk,
+        SiteGuard::LedgerProgress,
+        SiteGuard::GrowingPatience,
     ];
 
     /// Name used on the command line.
@@ -58,6 +65,8 @@
             SiteGuard::CompleteBook => "complete-book",
             SiteGuard::NewerList => "newer-list",
             SiteGuard::ResentAsk => "resent-ask",
+            SiteGuard::LedgerProgress => "ledger-progress",
+            SiteGuard::GrowingPatience => "growing-patience",
         }
     }
 
