test(check): links that carry all bytes, and configurations of any size and content

Cause: the world of the site's checks carried only pages of the ledger on an instance's link, each by itself, and the operator's configurations had no bytes and always the same queues. Nothing could show what a large configuration does, nor what an instance says of a queue that it lacks.

Change: a world can have its links carry everything, one after the other, both ways: messages out of the sender and into the receiver, requests to the table and its answers, configurations among them. It is off by default, so the other tests keep their meaning. A configuration has a size, and queues that are added and dropped. Callers can ask for a queue as an instance's listener answers it. One long question about the configuration can be left without an answer. Jobs are handed in under the terms of the configuration that the instance has.

--- a/crates/bankvalve_check/src/site/mod.rs
+++ b/crates/bankvalve_check/src/site/mod.rs
@@ -1,6 +1,8 @@
 //! Entry instances on the users' platform under virtual time, with faults and rules.
 
+mod site_bytes;
 mod site_calls;
+mod site_config;
 mod site_faults;
 mod site_jobs;
 mod site_links;
@@ -9,6 +11,7 @@
 mod site_workers;
 mod site_world;
 
+pub use site_config::{QueueAnswer, QueueTold};
 pub use site_faults::SiteFault;
 pub use site_jobs::job_of;
 pub use site_random::{run_broken_episode, run_site_episode, run_site_random, SiteReport};
--- a/crates/bankvalve_check/src/site/site_calls.rs
+++ b/crates/bankvalve_check/src/site/site_calls.rs
@@ -31,7 +31,7 @@
         self.rules.submit(spec, 3);
         self.specs.insert(spec.id, spec.clone());
         let job = spec.id;
-        let request = self.submission(spec);
+        let request = self.submission(node, spec);
         self.call(
             node,
             OpenCall::Submit {
@@ -83,12 +83,10 @@
         count
     }
 
-    pub(super) fn submission(&self, spec: &Arc<JobSpec>) -> CallerRequest {
-        let table = self.table(1);
-        let terms = table.queue(&spec.queue).map(|rule| rule.terms.clone());
+    pub(super) fn submission(&self, node: usize, spec: &Arc<JobSpec>) -> CallerRequest {
         CallerRequest::Submit {
             spec: spec.clone(),
-            terms: terms.unwrap_or_default(),
+            terms: self.terms_at(node, &spec.queue),
         }
     }
 
@@ -158,6 +156,7 @@
                 CallerAnswer::NoSuchJob => {}
                 _ => self.after(300, Later::Cancel { job }),
             },
+            Some(call @ OpenCall::Count { .. }) => self.finish_count(node, call, &answer),
             None => {}
         }
     }
--- a/crates/bankvalve_check/src/site/site_links.rs
+++ b/crates/bankvalve_check/src/site/site_links.rs
@@ -5,8 +5,13 @@
 };
 use rand::Rng;
 
+use super::site_bytes::{message_bytes, request_bytes};
 use super::site_world::{Later, SiteNode, SiteWorld};
 
+/// Longest wait for a peer to take a message, in milliseconds.
+const PEER_TIME_MS: u64 = 700;
+/// Time after which a long question about the configuration is given up, in milliseconds.
+const WATCH_LOST_MS: u64 = 1_700;
 /// Share of writes that a silent table carries out after all, later, in percent.
 const SILENT_DONE_PERCENT: u32 = 25;
 
@@ -20,6 +25,7 @@
                 time,
             } => {
                 let mut delay = self.rng.random_range(3..8) + self.store_delay_ms;
+                delay += self.send_out(node, request_bytes(&request));
                 if self.store_turn_ms > 0 && matches!(request, StoreRequest::Transact { .. }) {
                     let begins = self.store_busy_until.max(self.now_ms + delay);
                     self.store_busy_until = begins + self.store_turn_ms;
@@ -100,7 +106,8 @@
             }
             CoreAction::Peer { to, message } => self.send_peer(node, to, message),
             CoreAction::Answer { ticket, answer } => self.finish_call(node, ticket, answer),
-            CoreAction::UseTable(_) | CoreAction::DecodeTable(_) | CoreAction::Log(_) => {}
+            CoreAction::DecodeTable(raw) => self.decode_table(node, raw),
+            CoreAction::UseTable(_) | CoreAction::Log(_) => {}
         }
     }
 
@@ -137,7 +144,20 @@
                     message,
                 };
                 let target_life = self.nodes[target].life;
-                let delay = self.rng.random_range(1..4);
+                let way = self.rng.random_range(1..4);
+                let delay = self.carry_message(from, target, &event, way);
+                if delay > PEER_TIME_MS {
+                    let event = unreached(false);
+                    self.after(
+                        PEER_TIME_MS,
+                        Later::Event {
+                            node: from,
+                            life,
+                            event,
+                        },
+                    );
+                    return;
+                }
                 self.after(
                     delay,
                     Later::Event {
@@ -150,7 +170,7 @@
             _ => {
                 let event = unreached(false);
                 self.after(
-                    700,
+                    PEER_TIME_MS,
                     Later::Event {
                         node: from,
                         life,
@@ -161,6 +181,20 @@
         }
     }
 
+    /// Milliseconds that a message takes, on the sender's link, on its way, and on the receiver's.
+    fn carry_message(&mut self, from: usize, to: usize, event: &CoreEvent, way: u64) -> u64 {
+        let CoreEvent::Peer { message, .. } = event else {
+            return way;
+        };
+        if !self.links_carry_all {
+            return way;
+        }
+        let bytes = message_bytes(message);
+        *self.peer_bytes.entry(from).or_default() += bytes;
+        let left = self.send_out(from, bytes);
+        self.take_in(to, bytes, left + way)
+    }
+
     pub(super) fn store_arrives(
         &mut self,
         node: usize,
@@ -171,6 +205,19 @@
         let now = self.now_ms;
         let cut = self.nodes[node].cut_from_store_until > now;
         let answer = |outcome| CoreEvent::Store { ticket, outcome };
+        let watch = matches!(&request, StoreRequest::WatchOperator { wait_ms, .. } if *wait_ms > 0);
+        if watch && self.nodes[node].watch_lost_until > now {
+            // It is told that there was no answer when its time is over.
+            self.after(
+                WATCH_LOST_MS,
+                Later::Event {
+                    node,
+                    life,
+                    event: answer(StoreOutcome::Lost),
+                },
+            );
+            return;
+        }
         if cut || (self.store_away_until > now && self.store_silent) {
             let write = matches!(request, StoreRequest::Transact { .. });
             if write && self.rng.random_range(0..100) < SILENT_DONE_PERCENT {
@@ -202,9 +249,7 @@
         }
         match self.store.handle(&request) {
             Some(outcome) => {
-                let carried = self.time_on_link(node, &outcome);
-                let event = answer(outcome);
-                self.after(4 + carried, Later::Event { node, life, event });
+                self.answer_request((node, life, ticket), outcome, 4);
             }
             None => {
                 self.watches.push((node, life, ticket, request));
@@ -216,24 +261,10 @@
         }
     }
 
-    /// Milliseconds that an instance's link takes for the rows of an answer.
-    fn time_on_link(&self, node: usize, outcome: &StoreOutcome) -> u64 {
-        let (Some(rate), StoreOutcome::Rows { rows, .. }) =
-            (self.nodes[node].link_bytes_per_ms, outcome)
-        else {
-            return 0;
-        };
-        let bytes: usize = rows.iter().map(|row| row.value.len()).sum();
-        bytes as u64 / rate
-    }
-
     pub(super) fn answer_watches(&mut self) {
         for (node, life, ticket, request) in std::mem::take(&mut self.watches) {
             match self.store.handle(&request) {
-                Some(outcome) => {
-                    let event = CoreEvent::Store { ticket, outcome };
-                    self.after(4, Later::Event { node, life, event });
-                }
+                Some(outcome) => self.answer_request((node, life, ticket), outcome, 4),
                 None => self.watches.push((node, life, ticket, request)),
             }
         }
@@ -249,13 +280,6 @@
         };
         let (_, _, _, request) = self.watches.remove(place);
         let outcome = self.store.unchanged(&request);
-        self.after(
-            1,
-            Later::Event {
-                node,
-                life,
-                event: CoreEvent::Store { ticket, outcome },
-            },
-        );
+        self.answer_request((node, life, ticket), outcome, 1);
     }
 }
--- a/crates/bankvalve_check/src/site/site_world.rs
+++ b/crates/bankvalve_check/src/site/site_world.rs
@@ -6,14 +6,15 @@
 use std::time::Duration;
 
 use bankvalve_queue::{
-    AdviceRule, CallerAnswer, CallerRequest, CoreEvent, EntryCore, EntrySettings, JobId, JobSpec,
-    JobState, JobTerms, PeerAddress, PolicySwitch, QueueRule, QueueTable, SiteGuard, StoreRequest,
-    Ticket, WorkerId,
+    CallerAnswer, CallerRequest, CoreEvent, EntryCore, EntrySettings, JobId, JobSpec, JobState,
+    PeerAddress, PolicySwitch, SiteGuard, StoreRequest, Ticket, WorkerId,
 };
 use bankvalve_standin::site::{SitePolicy, SiteStore, SiteWorker};
 use rand::SeedableRng;
 use rand_pcg::Pcg64Mcg;
 
+use super::site_bytes::LinkUse;
+use super::site_config::{QueueAnswer, SiteConfig};
 use super::RuleBook;
 
 /// Name of the usual queue.
@@ -60,8 +61,12 @@
     pub turned_away_until: u64,
     /// Until when peers do not reach it.
     pub cut_from_peers_until: u64,
-    /// Bytes of rows that its link carries in a millisecond; none for as many as there are.
+    /// Bytes that its link carries in a millisecond; none for as many as there are. They are those
+    /// of rows that it reads, each answer by itself, unless links carry all.
     pub link_bytes_per_ms: Option<u64>,
+    pub(super) link_use: LinkUse,
+    /// Until when its long questions to the table about the configuration have no answer.
+    pub watch_lost_until: u64,
     pub(super) parked: Vec<CoreEvent>,
 }
 
@@ -139,6 +144,7 @@
     Submit { job: JobId, tries: u32 },
     Ask { job: JobId },
     Cancel { job: JobId },
+    Count { queue: String, asked_ms: u64 },
 }
 
 /// The world.
@@ -197,6 +203,13 @@
     pub tables_passed: u64,
     /// Messages that each instance sent to peers.
     pub peer_messages: BTreeMap<usize, u64>,
+    /// Bytes of them, while links carry all.
+    pub peer_bytes: BTreeMap<usize, u64>,
+    /// Whether links carry all bytes of an instance, one after the other, both ways.
+    pub links_carry_all: bool,
+    pub(super) config: SiteConfig,
+    /// What callers that asked for queues were told.
+    pub told: Vec<QueueAnswer>,
 }
 
 impl std::fmt::Debug for SiteWorld {
@@ -245,9 +258,13 @@
             permit_refusals: 0,
             tables_passed: 0,
             peer_messages: BTreeMap::new(),
+            peer_bytes: BTreeMap::new(),
+            links_carry_all: false,
+            config: SiteConfig::default(),
+            told: Vec::new(),
             plan,
         };
-        world.store.configure(world.table(1));
+        world.configure(1);
         for number in 0..world.plan.workers {
             world.add_worker(format!("10.9.0.{number}:80"));
         }
@@ -262,6 +279,8 @@
                 turned_away_until: 0,
                 cut_from_peers_until: 0,
                 link_bytes_per_ms: None,
+                link_use: LinkUse::default(),
+                watch_lost_until: 0,
                 parked: Vec::new(),
             });
             world.start(number);
@@ -269,29 +288,6 @@
         world
     }
 
-    pub(super) fn table(&self, version: u64) -> QueueTable {
-        let advice = self.plan.good_percent.map(|_| AdviceRule {
-            decide_ms: 10.0,
-            each_ms: 0.2,
-            valid_ms: 1_500,
-        });
-        let rule = |name: &str, priority: u32| QueueRule {
-            name: name.into(),
-            host: "host".into(),
-            prefix: format!("/{name}/"),
-            terms: JobTerms {
-                service: SERVICE.into(),
-                priority,
-                attempts: 3,
-                stretch: 2.0,
-                target_ms: 500,
-                advice,
-            },
-        };
-        let rules = vec![rule(QUEUE, 1), rule(URGENT_QUEUE, 0)];
-        QueueTable::new(version, rules, BTreeMap::new())
-    }
-
     /// Starts an instance anew.
     pub fn start(&mut self, number: usize) {
         if self.nodes[number].core.is_some() {
@@ -317,6 +313,7 @@
     pub fn kill(&mut self, number: usize, down_ms: u64) {
         self.nodes[number].core = None;
         self.nodes[number].parked.clear();
+        self.nodes[number].link_use = LinkUse::default();
         self.watches.retain(|(node, ..)| *node != number);
         let calls: Vec<(usize, Ticket)> = self.calls.keys().copied().collect();
         for (node, ticket) in calls {
@@ -358,27 +355,6 @@
         WALL_START + self.now_ms
     }
 
-    /// The operator writes a configuration of a version.
-    pub fn configure(&mut self, version: u64) {
-        let table = self.table(version);
-        self.store.configure(table);
-        self.answer_watches();
-    }
-
-    /// An instance is given a configuration of a version by a peer.
-    pub fn give_table(&mut self, node: usize, version: u64) {
-        let table = self.table(version);
-        if let Some(core) = self.nodes[node].core.as_mut() {
-            core.give_table(table, Vec::new());
-        }
-    }
-
-    /// Version of the configuration in force at an instance; 0 for none.
-    pub fn table_version(&self, node: usize) -> u64 {
-        let core = self.nodes[node].core.as_ref();
-        core.map_or(0, EntryCore::table_version)
-    }
-
     /// The instance that leads, if one does.
     pub fn leader(&self) -> Option<usize> {
         self.nodes.iter().position(SiteNode::leads)
@@ -472,9 +448,11 @@
             Later::Restart { node } => self.start(node),
             Later::Submit { job, tries } => {
                 let spec = self.specs[&job].clone();
-                let request = self.submission(&spec);
                 match self.any_node() {
-                    Some(node) => self.call(node, OpenCall::Submit { job, tries }, request),
+                    Some(node) => {
+                        let request = self.submission(node, &spec);
+                        self.call(node, OpenCall::Submit { job, tries }, request);
+                    }
                     None => self.after(300, Later::Submit { job, tries }),
                 }
             }
--- a/crates/bankvalve_standin/src/site/site_store.rs
+++ b/crates/bankvalve_standin/src/site/site_store.rs
@@ -16,7 +16,7 @@
     version: u64,
     rows: BTreeMap<RowKey, (Vec<u8>, u64)>,
     changes: Vec<RowChange>,
-    config: Option<(QueueTable, u64)>,
+    config: Option<(QueueTable, Vec<u8>, u64)>,
     workers: BTreeMap<WorkerId, WorkerEntry>,
     worker_changes: Vec<(u64, WorkerId, Option<WorkerEntry>)>,
     /// Version before which the history of changes is forgotten.
@@ -45,7 +45,7 @@
             }
             StoreRequest::ReadOperator => Some(self.operator(0)),
             StoreRequest::WatchOperator { after, .. } => {
-                let news = self.config.as_ref().is_some_and(|(_, at)| at > after);
+                let news = self.config.as_ref().is_some_and(|(.., at)| at > after);
                 let outcome = self.operator(*after);
                 self.watched(*after, news, |_| outcome)
             }
@@ -99,8 +99,13 @@
 
     /// The operator writes a configuration.
     pub fn configure(&mut self, table: QueueTable) {
+        self.configure_raw(table, Vec::new());
+    }
+
+    /// The operator writes a configuration, which is read as the bytes given.
+    pub fn configure_raw(&mut self, table: QueueTable, raw: Vec<u8>) {
         self.version += 1;
-        self.config = Some((table, self.version));
+        self.config = Some((table, raw, self.version));
     }
 
     /// A worker writes its entry, or its entry goes.
@@ -138,11 +143,11 @@
     }
 
     fn operator(&self, after: u64) -> StoreOutcome {
-        let config = self.config.as_ref().filter(|(_, at)| *at > after);
+        let config = self.config.as_ref().filter(|(.., at)| *at > after);
         StoreOutcome::Operator {
             news: OperatorNews {
-                table: config.map(|(table, _)| table.clone()),
-                raw: Vec::new(),
+                table: config.map(|(table, ..)| table.clone()),
+                raw: config.map_or(Vec::new(), |(_, raw, _)| raw.clone()),
             },
             version: self.version,
         }
