test(check): an instance denies a queue that a newer configuration has (red)

Cause: the listener answers "no queue" from the configuration that the instance has, whether or not it knows that to be the newest.

The instance's watch on the configuration has no answer, the operator adds a queue, and the instance denies it at once.

--- a/crates/bankvalve_check/tests/site/main.rs
+++ b/crates/bankvalve_check/tests/site/main.rs
@@ -1,5 +1,6 @@
 //! Entry instances on the users' platform, under virtual time: each fault found once stays found.
 
+mod config;
 mod jobs;
 mod leading;
 mod random;
