--- a/crates/bankvalve/src/entry/core_loop.rs
+++ b/crates/bankvalve/src/entry/core_loop.rs
@@ -24,6 +24,11 @@
 /// Something for the core thread.
 pub(super) enum CoreInput {
     Event(CoreEvent),
+    /// A caller asks for a queue that is not known.
+    QueueUnknown {
+        patience_ms: u64,
+        reply: oneshot::Sender<CallerAnswer>,
+    },
     Request {
         request: ResolvedRequest,
         reply: oneshot::Sender<CallerAnswer>,
@@ -74,8 +79,23 @@
 
     /// Gives the core a caller's request and waits for the answer.
     pub async fn ask(&self, request: ResolvedRequest) -> CallerAnswer {
+        self.ask_core(|reply| CoreInput::Request { request, reply })
+            .await
+    }
+
+    /// Asks the core whether the configuration in force is as new as this question, of a caller
+    /// that asks for a queue that is not in it.
+    pub async fn ask_newest(&self, patience_ms: u64) -> CallerAnswer {
+        self.ask_core(|reply| CoreInput::QueueUnknown { patience_ms, reply })
+            .await
+    }
+
+    async fn ask_core(
+        &self,
+        input: impl FnOnce(oneshot::Sender<CallerAnswer>) -> CoreInput,
+    ) -> CallerAnswer {
         let (reply, answer) = oneshot::channel();
-        let input = CoreInput::Request { request, reply };
+        let input = input(reply);
         if self.ring.try_send(input).is_err() {
             self.shared.ring_full.fetch_add(1, Ordering::Relaxed);
             return CallerAnswer::Refused {
@@ -179,6 +199,14 @@
     fn take(&mut self, input: CoreInput) {
         match input {
             CoreInput::Event(event) => self.step(event),
+            CoreInput::QueueUnknown { patience_ms, reply } => {
+                let ticket = self.core.new_ticket();
+                self.replies.insert(ticket, reply);
+                self.step(CoreEvent::QueueUnknown {
+                    ticket,
+                    patience_ms,
+                });
+            }
             CoreInput::Request { request, reply } => {
                 let ticket = self.core.new_ticket();
                 self.replies.insert(ticket, reply);
--- a/crates/bankvalve/src/entry/link_loop.rs
+++ b/crates/bankvalve/src/entry/link_loop.rs
@@ -6,10 +6,12 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use bankvalve_link::{encode_message, ClientFailure, ClientLimits, HttpClient, WIRE_TYPE};
+use bankvalve_link::{
+    encode_message, ClientFailure, ClientLimits, HttpClient, HttpReply, WIRE_TYPE,
+};
 use bankvalve_queue::{
     AdviceAnswer, CoreAction, CoreEvent, PeerAddress, PeerBatch, PeerMessage, PlatformPort,
-    WireCall, WireReply,
+    StoreRequest, Ticket, WireCall, WireReply,
 };
 use hyper::Method;
 use tokio::sync::mpsc;
@@ -22,8 +24,11 @@
 const PEER_FLIGHTS: usize = 3;
 /// Messages that wait for one peer at most; more are dropped, and whoever needs an answer asks again.
 const PEER_QUEUE: usize = 2_000;
-/// Longest wait for a peer to take messages.
-const PEER_TIME: Duration = Duration::from_millis(700);
+/// Longest pause in an answer about the configuration, which may be large, until it is given up.
+const ANSWER_PAUSE: Duration = Duration::from_millis(1_000);
+/// Size of an answer from which on the core is told that it has begun, in bytes: it takes a thin
+/// link some 30 ms.
+const LONG_ANSWER: u64 = 32 * 1024;
 /// Time in which a connection must be made: some ten ways across the site.
 const CONNECT_TIME: Duration = Duration::from_millis(400);
 /// Time for which sent bytes may stay unacknowledged before a connection is given up.
@@ -50,6 +55,26 @@
     flights: usize,
 }
 
+impl PeerLane {
+    /// Takes what travels together: all that waits, but a configuration by itself, since it takes a
+    /// thin link a second and the others should not wait for it.
+    fn take_batch(&mut self) -> Vec<PeerMessage> {
+        let large = |message: &PeerMessage| matches!(message, PeerMessage::Table { .. });
+        match self.queue.iter().position(large) {
+            None => std::mem::take(&mut self.queue),
+            Some(0) => vec![self.queue.remove(0)],
+            Some(place) => self.queue.drain(..place).collect(),
+        }
+    }
+}
+
+fn is_about_tables(request: &StoreRequest) -> bool {
+    matches!(
+        request,
+        StoreRequest::ReadOperator | StoreRequest::WatchOperator { .. }
+    )
+}
+
 struct LinkLoop {
     plan: LinkPlan,
     port: PlatformPort,
@@ -102,7 +127,11 @@
             } => {
                 tokio::task::spawn_local(async move {
                     let call = (self.port.store_call)(&request);
-                    let reply = self.call(self.plan.table, call, time).await;
+                    let reply = if is_about_tables(&request) {
+                        self.call_long(ticket, call, time).await
+                    } else {
+                        self.call(self.plan.table, call, time).await
+                    };
                     let outcome = (self.port.store_outcome)(&request, &reply);
                     self.core.give(CoreEvent::Store { ticket, outcome });
                 });
@@ -153,18 +182,19 @@
     fn send_lanes(self: Rc<Self>) {
         let mut lanes = self.lanes.borrow_mut();
         for (peer, lane) in lanes.iter_mut() {
-            if lane.queue.is_empty() || lane.flights >= PEER_FLIGHTS {
-                continue;
+            while !lane.queue.is_empty() && lane.flights < PEER_FLIGHTS {
+                lane.flights += 1;
+                let messages = lane.take_batch();
+                let links = self.clone();
+                let peer = *peer;
+                tokio::task::spawn_local(async move { links.send_batch(peer, messages).await });
             }
-            lane.flights += 1;
-            let messages = std::mem::take(&mut lane.queue);
-            let links = self.clone();
-            let peer = *peer;
-            tokio::task::spawn_local(async move { links.send_batch(peer, messages).await });
         }
     }
 
     async fn send_batch(self: Rc<Self>, peer: PeerAddress, messages: Vec<PeerMessage>) {
+        let times = messages.iter().map(PeerMessage::sending_time);
+        let time = times.max().unwrap_or_default();
         let batch = PeerBatch {
             from: self.plan.own,
             messages,
@@ -176,7 +206,7 @@
             content_type: WIRE_TYPE,
             body: encode_message(&batch),
         };
-        let reply = self.call(peer, call, PEER_TIME).await;
+        let reply = self.call(peer, call, time).await;
         let refused = reply == WireReply::NotSent;
         let reached = matches!(reply, WireReply::Answer { status: 200, .. });
         if !reached {
@@ -188,6 +218,22 @@
         self.send_lanes();
     }
 
+    /// Asks the table about the configuration, and tells the core when a long answer begins.
+    async fn call_long(&self, ticket: Ticket, call: WireCall, time: Duration) -> WireReply {
+        let url = format!("http://{}{}", self.plan.table, call.path);
+        let begins = |bytes: Option<u64>| {
+            if bytes.is_none_or(|bytes| bytes >= LONG_ANSWER) {
+                self.core.give(CoreEvent::StoreBegins { ticket });
+            }
+        };
+        let times = (time, ANSWER_PAUSE);
+        let sent = self
+            .client
+            .send_long(&url, call.content_type, times, begins)
+            .await;
+        reply_of(sent)
+    }
+
     async fn call(
         &self,
         address: impl std::fmt::Display,
@@ -210,13 +256,17 @@
                 time,
             )
             .await;
-        match sent {
-            Ok(reply) => WireReply::Answer {
-                status: reply.status,
-                body: reply.body.to_vec(),
-            },
-            Err(ClientFailure::NotSent(_)) => WireReply::NotSent,
-            Err(ClientFailure::NoReply(_)) => WireReply::NoReply,
-        }
+        reply_of(sent)
+    }
+}
+
+fn reply_of(sent: Result<HttpReply, ClientFailure>) -> WireReply {
+    match sent {
+        Ok(reply) => WireReply::Answer {
+            status: reply.status,
+            body: reply.body.to_vec(),
+        },
+        Err(ClientFailure::NotSent(_)) => WireReply::NotSent,
+        Err(ClientFailure::NoReply(_)) => WireReply::NoReply,
     }
 }
--- a/crates/bankvalve/src/entry/listeners.rs
+++ b/crates/bankvalve/src/entry/listeners.rs
@@ -5,7 +5,10 @@
 use std::time::Instant;
 
 use bankvalve_link::{decode_message, HttpAnswer, HttpRequest};
-use bankvalve_queue::{CoreEvent, PeerBatch, PlatformPort, WireAnswer, WireRequest};
+use bankvalve_queue::{
+    CallerAnswer, CoreEvent, PeerBatch, PlatformPort, RequestFault, ResolvedRequest, WireAnswer,
+    WireRequest,
+};
 
 use super::core_loop::EntryHandle;
 use super::entry_metrics::EntryMetrics;
@@ -43,14 +46,6 @@
     }
 
     async fn decide(&self, request: &HttpRequest) -> WireAnswer {
-        let Some(table) = self.core.table() else {
-            return WireAnswer {
-                status: 503,
-                content_type: "text/plain",
-                body: b"no configuration yet".to_vec(),
-                retry_ms: Some(NO_TABLE_RETRY_MS),
-            };
-        };
         let headers: Vec<(&str, &str)> = request
             .headers
             .iter()
@@ -64,12 +59,41 @@
             headers: &headers,
             body: &request.body,
         };
-        match (self.port.read_request)(&wire, &table) {
+        match self.read_wire(&wire).await {
             Ok(resolved) => (self.port.write_answer)(&self.core.ask(resolved).await),
             Err(answer) => answer,
         }
     }
 
+    /// Reads a request. That it names a queue that is not there is said only once it is known that
+    /// no newer configuration has it.
+    async fn read_wire(&self, wire: &WireRequest<'_>) -> Result<ResolvedRequest, WireAnswer> {
+        let first = self.read_now(wire);
+        let Err(RequestFault::NoQueue { patience_ms, .. }) = first else {
+            return first.map_err(RequestFault::into_answer);
+        };
+        let newest = self.core.ask_newest(patience_ms).await;
+        match self.read_now(wire) {
+            Err(RequestFault::NoQueue { .. }) if newest != CallerAnswer::TableIsNewest => {
+                Err((self.port.write_answer)(&newest))
+            }
+            read => read.map_err(RequestFault::into_answer),
+        }
+    }
+
+    /// Reads a request by the configuration in force.
+    fn read_now(&self, wire: &WireRequest<'_>) -> Result<ResolvedRequest, RequestFault> {
+        let Some(table) = self.core.table() else {
+            return Err(RequestFault::Refused(WireAnswer {
+                status: 503,
+                content_type: "text/plain",
+                body: b"no configuration yet".to_vec(),
+                retry_ms: Some(NO_TABLE_RETRY_MS),
+            }));
+        };
+        (self.port.read_request)(wire, &table)
+    }
+
     /// Takes a peer's messages.
     pub(super) fn serve_peer(&self, request: &HttpRequest) -> HttpAnswer {
         if request.path != PEER_PATH {
--- a/crates/bankvalve/tests/site/trouble.rs
+++ b/crates/bankvalve/tests/site/trouble.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use bankvalve_queue::WireReply;
+use bankvalve_queue::{WireCall, WireReply};
 use bankvalve_standin::site::StoreTrouble;
 
 use crate::test_site::{
@@ -106,3 +106,22 @@
     site.wait_for_success(0, 1..=20);
     assert_once(&site.platform.runs());
 }
+
+#[test]
+fn a_queue_is_not_denied_while_the_table_does_not_tell() {
+    let site = TestSite::start(2, 2);
+    let elsewhere = WireCall {
+        method: "GET",
+        path: "/elsewhere/".into(),
+        headers: vec![("host", "hobart.example".into())],
+        ..WireCall::default()
+    };
+    let ask = || exchange_whole(site.entry(0).callers, &elsewhere).expect("an answer");
+    assert_eq!(ask().0, 404);
+    site.platform.set_trouble(StoreTrouble::Refuses);
+    let (status, head, _) = ask();
+    assert_eq!(status, 503);
+    assert!(head.contains("retry-after"), "{head}");
+    site.platform.set_trouble(StoreTrouble::None);
+    wait_until("it is known not to be there", || ask().0 == 404);
+}
--- a/crates/bankvalve_check/src/site/site_bytes.rs
+++ b/crates/bankvalve_check/src/site/site_bytes.rs
@@ -18,6 +18,12 @@
     in_until: f64,
 }
 
+/// When bytes begin to arrive and when they have, in milliseconds from now.
+pub(super) struct BytesCome {
+    first: u64,
+    pub(super) last: u64,
+}
+
 impl SiteWorld {
     fn link_rate(&self, node: usize) -> Option<f64> {
         let rate = self.nodes[node].link_bytes_per_ms?;
@@ -35,17 +41,22 @@
         (link.out_until - now) as u64
     }
 
-    /// Bytes come to an instance after a time, behind what comes to it already; returns when they
-    /// have, in milliseconds from now.
-    pub(super) fn take_in(&mut self, node: usize, bytes: u64, after: u64) -> u64 {
+    /// Bytes come to an instance after a time, behind what comes to it already.
+    pub(super) fn take_in(&mut self, node: usize, bytes: u64, after: u64) -> BytesCome {
         let Some(rate) = self.link_rate(node) else {
-            return after;
+            return BytesCome {
+                first: after,
+                last: after,
+            };
         };
         let now = self.now_ms as f64;
         let link = &mut self.nodes[node].link_use;
         let first = link.in_until.max(now + after as f64);
         link.in_until = first + bytes as f64 / rate;
-        (link.in_until - now) as u64
+        BytesCome {
+            first: (first - now) as u64,
+            last: (link.in_until - now) as u64,
+        }
     }
 
     /// The table's answer goes to an instance.
@@ -56,7 +67,13 @@
         delay: u64,
     ) {
         let last = if self.links_carry_all {
-            self.take_in(node, outcome_bytes(&outcome), delay)
+            let come = self.take_in(node, outcome_bytes(&outcome), delay);
+            if matches!(outcome, StoreOutcome::Operator { .. }) {
+                self.begins.insert((node, ticket), self.now_ms + come.first);
+                let event = CoreEvent::StoreBegins { ticket };
+                self.after(come.first, Later::Event { node, life, event });
+            }
+            come.last
         } else {
             delay + self.time_on_link(node, &outcome)
         };
@@ -64,6 +81,16 @@
         self.after(last, Later::Event { node, life, event });
     }
 
+    /// An answer about the configuration is given up unless it has begun.
+    pub(super) fn store_limit(&mut self, (node, life, ticket): (usize, u64, Ticket)) {
+        let begins = self.begins.remove(&(node, ticket));
+        if begins.is_none_or(|at| at > self.now_ms) {
+            let outcome = StoreOutcome::Lost;
+            let event = CoreEvent::Store { ticket, outcome };
+            self.after(0, Later::Event { node, life, event });
+        }
+    }
+
     /// Milliseconds that an instance's link takes for the rows of an answer.
     fn time_on_link(&self, node: usize, outcome: &StoreOutcome) -> u64 {
         let (Some(rate), StoreOutcome::Rows { rows, .. }) =
--- a/crates/bankvalve_check/src/site/site_calls.rs
+++ b/crates/bankvalve_check/src/site/site_calls.rs
@@ -12,7 +12,7 @@
 use super::site_world::{Later, OpenCall, SiteWorld};
 
 /// How long callers wait for an answer.
-const PATIENCE_MS: u64 = 3_000;
+pub(super) const PATIENCE_MS: u64 = 3_000;
 /// One caller in so many leaves when its job is refused.
 const LEAVING: u32 = 3;
 
@@ -68,6 +68,7 @@
                 queue: queue.to_owned(),
             },
             patience_ms: PATIENCE_MS,
+            table_version: core.table_version(),
         };
         let actions = core.step(since, wall, CoreEvent::Caller { ticket, request });
         let mut count = None;
@@ -106,6 +107,7 @@
         let request = ResolvedRequest {
             request,
             patience_ms: PATIENCE_MS,
+            table_version: core.table_version(),
         };
         self.deliver(node, CoreEvent::Caller { ticket, request });
     }
@@ -156,7 +158,9 @@
                 CallerAnswer::NoSuchJob => {}
                 _ => self.after(300, Later::Cancel { job }),
             },
-            Some(call @ OpenCall::Count { .. }) => self.finish_count(node, call, &answer),
+            Some(call @ (OpenCall::Count { .. } | OpenCall::Newest { .. })) => {
+                self.finish_count(node, call, &answer);
+            }
             None => {}
         }
     }
--- a/crates/bankvalve_check/src/site/site_config.rs
+++ b/crates/bankvalve_check/src/site/site_config.rs
@@ -3,10 +3,11 @@
 use std::collections::BTreeMap;
 
 use bankvalve_queue::{
-    AdviceRule, CallerAnswer, CallerRequest, CoreAction, EntryCore, JobId, JobTerms, QueueRule,
-    QueueTable,
+    AdviceRule, CallerAnswer, CallerRequest, CoreAction, CoreEvent, EntryCore, JobId, JobTerms,
+    QueueRule, QueueTable,
 };
 
+use super::site_calls::PATIENCE_MS;
 use super::site_world::{OpenCall, SiteWorld, QUEUE, SERVICE, URGENT_QUEUE};
 
 /// What the operator has written, and what the next version will hold.
@@ -165,6 +166,17 @@
         }
     }
 
+    /// An instance puts a configuration in force; within a life it never goes back.
+    pub(super) fn note_table(&mut self, node: usize, version: u64) {
+        let newest = &mut self.nodes[node].newest_table;
+        let before = std::mem::replace(newest, version.max(*newest));
+        if version < before {
+            let now = self.now_ms;
+            let text = format!("instance {node} has {version} in force after {before}");
+            self.rules.breach("CONFIG", now, &text);
+        }
+    }
+
     /// A caller asks an instance how many jobs of a queue wait; the answer is among `told`.
     pub fn ask_queue(&mut self, node: usize, queue: &str) {
         let call = OpenCall::Count {
@@ -186,17 +198,50 @@
         } else if self.table(version).queue(&queue).is_some() {
             self.call(node, call, CallerRequest::Count { queue });
         } else {
-            self.end_count(node, call, QueueTold::NoQueue);
+            self.ask_newest(node, call);
         }
     }
 
+    /// Asks whether the configuration in force is the newest, since it does not have the queue.
+    fn ask_newest(&mut self, node: usize, call: OpenCall) {
+        let OpenCall::Count { queue, asked_ms } = call else {
+            return;
+        };
+        let Some(core) = self.nodes[node].core.as_mut() else {
+            return;
+        };
+        let ticket = core.new_ticket();
+        let call = OpenCall::Newest { queue, asked_ms };
+        self.calls.insert((node, ticket), call);
+        let patience_ms = PATIENCE_MS;
+        self.deliver(
+            node,
+            CoreEvent::QueueUnknown {
+                ticket,
+                patience_ms,
+            },
+        );
+    }
+
     /// A caller that asked for a queue has its answer.
     pub(super) fn finish_count(&mut self, node: usize, call: OpenCall, answer: &CallerAnswer) {
-        let told = match answer {
-            CallerAnswer::Waiting(_) => QueueTold::Found,
-            _ => QueueTold::ComeBack,
+        let OpenCall::Newest { queue, asked_ms } = call else {
+            let told = match answer {
+                CallerAnswer::Waiting(_) => QueueTold::Found,
+                _ => QueueTold::ComeBack,
+            };
+            self.end_count(node, call, told);
+            return;
         };
-        self.end_count(node, call, told);
+        let known = self.table(self.table_version(node)).queue(&queue).is_some();
+        let call = OpenCall::Count { queue, asked_ms };
+        if known {
+            self.resolve_queue(node, call);
+        } else if *answer == CallerAnswer::TableIsNewest {
+            self.end_count(node, call, QueueTold::NoQueue);
+        } else {
+            self.end_count(node, call, QueueTold::ComeBack);
+        }
     }
 
     fn end_count(&mut self, node: usize, call: OpenCall, told: QueueTold) {
--- a/crates/bankvalve_check/src/site/site_links.rs
+++ b/crates/bankvalve_check/src/site/site_links.rs
@@ -10,6 +10,10 @@
 
 /// Longest wait for a peer to take a message, in milliseconds.
 const PEER_TIME_MS: u64 = 700;
+/// Wait from which on a question about the configuration counts as long, in milliseconds.
+const LONG_WAIT_MS: u64 = 100;
+/// Longest wait of a watch here, in milliseconds.
+const WATCH_MS: u64 = 1_000;
 /// Time after which a long question about the configuration is given up, in milliseconds.
 const WATCH_LOST_MS: u64 = 1_700;
 /// Share of writes that a silent table carries out after all, later, in percent.
@@ -31,11 +35,13 @@
                     self.store_busy_until = begins + self.store_turn_ms;
                     delay = self.store_busy_until - self.now_ms;
                 }
-                if self.store_delay_ms > 0 || self.nodes[node].link_bytes_per_ms.is_some() {
+                let limit = time.as_millis() as u64;
+                if self.links_carry_all && is_about_tables(&request) {
+                    self.after(limit, Later::StoreLimit { node, life, ticket });
+                } else if self.store_delay_ms > 0 || self.nodes[node].link_bytes_per_ms.is_some() {
                     // If the answer comes first, this finds nobody.
                     let outcome = StoreOutcome::Lost;
                     let event = CoreEvent::Store { ticket, outcome };
-                    let limit = time.as_millis() as u64;
                     self.after(limit, Later::Event { node, life, event });
                 }
                 self.after(
@@ -107,7 +113,8 @@
             CoreAction::Peer { to, message } => self.send_peer(node, to, message),
             CoreAction::Answer { ticket, answer } => self.finish_call(node, ticket, answer),
             CoreAction::DecodeTable(raw) => self.decode_table(node, raw),
-            CoreAction::UseTable(_) | CoreAction::Log(_) => {}
+            CoreAction::UseTable(table) => self.note_table(node, table.version),
+            CoreAction::Log(_) => {}
         }
     }
 
@@ -144,12 +151,16 @@
                     message,
                 };
                 let target_life = self.nodes[target].life;
+                let limit = match &event {
+                    CoreEvent::Peer { message, .. } => message.sending_time().as_millis() as u64,
+                    _ => PEER_TIME_MS,
+                };
                 let way = self.rng.random_range(1..4);
                 let delay = self.carry_message(from, target, &event, way);
-                if delay > PEER_TIME_MS {
+                if delay > limit {
                     let event = unreached(false);
                     self.after(
-                        PEER_TIME_MS,
+                        limit,
                         Later::Event {
                             node: from,
                             life,
@@ -192,7 +203,7 @@
         let bytes = message_bytes(message);
         *self.peer_bytes.entry(from).or_default() += bytes;
         let left = self.send_out(from, bytes);
-        self.take_in(to, bytes, left + way)
+        self.take_in(to, bytes, left + way).last
     }
 
     pub(super) fn store_arrives(
@@ -205,7 +216,7 @@
         let now = self.now_ms;
         let cut = self.nodes[node].cut_from_store_until > now;
         let answer = |outcome| CoreEvent::Store { ticket, outcome };
-        let watch = matches!(&request, StoreRequest::WatchOperator { wait_ms, .. } if *wait_ms > 0);
+        let watch = matches!(&request, StoreRequest::WatchOperator { wait_ms, .. } if *wait_ms >= LONG_WAIT_MS);
         if watch && self.nodes[node].watch_lost_until > now {
             // It is told that there was no answer when its time is over.
             self.after(
@@ -252,8 +263,12 @@
                 self.answer_request((node, life, ticket), outcome, 4);
             }
             None => {
+                let wait = match &request {
+                    StoreRequest::WatchOperator { wait_ms, .. } => WATCH_MS.min(*wait_ms),
+                    _ => WATCH_MS,
+                };
                 self.watches.push((node, life, ticket, request));
-                self.after(1_000, Later::WatchEnds { node, life, ticket });
+                self.after(wait, Later::WatchEnds { node, life, ticket });
             }
         }
         if write {
@@ -283,3 +298,10 @@
         self.answer_request((node, life, ticket), outcome, 1);
     }
 }
+
+fn is_about_tables(request: &StoreRequest) -> bool {
+    matches!(
+        request,
+        StoreRequest::ReadOperator | StoreRequest::WatchOperator { .. }
+    )
+}
--- a/crates/bankvalve_check/src/site/site_world.rs
+++ b/crates/bankvalve_check/src/site/site_world.rs
@@ -68,6 +68,8 @@
     /// Until when its long questions to the table about the configuration have no answer.
     pub watch_lost_until: u64,
     pub(super) parked: Vec<CoreEvent>,
+    /// Newest configuration that this life has had in force.
+    pub(super) newest_table: u64,
 }
 
 impl SiteNode {
@@ -100,6 +102,12 @@
         ticket: Ticket,
         request: StoreRequest,
     },
+    /// The time is over in which an answer about the configuration must begin.
+    StoreLimit {
+        node: usize,
+        life: u64,
+        ticket: Ticket,
+    },
     WatchEnds {
         node: usize,
         life: u64,
@@ -141,10 +149,25 @@
 /// A caller's request on its way.
 #[derive(Debug)]
 pub(super) enum OpenCall {
-    Submit { job: JobId, tries: u32 },
-    Ask { job: JobId },
-    Cancel { job: JobId },
-    Count { queue: String, asked_ms: u64 },
+    Submit {
+        job: JobId,
+        tries: u32,
+    },
+    Ask {
+        job: JobId,
+    },
+    Cancel {
+        job: JobId,
+    },
+    Count {
+        queue: String,
+        asked_ms: u64,
+    },
+    /// Whether the configuration in force is the newest, for a caller that asks for a queue.
+    Newest {
+        queue: String,
+        asked_ms: u64,
+    },
 }
 
 /// The world.
@@ -161,6 +184,8 @@
     pub nodes: Vec<SiteNode>,
     /// The table.
     pub store: SiteStore,
+    /// When answers about the configuration that are on their way begin to arrive.
+    pub(super) begins: BTreeMap<(usize, Ticket), u64>,
     pub(super) watches: Vec<(usize, u64, Ticket, StoreRequest)>,
     /// Workers by address; none while one is down.
     pub workers: BTreeMap<String, Option<SiteWorker>>,
@@ -234,6 +259,7 @@
             later: BTreeMap::new(),
             nodes: Vec::new(),
             store: SiteStore::default(),
+            begins: BTreeMap::new(),
             watches: Vec::new(),
             workers: BTreeMap::new(),
             lives: 0,
@@ -282,6 +308,7 @@
                 link_use: LinkUse::default(),
                 watch_lost_until: 0,
                 parked: Vec::new(),
+                newest_table: 0,
             });
             world.start(number);
         }
@@ -296,6 +323,7 @@
         let now = self.now_ms;
         let node = &mut self.nodes[number];
         node.life += 1;
+        node.newest_table = 0;
         node.started_ms = now;
         let mut settings = EntrySettings::example(node.address);
         settings.life = WALL_START + now + node.life;
@@ -432,6 +460,7 @@
             } => {
                 self.store_arrives(node, life, ticket, request);
             }
+            Later::StoreLimit { node, life, ticket } => self.store_limit((node, life, ticket)),
             Later::WatchEnds { node, life, ticket } => self.end_watch(node, life, ticket),
             Later::WorkerArrives {
                 node,
--- a/crates/bankvalve_check/tests/site/random.rs
+++ b/crates/bankvalve_check/tests/site/random.rs
@@ -26,9 +26,15 @@
         (SiteGuard::CompleteBook, 1),
         (SiteGuard::NewerList, 1),
     ];
-    // The drawn worlds notice this one seldom: it has a world of its own below.
+    // The drawn worlds notice the first one seldom, and have no configurations: these have worlds
+    // of their own, below and in `config`.
+    let own = [
+        SiteGuard::SureRefusal,
+        SiteGuard::NewerTable,
+        SiteGuard::KnownNewest,
+    ];
     let others = SiteGuard::ALL.into_iter();
-    let others = others.filter(|guard| *guard != SiteGuard::SureRefusal);
+    let others = others.filter(|guard| !own.contains(guard));
     assert!(others.eq(guards.map(|(guard, _)| guard)));
     for (guard, first) in guards {
         let noticed = (first..first + 40).any(|seed| {
--- a/crates/bankvalve_link/src/client/mod.rs
+++ b/crates/bankvalve_link/src/client/mod.rs
@@ -2,10 +2,11 @@
 
 use std::time::Duration;
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::{Body, Incoming};
 use hyper::header::{HeaderName, HeaderValue, CONTENT_TYPE};
-use hyper::{Method, Request};
+use hyper::{Method, Request, Response};
 use hyper_util::client::legacy::connect::HttpConnector;
 use hyper_util::client::legacy::Client;
 use hyper_util::rt::{TokioExecutor, TokioTimer};
@@ -137,21 +138,71 @@
         }
     }
 
-    async fn exchange(&self, request: Request<Full<Bytes>>) -> Result<HttpReply, ClientFailure> {
-        let response = self.inner.request(request).await.map_err(|error| {
+    /// Sends a request and waits a time for the reply to begin, and then for its whole body as long
+    /// as that goes on: no pause in it may be longer than `pause`.
+    ///
+    /// `begins` is called when the reply has begun, with the size of its body if that is told.
+    ///
+    /// # Errors
+    ///
+    /// Returns whether the request may have been received.
+    pub async fn send_long(
+        &self,
+        url: &str,
+        content_type: &'static str,
+        (time, pause): (Duration, Duration),
+        begins: impl FnOnce(Option<u64>),
+    ) -> Result<HttpReply, ClientFailure> {
+        let request = Request::builder()
+            .method(Method::GET)
+            .uri(url)
+            .header(CONTENT_TYPE, content_type)
+            .body(Full::new(Bytes::new()))
+            .map_err(|error| ClientFailure::NotSent(error.to_string()))?;
+        let out_of_time = |_| ClientFailure::NoReply("out of time".into());
+        let response = tokio::time::timeout(time, self.begin(request))
+            .await
+            .map_err(out_of_time)??;
+        let (status, retry_after_ms) = head_of(&response);
+        begins(response.body().size_hint().exact());
+        let mut body = Limited::new(response.into_body(), self.reply_bytes);
+        let mut whole = BytesMut::new();
+        loop {
+            let frame = tokio::time::timeout(pause, body.frame());
+            match frame.await.map_err(out_of_time)? {
+                None => break,
+                Some(Ok(frame)) => {
+                    if let Some(data) = frame.data_ref() {
+                        whole.extend_from_slice(data);
+                    }
+                }
+                Some(Err(error)) => return Err(ClientFailure::NoReply(error.to_string())),
+            }
+        }
+        Ok(HttpReply {
+            status,
+            body: whole.freeze(),
+            retry_after_ms,
+        })
+    }
+
+    async fn begin(
+        &self,
+        request: Request<Full<Bytes>>,
+    ) -> Result<Response<Incoming>, ClientFailure> {
+        self.inner.request(request).await.map_err(|error| {
             let text = error.to_string();
             if error.is_connect() {
                 ClientFailure::NotSent(text)
             } else {
                 ClientFailure::NoReply(text)
             }
-        })?;
-        let status = response.status().as_u16();
-        let retry_after_ms = response
-            .headers()
-            .get(hyper::header::RETRY_AFTER)
-            .and_then(|value| value.to_str().ok()?.parse::<u64>().ok())
-            .map(|seconds| seconds * 1_000);
+        })
+    }
+
+    async fn exchange(&self, request: Request<Full<Bytes>>) -> Result<HttpReply, ClientFailure> {
+        let response = self.begin(request).await?;
+        let (status, retry_after_ms) = head_of(&response);
         let body = Limited::new(response.into_body(), self.reply_bytes)
             .collect()
             .await
@@ -164,3 +215,13 @@
         })
     }
 }
+
+/// Status of a response, and the time after which to come back, in milliseconds.
+fn head_of(response: &Response<Incoming>) -> (u16, Option<u64>) {
+    let retry_after_ms = response
+        .headers()
+        .get(hyper::header::RETRY_AFTER)
+        .and_then(|value| value.to_str().ok()?.parse::<u64>().ok())
+        .map(|seconds| seconds * 1_000);
+    (response.status().as_u16(), retry_after_ms)
+}
--- a/crates/bankvalve_queue/src/caller.rs
+++ b/crates/bankvalve_queue/src/caller.rs
@@ -41,6 +41,8 @@
     pub request: CallerRequest,
     /// Time that the caller waits, in milliseconds.
     pub patience_ms: u64,
+    /// Version of the configuration under which it was read.
+    pub table_version: u64,
 }
 
 /// How a job stands.
@@ -69,6 +71,9 @@
     Cancelled,
     /// There is no such job.
     NoSuchJob,
+    /// The configuration in force is as new as the request: a queue that is not in it is not
+    /// there.
+    TableIsNewest,
     /// So many jobs of the queue have not begun.
     Waiting(u64),
     /// Not done, and surely never; the caller may come back.
@@ -93,15 +98,21 @@
     Overload,
     /// The instance stops.
     Stopping,
+    /// It is not known whether a newer configuration has the queue.
+    TableUnsure,
+    /// A newer configuration than the request was read under does not have the queue.
+    QueueDropped,
 }
 
 impl RefusalReason {
     /// All reasons.
-    pub const ALL: [RefusalReason; 4] = [
+    pub const ALL: [RefusalReason; 6] = [
         RefusalReason::NoLeader,
         RefusalReason::StoreAway,
         RefusalReason::Overload,
         RefusalReason::Stopping,
+        RefusalReason::TableUnsure,
+        RefusalReason::QueueDropped,
     ];
 
     /// Word for logs and counters.
@@ -111,6 +122,8 @@
             RefusalReason::StoreAway => "store_away",
             RefusalReason::Overload => "overload",
             RefusalReason::Stopping => "stopping",
+            RefusalReason::TableUnsure => "table_unsure",
+            RefusalReason::QueueDropped => "queue_dropped",
         }
     }
 }
--- a/crates/bankvalve_queue/src/core/callers.rs
+++ b/crates/bankvalve_queue/src/core/callers.rs
@@ -31,6 +31,8 @@
 #[derive(Debug)]
 pub(super) struct OpenAsk {
     pub(super) request: CallerRequest,
+    /// Version of the configuration under which it was read.
+    table_version: u64,
     pub(super) since: CoreTime,
     until: CoreTime,
     /// Leader that it was last sent to, and when.
@@ -52,6 +54,7 @@
         let patience = Duration::from_millis(request.patience_ms * PATIENCE_PERCENT / 100);
         let ask = OpenAsk {
             request: request.request,
+            table_version: request.table_version,
             since: self.now,
             until: self.now + patience,
             sent: None,
@@ -89,11 +92,17 @@
         };
         ask.sent = Some((leader, now));
         let request = ask.request.clone();
+        let table_version = ask.table_version;
         if own {
-            self.serve_request(Origin::Own(ticket), request);
+            self.serve_read(Origin::Own(ticket), table_version, request);
         } else {
             ask.copies += 1;
-            self.tell(leader, PeerMessage::Ask { ticket, request });
+            let message = PeerMessage::Ask {
+                ticket,
+                table_version,
+                request,
+            };
+            self.tell(leader, message);
         }
     }
 
@@ -165,10 +174,16 @@
         self.actions.push(CoreAction::Answer { ticket, answer });
     }
 
-    pub(super) fn take_ask(&mut self, from: PeerAddress, ticket: Ticket, request: CallerRequest) {
+    pub(super) fn take_ask(
+        &mut self,
+        from: PeerAddress,
+        ticket: Ticket,
+        table_version: u64,
+        request: CallerRequest,
+    ) {
         let loaded = self.lead.as_ref().is_some_and(|lead| lead.loaded);
         if loaded {
-            self.serve_request(Origin::Peer(from, ticket), request);
+            self.serve_read(Origin::Peer(from, ticket), table_version, request);
         } else {
             let answer = None;
             self.tell(from, PeerMessage::Reply { ticket, answer });
@@ -213,6 +228,20 @@
         }
     }
 
+    /// Serves a request that was read under a version of the configuration.
+    fn serve_read(&mut self, origin: Origin, version: u64, request: CallerRequest) {
+        match self.read_anew(request, version) {
+            Ok(request) => self.serve_request(origin, request),
+            Err(reason) => {
+                let newer = self.table_version();
+                let detail = format!("{}, read under {version}", reason.as_str());
+                self.log("callers", "refuse", format!("version {newer}"), detail);
+                let retry_ms = RETRY_MS;
+                self.answer(origin, CallerAnswer::Refused { reason, retry_ms });
+            }
+        }
+    }
+
     fn serve_request(&mut self, origin: Origin, request: CallerRequest) {
         match request {
             CallerRequest::Submit { spec, terms } => self.serve_submit(origin, spec, terms),
--- a/crates/bankvalve_queue/src/core/election.rs
+++ b/crates/bankvalve_queue/src/core/election.rs
@@ -55,8 +55,6 @@
     pub(super) known_at: CoreTime,
     /// Processor that it has, in thousandths of a core.
     pub(super) strength: u64,
-    /// When a configuration may be passed on to it again.
-    pub(super) next_table: CoreTime,
     pub(super) news: HeartbeatNews,
 }
 
--- a/crates/bankvalve_queue/src/core/entry_core.rs
+++ b/crates/bankvalve_queue/src/core/entry_core.rs
@@ -8,7 +8,8 @@
 use super::lead::LeadState;
 use super::ledger_page::LedgerPage;
 use super::sight::UnreadyReason;
-use super::store_link::{StorePurpose, TableSource, WatchState};
+use super::store_link::{StorePurpose, WatchState};
+use super::table_watch::{TableSource, TableWatch};
 use crate::caller::{CallerAnswer, ResolvedRequest};
 use crate::decision::{DecisionLine, EntryCounters, EntryView};
 use crate::guard::SiteGuard;
@@ -99,6 +100,12 @@
         /// What became of it.
         outcome: StoreOutcome,
     },
+    /// The table's answer about the configuration has begun to arrive, and will come whole or be
+    /// told as lost.
+    StoreBegins {
+        /// Number of the request.
+        ticket: Ticket,
+    },
     /// A worker answered, or did not.
     Worker {
         /// Number of the call.
@@ -120,6 +127,15 @@
         /// The request.
         request: ResolvedRequest,
     },
+    /// A caller asks for a queue that the configuration in force does not have. The answer is
+    /// [`CallerAnswer::TableIsNewest`] once that one is sure to be as new as the request, or a
+    /// refusal.
+    QueueUnknown {
+        /// Number of the request.
+        ticket: Ticket,
+        /// Time that the caller waits, in milliseconds.
+        patience_ms: u64,
+    },
     /// A planned stop begins.
     Stop,
 }
@@ -133,7 +149,8 @@
         ticket: Ticket,
         /// The request.
         request: StoreRequest,
-        /// Longest time to wait for the answer.
+        /// Longest time to wait for the answer; of one about the configuration, which may be
+        /// large, for its beginning.
         time: Duration,
     },
     /// Call a worker.
@@ -198,9 +215,7 @@
     pub(super) now: CoreTime,
     pub(super) wall: WallMillis,
     pub(super) table: Option<QueueTable>,
-    pub(super) table_raw: Vec<u8>,
-    /// When the configuration in force came.
-    pub(super) table_since: CoreTime,
+    pub(super) tables: TableWatch,
     pub(super) peers: BTreeMap<PeerAddress, PeerView>,
     pub(super) leader: Option<LeaderView>,
     pub(super) highest_epoch: u64,
@@ -230,7 +245,6 @@
     pub(super) advising: BTreeMap<Ticket, (PeerAddress, Ticket)>,
     pub(super) store_tickets: BTreeMap<Ticket, StorePurpose>,
     pub(super) cell_watch: WatchState,
-    pub(super) operator_watch: WatchState,
     pub(super) worker_watch: WatchState,
     pub(super) probe_answered: Option<CoreTime>,
     /// When the table last answered anything.
@@ -240,8 +254,6 @@
     pub(super) stopping: bool,
     /// What was last logged of its readiness: why it was not ready, or that it was.
     pub(super) told_unready: Option<Option<UnreadyReason>>,
-    /// When the table last answered a question about the configuration.
-    pub(super) table_confirmed: Option<CoreTime>,
     pub(super) counters: EntryCounters,
     pub(super) actions: Vec<CoreAction>,
 }
@@ -255,8 +267,7 @@
             now: TIME_BASE,
             wall: 0,
             table: None,
-            table_raw: Vec::new(),
-            table_since: Duration::ZERO,
+            tables: TableWatch::default(),
             peers: BTreeMap::new(),
             leader: None,
             highest_epoch: 0,
@@ -282,7 +293,6 @@
             advising: BTreeMap::new(),
             store_tickets: BTreeMap::new(),
             cell_watch: WatchState::default(),
-            operator_watch: WatchState::default(),
             worker_watch: WatchState::default(),
             probe_answered: None,
             store_heard: None,
@@ -290,7 +300,6 @@
             next_ticket,
             stopping: false,
             told_unready: None,
-            table_confirmed: None,
             counters: EntryCounters::default(),
             actions: Vec::new(),
         }
@@ -308,9 +317,14 @@
             CoreEvent::Peer { from, message } => self.take_message(from, message),
             CoreEvent::PeerUnreached { peer, refused } => self.peer_unreached(peer, refused),
             CoreEvent::Store { ticket, outcome } => self.take_store(ticket, outcome),
+            CoreEvent::StoreBegins { ticket } => self.store_begins(ticket),
             CoreEvent::Worker { ticket, answer } => self.take_worker_answer(ticket, answer),
             CoreEvent::Advice { ticket, answer } => self.take_advice(ticket, answer),
             CoreEvent::Caller { ticket, request } => self.take_request(ticket, request),
+            CoreEvent::QueueUnknown {
+                ticket,
+                patience_ms,
+            } => self.take_lookup(ticket, patience_ms),
             CoreEvent::Stop => self.begin_stop(),
         }
         self.run_lead();
@@ -328,7 +342,7 @@
             waiting_tasks: lead.map_or(0, LeadState::waiting_tasks),
             live_runs: lead.map_or(0, LeadState::live_runs),
             table_version: self.table_version(),
-            table_age: self.table_confirmed.map(|at| self.age(at)),
+            table_age: self.tables.confirmed.map(|at| self.age(at)),
             leader_age: match &self.leader {
                 _ if lead.is_some() => Some(Duration::ZERO),
                 Some(leader) => Some(self.age(leader.heard_at)),
--- a/crates/bankvalve_queue/src/core/following.rs
+++ b/crates/bankvalve_queue/src/core/following.rs
@@ -23,7 +23,14 @@
     pub(super) fn take_message(&mut self, from: PeerAddress, message: PeerMessage) {
         match message {
             PeerMessage::Heartbeat(news) => self.take_heartbeat(from, news),
-            PeerMessage::Ask { ticket, request } => self.take_ask(from, ticket, request),
+            PeerMessage::Ask {
+                ticket,
+                table_version,
+                request,
+            } => {
+                self.hear_of_table(from, table_version);
+                self.take_ask(from, ticket, table_version, request);
+            }
             PeerMessage::Reply { ticket, answer } => self.take_reply(from, ticket, answer),
             PeerMessage::Advise { ticket, ask } => self.carry_advice(from, ticket, ask),
             PeerMessage::Advised { ticket, answer } => self.end_advice(ticket, answer),
@@ -34,9 +41,13 @@
             } => self.take_committed(epoch, sequence, &batch),
             PeerMessage::Measured { workers, queues } => self.take_measures(workers, queues),
             PeerMessage::TakeOver { epoch, over } => self.take_over(from, epoch, over),
-            PeerMessage::Table { raw } => {
-                self.actions.push(super::CoreAction::DecodeTable(raw));
+            PeerMessage::TableWanted { version } => self.take_table_wanted(from, version),
+            PeerMessage::TableOffer { version, bytes } => {
+                self.take_table_offer(from, version, bytes);
             }
+            PeerMessage::TableTaken => self.take_table_taken(from),
+            PeerMessage::TableRefused => self.lose_giver(from),
+            PeerMessage::Table { raw } => self.take_peer_table(raw),
         }
     }
 
--- a/crates/bankvalve_queue/src/core/members.rs
+++ b/crates/bankvalve_queue/src/core/members.rs
@@ -18,10 +18,6 @@
 const FAR_HEARTBEAT: Duration = Duration::from_millis(400);
 /// A peer that was heard this lately counts as alive.
 const PEER_ALIVE: Duration = Duration::from_millis(900);
-/// Time in which the table itself tells a peer of a new configuration, as a rule.
-const TABLE_GRACE: Duration = Duration::from_millis(500);
-/// Least time between two configurations that are passed on to one peer.
-const TABLE_PAUSE: Duration = Duration::from_millis(1_000);
 /// Silence after which a member's row is dropped.
 const DROP_MEMBER_AFTER: Duration = Duration::from_secs(60);
 
@@ -156,7 +152,8 @@
     }
 
     pub(super) fn take_heartbeat(&mut self, from: PeerAddress, news: HeartbeatNews) {
-        self.pass_table_on(from, &news);
+        self.hear_of_table(from, news.table_version);
+        self.end_gift(from, news.table_version);
         if let Some(lead) = &self.lead {
             if news.epoch > lead.epoch {
                 self.depose("a peer knows a later epoch");
@@ -188,32 +185,6 @@
         }
     }
 
-    /// Passes the configuration on to a peer that the table has not told of it in time.
-    ///
-    /// Only the leader does, and seldom to the same peer: a configuration may be large, and in a
-    /// quick series of changes all peers are behind for a moment.
-    fn pass_table_on(&mut self, peer: PeerAddress, news: &HeartbeatNews) {
-        let now = self.now;
-        let behind = news.table_version < self.table_version();
-        let own_age = now.saturating_sub(self.table_since);
-        if !behind || self.lead.is_none() || own_age < TABLE_GRACE {
-            return;
-        }
-        let due = |view: &PeerView| now >= view.next_table;
-        let Some(view) = self.peers.get_mut(&peer).filter(|view| due(view)) else {
-            return;
-        };
-        view.next_table = now + TABLE_PAUSE;
-        let raw = self.table_raw.clone();
-        self.log(
-            "config",
-            "pass_on",
-            peer.to_string(),
-            news.table_version.to_string(),
-        );
-        self.tell(peer, PeerMessage::Table { raw });
-    }
-
     /// A peer does not answer; a leader that refuses connections is suspected at once.
     pub(super) fn peer_unreached(&mut self, peer: PeerAddress, refused: bool) {
         self.counters.count("retries", "peer_unreached");
@@ -236,6 +207,7 @@
             }
         }
         self.reassign_advice(peer);
+        self.lose_giver(peer);
         let leads = self.lead.is_none()
             && self
                 .leader
--- a/crates/bankvalve_queue/src/core/mod.rs
+++ b/crates/bankvalve_queue/src/core/mod.rs
@@ -5,7 +5,8 @@
 //! ledger, `callers` answers requests, `holds`, `reports`, `orders` and
 //! `overdue` deal with workers, `advice` asks the policy service, `placing`
 //! decides which task runs where, and `making_room` what gives way to it. `sight`
-//! tells how the instance stands.
+//! tells how the instance stands. `table_watch` and `table_pull` have the
+//! operator's configuration, `queue_lookup` what is not in it.
 
 mod advice;
 mod callers;
@@ -22,6 +23,7 @@
 mod orders;
 mod overdue;
 mod placing;
+mod queue_lookup;
 mod read_back;
 mod reports;
 mod seat;
@@ -29,6 +31,8 @@
 mod sight;
 mod standby;
 mod store_link;
+mod table_pull;
+mod table_watch;
 mod waiting;
 mod withdraw;
 mod yielding;
--- a/crates/bankvalve_queue/src/core/standby.rs
+++ b/crates/bankvalve_queue/src/core/standby.rs
@@ -62,7 +62,7 @@
     }
 
     /// The near members, with this one if it is near.
-    fn near_members(&self) -> Vec<PeerAddress> {
+    pub(super) fn near_members(&self) -> Vec<PeerAddress> {
         let mut ranks: Vec<MemberRank> =
             self.ranked_peers().iter().map(|(rank, _)| *rank).collect();
         ranks.push(self.own_rank());
--- a/crates/bankvalve_queue/src/core/store_link.rs
+++ b/crates/bankvalve_queue/src/core/store_link.rs
@@ -5,7 +5,6 @@
 use super::EntryCore;
 use crate::core::CoreAction;
 use crate::ids::{CoreTime, Ticket};
-use crate::queue_table::QueueTable;
 use crate::store::{StoreOutcome, StoreRequest};
 
 /// Table that holds the leader's row and the members' rows.
@@ -17,8 +16,8 @@
 /// Part of the members' rows.
 pub(super) const MEMBER_PART: &str = "member";
 
-/// Longest that a watch waits; a connection on which an answer was lost says nothing more,
-/// so this bounds how old the configuration can get.
+/// Longest that a watch on the workers' entries waits; a connection on which an answer was lost
+/// says nothing more, so this bounds how old they can get.
 const WATCH_WAIT: Duration = Duration::from_millis(1_000);
 /// The same for members' rows and the leader's, of which heartbeats tell sooner.
 const CELL_WATCH_WAIT: Duration = Duration::from_millis(3_000);
@@ -33,12 +32,9 @@
 const MANY_MEMBERS: usize = 12;
 /// Pause between two watches of members' rows on such a site, so that changes come together.
 const MANY_PAUSE: Duration = Duration::from_millis(150);
-/// Pause between two changes of the configuration that are read: a large one takes a small
-/// instance some 0.1 s, and in a quick series only the last one counts.
-const OPERATOR_PAUSE: Duration = Duration::from_millis(300);
 /// Pause after a request that failed; it doubles with each one that does, since each instance that
 /// asks a table that is away is paid for, and delays its return.
-const RETRY_PAUSE: Duration = Duration::from_millis(120);
+pub(super) const RETRY_PAUSE: Duration = Duration::from_millis(120);
 /// Most doublings of it.
 const RETRY_DOUBLINGS: u32 = 3;
 
@@ -56,20 +52,12 @@
     ReadCell,
     WatchCell,
     Operator,
+    AskOperator,
     Workers { full: bool },
     DropMember,
     Probe,
 }
 
-/// Where a configuration came from.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(super) enum TableSource {
-    /// The platform's table.
-    Table,
-    /// A peer.
-    Peer,
-}
-
 /// A watch on a table.
 #[derive(Debug, Default)]
 pub(super) struct WatchState {
@@ -78,16 +66,16 @@
     pub(super) busy: bool,
     pub(super) next_at: CoreTime,
     /// Requests that failed since the last one that did not.
-    failures: u32,
+    pub(super) failures: u32,
 }
 
 impl WatchState {
-    fn is_due(&self, now: CoreTime) -> bool {
+    pub(super) fn is_due(&self, now: CoreTime) -> bool {
         !self.busy && now >= self.next_at
     }
 
     /// A request failed; the next one waits.
-    fn back_off(&mut self, now: CoreTime) {
+    pub(super) fn back_off(&mut self, now: CoreTime) {
         let doublings = self.failures.min(RETRY_DOUBLINGS);
         self.failures += 1;
         self.next_at = now + RETRY_PAUSE * 2_u32.pow(doublings);
@@ -142,14 +130,7 @@
                 }
             }
         }
-        if self.operator_watch.is_due(self.now) {
-            self.operator_watch.busy = true;
-            let request = match self.operator_watch.after {
-                None => StoreRequest::ReadOperator,
-                Some(after) => StoreRequest::WatchOperator { after, wait_ms },
-            };
-            self.ask_store(StorePurpose::Operator, request);
-        }
+        self.run_table();
         if self.lead.is_some() && self.worker_watch.is_due(self.now) {
             self.worker_watch.busy = true;
             let (request, full) = match self.worker_watch.after {
@@ -182,6 +163,7 @@
         let Some(purpose) = self.store_tickets.remove(&ticket) else {
             return;
         };
+        self.store_arrived(ticket);
         if !matches!(outcome, StoreOutcome::Lost | StoreOutcome::Busy) {
             self.store_heard = Some(self.now);
         }
@@ -207,6 +189,7 @@
             StorePurpose::ReadCell => self.end_read_cell(outcome),
             StorePurpose::WatchCell => self.end_watch_cell(outcome),
             StorePurpose::Operator => self.end_operator(outcome),
+            StorePurpose::AskOperator => self.end_ask_operator(outcome),
             StorePurpose::Workers { full } => self.end_workers(outcome, full),
             StorePurpose::DropMember => {}
             StorePurpose::Probe => self.end_probe(&outcome),
@@ -261,28 +244,6 @@
         self.run_watches();
     }
 
-    fn end_operator(&mut self, outcome: StoreOutcome) {
-        let watch = &mut self.operator_watch;
-        watch.busy = false;
-        match outcome {
-            StoreOutcome::Operator { news, version } => {
-                watch.after = Some(version);
-                watch.failures = 0;
-                self.table_confirmed = Some(self.now);
-                if let Some(table) = news.table {
-                    watch.next_at = self.now + OPERATOR_PAUSE;
-                    self.use_table(table, news.raw, TableSource::Table);
-                } else if !news.raw.is_empty() {
-                    let detail = format!("{} bytes at version {version}", news.raw.len());
-                    self.log("config", "unreadable", String::new(), detail);
-                }
-            }
-            StoreOutcome::HistoryGone => watch.after = None,
-            _ => watch.back_off(self.now),
-        }
-        self.run_watches();
-    }
-
     fn end_workers(&mut self, outcome: StoreOutcome, full: bool) {
         match outcome {
             StoreOutcome::Workers {
@@ -316,31 +277,4 @@
         }
         self.run_watches();
     }
-
-    /// Puts a configuration in force, unless it is older than the one that is.
-    pub(super) fn use_table(&mut self, table: QueueTable, raw: Vec<u8>, source: TableSource) {
-        let version = table.version;
-        let known = self.table_version();
-        if self.table.is_some() && known >= version {
-            // The whole row is read again when the history is forgotten.
-            if known > version {
-                let detail = format!("from {source:?}, {known} is in force");
-                self.log("config", "older", version.to_string(), detail);
-            }
-            return;
-        }
-        let detail = format!(
-            "from {source:?} after {known}, {} queues, {} bytes",
-            table.queues().count(),
-            raw.len()
-        );
-        self.log("config", "in_force", version.to_string(), detail);
-        self.actions.push(CoreAction::UseTable(table.clone()));
-        self.table = Some(table);
-        self.table_raw = raw;
-        self.table_since = self.now;
-        if let Some(lead) = self.lead.as_deref_mut() {
-            lead.stale = true;
-        }
-    }
 }
--- a/crates/bankvalve_queue/src/guard.rs
+++ b/crates/bankvalve_queue/src/guard.rs
@@ -19,11 +19,15 @@
     CompleteBook,
     /// A run that a list lacks is gone only if the list was asked for after the run was confirmed.
     NewerList,
+    /// An older configuration never replaces a newer one.
+    NewerTable,
+    /// That a queue is not there is said only once the configuration is known to be the newest.
+    KnownNewest,
 }
 
 impl SiteGuard {
     /// All guards.
-    pub const ALL: [SiteGuard; 8] = [
+    pub const ALL: [SiteGuard; 10] = [
         SiteGuard::LedgerFirst,
         SiteGuard::OwnRow,
         SiteGuard::KeptEnds,
@@ -32,6 +36,8 @@
         SiteGuard::SureRefusal,
         SiteGuard::CompleteBook,
         SiteGuard::NewerList,
+        SiteGuard::NewerTable,
+        SiteGuard::KnownNewest,
     ];
 
     /// Name used on the command line.
@@ -54,6 +60,8 @@
             SiteGuard::SureRefusal => "sure-refusal",
             SiteGuard::CompleteBook => "complete-book",
             SiteGuard::NewerList => "newer-list",
+            SiteGuard::NewerTable => "newer-table",
+            SiteGuard::KnownNewest => "known-newest",
         }
     }
 
--- a/crates/bankvalve_queue/src/lib.rs
+++ b/crates/bankvalve_queue/src/lib.rs
@@ -34,7 +34,7 @@
 };
 pub use peer::{HeartbeatNews, PeerAddress, PeerBatch, PeerMessage};
 pub use policy::PolicySwitch;
-pub use port::{PlatformPort, WireAnswer, WireCall, WireReply, WireRequest};
+pub use port::{PlatformPort, RequestFault, WireAnswer, WireCall, WireReply, WireRequest};
 pub use queue_table::{AdviceRule, QueueRule, QueueTable};
 pub use store::{
     OperatorNews, RowChange, RowCondition, RowKey, RowWrite, StoreOutcome, StoreRequest, StoredRow,
--- a/crates/bankvalve_queue/src/peer.rs
+++ b/crates/bankvalve_queue/src/peer.rs
@@ -1,6 +1,7 @@
 //! What entry instances say to each other.
 
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
 
@@ -8,6 +9,13 @@
 use crate::ids::{Ticket, WorkerId};
 use crate::worker::{AdviceAnswer, AdviceAsk};
 
+/// Longest wait for a peer to take messages.
+const SENDING_TIME: Duration = Duration::from_millis(700);
+/// The same for a configuration, however large.
+const SENDING_LIMIT: Duration = Duration::from_millis(8_000);
+/// What a thin link carries beside other things: less than half of 10 Mbit/s.
+const SLOW_LINK_BYTES_PER_MS: u64 = 500;
+
 /// Address at which a peer listens for peers.
 pub type PeerAddress = SocketAddr;
 
@@ -50,6 +58,8 @@
     Ask {
         /// Number of the question.
         ticket: Ticket,
+        /// Version of the configuration under which it was read.
+        table_version: u64,
         /// The request.
         request: CallerRequest,
     },
@@ -98,7 +108,23 @@
         /// Whether the sender has stopped commanding; if not, it does until the claim stands.
         over: bool,
     },
-    /// A configuration, to a peer that has an older one.
+    /// The sender has an older configuration than a peer, and the table does not answer it.
+    TableWanted {
+        /// Version that it has.
+        version: u64,
+    },
+    /// The sender has a newer one to give.
+    TableOffer {
+        /// Its version.
+        version: u64,
+        /// Its size.
+        bytes: u64,
+    },
+    /// The sender takes what it was offered.
+    TableTaken,
+    /// The sender cannot give it just now after all.
+    TableRefused,
+    /// A configuration, to a peer that took the offer.
     Table {
         /// The configuration as the operator wrote it.
         #[serde(with = "serde_bytes")]
@@ -106,6 +132,30 @@
     },
 }
 
+impl PeerMessage {
+    /// Longest wait until a peer has taken the message.
+    pub fn sending_time(&self) -> Duration {
+        match self {
+            PeerMessage::Table { raw } => Self::table_time(raw.len() as u64),
+            _ => SENDING_TIME,
+        }
+    }
+
+    /// The same of a configuration of a size.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use bankvalve_queue::PeerMessage;
+    ///
+    /// assert_eq!(PeerMessage::table_time(1_000_000).as_millis(), 700 + 2_000);
+    /// ```
+    pub fn table_time(bytes: u64) -> Duration {
+        let carrying = Duration::from_millis(bytes / SLOW_LINK_BYTES_PER_MS);
+        (SENDING_TIME + carrying).min(SENDING_LIMIT)
+    }
+}
+
 /// Messages that travel together.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct PeerBatch {
--- a/crates/bankvalve_queue/src/port.rs
+++ b/crates/bankvalve_queue/src/port.rs
@@ -57,6 +57,29 @@
     pub retry_ms: Option<u64>,
 }
 
+/// What is wrong with a caller's request.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum RequestFault {
+    /// The configuration has no queue of this host and path; a newer one may.
+    NoQueue {
+        /// What to say once it is known that none has.
+        answer: WireAnswer,
+        /// Time that the caller waits, in milliseconds.
+        patience_ms: u64,
+    },
+    /// It is refused as it is.
+    Refused(WireAnswer),
+}
+
+impl RequestFault {
+    /// What to say to the caller; of a queue, once it is known that no configuration has it.
+    pub fn into_answer(self) -> WireAnswer {
+        match self {
+            RequestFault::NoQueue { answer, .. } | RequestFault::Refused(answer) => answer,
+        }
+    }
+}
+
 /// What became of an HTTP call.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum WireReply {
@@ -89,7 +112,7 @@
     /// Turns its reply into an answer.
     pub advice_answer: fn(&WireReply) -> AdviceAnswer,
     /// Reads a caller's request, or says what is wrong with it.
-    pub read_request: fn(&WireRequest<'_>, &QueueTable) -> Result<ResolvedRequest, WireAnswer>,
+    pub read_request: fn(&WireRequest<'_>, &QueueTable) -> Result<ResolvedRequest, RequestFault>,
     /// Writes the answer to a caller.
     pub write_answer: fn(&CallerAnswer) -> WireAnswer,
     /// Reads a configuration as the operator wrote it.
--- a/crates/bankvalve_queue/tests/entry.rs
+++ b/crates/bankvalve_queue/tests/entry.rs
@@ -43,6 +43,7 @@
     let request = ResolvedRequest {
         request: CallerRequest::Status { job: 7 },
         patience_ms: 3_000,
+        table_version: 0,
     };
     let event = CoreEvent::Caller { ticket, request };
     let actions = core.step(Duration::from_millis(20), 1_010, event);
@@ -92,6 +93,7 @@
             terms: Default::default(),
         },
         patience_ms: 3_000,
+        table_version: 0,
     };
     let at = Duration::from_secs(5);
     let actions = core.step(at, 1, CoreEvent::Caller { ticket, request });
