fix(queue): a late refusal by the leader before does not refuse what this one keeps

Cause: an instance sends a caller's job to the leader, which is silent, then leads itself and takes the job up. The copy that it takes up itself was not counted among those that have no answer. When the leader before wakes and turns its own copy away, the caller is told that the job surely never runs, while it is being kept: rule REFUSED. The other way round as well: its own refusal was told though the copy at the other leader might be taken up.

Ruled out: the refusal of a queue that a newer configuration dropped (the job's queue is in all of them).

Change: the own copy counts. A refusal by a peer of a request that is served here ends only the peer's copy.

Conclusion: mended.

--- a/crates/bankvalve_queue/src/core/callers.rs
+++ b/crates/bankvalve_queue/src/core/callers.rs
@@ -37,7 +37,7 @@
     until: CoreTime,
     /// Leader that it was last sent to, and when.
     pub(super) sent: Option<(PeerAddress, CoreTime)>,
-    /// Copies that a leader may have taken up and that have no answer.
+    /// Copies that a leader, this instance among them, may have taken up and that have no answer.
     pub(super) copies: u32,
 }
 
@@ -93,10 +93,10 @@
         ask.sent = Some((leader, now));
         let request = ask.request.clone();
         let table_version = ask.table_version;
+        ask.copies += 1;
         if own {
             self.serve_read(Origin::Own(ticket), table_version, request);
         } else {
-            ask.copies += 1;
             let message = PeerMessage::Ask {
                 ticket,
                 table_version,
@@ -111,9 +111,6 @@
         let tickets: Vec<Ticket> = self.asks.keys().copied().collect();
         for ticket in tickets {
             if let Some(ask) = self.asks.get_mut(&ticket) {
-                if ask.sent.is_some_and(|(to, _)| to == self.settings.address) {
-                    ask.copies += 1;
-                }
                 ask.sent = None;
             }
             self.send_ask(ticket);
@@ -197,6 +194,12 @@
         answer: Option<CallerAnswer>,
     ) {
         match answer {
+            Some(CallerAnswer::Refused { .. }) if self.is_served_here(ticket) => {
+                // The leader before turns its copy away; this instance answers its own.
+                if let Some(ask) = self.asks.get_mut(&ticket) {
+                    ask.copies = ask.copies.saturating_sub(1);
+                }
+            }
             Some(answer) => self.end_ask(ticket, answer),
             None => {
                 let Some(ask) = self.asks.get_mut(&ticket) else {
@@ -212,6 +215,13 @@
         }
     }
 
+    /// Tells whether this instance leads and has taken a request up itself.
+    fn is_served_here(&self, ticket: Ticket) -> bool {
+        let own = self.settings.address;
+        let ask = self.asks.get(&ticket);
+        ask.is_some_and(|ask| ask.sent.is_some_and(|(to, _)| to == own))
+    }
+
     /// Answers a request about a job that was not known when it came, now that it is sure that this
     /// instance led then; meanwhile the job may have been handed in.
     pub(super) fn serve_unknown(&mut self, ask: UnknownAsk) {
