--- a/crates/bankvalve/src/entry/link_loop.rs
+++ b/crates/bankvalve/src/entry/link_loop.rs
@@ -10,8 +10,8 @@
     encode_message, ClientFailure, ClientLimits, HttpClient, HttpReply, WIRE_TYPE,
 };
 use bankvalve_queue::{
-    AdviceAnswer, CoreAction, CoreEvent, PeerAddress, PeerBatch, PeerMessage, PlatformPort,
-    StoreRequest, Ticket, WireCall, WireReply,
+    peer_time, AdviceAnswer, CoreAction, CoreEvent, PeerAddress, PeerBatch, PeerMessage,
+    PlatformPort, StoreRequest, Ticket, WireCall, WireReply, KEPT_CONNECTIONS, PEER_FLIGHTS,
 };
 use hyper::Method;
 use tokio::sync::mpsc;
@@ -20,8 +20,6 @@
 
 /// Path of peers' messages.
 pub(super) const PEER_PATH: &str = "/messages";
-/// Requests on their way to one peer at most; more messages wait and travel together.
-const PEER_FLIGHTS: usize = 3;
 /// Messages that wait for one peer at most; more are dropped, and whoever needs an answer asks again.
 const PEER_QUEUE: usize = 2_000;
 /// Longest pause in an answer about the configuration, which may be large, until it is given up.
@@ -35,8 +33,6 @@
 const SILENCE: Duration = Duration::from_millis(1_500);
 /// Time after which an idle connection is closed; new ones to workers are dear.
 const IDLE_TIME: Duration = Duration::from_secs(90);
-/// Idle connections kept to each worker, peer and service.
-const IDLE: usize = 6;
 /// Largest reply: a page of rows.
 const REPLY_BYTES: usize = 8 * 1024 * 1024;
 
@@ -91,7 +87,7 @@
     mut actions: mpsc::Receiver<Vec<CoreAction>>,
 ) {
     let client = HttpClient::with_limits(ClientLimits {
-        idle: IDLE,
+        idle: KEPT_CONNECTIONS,
         idle_time: IDLE_TIME,
         connect_time: CONNECT_TIME,
         silence: Some(SILENCE),
@@ -193,8 +189,6 @@
     }
 
     async fn send_batch(self: Rc<Self>, peer: PeerAddress, messages: Vec<PeerMessage>) {
-        let times = messages.iter().map(PeerMessage::sending_time);
-        let time = times.max().unwrap_or_default();
         let batch = PeerBatch {
             from: self.plan.own,
             messages,
@@ -206,9 +200,11 @@
             content_type: WIRE_TYPE,
             body: encode_message(&batch),
         };
-        let reply = self.call(peer, call, time).await;
-        let refused = reply == WireReply::NotSent;
-        let reached = matches!(reply, WireReply::Answer { status: 200, .. });
+        let time = peer_time(call.body.len());
+        let sent = self.exchange(peer, call, time).await;
+        // One that no connection was made to in time may be cut off, and live.
+        let refused = matches!(sent, Err(ClientFailure::Refused(_)));
+        let reached = sent.is_ok_and(|reply| reply.status == 200);
         if !reached {
             self.core.give(CoreEvent::PeerUnreached { peer, refused });
         }
@@ -240,13 +236,21 @@
         call: WireCall,
         time: Duration,
     ) -> WireReply {
+        reply_of(self.exchange(address, call, time).await)
+    }
+
+    async fn exchange(
+        &self,
+        address: impl std::fmt::Display,
+        call: WireCall,
+        time: Duration,
+    ) -> Result<HttpReply, ClientFailure> {
         let url = format!("http://{address}{}", call.path);
         let method = match call.method {
             "GET" => Method::GET,
             _ => Method::POST,
         };
-        let sent = self
-            .client
+        self.client
             .send(
                 method,
                 &url,
@@ -255,8 +259,7 @@
                 call.body,
                 time,
             )
-            .await;
-        reply_of(sent)
+            .await
     }
 }
 
@@ -266,7 +269,7 @@
             status: reply.status,
             body: reply.body.to_vec(),
         },
-        Err(ClientFailure::NotSent(_)) => WireReply::NotSent,
+        Err(ClientFailure::Refused(_) | ClientFailure::NotSent(_)) => WireReply::NotSent,
         Err(ClientFailure::NoReply(_)) => WireReply::NoReply,
     }
 }
--- a/crates/bankvalve_check/src/site/mod.rs
+++ b/crates/bankvalve_check/src/site/mod.rs
@@ -1,5 +1,6 @@
 //! Entry instances on the users' platform under virtual time, with faults and rules.
 
+mod site_answers;
 mod site_bytes;
 mod site_calls;
 mod site_config;
@@ -10,9 +11,11 @@
 mod site_promise;
 mod site_random;
 mod site_rules;
+mod site_silence;
 mod site_workers;
 mod site_world;
 
+pub use site_answers::SiteAnswer;
 pub use site_config::{QueueAnswer, QueueTold};
 pub use site_faults::SiteFault;
 pub use site_jobs::job_of;
--- a/crates/bankvalve_check/src/site/site_calls.rs
+++ b/crates/bankvalve_check/src/site/site_calls.rs
@@ -19,6 +19,10 @@
 /// A caller's request on its way.
 #[derive(Debug)]
 pub(super) enum OpenCall {
+    Check {
+        job: JobId,
+        asked_at: u64,
+    },
     Submit {
         job: JobId,
         tries: u32,
@@ -177,6 +181,9 @@
                     None => {}
                 }
             }
+            Some(OpenCall::Check { job, asked_at }) => {
+                self.note_answer(node, job, asked_at, answer);
+            }
             Some(OpenCall::Cancel { job }) => match answer {
                 CallerAnswer::Cancelled => self.rules.cancel_confirmed(job, now),
                 CallerAnswer::NoSuchJob => {}
--- a/crates/bankvalve_check/src/site/site_links.rs
+++ b/crates/bankvalve_check/src/site/site_links.rs
@@ -1,15 +1,14 @@
 //! What instances ask for, carried to peers and the table.
 
 use bankvalve_queue::{
-    CoreAction, CoreEvent, PeerAddress, StoreOutcome, StoreRequest, Ticket, WorkerAnswer,
+    peer_time, CoreAction, CoreEvent, PeerAddress, StoreOutcome, StoreRequest, Ticket, WorkerAnswer,
 };
 use rand::Rng;
 
 use super::site_bytes::{message_bytes, request_bytes};
+use super::site_silence::call_ms;
 use super::site_world::{Later, SiteNode, SiteWorld};
 
-/// Longest wait for a peer to take a message, in milliseconds.
-const PEER_TIME_MS: u64 = 700;
 /// Longest way of a message to a peer, in milliseconds.
 const WAY_MS: u64 = 4;
 /// The same of a configuration, which may be large, where links do not tell.
@@ -128,6 +127,9 @@
         to: PeerAddress,
         message: bankvalve_queue::PeerMessage,
     ) {
+        let Some(message) = self.pass_silent_lane(from, to, message) else {
+            return;
+        };
         *self.peer_messages.entry(from).or_default() += 1;
         let table = matches!(message, bankvalve_queue::PeerMessage::Table { .. });
         self.tables_passed += u64::from(table);
@@ -155,14 +157,10 @@
                     message,
                 };
                 let target_life = self.nodes[target].life;
-                let limit = match &event {
-                    CoreEvent::Peer { message, .. } => message.sending_time().as_millis() as u64,
-                    _ => PEER_TIME_MS,
-                };
                 let large = table && !self.links_carry_all;
                 let longest = if large { LARGE_WAY_MS } else { WAY_MS };
                 let way = self.rng.random_range(1..longest);
-                let delay = self.carry_message(from, target, &event, way);
+                let (delay, limit) = self.carry_message(from, target, &event, way);
                 if delay > limit {
                     let event = unreached(false);
                     self.after(
@@ -187,7 +185,7 @@
             _ => {
                 let event = unreached(false);
                 self.after(
-                    PEER_TIME_MS,
+                    call_ms(),
                     Later::Event {
                         node: from,
                         life,
@@ -198,18 +196,20 @@
         }
     }
 
-    /// Milliseconds that a message takes, on the sender's link, on its way, and on the receiver's.
-    fn carry_message(&mut self, from: usize, to: usize, event: &CoreEvent, way: u64) -> u64 {
+    /// Milliseconds that a message takes, on the sender's link, on its way, and on the receiver's,
+    /// and how many it may.
+    fn carry_message(&mut self, from: usize, to: usize, event: &CoreEvent, way: u64) -> (u64, u64) {
         let CoreEvent::Peer { message, .. } = event else {
-            return way;
+            return (way, way);
         };
         if !self.links_carry_all {
-            return way;
+            return (way, way);
         }
         let bytes = message_bytes(message);
         *self.peer_bytes.entry(from).or_default() += bytes;
         let left = self.send_out(from, bytes);
-        self.take_in(to, bytes, left + way).last
+        let took = self.take_in(to, bytes, left + way).last;
+        (took, peer_time(bytes as usize).as_millis() as u64)
     }
 
     pub(super) fn store_arrives(
--- a/crates/bankvalve_check/src/site/site_world.rs
+++ b/crates/bankvalve_check/src/site/site_world.rs
@@ -16,7 +16,8 @@
 use super::site_bytes::LinkUse;
 use super::site_calls::OpenCall;
 use super::site_config::{QueueAnswer, SiteConfig};
-use super::RuleBook;
+use super::site_silence::SilentLane;
+use super::{RuleBook, SiteAnswer};
 
 /// Name of the usual queue.
 pub const QUEUE: &str = "batch";
@@ -147,6 +148,12 @@
     ApplyLate {
         request: StoreRequest,
     },
+    SendPeer {
+        node: usize,
+        life: u64,
+        to: PeerAddress,
+        message: bankvalve_queue::PeerMessage,
+    },
 }
 
 /// The world.
@@ -215,6 +222,12 @@
     pub(super) config: SiteConfig,
     /// What callers that asked for queues were told.
     pub told: Vec<QueueAnswer>,
+    pub(super) silent_lanes: BTreeMap<(usize, usize), SilentLane>,
+    /// Whether a call without an answer gives up all connections to that peer, as `HttpClient`
+    /// does; else each is given up by itself.
+    pub given_up_together: bool,
+    /// What callers were told that asked one instance about one job.
+    pub answers: Vec<SiteAnswer>,
 }
 
 impl std::fmt::Debug for SiteWorld {
@@ -269,6 +282,9 @@
             links_carry_all: false,
             config: SiteConfig::default(),
             told: Vec::new(),
+            silent_lanes: BTreeMap::new(),
+            given_up_together: true,
+            answers: Vec::new(),
             plan,
         };
         world.configure(1);
@@ -325,6 +341,7 @@
         self.nodes[number].core = None;
         self.nodes[number].parked.clear();
         self.nodes[number].link_use = LinkUse::default();
+        self.end_silence_of(number);
         self.watches.retain(|(node, ..)| *node != number);
         let calls: Vec<(usize, Ticket)> = self.calls.keys().copied().collect();
         for (node, ticket) in calls {
@@ -472,6 +489,16 @@
                 self.store.handle(&request);
                 self.answer_watches();
             }
+            Later::SendPeer {
+                node,
+                life,
+                to,
+                message,
+            } => {
+                if self.is_life(node, life) {
+                    self.send_peer(node, to, message);
+                }
+            }
         }
     }
 
--- a/crates/bankvalve_check/tests/site/random.rs
+++ b/crates/bankvalve_check/tests/site/random.rs
@@ -29,6 +29,7 @@
         (SiteGuard::NewerList, 1),
         (SiteGuard::NewerTable, 2),
         (SiteGuard::KnownNewest, 1),
+        (SiteGuard::ResentAsk, 1),
     ];
     // The drawn worlds notice this one seldom: it has a world of its own below.
     let others = SiteGuard::ALL.into_iter();
--- a/crates/bankvalve_link/src/client/mod.rs
+++ b/crates/bankvalve_link/src/client/mod.rs
@@ -1,15 +1,18 @@
 //! An HTTP client that keeps connections open.
 
+mod kept_connections;
+
+use std::io::ErrorKind;
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::{Body, Incoming};
 use hyper::header::{HeaderName, HeaderValue, CONTENT_TYPE};
+use hyper::http::uri::Authority;
 use hyper::{Method, Request, Response};
-use hyper_util::client::legacy::connect::HttpConnector;
-use hyper_util::client::legacy::Client;
-use hyper_util::rt::{TokioExecutor, TokioTimer};
+
+use self::kept_connections::{ConnectionPool, KeptConnections};
 
 /// Time after which an idle connection is closed.
 const IDLE_TIME: Duration = Duration::from_secs(20);
@@ -34,7 +37,9 @@
 /// Why a request has no reply.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum ClientFailure {
-    /// It was surely not sent: no connection could be made.
+    /// It was surely not sent: its port refused the connection, so nothing listens there.
+    Refused(String),
+    /// It was surely not sent: no connection could be made, in time or at all.
     NotSent(String),
     /// It may have been received.
     NoReply(String),
@@ -43,12 +48,42 @@
 impl std::fmt::Display for ClientFailure {
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
         match self {
+            ClientFailure::Refused(text) => write!(f, "refused: {text}"),
             ClientFailure::NotSent(text) => write!(f, "not sent: {text}"),
             ClientFailure::NoReply(text) => write!(f, "no reply: {text}"),
         }
     }
 }
 
+/// How a call ended that has no reply, though its connection was made.
+enum CallEnd {
+    /// Nothing acknowledged what was sent.
+    Silent,
+    /// Anything else.
+    Failed(ClientFailure),
+}
+
+impl CallEnd {
+    fn of(error: &(dyn std::error::Error + 'static)) -> Self {
+        match system_cause(error) {
+            Some(ErrorKind::TimedOut) => CallEnd::Silent,
+            _ => CallEnd::Failed(ClientFailure::NoReply(error.to_string())),
+        }
+    }
+}
+
+/// What the system said, if an error comes from it.
+fn system_cause(error: &(dyn std::error::Error + 'static)) -> Option<ErrorKind> {
+    let mut cause = Some(error);
+    while let Some(error) = cause {
+        if let Some(error) = error.downcast_ref::<std::io::Error>() {
+            return Some(error.kind());
+        }
+        cause = error.source();
+    }
+    None
+}
+
 /// A reply.
 #[derive(Clone, Debug)]
 pub struct HttpReply {
@@ -62,10 +97,13 @@
 
 /// A client; clones share their connections.
 ///
-/// Must be used inside a tokio runtime with I/O and time enabled.
+/// A call without an answer in time shows that the connections open to its address may be silent:
+/// none of them is used for a later call.
+///
+/// **NOTE** Must be used inside a tokio runtime with I/O and time enabled.
 #[derive(Clone, Debug)]
 pub struct HttpClient {
-    inner: Client<HttpConnector, Full<Bytes>>,
+    kept: KeptConnections,
     reply_bytes: usize,
 }
 
@@ -90,18 +128,8 @@
 
     /// Makes a client that keeps its connections as the limits say.
     pub fn with_limits(limits: ClientLimits) -> Self {
-        let mut connector = HttpConnector::new();
-        connector.set_nodelay(true);
-        connector.set_connect_timeout(Some(limits.connect_time));
-        connector.set_tcp_user_timeout(limits.silence);
-        let inner = Client::builder(TokioExecutor::new())
-            .pool_timer(TokioTimer::new())
-            .pool_idle_timeout(limits.idle_time)
-            .pool_max_idle_per_host(limits.idle)
-            .retry_canceled_requests(false)
-            .build(connector);
         Self {
-            inner,
+            kept: KeptConnections::new(limits),
             reply_bytes: limits.reply_bytes,
         }
     }
@@ -132,10 +160,11 @@
         let request = builder
             .body(Full::new(body.into()))
             .map_err(|error| ClientFailure::NotSent(error.to_string()))?;
-        match tokio::time::timeout(time, self.exchange(request)).await {
-            Ok(reply) => reply,
-            Err(_) => Err(ClientFailure::NoReply("out of time".into())),
-        }
+        let address = address_of(&request, url)?;
+        let (pool, generation) = self.kept.pool(&address);
+        let exchange = tokio::time::timeout(time, self.exchange(&pool, request));
+        let end = exchange.await.unwrap_or(Err(CallEnd::Silent));
+        self.note_end(&address, generation, end)
     }
 
     /// Sends a request and waits a time for the reply to begin, and then for its whole body as long
@@ -159,10 +188,42 @@
             .header(CONTENT_TYPE, content_type)
             .body(Full::new(Bytes::new()))
             .map_err(|error| ClientFailure::NotSent(error.to_string()))?;
-        let out_of_time = |_| ClientFailure::NoReply("out of time".into());
-        let response = tokio::time::timeout(time, self.begin(request))
-            .await
-            .map_err(out_of_time)??;
+        let address = address_of(&request, url)?;
+        let (pool, generation) = self.kept.pool(&address);
+        let exchange = self.exchange_long(&pool, request, (time, pause), begins);
+        self.note_end(&address, generation, exchange.await)
+    }
+
+    /// Notes how a call ended on the connections among which it was.
+    fn note_end(
+        &self,
+        address: &Authority,
+        generation: u64,
+        end: Result<HttpReply, CallEnd>,
+    ) -> Result<HttpReply, ClientFailure> {
+        match end {
+            Ok(reply) => {
+                self.kept.note_answer(address, generation);
+                Ok(reply)
+            }
+            Err(CallEnd::Failed(failure)) => Err(failure),
+            Err(CallEnd::Silent) => {
+                self.kept.give_up(address, generation);
+                Err(ClientFailure::NoReply("out of time".into()))
+            }
+        }
+    }
+
+    async fn exchange_long(
+        &self,
+        pool: &ConnectionPool,
+        request: Request<Full<Bytes>>,
+        (time, pause): (Duration, Duration),
+        begins: impl FnOnce(Option<u64>),
+    ) -> Result<HttpReply, CallEnd> {
+        let out_of_time = |_| CallEnd::Silent;
+        let begun = tokio::time::timeout(time, begin(pool, request));
+        let response = begun.await.map_err(out_of_time)??;
         let (status, retry_after_ms) = head_of(&response);
         begins(response.body().size_hint().exact());
         let mut body = Limited::new(response.into_body(), self.reply_bytes);
@@ -176,7 +237,7 @@
                         whole.extend_from_slice(data);
                     }
                 }
-                Some(Err(error)) => return Err(ClientFailure::NoReply(error.to_string())),
+                Some(Err(error)) => return Err(CallEnd::of(&*error)),
             }
         }
         Ok(HttpReply {
@@ -186,27 +247,17 @@
         })
     }
 
-    async fn begin(
+    async fn exchange(
         &self,
+        pool: &ConnectionPool,
         request: Request<Full<Bytes>>,
-    ) -> Result<Response<Incoming>, ClientFailure> {
-        self.inner.request(request).await.map_err(|error| {
-            let text = error.to_string();
-            if error.is_connect() {
-                ClientFailure::NotSent(text)
-            } else {
-                ClientFailure::NoReply(text)
-            }
-        })
-    }
-
-    async fn exchange(&self, request: Request<Full<Bytes>>) -> Result<HttpReply, ClientFailure> {
-        let response = self.begin(request).await?;
+    ) -> Result<HttpReply, CallEnd> {
+        let response = begin(pool, request).await?;
         let (status, retry_after_ms) = head_of(&response);
         let body = Limited::new(response.into_body(), self.reply_bytes)
             .collect()
             .await
-            .map_err(|error| ClientFailure::NoReply(error.to_string()))?
+            .map_err(|error| CallEnd::of(&*error))?
             .to_bytes();
         Ok(HttpReply {
             status,
@@ -216,6 +267,28 @@
     }
 }
 
+fn address_of(request: &Request<Full<Bytes>>, url: &str) -> Result<Authority, ClientFailure> {
+    let address = request.uri().authority().cloned();
+    address.ok_or_else(|| ClientFailure::NotSent(format!("{url}: expected an address")))
+}
+
+/// Sends a request and waits until its reply begins.
+async fn begin(
+    pool: &ConnectionPool,
+    request: Request<Full<Bytes>>,
+) -> Result<Response<Incoming>, CallEnd> {
+    pool.request(request).await.map_err(|error| {
+        let text = error.to_string();
+        match (error.is_connect(), system_cause(&error)) {
+            (true, Some(ErrorKind::ConnectionRefused | ErrorKind::ConnectionReset)) => {
+                CallEnd::Failed(ClientFailure::Refused(text))
+            }
+            (true, _) => CallEnd::Failed(ClientFailure::NotSent(text)),
+            (false, _) => CallEnd::of(&error),
+        }
+    })
+}
+
 /// Status of a response, and the time after which to come back, in milliseconds.
 fn head_of(response: &Response<Incoming>) -> (u16, Option<u64>) {
     let retry_after_ms = response
--- a/crates/bankvalve_queue/src/core/table_pull.rs
+++ b/crates/bankvalve_queue/src/core/table_pull.rs
@@ -8,7 +8,7 @@
 use super::EntryCore;
 use crate::core::CoreAction;
 use crate::ids::CoreTime;
-use crate::peer::{PeerAddress, PeerMessage};
+use crate::peer::{peer_time, PeerAddress, PeerMessage};
 
 /// Peers that are asked at a time: some may be dead, or have no newer one either.
 const ASKED_AT_ONCE: usize = 3;
@@ -123,7 +123,7 @@
         if !wanted || pull.giver.is_some_and(|(_, until)| now < until) {
             return;
         }
-        pull.giver = Some((from, now + PeerMessage::table_time(bytes)));
+        pull.giver = Some((from, now + peer_time(bytes as usize)));
         self.tell(from, PeerMessage::TableTaken);
     }
 
@@ -137,15 +137,15 @@
         }
         let version = self.table_version();
         let raw = self.tables.raw.clone();
-        let message = PeerMessage::Table { raw };
+        let bytes = raw.len();
         self.tables.gift = Some(PeerGift {
             to: from,
             version,
-            until: self.now + message.sending_time(),
+            until: self.now + peer_time(bytes),
         });
         self.log("config", "pass_on", from.to_string(), version.to_string());
         self.counters.count("config", "passed_on");
-        self.tell(from, message);
+        self.tell(from, PeerMessage::Table { raw });
     }
 
     /// A peer does not give its configuration after all, or is not reached.
--- a/crates/bankvalve_queue/src/guard.rs
+++ b/crates/bankvalve_queue/src/guard.rs
@@ -23,11 +23,13 @@
     NewerTable,
     /// That a queue is not there is said only once the configuration is known to be the newest.
     KnownNewest,
+    /// A question that has no answer is sent again.
+    ResentAsk,
 }
 
 impl SiteGuard {
     /// All guards.
-    pub const ALL: [SiteGuard; 10] = [
+    pub const ALL: [SiteGuard; 11] = [
         SiteGuard::LedgerFirst,
         SiteGuard::OwnRow,
         SiteGuard::KeptEnds,
@@ -38,6 +40,7 @@
         SiteGuard::NewerList,
         SiteGuard::NewerTable,
         SiteGuard::KnownNewest,
+        SiteGuard::ResentAsk,
     ];
 
     /// Name used on the command line.
@@ -62,6 +65,7 @@
             SiteGuard::NewerList => "newer-list",
             SiteGuard::NewerTable => "newer-table",
             SiteGuard::KnownNewest => "known-newest",
+            SiteGuard::ResentAsk => "resent-ask",
         }
     }
 
--- a/crates/bankvalve_queue/src/peer.rs
+++ b/crates/bankvalve_queue/src/peer.rs
@@ -9,16 +9,31 @@
 use crate::ids::{Ticket, WorkerId};
 use crate::worker::{AdviceAnswer, AdviceAsk};
 
-/// Longest wait for a peer to take messages.
-const SENDING_TIME: Duration = Duration::from_millis(700);
-/// The same for a configuration, however large.
-const SENDING_LIMIT: Duration = Duration::from_millis(8_000);
-/// What a thin link carries beside other things: less than half of 10 Mbit/s.
-const SLOW_LINK_BYTES_PER_MS: u64 = 500;
-
 /// Address at which a peer listens for peers.
 pub type PeerAddress = SocketAddr;
 
+/// Connections that an instance keeps open to each peer, worker and service.
+pub const KEPT_CONNECTIONS: usize = 6;
+/// Batches on their way to one peer at most; more messages wait and travel together.
+pub const PEER_FLIGHTS: usize = 3;
+/// Longest wait for a peer to take a small batch: usual are 2 to 5 ms, and an instance that has
+/// spent its share of a core stands still for up to 100.
+const PEER_TIME: Duration = Duration::from_millis(400);
+/// Bytes of a batch that a link is reckoned to carry in a millisecond: two fifths of the thinnest
+/// one of the users' sites, 10 Mbit/s.
+const LINK_BYTES_PER_MS: usize = 500;
+
+/// Longest wait for a peer to take a batch of so many bytes.
+///
+/// # Examples
+///
+/// ```
+/// assert!(bankvalve_queue::peer_time(1_000_000) >= bankvalve_queue::peer_time(100));
+/// ```
+pub fn peer_time(bytes: usize) -> Duration {
+    PEER_TIME + Duration::from_millis((bytes / LINK_BYTES_PER_MS) as u64)
+}
+
 /// What a heartbeat tells.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct HeartbeatNews {
@@ -132,30 +147,6 @@
     },
 }
 
-impl PeerMessage {
-    /// Longest wait until a peer has taken the message.
-    pub fn sending_time(&self) -> Duration {
-        match self {
-            PeerMessage::Table { raw } => Self::table_time(raw.len() as u64),
-            _ => SENDING_TIME,
-        }
-    }
-
-    /// The same of a configuration of a size.
-    ///
-    /// # Examples
-    ///
-    /// ```
-    /// use bankvalve_queue::PeerMessage;
-    ///
-    /// assert_eq!(PeerMessage::table_time(1_000_000).as_millis(), 700 + 2_000);
-    /// ```
-    pub fn table_time(bytes: u64) -> Duration {
-        let carrying = Duration::from_millis(bytes / SLOW_LINK_BYTES_PER_MS);
-        (SENDING_TIME + carrying).min(SENDING_LIMIT)
-    }
-}
-
 /// Messages that travel together.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct PeerBatch {
