--- a/crates/bankvalve/src/entry/entry_metrics.rs
+++ b/crates/bankvalve/src/entry/entry_metrics.rs
@@ -125,6 +125,7 @@
                 ("live_runs", view.live_runs),
                 ("configuration", view.table_version),
                 ("ledger_batches", view.ledger_batches),
+                ("leaderless_ms", view.leaderless_ms),
             ];
             for (quantity, value) in quantities {
                 observer.observe(value, &[KeyValue::new("quantity", quantity)]);
--- a/crates/bankvalve_check/src/site/site_faults.rs
+++ b/crates/bankvalve_check/src/site/site_faults.rs
@@ -47,10 +47,14 @@
     FailRuns,
     /// The connections between instances go silent for good, while new ones work.
     SilentPeers,
+    /// Answers of the table to requests of all kinds are lost.
+    LoseAnswers,
+    /// The table is so slow that requests are given up.
+    StoreVerySlow,
 }
 
 impl SiteFault {
-    /// All kinds.
+    /// Kinds that are drawn.
     pub const ALL: [SiteFault; 20] = [
         SiteFault::KillLeader,
         SiteFault::KillAny,
@@ -74,6 +78,18 @@
         SiteFault::SilentPeers,
     ];
 
+    /// Kinds by which requests to the table end without an answer, beside losses of instances.
+    pub const UNANSWERED: [SiteFault; 8] = [
+        SiteFault::KillLeader,
+        SiteFault::KillAll,
+        SiteFault::CutLeaderFromStore,
+        SiteFault::StoreBusy,
+        SiteFault::StoreSilent,
+        SiteFault::StoreLate,
+        SiteFault::LoseAnswers,
+        SiteFault::StoreVerySlow,
+    ];
+
     /// Strikes.
     pub fn strike(self, world: &mut SiteWorld) {
         let now = world.now_ms;
@@ -126,6 +142,10 @@
             SiteFault::LateOrders => world.late_orders_percent = 10,
             SiteFault::FailRuns => world.fail_percent = 15,
             SiteFault::SilentPeers => world.silence_peers(),
+            SiteFault::LoseAnswers => {
+                world.links.lost_answers_percent = world.rng.random_range(10..60);
+            }
+            SiteFault::StoreVerySlow => world.store_delay_ms = world.rng.random_range(600..2_500),
         }
     }
 
@@ -135,6 +155,7 @@
         world.store_away_until = 0;
         world.store_delay_ms = 0;
         world.lost_percent = 0;
+        world.links.lost_answers_percent = 0;
         world.late_orders_percent = 0;
         world.lost_looks_percent = 0;
         world.fail_percent = 0;
--- a/crates/bankvalve_check/src/site/site_links.rs
+++ b/crates/bankvalve_check/src/site/site_links.rs
@@ -21,6 +21,8 @@
 const WATCH_LOST_MS: u64 = 1_700;
 /// Share of writes that a silent table carries out after all, later, in percent.
 const SILENT_DONE_PERCENT: u32 = 25;
+/// Time after which an answer that was lost is given up, in milliseconds.
+const SILENT_MS: u64 = 900;
 
 impl SiteWorld {
     pub(super) fn act(&mut self, node: usize, action: CoreAction) {
@@ -31,6 +33,7 @@
                 request,
                 time,
             } => {
+                self.note_page_read(node, &request);
                 let mut delay = self.rng.random_range(3..8) + self.store_delay_ms;
                 delay += self.send_out(node, request_bytes(&request));
                 if self.store_turn_ms > 0 && matches!(request, StoreRequest::Transact { .. }) {
@@ -203,6 +206,7 @@
             return (way, way);
         };
         if !self.links_carry_all {
+            let way = way.max(self.link_wait(to));
             return (way, way);
         }
         let bytes = message_bytes(message);
@@ -251,6 +255,13 @@
             self.after(4, Later::Event { node, life, event });
             return;
         }
+        if self.loses_answer() {
+            self.store.handle(&request);
+            self.answer_watches();
+            let event = answer(StoreOutcome::Lost);
+            self.after(SILENT_MS, Later::Event { node, life, event });
+            return;
+        }
         let write = matches!(request, StoreRequest::Transact { .. });
         if write && self.rng.random_range(0..100) < self.lost_percent {
             let event = answer(StoreOutcome::Lost);
--- a/crates/bankvalve_check/src/site/site_promise.rs
+++ b/crates/bankvalve_check/src/site/site_promise.rs
@@ -8,6 +8,9 @@
 /// Time without trouble after which an instance and the table count as in touch, in milliseconds.
 const CONTACT_MS: u64 = 3_000;
 
+/// Bytes that wait on a link for longer disturb its instance, in milliseconds.
+const CHOKED_MS: u64 = 500;
+
 impl SiteNode {
     /// Until when trouble that is on its way disturbs it.
     fn troubled_until(&self) -> u64 {
@@ -31,6 +34,13 @@
                 node.disturbed_until = node.disturbed_until.max(until);
             }
         }
+        for number in 0..self.nodes.len() {
+            let wait = self.link_wait(number);
+            let node = &mut self.nodes[number];
+            if wait > CHOKED_MS {
+                node.disturbed_until = node.disturbed_until.max(now + wait);
+            }
+        }
         let slow = if self.store_delay_ms > 0 { now } else { 0 };
         let until = self.store_away_until.max(slow);
         if until >= now {
--- a/crates/bankvalve_check/src/site/site_world.rs
+++ b/crates/bankvalve_check/src/site/site_world.rs
@@ -17,7 +17,7 @@
 use super::site_calls::OpenCall;
 use super::site_config::{QueueAnswer, SiteConfig};
 use super::site_silence::SilentLane;
-use super::{RuleBook, SiteAnswer};
+use super::{LinkRecord, RuleBook, SiteAnswer};
 
 /// Name of the usual queue.
 pub const QUEUE: &str = "batch";
@@ -193,6 +193,8 @@
     /// Time for which the table carries out one write, while the others wait, in milliseconds.
     pub store_turn_ms: u64,
     pub(super) store_busy_until: u64,
+    /// What passes over the links of instances.
+    pub links: LinkRecord,
     /// Share of writes whose answer is lost, in percent.
     pub lost_percent: u32,
     /// Whether such writes are done only later.
@@ -267,6 +269,7 @@
             store_delay_ms: 0,
             store_turn_ms: 0,
             store_busy_until: 0,
+            links: LinkRecord::default(),
             lost_percent: 0,
             lost_late: false,
             late_orders_percent: 0,
@@ -341,6 +344,7 @@
         self.nodes[number].core = None;
         self.nodes[number].parked.clear();
         self.nodes[number].link_use = LinkUse::default();
+        self.clear_link(number);
         self.end_silence_of(number);
         self.watches.retain(|(node, ..)| *node != number);
         let calls: Vec<(usize, Ticket)> = self.calls.keys().copied().collect();
--- a/crates/bankvalve_check/tests/site/main.rs
+++ b/crates/bankvalve_check/tests/site/main.rs
@@ -5,6 +5,7 @@
 mod jobs;
 mod leading;
 mod random;
+mod recover;
 mod table;
 mod workers;
 
--- a/crates/bankvalve_check/tests/site/random.rs
+++ b/crates/bankvalve_check/tests/site/random.rs
@@ -16,6 +16,15 @@
     }
 }
 
+#[test]
+fn troubles_that_leave_the_table_without_answers_break_no_rule() {
+    for seed in 201..209 {
+        let report = run_site_episode(seed, &SiteFault::UNANSWERED);
+        assert_eq!(report.breaches, [], "seed {seed}");
+        assert!(report.starts > 100, "seed {seed}: {} starts", report.starts);
+    }
+}
+
 #[test]
 fn a_guard_that_is_taken_away_is_noticed() {
     // With the first seed that notices it; some of the next ones do if the drawn world changes.
@@ -30,6 +39,8 @@
         (SiteGuard::NewerTable, 2),
         (SiteGuard::KnownNewest, 1),
         (SiteGuard::ResentAsk, 1),
+        (SiteGuard::LedgerProgress, 7),
+        (SiteGuard::GrowingPatience, 3),
     ];
     // The drawn worlds notice this one seldom: it has a world of its own below.
     let others = SiteGuard::ALL.into_iter();
@@ -60,6 +71,14 @@
     assert_eq!(report.breaches, []);
 }
 
+#[test]
+fn a_cancel_that_was_sent_again_is_not_answered_that_there_is_no_such_job() {
+    // Found with this seed: the first copy came before the job, its answer was held up on a thin
+    // link, and the second copy took effect.
+    let report = run_site_episode(30_067, &SiteFault::ALL);
+    assert_eq!(report.breaches, []);
+}
+
 /// Rules broken when jobs are handed in while writes are done late and unanswered, and the table
 /// then turns everything away.
 fn breaches_of_late_writes(broken: Option<SiteGuard>) -> usize {
--- a/crates/bankvalve_queue/src/core/entry_core.rs
+++ b/crates/bankvalve_queue/src/core/entry_core.rs
@@ -7,9 +7,11 @@
 use super::election::{LeaderView, PeerView};
 use super::lead::LeadState;
 use super::ledger_page::LedgerPage;
+use super::questions::{OpenQuestion, StorePatience};
 use super::sight::UnreadyReason;
-use super::store_link::{StorePurpose, WatchState};
+use super::store_link::WatchState;
 use super::table_watch::{TableSource, TableWatch};
+use super::without_leader::LeaderGap;
 use crate::caller::{CallerAnswer, ResolvedRequest};
 use crate::decision::{DecisionLine, EntryCounters, EntryView};
 use crate::guard::SiteGuard;
@@ -235,6 +237,8 @@
     pub(super) book: JobBook,
     pub(super) applied: u64,
     pub(super) catch_up_at: Option<CoreTime>,
+    /// When the leader's row, which did not come, is read anew.
+    pub(super) leader_row_at: Option<CoreTime>,
     pub(super) ledger_page: LedgerPage,
     /// Whether the ledger is being read on, so that the book surely lacks some of it.
     pub(super) catching_up: bool,
@@ -243,13 +247,18 @@
     pub(super) measures: (BTreeMap<WorkerId, f64>, BTreeMap<String, f64>),
     pub(super) asks: BTreeMap<Ticket, OpenAsk>,
     pub(super) advising: BTreeMap<Ticket, (PeerAddress, Ticket)>,
-    pub(super) store_tickets: BTreeMap<Ticket, StorePurpose>,
+    pub(super) store_tickets: BTreeMap<Ticket, OpenQuestion>,
+    pub(super) store_patience: StorePatience,
     pub(super) cell_watch: WatchState,
+    /// The writing of the own row.
+    pub(super) own_row: WatchState,
     pub(super) worker_watch: WatchState,
     pub(super) probe_answered: Option<CoreTime>,
     /// When the table last answered anything.
     pub(super) store_heard: Option<CoreTime>,
     pub(super) next_probe: CoreTime,
+    /// Since when no leader has worked, as far as is known.
+    pub(super) leader_gap: LeaderGap,
     pub(super) next_ticket: Ticket,
     pub(super) stopping: bool,
     /// What was last logged of its readiness: why it was not ready, or that it was.
@@ -285,6 +294,7 @@
             book: JobBook::default(),
             applied: 0,
             catch_up_at: None,
+            leader_row_at: None,
             ledger_page: LedgerPage::default(),
             catching_up: false,
             lead: None,
@@ -292,11 +302,14 @@
             asks: BTreeMap::new(),
             advising: BTreeMap::new(),
             store_tickets: BTreeMap::new(),
+            store_patience: StorePatience::default(),
             cell_watch: WatchState::default(),
+            own_row: WatchState::default(),
             worker_watch: WatchState::default(),
             probe_answered: None,
             store_heard: None,
             next_probe: Duration::ZERO,
+            leader_gap: LeaderGap::default(),
             next_ticket,
             stopping: false,
             told_unready: None,
@@ -349,6 +362,7 @@
                 None => None,
             },
             ledger_batches: self.applied,
+            leaderless_ms: self.leaderless_ms(),
             counters: self.counters.clone(),
         }
     }
@@ -384,12 +398,15 @@
     }
 
     fn tick(&mut self) {
+        self.end_forgotten_questions();
         self.run_watches();
         self.run_membership();
         self.run_election();
         self.run_heartbeats();
         self.run_asks();
         self.run_following();
+        self.run_leader_row();
+        self.watch_leader();
         self.tell_readiness();
     }
 
--- a/crates/bankvalve_queue/src/core/mod.rs
+++ b/crates/bankvalve_queue/src/core/mod.rs
@@ -23,6 +23,7 @@
 mod orders;
 mod overdue;
 mod placing;
+mod questions;
 mod queue_lookup;
 mod read_back;
 mod reports;
@@ -35,6 +36,7 @@
 mod table_watch;
 mod waiting;
 mod withdraw;
+mod without_leader;
 mod yielding;
 
 pub use entry_core::{CoreAction, CoreEvent, EntryCore, EntrySettings};
--- a/crates/bankvalve_queue/src/core/store_link.rs
+++ b/crates/bankvalve_queue/src/core/store_link.rs
@@ -3,7 +3,6 @@
 use std::time::Duration;
 
 use super::EntryCore;
-use crate::core::CoreAction;
 use crate::ids::{CoreTime, Ticket};
 use crate::store::{StoreOutcome, StoreRequest};
 
@@ -21,12 +20,6 @@
 const WATCH_WAIT: Duration = Duration::from_millis(1_000);
 /// The same for members' rows and the leader's, of which heartbeats tell sooner.
 const CELL_WATCH_WAIT: Duration = Duration::from_millis(3_000);
-/// Added to the wait before a watch counts as lost.
-const WATCH_SLACK: Duration = Duration::from_millis(700);
-/// Longest wait for a read.
-const READ_TIME: Duration = Duration::from_millis(900);
-/// Longest wait for a write: a slow table takes some half a second.
-const WRITE_TIME: Duration = Duration::from_millis(1_200);
 /// Members from which on a site has many: when all start at once, each row that is written wakes
 /// every one of them.
 const MANY_MEMBERS: usize = 12;
@@ -43,17 +36,27 @@
 pub(super) enum StorePurpose {
     Register,
     Claim,
-    Commit { sequence: u64, sent_at: CoreTime },
-    CheckCommit { sequence: u64, sent_at: CoreTime },
+    Commit {
+        sequence: u64,
+        sent_at: CoreTime,
+    },
+    CheckCommit {
+        sequence: u64,
+        sent_at: CoreTime,
+    },
     Confirm,
-    LoadLedger,
-    CatchUp,
+    /// A page of the ledger from a batch on.
+    ReadLedger {
+        from: u64,
+    },
     LeaderRow,
     ReadCell,
     WatchCell,
     Operator,
     AskOperator,
-    Workers { full: bool },
+    Workers {
+        full: bool,
+    },
     DropMember,
     Probe,
 }
@@ -74,6 +77,16 @@
         !self.busy && now >= self.next_at
     }
 
+    /// A request ended, well or not.
+    pub(super) fn end(&mut self, well: bool, now: CoreTime) {
+        self.busy = false;
+        if well {
+            self.failures = 0;
+        } else {
+            self.back_off(now);
+        }
+    }
+
     /// A request failed; the next one waits.
     pub(super) fn back_off(&mut self, now: CoreTime) {
         let doublings = self.failures.min(RETRY_DOUBLINGS);
@@ -83,36 +96,6 @@
 }
 
 impl EntryCore {
-    pub(super) fn ask_store(&mut self, purpose: StorePurpose, request: StoreRequest) -> Ticket {
-        let time = match &request {
-            StoreRequest::Transact { .. } => WRITE_TIME,
-            StoreRequest::Watch { wait_ms, .. }
-            | StoreRequest::WatchOperator { wait_ms, .. }
-            | StoreRequest::WatchWorkers { wait_ms, .. } => {
-                Duration::from_millis(*wait_ms) + WATCH_SLACK
-            }
-            _ => READ_TIME,
-        };
-        self.ask_store_within(purpose, request, time)
-    }
-
-    /// Asks the table and waits for its answer no longer than a time.
-    pub(super) fn ask_store_within(
-        &mut self,
-        purpose: StorePurpose,
-        request: StoreRequest,
-        time: Duration,
-    ) -> Ticket {
-        let ticket = self.take_ticket();
-        self.store_tickets.insert(ticket, purpose);
-        self.actions.push(CoreAction::Store {
-            ticket,
-            request,
-            time,
-        });
-        ticket
-    }
-
     pub(super) fn run_watches(&mut self) {
         let wait_ms = WATCH_WAIT.as_millis() as u64;
         if self.cell_watch.is_due(self.now) {
@@ -160,10 +143,11 @@
     }
 
     pub(super) fn take_store(&mut self, ticket: Ticket, outcome: StoreOutcome) {
-        let Some(purpose) = self.store_tickets.remove(&ticket) else {
+        let Some(question) = self.store_tickets.remove(&ticket) else {
             return;
         };
         self.store_arrived(ticket);
+        self.note_answer_time(&question, &outcome);
         if !matches!(outcome, StoreOutcome::Lost | StoreOutcome::Busy) {
             self.store_heard = Some(self.now);
         }
@@ -173,7 +157,7 @@
             StoreOutcome::HistoryGone => self.counters.count("retries", "store_history_gone"),
             _ => {}
         }
-        match purpose {
+        match question.purpose {
             StorePurpose::Register => self.end_register(&outcome),
             StorePurpose::Claim => self.end_claim(outcome),
             StorePurpose::Commit { sequence, sent_at } => {
@@ -183,8 +167,9 @@
                 self.end_check(sequence, sent_at, &outcome);
             }
             StorePurpose::Confirm => self.end_confirm(&outcome),
-            StorePurpose::LoadLedger => self.end_load(outcome),
-            StorePurpose::CatchUp => self.end_catch_up(outcome),
+            StorePurpose::ReadLedger { from } => {
+                self.end_ledger_page(from, question.asked_at, outcome);
+            }
             StorePurpose::LeaderRow => self.end_leader_row(&outcome),
             StorePurpose::ReadCell => self.end_read_cell(outcome),
             StorePurpose::WatchCell => self.end_watch_cell(outcome),
@@ -215,7 +200,7 @@
             // After a loss of all, the others learn by it that the leader's life is over.
             self.next_heartbeat = self.now;
             if self.is_first_heir() {
-                self.ask_ledger(StorePurpose::CatchUp);
+                self.read_ledger();
             }
         }
     }
--- a/crates/bankvalve_queue/src/core/table_watch.rs
+++ b/crates/bankvalve_queue/src/core/table_watch.rs
@@ -21,12 +21,6 @@
 /// Longest that a watch waits; a connection on which an answer was lost says nothing more,
 /// so this bounds how old the configuration can get.
 const WATCH_WAIT: Duration = Duration::from_millis(1_000);
-/// Added to the wait before the beginning of an answer counts as lost. An answer that has begun is
-/// waited for as long as it goes on: a row of 1.1 MB takes a second on a link of 10 Mbit/s.
-const WATCH_SLACK: Duration = Duration::from_millis(700);
-/// Longest wait for the beginning of the answer to a read or a question: a slow table takes half
-/// a second.
-const QUESTION_TIME: Duration = Duration::from_millis(900);
 /// Wait that a question allows the table, in milliseconds: the least, so that it answers at once.
 const QUESTION_WAIT_MS: u64 = 1;
 /// Silence of the table after which a peer may be asked as well.
@@ -39,9 +33,6 @@
 const OPERATOR_PAUSE: Duration = Duration::from_millis(300);
 /// Pause after a configuration that could not be read.
 const UNREADABLE_PAUSE: Duration = Duration::from_millis(1_000);
-/// Time after which a request counts as lost of which not even that was told: longer than any
-/// answer takes that goes on arriving.
-const NEVER_TOLD: Duration = Duration::from_secs(12);
 /// Pause after a question that was answered: each call is paid for, and the table bears some
 /// 6,000 a second from all instances together.
 const QUESTION_PAUSE: Duration = Duration::from_millis(50);
@@ -107,31 +98,12 @@
 impl EntryCore {
     /// Watches the configuration, and asks for it where the watch does not do.
     pub(super) fn run_table(&mut self) {
-        self.drop_never_told();
         self.watch_operator();
         self.ask_operator();
         self.run_pull();
         self.end_old_lookups();
     }
 
-    /// An instance that is pressed may drop what it was to be told.
-    fn drop_never_told(&mut self) {
-        let now = self.now;
-        let tables = &mut self.tables;
-        let over = |sent: CoreTime| now.saturating_sub(sent) > NEVER_TOLD;
-        if tables.watch.busy && over(tables.watch_sent) {
-            tables.watch.busy = false;
-            tables.arriving = None;
-        }
-        if tables
-            .question
-            .is_some_and(|question| over(question.sent_at))
-        {
-            tables.question = None;
-            tables.arriving = None;
-        }
-    }
-
     fn watch_operator(&mut self) {
         let now = self.now;
         let tables = &mut self.tables;
@@ -141,15 +113,14 @@
         }
         tables.watch.busy = true;
         tables.watch_sent = now;
-        let (request, time) = match tables.watch.after {
-            None => (StoreRequest::ReadOperator, QUESTION_TIME),
+        let request = match tables.watch.after {
+            None => StoreRequest::ReadOperator,
             Some(after) => {
                 let wait_ms = WATCH_WAIT.as_millis() as u64;
-                let request = StoreRequest::WatchOperator { after, wait_ms };
-                (request, WATCH_WAIT + WATCH_SLACK)
+                StoreRequest::WatchOperator { after, wait_ms }
             }
         };
-        self.ask_store_within(StorePurpose::Operator, request, time);
+        self.ask_store(StorePurpose::Operator, request);
     }
 
     /// Asks the table now whether there is a newer version, if a peer told of one or a caller asks
@@ -179,7 +150,7 @@
             whole,
         });
         self.counters.count("config", "question");
-        self.ask_store_within(StorePurpose::AskOperator, request, QUESTION_TIME);
+        self.ask_store(StorePurpose::AskOperator, request);
     }
 
     /// Tells whether a peer told of a version that is not in force here.
@@ -204,11 +175,13 @@
 
     /// The answer to a request has begun to arrive.
     pub(super) fn store_begins(&mut self, ticket: Ticket) {
-        let purpose = self.store_tickets.get(&ticket);
+        let question = self.store_tickets.get(&ticket);
+        let purpose = question.map(|question| &question.purpose);
         if matches!(
             purpose,
             Some(StorePurpose::Operator | StorePurpose::AskOperator)
         ) {
+            self.extend_question(ticket);
             self.tables.arriving = Some(ticket);
             self.store_heard = Some(self.now);
         }
--- a/crates/bankvalve_queue/src/guard.rs
+++ b/crates/bankvalve_queue/src/guard.rs
@@ -25,11 +25,16 @@
     KnownNewest,
     /// A question that has no answer is sent again.
     ResentAsk,
+    /// A page of the ledger that did not come is asked for with more time, also for a slow table,
+    /// and smaller.
+    LedgerProgress,
+    /// Another request to the table that did not come is asked for with more time.
+    GrowingPatience,
 }
 
 impl SiteGuard {
     /// All guards.
-    pub const ALL: [SiteGuard; 11] = [
+    pub const ALL: [SiteGuard; 13] = [
         SiteGuard::LedgerFirst,
         SiteGuard::OwnRow,
         SiteGuard::KeptEnds,
@@ -41,6 +46,8 @@
         SiteGuard::NewerTable,
         SiteGuard::KnownNewest,
         SiteGuard::ResentAsk,
+        SiteGuard::LedgerProgress,
+        SiteGuard::GrowingPatience,
     ];
 
     /// Name used on the command line.
@@ -66,6 +73,8 @@
             SiteGuard::NewerTable => "newer-table",
             SiteGuard::KnownNewest => "known-newest",
             SiteGuard::ResentAsk => "resent-ask",
+            SiteGuard::LedgerProgress => "ledger-progress",
+            SiteGuard::GrowingPatience => "growing-patience",
         }
     }
 
