--- a/crates/bankvalve_check/src/site/site_calls.rs
+++ b/crates/bankvalve_check/src/site/site_calls.rs
@@ -9,13 +9,41 @@
 };
 use rand::Rng;
 
-use super::site_world::{Later, OpenCall, SiteWorld};
+use super::site_world::{Later, SiteWorld};
 
 /// How long callers wait for an answer.
 pub(super) const PATIENCE_MS: u64 = 3_000;
 /// One caller in so many leaves when its job is refused.
 const LEAVING: u32 = 3;
 
+/// A caller's request on its way.
+#[derive(Debug)]
+pub(super) enum OpenCall {
+    Check {
+        job: JobId,
+        asked_at: u64,
+    },
+    Submit {
+        job: JobId,
+        tries: u32,
+    },
+    Ask {
+        job: JobId,
+    },
+    Cancel {
+        job: JobId,
+    },
+    Count {
+        queue: String,
+        asked_ms: u64,
+    },
+    /// Whether the configuration in force is the newest, for a caller that asks for a queue.
+    Newest {
+        queue: String,
+        asked_ms: u64,
+    },
+}
+
 impl SiteWorld {
     /// A caller hands a job in, and asks how it stands until it is over.
     pub fn submit(&mut self, spec: JobSpec) {
@@ -31,7 +59,7 @@
         self.rules.submit(spec, 3);
         self.specs.insert(spec.id, spec.clone());
         let job = spec.id;
-        let request = self.submission(spec);
+        let request = self.submission(node, spec);
         self.call(
             node,
             OpenCall::Submit {
@@ -68,6 +96,7 @@
                 queue: queue.to_owned(),
             },
             patience_ms: PATIENCE_MS,
+            table_version: core.table_version(),
         };
         let actions = core.step(since, wall, CoreEvent::Caller { ticket, request });
         let mut count = None;
@@ -83,12 +112,10 @@
         count
     }
 
-    pub(super) fn submission(&self, spec: &Arc<JobSpec>) -> CallerRequest {
-        let table = self.table(1);
-        let terms = table.queue(&spec.queue).map(|rule| rule.terms.clone());
+    pub(super) fn submission(&self, node: usize, spec: &Arc<JobSpec>) -> CallerRequest {
         CallerRequest::Submit {
             spec: spec.clone(),
-            terms: terms.unwrap_or_default(),
+            terms: self.terms_at(node, &spec.queue),
         }
     }
 
@@ -108,6 +135,7 @@
         let request = ResolvedRequest {
             request,
             patience_ms: PATIENCE_MS,
+            table_version: core.table_version(),
         };
         self.deliver(node, CoreEvent::Caller { ticket, request });
     }
@@ -161,6 +189,9 @@
                 CallerAnswer::NoSuchJob => {}
                 _ => self.after(300, Later::Cancel { job }),
             },
+            Some(call @ (OpenCall::Count { .. } | OpenCall::Newest { .. })) => {
+                self.finish_count(node, call, &answer);
+            }
             None => {}
         }
     }
--- a/crates/bankvalve_check/src/site/site_links.rs
+++ b/crates/bankvalve_check/src/site/site_links.rs
@@ -1,13 +1,24 @@
 //! What instances ask for, carried to peers and the table.
 
 use bankvalve_queue::{
-    CoreAction, CoreEvent, PeerAddress, StoreOutcome, StoreRequest, Ticket, WorkerAnswer,
+    peer_time, CoreAction, CoreEvent, PeerAddress, StoreOutcome, StoreRequest, Ticket, WorkerAnswer,
 };
 use rand::Rng;
 
+use super::site_bytes::{message_bytes, request_bytes};
 use super::site_silence::call_ms;
 use super::site_world::{Later, SiteNode, SiteWorld};
 
+/// Longest way of a message to a peer, in milliseconds.
+const WAY_MS: u64 = 4;
+/// The same of a configuration, which may be large, where links do not tell.
+const LARGE_WAY_MS: u64 = 650;
+/// Wait from which on a question about the configuration counts as long, in milliseconds.
+const LONG_WAIT_MS: u64 = 100;
+/// Longest wait of a watch here, in milliseconds.
+const WATCH_MS: u64 = 1_000;
+/// Time after which a long question about the configuration is given up, in milliseconds.
+const WATCH_LOST_MS: u64 = 1_700;
 /// Share of writes that a silent table carries out after all, later, in percent.
 const SILENT_DONE_PERCENT: u32 = 25;
 /// Time after which an answer that was lost is given up, in milliseconds.
@@ -24,16 +35,19 @@
             } => {
                 self.note_page_read(node, &request);
                 let mut delay = self.rng.random_range(3..8) + self.store_delay_ms;
+                delay += self.send_out(node, request_bytes(&request));
                 if self.store_turn_ms > 0 && matches!(request, StoreRequest::Transact { .. }) {
                     let begins = self.store_busy_until.max(self.now_ms + delay);
                     self.store_busy_until = begins + self.store_turn_ms;
                     delay = self.store_busy_until - self.now_ms;
                 }
-                if self.store_delay_ms > 0 || self.nodes[node].link_bytes_per_ms.is_some() {
+                let limit = time.as_millis() as u64;
+                if self.links_carry_all && is_about_tables(&request) {
+                    self.after(limit, Later::StoreLimit { node, life, ticket });
+                } else if self.store_delay_ms > 0 || self.nodes[node].link_bytes_per_ms.is_some() {
                     // If the answer comes first, this finds nobody.
                     let outcome = StoreOutcome::Lost;
                     let event = CoreEvent::Store { ticket, outcome };
-                    let limit = time.as_millis() as u64;
                     self.after(limit, Later::Event { node, life, event });
                 }
                 self.after(
@@ -104,7 +118,9 @@
             }
             CoreAction::Peer { to, message } => self.send_peer(node, to, message),
             CoreAction::Answer { ticket, answer } => self.finish_call(node, ticket, answer),
-            CoreAction::UseTable(_) | CoreAction::DecodeTable(_) | CoreAction::Log(_) => {}
+            CoreAction::DecodeTable(raw) => self.decode_table(node, raw),
+            CoreAction::UseTable(table) => self.note_table(node, table.version),
+            CoreAction::Log(_) => {}
         }
     }
 
@@ -144,7 +160,22 @@
                     message,
                 };
                 let target_life = self.nodes[target].life;
-                let delay = self.rng.random_range(1..4).max(self.link_wait(target));
+                let large = table && !self.links_carry_all;
+                let longest = if large { LARGE_WAY_MS } else { WAY_MS };
+                let way = self.rng.random_range(1..longest);
+                let (delay, limit) = self.carry_message(from, target, &event, way);
+                if delay > limit {
+                    let event = unreached(false);
+                    self.after(
+                        limit,
+                        Later::Event {
+                            node: from,
+                            life,
+                            event,
+                        },
+                    );
+                    return;
+                }
                 self.after(
                     delay,
                     Later::Event {
@@ -168,6 +199,23 @@
         }
     }
 
+    /// Milliseconds that a message takes, on the sender's link, on its way, and on the receiver's,
+    /// and how many it may.
+    fn carry_message(&mut self, from: usize, to: usize, event: &CoreEvent, way: u64) -> (u64, u64) {
+        let CoreEvent::Peer { message, .. } = event else {
+            return (way, way);
+        };
+        if !self.links_carry_all {
+            let way = way.max(self.link_wait(to));
+            return (way, way);
+        }
+        let bytes = message_bytes(message);
+        *self.peer_bytes.entry(from).or_default() += bytes;
+        let left = self.send_out(from, bytes);
+        let took = self.take_in(to, bytes, left + way).last;
+        (took, peer_time(bytes as usize).as_millis() as u64)
+    }
+
     pub(super) fn store_arrives(
         &mut self,
         node: usize,
@@ -178,6 +226,19 @@
         let now = self.now_ms;
         let cut = self.nodes[node].cut_from_store_until > now;
         let answer = |outcome| CoreEvent::Store { ticket, outcome };
+        let watch = matches!(&request, StoreRequest::WatchOperator { wait_ms, .. } if *wait_ms >= LONG_WAIT_MS);
+        if watch && self.nodes[node].watch_lost_until > now {
+            // It is told that there was no answer when its time is over.
+            self.after(
+                WATCH_LOST_MS,
+                Later::Event {
+                    node,
+                    life,
+                    event: answer(StoreOutcome::Lost),
+                },
+            );
+            return;
+        }
         if cut || (self.store_away_until > now && self.store_silent) {
             let write = matches!(request, StoreRequest::Transact { .. });
             if write && self.rng.random_range(0..100) < SILENT_DONE_PERCENT {
@@ -216,13 +277,15 @@
         }
         match self.store.handle(&request) {
             Some(outcome) => {
-                let carried = self.time_on_link(node, &outcome);
-                let event = answer(outcome);
-                self.after(4 + carried, Later::Event { node, life, event });
+                self.answer_request((node, life, ticket), outcome, 4);
             }
             None => {
+                let wait = match &request {
+                    StoreRequest::WatchOperator { wait_ms, .. } => WATCH_MS.min(*wait_ms),
+                    _ => WATCH_MS,
+                };
                 self.watches.push((node, life, ticket, request));
-                self.after(1_000, Later::WatchEnds { node, life, ticket });
+                self.after(wait, Later::WatchEnds { node, life, ticket });
             }
         }
         if write {
@@ -233,11 +296,7 @@
     pub(super) fn answer_watches(&mut self) {
         for (node, life, ticket, request) in std::mem::take(&mut self.watches) {
             match self.store.handle(&request) {
-                Some(outcome) => {
-                    let carried = self.time_on_link(node, &outcome);
-                    let event = CoreEvent::Store { ticket, outcome };
-                    self.after(4 + carried, Later::Event { node, life, event });
-                }
+                Some(outcome) => self.answer_request((node, life, ticket), outcome, 4),
                 None => self.watches.push((node, life, ticket, request)),
             }
         }
@@ -253,13 +312,13 @@
         };
         let (_, _, _, request) = self.watches.remove(place);
         let outcome = self.store.unchanged(&request);
-        self.after(
-            1,
-            Later::Event {
-                node,
-                life,
-                event: CoreEvent::Store { ticket, outcome },
-            },
-        );
+        self.answer_request((node, life, ticket), outcome, 1);
     }
 }
+
+fn is_about_tables(request: &StoreRequest) -> bool {
+    matches!(
+        request,
+        StoreRequest::ReadOperator | StoreRequest::WatchOperator { .. }
+    )
+}
--- a/crates/bankvalve_check/src/site/site_random.rs
+++ b/crates/bankvalve_check/src/site/site_random.rs
@@ -7,6 +7,7 @@
 use bankvalve_queue::{JobState, SiteGuard};
 use rand::Rng;
 
+use super::site_operator::DrawnOperator;
 use super::{job_of, RuleBreach, SiteFault, SitePlan, SiteWorld, QUEUE, URGENT_QUEUE};
 
 /// Virtual time in which jobs and troubles come, in milliseconds.
@@ -37,6 +38,10 @@
     pub starts: u64,
     /// Jobs accepted.
     pub accepted: u64,
+    /// Configurations written.
+    pub versions: u64,
+    /// Callers that asked for queues and were told something.
+    pub told: u64,
     /// Troubles that struck.
     pub faults: BTreeMap<SiteFault, u64>,
 }
@@ -72,6 +77,10 @@
     if large {
         world.burden(seed);
     }
+    let mut operator = DrawnOperator::new(seed);
+    if seed % 16 == 11 {
+        operator.write_large(&mut world);
+    }
     let mut faults = BTreeMap::new();
     let mut next_fault = FIRST_MS + world.rng.random_range(0..2_000);
     let mut job = seed.wrapping_mul(1_000_000);
@@ -80,6 +89,8 @@
         let pause = world.rng.random_range(20..180);
         let until = world.now_ms + pause;
         world.run_until(until);
+        world.check_versions();
+        operator.act(&mut world);
         job += 1;
         submit_drawn(&mut world, job);
         if world.rng.random_range(0..20) == 0 {
@@ -90,6 +101,7 @@
             let kind = kinds[world.rng.random_range(0..kinds.len())];
             *faults.entry(kind).or_default() += 1;
             kind.strike(&mut world);
+            world.check_versions();
             next_fault = world.now_ms + world.rng.random_range(300..5_000);
             if world.rng.random_range(0..3) == 0 {
                 SiteFault::calm(&mut world);
@@ -103,7 +115,11 @@
         world.run_until(TROUBLED_MS + LONGEST_DOWN_MS);
     }
     world.check_return(job + 1);
-    world.run_until(TROUBLED_MS + CALM_MS);
+    while world.now_ms < TROUBLED_MS + CALM_MS {
+        let until = world.now_ms + 1_000;
+        world.run_until(until);
+        world.check_versions();
+    }
     check_ends(&mut world);
     ask_at_end(&mut world);
     SiteReport {
@@ -112,6 +128,8 @@
         accepted: world.rules.accepted().len() as u64,
         breaches: std::mem::take(&mut world.rules.breaches),
         faults,
+        versions: operator.written,
+        told: world.told.len() as u64,
     }
 }
 
@@ -195,6 +213,7 @@
 pub fn run_site_random(seed: u64, events: u64, broken: Option<SiteGuard>) -> ExitCode {
     let begun = Instant::now();
     let (mut done, mut starts, mut accepted) = (0, 0, 0);
+    let (mut versions, mut told) = (0, 0);
     let (mut passed, mut failed) = (0, 0);
     let mut faults: BTreeMap<SiteFault, u64> = BTreeMap::new();
     let mut number = seed;
@@ -203,6 +222,8 @@
         done += report.events;
         starts += report.starts;
         accepted += report.accepted;
+        versions += report.versions;
+        told += report.told;
         for (kind, count) in report.faults {
             *faults.entry(kind).or_default() += count;
         }
@@ -222,6 +243,7 @@
     }
     let seconds = begun.elapsed().as_secs_f64();
     println!("{done} events, {accepted} jobs accepted, {starts} starts, {seconds:.1} s");
+    println!("{versions} configurations, {told} callers told of queues");
     println!("{passed} passed, {failed} failed");
     if failed == 0 {
         ExitCode::SUCCESS
--- a/crates/bankvalve_check/src/site/site_world.rs
+++ b/crates/bankvalve_check/src/site/site_world.rs
@@ -6,14 +6,16 @@
 use std::time::Duration;
 
 use bankvalve_queue::{
-    AdviceRule, CallerAnswer, CallerRequest, CoreEvent, EntryCore, EntrySettings, JobId, JobSpec,
-    JobState, JobTerms, PeerAddress, PolicySwitch, QueueRule, QueueTable, SiteGuard, StoreRequest,
-    Ticket, WorkerId,
+    CallerAnswer, CallerRequest, CoreEvent, EntryCore, EntrySettings, JobId, JobSpec, JobState,
+    PeerAddress, PolicySwitch, SiteGuard, StoreRequest, Ticket, WorkerId,
 };
 use bankvalve_standin::site::{SitePolicy, SiteStore, SiteWorker};
 use rand::SeedableRng;
 use rand_pcg::Pcg64Mcg;
 
+use super::site_bytes::LinkUse;
+use super::site_calls::OpenCall;
+use super::site_config::{QueueAnswer, SiteConfig};
 use super::site_silence::SilentLane;
 use super::{LinkRecord, RuleBook, SiteAnswer};
 
@@ -61,9 +63,17 @@
     pub turned_away_until: u64,
     /// Until when peers do not reach it.
     pub cut_from_peers_until: u64,
-    /// Bytes of rows that its link carries in a millisecond; none for as many as there are.
+    /// Bytes that its link carries in a millisecond; none for as many as there are. They are those
+    /// of rows that it reads, each answer by itself, unless links carry all.
     pub link_bytes_per_ms: Option<u64>,
+    pub(super) link_use: LinkUse,
+    /// Until when its long questions to the table about the configuration have no answer.
+    pub watch_lost_until: u64,
     pub(super) parked: Vec<CoreEvent>,
+    /// Until when trouble disturbs it, as far as was noted.
+    pub(super) disturbed_until: u64,
+    /// Newest configuration that this life has had in force.
+    pub(super) newest_table: u64,
 }
 
 impl SiteNode {
@@ -96,6 +106,12 @@
         ticket: Ticket,
         request: StoreRequest,
     },
+    /// The time is over in which an answer about the configuration must begin.
+    StoreLimit {
+        node: usize,
+        life: u64,
+        ticket: Ticket,
+    },
     WatchEnds {
         node: usize,
         life: u64,
@@ -140,15 +156,6 @@
     },
 }
 
-/// A caller's request on its way.
-#[derive(Debug)]
-pub(super) enum OpenCall {
-    Submit { job: JobId, tries: u32 },
-    Ask { job: JobId },
-    Cancel { job: JobId },
-    Check { job: JobId, asked_at: u64 },
-}
-
 /// The world.
 pub struct SiteWorld {
     pub(super) plan: SitePlan,
@@ -163,6 +170,8 @@
     pub nodes: Vec<SiteNode>,
     /// The table.
     pub store: SiteStore,
+    /// When answers about the configuration that are on their way begin to arrive.
+    pub(super) begins: BTreeMap<(usize, Ticket), u64>,
     pub(super) watches: Vec<(usize, u64, Ticket, StoreRequest)>,
     /// Workers by address; none while one is down.
     pub workers: BTreeMap<String, Option<SiteWorker>>,
@@ -178,6 +187,7 @@
     pub store_away_until: u64,
     /// Whether it is silent then; else it refuses.
     pub store_silent: bool,
+    pub(super) store_disturbed_until: u64,
     /// Time that the table takes for each request, besides the usual, in milliseconds.
     pub store_delay_ms: u64,
     /// Time for which the table carries out one write, while the others wait, in milliseconds.
@@ -207,6 +217,13 @@
     pub tables_passed: u64,
     /// Messages that each instance sent to peers.
     pub peer_messages: BTreeMap<usize, u64>,
+    /// Bytes of them, while links carry all.
+    pub peer_bytes: BTreeMap<usize, u64>,
+    /// Whether links carry all bytes of an instance, one after the other, both ways.
+    pub links_carry_all: bool,
+    pub(super) config: SiteConfig,
+    /// What callers that asked for queues were told.
+    pub told: Vec<QueueAnswer>,
     pub(super) silent_lanes: BTreeMap<(usize, usize), SilentLane>,
     /// Whether a call without an answer gives up all connections to that peer, as `HttpClient`
     /// does; else each is given up by itself.
@@ -237,6 +254,7 @@
             later: BTreeMap::new(),
             nodes: Vec::new(),
             store: SiteStore::default(),
+            begins: BTreeMap::new(),
             watches: Vec::new(),
             workers: BTreeMap::new(),
             lives: 0,
@@ -247,6 +265,7 @@
             rules: RuleBook::default(),
             store_away_until: 0,
             store_silent: false,
+            store_disturbed_until: 0,
             store_delay_ms: 0,
             store_turn_ms: 0,
             store_busy_until: 0,
@@ -262,12 +281,16 @@
             permit_refusals: 0,
             tables_passed: 0,
             peer_messages: BTreeMap::new(),
+            peer_bytes: BTreeMap::new(),
+            links_carry_all: false,
+            config: SiteConfig::default(),
+            told: Vec::new(),
             silent_lanes: BTreeMap::new(),
             given_up_together: true,
             answers: Vec::new(),
             plan,
         };
-        world.store.configure(world.table(1));
+        world.configure(1);
         for number in 0..world.plan.workers {
             world.add_worker(format!("10.9.0.{number}:80"));
         }
@@ -282,36 +305,17 @@
                 turned_away_until: 0,
                 cut_from_peers_until: 0,
                 link_bytes_per_ms: None,
+                link_use: LinkUse::default(),
+                watch_lost_until: 0,
                 parked: Vec::new(),
+                disturbed_until: 0,
+                newest_table: 0,
             });
             world.start(number);
         }
         world
     }
 
-    pub(super) fn table(&self, version: u64) -> QueueTable {
-        let advice = self.plan.good_percent.map(|_| AdviceRule {
-            decide_ms: 10.0,
-            each_ms: 0.2,
-            valid_ms: 1_500,
-        });
-        let rule = |name: &str, priority: u32| QueueRule {
-            name: name.into(),
-            host: "host".into(),
-            prefix: format!("/{name}/"),
-            terms: JobTerms {
-                service: SERVICE.into(),
-                priority,
-                attempts: 3,
-                stretch: 2.0,
-                target_ms: 500,
-                advice,
-            },
-        };
-        let rules = vec![rule(QUEUE, 1), rule(URGENT_QUEUE, 0)];
-        QueueTable::new(version, rules, BTreeMap::new())
-    }
-
     /// Starts an instance anew.
     pub fn start(&mut self, number: usize) {
         if self.nodes[number].core.is_some() {
@@ -320,6 +324,8 @@
         let now = self.now_ms;
         let node = &mut self.nodes[number];
         node.life += 1;
+        node.newest_table = 0;
+        node.disturbed_until = 0;
         node.started_ms = now;
         let mut settings = EntrySettings::example(node.address);
         settings.life = WALL_START + now + node.life;
@@ -337,6 +343,7 @@
     pub fn kill(&mut self, number: usize, down_ms: u64) {
         self.nodes[number].core = None;
         self.nodes[number].parked.clear();
+        self.nodes[number].link_use = LinkUse::default();
         self.clear_link(number);
         self.end_silence_of(number);
         self.watches.retain(|(node, ..)| *node != number);
@@ -361,15 +368,6 @@
         }
     }
 
-    /// Workers that run tasks of jobs of both kinds that a test tells apart.
-    pub fn workers_shared_by(&self, kind: impl Fn(JobId) -> bool) -> usize {
-        let both = |worker: &&SiteWorker| {
-            let kinds = worker.runs().keys().map(|task| kind(task.step.job));
-            kinds.collect::<std::collections::BTreeSet<bool>>().len() > 1
-        };
-        self.workers.values().flatten().filter(both).count()
-    }
-
     /// Callers' requests without an answer.
     pub fn open_calls(&self) -> usize {
         self.calls.len()
@@ -380,27 +378,6 @@
         WALL_START + self.now_ms
     }
 
-    /// The operator writes a configuration of a version.
-    pub fn configure(&mut self, version: u64) {
-        let table = self.table(version);
-        self.store.configure(table);
-        self.answer_watches();
-    }
-
-    /// An instance is given a configuration of a version by a peer.
-    pub fn give_table(&mut self, node: usize, version: u64) {
-        let table = self.table(version);
-        if let Some(core) = self.nodes[node].core.as_mut() {
-            core.give_table(table, Vec::new());
-        }
-    }
-
-    /// Version of the configuration in force at an instance; 0 for none.
-    pub fn table_version(&self, node: usize) -> u64 {
-        let core = self.nodes[node].core.as_ref();
-        core.map_or(0, EntryCore::table_version)
-    }
-
     /// The instance that leads, if one does.
     pub fn leader(&self) -> Option<usize> {
         self.nodes.iter().position(SiteNode::leads)
@@ -416,6 +393,7 @@
 
     /// Asks an instance to stop as planned.
     pub fn stop(&mut self, number: usize) {
+        self.nodes[number].disturbed_until = u64::MAX;
         self.deliver(number, CoreEvent::Stop);
     }
 
@@ -478,6 +456,7 @@
             } => {
                 self.store_arrives(node, life, ticket, request);
             }
+            Later::StoreLimit { node, life, ticket } => self.store_limit((node, life, ticket)),
             Later::WatchEnds { node, life, ticket } => self.end_watch(node, life, ticket),
             Later::WorkerArrives {
                 node,
@@ -494,9 +473,11 @@
             Later::Restart { node } => self.start(node),
             Later::Submit { job, tries } => {
                 let spec = self.specs[&job].clone();
-                let request = self.submission(&spec);
                 match self.any_node() {
-                    Some(node) => self.call(node, OpenCall::Submit { job, tries }, request),
+                    Some(node) => {
+                        let request = self.submission(node, &spec);
+                        self.call(node, OpenCall::Submit { job, tries }, request);
+                    }
                     None => self.after(300, Later::Submit { job, tries }),
                 }
             }
--- a/crates/bankvalve_link/src/client/mod.rs
+++ b/crates/bankvalve_link/src/client/mod.rs
@@ -5,10 +5,12 @@
 use std::io::ErrorKind;
 use std::time::Duration;
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::{Body, Incoming};
 use hyper::header::{HeaderName, HeaderValue, CONTENT_TYPE};
-use hyper::{Method, Request};
+use hyper::http::uri::Authority;
+use hyper::{Method, Request, Response};
 
 use self::kept_connections::{ConnectionPool, KeptConnections};
 
@@ -158,47 +160,100 @@
         let request = builder
             .body(Full::new(body.into()))
             .map_err(|error| ClientFailure::NotSent(error.to_string()))?;
-        let Some(address) = request.uri().authority().cloned() else {
-            return Err(ClientFailure::NotSent(format!(
-                "{url}: expected an address"
-            )));
-        };
+        let address = address_of(&request, url)?;
         let (pool, generation) = self.kept.pool(&address);
-        let exchange = self.exchange(&pool, request);
-        match tokio::time::timeout(time, exchange).await {
-            Ok(Ok(reply)) => {
-                self.kept.note_answer(&address, generation);
+        let exchange = tokio::time::timeout(time, self.exchange(&pool, request));
+        let end = exchange.await.unwrap_or(Err(CallEnd::Silent));
+        self.note_end(&address, generation, end)
+    }
+
+    /// Sends a request and waits a time for the reply to begin, and then for its whole body as long
+    /// as that goes on: no pause in it may be longer than `pause`.
+    ///
+    /// `begins` is called when the reply has begun, with the size of its body if that is told.
+    ///
+    /// # Errors
+    ///
+    /// Returns whether the request may have been received.
+    pub async fn send_long(
+        &self,
+        url: &str,
+        content_type: &'static str,
+        (time, pause): (Duration, Duration),
+        begins: impl FnOnce(Option<u64>),
+    ) -> Result<HttpReply, ClientFailure> {
+        let request = Request::builder()
+            .method(Method::GET)
+            .uri(url)
+            .header(CONTENT_TYPE, content_type)
+            .body(Full::new(Bytes::new()))
+            .map_err(|error| ClientFailure::NotSent(error.to_string()))?;
+        let address = address_of(&request, url)?;
+        let (pool, generation) = self.kept.pool(&address);
+        let exchange = self.exchange_long(&pool, request, (time, pause), begins);
+        self.note_end(&address, generation, exchange.await)
+    }
+
+    /// Notes how a call ended on the connections among which it was.
+    fn note_end(
+        &self,
+        address: &Authority,
+        generation: u64,
+        end: Result<HttpReply, CallEnd>,
+    ) -> Result<HttpReply, ClientFailure> {
+        match end {
+            Ok(reply) => {
+                self.kept.note_answer(address, generation);
                 Ok(reply)
             }
-            Ok(Err(CallEnd::Failed(failure))) => Err(failure),
-            Ok(Err(CallEnd::Silent)) | Err(_) => {
-                self.kept.give_up(&address, generation);
+            Err(CallEnd::Failed(failure)) => Err(failure),
+            Err(CallEnd::Silent) => {
+                self.kept.give_up(address, generation);
                 Err(ClientFailure::NoReply("out of time".into()))
             }
         }
     }
 
-    async fn exchange(
+    async fn exchange_long(
         &self,
         pool: &ConnectionPool,
         request: Request<Full<Bytes>>,
+        (time, pause): (Duration, Duration),
+        begins: impl FnOnce(Option<u64>),
     ) -> Result<HttpReply, CallEnd> {
-        let response = pool.request(request).await.map_err(|error| {
-            let text = error.to_string();
-            match (error.is_connect(), system_cause(&error)) {
-                (true, Some(ErrorKind::ConnectionRefused | ErrorKind::ConnectionReset)) => {
-                    CallEnd::Failed(ClientFailure::Refused(text))
+        let out_of_time = |_| CallEnd::Silent;
+        let begun = tokio::time::timeout(time, begin(pool, request));
+        let response = begun.await.map_err(out_of_time)??;
+        let (status, retry_after_ms) = head_of(&response);
+        begins(response.body().size_hint().exact());
+        let mut body = Limited::new(response.into_body(), self.reply_bytes);
+        let mut whole = BytesMut::new();
+        loop {
+            let frame = tokio::time::timeout(pause, body.frame());
+            match frame.await.map_err(out_of_time)? {
+                None => break,
+                Some(Ok(frame)) => {
+                    if let Some(data) = frame.data_ref() {
+                        whole.extend_from_slice(data);
+                    }
                 }
-                (true, _) => CallEnd::Failed(ClientFailure::NotSent(text)),
-                (false, _) => CallEnd::of(&error),
+                Some(Err(error)) => return Err(CallEnd::of(&*error)),
             }
-        })?;
-        let status = response.status().as_u16();
-        let retry_after_ms = response
-            .headers()
-            .get(hyper::header::RETRY_AFTER)
-            .and_then(|value| value.to_str().ok()?.parse::<u64>().ok())
-            .map(|seconds| seconds * 1_000);
+        }
+        Ok(HttpReply {
+            status,
+            body: whole.freeze(),
+            retry_after_ms,
+        })
+    }
+
+    async fn exchange(
+        &self,
+        pool: &ConnectionPool,
+        request: Request<Full<Bytes>>,
+    ) -> Result<HttpReply, CallEnd> {
+        let response = begin(pool, request).await?;
+        let (status, retry_after_ms) = head_of(&response);
         let body = Limited::new(response.into_body(), self.reply_bytes)
             .collect()
             .await
@@ -211,3 +266,35 @@
         })
     }
 }
+
+fn address_of(request: &Request<Full<Bytes>>, url: &str) -> Result<Authority, ClientFailure> {
+    let address = request.uri().authority().cloned();
+    address.ok_or_else(|| ClientFailure::NotSent(format!("{url}: expected an address")))
+}
+
+/// Sends a request and waits until its reply begins.
+async fn begin(
+    pool: &ConnectionPool,
+    request: Request<Full<Bytes>>,
+) -> Result<Response<Incoming>, CallEnd> {
+    pool.request(request).await.map_err(|error| {
+        let text = error.to_string();
+        match (error.is_connect(), system_cause(&error)) {
+            (true, Some(ErrorKind::ConnectionRefused | ErrorKind::ConnectionReset)) => {
+                CallEnd::Failed(ClientFailure::Refused(text))
+            }
+            (true, _) => CallEnd::Failed(ClientFailure::NotSent(text)),
+            (false, _) => CallEnd::of(&error),
+        }
+    })
+}
+
+/// Status of a response, and the time after which to come back, in milliseconds.
+fn head_of(response: &Response<Incoming>) -> (u16, Option<u64>) {
+    let retry_after_ms = response
+        .headers()
+        .get(hyper::header::RETRY_AFTER)
+        .and_then(|value| value.to_str().ok()?.parse::<u64>().ok())
+        .map(|seconds| seconds * 1_000);
+    (response.status().as_u16(), retry_after_ms)
+}
--- a/crates/bankvalve_queue/src/core/callers.rs
+++ b/crates/bankvalve_queue/src/core/callers.rs
@@ -32,11 +32,13 @@
 #[derive(Debug)]
 pub(super) struct OpenAsk {
     pub(super) request: CallerRequest,
+    /// Version of the configuration under which it was read.
+    table_version: u64,
     pub(super) since: CoreTime,
     until: CoreTime,
     /// Leader that it was last sent to, and when.
     pub(super) sent: Option<(PeerAddress, CoreTime)>,
-    /// Copies that a leader may have taken up and that have no answer.
+    /// Copies that a leader, this instance among them, may have taken up and that have no answer.
     pub(super) copies: u32,
 }
 
@@ -53,6 +55,7 @@
         let patience = Duration::from_millis(request.patience_ms * PATIENCE_PERCENT / 100);
         let ask = OpenAsk {
             request: request.request,
+            table_version: request.table_version,
             since: self.now,
             until: self.now + patience,
             sent: None,
@@ -90,11 +93,17 @@
         };
         ask.sent = Some((leader, now));
         let request = ask.request.clone();
+        let table_version = ask.table_version;
+        ask.copies += 1;
         if own {
-            self.serve_request(Origin::Own(ticket), request);
+            self.serve_read(Origin::Own(ticket), table_version, request);
         } else {
-            ask.copies += 1;
-            self.tell(leader, PeerMessage::Ask { ticket, request });
+            let message = PeerMessage::Ask {
+                ticket,
+                table_version,
+                request,
+            };
+            self.tell(leader, message);
         }
     }
 
@@ -103,9 +112,6 @@
         let tickets: Vec<Ticket> = self.asks.keys().copied().collect();
         for ticket in tickets {
             if let Some(ask) = self.asks.get_mut(&ticket) {
-                if ask.sent.is_some_and(|(to, _)| to == self.settings.address) {
-                    ask.copies += 1;
-                }
                 ask.sent = None;
             }
             self.send_ask(ticket);
@@ -168,10 +174,16 @@
         self.actions.push(CoreAction::Answer { ticket, answer });
     }
 
-    pub(super) fn take_ask(&mut self, from: PeerAddress, ticket: Ticket, request: CallerRequest) {
+    pub(super) fn take_ask(
+        &mut self,
+        from: PeerAddress,
+        ticket: Ticket,
+        table_version: u64,
+        request: CallerRequest,
+    ) {
         let loaded = self.lead.as_ref().is_some_and(|lead| lead.loaded);
         if loaded {
-            self.serve_request(Origin::Peer(from, ticket), request);
+            self.serve_read(Origin::Peer(from, ticket), table_version, request);
         } else {
             let answer = None;
             self.tell(from, PeerMessage::Reply { ticket, answer });
@@ -185,6 +197,12 @@
         answer: Option<CallerAnswer>,
     ) {
         match answer {
+            Some(CallerAnswer::Refused { .. }) if self.is_served_here(ticket) => {
+                // The leader before turns its copy away; this instance answers its own.
+                if let Some(ask) = self.asks.get_mut(&ticket) {
+                    ask.copies = ask.copies.saturating_sub(1);
+                }
+            }
             Some(answer) => self.end_ask(ticket, answer),
             None => {
                 let Some(ask) = self.asks.get_mut(&ticket) else {
@@ -200,6 +218,13 @@
         }
     }
 
+    /// Tells whether this instance leads and has taken a request up itself.
+    fn is_served_here(&self, ticket: Ticket) -> bool {
+        let own = self.settings.address;
+        let ask = self.asks.get(&ticket);
+        ask.is_some_and(|ask| ask.sent.is_some_and(|(to, _)| to == own))
+    }
+
     /// Answers a request about a job that was not known when it came, now that it is sure that this
     /// instance led then; meanwhile the job may have been handed in.
     pub(super) fn serve_unknown(&mut self, ask: UnknownAsk) {
@@ -216,6 +241,20 @@
         }
     }
 
+    /// Serves a request that was read under a version of the configuration.
+    fn serve_read(&mut self, origin: Origin, version: u64, request: CallerRequest) {
+        match self.read_anew(request, version) {
+            Ok(request) => self.serve_request(origin, request),
+            Err(reason) => {
+                let newer = self.table_version();
+                let detail = format!("{}, read under {version}", reason.as_str());
+                self.log("callers", "refuse", format!("version {newer}"), detail);
+                let retry_ms = RETRY_MS;
+                self.answer(origin, CallerAnswer::Refused { reason, retry_ms });
+            }
+        }
+    }
+
     fn serve_request(&mut self, origin: Origin, request: CallerRequest) {
         match request {
             CallerRequest::Submit { spec, terms } => self.serve_submit(origin, spec, terms),
--- a/crates/bankvalve_queue/src/guard.rs
+++ b/crates/bankvalve_queue/src/guard.rs
@@ -19,6 +19,10 @@
     CompleteBook,
     /// A run that a list lacks is gone only if the list was asked for after the run was confirmed.
     NewerList,
+    /// An older configuration never replaces a newer one.
+    NewerTable,
+    /// That a queue is not there is said only once the configuration is known to be the newest.
+    KnownNewest,
     /// A question that has no answer is sent again.
     ResentAsk,
     /// A page of the ledger that did not come is asked for with more time, also for a slow table,
@@ -30,7 +34,7 @@
 
 impl SiteGuard {
     /// All guards.
-    pub const ALL: [SiteGuard; 11] = [
+    pub const ALL: [SiteGuard; 13] = [
         SiteGuard::LedgerFirst,
         SiteGuard::OwnRow,
         SiteGuard::KeptEnds,
@@ -39,6 +43,8 @@
         SiteGuard::SureRefusal,
         SiteGuard::CompleteBook,
         SiteGuard::NewerList,
+        SiteGuard::NewerTable,
+        SiteGuard::KnownNewest,
         SiteGuard::ResentAsk,
         SiteGuard::LedgerProgress,
         SiteGuard::GrowingPatience,
@@ -64,6 +70,8 @@
             SiteGuard::SureRefusal => "sure-refusal",
             SiteGuard::CompleteBook => "complete-book",
             SiteGuard::NewerList => "newer-list",
+            SiteGuard::NewerTable => "newer-table",
+            SiteGuard::KnownNewest => "known-newest",
             SiteGuard::ResentAsk => "resent-ask",
             SiteGuard::LedgerProgress => "ledger-progress",
             SiteGuard::GrowingPatience => "growing-patience",
--- a/crates/bankvalve_queue/src/lib.rs
+++ b/crates/bankvalve_queue/src/lib.rs
@@ -36,7 +36,7 @@
     peer_time, HeartbeatNews, PeerAddress, PeerBatch, PeerMessage, KEPT_CONNECTIONS, PEER_FLIGHTS,
 };
 pub use policy::PolicySwitch;
-pub use port::{PlatformPort, WireAnswer, WireCall, WireReply, WireRequest};
+pub use port::{PlatformPort, RequestFault, WireAnswer, WireCall, WireReply, WireRequest};
 pub use queue_table::{AdviceRule, QueueRule, QueueTable};
 pub use store::{
     OperatorNews, RowChange, RowCondition, RowKey, RowWrite, StoreOutcome, StoreRequest, StoredRow,
