--- a/crates/bankvalve/src/entry/core_loop.rs
+++ b/crates/bankvalve/src/entry/core_loop.rs
@@ -26,6 +26,7 @@
     Event(CoreEvent),
     /// A caller asks for a queue that is not known.
     QueueUnknown {
+        asked: String,
         patience_ms: u64,
         reply: oneshot::Sender<CallerAnswer>,
     },
@@ -84,10 +85,14 @@
     }
 
     /// Asks the core whether the configuration in force is as new as this question, of a caller
-    /// that asks for a queue that is not in it.
-    pub async fn ask_newest(&self, patience_ms: u64) -> CallerAnswer {
-        self.ask_core(|reply| CoreInput::QueueUnknown { patience_ms, reply })
-            .await
+    /// that asks for a queue that is not in it: host and path, for the log.
+    pub async fn ask_newest(&self, asked: String, patience_ms: u64) -> CallerAnswer {
+        let input = |reply| CoreInput::QueueUnknown {
+            asked,
+            patience_ms,
+            reply,
+        };
+        self.ask_core(input).await
     }
 
     async fn ask_core(
@@ -199,11 +204,16 @@
     fn take(&mut self, input: CoreInput) {
         match input {
             CoreInput::Event(event) => self.step(event),
-            CoreInput::QueueUnknown { patience_ms, reply } => {
+            CoreInput::QueueUnknown {
+                asked,
+                patience_ms,
+                reply,
+            } => {
                 let ticket = self.core.new_ticket();
                 self.replies.insert(ticket, reply);
                 self.step(CoreEvent::QueueUnknown {
                     ticket,
+                    asked,
                     patience_ms,
                 });
             }
--- a/crates/bankvalve/src/entry/listeners.rs
+++ b/crates/bankvalve/src/entry/listeners.rs
@@ -17,6 +17,9 @@
 /// When a caller may come back while there is no configuration yet, in milliseconds.
 const NO_TABLE_RETRY_MS: u64 = 1_000;
 
+/// Most of a host and a path that goes into the log, in characters.
+const ASKED_CHARS: usize = 160;
+
 /// What all listeners share.
 #[derive(Clone, Debug)]
 pub(super) struct ListenerState {
@@ -72,7 +75,7 @@
         let Err(RequestFault::NoQueue { patience_ms, .. }) = first else {
             return first.map_err(RequestFault::into_answer);
         };
-        let newest = self.core.ask_newest(patience_ms).await;
+        let newest = self.core.ask_newest(asked_text(wire), patience_ms).await;
         match self.read_now(wire) {
             Err(RequestFault::NoQueue { .. }) if newest != CallerAnswer::TableIsNewest => {
                 Err((self.port.write_answer)(&newest))
@@ -125,3 +128,9 @@
         HttpAnswer::new(200, "text/plain; version=0.0.4", self.metrics.render())
     }
 }
+
+/// Host and path of a request, for the log.
+fn asked_text(wire: &WireRequest<'_>) -> String {
+    let asked = wire.host.chars().chain(wire.path.chars());
+    asked.take(ASKED_CHARS).collect()
+}
--- a/crates/bankvalve_check/src/site/site_config.rs
+++ b/crates/bankvalve_check/src/site/site_config.rs
@@ -245,6 +245,7 @@
             return;
         };
         let ticket = core.new_ticket();
+        let asked = queue.clone();
         let call = OpenCall::Newest { queue, asked_ms };
         self.calls.insert((node, ticket), call);
         let patience_ms = PATIENCE_MS;
@@ -252,6 +253,7 @@
             node,
             CoreEvent::QueueUnknown {
                 ticket,
+                asked,
                 patience_ms,
             },
         );
--- a/crates/bankvalve_queue/src/core/entry_core.rs
+++ b/crates/bankvalve_queue/src/core/entry_core.rs
@@ -135,6 +135,8 @@
     QueueUnknown {
         /// Number of the request.
         ticket: Ticket,
+        /// Host and path that the caller named, for the log.
+        asked: String,
         /// Time that the caller waits, in milliseconds.
         patience_ms: u64,
     },
@@ -336,8 +338,9 @@
             CoreEvent::Caller { ticket, request } => self.take_request(ticket, request),
             CoreEvent::QueueUnknown {
                 ticket,
+                asked,
                 patience_ms,
-            } => self.take_lookup(ticket, patience_ms),
+            } => self.take_lookup(ticket, asked, patience_ms),
             CoreEvent::Stop => self.begin_stop(),
         }
         self.run_lead();
--- a/crates/bankvalve_queue/src/core/queue_lookup.rs
+++ b/crates/bankvalve_queue/src/core/queue_lookup.rs
@@ -22,6 +22,8 @@
 #[derive(Debug)]
 pub(super) struct QueueLookup {
     ticket: Ticket,
+    /// Host and path that it named.
+    asked: String,
     at: CoreTime,
     until: CoreTime,
 }
@@ -29,18 +31,19 @@
 impl EntryCore {
     /// A caller asks for a queue that is not known here. It is told that only once the table has
     /// said, after the request came, which configuration is the newest.
-    pub(super) fn take_lookup(&mut self, ticket: Ticket, patience_ms: u64) {
+    pub(super) fn take_lookup(&mut self, ticket: Ticket, asked: String, patience_ms: u64) {
         let patience = Duration::from_millis(patience_ms * PATIENCE_PERCENT / 100);
         if !self.keeps(SiteGuard::KnownNewest) {
-            self.tell_newest(ticket);
+            self.tell_newest(ticket, asked);
             return;
         }
         if self.tables.lookups.len() >= LOOKUP_COUNT {
-            self.refuse_lookup(ticket, "too many wait");
+            self.refuse_lookup(ticket, asked, "too many wait");
             return;
         }
         self.tables.lookups.push(QueueLookup {
             ticket,
+            asked,
             at: self.now,
             until: self.now + patience.min(LOOKUP_LIMIT),
         });
@@ -55,7 +58,7 @@
             .partition(|lookup| lookup.at <= asked_at);
         self.tables.lookups = later;
         for lookup in ready {
-            self.tell_newest(lookup.ticket);
+            self.tell_newest(lookup.ticket, lookup.asked);
         }
     }
 
@@ -70,26 +73,26 @@
             lookups.into_iter().partition(|lookup| now >= lookup.until);
         self.tables.lookups = waiting;
         for lookup in over {
-            self.refuse_lookup(lookup.ticket, "the table does not tell");
+            self.refuse_lookup(lookup.ticket, lookup.asked, "the table does not tell");
         }
     }
 
-    fn tell_newest(&mut self, ticket: Ticket) {
+    fn tell_newest(&mut self, ticket: Ticket, asked: String) {
         let answer = CallerAnswer::TableIsNewest;
         let version = self.table_version();
         self.counters.count("callers", "no_queue");
         let detail = format!("version {version} is the newest");
-        self.log("callers", "no_queue", ticket.to_string(), detail);
+        self.log("callers", "no_queue", asked, detail);
         self.actions.push(CoreAction::Answer { ticket, answer });
     }
 
-    fn refuse_lookup(&mut self, ticket: Ticket, why: &str) {
+    fn refuse_lookup(&mut self, ticket: Ticket, asked: String, why: &str) {
         let reason = RefusalReason::TableUnsure;
         self.counters.count("callers", "queue_unsure");
         self.counters.refuse(reason);
         let version = self.table_version();
         let detail = format!("version {version} may be old: {why}");
-        self.log("callers", "queue_unsure", ticket.to_string(), detail);
+        self.log("callers", "queue_unsure", asked, detail);
         let answer = CallerAnswer::Refused {
             reason,
             retry_ms: RETRY_MS,
--- a/crates/bankvalve_queue/tests/config.rs
+++ b/crates/bankvalve_queue/tests/config.rs
@@ -67,6 +67,7 @@
         let patience_ms = 3_000;
         let actions = self.step(CoreEvent::QueueUnknown {
             ticket,
+            asked: "host/added/".into(),
             patience_ms,
         });
         (ticket, actions)
@@ -147,6 +148,8 @@
     // What the table said before they asked does not tell them.
     let ended = alone.answer(*question, news(None, 12));
     assert_eq!(answers(&ended), [(first, CallerAnswer::TableIsNewest)]);
+    let named = |action: &CoreAction| matches!(action, CoreAction::Log(line) if line.event == "no_queue" && line.id == "host/added/");
+    assert!(ended.iter().any(named), "the log names what was asked for");
     let actions = alone.pass_until(1_200);
     let asked = questions(&actions);
     let [(question, _)] = asked.as_slice() else {
