--- a/crates/bankvalve_check/src/site/site_links.rs
+++ b/crates/bankvalve_check/src/site/site_links.rs
@@ -6,8 +6,9 @@
 use rand::Rng;
 
 use super::site_bytes::{message_bytes, request_bytes};
+use super::site_plan::SiteNode;
 use super::site_silence::call_ms;
-use super::site_world::{Later, SiteNode, SiteWorld};
+use super::site_world::{Later, SiteWorld};
 
 /// Longest way of a message to a peer, in milliseconds.
 const WAY_MS: u64 = 4;
--- a/crates/bankvalve_check/src/site/site_promise.rs
+++ b/crates/bankvalve_check/src/site/site_promise.rs
@@ -1,7 +1,8 @@
 //! What is promised of configurations, checked on instances and on what callers are told.
 
 use super::site_config::{QueueAnswer, QueueTold};
-use super::site_world::{SiteNode, SiteWorld};
+use super::site_plan::SiteNode;
+use super::site_world::SiteWorld;
 
 /// Time in which a configuration must be in force, in milliseconds: that of the large sites.
 const APPLY_MS: u64 = 3_000;
--- a/crates/bankvalve_check/src/site/site_world.rs
+++ b/crates/bankvalve_check/src/site/site_world.rs
@@ -7,7 +7,7 @@
 
 use bankvalve_queue::{
     CallerAnswer, CallerRequest, CoreEvent, EntryCore, EntrySettings, JobId, JobSpec, JobState,
-    PeerAddress, PolicySwitch, SiteGuard, StoreRequest, Ticket, WorkerId,
+    PeerAddress, StoreRequest, Ticket, WorkerId,
 };
 use bankvalve_standin::site::{SitePolicy, SiteStore, SiteWorker};
 use rand::SeedableRng;
@@ -17,7 +17,7 @@
 use super::site_calls::OpenCall;
 use super::site_config::{QueueAnswer, SiteConfig};
 use super::site_silence::SilentLane;
-use super::{LinkRecord, RuleBook, SiteAnswer};
+use super::{LinkRecord, RuleBook, SiteAnswer, SiteNode, SitePlan};
 
 /// Name of the usual queue.
 pub const QUEUE: &str = "batch";
@@ -28,66 +28,6 @@
 /// Time of day at the start, in milliseconds since 1970.
 const WALL_START: u64 = 1_000_000_000_000;
 
-/// What a world consists of.
-#[derive(Clone, Debug)]
-pub struct SitePlan {
-    /// Seed of all that is drawn.
-    pub seed: u64,
-    /// Entry instances.
-    pub entries: usize,
-    /// Processors of the instances, in thousandths of a core; those not named have a whole one.
-    pub strengths: Vec<u64>,
-    /// Guard that all instances lack; none but in checks of the checks.
-    pub broken: Option<SiteGuard>,
-    /// Policy that all instances lack; none but in measurements.
-    pub without: Option<PolicySwitch>,
-    /// Workers.
-    pub workers: usize,
-    /// Share of workers that the policy finds good, in percent; none without a policy.
-    pub good_percent: Option<u64>,
-}
-
-/// An entry instance.
-#[derive(Debug)]
-pub struct SiteNode {
-    /// Its address.
-    pub address: PeerAddress,
-    pub(super) core: Option<EntryCore>,
-    pub(super) started_ms: u64,
-    pub(super) life: u64,
-    /// Until when it stands still.
-    pub frozen_until: u64,
-    /// Until when the table does not answer it.
-    pub cut_from_store_until: u64,
-    /// Until when the table turns it away.
-    pub turned_away_until: u64,
-    /// Until when peers do not reach it.
-    pub cut_from_peers_until: u64,
-    /// Bytes that its link carries in a millisecond; none for as many as there are. They are those
-    /// of rows that it reads, each answer by itself, unless links carry all.
-    pub link_bytes_per_ms: Option<u64>,
-    pub(super) link_use: LinkUse,
-    /// Until when its long questions to the table about the configuration have no answer.
-    pub watch_lost_until: u64,
-    pub(super) parked: Vec<CoreEvent>,
-    /// Until when trouble disturbs it, as far as was noted.
-    pub(super) disturbed_until: u64,
-    /// Newest configuration that this life has had in force.
-    pub(super) newest_table: u64,
-}
-
-impl SiteNode {
-    /// Whether it runs.
-    pub fn is_up(&self) -> bool {
-        self.core.is_some()
-    }
-
-    /// Whether it leads.
-    pub fn leads(&self) -> bool {
-        self.core.as_ref().is_some_and(|core| core.view().leading)
-    }
-}
-
 /// Something that happens later.
 #[derive(Debug)]
 pub(super) enum Later {
