fix(entry): a caller that left before its answer does not hold a planned stop up

Cause, by reading: open callers' requests were counted up before the answer and down after it. When a caller closes its connection, the server drops the work on its request in between, so the count never fell again, and each later planned stop of that process took the whole time that it has for a stop.

Ruled out: the hand-over (a peer led) and the balancer's 2.3 s; the same stop without such a caller (a_planned_stop_hands_over_and_ends_well) was short before.

Change: what is counted up is counted down when the request is dropped.

Test: a_planned_stop_does_not_wait_for_callers_that_have_left, one run each. Before: failed, the stop took 30.08 s of the 30 s that the test grants. After: passed; the four tests `leaving` and `stopping` took 2.96 s together.

The same count in api/caller_api.rs (a cell of one's own) is as it was.

--- a/crates/bankvalve/src/entry/listeners.rs
+++ b/crates/bankvalve/src/entry/listeners.rs
@@ -24,15 +24,31 @@
     pub(super) in_flight: Arc<AtomicU64>,
 }
 
+/// A caller's request that counts as open until it is answered, or dropped with the connection of a
+/// caller that has left.
+struct OpenRequest(Arc<AtomicU64>);
+
+impl OpenRequest {
+    fn count(open: &Arc<AtomicU64>) -> Self {
+        open.fetch_add(1, Ordering::AcqRel);
+        Self(open.clone())
+    }
+}
+
+impl Drop for OpenRequest {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::AcqRel);
+    }
+}
+
 impl ListenerState {
     /// Answers a caller.
     pub(super) async fn serve_caller(self, request: HttpRequest) -> HttpAnswer {
-        self.in_flight.fetch_add(1, Ordering::AcqRel);
+        let _counted = OpenRequest::count(&self.in_flight);
         let begun = Instant::now();
         let answer = self.decide(&request).await;
         self.metrics
             .note_request(request.method.as_str(), answer.status, begun.elapsed());
-        self.in_flight.fetch_sub(1, Ordering::AcqRel);
         HttpAnswer {
             close: self.stopping.load(Ordering::Acquire),
             ..HttpAnswer {
