fix(queue): a leader that still reads the ledger is not sent requests over and over

Cause: a request that a leader turned away because it reads the ledger went out again after 0.1 s, unchanged, for as long as its caller waited. Each copy of a job carries its text, and passes over the link by which the leader reads: the longer that takes, the more copies, so that a weak leader may never have its book.

Ruled out by trials on a scratch copy: the ledger alone (4,000 batches, weak instances alone: first job accepted after 4.8 s with requests that cost the link nothing).

Change: heartbeats tell whether the leader still reads; requests wait at the others until it does not, and count as surely not taken up. The end of the reading is told at once. An answer that a copy was not taken up says the same.

--- a/crates/bankvalve_queue/src/core/callers.rs
+++ b/crates/bankvalve_queue/src/core/callers.rs
@@ -78,8 +78,9 @@
         };
         let leader = view.address;
         let own = leader == self.settings.address;
-        if !own && self.age(view.heard_at) > SILENT_LEADER {
-            // It stays certain that the request was not taken up.
+        if !own && (view.loading || self.age(view.heard_at) > SILENT_LEADER) {
+            // It stays certain that the request was not taken up. One that reads the ledger says
+            // when it has it; requests sent over and over would fill the link that it reads by.
             return;
         }
         if own && !self.lead.as_ref().is_some_and(|lead| lead.loaded) {
@@ -191,6 +192,9 @@
                     return;
                 };
                 ask.copies = ask.copies.saturating_sub(1);
+                if let Some(leader) = self.leader.as_mut().filter(|view| view.address == from) {
+                    leader.loading = true;
+                }
                 if ask.sent.is_some_and(|(to, _)| to == from) {
                     // It did not take this copy up; it goes out again soon.
                     let back = RESEND_AFTER - Duration::from_millis(100);
--- a/crates/bankvalve_queue/src/core/election.rs
+++ b/crates/bankvalve_queue/src/core/election.rs
@@ -46,6 +46,8 @@
     pub(super) heard_at: CoreTime,
     /// Whether its process is surely gone: its port refused, or another life answers there.
     pub(super) gone: bool,
+    /// Whether it said last that it takes no requests up yet.
+    pub(super) loading: bool,
 }
 
 /// A peer, as far as is known.
@@ -165,6 +167,7 @@
             row_version: version,
             heard_at: self.now.saturating_sub(SUSPECT_AFTER - grace),
             gone,
+            loading: false,
         });
     }
 
@@ -260,6 +263,7 @@
                 row_version: 0,
                 heard_at: self.now,
                 gone: false,
+                loading: news.loading,
             });
             return;
         }
@@ -269,6 +273,7 @@
                 leader.heard_at = now;
                 leader.life = news.life;
                 leader.gone = false;
+                leader.loading = news.loading;
                 self.suspect_since = None;
             }
         }
@@ -461,6 +466,8 @@
         }
         let mut lead = LeadState::new(epoch, row_version, predecessor, self.now);
         lead.guess_error = self.measures.1.clone();
+        // The first heartbeat tells it.
+        lead.loaded = complete;
         self.lead = Some(Box::new(lead));
         self.worker_watch = Default::default();
         self.leader = Some(LeaderView {
@@ -470,6 +477,7 @@
             row_version,
             heard_at: self.now,
             gone: false,
+            loading: false,
         });
         self.next_heartbeat = self.now;
         self.run_heartbeats();
--- a/crates/bankvalve_queue/src/core/following.rs
+++ b/crates/bankvalve_queue/src/core/following.rs
@@ -178,6 +178,9 @@
         if more || !joins || !own {
             self.read_on();
         } else if self.lead.is_some() {
+            // Requests wait at the others until they are told.
+            self.next_heartbeat = self.now;
+            self.next_far_heartbeat = self.now;
             self.end_loading();
         } else {
             self.catching_up = false;
--- a/crates/bankvalve_queue/src/core/members.rs
+++ b/crates/bankvalve_queue/src/core/members.rs
@@ -117,6 +117,7 @@
             epoch: self.highest_epoch,
             leader: leader.map(|leader| leader.address),
             leading: self.lead.is_some(),
+            loading: lead.is_some_and(|lead| !lead.loaded),
             leader_age_ms: match (&self.lead, leader) {
                 (Some(_), _) => 0,
                 (None, Some(leader)) => self.age(leader.heard_at).as_millis() as u64,
--- a/crates/bankvalve_queue/src/peer.rs
+++ b/crates/bankvalve_queue/src/peer.rs
@@ -47,6 +47,8 @@
     pub leader: Option<PeerAddress>,
     /// Whether the sender itself leads.
     pub leading: bool,
+    /// Whether it leads and still reads the ledger, so that it takes no requests up.
+    pub loading: bool,
     /// Milliseconds since it last heard from that leader.
     pub leader_age_ms: u64,
     /// Whether it leads and the table leaves its requests unanswered.
