--- a/crates/bankvalve_check/src/site/site_answers.rs
+++ b/crates/bankvalve_check/src/site/site_answers.rs
@@ -2,8 +2,9 @@
 
 use bankvalve_queue::{CallerAnswer, CallerRequest, JobId};
 
+use super::site_calls::OpenCall;
 use super::site_calls::PATIENCE_MS;
-use super::site_world::{OpenCall, SiteWorld};
+use super::site_world::SiteWorld;
 
 /// What a caller was told that asked one instance about one job.
 #[derive(Clone, Debug, PartialEq, Eq)]
--- a/crates/bankvalve_check/tests/site/random.rs
+++ b/crates/bankvalve_check/tests/site/random.rs
@@ -11,6 +11,8 @@
         let report = run_site_episode(seed, &SiteFault::ALL);
         assert_eq!(report.breaches, [], "seed {seed}");
         assert!(report.starts > 500, "seed {seed}: {} starts", report.starts);
+        assert!(report.versions > 20, "seed {seed}: {}", report.versions);
+        assert!(report.told > 50, "seed {seed}: {} told", report.told);
     }
 }
 
@@ -34,6 +36,8 @@
         (SiteGuard::StopsCount, 1),
         (SiteGuard::CompleteBook, 1),
         (SiteGuard::NewerList, 1),
+        (SiteGuard::NewerTable, 2),
+        (SiteGuard::KnownNewest, 1),
         (SiteGuard::ResentAsk, 1),
         (SiteGuard::LedgerProgress, 7),
         (SiteGuard::GrowingPatience, 3),
@@ -60,6 +64,13 @@
     }
 }
 
+#[test]
+fn a_late_refusal_by_the_leader_before_refuses_nothing_that_runs() {
+    // Found with this seed: the caller was told that its job surely never runs.
+    let report = run_site_episode(38, &SiteFault::ALL);
+    assert_eq!(report.breaches, []);
+}
+
 #[test]
 fn a_cancel_that_was_sent_again_is_not_answered_that_there_is_no_such_job() {
     // Found with this seed: the first copy came before the job, its answer was held up on a thin
--- a/crates/bankvalve_queue/src/core/questions.rs
+++ b/crates/bankvalve_queue/src/core/questions.rs
@@ -34,6 +34,9 @@
 /// A request whose answer should have come so long ago, or word that there is none, ends without:
 /// the ring of events may have been full when the word was given.
 const FORGOTTEN_AFTER: Duration = Duration::from_secs(1);
+/// Longest that an answer is reckoned to go on arriving once it has begun: 2 MB take 8 s on a link
+/// of 2 Mbit/s.
+const LONGEST_ANSWER: Duration = Duration::from_secs(12);
 /// Part, as a divisor, by which the usual time of a small answer rises with a slower one; it falls
 /// at once with a quicker one, since answers also wait behind large ones on a thin link.
 const LATENCY_RISE: u32 = 4;
@@ -98,6 +101,7 @@
             StorePurpose::Operator | StorePurpose::Workers { .. } if self.waits.is_zero() => {
                 LARGE_DOUBLINGS
             }
+            StorePurpose::AskOperator => LARGE_DOUBLINGS,
             // They ask whether the table answers in time.
             StorePurpose::Confirm | StorePurpose::Probe => 0,
             _ => DOUBLINGS,
@@ -118,6 +122,7 @@
             StorePurpose::ReadCell => "read_cell",
             StorePurpose::WatchCell => "watch_cell",
             StorePurpose::Operator => "operator",
+            StorePurpose::AskOperator => "ask_operator",
             StorePurpose::Workers { .. } => "workers",
             StorePurpose::DropMember => "drop_member",
             StorePurpose::Probe => "probe",
@@ -215,6 +220,13 @@
         }
     }
 
+    /// The answer to a request has begun to arrive, and is waited for as long as it goes on.
+    pub(super) fn extend_question(&mut self, ticket: Ticket) {
+        if let Some(question) = self.store_tickets.get_mut(&ticket) {
+            question.due_at = question.due_at.max(self.now + LONGEST_ANSWER);
+        }
+    }
+
     /// Ends requests of whose end no word came, as lost.
     pub(super) fn end_forgotten_questions(&mut self) {
         let now = self.now;
--- a/crates/bankvalve_queue/src/peer.rs
+++ b/crates/bankvalve_queue/src/peer.rs
@@ -75,6 +75,8 @@
     Ask {
         /// Number of the question.
         ticket: Ticket,
+        /// Version of the configuration under which it was read.
+        table_version: u64,
         /// The request.
         request: CallerRequest,
     },
@@ -123,7 +125,23 @@
         /// Whether the sender has stopped commanding; if not, it does until the claim stands.
         over: bool,
     },
-    /// A configuration, to a peer that has an older one.
+    /// The sender has an older configuration than a peer, and the table does not answer it.
+    TableWanted {
+        /// Version that it has.
+        version: u64,
+    },
+    /// The sender has a newer one to give.
+    TableOffer {
+        /// Its version.
+        version: u64,
+        /// Its size.
+        bytes: u64,
+    },
+    /// The sender takes what it was offered.
+    TableTaken,
+    /// The sender cannot give it just now after all.
+    TableRefused,
+    /// A configuration, to a peer that took the offer.
     Table {
         /// The configuration as the operator wrote it.
         #[serde(with = "serde_bytes")]
