--- a/crates/bankvalve_queue/tests/asks.rs
+++ b/crates/bankvalve_queue/tests/asks.rs
@@ -89,6 +89,7 @@
                 terms: Default::default(),
             },
             patience_ms: PATIENCE_MS,
+            table_version: 0,
         };
         self.step(at_ms, CoreEvent::Caller { ticket, request });
     }
