refactor(queue): a refusal under a newer configuration is logged by its job; two constants stand once

`callers refuse` for a queue that a newer configuration dropped bore "version N" in place of the job's id, so that this 503 could not be followed from its id, as docs/OPERATIONS.md says. And the share of a caller's patience and the time to come back stood in callers.rs and again in queue_lookup.rs. Change: the id is the job's, the versions are in the detail; one function names a request's job for both log lines; queue_lookup uses the constants of callers. Decisions are as before.

--- a/crates/bankvalve_queue/src/core/callers.rs
+++ b/crates/bankvalve_queue/src/core/callers.rs
@@ -4,6 +4,7 @@
 
 use super::commit::{Effect, Origin};
 use super::lead::{LeadState, UnknownAsk};
+use super::sight::job_text;
 use super::withdraw::STORE_RETRY_MS;
 use super::EntryCore;
 use crate::caller::{CallerAnswer, CallerRequest, JobState, RefusalReason, ResolvedRequest};
@@ -20,9 +21,9 @@
 /// Longest that a request waits for a leader to be known.
 const LEADER_WAIT: Duration = Duration::from_millis(1_800);
 /// Share of a caller's patience after which it gets its final answer, in percent.
-const PATIENCE_PERCENT: u64 = 85;
+pub(super) const PATIENCE_PERCENT: u64 = 85;
 /// When a refused caller may come back, in milliseconds.
-const RETRY_MS: u64 = 1_000;
+pub(super) const RETRY_MS: u64 = 1_000;
 /// Most events that may wait to be kept.
 const PENDING_LIMIT: usize = 5_000;
 /// Most requests that wait for the leader.
@@ -247,12 +248,16 @@
 
     /// Serves a request that was read under a version of the configuration.
     fn serve_read(&mut self, origin: Origin, version: u64, request: CallerRequest) {
+        let id = job_text(&request);
         match self.read_anew(request, version) {
             Ok(request) => self.serve_request(origin, request),
             Err(reason) => {
                 let newer = self.table_version();
-                let detail = format!("{}, read under {version}", reason.as_str());
-                self.log("callers", "refuse", format!("version {newer}"), detail);
+                let detail = format!(
+                    "{}, read under version {version}, {newer} is in force",
+                    reason.as_str()
+                );
+                self.log("callers", "refuse", id, detail);
                 let retry_ms = RETRY_MS;
                 self.answer(origin, CallerAnswer::Refused { reason, retry_ms });
             }
--- a/crates/bankvalve_queue/src/core/queue_lookup.rs
+++ b/crates/bankvalve_queue/src/core/queue_lookup.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use super::callers::{PATIENCE_PERCENT, RETRY_MS};
 use super::EntryCore;
 use crate::caller::{CallerAnswer, CallerRequest, RefusalReason};
 use crate::core::CoreAction;
@@ -11,12 +12,8 @@
 /// Longest that a caller waits until it is known whether there is a newer configuration: the table
 /// answers within some milliseconds, a slow one in half a second.
 const LOOKUP_LIMIT: Duration = Duration::from_millis(1_000);
-/// Share of a caller's patience after which it gets its final answer, in percent.
-const PATIENCE_PERCENT: u64 = 85;
 /// Most callers that wait for it.
 const LOOKUP_COUNT: usize = 2_000;
-/// When a caller may come back that could not be told, in milliseconds.
-const RETRY_MS: u64 = 1_000;
 
 /// A caller that asked for a queue that the configuration in force does not have.
 #[derive(Debug)]
--- a/crates/bankvalve_queue/src/core/sight.rs
+++ b/crates/bankvalve_queue/src/core/sight.rs
@@ -4,7 +4,6 @@
 use super::callers::OpenAsk;
 use super::EntryCore;
 use crate::caller::CallerRequest;
-use crate::ids::JobId;
 
 /// Why an instance may not be given callers.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -70,7 +69,7 @@
 
     /// Logs a request that is given up: what was asked, how long ago, and where it was last sent.
     pub(super) fn log_given_up(&mut self, ask: &OpenAsk) {
-        let (kind, job) = request_kind(&ask.request);
+        let kind = request_kind(&ask.request);
         let sent = match ask.sent {
             Some((to, at)) => format!("last sent to {to} {:?} ago", self.age(at)),
             None => "not sent".to_owned(),
@@ -81,8 +80,7 @@
             ask.copies,
             self.leader_text()
         );
-        let id = job.map_or(String::new(), |job| format!("{job:016x}"));
-        self.log("callers", "give_up", id, detail);
+        self.log("callers", "give_up", job_text(&ask.request), detail);
     }
 
     /// Who leads, and how long ago that was heard.
@@ -101,12 +99,21 @@
     }
 }
 
-/// What a request asks for, and of which job.
-fn request_kind(request: &CallerRequest) -> (&'static str, Option<JobId>) {
+/// What a request asks for.
+fn request_kind(request: &CallerRequest) -> &'static str {
     match request {
-        CallerRequest::Submit { spec, .. } => ("submit", Some(spec.id)),
-        CallerRequest::Status { job } => ("status", Some(*job)),
-        CallerRequest::Cancel { job } => ("cancel", Some(*job)),
-        CallerRequest::Count { .. } => ("count", None),
+        CallerRequest::Submit { .. } => "submit",
+        CallerRequest::Status { .. } => "status",
+        CallerRequest::Cancel { .. } => "cancel",
+        CallerRequest::Count { .. } => "count",
+    }
+}
+
+/// The job that a request is about, as the log names it; nothing for a count.
+pub(super) fn job_text(request: &CallerRequest) -> String {
+    match request {
+        CallerRequest::Submit { spec, .. } => format!("{:016x}", spec.id),
+        CallerRequest::Status { job } | CallerRequest::Cancel { job } => format!("{job:016x}"),
+        CallerRequest::Count { .. } => String::new(),
     }
 }
