fix(queue): room that is planned counts each run once, and is kept until it is free

Cause: a plan for several tasks counted a run that ends by itself once for each task on its worker, so a gang of whole workers was promised room that did not come; and after 1.2 s the room that had become free was given to small tasks before it was chosen anew. Change: a plan notes all runs whose room it takes; room that is kept is kept on, on the same workers, for up to 5 s. Ruled out: keeping room by the time that the plan expects made no difference, since guesses are short.

--- a/crates/bankvalve_check/tests/site/workers.rs
+++ b/crates/bankvalve_check/tests/site/workers.rs
@@ -178,3 +178,52 @@
     let without = time_of_a_wide_task(Some(PolicySwitch::Preemption));
     assert!(without > 8_000, "it took {without} ms without room made");
 }
+
+/// Longest time until a gang is shown as over whose tasks take whole workers, in milliseconds,
+/// beside small tasks that come all the while and fill some three quarters of the room.
+fn longest_time_of_a_wide_gang(seed: u64, workers: usize) -> u64 {
+    let mut world = SiteWorld::new(SitePlan {
+        seed,
+        entries: 3,
+        strengths: Vec::new(),
+        broken: None,
+        without: None,
+        workers,
+        good_percent: None,
+    });
+    world.run_until(1_000);
+    let mut submitted = std::collections::BTreeMap::new();
+    let mut longest = 0;
+    for turn in 1..=400 {
+        world.submit(job_of(turn, QUEUE, &[3], false));
+        if turn % 50 == 0 {
+            let job = 10_000 + turn;
+            let mut gang = job_of(job, QUEUE, &[4], true);
+            gang.steps[0].size.millicores = 4_000;
+            submitted.insert(job, world.now_ms);
+            world.submit(gang);
+        }
+        for _ in 0..2 {
+            let until = world.now_ms + 50;
+            world.run_until(until);
+            submitted.retain(|job, at| {
+                let open = !world.shown.contains_key(job);
+                longest = longest.max(world.now_ms - *at);
+                open
+            });
+        }
+    }
+    world.run_until(90_000);
+    assert_kept(&world);
+    assert_eq!(world.shown.len(), 408);
+    longest
+}
+
+#[test]
+fn gangs_of_whole_workers_are_not_kept_waiting_by_small_tasks() {
+    let longest: Vec<u64> = (70..76)
+        .map(|seed| longest_time_of_a_wide_gang(seed, 8))
+        .collect();
+    let mean = longest.iter().sum::<u64>() / longest.len() as u64;
+    assert!(mean < 6_000, "the longest took {longest:?} ms");
+}
--- a/crates/bankvalve_queue/src/core/lead.rs
+++ b/crates/bankvalve_queue/src/core/lead.rs
@@ -5,6 +5,7 @@
 
 use super::advice::StepAdvice;
 use super::commit::{CommitFlight, Origin, Proposal};
+use super::making_room::RoomClaim;
 use super::seat::{LiveRun, Seat};
 use super::waiting::WaitingStep;
 use super::EntryCore;
@@ -97,8 +98,8 @@
     pub(super) moves: BTreeMap<TaskKey, u32>,
     /// Since when steps have found no room for all their tasks.
     pub(super) room_waits: BTreeMap<StepKey, CoreTime>,
-    /// Until when room is kept for steps that wait for it.
-    pub(super) room_claims: BTreeMap<StepKey, CoreTime>,
+    /// Room that is kept for steps that wait for it.
+    pub(super) room_claims: BTreeMap<StepKey, RoomClaim>,
     /// How often a task was stopped to make room.
     pub(super) stops: BTreeMap<TaskKey, u32>,
     /// Jobs that are over, of which it is not kept yet.
--- a/crates/bankvalve_queue/src/core/making_room.rs
+++ b/crates/bankvalve_queue/src/core/making_room.rs
@@ -10,7 +10,7 @@
 use super::placing::{admits, held_of, PlacedStep};
 use super::seat::{LiveRun, RunPhase, Seat};
 use super::EntryCore;
-use crate::ids::{StepKey, TaskKey, WorkerId};
+use crate::ids::{CoreTime, StepKey, TaskKey, WorkerId};
 use crate::job::TaskSize;
 use crate::policy::PolicySwitch;
 
@@ -25,8 +25,11 @@
 const MOST_TASKS: usize = 12;
 /// Time from the order to stop a run until its room is free, as a rule.
 const STOP_TIME: Duration = Duration::from_millis(300);
-/// Longest time for which room is kept before it is chosen anew.
+/// Time for which room is kept at a time.
 const KEEP_TIME: Duration = Duration::from_millis(1_200);
+/// Time before its end at which it is kept on, on the same workers: other steps would fill at once
+/// what has become free of it.
+const KEEP_ON: Duration = Duration::from_millis(300);
 /// Longest time until room is free for which it is kept.
 const LONGEST_WAIT: Duration = Duration::from_millis(5_000);
 /// Time that a step which is not urgent rather waits than that a run is stopped for it.
@@ -37,12 +40,21 @@
 /// platform's own figure.
 const ACCELERATOR_WEIGHT: u64 = 8_000;
 
+/// Room that is kept for a step.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct RoomClaim {
+    since: CoreTime,
+    until: CoreTime,
+}
+
 /// A way to room for one task on one worker.
 #[derive(Clone, Debug)]
 struct RoomPlan {
     worker: WorkerId,
     /// Time until the room is free.
     after: Duration,
+    /// Runs whose room it takes, those that end by themselves among them.
+    freed: Vec<TaskKey>,
     /// Runs to stop for it.
     stops: Vec<TaskKey>,
     /// Weight of what is stopped, in millicores.
@@ -109,12 +121,13 @@
         };
         let kept = |seat: &Seat| seat.keeps_room_for(key, now);
         if lead.seats.values().any(kept) {
+            self.keep_on(key);
             return;
         }
         let others = lead
             .room_claims
             .iter()
-            .filter(|(other, until)| **other != key && **until > now);
+            .filter(|(other, claim)| **other != key && claim.until > now);
         if !step.urgent && others.count() >= MOST_WAITING {
             return;
         }
@@ -125,6 +138,27 @@
         self.carry_out(step, &plans);
     }
 
+    /// Keeps room on that was chosen, while it may still become free: guesses are off, and all
+    /// members of a gang wait for the last run on their workers.
+    fn keep_on(&mut self, key: StepKey) {
+        let now = self.now;
+        let Some(lead) = self.lead.as_deref_mut() else {
+            return;
+        };
+        let Some(claim) = lead.room_claims.get_mut(&key) else {
+            return;
+        };
+        let ends_soon = claim.until <= now + KEEP_ON;
+        if !ends_soon || now.saturating_sub(claim.since) >= LONGEST_WAIT {
+            return;
+        }
+        claim.until = now + KEEP_TIME;
+        let until = claim.until;
+        for seat in lead.seats.values_mut() {
+            seat.prolong_reservation(key, until, now);
+        }
+    }
+
     fn plan_room(&self, step: &PlacedStep, tasks: usize) -> Vec<RoomPlan> {
         let now = self.now;
         let Some(lead) = self.lead.as_deref() else {
@@ -173,6 +207,7 @@
         let mut plan = RoomPlan {
             worker: planned.id.clone(),
             after: Duration::ZERO,
+            freed: Vec::new(),
             stops: Vec::new(),
             weight: 0,
         };
@@ -204,6 +239,7 @@
             room = room.plus(&size);
             plan.after = plan.after.max(after);
             plan.weight += weight;
+            plan.freed.push(task);
             if stop {
                 plan.stops.push(task);
             }
@@ -236,14 +272,15 @@
 
     fn carry_out(&mut self, step: &PlacedStep, plans: &[RoomPlan]) {
         let now = self.now;
+        let after = plans.iter().map(|plan| plan.after).max();
         let until = now + KEEP_TIME;
         let Some(lead) = self.lead.as_deref_mut() else {
             return;
         };
-        lead.room_claims.insert(step.key, until);
+        lead.room_claims
+            .insert(step.key, RoomClaim { since: now, until });
         self.keep_room(step, plans.iter().map(|plan| &plan.worker), until);
         let stops = plans.iter().map(|plan| plan.stops.len()).sum::<usize>();
-        let after = plans.iter().map(|plan| plan.after).max();
         let detail = format!(
             "room for {} tasks on {} after {after:?}, {stops} runs stopped",
             plans.len(),
@@ -265,13 +302,14 @@
 }
 
 impl PlannedSeat<'_> {
+    /// Takes the room of a plan; each run's room counts for one task only.
     fn take(&mut self, step: &PlacedStep, plan: &RoomPlan) {
-        for task in &plan.stops {
+        for task in &plan.freed {
             if let Some(live) = self.seat.runs.get(task) {
                 self.room = self.room.plus(&live.room);
             }
         }
-        self.gone.extend(plan.stops.iter().copied());
+        self.gone.extend(plan.freed.iter().copied());
         self.room = self.room.minus(&step.room);
         self.held += 1;
     }
--- a/crates/bankvalve_queue/src/core/seat.rs
+++ b/crates/bankvalve_queue/src/core/seat.rs
@@ -318,6 +318,14 @@
             .any(|entry| entry.step == step && entry.until > now)
     }
 
+    /// Keeps the room that is kept for a step until a later time.
+    pub(super) fn prolong_reservation(&mut self, step: StepKey, until: CoreTime, now: CoreTime) {
+        let kept = |entry: &&mut Reservation| entry.step == step && entry.until > now;
+        for entry in self.reserved.iter_mut().filter(kept) {
+            entry.until = until;
+        }
+    }
+
     pub(super) fn drop_reservation(&mut self, step: StepKey, now: CoreTime) {
         self.reserved
             .retain(|entry| entry.step != step && entry.until > now);
