--- a/crates/bankvalve/src/entry/core_loop.rs
+++ b/crates/bankvalve/src/entry/core_loop.rs
@@ -16,6 +16,9 @@
 
 /// Events that are taken before what they led to is handed on.
 const EVENTS_AT_ONCE: usize = 64;
+/// Time in which events gather for a leader to which many come: each wake-up of this thread wakes
+/// that of the links as well, and they cost a leader of 1,100 workers a tenth of a core.
+const GATHER: Duration = Duration::from_millis(3);
 /// Time between two publications of the view.
 const PUBLISH: Duration = Duration::from_millis(100);
 /// When a caller may come back if the ring is full, in milliseconds.
@@ -48,10 +51,13 @@
 /// Handle to the core thread.
 #[derive(Clone)]
 pub struct EntryHandle {
-    ring: Sender<CoreInput>,
+    ring: Sender<RingEntry>,
     shared: Arc<CoreShared>,
 }
 
+/// An input and when it came.
+pub(super) type RingEntry = (Instant, CoreInput);
+
 impl std::fmt::Debug for EntryHandle {
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
         f.write_str("EntryHandle")
@@ -59,7 +65,7 @@
 }
 
 impl EntryHandle {
-    pub(super) fn new(ring: usize) -> (Self, Receiver<CoreInput>) {
+    pub(super) fn new(ring: usize) -> (Self, Receiver<RingEntry>) {
         let (sender, receiver) = crossbeam::channel::bounded(ring);
         let shared = Arc::new(CoreShared::default());
         let handle = Self {
@@ -69,9 +75,13 @@
         (handle, receiver)
     }
 
+    fn put(&self, input: CoreInput) -> bool {
+        self.ring.try_send((Instant::now(), input)).is_ok()
+    }
+
     /// Gives the core an event; returns whether the ring had room.
     pub fn give(&self, event: CoreEvent) -> bool {
-        let given = self.ring.try_send(CoreInput::Event(event)).is_ok();
+        let given = self.put(CoreInput::Event(event));
         if !given {
             self.shared.ring_full.fetch_add(1, Ordering::Relaxed);
         }
@@ -100,8 +110,7 @@
         input: impl FnOnce(oneshot::Sender<CallerAnswer>) -> CoreInput,
     ) -> CallerAnswer {
         let (reply, answer) = oneshot::channel();
-        let input = input(reply);
-        if self.ring.try_send(input).is_err() {
+        if !self.put(input(reply)) {
             self.shared.ring_full.fetch_add(1, Ordering::Relaxed);
             return CallerAnswer::Refused {
                 reason: RefusalReason::Overload,
@@ -130,7 +139,7 @@
 
     /// Ends the core thread, and with it the links.
     pub(super) fn end(&self) {
-        let _ = self.ring.send(CoreInput::End);
+        let _ = self.ring.send((Instant::now(), CoreInput::End));
     }
 }
 
@@ -167,23 +176,25 @@
     }
 
     /// Runs until the ring is closed.
-    pub(super) fn run(mut self, ring: &Receiver<CoreInput>) {
+    pub(super) fn run(mut self, ring: &Receiver<RingEntry>) {
         let mut next_tick = Instant::now();
         let mut next_publication = Instant::now();
         loop {
             let wait = next_tick.saturating_duration_since(Instant::now());
             match ring.recv_timeout(wait) {
-                Ok(CoreInput::End) | Err(RecvTimeoutError::Disconnected) => return,
-                Ok(input) => {
+                Ok((_, CoreInput::End)) | Err(RecvTimeoutError::Disconnected) => return,
+                Ok((came, input)) => {
+                    self.core.note_lag(came.elapsed());
                     self.take(input);
-                    for input in ring.try_iter().take(EVENTS_AT_ONCE) {
+                    for (came, input) in ring.try_iter().take(EVENTS_AT_ONCE) {
                         if matches!(input, CoreInput::End) {
                             return;
                         }
+                        self.core.note_lag(came.elapsed());
                         self.take(input);
                     }
                 }
-                Err(RecvTimeoutError::Timeout) => {}
+                Err(RecvTimeoutError::Timeout) => self.core.note_lag(Duration::ZERO),
             }
             let now = Instant::now();
             if now >= next_tick {
@@ -194,6 +205,9 @@
                 next_tick = now + self.core.wake_after();
             }
             self.flush();
+            if self.core.is_crowded() {
+                std::thread::sleep(GATHER);
+            }
             if now >= next_publication {
                 next_publication = now + PUBLISH;
                 self.publish();
--- a/crates/bankvalve/src/entry/decision_log.rs
+++ b/crates/bankvalve/src/entry/decision_log.rs
@@ -17,6 +17,9 @@
 const RING: usize = 4_096;
 /// Lines of one kind that are written in a second.
 const LINES_PER_SECOND: u32 = 400;
+/// Time in which lines gather before they are written: each write wakes a thread and costs a call of
+/// the system. The ring holds some two seconds of a busy leader's lines.
+const GATHER: Duration = Duration::from_millis(40);
 /// Span in which lines of a kind are counted.
 const SPAN: Duration = Duration::from_secs(1);
 /// Longest wait for the writer before the process ends: time for a full ring on a slow machine.
@@ -148,10 +151,14 @@
         }
         // Nobody is left to tell if standard output is gone.
         let _ = out.write_all(&text);
+        let flushed = !waiting.is_empty();
         for written in waiting {
             // Who waits may have given up.
             let _ = written.send(());
         }
+        if !flushed {
+            std::thread::sleep(GATHER);
+        }
     }
 }
 
--- a/crates/bankvalve/src/entry/link_loop.rs
+++ b/crates/bankvalve/src/entry/link_loop.rs
@@ -4,14 +4,15 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use bankvalve_link::{
     encode_message, ClientFailure, ClientLimits, HttpClient, HttpReply, WIRE_TYPE,
 };
 use bankvalve_queue::{
-    peer_time, AdviceAnswer, CoreAction, CoreEvent, PeerAddress, PeerBatch, PeerMessage,
-    PlatformPort, StoreRequest, Ticket, WireCall, WireReply, KEPT_CONNECTIONS, PEER_FLIGHTS,
+    peer_time, AdviceAnswer, CarriedOrder, CoreAction, CoreEvent, PeerAddress, PeerBatch,
+    PeerMessage, PlatformPort, StoreRequest, Ticket, WireCall, WireReply, WorkerAnswer,
+    KEPT_CONNECTIONS, PEER_FLIGHTS,
 };
 use hyper::Method;
 use tokio::sync::mpsc;
@@ -27,6 +28,12 @@
 /// Size of an answer from which on the core is told that it has begun, in bytes: it takes a thin
 /// link some 30 ms.
 const LONG_ANSWER: u64 = 32 * 1024;
+/// Time between two batches to one peer of calls to workers and of what hubs pass on. An exchange
+/// with a peer costs a leader some 0.1 ms with its wake-ups, however much it carries; at 700 calls a
+/// second a batch takes 15 of them along, and each waits some 12 ms.
+const CARRY_PACE: Duration = Duration::from_millis(25);
+/// The same where nothing but looks waits, or answers that tell of no end.
+const LAZY_PACE: Duration = Duration::from_millis(80);
 /// Time in which a connection must be made: some ten ways across the site.
 const CONNECT_TIME: Duration = Duration::from_millis(400);
 /// Time for which sent bytes may stay unacknowledged before a connection is given up.
@@ -49,9 +56,40 @@
 struct PeerLane {
     queue: Vec<PeerMessage>,
     flights: usize,
+    /// When the last batch left.
+    sent_at: Option<Instant>,
+    /// When the next one leaves, if a timer is set for it.
+    timer: Option<Instant>,
+}
+
+/// How long a message may wait for others to travel with.
+fn wait_of(message: &PeerMessage) -> Duration {
+    match message {
+        PeerMessage::Carry { call, .. } if matches!(call.order, CarriedOrder::Hold { .. }) => {
+            LAZY_PACE
+        }
+        PeerMessage::Carried { answer, .. } if tells_of_no_end(answer) => LAZY_PACE,
+        PeerMessage::Carry { .. } | PeerMessage::Carried { .. } | PeerMessage::Relay { .. } => {
+            CARRY_PACE
+        }
+        _ => Duration::ZERO,
+    }
+}
+
+/// Tells whether an answer is a worker's lists without an end.
+fn tells_of_no_end(answer: &WorkerAnswer) -> bool {
+    matches!(answer, WorkerAnswer::Done { report: Some(report), .. } if report.ended.is_empty())
 }
 
 impl PeerLane {
+    /// Time until the next batch may leave: calls to workers are many, and travel together.
+    fn pause(&self) -> Option<Duration> {
+        let sent_at = self.sent_at?;
+        let wait = self.queue.iter().map(wait_of).min()?;
+        let pause = wait.saturating_sub(sent_at.elapsed());
+        (!pause.is_zero()).then_some(pause)
+    }
+
     /// Takes what travels together: all that waits, but a configuration by itself, since it takes a
     /// thin link a second and the others should not wait for it.
     fn take_batch(&mut self) -> Vec<PeerMessage> {
@@ -179,6 +217,15 @@
         let mut lanes = self.lanes.borrow_mut();
         for (peer, lane) in lanes.iter_mut() {
             while !lane.queue.is_empty() && lane.flights < PEER_FLIGHTS {
+                if let Some(pause) = lane.pause() {
+                    let due = Instant::now() + pause;
+                    if lane.timer.is_none_or(|timer| due < timer) {
+                        lane.timer = Some(due);
+                        tokio::task::spawn_local(self.clone().send_after(*peer, pause));
+                    }
+                    break;
+                }
+                lane.sent_at = Some(Instant::now());
                 lane.flights += 1;
                 let messages = lane.take_batch();
                 let links = self.clone();
@@ -188,6 +235,15 @@
         }
     }
 
+    /// Sends what waits for a peer after a pause.
+    async fn send_after(self: Rc<Self>, peer: PeerAddress, pause: Duration) {
+        tokio::time::sleep(pause).await;
+        if let Some(lane) = self.lanes.borrow_mut().get_mut(&peer) {
+            lane.timer = None;
+        }
+        self.send_lanes();
+    }
+
     async fn send_batch(self: Rc<Self>, peer: PeerAddress, messages: Vec<PeerMessage>) {
         let batch = PeerBatch {
             from: self.plan.own,
--- a/crates/bankvalve_check/src/command/mod.rs
+++ b/crates/bankvalve_check/src/command/mod.rs
@@ -8,7 +8,7 @@
 
 use crate::measure::{run_decisions, run_measure};
 use crate::random::run_random;
-use crate::site::run_site_random;
+use crate::site::{run_site_costs, run_site_random};
 use crate::slopes::run_slopes;
 use crate::trace::run_trace;
 
@@ -42,6 +42,19 @@
         #[bpaf(long("break"), argument("NAME"), optional)]
         guard: Option<String>,
     },
+    /// Measures what a leader's decisions cost under the load of a large fleet
+    #[bpaf(command)]
+    Costs {
+        /// Workers; the load goes with them
+        #[bpaf(argument("N"), fallback(1_100))]
+        workers: usize,
+        /// Seconds of virtual time
+        #[bpaf(argument("S"), fallback(5))]
+        seconds: u64,
+        /// Times the usual load
+        #[bpaf(argument("X"), fallback(1.0))]
+        load: f64,
+    },
     /// Reads the decision logs of a run and tells where the time of jobs goes
     #[bpaf(command)]
     Trace {
@@ -87,6 +100,11 @@
             events,
             guard,
         } => site(seed, events, guard.as_deref()),
+        CheckCommand::Costs {
+            workers,
+            seconds,
+            load,
+        } => run_site_costs(workers, seconds, load),
         CheckCommand::Trace { files, plot } => run_trace(&files, plot.as_deref()),
         CheckCommand::Measure { seed, profile } => run_measure(&profile, seed),
         CheckCommand::Decide => run_decisions(),
--- a/crates/bankvalve_check/src/site/mod.rs
+++ b/crates/bankvalve_check/src/site/mod.rs
@@ -4,11 +4,14 @@
 mod site_bytes;
 mod site_calls;
 mod site_config;
+mod site_costs;
 mod site_faults;
 mod site_jobs;
 mod site_links;
 mod site_operator;
+mod site_overload;
 mod site_plan;
+mod site_processor;
 mod site_promise;
 mod site_random;
 mod site_recovery;
@@ -20,10 +23,16 @@
 
 pub use site_answers::SiteAnswer;
 pub use site_config::{QueueAnswer, QueueTold};
+pub use site_costs::{run_site_costs, StepCosts};
 pub use site_faults::SiteFault;
 pub use site_jobs::job_of;
+pub use site_overload::{play_overload, ScarceMeans, ServedLoad};
 pub use site_plan::{SiteNode, SitePlan};
-pub use site_random::{run_broken_episode, run_site_episode, run_site_random, SiteReport};
+pub use site_processor::{NodeProcessor, StepTime};
+pub use site_random::{
+    run_broken_episode, run_short_episode, run_site_episode, run_site_random, SiteBurden,
+    SiteReport,
+};
 pub use site_recovery::LinkRecord;
 pub use site_rules::{RuleBook, RuleBreach};
 pub use site_world::{SiteWorld, QUEUE, URGENT_QUEUE};
--- a/crates/bankvalve_check/src/site/site_calls.rs
+++ b/crates/bankvalve_check/src/site/site_calls.rs
@@ -26,6 +26,7 @@
     Submit {
         job: JobId,
         tries: u32,
+        asked_ms: u64,
     },
     Ask {
         job: JobId,
@@ -65,6 +66,7 @@
             OpenCall::Submit {
                 job,
                 tries: u32::MAX,
+                asked_ms: self.now_ms,
             },
             request,
         );
@@ -143,10 +145,17 @@
     pub(super) fn finish_call(&mut self, node: usize, ticket: Ticket, answer: CallerAnswer) {
         let now = self.now_ms;
         match self.calls.remove(&(node, ticket)) {
-            Some(OpenCall::Submit { job, tries }) => {
+            Some(OpenCall::Submit {
+                job,
+                tries,
+                asked_ms,
+            }) => {
                 let accepted = answer == CallerAnswer::Accepted;
                 let refused = matches!(answer, CallerAnswer::Refused { .. });
                 self.rules.attempt_ended(job, accepted, refused);
+                if refused {
+                    self.refusal_waits_ms.push(now - asked_ms);
+                }
                 if accepted {
                     self.after(300, Later::Ask { job });
                 } else if refused && self.callers_leave && self.rng.random_range(0..LEAVING) == 0 {
--- a/crates/bankvalve_check/src/site/site_plan.rs
+++ b/crates/bankvalve_check/src/site/site_plan.rs
@@ -3,6 +3,7 @@
 use bankvalve_queue::{CoreEvent, EntryCore, PeerAddress, PolicySwitch, SiteGuard};
 
 use super::site_bytes::LinkUse;
+use super::site_processor::NodeProcessor;
 
 /// What a world consists of.
 #[derive(Clone, Debug)]
@@ -43,6 +44,8 @@
     /// of rows that it reads, each answer by itself, unless links carry all.
     pub link_bytes_per_ms: Option<u64>,
     pub(super) link_use: LinkUse,
+    /// What its steps take, and what waits for them.
+    pub processor: NodeProcessor,
     /// Until when its long questions to the table about the configuration have no answer.
     pub watch_lost_until: u64,
     pub(super) parked: Vec<CoreEvent>,
@@ -60,6 +63,6 @@
 
     /// Whether it leads.
     pub fn leads(&self) -> bool {
-        self.core.as_ref().is_some_and(|core| core.view().leading)
+        self.core.as_ref().is_some_and(EntryCore::leads)
     }
 }
--- a/crates/bankvalve_check/src/site/site_workers.rs
+++ b/crates/bankvalve_check/src/site/site_workers.rs
@@ -1,7 +1,7 @@
 //! Workers of a site: their lives, their runs and their gangs.
 
 use bankvalve_queue::{
-    CoreEvent, EndKind, StartRefusal, StepKey, TaskKey, TaskSize, Ticket, WorkerAnswer,
+    CoreEvent, EndKind, StartRefusal, StepKey, TaskKey, TaskSize, Ticket, WorkerAnswer, WorkerCall,
     WorkerEntry, WorkerId,
 };
 use bankvalve_standin::site::{SiteWorker, WorkerNews};
@@ -13,6 +13,15 @@
 /// One answer of a worker in so many is slow.
 const SLOW_ANSWERS: u32 = 16;
 
+/// A look whose worker waits for an end before it answers.
+#[derive(Debug)]
+pub(super) struct WaitingLook {
+    origin: (usize, u64, Ticket),
+    meant: WorkerId,
+    token: u64,
+    call: WorkerCall,
+}
+
 impl SiteWorld {
     /// Workers that run tasks of jobs of both kinds that a test tells apart.
     pub fn workers_shared_by(&self, kind: impl Fn(bankvalve_queue::JobId) -> bool) -> usize {
@@ -96,6 +105,9 @@
             self.after(900, Later::Event { node, life, event });
             return;
         }
+        if self.has_look_wait(origin, meant, address, token, call) {
+            return;
+        }
         let fails = self.rng.random_range(0..100) < self.fail_percent;
         let time = self.rng.random_range(100..1_500);
         let specs = &self.specs;
@@ -123,6 +135,75 @@
         self.after(delay, Later::Event { node, life, event });
     }
 
+    /// Has a look wait at its worker, if looks do and nothing has ended there yet.
+    fn has_look_wait(
+        &mut self,
+        origin: (usize, u64, Ticket),
+        meant: &WorkerId,
+        address: &str,
+        token: u64,
+        call: &WorkerCall,
+    ) -> bool {
+        let WorkerCall::Hold {
+            until_ms,
+            kept,
+            wait_ms,
+        } = call
+        else {
+            return false;
+        };
+        let wait_ms = *wait_ms;
+        if !self.looks_wait || wait_ms == 0 {
+            return false;
+        }
+        let Some(Some(worker)) = self.workers.get_mut(address) else {
+            return false;
+        };
+        if worker.id != *meant {
+            return false;
+        }
+        // The hold is prolonged when the look comes, and ends are forgotten.
+        let now_call = WorkerCall::Hold {
+            until_ms: *until_ms,
+            kept: *kept,
+            wait_ms: 0,
+        };
+        let plan = |_| (TaskSize::default(), None);
+        worker.handle(self.now_ms, token, &now_call, None, plan);
+        let ended = worker.has_ends();
+        self.worker_time(address);
+        if ended {
+            return false;
+        }
+        let look = WaitingLook {
+            origin,
+            meant: meant.clone(),
+            token,
+            call: now_call,
+        };
+        let address = address.to_owned();
+        let looks = self.waiting_looks.entry(address.clone()).or_default();
+        looks.push(look);
+        let ticket = origin.2;
+        self.after(wait_ms, Later::LookEnds { address, ticket });
+        true
+    }
+
+    /// Answers looks that wait at a worker: one, or all of them.
+    pub(super) fn end_waiting_looks(&mut self, address: &str, ticket: Option<Ticket>) {
+        let Some(looks) = self.waiting_looks.remove(address) else {
+            return;
+        };
+        let due = |look: &WaitingLook| ticket.is_none_or(|ticket| look.origin.2 == ticket);
+        let (ended, waiting): (Vec<_>, Vec<_>) = looks.into_iter().partition(due);
+        if !waiting.is_empty() {
+            self.waiting_looks.insert(address.to_owned(), waiting);
+        }
+        for look in ended {
+            self.worker_arrives(look.origin, &look.meant, address, look.token, &look.call);
+        }
+    }
+
     /// Lets a worker's runs go on, and checks what happened.
     pub(super) fn worker_time(&mut self, address: &str) {
         let now = self.now_ms;
@@ -136,6 +217,7 @@
             let text = format!("{id} holds {:?}", worker.used());
             self.rules.breach("LIMIT", now, &text);
         }
+        let ended = worker.has_ends();
         let offset = worker.clock_offset_ms;
         let next = worker
             .runs()
@@ -152,6 +234,9 @@
         for entry in news {
             self.take_news(&id, &entry);
         }
+        if ended {
+            self.end_waiting_looks(address, None);
+        }
     }
 
     pub(super) fn take_news(&mut self, id: &WorkerId, news: &WorkerNews) {
--- a/crates/bankvalve_check/src/site/site_world.rs
+++ b/crates/bankvalve_check/src/site/site_world.rs
@@ -3,7 +3,7 @@
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BinaryHeap};
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use bankvalve_queue::{
     CallerAnswer, CallerRequest, CoreEvent, EntryCore, EntrySettings, JobId, JobSpec, JobState,
@@ -16,7 +16,10 @@
 use super::site_bytes::LinkUse;
 use super::site_calls::OpenCall;
 use super::site_config::{QueueAnswer, SiteConfig};
+use super::site_costs::{part_of, StepCosts};
+use super::site_processor::NodeProcessor;
 use super::site_silence::SilentLane;
+use super::site_workers::WaitingLook;
 use super::{LinkRecord, RuleBook, SiteAnswer, SiteNode, SitePlan};
 
 /// Name of the usual queue.
@@ -26,7 +29,7 @@
 /// Service of all queues.
 pub(super) const SERVICE: &str = "service";
 /// Time of day at the start, in milliseconds since 1970.
-const WALL_START: u64 = 1_000_000_000_000;
+pub(super) const WALL_START: u64 = 1_000_000_000_000;
 
 /// Something that happens later.
 #[derive(Debug)]
@@ -46,6 +49,16 @@
         ticket: Ticket,
         request: StoreRequest,
     },
+    /// A look has waited for an end for as long as it may.
+    LookEnds {
+        address: String,
+        ticket: Ticket,
+    },
+    /// An instance's processor goes on.
+    Work {
+        node: usize,
+        life: u64,
+    },
     /// The time is over in which an answer about the configuration must begin.
     StoreLimit {
         node: usize,
@@ -168,6 +181,14 @@
     /// Whether a call without an answer gives up all connections to that peer, as `HttpClient`
     /// does; else each is given up by itself.
     pub given_up_together: bool,
+    /// Milliseconds until callers were told that their job was refused.
+    pub refusal_waits_ms: Vec<u64>,
+    /// Whether workers answer a look only at an end, or when its wait is over; else at once.
+    pub looks_wait: bool,
+    /// Looks that wait, by the worker's address.
+    pub(super) waiting_looks: BTreeMap<String, Vec<WaitingLook>>,
+    /// What the leader's steps cost, where that is measured.
+    pub costs: Option<StepCosts>,
     /// What callers were told that asked one instance about one job.
     pub answers: Vec<SiteAnswer>,
 }
@@ -227,6 +248,10 @@
             told: Vec::new(),
             silent_lanes: BTreeMap::new(),
             given_up_together: true,
+            refusal_waits_ms: Vec::new(),
+            looks_wait: false,
+            waiting_looks: BTreeMap::new(),
+            costs: None,
             answers: Vec::new(),
             plan,
         };
@@ -246,6 +271,7 @@
                 cut_from_peers_until: 0,
                 link_bytes_per_ms: None,
                 link_use: LinkUse::default(),
+                processor: NodeProcessor::default(),
                 watch_lost_until: 0,
                 parked: Vec::new(),
                 disturbed_until: 0,
@@ -284,6 +310,7 @@
         self.nodes[number].core = None;
         self.nodes[number].parked.clear();
         self.nodes[number].link_use = LinkUse::default();
+        self.nodes[number].processor.clear();
         self.clear_link(number);
         self.end_silence_of(number);
         self.watches.retain(|(node, ..)| *node != number);
@@ -331,6 +358,12 @@
         leader.map_or(0, |core| core.view().counters.of(family, kind))
     }
 
+    /// A counter of an instance; 0 while it is down.
+    pub fn counter_of(&self, node: usize, family: &'static str, kind: &'static str) -> u64 {
+        let core = self.nodes[node].core.as_ref();
+        core.map_or(0, |core| core.view().counters.of(family, kind))
+    }
+
     /// Asks an instance to stop as planned.
     pub fn stop(&mut self, number: usize) {
         self.nodes[number].disturbed_until = u64::MAX;
@@ -396,6 +429,8 @@
             } => {
                 self.store_arrives(node, life, ticket, request);
             }
+            Later::LookEnds { address, ticket } => self.end_waiting_looks(&address, Some(ticket)),
+            Later::Work { node, life } => self.work(node, life),
             Later::StoreLimit { node, life, ticket } => self.store_limit((node, life, ticket)),
             Later::WatchEnds { node, life, ticket } => self.end_watch(node, life, ticket),
             Later::WorkerArrives {
@@ -416,7 +451,13 @@
                 match self.any_node() {
                     Some(node) => {
                         let request = self.submission(node, &spec);
-                        self.call(node, OpenCall::Submit { job, tries }, request);
+                        let asked_ms = self.now_ms;
+                        let call = OpenCall::Submit {
+                            job,
+                            tries,
+                            asked_ms,
+                        };
+                        self.call(node, call, request);
                     }
                     None => self.after(300, Later::Submit { job, tries }),
                 }
@@ -453,11 +494,20 @@
             node.parked.push(event);
             return;
         }
+        if node.processor.step_time.is_some() && node.core.is_some() {
+            self.wait_for_processor(number, event);
+            return;
+        }
         let Some(core) = node.core.as_mut() else {
             return;
         };
         let since = Duration::from_millis(now - node.started_ms);
+        let measured = self.costs.is_some() && core.leads();
+        let begun = measured.then(|| (part_of(&event), Instant::now()));
         let actions = core.step(since, WALL_START + now, event);
+        if let (Some((part, begun)), Some(costs)) = (begun, self.costs.as_mut()) {
+            costs.note(part, begun.elapsed());
+        }
         for action in actions {
             self.act(number, action);
         }
--- /dev/null
+++ b/crates/bankvalve_check/tests/site/carriers.rs
@@ -0,0 +1,124 @@
+//! Carriers, which hold the workers' connections for a leader that has many, and hubs.
+
+use bankvalve_check::site::{
+    job_of, run_short_episode, SiteBurden, SiteFault, SitePlan, SiteWorld, QUEUE, URGENT_QUEUE,
+};
+
+use crate::assert_kept;
+
+/// A site whose instances have little processor for their workers.
+fn carried_world(seed: u64, entries: usize, strong: usize) -> SiteWorld {
+    let strength = |node| if node < strong { 14 } else { 10 };
+    let mut world = SiteWorld::new(SitePlan {
+        seed,
+        entries,
+        strengths: (0..entries).map(strength).collect(),
+        broken: None,
+        without: None,
+        workers: 12,
+        good_percent: None,
+    });
+    world.looks_wait = true;
+    world.run_until(1_500);
+    world
+}
+
+fn submit_some(world: &mut SiteWorld, jobs: std::ops::Range<u64>) {
+    for job in jobs {
+        let queue = if job % 2 == 0 { QUEUE } else { URGENT_QUEUE };
+        world.submit(job_of(job, queue, &[3], job % 5 == 0));
+        let until = world.now_ms + 60;
+        world.run_until(until);
+    }
+}
+
+#[test]
+fn standbys_carry_the_calls_of_a_leader_with_many_workers() {
+    let mut world = carried_world(3, 5, 5);
+    submit_some(&mut world, 1..60);
+    world.run_until(20_000);
+    assert_kept(&world);
+    assert_eq!(world.shown.len(), 59);
+    let leader = world.leader().expect("an instance leads");
+    let carried: Vec<u64> = (0..5)
+        .filter(|node| *node != leader)
+        .map(|node| world.counter_of(node, "calls", "carried"))
+        .collect();
+    assert!(carried.iter().all(|count| *count > 20), "{carried:?}");
+    let wait = world.rules.end_waits_ms().iter().max().copied();
+    assert!(wait < Some(200), "an end was kept after {wait:?} ms");
+}
+
+#[test]
+fn the_loss_of_a_carrier_loses_nothing() {
+    for seed in 1..7 {
+        let mut world = carried_world(seed, 5, 5);
+        submit_some(&mut world, 1..15);
+        let leader = world.leader().expect("an instance leads");
+        let carrier = (0..5).find(|node| *node != leader).expect("another");
+        match seed % 3 {
+            0 => world.kill(carrier, 4_000),
+            1 => world.nodes[carrier].frozen_until = world.now_ms + 3_000,
+            _ => world.nodes[carrier].cut_from_peers_until = world.now_ms + 3_000,
+        }
+        submit_some(&mut world, 15..60);
+        world.run_until(40_000);
+        assert_kept(&world);
+        assert_eq!(world.shown.len(), 59, "seed {seed}");
+    }
+}
+
+#[test]
+fn troubles_break_no_rule_while_calls_are_carried() {
+    for seed in 1..9 {
+        let report = run_short_episode(seed, &SiteFault::ALL, SiteBurden::Carried);
+        assert_eq!(report.breaches, [], "seed {seed}");
+        assert!(report.starts > 400, "seed {seed}: {} starts", report.starts);
+    }
+}
+
+#[test]
+fn messages_of_many_members_go_through_hubs() {
+    let mut world = carried_world(4, 66, 6);
+    // By then all have heard each other.
+    world.run_until(4_500);
+    let leader = world.leader().expect("an instance leads");
+    let before = world.peer_messages.get(&leader).copied().unwrap_or(0);
+    let began = world.now_ms;
+    world.run_until(began + 4_000);
+    let idle = world.peer_messages.get(&leader).copied().unwrap_or(0) - before;
+    // Each near one every 160 ms, the others every two seconds, and looks; 662 without hubs.
+    assert!(idle < 450, "{idle} messages in 4 s without work");
+    submit_some(&mut world, 1..60);
+    world.run_until(20_000);
+    assert_kept(&world);
+    assert_eq!(world.shown.len(), 59);
+    let relayed: u64 = (0..6)
+        .map(|node| world.counter_of(node, "calls", "relayed"))
+        .sum();
+    assert!(relayed > 100, "{relayed} messages through hubs");
+}
+
+#[test]
+fn far_members_serve_on_when_the_near_ones_are_lost() {
+    for seed in 1..4 {
+        let mut world = carried_world(seed, 66, 6);
+        submit_some(&mut world, 1..10);
+        for node in 0..6 {
+            world.kill(node, 10_000);
+        }
+        submit_some(&mut world, 10..60);
+        world.run_until(50_000);
+        assert_kept(&world);
+        assert_eq!(world.shown.len(), 59, "seed {seed}");
+    }
+}
+
+#[test]
+fn troubles_break_no_rule_among_many_members() {
+    for seed in 1..3 {
+        let report = run_short_episode(seed, &SiteFault::ALL, SiteBurden::Hubs);
+        assert_eq!(report.breaches, [], "seed {seed}");
+        assert!(report.starts > 300, "seed {seed}: {} starts", report.starts);
+    }
+}
--- a/crates/bankvalve_queue/src/core/advice.rs
+++ b/crates/bankvalve_queue/src/core/advice.rs
@@ -26,6 +26,8 @@
 const ASK_SLACK: Duration = Duration::from_millis(6);
 /// Wait beyond the reckoned time before a question is given up.
 const ASK_TIMEOUT: Duration = Duration::from_millis(900);
+/// Time between two looks for questions that had no answer.
+const ADVICE_SCAN: Duration = Duration::from_millis(20);
 /// Pause after a question that got no answer.
 const ASK_PAUSE: Duration = Duration::from_millis(200);
 
@@ -62,6 +64,19 @@
         self.good.contains_key(worker)
     }
 
+    /// Workers that may run the step.
+    pub(super) fn good(&self) -> impl Iterator<Item = &WorkerId> {
+        self.good.keys()
+    }
+
+    /// Those whose permits hold until a time.
+    pub(super) fn permitted(&self, until: CoreTime) -> impl Iterator<Item = &WorkerId> {
+        let permits = self.good.iter();
+        permits
+            .filter(move |(_, permit)| permit.until > until)
+            .map(|(id, _)| id)
+    }
+
     pub(super) fn is_known(&self, worker: &WorkerId) -> bool {
         self.known.contains(worker)
     }
@@ -128,7 +143,7 @@
         if adviser == own {
             self.actions.push(CoreAction::Advice { ticket, ask });
         } else {
-            self.tell(adviser, PeerMessage::Advise { ticket, ask });
+            self.tell_through_hub(adviser, PeerMessage::Advise { ticket, ask });
         }
         expected
     }
@@ -174,7 +189,9 @@
 
     pub(super) fn take_advice(&mut self, ticket: Ticket, answer: AdviceAnswer) {
         match self.advising.remove(&ticket) {
-            Some((peer, ticket)) => self.tell(peer, PeerMessage::Advised { ticket, answer }),
+            Some((peer, ticket)) => {
+                self.tell_through_hub(peer, PeerMessage::Advised { ticket, answer });
+            }
             None => self.end_advice(ticket, answer),
         }
     }
@@ -270,6 +287,10 @@
         let Some(lead) = self.lead.as_deref_mut() else {
             return;
         };
+        if now < lead.next_advice_scan {
+            return;
+        }
+        lead.next_advice_scan = now + ADVICE_SCAN;
         let mut lost = 0;
         for advice in lead.advice.values_mut() {
             if advice
--- a/crates/bankvalve_queue/src/core/callers.rs
+++ b/crates/bankvalve_queue/src/core/callers.rs
@@ -18,12 +18,16 @@
 const RESEND_AFTER: Duration = Duration::from_millis(700);
 /// A leader that is silent for so long is not sent requests until it is heard again.
 const SILENT_LEADER: Duration = Duration::from_millis(650);
+/// Age of what far members are told of the leader, beyond that of what near ones hear.
+const TOLD_LATER: Duration = Duration::from_millis(400);
 /// Longest that a request waits for a leader to be known.
 const LEADER_WAIT: Duration = Duration::from_millis(1_800);
 /// Share of a caller's patience after which it gets its final answer, in percent.
 pub(super) const PATIENCE_PERCENT: u64 = 85;
 /// When a refused caller may come back, in milliseconds.
 pub(super) const RETRY_MS: u64 = 1_000;
+/// Age up to which a count of waiting jobs is told again; the platform allows 2 s.
+const COUNT_AGE: Duration = Duration::from_millis(300);
 /// Most events that may wait to be kept.
 const PENDING_LIMIT: usize = 5_000;
 /// Most requests that wait for the leader.
@@ -82,7 +86,7 @@
         };
         let leader = view.address;
         let own = leader == self.settings.address;
-        if !own && (view.loading || self.age(view.heard_at) > SILENT_LEADER) {
+        if !own && (view.loading || self.age(view.heard_at) > self.silence_of_leader()) {
             // It stays certain that the request was not taken up. One that reads the ledger says
             // when it has it; requests sent over and over would fill the link that it reads by.
             return;
@@ -96,6 +100,7 @@
         ask.sent = Some((leader, now));
         let request = ask.request.clone();
         let table_version = ask.table_version;
+        let first = ask.copies == 0;
         ask.copies += 1;
         if own {
             self.serve_read(Origin::Own(ticket), table_version, request);
@@ -105,10 +110,22 @@
                 table_version,
                 request,
             };
-            self.tell(leader, message);
+            // A question that is sent again goes the straight way.
+            if first {
+                self.tell_through_hub(leader, message);
+            } else {
+                self.tell(leader, message);
+            }
         }
     }
 
+    /// Silence of the leader after which it is not sent requests. Of many members the far ones are
+    /// told of it by others, half a second later.
+    fn silence_of_leader(&self) -> Duration {
+        let far = self.has_many_members() && !self.near.contains(&self.settings.address);
+        SILENT_LEADER + if far { TOLD_LATER } else { Duration::ZERO }
+    }
+
     /// Sends all open requests to the leader that is known now.
     pub(super) fn resend_asks(&mut self) {
         let tickets: Vec<Ticket> = self.asks.keys().copied().collect();
@@ -188,7 +205,7 @@
             self.serve_read(Origin::Peer(from, ticket), table_version, request);
         } else {
             let answer = None;
-            self.tell(from, PeerMessage::Reply { ticket, answer });
+            self.tell_through_hub(from, PeerMessage::Reply { ticket, answer });
         }
     }
 
@@ -278,7 +295,25 @@
 
     /// Number of a queue's jobs of which no task has begun, as far as workers have told: an order
     /// without an answer may have begun nothing.
-    fn count_waiting(&self, queue: &str) -> u64 {
+    ///
+    /// The count goes through all jobs, thousands on a large site, and is asked for some ninety times
+    /// a second there: one serves for a while.
+    fn count_waiting(&mut self, queue: &str) -> u64 {
+        let now = self.now;
+        let lead = self.lead.as_deref();
+        let known = lead.and_then(|lead| lead.waiting_counts.get(queue));
+        let lately = known.filter(|(at, _)| now.saturating_sub(*at) < COUNT_AGE);
+        if let Some((_, count)) = lately {
+            return *count;
+        }
+        let count = self.count_waiting_now(queue);
+        if let Some(lead) = self.lead.as_deref_mut() {
+            lead.waiting_counts.insert(queue.to_owned(), (now, count));
+        }
+        count
+    }
+
+    fn count_waiting_now(&self, queue: &str) -> u64 {
         let Some(lead) = self.lead.as_deref() else {
             return 0;
         };
--- a/crates/bankvalve_queue/src/core/commit.rs
+++ b/crates/bankvalve_queue/src/core/commit.rs
@@ -354,7 +354,7 @@
             Origin::Own(ticket) => self.end_ask(ticket, answer),
             Origin::Peer(peer, ticket) => {
                 let answer = Some(answer);
-                self.tell(peer, PeerMessage::Reply { ticket, answer });
+                self.tell_through_hub(peer, PeerMessage::Reply { ticket, answer });
             }
         }
     }
--- a/crates/bankvalve_queue/src/core/election.rs
+++ b/crates/bankvalve_queue/src/core/election.rs
@@ -58,6 +58,8 @@
     /// Processor that it has, in thousandths of a core.
     pub(super) strength: u64,
     pub(super) news: HeartbeatNews,
+    /// Whether it is heard at the slow pace of a leader and far members.
+    pub(super) slow: bool,
 }
 
 /// A claim on its way.
@@ -478,6 +480,7 @@
             loading: false,
         });
         self.next_heartbeat = self.now;
+        self.next_slow_heartbeat = self.now;
         self.run_heartbeats();
         if complete {
             self.end_loading();
--- a/crates/bankvalve_queue/src/core/entry_core.rs
+++ b/crates/bankvalve_queue/src/core/entry_core.rs
@@ -4,9 +4,11 @@
 use std::time::Duration;
 
 use super::callers::OpenAsk;
+use super::carriers::CarriedFor;
 use super::election::{LeaderView, PeerView};
 use super::lead::LeadState;
 use super::ledger_page::LedgerPage;
+use super::log_budget::LogBudget;
 use super::questions::{OpenQuestion, StorePatience};
 use super::sight::UnreadyReason;
 use super::store_link::WatchState;
@@ -218,9 +220,13 @@
     pub(super) settings: EntrySettings,
     pub(super) now: CoreTime,
     pub(super) wall: WallMillis,
+    /// Time for which the event that is being taken has waited for its turn.
+    pub(super) lag: Duration,
     pub(super) table: Option<QueueTable>,
     pub(super) tables: TableWatch,
     pub(super) peers: BTreeMap<PeerAddress, PeerView>,
+    /// The near members, as of the last heartbeat.
+    pub(super) near: Vec<PeerAddress>,
     pub(super) leader: Option<LeaderView>,
     pub(super) highest_epoch: u64,
     pub(super) registered: bool,
@@ -236,6 +242,7 @@
     pub(super) predecessor_over: Option<(u64, CoreTime)>,
     pub(super) next_heartbeat: CoreTime,
     pub(super) next_far_heartbeat: CoreTime,
+    pub(super) next_slow_heartbeat: CoreTime,
     pub(super) book: JobBook,
     pub(super) applied: u64,
     pub(super) catch_up_at: Option<CoreTime>,
@@ -249,6 +256,8 @@
     pub(super) measures: (BTreeMap<WorkerId, f64>, BTreeMap<String, f64>),
     pub(super) asks: BTreeMap<Ticket, OpenAsk>,
     pub(super) advising: BTreeMap<Ticket, (PeerAddress, Ticket)>,
+    /// Calls that this instance carries for the leader.
+    pub(super) carrying: BTreeMap<Ticket, CarriedFor>,
     pub(super) store_tickets: BTreeMap<Ticket, OpenQuestion>,
     pub(super) store_patience: StorePatience,
     pub(super) cell_watch: WatchState,
@@ -265,6 +274,7 @@
     pub(super) stopping: bool,
     /// What was last logged of its readiness: why it was not ready, or that it was.
     pub(super) told_unready: Option<Option<UnreadyReason>>,
+    log_budget: LogBudget,
     pub(super) counters: EntryCounters,
     pub(super) actions: Vec<CoreAction>,
 }
@@ -277,9 +287,11 @@
             settings,
             now: TIME_BASE,
             wall: 0,
+            lag: Duration::ZERO,
             table: None,
             tables: TableWatch::default(),
             peers: BTreeMap::new(),
+            near: Vec::new(),
             leader: None,
             highest_epoch: 0,
             registered: false,
@@ -293,6 +305,7 @@
             predecessor_over: None,
             next_heartbeat: Duration::ZERO,
             next_far_heartbeat: Duration::ZERO,
+            next_slow_heartbeat: Duration::ZERO,
             book: JobBook::default(),
             applied: 0,
             catch_up_at: None,
@@ -303,6 +316,7 @@
             measures: Default::default(),
             asks: BTreeMap::new(),
             advising: BTreeMap::new(),
+            carrying: BTreeMap::new(),
             store_tickets: BTreeMap::new(),
             store_patience: StorePatience::default(),
             cell_watch: WatchState::default(),
@@ -315,6 +329,7 @@
             next_ticket,
             stopping: false,
             told_unready: None,
+            log_budget: LogBudget::default(),
             counters: EntryCounters::default(),
             actions: Vec::new(),
         }
@@ -347,6 +362,11 @@
         std::mem::take(&mut self.actions)
     }
 
+    /// Tells for how long the next event has waited for its turn: how far behind the instance is.
+    pub fn note_lag(&mut self, lag: Duration) {
+        self.lag = lag;
+    }
+
     /// How the instance stands.
     pub fn view(&self) -> EntryView {
         let lead = self.lead.as_deref();
@@ -370,6 +390,17 @@
         }
     }
 
+    /// Whether it leads.
+    pub fn leads(&self) -> bool {
+        self.lead.is_some()
+    }
+
+    /// Whether so many events come to it that they had better be taken together.
+    pub fn is_crowded(&self) -> bool {
+        let lead = self.lead.as_deref();
+        lead.is_some_and(|lead| lead.carriers.are_used())
+    }
+
     /// Version of the configuration in force; 0 before the first.
     pub fn table_version(&self) -> u64 {
         self.table.as_ref().map_or(0, |table| table.version)
@@ -408,6 +439,7 @@
         self.run_heartbeats();
         self.run_asks();
         self.run_following();
+        self.forget_carried();
         self.run_leader_row();
         self.watch_leader();
         self.tell_readiness();
@@ -429,6 +461,27 @@
         self.actions.push(CoreAction::Peer { to, message });
     }
 
+    /// Logs how many lines were left out.
+    pub(super) fn tell_left_out(&mut self) {
+        if let Some(line) = self.log_budget.take_left_out() {
+            self.actions.push(CoreAction::Log(line));
+        }
+    }
+
+    /// Logs one of many lines of a kind, unless so many were logged in this second that it would
+    /// be left out: at 1,500 starts a second their texts alone would take a hundredth of a core.
+    pub(super) fn log_often(
+        &mut self,
+        part: &'static str,
+        event: &'static str,
+        line: impl FnOnce() -> (String, String),
+    ) {
+        if self.log_budget.may_log(self.now, part, event) {
+            let (id, detail) = line();
+            self.log(part, event, id, detail);
+        }
+    }
+
     pub(super) fn log(
         &mut self,
         part: &'static str,
--- a/crates/bankvalve_queue/src/core/following.rs
+++ b/crates/bankvalve_queue/src/core/following.rs
@@ -40,6 +40,9 @@
             PeerMessage::Reply { ticket, answer } => self.take_reply(from, ticket, answer),
             PeerMessage::Advise { ticket, ask } => self.carry_advice(from, ticket, ask),
             PeerMessage::Advised { ticket, answer } => self.end_advice(ticket, answer),
+            PeerMessage::Relay { from, to, message } => self.take_relayed(from, to, message),
+            PeerMessage::Carry { ticket, call } => self.carry_call(from, ticket, call),
+            PeerMessage::Carried { ticket, answer } => self.take_worker_answer(ticket, answer),
             PeerMessage::Committed {
                 epoch,
                 sequence,
@@ -192,6 +195,7 @@
             // Requests wait at the others until they are told.
             self.next_heartbeat = self.now;
             self.next_far_heartbeat = self.now;
+            self.next_slow_heartbeat = self.now;
             self.end_loading();
         } else {
             self.catching_up = false;
--- a/crates/bankvalve_queue/src/core/holds.rs
+++ b/crates/bankvalve_queue/src/core/holds.rs
@@ -2,10 +2,10 @@
 
 use std::time::Duration;
 
+use super::carriers::CARRY_SLACK;
 use super::lead::{CallPurpose, LeadState, OpenCall};
 use super::seat::Seat;
 use super::EntryCore;
-use crate::core::CoreAction;
 use crate::guard::SiteGuard;
 use crate::ids::{CoreTime, Ticket, WorkerId};
 use crate::policy::PolicySwitch;
@@ -21,14 +21,19 @@
 const URGENT_LOOK_WAIT: Duration = Duration::from_millis(350);
 /// Longest time for the way there and back, and a slow worker.
 const LOOK_SLACK: Duration = Duration::from_millis(600);
+/// Time beyond a call's own after which its answer does not come any more: the link tells of each
+/// call in time, unless the core's ring was full.
+const LOST_ANSWER: Duration = Duration::from_millis(1_000);
 /// Least time between two looks, so that ends that come close together travel together.
 const LOOK_PACE: Duration = Duration::from_millis(15);
 /// Pause of looks while ends wait to be kept.
 const KEEP_PAUSE: Duration = Duration::from_millis(500);
 /// A worker that was heard so lately has left one look without an answer, no more.
 const FIRST_SILENCE: Duration = Duration::from_millis(1_300);
-/// Pause after a look without an answer.
+/// Least and longest pause after a look without an answer, and which part of the silence it is.
 const SILENT_PAUSE: Duration = Duration::from_millis(250);
+const SILENT_PAUSE_MOST: Duration = Duration::from_millis(1_500);
+const SILENT_PAUSE_PART: u32 = 6;
 /// The same for a worker that runs nothing, on a site of many workers.
 const IDLE_LOOK_WAIT: Duration = Duration::from_millis(2_000);
 /// Workers from which on a site has many: looks at a thousand idle ones each second would take a
@@ -37,6 +42,11 @@
 /// First looks on their way at once: each needs a new connection, and thousands of them would
 /// take the processor for longer than any of them waits.
 const FIRST_LOOKS: usize = 150;
+/// Looks on their way at workers that were silent before, at least, and as a divisor of all workers:
+/// when all are silent it is the leader's own link or processor, and to ask all of them again and
+/// again, each on a new connection, keeps it so.
+const SILENT_LOOKS: usize = 8;
+const SILENT_SHARE: usize = 16;
 /// Silence from which on it is asked whether a worker's hold is over.
 const SILENT_LONG: Duration = Duration::from_millis(1_300);
 /// Silence for which a worker that keeps its own entry in the table is waited for: it lives, and
@@ -88,33 +98,49 @@
             return;
         };
         let mut due = Vec::new();
-        let mut first_looks = lead
-            .seats
-            .values()
-            .filter(|seat| seat.is_first_look())
-            .count();
-        let patience = self.silence_patience(lead);
+        // A worker's word may wait behind the event that is being taken.
+        let seen = now.saturating_sub(self.lag);
+        let is_silent = |seat: &Seat| !seat.is_heard(seen, SILENT_LONG);
+        let (mut first_looks, mut silent_looks) = (0, 0);
+        for seat in lead.seats.values().filter(|seat| seat.hold_busy) {
+            first_looks += usize::from(!seat.proved);
+            silent_looks += usize::from(seat.proved && is_silent(seat));
+        }
+        let mut silent_due = Vec::new();
         let mut over = Vec::new();
         let mut gone = Vec::new();
-        for (id, seat) in &lead.seats {
-            let silent = seat.heard_at.map_or(now, |at| now.saturating_sub(at));
-            let silent_long = silent > SILENT_LONG || seat.heard_at.is_none();
-            let waited_for = seat.listed && silent < patience;
-            if !seat.runs.is_empty() && silent_long && !waited_for && self.is_over(seat) {
-                over.push(id.clone());
+        for (id, seat) in lead.seats.iter() {
+            let silent = seat.heard_at.map_or(seen, |at| seen.saturating_sub(at));
+            let silent_long = is_silent(seat);
+            if !seat.runs.is_empty() && silent_long && self.is_over(seat) {
+                over.push((id.clone(), seat.listed, silent));
             }
             let idle = now.saturating_sub(seat.heard_at.unwrap_or(seat.known_at));
             if !seat.listed && seat.runs.is_empty() && idle > FORGET_SEAT {
                 gone.push(id.clone());
-            } else if seat.look_is_due(now) && (seat.proved || first_looks < FIRST_LOOKS) {
-                first_looks += usize::from(!seat.proved);
+            } else if !seat.look_is_due(now) {
+                continue;
+            } else if !seat.proved {
+                first_looks += 1;
+                due.extend((first_looks <= FIRST_LOOKS).then(|| id.clone()));
+            } else if silent_long {
+                silent_due.push((seat.next_hold, id.clone()));
+            } else {
                 due.push(id.clone());
             }
         }
+        let budget = SILENT_LOOKS.max(lead.seats.len() / SILENT_SHARE);
+        silent_due.sort_unstable();
+        silent_due.truncate(budget.saturating_sub(silent_looks));
+        due.extend(silent_due.into_iter().map(|(_, id)| id));
+        if !over.is_empty() {
+            let patience = self.silence_patience(lead);
+            over.retain(|(_, listed, silent)| !listed || *silent >= patience);
+        }
         for id in due {
             self.look(&id);
         }
-        for id in over {
+        for (id, ..) in over {
             self.give_up_seat(&id, "its hold is over");
         }
         if let Some(lead) = self.lead.as_deref_mut() {
@@ -222,6 +248,9 @@
         time: Duration,
     ) {
         let ticket = self.take_ticket();
+        let carrier = self.have_carried(ticket, id, &call, time);
+        let slack = carrier.map_or(LOST_ANSWER, |_| CARRY_SLACK);
+        let limit = self.now + time + slack;
         let Some(lead) = self.lead.as_deref_mut() else {
             return;
         };
@@ -233,27 +262,29 @@
             worker: id.clone(),
             purpose,
             sent_at: self.now,
+            carrier,
+            limit,
         };
         lead.calls.insert(ticket, open);
+        lead.call_limits.insert((limit, ticket));
         let token = lead.epoch;
-        self.actions.push(CoreAction::Worker {
-            ticket,
-            worker: id.clone(),
-            address,
-            token,
-            call,
-            time,
-        });
+        if carrier.is_none() {
+            self.push_worker_call(ticket, id, address, token, call, time);
+        }
     }
 
     pub(super) fn take_worker_answer(&mut self, ticket: Ticket, answer: WorkerAnswer) {
         let now = self.now;
+        if self.pass_answer_on(ticket, &answer) {
+            return;
+        }
         let Some(lead) = self.lead.as_deref_mut() else {
             return;
         };
         let Some(open) = lead.calls.remove(&ticket) else {
             return;
         };
+        lead.call_limits.remove(&(open.limit, ticket));
         let (id, purpose) = (open.worker, open.purpose);
         let order = !matches!(purpose, CallPurpose::Hold);
         if order && matches!(answer, WorkerAnswer::Done { .. }) {
@@ -301,11 +332,10 @@
 
     fn end_look(&mut self, id: &WorkerId, sent_at: CoreTime, answer: WorkerAnswer) {
         let now = self.now;
-        let Some(seat) = self
-            .lead
-            .as_deref_mut()
-            .and_then(|lead| lead.seats.get_mut(id))
-        else {
+        let Some(lead) = self.lead.as_deref_mut() else {
+            return;
+        };
+        let Some(seat) = lead.seats.get_mut(id) else {
             return;
         };
         seat.hold_busy = false;
@@ -316,17 +346,30 @@
         else {
             // One lost answer is asked for anew at once; a worker that stays silent is not pressed.
             let first_silence = seat.is_heard(now, FIRST_SILENCE);
+            let silent = seat
+                .heard_at
+                .map_or(Duration::ZERO, |at| now.saturating_sub(at));
             seat.next_hold = if first_silence {
                 now
             } else {
-                now + SILENT_PAUSE
+                now + (silent / SILENT_PAUSE_PART).clamp(SILENT_PAUSE, SILENT_PAUSE_MOST)
             };
             let asked = now.saturating_sub(sent_at);
-            let detail = format!("{answer:?} after {asked:?}, {} runs", seat.runs.len());
-            self.log("workers", "silent", id.to_string(), detail);
+            let runs = seat.runs.len();
+            if first_silence {
+                lead.note_miss();
+            }
+            self.log_often("workers", "silent", || {
+                let detail = format!("{answer:?} after {asked:?}, {runs} runs");
+                (id.to_string(), detail)
+            });
             self.counters.count("retries", "worker_silent");
             return;
         };
+        lead.note_in_time();
+        let Some(seat) = lead.seats.get_mut(id) else {
+            return;
+        };
         let first = !seat.proved;
         seat.proved = true;
         seat.heard_at = Some(now);
--- a/crates/bankvalve_queue/src/core/lead.rs
+++ b/crates/bankvalve_queue/src/core/lead.rs
@@ -4,9 +4,11 @@
 use std::time::Duration;
 
 use super::advice::StepAdvice;
+use super::carriers::CarrierList;
 use super::commit::{CommitFlight, Origin, Proposal};
 use super::making_room::RoomClaim;
-use super::seat::{LiveRun, Seat};
+use super::seat::LiveRun;
+use super::seat_map::SeatMap;
 use super::waiting::WaitingStep;
 use super::EntryCore;
 use crate::caller::CallerRequest;
@@ -23,11 +25,11 @@
 /// stay usable while the table is slow.
 const KEEP_LIMIT: Duration = Duration::from_millis(900);
 
-/// Time between two goes through all workers, for each of them: some hundred times what a look at
-/// one costs.
-const SCAN_EACH: Duration = Duration::from_micros(10);
+/// Time between two goes through all workers, for each of them: some four hundred times what a look
+/// at one costs.
+const SCAN_EACH: Duration = Duration::from_micros(45);
 /// Longest time between two of them.
-const SCAN_MOST: Duration = Duration::from_millis(20);
+const SCAN_MOST: Duration = Duration::from_millis(50);
 
 /// The usual time of an answer, times this, after which it is taken for lost: an order that is
 /// repeated needlessly does no harm, and costs what one call costs.
@@ -35,6 +37,11 @@
 /// Least time of that kind: some ten ways across a site, and a small instance's turn.
 const ANSWER_LEAST: Duration = Duration::from_millis(80);
 
+/// Time by which an answer is waited for longer after each one that was missed, and at most: with one
+/// answer in ten lost it comes to some 25 ms, with all of them it is at the most after thirty.
+const MISS_STEP: Duration = Duration::from_millis(10);
+const MISS_MOST: Duration = Duration::from_millis(1_500);
+
 /// What a call to a worker was for.
 #[derive(Clone, Debug)]
 pub(super) enum CallPurpose {
@@ -49,6 +56,10 @@
     pub(super) worker: WorkerId,
     pub(super) purpose: CallPurpose,
     pub(super) sent_at: CoreTime,
+    /// Who carries it, if it is carried.
+    pub(super) carrier: Option<PeerAddress>,
+    /// When it has no answer, if none was heard of.
+    pub(super) limit: CoreTime,
 }
 
 /// A request about a job that the leader does not know, until it is sure that it leads.
@@ -104,10 +115,15 @@
     pub(super) stops: BTreeMap<TaskKey, u32>,
     /// Jobs that are over, of which it is not kept yet.
     pub(super) ending: BTreeSet<JobId>,
-    pub(super) seats: BTreeMap<WorkerId, Seat>,
+    pub(super) seats: SeatMap,
     pub(super) calls: BTreeMap<Ticket, OpenCall>,
+    /// Calls by the time at which they have no answer.
+    pub(super) call_limits: BTreeSet<(CoreTime, Ticket)>,
+    pub(super) carriers: CarrierList,
     /// Time that workers take to answer an order, lately; it rises quickly and falls slowly.
     answer_time: Duration,
+    /// Time for which answers are waited for longer, since some were missed.
+    missed_time: Duration,
     pub(super) waiting: BTreeMap<StepKey, WaitingStep>,
     pub(super) touched: BTreeSet<JobId>,
     pub(super) due: BTreeSet<(WallMillis, JobId, u32)>,
@@ -121,10 +137,15 @@
     /// When all workers are gone through again for looks and for orders that are due.
     pub(super) next_hold_scan: CoreTime,
     pub(super) next_order_scan: CoreTime,
+    /// Runs to which an order is due, by the time at which it is.
+    due_orders: BTreeSet<(CoreTime, WorkerId, TaskKey)>,
     /// When a peer was asked to lead, while this leader goes on.
     pub(super) handed_at: Option<CoreTime>,
     pub(super) next_forget: CoreTime,
     pub(super) next_measures: CoreTime,
+    pub(super) next_advice_scan: CoreTime,
+    /// Jobs of each queue that are not known to have begun, as counted lately, and when.
+    pub(super) waiting_counts: BTreeMap<String, (CoreTime, u64)>,
 }
 
 impl LeadState {
@@ -162,9 +183,12 @@
             room_claims: BTreeMap::new(),
             stops: BTreeMap::new(),
             ending: BTreeSet::new(),
-            seats: BTreeMap::new(),
+            seats: SeatMap::default(),
             calls: BTreeMap::new(),
+            call_limits: BTreeSet::new(),
+            carriers: CarrierList::default(),
             answer_time: Duration::ZERO,
+            missed_time: Duration::ZERO,
             waiting: BTreeMap::new(),
             touched: BTreeSet::new(),
             due: BTreeSet::new(),
@@ -175,9 +199,12 @@
             place_at: now,
             next_hold_scan: now,
             next_order_scan: now,
+            due_orders: BTreeSet::new(),
             handed_at: None,
             next_forget: now,
             next_measures: now,
+            next_advice_scan: now,
+            waiting_counts: BTreeMap::new(),
         }
     }
 
@@ -186,6 +213,24 @@
         self.seats.get_mut(worker)?.runs.get_mut(task)
     }
 
+    /// Notes that an order to a run is due at a time.
+    pub(super) fn have_order_due(&mut self, at: CoreTime, worker: &WorkerId, task: TaskKey) {
+        self.due_orders.insert((at, worker.clone(), task));
+    }
+
+    /// Takes the runs to which an order is due now.
+    pub(super) fn take_due_orders(&mut self, now: CoreTime) -> Vec<(WorkerId, TaskKey)> {
+        let mut due = Vec::new();
+        while self.due_orders.first().is_some_and(|(at, ..)| *at <= now) {
+            due.extend(
+                self.due_orders
+                    .pop_first()
+                    .map(|(_, worker, task)| (worker, task)),
+            );
+        }
+        due
+    }
+
     /// Time between two goes through all workers: a small share of the processor, whatever their
     /// number.
     pub(super) fn scan_pace(&self) -> Duration {
@@ -227,9 +272,22 @@
         };
     }
 
-    /// Time after which an answer that should come at once is taken for lost.
+    /// A worker that was heard lately has not answered in the time that answers take: where none
+    /// comes any more, they take longer than was thought.
+    pub(super) fn note_miss(&mut self) {
+        let more = (self.missed_time + MISS_STEP) * 9 / 8;
+        self.missed_time = more.min(MISS_MOST);
+    }
+
+    /// A worker has answered in time.
+    pub(super) fn note_in_time(&mut self) {
+        self.missed_time = self.missed_time * 15 / 16;
+    }
+
+    /// Time after which an answer that should come at once is taken for lost; beyond `most` only by
+    /// what was missed lately.
     pub(super) fn answer_limit(&self, most: Duration) -> Duration {
-        (self.answer_time * ANSWER_FACTOR).clamp(ANSWER_LEAST, most)
+        (self.answer_time * ANSWER_FACTOR).clamp(ANSWER_LEAST, most) + self.missed_time
     }
 
     /// A start was ordered so long after it was proposed.
@@ -262,6 +320,7 @@
         // Ends must not be taken before the jobs that they belong to are known.
         let loaded = self.lead.as_ref().is_some_and(|lead| lead.loaded);
         if loaded || !self.keeps(SiteGuard::LedgerFirst) {
+            self.run_carriers();
             self.run_holds();
             self.open_due_times();
             self.run_orders();
@@ -304,6 +363,10 @@
             return;
         }
         lead.next_forget = self.now + FORGET_EVERY;
+        self.tell_left_out();
+        let Some(lead) = self.lead.as_deref_mut() else {
+            return;
+        };
         let kept = self.settings.status_time.as_millis() as u64 * 2;
         self.book.forget_ended(self.wall.saturating_sub(kept));
         let book = &self.book;
@@ -317,6 +380,7 @@
         lead.room_waits.retain(|step, _| open(step.job));
         lead.room_claims.retain(|step, _| open(step.job));
         lead.advice.retain(|step, _| open(step.job));
+        lead.waiting_counts.clear();
     }
 
     /// Prepares the times of a job that repeats.
--- a/crates/bankvalve_queue/src/core/members.rs
+++ b/crates/bankvalve_queue/src/core/members.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use super::election::PeerView;
+use super::election::{LeaderView, PeerView};
 use super::standby::MemberRow;
 use super::store_link::{StorePurpose, CELL_TABLE, LEAD_PART, MEMBER_PART};
 use super::EntryCore;
@@ -16,8 +16,16 @@
 /// Time between two heartbeats to and from the others, which follow and do not take over: two of
 /// them fit into the time for which a peer counts as alive.
 const FAR_HEARTBEAT: Duration = Duration::from_millis(400);
+/// The same between the leader and the others on a site of many members, where near members tell
+/// the others how lately they heard the leader: 141 members at the pace above would cost it 700
+/// exchanges a second.
+const SLOW_HEARTBEAT: Duration = Duration::from_millis(2_000);
+/// Age of the last sign of the leader from which on a far member asks it for one.
+const LEADER_DOUBT: Duration = Duration::from_millis(800);
 /// A peer that was heard this lately counts as alive.
 const PEER_ALIVE: Duration = Duration::from_millis(900);
+/// The same of one that is heard at the slow pace: two heartbeats, and some.
+const SLOW_ALIVE: Duration = Duration::from_millis(4_500);
 /// Silence after which a member's row is dropped.
 const DROP_MEMBER_AFTER: Duration = Duration::from_secs(60);
 
@@ -95,8 +103,13 @@
         if far_due {
             self.next_far_heartbeat = self.now + FAR_HEARTBEAT;
         }
+        let slow_due = self.now >= self.next_slow_heartbeat;
+        if slow_due {
+            self.next_slow_heartbeat = self.now + SLOW_HEARTBEAT;
+        }
+        self.near = self.near_members();
         let news = self.own_news();
-        for peer in self.heartbeat_targets(far_due) {
+        for peer in self.heartbeat_targets(far_due, slow_due) {
             self.tell(peer, PeerMessage::Heartbeat(news.clone()));
         }
         self.tell_measures();
@@ -166,6 +179,7 @@
         if news.store_trouble {
             self.probe_store();
         }
+        self.hear_of_leader(from, &news);
         if news.leading {
             self.hear_leader(from, &news);
         } else if self.is_gone_leader(from, &news) {
@@ -174,13 +188,16 @@
             self.predecessor_over = Some((over, at));
         }
         let now = self.now;
+        let slow = self.is_slow_pair(from);
         let peer = self.peers.entry(from).or_insert_with(|| PeerView {
             known_at: now,
             ..PeerView::default()
         });
-        let first = peer.heard_at.is_none();
+        let doubt = slow && news.leader_age_ms > LEADER_DOUBT.as_millis() as u64;
+        let first = peer.heard_at.is_none() || doubt;
         peer.heard_at = Some(now);
         peer.strength = news.strength;
+        peer.slow = slow;
         peer.news = news;
         if first && self.lead.is_some() {
             // It should not have to wait for the next heartbeat to know who leads.
@@ -189,6 +206,32 @@
         }
     }
 
+    /// Takes from a near member how lately it heard the leader, on a site of many members.
+    ///
+    /// Near members hear the leader themselves: what they hear of it must not come back to them.
+    fn hear_of_leader(&mut self, from: PeerAddress, news: &HeartbeatNews) {
+        let far = !self.near.contains(&self.settings.address);
+        if !self.has_many_members() || !far || !self.near.contains(&from) || news.leading {
+            return;
+        }
+        let at = self
+            .now
+            .checked_sub(Duration::from_millis(news.leader_age_ms));
+        let Some((leader, at)) = self.leader.as_mut().zip(at) else {
+            return;
+        };
+        let same = news.leader == Some(leader.address) && news.epoch == leader.epoch;
+        if same && !leader.gone {
+            leader.heard_at = leader.heard_at.max(at);
+        }
+    }
+
+    /// Tells whether the leader is to be asked for a sign of life.
+    pub(super) fn doubts_leader(&self) -> bool {
+        let heard = |leader: &LeaderView| self.age(leader.heard_at) < LEADER_DOUBT;
+        !self.leader.as_ref().is_some_and(heard)
+    }
+
     /// A peer does not answer; a leader that refuses connections is suspected at once.
     pub(super) fn peer_unreached(&mut self, peer: PeerAddress, refused: bool) {
         self.counters.count("retries", "peer_unreached");
@@ -211,6 +254,9 @@
             }
         }
         self.reassign_advice(peer);
+        if refused {
+            self.lose_carrier(peer);
+        }
         self.lose_giver(peer);
         let leads = self.lead.is_none()
             && self
@@ -234,7 +280,8 @@
 impl PeerView {
     /// Tells whether the peer was heard so lately that it counts as alive.
     pub(super) fn is_live(&self, now: CoreTime) -> bool {
+        let alive = if self.slow { SLOW_ALIVE } else { PEER_ALIVE };
         self.heard_at
-            .is_some_and(|at| now.saturating_sub(at) < PEER_ALIVE)
+            .is_some_and(|at| now.saturating_sub(at) < alive)
     }
 }
--- a/crates/bankvalve_queue/src/core/mod.rs
+++ b/crates/bankvalve_queue/src/core/mod.rs
@@ -10,14 +10,17 @@
 
 mod advice;
 mod callers;
+mod carriers;
 mod commit;
 mod confirm;
 mod election;
 mod entry_core;
 mod following;
 mod holds;
+mod hubs;
 mod lead;
 mod ledger_page;
+mod log_budget;
 mod making_room;
 mod members;
 mod orders;
@@ -29,6 +32,7 @@
 mod reports;
 mod seat;
 mod seat_list;
+mod seat_map;
 mod sight;
 mod standby;
 mod store_link;
--- a/crates/bankvalve_queue/src/core/orders.rs
+++ b/crates/bankvalve_queue/src/core/orders.rs
@@ -20,6 +20,8 @@
 const ORDER_PAUSE: Duration = Duration::from_millis(120);
 /// Tries of an order that was surely not carried out.
 const ORDER_TRIES: u32 = 3;
+/// Time between two goes through all runs for orders that no list of those due names.
+const ORDER_SCAN: Duration = Duration::from_millis(200);
 /// Pause before a stop is repeated.
 const STOP_PAUSE: Duration = Duration::from_millis(250);
 /// Rest of a worker that turned an order away as unwell.
@@ -177,22 +179,21 @@
                 live.began = now;
                 live.measured = live.copies == 0;
                 lead.begun.insert(task.step.job);
-                self.log(
-                    "runs",
-                    "start",
-                    task.to_string(),
-                    format!("run {run} on {id}"),
-                );
+                self.log_often("runs", "start", || {
+                    (task.to_string(), format!("run {run} on {id}"))
+                });
                 return;
             }
             WorkerAnswer::NoReply => {
                 live.copies += 1;
                 live.next_at = now;
+                lead.have_order_due(now, id, task);
                 self.counters.count("retries", "order_unanswered");
                 return;
             }
             WorkerAnswer::NotSent if live.tries < ORDER_TRIES => {
                 live.next_at = now + ORDER_PAUSE;
+                lead.have_order_due(now + ORDER_PAUSE, id, task);
                 self.counters.count("retries", "order_not_sent");
                 return;
             }
@@ -201,6 +202,7 @@
                 ..
             } if live.tries < ORDER_TRIES => {
                 live.next_at = now;
+                lead.have_order_due(now, id, task);
                 return;
             }
             _ => {}
@@ -257,7 +259,7 @@
         live.phase = RunPhase::Stopping { confirmed: None };
         live.next_at = now;
         live.busy = false;
-        lead.next_order_scan = now;
+        lead.have_order_due(now, id, task);
         if counts {
             return;
         }
@@ -279,32 +281,39 @@
         let Some(lead) = self.lead.as_deref_mut() else {
             return;
         };
+        let mut due = lead.take_due_orders(now);
         if now < lead.next_order_scan {
+            self.send_due_orders(due);
             return;
         }
-        lead.next_order_scan = now + lead.scan_pace();
+        lead.next_order_scan = now + ORDER_SCAN;
         let Some(lead) = self.lead.as_deref() else {
             return;
         };
-        let mut starts = Vec::new();
-        let mut stops = Vec::new();
-        for (id, seat) in &lead.seats {
-            for (task, live) in &seat.runs {
-                if live.busy || now < live.next_at {
-                    continue;
-                }
-                match live.phase {
-                    RunPhase::Ordered => starts.push((id.clone(), *task)),
-                    RunPhase::Stopping { confirmed: None } => stops.push((id.clone(), *task)),
-                    _ => {}
-                }
-            }
-        }
-        for (id, task) in starts {
-            self.send_start(&id, task);
+        for (id, seat) in lead.seats.iter() {
+            let waits = |live: &LiveRun| !live.busy && now >= live.next_at;
+            let waiting = seat.runs.iter().filter(|(_, live)| waits(live));
+            due.extend(waiting.map(|(task, _)| (id.clone(), *task)));
         }
-        for (id, task) in stops {
-            self.send_stop(&id, task);
+        due.sort_unstable();
+        due.dedup();
+        self.send_due_orders(due);
+    }
+
+    /// Sends orders to runs that wait for one.
+    fn send_due_orders(&mut self, due: Vec<(WorkerId, TaskKey)>) {
+        let now = self.now;
+        for (id, task) in due {
+            let live = self
+                .lead
+                .as_deref_mut()
+                .and_then(|lead| lead.live_run(&id, &task));
+            let live = live.filter(|live| !live.busy && now >= live.next_at);
+            match live.map(|live| &live.phase) {
+                Some(RunPhase::Ordered) => self.send_start(&id, task),
+                Some(RunPhase::Stopping { confirmed: None }) => self.send_stop(&id, task),
+                _ => {}
+            }
         }
     }
 
@@ -340,12 +349,17 @@
         };
         live.busy = false;
         live.next_at = now + STOP_PAUSE;
-        if matches!(answer, WorkerAnswer::Done { .. }) {
+        let done = matches!(answer, WorkerAnswer::Done { .. });
+        if done {
             live.phase = RunPhase::Stopping {
                 confirmed: Some(now),
             };
-            let detail = format!("run {run} on {id}");
-            self.log("runs", "stop", task.to_string(), detail);
+        }
+        lead.have_order_due(now + STOP_PAUSE, id, task);
+        if done {
+            self.log_often("runs", "stop", || {
+                (task.to_string(), format!("run {run} on {id}"))
+            });
         }
     }
 }
--- a/crates/bankvalve_queue/src/core/placing.rs
+++ b/crates/bankvalve_queue/src/core/placing.rs
@@ -6,6 +6,7 @@
 
 use super::advice::{StepAdvice, ASK_LIMIT};
 use super::commit::Effect;
+use super::lead::LeadState;
 use super::seat::{LiveRun, Reservation, RunLoad, RunPhase, Seat};
 use super::waiting::WaitingRank;
 use super::EntryCore;
@@ -160,13 +161,8 @@
         let kept_at = now + lead.time_to_keep();
         let empty = StepAdvice::default();
         let advice = lead.advice.get(&step.key).unwrap_or(&empty);
-        let seats: Vec<(&WorkerId, &Seat)> = lead
-            .seats
-            .iter()
-            .filter(|(_, seat)| admits(seat, step, now))
-            .collect();
         let Some(rule) = step.rule else {
-            let choice = choose(step, &seats, now);
+            let choice = choose(step, &admitting(lead, step, now), now);
             let placed = choice.len();
             self.start_choice(step, choice);
             self.settle_room(step, placed);
@@ -174,36 +170,34 @@
         };
         if advice.is_new() {
             if advice.can_ask(now) {
-                let workers = first_question(step, &seats, now);
+                let workers = first_question(step, &admitting(lead, step, now), now);
                 if !workers.is_empty() {
                     self.ask_advice(step.key, rule, workers);
                 }
             }
             return;
         }
-        let permitted: Vec<(&WorkerId, &Seat)> = seats
-            .iter()
-            .copied()
-            .filter(|(id, _)| advice.permit(id, kept_at).is_some())
-            .collect();
+        // Far fewer are permitted than there are.
+        let admitted = |id| {
+            let seat = lead.seats.get(id)?;
+            admits(seat, step, now).then_some((id, seat))
+        };
+        let permitted: Vec<(&WorkerId, &Seat)> =
+            advice.permitted(kept_at).filter_map(admitted).collect();
         let choice = choose(step, &permitted, now);
         let whole = choice.len() == step.tasks.len();
         let can_ask = advice.can_ask(now);
         let mut question = Vec::new();
         let mut kept = Vec::new();
         if !whole && can_ask {
-            let good: Vec<(&WorkerId, &Seat)> = seats
-                .iter()
-                .copied()
-                .filter(|(id, _)| advice.is_good(id))
-                .collect();
+            let good: Vec<(&WorkerId, &Seat)> = advice.good().filter_map(admitted).collect();
             let wider = choose(step, &good, now);
             if wider.len() > choice.len() {
                 question = workers_of(&wider);
                 question.retain(|id| advice.permit(id, kept_at).is_none() || step.spec.gang);
                 kept = wider;
             } else {
-                question = unknown_with_room(step, &seats, advice, now);
+                question = unknown_with_room(lead, step, advice, now);
             }
         }
         let placed: Vec<TaskKey> = choice.iter().map(|(task, _)| *task).collect();
@@ -286,12 +280,11 @@
             live.permit = permit;
             live.set_priority(step.priority);
             seat.add_run(task, live);
-            let detail = format!(
-                "run {} on {worker}, room left {}",
-                step.run,
-                seat.entry.room.minus(&seat.used).millicores
-            );
-            self.log("placer", "place", task.to_string(), detail);
+            let left = seat.entry.room.minus(&seat.used).millicores;
+            self.log_often("placer", "place", || {
+                let detail = format!("run {} on {worker}, room left {left}", step.run);
+                (task.to_string(), detail)
+            });
             let run = step.run;
             let event = LedgerEvent::Started { task, run, worker };
             self.propose(event, Effect::Order(task, run));
@@ -301,21 +294,27 @@
 
 /// Tells whether a worker may be given tasks of a step at all.
 pub(super) fn admits(seat: &Seat, step: &PlacedStep, now: CoreTime) -> bool {
-    let lively = seat.is_lively(now);
+    // What is cheap and often fails comes first: all workers are asked this for each step.
+    let usable = seat.proved && seat.listed && !seat.entry.leaving && now >= seat.resting_until;
+    if !usable || !step.room.fits(&seat.entry.room) || !seat.is_lively(now) {
+        return false;
+    }
     let label = step
         .spec
         .required_label
         .as_ref()
         .is_none_or(|label| seat.entry.labels.contains(label));
-    lively
-        && label
-        && !seat.is_disturbed_by(RunLoad::of(&step.spec))
-        && seat.proved
-        && seat.listed
-        && !seat.entry.leaving
-        && now >= seat.resting_until
-        && seat.entry.service == step.service
-        && step.room.fits(&seat.entry.room)
+    label && seat.entry.service == step.service && !seat.is_disturbed_by(RunLoad::of(&step.spec))
+}
+
+/// All workers that may be given tasks of a step.
+fn admitting<'a>(
+    lead: &'a LeadState,
+    step: &PlacedStep,
+    now: CoreTime,
+) -> Vec<(&'a WorkerId, &'a Seat)> {
+    let seats = lead.seats.iter();
+    seats.filter(|(_, seat)| admits(seat, step, now)).collect()
 }
 
 /// Tasks of a step that a worker holds.
@@ -431,29 +430,35 @@
     } else {
         wanted.min(ASK_LIMIT)
     };
-    let mut by_room: Vec<(u64, &WorkerId)> = seats
-        .iter()
-        .map(|(id, seat)| (seat.room_for(step.key, now).millicores, *id))
+    let room = |seat: &Seat| Reverse(seat.room_for(step.key, now).millicores);
+    let rooms = seats.iter().enumerate();
+    let mut by_room: Vec<_> = rooms
+        .map(|(place, (_, seat))| (room(seat), place))
         .collect();
-    by_room.sort_unstable_by(|left, right| right.cmp(left));
+    if wanted < by_room.len() {
+        by_room.select_nth_unstable(wanted);
+        by_room.truncate(wanted);
+    }
+    by_room.sort_unstable();
     by_room
         .into_iter()
-        .take(wanted)
-        .map(|(_, id)| id.clone())
+        .map(|(_, place)| seats[place].0.clone())
         .collect()
 }
 
 /// Workers with room of which the policy has not been asked yet.
 fn unknown_with_room(
+    lead: &LeadState,
     step: &PlacedStep,
-    seats: &[(&WorkerId, &Seat)],
     advice: &StepAdvice,
     now: CoreTime,
 ) -> Vec<WorkerId> {
-    seats
+    let has_room = |seat: &Seat| step.room.fits(&seat.room_for(step.key, now));
+    lead.seats
         .iter()
-        .filter(|(id, seat)| !advice.is_known(id) && step.room.fits(&seat.room_for(step.key, now)))
-        .map(|(id, _)| (*id).clone())
+        .filter(|(_, seat)| has_room(seat) && admits(seat, step, now))
+        .filter(|(id, _)| !advice.is_known(id))
+        .map(|(id, _)| id.clone())
         .take(ASK_LIMIT)
         .collect()
 }
--- a/crates/bankvalve_queue/src/core/reports.rs
+++ b/crates/bankvalve_queue/src/core/reports.rs
@@ -87,12 +87,11 @@
                 "fails what it starts".into(),
             );
         }
-        let detail = format!(
-            "run {} on {id}: {} after {ran:?}",
-            end.run,
-            end.how.as_str()
-        );
-        self.log("runs", "end", end.task.to_string(), detail);
+        self.log_often("runs", "end", || {
+            let how = end.how.as_str();
+            let detail = format!("run {} on {id}: {how} after {ran:?}", end.run);
+            (end.task.to_string(), detail)
+        });
         self.counters.count("ends", end.how.as_str());
         let effect = Effect::ForgetEnd(id.clone(), end.number);
         if self.is_current(end.task, end.run) {
@@ -269,8 +268,10 @@
                 seat.remove_run(&task);
             }
         }
-        let detail = format!("run {run} on {id}: {}", how.as_str());
-        self.log("runs", "end", task.to_string(), detail);
+        self.log_often("runs", "end", || {
+            let detail = format!("run {run} on {id}: {}", how.as_str());
+            (task.to_string(), detail)
+        });
         self.counters.count("ends", how.as_str());
         if self.is_current(task, run) {
             self.propose_end(task, run, how, saved, Effect::None);
--- a/crates/bankvalve_queue/src/core/seat.rs
+++ b/crates/bankvalve_queue/src/core/seat.rs
@@ -222,11 +222,6 @@
         !self.hold_busy && now >= self.next_hold && !self.entry.address.is_empty()
     }
 
-    /// Tells whether it has been asked for its lists and has not answered the own token yet.
-    pub(super) fn is_first_look(&self) -> bool {
-        self.hold_busy && !self.proved
-    }
-
     /// Tells whether it has a run whose end is urgent.
     pub(super) fn has_urgent_run(&self) -> bool {
         self.runs.values().any(|live| live.urgent)
@@ -298,7 +293,7 @@
 
     /// Tells whether a load must not join what runs here.
     pub(super) fn is_disturbed_by(&self, load: RunLoad) -> bool {
-        self.runs.values().any(|live| load.disturbs(live.load))
+        load != RunLoad::Plain && self.runs.values().any(|live| load.disturbs(live.load))
     }
 
     /// Room that a step may use now.
--- a/crates/bankvalve_queue/src/core/seat_list.rs
+++ b/crates/bankvalve_queue/src/core/seat_list.rs
@@ -109,8 +109,7 @@
             lead.touched.insert(task.step.job);
             let seat = lead
                 .seats
-                .entry(worker)
-                .or_insert_with(|| Seat::new(WorkerEntry::default(), false, now));
+                .get_or_insert_with(worker, || Seat::new(WorkerEntry::default(), false, now));
             let mut live = LiveRun::new(run, &spec, RunPhase::Adopted, now);
             live.set_priority(priority);
             seat.add_run(task, live);
--- a/crates/bankvalve_queue/src/core/standby.rs
+++ b/crates/bankvalve_queue/src/core/standby.rs
@@ -71,18 +71,30 @@
         ranks.into_iter().map(|(_, address)| address).collect()
     }
 
+    /// Tells whether this instance leads and a peer is far, on a site of many members.
+    pub(super) fn is_slow_pair(&self, peer: PeerAddress) -> bool {
+        self.lead.is_some() && self.has_many_members() && !self.near.contains(&peer)
+    }
+
     /// Members that are sent a heartbeat now; the far ones only when theirs is due.
-    pub(super) fn heartbeat_targets(&self, far_due: bool) -> Vec<PeerAddress> {
+    pub(super) fn heartbeat_targets(&self, far_due: bool, slow_due: bool) -> Vec<PeerAddress> {
         let near = self.near_members();
         let is_near = |address: &PeerAddress| near.contains(address);
         let own_near = is_near(&self.settings.address);
         let leads = self.lead.is_some();
         let leader = self.leader.as_ref().map(|leader| leader.address);
+        let (many, doubts) = (self.has_many_members(), self.doubts_leader());
         let pairs = |peer: &PeerAddress| {
             let near_pair = own_near && is_near(peer);
             let led_near = (leads && is_near(peer)) || (own_near && leader == Some(*peer));
-            let far_pair = leads || is_near(peer) || leader == Some(*peer);
-            near_pair || led_near || (far_due && far_pair)
+            let with_leader = leads || leader == Some(*peer);
+            let due = if many && with_leader {
+                slow_due || (far_due && !leads && doubts)
+            } else {
+                far_due
+            };
+            let told = far_due && self.is_hub_of(*peer);
+            near_pair || led_near || told || (due && (with_leader || is_near(peer)))
         };
         self.peers.keys().copied().filter(pairs).collect()
     }
--- a/crates/bankvalve_queue/src/peer.rs
+++ b/crates/bankvalve_queue/src/peer.rs
@@ -6,8 +6,8 @@
 use serde::{Deserialize, Serialize};
 
 use crate::caller::{CallerAnswer, CallerRequest};
-use crate::ids::{Ticket, WorkerId};
-use crate::worker::{AdviceAnswer, AdviceAsk};
+use crate::ids::{FenceToken, RunId, TaskKey, Ticket, WorkerId};
+use crate::worker::{AdviceAnswer, AdviceAsk, WorkerAnswer, WorkerCall};
 
 /// Address at which a peer listens for peers.
 pub type PeerAddress = SocketAddr;
@@ -66,6 +66,84 @@
     pub stopping: bool,
 }
 
+/// A call to a worker that a peer carries for the leader.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct CarriedCall {
+    /// Life of the worker that is meant.
+    pub worker: WorkerId,
+    /// Where it listens.
+    pub address: String,
+    /// Token of the leader.
+    pub token: FenceToken,
+    /// What is told to the worker.
+    pub order: CarriedOrder,
+    /// Longest time to wait for the worker's answer, in milliseconds.
+    pub time_ms: u64,
+}
+
+/// What a carried call tells a worker; the job that a start is for is in the carrier's book.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum CarriedOrder {
+    /// Starts a run.
+    Start {
+        /// The task.
+        task: TaskKey,
+        /// The run.
+        run: RunId,
+        /// Progress to go on from; empty for none.
+        saved: String,
+        /// Permit of the policy service.
+        permit: Option<String>,
+        /// Reading of the worker's clock after which the order is void.
+        until_ms: u64,
+    },
+    /// Stops a run.
+    Stop {
+        /// The task.
+        task: TaskKey,
+        /// The run.
+        run: RunId,
+    },
+    /// Prolongs the hold and asks for the lists.
+    Hold {
+        /// Reading of the worker's clock until which all is held.
+        until_ms: Option<u64>,
+        /// Number of the last end that is kept and may be forgotten.
+        kept: u64,
+        /// Time to wait for an end, in milliseconds.
+        wait_ms: u64,
+    },
+}
+
+impl CarriedOrder {
+    /// What is carried of a call; none for one that is not carried.
+    pub fn of(call: &WorkerCall) -> Option<Self> {
+        match call {
+            WorkerCall::Start(order) => Some(CarriedOrder::Start {
+                task: order.task,
+                run: order.run,
+                saved: order.saved.clone(),
+                permit: order.permit.clone(),
+                until_ms: order.until_ms,
+            }),
+            WorkerCall::Stop { task, run } => Some(CarriedOrder::Stop {
+                task: *task,
+                run: *run,
+            }),
+            WorkerCall::Hold {
+                until_ms,
+                kept,
+                wait_ms,
+            } => Some(CarriedOrder::Hold {
+                until_ms: *until_ms,
+                kept: *kept,
+                wait_ms: *wait_ms,
+            }),
+            WorkerCall::Pace { .. } => None,
+        }
+    }
+}
+
 /// A message to a peer.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum PeerMessage {
@@ -101,6 +179,29 @@
         /// The answer.
         answer: AdviceAnswer,
     },
+    /// A message that a hub passes on.
+    Relay {
+        /// Who says it.
+        from: PeerAddress,
+        /// To whom.
+        to: PeerAddress,
+        /// What.
+        message: Box<PeerMessage>,
+    },
+    /// A call to a worker, carried for the leader.
+    Carry {
+        /// Number of the call.
+        ticket: Ticket,
+        /// The call.
+        call: CarriedCall,
+    },
+    /// Its answer.
+    Carried {
+        /// Number of the call.
+        ticket: Ticket,
+        /// The answer.
+        answer: WorkerAnswer,
+    },
     /// A batch of the ledger that is kept.
     Committed {
         /// Epoch of the leader.
--- a/crates/bankvalve_queue/src/worker.rs
+++ b/crates/bankvalve_queue/src/worker.rs
@@ -74,7 +74,7 @@
 }
 
 /// Why a worker started nothing.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum StartRefusal {
     /// It has seen a higher fencing token.
     Fenced,
@@ -105,7 +105,7 @@
 }
 
 /// A run that a worker has.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct RunReport {
     /// The task.
     pub task: TaskKey,
@@ -120,7 +120,7 @@
 }
 
 /// A run that ended on a worker.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct EndReport {
     /// Number of the end in this life of the worker.
     pub number: u64,
@@ -135,7 +135,7 @@
 }
 
 /// What a worker holds.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct HoldReport {
     /// Runs that it has.
     pub running: Vec<RunReport>,
@@ -144,7 +144,7 @@
 }
 
 /// What became of a call to a worker.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum WorkerAnswer {
     /// Done; the worker's clock and, for a hold, its lists.
     Done {
