test(check): drawn troubles on sites whose leader is short of processor, or of link

It is the virtual picture of what the small twins of the large site show. Only tests and the drawing of sites change.

--- a/crates/bankvalve_check/src/site/site_random.rs
+++ b/crates/bankvalve_check/src/site/site_random.rs
@@ -32,8 +32,8 @@
     event_us: 700,
     action_us: 60,
 };
-/// Bytes that a link carries in a millisecond which is too thin for the load.
-const SHORT_LINK: u64 = 40;
+/// Bytes that a link carries in a millisecond which is too thin for the load: with 200 all is served.
+const SHORT_LINK: u64 = 90;
 /// Most tasks of a step that is drawn.
 const WIDTH: u32 = 4;
 
--- a/crates/bankvalve_check/tests/site/overload.rs
+++ b/crates/bankvalve_check/tests/site/overload.rs
@@ -1,6 +1,8 @@
 //! A leader at its limit serves what it can, and keeps every promise.
 
-use bankvalve_check::site::{play_overload, ScarceMeans, ServedLoad, StepTime};
+use bankvalve_check::site::{
+    play_overload, run_short_episode, ScarceMeans, ServedLoad, SiteBurden, SiteFault, StepTime,
+};
 
 /// A step on a processor that bears a little more than the usual load.
 const STEP: StepTime = StepTime {
@@ -69,3 +71,24 @@
     let played = play_all(ScarceMeans::Link(LINK));
     assert_level(&played);
 }
+
+/// Seeds of the drawn sites below.
+const SEEDS: std::ops::Range<u64> = 1..5;
+
+#[test]
+fn troubles_break_no_rule_while_the_leader_is_short_of_processor() {
+    for seed in SEEDS {
+        let report = run_short_episode(seed, &SiteFault::ALL, SiteBurden::Processor);
+        assert_eq!(report.breaches, [], "seed {seed}");
+        assert!(report.starts > 100, "seed {seed}: {} starts", report.starts);
+    }
+}
+
+#[test]
+fn troubles_break_no_rule_while_the_leader_is_short_of_link() {
+    for seed in SEEDS {
+        let report = run_short_episode(seed, &SiteFault::ALL, SiteBurden::Link);
+        assert_eq!(report.breaches, [], "seed {seed}");
+        assert!(report.starts > 100, "seed {seed}: {} starts", report.starts);
+    }
+}
