refactor(queue): one weight chooses carriers and hubs; a comment says what becomes of an order

The hash by which a carrier is chosen for a worker and a hub for a far member stood twice. The comment at a carrier without the job said that the leader sends the order itself; it is told that it was not sent, and tries again. Behaviour is unchanged: the same pairs are hashed in the same order.

--- a/crates/bankvalve_queue/src/core/carriers.rs
+++ b/crates/bankvalve_queue/src/core/carriers.rs
@@ -7,11 +7,10 @@
 //! hears nothing in time has no answer, whoever carried it, and workers compare the leader's token.
 //! A carrier has each job in its own book, so that an order does not bring the job along.
 
-use std::collections::hash_map::DefaultHasher;
-use std::hash::{Hash, Hasher};
 use std::time::Duration;
 
 use super::election::PeerView;
+use super::hubs::choice_weight;
 use super::lead::LeadState;
 use super::EntryCore;
 use crate::core::CoreAction;
@@ -50,11 +49,7 @@
 
     /// The carrier of a worker's calls; the same one while the carriers stay.
     fn carrier_of(&self, worker: &WorkerId) -> Option<PeerAddress> {
-        let weight = |peer: &PeerAddress| {
-            let mut hasher = DefaultHasher::new();
-            (worker, peer).hash(&mut hasher);
-            hasher.finish()
-        };
+        let weight = |peer: &PeerAddress| choice_weight(worker, peer);
         self.peers.iter().copied().max_by_key(weight)
     }
 }
@@ -157,7 +152,7 @@
     /// Carries a call for the leader.
     pub(super) fn carry_call(&mut self, from: PeerAddress, ticket: Ticket, carried: CarriedCall) {
         let Some(call) = self.whole_call(carried.order) else {
-            // The book does not have the job yet: the leader sends the order itself.
+            // The book does not have the job yet: it is surely not sent, and the leader tries again.
             let answer = WorkerAnswer::NotSent;
             self.tell(from, PeerMessage::Carried { ticket, answer });
             return;
--- a/crates/bankvalve_queue/src/core/hubs.rs
+++ b/crates/bankvalve_queue/src/core/hubs.rs
@@ -20,10 +20,11 @@
 /// Near members that tell a far one how lately they heard the leader.
 const HUBS_OF_ONE: usize = 2;
 
-/// Order of the hubs of a far member; greater ones come first.
-fn hub_weight(hub: PeerAddress, far: PeerAddress) -> u64 {
+/// Weight of a pair, by which one of many is chosen for another: the greatest is. The choice stays
+/// while that one does, and the loss of one moves only what was its own.
+pub(super) fn choice_weight(first: impl Hash, second: impl Hash) -> u64 {
     let mut hasher = DefaultHasher::new();
-    (hub, far).hash(&mut hasher);
+    (first, second).hash(&mut hasher);
     hasher.finish()
 }
 
@@ -65,7 +66,7 @@
             });
             *hub != to && *hub != own && live
         };
-        let weight = |hub: &PeerAddress| hub_weight(*hub, far);
+        let weight = |hub: &PeerAddress| choice_weight(*hub, far);
         near.iter().copied().filter(fit).max_by_key(weight)
     }
 
@@ -76,9 +77,9 @@
             return false;
         }
         let leader = self.leader.as_ref().map(|leader| leader.address);
-        let own_weight = hub_weight(own, far);
+        let own_weight = choice_weight(own, far);
         let others = self.near.iter().filter(|hub| Some(**hub) != leader);
-        let before = others.filter(|hub| hub_weight(**hub, far) > own_weight);
+        let before = others.filter(|hub| choice_weight(**hub, far) > own_weight);
         before.count() < HUBS_OF_ONE
     }
 
