feat(queue): a leader whose link is full takes on less, by the echoes of its heartbeats

Cause, under virtual time (four instances on links of 150 bytes a millisecond, four times the usual load): the limit on new work looked at the processor alone. What waits to be sent waits behind the leader's back, its heartbeats with it, until it is taken for gone; one refusal in twenty came after 1.9 s. Change: each heartbeat brings back what its receiver said last, and the least time of a heartbeat and its echo among the near members counts like the wait of an event. Ruled out: the leader's own ring, which was empty; the time of writes, which a slow table lengthens as well.

--- a/crates/bankvalve_queue/src/core/election.rs
+++ b/crates/bankvalve_queue/src/core/election.rs
@@ -6,6 +6,7 @@
 
 use super::commit::batch_row;
 use super::lead::LeadState;
+use super::round_trip::PeerEcho;
 use super::store_link::{StorePurpose, CELL_TABLE, LEAD_PART, LEDGER_TABLE};
 use super::EntryCore;
 use crate::guard::SiteGuard;
@@ -60,6 +61,7 @@
     /// Processor that it has, in thousandths of a core.
     pub(super) strength: u64,
     pub(super) news: HeartbeatNews,
+    pub(super) echo: PeerEcho,
     /// Whether it is heard at the slow pace of a leader and far members.
     pub(super) slow: bool,
 }
--- a/crates/bankvalve_queue/src/core/load_limit.rs
+++ b/crates/bankvalve_queue/src/core/load_limit.rs
@@ -3,7 +3,7 @@
 //! The pattern that it answers: jobs that come faster than the leader's processor can start them.
 //! Without a limit the events of accepted jobs wait behind those of new ones, orders go out too late
 //! to count, and twice the load serves half. The one measure is for how long an event waits for its
-//! turn. The share that it leaves is told in heartbeats, so that the instances that callers reach
+//! turn, or a heartbeat and its echo take where the link is what is short. The share that it leaves is told in heartbeats, so that the instances that callers reach
 //! refuse the rest at once and the leader never sees it.
 
 use std::time::Duration;
--- a/crates/bankvalve_queue/src/core/members.rs
+++ b/crates/bankvalve_queue/src/core/members.rs
@@ -110,7 +110,12 @@
         self.near = self.near_members();
         let news = self.own_news();
         for peer in self.heartbeat_targets(far_due, slow_due) {
-            self.tell(peer, PeerMessage::Heartbeat(news.clone()));
+            let news = self.news_for(peer, &news);
+            self.tell(peer, PeerMessage::Heartbeat(news));
+        }
+        let wait = self.least_round_trip();
+        if let Some(lead) = self.lead.as_deref_mut() {
+            lead.load.note(self.now, wait);
         }
         self.tell_measures();
         self.drop_gone_members();
@@ -140,6 +145,8 @@
             applied: self.applied,
             table_version: self.table_version(),
             refuse_percent: self.refuse_percent(),
+            sent_ms: 0,
+            echo: None,
             stopping: self.stopping,
         }
     }
@@ -199,10 +206,11 @@
         peer.heard_at = Some(now);
         peer.strength = news.strength;
         peer.slow = slow;
+        peer.echo.note(now, &news);
         peer.news = news;
         if first && self.lead.is_some() {
             // It should not have to wait for the next heartbeat to know who leads.
-            let news = self.own_news();
+            let news = self.news_for(from, &self.own_news());
             self.tell(from, PeerMessage::Heartbeat(news));
         }
     }
--- a/crates/bankvalve_queue/src/core/mod.rs
+++ b/crates/bankvalve_queue/src/core/mod.rs
@@ -31,6 +31,7 @@
 mod queue_lookup;
 mod read_back;
 mod reports;
+mod round_trip;
 mod seat;
 mod seat_list;
 mod seat_map;
--- /dev/null
+++ b/crates/bankvalve_queue/src/core/round_trip.rs
@@ -0,0 +1,80 @@
+//! How long a heartbeat and its echo take: how far behind the leader's link is.
+//!
+//! The pattern that it answers: a link that is full. What waits to be sent waits in the sockets,
+//! where the leader does not see it, and its heartbeats wait behind; unless it takes on less, it is
+//! taken for gone. So each heartbeat says when it was sent, and brings back what the other side said
+//! last and for how long it has had it. The least of the near members' counts: one that is slow or
+//! cut off says nothing of the own link.
+
+use std::time::Duration;
+
+use super::election::PeerView;
+use super::EntryCore;
+use crate::ids::CoreTime;
+use crate::peer::{HeartbeatEcho, HeartbeatNews, PeerAddress};
+
+/// Peers that must be alive for their echoes to tell of the own link.
+const PEERS_AT_LEAST: usize = 2;
+/// Pause between two echoes of a near member, with one that is lost: two heartbeats.
+const ECHO_PAUSE: Duration = Duration::from_millis(320);
+
+/// What a peer's heartbeats tell of the way to it and back.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct PeerEcho {
+    /// When its last heartbeat was sent, by its own clock, and when it came.
+    heard: Option<(u64, CoreTime)>,
+    /// How long the way there and back took last, and when that was known.
+    took: Option<(Duration, CoreTime)>,
+}
+
+impl PeerEcho {
+    /// Takes what a heartbeat brings.
+    pub(super) fn note(&mut self, now: CoreTime, news: &HeartbeatNews) {
+        self.heard = Some((news.sent_ms, now));
+        let Some(echo) = &news.echo else {
+            return;
+        };
+        let gone = Duration::from_millis(echo.sent_ms + echo.held_ms);
+        self.took = Some((now.saturating_sub(gone), now));
+    }
+
+    fn echo(&self, now: CoreTime) -> Option<HeartbeatEcho> {
+        let (sent_ms, heard_at) = self.heard?;
+        let held_ms = now.saturating_sub(heard_at).as_millis() as u64;
+        Some(HeartbeatEcho { sent_ms, held_ms })
+    }
+
+    /// Time that the way takes now; one whose echo does not come takes at least as long as that.
+    fn time(&self, now: CoreTime) -> Option<Duration> {
+        let (took, at) = self.took?;
+        let missing = now.saturating_sub(at).saturating_sub(ECHO_PAUSE);
+        Some(took.max(missing))
+    }
+}
+
+impl EntryCore {
+    /// Puts into a heartbeat what is for one peer alone.
+    pub(super) fn news_for(&self, peer: PeerAddress, news: &HeartbeatNews) -> HeartbeatNews {
+        HeartbeatNews {
+            sent_ms: self.now.as_millis() as u64,
+            echo: self
+                .peers
+                .get(&peer)
+                .and_then(|view| view.echo.echo(self.now)),
+            ..news.clone()
+        }
+    }
+
+    /// Least time that a heartbeat and its echo take among the near members that live; nothing while
+    /// there are too few.
+    pub(super) fn least_round_trip(&self) -> Duration {
+        let near = |address: &&PeerAddress| self.near.contains(address);
+        let time = |peer: &PeerView| peer.echo.time(self.now).filter(|_| peer.is_live(self.now));
+        let peers = self.peers.iter().filter(|(address, _)| near(address));
+        let times: Vec<Duration> = peers.filter_map(|(_, peer)| time(peer)).collect();
+        if times.len() < PEERS_AT_LEAST {
+            return Duration::ZERO;
+        }
+        times.into_iter().min().unwrap_or_default()
+    }
+}
--- a/crates/bankvalve_queue/src/lib.rs
+++ b/crates/bankvalve_queue/src/lib.rs
@@ -33,8 +33,8 @@
     TaskRecord, TimeRecord,
 };
 pub use peer::{
-    peer_time, CarriedCall, CarriedOrder, HeartbeatNews, PeerAddress, PeerBatch, PeerMessage,
-    KEPT_CONNECTIONS, PEER_FLIGHTS,
+    peer_time, CarriedCall, CarriedOrder, HeartbeatEcho, HeartbeatNews, PeerAddress, PeerBatch,
+    PeerMessage, KEPT_CONNECTIONS, PEER_FLIGHTS,
 };
 pub use policy::PolicySwitch;
 pub use port::{PlatformPort, RequestFault, WireAnswer, WireCall, WireReply, WireRequest};
--- a/crates/bankvalve_queue/src/peer.rs
+++ b/crates/bankvalve_queue/src/peer.rs
@@ -34,6 +34,15 @@
     PEER_TIME + Duration::from_millis((bytes / LINK_BYTES_PER_MS) as u64)
 }
 
+/// The receiver's last heartbeat, told back to it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct HeartbeatEcho {
+    /// When it was sent, by the receiver's own clock, in milliseconds.
+    pub sent_ms: u64,
+    /// For how long the sender has had it, in milliseconds.
+    pub held_ms: u64,
+}
+
 /// What a heartbeat tells.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct HeartbeatNews {
@@ -64,6 +73,10 @@
     pub table_version: u64,
     /// Share of new jobs that the leader does not take on, in percent, as far as the sender knows.
     pub refuse_percent: u32,
+    /// When it is sent, by the sender's own clock, in milliseconds.
+    pub sent_ms: u64,
+    /// What the receiver said last; none if nothing came from it.
+    pub echo: Option<HeartbeatEcho>,
     /// Whether it stops.
     pub stopping: bool,
 }
