fix(queue): what goes over a full link is waited for as long as the way takes, not sent again

In ten seconds with hardly any new work 1,890 questions how jobs stand and as many answers passed, 125 of some 180 KB a second; 2,000 batches to peers were given up after 0.4 s in 12 s, what they told was read from the table instead; looks through carriers were given up after 230 ms. Ruled out: heartbeats (16 KB a second), the ledger (3 KB there), too slow a rise of the limit: the way took 800 ms all the while. Change: the way to the leader and back, as heartbeats and their echoes tell, is added before a question or a carried call is sent again; batches have up to 0.8 s more where two peers miss theirs at once; questions that a follower answers wait for the leader's word, which is asked for once more, and do not go to the leader one by one.

--- a/crates/bankvalve/src/entry/link_loop.rs
+++ b/crates/bankvalve/src/entry/link_loop.rs
@@ -1,6 +1,6 @@
 //! The thread that carries what the core asks for.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -10,8 +10,8 @@
     encode_message, ClientFailure, ClientLimits, HttpClient, HttpReply, WIRE_TYPE,
 };
 use bankvalve_queue::{
-    peer_time, AdviceAnswer, CarriedOrder, CoreAction, CoreEvent, PeerAddress, PeerBatch,
-    PeerMessage, PlatformPort, StoreRequest, Ticket, WireCall, WireReply, WorkerAnswer,
+    AdviceAnswer, CarriedOrder, CoreAction, CoreEvent, PeerAddress, PeerBatch, PeerMessage,
+    PeerPatience, PlatformPort, StoreRequest, Ticket, WireCall, WireReply, WorkerAnswer,
     KEPT_CONNECTIONS, PEER_FLIGHTS,
 };
 use hyper::Method;
@@ -115,6 +115,7 @@
     core: EntryHandle,
     client: HttpClient,
     lanes: RefCell<BTreeMap<PeerAddress, PeerLane>>,
+    patience: Cell<PeerPatience>,
 }
 
 /// Carries actions until the core's end of the ring is closed.
@@ -137,6 +138,7 @@
         core,
         client,
         lanes: RefCell::new(BTreeMap::new()),
+        patience: Cell::new(PeerPatience::default()),
     });
     let local = tokio::task::LocalSet::new();
     local
@@ -256,11 +258,19 @@
             content_type: WIRE_TYPE,
             body: encode_message(&batch),
         };
-        let time = peer_time(call.body.len());
+        let time = self.patience.get().time(call.body.len());
+        let sent_at = Instant::now();
         let sent = self.exchange(peer, call, time).await;
         // One that no connection was made to in time may be cut off, and live.
         let refused = matches!(sent, Err(ClientFailure::Refused(_)));
         let reached = sent.is_ok_and(|reply| reply.status == 200);
+        let mut patience = self.patience.get();
+        if reached {
+            patience.note_taken(sent_at.elapsed());
+        } else if !refused {
+            patience.note_missed(peer);
+        }
+        self.patience.set(patience);
         if !reached {
             self.core.give(CoreEvent::PeerUnreached { peer, refused });
         }
--- a/crates/bankvalve_check/src/command/mod.rs
+++ b/crates/bankvalve_check/src/command/mod.rs
@@ -8,7 +8,7 @@
 
 use crate::measure::{run_decisions, run_measure};
 use crate::random::run_random;
-use crate::site::{run_site_costs, run_site_random};
+use crate::site::{run_site_costs, run_site_random, SiteBurden};
 use crate::slopes::run_slopes;
 use crate::trace::run_trace;
 
@@ -41,6 +41,9 @@
         /// Take a guard away and expect to fail; `list` names the guards
         #[bpaf(long("break"), argument("NAME"), optional)]
         guard: Option<String>,
+        /// What the leader is short of: usual (nothing), carried, hubs, processor or link
+        #[bpaf(argument("NAME"), fallback("usual".into()))]
+        burden: String,
     },
     /// Measures what a leader's decisions cost under the load of a large fleet
     #[bpaf(command)]
@@ -99,7 +102,8 @@
             seed,
             events,
             guard,
-        } => site(seed, events, guard.as_deref()),
+            burden,
+        } => site(seed, events, guard.as_deref(), &burden),
         CheckCommand::Costs {
             workers,
             seconds,
@@ -120,10 +124,16 @@
     }
 }
 
-fn site(seed: u64, events: u64, guard: Option<&str>) -> ExitCode {
+fn site(seed: u64, events: u64, guard: Option<&str>, burden: &str) -> ExitCode {
+    let mut burdens = SiteBurden::ALL.into_iter();
+    let Some(burden) = burdens.find(|known| known.as_str() == burden) else {
+        let known = SiteBurden::ALL.map(SiteBurden::as_str).join(", ");
+        eprintln!("error: --burden: expected one of {known}, found {burden}");
+        return ExitCode::from(2);
+    };
     let names = SiteGuard::ALL.map(|guard| (guard.as_str(), guard));
     match guard_named(guard, names.into_iter()) {
-        Ok(guard) => run_site_random(seed, events, guard),
+        Ok(guard) => run_site_random(seed, events, guard, burden),
         Err(code) => code,
     }
 }
--- a/crates/bankvalve_check/src/site/site_links.rs
+++ b/crates/bankvalve_check/src/site/site_links.rs
@@ -1,7 +1,9 @@
 //! What instances ask for, carried to peers and the table.
 
+use std::time::Duration;
+
 use bankvalve_queue::{
-    peer_time, CoreAction, CoreEvent, PeerAddress, StoreOutcome, StoreRequest, Ticket, WorkerAnswer,
+    CoreAction, CoreEvent, PeerAddress, StoreOutcome, StoreRequest, Ticket, WorkerAnswer,
 };
 use rand::Rng;
 
@@ -165,7 +167,9 @@
                 let longest = if large { LARGE_WAY_MS } else { WAY_MS };
                 let way = self.rng.random_range(1..longest);
                 let (delay, limit) = self.carry_message(from, target, &event, way);
+                let patience = &mut self.nodes[from].patience;
                 if delay > limit {
+                    patience.note_missed(to);
                     let event = unreached(false);
                     self.after(
                         limit,
@@ -177,6 +181,7 @@
                     );
                     return;
                 }
+                patience.note_taken(Duration::from_millis(delay));
                 self.after(
                     delay,
                     Later::Event {
@@ -214,7 +219,8 @@
         *self.peer_bytes.entry(from).or_default() += bytes;
         let left = self.send_out(from, bytes);
         let took = self.take_in(to, bytes, left + way).last;
-        (took, peer_time(bytes as usize).as_millis() as u64)
+        let limit = self.nodes[from].patience.time(bytes as usize);
+        (took, limit.as_millis() as u64)
     }
 
     pub(super) fn store_arrives(
--- a/crates/bankvalve_check/src/site/site_plan.rs
+++ b/crates/bankvalve_check/src/site/site_plan.rs
@@ -1,6 +1,6 @@
 //! What a world consists of: its plan, and its entry instances.
 
-use bankvalve_queue::{CoreEvent, EntryCore, PeerAddress, PolicySwitch, SiteGuard};
+use bankvalve_queue::{CoreEvent, EntryCore, PeerAddress, PeerPatience, PolicySwitch, SiteGuard};
 
 use super::site_bytes::LinkUse;
 use super::site_processor::NodeProcessor;
@@ -43,6 +43,8 @@
     /// Bytes that its link carries in a millisecond; none for as many as there are. They are those
     /// of rows that it reads, each answer by itself, unless links carry all.
     pub link_bytes_per_ms: Option<u64>,
+    /// How long its batches to peers may take.
+    pub(super) patience: PeerPatience,
     pub(super) link_use: LinkUse,
     /// What its steps take, and what waits for them.
     pub processor: NodeProcessor,
--- a/crates/bankvalve_check/src/site/site_random.rs
+++ b/crates/bankvalve_check/src/site/site_random.rs
@@ -87,6 +87,32 @@
 }
 
 impl SiteBurden {
+    /// All burdens.
+    pub const ALL: [SiteBurden; 5] = [
+        SiteBurden::Usual,
+        SiteBurden::Carried,
+        SiteBurden::Hubs,
+        SiteBurden::Processor,
+        SiteBurden::Link,
+    ];
+
+    /// Name used on the command line.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// assert_eq!(bankvalve_check::site::SiteBurden::Link.as_str(), "link");
+    /// ```
+    pub fn as_str(self) -> &'static str {
+        match self {
+            SiteBurden::Usual => "usual",
+            SiteBurden::Carried => "carried",
+            SiteBurden::Hubs => "hubs",
+            SiteBurden::Processor => "processor",
+            SiteBurden::Link => "link",
+        }
+    }
+
     fn strengths(self) -> Option<Vec<u64>> {
         match self {
             SiteBurden::Usual => None,
@@ -280,8 +306,14 @@
     world.check_answers();
 }
 
-/// Runs episodes from a seed until so many events have happened, with a guard taken away if asked.
-pub fn run_site_random(seed: u64, events: u64, broken: Option<SiteGuard>) -> ExitCode {
+/// Runs episodes of a burden from a seed until so many events have happened, with a guard taken away
+/// if asked.
+pub fn run_site_random(
+    seed: u64,
+    events: u64,
+    broken: Option<SiteGuard>,
+    burden: SiteBurden,
+) -> ExitCode {
     let begun = Instant::now();
     let (mut done, mut starts, mut accepted) = (0, 0, 0);
     let (mut versions, mut told) = (0, 0);
@@ -289,7 +321,7 @@
     let mut faults: BTreeMap<SiteFault, u64> = BTreeMap::new();
     let mut number = seed;
     while done < events {
-        let report = run_broken_episode(number, kinds_of(number), broken);
+        let report = run_episode(number, kinds_of(number), broken, burden);
         done += report.events;
         starts += report.starts;
         accepted += report.accepted;
--- a/crates/bankvalve_check/src/site/site_world.rs
+++ b/crates/bankvalve_check/src/site/site_world.rs
@@ -7,7 +7,7 @@
 
 use bankvalve_queue::{
     CallerAnswer, CallerRequest, CoreEvent, EntryCore, EntrySettings, JobId, JobSpec, JobState,
-    PeerAddress, StoreRequest, Ticket, WorkerId,
+    PeerAddress, PeerPatience, StoreRequest, Ticket, WorkerId,
 };
 use bankvalve_standin::site::{SitePolicy, SiteStore, SiteWorker};
 use rand::SeedableRng;
@@ -270,6 +270,7 @@
                 turned_away_until: 0,
                 cut_from_peers_until: 0,
                 link_bytes_per_ms: None,
+                patience: PeerPatience::default(),
                 link_use: LinkUse::default(),
                 processor: NodeProcessor::default(),
                 watch_lost_until: 0,
--- a/crates/bankvalve_queue/src/core/book_reads.rs
+++ b/crates/bankvalve_queue/src/core/book_reads.rs
@@ -16,8 +16,11 @@
 use crate::ids::{CoreTime, JobId};
 use crate::peer::{PeerAddress, PeerMessage};
 
-/// Longest time for the leader's word and the batches up to it. Who asked then asks the leader.
-const ROUND_TIME: Duration = Duration::from_millis(400);
+/// Longest time for the leader's word and the batches up to it, beyond that of the way to it and
+/// back; what was asked then goes to the leader, in the time that is left of a caller's 3 s.
+const ROUND_TIME: Duration = Duration::from_millis(700);
+/// Time after which the leader is asked once more, likewise.
+const ASK_AGAIN: Duration = Duration::from_millis(300);
 /// Most questions that are gathered for the next round.
 const GATHERED_LIMIT: usize = 4_000;
 
@@ -33,6 +36,7 @@
 struct ReadRound {
     number: u64,
     leader: PeerAddress,
+    begun_at: CoreTime,
     sent_at: CoreTime,
     /// The last batch that was kept, once the leader has told.
     mark: Option<u64>,
@@ -87,6 +91,7 @@
         reads.round = Some(ReadRound {
             number,
             leader,
+            begun_at: self.now,
             sent_at: self.now,
             mark: None,
             reads: std::mem::take(&mut reads.gathered),
@@ -124,20 +129,43 @@
         self.begin_read_round();
     }
 
-    /// Drops a round that comes to no end; who asked asks anew.
+    /// Asks the leader once more of whom nothing came, and gives up a round that comes to no end.
     pub(super) fn run_book_reads(&mut self) {
         let now = self.now;
-        let leads = self.lead.is_some();
-        let over = |round: &mut ReadRound| leads || now.saturating_sub(round.sent_at) >= ROUND_TIME;
-        if self.book_reads.round.take_if(over).is_some() {
-            self.counters.count("retries", "read_round");
+        let follows = self.leader_followed();
+        let way = self.way_to_leader();
+        let over = |round: &mut ReadRound| {
+            let late = now.saturating_sub(round.begun_at) >= ROUND_TIME + way;
+            late || follows != Some(round.leader)
+        };
+        let round = self.book_reads.round.take_if(over);
+        if round.is_some() || follows.is_none() {
+            let gathered = std::mem::take(&mut self.book_reads.gathered);
+            let reads = round.into_iter().flat_map(|round| round.reads);
+            self.give_up_reads(reads.chain(gathered).collect());
         }
-        if leads {
-            self.book_reads.gathered.clear();
+        let pause = ASK_AGAIN + way;
+        let unheard = |round: &&mut ReadRound| {
+            round.mark.is_none() && now.saturating_sub(round.sent_at) >= pause
+        };
+        if let Some(round) = self.book_reads.round.as_mut().filter(unheard) {
+            round.sent_at = now;
+            let (leader, number) = (round.leader, round.number);
+            self.tell(leader, PeerMessage::MarkWanted { round: number });
         }
         self.end_read_round();
     }
 
+    /// Has questions go to the leader; a far member asks anew by itself.
+    fn give_up_reads(&mut self, reads: Vec<BookRead>) {
+        for read in reads {
+            self.counters.count("retries", "book_read");
+            if let Origin::Own(ticket) = read.origin {
+                self.end_reading(ticket);
+            }
+        }
+    }
+
     fn answer_read(&mut self, read: BookRead) {
         // One that this instance has begun to lead over holds what is not kept yet.
         let record = self.book.job(read.job).filter(|_| self.lead.is_none());
--- a/crates/bankvalve_queue/src/core/callers.rs
+++ b/crates/bankvalve_queue/src/core/callers.rs
@@ -43,6 +43,8 @@
     table_version: u64,
     pub(super) since: CoreTime,
     until: CoreTime,
+    /// Whether the own book answers it, once it is as far as the leader was.
+    reading: bool,
     /// Leader that it was last sent to, and when.
     pub(super) sent: Option<(PeerAddress, CoreTime)>,
     /// Copies that a leader, this instance among them, may have taken up and that have no answer.
@@ -80,14 +82,17 @@
             table_version: request.table_version,
             since,
             until,
+            reading: false,
             sent: None,
             copies: 0,
         };
         self.asks.insert(ticket, ask);
         let reader = asked.and_then(|job| self.read_own_book(Origin::Own(ticket), job));
         match (reader, self.asks.get_mut(&ticket)) {
-            // It goes to the leader only if that comes to no end.
-            (Some(leader), Some(ask)) => ask.sent = Some((leader, since)),
+            (Some(leader), Some(ask)) => {
+                ask.reading = true;
+                ask.sent = Some((leader, since));
+            }
             (Some(_), None) => {}
             (None, _) => self.send_ask(ticket),
         }
@@ -181,25 +186,36 @@
         let tickets: Vec<Ticket> = self.asks.keys().copied().collect();
         for ticket in tickets {
             if let Some(ask) = self.asks.get_mut(&ticket) {
+                ask.reading = false;
                 ask.sent = None;
             }
             self.send_ask(ticket);
         }
     }
 
+    /// Has a request go to the leader that the own book could not answer.
+    pub(super) fn end_reading(&mut self, ticket: Ticket) {
+        if let Some(ask) = self.asks.get_mut(&ticket) {
+            ask.reading = false;
+            ask.sent = None;
+        }
+        self.send_ask(ticket);
+    }
+
     /// Sends again what had no answer, and gives up what would come too late.
     pub(super) fn run_asks(&mut self) {
         let now = self.now;
         let own = self.settings.address;
         let resent = self.keeps(SiteGuard::ResentAsk);
-        let unanswered = |(to, at)| to != own && now.saturating_sub(at) > RESEND_AFTER;
+        let pause = RESEND_AFTER + self.way_to_leader();
+        let unanswered = |(to, at)| to != own && now.saturating_sub(at) > pause;
         let mut again = Vec::new();
         let mut over = Vec::new();
         for (ticket, ask) in &self.asks {
             let waited = now.saturating_sub(ask.since);
             if now >= ask.until || (waited > LEADER_WAIT && ask.sent.is_none()) {
                 over.push(*ticket);
-            } else if ask.sent.is_none_or(|sent| resent && unanswered(sent)) {
+            } else if !ask.reading && ask.sent.is_none_or(|sent| resent && unanswered(sent)) {
                 again.push(*ticket);
             }
         }
--- a/crates/bankvalve_queue/src/core/holds.rs
+++ b/crates/bankvalve_queue/src/core/holds.rs
@@ -4,6 +4,7 @@
 
 use super::carriers::CARRY_SLACK;
 use super::lead::{CallPurpose, LeadState, OpenCall};
+use super::round_trip::WAY_MOST;
 use super::seat::Seat;
 use super::EntryCore;
 use crate::guard::SiteGuard;
@@ -247,7 +248,11 @@
     ) {
         let ticket = self.take_ticket();
         let carrier = self.have_carried(ticket, id, &call, time);
-        let slack = carrier.map_or(LOST_ANSWER, |_| CARRY_SLACK);
+        let way = self
+            .lead
+            .as_deref()
+            .map_or(Duration::ZERO, |lead| lead.way_time);
+        let slack = carrier.map_or(LOST_ANSWER, |_| CARRY_SLACK + way.min(WAY_MOST));
         let limit = self.now + time + slack;
         let Some(lead) = self.lead.as_deref_mut() else {
             return;
--- a/crates/bankvalve_queue/src/core/lead.rs
+++ b/crates/bankvalve_queue/src/core/lead.rs
@@ -122,6 +122,8 @@
     pub(super) ending: BTreeSet<JobId>,
     pub(super) seats: SeatMap,
     pub(super) calls: BTreeMap<Ticket, OpenCall>,
+    /// Time that the way to a carrier and back takes, as heartbeats and their echoes tell.
+    pub(super) way_time: Duration,
     /// Calls by the time at which they have no answer.
     pub(super) call_limits: BTreeSet<(CoreTime, Ticket)>,
     pub(super) carriers: CarrierList,
@@ -193,6 +195,7 @@
             ending: BTreeSet::new(),
             seats: SeatMap::default(),
             calls: BTreeMap::new(),
+            way_time: Duration::ZERO,
             call_limits: BTreeSet::new(),
             carriers: CarrierList::default(),
             answer_time: Duration::ZERO,
--- a/crates/bankvalve_queue/src/core/members.rs
+++ b/crates/bankvalve_queue/src/core/members.rs
@@ -115,6 +115,7 @@
         }
         let wait = self.least_round_trip();
         if let Some(lead) = self.lead.as_deref_mut() {
+            lead.way_time = wait;
             lead.load.note(self.now, wait);
         }
         self.tell_measures();
--- a/crates/bankvalve_queue/src/core/round_trip.rs
+++ b/crates/bankvalve_queue/src/core/round_trip.rs
@@ -18,6 +18,9 @@
 /// Pause between two echoes of a near member, with one that is lost: two heartbeats.
 const ECHO_PAUSE: Duration = Duration::from_millis(320);
 
+/// Most that is reckoned for a way and back: what is on it longer is lost.
+pub(super) const WAY_MOST: Duration = Duration::from_millis(1_500);
+
 /// What a peer's heartbeats tell of the way to it and back.
 #[derive(Clone, Copy, Debug, Default)]
 pub(super) struct PeerEcho {
@@ -65,6 +68,15 @@
         }
     }
 
+    /// Time that the way to the leader and back takes: a question that is sent again before its
+    /// answer can have come goes over the same full link.
+    pub(super) fn way_to_leader(&self) -> Duration {
+        let leader = self.leader.as_ref().map(|leader| leader.address);
+        let peer = leader.and_then(|leader| self.peers.get(&leader));
+        let time = peer.and_then(|peer| peer.echo.time(self.now));
+        time.unwrap_or_default().min(WAY_MOST)
+    }
+
     /// Least time that a heartbeat and its echo take among the near members that live; nothing while
     /// there are too few.
     pub(super) fn least_round_trip(&self) -> Duration {
--- a/crates/bankvalve_queue/src/lib.rs
+++ b/crates/bankvalve_queue/src/lib.rs
@@ -34,7 +34,7 @@
 };
 pub use peer::{
     peer_time, CarriedCall, CarriedOrder, HeartbeatEcho, HeartbeatNews, PeerAddress, PeerBatch,
-    PeerMessage, KEPT_CONNECTIONS, PEER_FLIGHTS,
+    PeerMessage, PeerPatience, KEPT_CONNECTIONS, PEER_FLIGHTS,
 };
 pub use policy::PolicySwitch;
 pub use port::{PlatformPort, RequestFault, WireAnswer, WireCall, WireReply, WireRequest};
--- a/crates/bankvalve_queue/src/peer.rs
+++ b/crates/bankvalve_queue/src/peer.rs
@@ -34,6 +34,59 @@
     PEER_TIME + Duration::from_millis((bytes / LINK_BYTES_PER_MS) as u64)
 }
 
+/// Longest time that batches may take beyond [`peer_time`] where the own link is behind: with it a
+/// batch has 1.2 s, and one that is truly lost is noticed within that.
+const PATIENCE_MOST: Duration = Duration::from_millis(800);
+/// Times that a batch takes lately for which it is waited for beyond [`peer_time`].
+const PATIENCE_FACTOR: u32 = 3;
+/// Least time that is reckoned for a batch once the own link is seen to be behind.
+const PATIENCE_STEP: Duration = Duration::from_millis(100);
+
+/// How long batches to peers may take, by how long they have taken lately.
+///
+/// A link that is behind brings each batch late. One that is given up was sent for nothing, and what
+/// it told is lost: its receiver reads the ledger's batches from the table, over the same links.
+///
+/// # Examples
+///
+/// ```
+/// use std::time::Duration;
+///
+/// let mut patience = bankvalve_queue::PeerPatience::default();
+/// let usual = patience.time(100);
+/// patience.note_taken(Duration::from_millis(300));
+/// assert!(patience.time(100) > usual);
+/// ```
+#[derive(Clone, Copy, Debug, Default)]
+pub struct PeerPatience {
+    usual: Duration,
+    /// A peer that missed a batch since one was taken.
+    missed: Option<PeerAddress>,
+}
+
+impl PeerPatience {
+    /// Longest wait for a peer to take a batch of so many bytes now.
+    pub fn time(&self, bytes: usize) -> Duration {
+        peer_time(bytes) + (self.usual * PATIENCE_FACTOR).min(PATIENCE_MOST)
+    }
+
+    /// A batch was taken after a time.
+    pub fn note_taken(&mut self, took: Duration) {
+        self.usual = (self.usual * 3 + took) / 4;
+        self.missed = None;
+    }
+
+    /// A batch was not taken in time. If two peers miss theirs and none takes one meanwhile, it is
+    /// the own link that is behind.
+    pub fn note_missed(&mut self, peer: PeerAddress) {
+        if self.missed.is_some_and(|other| other != peer) {
+            let more = (self.usual * 2).max(PATIENCE_STEP);
+            self.usual = more.min(PATIENCE_MOST / PATIENCE_FACTOR);
+        }
+        self.missed = Some(peer);
+    }
+}
+
 /// The receiver's last heartbeat, told back to it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct HeartbeatEcho {
