--- a/crates/bankvalve_check/src/site/site_bytes.rs
+++ b/crates/bankvalve_check/src/site/site_bytes.rs
@@ -5,7 +5,7 @@
 use super::site_world::{Later, SiteWorld};
 
 /// Bytes of a call or an answer beside its content: heads of HTTP and TCP.
-const HEAD_BYTES: u64 = 300;
+pub(super) const HEAD_BYTES: u64 = 300;
 /// Bytes of a row beside its value.
 const ROW_BYTES: u64 = 80;
 /// Bytes of a worker's entry.
--- a/crates/bankvalve_check/src/site/site_costs.rs
+++ b/crates/bankvalve_check/src/site/site_costs.rs
@@ -9,9 +9,10 @@
 use std::process::ExitCode;
 use std::time::Duration;
 
-use bankvalve_queue::{CoreEvent, PeerMessage};
+use bankvalve_queue::{CoreAction, CoreEvent, PeerMessage, WorkerCall};
 use rand::Rng;
 
+use super::site_bytes::{message_bytes, request_bytes, HEAD_BYTES};
 use super::{job_of, SitePlan, SiteWorld, QUEUE, URGENT_QUEUE};
 
 /// Virtual time before the load, in milliseconds: a leader is chosen, workers are looked at.
@@ -25,10 +26,11 @@
 /// Other instances.
 const WEAK_ENTRIES: usize = 14;
 
-/// Time that the leader's steps took, by what they were for.
+/// Time that the leader's steps took, by what they were for, and bytes that it sent, by whereto.
 #[derive(Clone, Debug, Default)]
 pub struct StepCosts {
     by_part: BTreeMap<&'static str, (u64, Duration)>,
+    sent: BTreeMap<&'static str, (u64, u64)>,
 }
 
 impl StepCosts {
@@ -38,12 +40,49 @@
         entry.1 += took;
     }
 
+    /// Notes what the leader sends. Messages to a peer and calls that it makes itself count with the
+    /// heads of HTTP, though in the program several messages travel under one.
+    pub(super) fn note_sent(&mut self, action: &CoreAction) {
+        let (part, bytes) = match action {
+            CoreAction::Store { request, .. } => ("to the table", request_bytes(request)),
+            CoreAction::Worker { call, .. } => ("to workers", worker_call_bytes(call)),
+            CoreAction::Peer { message, .. } => (link_of(message), message_bytes(message)),
+            _ => return,
+        };
+        let entry = self.sent.entry(part).or_default();
+        entry.0 += 1;
+        entry.1 += bytes;
+    }
+
     /// Time of all steps.
     pub fn whole(&self) -> Duration {
         self.by_part.values().map(|(_, time)| *time).sum()
     }
 }
 
+/// What a message to a peer is for.
+fn link_of(message: &PeerMessage) -> &'static str {
+    match message {
+        PeerMessage::Heartbeat(_) => "heartbeats",
+        PeerMessage::Committed { .. } => "the ledger to standbys",
+        PeerMessage::Carry { .. } => "calls to carriers",
+        PeerMessage::Reply { .. } | PeerMessage::Mark { .. } => "answers to callers",
+        PeerMessage::Advise { .. } => "questions to the policy",
+        PeerMessage::Relay { message, .. } => link_of(message),
+        _ => "other",
+    }
+}
+
+/// Bytes of a call to a worker, roughly: an order brings the job's text along.
+fn worker_call_bytes(call: &WorkerCall) -> u64 {
+    /// Names and numbers of an order.
+    const ORDER: u64 = 200;
+    match call {
+        WorkerCall::Start(order) => HEAD_BYTES + ORDER + order.job.payload.len() as u64,
+        _ => HEAD_BYTES + ORDER,
+    }
+}
+
 /// What an event is for.
 pub(super) fn part_of(event: &CoreEvent) -> &'static str {
     match event {
@@ -93,6 +132,13 @@
         let (step, start) = (us / (*steps as f64), us / starts as f64);
         println!("{part:<12}{steps:>10}{step:>14.2}{start:>14.2}");
     }
+    println!("\n{:<26}{:>10}{:>14}", "sent", "messages", "bytes a start");
+    for (part, (count, bytes)) in &costs.sent {
+        println!(
+            "{part:<26}{count:>10}{:>14.1}",
+            *bytes as f64 / starts as f64
+        );
+    }
     let core = costs.whole().as_secs_f64() / seconds as f64;
     println!("decisions: {core:.4} of a core");
     ExitCode::SUCCESS
--- a/crates/bankvalve_check/src/site/site_links.rs
+++ b/crates/bankvalve_check/src/site/site_links.rs
@@ -30,6 +30,9 @@
 impl SiteWorld {
     pub(super) fn act(&mut self, node: usize, action: CoreAction) {
         let life = self.nodes[node].life;
+        if let Some(costs) = self.costs.as_mut().filter(|_| self.nodes[node].leads()) {
+            costs.note_sent(&action);
+        }
         match action {
             CoreAction::Store {
                 ticket,
