feat(queue): a leader that is short of means has its standbys pass the ledger on

Cause: by value to five standbys the ledger is half of what a leader sends, 330 of some 620 bytes a start (`bankvalve_check costs`); on a link of 2 Mbit/s it is the first thing that fills it. Ruled out: fewer standbys, which are the carriers of its calls as well; passing on always, which costs standbys ten to forty milliseconds of freshness where nothing is short. Change: while it takes on less than all, and for ten seconds after, a leader sends each batch to its first standby, which passes it on to the next.

--- a/crates/bankvalve_queue/src/core/commit.rs
+++ b/crates/bankvalve_queue/src/core/commit.rs
@@ -313,20 +313,45 @@
             }
         }
         let epoch = lead.epoch;
+        let limited = lead.load.was_limited_lately(now);
         self.counters.count("commits", "kept");
-        for peer in self.live_standbys() {
-            for (sequence, row) in (flight.sequence..).zip(&flight.rows) {
-                let message = PeerMessage::Committed {
-                    epoch,
-                    sequence,
-                    batch: row.clone(),
-                };
-                self.tell(peer, message);
-            }
+        let standbys = self.live_standbys();
+        for (sequence, row) in (flight.sequence..).zip(flight.rows) {
+            self.tell_standbys(&standbys, limited, epoch, sequence, row);
         }
         self.run_effects(flight.effects);
     }
 
+    /// Sends a batch that is kept to the standbys: by itself to each, or, where the leader is short of
+    /// means, to the first of them, which passes it on.
+    ///
+    /// By value to five standbys the ledger is half of all that the leader sends, 330 of some 620
+    /// bytes a start. Passed on it reaches the last one four ways later; while one of them is cut off
+    /// those behind it read it from the table.
+    fn tell_standbys(
+        &mut self,
+        standbys: &[PeerAddress],
+        passed_on: bool,
+        epoch: u64,
+        sequence: u64,
+        row: Vec<u8>,
+    ) {
+        let committed = |batch: Vec<u8>, onward: &[PeerAddress]| PeerMessage::Committed {
+            epoch,
+            sequence,
+            batch,
+            onward: onward.to_vec(),
+        };
+        match standbys.split_first() {
+            Some((first, others)) if passed_on => self.tell(*first, committed(row, others)),
+            _ => {
+                for peer in standbys {
+                    self.tell(*peer, committed(row.clone(), &[]));
+                }
+            }
+        }
+    }
+
     fn run_effects(&mut self, effects: Vec<(bool, Effect)>) {
         for (_, effect) in effects {
             match effect {
--- a/crates/bankvalve_queue/src/core/following.rs
+++ b/crates/bankvalve_queue/src/core/following.rs
@@ -49,7 +49,11 @@
                 epoch,
                 sequence,
                 batch,
-            } => self.take_committed(epoch, sequence, &batch),
+                onward,
+            } => {
+                self.take_committed(epoch, sequence, &batch);
+                self.pass_committed(epoch, sequence, batch, onward);
+            }
             PeerMessage::Measured { workers, queues } => self.take_measures(workers, queues),
             PeerMessage::TakeOver { epoch, over } => self.take_over(from, epoch, over),
             PeerMessage::TableWanted { version } => self.take_table_wanted(from, version),
@@ -113,6 +117,27 @@
         }
     }
 
+    /// Passes a batch on to the next standby, for a leader whose link is short.
+    fn pass_committed(
+        &mut self,
+        epoch: u64,
+        sequence: u64,
+        batch: Vec<u8>,
+        mut onward: Vec<PeerAddress>,
+    ) {
+        if onward.is_empty() {
+            return;
+        }
+        let next = onward.remove(0);
+        let message = PeerMessage::Committed {
+            epoch,
+            sequence,
+            batch,
+            onward,
+        };
+        self.tell(next, message);
+    }
+
     /// Applies the next batch of the ledger to the book.
     pub(super) fn apply_batch(&mut self, sequence: u64, batch: &[u8]) {
         match LedgerBatch::decode(batch) {
--- a/crates/bankvalve_queue/src/core/load_limit.rs
+++ b/crates/bankvalve_queue/src/core/load_limit.rs
@@ -19,6 +19,9 @@
 /// Share that is left of what was taken on, in percent, and what is added to it.
 const FALL_PERCENT: u32 = 70;
 const RISE: u32 = 3;
+/// Time for which a leader that took on less than all does with less: what is saved would otherwise
+/// be spent again at once, and the limit come back.
+const LIMITED_LATELY: Duration = Duration::from_secs(10);
 /// Least share, in percent: by it a leader notices that it can do more again.
 const LEAST: u32 = 3;
 
@@ -28,6 +31,8 @@
     percent: u32,
     longest: Duration,
     next_at: CoreTime,
+    /// When it last took on less than all.
+    limited_at: Option<CoreTime>,
 }
 
 impl LoadLimit {
@@ -36,6 +41,7 @@
             percent: 100,
             longest: Duration::ZERO,
             next_at: now + PACE,
+            limited_at: None,
         }
     }
 
@@ -50,10 +56,19 @@
         } else if self.longest < LEVEL {
             self.percent = (self.percent + RISE).min(100);
         }
+        if self.percent < 100 {
+            self.limited_at = Some(now);
+        }
         self.longest = Duration::ZERO;
         self.next_at = now + PACE;
     }
 
+    /// Tells whether less than all was taken on lately, so that it is best to do with less.
+    pub(super) fn was_limited_lately(&self, now: CoreTime) -> bool {
+        let lately = |at: CoreTime| now.saturating_sub(at) < LIMITED_LATELY;
+        self.limited_at.is_some_and(lately)
+    }
+
     /// Share of new jobs that is taken on, in percent.
     pub(super) fn percent(&self) -> u32 {
         self.percent
--- a/crates/bankvalve_queue/src/peer.rs
+++ b/crates/bankvalve_queue/src/peer.rs
@@ -291,6 +291,8 @@
         /// The batch, encoded.
         #[serde(with = "serde_bytes")]
         batch: Vec<u8>,
+        /// Standbys that the receiver passes it on to, one after the other.
+        onward: Vec<PeerAddress>,
     },
     /// What the leader has measured, so that a successor need not begin anew.
     Measured {
