feat(queue): permits for wide gangs are asked for side by side, and room is made meanwhile

Change: a question about many is cut into parts of 30 and more that several instances ask at once, of those that ask nothing else a quarter at most; a gang asks about up to 300 workers, those with the most room first, and has room made on those that may run it before it asks about others. Room is kept for a step for each 50 workers, not for two whatever their number; a plan that fails is tried again after 0.25 s.

--- a/crates/bankvalve_check/src/site/site_config.rs
+++ b/crates/bankvalve_check/src/site/site_config.rs
@@ -154,11 +154,15 @@
     }
 
     fn rule(&self, name: &str, priority: u32) -> QueueRule {
-        let advice = self.plan.good_percent.map(|_| AdviceRule {
+        let usual = AdviceRule {
             decide_ms: 10.0,
             each_ms: 0.2,
             valid_ms: 1_500,
-        });
+        };
+        let advice = self
+            .plan
+            .good_percent
+            .map(|_| self.slow_advice.unwrap_or(usual));
         QueueRule {
             name: name.into(),
             host: "host".into(),
--- a/crates/bankvalve_check/src/site/site_links.rs
+++ b/crates/bankvalve_check/src/site/site_links.rs
@@ -12,6 +12,8 @@
 use super::site_silence::call_ms;
 use super::site_world::{Later, SiteWorld};
 
+/// Time that the policy service takes, in milliseconds.
+const ADVICE_MS: u64 = 10;
 /// Longest way of a message to a peer, in milliseconds.
 const WAY_MS: u64 = 4;
 /// The same of a configuration, which may be large, where links do not tell.
@@ -109,12 +111,13 @@
                 );
             }
             CoreAction::Advice { ticket, ask } => {
+                let delay = self.advice_time(node, ask.workers.len());
                 let answer = match &self.policy {
-                    Some(policy) => policy.answer(&ask, self.now_ms + 10),
+                    Some(policy) => policy.answer(&ask, self.now_ms + delay),
                     None => bankvalve_queue::AdviceAnswer::NoReply,
                 };
                 self.after(
-                    10,
+                    delay,
                     Later::Event {
                         node,
                         life,
@@ -130,6 +133,18 @@
         }
     }
 
+    /// Milliseconds until the policy service has answered an instance's question about so many
+    /// workers.
+    fn advice_time(&mut self, node: usize, workers: usize) -> u64 {
+        let Some(rule) = self.slow_advice else {
+            return ADVICE_MS;
+        };
+        let now = self.now_ms;
+        let until = self.advice_until.entry(node).or_insert(now);
+        *until = (*until).max(now) + rule.time_for(workers).as_millis() as u64;
+        *until - now
+    }
+
     pub(super) fn send_peer(
         &mut self,
         from: usize,
--- a/crates/bankvalve_check/src/site/site_world.rs
+++ b/crates/bankvalve_check/src/site/site_world.rs
@@ -6,8 +6,8 @@
 use std::time::{Duration, Instant};
 
 use bankvalve_queue::{
-    CallerAnswer, CallerRequest, CoreEvent, EntryCore, EntrySettings, JobId, JobSpec, JobState,
-    PeerAddress, PeerPatience, StoreRequest, Ticket, WorkerId,
+    AdviceRule, CallerAnswer, CallerRequest, CoreEvent, EntryCore, EntrySettings, JobId, JobSpec,
+    JobState, PeerAddress, PeerPatience, StoreRequest, Ticket, WorkerId,
 };
 use bankvalve_standin::site::{SitePolicy, SiteStore, SiteWorker};
 use rand::SeedableRng;
@@ -130,6 +130,11 @@
     pub workers: BTreeMap<String, Option<SiteWorker>>,
     pub(super) lives: u64,
     pub(super) policy: Option<SitePolicy>,
+    /// What the policy service takes for an answer, one question of an instance at a time; if not
+    /// set, some milliseconds whatever it is asked. Holds from the next configuration on.
+    pub slow_advice: Option<AdviceRule>,
+    /// Until when it answers an instance's questions, by instance, in milliseconds.
+    pub(super) advice_until: BTreeMap<usize, u64>,
     pub(super) specs: BTreeMap<JobId, Arc<JobSpec>>,
     pub(super) calls: BTreeMap<(usize, Ticket), OpenCall>,
     /// Jobs whose end was shown, with the state.
@@ -220,6 +225,8 @@
             workers: BTreeMap::new(),
             lives: 0,
             policy,
+            slow_advice: None,
+            advice_until: BTreeMap::new(),
             specs: BTreeMap::new(),
             calls: BTreeMap::new(),
             shown: BTreeMap::new(),
--- a/crates/bankvalve_check/tests/site/main.rs
+++ b/crates/bankvalve_check/tests/site/main.rs
@@ -9,6 +9,7 @@
 mod random;
 mod recover;
 mod table;
+mod wide_gangs;
 mod workers;
 
 use bankvalve_check::site::{SitePlan, SiteWorld};
--- a/crates/bankvalve_queue/src/core/advice.rs
+++ b/crates/bankvalve_queue/src/core/advice.rs
@@ -3,6 +3,11 @@
 //! The service answers one question at a time for each calling instance, so
 //! the leader has its peers ask too. Answers do not change and are kept;
 //! permits run out and are renewed before a start that needs one.
+//!
+//! The pattern that it answers: gangs of some 40 and up to 200 members of which a third of the
+//! workers may run a step, each worker that is asked about taking some milliseconds. One question
+//! after the other, each about a hundred, took a gang of 80 members five to nine seconds of the ten
+//! that it has. So a question about many is cut into parts that several instances ask at once.
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
@@ -15,8 +20,15 @@
 use crate::queue_table::AdviceRule;
 use crate::worker::{AdviceAnswer, AdviceAsk};
 
-/// Most workers in one question.
-pub(super) const ASK_LIMIT: usize = 100;
+/// Most workers that are asked about for a step at once, in parts; the service takes a hundred in one
+/// question.
+pub(super) const ASK_LIMIT: usize = 300;
+/// Workers in a part of a question, where there are enough instances to ask.
+const PART: usize = 30;
+/// Workers in one question, at most.
+const PART_MOST: usize = 100;
+/// Instances for each that one step's question may take, as a divisor: others have questions too.
+const ADVISER_SHARE: usize = 4;
 /// A permit is used only this long before it runs out, since the order takes its way and may be
 /// repeated; the time that the start takes to be kept comes on top.
 const PERMIT_MARGIN: Duration = Duration::from_millis(200);
@@ -55,7 +67,7 @@
 pub(super) struct StepAdvice {
     good: BTreeMap<WorkerId, Permit>,
     known: BTreeSet<WorkerId>,
-    flight: Option<AdviceFlight>,
+    flights: Vec<AdviceFlight>,
     retry_at: CoreTime,
 }
 
@@ -88,7 +100,7 @@
     }
 
     pub(super) fn can_ask(&self, now: CoreTime) -> bool {
-        self.flight.is_none() && now >= self.retry_at
+        self.flights.is_empty() && now >= self.retry_at
     }
 
     pub(super) fn is_new(&self) -> bool {
@@ -97,13 +109,39 @@
 }
 
 impl EntryCore {
-    /// Asks about workers for a step; the answer leads to another placement.
+    /// Asks about workers for a step, in parts; each answer leads to another placement. Returns when
+    /// the last one is expected.
     pub(super) fn ask_advice(
         &mut self,
         step: StepKey,
         rule: AdviceRule,
-        workers: Vec<WorkerId>,
+        workers: &[WorkerId],
     ) -> CoreTime {
+        let part = self.part_of_question(rule, workers.len());
+        let parts = workers.chunks(part);
+        let expected = parts.map(|part| self.ask_part(step, rule, part.to_vec()));
+        expected.max().unwrap_or(self.now)
+    }
+
+    /// Workers in each part of a question about so many: few where that is sooner and instances are
+    /// at hand that ask nothing else.
+    fn part_of_question(&self, rule: AdviceRule, workers: usize) -> usize {
+        if rule.time_for(workers) <= LONG_QUESTION {
+            return PART_MOST;
+        }
+        let now = self.now;
+        let busy = self.lead.as_deref().map(|lead| &lead.adviser_busy);
+        let is_busy = |address: &PeerAddress| {
+            let until = busy.and_then(|busy| busy.get(address));
+            until.is_some_and(|until| *until > now)
+        };
+        let peers = self.live_peers().filter(|(_, peer)| !peer.news.stopping);
+        let idle = peers.filter(|(address, _)| !is_busy(address)).count();
+        let parts = (idle / ADVISER_SHARE).max(1);
+        workers.div_ceil(parts).clamp(PART, PART_MOST)
+    }
+
+    fn ask_part(&mut self, step: StepKey, rule: AdviceRule, workers: Vec<WorkerId>) -> CoreTime {
         let now = self.now;
         let takes = rule.time_for(workers.len());
         let adviser = self.choose_adviser(takes);
@@ -118,7 +156,7 @@
         let expected = *busy;
         let time = until.saturating_sub(now);
         let advice = lead.advice.entry(step).or_default();
-        advice.flight = Some(AdviceFlight {
+        advice.flights.push(AdviceFlight {
             ticket,
             adviser,
             asked: workers.clone(),
@@ -201,19 +239,16 @@
         let Some(lead) = self.lead.as_deref_mut() else {
             return;
         };
-        let found = lead.advice.iter_mut().find(|(_, advice)| {
-            advice
-                .flight
-                .as_ref()
-                .is_some_and(|flight| flight.ticket == ticket)
-        });
-        let Some((step, advice)) = found else {
-            return;
+        let place = |advice: &StepAdvice| {
+            let mut flights = advice.flights.iter();
+            flights.position(|flight| flight.ticket == ticket)
         };
-        let Some(flight) = advice.flight.take() else {
+        let mut all = lead.advice.iter_mut();
+        let found = all.find_map(|(step, advice)| Some((*step, place(advice)?, advice)));
+        let Some((step, place, advice)) = found else {
             return;
         };
-        let step = *step;
+        let flight = advice.flights.swap_remove(place);
         lead.stale = true;
         let kind = match &answer {
             AdviceAnswer::Good { permits, .. } => {
@@ -270,14 +305,9 @@
         };
         lead.adviser_busy.remove(&peer);
         for advice in lead.advice.values_mut() {
-            if advice
-                .flight
-                .as_ref()
-                .is_some_and(|flight| flight.adviser == peer)
-            {
-                advice.flight = None;
-                lead.stale = true;
-            }
+            let before = advice.flights.len();
+            advice.flights.retain(|flight| flight.adviser != peer);
+            lead.stale |= advice.flights.len() < before;
         }
     }
 
@@ -293,14 +323,9 @@
         lead.next_advice_scan = now + ADVICE_SCAN;
         let mut lost = 0;
         for advice in lead.advice.values_mut() {
-            if advice
-                .flight
-                .as_ref()
-                .is_some_and(|flight| now > flight.until)
-            {
-                advice.flight = None;
-                lost += 1;
-            }
+            let before = advice.flights.len();
+            advice.flights.retain(|flight| now <= flight.until);
+            lost += before - advice.flights.len();
         }
         if lost > 0 {
             lead.stale = true;
--- a/crates/bankvalve_queue/src/core/lead.rs
+++ b/crates/bankvalve_queue/src/core/lead.rs
@@ -114,6 +114,8 @@
     pub(super) moves: BTreeMap<TaskKey, u32>,
     /// Since when steps have found no room for all their tasks.
     pub(super) room_waits: BTreeMap<StepKey, CoreTime>,
+    /// When room is planned again for steps for which none could be.
+    pub(super) plan_pauses: BTreeMap<StepKey, CoreTime>,
     /// Room that is kept for steps that wait for it.
     pub(super) room_claims: BTreeMap<StepKey, RoomClaim>,
     /// How often a task was stopped to make room.
@@ -190,6 +192,7 @@
             begun: BTreeSet::new(),
             moves: BTreeMap::new(),
             room_waits: BTreeMap::new(),
+            plan_pauses: BTreeMap::new(),
             room_claims: BTreeMap::new(),
             stops: BTreeMap::new(),
             ending: BTreeSet::new(),
@@ -398,6 +401,7 @@
         lead.stops.retain(|task, _| open(task.step.job));
         lead.room_waits.retain(|step, _| open(step.job));
         lead.room_claims.retain(|step, _| open(step.job));
+        lead.plan_pauses.retain(|step, _| open(step.job));
         lead.advice.retain(|step, _| open(step.job));
         lead.waiting_counts.clear();
     }
--- a/crates/bankvalve_queue/src/core/making_room.rs
+++ b/crates/bankvalve_queue/src/core/making_room.rs
@@ -20,9 +20,13 @@
 const URGENT_WAIT: Duration = Duration::from_millis(60);
 /// The same for other steps: about the time of a short task.
 const WAIT: Duration = Duration::from_millis(800);
-/// Steps that are not urgent and for which room is kept at once, for each service: room that is
-/// kept stands empty for a while.
+/// Steps that are not urgent and for which room is kept at once, at least, and workers for each of
+/// them: room that is kept stands empty for a while. With two for a thousand workers that some eight
+/// gangs of 40 reach each second, nearly all of them wait for chance.
 const MOST_WAITING: usize = 2;
+const WORKERS_PER_WAITING: usize = 50;
+/// Pause after no room could be planned for a step: a plan goes through all workers.
+const PLAN_PAUSE: Duration = Duration::from_millis(250);
 /// Tasks of a step for which room is made at once; of a gang it is made for all members, as with less
 /// it cannot begin: one of 20 members waited for 35 s among small tasks, until they ended, and waits
 /// for under 6 s now.
@@ -120,6 +124,13 @@
         self.uses(PolicySwitch::Preemption) && self.age(*since) >= wait
     }
 
+    /// Tells whether room is being made or kept for a step.
+    pub(super) fn has_room_claim(&self, key: StepKey) -> bool {
+        let lead = self.lead.as_deref();
+        let claim = lead.and_then(|lead| lead.room_claims.get(&key));
+        claim.is_some_and(|claim| claim.until > self.now)
+    }
+
     /// Notes that tasks of a step found no room.
     pub(super) fn note_room_wait(&mut self, key: StepKey) {
         let now = self.now;
@@ -158,7 +169,11 @@
             .room_claims
             .iter()
             .filter(|(other, claim)| **other != key && claim.until > now);
-        if !step.urgent && others.count() >= MOST_WAITING {
+        let most = MOST_WAITING.max(lead.seats.len() / WORKERS_PER_WAITING);
+        let paused = |at: &CoreTime| now < *at;
+        if !step.urgent
+            && (others.count() >= most || lead.plan_pauses.get(&key).is_some_and(paused))
+        {
             return;
         }
         let wanted = if step.spec.gang {
@@ -168,6 +183,9 @@
         };
         let plans = self.plan_room(step, wanted);
         if plans.is_empty() || (step.spec.gang && plans.len() < missing) {
+            if let Some(lead) = self.lead.as_deref_mut() {
+                lead.plan_pauses.insert(key, now + PLAN_PAUSE);
+            }
             return;
         }
         self.carry_out(step, &plans);
--- a/crates/bankvalve_queue/src/core/placing.rs
+++ b/crates/bankvalve_queue/src/core/placing.rs
@@ -32,6 +32,10 @@
 /// Workers asked about for each task, and at least, in a first question.
 const ASK_PER_TASK: usize = 4;
 const ASK_LEAST: usize = 16;
+/// Workers asked about at most for tasks that start one by one, and at least for a gang, which
+/// needs room for all of its members among those that may run it.
+const ASK_MOST: usize = 100;
+const GANG_ASK_LEAST: usize = 100;
 
 /// A step that is being placed.
 pub(super) struct PlacedStep {
@@ -172,7 +176,7 @@
             if advice.can_ask(now) {
                 let workers = first_question(step, &admitting(lead, step, now), now);
                 if !workers.is_empty() {
-                    self.ask_advice(step.key, rule, workers);
+                    self.ask_advice(step.key, rule, &workers);
                 }
             }
             return;
@@ -189,6 +193,7 @@
         let can_ask = advice.can_ask(now);
         let mut question = Vec::new();
         let mut kept = Vec::new();
+        let mut others = Vec::new();
         if !whole && can_ask {
             let good: Vec<(&WorkerId, &Seat)> = advice.good().filter_map(admitted).collect();
             let wider = choose(step, &good, now);
@@ -197,16 +202,22 @@
                 question.retain(|id| advice.permit(id, kept_at).is_none() || step.spec.gang);
                 kept = wider;
             } else {
-                question = unknown_with_room(lead, step, advice, now);
+                others = unknown_with_room(lead, step, advice, now);
             }
         }
         let placed: Vec<TaskKey> = choice.iter().map(|(task, _)| *task).collect();
         self.start_choice(step, choice);
-        if whole || (can_ask && question.is_empty()) {
+        let seeks_room = can_ask && question.is_empty();
+        // A gang may wait long until all its room is free by chance among ever more workers: room is
+        // made on those that may run it, if they have enough, before others are asked about.
+        if whole || (seeks_room && (others.is_empty() || step.spec.gang)) {
             self.settle_room(step, placed.len());
         }
+        if seeks_room && !self.has_room_claim(step.key) {
+            question = others;
+        }
         if !question.is_empty() {
-            let until = self.ask_advice(step.key, rule, question);
+            let until = self.ask_advice(step.key, rule, &question);
             kept.retain(|(task, _)| !placed.contains(task));
             self.reserve(step, &kept, until + RESERVE_SLACK);
         }
@@ -424,12 +435,26 @@
 
 /// Workers for a step's first question: those with the most room.
 fn first_question(step: &PlacedStep, seats: &[(&WorkerId, &Seat)], now: CoreTime) -> Vec<WorkerId> {
-    let wanted = (step.tasks.len() * ASK_PER_TASK).max(ASK_LEAST);
-    let wanted = if step.spec.gang {
-        ASK_LIMIT
+    most_room(step, seats, wanted_workers(step), now)
+}
+
+/// Workers that a question for a step is about.
+fn wanted_workers(step: &PlacedStep) -> usize {
+    let wanted = step.tasks.len() * ASK_PER_TASK;
+    if step.spec.gang {
+        wanted.clamp(GANG_ASK_LEAST, ASK_LIMIT)
     } else {
-        wanted.min(ASK_LIMIT)
-    };
+        wanted.clamp(ASK_LEAST, ASK_MOST)
+    }
+}
+
+/// So many workers, those with the most room first.
+fn most_room(
+    step: &PlacedStep,
+    seats: &[(&WorkerId, &Seat)],
+    wanted: usize,
+    now: CoreTime,
+) -> Vec<WorkerId> {
     let room = |seat: &Seat| Reverse(seat.room_for(step.key, now).millicores);
     let rooms = seats.iter().enumerate();
     let mut by_room: Vec<_> = rooms
@@ -454,11 +479,11 @@
     now: CoreTime,
 ) -> Vec<WorkerId> {
     let has_room = |seat: &Seat| step.room.fits(&seat.room_for(step.key, now));
-    lead.seats
+    let seats: Vec<(&WorkerId, &Seat)> = lead
+        .seats
         .iter()
         .filter(|(_, seat)| has_room(seat) && admits(seat, step, now))
         .filter(|(id, _)| !advice.is_known(id))
-        .map(|(id, _)| id.clone())
-        .take(ASK_LIMIT)
-        .collect()
+        .collect();
+    most_room(step, &seats, wanted_workers(step), now)
 }
