--- a/crates/bankvalve_check/src/site/mod.rs
+++ b/crates/bankvalve_check/src/site/mod.rs
@@ -18,6 +18,7 @@
 mod site_return;
 mod site_rules;
 mod site_silence;
+mod site_view;
 mod site_workers;
 mod site_world;
 
--- a/crates/bankvalve_check/src/site/site_world.rs
+++ b/crates/bankvalve_check/src/site/site_world.rs
@@ -331,47 +331,11 @@
         self.after(down_ms, Later::Restart { node: number });
     }
 
-    /// How a job stands in the leader's book, for diagnosis.
-    pub fn describe(&self, job: JobId) -> String {
-        let leader = self
-            .leader()
-            .and_then(|node| self.nodes[node].core.as_ref());
-        match leader.map(|core| core.book().job(job)) {
-            None => "no leader".into(),
-            Some(None) => "not known".into(),
-            Some(Some(record)) => format!("{:?} {:?}", record.outcome, record.times),
-        }
-    }
-
-    /// Callers' requests without an answer.
-    pub fn open_calls(&self) -> usize {
-        self.calls.len()
-    }
-
     /// The time of day, in milliseconds since 1970.
     pub fn wall_ms(&self) -> u64 {
         WALL_START + self.now_ms
     }
 
-    /// The instance that leads, if one does.
-    pub fn leader(&self) -> Option<usize> {
-        self.nodes.iter().position(SiteNode::leads)
-    }
-
-    /// A counter of the leader; 0 without one.
-    pub fn counter(&self, family: &'static str, kind: &'static str) -> u64 {
-        let leader = self
-            .leader()
-            .and_then(|node| self.nodes[node].core.as_ref());
-        leader.map_or(0, |core| core.view().counters.of(family, kind))
-    }
-
-    /// A counter of an instance; 0 while it is down.
-    pub fn counter_of(&self, node: usize, family: &'static str, kind: &'static str) -> u64 {
-        let core = self.nodes[node].core.as_ref();
-        core.map_or(0, |core| core.view().counters.of(family, kind))
-    }
-
     /// Asks an instance to stop as planned.
     pub fn stop(&mut self, number: usize) {
         self.nodes[number].disturbed_until = u64::MAX;
--- a/crates/bankvalve_queue/src/core/entry_core.rs
+++ b/crates/bankvalve_queue/src/core/entry_core.rs
@@ -277,7 +277,7 @@
     pub(super) stopping: bool,
     /// What was last logged of its readiness: why it was not ready, or that it was.
     pub(super) told_unready: Option<Option<UnreadyReason>>,
-    log_budget: LogBudget,
+    pub(super) log_budget: LogBudget,
     /// Lets new jobs pass as the leader takes them on.
     pub(super) gate: ShareGate,
     pub(super) counters: EntryCounters,
@@ -469,42 +469,6 @@
         self.actions.push(CoreAction::Peer { to, message });
     }
 
-    /// Logs how many lines were left out.
-    pub(super) fn tell_left_out(&mut self) {
-        if let Some(line) = self.log_budget.take_left_out() {
-            self.actions.push(CoreAction::Log(line));
-        }
-    }
-
-    /// Logs one of many lines of a kind, unless so many were logged in this second that it would
-    /// be left out: at 1,500 starts a second their texts alone would take a hundredth of a core.
-    pub(super) fn log_often(
-        &mut self,
-        part: &'static str,
-        event: &'static str,
-        line: impl FnOnce() -> (String, String),
-    ) {
-        if self.log_budget.may_log(self.now, part, event) {
-            let (id, detail) = line();
-            self.log(part, event, id, detail);
-        }
-    }
-
-    pub(super) fn log(
-        &mut self,
-        part: &'static str,
-        event: &'static str,
-        id: String,
-        detail: String,
-    ) {
-        self.actions.push(CoreAction::Log(DecisionLine {
-            part,
-            event,
-            id,
-            detail,
-        }));
-    }
-
     /// Tells whether a guard stands.
     pub(super) fn keeps(&self, guard: SiteGuard) -> bool {
         self.settings.broken != Some(guard)
--- a/crates/bankvalve_queue/src/core/log_budget.rs
+++ b/crates/bankvalve_queue/src/core/log_budget.rs
@@ -1,8 +1,10 @@
-//! How many lines of a kind are logged in a second.
+//! Decisions' log lines, and how many of a kind are logged in a second.
 
 use std::collections::BTreeMap;
 use std::time::Duration;
 
+use super::EntryCore;
+use crate::core::CoreAction;
 use crate::decision::DecisionLine;
 use crate::ids::CoreTime;
 
@@ -49,3 +51,41 @@
         })
     }
 }
+
+impl EntryCore {
+    /// Logs how many lines were left out.
+    pub(super) fn tell_left_out(&mut self) {
+        if let Some(line) = self.log_budget.take_left_out() {
+            self.actions.push(CoreAction::Log(line));
+        }
+    }
+
+    /// Logs one of many lines of a kind, unless so many were logged in this second that it would
+    /// be left out: at 1,500 starts a second their texts alone would take a hundredth of a core.
+    pub(super) fn log_often(
+        &mut self,
+        part: &'static str,
+        event: &'static str,
+        line: impl FnOnce() -> (String, String),
+    ) {
+        if self.log_budget.may_log(self.now, part, event) {
+            let (id, detail) = line();
+            self.log(part, event, id, detail);
+        }
+    }
+
+    pub(super) fn log(
+        &mut self,
+        part: &'static str,
+        event: &'static str,
+        id: String,
+        detail: String,
+    ) {
+        self.actions.push(CoreAction::Log(DecisionLine {
+            part,
+            event,
+            id,
+            detail,
+        }));
+    }
+}
