feat(queue): a step that can only be late asks about further workers when instances are idle

Change: a step that can only end late asks about workers that it was not told of while 40 percent of the peers are idle, one that ends too late while half are; permits of workers that it knows are renewed as before.

--- a/crates/bankvalve_queue/src/core/placing.rs
+++ b/crates/bankvalve_queue/src/core/placing.rs
@@ -8,7 +8,7 @@
 use super::commit::Effect;
 use super::lead::LeadState;
 use super::seat::{LiveRun, Reservation, RunLoad, RunPhase, Seat};
-use super::waiting::WaitingRank;
+use super::waiting::{Lateness, WaitingRank};
 use super::EntryCore;
 use crate::ids::{CoreTime, RunId, StepKey, TaskKey, WorkerId};
 use crate::job::{StepSpec, TaskSize};
@@ -32,6 +32,10 @@
 /// Workers asked about for each task, and at least, in a first question.
 const ASK_PER_TASK: usize = 4;
 const ASK_LEAST: usize = 16;
+/// Share of peers that must be idle for a step to explore that can only end late, and for one that
+/// ends too late to be of use, in percent; a third of them is left to short questions.
+const LATE_IDLE_PERCENT: usize = 40;
+const TOO_LATE_IDLE_PERCENT: usize = 50;
 /// Workers asked about at most for tasks that start one by one, and at least for a gang, which
 /// needs room for all of its members among those that may run it.
 const ASK_MOST: usize = 100;
@@ -173,7 +177,7 @@
             return;
         };
         if advice.is_new() {
-            if advice.can_ask(now) {
+            if advice.can_ask(now) && self.may_explore(step.key) {
                 let workers = first_question(step, &admitting(lead, step, now), now);
                 if !workers.is_empty() {
                     self.ask_advice(step.key, rule, &workers);
@@ -223,13 +227,20 @@
         }
     }
 
-    /// Tells whether a step may ask about ever more workers: one that is too late to be of use leaves
-    /// the instances that ask to others, while fewer than half of them are idle.
+    /// Tells whether a step may ask about workers that it was not told of: one that cannot end in
+    /// time any more leaves the instances that ask to others while few of them are idle.
+    ///
+    /// In a backlog a hundred gangs have questions on their way, on as many instances, and those that
+    /// can still be in time wait behind them.
     fn may_explore(&self, key: StepKey) -> bool {
         let lead = self.lead.as_deref();
         let step = lead.and_then(|lead| lead.waiting.get(&key));
-        let late = step.is_some_and(|step| step.is_too_late(self.wall));
-        !late || self.idle_advisers() * 2 >= self.peers.len()
+        let least = match step.map(|step| step.lateness(self.wall)) {
+            Some(Lateness::Late) => LATE_IDLE_PERCENT,
+            Some(Lateness::TooLate) => TOO_LATE_IDLE_PERCENT,
+            _ => return true,
+        };
+        self.idle_advisers() * 100 >= self.peers.len() * least
     }
 
     /// Makes room for the tasks of a step that found none, if it has waited long enough.
--- a/crates/bankvalve_queue/src/core/waiting.rs
+++ b/crates/bankvalve_queue/src/core/waiting.rs
@@ -20,6 +20,17 @@
     late_ms: i64,
 }
 
+/// How a job can still end.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Lateness {
+    /// Within its objective; an urgent one counts so whatever the time.
+    InTime,
+    /// Late, for a part of its worth.
+    Late,
+    /// Too late to be of use.
+    TooLate,
+}
+
 /// Order of waiting steps; smaller ones come first.
 pub(super) type WaitingRank = (u32, i64);
 
@@ -47,9 +58,16 @@
         self.priority == 0
     }
 
-    /// Tells whether its job can no more end within any time that counts.
-    pub(super) fn is_too_late(&self, wall_ms: u64) -> bool {
-        self.priority > 0 && wall_ms as i64 > self.late_ms
+    /// How its job can still end if it starts at a time of day.
+    pub(super) fn lateness(&self, wall_ms: u64) -> Lateness {
+        let now = wall_ms as i64;
+        if self.priority == 0 || now <= self.on_time_ms {
+            Lateness::InTime
+        } else if now <= self.late_ms {
+            Lateness::Late
+        } else {
+            Lateness::TooLate
+        }
     }
 
     /// Rank at a time of day: urgent work first, then what can still end in time by its latest
@@ -60,15 +78,10 @@
         if !by_time {
             return (self.priority, self.begin_ms);
         }
-        let now = wall_ms as i64;
-        let class = if self.priority == 0 {
-            0
-        } else if now <= self.on_time_ms {
-            1
-        } else if now <= self.late_ms {
-            2
-        } else {
-            3
+        let class = match self.lateness(wall_ms) {
+            Lateness::InTime => u32::from(self.priority > 0),
+            Lateness::Late => 2,
+            Lateness::TooLate => 3,
         };
         (class, self.on_time_ms)
     }
