fix(queue): an instance that is left alone asks for permits of late steps as well

Cause, by reading: the share of idle instances was taken of all that are known, also of those that are gone, so that a leader whose peers are all down never asked about workers for a step that could only end late. Ruled out: that the leader does not ask by itself; it does for steps in time. Change: the share is taken of those that live.

--- a/crates/bankvalve_check/tests/site/wide_gangs.rs
+++ b/crates/bankvalve_check/tests/site/wide_gangs.rs
@@ -67,3 +67,29 @@
     let median = times[times.len() / 2];
     assert!(median <= 2_300, "half of the gangs took over {median} ms");
 }
+
+#[test]
+fn a_late_step_asks_for_permits_though_all_other_instances_are_gone() {
+    let mut world = SiteWorld::new(SitePlan {
+        seed: 93,
+        entries: 3,
+        strengths: Vec::new(),
+        broken: None,
+        without: None,
+        workers: 4,
+        good_percent: Some(60),
+    });
+    world.run_until(1_000);
+    // Many times what the workers hold, so that the last ones begin when they are late.
+    for job in 1..=60 {
+        world.submit(job_of(job, QUEUE, &[3], false));
+    }
+    world.run_until(2_000);
+    let leader = world.leader().expect("an instance leads");
+    for node in (0..3).filter(|node| *node != leader) {
+        world.kill(node, 50_000);
+    }
+    world.run_until(45_000);
+    assert_kept(&world);
+    assert_eq!(world.shown.len(), 60);
+}
--- a/crates/bankvalve_queue/src/core/placing.rs
+++ b/crates/bankvalve_queue/src/core/placing.rs
@@ -32,7 +32,7 @@
 /// Workers asked about for each task, and at least, in a first question.
 const ASK_PER_TASK: usize = 4;
 const ASK_LEAST: usize = 16;
-/// Share of peers that must be idle for a step to explore that can only end late, and for one that
+/// Share of live peers that must be idle for a step to explore that can only end late, and for one that
 /// ends too late to be of use, in percent; a third of them is left to short questions.
 const LATE_IDLE_PERCENT: usize = 40;
 const TOO_LATE_IDLE_PERCENT: usize = 50;
@@ -240,7 +240,8 @@
             Some(Lateness::TooLate) => TOO_LATE_IDLE_PERCENT,
             _ => return true,
         };
-        self.idle_advisers() * 100 >= self.peers.len() * least
+        // Of those that live: an instance that is left alone asks by itself.
+        self.idle_advisers() * 100 >= self.live_peers().count() * least
     }
 
     /// Makes room for the tasks of a step that found none, if it has waited long enough.
