--- a/crates/bankvalve_check/tests/site/wide_gangs.rs
+++ b/crates/bankvalve_check/tests/site/wide_gangs.rs
@@ -77,12 +77,12 @@
         broken: None,
         without: None,
         workers: 4,
-        good_percent: Some(60),
+        good_percent: Some(100),
     });
     world.run_until(1_000);
     // Many times what the workers hold, so that the last ones begin when they are late.
-    for job in 1..=60 {
-        world.submit(job_of(job, QUEUE, &[3], false));
+    for job in 1..=300 {
+        world.submit(job_of(job, QUEUE, &[1], false));
     }
     world.run_until(2_000);
     let leader = world.leader().expect("an instance leads");
@@ -91,5 +91,5 @@
     }
     world.run_until(45_000);
     assert_kept(&world);
-    assert_eq!(world.shown.len(), 60);
+    assert_eq!(world.shown.len(), 300);
 }
