test(check): asking all instances requires again that all are up; three comments say what is so

The old bound stands again for the tests that had it; the new test asks by itself and expects exactly two answers a job. A line that a test printed is gone. Two comments were wrong: the load of `wide_gangs`, and that the leader alone tells that a job is open. The program's behaviour is unchanged.

--- a/crates/bankvalve_check/tests/site/answers.rs
+++ b/crates/bankvalve_check/tests/site/answers.rs
@@ -18,9 +18,15 @@
     assert_eq!(world.shown.len() as u64, JOBS);
 }
 
-/// Asks each instance about each job, one after another from a moment on; runs until all who asked
-/// have had their time.
+/// Asks all instances, which must be up, about each job.
 fn ask_about_all(world: &mut SiteWorld, apart_ms: u64) {
+    ask_those_up(world, apart_ms);
+    assert!(world.answers.len() as u64 >= JOBS * world.nodes.len() as u64);
+}
+
+/// Asks each instance that is up about each job, one after another from a moment on; runs until all
+/// who asked have had their time.
+fn ask_those_up(world: &mut SiteWorld, apart_ms: u64) {
     for job in 1..=JOBS {
         world.ask_each(&[job]);
         let until = world.now_ms + apart_ms;
@@ -29,8 +35,6 @@
     let until = world.now_ms + 4_000;
     world.run_until(until);
     world.check_answers();
-    let up = world.nodes.iter().filter(|node| node.is_up()).count();
-    assert!(world.answers.len() as u64 >= JOBS * up as u64);
 }
 
 fn longest_ms(world: &SiteWorld) -> u64 {
@@ -161,7 +165,8 @@
     let until = world.now_ms + 6_000;
     world.run_until(until);
     assert_eq!(world.leader(), None);
-    ask_about_all(&mut world, 40);
+    ask_those_up(&mut world, 40);
+    assert_eq!(world.answers.len() as u64, JOBS * 2);
     assert_kept(&world);
     assert!(longest_ms(&world) <= 20, "{} ms", longest_ms(&world));
 }
--- a/crates/bankvalve_check/tests/site/wide_gangs.rs
+++ b/crates/bankvalve_check/tests/site/wide_gangs.rs
@@ -1,9 +1,8 @@
 //! Gangs of many members, of which a third of the workers may run a step.
 //!
-//! The load is that of credit runs on a large fleet, by its sheet: four such gangs a second on each
-//! half of a thousand workers, some 40 members that take a third of a worker each, a policy service
-//! that takes 390 ms and 5.6 ms for each worker that it is asked about, and other work that can be
-//! stopped on four fifths of the room.
+//! The load is that of the widest tenth of credit runs on a large fleet, on a quarter of its workers:
+//! a gang of 80 each second beside small tasks, and by its sheet a policy service that takes 390 ms
+//! and 5.6 ms for each worker that it is asked about.
 
 use bankvalve_check::site::{job_of, SitePlan, SiteWorld, QUEUE};
 use bankvalve_queue::{AdviceRule, JobState};
@@ -63,7 +62,6 @@
 fn a_gang_of_many_members_asks_for_permits_side_by_side() {
     let times = times_of_gangs(91, 60);
     assert_eq!(times.len() as u64, LOADED_TURNS / 10, "{times:?}");
-    println!("{times:?}");
     let median = times[times.len() / 2];
     assert!(median <= 2_300, "half of the gangs took over {median} ms");
 }
--- a/crates/bankvalve_queue/src/core/callers.rs
+++ b/crates/bankvalve_queue/src/core/callers.rs
@@ -123,8 +123,9 @@
 
     /// How a job ended, by the own book: what is in a follower's is kept, and an end stands for good.
     ///
-    /// **NOTE:** That a job is open may be over meanwhile, so the leader alone tells that: a caller
-    /// that was told of a cancel is not shown the job as running by another instance.
+    /// **NOTE:** One that is open here may be over meanwhile, so that is told only with the leader's
+    /// word (see `book_reads`): a caller that was told of a cancel is not shown the job as
+    /// running by another instance.
     pub(super) fn kept_end(&self, job: JobId) -> Option<CallerAnswer> {
         if self.lead.is_some() {
             return None;
