feat(queue): a task's lines tell of each run how its worker ended, and how often that happened before

Cause: after an incident, the line of a run that was lost with its worker did not say how the worker ended, whether the run had been listed, nor how often the task had lost one; runs that never began had no reason; and lines of looks that a dead worker's port refused, some 200 a second, left no place for the others in what was kept of the log. Change: the worker's end, the run's phase and the time for which it was listed stand in the line, with the task's losses so far, which the book counts; a silent worker is logged at its 1st, 2nd, 4th ... unanswered look. No decision changes.

--- a/crates/bankvalve_queue/src/core/holds.rs
+++ b/crates/bankvalve_queue/src/core/holds.rs
@@ -5,7 +5,7 @@
 use super::carriers::CARRY_SLACK;
 use super::lead::{CallPurpose, LeadState, OpenCall};
 use super::round_trip::WAY_MOST;
-use super::seat::Seat;
+use super::seat::{LifeEnd, Seat};
 use super::EntryCore;
 use crate::guard::SiteGuard;
 use crate::ids::{CoreTime, Ticket, WorkerId};
@@ -140,7 +140,7 @@
             self.look(&id);
         }
         for (id, ..) in over {
-            self.give_up_seat(&id, "its hold is over");
+            self.give_up_seat(&id, LifeEnd::HoldOver);
         }
         if let Some(lead) = self.lead.as_deref_mut() {
             for id in gone {
@@ -307,7 +307,7 @@
         }
         match answer {
             WorkerAnswer::OtherLife => {
-                self.give_up_seat(&id, "another life answers");
+                self.give_up_seat(&id, LifeEnd::OtherLife);
                 if let Some(seat) = self
                     .lead
                     .as_deref_mut()
@@ -356,14 +356,19 @@
             };
             let asked = now.saturating_sub(sent_at);
             let runs = seat.runs.len();
-            if first_silence {
-                lead.note_miss();
+            seat.unanswered += 1;
+            let unanswered = seat.unanswered;
+            if unanswered.is_power_of_two() {
+                self.log_often("workers", "silent", || {
+                    let detail =
+                        format!("{answer:?} after {asked:?}, look {unanswered}, {runs} runs");
+                    (id.to_string(), detail)
+                });
             }
-            self.log_often("workers", "silent", || {
-                let detail = format!("{answer:?} after {asked:?}, {runs} runs");
-                (id.to_string(), detail)
-            });
             self.counters.count("retries", "worker_silent");
+            if let Some(lead) = self.lead.as_deref_mut().filter(|_| first_silence) {
+                lead.note_miss();
+            }
             return;
         };
         lead.note_in_time();
@@ -373,6 +378,7 @@
         let first = !seat.proved;
         seat.proved = true;
         seat.heard_at = Some(now);
+        seat.unanswered = 0;
         seat.next_hold = if first {
             now
         } else {
--- a/crates/bankvalve_queue/src/core/orders.rs
+++ b/crates/bankvalve_queue/src/core/orders.rs
@@ -35,7 +35,13 @@
             return;
         };
         if !open || self.gang_is_broken(task.step) {
-            self.end_without_report(&worker, task, run, EndKind::NeverRan, String::new());
+            let why = if open {
+                "its gang is broken"
+            } else {
+                "its job is over"
+            };
+            let (how, saved) = (EndKind::NeverRan, String::new());
+            self.end_without_report(&worker, task, run, how, saved, why);
             return;
         }
         let Some(lead) = self.lead.as_deref_mut() else {
@@ -234,7 +240,7 @@
             self.drop_permit(task.step, id);
         }
         if sure && !old {
-            self.end_without_report(id, task, run, EndKind::NeverRan, String::new());
+            self.end_without_report(id, task, run, EndKind::NeverRan, String::new(), why);
         } else {
             self.begin_stop_run(id, task);
         }
--- a/crates/bankvalve_queue/src/core/reports.rs
+++ b/crates/bankvalve_queue/src/core/reports.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use super::commit::Effect;
-use super::seat::{LiveRun, RunPhase};
+use super::seat::{LifeEnd, LiveRun, RunPhase};
 use super::EntryCore;
 use crate::guard::SiteGuard;
 use crate::ids::{CoreTime, TaskKey, WorkerId};
@@ -192,6 +192,7 @@
                         lead.touched.insert(report.task.step.job);
                         lead.begun.insert(report.task.step.job);
                     }
+                    live.listed_at = Some(now);
                     if !report.saved.is_empty() && live.saved != report.saved {
                         live.saved.clone_from(&report.saved);
                     }
@@ -246,11 +247,12 @@
             }
         }
         for (task, run, saved) in missing {
-            self.end_without_report(id, task, run, EndKind::NeverRan, saved);
+            let why = "no list has it";
+            self.end_without_report(id, task, run, EndKind::NeverRan, saved, why);
         }
     }
 
-    /// Ends a run that no list will tell of.
+    /// Ends a run that no list will tell of; `why` tells by what that is known.
     pub(super) fn end_without_report(
         &mut self,
         id: &WorkerId,
@@ -258,6 +260,7 @@
         run: u64,
         how: EndKind,
         saved: String,
+        why: &str,
     ) {
         let Some(lead) = self.lead.as_deref_mut() else {
             return;
@@ -268,8 +271,12 @@
                 seat.remove_run(&task);
             }
         }
+        let record = self.book.job(task.step.job).and_then(|job| job.task(task));
+        let lost_before = record.map_or(0, |record| record.lost);
         self.log_often("runs", "end", || {
-            let detail = format!("run {run} on {id}: {}", how.as_str());
+            let how = how.as_str();
+            let detail =
+                format!("run {run} on {id}: {how}, {why}, lost {lost_before} times before");
             (task.to_string(), detail)
         });
         self.counters.count("ends", how.as_str());
@@ -279,23 +286,27 @@
     }
 
     /// Ends all runs of a worker that surely runs nothing any more.
-    pub(super) fn give_up_seat(&mut self, id: &WorkerId, why: &str) {
+    pub(super) fn give_up_seat(&mut self, id: &WorkerId, end: LifeEnd) {
+        let now = self.now;
         let Some(lead) = self.lead.as_deref() else {
             return;
         };
         let Some(seat) = lead.seats.get(id) else {
             return;
         };
-        let runs: Vec<(TaskKey, u64, String)> = seat
+        let runs: Vec<(TaskKey, u64, String, String)> = seat
             .runs
             .iter()
-            .map(|(task, live)| (*task, live.run, live.saved.clone()))
+            .map(|(task, live)| {
+                let why = format!("{}, {}", end.as_str(), live.sight(now));
+                (*task, live.run, live.saved.clone(), why)
+            })
             .collect();
-        let detail = format!("{why}, {} runs", runs.len());
+        let detail = format!("{}, {}", end.as_str(), seat.sight(now));
         self.log("workers", "lost", id.to_string(), detail);
         self.counters.count("workers", "lost");
-        for (task, run, saved) in runs {
-            self.end_without_report(id, task, run, EndKind::Lost, saved);
+        for (task, run, saved, why) in runs {
+            self.end_without_report(id, task, run, EndKind::Lost, saved, &why);
         }
     }
 }
--- a/crates/bankvalve_queue/src/core/seat.rs
+++ b/crates/bankvalve_queue/src/core/seat.rs
@@ -44,6 +44,38 @@
     Stopping { confirmed: Option<CoreTime> },
 }
 
+impl RunPhase {
+    /// Word for logs.
+    fn as_str(&self) -> &'static str {
+        match self {
+            RunPhase::Adopted => "adopted",
+            RunPhase::Proposed => "proposed",
+            RunPhase::Ordered => "ordered",
+            RunPhase::Running { .. } => "running",
+            RunPhase::Stopping { .. } => "stopping",
+        }
+    }
+}
+
+/// How it is known that a life of a worker is over, or all that it ran.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum LifeEnd {
+    /// Another life answers at its address.
+    OtherLife,
+    /// It is silent, and its hold has surely run out.
+    HoldOver,
+}
+
+impl LifeEnd {
+    /// Words for logs.
+    pub(super) fn as_str(self) -> &'static str {
+        match self {
+            LifeEnd::OtherLife => "another life answers",
+            LifeEnd::HoldOver => "its hold is over",
+        }
+    }
+}
+
 /// What a run does to others on its worker.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum RunLoad {
@@ -104,6 +136,8 @@
     pub(super) together: bool,
     /// How far it has come, once a list has told.
     pub(super) progress: Option<RunProgress>,
+    /// When a list last told that it runs.
+    pub(super) listed_at: Option<CoreTime>,
 }
 
 impl LiveRun {
@@ -128,6 +162,19 @@
             lasting: spec.lasting,
             together: spec.gang || spec.lasting,
             progress: None,
+            listed_at: None,
+        }
+    }
+
+    /// For the log: where it stood, and for how long it was surely seen to run.
+    pub(super) fn sight(&self, now: CoreTime) -> String {
+        let age = now.saturating_sub(self.began);
+        match self.listed_at {
+            Some(at) => {
+                let seen = at.saturating_sub(self.began);
+                format!("{}, listed {seen:?} of {age:?}", self.phase.as_str())
+            }
+            None => format!("{}, never listed in {age:?}", self.phase.as_str()),
         }
     }
 
@@ -159,6 +206,8 @@
     pub(super) granted_until: u64,
     pub(super) heard_at: Option<CoreTime>,
     pub(super) known_at: CoreTime,
+    /// Looks without an answer since it was heard.
+    pub(super) unanswered: u32,
     pub(super) hold_busy: bool,
     /// Time for which the last look lets the worker wait.
     pub(super) look_wait: Duration,
@@ -189,6 +238,7 @@
             granted_until: 0,
             heard_at: None,
             known_at: now,
+            unanswered: 0,
             hold_busy: false,
             look_wait: Duration::ZERO,
             next_hold: now,
@@ -206,6 +256,19 @@
         }
     }
 
+    /// For the log: how it stood when it was given up.
+    pub(super) fn sight(&self, now: CoreTime) -> String {
+        let silent = now.saturating_sub(self.heard_at.unwrap_or(self.known_at));
+        let entry = match (self.listed, self.entry.leaving) {
+            (_, true) => "leaving",
+            (true, false) => "listed",
+            (false, false) => "unlisted",
+        };
+        let address = &self.entry.address;
+        let runs = self.runs.len();
+        format!("{address}, silent for {silent:?}, {entry}, {runs} runs")
+    }
+
     /// Tells whether it has answered within a time.
     pub(super) fn is_heard(&self, now: CoreTime, within: Duration) -> bool {
         self.heard_at
--- a/crates/bankvalve_queue/src/ledger/job_book.rs
+++ b/crates/bankvalve_queue/src/ledger/job_book.rs
@@ -33,6 +33,8 @@
     pub last_run: RunId,
     /// Runs that failed.
     pub failures: u32,
+    /// Runs that were lost with their worker.
+    pub lost: u32,
     /// Progress saved last; empty for none.
     pub saved: String,
 }
@@ -43,6 +45,7 @@
             phase: TaskPhase::Waiting,
             last_run: 0,
             failures: 0,
+            lost: 0,
             saved: String::new(),
         }
     }
@@ -266,6 +269,10 @@
                     self.outcome = JobOutcome::Failed;
                 }
             }
+            EndKind::Lost => {
+                step.tasks[index].lost += 1;
+                step.set_phase(index, TaskPhase::Waiting);
+            }
             _ => step.set_phase(index, TaskPhase::Waiting),
         }
         if self.times[&task.step.time].is_done() {
