test(check): tasks that end the workers that run them; the promise about them fails

The virtual site has tasks that end their worker some time after a start, entries that outlast it, and checks that such a task is not started three times more after three workers, and that no job is shown as failed without cause.

--- a/crates/bankvalve_check/src/site/site_rules.rs
+++ b/crates/bankvalve_check/src/site/site_rules.rs
@@ -15,6 +15,13 @@
     pub text: String,
 }
 
+/// Workers that a task has ended, from which on its starts are counted, and how many of these are
+/// too many.
+const CRASHES_COUNTED: u32 = 3;
+const STARTS_TOO_MANY: u32 = 3;
+/// Workers that a task has ended after which its job may be shown as failed.
+const CRASHES_TO_FAIL: u32 = 2;
+
 /// What is known of a task from outside.
 #[derive(Clone, Debug, Default)]
 struct TaskHistory {
@@ -22,6 +29,12 @@
     done_at: Option<u64>,
     done_kept: bool,
     failed_kept: u32,
+    /// Runs that failed, whether that is acknowledged or not.
+    failed: u32,
+    /// Workers that it has ended.
+    crashes: u32,
+    /// Starts since it ended so many that it may be given up for good.
+    starts_after: u32,
 }
 
 /// What workers and callers have seen, and which rules were broken.
@@ -117,6 +130,7 @@
                     self.breach("MIXED", now_ms, &format!("{job:016x} shown too early"));
                 }
             }
+            Some(JobState::Failed) => self.check_failed(job, now_ms),
             Some(JobState::Cancelled) if !self.cancelled.contains_key(&job) => {}
             _ => {}
         }
@@ -152,6 +166,8 @@
         let others = history.live.keys().any(|(at, _)| at != worker);
         let done = history.done_kept;
         let failed = history.failed_kept;
+        history.starts_after += u32::from(history.crashes >= CRASHES_COUNTED);
+        let (crashes, starts_after) = (history.crashes, history.starts_after);
         history.live.insert((worker.clone(), run), ());
         if others {
             self.breach(
@@ -174,6 +190,10 @@
                 &format!("{task} run {run} after {failed} failures"),
             );
         }
+        if starts_after == STARTS_TOO_MANY {
+            let text = format!("{task} run {run}: {starts_after} starts after {crashes} crashes");
+            self.breach("BUDGET", now_ms, &text);
+        }
         let step = &spec.steps[usize::from(task.step.step)];
         for before in &step.after {
             let key = StepKey {
@@ -198,11 +218,45 @@
     ) {
         let history = self.tasks.entry(task).or_default();
         history.live.remove(&(worker.clone(), run));
+        history.failed += u32::from(how == EndKind::Failed);
         if how == EndKind::Done {
             history.done_at = Some(now_ms);
         }
     }
 
+    /// A task has ended its worker.
+    pub fn crashed(&mut self, task: TaskKey) {
+        self.tasks.entry(task).or_default().crashes += 1;
+    }
+
+    /// Workers that a job's tasks have ended.
+    pub fn crashes_of(&self, job: JobId) -> u32 {
+        let tasks = self.tasks.iter().filter(|(task, _)| task.step.job == job);
+        tasks.map(|(_, history)| history.crashes).sum()
+    }
+
+    /// A job is shown as failed only if a task, or a gang, has failed too often, or has ended too
+    /// many workers.
+    pub fn check_failed(&mut self, job: JobId, now_ms: u64) {
+        let Some((spec, attempts)) = self.specs.get(&job) else {
+            return;
+        };
+        let gang = |task: &TaskKey| spec.steps[usize::from(task.step.step)].gang;
+        let mut gang_failures: BTreeMap<StepKey, u32> = BTreeMap::new();
+        let mut cause = false;
+        for (task, history) in self.tasks.iter().filter(|(task, _)| task.step.job == job) {
+            cause |= history.crashes >= CRASHES_TO_FAIL || history.failed >= *attempts;
+            if gang(task) {
+                *gang_failures.entry(task.step).or_default() += history.failed;
+            }
+        }
+        cause |= gang_failures.values().any(|failed| failed >= attempts);
+        if !cause {
+            let text = format!("{job:016x} is shown as failed without cause");
+            self.breach("LOST", now_ms, &text);
+        }
+    }
+
     /// Milliseconds from each good end to its being acknowledged.
     pub fn end_waits_ms(&self) -> &[u64] {
         &self.end_waits
--- a/crates/bankvalve_check/src/site/site_workers.rs
+++ b/crates/bankvalve_check/src/site/site_workers.rs
@@ -233,6 +233,9 @@
         }
         for entry in news {
             self.take_news(&id, &entry);
+            if let WorkerNews::Started(task, run) = entry {
+                self.watch_for_crash(address, task, run);
+            }
         }
         if ended {
             self.end_waiting_looks(address, None);
--- a/crates/bankvalve_check/src/site/site_world.rs
+++ b/crates/bankvalve_check/src/site/site_world.rs
@@ -7,7 +7,7 @@
 
 use bankvalve_queue::{
     AdviceRule, CallerAnswer, CallerRequest, CoreEvent, EntryCore, EntrySettings, JobId, JobSpec,
-    JobState, PeerAddress, PeerPatience, StoreRequest, Ticket, WorkerId,
+    JobState, PeerAddress, PeerPatience, RunId, StoreRequest, TaskKey, Ticket, WorkerId,
 };
 use bankvalve_standin::site::{SitePolicy, SiteStore, SiteWorker};
 use rand::SeedableRng;
@@ -17,6 +17,7 @@
 use super::site_calls::OpenCall;
 use super::site_config::{QueueAnswer, SiteConfig};
 use super::site_costs::{part_of, StepCosts};
+use super::site_crashes::TaskCrash;
 use super::site_processor::NodeProcessor;
 use super::site_silence::SilentLane;
 use super::site_workers::WaitingLook;
@@ -98,6 +99,16 @@
     ReviveWorker {
         address: String,
     },
+    /// A task ends the worker that runs it.
+    TaskCrash {
+        address: String,
+        task: TaskKey,
+        run: RunId,
+    },
+    /// The entry of a worker that has ended runs out.
+    EntryGone {
+        worker: WorkerId,
+    },
     ApplyLate {
         request: StoreRequest,
     },
@@ -163,6 +174,8 @@
     pub lost_looks_percent: u32,
     /// Share of runs that fail, in percent.
     pub fail_percent: u32,
+    /// What each task does that ends the workers that run it.
+    pub crashing: BTreeMap<TaskKey, TaskCrash>,
     /// Until when a worker is cut off, by address.
     pub worker_cut_until: BTreeMap<String, u64>,
     /// Whether some callers leave when their job is refused, in place of asking again.
@@ -243,6 +256,7 @@
             late_orders_percent: 0,
             lost_looks_percent: 0,
             fail_percent: 0,
+            crashing: BTreeMap::new(),
             worker_cut_until: BTreeMap::new(),
             callers_leave: false,
             events: 0,
@@ -444,6 +458,11 @@
             },
             Later::Cancel { job } => self.cancel(job),
             Later::ReviveWorker { address } => self.add_worker(address),
+            Later::TaskCrash { address, task, run } => self.task_crashes(&address, task, run),
+            Later::EntryGone { worker } => {
+                self.store.set_worker(&worker, None);
+                self.answer_watches();
+            }
             Later::ApplyLate { request } => {
                 self.store.handle(&request);
                 self.answer_watches();
--- a/crates/bankvalve_check/tests/site/main.rs
+++ b/crates/bankvalve_check/tests/site/main.rs
@@ -3,6 +3,7 @@
 mod answers;
 mod carriers;
 mod config;
+mod crashing;
 mod jobs;
 mod leading;
 mod overload;
