fix(queue): a worker's end counts against the member of a gang that it ran, not against all of them

Change: each member has its count; only members that are suspects need a worker to themselves. The check of jobs shown as failed now takes the policy at its word: two ends, of which the last was of a run just started where nothing else ran, or four.

--- a/crates/bankvalve_check/src/site/site_crashes.rs
+++ b/crates/bankvalve_check/src/site/site_crashes.rs
@@ -1,6 +1,7 @@
 //! Tasks that end the workers that run them, and workers that end by themselves.
 
 use bankvalve_queue::{EndKind, JobSpec, RunId, StepKey, TaskKey};
+use bankvalve_standin::site::SiteWorker;
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 
@@ -84,18 +85,25 @@
         }
     }
 
+    /// All that a worker runs ends with it.
+    pub(super) fn runs_end_with(&mut self, worker: &SiteWorker) {
+        let now = self.now_ms;
+        let others = worker.runs().len() > 1;
+        for (task, run) in worker.runs() {
+            let ran_ms = (now + worker.clock_offset_ms).saturating_sub(run.began);
+            self.rules.ended_under(*task, ran_ms, others);
+            self.rules
+                .ended(&worker.id, *task, run.run, EndKind::Lost, now);
+        }
+    }
+
     /// A worker ends without a word; its entry stands for a while, and another life begins at its
     /// address after a time.
     pub fn end_worker(&mut self, address: &str, down_ms: u64) {
         let Some(worker) = self.workers.get_mut(address).and_then(Option::take) else {
             return;
         };
-        for (task, run) in worker.runs() {
-            let now = self.now_ms;
-            self.rules.ended_under(*task);
-            self.rules
-                .ended(&worker.id, *task, run.run, EndKind::Lost, now);
-        }
+        self.runs_end_with(&worker);
         // What is left of a gang ends as well.
         for (task, run) in worker.runs() {
             self.gang_news(task.step, run.run, Some(EndKind::Lost));
--- a/crates/bankvalve_check/src/site/site_workers.rs
+++ b/crates/bankvalve_check/src/site/site_workers.rs
@@ -60,11 +60,7 @@
         let Some(worker) = self.workers.get_mut(address).and_then(Option::take) else {
             return;
         };
-        for (task, run) in worker.runs() {
-            let now = self.now_ms;
-            self.rules
-                .ended(&worker.id, *task, run.run, EndKind::Lost, now);
-        }
+        self.runs_end_with(&worker);
         self.store.set_worker(&worker.id, None);
         self.answer_watches();
         let address = address.to_owned();
--- a/crates/bankvalve_queue/src/core/placing.rs
+++ b/crates/bankvalve_queue/src/core/placing.rs
@@ -55,8 +55,8 @@
     pub(super) urgent: bool,
     /// Whether it prefers workers that were measured as fast.
     fast_first: bool,
-    /// Whether its tasks are suspects that start where nothing else runs.
-    alone: bool,
+    /// Tasks among them that are suspects and start where nothing else runs.
+    alone: Vec<TaskKey>,
 }
 
 /// Choice of workers for tasks of a step.
@@ -72,8 +72,17 @@
     }
 
     /// Room that a task takes on a worker.
+    fn room_of(&self, task: &TaskKey, seat: &Seat) -> TaskSize {
+        if self.alone.contains(task) {
+            seat.entry.room
+        } else {
+            self.room
+        }
+    }
+
+    /// Room that each of its tasks takes on a worker; of a gang, that of the others than suspects.
     pub(super) fn room_on(&self, seat: &Seat) -> TaskSize {
-        if self.alone {
+        if self.alone.len() == self.tasks.len() {
             seat.entry.room
         } else {
             self.room
@@ -165,9 +174,9 @@
         })
     }
 
-    /// The tasks of a step that are to be placed now, and whether each of them alone: those that
-    /// nothing speaks against first, then suspects in their turn, a gang as a whole.
-    fn tasks_to_place(&mut self, key: StepKey) -> Option<(Vec<TaskKey>, bool)> {
+    /// The tasks of a step that are to be placed now, and which of them alone: those that nothing speaks
+    /// against first, then suspects in their turn; a gang as a whole, its suspects first.
+    fn tasks_to_place(&mut self, key: StepKey) -> Option<(Vec<TaskKey>, Vec<TaskKey>)> {
         let job = self.book.job(key.job)?;
         let gang = job.spec.steps.get(usize::from(key.step))?.gang;
         let waiting = job.step(key)?.tasks.iter().enumerate();
@@ -177,19 +186,19 @@
             let indexes = tasks.iter().map(|(index, _)| *index as u32);
             indexes.map(|index| key.task(index)).collect()
         };
-        if !others.is_empty() {
-            return Some((keys(&others), false));
+        if suspects.is_empty() || !(gang || others.is_empty()) {
+            return (!others.is_empty()).then(|| (keys(&others), Vec::new()));
         }
-        let (_, first) = suspects.first()?;
-        let first = (*first).clone();
-        let tried = if gang {
-            keys(&suspects)
+        let young = suspects.iter().any(|(_, task)| task.is_young_suspect());
+        let tried = keys(if gang { &suspects } else { &suspects[..1] });
+        let tasks = if gang {
+            [tried.clone(), keys(&others)].concat()
         } else {
-            keys(&suspects[..1])
+            tried.clone()
         };
-        match self.turn_of(key, &first) {
-            TrialTurn::Alone => Some((tried, true)),
-            TrialTurn::Among => Some((tried, false)),
+        match self.turn_of(key, young) {
+            TrialTurn::Alone => Some((tasks, tried)),
+            TrialTurn::Among => Some((tasks, Vec::new())),
             TrialTurn::Later => None,
         }
     }
@@ -345,9 +354,9 @@
             let mut live = LiveRun::new(step.run, &step.spec, RunPhase::Proposed, now);
             live.permit = permit;
             live.set_priority(step.priority);
-            if step.alone {
+            if step.alone.contains(&task) {
                 live.on_trial = true;
-                live.room = step.room_on(seat);
+                live.room = seat.entry.room;
                 lead.trials.insert(task, worker.clone());
             }
             seat.add_run(task, live);
@@ -428,9 +437,8 @@
 /// A worker that may be chosen, with what choices so far leave of it.
 struct Candidate<'a> {
     id: &'a WorkerId,
+    seat: &'a Seat,
     room: TaskSize,
-    /// Room that a task takes here.
-    wanted: TaskSize,
     held: usize,
     near: bool,
     /// How slow it is, in steps.
@@ -438,25 +446,25 @@
 }
 
 impl<'a> Candidate<'a> {
-    fn new(id: &'a WorkerId, seat: &Seat, step: &PlacedStep, now: CoreTime) -> Self {
+    fn new(id: &'a WorkerId, seat: &'a Seat, step: &PlacedStep, now: CoreTime) -> Self {
         let rack = step.spec.data_rack.as_ref();
         Self {
             id,
+            seat,
             room: seat.room_for(step.key, now),
-            wanted: step.room_on(seat),
             held: held_of(seat, step.key),
             near: rack.is_some_and(|rack| seat.entry.labels.contains(rack)),
             slow: (seat.slowness / SLOWNESS_STEP).round() as i64,
         }
     }
 
-    fn takes(&self, limit: usize) -> bool {
-        self.wanted.fits(&self.room) && self.held < limit
+    fn takes(&self, wanted: &TaskSize, limit: usize) -> bool {
+        wanted.fits(&self.room) && self.held < limit
     }
 
     /// Least is best: near its data; for urgent work fast; then the one that is left fullest.
     fn rank(&self, step: &PlacedStep) -> (Reverse<bool>, i64, u64) {
-        let left = self.room.minus(&self.wanted).millicores;
+        let left = self.room.minus(&step.room).millicores;
         let slow = if step.fast_first { self.slow } else { 0 };
         (Reverse(self.near), slow, left)
     }
@@ -467,18 +475,18 @@
     let mut free: Vec<Candidate<'_>> = seats
         .iter()
         .map(|(id, seat)| Candidate::new(id, seat, step, now))
-        .filter(|candidate| candidate.takes(limit))
+        .filter(|candidate| candidate.takes(&step.room_on(candidate.seat), limit))
         .collect();
     let mut choice = Vec::new();
     for task in &step.tasks {
         let best = free
             .iter_mut()
-            .filter(|candidate| candidate.takes(limit))
+            .filter(|candidate| candidate.takes(&step.room_of(task, candidate.seat), limit))
             .min_by_key(|candidate| candidate.rank(step));
         let Some(best) = best else {
             break;
         };
-        best.room = best.room.minus(&best.wanted);
+        best.room = best.room.minus(&step.room_of(task, best.seat));
         best.held += 1;
         choice.push((*task, best.id.clone()));
     }
--- a/crates/bankvalve_queue/src/core/suspects.rs
+++ b/crates/bankvalve_queue/src/core/suspects.rs
@@ -13,7 +13,7 @@
 use super::EntryCore;
 use crate::guard::SiteGuard;
 use crate::ids::{CoreTime, StepKey, TaskKey, WorkerId};
-use crate::ledger::{CrashEvidence, EndKind, TaskRecord};
+use crate::ledger::{CrashEvidence, EndKind};
 
 /// A run that was listed for less than this is taken for one that had just been started: a look tells
 /// of it within 0.35 s where it is urgent, and those that end their workers do so in some 10 ms.
@@ -107,8 +107,7 @@
     }
 
     /// How a suspect of a step may be started now.
-    pub(super) fn turn_of(&mut self, step: StepKey, suspect: &TaskRecord) -> TrialTurn {
-        let young = suspect.crash_count().is_some_and(|count| count.is_young());
+    pub(super) fn turn_of(&mut self, step: StepKey, young: bool) -> TrialTurn {
         self.note_room_wait(step);
         let now = self.now;
         let Some(lead) = self.lead.as_deref_mut() else {
--- a/crates/bankvalve_queue/src/ledger/job_book.rs
+++ b/crates/bankvalve_queue/src/ledger/job_book.rs
@@ -59,6 +59,11 @@
     pub fn is_suspect(&self) -> bool {
         self.crash_count().is_some_and(CrashCount::is_suspect)
     }
+
+    /// Whether that is because a worker ended right after it was started there.
+    pub fn is_young_suspect(&self) -> bool {
+        self.crash_count().is_some_and(CrashCount::is_young)
+    }
 }
 
 /// A step of one time.
@@ -72,8 +77,6 @@
     pub waiting: u32,
     /// Newest run of a gang that failed.
     failed_run: RunId,
-    /// Newest run of a gang under which a worker ended.
-    crashed_run: RunId,
 }
 
 impl StepRecord {
@@ -83,7 +86,6 @@
             done: 0,
             waiting: spec.count,
             failed_run: 0,
-            crashed_run: 0,
         }
     }
 
@@ -305,7 +307,7 @@
                 }
             }
             EndKind::Crashed(evidence) => {
-                count_crash(step, index, gang, run, evidence);
+                count_crash(&mut step.tasks[index], evidence);
                 step.set_phase(index, TaskPhase::Waiting);
                 // Started again and again, it would take one worker after the other down.
                 let spent = step.tasks[index]
@@ -370,28 +372,15 @@
     }
 }
 
-/// The end of a worker under any member of a gang counts once a run, for all members.
-fn count_crash(
-    step: &mut StepRecord,
-    index: usize,
-    gang: bool,
-    run: RunId,
-    evidence: CrashEvidence,
-) {
-    let TaskPhase::Placed { worker, .. } = &step.tasks[index].phase else {
+/// A worker ended under a task. It counts against that one alone, also in a gang: of forty members on
+/// as many workers the others have nothing to do with it.
+fn count_crash(task: &mut TaskRecord, evidence: CrashEvidence) {
+    let TaskPhase::Placed { worker, .. } = &task.phase else {
         return;
     };
     let worker = worker.clone();
-    let note = |task: &mut TaskRecord| {
-        let count = task.crashes.get_or_insert_default();
-        count.note(worker.clone(), evidence);
-    };
-    if !gang {
-        note(&mut step.tasks[index]);
-    } else if step.crashed_run != run {
-        step.crashed_run = run;
-        step.tasks.iter_mut().for_each(note);
-    }
+    let count = task.crashes.get_or_insert_default();
+    count.note(worker, evidence);
 }
 
 /// All jobs.
