fix(queue): what would end one leader after the other is refused or passed over

A job of countless times that are long due, or of more tasks than an instance has memory for, ended the leader that took it up, and the next one, which reads the same ledger; so did a worker's list that names a step which its job does not have (an index out of range), and an event out of its job's range; a job that no row holds would have been written for ever; a guess of millions of years overflows what is reckoned with it. Change: such jobs are refused with 400 and the field when they are handed in; of a job's times 64 are open at once; lists and events out of range are passed over; sizes are summed without overflow.

--- a/crates/bankvalve_check/tests/site/jobs.rs
+++ b/crates/bankvalve_check/tests/site/jobs.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use bankvalve_check::site::{job_of, SitePlan, SiteWorld, QUEUE};
-use bankvalve_queue::JobState;
+use bankvalve_queue::{JobState, RunReport, StepKey};
 
 use crate::{assert_kept, world};
 
@@ -140,3 +140,44 @@
     assert_kept(&world);
     assert_eq!(world.shown.len(), 5);
 }
+
+#[test]
+fn a_worker_that_lists_what_no_job_has_ends_no_leader() {
+    let mut world = world(17);
+    world.submit(job_of(1, QUEUE, &[2], false));
+    let task = |job, step, index| StepKey { job, time: 0, step }.task(index);
+    let odd = [task(1, 9, 0), task(1, 0, u32::MAX), task(77, 0, 0)];
+    let reports = odd.map(|task| RunReport {
+        task,
+        run: u64::MAX,
+        saved: String::new(),
+        percent: u32::MAX,
+        figure: None,
+    });
+    for worker in world.workers.values_mut().flatten() {
+        worker.also_listed = reports.to_vec();
+    }
+    world.run_until(5_000);
+    for job in 2..20 {
+        world.submit(job_of(job, QUEUE, &[2], false));
+    }
+    world.run_until(30_000);
+    assert_kept(&world);
+    assert_eq!(world.shown.len(), 19);
+}
+
+#[test]
+fn a_job_of_countless_times_that_are_long_due_holds_no_leader_up() {
+    let mut world = world(18);
+    let mut spec = job_of(1, QUEUE, &[1], false);
+    spec.repeats = u32::MAX;
+    spec.first_due_ms = 1;
+    spec.period_ms = 1;
+    world.submit(spec);
+    world.run_until(2_000);
+    world.submit(job_of(2, QUEUE, &[1], false));
+    world.run_until(10_000);
+    assert_kept(&world);
+    assert_eq!(world.shown.get(&2), Some(&JobState::Succeeded));
+    assert!(world.rules.starts > 10, "{} starts", world.rules.starts);
+}
--- a/crates/bankvalve_queue/src/core/lead.rs
+++ b/crates/bankvalve_queue/src/core/lead.rs
@@ -19,6 +19,9 @@
 use crate::ledger::JobOutcome;
 use crate::peer::PeerAddress;
 
+/// Pause before a time that is due is looked at again whose job has many open ones.
+const CROWDED_PAUSE_MS: u64 = 500;
+
 /// Time between two looks for jobs that ended so long ago that they are forgotten.
 const FORGET_EVERY: Duration = Duration::from_secs(5);
 
@@ -373,6 +376,10 @@
             }
             lead.due.pop_first();
             if let Some(record) = self.book.job_mut(job) {
+                if record.has_many_times() {
+                    lead.due.insert((now + CROWDED_PAUSE_MS, job, time));
+                    continue;
+                }
                 record.open_time(time);
                 lead.touched.insert(job);
                 if time + 1 < record.spec.times() {
--- a/crates/bankvalve_queue/src/core/overdue.rs
+++ b/crates/bankvalve_queue/src/core/overdue.rs
@@ -143,7 +143,10 @@
         let Some(job) = self.book.job(task.step.job) else {
             return Duration::ZERO;
         };
-        let step = &job.spec.steps[usize::from(task.step.step)];
+        // A worker's list may name what its job does not have.
+        let Some(step) = job.spec.steps.get(usize::from(task.step.step)) else {
+            return Duration::ZERO;
+        };
         let lead = self.lead.as_deref();
         let error = lead.and_then(|lead| lead.guess_error.get(&job.spec.queue));
         Duration::from_millis(step.estimate_ms).mul_f64(error.copied().unwrap_or(0.0).exp())
--- a/crates/bankvalve_queue/src/job.rs
+++ b/crates/bankvalve_queue/src/job.rs
@@ -12,6 +12,15 @@
 /// Most tasks of a step.
 const TASK_LIMIT: u32 = 10_000;
 
+/// Most tasks of a job: some 2 MB of a leader's memory. What no instance bears is refused by the one
+/// that the caller reached; accepted, it would end one leader after the other.
+const JOB_TASKS: u64 = 20_000;
+/// Bytes that the steps and texts of a job may take in the ledger: three quarters of a row, since the
+/// table keeps them in an encoding that takes a third more.
+const JOB_BYTES: usize = 48 * 1024;
+/// Longest guess of a task's time, in milliseconds: some months, far from where sums overflow.
+const ESTIMATE_MS: u64 = 100 * 86_400_000;
+
 /// Room that a task takes or a worker has.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct TaskSize {
@@ -35,9 +44,9 @@
     #[must_use]
     pub fn plus(&self, other: &TaskSize) -> TaskSize {
         TaskSize {
-            millicores: self.millicores + other.millicores,
-            memory_mib: self.memory_mib + other.memory_mib,
-            accelerators: self.accelerators + other.accelerators,
+            millicores: self.millicores.saturating_add(other.millicores),
+            memory_mib: self.memory_mib.saturating_add(other.memory_mib),
+            accelerators: self.accelerators.saturating_add(other.accelerators),
         }
     }
 
@@ -55,9 +64,9 @@
     #[must_use]
     pub fn times(&self, count: u64) -> TaskSize {
         TaskSize {
-            millicores: self.millicores * count,
-            memory_mib: self.memory_mib * count,
-            accelerators: self.accelerators * count,
+            millicores: self.millicores.saturating_mul(count),
+            memory_mib: self.memory_mib.saturating_mul(count),
+            accelerators: self.accelerators.saturating_mul(count),
         }
     }
 }
@@ -207,10 +216,38 @@
             if step.after.iter().any(|after| usize::from(*after) >= index) {
                 return problem(Some(index), "after", "expected numbers of earlier steps");
             }
+            if step.estimate_ms > ESTIMATE_MS {
+                return problem(
+                    Some(index),
+                    "estimate",
+                    "expected a time of 100 days at most",
+                );
+            }
+        }
+        let tasks: u64 = self.steps.iter().map(|step| u64::from(step.count)).sum();
+        if tasks > JOB_TASKS {
+            return problem(None, "steps", "expected 20000 tasks in all at most");
+        }
+        if self.ledger_bytes() > JOB_BYTES {
+            return problem(None, "steps", "expected a job of 48 KiB at most");
         }
         Ok(())
     }
 
+    /// Bytes that it takes in the ledger, at most.
+    fn ledger_bytes(&self) -> usize {
+        /// Numbers and flags of a step, and what parts its texts.
+        const STEP: usize = 120;
+        /// A number of an earlier step.
+        const NUMBER: usize = 3;
+        let text = |text: &Option<String>| text.as_ref().map_or(0, String::len);
+        let steps = self.steps.iter().map(|step| {
+            let texts = text(&step.required_label) + text(&step.data_rack) + step.image.len();
+            STEP + texts + NUMBER * step.after.len()
+        });
+        self.payload.len() + self.queue.len() + steps.sum::<usize>()
+    }
+
     /// Length of the longest chain of estimated times from a step to the end, for each step.
     ///
     /// # Examples
--- a/crates/bankvalve_queue/src/ledger/job_book.rs
+++ b/crates/bankvalve_queue/src/ledger/job_book.rs
@@ -8,6 +8,10 @@
 use crate::ids::{JobId, RunId, StepKey, TaskKey, WallMillis, WorkerId};
 use crate::job::{JobSpec, JobTerms, StepSpec};
 
+/// Times of a job that are open at once: one whose times come faster than they are done, or are long
+/// due, would otherwise fill the memory of one leader after the other.
+const OPEN_TIMES: usize = 64;
+
 /// Where a task stands.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum TaskPhase {
@@ -234,6 +238,22 @@
         }
     }
 
+    /// Whether it has so many open times that the next one waits, although it is due.
+    pub fn has_many_times(&self) -> bool {
+        self.times.len() >= OPEN_TIMES
+    }
+
+    /// Whether a task is one of the job's, of a time that is open or may be opened next.
+    ///
+    /// What names another one is passed over: a leader that ended on it would hand it to the next,
+    /// which reads the same ledger.
+    fn has_place_for(&self, task: TaskKey) -> bool {
+        let step = self.spec.steps.get(usize::from(task.step.step));
+        let next = self.next_time.saturating_add(OPEN_TIMES as u32);
+        let time = task.step.time;
+        time < self.spec.times() && time < next && step.is_some_and(|step| task.index < step.count)
+    }
+
     /// Opens a time, so that its steps can be worked on.
     pub fn open_time(&mut self, time: u32) {
         while self.next_time <= time {
@@ -254,6 +274,9 @@
     }
 
     fn apply_start(&mut self, task: TaskKey, run: RunId, worker: &WorkerId) {
+        if !self.has_place_for(task) {
+            return;
+        }
         self.open_time(task.step.time);
         self.begun = true;
         let Some(time) = self.times.get_mut(&task.step.time) else {
@@ -272,6 +295,9 @@
     }
 
     fn apply_end(&mut self, task: TaskKey, run: RunId, how: EndKind, saved: &str) {
+        if !self.has_place_for(task) {
+            return;
+        }
         let number = usize::from(task.step.step);
         let Some(spec) = self.spec.steps.get(number) else {
             return;
--- a/crates/bankvalve_queue/tests/book.rs
+++ b/crates/bankvalve_queue/tests/book.rs
@@ -178,3 +178,43 @@
     end(&mut book, 0, 2, EndKind::Failed, "");
     assert_eq!(state(&book), JobState::Cancelled);
 }
+
+#[test]
+fn an_event_that_its_job_has_no_place_for_changes_nothing() {
+    // A leader that ended on one would hand it to the next, which reads the same ledger.
+    let job = || {
+        book_of(StepSpec {
+            count: 2,
+            ..StepSpec::default()
+        })
+    };
+    let keys = [
+        (0, 0, 2),
+        (0, 1, 0),
+        (1, 0, 0),
+        (u32::MAX, 0, 0),
+        (0, u16::MAX, u32::MAX),
+    ];
+    for (time, step, index) in keys {
+        let mut book = job();
+        let task = StepKey { job: 1, time, step }.task(index);
+        book.apply(&LedgerEvent::Started {
+            task,
+            run: 1,
+            worker: "w-1".into(),
+        });
+        for how in [EndKind::Done, EndKind::Failed, EndKind::Lost] {
+            let (run, saved, at) = (1, String::new(), 9);
+            book.apply(&LedgerEvent::Ended {
+                task,
+                run,
+                how,
+                saved,
+                at,
+            });
+        }
+        let record = book.job(1).expect("the job");
+        assert_eq!(record.state(), JobState::Pending, "{task}");
+        assert_eq!(record.next_time, 1, "{task}");
+    }
+}
--- a/crates/bankvalve_standin/src/site/site_worker.rs
+++ b/crates/bankvalve_standin/src/site/site_worker.rs
@@ -68,6 +68,8 @@
     kept: u64,
     /// Number of the last end before the hold last ran out.
     lapsed: u64,
+    /// Runs that its list names and that it does not have, as another program's would.
+    pub also_listed: Vec<RunReport>,
     news: Vec<WorkerNews>,
 }
 
@@ -86,6 +88,7 @@
             next_end: 1,
             kept: 0,
             lapsed: 0,
+            also_listed: Vec::new(),
             news: Vec::new(),
         }
     }
@@ -193,7 +196,7 @@
             figure: None,
         });
         HoldReport {
-            running: running.collect(),
+            running: running.chain(self.also_listed.iter().cloned()).collect(),
             ended: self.ends.clone(),
         }
     }
