fix(queue): an entry by another writer costs itself alone

Change: such an entry is told as unusable with its reason, counted (worker_entries/unusable) and logged within the budget; a worker that is known by it keeps what it runs and gets nothing new.

--- a/crates/bankvalve_check/src/site/site_crashes.rs
+++ b/crates/bankvalve_check/src/site/site_crashes.rs
@@ -1,6 +1,6 @@
 //! Tasks that end the workers that run them, and workers that end by themselves.
 
-use bankvalve_queue::{EndKind, JobSpec, RunId, StepKey, TaskKey};
+use bankvalve_queue::{EndKind, JobSpec, RunId, StepKey, TaskKey, WorkerId};
 use bankvalve_standin::site::SiteWorker;
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64Mcg;
@@ -85,6 +85,18 @@
         }
     }
 
+    /// Ids of the workers that live.
+    pub fn worker_ids(&self) -> Vec<WorkerId> {
+        let workers = self.workers.values().flatten();
+        workers.map(|worker| worker.id.clone()).collect()
+    }
+
+    /// Another writer writes an entry of which no worker can be made.
+    pub fn spoil_entry(&mut self, id: &WorkerId) {
+        self.store.spoil_worker(id);
+        self.answer_watches();
+    }
+
     /// All that a worker runs ends with it.
     pub(super) fn runs_end_with(&mut self, worker: &SiteWorker) {
         let now = self.now_ms;
--- a/crates/bankvalve_check/tests/site/workers.rs
+++ b/crates/bankvalve_check/tests/site/workers.rs
@@ -336,3 +336,31 @@
     let longest = times.iter().max().copied().unwrap_or(0);
     assert!(longest < 7_500, "{times:?}");
 }
+
+#[test]
+fn entries_by_another_writer_cost_nothing_but_themselves() {
+    let mut world = world(140);
+    for job in 1..=10 {
+        world.submit(job_of(job, QUEUE, &[4], false));
+    }
+    world.run_until(1_500);
+    // One over a worker's own entry, and some that never were workers.
+    let spoilt = world.worker_ids()[0].clone();
+    world.spoil_entry(&spoilt);
+    for odd in ["odd-1", "odd &=%", ""] {
+        world.spoil_entry(&odd.into());
+    }
+    let leader = world.leader().expect("an instance leads");
+    world.run_until(4_000);
+    world.kill(leader, 1_000);
+    for job in 11..=40 {
+        world.submit(job_of(job, QUEUE, &[4], false));
+        let until = world.now_ms + 50;
+        world.run_until(until);
+    }
+    world.run_until(60_000);
+    assert_kept(&world);
+    assert_eq!(world.shown.len(), 40);
+    assert!(world.counter("worker_entries", "unusable") >= 4);
+    assert_eq!(world.counter("workers", "lost"), 0);
+}
--- a/crates/bankvalve_queue/src/core/entry_core.rs
+++ b/crates/bankvalve_queue/src/core/entry_core.rs
@@ -1,6 +1,6 @@
 //! The state of an instance, and how an event passes through it.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 use super::book_reads::BookReads;
@@ -267,6 +267,8 @@
     /// The writing of the own row.
     pub(super) own_row: WatchState,
     pub(super) worker_watch: WatchState,
+    /// Services that a queue or an open job has named: workers of others are not ours to call.
+    pub(super) services: BTreeSet<String>,
     pub(super) probe_answered: Option<CoreTime>,
     /// When the table last answered anything.
     pub(super) store_heard: Option<CoreTime>,
@@ -328,6 +330,7 @@
             cell_watch: WatchState::default(),
             own_row: WatchState::default(),
             worker_watch: WatchState::default(),
+            services: BTreeSet::new(),
             probe_answered: None,
             store_heard: None,
             next_probe: Duration::ZERO,
--- a/crates/bankvalve_queue/src/core/placing.rs
+++ b/crates/bankvalve_queue/src/core/placing.rs
@@ -375,7 +375,11 @@
 /// Tells whether a worker may be given tasks of a step at all.
 pub(super) fn admits(seat: &Seat, step: &PlacedStep, now: CoreTime) -> bool {
     // What is cheap and often fails comes first: all workers are asked this for each step.
-    let usable = seat.proved && seat.listed && !seat.entry.leaving && now >= seat.resting_until;
+    let usable = seat.proved
+        && seat.listed
+        && seat.usable
+        && !seat.entry.leaving
+        && now >= seat.resting_until;
     if !usable || !step.room.fits(&seat.entry.room) || !seat.is_lively(now) {
         return false;
     }
--- a/crates/bankvalve_queue/src/core/seat.rs
+++ b/crates/bankvalve_queue/src/core/seat.rs
@@ -213,6 +213,10 @@
 pub(super) struct Seat {
     pub(super) entry: WorkerEntry,
     pub(super) listed: bool,
+    /// Whether a queue or an open job names its service.
+    pub(super) named: bool,
+    /// Whether its entry could be read when it was last seen.
+    pub(super) usable: bool,
     /// When its entry was last found to be gone.
     pub(super) unlisted_at: Option<CoreTime>,
     /// Whether its port refused the last look.
@@ -254,6 +258,8 @@
         Self {
             entry,
             listed,
+            named: true,
+            usable: true,
             unlisted_at: None,
             refused: false,
             over: false,
@@ -320,7 +326,8 @@
 
     /// Tells whether its next look is due.
     pub(super) fn look_is_due(&self, now: CoreTime) -> bool {
-        !self.hold_busy && now >= self.next_hold && !self.entry.address.is_empty()
+        let called = !self.entry.address.is_empty() && (self.named || !self.runs.is_empty());
+        !self.hold_busy && now >= self.next_hold && called
     }
 
     /// Tells whether it has a run whose end is urgent.
--- a/crates/bankvalve_queue/src/core/seat_list.rs
+++ b/crates/bankvalve_queue/src/core/seat_list.rs
@@ -7,55 +7,102 @@
 use crate::ids::{TaskKey, WorkerId};
 use crate::job::StepSpec;
 use crate::ledger::{JobOutcome, TaskPhase};
+use crate::store::WorkerNews;
 use crate::worker::WorkerEntry;
 
+/// Signs of an id that are logged of an entry which no worker of ours wrote.
+const LONGEST_ID: usize = 80;
 /// Part of a task's guessed time that is reckoned as left once the guess has passed, as a divisor.
 const OVERDUE_REST: u32 = 4;
 
 impl EntryCore {
-    pub(super) fn take_worker_entries(
-        &mut self,
-        entries: Vec<(WorkerId, Option<WorkerEntry>)>,
-        full: bool,
-    ) {
+    pub(super) fn take_worker_entries(&mut self, entries: Vec<(WorkerId, WorkerNews)>, full: bool) {
+        for (id, news) in entries {
+            if let Some(lead) = self.lead.as_deref_mut() {
+                lead.stale = true;
+            }
+            match news {
+                WorkerNews::Entry(entry) => self.take_worker_entry(&id, entry, full),
+                WorkerNews::Gone => self.unlist_worker(&id),
+                WorkerNews::Unusable(why) => self.pass_entry_over(&id, why),
+            }
+        }
+    }
+
+    fn take_worker_entry(&mut self, id: &WorkerId, entry: WorkerEntry, full: bool) {
         let now = self.now;
-        for (id, entry) in entries {
-            let Some(lead) = self.lead.as_deref_mut() else {
-                return;
-            };
-            lead.stale = true;
-            let Some(entry) = entry else {
-                if let Some(seat) = lead.seats.get_mut(&id) {
-                    seat.listed = false;
-                    seat.unlisted_at = Some(now);
-                }
-                self.log("workers", "unlisted", id.to_string(), String::new());
-                continue;
-            };
-            match lead.seats.get_mut(&id) {
-                Some(seat) => {
-                    if let Some(slowness) = self.measures.0.get(&id).filter(|_| full) {
-                        seat.begin_slowness(*slowness);
-                    }
-                    let notice = entry.leaving && !seat.entry.leaving;
-                    seat.entry = entry;
-                    seat.listed = true;
-                    if notice {
-                        self.begin_leaving(&id);
-                    }
-                }
-                None => {
-                    let mut seat = Seat::new(entry, true, now);
-                    if let Some(slowness) = self.measures.0.get(&id) {
-                        seat.begin_slowness(*slowness);
-                    }
-                    lead.seats.insert(id.clone(), seat);
-                    if !full {
-                        self.log("workers", "listed", id.to_string(), String::new());
-                    }
-                }
+        let Some(lead) = self.lead.as_deref_mut() else {
+            return;
+        };
+        let slowness = self.measures.0.get(id);
+        let Some(seat) = lead.seats.get_mut(id) else {
+            let mut seat = Seat::new(entry, true, now);
+            seat.named = self.services.contains(&seat.entry.service);
+            if let Some(slowness) = slowness {
+                seat.begin_slowness(*slowness);
             }
+            lead.seats.insert(id.clone(), seat);
+            if !full {
+                self.log("workers", "listed", id.to_string(), String::new());
+            }
+            return;
+        };
+        if let Some(slowness) = slowness.filter(|_| full) {
+            seat.begin_slowness(*slowness);
+        }
+        let notice = entry.leaving && !seat.entry.leaving;
+        let shrunk = !seat.entry.room.fits(&entry.room);
+        let rooms = (seat.entry.room, entry.room);
+        seat.named = self.services.contains(&entry.service);
+        seat.entry = entry;
+        seat.listed = true;
+        seat.usable = true;
+        if notice {
+            self.begin_leaving(id);
+        }
+        if shrunk {
+            let detail = format!("{:?}, {:?} before", rooms.1, rooms.0);
+            self.log("workers", "shrunk", id.to_string(), detail);
+        }
+    }
+
+    /// Notes services whose workers are ours to call.
+    pub(super) fn name_services(&mut self, services: impl IntoIterator<Item = String>) {
+        let known = self.services.len();
+        self.services.extend(services);
+        if self.services.len() == known {
+            return;
+        }
+        let services = &self.services;
+        if let Some(lead) = self.lead.as_deref_mut() {
+            for seat in lead.seats.values_mut() {
+                seat.named = services.contains(&seat.entry.service);
+            }
+        }
+    }
+
+    fn unlist_worker(&mut self, id: &WorkerId) {
+        let now = self.now;
+        let lead = self.lead.as_deref_mut();
+        if let Some(seat) = lead.and_then(|lead| lead.seats.get_mut(id)) {
+            seat.listed = false;
+            seat.unlisted_at = Some(now);
+        }
+        self.log("workers", "unlisted", id.to_string(), String::new());
+    }
+
+    /// An entry of which no worker can be made costs that entry alone: a worker that is known by it
+    /// gets no new work until it can be read again, and keeps what it runs.
+    fn pass_entry_over(&mut self, id: &WorkerId, why: &'static str) {
+        let lead = self.lead.as_deref_mut();
+        if let Some(seat) = lead.and_then(|lead| lead.seats.get_mut(id)) {
+            seat.usable = false;
         }
+        self.counters.count("worker_entries", "unusable");
+        self.log_often("workers", "unusable", || {
+            let id: String = id.chars().take(LONGEST_ID).collect();
+            (id, why.to_owned())
+        });
     }
 
     pub(super) fn end_worker_list(&mut self) {
@@ -94,6 +141,12 @@
                 }
             }
         }
+        let jobs = self
+            .book
+            .jobs()
+            .filter(|job| job.outcome == JobOutcome::Open);
+        let services: Vec<String> = jobs.map(|job| job.terms.service.clone()).collect();
+        self.name_services(services);
         let detail = format!(
             "{} jobs open, {} runs, batch {}",
             open.len(),
--- a/crates/bankvalve_queue/src/core/table_watch.rs
+++ b/crates/bankvalve_queue/src/core/table_watch.rs
@@ -304,6 +304,11 @@
         );
         self.log("config", "in_force", version.to_string(), detail);
         self.actions.push(CoreAction::UseTable(table.clone()));
+        let services: Vec<String> = table
+            .queues()
+            .map(|queue| queue.terms.service.clone())
+            .collect();
+        self.name_services(services);
         self.table = Some(table);
         self.tables.raw = raw;
         self.tables.since = self.now;
--- a/crates/bankvalve_queue/src/lib.rs
+++ b/crates/bankvalve_queue/src/lib.rs
@@ -41,6 +41,7 @@
 pub use queue_table::{AdviceRule, QueueRule, QueueTable};
 pub use store::{
     OperatorNews, RowChange, RowCondition, RowKey, RowWrite, StoreOutcome, StoreRequest, StoredRow,
+    WorkerNews,
 };
 pub use worker::{
     AdviceAnswer, AdviceAsk, EndReport, HoldReport, RunReport, StartOrder, StartRefusal,
--- a/crates/bankvalve_queue/src/store.rs
+++ b/crates/bankvalve_queue/src/store.rs
@@ -132,6 +132,17 @@
     pub raw: Vec<u8>,
 }
 
+/// What a row among the workers' entries tells.
+#[derive(Clone, Debug, PartialEq)]
+pub enum WorkerNews {
+    /// The worker's own account of itself.
+    Entry(WorkerEntry),
+    /// The entry went.
+    Gone,
+    /// No worker can be made of it, and why: another program may write there too.
+    Unusable(&'static str),
+}
+
 /// What became of a request.
 #[derive(Clone, Debug, PartialEq)]
 pub enum StoreOutcome {
@@ -168,10 +179,10 @@
         /// Version up to which they are whole.
         version: u64,
     },
-    /// Workers' entries; none in place of one that went.
+    /// Workers' entries.
     Workers {
         /// The entries.
-        entries: Vec<(WorkerId, Option<WorkerEntry>)>,
+        entries: Vec<(WorkerId, WorkerNews)>,
         /// Whether there are more, from the last id on.
         more: bool,
         /// Version up to which they are whole.
--- a/crates/bankvalve_standin/src/site/site_store.rs
+++ b/crates/bankvalve_standin/src/site/site_store.rs
@@ -4,7 +4,7 @@
 
 use bankvalve_queue::{
     OperatorNews, QueueTable, RowChange, RowKey, StoreOutcome, StoreRequest, StoredRow,
-    WorkerEntry, WorkerId,
+    WorkerEntry, WorkerId, WorkerNews,
 };
 
 /// Rows of one answer at most.
@@ -17,8 +17,8 @@
     rows: BTreeMap<RowKey, (Vec<u8>, u64)>,
     changes: Vec<RowChange>,
     config: Option<(QueueTable, Vec<u8>, u64)>,
-    workers: BTreeMap<WorkerId, WorkerEntry>,
-    worker_changes: Vec<(u64, WorkerId, Option<WorkerEntry>)>,
+    workers: BTreeMap<WorkerId, WorkerNews>,
+    worker_changes: Vec<(u64, WorkerId, WorkerNews)>,
     /// Version before which the history of changes is forgotten.
     forgotten: u64,
 }
@@ -53,7 +53,7 @@
                 let entries = self.workers.iter();
                 Some(StoreOutcome::Workers {
                     entries: entries
-                        .map(|(id, entry)| (id.clone(), Some(entry.clone())))
+                        .map(|(id, news)| (id.clone(), news.clone()))
                         .collect(),
                     more: false,
                     version: self.version,
@@ -110,12 +110,21 @@
 
     /// A worker writes its entry, or its entry goes.
     pub fn set_worker(&mut self, id: &WorkerId, entry: Option<WorkerEntry>) {
+        self.tell_of_worker(id, entry.map_or(WorkerNews::Gone, WorkerNews::Entry));
+    }
+
+    /// Another writer writes an entry of which no worker can be made.
+    pub fn spoil_worker(&mut self, id: &WorkerId) {
+        self.tell_of_worker(id, WorkerNews::Unusable("written by another program"));
+    }
+
+    fn tell_of_worker(&mut self, id: &WorkerId, news: WorkerNews) {
         self.version += 1;
-        match &entry {
-            Some(entry) => self.workers.insert(id.clone(), entry.clone()),
-            None => self.workers.remove(id),
+        match &news {
+            WorkerNews::Gone => self.workers.remove(id),
+            news => self.workers.insert(id.clone(), news.clone()),
         };
-        self.worker_changes.push((self.version, id.clone(), entry));
+        self.worker_changes.push((self.version, id.clone(), news));
     }
 
     /// Forgets the history of changes.
