fix(queue): a start is weighed against the room that its worker has when it is sent

Cause: room was weighed when a task was placed; a start that waits for the table to keep it, or is sent again for want of an answer, went out seconds later on top of a room that had shrunk meanwhile. Other copies of room: plans and kept room are no older than 5 s and are weighed again at the placement; what is being stopped counts; permits say nothing of room; the next leader reads the entries anew. Change: each start, also a repeated one, is weighed against the entry of now, and waits while the entries were last told of more than 3 s ago; what would come on top is not sent, or stopped if it may be on its way.

--- a/crates/bankvalve_check/src/site/mod.rs
+++ b/crates/bankvalve_check/src/site/mod.rs
@@ -17,6 +17,7 @@
 mod site_random;
 mod site_recovery;
 mod site_return;
+mod site_rooms;
 mod site_rules;
 mod site_silence;
 mod site_view;
--- a/crates/bankvalve_check/src/site/site_world.rs
+++ b/crates/bankvalve_check/src/site/site_world.rs
@@ -7,7 +7,7 @@
 
 use bankvalve_queue::{
     AdviceRule, CallerAnswer, CallerRequest, CoreEvent, EntryCore, EntrySettings, JobId, JobSpec,
-    JobState, PeerAddress, PeerPatience, RunId, StoreRequest, TaskKey, Ticket, WorkerId,
+    JobState, PeerAddress, PeerPatience, RunId, StoreRequest, TaskKey, TaskSize, Ticket, WorkerId,
 };
 use bankvalve_standin::site::{SitePolicy, SiteStore, SiteWorker};
 use rand::SeedableRng;
@@ -174,6 +174,8 @@
     pub lost_looks_percent: u32,
     /// Share of runs that fail, in percent.
     pub fail_percent: u32,
+    /// Rooms that workers had before, and until when.
+    pub(super) old_rooms: BTreeMap<WorkerId, Vec<(u64, TaskSize)>>,
     /// What each task does that ends the workers that run it.
     pub crashing: BTreeMap<TaskKey, TaskCrash>,
     /// Until when a worker is cut off, by address.
@@ -256,6 +258,7 @@
             late_orders_percent: 0,
             lost_looks_percent: 0,
             fail_percent: 0,
+            old_rooms: BTreeMap::new(),
             crashing: BTreeMap::new(),
             worker_cut_until: BTreeMap::new(),
             callers_leave: false,
--- a/crates/bankvalve_check/tests/site/random.rs
+++ b/crates/bankvalve_check/tests/site/random.rs
@@ -50,6 +50,7 @@
         SiteGuard::LateDone,
         SiteGuard::CrashBudget,
         SiteGuard::AloneEvidence,
+        SiteGuard::RoomOfNow,
     ];
     let others = SiteGuard::ALL.into_iter();
     let others = others.filter(|guard| !seldom.contains(guard));
--- a/crates/bankvalve_check/tests/site/workers.rs
+++ b/crates/bankvalve_check/tests/site/workers.rs
@@ -1,7 +1,7 @@
 //! Workers: late orders, looks, silence, what they may share.
 
 use bankvalve_check::site::{job_of, RuleBreach, SitePlan, SiteWorld, QUEUE, URGENT_QUEUE};
-use bankvalve_queue::{PolicySwitch, SiteGuard, StepSpec};
+use bankvalve_queue::{PolicySwitch, SiteGuard, StepSpec, TaskSize};
 
 use crate::{assert_kept, world};
 
@@ -364,3 +364,94 @@
     assert!(world.counter("worker_entries", "unusable") >= 4);
     assert_eq!(world.counter("workers", "lost"), 0);
 }
+
+/// A world of four workers whose room is a quarter of the time a quarter of what it was, while the
+/// table is slow and answers of workers are lost.
+fn world_of_moving_rooms(seed: u64) -> SiteWorld {
+    let mut world = SiteWorld::new(SitePlan {
+        seed,
+        entries: 3,
+        strengths: Vec::new(),
+        broken: None,
+        without: None,
+        workers: 4,
+        good_percent: None,
+    });
+    world.run_until(1_000);
+    let room = |millicores| TaskSize {
+        millicores,
+        memory_mib: 8_000,
+        accelerators: 0,
+    };
+    for turn in 0..120_u64 {
+        world.submit(job_of(turn + 1, QUEUE, &[3], false));
+        let address = format!("10.9.0.{}:80", turn % 4);
+        let small = (turn / 4) % 4 == 1;
+        world.resize_worker(&address, room(if small { 1_000 } else { 4_000 }));
+        world.late_orders_percent = if turn % 8 < 4 { 40 } else { 0 };
+        world.store_delay_ms = if turn % 24 < 12 { 900 } else { 0 };
+        let until = world.now_ms + 1_000;
+        world.run_until(until);
+    }
+    world.late_orders_percent = 0;
+    world.store_delay_ms = 0;
+    for number in 0..4 {
+        world.resize_worker(&format!("10.9.0.{number}:80"), room(4_000));
+    }
+    world.run_until(240_000);
+    world
+}
+
+#[test]
+fn a_start_does_not_come_on_top_of_what_a_smaller_room_holds() {
+    for seed in 150..160 {
+        let world = world_of_moving_rooms(seed);
+        assert_kept(&world);
+        assert_eq!(world.shown.len(), 120, "seed {seed}");
+    }
+}
+
+/// A world in which starts wait for six seconds to be kept, while all workers' room shrinks.
+fn world_of_starts_that_wait(seed: u64, broken: Option<SiteGuard>) -> SiteWorld {
+    let mut world = SiteWorld::new(SitePlan {
+        seed,
+        entries: 3,
+        strengths: Vec::new(),
+        broken,
+        without: None,
+        workers: 4,
+        good_percent: None,
+    });
+    world.run_until(1_000);
+    for job in 1..=4 {
+        world.submit(job_of(job, QUEUE, &[4], false));
+    }
+    let until = world.now_ms + 3 + seed % 16;
+    world.run_until(until);
+    world.store_away_until = world.now_ms + 6_000;
+    world.store_silent = true;
+    for number in 0..4 {
+        let room = TaskSize {
+            millicores: 1_000,
+            memory_mib: 8_000,
+            accelerators: 0,
+        };
+        world.resize_worker(&format!("10.9.0.{number}:80"), room);
+    }
+    world.run_until(60_000);
+    world
+}
+
+#[test]
+fn a_start_that_waited_for_the_table_is_weighed_against_the_room_of_now() {
+    for seed in 160..180 {
+        let world = world_of_starts_that_wait(seed, None);
+        assert_kept(&world);
+        assert_eq!(world.shown.len(), 4, "seed {seed}");
+    }
+    let noticed = (160..180).any(|seed| {
+        let world = world_of_starts_that_wait(seed, Some(SiteGuard::RoomOfNow));
+        !world.rules.breaches.is_empty()
+    });
+    assert!(noticed, "nothing notices that the guard is gone");
+}
--- a/crates/bankvalve_queue/src/core/entry_core.rs
+++ b/crates/bankvalve_queue/src/core/entry_core.rs
@@ -267,6 +267,9 @@
     /// The writing of the own row.
     pub(super) own_row: WatchState,
     pub(super) worker_watch: WatchState,
+    /// When the last question about the workers' entries was sent, and the last that was answered.
+    pub(super) worker_list_sent: CoreTime,
+    pub(super) worker_list_at: Option<CoreTime>,
     /// Services that a queue or an open job has named: workers of others are not ours to call.
     pub(super) services: BTreeSet<String>,
     pub(super) probe_answered: Option<CoreTime>,
@@ -330,6 +333,8 @@
             cell_watch: WatchState::default(),
             own_row: WatchState::default(),
             worker_watch: WatchState::default(),
+            worker_list_sent: Duration::ZERO,
+            worker_list_at: None,
             services: BTreeSet::new(),
             probe_answered: None,
             store_heard: None,
--- a/crates/bankvalve_queue/src/core/orders.rs
+++ b/crates/bankvalve_queue/src/core/orders.rs
@@ -22,6 +22,11 @@
 const ORDER_TRIES: u32 = 3;
 /// Time between two goes through all runs for orders that no list of those due names.
 const ORDER_SCAN: Duration = Duration::from_millis(200);
+/// Age of what workers say of themselves up to which starts go by it: the platform lets a room that
+/// has shrunk count for its time of contact, three seconds at least, and a heartbeat more.
+const LIST_AGE: Duration = Duration::from_millis(3_000);
+/// Pause of a start while nothing newer is known.
+const LIST_PAUSE: Duration = Duration::from_millis(50);
 /// Pause before a stop is repeated.
 const STOP_PAUSE: Duration = Duration::from_millis(250);
 /// Rest of a worker that turned an order away as unwell.
@@ -81,6 +86,9 @@
     fn send_start(&mut self, id: &WorkerId, task: TaskKey) {
         let now = self.now;
         let hold = self.hold_time();
+        if !self.has_room_now(id, task) {
+            return;
+        }
         let Some(job) = self.book.job(task.step.job) else {
             return;
         };
@@ -127,6 +135,53 @@
         self.call_worker(id, CallPurpose::Start { task, run }, call, time);
     }
 
+    /// Weighs a start, also one that is repeated, against the room that its worker has now: room
+    /// shrinks while a start is being kept, which takes seconds where the table is slow or away.
+    ///
+    /// What would come on top of it is not sent, or stopped if it may be on its way. While it is not
+    /// known what the workers say of themselves now, it waits.
+    fn has_room_now(&mut self, id: &WorkerId, task: TaskKey) -> bool {
+        if !self.keeps(SiteGuard::RoomOfNow) {
+            return true;
+        }
+        let now = self.now;
+        let known = self.worker_list_at;
+        let known = known.is_some_and(|at| now.saturating_sub(at) < LIST_AGE);
+        let spec = self
+            .book
+            .job(task.step.job)
+            .and_then(|job| job.spec.steps.get(usize::from(task.step.step)));
+        let wanted = spec.map(|spec| spec.room()).unwrap_or_default();
+        let Some(lead) = self.lead.as_deref_mut() else {
+            return false;
+        };
+        let Some(seat) = lead.seats.get_mut(id) else {
+            return false;
+        };
+        let Some(live) = seat.runs.get_mut(&task) else {
+            return false;
+        };
+        if !known {
+            live.next_at = now + LIST_PAUSE;
+            lead.have_order_due(now + LIST_PAUSE, id, task);
+            return false;
+        }
+        // A suspect has the whole worker by the book, and takes what its step does.
+        let used = seat.used.minus(&live.room).plus(&wanted);
+        if used.fits(&seat.entry.room) {
+            return true;
+        }
+        let (run, sure) = (live.run, live.copies == 0);
+        self.counters.count("order_refusals", "room_shrunk");
+        if sure {
+            let (how, saved) = (EndKind::NeverRan, String::new());
+            self.end_without_report(id, task, run, how, saved, "its worker's room has shrunk");
+        } else {
+            self.begin_stop_run(id, task);
+        }
+        false
+    }
+
     fn order_time(&self) -> Duration {
         let lead = self.lead.as_deref();
         let quick = self.uses(PolicySwitch::QuickRepeat);
--- a/crates/bankvalve_queue/src/core/store_link.rs
+++ b/crates/bankvalve_queue/src/core/store_link.rs
@@ -116,6 +116,7 @@
         self.run_table();
         if self.lead.is_some() && self.worker_watch.is_due(self.now) {
             self.worker_watch.busy = true;
+            self.worker_list_sent = self.now;
             let (request, full) = match self.worker_watch.after {
                 None => {
                     let from = String::new();
@@ -247,6 +248,7 @@
                 }
                 self.worker_watch.after = Some(version);
                 self.worker_watch.busy = false;
+                self.worker_list_at = Some(self.worker_list_sent);
                 if full {
                     self.end_worker_list();
                 }
--- a/crates/bankvalve_queue/src/guard.rs
+++ b/crates/bankvalve_queue/src/guard.rs
@@ -40,11 +40,13 @@
     /// That a worker ended is proof only against a task that it ran alone, and while others did not
     /// end as well.
     AloneEvidence,
+    /// A start is weighed against the room that its worker has when it is sent.
+    RoomOfNow,
 }
 
 impl SiteGuard {
     /// All guards.
-    pub const ALL: [SiteGuard; 17] = [
+    pub const ALL: [SiteGuard; 18] = [
         SiteGuard::LedgerFirst,
         SiteGuard::OwnRow,
         SiteGuard::KeptEnds,
@@ -62,6 +64,7 @@
         SiteGuard::GrowingPatience,
         SiteGuard::CrashBudget,
         SiteGuard::AloneEvidence,
+        SiteGuard::RoomOfNow,
     ];
 
     /// Name used on the command line.
@@ -93,6 +96,7 @@
             SiteGuard::GrowingPatience => "growing-patience",
             SiteGuard::CrashBudget => "crash-budget",
             SiteGuard::AloneEvidence => "alone-evidence",
+            SiteGuard::RoomOfNow => "room-of-now",
         }
     }
 
