fix: decisions go by a clock that counts suspended time, and a lead by when it was asked about

Cause: the usual steady clock stands still while a machine is suspended, so every lease, deadline and age was too young afterwards. And a leader took itself for confirmed at the moment at which it read an answer; one that had waited while it stood still let it command workers for up to 15 s more. Change: the core's clock is CLOCK_BOOTTIME, read in one place; what confirms a lead counts from when it was asked, a write that is read back from when it was first sent. Waits of threads and sockets keep the usual clock: they end late by the time of the suspension, and the core's own limits come first.

--- a/crates/bankvalve/src/entry/core_loop.rs
+++ b/crates/bankvalve/src/entry/core_loop.rs
@@ -12,6 +12,7 @@
 use crossbeam::channel::{Receiver, RecvTimeoutError, Sender};
 use tokio::sync::{mpsc, oneshot};
 
+use super::boot_time::BootTime;
 use super::decision_log::DecisionLog;
 
 /// Events that are taken before what they led to is handed on.
@@ -56,7 +57,7 @@
 }
 
 /// An input and when it came.
-pub(super) type RingEntry = (Instant, CoreInput);
+pub(super) type RingEntry = (BootTime, CoreInput);
 
 impl std::fmt::Debug for EntryHandle {
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
@@ -76,7 +77,7 @@
     }
 
     fn put(&self, input: CoreInput) -> bool {
-        self.ring.try_send((Instant::now(), input)).is_ok()
+        self.ring.try_send((BootTime::now(), input)).is_ok()
     }
 
     /// Gives the core an event; returns whether the ring had room.
@@ -139,7 +140,7 @@
 
     /// Ends the core thread, and with it the links.
     pub(super) fn end(&self) {
-        let _ = self.ring.send((Instant::now(), CoreInput::End));
+        let _ = self.ring.send((BootTime::now(), CoreInput::End));
     }
 }
 
@@ -147,7 +148,7 @@
 pub(super) struct CoreLoop {
     core: EntryCore,
     port: PlatformPort,
-    started: Instant,
+    started: BootTime,
     shared: Arc<CoreShared>,
     links: mpsc::Sender<Vec<CoreAction>>,
     log: DecisionLog,
@@ -166,7 +167,7 @@
         Self {
             core: EntryCore::new(settings),
             port,
-            started: Instant::now(),
+            started: BootTime::now(),
             shared: handle.shared.clone(),
             links,
             log,
--- a/crates/bankvalve/src/entry/mod.rs
+++ b/crates/bankvalve/src/entry/mod.rs
@@ -5,6 +5,7 @@
 //! service, the workers and the peers. The `callers`, `peers`, `readiness`
 //! and `metrics` threads listen; the `decisions` thread writes the log.
 
+mod boot_time;
 mod core_loop;
 mod decision_log;
 mod entry_listeners;
--- a/crates/bankvalve_check/src/site/site_plan.rs
+++ b/crates/bankvalve_check/src/site/site_plan.rs
@@ -34,6 +34,9 @@
     pub(super) life: u64,
     /// Until when it stands still.
     pub frozen_until: u64,
+    /// Time for which its machine was suspended in this life, in milliseconds: a clock that does not
+    /// go on then is late by it.
+    pub(super) suspended_ms: u64,
     /// Until when the table does not answer it.
     pub cut_from_store_until: u64,
     /// Until when the table turns it away.
--- a/crates/bankvalve_check/src/site/site_world.rs
+++ b/crates/bankvalve_check/src/site/site_world.rs
@@ -7,7 +7,8 @@
 
 use bankvalve_queue::{
     AdviceRule, CallerAnswer, CallerRequest, CoreEvent, EntryCore, EntrySettings, JobId, JobSpec,
-    JobState, PeerAddress, PeerPatience, RunId, StoreRequest, TaskKey, TaskSize, Ticket, WorkerId,
+    JobState, PeerAddress, PeerPatience, RunId, SiteGuard, StoreRequest, TaskKey, TaskSize, Ticket,
+    WorkerId,
 };
 use bankvalve_standin::site::{SitePolicy, SiteStore, SiteWorker};
 use rand::SeedableRng;
@@ -290,6 +291,7 @@
                 started_ms: 0,
                 life: 0,
                 frozen_until: 0,
+                suspended_ms: 0,
                 cut_from_store_until: 0,
                 turned_away_until: 0,
                 cut_from_peers_until: 0,
@@ -316,6 +318,7 @@
         let node = &mut self.nodes[number];
         node.life += 1;
         node.newest_table = 0;
+        node.suspended_ms = 0;
         node.disturbed_until = 0;
         node.started_ms = now;
         let mut settings = EntrySettings::example(node.address);
@@ -353,6 +356,13 @@
         WALL_START + self.now_ms
     }
 
+    /// Suspends an instance's machine for a time.
+    pub fn suspend(&mut self, number: usize, for_ms: u64) {
+        let node = &mut self.nodes[number];
+        node.frozen_until = self.now_ms + for_ms;
+        node.suspended_ms += for_ms;
+    }
+
     /// Asks an instance to stop as planned.
     pub fn stop(&mut self, number: usize) {
         self.nodes[number].disturbed_until = u64::MAX;
@@ -497,7 +507,11 @@
         let Some(core) = node.core.as_mut() else {
             return;
         };
-        let since = Duration::from_millis(now - node.started_ms);
+        let asleep = match self.plan.broken {
+            Some(SiteGuard::BootTime) => node.suspended_ms,
+            _ => 0,
+        };
+        let since = Duration::from_millis(now - node.started_ms - asleep);
         let measured = self.costs.is_some() && core.leads();
         let begun = measured.then(|| (part_of(&event), Instant::now()));
         let actions = core.step(since, WALL_START + now, event);
--- a/crates/bankvalve_check/tests/site/leading.rs
+++ b/crates/bankvalve_check/tests/site/leading.rs
@@ -1,6 +1,7 @@
 //! Who leads, and what a successor finds.
 
 use bankvalve_check::site::{job_of, SitePlan, SiteWorld, QUEUE};
+use bankvalve_queue::SiteGuard;
 
 use crate::{assert_kept, unlike_world, world};
 
@@ -265,3 +266,41 @@
     world.run_until(60_000);
     assert_kept(&world);
 }
+
+/// Looks that a leader sends right after it wakes up from 20 s, before it can have asked anybody
+/// whether it still leads. Answers that came before are read first.
+fn looks_on_waking_up(seed: u64, broken: Option<SiteGuard>) -> u64 {
+    let mut world = SiteWorld::new(SitePlan {
+        seed,
+        entries: 3,
+        strengths: Vec::new(),
+        broken,
+        without: None,
+        workers: 4,
+        good_percent: None,
+    });
+    world.run_until(1_000);
+    for job in 1..=40 {
+        world.submit(job_of(job, QUEUE, &[2], false));
+        let until = world.now_ms + 20;
+        world.run_until(until);
+    }
+    let leader = world.leader().expect("an instance leads");
+    let before = world.counter_of(leader, "calls", "look");
+    world.suspend(leader, 20_000);
+    let until = world.now_ms + 20_000;
+    world.run_until(until);
+    let looks = world.counter_of(leader, "calls", "look") - before;
+    world.run_until(90_000);
+    assert_eq!(world.shown.len(), 40);
+    looks
+}
+
+#[test]
+fn a_leader_that_wakes_up_commands_nobody_until_it_knows_that_it_leads() {
+    for seed in 31..41 {
+        assert_eq!(looks_on_waking_up(seed, None), 0, "seed {seed}");
+    }
+    let noticed = (31..41).any(|seed| looks_on_waking_up(seed, Some(SiteGuard::BootTime)) > 0);
+    assert!(noticed, "nothing notices a clock that stands still");
+}
--- a/crates/bankvalve_check/tests/site/random.rs
+++ b/crates/bankvalve_check/tests/site/random.rs
@@ -51,6 +51,7 @@
         SiteGuard::CrashBudget,
         SiteGuard::AloneEvidence,
         SiteGuard::RoomOfNow,
+        SiteGuard::BootTime,
     ];
     let others = SiteGuard::ALL.into_iter();
     let others = others.filter(|guard| !seldom.contains(guard));
--- a/crates/bankvalve_queue/src/core/commit.rs
+++ b/crates/bankvalve_queue/src/core/commit.rs
@@ -277,11 +277,12 @@
             return;
         };
         match outcome {
-            StoreOutcome::Applied { .. } => self.finish_commit(),
+            StoreOutcome::Applied { .. } => self.finish_commit(sent_at),
             StoreOutcome::Conflict { rows } => {
                 let own = own_batch_stands(&rows, flight, lead.row_version);
                 if own {
-                    self.finish_commit();
+                    let begun_at = flight.since;
+                    self.finish_commit(begun_at);
                 } else {
                     self.depose("a write under the own row was refused");
                     self.read_leader_row();
@@ -302,7 +303,9 @@
         }
     }
 
-    pub(super) fn finish_commit(&mut self) {
+    /// The write on its way is kept, and the own row stood at a time or later. It goes by when that was
+    /// asked: an answer may have waited while this instance stood still, and others lead meanwhile.
+    pub(super) fn finish_commit(&mut self, confirmed_at: CoreTime) {
         let now = self.now;
         let Some(lead) = self.lead.as_deref_mut() else {
             return;
@@ -311,7 +314,7 @@
             return;
         };
         lead.sequence = flight.sequence + flight.rows.len() as u64 - 1;
-        lead.confirmed_at = now;
+        lead.confirmed_at = lead.confirmed_at.max(confirmed_at);
         lead.note_store_answer();
         lead.away_since = None;
         self.applied = lead.sequence;
--- a/crates/bankvalve_queue/src/core/confirm.rs
+++ b/crates/bankvalve_queue/src/core/confirm.rs
@@ -40,7 +40,6 @@
     }
 
     pub(super) fn end_confirm(&mut self, outcome: &StoreOutcome) {
-        let now = self.now;
         let Some(lead) = self.lead.as_deref_mut() else {
             return;
         };
@@ -56,7 +55,7 @@
             self.take_leader_rows(rows);
             return;
         }
-        lead.confirmed_at = now;
+        lead.confirmed_at = lead.confirmed_at.max(asked_at);
         if lead.flight.is_none() {
             lead.away_since = None;
         }
--- a/crates/bankvalve_queue/src/core/read_back.rs
+++ b/crates/bankvalve_queue/src/core/read_back.rs
@@ -105,8 +105,9 @@
         let key = batch_row(sequence);
         match rows.iter().find(|row| row.key == key) {
             Some(row) if row.value == flight.rows[0] => {
+                let begun_at = flight.since;
                 self.log("ledger", "read_back", sequence.to_string(), "done".into());
-                self.finish_commit();
+                self.finish_commit(begun_at);
             }
             Some(_) => {
                 self.depose("another leader wrote the ledger on");
--- a/crates/bankvalve_queue/src/guard.rs
+++ b/crates/bankvalve_queue/src/guard.rs
@@ -42,11 +42,13 @@
     AloneEvidence,
     /// A start is weighed against the room that its worker has when it is sent.
     RoomOfNow,
+    /// The clock of decisions goes on while the machine is suspended.
+    BootTime,
 }
 
 impl SiteGuard {
     /// All guards.
-    pub const ALL: [SiteGuard; 18] = [
+    pub const ALL: [SiteGuard; 19] = [
         SiteGuard::LedgerFirst,
         SiteGuard::OwnRow,
         SiteGuard::KeptEnds,
@@ -65,6 +67,7 @@
         SiteGuard::CrashBudget,
         SiteGuard::AloneEvidence,
         SiteGuard::RoomOfNow,
+        SiteGuard::BootTime,
     ];
 
     /// Name used on the command line.
@@ -97,6 +100,7 @@
             SiteGuard::CrashBudget => "crash-budget",
             SiteGuard::AloneEvidence => "alone-evidence",
             SiteGuard::RoomOfNow => "room-of-now",
+            SiteGuard::BootTime => "boot-time",
         }
     }
 
