fix(queue): a leader that stood still tells of open jobs only once it knows that it leads

Change: after a pause of 0.6 s in all that it does, an open job's state waits for the leader's row. The drawn runs with tasks that end their workers also move workers' rooms, suspend machines for 1 to 8 s, and write entries as another program.

--- a/crates/bankvalve_check/src/site/site_crashes.rs
+++ b/crates/bankvalve_check/src/site/site_crashes.rs
@@ -1,6 +1,6 @@
 //! Tasks that end the workers that run them, and workers that end by themselves.
 
-use bankvalve_queue::{EndKind, JobSpec, RunId, StepKey, TaskKey, WorkerId};
+use bankvalve_queue::{EndKind, JobSpec, RunId, StepKey, TaskKey, TaskSize, WorkerId};
 use bankvalve_standin::site::SiteWorker;
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64Mcg;
@@ -25,8 +25,16 @@
 /// One such task in so many ends its worker only after a while.
 const LATE_CRASHES: u32 = 4;
 
-/// Draws jobs whose tasks end their workers, by a source of its own, so that the rest of what is drawn
-/// stays as it is without them.
+/// Of so many moments one at which a worker's room changes, a machine is suspended, another writer
+/// writes an entry; each by itself.
+const RESIZE_EVERY: u32 = 12;
+const SUSPEND_EVERY: u32 = 90;
+const SPOIL_EVERY: u32 = 40;
+/// Rooms that workers have, in thousandths of a core.
+const ROOMS: [u64; 5] = [4_000, 4_000, 4_000, 2_000, 1_000];
+
+/// Draws jobs whose tasks end their workers, rooms that move, suspended machines and entries by
+/// another writer, by a source of its own, so that the rest of what is drawn stays as it is.
 #[derive(Debug)]
 pub(super) struct DrawnCrashes {
     rng: Pcg64Mcg,
@@ -38,6 +46,55 @@
         Self { rng }
     }
 
+    /// Lets something happen to workers' rooms, machines and entries, or nothing.
+    pub(super) fn act(&mut self, world: &mut SiteWorld) {
+        if self.rng.random_range(0..RESIZE_EVERY) == 0 {
+            let millicores = ROOMS[self.rng.random_range(0..ROOMS.len())];
+            self.resize(world, millicores);
+        }
+        if self.rng.random_range(0..SUSPEND_EVERY) == 0 {
+            let node = self.rng.random_range(0..world.nodes.len());
+            let for_ms = self.rng.random_range(1_000..8_000);
+            world.suspend(node, for_ms);
+        }
+        if self.rng.random_range(0..SPOIL_EVERY) == 0 {
+            let ids = world.worker_ids();
+            let own = self.rng.random_range(0..3) == 0 && !ids.is_empty();
+            let id = if own {
+                ids[self.rng.random_range(0..ids.len())].clone()
+            } else {
+                format!("odd-{}", self.rng.random_range(0..9))
+                    .as_str()
+                    .into()
+            };
+            world.spoil_entry(&id);
+        }
+    }
+
+    fn resize(&mut self, world: &mut SiteWorld, millicores: u64) {
+        let addresses: Vec<String> = world.workers.keys().cloned().collect();
+        let address = &addresses[self.rng.random_range(0..addresses.len())];
+        let room = TaskSize {
+            millicores,
+            memory_mib: 8_000,
+            accelerators: 0,
+        };
+        world.resize_worker(address, room);
+    }
+
+    /// Gives all workers their room and their own entries back.
+    pub(super) fn calm(world: &mut SiteWorld) {
+        let addresses: Vec<String> = world.workers.keys().cloned().collect();
+        for address in addresses {
+            let room = TaskSize {
+                millicores: ROOMS[0],
+                memory_mib: 8_000,
+                accelerators: 0,
+            };
+            world.resize_worker(&address, room);
+        }
+    }
+
     /// Makes a task of some jobs one that ends its workers.
     pub(super) fn lay(&mut self, world: &mut SiteWorld, spec: &JobSpec) {
         if self.rng.random_range(0..CRASHING_JOBS) > 0 {
--- a/crates/bankvalve_check/src/site/site_random.rs
+++ b/crates/bankvalve_check/src/site/site_random.rs
@@ -91,7 +91,8 @@
     Processor,
     /// Link: the load is more than the thinnest carries.
     Link,
-    /// Nothing, but some tasks end the workers that run them.
+    /// Nothing, but some tasks end the workers that run them, workers' rooms move, machines are
+    /// suspended, and another program writes among the workers' entries.
     Crashes,
 }
 
@@ -201,6 +202,9 @@
         world.run_until(until);
         world.check_versions();
         operator.act(&mut world);
+        if let Some(crashes) = crashes.as_mut() {
+            crashes.act(&mut world);
+        }
         job += 1;
         submit_drawn(&mut world, job, crashes.as_mut());
         if world.rng.random_range(0..20) == 0 {
@@ -219,6 +223,9 @@
         }
     }
     SiteFault::calm(&mut world);
+    if crashes.is_some() {
+        DrawnCrashes::calm(&mut world);
+    }
     if large {
         world.lose_all_at_the_end(seed);
     } else {
--- a/crates/bankvalve_check/src/site/site_world.rs
+++ b/crates/bankvalve_check/src/site/site_world.rs
@@ -358,9 +358,11 @@
 
     /// Suspends an instance's machine for a time.
     pub fn suspend(&mut self, number: usize, for_ms: u64) {
+        let now = self.now_ms;
         let node = &mut self.nodes[number];
-        node.frozen_until = self.now_ms + for_ms;
-        node.suspended_ms += for_ms;
+        let before = node.frozen_until.max(now);
+        node.frozen_until = before.max(now + for_ms);
+        node.suspended_ms += node.frozen_until - before;
     }
 
     /// Asks an instance to stop as planned.
--- a/crates/bankvalve_check/tests/site/answers.rs
+++ b/crates/bankvalve_check/tests/site/answers.rs
@@ -1,6 +1,6 @@
 //! Each accepted job has an answer at the end, from each instance, in time.
 
-use bankvalve_check::site::{job_of, SitePlan, SiteWorld, QUEUE};
+use bankvalve_check::site::{job_of, run_crash_episode, SiteFault, SitePlan, SiteWorld, QUEUE};
 use bankvalve_queue::{CallerAnswer, JobState, SiteGuard};
 
 use crate::{assert_kept, unlike_world, world};
@@ -170,3 +170,11 @@
     assert_kept(&world);
     assert!(longest_ms(&world) <= 20, "{} ms", longest_ms(&world));
 }
+
+#[test]
+fn a_leader_that_stood_still_does_not_show_a_job_as_open_that_another_has_cancelled() {
+    // Found with this seed: it woke up after some seconds, took itself for the leader still, and told
+    // from its own book that a cancelled job runs.
+    let report = run_crash_episode(501, &SiteFault::ALL, None);
+    assert_eq!(report.breaches, []);
+}
--- a/crates/bankvalve_queue/src/core/callers.rs
+++ b/crates/bankvalve_queue/src/core/callers.rs
@@ -445,6 +445,12 @@
             return;
         };
         let state = record.state();
+        let open = matches!(state, JobState::Pending | JobState::Running);
+        // Another may have led while this instance stood still, and cancelled or ended the job.
+        if open && self.lead.as_deref().is_some_and(LeadState::doubts_its_lead) {
+            self.confirm_unknown(origin, CallerRequest::Status { job });
+            return;
+        }
         let ending = |lead: &LeadState| lead.ending.contains(&job);
         let state = if self.lead.as_deref().is_some_and(ending) {
             JobState::Running
--- a/crates/bankvalve_queue/src/core/entry_core.rs
+++ b/crates/bankvalve_queue/src/core/entry_core.rs
@@ -355,8 +355,12 @@
     /// `now` is the instance's steady clock and must not fall; `wall` is the
     /// time of day.
     pub fn step(&mut self, now: CoreTime, wall: WallMillis, event: CoreEvent) -> Vec<CoreAction> {
-        self.now = self.now.max(now + TIME_BASE);
+        let pause = (now + TIME_BASE).saturating_sub(self.now);
+        self.now += pause;
         self.wall = wall;
+        if let Some(lead) = self.lead.as_deref_mut() {
+            lead.note_pause(pause, self.now);
+        }
         match event {
             CoreEvent::Tick => self.tick(),
             CoreEvent::Peer { from, message } => self.take_message(from, message),
--- a/crates/bankvalve_queue/src/core/lead.rs
+++ b/crates/bankvalve_queue/src/core/lead.rs
@@ -29,6 +29,10 @@
 /// stay usable while the table is slow.
 const KEEP_LIMIT: Duration = Duration::from_millis(900);
 
+/// Pause of all that an instance does after which another may lead: less than the silence after which
+/// the first in rank claims.
+const STOOD_STILL: Duration = Duration::from_millis(600);
+
 /// Time for which a write that was answered tells of the own link.
 const COMMIT_TELLS: Duration = Duration::from_millis(1_000);
 
@@ -94,8 +98,10 @@
     pub(super) load_at: Option<CoreTime>,
     /// Whether the workers' entries have been read.
     pub(super) workers_known: bool,
-    /// When the table last answered a request that was conditional on the own row.
+    /// When a request was sent that the table answered and by which the own row stood.
     pub(super) confirmed_at: CoreTime,
+    /// When this instance last went on after it had stood still for so long that another may lead.
+    woke_at: CoreTime,
     /// Since when something was asked of the table without any answer coming.
     pub(super) asked_since: Option<CoreTime>,
     /// Since when peers are told that the table leaves requests unanswered.
@@ -188,6 +194,7 @@
             load_at: None,
             workers_known: false,
             confirmed_at: now,
+            woke_at: CoreTime::ZERO,
             asked_since: None,
             trouble_since: None,
             confirming: None,
@@ -289,6 +296,19 @@
         self.asked_since = None;
     }
 
+    /// Time has passed in which nothing was done: the machine was suspended or frozen.
+    pub(super) fn note_pause(&mut self, pause: Duration, now: CoreTime) {
+        if pause > STOOD_STILL {
+            self.woke_at = now;
+            self.next_confirm = now;
+        }
+    }
+
+    /// Whether it is not known yet that it still leads after it stood still.
+    pub(super) fn doubts_its_lead(&self) -> bool {
+        self.confirmed_at < self.woke_at
+    }
+
     /// A write was answered after so long.
     pub(super) fn note_commit(&mut self, took: Duration, now: CoreTime) {
         self.commit_time = (self.commit_time + took) / 2;
