refactor: choosing of workers, records of steps and lives of instances in files of their own

Trials that are over are looked for only while there are some, once a list, in place of twice for each run in it. New tests share one set-up. Behaviour and tests' assertions are as they were.

--- a/crates/bankvalve_check/src/site/mod.rs
+++ b/crates/bankvalve_check/src/site/mod.rs
@@ -9,6 +9,7 @@
 mod site_faults;
 mod site_jobs;
 mod site_links;
+mod site_lives;
 mod site_operator;
 mod site_overload;
 mod site_plan;
--- a/crates/bankvalve_check/tests/site/crashing.rs
+++ b/crates/bankvalve_check/tests/site/crashing.rs
@@ -9,11 +9,11 @@
 //! these tests, in which nothing else goes wrong, proved it.
 
 use bankvalve_check::site::{
-    job_of, run_crash_episode, SiteFault, SitePlan, SiteWorld, TaskCrash, QUEUE, URGENT_QUEUE,
+    job_of, run_crash_episode, SiteFault, SiteWorld, TaskCrash, QUEUE, URGENT_QUEUE,
 };
 use bankvalve_queue::{JobId, JobState, SiteGuard, StepKey};
 
-use crate::assert_kept;
+use crate::{assert_kept, world_without};
 
 /// First id of jobs whose tasks end their workers.
 const CRASHING: JobId = 900;
@@ -25,17 +25,8 @@
 };
 
 fn site(seed: u64) -> SiteWorld {
-    let mut world = SiteWorld::new(SitePlan {
-        seed,
-        entries: 3,
-        strengths: Vec::new(),
-        broken: None,
-        without: None,
-        workers: 12,
-        good_percent: None,
-    });
+    let mut world = world_without(seed, 12, None);
     world.looks_wait = true;
-    world.run_until(1_000);
     world
 }
 
--- a/crates/bankvalve_check/tests/site/leading.rs
+++ b/crates/bankvalve_check/tests/site/leading.rs
@@ -3,7 +3,7 @@
 use bankvalve_check::site::{job_of, SitePlan, SiteWorld, QUEUE};
 use bankvalve_queue::SiteGuard;
 
-use crate::{assert_kept, unlike_world, world};
+use crate::{assert_kept, unlike_world, world, world_without};
 
 #[test]
 fn the_strongest_instances_lead() {
@@ -270,16 +270,7 @@
 /// Looks that a leader sends right after it wakes up from 20 s, before it can have asked anybody
 /// whether it still leads. Answers that came before are read first.
 fn looks_on_waking_up(seed: u64, broken: Option<SiteGuard>) -> u64 {
-    let mut world = SiteWorld::new(SitePlan {
-        seed,
-        entries: 3,
-        strengths: Vec::new(),
-        broken,
-        without: None,
-        workers: 4,
-        good_percent: None,
-    });
-    world.run_until(1_000);
+    let mut world = world_without(seed, 4, broken);
     for job in 1..=40 {
         world.submit(job_of(job, QUEUE, &[2], false));
         let until = world.now_ms + 20;
--- a/crates/bankvalve_check/tests/site/main.rs
+++ b/crates/bankvalve_check/tests/site/main.rs
@@ -14,15 +14,21 @@
 mod workers;
 
 use bankvalve_check::site::{SitePlan, SiteWorld};
+use bankvalve_queue::SiteGuard;
 
 fn world(seed: u64) -> SiteWorld {
+    world_without(seed, 4, None)
+}
+
+/// A site of so many workers, after its first second, with a guard taken away if asked.
+fn world_without(seed: u64, workers: usize, broken: Option<SiteGuard>) -> SiteWorld {
     let mut world = SiteWorld::new(SitePlan {
         seed,
         entries: 3,
         strengths: Vec::new(),
-        broken: None,
+        broken,
         without: None,
-        workers: 4,
+        workers,
         good_percent: None,
     });
     world.run_until(1_000);
--- a/crates/bankvalve_check/tests/site/workers.rs
+++ b/crates/bankvalve_check/tests/site/workers.rs
@@ -3,7 +3,7 @@
 use bankvalve_check::site::{job_of, RuleBreach, SitePlan, SiteWorld, QUEUE, URGENT_QUEUE};
 use bankvalve_queue::{PolicySwitch, SiteGuard, StepSpec, TaskSize};
 
-use crate::{assert_kept, world};
+use crate::{assert_kept, world, world_without};
 
 #[test]
 fn an_order_carried_out_late_starts_nothing_twice() {
@@ -368,16 +368,7 @@
 /// A world of four workers whose room is a quarter of the time a quarter of what it was, while the
 /// table is slow and answers of workers are lost.
 fn world_of_moving_rooms(seed: u64) -> SiteWorld {
-    let mut world = SiteWorld::new(SitePlan {
-        seed,
-        entries: 3,
-        strengths: Vec::new(),
-        broken: None,
-        without: None,
-        workers: 4,
-        good_percent: None,
-    });
-    world.run_until(1_000);
+    let mut world = world(seed);
     let room = |millicores| TaskSize {
         millicores,
         memory_mib: 8_000,
@@ -413,16 +404,7 @@
 
 /// A world in which starts wait for six seconds to be kept, while all workers' room shrinks.
 fn world_of_starts_that_wait(seed: u64, broken: Option<SiteGuard>) -> SiteWorld {
-    let mut world = SiteWorld::new(SitePlan {
-        seed,
-        entries: 3,
-        strengths: Vec::new(),
-        broken,
-        without: None,
-        workers: 4,
-        good_percent: None,
-    });
-    world.run_until(1_000);
+    let mut world = world_without(seed, 4, broken);
     for job in 1..=4 {
         world.submit(job_of(job, QUEUE, &[4], false));
     }
--- a/crates/bankvalve_queue/src/core/making_room.rs
+++ b/crates/bankvalve_queue/src/core/making_room.rs
@@ -9,7 +9,8 @@
 use std::collections::BinaryHeap;
 use std::time::Duration;
 
-use super::placing::{admits, held_of, PlacedStep};
+use super::choosing::{admits, held_of};
+use super::placing::PlacedStep;
 use super::seat::{LiveRun, RunPhase, Seat};
 use super::EntryCore;
 use crate::ids::{CoreTime, StepKey, TaskKey, WorkerId};
--- a/crates/bankvalve_queue/src/core/mod.rs
+++ b/crates/bankvalve_queue/src/core/mod.rs
@@ -12,6 +12,7 @@
 mod book_reads;
 mod callers;
 mod carriers;
+mod choosing;
 mod commit;
 mod confirm;
 mod election;
--- a/crates/bankvalve_queue/src/core/orders.rs
+++ b/crates/bankvalve_queue/src/core/orders.rs
@@ -7,7 +7,7 @@
 use super::seat::{LiveRun, RunPhase};
 use super::EntryCore;
 use crate::guard::SiteGuard;
-use crate::ids::{TaskKey, WorkerId};
+use crate::ids::{RunId, TaskKey, WorkerId};
 use crate::ledger::{EndKind, JobOutcome, TaskPhase};
 use crate::policy::PolicySwitch;
 use crate::worker::{StartOrder, StartRefusal, WorkerAnswer, WorkerCall};
@@ -145,13 +145,8 @@
             return true;
         }
         let now = self.now;
-        let known = self.worker_list_at;
-        let known = known.is_some_and(|at| now.saturating_sub(at) < LIST_AGE);
-        let spec = self
-            .book
-            .job(task.step.job)
-            .and_then(|job| job.spec.steps.get(usize::from(task.step.step)));
-        let wanted = spec.map(|spec| spec.room()).unwrap_or_default();
+        let list_age = self.worker_list_at.map(|at| now.saturating_sub(at));
+        let wanted = self.room_of(task);
         let Some(lead) = self.lead.as_deref_mut() else {
             return false;
         };
@@ -161,7 +156,7 @@
         let Some(live) = seat.runs.get_mut(&task) else {
             return false;
         };
-        if !known {
+        if list_age.is_none_or(|age| age >= LIST_AGE) {
             live.next_at = now + LIST_PAUSE;
             lead.have_order_due(now + LIST_PAUSE, id, task);
             return false;
@@ -172,6 +167,12 @@
             return true;
         }
         let (run, sure) = (live.run, live.copies == 0);
+        self.take_start_back(id, task, run, sure);
+        false
+    }
+
+    /// Takes a start back for which its worker has no room any more.
+    fn take_start_back(&mut self, id: &WorkerId, task: TaskKey, run: RunId, sure: bool) {
         self.counters.count("order_refusals", "room_shrunk");
         if sure {
             let (how, saved) = (EndKind::NeverRan, String::new());
@@ -179,7 +180,6 @@
         } else {
             self.begin_stop_run(id, task);
         }
-        false
     }
 
     fn order_time(&self) -> Duration {
--- a/crates/bankvalve_queue/src/core/placing.rs
+++ b/crates/bankvalve_queue/src/core/placing.rs
@@ -1,13 +1,12 @@
 //! Placement: which waiting task runs on which worker.
 
-use std::cmp::Reverse;
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use super::advice::{StepAdvice, ASK_LIMIT};
+use super::advice::StepAdvice;
+use super::choosing::{admits, admitting, choose, first_question, unknown_with_room, workers_of};
 use super::commit::Effect;
-use super::lead::LeadState;
-use super::seat::{LiveRun, Reservation, RunLoad, RunPhase, Seat};
+use super::seat::{LiveRun, Reservation, RunPhase, Seat};
 use super::suspects::TrialTurn;
 use super::waiting::{Lateness, WaitingRank};
 use super::EntryCore;
@@ -28,39 +27,30 @@
 const PLACE_IDLE: Duration = Duration::from_millis(250);
 /// Time beyond a question's own for which room is kept for its step.
 const RESERVE_SLACK: Duration = Duration::from_millis(60);
-/// Workers whose slowness differs by less count as alike, as a logarithm.
-const SLOWNESS_STEP: f64 = 0.06;
-/// Workers asked about for each task, and at least, in a first question.
-const ASK_PER_TASK: usize = 4;
-const ASK_LEAST: usize = 16;
 /// Share of live peers that must be idle for a step to explore that can only end late, and for one that
 /// ends too late to be of use, in percent; a third of them is left to short questions.
 const LATE_IDLE_PERCENT: usize = 40;
 const TOO_LATE_IDLE_PERCENT: usize = 50;
-/// Workers asked about at most for tasks that start one by one, and at least for a gang, which
-/// needs room for all of its members among those that may run it.
-const ASK_MOST: usize = 100;
-const GANG_ASK_LEAST: usize = 100;
 
 /// A step that is being placed.
 pub(super) struct PlacedStep {
     pub(super) key: StepKey,
     pub(super) spec: StepSpec,
-    service: String,
+    pub(super) service: String,
     pub(super) rule: Option<AdviceRule>,
-    tasks: Vec<TaskKey>,
+    pub(super) tasks: Vec<TaskKey>,
     run: RunId,
     pub(super) room: TaskSize,
     pub(super) priority: u32,
     pub(super) urgent: bool,
     /// Whether it prefers workers that were measured as fast.
-    fast_first: bool,
+    pub(super) fast_first: bool,
     /// Tasks among them that are suspects and start where nothing else runs.
     alone: Vec<TaskKey>,
 }
 
 /// Choice of workers for tasks of a step.
-type Choice = Vec<(TaskKey, WorkerId)>;
+pub(super) type Choice = Vec<(TaskKey, WorkerId)>;
 
 impl PlacedStep {
     /// Most tasks of the step on one worker.
@@ -72,7 +62,7 @@
     }
 
     /// Room that a task takes on a worker.
-    fn room_of(&self, task: &TaskKey, seat: &Seat) -> TaskSize {
+    pub(super) fn room_of(&self, task: &TaskKey, seat: &Seat) -> TaskSize {
         if self.alone.contains(task) {
             seat.entry.room
         } else {
@@ -371,194 +361,3 @@
         }
     }
 }
-
-/// Tells whether a worker may be given tasks of a step at all.
-pub(super) fn admits(seat: &Seat, step: &PlacedStep, now: CoreTime) -> bool {
-    // What is cheap and often fails comes first: all workers are asked this for each step.
-    let usable = seat.proved
-        && seat.listed
-        && seat.usable
-        && !seat.entry.leaving
-        && now >= seat.resting_until;
-    if !usable || !step.room.fits(&seat.entry.room) || !seat.is_lively(now) {
-        return false;
-    }
-    let label = step
-        .spec
-        .required_label
-        .as_ref()
-        .is_none_or(|label| seat.entry.labels.contains(label));
-    label && seat.entry.service == step.service && !seat.is_disturbed_by(RunLoad::of(&step.spec))
-}
-
-/// All workers that may be given tasks of a step.
-fn admitting<'a>(
-    lead: &'a LeadState,
-    step: &PlacedStep,
-    now: CoreTime,
-) -> Vec<(&'a WorkerId, &'a Seat)> {
-    let seats = lead.seats.iter();
-    seats.filter(|(_, seat)| admits(seat, step, now)).collect()
-}
-
-/// Tasks of a step that a worker holds.
-pub(super) fn held_of(seat: &Seat, step: StepKey) -> usize {
-    let first = step.task(0);
-    let last = step.task(u32::MAX);
-    seat.runs.range(first..=last).count()
-}
-
-/// Chooses workers for as many tasks as fit; for a gang, for all or none.
-fn choose(step: &PlacedStep, seats: &[(&WorkerId, &Seat)], now: CoreTime) -> Choice {
-    if step.spec.gang && step.spec.same_rack {
-        let choice = choose_on_one_rack(step, seats, now);
-        if !choice.is_empty() {
-            return choice;
-        }
-    }
-    choose_among(step, seats, now)
-}
-
-fn choose_on_one_rack(step: &PlacedStep, seats: &[(&WorkerId, &Seat)], now: CoreTime) -> Choice {
-    let mut racks: BTreeMap<&str, Vec<(&WorkerId, &Seat)>> = BTreeMap::new();
-    for (id, seat) in seats {
-        if let Some(rack) = rack_of(seat) {
-            racks.entry(rack).or_default().push((*id, *seat));
-        }
-    }
-    let whole = racks
-        .values()
-        .map(|seats| choose_among(step, seats, now))
-        .find(|choice| !choice.is_empty());
-    whole.unwrap_or_default()
-}
-
-/// The label of a worker that names its rack: the last one.
-fn rack_of(seat: &Seat) -> Option<&str> {
-    seat.entry.labels.last().map(String::as_str)
-}
-
-/// A worker that may be chosen, with what choices so far leave of it.
-struct Candidate<'a> {
-    id: &'a WorkerId,
-    seat: &'a Seat,
-    room: TaskSize,
-    held: usize,
-    near: bool,
-    /// How slow it is, in steps.
-    slow: i64,
-}
-
-impl<'a> Candidate<'a> {
-    fn new(id: &'a WorkerId, seat: &'a Seat, step: &PlacedStep, now: CoreTime) -> Self {
-        let rack = step.spec.data_rack.as_ref();
-        Self {
-            id,
-            seat,
-            room: seat.room_for(step.key, now),
-            held: held_of(seat, step.key),
-            near: rack.is_some_and(|rack| seat.entry.labels.contains(rack)),
-            slow: (seat.slowness / SLOWNESS_STEP).round() as i64,
-        }
-    }
-
-    fn takes(&self, wanted: &TaskSize, limit: usize) -> bool {
-        wanted.fits(&self.room) && self.held < limit
-    }
-
-    /// Least is best: near its data; for urgent work fast; then the one that is left fullest.
-    fn rank(&self, step: &PlacedStep) -> (Reverse<bool>, i64, u64) {
-        let left = self.room.minus(&step.room).millicores;
-        let slow = if step.fast_first { self.slow } else { 0 };
-        (Reverse(self.near), slow, left)
-    }
-}
-
-fn choose_among(step: &PlacedStep, seats: &[(&WorkerId, &Seat)], now: CoreTime) -> Choice {
-    let limit = step.worker_limit();
-    let mut free: Vec<Candidate<'_>> = seats
-        .iter()
-        .map(|(id, seat)| Candidate::new(id, seat, step, now))
-        .filter(|candidate| candidate.takes(&step.room_on(candidate.seat), limit))
-        .collect();
-    let mut choice = Vec::new();
-    for task in &step.tasks {
-        let best = free
-            .iter_mut()
-            .filter(|candidate| candidate.takes(&step.room_of(task, candidate.seat), limit))
-            .min_by_key(|candidate| candidate.rank(step));
-        let Some(best) = best else {
-            break;
-        };
-        best.room = best.room.minus(&step.room_of(task, best.seat));
-        best.held += 1;
-        choice.push((*task, best.id.clone()));
-    }
-    if step.spec.gang && choice.len() < step.tasks.len() {
-        choice.clear();
-    }
-    choice
-}
-
-fn workers_of(choice: &Choice) -> Vec<WorkerId> {
-    let mut workers: Vec<WorkerId> = choice.iter().map(|(_, worker)| worker.clone()).collect();
-    workers.sort_unstable();
-    workers.dedup();
-    workers.truncate(ASK_LIMIT);
-    workers
-}
-
-/// Workers for a step's first question: those with the most room.
-fn first_question(step: &PlacedStep, seats: &[(&WorkerId, &Seat)], now: CoreTime) -> Vec<WorkerId> {
-    most_room(step, seats, wanted_workers(step), now)
-}
-
-/// Workers that a question for a step is about.
-fn wanted_workers(step: &PlacedStep) -> usize {
-    let wanted = step.tasks.len() * ASK_PER_TASK;
-    if step.spec.gang {
-        wanted.clamp(GANG_ASK_LEAST, ASK_LIMIT)
-    } else {
-        wanted.clamp(ASK_LEAST, ASK_MOST)
-    }
-}
-
-/// So many workers, those with the most room first.
-fn most_room(
-    step: &PlacedStep,
-    seats: &[(&WorkerId, &Seat)],
-    wanted: usize,
-    now: CoreTime,
-) -> Vec<WorkerId> {
-    let room = |seat: &Seat| Reverse(seat.room_for(step.key, now).millicores);
-    let rooms = seats.iter().enumerate();
-    let mut by_room: Vec<_> = rooms
-        .map(|(place, (_, seat))| (room(seat), place))
-        .collect();
-    if wanted < by_room.len() {
-        by_room.select_nth_unstable(wanted);
-        by_room.truncate(wanted);
-    }
-    by_room.sort_unstable();
-    by_room
-        .into_iter()
-        .map(|(_, place)| seats[place].0.clone())
-        .collect()
-}
-
-/// Workers with room of which the policy has not been asked yet.
-fn unknown_with_room(
-    lead: &LeadState,
-    step: &PlacedStep,
-    advice: &StepAdvice,
-    now: CoreTime,
-) -> Vec<WorkerId> {
-    let has_room = |seat: &Seat| step.room_on(seat).fits(&seat.room_for(step.key, now));
-    let seats: Vec<(&WorkerId, &Seat)> = lead
-        .seats
-        .iter()
-        .filter(|(_, seat)| has_room(seat) && admits(seat, step, now))
-        .filter(|(id, _)| !advice.is_known(id))
-        .collect();
-    most_room(step, &seats, wanted_workers(step), now)
-}
--- a/crates/bankvalve_queue/src/core/reports.rs
+++ b/crates/bankvalve_queue/src/core/reports.rs
@@ -6,7 +6,7 @@
 use super::seat::{LifeEnd, LiveRun, RunPhase};
 use super::EntryCore;
 use crate::guard::SiteGuard;
-use crate::ids::{CoreTime, TaskKey, WorkerId};
+use crate::ids::{CoreTime, RunId, TaskKey, WorkerId};
 use crate::job::StepSpec;
 use crate::ledger::{CrashEvidence, EndKind, JobOutcome, LedgerEvent, StepRecord, TaskPhase};
 use crate::policy::PolicySwitch;
@@ -17,18 +17,22 @@
 /// Least ratio of a measured to a guessed run time that is taken for one.
 const LEAST_RATIO: f64 = 0.05;
 
+/// A run that ended with its worker.
+struct LostRun {
+    task: TaskKey,
+    run: RunId,
+    how: EndKind,
+    saved: String,
+    why: String,
+}
+
 impl EntryCore {
     pub(super) fn take_report(&mut self, id: &WorkerId, sent_at: CoreTime, report: &HoldReport) {
         for end in &report.ended {
             self.take_end(id, end);
         }
         self.take_running(id, &report.running);
-        for run in &report.running {
-            self.end_trial_if_due(id, run.task);
-        }
-        for run in &report.running {
-            self.end_trial_if_due(id, run.task);
-        }
+        self.end_due_trials(id);
         self.settle_missing(id, sent_at, report);
         self.judge_progress(id, sent_at, &report.running);
     }
@@ -315,25 +319,24 @@
         let Some(seat) = lead.seats.get(id) else {
             return;
         };
-        let runs: Vec<(TaskKey, u64, EndKind, String, String)> = seat
-            .runs
-            .iter()
-            .map(|(task, live)| {
-                let how = self.end_with_worker(id, live, end);
-                let why = format!("{}, {}", end.as_str(), live.sight(now));
-                (*task, live.run, how, live.saved.clone(), why)
-            })
-            .collect();
+        let lost = |(task, live): (&TaskKey, &LiveRun)| LostRun {
+            task: *task,
+            run: live.run,
+            how: self.end_with_worker(id, live, end),
+            saved: live.saved.clone(),
+            why: format!("{}, {}", end.as_str(), live.sight(now)),
+        };
+        let runs: Vec<LostRun> = seat.runs.iter().map(lost).collect();
         let detail = format!("{}, {}", end.as_str(), seat.sight(now));
         self.log("workers", "lost", id.to_string(), detail);
         self.counters.count("workers", "lost");
         if end == LifeEnd::OtherLife {
             self.note_worker_end(id);
         }
-        for (task, run, how, saved, why) in runs {
-            self.end_without_report(id, task, run, how, saved, &why);
-            if let EndKind::Crashed(evidence) = how {
-                self.log_crash(task, evidence);
+        for lost in runs {
+            self.end_without_report(id, lost.task, lost.run, lost.how, lost.saved, &lost.why);
+            if let EndKind::Crashed(evidence) = lost.how {
+                self.log_crash(lost.task, evidence);
             }
         }
     }
--- a/crates/bankvalve_queue/src/core/suspects.rs
+++ b/crates/bankvalve_queue/src/core/suspects.rs
@@ -13,6 +13,7 @@
 use super::EntryCore;
 use crate::guard::SiteGuard;
 use crate::ids::{CoreTime, StepKey, TaskKey, WorkerId};
+use crate::job::TaskSize;
 use crate::ledger::{CrashEvidence, EndKind};
 
 /// A run that was listed for less than this is taken for one that had just been started: a look tells
@@ -127,25 +128,36 @@
         }
     }
 
-    /// Lets others join a suspect that has run alone for long enough.
-    pub(super) fn end_trial_if_due(&mut self, id: &WorkerId, task: TaskKey) {
-        let job = self.book.job(task.step.job);
-        let spec = job.and_then(|job| job.spec.steps.get(usize::from(task.step.step)));
-        let Some(room) = spec.map(|spec| spec.room()) else {
+    /// Lets others join the suspects of a worker that have run alone for long enough.
+    pub(super) fn end_due_trials(&mut self, id: &WorkerId) {
+        let lead = self.lead.as_deref().filter(|lead| !lead.trials.is_empty());
+        let Some(seat) = lead.and_then(|lead| lead.seats.get(id)) else {
             return;
         };
+        let due = |live: &LiveRun| live.on_trial && live.lived() >= TRIAL_TIME;
+        let due: Vec<(TaskKey, TaskSize)> = seat
+            .runs
+            .iter()
+            .filter(|(_, live)| due(live))
+            .map(|(task, _)| (*task, self.room_of(*task)))
+            .collect();
         let Some(lead) = self.lead.as_deref_mut() else {
             return;
         };
-        let Some(seat) = lead.seats.get_mut(id) else {
-            return;
-        };
-        let due = |live: &LiveRun| live.on_trial && live.lived() >= TRIAL_TIME;
-        if seat.runs.get(&task).is_some_and(due) {
-            seat.end_trial(&task, room);
+        for (task, room) in due {
+            if let Some(seat) = lead.seats.get_mut(id) {
+                seat.end_trial(&task, room);
+            }
             lead.stale = true;
         }
     }
+
+    /// Room that a task takes by its step.
+    pub(super) fn room_of(&self, task: TaskKey) -> TaskSize {
+        let job = self.book.job(task.step.job);
+        let spec = job.and_then(|job| job.spec.steps.get(usize::from(task.step.step)));
+        spec.map(|spec| spec.room()).unwrap_or_default()
+    }
 }
 
 impl LeadState {
--- a/crates/bankvalve_queue/src/ledger/job_book.rs
+++ b/crates/bankvalve_queue/src/ledger/job_book.rs
@@ -3,136 +3,18 @@
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
-use super::{CrashCount, CrashEvidence, EndKind, LedgerEvent};
+use super::step_record::{
+    count_crash, count_failure, finish_gang, finish_whole_gang, keep_progress,
+};
+use super::{CrashCount, EndKind, LedgerEvent, StepRecord, TaskPhase, TaskRecord};
 use crate::caller::JobState;
 use crate::ids::{JobId, RunId, StepKey, TaskKey, WallMillis, WorkerId};
-use crate::job::{JobSpec, JobTerms, StepSpec};
+use crate::job::{JobSpec, JobTerms};
 
 /// Times of a job that are open at once: one whose times come faster than they are done, or are long
 /// due, would otherwise fill the memory of one leader after the other.
 const OPEN_TIMES: usize = 64;
 
-/// Where a task stands.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum TaskPhase {
-    /// It has no run.
-    Waiting,
-    /// A run was ordered, or is about to be.
-    Placed {
-        /// The worker.
-        worker: WorkerId,
-        /// The run.
-        run: RunId,
-    },
-    /// It has ended well.
-    Done,
-}
-
-/// A task.
-#[derive(Clone, Debug)]
-pub struct TaskRecord {
-    /// Where it stands.
-    pub phase: TaskPhase,
-    /// Number of its newest run.
-    pub last_run: RunId,
-    /// Runs that failed.
-    pub failures: u32,
-    /// Workers that ended under it, if any did.
-    pub crashes: Option<Box<CrashCount>>,
-    /// Progress saved last; empty for none.
-    pub saved: String,
-}
-
-impl TaskRecord {
-    fn new() -> Self {
-        Self {
-            phase: TaskPhase::Waiting,
-            last_run: 0,
-            failures: 0,
-            crashes: None,
-            saved: String::new(),
-        }
-    }
-
-    /// Workers that ended under it, if any did.
-    pub fn crash_count(&self) -> Option<&CrashCount> {
-        self.crashes.as_deref()
-    }
-
-    /// Whether it is started only where nothing else runs.
-    pub fn is_suspect(&self) -> bool {
-        self.crash_count().is_some_and(CrashCount::is_suspect)
-    }
-
-    /// Whether that is because a worker ended right after it was started there.
-    pub fn is_young_suspect(&self) -> bool {
-        self.crash_count().is_some_and(CrashCount::is_young)
-    }
-}
-
-/// A step of one time.
-#[derive(Clone, Debug)]
-pub struct StepRecord {
-    /// Its tasks.
-    pub tasks: Vec<TaskRecord>,
-    /// Tasks that ended well.
-    pub done: u32,
-    /// Tasks without a run.
-    pub waiting: u32,
-    /// Newest run of a gang that failed.
-    failed_run: RunId,
-}
-
-impl StepRecord {
-    fn new(spec: &StepSpec) -> Self {
-        Self {
-            tasks: vec![TaskRecord::new(); spec.count as usize],
-            done: 0,
-            waiting: spec.count,
-            failed_run: 0,
-        }
-    }
-
-    /// Tells whether all tasks have ended well.
-    pub fn is_done(&self) -> bool {
-        self.done as usize == self.tasks.len()
-    }
-
-    /// Greatest run number that any of its tasks has had.
-    pub fn last_run(&self) -> RunId {
-        self.tasks
-            .iter()
-            .map(|task| task.last_run)
-            .max()
-            .unwrap_or(0)
-    }
-
-    /// Tells whether a good end of an earlier run of a task that is not done may still come.
-    pub(crate) fn may_be_late(&self, index: usize, run: RunId) -> bool {
-        let task = &self.tasks[index];
-        match task.phase {
-            TaskPhase::Waiting => run <= task.last_run,
-            TaskPhase::Placed { run: now, .. } => run < now,
-            TaskPhase::Done => false,
-        }
-    }
-
-    fn set_phase(&mut self, index: usize, phase: TaskPhase) {
-        let task = &mut self.tasks[index];
-        match task.phase {
-            TaskPhase::Waiting => self.waiting -= 1,
-            TaskPhase::Done => self.done -= 1,
-            TaskPhase::Placed { .. } => {}
-        }
-        match phase {
-            TaskPhase::Waiting => self.waiting += 1,
-            TaskPhase::Done => self.done += 1,
-            TaskPhase::Placed { .. } => {}
-        }
-        task.phase = phase;
-    }
-}
-
 /// One time of a job.
 #[derive(Clone, Debug)]
 pub struct TimeRecord {
@@ -355,60 +237,6 @@
     }
 }
 
-/// Progress of one member of a gang is good for all of them.
-fn keep_progress(step: &mut StepRecord, index: usize, gang: bool, saved: &str) {
-    if gang {
-        for task in &mut step.tasks {
-            task.saved = saved.to_owned();
-        }
-    } else {
-        step.tasks[index].saved = saved.to_owned();
-    }
-}
-
-/// One good end of a gang stands for all members of the run.
-fn finish_gang(step: &mut StepRecord, run: RunId) {
-    for index in 0..step.tasks.len() {
-        let same =
-            matches!(&step.tasks[index].phase, TaskPhase::Placed { run: now, .. } if *now == run);
-        if same || step.tasks[index].phase == TaskPhase::Waiting {
-            step.set_phase(index, TaskPhase::Done);
-        }
-    }
-}
-
-/// The same for a run that was given up, whatever has become of the members since.
-fn finish_whole_gang(step: &mut StepRecord) {
-    for index in 0..step.tasks.len() {
-        if step.tasks[index].phase != TaskPhase::Done {
-            step.set_phase(index, TaskPhase::Done);
-        }
-    }
-}
-
-/// A failure of any member of a gang counts once a run, for all members.
-fn count_failure(step: &mut StepRecord, index: usize, gang: bool, run: RunId) {
-    if !gang {
-        step.tasks[index].failures += 1;
-    } else if step.failed_run != run {
-        step.failed_run = run;
-        for task in &mut step.tasks {
-            task.failures += 1;
-        }
-    }
-}
-
-/// A worker ended under a task. It counts against that one alone, also in a gang: of forty members on
-/// as many workers the others have nothing to do with it.
-fn count_crash(task: &mut TaskRecord, evidence: CrashEvidence) {
-    let TaskPhase::Placed { worker, .. } = &task.phase else {
-        return;
-    };
-    let worker = worker.clone();
-    let count = task.crashes.get_or_insert_default();
-    count.note(worker, evidence);
-}
-
 /// All jobs.
 #[derive(Clone, Debug, Default)]
 pub struct JobBook {
--- a/crates/bankvalve_queue/src/ledger/mod.rs
+++ b/crates/bankvalve_queue/src/ledger/mod.rs
@@ -3,7 +3,9 @@
 mod crash_count;
 mod event;
 mod job_book;
+mod step_record;
 
 pub use crash_count::{CrashCount, CrashEvidence};
 pub use event::{EndKind, LedgerBatch, LedgerEvent};
-pub use job_book::{JobBook, JobOutcome, JobRecord, StepRecord, TaskPhase, TaskRecord, TimeRecord};
+pub use job_book::{JobBook, JobOutcome, JobRecord, TimeRecord};
+pub use step_record::{StepRecord, TaskPhase, TaskRecord};
