--- a/crates/bankvalve_check/tests/site/crashing.rs
+++ b/crates/bankvalve_check/tests/site/crashing.rs
@@ -9,7 +9,7 @@
 //! these tests, in which nothing else goes wrong, proved it.
 
 use bankvalve_check::site::{
-    job_of, run_crash_episode, SiteFault, SiteWorld, TaskCrash, QUEUE, URGENT_QUEUE,
+    job_of, run_crash_episode, SiteFault, SitePlan, SiteWorld, TaskCrash, QUEUE, URGENT_QUEUE,
 };
 use bankvalve_queue::{JobId, JobState, SiteGuard, StepKey};
 
@@ -25,8 +25,17 @@
 };
 
 fn site(seed: u64) -> SiteWorld {
-    let mut world = world_without(seed, 12, None);
+    let mut world = SiteWorld::new(SitePlan {
+        seed,
+        entries: 3,
+        strengths: Vec::new(),
+        broken: None,
+        without: None,
+        workers: 12,
+        good_percent: None,
+    });
     world.looks_wait = true;
+    world.run_until(1_000);
     world
 }
 
@@ -116,6 +125,28 @@
     }
 }
 
+#[test]
+fn workers_whose_ports_stay_dead_tell_the_guilty_task_as_well() {
+    // Found with seed 11: without a new life that answers, each end was little evidence, so that the
+    // guilty tasks were started among others, and took a healthy one along four times.
+    for seed in 11..17 {
+        let mut world = world_without(seed, 12, None);
+        world.looks_wait = true;
+        submit_healthy(&mut world, 1, 10);
+        for job in 0..3 {
+            let crash = TaskCrash {
+                after_ms: 10,
+                down_ms: 20_000,
+            };
+            submit_crashing(&mut world, CRASHING + job, crash);
+        }
+        submit_healthy(&mut world, 11, 200);
+        world.run_until(150_000);
+        assert_told_apart(&world, 210, 3);
+        assert!(most_ended(&world, 3) <= 3);
+    }
+}
+
 #[test]
 fn a_gang_or_a_lasting_step_that_ends_its_workers_is_given_up() {
     for seed in 21..25 {
--- a/crates/bankvalve_queue/src/core/suspects.rs
+++ b/crates/bankvalve_queue/src/core/suspects.rs
@@ -65,9 +65,11 @@
         if !crashed || !self.keeps(SiteGuard::CrashBudget) {
             return EndKind::Lost;
         }
-        // A worker that is cut off, while its entry stands, has not ended; one that was never heard
-        // again after the start may have.
-        if end == LifeEnd::HoldOver {
+        // Without a new life it is sure only where the port refuses and the entry is gone. A worker that
+        // is cut off, while its entry stands, has not ended; one that was never heard again after the
+        // start may have.
+        let dead = !seat.listed && seat.refused;
+        if end == LifeEnd::HoldOver && !dead {
             let cut_off = seat.listed && !lived.is_zero();
             return if cut_off {
                 EndKind::Lost
