docs: what bounds suspects that are tried, as the code does it

A gang's suspects begin together, and one that waited too long starts among others. No line of code changes.

--- a/crates/bankvalve_queue/src/core/suspects.rs
+++ b/crates/bankvalve_queue/src/core/suspects.rs
@@ -4,7 +4,9 @@
 //! the leader tells what it knows of an end, and starts suspects one at a time, each on a worker
 //! where nothing else runs, so that it takes nobody along and the next end there is evidence.
 //!
-//! While suspects are tried, at most one worker in eight is held by them or has ended under them.
+//! No trial begins while suspects hold one worker in eight, those among them that have just ended under
+//! one. A gang's suspects begin together, so that they may hold more; one that has waited too long for
+//! its turn or a free worker starts among others and is not counted.
 
 use std::time::Duration;
 
