test: a lasting task whose worker and then the leader are lost

Cause: a leader that never heard a worker waits 15 s from its own begin, and 10.5 s more, before it takes the worker's runs for ended, where nothing is heard of the leader before.

The world learns to lose a worker for good (its entry stands for 3 to 4.5 s, its port refuses or is silent), to take the power from an instance, so that peers get no answer, and to have another longest hold than 6 s.

--- a/crates/bankvalve_check/src/site/site_crashes.rs
+++ b/crates/bankvalve_check/src/site/site_crashes.rs
@@ -10,6 +10,8 @@
 /// Time from the end of a worker until its entry runs out, in milliseconds: that of heartbeats of
 /// 0.75 s, of which three are waited for.
 const ENTRY_MS: std::ops::Range<u64> = 900..2_500;
+/// The same with heartbeats of 1.5 s, of which three are waited for: as on the users' sites.
+const LONG_ENTRY_MS: std::ops::Range<u64> = 3_000..4_501;
 
 /// How a task ends the workers that run it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -169,18 +171,34 @@
     /// A worker ends without a word; its entry stands for a while, and another life begins at its
     /// address after a time.
     pub fn end_worker(&mut self, address: &str, down_ms: u64) {
-        let Some(worker) = self.workers.get_mut(address).and_then(Option::take) else {
+        if !self.end_worker_life(address, ENTRY_MS) {
             return;
+        }
+        let address = address.to_owned();
+        self.after(down_ms, Later::ReviveWorker { address });
+    }
+
+    /// A worker ends without a word, and nothing comes at its address any more: its port refuses, or
+    /// is silent as that of a machine without power. Its entry stands until it runs out.
+    pub fn lose_worker(&mut self, address: &str, silent: bool) {
+        if self.end_worker_life(address, LONG_ENTRY_MS) && silent {
+            self.worker_cut_until.insert(address.to_owned(), u64::MAX);
+        }
+    }
+
+    /// Ends a worker's life, whose entry runs out after a time; tells whether there was one.
+    fn end_worker_life(&mut self, address: &str, entry_ms: std::ops::Range<u64>) -> bool {
+        let Some(worker) = self.workers.get_mut(address).and_then(Option::take) else {
+            return false;
         };
         self.runs_end_with(&worker);
         // What is left of a gang ends as well.
         for (task, run) in worker.runs() {
             self.gang_news(task.step, run.run, Some(EndKind::Lost));
         }
-        let entry_ms = self.rng.random_range(ENTRY_MS);
+        let entry_ms = self.rng.random_range(entry_ms);
         let worker = worker.id;
         self.after(entry_ms, Later::EntryGone { worker });
-        let address = address.to_owned();
-        self.after(down_ms, Later::ReviveWorker { address });
+        true
     }
 }
--- a/crates/bankvalve_check/src/site/site_links.rs
+++ b/crates/bankvalve_check/src/site/site_links.rs
@@ -26,6 +26,8 @@
 const WATCH_LOST_MS: u64 = 1_700;
 /// Share of writes that a silent table carries out after all, later, in percent.
 const SILENT_DONE_PERCENT: u32 = 25;
+/// Time until a port that nobody listens at has refused, in milliseconds.
+const REFUSAL_MS: u64 = 2;
 /// Time after which an answer that was lost is given up, in milliseconds.
 const SILENT_MS: u64 = 900;
 
@@ -165,9 +167,10 @@
         match target {
             Some(target) if !cut(&self.nodes[from]) && !cut(&self.nodes[target]) => {
                 if self.nodes[target].core.is_none() {
-                    let event = unreached(true);
+                    let dark = self.nodes[target].dark;
+                    let event = unreached(!dark);
                     self.after(
-                        2,
+                        if dark { call_ms() } else { REFUSAL_MS },
                         Later::Event {
                             node: from,
                             life,
--- a/crates/bankvalve_check/src/site/site_lives.rs
+++ b/crates/bankvalve_check/src/site/site_lives.rs
@@ -1,5 +1,7 @@
 //! Instances start, are killed, suspended and asked to stop.
 
+use std::time::Duration;
+
 use bankvalve_queue::{CallerAnswer, CoreEvent, EntryCore, EntrySettings, Ticket};
 
 use super::site_bytes::LinkUse;
@@ -8,18 +10,20 @@
 impl SiteWorld {
     /// Starts an instance anew.
     pub fn start(&mut self, number: usize) {
-        if self.nodes[number].core.is_some() {
+        if self.nodes[number].core.is_some() || self.nodes[number].gone {
             return;
         }
         let now = self.now_ms;
         let node = &mut self.nodes[number];
         node.life += 1;
+        node.dark = false;
         node.newest_table = 0;
         node.suspended_ms = 0;
         node.disturbed_until = 0;
         node.started_ms = now;
         let mut settings = EntrySettings::example(node.address);
         settings.life = WALL_START + now + node.life;
+        settings.hold_limit = Duration::from_millis(self.hold_limit_ms);
         settings.broken = self.plan.broken;
         settings.without = self.plan.without;
         if let Some(strength) = self.plan.strengths.get(number) {
@@ -32,6 +36,22 @@
 
     /// Kills an instance; it starts again after a time.
     pub fn kill(&mut self, number: usize, down_ms: u64) {
+        self.end_life(number);
+        self.after(down_ms, Later::Restart { node: number });
+    }
+
+    /// Takes the power from an instance's machine: peers that call it get no answer. It starts again
+    /// after a time, or never.
+    pub fn darken(&mut self, number: usize, down_ms: Option<u64>) {
+        self.end_life(number);
+        self.nodes[number].dark = true;
+        match down_ms {
+            Some(down_ms) => self.after(down_ms, Later::Restart { node: number }),
+            None => self.nodes[number].gone = true,
+        }
+    }
+
+    fn end_life(&mut self, number: usize) {
         self.nodes[number].core = None;
         self.nodes[number].parked.clear();
         self.nodes[number].link_use = LinkUse::default();
@@ -45,7 +65,6 @@
                 self.finish_call(node, ticket, CallerAnswer::Unknown);
             }
         }
-        self.after(down_ms, Later::Restart { node: number });
     }
 
     /// Suspends an instance's machine for a time.
--- a/crates/bankvalve_check/src/site/site_plan.rs
+++ b/crates/bankvalve_check/src/site/site_plan.rs
@@ -32,6 +32,11 @@
     pub(super) core: Option<EntryCore>,
     pub(super) started_ms: u64,
     pub(super) life: u64,
+    /// Whether peers that call it while it is down get no answer, as from a machine without power;
+    /// else its port refuses.
+    pub(super) dark: bool,
+    /// Whether it never starts again.
+    pub(super) gone: bool,
     /// Until when it stands still.
     pub frozen_until: u64,
     /// Time for which its machine was suspended in this life, in milliseconds: a clock that does not
--- a/crates/bankvalve_check/src/site/site_workers.rs
+++ b/crates/bankvalve_check/src/site/site_workers.rs
@@ -50,7 +50,8 @@
         };
         self.store.set_worker(&id, Some(entry.clone()));
         let offset = self.rng.random_range(0..100_000);
-        let worker = SiteWorker::new(id, entry, offset);
+        let mut worker = SiteWorker::new(id, entry, offset);
+        worker.hold_limit_ms = self.hold_limit_ms;
         self.workers.insert(address, Some(worker));
         self.answer_watches();
     }
--- a/crates/bankvalve_check/src/site/site_world.rs
+++ b/crates/bankvalve_check/src/site/site_world.rs
@@ -32,6 +32,10 @@
 /// Time of day at the start, in milliseconds since 1970.
 pub(super) const WALL_START: u64 = 1_000_000_000_000;
 
+/// Longest hold that the platform allows if a test says nothing else, in milliseconds: the example
+/// settings' one.
+const HOLD_LIMIT_MS: u64 = 6_000;
+
 /// Something that happens later.
 #[derive(Debug)]
 pub(super) enum Later {
@@ -123,6 +127,8 @@
 /// The world.
 pub struct SiteWorld {
     pub(super) plan: SitePlan,
+    /// Longest hold that the platform allows, in milliseconds.
+    pub(super) hold_limit_ms: u64,
     /// Draws all that is left to chance.
     pub rng: Pcg64Mcg,
     /// Virtual time in milliseconds.
@@ -222,6 +228,11 @@
 impl SiteWorld {
     /// Makes a world in which all instances start at once.
     pub fn new(plan: SitePlan) -> Self {
+        Self::with_hold_limit(plan, HOLD_LIMIT_MS)
+    }
+
+    /// The same, with another longest hold than the usual one, in milliseconds.
+    pub fn with_hold_limit(plan: SitePlan, hold_limit_ms: u64) -> Self {
         let rng = Pcg64Mcg::seed_from_u64(plan.seed);
         let policy = plan.good_percent.map(|good_percent| SitePolicy {
             good_percent,
@@ -277,6 +288,7 @@
             waiting_looks: BTreeMap::new(),
             costs: None,
             answers: Vec::new(),
+            hold_limit_ms,
             plan,
         };
         world.configure(1);
@@ -289,6 +301,8 @@
                 core: None,
                 started_ms: 0,
                 life: 0,
+                dark: false,
+                gone: false,
                 frozen_until: 0,
                 suspended_ms: 0,
                 cut_from_store_until: 0,
--- a/crates/bankvalve_check/tests/site/main.rs
+++ b/crates/bankvalve_check/tests/site/main.rs
@@ -6,6 +6,7 @@
 mod crashing;
 mod jobs;
 mod leading;
+mod lost_workers;
 mod overload;
 mod random;
 mod recover;
--- a/crates/bankvalve_standin/src/site/site_worker.rs
+++ b/crates/bankvalve_standin/src/site/site_worker.rs
@@ -9,7 +9,7 @@
 
 use super::SitePolicy;
 
-/// Longest hold that is granted, in milliseconds.
+/// Longest hold that is granted if nothing else is said, in milliseconds.
 const HOLD_LIMIT_MS: u64 = 6_000;
 /// Time that a stop takes, in milliseconds.
 const STOP_MS: u64 = 150;
@@ -59,6 +59,8 @@
     pub entry: WorkerEntry,
     /// Offset of its clock, in milliseconds.
     pub clock_offset_ms: u64,
+    /// Longest hold that it grants, in milliseconds.
+    pub hold_limit_ms: u64,
     token: FenceToken,
     until: u64,
     runs: BTreeMap<TaskKey, SiteRun>,
@@ -80,6 +82,7 @@
             id,
             entry,
             clock_offset_ms,
+            hold_limit_ms: HOLD_LIMIT_MS,
             token: 0,
             until: 0,
             runs: BTreeMap::new(),
@@ -173,7 +176,7 @@
     }
 
     fn prolong(&mut self, until: u64, clock: u64) {
-        self.until = self.until.max(until.min(clock + HOLD_LIMIT_MS));
+        self.until = self.until.max(until.min(clock + self.hold_limit_ms));
     }
 
     fn keep(&mut self, kept: u64) {
