feat: a task's log lines tell why it does not run now

Cause: a task whose worker fell silent, or whose leader changed as well, left no line between its last start and its run's end; which hold was waited for, whose and until when, could only be inferred.

Change: `unheard` looks some ten times a second at the runs of workers that are not heard and at tasks whose runs have ended. `runs unheard` names the worker, its entry, its silence, the hold by which the run is still believed, whether that is known or assumed, and the latest moment at which it ends by itself; once more when the reason changes. `runs heard` or `runs end` tells how long that took, `placer waits` why a task has not started two seconds after its run's end, `placer place` how long that took. Gauges count both by reason, with the age of the oldest. No decision goes by any of it. The virtual site keeps its instances' lines where a test asks for them.

The cost on a large fleet was not measured.

Conclusion: for a worker cut off under one leader, for one that a new leader never heard, with the former leader back or not, for a leader that is not sure that it leads and for a site without room, the lines name the cause, and the run ends by the moment told.

--- a/crates/bankvalve/src/entry/entry_metrics.rs
+++ b/crates/bankvalve/src/entry/entry_metrics.rs
@@ -99,6 +99,8 @@
             let ages = [
                 ("configuration", view.table_age),
                 ("leader", view.leader_age),
+                ("unheard_task", view.task_waits.oldest_unheard),
+                ("ended_task", view.task_waits.oldest_start),
             ];
             for (source, age) in ages {
                 if let Some(age) = age {
@@ -127,7 +129,8 @@
                 ("ledger_batches", view.ledger_batches),
                 ("leaderless_ms", view.leaderless_ms),
             ];
-            for (quantity, value) in quantities {
+            let waits = view.task_waits.quantities();
+            for (quantity, value) in quantities.into_iter().chain(waits) {
                 observer.observe(value, &[KeyValue::new("quantity", quantity)]);
             }
         })
--- a/crates/bankvalve_check/src/site/site_links.rs
+++ b/crates/bankvalve_check/src/site/site_links.rs
@@ -129,7 +129,11 @@
             CoreAction::Answer { ticket, answer } => self.finish_call(node, ticket, answer),
             CoreAction::DecodeTable(raw) => self.decode_table(node, raw),
             CoreAction::UseTable(table) => self.note_table(node, table.version),
-            CoreAction::Log(_) => {}
+            CoreAction::Log(line) => {
+                if let Some(lines) = &mut self.lines {
+                    lines.push((self.now_ms, node, line));
+                }
+            }
         }
     }
 
--- a/crates/bankvalve_check/src/site/site_view.rs
+++ b/crates/bankvalve_check/src/site/site_view.rs
@@ -1,6 +1,6 @@
 //! What a world shows of its instances: who leads, what they count, how a job stands.
 
-use bankvalve_queue::JobId;
+use bankvalve_queue::{JobId, TaskWaits};
 
 use super::{SiteNode, SiteWorld};
 
@@ -27,6 +27,14 @@
         self.nodes.iter().position(SiteNode::leads)
     }
 
+    /// Tasks that do not run though they did, as the leader sees them; none without one.
+    pub fn task_waits(&self) -> TaskWaits {
+        let leader = self
+            .leader()
+            .and_then(|node| self.nodes[node].core.as_ref());
+        leader.map_or_else(TaskWaits::default, |core| core.view().task_waits)
+    }
+
     /// A counter of the leader; 0 without one.
     pub fn counter(&self, family: &'static str, kind: &'static str) -> u64 {
         let leader = self
--- a/crates/bankvalve_check/src/site/site_world.rs
+++ b/crates/bankvalve_check/src/site/site_world.rs
@@ -6,8 +6,8 @@
 use std::time::{Duration, Instant};
 
 use bankvalve_queue::{
-    AdviceRule, CallerRequest, CoreEvent, EntryCore, JobId, JobSpec, JobState, PeerAddress,
-    PeerPatience, RunId, SiteGuard, StoreRequest, TaskKey, TaskSize, Ticket, WorkerId,
+    AdviceRule, CallerRequest, CoreEvent, DecisionLine, EntryCore, JobId, JobSpec, JobState,
+    PeerAddress, PeerPatience, RunId, SiteGuard, StoreRequest, TaskKey, TaskSize, Ticket, WorkerId,
 };
 use bankvalve_standin::site::{SitePolicy, SiteStore, SiteWorker};
 use rand::SeedableRng;
@@ -211,6 +211,9 @@
     pub costs: Option<StepCosts>,
     /// What callers were told that asked one instance about one job.
     pub answers: Vec<SiteAnswer>,
+    /// Lines that instances logged, with the time in milliseconds and the instance, where they are
+    /// kept.
+    pub lines: Option<Vec<(u64, usize, DecisionLine)>>,
 }
 
 impl std::fmt::Debug for SiteWorld {
@@ -277,6 +280,7 @@
             waiting_looks: BTreeMap::new(),
             costs: None,
             answers: Vec::new(),
+            lines: None,
             plan,
         };
         world.configure(1);
--- a/crates/bankvalve_check/tests/site/main.rs
+++ b/crates/bankvalve_check/tests/site/main.rs
@@ -9,6 +9,7 @@
 mod overload;
 mod random;
 mod recover;
+mod sight;
 mod table;
 mod wide_gangs;
 mod workers;
--- /dev/null
+++ b/crates/bankvalve_check/tests/site/sight.rs
@@ -0,0 +1,251 @@
+//! Why a task does not run now, as its leader's log and metrics tell by the task's id.
+
+use std::time::Duration;
+
+use bankvalve_check::site::{job_of, SiteWorld, QUEUE};
+use bankvalve_queue::{JobId, StartWait, WaitReason};
+
+use crate::{assert_kept, world, world_without};
+
+/// The job whose only task is followed.
+const JOB: JobId = 7;
+/// Its task, as the log names it.
+const TASK: &str = "0000000000000007.0.0.0";
+/// Time by which a wait may end later than was told: a scan of the workers, and a tick of the leader.
+const LATE_MS: u64 = 200;
+
+/// A line on the task: when, by which instance, part and event, detail.
+type TaskLine = (u64, usize, String, String);
+
+/// Starts a task that lasts and returns the address of its worker.
+fn start_lasting(world: &mut SiteWorld) -> String {
+    world.lines = Some(Vec::new());
+    let mut spec = job_of(JOB, QUEUE, &[1], false);
+    spec.steps[0].lasting = true;
+    world.submit(spec);
+    world.run_until(3_000);
+    let runs_it = |address: &&String| {
+        let worker = world.workers[*address].as_ref();
+        worker.is_some_and(|worker| !worker.runs().is_empty())
+    };
+    let address = world.workers.keys().find(runs_it);
+    address.expect("a worker runs the task").clone()
+}
+
+/// Lines on the task of some events, `part event` each.
+fn task_lines(world: &SiteWorld, events: &[&str]) -> Vec<TaskLine> {
+    let lines = world.lines.as_deref().unwrap_or_default();
+    let named = lines.iter().map(|(at, node, line)| {
+        let name = format!("{} {}", line.part, line.event);
+        (*at, *node, name, line)
+    });
+    named
+        .filter(|(.., name, line)| line.id == TASK && events.contains(&name.as_str()))
+        .map(|(at, node, name, line)| (at, node, name, line.detail.clone()))
+        .collect()
+}
+
+/// The moment by which a line says that the wait ends by itself.
+fn told_end(line: &TaskLine) -> u64 {
+    let (_, left) = line.3.split_once("by itself in at most ").expect("an end");
+    let seconds = left
+        .strip_suffix("ms")
+        .map(|ms| ms.parse::<f64>().map(|ms| ms / 1e3));
+    let seconds = seconds.unwrap_or_else(|| left.trim_end_matches('s').parse());
+    line.0 + (seconds.expect("a duration") * 1e3) as u64
+}
+
+/// Tasks that wait for a worker that is not heard, by reason.
+fn unheard(world: &SiteWorld) -> Vec<(WaitReason, u64)> {
+    let waits = world.task_waits();
+    let counted = WaitReason::ALL.map(|reason| (reason, waits.unheard(reason)));
+    counted
+        .into_iter()
+        .filter(|(_, tasks)| *tasks > 0)
+        .collect()
+}
+
+fn oldest_ms(world: &SiteWorld) -> u128 {
+    let oldest = world.task_waits().oldest_unheard;
+    oldest.expect("a task waits").as_millis()
+}
+
+#[test]
+fn a_worker_cut_off_under_one_leader_is_told_from_the_first_silence_to_the_next_start() {
+    let mut world = world(51);
+    let address = start_lasting(&mut world);
+    assert_eq!(unheard(&world), []);
+    world.worker_cut_until.insert(address.clone(), 60_000);
+    world.run_until(5_500);
+    let lines = task_lines(&world, &["runs unheard"]);
+    let [first] = lines.as_slice() else {
+        panic!("expected one line, found {lines:#?}");
+    };
+    assert!((4_200..4_700).contains(&first.0), "{first:?}");
+    let detail = &first.3;
+    assert!(detail.starts_with("run 1 on w-"), "{detail}");
+    assert!(detail.contains(&address), "{detail}");
+    assert!(detail.contains("entry listed, silent for 1."), "{detail}");
+    assert!(detail.contains(": own_hold, asked until "), "{detail}");
+    assert_eq!(unheard(&world), [(WaitReason::OwnHold, 1)]);
+    assert!((2_300..2_700).contains(&oldest_ms(&world)));
+    // Its hold is over, and its entry stands.
+    world.run_until(11_000);
+    assert_eq!(unheard(&world), [(WaitReason::EntryListed, 1)]);
+    world.run_until(20_000);
+    let events = ["runs unheard", "runs heard", "runs end", "placer place"];
+    let lines = task_lines(&world, &events);
+    let names: Vec<&str> = lines.iter().map(|line| line.2.as_str()).collect();
+    let expected = [
+        "placer place",
+        "runs unheard",
+        "runs unheard",
+        "runs end",
+        "placer place",
+    ];
+    assert_eq!(names, expected, "{lines:#?}");
+    assert!(lines[2].3.contains(": entry_listed, its hold is over"));
+    let end = &lines[3];
+    assert!(end.3.contains(", unheard for 1"), "{end:?}");
+    assert!(end.3.ends_with("at last by entry_listed"), "{end:?}");
+    for line in &lines[1..3] {
+        let told = told_end(line);
+        assert!(end.0 <= told + LATE_MS, "{line:?}, {end:?}");
+    }
+    assert!(lines[4].3.contains(" after run 1 ended"), "{lines:#?}");
+    assert_eq!(unheard(&world), []);
+    assert_eq!(world.task_waits().oldest_unheard, None);
+    assert_kept(&world);
+}
+
+#[test]
+fn a_worker_that_answers_again_is_told_with_how_long_it_was_waited_for() {
+    let mut world = world(52);
+    let address = start_lasting(&mut world);
+    world.worker_cut_until.insert(address, 6_000);
+    world.run_until(8_000);
+    let lines = task_lines(&world, &["runs unheard", "runs heard", "runs end"]);
+    let names: Vec<&str> = lines.iter().map(|line| line.2.as_str()).collect();
+    assert_eq!(names, ["runs unheard", "runs heard"], "{lines:#?}");
+    let detail = &lines[1].3;
+    assert!(
+        detail.contains("its worker answers, unheard for "),
+        "{detail}"
+    );
+    assert!(detail.ends_with("at last by own_hold"), "{detail}");
+    assert_eq!(unheard(&world), []);
+    assert_kept(&world);
+}
+
+/// A worker is lost, and its leader 1.5 s later, for a time; returns the instance that led.
+fn lose_worker_and_leader(world: &mut SiteWorld, down_ms: u64) -> usize {
+    let address = start_lasting(world);
+    world.crash_worker(&address, 60_000);
+    world.run_until(4_500);
+    let leader = world.leader().expect("an instance leads");
+    world.kill(leader, down_ms);
+    leader
+}
+
+#[test]
+fn a_worker_that_a_new_leader_never_heard_is_told_with_the_hold_that_it_assumes() {
+    let mut world = world(53);
+    let former = lose_worker_and_leader(&mut world, 60_000);
+    world.run_until(8_000);
+    let lines = task_lines(&world, &["runs unheard"]);
+    let [_, told] = lines.as_slice() else {
+        panic!("expected one line of each leader, found {lines:#?}");
+    };
+    assert_ne!(told.1, former);
+    let detail = &told.3;
+    assert!(detail.starts_with("run 1 on w-"), "{detail}");
+    let unknown = "address not known, entry never seen by this leader, \
+                   not heard since this leader began, for 1.5";
+    assert!(detail.contains(unknown), "{detail}");
+    assert!(detail.contains(": former_hold_assumed, the leader before is not heard"));
+    assert!(detail.contains("; it cannot be asked; ends by itself in"));
+    assert_eq!(unheard(&world), [(WaitReason::FormerHoldAssumed, 1)]);
+    assert!(oldest_ms(&world) >= 2_500);
+    world.run_until(40_000);
+    let ends = task_lines(&world, &["runs end"]);
+    let [end] = ends.as_slice() else {
+        panic!("expected one end, found {ends:#?}");
+    };
+    assert!(end.0 <= told_end(told) + LATE_MS, "{told:?}, {end:?}");
+    assert!(end.3.ends_with("at last by former_hold_assumed"), "{end:?}");
+    assert_eq!(unheard(&world), []);
+    assert_kept(&world);
+}
+
+#[test]
+fn once_the_former_leader_is_back_its_end_is_told_as_known() {
+    let mut world = world(54);
+    lose_worker_and_leader(&mut world, 5_000);
+    world.run_until(12_000);
+    assert_eq!(unheard(&world), [(WaitReason::FormerHoldKnown, 1)]);
+    world.run_until(40_000);
+    let lines = task_lines(&world, &["runs unheard"]);
+    let known = lines.last().expect("lines");
+    assert!(known
+        .3
+        .contains(": former_hold_known, the leader before stopped"));
+    let ends = task_lines(&world, &["runs end"]);
+    assert!(
+        ends[0].0 <= told_end(known) + LATE_MS,
+        "{known:?}, {ends:?}"
+    );
+    assert!(ends[0].3.ends_with("at last by former_hold_known"));
+    assert_kept(&world);
+}
+
+#[test]
+fn a_task_that_waits_to_start_after_its_runs_end_tells_why() {
+    let mut world = world_without(55, 1, None);
+    let address = start_lasting(&mut world);
+    world.crash_worker(&address, 15_000);
+    world.run_until(16_000);
+    let waits = world.task_waits();
+    assert_eq!(waits.starts(StartWait::NoRoom), 1);
+    assert!(waits.oldest_start >= Some(Duration::from_secs(2)));
+    world.run_until(25_000);
+    let lines = task_lines(&world, &["placer waits", "placer place"]);
+    let [_, waits, place] = lines.as_slice() else {
+        panic!("expected a wait and a second start, found {lines:#?}");
+    };
+    assert!(waits.3.starts_with("run 1 ended 2"), "{waits:?}");
+    assert!(waits.3.ends_with("not started: no_room"), "{waits:?}");
+    assert!(
+        place.3.contains(" after run 1 ended, mostly no_room"),
+        "{place:?}"
+    );
+    assert_eq!(world.task_waits().starts(StartWait::NoRoom), 0);
+    assert_kept(&world);
+}
+
+#[test]
+fn a_leader_that_is_not_sure_that_it_leads_tells_that_it_gives_nothing_up() {
+    let mut world = world(56);
+    let address = start_lasting(&mut world);
+    world.store_away_until = 30_000;
+    world.run_until(14_000);
+    assert_eq!(unheard(&world), []);
+    world.worker_cut_until.insert(address, 90_000);
+    world.run_until(28_000);
+    assert_eq!(unheard(&world), [(WaitReason::Unconfirmed, 1)]);
+    world.run_until(60_000);
+    let lines = task_lines(&world, &["runs unheard"]);
+    let unsure = |line: &&TaskLine| {
+        line.3
+            .contains(": unconfirmed, this leader has not been sure")
+    };
+    let line = lines.iter().find(unsure).expect("a line");
+    assert!(
+        line.3.contains("once this leader is sure again"),
+        "{line:?}"
+    );
+    let ends = task_lines(&world, &["runs end"]);
+    assert_eq!(ends.len(), 1, "{ends:#?}");
+    assert!(ends[0].0 >= 30_000, "{ends:?}");
+    assert_eq!(unheard(&world), []);
+    assert_kept(&world);
+}
--- a/crates/bankvalve_queue/src/core/entry_core.rs
+++ b/crates/bankvalve_queue/src/core/entry_core.rs
@@ -396,6 +396,7 @@
             jobs: self.book.len() as u64,
             waiting_tasks: lead.map_or(0, LeadState::waiting_tasks),
             live_runs: lead.map_or(0, LeadState::live_runs),
+            task_waits: self.task_waits(),
             table_version: self.table_version(),
             table_age: self.tables.confirmed.map(|at| self.age(at)),
             leader_age: match &self.leader {
--- a/crates/bankvalve_queue/src/core/holds.rs
+++ b/crates/bankvalve_queue/src/core/holds.rs
@@ -64,7 +64,7 @@
 /// Longest that a leader commands workers without being sure that it leads.
 pub(super) const UNCONFIRMED_LIMIT: Duration = Duration::from_secs(15);
 /// A clock of a worker may run 2% slow, and answers take their way.
-const SLOW_CLOCK_FACTOR: f64 = 1.03;
+pub(super) const SLOW_CLOCK_FACTOR: f64 = 1.03;
 /// Silence after which an unlisted worker without runs is forgotten.
 const FORGET_SEAT: Duration = Duration::from_secs(8);
 
@@ -83,6 +83,7 @@
 
     /// Looks at workers that are due, and gives up those whose holds are over.
     pub(super) fn run_holds(&mut self) {
+        self.watch_waits();
         if !self.may_command() {
             return;
         }
@@ -151,7 +152,7 @@
     }
 
     /// Silence for which a worker that is listed is waited for.
-    fn silence_patience(&self, lead: &LeadState) -> Duration {
+    pub(super) fn silence_patience(&self, lead: &LeadState) -> Duration {
         if !self.keeps(SiteGuard::LateDone) {
             return Duration::ZERO;
         }
--- a/crates/bankvalve_queue/src/core/lead.rs
+++ b/crates/bankvalve_queue/src/core/lead.rs
@@ -10,6 +10,7 @@
 use super::making_room::RoomClaim;
 use super::seat::LiveRun;
 use super::seat_map::SeatMap;
+use super::unheard::WaitSight;
 use super::waiting::WaitingStep;
 use super::EntryCore;
 use crate::caller::CallerRequest;
@@ -141,6 +142,8 @@
     /// Jobs that are over, of which it is not kept yet.
     pub(super) ending: BTreeSet<JobId>,
     pub(super) seats: SeatMap,
+    /// What is told of tasks that do not run though they did.
+    pub(super) wait_sight: WaitSight,
     pub(super) calls: BTreeMap<Ticket, OpenCall>,
     /// Time that the way to a carrier and back takes, as heartbeats and their echoes tell.
     pub(super) way_time: Duration,
@@ -219,6 +222,7 @@
             stops: BTreeMap::new(),
             ending: BTreeSet::new(),
             seats: SeatMap::default(),
+            wait_sight: WaitSight::default(),
             calls: BTreeMap::new(),
             way_time: Duration::ZERO,
             call_limits: BTreeSet::new(),
--- a/crates/bankvalve_queue/src/core/mod.rs
+++ b/crates/bankvalve_queue/src/core/mod.rs
@@ -5,7 +5,7 @@
 //! ledger, `callers` answers requests, `book_reads` from a follower's book, `holds`, `reports`,
 //! `orders` and `overdue` deal with workers, `advice` asks the policy service, `placing`
 //! decides which task runs where, and `making_room` what gives way to it. `sight`
-//! tells how the instance stands. `table_watch` and `table_pull` have the
+//! tells how the instance stands, `unheard` why tasks do not run that did. `table_watch` and `table_pull` have the
 //! operator's configuration, `queue_lookup` what is not in it.
 
 mod advice;
@@ -43,9 +43,11 @@
 mod suspects;
 mod table_pull;
 mod table_watch;
+mod unheard;
 mod waiting;
 mod withdraw;
 mod without_leader;
 mod yielding;
 
 pub use entry_core::{CoreAction, CoreEvent, EntryCore, EntrySettings};
+pub use unheard::{StartWait, TaskWaits, WaitReason};
--- a/crates/bankvalve_queue/src/core/placing.rs
+++ b/crates/bankvalve_queue/src/core/placing.rs
@@ -351,8 +351,9 @@
             }
             seat.add_run(task, live);
             let left = seat.entry.room.minus(&seat.used).millicores;
+            let waited = lead.wait_sight.start_text(&task, now);
             self.log_often("placer", "place", || {
-                let detail = format!("run {} on {worker}, room left {left}", step.run);
+                let detail = format!("run {} on {worker}, room left {left}{waited}", step.run);
                 (task.to_string(), detail)
             });
             let run = step.run;
--- a/crates/bankvalve_queue/src/core/reports.rs
+++ b/crates/bankvalve_queue/src/core/reports.rs
@@ -175,6 +175,12 @@
         saved: String,
         effect: Effect,
     ) {
+        if how != EndKind::Done {
+            let now = self.now;
+            if let Some(lead) = self.lead.as_deref_mut() {
+                lead.wait_sight.note_end(task, run, now);
+            }
+        }
         let event = LedgerEvent::Ended {
             task,
             run,
@@ -272,10 +278,12 @@
         saved: String,
         why: &str,
     ) {
+        let now = self.now;
         let Some(lead) = self.lead.as_deref_mut() else {
             return;
         };
         lead.stale = true;
+        let unheard = lead.wait_sight.take_unheard(&task, run, now);
         if let Some(seat) = lead.seats.get_mut(id) {
             if seat.runs.get(&task).is_some_and(|live| live.run == run) {
                 seat.remove_run(&task);
@@ -283,7 +291,7 @@
         }
         self.log_often("runs", "end", || {
             let how = how.as_str();
-            let detail = format!("run {run} on {id}: {how}, {why}");
+            let detail = format!("run {run} on {id}: {how}, {why}{unheard}");
             (task.to_string(), detail)
         });
         self.counters.count("ends", how.as_str());
--- a/crates/bankvalve_queue/src/core/seat.rs
+++ b/crates/bankvalve_queue/src/core/seat.rs
@@ -13,11 +13,11 @@
 /// Silence from which on it is asked whether a worker's hold is over.
 pub(super) const SILENT_LONG: Duration = Duration::from_millis(1_300);
 /// Time for the way of a look and a slow worker, beyond the wait that the look asks for.
-const ANSWER_SLACK: Duration = Duration::from_millis(400);
+pub(super) const ANSWER_SLACK: Duration = Duration::from_millis(400);
 /// How much slower than ours a worker's clock may run, in percent.
-const SLOW_CLOCK_PERCENT: u32 = 2;
+pub(super) const SLOW_CLOCK_PERCENT: u32 = 2;
 /// Added to every bound on a worker's clock.
-const CLOCK_SLACK: Duration = Duration::from_millis(60);
+pub(super) const CLOCK_SLACK: Duration = Duration::from_millis(60);
 /// Failures in a row, of different jobs, after which a worker rests.
 const FAILURES_TO_REST: u32 = 3;
 /// First rest of a worker that fails what it starts; it doubles each time.
--- /dev/null
+++ b/crates/bankvalve_queue/src/core/unheard.rs
@@ -0,0 +1,705 @@
+//! Why a task does not run now: its last run is still believed on a worker that is not heard, or it
+//! has ended and the task waits to start.
+//!
+//! Nothing is decided here. [`EntryCore::watch_waits`] looks some ten times a second at what `holds`
+//! and `placing` decide by, logs when a task begins and ceases to wait and for which reason, and
+//! counts such tasks for the metrics. How long a worker that is not heard may still run what it had
+//! is told by `belief_of`, which must say the same as `holds` does.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use super::holds::{SLOW_CLOCK_FACTOR, UNCONFIRMED_LIMIT};
+use super::lead::LeadState;
+use super::seat::{RunPhase, Seat, ANSWER_SLACK, CLOCK_SLACK, SILENT_LONG, SLOW_CLOCK_PERCENT};
+use super::EntryCore;
+use crate::ids::{CoreTime, RunId, StepKey, TaskKey, WorkerId};
+use crate::job::TaskSize;
+use crate::ledger::{JobOutcome, JobRecord, TaskPhase};
+
+/// Time between two looks at what tasks wait for: a tenth of the shortest wait that is told.
+const LOOK_PACE: Duration = Duration::from_millis(100);
+/// Added to it for each task that waits, so that thousands of them take a hundredth of a core at
+/// most: some forty times what one costs.
+const LOOK_EACH: Duration = Duration::from_micros(20);
+/// Time within which a worker answers a new leader as a rule: a first look is waited for some 0.6 s,
+/// asked again 0.25 s later.
+const FIRST_ANSWER: Duration = Duration::from_millis(1_500);
+/// Added by `holds` to the end of a former leader's hold, for the way of its last call.
+const FORMER_SLACK: Duration = Duration::from_millis(200);
+/// Wait for a start after a run's end that is told: some five times what an end, a placement and a
+/// start take on a calm day.
+const START_WAIT: Duration = Duration::from_secs(2);
+
+/// Why a task waits whose last run is believed on a worker that is not heard.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum WaitReason {
+    /// This leader asked the worker to hold what it runs until a time that may not have come there.
+    OwnHold,
+    /// The leader before may have asked so; when it stopped is known.
+    FormerHoldKnown,
+    /// The same of a leader of whose end nothing was heard: the latest one that could be is assumed.
+    FormerHoldAssumed,
+    /// The hold is over, and the worker's entry still stands in the table.
+    EntryListed,
+    /// This leader is not sure that it leads, and gives nothing up.
+    Unconfirmed,
+}
+
+impl WaitReason {
+    /// All reasons.
+    pub const ALL: [WaitReason; 5] = [
+        WaitReason::OwnHold,
+        WaitReason::FormerHoldKnown,
+        WaitReason::FormerHoldAssumed,
+        WaitReason::EntryListed,
+        WaitReason::Unconfirmed,
+    ];
+
+    /// Word for logs.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            WaitReason::OwnHold => "own_hold",
+            WaitReason::FormerHoldKnown => "former_hold_known",
+            WaitReason::FormerHoldAssumed => "former_hold_assumed",
+            WaitReason::EntryListed => "entry_listed",
+            WaitReason::Unconfirmed => "unconfirmed",
+        }
+    }
+
+    /// Name of the count of such tasks in the metrics.
+    pub fn quantity(self) -> &'static str {
+        match self {
+            WaitReason::OwnHold => "unheard_own_hold",
+            WaitReason::FormerHoldKnown => "unheard_former_hold_known",
+            WaitReason::FormerHoldAssumed => "unheard_former_hold_assumed",
+            WaitReason::EntryListed => "unheard_entry_listed",
+            WaitReason::Unconfirmed => "unheard_unconfirmed",
+        }
+    }
+}
+
+/// Why a task whose run has ended has not started again.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum StartWait {
+    /// The table turns writes away or does not answer, so that no start could be kept.
+    TableAway,
+    /// This leader is not sure that it leads, or has not read the workers' entries yet.
+    Unconfirmed,
+    /// Others of its gang, or steps before it, are not over yet.
+    Others,
+    /// Workers ended under it, and it waits for its turn to run alone, or for a worker to itself.
+    Suspect,
+    /// No permit for any worker is at hand.
+    Permits,
+    /// Room is being made for it.
+    RoomMade,
+    /// No worker has the room.
+    NoRoom,
+    /// None of these: it waits behind others, or for workers that may run it.
+    Placing,
+}
+
+impl StartWait {
+    /// All reasons.
+    pub const ALL: [StartWait; 8] = [
+        StartWait::TableAway,
+        StartWait::Unconfirmed,
+        StartWait::Others,
+        StartWait::Suspect,
+        StartWait::Permits,
+        StartWait::RoomMade,
+        StartWait::NoRoom,
+        StartWait::Placing,
+    ];
+
+    /// Word for logs.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            StartWait::TableAway => "table_away",
+            StartWait::Unconfirmed => "unconfirmed",
+            StartWait::Others => "others",
+            StartWait::Suspect => "suspect",
+            StartWait::Permits => "permits",
+            StartWait::RoomMade => "room_made",
+            StartWait::NoRoom => "no_room",
+            StartWait::Placing => "placing",
+        }
+    }
+
+    /// Name of the count of such tasks in the metrics.
+    pub fn quantity(self) -> &'static str {
+        match self {
+            StartWait::TableAway => "restart_table_away",
+            StartWait::Unconfirmed => "restart_unconfirmed",
+            StartWait::Others => "restart_others",
+            StartWait::Suspect => "restart_suspect",
+            StartWait::Permits => "restart_permits",
+            StartWait::RoomMade => "restart_room_made",
+            StartWait::NoRoom => "restart_no_room",
+            StartWait::Placing => "restart_placing",
+        }
+    }
+}
+
+/// Tasks that do not run though they did, by reason, as the leader last looked.
+#[derive(Clone, Debug, Default)]
+pub struct TaskWaits {
+    unheard: [u64; WaitReason::ALL.len()],
+    starts: [u64; StartWait::ALL.len()],
+    /// Time since the worker was last heard of the task that waits longest for one that is not heard.
+    pub oldest_unheard: Option<Duration>,
+    /// Time since the run ended of the task that waits longest for its start.
+    pub oldest_start: Option<Duration>,
+}
+
+impl TaskWaits {
+    /// Tasks that wait for a worker that is not heard, for a reason.
+    pub fn unheard(&self, reason: WaitReason) -> u64 {
+        self.unheard[reason as usize]
+    }
+
+    /// Tasks whose run ended two seconds ago or more and that wait to start, for a reason.
+    pub fn starts(&self, reason: StartWait) -> u64 {
+        self.starts[reason as usize]
+    }
+
+    /// All counts, by the name that they have in the metrics.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// let waits = bankvalve_queue::TaskWaits::default();
+    /// assert!(waits.quantities().all(|(_, tasks)| tasks == 0));
+    /// ```
+    pub fn quantities(&self) -> impl Iterator<Item = (&'static str, u64)> + '_ {
+        let unheard = WaitReason::ALL
+            .iter()
+            .map(|reason| (reason.quantity(), self.unheard(*reason)));
+        let starts = StartWait::ALL
+            .iter()
+            .map(|reason| (reason.quantity(), self.starts(*reason)));
+        unheard.chain(starts)
+    }
+}
+
+/// A run that is believed on a worker that is not heard.
+#[derive(Clone, Debug)]
+struct UnheardRun {
+    worker: WorkerId,
+    run: RunId,
+    /// When the worker was last heard, or this leader began to look at it.
+    since: CoreTime,
+    reason: WaitReason,
+}
+
+/// A task whose run has ended.
+#[derive(Clone, Debug)]
+struct EndedRun {
+    run: RunId,
+    /// When it ended, or when this leader began if that was before.
+    since: CoreTime,
+    /// Why the task had not started when it was last looked at, once it has waited for long.
+    reason: Option<StartWait>,
+    /// How often each reason was found, in the order of [`StartWait::ALL`].
+    found: [u32; StartWait::ALL.len()],
+}
+
+impl EndedRun {
+    /// The reason that was found most often, once the task has waited for long.
+    fn most_found(&self) -> Option<StartWait> {
+        self.reason?;
+        let found = |reason: &StartWait| self.found[*reason as usize];
+        StartWait::ALL.into_iter().max_by_key(found)
+    }
+}
+
+/// What the leader tells of tasks that wait.
+#[derive(Debug, Default)]
+pub(super) struct WaitSight {
+    /// When this leader, which has its book, first looked.
+    first_look: Option<CoreTime>,
+    next_look: CoreTime,
+    unheard: BTreeMap<TaskKey, UnheardRun>,
+    ended: BTreeMap<TaskKey, EndedRun>,
+}
+
+/// By what a run on a worker that is not heard is still believed.
+struct Belief {
+    reason: WaitReason,
+    /// When it ends by itself at the latest; none if that is not known.
+    until: Option<CoreTime>,
+}
+
+impl WaitSight {
+    /// A run ended other than well.
+    pub(super) fn note_end(&mut self, task: TaskKey, run: RunId, now: CoreTime) {
+        let ended = EndedRun {
+            run,
+            since: now,
+            reason: None,
+            found: Default::default(),
+        };
+        self.ended.insert(task, ended);
+    }
+
+    /// For the line on a run's end: for how long its worker was not heard, and what was waited for
+    /// last; empty if it was heard.
+    pub(super) fn take_unheard(&mut self, task: &TaskKey, run: RunId, now: CoreTime) -> String {
+        let is_meant = |unheard: &UnheardRun| unheard.run == run;
+        if !self.unheard.get(task).is_some_and(is_meant) {
+            return String::new();
+        }
+        let unheard = self.unheard.remove(task);
+        unheard.map_or_else(String::new, |unheard| {
+            let waited = rounded(now.saturating_sub(unheard.since));
+            format!(
+                ", unheard for {waited:?}, at last by {}",
+                unheard.reason.as_str()
+            )
+        })
+    }
+
+    /// For the line on a start: for how long the task has waited for it since its last run ended.
+    pub(super) fn start_text(&self, task: &TaskKey, now: CoreTime) -> String {
+        let Some(ended) = self.ended.get(task) else {
+            return String::new();
+        };
+        let waited = rounded(now.saturating_sub(ended.since));
+        let run = ended.run;
+        match ended.most_found() {
+            Some(reason) => {
+                let reason = reason.as_str();
+                format!(", {waited:?} after run {run} ended, mostly {reason}")
+            }
+            None => format!(", {waited:?} after run {run} ended"),
+        }
+    }
+
+    /// The counts, and ages as of now.
+    fn waits(&self, now: CoreTime) -> TaskWaits {
+        let mut waits = TaskWaits::default();
+        for unheard in self.unheard.values() {
+            waits.unheard[unheard.reason as usize] += 1;
+            let age = now.saturating_sub(unheard.since);
+            waits.oldest_unheard = waits.oldest_unheard.max(Some(age));
+        }
+        for ended in self.ended.values() {
+            if let Some(reason) = ended.reason {
+                waits.starts[reason as usize] += 1;
+                let age = now.saturating_sub(ended.since);
+                waits.oldest_start = waits.oldest_start.max(Some(age));
+            }
+        }
+        waits
+    }
+}
+
+impl Seat {
+    /// When every hold that this leader prolonged is surely over; none if its clock is not known.
+    fn hold_over_at(&self) -> Option<CoreTime> {
+        let (at, reading) = self.clock?;
+        let left = Duration::from_millis(self.granted_until.saturating_sub(reading));
+        Some(at + CLOCK_SLACK + left * 100 / (100 - SLOW_CLOCK_PERCENT))
+    }
+
+    /// For the log: where a run is believed, and what is known of the worker.
+    fn unheard_text(&self, now: CoreTime, since: CoreTime) -> String {
+        let address = match self.entry.address.as_str() {
+            "" => "address not known",
+            address => address,
+        };
+        let entry = match (self.listed, self.unlisted_at) {
+            (true, _) => "entry listed".to_owned(),
+            (false, Some(at)) => {
+                let gone = rounded(now.saturating_sub(at));
+                format!("entry gone for {gone:?}")
+            }
+            (false, None) => "entry never seen by this leader".to_owned(),
+        };
+        let silent = rounded(now.saturating_sub(since));
+        let heard = if self.heard_at.is_some() {
+            "silent for"
+        } else {
+            "not heard since this leader began, for"
+        };
+        let port = if self.refused {
+            ", its port refuses"
+        } else {
+            ""
+        };
+        format!("{address}, {entry}, {heard} {silent:?}{port}")
+    }
+}
+
+impl EntryCore {
+    /// Tasks that do not run though they did, for the metrics.
+    pub(super) fn task_waits(&self) -> TaskWaits {
+        let lead = self.lead.as_deref();
+        lead.map_or_else(TaskWaits::default, |lead| lead.wait_sight.waits(self.now))
+    }
+
+    /// Looks at what tasks wait for, if that is due, and logs what has changed.
+    pub(super) fn watch_waits(&mut self) {
+        let now = self.now;
+        let Some(lead) = self.lead.as_deref_mut() else {
+            return;
+        };
+        let sight = &mut lead.wait_sight;
+        if now < sight.next_look {
+            return;
+        }
+        let waiting = sight.unheard.len() + sight.ended.len();
+        sight.next_look = now + LOOK_PACE + LOOK_EACH * waiting as u32;
+        if sight.first_look.is_none() {
+            sight.first_look = Some(now);
+            self.adopt_ended();
+        }
+        self.watch_unheard();
+        self.watch_ended();
+    }
+
+    /// Finds tasks whose runs ended under an earlier leader.
+    fn adopt_ended(&mut self) {
+        let now = self.now;
+        let Some(lead) = self.lead.as_deref_mut() else {
+            return;
+        };
+        let open = |job: &&JobRecord| job.outcome == JobOutcome::Open;
+        for job in self.book.jobs().filter(open) {
+            for (time, record) in &job.times {
+                for (number, step) in record.steps.iter().enumerate() {
+                    let key = StepKey {
+                        job: job.spec.id,
+                        time: *time,
+                        step: number as u16,
+                    };
+                    for (index, task) in step.tasks.iter().enumerate() {
+                        if task.phase == TaskPhase::Waiting && task.last_run > 0 {
+                            let task_key = key.task(index as u32);
+                            lead.wait_sight.note_end(task_key, task.last_run, now);
+                        }
+                    }
+                }
+            }
+        }
+    }
+
+    fn watch_unheard(&mut self) {
+        let now = self.now;
+        let Some(lead) = self.lead.as_deref() else {
+            return;
+        };
+        let found = self.find_unheard(lead);
+        let Some(lead) = self.lead.as_deref_mut() else {
+            return;
+        };
+        let before = std::mem::take(&mut lead.wait_sight.unheard);
+        let mut began = Vec::new();
+        for (task, (unheard, until)) in &found {
+            let known = before.get(task).filter(|old| old.run == unheard.run);
+            if known.is_none_or(|old| old.reason != unheard.reason) {
+                began.push((*task, unheard.clone(), *until));
+            }
+        }
+        let is_over = |(task, old): &(TaskKey, UnheardRun)| {
+            let still = found.get(task);
+            still.is_none_or(|(unheard, _)| unheard.run != old.run)
+        };
+        let over: Vec<(TaskKey, UnheardRun)> = before.into_iter().filter(is_over).collect();
+        lead.wait_sight.unheard = found
+            .into_iter()
+            .map(|(task, (unheard, _))| (task, unheard))
+            .collect();
+        for (task, unheard, until) in began {
+            if self.log_budget.may_log(now, "runs", "unheard") {
+                let detail = self.unheard_text(&unheard, until);
+                self.log("runs", "unheard", task.to_string(), detail);
+            }
+        }
+        for (task, unheard) in over {
+            self.tell_heard(task, &unheard);
+        }
+    }
+
+    /// Tasks that wait for workers that are not heard, and when that ends by itself at the latest.
+    fn find_unheard(&self, lead: &LeadState) -> BTreeMap<TaskKey, (UnheardRun, Option<CoreTime>)> {
+        let now = self.now;
+        let mut found = BTreeMap::new();
+        let mut patience = None;
+        for (id, seat) in lead.seats.iter() {
+            let Some(since) = self.unheard_since(lead, seat) else {
+                continue;
+            };
+            let patience = *patience.get_or_insert_with(|| self.silence_patience(lead));
+            let belief = self.belief_of(lead, seat, patience);
+            for (task, live) in &seat.runs {
+                let waits = live.phase != RunPhase::Proposed && self.awaits_end(*task, live.run);
+                if !waits {
+                    continue;
+                }
+                // What was waited for last is told at the run's end, which comes at once then.
+                let before = lead.wait_sight.unheard.get(task);
+                let over = belief.until.is_some_and(|until| until <= now);
+                let ends = over && belief.reason != WaitReason::Unconfirmed;
+                let reason = match before {
+                    Some(before) if ends => before.reason,
+                    _ => belief.reason,
+                };
+                let unheard = UnheardRun {
+                    worker: id.clone(),
+                    run: live.run,
+                    since,
+                    reason,
+                };
+                found.insert(*task, (unheard, belief.until));
+            }
+        }
+        found
+    }
+
+    /// Since when a worker with runs is not heard; none if it is.
+    fn unheard_since(&self, lead: &LeadState, seat: &Seat) -> Option<CoreTime> {
+        if seat.runs.is_empty() {
+            return None;
+        }
+        let began = lead.wait_sight.first_look.unwrap_or(self.now);
+        let (since, usual) = match seat.heard_at {
+            Some(at) => (at, SILENT_LONG.max(seat.look_wait + ANSWER_SLACK)),
+            None => (began.max(seat.known_at), FIRST_ANSWER),
+        };
+        // A worker's word may wait behind the event that is being taken.
+        let seen = self.now.saturating_sub(self.lag);
+        (seen.saturating_sub(since) >= usual).then_some(since)
+    }
+
+    /// Tells whether a task of an open job waits for the end of a run.
+    fn awaits_end(&self, task: TaskKey, run: RunId) -> bool {
+        let job = self.book.job(task.step.job);
+        job.is_some_and(|job| {
+            let placed = job.task(task).is_some_and(
+                |record| matches!(record.phase, TaskPhase::Placed { run: now, .. } if now == run),
+            );
+            placed && job.outcome == JobOutcome::Open
+        })
+    }
+
+    /// By what a run on a worker that is not heard is believed, and until when at the latest.
+    fn belief_of(&self, lead: &LeadState, seat: &Seat, patience: Duration) -> Belief {
+        let now = self.now;
+        let (hold, over_at) = if seat.proved {
+            (WaitReason::OwnHold, seat.hold_over_at())
+        } else {
+            let (stopped, known) = self.former_stop(lead);
+            let reason = if known {
+                WaitReason::FormerHoldKnown
+            } else {
+                WaitReason::FormerHoldAssumed
+            };
+            let longest = self.settings.hold_limit.mul_f64(SLOW_CLOCK_FACTOR);
+            (reason, Some(stopped + longest + FORMER_SLACK))
+        };
+        let patient_until = seat
+            .heard_at
+            .filter(|_| seat.listed)
+            .map(|at| at + patience);
+        let until = over_at.map(|at| patient_until.map_or(at, |patient| at.max(patient)));
+        let over = over_at.is_some_and(|at| now > at);
+        let reason = if !self.may_command() {
+            WaitReason::Unconfirmed
+        } else if over && patient_until.is_some() {
+            WaitReason::EntryListed
+        } else {
+            hold
+        };
+        Belief { reason, until }
+    }
+
+    /// When the leader before has stopped at the latest, and whether that is known.
+    fn former_stop(&self, lead: &LeadState) -> (CoreTime, bool) {
+        let known = self
+            .predecessor_over
+            .filter(|(epoch, _)| *epoch == lead.epoch);
+        match known {
+            Some((_, at)) => (at, true),
+            None => (lead.began_at + UNCONFIRMED_LIMIT, false),
+        }
+    }
+
+    /// For the log: where a run is believed, by what, and what would end that.
+    fn unheard_text(&self, unheard: &UnheardRun, until: Option<CoreTime>) -> String {
+        let now = self.now;
+        let (run, worker) = (unheard.run, &unheard.worker);
+        let lead = self.lead.as_deref();
+        let Some((lead, seat)) = lead.and_then(|lead| Some((lead, lead.seats.get(worker)?))) else {
+            return format!("run {run} on {worker}");
+        };
+        let place = seat.unheard_text(now, unheard.since);
+        let reason = unheard.reason.as_str();
+        let why = self.reason_text(lead, seat, unheard.reason);
+        let unsure = unheard.reason == WaitReason::Unconfirmed;
+        let end = match until.map(|until| rounded(until.saturating_sub(now))) {
+            Some(left) if unsure => {
+                format!("once this leader is sure again, by itself in at most {left:?} from now")
+            }
+            Some(left) => format!("by itself in at most {left:?}"),
+            None => "not by itself, since its clock is not known".to_owned(),
+        };
+        let asked = if seat.entry.address.is_empty() {
+            "it cannot be asked; ends "
+        } else {
+            "ends with its answer, another life at its address, or "
+        };
+        format!("run {run} on {worker}, {place}: {reason}, {why}; {asked}{end}")
+    }
+
+    fn reason_text(&self, lead: &LeadState, seat: &Seat, reason: WaitReason) -> String {
+        let now = self.now;
+        match reason {
+            WaitReason::OwnHold => {
+                let reading = seat.clock.map_or(0, |(_, reading)| reading);
+                let asked = Duration::from_millis(seat.granted_until.saturating_sub(reading));
+                format!("asked until {asked:?} after its last answer by its clock")
+            }
+            WaitReason::FormerHoldKnown => {
+                let (stopped, _) = self.former_stop(lead);
+                let ago = rounded(now.saturating_sub(stopped));
+                let longest = self.settings.hold_limit;
+                format!(
+                    "the leader before stopped {ago:?} ago, known, and may have asked for \
+                     {longest:?}"
+                )
+            }
+            WaitReason::FormerHoldAssumed => {
+                let (stopped, _) = self.former_stop(lead);
+                let left = rounded(stopped.saturating_sub(now));
+                let longest = self.settings.hold_limit;
+                format!(
+                    "the leader before is not heard, is assumed to stop in {left:?}, and may ask \
+                     for {longest:?}"
+                )
+            }
+            WaitReason::EntryListed => "its hold is over, its entry still stands".to_owned(),
+            WaitReason::Unconfirmed => {
+                let unsure = rounded(self.age(lead.confirmed_at));
+                format!(
+                    "this leader has not been sure that it leads for {unsure:?} and neither looks \
+                     at workers nor gives any up"
+                )
+            }
+        }
+    }
+
+    /// Logs that a task does not wait any more for a worker that was not heard; the line on its run's
+    /// end tells so where there is one.
+    fn tell_heard(&mut self, task: TaskKey, unheard: &UnheardRun) {
+        let now = self.now;
+        let (run, worker) = (unheard.run, &unheard.worker);
+        let lead = self.lead.as_deref();
+        let seat = lead.and_then(|lead| lead.seats.get(worker));
+        let heard = seat.is_some_and(|seat| seat.heard_at.is_some_and(|at| at > unheard.since));
+        let end = if heard {
+            "its worker answers"
+        } else {
+            "the run is not waited for any more"
+        };
+        let waited = rounded(now.saturating_sub(unheard.since));
+        let reason = unheard.reason.as_str();
+        self.log_often("runs", "heard", || {
+            let detail = format!(
+                "run {run} on {worker}: {end}, unheard for {waited:?}, at last by {reason}"
+            );
+            (task.to_string(), detail)
+        });
+    }
+
+    /// Tells of tasks that have waited for long since their run ended, and forgets those that wait no
+    /// more.
+    fn watch_ended(&mut self) {
+        let now = self.now;
+        let Some(lead) = self.lead.as_deref_mut() else {
+            return;
+        };
+        let mut ended = std::mem::take(&mut lead.wait_sight.ended);
+        ended.retain(|task, ended| self.still_waits(*task, ended.run));
+        let mut most = None;
+        let mut told = Vec::new();
+        for (task, ended) in &mut ended {
+            if now.saturating_sub(ended.since) < START_WAIT {
+                continue;
+            }
+            let reason = self.start_wait(*task, &mut most);
+            if ended.reason.is_none() {
+                told.push((*task, ended.run, ended.since, reason));
+            }
+            ended.reason = Some(reason);
+            ended.found[reason as usize] += 1;
+        }
+        if let Some(lead) = self.lead.as_deref_mut() {
+            lead.wait_sight.ended = ended;
+        }
+        for (task, run, since, reason) in told {
+            self.log_often("placer", "waits", || {
+                let waited = rounded(now.saturating_sub(since));
+                let reason = reason.as_str();
+                let detail = format!("run {run} ended {waited:?} ago, not started: {reason}");
+                (task.to_string(), detail)
+            });
+        }
+    }
+
+    /// Tells whether a task has not been placed since a run ended.
+    fn still_waits(&self, task: TaskKey, run: RunId) -> bool {
+        let job = self.book.job(task.step.job);
+        let open = job.filter(|job| job.outcome == JobOutcome::Open);
+        open.and_then(|job| job.task(task))
+            .is_some_and(|record| match &record.phase {
+                TaskPhase::Waiting => true,
+                TaskPhase::Placed { run: now, .. } => *now == run,
+                TaskPhase::Done => false,
+            })
+    }
+
+    /// Why a task has not started, as far as that is told cheaply; `most` keeps the most room that is
+    /// free on whichever workers.
+    fn start_wait(&self, task: TaskKey, most: &mut Option<TaskSize>) -> StartWait {
+        let now = self.now;
+        let (Some(lead), Some(job)) = (self.lead.as_deref(), self.book.job(task.step.job)) else {
+            return StartWait::Placing;
+        };
+        let step = task.step;
+        if self.store_is_away() {
+            return StartWait::TableAway;
+        }
+        if !self.may_command() || !lead.workers_known {
+            return StartWait::Unconfirmed;
+        }
+        if !lead.waiting.contains_key(&step) {
+            return StartWait::Others;
+        }
+        if job.task(task).is_some_and(|record| record.is_suspect()) {
+            return StartWait::Suspect;
+        }
+        if lead.room_claims.contains_key(&step) {
+            return StartWait::RoomMade;
+        }
+        let most = *most.get_or_insert_with(|| lead.most_room());
+        let spec = job.spec.steps.get(usize::from(step.step));
+        if spec.is_some_and(|spec| !spec.room().fits(&most)) {
+            return StartWait::NoRoom;
+        }
+        let permitted = |step| {
+            let advice = lead.advice.get(step);
+            advice.is_some_and(|advice| advice.permitted(now).next().is_some())
+        };
+        if job.terms.advice.is_some() && !permitted(&step) {
+            return StartWait::Permits;
+        }
+        StartWait::Placing
+    }
+}
+
+/// A duration in whole milliseconds, for the log.
+fn rounded(time: Duration) -> Duration {
+    Duration::from_millis(time.as_millis() as u64)
+}
--- a/crates/bankvalve_queue/src/decision.rs
+++ b/crates/bankvalve_queue/src/decision.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use crate::caller::RefusalReason;
+use crate::core::TaskWaits;
 
 /// One decision, to be logged.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -76,6 +77,8 @@
     pub waiting_tasks: u64,
     /// Runs on workers.
     pub live_runs: u64,
+    /// Tasks that do not run though they did, as its leader sees them; none on others.
+    pub task_waits: TaskWaits,
     /// Version of the configuration in force; 0 before the first.
     pub table_version: u64,
     /// Time since the table last told whether there is a newer one; none if it never did.
--- a/crates/bankvalve_queue/src/lib.rs
+++ b/crates/bankvalve_queue/src/lib.rs
@@ -23,7 +23,7 @@
 mod worker;
 
 pub use caller::{CallerAnswer, CallerRequest, JobState, RefusalReason, ResolvedRequest};
-pub use core::{CoreAction, CoreEvent, EntryCore, EntrySettings};
+pub use core::{CoreAction, CoreEvent, EntryCore, EntrySettings, StartWait, TaskWaits, WaitReason};
 pub use decision::{DecisionLine, EntryCounters, EntryView};
 pub use guard::SiteGuard;
 pub use ids::{CoreTime, FenceToken, JobId, RunId, StepKey, TaskKey, Ticket, WallMillis, WorkerId};
