--- a/crates/bankvalve_check/tests/site/main.rs
+++ b/crates/bankvalve_check/tests/site/main.rs
@@ -10,6 +10,7 @@
 mod overload;
 mod random;
 mod recover;
+mod sight;
 mod table;
 mod wide_gangs;
 mod workers;
