fix(queue): a successor reckons with the holds that were asked for, and with what its predecessor knew

Cause: what a leader knows of a silent worker died with it.

Change: three promises that each leader keeps, and its successor rests on. - A hold ends five seconds after the last moment at which the table is known to have had the leader's row, or a leader that is not sure goes beyond that only while each peer that was in touch lately still hears it, by what they echo. An instance that was in touch knows from the leader's last heartbeat when it has stopped, dead, frozen or cut. - The ledger tells of workers with runs that are silent for 1.7 s that their holds are prolonged no more, and when they are over; no leader prolongs one before the ledger has that it does again. Leaders before the last are remembered as well. A hold is prolonged up to 1.6 s after a worker was heard, in place of 2.2 s. A run of a worker that a new leader never heard is waited for by its entry from the leader's own begin.

Ruled out as proof of a worker's end: a refused port with the entry gone, since a cut may answer so.

--- a/crates/bankvalve_queue/src/core/choosing.rs
+++ b/crates/bankvalve_queue/src/core/choosing.rs
@@ -6,7 +6,7 @@
 use super::advice::{StepAdvice, ASK_LIMIT};
 use super::lead::LeadState;
 use super::placing::{Choice, PlacedStep};
-use super::seat::{RunLoad, Seat};
+use super::seat::{HoldStop, RunLoad, Seat};
 use crate::ids::{CoreTime, StepKey, WorkerId};
 use crate::job::TaskSize;
 
@@ -26,6 +26,7 @@
     let usable = seat.proved
         && seat.listed
         && seat.usable
+        && seat.hold_stop == HoldStop::None
         && !seat.entry.leaving
         && now >= seat.resting_until;
     if !usable || !step.room.fits(&seat.entry.room) || !seat.is_lively(now) {
--- a/crates/bankvalve_queue/src/core/commit.rs
+++ b/crates/bankvalve_queue/src/core/commit.rs
@@ -54,6 +54,8 @@
     ForgetEnd(WorkerId, u64),
     /// A job is over.
     Over(JobId),
+    /// A worker's hold may be prolonged again.
+    ProlongHold(WorkerId),
 }
 
 /// An event that is to be kept; without one, the effect waits for those before it.
@@ -91,19 +93,21 @@
     /// Applies an event at once and has it kept; the effect follows when it is.
     pub(super) fn propose(&mut self, event: LedgerEvent, effect: Effect) {
         let job = event.job();
-        let was_open = self.is_open(job);
-        self.book.apply(&event);
-        let over = was_open && !self.is_open(job);
+        let was_open = job.is_some_and(|job| self.is_open(job));
+        self.apply_event(&event);
+        let over = job.filter(|job| was_open && !self.is_open(*job));
         let Some(lead) = self.lead.as_deref_mut() else {
             return;
         };
-        *lead.uncommitted.entry(job).or_default() += 1;
-        lead.touched.insert(job);
+        if let Some(job) = job {
+            *lead.uncommitted.entry(job).or_default() += 1;
+            lead.touched.insert(job);
+        }
         lead.pending.push_back(Proposal {
             event: Some(event),
             effect,
         });
-        if over {
+        if let Some(job) = over {
             lead.ending.insert(job);
             self.follow_up(Effect::Over(job));
         }
@@ -318,7 +322,7 @@
         lead.note_store_answer();
         lead.away_since = None;
         self.applied = lead.sequence;
-        for job in flight.events.iter().map(LedgerEvent::job) {
+        for job in flight.events.iter().filter_map(LedgerEvent::job) {
             if let Some(count) = lead.uncommitted.get_mut(&job) {
                 *count -= 1;
                 if *count == 0 {
@@ -373,6 +377,7 @@
                 Effect::Answer(origin, answer) => self.answer(origin, answer),
                 Effect::Order(task, run) => self.begin_order(task, run),
                 Effect::Over(job) => self.note_over(job),
+                Effect::ProlongHold(worker) => self.prolong_again(&worker),
                 Effect::ForgetEnd(worker, number) => {
                     if let Some(lead) = self.lead.as_deref_mut() {
                         if let Some(seat) = lead.seats.get_mut(&worker) {
@@ -444,7 +449,7 @@
     while let Some(proposal) = pending.front() {
         bytes += proposal.event.as_ref().map_or(0, rough_bytes);
         let full = bytes > row_bytes && !batch.events.is_empty();
-        if batch.events.len() >= BATCH_EVENTS || full {
+        if batch.events.len() >= BATCH_EVENTS || full || is_of_another_kind(&batch, proposal) {
             break;
         }
         let proposal = pending.pop_front().expect("it was just seen");
@@ -454,6 +459,14 @@
     batch
 }
 
+/// Tells whether an event is about a worker and those of the batch about jobs, or the other way round:
+/// a batch that an instance cannot read, since it is of an older version, must not hold events of
+/// jobs that it can.
+fn is_of_another_kind(batch: &LedgerBatch, next: &Proposal) -> bool {
+    let first = batch.events.first().zip(next.event.as_ref());
+    first.is_some_and(|(first, next)| first.job().is_some() != next.job().is_some())
+}
+
 /// Tells whether the rows of a conflict show that an earlier copy of the write was done.
 fn own_batch_stands(rows: &[StoredRow], flight: &CommitFlight, row_version: u64) -> bool {
     let key = batch_row(flight.sequence);
--- a/crates/bankvalve_queue/src/core/election.rs
+++ b/crates/bankvalve_queue/src/core/election.rs
@@ -47,12 +47,31 @@
     pub(super) heard_at: CoreTime,
     /// Whether its process is surely gone: its port refused, or another life answers there.
     pub(super) gone: bool,
+    /// Whether another life has answered there since.
+    pub(super) ended: bool,
     /// Whether it said last that it takes no requests up yet.
     pub(super) loading: bool,
     /// Share of new jobs that it does not take on, in percent.
     pub(super) refuse_percent: u32,
 }
 
+impl LeaderView {
+    /// A leader of which nothing else is known yet.
+    fn new(address: PeerAddress, life: u64, epoch: u64, heard_at: CoreTime) -> Self {
+        Self {
+            address,
+            life,
+            epoch,
+            row_version: 0,
+            heard_at,
+            gone: false,
+            ended: false,
+            loading: false,
+            refuse_percent: 0,
+        }
+    }
+}
+
 /// A peer, as far as is known.
 #[derive(Clone, Debug, Default)]
 pub(super) struct PeerView {
@@ -71,6 +90,7 @@
 pub(super) struct ClaimState {
     pub(super) epoch: u64,
     pub(super) busy: bool,
+    pub(super) sent_at: CoreTime,
     pub(super) next_at: CoreTime,
     /// Batches of the own book, if the claim stands only where the ledger has no more.
     complete: Option<u64>,
@@ -164,15 +184,11 @@
         }
         let gone = row.address == self.settings.address;
         let grace = if gone { Duration::ZERO } else { ROW_GRACE };
+        let heard_at = self.now.saturating_sub(SUSPECT_AFTER - grace);
         self.follow(LeaderView {
-            address: row.address,
-            life: row.life,
-            epoch: row.epoch,
             row_version: version,
-            heard_at: self.now.saturating_sub(SUSPECT_AFTER - grace),
             gone,
-            loading: false,
-            refuse_percent: 0,
+            ..LeaderView::new(row.address, row.life, row.epoch, heard_at)
         });
     }
 
@@ -182,6 +198,11 @@
         self.log("election", "follow", id, format!("epoch {}", leader.epoch));
         self.highest_epoch = self.highest_epoch.max(leader.epoch);
         self.suspect_since = None;
+        if let Some(old) = self.leader.take() {
+            if old.epoch < leader.epoch {
+                self.note_former_leader(&old);
+            }
+        }
         let own = leader.address == self.settings.address;
         if !own {
             let now = self.now;
@@ -204,11 +225,15 @@
         self.counters.count("elections", "deposed");
         let id = format!("epoch {}", lead.epoch);
         self.log("election", "deposed", id, why.to_owned());
+        let (address, life) = (self.settings.address, self.settings.life);
+        let ended = LeaderView::new(address, life, lead.epoch, self.now);
+        self.note_ended_leader(&ended);
         self.worker_watch.after = None;
         // What was not kept must go from the book, so it is read anew; before the whole ledger was
         // read, nothing was added to it.
         if lead.loaded {
             self.book = Default::default();
+            self.stopped_holds.clear();
             self.applied = 0;
         }
         self.catch_up_at = Some(self.now + Duration::from_millis(300));
@@ -240,21 +265,6 @@
         }
     }
 
-    /// A former leader that says it does not lead has stopped commanding.
-    pub(super) fn predecessor_over_candidate(
-        &self,
-        from: PeerAddress,
-        news: &HeartbeatNews,
-    ) -> Option<(u64, CoreTime)> {
-        let lead = self.lead.as_ref()?;
-        let (address, life) = lead.predecessor?;
-        let over = from == address && (news.life != life || news.epoch >= lead.epoch);
-        let unknown = self
-            .predecessor_over
-            .is_none_or(|(epoch, _)| epoch != lead.epoch);
-        (over && unknown).then_some((lead.epoch, self.now))
-    }
-
     pub(super) fn hear_leader(&mut self, from: PeerAddress, news: &HeartbeatNews) {
         let known = self.leader.as_ref().map_or(0, |leader| leader.epoch);
         if news.epoch < self.highest_epoch {
@@ -262,14 +272,9 @@
         }
         if news.epoch > known {
             self.follow(LeaderView {
-                address: from,
-                life: news.life,
-                epoch: news.epoch,
-                row_version: 0,
-                heard_at: self.now,
-                gone: false,
                 loading: news.loading,
                 refuse_percent: news.refuse_percent,
+                ..LeaderView::new(from, news.life, news.epoch, self.now)
             });
             return;
         }
@@ -374,6 +379,7 @@
         self.claim = Some(ClaimState {
             epoch,
             busy: true,
+            sent_at: self.now,
             next_at: self.now + CLAIM_PAUSE,
             complete,
         });
@@ -457,35 +463,39 @@
     }
 
     fn begin_lead(&mut self, epoch: u64, row_version: u64) {
-        let predecessor = self.leader.as_ref().map(|old| (old.address, old.life));
+        let predecessor = self.leader.take();
         let asked = self.asked_to_lead.take().is_some() && self.asked_over;
         let complete = self.claim.as_ref().and_then(|claim| claim.complete);
         let complete = complete.is_some_and(|applied| applied == self.applied);
+        let claimed_at = self.claim.as_ref().map_or(self.now, |claim| claim.sent_at);
         self.claim = None;
         self.suspect_since = None;
         self.highest_epoch = self.highest_epoch.max(epoch);
         self.counters.count("elections", "won");
-        let detail = format!("row version {row_version}, predecessor {predecessor:?}");
-        self.log("election", "lead", format!("epoch {epoch}"), detail);
-        let predecessor = predecessor.filter(|(address, _)| *address != self.settings.address);
-        if asked || predecessor.is_none() {
-            self.predecessor_over = Some((epoch, self.now));
+        match &predecessor {
+            Some(old) if asked => self.note_ended_leader(old),
+            Some(old) => self.note_former_leader(old),
+            None => {}
         }
-        let mut lead = LeadState::new(epoch, row_version, predecessor, self.now);
+        let before = predecessor.map(|old| (old.address, old.life));
+        let detail =
+            format!(
+            "row version {row_version}, predecessor {before:?}, its holds over in {:?} at most, {}",
+            self.former_leaders.holds_over_at().saturating_sub(self.now),
+            if self.former_leaders.are_known() { "known" } else { "assumed" }
+        );
+        self.log("election", "lead", format!("epoch {epoch}"), detail);
+        let mut lead = LeadState::new(epoch, row_version, self.now);
+        lead.confirmed_at = claimed_at;
         lead.guess_error = self.measures.1.clone();
         // The first heartbeat tells it.
         lead.loaded = complete;
         self.lead = Some(Box::new(lead));
         self.worker_watch = Default::default();
+        let (address, life) = (self.settings.address, self.settings.life);
         self.leader = Some(LeaderView {
-            address: self.settings.address,
-            life: self.settings.life,
-            epoch,
             row_version,
-            heard_at: self.now,
-            gone: false,
-            loading: false,
-            refuse_percent: 0,
+            ..LeaderView::new(address, life, epoch, self.now)
         });
         self.next_heartbeat = self.now;
         self.next_slow_heartbeat = self.now;
--- a/crates/bankvalve_queue/src/core/entry_core.rs
+++ b/crates/bankvalve_queue/src/core/entry_core.rs
@@ -7,12 +7,14 @@
 use super::callers::OpenAsk;
 use super::carriers::CarriedFor;
 use super::election::{LeaderView, PeerView};
+use super::former_leaders::FormerLeaders;
 use super::lead::LeadState;
 use super::ledger_page::LedgerPage;
 use super::load_limit::ShareGate;
 use super::log_budget::LogBudget;
 use super::questions::{OpenQuestion, StorePatience};
 use super::sight::UnreadyReason;
+use super::stopped_holds::StoppedHolds;
 use super::store_link::WatchState;
 use super::table_watch::{TableSource, TableWatch};
 use super::without_leader::LeaderGap;
@@ -241,7 +243,8 @@
     pub(super) asked_to_lead: Option<u64>,
     /// Whether the leader that asked had stopped commanding.
     pub(super) asked_over: bool,
-    pub(super) predecessor_over: Option<(u64, CoreTime)>,
+    pub(super) former_leaders: FormerLeaders,
+    pub(super) stopped_holds: StoppedHolds,
     pub(super) next_heartbeat: CoreTime,
     pub(super) next_far_heartbeat: CoreTime,
     pub(super) next_slow_heartbeat: CoreTime,
@@ -312,7 +315,8 @@
             suspect_since: None,
             asked_to_lead: None,
             asked_over: false,
-            predecessor_over: None,
+            former_leaders: FormerLeaders::default(),
+            stopped_holds: StoppedHolds::default(),
             next_heartbeat: Duration::ZERO,
             next_far_heartbeat: Duration::ZERO,
             next_slow_heartbeat: Duration::ZERO,
--- a/crates/bankvalve_queue/src/core/following.rs
+++ b/crates/bankvalve_queue/src/core/following.rs
@@ -143,7 +143,7 @@
         match LedgerBatch::decode(batch) {
             Ok(batch) => {
                 for event in &batch.events {
-                    self.book.apply(event);
+                    self.apply_event(event);
                 }
             }
             Err(error) => {
--- /dev/null
+++ b/crates/bankvalve_queue/src/core/former_leaders.rs
@@ -0,0 +1,195 @@
+//! Leaders of before: until when they may have had workers hold what they run.
+//!
+//! A new leader gives up the runs of a worker that does not answer it once no hold can last any
+//! more. It was not there when the holds were asked for, so what it may assume rests on two promises
+//! that each leader keeps:
+//!
+//! - *Certain:* without more, a hold that it asks for ends [`HOLD`] after the last moment at which the
+//!   table is known to have had its row. Whoever claims the row has thereby outlived that moment.
+//! - *In touch:* it goes beyond that, for as long as the table is away for all, only while each peer
+//!   that it was in touch with lately still hears it. An instance that was in touch and hears the
+//!   leader no more knows that the leader has stopped going beyond, whether it is dead, frozen or cut
+//!   off.
+//!
+//! So a successor that was in touch waits for some 6.5 s from the leader's last heartbeat at most, in
+//! place of 25 s for a leader of which nothing is heard any more. One that was not in touch waits for
+//! the time for which a leader goes on without being sure that it leads.
+
+use std::time::Duration;
+
+use super::election::LeaderView;
+use super::holds::{HOLD, SLOW_CLOCK_FACTOR, UNCONFIRMED_LIMIT};
+use super::EntryCore;
+use crate::guard::SiteGuard;
+use crate::ids::CoreTime;
+use crate::peer::{HeartbeatNews, PeerAddress};
+
+/// A peer that has heard what was sent so lately is in touch: three heartbeats of a far member, each
+/// way, and a slow turn.
+const IN_TOUCH: Duration = Duration::from_millis(1_300);
+/// Time before the last certain moment in which a peer was in touch that must be so still: such a
+/// peer may rely on it.
+const TOUCH_MEMORY: Duration = Duration::from_secs(10);
+/// A successor that was in touch with a leader this lately relies on it: half of the time above, so
+/// that the two need not agree on the moment.
+const TOUCH_RELIED_ON: Duration = Duration::from_secs(5);
+/// A leader that was certain so lately asks for holds from that moment on: under load each write makes
+/// it certain, some forty times a second.
+const CERTAIN_LATELY: Duration = Duration::from_millis(300);
+/// Added for the ways of orders and for readings of workers' clocks.
+const ORDER_SLACK: Duration = Duration::from_millis(60);
+
+/// A leader of before.
+#[derive(Clone, Debug)]
+struct FormerLeader {
+    address: PeerAddress,
+    life: u64,
+    epoch: u64,
+    /// When it has surely stopped prolonging holds, beyond what was certain.
+    stops_by: CoreTime,
+    /// Whether that is known, and not what could be at worst.
+    known: bool,
+    /// Longest hold that it asked for.
+    hold: Duration,
+}
+
+/// Leaders of before whose holds may still last.
+#[derive(Debug, Default)]
+pub(super) struct FormerLeaders(Vec<FormerLeader>);
+
+impl FormerLeaders {
+    /// When all holds that they asked for are surely over.
+    pub(super) fn holds_over_at(&self) -> CoreTime {
+        let over = |former: &FormerLeader| {
+            former.stops_by + former.hold.mul_f64(SLOW_CLOCK_FACTOR) + ORDER_SLACK
+        };
+        self.0.iter().map(over).max().unwrap_or_default()
+    }
+
+    /// Whether it is known of all of them when they stopped.
+    pub(super) fn are_known(&self) -> bool {
+        self.0.iter().all(|former| former.known)
+    }
+
+    fn add(&mut self, former: FormerLeader, now: CoreTime, longest: Duration) {
+        let over = |old: &FormerLeader| now > old.stops_by + longest * 2;
+        self.0.retain(|old| !over(old) && old.epoch != former.epoch);
+        self.0.push(former);
+    }
+
+    /// Takes from a heartbeat that a former leader's life is over, or that it knows that it does not
+    /// lead.
+    pub(super) fn note_heartbeat(
+        &mut self,
+        from: PeerAddress,
+        news: &HeartbeatNews,
+        now: CoreTime,
+    ) {
+        for former in self.0.iter_mut().filter(|former| former.address == from) {
+            let deposed = !news.leading && news.epoch > former.epoch;
+            if news.life != former.life || deposed {
+                former.stops_by = former.stops_by.min(now);
+                former.known = true;
+            }
+        }
+    }
+}
+
+impl EntryCore {
+    /// Longest hold that is asked of workers.
+    pub(super) fn hold_time(&self) -> Duration {
+        HOLD.min(self.settings.hold_limit)
+    }
+
+    /// Notes that another leads after `old`, or this instance.
+    pub(super) fn note_former_leader(&mut self, old: &LeaderView) {
+        let now = self.now;
+        let known = self.keeps(SiteGuard::KnownHolds);
+        let heard = self.in_touch_until(old).filter(|_| known);
+        let (stops_by, known) = match (self.has_ended(old), heard) {
+            (true, _) => (now, true),
+            (false, Some(at)) => (now.max(at + IN_TOUCH), true),
+            (false, None) => (now + UNCONFIRMED_LIMIT, false),
+        };
+        let hold = self.told_hold(old).unwrap_or(self.settings.hold_limit);
+        self.add_former_leader(old, stops_by, known, hold);
+    }
+
+    /// Longest hold that a leader asked for, as this or an earlier life at its address has told.
+    fn told_hold(&self, old: &LeaderView) -> Option<Duration> {
+        let told = self.peers.get(&old.address)?.news.hold_ms;
+        (told > 0 && self.keeps(SiteGuard::KnownHolds)).then(|| Duration::from_millis(told))
+    }
+
+    /// Notes that the own lead is over, or one whose leader has told that it stopped.
+    pub(super) fn note_ended_leader(&mut self, old: &LeaderView) {
+        let hold = self.hold_time();
+        self.add_former_leader(old, self.now, true, hold);
+    }
+
+    fn add_former_leader(
+        &mut self,
+        old: &LeaderView,
+        stops_by: CoreTime,
+        known: bool,
+        hold: Duration,
+    ) {
+        let former = FormerLeader {
+            address: old.address,
+            life: old.life,
+            epoch: old.epoch,
+            stops_by,
+            known,
+            hold,
+        };
+        let longest = self.settings.hold_limit;
+        self.former_leaders.add(former, self.now, longest);
+    }
+
+    /// Tells whether a leader's life is surely over. A port that refuses is no proof: a cut may answer
+    /// so.
+    fn has_ended(&self, old: &LeaderView) -> bool {
+        old.ended || old.address == self.settings.address
+    }
+
+    /// When a leader was last heard that counted this instance among the peers that must hear it.
+    fn in_touch_until(&self, old: &LeaderView) -> Option<CoreTime> {
+        // On a site of many members a leader hears the far ones too seldom for that.
+        let counted = !self.has_many_members() || self.near.contains(&self.settings.address);
+        let peer = self.peers.get(&old.address).filter(|_| counted)?;
+        let lately = |at: &CoreTime| self.age(*at) < TOUCH_RELIED_ON;
+        let mutual = peer.echo.is_mutual() && peer.echo.contact().as_ref().is_some_and(lately);
+        let same_life = peer.news.life == old.life;
+        peer.echo
+            .heard_at()
+            .filter(|at| mutual && same_life && lately(at))
+    }
+
+    /// Latest moment until which this leader may have workers hold what they run.
+    pub(super) fn hold_bound(&self) -> CoreTime {
+        let hold = self.hold_time();
+        let Some(lead) = self.lead.as_deref() else {
+            return self.now;
+        };
+        let certain = (lead.confirmed_at + hold).min(self.now + hold);
+        // Peers are gone through only where it is worth it: this is asked for each look and start.
+        let fresh = self.age(lead.confirmed_at) < CERTAIN_LATELY;
+        if !fresh
+            && (self.all_are_in_touch(lead.confirmed_at) || !self.keeps(SiteGuard::LeaderInTouch))
+        {
+            self.now + hold
+        } else {
+            certain
+        }
+    }
+
+    /// Tells whether each peer still hears this leader that may rely on it.
+    fn all_are_in_touch(&self, certain_at: CoreTime) -> bool {
+        let since = certain_at.saturating_sub(TOUCH_MEMORY);
+        self.peers.iter().all(|(address, peer)| {
+            let relies = !self.is_slow_pair(*address) && !peer.news.stopping;
+            let contact = peer.echo.contact().filter(|at| relies && *at >= since);
+            contact.is_none_or(|at| self.age(at) < IN_TOUCH)
+        })
+    }
+}
--- a/crates/bankvalve_queue/src/core/holds.rs
+++ b/crates/bankvalve_queue/src/core/holds.rs
@@ -14,7 +14,7 @@
 
 /// Longest hold that is asked for; a lost worker's tasks start again only when it is over,
 /// and what a cut-off worker runs lives so long.
-const HOLD: Duration = Duration::from_millis(5_000);
+pub(super) const HOLD: Duration = Duration::from_millis(5_000);
 /// Longest that a worker waits for an end before it answers.
 const LOOK_WAIT: Duration = Duration::from_millis(900);
 /// The same for a worker with runs whose end is urgent: an answer that is lost shows only when the
@@ -59,21 +59,17 @@
 /// which on the silence counts as common.
 const COMMON_SHARE: usize = 4;
 const COMMON_LEAST: usize = 3;
-/// A worker that was heard so lately has its hold prolonged.
-pub(super) const PROLONG_IF_HEARD: Duration = Duration::from_millis(2_200);
+/// A worker that was heard so lately has its hold prolonged: after a look whose answer is lost (1.5 s)
+/// once more. The tasks of a worker that is lost start again no sooner than that and a hold later.
+pub(super) const PROLONG_IF_HEARD: Duration = Duration::from_millis(1_600);
 /// Longest that a leader commands workers without being sure that it leads.
 pub(super) const UNCONFIRMED_LIMIT: Duration = Duration::from_secs(15);
 /// A clock of a worker may run 2% slow, and answers take their way.
-const SLOW_CLOCK_FACTOR: f64 = 1.03;
+pub(super) const SLOW_CLOCK_FACTOR: f64 = 1.03;
 /// Silence after which an unlisted worker without runs is forgotten.
 const FORGET_SEAT: Duration = Duration::from_secs(8);
 
 impl EntryCore {
-    /// The hold that is asked of workers.
-    pub(super) fn hold_time(&self) -> Duration {
-        HOLD.min(self.settings.hold_limit)
-    }
-
     /// Whether this leader may still command workers.
     pub(super) fn may_command(&self) -> bool {
         self.lead
@@ -110,9 +106,9 @@
         let mut over = Vec::new();
         let mut gone = Vec::new();
         for (id, seat) in lead.seats.iter() {
-            let silent = seat.heard_at.map_or(seen, |at| seen.saturating_sub(at));
+            let silent = seen.saturating_sub(seat.heard_at.unwrap_or(seat.known_at));
             let silent_long = is_silent(seat);
-            if !seat.runs.is_empty() && silent_long && self.is_over(seat) {
+            if !seat.runs.is_empty() && silent_long && self.is_over(id, seat) {
                 over.push((id.clone(), seat.listed, silent));
             }
             let idle = now.saturating_sub(seat.heard_at.unwrap_or(seat.known_at));
@@ -140,6 +136,7 @@
         for id in due {
             self.look(&id);
         }
+        self.stop_silent_holds();
         for (id, ..) in over {
             self.give_up_seat(&id, LifeEnd::HoldOver);
         }
@@ -169,23 +166,12 @@
     }
 
     /// Tells whether all that runs on a silent worker has surely ended.
-    fn is_over(&self, seat: &Seat) -> bool {
+    fn is_over(&self, id: &WorkerId, seat: &Seat) -> bool {
         if !self.keeps(SiteGuard::HoldOver) {
             return true;
         }
-        if seat.proved {
-            return seat.hold_is_over(self.now);
-        }
-        let Some(lead) = self.lead.as_deref() else {
-            return false;
-        };
-        let known = self
-            .predecessor_over
-            .filter(|(epoch, _)| *epoch == lead.epoch)
-            .map(|(_, at)| at);
-        let stopped = known.unwrap_or(lead.began_at + UNCONFIRMED_LIMIT);
-        let hold = self.settings.hold_limit.mul_f64(SLOW_CLOCK_FACTOR);
-        self.now > stopped + hold + Duration::from_millis(200)
+        let former = self.former_holds_over_at(id);
+        self.now > former && (!seat.proved || seat.hold_is_over(self.now))
     }
 
     /// Looks at a worker at once if that is due, without going through all of them.
@@ -199,7 +185,7 @@
 
     fn look(&mut self, id: &WorkerId) {
         let now = self.now;
-        let hold = self.hold_time();
+        let bound = self.hold_bound();
         let short_looks = self.uses(PolicySwitch::ShortLooks);
         let Some(lead) = self.lead.as_deref_mut() else {
             return;
@@ -210,8 +196,8 @@
             return;
         };
         let heard = seat.is_heard(now, PROLONG_IF_HEARD);
-        let until_ms = if heard && seat.proved {
-            seat.hold_until(now, hold)
+        let until_ms = if seat.may_prolong(now, PROLONG_IF_HEARD) {
+            seat.hold_until(bound)
         } else {
             None
         };
@@ -387,6 +373,7 @@
         } else {
             (sent_at + LOOK_PACE).max(now)
         };
+        self.resume_hold(id);
         self.take_report(id, sent_at, &report);
         let Some(lead) = self.lead.as_deref_mut() else {
             return;
--- a/crates/bankvalve_queue/src/core/lead.rs
+++ b/crates/bankvalve_queue/src/core/lead.rs
@@ -90,7 +90,6 @@
 pub(super) struct LeadState {
     pub(super) epoch: u64,
     pub(super) row_version: u64,
-    pub(super) predecessor: Option<(PeerAddress, u64)>,
     pub(super) began_at: CoreTime,
     /// Whether the whole ledger has been read.
     pub(super) loaded: bool,
@@ -179,16 +178,10 @@
 }
 
 impl LeadState {
-    pub(super) fn new(
-        epoch: u64,
-        row_version: u64,
-        predecessor: Option<(PeerAddress, u64)>,
-        now: CoreTime,
-    ) -> Self {
+    pub(super) fn new(epoch: u64, row_version: u64, now: CoreTime) -> Self {
         Self {
             epoch,
             row_version,
-            predecessor,
             began_at: now,
             loaded: false,
             load_at: None,
@@ -440,6 +433,7 @@
             return;
         }
         lead.next_forget = self.now + FORGET_EVERY;
+        self.forget_stopped_holds();
         self.tell_left_out();
         let Some(lead) = self.lead.as_deref_mut() else {
             return;
--- a/crates/bankvalve_queue/src/core/members.rs
+++ b/crates/bankvalve_queue/src/core/members.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use super::election::{LeaderView, PeerView};
+use super::round_trip::PeerEcho;
 use super::standby::MemberRow;
 use super::store_link::{StorePurpose, CELL_TABLE, LEAD_PART, MEMBER_PART};
 use super::EntryCore;
@@ -149,6 +150,7 @@
             sent_ms: 0,
             echo: None,
             stopping: self.stopping,
+            hold_ms: self.hold_time().as_millis() as u64,
         }
     }
 
@@ -193,15 +195,21 @@
             self.hear_leader(from, &news);
         } else if self.is_gone_leader(from, &news) {
             self.lose_leader();
-        } else if let Some((over, at)) = self.predecessor_over_candidate(from, &news) {
-            self.predecessor_over = Some((over, at));
+            if let Some(leader) = self.leader.as_mut() {
+                leader.ended = true;
+            }
         }
         let now = self.now;
+        self.former_leaders.note_heartbeat(from, &news, now);
         let slow = self.is_slow_pair(from);
         let peer = self.peers.entry(from).or_insert_with(|| PeerView {
             known_at: now,
             ..PeerView::default()
         });
+        if peer.news.life != news.life {
+            // What an earlier life heard says nothing of this one.
+            peer.echo = PeerEcho::default();
+        }
         let doubt = slow && news.leader_age_ms > LEADER_DOUBT.as_millis() as u64;
         let first = peer.heard_at.is_none() || doubt;
         peer.heard_at = Some(now);
--- a/crates/bankvalve_queue/src/core/orders.rs
+++ b/crates/bankvalve_queue/src/core/orders.rs
@@ -85,7 +85,7 @@
 
     fn send_start(&mut self, id: &WorkerId, task: TaskKey) {
         let now = self.now;
-        let hold = self.hold_time();
+        let bound = self.hold_bound();
         if !self.has_room_now(id, task) {
             return;
         }
@@ -101,11 +101,11 @@
         else {
             return;
         };
-        let Some(until_ms) = seat.hold_until(now, hold) else {
+        let Some(until_ms) = seat.hold_until(bound) else {
             return;
         };
         // A silent worker's hold must run out, or what it may run is never given up.
-        let until_ms = if seat.is_heard(now, PROLONG_IF_HEARD) {
+        let until_ms = if seat.may_prolong(now, PROLONG_IF_HEARD) {
             until_ms
         } else {
             seat.granted_until
--- a/crates/bankvalve_queue/src/core/round_trip.rs
+++ b/crates/bankvalve_queue/src/core/round_trip.rs
@@ -26,19 +26,46 @@
 pub(super) struct PeerEcho {
     /// When its last heartbeat was sent, by its own clock, and when it came.
     heard: Option<(u64, CoreTime)>,
+    /// When its first heartbeat of this life came.
+    first_heard: Option<CoreTime>,
     /// How long the way there and back took last, and when that was known.
     took: Option<(Duration, CoreTime)>,
+    /// When the last was sent of what it is known to have heard, by our clock.
+    contact: Option<CoreTime>,
 }
 
 impl PeerEcho {
     /// Takes what a heartbeat brings.
     pub(super) fn note(&mut self, now: CoreTime, news: &HeartbeatNews) {
         self.heard = Some((news.sent_ms, now));
+        self.first_heard.get_or_insert(now);
         let Some(echo) = &news.echo else {
             return;
         };
         let gone = Duration::from_millis(echo.sent_ms + echo.held_ms);
         self.took = Some((now.saturating_sub(gone), now));
+        // Our life of before may have sent what it echoes.
+        let sent_at = Duration::from_millis(echo.sent_ms);
+        if sent_at <= now {
+            self.contact = self.contact.max(Some(sent_at));
+        }
+    }
+
+    /// When the last was sent that it is known to have heard. It goes by when we sent it, not by when
+    /// the word of it came: that may have waited while this instance stood still.
+    pub(super) fn contact(&self) -> Option<CoreTime> {
+        self.contact
+    }
+
+    /// When its last heartbeat came.
+    pub(super) fn heard_at(&self) -> Option<CoreTime> {
+        self.heard.map(|(_, at)| at)
+    }
+
+    /// Whether it has heard that we heard it: it then counts this instance as in touch.
+    pub(super) fn is_mutual(&self) -> bool {
+        let heard = self.first_heard.zip(self.contact);
+        heard.is_some_and(|(first, contact)| contact >= first)
     }
 
     fn echo(&self, now: CoreTime) -> Option<HeartbeatEcho> {
--- a/crates/bankvalve_queue/src/core/seat.rs
+++ b/crates/bankvalve_queue/src/core/seat.rs
@@ -78,6 +78,17 @@
     }
 }
 
+/// Whether a worker's hold may be prolonged, as the ledger has it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum HoldStop {
+    /// Nothing is kept of it: it is prolonged while the worker is heard.
+    None,
+    /// It is kept, or about to be, that it is not prolonged.
+    Stopped,
+    /// It is about to be kept that it is prolonged again.
+    Resuming,
+}
+
 /// What a run does to others on its worker.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum RunLoad {
@@ -229,6 +240,7 @@
     pub(super) clock: Option<(CoreTime, u64)>,
     /// Greatest reading of its clock to which a hold was prolonged.
     pub(super) granted_until: u64,
+    pub(super) hold_stop: HoldStop,
     pub(super) heard_at: Option<CoreTime>,
     pub(super) known_at: CoreTime,
     /// Looks without an answer since it was heard.
@@ -266,6 +278,7 @@
             proved: false,
             clock: None,
             granted_until: 0,
+            hold_stop: HoldStop::None,
             heard_at: None,
             known_at: now,
             unanswered: 0,
@@ -354,10 +367,21 @@
         Some(reading + slow.as_millis() as u64)
     }
 
-    /// Reading of its clock up to which it is to hold what runs, if its clock is known.
-    pub(super) fn hold_until(&self, now: CoreTime, hold: Duration) -> Option<u64> {
+    /// Reading of its clock at a time up to which it is to hold what runs, if its clock is known.
+    pub(super) fn hold_until(&self, until: CoreTime) -> Option<u64> {
         let (at, reading) = self.clock?;
-        Some(reading + (now.saturating_sub(at) + hold).as_millis() as u64)
+        Some(reading + until.saturating_sub(at).as_millis() as u64)
+    }
+
+    /// Tells whether its hold may be prolonged: it was heard so lately, and nothing is kept against it.
+    pub(super) fn may_prolong(&self, now: CoreTime, heard_within: Duration) -> bool {
+        self.proved && self.is_heard(now, heard_within) && self.hold_stop == HoldStop::None
+    }
+
+    /// Time by its own clock until every hold that this leader prolonged is surely over.
+    pub(super) fn hold_left(&self, now: CoreTime) -> Duration {
+        let clock = self.least_clock(now).unwrap_or_default();
+        Duration::from_millis(self.granted_until.saturating_sub(clock))
     }
 
     /// Tells whether every hold that this leader prolonged is surely over.
--- a/crates/bankvalve_queue/src/core/seat_list.rs
+++ b/crates/bankvalve_queue/src/core/seat_list.rs
@@ -38,6 +38,7 @@
         let Some(seat) = lead.seats.get_mut(id) else {
             let mut seat = Seat::new(entry, true, now);
             seat.named = self.services.contains(&seat.entry.service);
+            seat.hold_stop = self.stopped_holds.state_of(id);
             if let Some(slowness) = slowness {
                 seat.begin_slowness(*slowness);
             }
@@ -161,9 +162,11 @@
         lead.begun.extend(begun);
         for (task, worker, run, spec, priority) in placed {
             lead.touched.insert(task.step.job);
+            let hold_stop = self.stopped_holds.state_of(&worker);
             let seat = lead
                 .seats
                 .get_or_insert_with(worker, || Seat::new(WorkerEntry::default(), false, now));
+            seat.hold_stop = hold_stop;
             let mut live = LiveRun::new(run, &spec, RunPhase::Adopted, now);
             live.set_priority(priority);
             seat.add_run(task, live);
--- /dev/null
+++ b/crates/bankvalve_queue/src/core/stopped_holds.rs
@@ -0,0 +1,178 @@
+//! Workers whose holds are not prolonged, as the ledger tells: what a leader knows of a silent worker
+//! outlives the leader.
+//!
+//! The pattern that it answers: a worker is lost, and its leader some seconds after it. The successor
+//! would wait for the longest hold that may have been asked for, from the leader's end on, and the next
+//! successor again. So a leader that has not heard a worker for a while keeps in the ledger that it
+//! prolongs its hold no more, and when that is over at the latest. From then on no leader prolongs
+//! it, whatever it hears, before the ledger has that it does again: the writes of a leader that has
+//! lost its lead fail, so a successor that has read the ledger may rely on what stands there.
+//!
+//! Two small events for a worker that falls silent, some 50 bytes each; none while all is well.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use super::commit::Effect;
+use super::holds::SLOW_CLOCK_FACTOR;
+use super::lead::LeadState;
+use super::seat::{HoldStop, Seat};
+use super::EntryCore;
+use crate::guard::SiteGuard;
+use crate::ids::{CoreTime, WorkerId};
+use crate::ledger::LedgerEvent;
+
+/// Silence of a worker with runs after which it is kept that its hold is not prolonged: just more than
+/// the silence in which looks still prolong it.
+const STOP_AFTER: Duration = Duration::from_millis(1_700);
+/// Looks at a worker that this leader never heard without an answer, for the same.
+const STOP_UNANSWERED: u32 = 2;
+/// Workers with runs that are silent at once, as a divisor of all of them and at least, from which on
+/// nothing is kept: it is the leader's own link or processor, and each of them would cost two events.
+const COMMON_SHARE: usize = 2;
+const COMMON_LEAST: usize = 4;
+
+/// Workers whose holds are not prolonged, each with when its hold is surely over.
+#[derive(Debug, Default)]
+pub(super) struct StoppedHolds(BTreeMap<WorkerId, CoreTime>);
+
+impl StoppedHolds {
+    /// When the hold of a worker is surely over, if it is not prolonged any more.
+    pub(super) fn over_at(&self, worker: &WorkerId) -> Option<CoreTime> {
+        self.0.get(worker).copied()
+    }
+
+    /// How a worker's hold stands for one that has the ledger.
+    pub(super) fn state_of(&self, worker: &WorkerId) -> HoldStop {
+        match self.0.contains_key(worker) {
+            true => HoldStop::Stopped,
+            false => HoldStop::None,
+        }
+    }
+
+    /// Forgets all, for the ledger is read anew.
+    pub(super) fn clear(&mut self) {
+        self.0.clear();
+    }
+}
+
+impl EntryCore {
+    /// Applies an event of the ledger to what is made of it.
+    pub(super) fn apply_event(&mut self, event: &LedgerEvent) {
+        match event {
+            // It was reckoned when the event was made, so counted from now it is no sooner.
+            LedgerEvent::HoldStopped { worker, over_ms } => {
+                let over_at = self.now + Duration::from_millis(*over_ms);
+                self.stopped_holds.0.insert(worker.clone(), over_at);
+            }
+            LedgerEvent::HoldResumed { worker } => {
+                self.stopped_holds.0.remove(worker);
+            }
+            event => self.book.apply(event),
+        }
+    }
+
+    /// When no hold of a worker by leaders of before can last any more.
+    pub(super) fn former_holds_over_at(&self, worker: &WorkerId) -> CoreTime {
+        let former = self.former_leaders.holds_over_at();
+        match self.stopped_holds.over_at(worker) {
+            Some(at) if self.keeps(SiteGuard::KnownHolds) => at.min(former),
+            _ => former,
+        }
+    }
+
+    /// Keeps in the ledger of which silent workers the hold is not prolonged any more.
+    pub(super) fn stop_silent_holds(&mut self) {
+        let seen = self.now.saturating_sub(self.lag);
+        let Some(lead) = self.lead.as_deref() else {
+            return;
+        };
+        let silent = |(_, seat): &(&WorkerId, &Seat)| is_silent(seat, seen);
+        let workers: Vec<WorkerId> = lead
+            .seats
+            .iter()
+            .filter(silent)
+            .map(|(id, _)| id.clone())
+            .collect();
+        let due: Vec<(WorkerId, u64)> = workers
+            .iter()
+            .filter_map(|id| self.hold_to_stop(lead, id))
+            .collect();
+        if due.is_empty() || self.store_is_away() || is_common(lead, workers.len()) {
+            return;
+        }
+        for (worker, over_ms) in due {
+            if let Some(seat) = self.lead_seat(&worker) {
+                seat.hold_stop = HoldStop::Stopped;
+            }
+            let detail = format!("over in {over_ms} ms at most");
+            self.log("workers", "hold_stopped", worker.to_string(), detail);
+            let event = LedgerEvent::HoldStopped { worker, over_ms };
+            self.propose(event, Effect::None);
+        }
+    }
+
+    /// Time after which the hold of a silent worker is over, if it is not kept yet.
+    fn hold_to_stop(&self, lead: &LeadState, id: &WorkerId) -> Option<(WorkerId, u64)> {
+        let seat = lead.seats.get(id)?;
+        if seat.hold_stop != HoldStop::None {
+            return None;
+        }
+        let own = seat.hold_left(self.now).mul_f64(SLOW_CLOCK_FACTOR);
+        let former = self.former_holds_over_at(id).saturating_sub(self.now);
+        Some((id.clone(), own.max(former).as_millis() as u64 + 1))
+    }
+
+    /// A worker was heard: its hold may be prolonged again once that is kept.
+    pub(super) fn resume_hold(&mut self, id: &WorkerId) {
+        let seat = self.lead_seat(id);
+        let Some(seat) = seat.filter(|seat| seat.hold_stop == HoldStop::Stopped) else {
+            return;
+        };
+        seat.hold_stop = HoldStop::Resuming;
+        let worker = id.clone();
+        let event = LedgerEvent::HoldResumed { worker };
+        self.propose(event, Effect::ProlongHold(id.clone()));
+    }
+
+    /// It is kept that the hold of a worker is prolonged again.
+    pub(super) fn prolong_again(&mut self, id: &WorkerId) {
+        let now = self.now;
+        let Some(seat) = self.lead_seat(id) else {
+            return;
+        };
+        seat.hold_stop = HoldStop::None;
+        seat.next_hold = now;
+        self.log("workers", "hold_resumed", id.to_string(), String::new());
+        self.look_if_due(id);
+    }
+
+    /// Drops what is kept of workers that are forgotten.
+    pub(super) fn forget_stopped_holds(&mut self) {
+        let Some(lead) = self.lead.as_deref().filter(|lead| lead.loaded) else {
+            return;
+        };
+        let gone = |id: &&WorkerId| lead.workers_known && lead.seats.get(id).is_none();
+        let gone: Vec<WorkerId> = self.stopped_holds.0.keys().filter(gone).cloned().collect();
+        for worker in gone {
+            self.propose(LedgerEvent::HoldResumed { worker }, Effect::None);
+        }
+    }
+
+    fn lead_seat(&mut self, id: &WorkerId) -> Option<&mut Seat> {
+        self.lead.as_deref_mut()?.seats.get_mut(id)
+    }
+}
+
+/// Tells whether a worker with runs has not been heard for so long that its hold is not prolonged.
+fn is_silent(seat: &Seat, seen: CoreTime) -> bool {
+    let since = seat.heard_at.unwrap_or(seat.known_at);
+    let asked = seat.proved || seat.entry.address.is_empty() || seat.unanswered >= STOP_UNANSWERED;
+    !seat.runs.is_empty() && asked && seen.saturating_sub(since) >= STOP_AFTER
+}
+
+/// Tells whether so many workers are silent that it is the leader's own doing.
+fn is_common(lead: &LeadState, silent: usize) -> bool {
+    let busy = lead.seats.values().filter(|seat| !seat.runs.is_empty());
+    silent >= COMMON_LEAST && silent * COMMON_SHARE > busy.count()
+}
--- a/crates/bankvalve_queue/src/core/withdraw.rs
+++ b/crates/bankvalve_queue/src/core/withdraw.rs
@@ -68,7 +68,7 @@
         let mut answers = Vec::new();
         let mut rest = VecDeque::new();
         for proposal in std::mem::take(&mut lead.pending) {
-            let job = proposal.event.as_ref().map(LedgerEvent::job);
+            let job = proposal.event.as_ref().and_then(LedgerEvent::job);
             let withdrawn = job.is_some_and(|job| jobs.contains(&job));
             match proposal.effect {
                 Effect::Answer(origin, _) if withdrawn => answers.push((origin, true)),
--- a/crates/bankvalve_queue/src/guard.rs
+++ b/crates/bankvalve_queue/src/guard.rs
@@ -44,11 +44,16 @@
     RoomOfNow,
     /// The clock of decisions goes on while the machine is suspended.
     BootTime,
+    /// A new leader reckons with the holds that were asked for and by what is known of the leader
+    /// before, not with the longest ones that could be.
+    KnownHolds,
+    /// A leader that is not sure that it leads prolongs holds only while its peers hear it.
+    LeaderInTouch,
 }
 
 impl SiteGuard {
     /// All guards.
-    pub const ALL: [SiteGuard; 19] = [
+    pub const ALL: [SiteGuard; 21] = [
         SiteGuard::LedgerFirst,
         SiteGuard::OwnRow,
         SiteGuard::KeptEnds,
@@ -68,6 +73,8 @@
         SiteGuard::AloneEvidence,
         SiteGuard::RoomOfNow,
         SiteGuard::BootTime,
+        SiteGuard::KnownHolds,
+        SiteGuard::LeaderInTouch,
     ];
 
     /// Name used on the command line.
@@ -101,6 +108,8 @@
             SiteGuard::AloneEvidence => "alone-evidence",
             SiteGuard::RoomOfNow => "room-of-now",
             SiteGuard::BootTime => "boot-time",
+            SiteGuard::KnownHolds => "known-holds",
+            SiteGuard::LeaderInTouch => "leader-in-touch",
         }
     }
 
--- a/crates/bankvalve_queue/src/ledger/event.rs
+++ b/crates/bankvalve_queue/src/ledger/event.rs
@@ -89,15 +89,30 @@
         /// When, by the leader's time of day.
         at: WallMillis,
     },
+    /// A worker is silent: no leader prolongs its hold from here on until it is resumed.
+    HoldStopped {
+        /// The worker.
+        worker: WorkerId,
+        /// Time after which its hold is over at the latest, in milliseconds.
+        over_ms: u64,
+    },
+    /// A worker's hold may be prolonged again, or it is forgotten.
+    HoldResumed {
+        /// The worker.
+        worker: WorkerId,
+    },
 }
 
 impl LedgerEvent {
-    /// The job that it is about.
-    pub fn job(&self) -> JobId {
+    /// The job that it is about; none if it is about a worker.
+    pub fn job(&self) -> Option<JobId> {
         match self {
-            LedgerEvent::Accepted { spec, .. } => spec.id,
-            LedgerEvent::Cancelled { job, .. } => *job,
-            LedgerEvent::Started { task, .. } | LedgerEvent::Ended { task, .. } => task.step.job,
+            LedgerEvent::Accepted { spec, .. } => Some(spec.id),
+            LedgerEvent::Cancelled { job, .. } => Some(*job),
+            LedgerEvent::Started { task, .. } | LedgerEvent::Ended { task, .. } => {
+                Some(task.step.job)
+            }
+            LedgerEvent::HoldStopped { .. } | LedgerEvent::HoldResumed { .. } => None,
         }
     }
 }
--- a/crates/bankvalve_queue/src/ledger/job_book.rs
+++ b/crates/bankvalve_queue/src/ledger/job_book.rs
@@ -250,11 +250,13 @@
             self.accept(spec, terms, *at);
             return;
         }
-        let Some(job) = self.jobs.get_mut(&event.job()) else {
+        let Some(job) = event.job().and_then(|job| self.jobs.get_mut(&job)) else {
             return;
         };
         match event {
-            LedgerEvent::Accepted { .. } => {}
+            LedgerEvent::Accepted { .. }
+            | LedgerEvent::HoldStopped { .. }
+            | LedgerEvent::HoldResumed { .. } => {}
             LedgerEvent::Cancelled { at, .. } => {
                 if job.outcome == JobOutcome::Open {
                     job.outcome = JobOutcome::Cancelled;
--- a/crates/bankvalve_queue/src/peer.rs
+++ b/crates/bankvalve_queue/src/peer.rs
@@ -132,6 +132,8 @@
     pub echo: Option<HeartbeatEcho>,
     /// Whether it stops.
     pub stopping: bool,
+    /// Longest hold that it asks workers for when it leads, in milliseconds.
+    pub hold_ms: u64,
 }
 
 /// A call to a worker that a peer carries for the leader.
