fix(queue): a task that lasts is never too late to be of use

Cause: how late a step is was reckoned by the end of its job. A job whose tasks last has none, so after some seconds its step counted as too late to be of use, and its question to the policy service waited until half of the instances asked nothing. A leader that has asked before knows some good workers and is not held up; its successor is. Change: such a step counts as in time.

--- a/crates/bankvalve_check/tests/site/main.rs
+++ b/crates/bankvalve_check/tests/site/main.rs
@@ -5,6 +5,7 @@
 mod config;
 mod crashing;
 mod jobs;
+mod lasting;
 mod leading;
 mod lost_workers;
 mod overload;
--- a/crates/bankvalve_queue/src/core/waiting.rs
+++ b/crates/bankvalve_queue/src/core/waiting.rs
@@ -13,6 +13,8 @@
 pub(super) struct WaitingStep {
     pub(super) tasks: u32,
     priority: u32,
+    /// Whether its tasks last: they have no end that could be late.
+    lasting: bool,
     /// Latest start with which the job still ends within its objective, by the time of day.
     on_time_ms: i64,
     begin_ms: i64,
@@ -23,7 +25,8 @@
 /// How a job can still end.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum Lateness {
-    /// Within its objective; an urgent one counts so whatever the time.
+    /// Within its objective; an urgent one counts so whatever the time, and one whose tasks last: by its
+    /// job's age it would be too late for good, and be asked about last of all.
     InTime,
     /// Late, for a part of its worth.
     Late,
@@ -47,6 +50,7 @@
         Self {
             tasks,
             priority: job.terms.priority,
+            lasting: job.spec.steps[usize::from(key.step)].lasting,
             begin_ms: begin as i64,
             on_time_ms: (begin + objective - rest) as i64,
             late_ms: (begin + LATE_FACTOR * objective - rest) as i64,
@@ -61,7 +65,7 @@
     /// How its job can still end if it starts at a time of day.
     pub(super) fn lateness(&self, wall_ms: u64) -> Lateness {
         let now = wall_ms as i64;
-        if self.priority == 0 || now <= self.on_time_ms {
+        if self.priority == 0 || self.lasting || now <= self.on_time_ms {
             Lateness::InTime
         } else if now <= self.late_ms {
             Lateness::Late
