test: a whole reading of the workers' entries, in pages

Cause looked for: an entry that goes while the table has forgotten its history, and an entry that comes behind a page of a reading.

Change: the stand-in of the table answers readings of entries in pages; tests of a worker that no page names, of one that lives all the same, and of one whose entry comes between two pages.

--- a/crates/bankvalve_check/tests/site/main.rs
+++ b/crates/bankvalve_check/tests/site/main.rs
@@ -10,6 +10,7 @@
 mod random;
 mod recover;
 mod table;
+mod takeover;
 mod wide_gangs;
 mod workers;
 
--- /dev/null
+++ b/crates/bankvalve_check/tests/site/takeover.rs
@@ -0,0 +1,170 @@
+//! What an instance knows is gone with it, or with the table's history, and what its successor waits
+//! for in its place: a task that lasts must not be away for nine calm seconds.
+
+use bankvalve_check::site::{job_of, SitePlan, SiteWorld, QUEUE};
+use bankvalve_queue::{JobId, JobSpec, TaskKey};
+
+use crate::assert_kept;
+
+/// Longest that a task that lasts may be away from its last run on, in milliseconds, by the users'
+/// rules: six seconds, and three in which nothing of it runs.
+const LONGEST_AWAY_MS: u64 = 9_000;
+
+fn site(seed: u64, workers: usize) -> SiteWorld {
+    let mut world = SiteWorld::new(SitePlan {
+        seed,
+        entries: 3,
+        strengths: Vec::new(),
+        broken: None,
+        without: None,
+        workers,
+        good_percent: None,
+    });
+    world.looks_wait = true;
+    world.run_until(1_000);
+    world
+}
+
+/// A job of tasks that last, each of a size in millicores.
+fn lasting_job(job: JobId, count: u32, millicores: u32) -> JobSpec {
+    let mut spec = job_of(job, QUEUE, &[count], false);
+    spec.steps[0].lasting = true;
+    spec.steps[0].size.millicores = millicores.into();
+    spec
+}
+
+/// Tasks of a job that run on workers that are up.
+fn running(world: &SiteWorld, job: JobId) -> Vec<(TaskKey, String)> {
+    let workers = world.workers.iter();
+    let live = workers.filter_map(|(address, worker)| Some((address, worker.as_ref()?)));
+    let runs = live.flat_map(|(address, worker)| {
+        let of_job = worker.runs().keys().filter(|task| task.step.job == job);
+        of_job.map(|task| (*task, address.clone()))
+    });
+    runs.collect()
+}
+
+/// Address of a worker that runs a task of a job.
+fn worker_of(world: &SiteWorld, job: JobId) -> String {
+    let (_, address) = running(world, job).pop().expect("a task runs");
+    address
+}
+
+/// Milliseconds until so many tasks of a job run again.
+fn time_until_all_run(world: &mut SiteWorld, job: JobId, count: usize) -> u64 {
+    let since = world.now_ms;
+    while running(world, job).len() < count && world.now_ms < since + 60_000 {
+        let until = world.now_ms + 20;
+        world.run_until(until);
+    }
+    world.now_ms - since
+}
+
+/// Milliseconds for which a task that lasts is away whose worker ends for good, and whose entry goes
+/// while the table is away, which then has forgotten its history.
+fn time_away_beside_a_forgotten_history(seed: u64, page: Option<usize>) -> u64 {
+    let mut world = site(seed, 9);
+    world.store.worker_page = page;
+    world.submit(lasting_job(1, 4, 1_000));
+    world.run_until(4_000);
+    let address = worker_of(&world, 1);
+    world.store_away_until = world.now_ms + 2_600;
+    world.end_worker(&address, 120_000);
+    // By then its entry has gone.
+    let ended_at = world.now_ms;
+    world.run_until(ended_at + 2_550);
+    world.store.forget_history();
+    let away = 2_550 + time_until_all_run(&mut world, 1, 4);
+    assert_kept(&world);
+    away
+}
+
+#[test]
+fn a_worker_that_a_whole_reading_of_the_entries_does_not_name_is_unlisted() {
+    for page in [None, Some(2), Some(4)] {
+        let times: Vec<u64> = (1..7)
+            .map(|seed| time_away_beside_a_forgotten_history(seed, page))
+            .collect();
+        let longest = times.iter().max().copied().unwrap_or(0);
+        assert!(longest < LONGEST_AWAY_MS, "pages of {page:?}: {times:?}");
+    }
+}
+
+#[test]
+fn a_worker_that_a_whole_reading_does_not_name_and_that_lives_is_used_once_its_entry_is_back() {
+    for seed in 11..15 {
+        let mut world = site(seed, 4);
+        // Each task takes a whole worker.
+        world.submit(lasting_job(1, 3, 4_000));
+        world.run_until(4_000);
+        let ids = world.worker_ids();
+        let entries: Vec<_> = world
+            .workers
+            .values()
+            .flatten()
+            .map(|worker| (worker.id.clone(), worker.entry.clone()))
+            .collect();
+        world.store_away_until = world.now_ms + 2_000;
+        for id in &ids {
+            world.store.set_worker(id, None);
+        }
+        world.run_until(5_950);
+        world.store.forget_history();
+        // They are back within two seconds of the table's return.
+        world.run_until(7_900);
+        for (id, entry) in entries {
+            world.store.set_worker(&id, Some(entry));
+        }
+        // The fourth worker takes a task as well.
+        world.submit(lasting_job(2, 1, 4_000));
+        world.run_until(12_000);
+        assert_kept(&world);
+        assert_eq!(world.worker_ids(), ids, "seed {seed}");
+        assert_eq!(running(&world, 1).len(), 3, "seed {seed}");
+        assert_eq!(running(&world, 2).len(), 1, "seed {seed}");
+        assert_eq!(world.counter("ends", "lost"), 0, "seed {seed}");
+    }
+}
+
+/// Tasks, each of which takes a whole worker, that run on nine workers of which one was replaced some
+/// time after a reading of all entries had begun, page by page.
+fn tasks_on_all_workers(seed: u64, replaced_ms: u64, by_takeover: bool) -> usize {
+    let mut world = site(seed, 9);
+    world.store.worker_page = Some(3);
+    world.store_delay_ms = 250;
+    world.run_until(3_000);
+    if by_takeover {
+        let leader = world.leader().expect("an instance leads");
+        world.kill(leader, 5_000);
+    } else {
+        // A change of which no answer has told.
+        world.store_away_until = 4_500;
+        world.run_until(4_490);
+        let id = world.worker_ids()[0].clone();
+        let worker = world.workers.values().flatten().next();
+        let entry = worker.expect("a worker").entry.clone();
+        world.store.set_worker(&id, Some(entry));
+        world.store.forget_history();
+    }
+    let read_from = world.now_ms;
+    world.run_until(read_from + replaced_ms);
+    // The new life's id, `w-10`, is the second of all, the one that goes is the last.
+    world.crash_worker("10.9.0.8:80", 1);
+    world.run_until(10_000);
+    world.submit(lasting_job(1, 9, 4_000));
+    world.run_until(20_000);
+    assert_kept(&world);
+    running(&world, 1).len()
+}
+
+#[test]
+fn a_worker_whose_entry_comes_between_two_pages_of_a_reading_is_used() {
+    for by_takeover in [false, true] {
+        let found: Vec<(u64, usize)> = (0..30)
+            .map(|turn| turn * 100)
+            .map(|at| (at, tasks_on_all_workers(21, at, by_takeover)))
+            .filter(|(_, running)| *running < 9)
+            .collect();
+        assert_eq!(found, [], "by takeover: {by_takeover}");
+    }
+}
--- a/crates/bankvalve_standin/src/site/site_store.rs
+++ b/crates/bankvalve_standin/src/site/site_store.rs
@@ -21,6 +21,8 @@
     worker_changes: Vec<(u64, WorkerId, WorkerNews)>,
     /// Version before which the history of changes is forgotten.
     forgotten: u64,
+    /// Workers' entries of one answer at most, if fewer than usual.
+    pub worker_page: Option<usize>,
 }
 
 impl SiteStore {
@@ -49,16 +51,7 @@
                 let outcome = self.operator(*after);
                 self.watched(*after, news, |_| outcome)
             }
-            StoreRequest::ReadWorkers { .. } => {
-                let entries = self.workers.iter();
-                Some(StoreOutcome::Workers {
-                    entries: entries
-                        .map(|(id, news)| (id.clone(), news.clone()))
-                        .collect(),
-                    more: false,
-                    version: self.version,
-                })
-            }
+            StoreRequest::ReadWorkers { from } => Some(self.read_workers(from)),
             StoreRequest::WatchWorkers { after, .. } => {
                 let entries: Vec<_> = self
                     .worker_changes
@@ -77,6 +70,24 @@
         }
     }
 
+    /// A page of the workers' entries, keys rising, as of now.
+    fn read_workers(&self, from: &str) -> StoreOutcome {
+        let page = self.worker_page.unwrap_or(PAGE);
+        let mut entries: Vec<(WorkerId, WorkerNews)> = self
+            .workers
+            .iter()
+            .filter(|(id, _)| id.to_string().as_str() >= from)
+            .map(|(id, news)| (id.clone(), news.clone()))
+            .collect();
+        let more = entries.len() > page;
+        entries.truncate(page);
+        StoreOutcome::Workers {
+            entries,
+            more,
+            version: self.version,
+        }
+    }
+
     /// The answer to a watch whose wait is over.
     pub fn unchanged(&self, request: &StoreRequest) -> StoreOutcome {
         let version = self.version;
