fix: a whole reading of the workers' entries unlists those it does not name

Cause: after a forgotten history all entries are read anew, which listed workers and unlisted none; and changes were asked for from the version of the last page on, so that what changed behind an earlier page was never told.

Ruled out: that unlisting costs a living worker its runs. A worker that is silent as well, whose entry has lapsed with the table, is given up when its hold is over, as it was before by the change that told of its entry's end.

Change: pages of one reading gather what they name; at its end the others are unlisted, and changes are asked for from its first page's version on. An answer to a question of an earlier lead is passed over by its number.

--- a/crates/bankvalve_queue/src/core/entry_core.rs
+++ b/crates/bankvalve_queue/src/core/entry_core.rs
@@ -12,6 +12,7 @@
 use super::load_limit::ShareGate;
 use super::log_budget::LogBudget;
 use super::questions::{OpenQuestion, StorePatience};
+use super::seat_list::WorkerReading;
 use super::sight::UnreadyReason;
 use super::store_link::WatchState;
 use super::table_watch::{TableSource, TableWatch};
@@ -267,6 +268,7 @@
     /// The writing of the own row.
     pub(super) own_row: WatchState,
     pub(super) worker_watch: WatchState,
+    pub(super) worker_reading: WorkerReading,
     /// When the last question about the workers' entries was sent, and the last that was answered.
     pub(super) worker_list_sent: CoreTime,
     pub(super) worker_list_at: Option<CoreTime>,
@@ -333,6 +335,7 @@
             cell_watch: WatchState::default(),
             own_row: WatchState::default(),
             worker_watch: WatchState::default(),
+            worker_reading: WorkerReading::default(),
             worker_list_sent: Duration::ZERO,
             worker_list_at: None,
             services: BTreeSet::new(),
--- a/crates/bankvalve_queue/src/core/seat_list.rs
+++ b/crates/bankvalve_queue/src/core/seat_list.rs
@@ -1,5 +1,6 @@
 //! The workers' own entries: who is there, and who leaves.
 
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 use super::seat::{LiveRun, RunPhase, Seat};
@@ -15,6 +16,38 @@
 /// Part of a task's guessed time that is reckoned as left once the guess has passed, as a divisor.
 const OVERDUE_REST: u32 = 4;
 
+/// A reading of all workers' entries, which comes in pages.
+#[derive(Debug, Default)]
+pub(super) struct WorkerReading {
+    /// Number of the reading, so that an answer to an earlier one is told apart.
+    number: u64,
+    /// Version of the table as of the first page. What changes behind a page while the next ones are
+    /// read is in the feed from there on, and nowhere else.
+    version: Option<u64>,
+    /// Workers that its pages have named so far.
+    named: BTreeSet<WorkerId>,
+}
+
+impl WorkerReading {
+    /// Begins with the first page.
+    pub(super) fn begin(&mut self) {
+        *self = Self {
+            number: self.number + 1,
+            ..Self::default()
+        };
+    }
+
+    pub(super) fn number(&self) -> u64 {
+        self.number
+    }
+
+    /// Notes what a page names, as of a version of the table.
+    pub(super) fn note_page(&mut self, entries: &[(WorkerId, WorkerNews)], version: u64) {
+        self.version.get_or_insert(version);
+        self.named.extend(entries.iter().map(|(id, _)| id.clone()));
+    }
+}
+
 impl EntryCore {
     pub(super) fn take_worker_entries(&mut self, entries: Vec<(WorkerId, WorkerNews)>, full: bool) {
         for (id, news) in entries {
@@ -105,11 +138,29 @@
         });
     }
 
-    pub(super) fn end_worker_list(&mut self) {
-        if let Some(lead) = self.lead.as_deref_mut() {
-            lead.workers_known = true;
-            lead.stale = true;
+    /// All entries have been read; returns the version from which on changes are to be asked for.
+    ///
+    /// A worker that is known and that no page has named has no entry any more: it went while the table
+    /// had forgotten its history, so that no change tells of it. Unlisted, it gets nothing new and keeps
+    /// what it runs, as it is looked at on; if it lives, its entry comes back with the next changes.
+    pub(super) fn end_worker_list(&mut self) -> Option<u64> {
+        let reading = &mut self.worker_reading;
+        let version = reading.version.take();
+        let named = std::mem::take(&mut reading.named);
+        let Some(lead) = self.lead.as_deref_mut() else {
+            return version;
+        };
+        lead.workers_known = true;
+        lead.stale = true;
+        let unnamed = lead
+            .seats
+            .iter()
+            .filter(|(id, seat)| seat.listed && !named.contains(*id));
+        let unnamed: Vec<WorkerId> = unnamed.map(|(id, _)| id.clone()).collect();
+        for id in unnamed {
+            self.unlist_worker(&id);
         }
+        version
     }
 
     /// Fills the seats with the runs that the ledger knows, after a takeover.
--- a/crates/bankvalve_queue/src/core/store_link.rs
+++ b/crates/bankvalve_queue/src/core/store_link.rs
@@ -54,8 +54,11 @@
     WatchCell,
     Operator,
     AskOperator,
+    /// Of the workers' entries: a page of all of them, or what has changed since.
     Workers {
         full: bool,
+        /// Number of the reading of all entries that it belongs to.
+        reading: u64,
     },
     DropMember,
     Probe,
@@ -119,12 +122,14 @@
             self.worker_list_sent = self.now;
             let (request, full) = match self.worker_watch.after {
                 None => {
+                    self.worker_reading.begin();
                     let from = String::new();
                     (StoreRequest::ReadWorkers { from }, true)
                 }
                 Some(after) => (StoreRequest::WatchWorkers { after, wait_ms }, false),
             };
-            self.ask_store(StorePurpose::Workers { full }, request);
+            let reading = self.worker_reading.number();
+            self.ask_store(StorePurpose::Workers { full, reading }, request);
         }
     }
 
@@ -181,7 +186,7 @@
             StorePurpose::WatchCell => self.end_watch_cell(outcome),
             StorePurpose::Operator => self.end_operator(outcome),
             StorePurpose::AskOperator => self.end_ask_operator(outcome),
-            StorePurpose::Workers { full } => self.end_workers(outcome, full),
+            StorePurpose::Workers { full, reading } => self.end_workers(outcome, full, reading),
             StorePurpose::DropMember => {}
             StorePurpose::Probe => self.end_probe(&outcome),
         }
@@ -235,7 +240,11 @@
         self.run_watches();
     }
 
-    fn end_workers(&mut self, outcome: StoreOutcome, full: bool) {
+    fn end_workers(&mut self, outcome: StoreOutcome, full: bool, reading: u64) {
+        // An answer to what was asked during an earlier lead belongs to no reading of now.
+        if reading != self.worker_reading.number() {
+            return;
+        }
         match outcome {
             StoreOutcome::Workers {
                 entries,
@@ -243,20 +252,25 @@
                 version,
             } => {
                 let last = entries.last().map(|(id, _)| id.to_string());
+                if full {
+                    self.worker_reading.note_page(&entries, version);
+                }
                 self.take_worker_entries(entries, full);
                 if more {
                     // A sign before all that ids are made of, so that the last one is not read again.
                     let from = format!("{}!", last.unwrap_or_default());
                     let request = StoreRequest::ReadWorkers { from };
-                    self.ask_store(StorePurpose::Workers { full }, request);
+                    self.ask_store(StorePurpose::Workers { full, reading }, request);
                     return;
                 }
+                let version = if full {
+                    self.end_worker_list().unwrap_or(version)
+                } else {
+                    version
+                };
                 self.worker_watch.after = Some(version);
                 self.worker_watch.busy = false;
                 self.worker_list_at = Some(self.worker_list_sent);
-                if full {
-                    self.end_worker_list();
-                }
             }
             StoreOutcome::HistoryGone => {
                 self.worker_watch.after = None;
