test: suspects that last run again within nine seconds, whoever leads

Change: a worker ends under a task that lasts, so that it becomes a weak or a young suspect, where each worker runs something else; the leader is killed while it waits, once or twice. And a task that lasts and ends each worker that starts it, with the leader lost in between.

The guilty task is given up after four workers at most.

--- a/crates/bankvalve_check/src/site/site_view.rs
+++ b/crates/bankvalve_check/src/site/site_view.rs
@@ -1,10 +1,20 @@
 //! What a world shows of its instances: who leads, what they count, how a job stands.
 
-use bankvalve_queue::JobId;
+use bankvalve_queue::{EntryCore, JobId, TaskKey, TaskPhase};
 
 use super::{SiteNode, SiteWorld};
 
 impl SiteWorld {
+    /// Tells whether all instances that are up know that a task has no run.
+    pub fn is_waiting(&self, task: TaskKey) -> bool {
+        let waits = |core: &EntryCore| {
+            let record = core.book().job(task.step.job)?.task(task)?;
+            Some(record.phase == TaskPhase::Waiting)
+        };
+        let mut cores = self.nodes.iter().filter_map(|node| node.core.as_ref());
+        cores.all(|core| waits(core) == Some(true))
+    }
+
     /// How a job stands in the leader's book, for diagnosis.
     pub fn describe(&self, job: JobId) -> String {
         let leader = self
--- a/crates/bankvalve_check/tests/site/takeover.rs
+++ b/crates/bankvalve_check/tests/site/takeover.rs
@@ -1,8 +1,8 @@
 //! What an instance knows is gone with it, or with the table's history, and what its successor waits
 //! for in its place: a task that lasts must not be away for nine calm seconds.
 
-use bankvalve_check::site::{job_of, SitePlan, SiteWorld, QUEUE};
-use bankvalve_queue::{JobId, JobSpec, TaskKey};
+use bankvalve_check::site::{job_of, SitePlan, SiteWorld, TaskCrash, QUEUE};
+use bankvalve_queue::{JobId, JobSpec, JobState, StepKey, TaskKey};
 
 use crate::assert_kept;
 
@@ -168,3 +168,171 @@
         assert_eq!(found, [], "by takeover: {by_takeover}");
     }
 }
+
+/// How a worker ends under a task that lasts, so that the task becomes a suspect.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Suspicion {
+    /// Twice, each time some seconds after the start.
+    Weak,
+    /// Once, right after the start.
+    Young,
+}
+
+/// A worker's end, and the leaders' ends after it.
+#[derive(Clone, Copy, Debug)]
+struct SuspectDay {
+    suspicion: Suspicion,
+    /// Time until another life begins at the worker's address.
+    down_ms: u64,
+    /// Times from the worker's end on at which whoever leads is killed, or a little later: not before
+    /// the run is given up and that is kept.
+    leader_ends_ms: &'static [u64],
+}
+
+/// Milliseconds for which a task that lasts is away from its worker's end on, which makes it a suspect,
+/// where each worker runs something else and has room for it.
+fn time_away_of_a_suspect(seed: u64, day: SuspectDay) -> u64 {
+    let mut world = site(seed, 6);
+    world.submit(lasting_job(1, 6, 2_500));
+    world.run_until(3_000);
+    assert_eq!(running(&world, 1).len(), 6);
+    let step = StepKey {
+        job: 2,
+        time: 0,
+        step: 0,
+    };
+    match day.suspicion {
+        Suspicion::Weak => {
+            world.submit(lasting_job(2, 1, 1_000));
+            world.run_until(6_000);
+            // The first end is known at once, and all that ran there has room again.
+            let address = worker_of(&world, 2);
+            world.end_worker(&address, 1_300);
+            world.run_until(10_000);
+            let address = worker_of(&world, 2);
+            world.end_worker(&address, day.down_ms);
+        }
+        Suspicion::Young => {
+            let crash = TaskCrash {
+                after_ms: 10,
+                down_ms: day.down_ms,
+            };
+            world.crashing.insert(step.task(0), crash);
+            world.submit(lasting_job(2, 1, 1_000));
+            while world.rules.crashes_of(2) == 0 {
+                let until = world.now_ms + 1;
+                world.run_until(until);
+            }
+            world.crashing.clear();
+        }
+    }
+    let ended_at = world.now_ms;
+    for at in day.leader_ends_ms {
+        let waits =
+            |world: &SiteWorld| world.now_ms < ended_at + at || !world.is_waiting(step.task(0));
+        while waits(&world) && running(&world, 2).is_empty() {
+            let until = world.now_ms + 20;
+            world.run_until(until);
+        }
+        if let Some(leader) = world.leader().filter(|_| running(&world, 2).is_empty()) {
+            world.kill(leader, 30_000);
+        }
+    }
+    time_until_all_run(&mut world, 2, 1);
+    let away = world.now_ms - ended_at;
+    assert_kept(&world);
+    away
+}
+
+/// Days on which a suspect that lasts was away for too long.
+fn suspects_away_for_too_long(days: &[SuspectDay]) -> Vec<(SuspectDay, Vec<u64>)> {
+    let times = |day: &SuspectDay| -> Vec<u64> {
+        (31..37)
+            .map(|seed| time_away_of_a_suspect(seed, *day))
+            .collect()
+    };
+    days.iter()
+        .map(|day| (*day, times(day)))
+        .filter(|(_, times)| times.iter().any(|time| *time >= LONGEST_AWAY_MS))
+        .collect()
+}
+
+#[test]
+fn a_suspect_that_lasts_runs_again_within_nine_seconds_under_one_leader() {
+    let days = [
+        (Suspicion::Weak, 120_000),
+        (Suspicion::Weak, 1_300),
+        (Suspicion::Young, 120_000),
+        (Suspicion::Young, 1_300),
+        (Suspicion::Young, 4_000),
+    ]
+    .map(|(suspicion, down_ms)| SuspectDay {
+        suspicion,
+        down_ms,
+        leader_ends_ms: &[],
+    });
+    let late = suspects_away_for_too_long(&days);
+    assert!(late.is_empty(), "{late:?}");
+}
+
+#[test]
+fn a_suspect_that_lasts_runs_again_within_nine_seconds_whoever_leads() {
+    let days = [
+        (Suspicion::Weak, 120_000, &[5_000_u64] as &[u64]),
+        (Suspicion::Young, 120_000, &[5_000]),
+        (Suspicion::Young, 1_300, &[1_700]),
+        (Suspicion::Young, 1_300, &[4_000]),
+        (Suspicion::Young, 1_300, &[2_500, 5_500]),
+    ]
+    .map(|(suspicion, down_ms, leader_ends_ms)| SuspectDay {
+        suspicion,
+        down_ms,
+        leader_ends_ms,
+    });
+    let late = suspects_away_for_too_long(&days);
+    assert!(late.is_empty(), "{late:?}");
+}
+
+#[test]
+fn a_task_that_lasts_and_ends_each_worker_is_given_up_though_it_is_not_kept_waiting() {
+    let days: [(u64, &[u64]); 4] = [
+        (1_300, &[]),
+        (20_000, &[]),
+        (1_300, &[1_500, 6_000, 12_000]),
+        (20_000, &[7_600, 30_000]),
+    ];
+    for (down_ms, leader_ends_ms) in days {
+        for seed in 41..44 {
+            let mut world = site(seed, 12);
+            // No worker is free, and each has room for one more.
+            world.submit(lasting_job(1, 12, 2_500));
+            world.run_until(3_000);
+            let mut guilty = lasting_job(2, 2, 1_000);
+            guilty.steps[0].per_worker_limit = 1;
+            let step = StepKey {
+                job: 2,
+                time: 0,
+                step: 0,
+            };
+            let crash = TaskCrash {
+                after_ms: 10,
+                down_ms,
+            };
+            world.crashing.insert(step.task(0), crash);
+            world.submit(guilty);
+            for at in leader_ends_ms {
+                world.run_until(3_000 + at);
+                if let Some(leader) = world.leader() {
+                    world.kill(leader, 2_000);
+                }
+            }
+            world.run_until(120_000);
+            let day = format!("down {down_ms}, leaders' ends {leader_ends_ms:?}, seed {seed}");
+            assert_kept(&world);
+            assert_eq!(world.shown.get(&2), Some(&JobState::Failed), "{day}");
+            assert_eq!(world.shown.get(&1), None, "{day}");
+            assert!(world.rules.crashes_of(2) <= 4, "{day}");
+            assert_eq!(running(&world, 1).len(), 12, "{day}");
+        }
+    }
+}
