fix: a task that lasts is kept waiting for a trial only within its nine seconds

Cause: a suspect waits 2 s, or 8 s after a young end, for a turn and a free worker, from when its leader first found none. That came on top of its worker's hold, and began anew with each leader and with each other suspect of its step that was placed.

Ruled out: that the crash budget needs that wait. A task that is started among others is given up after four workers, as before; jobs beside it are not blamed in the tests of `crashing`, and a guilty task that lasts, with leaders lost in between, ends four workers at most.

Change: `core/away.rs` owns the budget. An end without a list is kept with the time of the run's last word in place of that at which it was given up, so that whoever leads reckons from there; of a worker that the leader never heard, a hold before its lead. A suspect that lasts and has been away for 7.8 s is placed like others, a gang as a whole. By the time of day: where that falls, the waits end by their own bounds.

--- a/crates/bankvalve_queue/src/core/mod.rs
+++ b/crates/bankvalve_queue/src/core/mod.rs
@@ -9,6 +9,7 @@
 //! operator's configuration, `queue_lookup` what is not in it.
 
 mod advice;
+mod away;
 mod book_reads;
 mod callers;
 mod carriers;
--- a/crates/bankvalve_queue/src/core/placing.rs
+++ b/crates/bankvalve_queue/src/core/placing.rs
@@ -165,13 +165,21 @@
     }
 
     /// The tasks of a step that are to be placed now, and which of them alone: those that nothing speaks
-    /// against first, then suspects in their turn; a gang as a whole, its suspects first.
+    /// against first, then suspects in their turn; a gang as a whole, its suspects first. One that has been
+    /// away for too long waits for no turn.
     fn tasks_to_place(&mut self, key: StepKey) -> Option<(Vec<TaskKey>, Vec<TaskKey>)> {
         let job = self.book.job(key.job)?;
-        let gang = job.spec.steps.get(usize::from(key.step))?.gang;
+        let spec = job.spec.steps.get(usize::from(key.step))?;
+        let gang = spec.gang;
         let waiting = job.step(key)?.tasks.iter().enumerate();
-        let waiting = waiting.filter(|(_, task)| task.phase == TaskPhase::Waiting);
-        let (suspects, others): (Vec<_>, Vec<_>) = waiting.partition(|(_, task)| task.is_suspect());
+        let waiting: Vec<_> = waiting
+            .filter(|(_, task)| task.phase == TaskPhase::Waiting)
+            .collect();
+        let pressed = |task: &TaskRecord| self.is_pressed(spec, task);
+        let whole = gang && waiting.iter().any(|(_, task)| pressed(task));
+        let is_tried = |task: &TaskRecord| task.is_suspect() && !whole && !pressed(task);
+        let (suspects, others): (Vec<_>, Vec<_>) =
+            waiting.into_iter().partition(|(_, task)| is_tried(task));
         let keys = |tasks: &[(usize, &TaskRecord)]| -> Vec<TaskKey> {
             let indexes = tasks.iter().map(|(index, _)| *index as u32);
             indexes.map(|index| key.task(index)).collect()
--- a/crates/bankvalve_queue/src/core/reports.rs
+++ b/crates/bankvalve_queue/src/core/reports.rs
@@ -288,7 +288,15 @@
         });
         self.counters.count("ends", how.as_str());
         if self.is_current(task, run) {
-            self.propose_end(task, run, how, saved, Effect::None);
+            let at = self.last_word_of(id, how);
+            let event = LedgerEvent::Ended {
+                task,
+                run,
+                how,
+                saved,
+                at,
+            };
+            self.propose(event, Effect::None);
         }
     }
 
--- a/crates/bankvalve_queue/src/core/suspects.rs
+++ b/crates/bankvalve_queue/src/core/suspects.rs
@@ -6,7 +6,8 @@
 //!
 //! No trial begins while suspects hold one worker in eight, those among them that have just ended under
 //! one. A gang's suspects begin together, so that they may hold more; one that has waited too long for
-//! its turn or a free worker starts among others and is not counted.
+//! its turn or a free worker starts among others and is not counted. A task that lasts waits only as
+//! long as [`is_pressed`](EntryCore::is_pressed) allows, which counts all of its waits.
 
 use std::time::Duration;
 
--- a/crates/bankvalve_queue/src/ledger/event.rs
+++ b/crates/bankvalve_queue/src/ledger/event.rs
@@ -86,7 +86,7 @@
         how: EndKind,
         /// Progress saved; empty for none.
         saved: String,
-        /// When, by the leader's time of day.
+        /// When, by the leader's time of day; of a run that no list told of, when it was last heard of.
         at: WallMillis,
     },
 }
--- a/crates/bankvalve_queue/src/ledger/job_book.rs
+++ b/crates/bankvalve_queue/src/ledger/job_book.rs
@@ -176,7 +176,7 @@
         step.tasks[index].last_run = run;
     }
 
-    fn apply_end(&mut self, task: TaskKey, run: RunId, how: EndKind, saved: &str) {
+    fn apply_end(&mut self, task: TaskKey, run: RunId, how: EndKind, saved: &str, at: WallMillis) {
         if !self.has_place_for(task) {
             return;
         }
@@ -197,6 +197,10 @@
         if !current && !late {
             return;
         }
+        // An order that took no effect ended no time away.
+        if how != EndKind::NeverRan {
+            step.tasks[index].ended_at = at;
+        }
         if !saved.is_empty() {
             keep_progress(step, index, gang, saved);
         }
@@ -270,7 +274,7 @@
                 at,
             } => {
                 let open = job.outcome == JobOutcome::Open;
-                job.apply_end(*task, *run, *how, saved);
+                job.apply_end(*task, *run, *how, saved, *at);
                 if open && job.outcome != JobOutcome::Open {
                     job.ended_at = *at;
                 }
--- a/crates/bankvalve_queue/src/ledger/step_record.rs
+++ b/crates/bankvalve_queue/src/ledger/step_record.rs
@@ -1,7 +1,7 @@
 //! A step's tasks, and what ends of their runs do to them.
 
 use super::{CrashCount, CrashEvidence};
-use crate::ids::{RunId, WorkerId};
+use crate::ids::{RunId, WallMillis, WorkerId};
 use crate::job::StepSpec;
 
 /// Where a task stands.
@@ -31,6 +31,8 @@
     pub failures: u32,
     /// Workers that ended under it, if any did.
     pub crashes: Option<Box<CrashCount>>,
+    /// When its newest run that ended was last known to run, by the time of day; 0 before that.
+    pub ended_at: WallMillis,
     /// Progress saved last; empty for none.
     pub saved: String,
 }
@@ -42,6 +44,7 @@
             last_run: 0,
             failures: 0,
             crashes: None,
+            ended_at: 0,
             saved: String::new(),
         }
     }
