test: carriers that go dark one after the other cost no run

Asked: whether workers look lost, or their holds run out, while a carrier that has gone dark keeps their calls open until each one's limit.

Change: 12 workers whose calls five standbys carry; three of these are killed, frozen or cut off from their peers for 12 s, 0 to 3 s apart, beside tasks that last and short urgent ones. Bound: a look with all its slack, and one more, 2.7 s until an end is acknowledged.

--- a/crates/bankvalve_check/tests/site/takeover.rs
+++ b/crates/bankvalve_check/tests/site/takeover.rs
@@ -1,7 +1,7 @@
 //! What an instance knows is gone with it, or with the table's history, and what its successor waits
 //! for in its place: a task that lasts must not be away for nine calm seconds.
 
-use bankvalve_check::site::{job_of, SitePlan, SiteWorld, TaskCrash, QUEUE};
+use bankvalve_check::site::{job_of, SitePlan, SiteWorld, TaskCrash, QUEUE, URGENT_QUEUE};
 use bankvalve_queue::{JobId, JobSpec, JobState, StepKey, TaskKey};
 
 use crate::assert_kept;
@@ -10,6 +10,10 @@
 /// rules: six seconds, and three in which nothing of it runs.
 const LONGEST_AWAY_MS: u64 = 9_000;
 
+/// Longest time from an end on a worker whose carrier has gone dark until the leader has kept it, in
+/// milliseconds: a look that was just sent, with all its slack, and one more.
+const LONGEST_UNHEARD_MS: u64 = 2_700;
+
 fn site(seed: u64, workers: usize) -> SiteWorld {
     let mut world = SiteWorld::new(SitePlan {
         seed,
@@ -336,3 +340,65 @@
         }
     }
 }
+
+/// How a carrier goes dark.
+#[derive(Clone, Copy, Debug)]
+enum CarrierEnd {
+    Killed,
+    Frozen,
+    CutOff,
+}
+
+/// What carriers that go dark one after the other cost, on workers which are well: tasks that last and
+/// were started again, and the longest time from a short task's end until it is acknowledged, in
+/// milliseconds.
+fn cost_of_dark_carriers(seed: u64, end: CarrierEnd, apart_ms: u64) -> (u64, u64) {
+    let mut world = SiteWorld::new(SitePlan {
+        seed,
+        entries: 6,
+        strengths: vec![14; 6],
+        broken: None,
+        without: None,
+        workers: 12,
+        good_percent: None,
+    });
+    world.looks_wait = true;
+    world.run_until(1_500);
+    world.submit(lasting_job(1, 12, 1_000));
+    world.run_until(4_000);
+    let leader = world.leader().expect("an instance leads");
+    let carriers: Vec<usize> = (0..6).filter(|node| *node != leader).take(3).collect();
+    let mut next = 0;
+    for turn in 0..100 {
+        let at = world.now_ms;
+        if next < 3 && at >= 4_000 + next as u64 * apart_ms {
+            let carrier = carriers[next];
+            next += 1;
+            match end {
+                CarrierEnd::Killed => world.kill(carrier, 12_000),
+                CarrierEnd::Frozen => world.nodes[carrier].frozen_until = at + 12_000,
+                CarrierEnd::CutOff => world.nodes[carrier].cut_from_peers_until = at + 12_000,
+            }
+        }
+        world.submit(job_of(100 + turn, URGENT_QUEUE, &[1], false));
+        world.run_until(at + 100);
+    }
+    world.run_until(40_000);
+    assert_kept(&world);
+    assert_eq!(running(&world, 1).len(), 12);
+    let wait = world.rules.end_waits_ms().iter().max().copied();
+    (world.rules.starts - 112, wait.unwrap_or(0))
+}
+
+#[test]
+fn carriers_that_go_dark_one_after_the_other_cost_no_run() {
+    for end in [CarrierEnd::Killed, CarrierEnd::Frozen, CarrierEnd::CutOff] {
+        for turn in 0..22 {
+            let apart_ms = (turn % 11) * 300;
+            let (started_again, wait_ms) = cost_of_dark_carriers(51 + turn, end, apart_ms);
+            let day = format!("{end:?}, {apart_ms} ms apart: {started_again}, {wait_ms} ms");
+            assert_eq!(started_again, 0, "{day}");
+            assert!(wait_ms < LONGEST_UNHEARD_MS, "{day}");
+        }
+    }
+}
