--- a/crates/bankvalve_check/tests/site/main.rs
+++ b/crates/bankvalve_check/tests/site/main.rs
@@ -13,6 +13,7 @@
 mod recover;
 mod sight;
 mod table;
+mod takeover;
 mod wide_gangs;
 mod workers;
 
