test: how long tasks that last may be away, as a rule of the checker, and pairs of losses

Cause: that a task which lasts runs again in time was looked at in one test only, and no virtual run joined a worker's loss with a leader's.

The checker follows each task that lasts in every virtual run. It is LOST when it has not run for more than 9 s since its last run ended, no trouble struck or lasted for more than 7 s, and workers that are up, listed and in reach had room for it twice over for more than 3 s: the users' rule. A hold that ran out counts from its end, not from when the world notices it. Jobs that are cancelled, over or not accepted are left out. Trouble for good counts at its moment, any other until it is over; configurations are none.

Pairs: a worker that ends for good (port refuses or is silent), or loses the table, or all but the leader; with the leader killed, dark for 4 s, 30 s or for good, frozen, replaced, cut off, stopped, or lost with all; -15 to +15 s from each other, and smaller sets for batch, repeated and gang jobs, two leaders in a row, and a table that forgets. `bankvalve_check lasting` prints the figures.

--- a/crates/bankvalve_check/src/command/mod.rs
+++ b/crates/bankvalve_check/src/command/mod.rs
@@ -8,7 +8,7 @@
 
 use crate::measure::{run_decisions, run_measure};
 use crate::random::run_random;
-use crate::site::{run_site_costs, run_site_random, SiteBurden};
+use crate::site::{run_lasting, run_site_costs, run_site_random, SiteBurden};
 use crate::slopes::run_slopes;
 use crate::trace::run_trace;
 
@@ -45,6 +45,16 @@
         #[bpaf(argument("NAME"), fallback("usual".into()))]
         burden: String,
     },
+    /// Measures how long tasks that last are away when their worker and the leader are lost
+    #[bpaf(command)]
+    Lasting {
+        /// Seeds for each pair of losses
+        #[bpaf(argument("N"), fallback(1))]
+        seeds: u64,
+        /// Milliseconds from one distance between the two losses to the next
+        #[bpaf(argument("MS"), fallback(1_000))]
+        step: u64,
+    },
     /// Measures what a leader's decisions cost under the load of a large fleet
     #[bpaf(command)]
     Costs {
@@ -104,6 +114,7 @@
             guard,
             burden,
         } => site(seed, events, guard.as_deref(), &burden),
+        CheckCommand::Lasting { seeds, step } => run_lasting(seeds, step),
         CheckCommand::Costs {
             workers,
             seconds,
--- a/crates/bankvalve_check/src/site/site_calls.rs
+++ b/crates/bankvalve_check/src/site/site_calls.rs
@@ -54,6 +54,7 @@
     pub fn submit(&mut self, spec: JobSpec) {
         let spec = Arc::new(spec);
         self.rules.submit(&spec, 3);
+        self.watch_lasting(&spec);
         let job = spec.id;
         self.specs.insert(job, spec);
         self.after(1, Later::Submit { job, tries: 0 });
@@ -62,6 +63,7 @@
     /// A caller hands a job in at one instance, once.
     pub fn submit_at(&mut self, node: usize, spec: &Arc<JobSpec>) {
         self.rules.submit(spec, 3);
+        self.watch_lasting(spec);
         self.specs.insert(spec.id, spec.clone());
         let job = spec.id;
         let request = self.submission(node, spec);
@@ -78,6 +80,7 @@
 
     /// A caller cancels a job.
     pub fn cancel(&mut self, job: JobId) {
+        self.lasting.cancel_asked(job);
         match self.any_node() {
             Some(node) => {
                 self.call(
--- a/crates/bankvalve_check/src/site/site_crashes.rs
+++ b/crates/bankvalve_check/src/site/site_crashes.rs
@@ -11,7 +11,7 @@
 /// 0.75 s, of which three are waited for.
 const ENTRY_MS: std::ops::Range<u64> = 900..2_500;
 /// The same with heartbeats of 1.5 s, of which three are waited for: as on the users' sites.
-const LONG_ENTRY_MS: std::ops::Range<u64> = 3_000..4_501;
+pub(super) const LONG_ENTRY_MS: std::ops::Range<u64> = 3_000..4_501;
 
 /// How a task ends the workers that run it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -152,6 +152,7 @@
 
     /// Another writer writes an entry of which no worker can be made.
     pub fn spoil_entry(&mut self, id: &WorkerId) {
+        self.lasting.trouble(self.now_ms);
         self.store.spoil_worker(id);
         self.answer_watches();
     }
@@ -159,12 +160,14 @@
     /// All that a worker runs ends with it.
     pub(super) fn runs_end_with(&mut self, worker: &SiteWorker) {
         let now = self.now_ms;
+        self.lasting.trouble(now);
         let others = worker.runs().len() > 1;
         for (task, run) in worker.runs() {
             let ran_ms = (now + worker.clock_offset_ms).saturating_sub(run.began);
             self.rules.ended_under(*task, ran_ms, others);
             self.rules
                 .ended(&worker.id, *task, run.run, EndKind::Lost, now);
+            self.lasting_ended(&worker.id, *task, run.run, EndKind::Lost);
         }
     }
 
--- a/crates/bankvalve_check/src/site/site_faults.rs
+++ b/crates/bankvalve_check/src/site/site_faults.rs
@@ -164,6 +164,7 @@
             node.cut_from_store_until = 0;
             node.turned_away_until = 0;
             node.cut_from_peers_until = 0;
+            node.cut_from_workers_until = 0;
         }
     }
 }
--- a/crates/bankvalve_check/src/site/site_lives.rs
+++ b/crates/bankvalve_check/src/site/site_lives.rs
@@ -5,6 +5,7 @@
 use bankvalve_queue::{CallerAnswer, CoreEvent, EntryCore, EntrySettings, Ticket};
 
 use super::site_bytes::LinkUse;
+use super::site_plan::SiteNode;
 use super::site_world::{Later, SiteWorld, WALL_START};
 
 impl SiteWorld {
@@ -15,6 +16,7 @@
         }
         let now = self.now_ms;
         let node = &mut self.nodes[number];
+        self.lasting.trouble(now);
         node.life += 1;
         node.dark = false;
         node.newest_table = 0;
@@ -52,6 +54,7 @@
     }
 
     fn end_life(&mut self, number: usize) {
+        self.lasting.trouble(self.now_ms);
         self.nodes[number].core = None;
         self.nodes[number].parked.clear();
         self.nodes[number].link_use = LinkUse::default();
@@ -76,8 +79,19 @@
         node.suspended_ms += node.frozen_until - before;
     }
 
+    /// An instance comes at an address that nobody had before.
+    pub fn add_instance(&mut self) {
+        let number = self.nodes.len();
+        if let Some(strength) = self.plan.strengths.last().copied() {
+            self.plan.strengths.push(strength);
+        }
+        self.nodes.push(SiteNode::at(number));
+        self.start(number);
+    }
+
     /// Asks an instance to stop as planned.
     pub fn stop(&mut self, number: usize) {
+        self.lasting.trouble(self.now_ms);
         self.nodes[number].disturbed_until = u64::MAX;
         self.deliver(number, CoreEvent::Stop);
     }
--- a/crates/bankvalve_check/src/site/site_plan.rs
+++ b/crates/bankvalve_check/src/site/site_plan.rs
@@ -48,6 +48,8 @@
     pub turned_away_until: u64,
     /// Until when peers do not reach it.
     pub cut_from_peers_until: u64,
+    /// Until when it does not reach workers.
+    pub cut_from_workers_until: u64,
     /// Bytes that its link carries in a millisecond; none for as many as there are. They are those
     /// of rows that it reads, each answer by itself, unless links carry all.
     pub link_bytes_per_ms: Option<u64>,
@@ -66,6 +68,32 @@
 }
 
 impl SiteNode {
+    /// An instance that is still down, at the address of a number.
+    pub(super) fn at(number: usize) -> Self {
+        Self {
+            address: PeerAddress::from(([10, 1, 0, number as u8], 7_300)),
+            core: None,
+            started_ms: 0,
+            life: 0,
+            dark: false,
+            gone: false,
+            frozen_until: 0,
+            suspended_ms: 0,
+            cut_from_store_until: 0,
+            turned_away_until: 0,
+            cut_from_peers_until: 0,
+            cut_from_workers_until: 0,
+            link_bytes_per_ms: None,
+            patience: PeerPatience::default(),
+            link_use: LinkUse::default(),
+            processor: NodeProcessor::default(),
+            watch_lost_until: 0,
+            parked: Vec::new(),
+            disturbed_until: 0,
+            newest_table: 0,
+        }
+    }
+
     /// Whether it runs.
     pub fn is_up(&self) -> bool {
         self.core.is_some()
--- a/crates/bankvalve_check/src/site/site_promise.rs
+++ b/crates/bankvalve_check/src/site/site_promise.rs
@@ -14,12 +14,13 @@
 
 impl SiteNode {
     /// Until when trouble that is on its way disturbs it.
-    fn troubled_until(&self) -> u64 {
+    pub(super) fn troubled_until(&self) -> u64 {
         let troubles = [
             self.frozen_until,
             self.cut_from_store_until,
             self.turned_away_until,
             self.cut_from_peers_until,
+            self.cut_from_workers_until,
         ];
         troubles.into_iter().max().unwrap_or(0)
     }
--- a/crates/bankvalve_check/src/site/site_rooms.rs
+++ b/crates/bankvalve_check/src/site/site_rooms.rs
@@ -16,13 +16,10 @@
             return;
         };
         let old = std::mem::replace(&mut worker.entry.room, room);
-        let (id, entry) = (worker.id.clone(), worker.entry.clone());
-        self.old_rooms
-            .entry(id.clone())
-            .or_default()
-            .push((now, old));
-        self.store.set_worker(&id, Some(entry));
-        self.answer_watches();
+        let id = worker.id.clone();
+        self.old_rooms.entry(id).or_default().push((now, old));
+        self.lasting.trouble(now);
+        self.write_entry(address);
     }
 
     /// Tells whether a worker may hold so much: what its room allows, or one that it had lately.
--- a/crates/bankvalve_check/src/site/site_silence.rs
+++ b/crates/bankvalve_check/src/site/site_silence.rs
@@ -56,6 +56,7 @@
 impl SiteWorld {
     /// Makes all connections silent that instances have open to each other now.
     pub fn silence_peers(&mut self) {
+        self.lasting.trouble(self.now_ms);
         let count = self.nodes.len();
         let pairs = (0..count).flat_map(|from| (0..count).map(move |to| (from, to)));
         self.silent_lanes = pairs
--- a/crates/bankvalve_check/src/site/site_workers.rs
+++ b/crates/bankvalve_check/src/site/site_workers.rs
@@ -50,6 +50,8 @@
         };
         self.store.set_worker(&id, Some(entry.clone()));
         let offset = self.rng.random_range(0..100_000);
+        self.worker_off_table_until.remove(&address);
+        self.worker_reached_by.remove(&address);
         let mut worker = SiteWorker::new(id, entry, offset);
         worker.hold_limit_ms = self.hold_limit_ms;
         self.workers.insert(address, Some(worker));
@@ -75,11 +77,34 @@
         };
         worker.entry.leaving = true;
         worker.entry.remaining_ms = Some(remaining_ms);
+        self.lasting.trouble(self.now_ms);
+        self.write_entry(address);
+    }
+
+    /// A worker writes its entry, if it reaches the table.
+    pub(super) fn write_entry(&mut self, address: &str) {
+        let off = self.worker_off_table_until.get(address);
+        if off.is_some_and(|until| *until > self.now_ms) {
+            return;
+        }
+        let Some(Some(worker)) = self.workers.get(address) else {
+            return;
+        };
         let (id, entry) = (worker.id.clone(), worker.entry.clone());
         self.store.set_worker(&id, Some(entry));
         self.answer_watches();
     }
 
+    /// Tells whether an instance reaches a worker's address.
+    fn reaches_worker(&self, node: usize, address: &str) -> bool {
+        let now = self.now_ms;
+        let cut = self.worker_cut_until.get(address);
+        let alone = self.worker_reached_by.get(address);
+        cut.is_none_or(|until| *until <= now)
+            && alone.is_none_or(|only| *only == node)
+            && self.nodes[node].cut_from_workers_until <= now
+    }
+
     pub(super) fn worker_arrives(
         &mut self,
         origin: (usize, u64, Ticket),
@@ -90,11 +115,7 @@
     ) {
         let (node, life, ticket) = origin;
         let now = self.now_ms;
-        let cut = self
-            .worker_cut_until
-            .get(address)
-            .is_some_and(|until| *until > now);
-        if cut {
+        if !self.reaches_worker(node, address) {
             let event = CoreEvent::Worker {
                 ticket,
                 answer: WorkerAnswer::NoReply,
@@ -106,9 +127,11 @@
             return;
         }
         let fails = self.rng.random_range(0..100) < self.fail_percent;
-        let time = self.rng.random_range(100..1_500);
+        let drawn = self.rng.random_range(100..1_500);
+        let works = &self.work_ms;
+        let time = |task: TaskKey| works.get(&task.step.job).copied().unwrap_or(drawn);
         let specs = &self.specs;
-        let plan = |task: TaskKey| plan_of(specs, task, time, fails);
+        let plan = |task: TaskKey| plan_of(specs, task, time(task), fails);
         let answer = match self.workers.get_mut(address) {
             Some(Some(worker)) if worker.id == *meant => {
                 worker.handle(now, token, call, self.policy.as_ref(), plan)
@@ -252,11 +275,13 @@
         match *news {
             WorkerNews::Started(task, run) => {
                 self.rules.started(id, task, run, now);
+                self.lasting_started(id, task, run);
                 self.check_limit(task.step, id);
                 self.gang_news(task.step, run, None);
             }
             WorkerNews::Ended(task, run, how) => {
                 self.rules.ended(id, task, run, how, now);
+                self.lasting_ended(id, task, run, how);
                 self.gang_news(task.step, run, Some(how));
             }
             WorkerNews::Kept(task, _, how) => self.rules.kept(task, how, now),
@@ -300,7 +325,9 @@
             Some(EndKind::Done) => Some((0, EndKind::Done)),
             Some(_) => Some((0, EndKind::Broken)),
             None if members.len() == spec.count as usize => {
-                Some((self.rng.random_range(200..1_200), EndKind::Done))
+                let drawn = self.rng.random_range(200..1_200);
+                let time = self.work_ms.get(&step.job).copied();
+                Some((time.unwrap_or(drawn), EndKind::Done))
             }
             None => None,
         };
--- a/crates/bankvalve_check/src/site/site_world.rs
+++ b/crates/bankvalve_check/src/site/site_world.rs
@@ -6,19 +6,19 @@
 use std::time::{Duration, Instant};
 
 use bankvalve_queue::{
-    AdviceRule, CallerRequest, CoreEvent, EntryCore, JobId, JobSpec, JobState, PeerAddress,
-    PeerPatience, RunId, SiteGuard, StoreRequest, TaskKey, TaskSize, Ticket, WorkerId,
+    AdviceRule, CallerRequest, CoreEvent, EntryCore, JobId, JobSpec, JobState, PeerAddress, RunId,
+    SiteGuard, StoreRequest, TaskKey, TaskSize, Ticket, WorkerId,
 };
 use bankvalve_standin::site::{SitePolicy, SiteStore, SiteWorker};
 use rand::SeedableRng;
 use rand_pcg::Pcg64Mcg;
 
-use super::site_bytes::LinkUse;
 use super::site_calls::OpenCall;
 use super::site_config::{QueueAnswer, SiteConfig};
 use super::site_costs::{part_of, StepCosts};
 use super::site_crashes::TaskCrash;
-use super::site_processor::NodeProcessor;
+use super::site_lasting::LastingCheck;
+use super::site_losses::LossStep;
 use super::site_silence::SilentLane;
 use super::site_workers::WaitingLook;
 use super::{LinkRecord, RuleBook, SiteAnswer, SiteNode, SitePlan};
@@ -113,6 +113,13 @@
     EntryGone {
         worker: WorkerId,
     },
+    /// A worker that was cut off from the table reaches it again, and its entry is back.
+    EntryBack {
+        address: String,
+        worker: WorkerId,
+    },
+    /// A step of a loss that was laid out before.
+    Loss(LossStep),
     ApplyLate {
         request: StoreRequest,
     },
@@ -186,6 +193,14 @@
     pub crashing: BTreeMap<TaskKey, TaskCrash>,
     /// Until when a worker is cut off, by address.
     pub worker_cut_until: BTreeMap<String, u64>,
+    /// Until when a worker does not reach the table, by address.
+    pub(super) worker_off_table_until: BTreeMap<String, u64>,
+    /// Workers that one instance alone reaches, by address, and which.
+    pub(super) worker_reached_by: BTreeMap<String, usize>,
+    /// What is seen of tasks that last.
+    pub lasting: LastingCheck,
+    /// Time for which tasks of some jobs work, in milliseconds; that of the others is drawn.
+    pub work_ms: BTreeMap<JobId, u64>,
     /// Whether some callers leave when their job is refused, in place of asking again.
     pub callers_leave: bool,
     /// Events so far.
@@ -272,6 +287,10 @@
             old_rooms: BTreeMap::new(),
             crashing: BTreeMap::new(),
             worker_cut_until: BTreeMap::new(),
+            worker_off_table_until: BTreeMap::new(),
+            worker_reached_by: BTreeMap::new(),
+            lasting: LastingCheck::default(),
+            work_ms: BTreeMap::new(),
             callers_leave: false,
             events: 0,
             permit_refusals: 0,
@@ -296,27 +315,7 @@
             world.add_worker(format!("10.9.0.{number}:80"));
         }
         for number in 0..world.plan.entries {
-            world.nodes.push(SiteNode {
-                address: PeerAddress::from(([10, 1, 0, number as u8], 7_300)),
-                core: None,
-                started_ms: 0,
-                life: 0,
-                dark: false,
-                gone: false,
-                frozen_until: 0,
-                suspended_ms: 0,
-                cut_from_store_until: 0,
-                turned_away_until: 0,
-                cut_from_peers_until: 0,
-                link_bytes_per_ms: None,
-                patience: PeerPatience::default(),
-                link_use: LinkUse::default(),
-                processor: NodeProcessor::default(),
-                watch_lost_until: 0,
-                parked: Vec::new(),
-                disturbed_until: 0,
-                newest_table: 0,
-            });
+            world.nodes.push(SiteNode::at(number));
             world.start(number);
         }
         world
@@ -340,6 +339,7 @@
             if at > until_ms {
                 break;
             }
+            self.look_at_lasting(at);
             self.queue.pop();
             self.now_ms = at;
             self.events += 1;
@@ -347,6 +347,7 @@
                 self.happen(later);
             }
         }
+        self.look_at_lasting(until_ms);
         self.now_ms = until_ms;
     }
 
@@ -434,6 +435,8 @@
                 self.store.set_worker(&worker, None);
                 self.answer_watches();
             }
+            Later::EntryBack { address, worker } => self.entry_back(&address, &worker),
+            Later::Loss(step) => self.take_loss(step),
             Later::ApplyLate { request } => {
                 self.store.handle(&request);
                 self.answer_watches();
--- a/crates/bankvalve_check/tests/site/lost_workers.rs
+++ b/crates/bankvalve_check/tests/site/lost_workers.rs
@@ -10,7 +10,9 @@
 
 use std::collections::BTreeSet;
 
-use bankvalve_check::site::{job_of, SitePlan, SiteWorld, QUEUE};
+use bankvalve_check::site::{
+    job_of, play_losses, LeaderLoss, LossJob, LossPlan, SitePlan, SiteWorld, WorkerLoss, QUEUE,
+};
 use bankvalve_queue::{JobId, TaskKey};
 
 use crate::assert_kept;
@@ -91,12 +93,12 @@
         let dark_at = world.now_ms;
         world.darken(leader, None);
         let away = back_at(&mut world) - lost_at;
-        assert_kept(&world);
         let limit = AWAY_MS.max(dark_at - lost_at + CALM_MS);
         assert!(
             away <= limit,
             "seed {seed}, silent {silent}: away for {away} ms, {limit} ms are allowed"
         );
+        assert_kept(&world);
     }
 }
 
@@ -115,3 +117,253 @@
         );
     }
 }
+
+/// Distances from a worker's loss to the leader's, in seconds; below zero the leader is lost first.
+const DISTANCES_S: std::ops::RangeInclusive<i64> = -15..=15;
+/// Some of them, for what is like the pairs above, in milliseconds.
+const FEW_DISTANCES: [i64; 5] = [-6_000, -1_000, 2_000, 4_000, 7_000];
+/// Kinds of which one each stands for those after which the successor knows that the leader before
+/// has ended, never hears of it, or hears of it as one that may still lead.
+const FEW_LOSSES: [LeaderLoss; 3] = [
+    LeaderLoss::Killed,
+    LeaderLoss::DarkForGood,
+    LeaderLoss::Frozen,
+];
+
+/// Plays losses, each in a world of its own; all rules must hold in each of them.
+fn assert_all_kept(plans: impl IntoIterator<Item = LossPlan>) {
+    let mut count = 0;
+    let mut wrong = Vec::new();
+    for plan in plans {
+        count += 1;
+        let report = play_losses(&plan);
+        if let Some(breach) = report.breaches.first() {
+            let away = report.away_ms as f64 / 1_000.0;
+            let (rule, text) = (breach.rule, &breach.text);
+            wrong.push(format!("{plan}: away for {away:.1} s; {rule}: {text}"));
+        }
+    }
+    let wrong_count = wrong.len();
+    assert!(
+        wrong.is_empty(),
+        "{wrong_count} of {count}:\n{}",
+        wrong.join("\n")
+    );
+}
+
+/// A worker's loss with each of the leader's at all distances; its port refuses or is silent by
+/// turns.
+fn pairs(leader: LeaderLoss) -> impl Iterator<Item = LossPlan> {
+    DISTANCES_S.map(move |distance| {
+        let number = (distance - DISTANCES_S.start()) as u64;
+        let worker = match (number + leader as u64) % 2 {
+            0 => WorkerLoss::Refusing,
+            _ => WorkerLoss::Silent,
+        };
+        let pair = LossPlan::pair(number, Some(leader), distance * 1_000);
+        LossPlan { worker, ..pair }
+    })
+}
+
+/// A smaller set of pairs, which are made into something else.
+fn few_pairs(seed: u64, change: impl Fn(LossPlan) -> LossPlan) -> Vec<LossPlan> {
+    let losses = FEW_LOSSES.into_iter();
+    let pairs = losses.flat_map(|leader| {
+        let distances = FEW_DISTANCES.into_iter();
+        distances.map(move |at| LossPlan::pair(seed, Some(leader), at))
+    });
+    pairs.map(change).collect()
+}
+
+/// A smaller set of pairs for jobs of three kinds.
+fn few_jobs(seed: u64, worker: WorkerLoss) -> impl Iterator<Item = LossPlan> {
+    let jobs = [LossJob::Lasting, LossJob::Batch, LossJob::Gang].into_iter();
+    jobs.flat_map(move |job| {
+        few_pairs(seed, |pair| LossPlan {
+            worker,
+            job,
+            ..pair
+        })
+    })
+}
+
+#[test]
+fn what_a_worker_runs_that_alone_is_lost_is_back_in_time() {
+    let jobs = [
+        LossJob::Lasting,
+        LossJob::Batch,
+        LossJob::Gang,
+        LossJob::Repeated,
+    ];
+    assert_all_kept(jobs.into_iter().flat_map(|job| {
+        let alone = LossPlan::pair(3, None, 0);
+        WorkerLoss::ALL.map(|worker| LossPlan {
+            worker,
+            job,
+            ..alone
+        })
+    }));
+}
+
+#[test]
+fn a_lasting_task_is_back_in_time_beside_a_leader_that_is_killed() {
+    assert_all_kept(pairs(LeaderLoss::Killed));
+}
+
+#[test]
+fn a_lasting_task_is_back_in_time_beside_a_leader_without_power_for_four_seconds() {
+    assert_all_kept(pairs(LeaderLoss::DarkShort));
+}
+
+#[test]
+fn a_lasting_task_is_back_in_time_beside_a_leader_without_power_for_long() {
+    assert_all_kept(pairs(LeaderLoss::DarkLong));
+}
+
+#[test]
+fn a_lasting_task_is_back_in_time_beside_a_leader_without_power_for_good() {
+    assert_all_kept(pairs(LeaderLoss::DarkForGood));
+}
+
+#[test]
+fn a_lasting_task_is_back_in_time_beside_a_leader_that_stands_still() {
+    assert_all_kept(pairs(LeaderLoss::Frozen));
+}
+
+#[test]
+fn a_lasting_task_is_back_in_time_beside_a_leader_that_is_replaced() {
+    assert_all_kept(pairs(LeaderLoss::Replaced));
+}
+
+#[test]
+fn a_lasting_task_is_back_in_time_beside_a_leader_cut_off_from_peers_and_the_table() {
+    assert_all_kept(pairs(LeaderLoss::CutOff));
+}
+
+#[test]
+fn a_lasting_task_is_back_in_time_beside_a_leader_cut_off_from_all() {
+    assert_all_kept(pairs(LeaderLoss::CutFromAll));
+}
+
+#[test]
+fn a_lasting_task_is_back_in_time_beside_a_leader_that_is_stopped_as_planned() {
+    assert_all_kept(pairs(LeaderLoss::Stopped));
+}
+
+#[test]
+fn a_lasting_task_is_back_in_time_beside_the_loss_of_all_instances() {
+    assert_all_kept(pairs(LeaderLoss::AllKilled));
+}
+
+#[test]
+fn a_lasting_task_is_back_in_time_though_two_leaders_are_lost_in_a_row() {
+    let losses = [
+        LeaderLoss::Killed,
+        LeaderLoss::DarkForGood,
+        LeaderLoss::Replaced,
+    ];
+    assert_all_kept((1..).zip(losses).flat_map(|(seed, leader)| {
+        let first = LossPlan::pair(seed, Some(leader), 3_000);
+        [2_000, 3_500, 5_000, 6_000].map(|again_ms| LossPlan {
+            again_ms: Some(again_ms),
+            ..first
+        })
+    }));
+}
+
+#[test]
+fn a_lasting_task_is_back_in_time_though_the_table_forgets_its_history_meanwhile() {
+    // Before the worker's entry runs out, and after it.
+    let times = [(4, 500), (5, 2_900), (6, 5_000)];
+    assert_all_kept(times.into_iter().flat_map(|(seed, forgets_ms)| {
+        let forgets_ms = Some(forgets_ms);
+        few_pairs(seed, |pair| LossPlan { forgets_ms, ..pair })
+    }));
+}
+
+#[test]
+fn a_task_with_an_end_is_back_in_time_and_ends_well() {
+    let jobs = [(7, LossJob::Batch), (8, LossJob::Repeated)];
+    assert_all_kept(
+        jobs.into_iter()
+            .flat_map(|(seed, job)| few_pairs(seed, |pair| LossPlan { job, ..pair })),
+    );
+}
+
+#[test]
+fn a_gang_of_which_one_member_is_gone_is_back_in_time_and_ends_well() {
+    let job = LossJob::Gang;
+    assert_all_kept(few_pairs(9, |pair| LossPlan { job, ..pair }));
+}
+
+#[test]
+fn what_a_worker_runs_that_lost_only_the_table_is_not_started_twice() {
+    assert_all_kept(few_jobs(10, WorkerLoss::OffTable));
+}
+
+#[test]
+fn what_a_worker_runs_that_only_the_leader_reached_is_not_started_twice() {
+    assert_all_kept(few_jobs(11, WorkerLoss::OffAllButLeader));
+}
+
+/// Whether the rule finds a task missing.
+fn is_found_missing(world: &SiteWorld) -> bool {
+    let lost = |rule: &str| rule == "LOST";
+    world.rules.breaches.iter().any(|breach| lost(breach.rule))
+}
+
+#[test]
+fn the_rule_finds_a_task_that_nobody_starts_again_once_the_time_is_over() {
+    let mut world = site(1);
+    let lost_at = world.now_ms;
+    let address = victim(&world);
+    world.lose_worker(&address, false);
+    for node in 0..3 {
+        world.darken(node, None);
+    }
+    world.run_until(lost_at + AWAY_MS);
+    assert!(!is_found_missing(&world));
+    world.run_until(lost_at + AWAY_MS + 200);
+    assert!(is_found_missing(&world));
+}
+
+#[test]
+fn the_rule_waits_for_calm() {
+    let mut world = site(1);
+    let lost_at = world.now_ms;
+    let address = victim(&world);
+    world.lose_worker(&address, false);
+    for node in 0..3 {
+        world.darken(node, None);
+    }
+    // The last trouble is over two seconds after the task could have been found missing.
+    world.store_away_until = lost_at + AWAY_MS - CALM_MS + 2_000;
+    world.run_until(lost_at + AWAY_MS + 2_000);
+    assert!(!is_found_missing(&world));
+    world.run_until(lost_at + AWAY_MS + 2_200);
+    assert!(is_found_missing(&world));
+}
+
+#[test]
+fn the_rule_asks_for_nothing_where_there_is_no_room_or_nobody_wants_it() {
+    for cancelled in [false, true] {
+        let mut world = site(1);
+        if cancelled {
+            world.cancel(LASTING);
+        }
+        let address = victim(&world);
+        world.lose_worker(&address, false);
+        for node in 0..3 {
+            world.darken(node, None);
+        }
+        if !cancelled {
+            // One worker is left: room for one copy of each task, not for two.
+            let others: Vec<String> = world.workers.keys().cloned().collect();
+            for other in &others[1..] {
+                world.lose_worker(other, false);
+            }
+        }
+        world.run_until(60_000);
+        assert!(!is_found_missing(&world), "cancelled: {cancelled}");
+    }
+}
--- a/crates/bankvalve_standin/src/site/site_policy.rs
+++ b/crates/bankvalve_standin/src/site/site_policy.rs
@@ -43,7 +43,8 @@
         format!("{now_ms}/{step}/{worker}")
     }
 
-    fn is_good(&self, step: StepKey, worker: &WorkerId) -> bool {
+    /// Tells whether a worker may run a step.
+    pub fn is_good(&self, step: StepKey, worker: &WorkerId) -> bool {
         let text = format!("{step}/{worker}");
         xxh3_64(text.as_bytes()) % PARTS < self.good_percent
     }
--- a/crates/bankvalve_standin/src/site/site_store.rs
+++ b/crates/bankvalve_standin/src/site/site_store.rs
@@ -127,6 +127,16 @@
         self.worker_changes.push((self.version, id.clone(), news));
     }
 
+    /// Tells whether a worker's entry stands, and is its own.
+    pub fn lists(&self, id: &WorkerId) -> bool {
+        matches!(self.workers.get(id), Some(WorkerNews::Entry(_)))
+    }
+
+    /// Version before which the history of changes is forgotten.
+    pub fn forgotten_before(&self) -> u64 {
+        self.forgotten
+    }
+
     /// Forgets the history of changes.
     pub fn forget_history(&mut self) {
         self.forgotten = self.version;
--- a/crates/bankvalve_standin/src/site/site_worker.rs
+++ b/crates/bankvalve_standin/src/site/site_worker.rs
@@ -275,6 +275,11 @@
         std::mem::take(&mut self.news)
     }
 
+    /// Time on the caller's clock at which its hold is over, in milliseconds.
+    pub fn held_until_ms(&self) -> u64 {
+        self.until.saturating_sub(self.clock_offset_ms)
+    }
+
     /// Whether an end waits for an answer to a look.
     pub fn has_ends(&self) -> bool {
         !self.ends.is_empty()
