--- a/crates/bankvalve_queue/src/core/reports.rs
+++ b/crates/bankvalve_queue/src/core/reports.rs
@@ -6,7 +6,7 @@
 use super::seat::{LifeEnd, LiveRun, RunPhase};
 use super::EntryCore;
 use crate::guard::SiteGuard;
-use crate::ids::{CoreTime, RunId, TaskKey, WorkerId};
+use crate::ids::{CoreTime, RunId, TaskKey, WallMillis, WorkerId};
 use crate::job::StepSpec;
 use crate::ledger::{CrashEvidence, EndKind, JobOutcome, LedgerEvent, StepRecord, TaskPhase};
 use crate::policy::PolicySwitch;
@@ -175,18 +175,29 @@
         saved: String,
         effect: Effect,
     ) {
-        if how != EndKind::Done {
-            let now = self.now;
-            if let Some(lead) = self.lead.as_deref_mut() {
-                lead.wait_sight.note_end(task, run, now);
-            }
+        let at = self.wall;
+        self.keep_end(task, run, how, saved, at, effect);
+    }
+
+    fn keep_end(
+        &mut self,
+        task: TaskKey,
+        run: u64,
+        how: EndKind,
+        saved: String,
+        at: WallMillis,
+        effect: Effect,
+    ) {
+        let now = self.now;
+        if let Some(lead) = self.lead.as_deref_mut().filter(|_| how != EndKind::Done) {
+            lead.wait_sight.note_end(task, run, now);
         }
         let event = LedgerEvent::Ended {
             task,
             run,
             how,
             saved,
-            at: self.wall,
+            at,
         };
         self.propose(event, effect);
     }
@@ -297,14 +308,7 @@
         self.counters.count("ends", how.as_str());
         if self.is_current(task, run) {
             let at = self.last_word_of(id, how);
-            let event = LedgerEvent::Ended {
-                task,
-                run,
-                how,
-                saved,
-                at,
-            };
-            self.propose(event, Effect::None);
+            self.keep_end(task, run, how, saved, at, Effect::None);
         }
     }
 
