--- a/crates/bankvalve_check/src/site/site_world.rs
+++ b/crates/bankvalve_check/src/site/site_world.rs
@@ -6,19 +6,19 @@
 use std::time::{Duration, Instant};
 
 use bankvalve_queue::{
-    AdviceRule, CallerRequest, CoreEvent, EntryCore, JobId, JobSpec, JobState, PeerAddress,
-    PeerPatience, RunId, SiteGuard, StoreRequest, TaskKey, TaskSize, Ticket, WorkerId,
+    AdviceRule, CallerRequest, CoreEvent, DecisionLine, EntryCore, JobId, JobSpec, JobState,
+    PeerAddress, RunId, SiteGuard, StoreRequest, TaskKey, TaskSize, Ticket, WorkerId,
 };
 use bankvalve_standin::site::{SitePolicy, SiteStore, SiteWorker};
 use rand::SeedableRng;
 use rand_pcg::Pcg64Mcg;
 
-use super::site_bytes::LinkUse;
 use super::site_calls::OpenCall;
 use super::site_config::{QueueAnswer, SiteConfig};
 use super::site_costs::{part_of, StepCosts};
 use super::site_crashes::TaskCrash;
-use super::site_processor::NodeProcessor;
+use super::site_lasting::LastingCheck;
+use super::site_losses::LossStep;
 use super::site_silence::SilentLane;
 use super::site_workers::WaitingLook;
 use super::{LinkRecord, RuleBook, SiteAnswer, SiteNode, SitePlan};
@@ -32,6 +32,10 @@
 /// Time of day at the start, in milliseconds since 1970.
 pub(super) const WALL_START: u64 = 1_000_000_000_000;
 
+/// Longest hold that the platform allows if a test says nothing else, in milliseconds: the example
+/// settings' one.
+const HOLD_LIMIT_MS: u64 = 6_000;
+
 /// Something that happens later.
 #[derive(Debug)]
 pub(super) enum Later {
@@ -109,6 +113,13 @@
     EntryGone {
         worker: WorkerId,
     },
+    /// A worker that was cut off from the table reaches it again, and its entry is back.
+    EntryBack {
+        address: String,
+        worker: WorkerId,
+    },
+    /// A step of a loss that was laid out before.
+    Loss(LossStep),
     ApplyLate {
         request: StoreRequest,
     },
@@ -123,6 +134,8 @@
 /// The world.
 pub struct SiteWorld {
     pub(super) plan: SitePlan,
+    /// Longest hold that the platform allows, in milliseconds.
+    pub(super) hold_limit_ms: u64,
     /// Draws all that is left to chance.
     pub rng: Pcg64Mcg,
     /// Virtual time in milliseconds.
@@ -180,6 +193,14 @@
     pub crashing: BTreeMap<TaskKey, TaskCrash>,
     /// Until when a worker is cut off, by address.
     pub worker_cut_until: BTreeMap<String, u64>,
+    /// Until when a worker does not reach the table, by address.
+    pub(super) worker_off_table_until: BTreeMap<String, u64>,
+    /// Workers that one instance alone reaches, by address, and which.
+    pub(super) worker_reached_by: BTreeMap<String, usize>,
+    /// What is seen of tasks that last.
+    pub lasting: LastingCheck,
+    /// Time for which tasks of some jobs work, in milliseconds; that of the others is drawn.
+    pub work_ms: BTreeMap<JobId, u64>,
     /// Whether some callers leave when their job is refused, in place of asking again.
     pub callers_leave: bool,
     /// Events so far.
@@ -211,6 +232,9 @@
     pub costs: Option<StepCosts>,
     /// What callers were told that asked one instance about one job.
     pub answers: Vec<SiteAnswer>,
+    /// Lines that instances logged, with the time in milliseconds and the instance, where they are
+    /// kept.
+    pub lines: Option<Vec<(u64, usize, DecisionLine)>>,
 }
 
 impl std::fmt::Debug for SiteWorld {
@@ -222,6 +246,11 @@
 impl SiteWorld {
     /// Makes a world in which all instances start at once.
     pub fn new(plan: SitePlan) -> Self {
+        Self::with_hold_limit(plan, HOLD_LIMIT_MS)
+    }
+
+    /// The same, with another longest hold than the usual one, in milliseconds.
+    pub fn with_hold_limit(plan: SitePlan, hold_limit_ms: u64) -> Self {
         let rng = Pcg64Mcg::seed_from_u64(plan.seed);
         let policy = plan.good_percent.map(|good_percent| SitePolicy {
             good_percent,
@@ -261,6 +290,10 @@
             old_rooms: BTreeMap::new(),
             crashing: BTreeMap::new(),
             worker_cut_until: BTreeMap::new(),
+            worker_off_table_until: BTreeMap::new(),
+            worker_reached_by: BTreeMap::new(),
+            lasting: LastingCheck::default(),
+            work_ms: BTreeMap::new(),
             callers_leave: false,
             events: 0,
             permit_refusals: 0,
@@ -277,6 +310,8 @@
             waiting_looks: BTreeMap::new(),
             costs: None,
             answers: Vec::new(),
+            hold_limit_ms,
+            lines: None,
             plan,
         };
         world.configure(1);
@@ -284,25 +319,7 @@
             world.add_worker(format!("10.9.0.{number}:80"));
         }
         for number in 0..world.plan.entries {
-            world.nodes.push(SiteNode {
-                address: PeerAddress::from(([10, 1, 0, number as u8], 7_300)),
-                core: None,
-                started_ms: 0,
-                life: 0,
-                frozen_until: 0,
-                suspended_ms: 0,
-                cut_from_store_until: 0,
-                turned_away_until: 0,
-                cut_from_peers_until: 0,
-                link_bytes_per_ms: None,
-                patience: PeerPatience::default(),
-                link_use: LinkUse::default(),
-                processor: NodeProcessor::default(),
-                watch_lost_until: 0,
-                parked: Vec::new(),
-                disturbed_until: 0,
-                newest_table: 0,
-            });
+            world.nodes.push(SiteNode::at(number));
             world.start(number);
         }
         world
@@ -326,6 +343,7 @@
             if at > until_ms {
                 break;
             }
+            self.look_at_lasting(at);
             self.queue.pop();
             self.now_ms = at;
             self.events += 1;
@@ -333,6 +351,7 @@
                 self.happen(later);
             }
         }
+        self.look_at_lasting(until_ms);
         self.now_ms = until_ms;
     }
 
@@ -420,6 +439,8 @@
                 self.store.set_worker(&worker, None);
                 self.answer_watches();
             }
+            Later::EntryBack { address, worker } => self.entry_back(&address, &worker),
+            Later::Loss(step) => self.take_loss(step),
             Later::ApplyLate { request } => {
                 self.store.handle(&request);
                 self.answer_watches();
--- a/crates/bankvalve_queue/src/core/entry_core.rs
+++ b/crates/bankvalve_queue/src/core/entry_core.rs
@@ -7,12 +7,15 @@
 use super::callers::OpenAsk;
 use super::carriers::CarriedFor;
 use super::election::{LeaderView, PeerView};
+use super::former_leaders::FormerLeaders;
 use super::lead::LeadState;
 use super::ledger_page::LedgerPage;
 use super::load_limit::ShareGate;
 use super::log_budget::LogBudget;
 use super::questions::{OpenQuestion, StorePatience};
+use super::seat_list::WorkerReading;
 use super::sight::UnreadyReason;
+use super::stopped_holds::StoppedHolds;
 use super::store_link::WatchState;
 use super::table_watch::{TableSource, TableWatch};
 use super::without_leader::LeaderGap;
@@ -241,7 +244,8 @@
     pub(super) asked_to_lead: Option<u64>,
     /// Whether the leader that asked had stopped commanding.
     pub(super) asked_over: bool,
-    pub(super) predecessor_over: Option<(u64, CoreTime)>,
+    pub(super) former_leaders: FormerLeaders,
+    pub(super) stopped_holds: StoppedHolds,
     pub(super) next_heartbeat: CoreTime,
     pub(super) next_far_heartbeat: CoreTime,
     pub(super) next_slow_heartbeat: CoreTime,
@@ -267,6 +271,7 @@
     /// The writing of the own row.
     pub(super) own_row: WatchState,
     pub(super) worker_watch: WatchState,
+    pub(super) worker_reading: WorkerReading,
     /// When the last question about the workers' entries was sent, and the last that was answered.
     pub(super) worker_list_sent: CoreTime,
     pub(super) worker_list_at: Option<CoreTime>,
@@ -312,7 +317,8 @@
             suspect_since: None,
             asked_to_lead: None,
             asked_over: false,
-            predecessor_over: None,
+            former_leaders: FormerLeaders::default(),
+            stopped_holds: StoppedHolds::default(),
             next_heartbeat: Duration::ZERO,
             next_far_heartbeat: Duration::ZERO,
             next_slow_heartbeat: Duration::ZERO,
@@ -333,6 +339,7 @@
             cell_watch: WatchState::default(),
             own_row: WatchState::default(),
             worker_watch: WatchState::default(),
+            worker_reading: WorkerReading::default(),
             worker_list_sent: Duration::ZERO,
             worker_list_at: None,
             services: BTreeSet::new(),
@@ -396,6 +403,7 @@
             jobs: self.book.len() as u64,
             waiting_tasks: lead.map_or(0, LeadState::waiting_tasks),
             live_runs: lead.map_or(0, LeadState::live_runs),
+            task_waits: self.task_waits(),
             table_version: self.table_version(),
             table_age: self.tables.confirmed.map(|at| self.age(at)),
             leader_age: match &self.leader {
--- a/crates/bankvalve_queue/src/core/reports.rs
+++ b/crates/bankvalve_queue/src/core/reports.rs
@@ -6,7 +6,7 @@
 use super::seat::{LifeEnd, LiveRun, RunPhase};
 use super::EntryCore;
 use crate::guard::SiteGuard;
-use crate::ids::{CoreTime, RunId, TaskKey, WorkerId};
+use crate::ids::{CoreTime, RunId, TaskKey, WallMillis, WorkerId};
 use crate::job::StepSpec;
 use crate::ledger::{CrashEvidence, EndKind, JobOutcome, LedgerEvent, StepRecord, TaskPhase};
 use crate::policy::PolicySwitch;
@@ -175,12 +175,29 @@
         saved: String,
         effect: Effect,
     ) {
+        let at = self.wall;
+        self.keep_end(task, run, how, saved, at, effect);
+    }
+
+    fn keep_end(
+        &mut self,
+        task: TaskKey,
+        run: u64,
+        how: EndKind,
+        saved: String,
+        at: WallMillis,
+        effect: Effect,
+    ) {
+        let now = self.now;
+        if let Some(lead) = self.lead.as_deref_mut().filter(|_| how != EndKind::Done) {
+            lead.wait_sight.note_end(task, run, now);
+        }
         let event = LedgerEvent::Ended {
             task,
             run,
             how,
             saved,
-            at: self.wall,
+            at,
         };
         self.propose(event, effect);
     }
@@ -272,10 +289,12 @@
         saved: String,
         why: &str,
     ) {
+        let now = self.now;
         let Some(lead) = self.lead.as_deref_mut() else {
             return;
         };
         lead.stale = true;
+        let unheard = lead.wait_sight.take_unheard(&task, run, now);
         if let Some(seat) = lead.seats.get_mut(id) {
             if seat.runs.get(&task).is_some_and(|live| live.run == run) {
                 seat.remove_run(&task);
@@ -283,12 +302,13 @@
         }
         self.log_often("runs", "end", || {
             let how = how.as_str();
-            let detail = format!("run {run} on {id}: {how}, {why}");
+            let detail = format!("run {run} on {id}: {how}, {why}{unheard}");
             (task.to_string(), detail)
         });
         self.counters.count("ends", how.as_str());
         if self.is_current(task, run) {
-            self.propose_end(task, run, how, saved, Effect::None);
+            let at = self.last_word_of(id, how);
+            self.keep_end(task, run, how, saved, at, Effect::None);
         }
     }
 
