test: tasks that last and fail do not keep each other from their workers

Cause looked for: what keeps a task that lasts waiting where its worker is well, among the waits of workers that rest.

Change: 15 jobs of one task that lasts on one, two and four workers, each failing twice: long after its start, or right after it.

Not a thing of takeovers: it acts under one leader.

--- a/crates/bankvalve_check/tests/site/takeover.rs
+++ b/crates/bankvalve_check/tests/site/takeover.rs
@@ -1,8 +1,10 @@
 //! What an instance knows is gone with it, or with the table's history, and what its successor waits
 //! for in its place: a task that lasts must not be away for nine calm seconds.
 
+use std::collections::BTreeMap;
+
 use bankvalve_check::site::{job_of, SitePlan, SiteWorld, TaskCrash, QUEUE, URGENT_QUEUE};
-use bankvalve_queue::{JobId, JobSpec, JobState, StepKey, TaskKey};
+use bankvalve_queue::{EndKind, JobId, JobSpec, JobState, StepKey, TaskKey};
 
 use crate::assert_kept;
 
@@ -402,3 +404,91 @@
         }
     }
 }
+
+/// Jobs of one task that lasts, of which one fails every so often; each fails twice at most.
+const FAILING_JOBS: u64 = 15;
+
+/// How tasks that last fail by their own fault.
+#[derive(Clone, Copy, Debug)]
+enum LastingFailure {
+    /// One each so many milliseconds, after it has run for long.
+    Late(u64),
+    /// Each of the first two runs, so many milliseconds after it began.
+    Young(u64),
+}
+
+/// Has a run of a job fail after a time.
+fn have_fail(world: &mut SiteWorld, job: JobId, after_ms: u64) {
+    let now = world.now_ms;
+    let Some((task, address)) = running(world, job).pop() else {
+        return;
+    };
+    if let Some(Some(worker)) = world.workers.get_mut(&address) {
+        worker.begin_work(task, now, (after_ms, EndKind::Failed));
+    }
+}
+
+/// Longest that a task that lasts is away where such tasks alone run and fail now and then, in
+/// milliseconds, and how often a worker was let rest.
+fn longest_away_of_failing_tasks(workers: usize, failure: LastingFailure) -> (u64, u64) {
+    let mut world = site(61, workers);
+    for job in 1..=FAILING_JOBS {
+        let mut spec = lasting_job(job, 1, 200);
+        spec.steps[0].size.memory_mib = 100;
+        world.submit(spec);
+    }
+    world.run_until(1_500);
+    let mut away_since = BTreeMap::new();
+    let mut failed = BTreeMap::new();
+    let mut longest = 0;
+    for turn in 0..1_200 {
+        let now = world.now_ms;
+        if let LastingFailure::Late(each_ms) = failure {
+            let number = turn * 50 / each_ms;
+            let due = turn * 50 % each_ms == 0 && (1..=2 * FAILING_JOBS).contains(&number);
+            if due {
+                have_fail(&mut world, 1 + number % FAILING_JOBS, 0);
+            }
+        }
+        for job in 1..=FAILING_JOBS {
+            if running(&world, job).is_empty() {
+                let since = *away_since.entry(job).or_insert(now);
+                longest = longest.max(now - since);
+            } else if turn == 0 || away_since.remove(&job).is_some() {
+                let failures: &mut u32 = failed.entry(job).or_default();
+                if let (LastingFailure::Young(after_ms), true) = (failure, *failures < 2) {
+                    *failures += 1;
+                    have_fail(&mut world, job, after_ms);
+                }
+            }
+        }
+        world.run_until(now + 50);
+    }
+    assert_kept(&world);
+    (longest, world.counter("workers", "rest"))
+}
+
+#[test]
+fn tasks_that_last_and_fail_now_and_then_do_not_keep_each_other_from_their_workers() {
+    for workers in [1, 2, 4] {
+        for each_ms in [1_000, 2_000] {
+            let failure = LastingFailure::Late(each_ms);
+            let (away, rests) = longest_away_of_failing_tasks(workers, failure);
+            let day = format!("{workers} workers, {failure:?}: {away} ms, {rests} rests");
+            assert!(away < 1_000, "{day}");
+        }
+    }
+}
+
+#[test]
+fn a_task_that_lasts_starts_on_a_worker_that_rests_before_it_is_away_for_too_long() {
+    for workers in [1, 2, 4] {
+        for after_ms in [100, 400] {
+            let failure = LastingFailure::Young(after_ms);
+            let (away, rests) = longest_away_of_failing_tasks(workers, failure);
+            let day = format!("{workers} workers, {failure:?}: {away} ms, {rests} rests");
+            assert!(away < LONGEST_AWAY_MS, "{day}");
+            assert!(rests > 0, "{day}");
+        }
+    }
+}
