fix: tasks that last do not wait for workers that rest

Cause: a worker rests after three failures of different jobs in a row, each rest longer, up to 24 s, until something ends well there. Tasks that last never do, and may fail at any time, so that on a worker that runs only such tasks every failure after the third, in hours, led to a rest of 24 s.

Ruled out: room and suspects' turns. No task is a suspect by a failure, and four workers, of which one is always awake, have no task wait.

Change: a failure of a task that lasts counts against its worker only within 3 s of its start, the shortest rest. And a task that lasts and has been away for 7.8 s is placed on a worker that rests if no other has room.

All tests of bankvalve_queue and bankvalve_check pass, doc tests among them.

--- a/crates/bankvalve_queue/src/core/choosing.rs
+++ b/crates/bankvalve_queue/src/core/choosing.rs
@@ -27,7 +27,7 @@
         && seat.listed
         && seat.usable
         && !seat.entry.leaving
-        && now >= seat.resting_until;
+        && (now >= seat.resting_until || step.pressed);
     if !usable || !step.room.fits(&seat.entry.room) || !seat.is_lively(now) {
         return false;
     }
@@ -93,6 +93,8 @@
     room: TaskSize,
     held: usize,
     near: bool,
+    /// Whether it rests, and is taken all the same if no other has room.
+    rests: bool,
     /// How slow it is, in steps.
     slow: i64,
 }
@@ -106,6 +108,7 @@
             room: seat.room_for(step.key, now),
             held: held_of(seat, step.key),
             near: rack.is_some_and(|rack| seat.entry.labels.contains(rack)),
+            rests: now < seat.resting_until,
             slow: (seat.slowness / SLOWNESS_STEP).round() as i64,
         }
     }
@@ -114,11 +117,11 @@
         wanted.fits(&self.room) && self.held < limit
     }
 
-    /// Least is best: near its data; for urgent work fast; then the one that is left fullest.
-    fn rank(&self, step: &PlacedStep) -> (Reverse<bool>, i64, u64) {
+    /// Least is best: one that does not rest; near its data; for urgent work fast; then the one that is left fullest.
+    fn rank(&self, step: &PlacedStep) -> (bool, Reverse<bool>, i64, u64) {
         let left = self.room.minus(&step.room).millicores;
         let slow = if step.fast_first { self.slow } else { 0 };
-        (Reverse(self.near), slow, left)
+        (self.rests, Reverse(self.near), slow, left)
     }
 }
 
--- a/crates/bankvalve_queue/src/core/placing.rs
+++ b/crates/bankvalve_queue/src/core/placing.rs
@@ -47,6 +47,9 @@
     pub(super) fast_first: bool,
     /// Tasks among them that are suspects and start where nothing else runs.
     alone: Vec<TaskKey>,
+    /// Whether a task among them lasts and has been away for too long, so that workers that rest are
+    /// taken as well.
+    pub(super) pressed: bool,
 }
 
 /// Choice of workers for tasks of a step.
@@ -144,6 +147,11 @@
         let job = self.book.job(key.job)?;
         let spec = job.spec.steps.get(usize::from(key.step))?.clone();
         let record = job.step(key)?;
+        let waits = |task: &TaskKey| record.tasks.get(task.index as usize);
+        let pressed = tasks
+            .iter()
+            .filter_map(waits)
+            .any(|task| self.is_pressed(&spec, task));
         let queue = self
             .table
             .as_ref()
@@ -161,6 +169,7 @@
             spec,
             tasks,
             alone,
+            pressed,
         })
     }
 
--- a/crates/bankvalve_queue/src/core/reports.rs
+++ b/crates/bankvalve_queue/src/core/reports.rs
@@ -17,6 +17,12 @@
 /// Least ratio of a measured to a guessed run time that is taken for one.
 const LEAST_RATIO: f64 = 0.05;
 
+/// A run of a task that lasts which lived for longer fails by itself, as such tasks may at any time, and
+/// speaks against its worker no more: they never end well, so that three such failures in hours had a
+/// worker rest, and each later one for up to 24 s. A worker that fails what it starts does so within
+/// its shortest rest.
+const SERVED_LIFE: Duration = Duration::from_secs(3);
+
 /// A run that ended with its worker.
 struct LostRun {
     task: TaskKey,
@@ -61,9 +67,11 @@
             .is_some_and(|live| live.run == end.run);
         let mut ran = Duration::ZERO;
         let mut guess = Duration::ZERO;
+        let mut served = false;
         if held {
             if let Some(live) = seat.remove_run(&end.task) {
                 ran = now.saturating_sub(live.began);
+                served = live.lasting && ran > SERVED_LIFE;
                 if live.measured && end.saved.is_empty() {
                     guess = live.estimate;
                 }
@@ -85,7 +93,7 @@
         let may_rest = self.settings.without != Some(PolicySwitch::FailureRest);
         let rests = match end.how {
             EndKind::Done => seat.note_result(job, true, now),
-            EndKind::Failed if may_rest => seat.note_result(job, false, now),
+            EndKind::Failed if may_rest && !served => seat.note_result(job, false, now),
             _ => false,
         };
         if rests {
