--- a/crates/bankvalve_queue/src/core/entry_core.rs
+++ b/crates/bankvalve_queue/src/core/entry_core.rs
@@ -7,6 +7,7 @@
 use super::callers::OpenAsk;
 use super::carriers::CarriedFor;
 use super::election::{LeaderView, PeerView};
+use super::former_leaders::FormerLeaders;
 use super::lead::LeadState;
 use super::ledger_page::LedgerPage;
 use super::load_limit::ShareGate;
@@ -14,6 +15,7 @@
 use super::questions::{OpenQuestion, StorePatience};
 use super::seat_list::WorkerReading;
 use super::sight::UnreadyReason;
+use super::stopped_holds::StoppedHolds;
 use super::store_link::WatchState;
 use super::table_watch::{TableSource, TableWatch};
 use super::without_leader::LeaderGap;
@@ -242,7 +244,8 @@
     pub(super) asked_to_lead: Option<u64>,
     /// Whether the leader that asked had stopped commanding.
     pub(super) asked_over: bool,
-    pub(super) predecessor_over: Option<(u64, CoreTime)>,
+    pub(super) former_leaders: FormerLeaders,
+    pub(super) stopped_holds: StoppedHolds,
     pub(super) next_heartbeat: CoreTime,
     pub(super) next_far_heartbeat: CoreTime,
     pub(super) next_slow_heartbeat: CoreTime,
@@ -314,7 +317,8 @@
             suspect_since: None,
             asked_to_lead: None,
             asked_over: false,
-            predecessor_over: None,
+            former_leaders: FormerLeaders::default(),
+            stopped_holds: StoppedHolds::default(),
             next_heartbeat: Duration::ZERO,
             next_far_heartbeat: Duration::ZERO,
             next_slow_heartbeat: Duration::ZERO,
@@ -399,6 +403,7 @@
             jobs: self.book.len() as u64,
             waiting_tasks: lead.map_or(0, LeadState::waiting_tasks),
             live_runs: lead.map_or(0, LeadState::live_runs),
+            task_waits: self.task_waits(),
             table_version: self.table_version(),
             table_age: self.tables.confirmed.map(|at| self.age(at)),
             leader_age: match &self.leader {
--- a/crates/bankvalve_queue/src/core/mod.rs
+++ b/crates/bankvalve_queue/src/core/mod.rs
@@ -5,7 +5,7 @@
 //! ledger, `callers` answers requests, `book_reads` from a follower's book, `holds`, `reports`,
 //! `orders` and `overdue` deal with workers, `advice` asks the policy service, `placing`
 //! decides which task runs where, and `making_room` what gives way to it. `sight`
-//! tells how the instance stands. `table_watch` and `table_pull` have the
+//! tells how the instance stands, `unheard` why tasks do not run that did. `table_watch` and `table_pull` have the
 //! operator's configuration, `queue_lookup` what is not in it.
 
 mod advice;
@@ -19,6 +19,7 @@
 mod election;
 mod entry_core;
 mod following;
+mod former_leaders;
 mod holds;
 mod hubs;
 mod lead;
@@ -40,13 +41,16 @@
 mod seat_map;
 mod sight;
 mod standby;
+mod stopped_holds;
 mod store_link;
 mod suspects;
 mod table_pull;
 mod table_watch;
+mod unheard;
 mod waiting;
 mod withdraw;
 mod without_leader;
 mod yielding;
 
 pub use entry_core::{CoreAction, CoreEvent, EntryCore, EntrySettings};
+pub use unheard::{StartWait, TaskWaits, WaitReason};
