fix(queue): a run that a leader before started had not just been started

Cause: the age of a run was reckoned from the own first list. A worker that ended within 0.3 s of a takeover made suspects of all that it ran, however old; each was then tried alone, one after the other. A run of a listed worker that a new leader never heard counted as ended with it, though a worker that is cut off has not ended. Change: a run that was found in the ledger is no young one, and one on a worker whose entry stands is not counted.

--- a/crates/bankvalve_check/tests/site/crashing.rs
+++ b/crates/bankvalve_check/tests/site/crashing.rs
@@ -256,3 +256,46 @@
         assert!(noticed, "nothing notices that {} is gone", guard.as_str());
     }
 }
+
+#[test]
+fn a_run_that_is_older_than_its_leader_is_not_taken_for_one_that_had_just_been_started() {
+    // Seen: a worker ended 0.2 s after a takeover, and another life came at its address. Tasks that had
+    // run there for 13 s became suspects, each to be tried alone, and were away for up to 22 s: the
+    // new leader reckoned their age from its own first list.
+    for (seed, after_ms) in [(81, 30), (82, 120), (83, 200)] {
+        let mut world = world_without(seed, 6, None);
+        world.lines = Some(Vec::new());
+        let mut spec = job_of(1, QUEUE, &[4], false);
+        spec.steps[0].lasting = true;
+        world.submit(spec);
+        world.run_until(14_000);
+        let leader = world.leader().expect("an instance leads");
+        world.kill(leader, 1_000);
+        while world.leader().is_none_or(|next| next == leader) {
+            let until = world.now_ms + 10;
+            world.run_until(until);
+        }
+        let until = world.now_ms + after_ms;
+        world.run_until(until);
+        let busy = |address: &&String| {
+            let worker = world.workers[*address].as_ref();
+            worker.is_some_and(|worker| !worker.runs().is_empty())
+        };
+        let address = world
+            .workers
+            .keys()
+            .find(busy)
+            .expect("a worker runs tasks");
+        let address = address.clone();
+        world.end_worker(&address, 4_000);
+        let until = world.now_ms + 12_000;
+        world.run_until(until);
+        assert_kept(&world);
+        let lines = world.lines.iter().flatten();
+        let crashes = lines.filter(|(.., line)| line.part == "runs" && line.event == "crash");
+        let told: Vec<&str> = crashes.map(|(.., line)| line.detail.as_str()).collect();
+        assert!(!told.is_empty(), "seed {seed}: no end is counted");
+        let weak = told.iter().all(|detail| detail.contains("weak evidence"));
+        assert!(weak, "seed {seed}, {after_ms} ms: {told:?}");
+    }
+}
--- a/crates/bankvalve_queue/src/core/seat.rs
+++ b/crates/bankvalve_queue/src/core/seat.rs
@@ -151,6 +151,8 @@
     pub(super) progress: Option<RunProgress>,
     /// When a list last told that it runs.
     pub(super) listed_at: Option<CoreTime>,
+    /// Whether it was started by a leader before, so that it is older than is known here.
+    pub(super) adopted: bool,
     /// Whether workers ended under its task, so that it has its worker to itself; its room is the
     /// whole worker then.
     pub(super) on_trial: bool,
@@ -162,6 +164,7 @@
             run,
             load: RunLoad::of(spec),
             room: spec.room(),
+            adopted: phase == RunPhase::Adopted,
             phase,
             began: now,
             estimate: Duration::from_millis(spec.estimate_ms),
@@ -183,7 +186,7 @@
         }
     }
 
-    /// Time for which it has surely run.
+    /// Time for which it has surely run, as far as this leader was told.
     pub(super) fn lived(&self) -> Duration {
         match (&self.phase, self.listed_at) {
             (RunPhase::Running { since }, Some(at)) => at.saturating_sub(*since),
--- a/crates/bankvalve_queue/src/core/suspects.rs
+++ b/crates/bankvalve_queue/src/core/suspects.rs
@@ -73,7 +73,7 @@
         // start may have.
         let dead = !seat.listed && seat.refused;
         if end == LifeEnd::HoldOver && !dead {
-            let cut_off = seat.listed && !lived.is_zero();
+            let cut_off = seat.listed && (live.adopted || !lived.is_zero());
             return if cut_off {
                 EndKind::Lost
             } else {
@@ -81,7 +81,8 @@
             };
         }
         let started = matches!(live.phase, RunPhase::Ordered | RunPhase::Running { .. });
-        let young = started && lived < YOUNG_LIFE;
+        // What a leader before started had not just been started, however lately this one was told of it.
+        let young = started && lived < YOUNG_LIFE && !live.adopted;
         let alone = seat.runs.len() == 1 && !is_common(lead, id, self.now);
         let alone = alone || !self.keeps(SiteGuard::AloneEvidence);
         EndKind::Crashed(match (young, alone) {
