test: a start is weighed against what other workers run at that moment

Cause: a world notices up to half a second late that a hold ran out, and a start elsewhere in between was taken for TWICE.

The workers that still have the task are brought up to date first. What runs there at that moment is TWICE as before, so that the check is as strict. `lasting` prints the plays that broke a rule.

--- a/crates/bankvalve_check/src/site/site_loss_table.rs
+++ b/crates/bankvalve_check/src/site/site_loss_table.rs
@@ -5,19 +5,35 @@
 use std::sync::Mutex;
 
 use super::site_losses::{play_losses, LeaderLoss, LossPlan, WorkerLoss};
+use super::RuleBreach;
 
 /// Longest distance between the two losses, in milliseconds.
 const FARTHEST_MS: i64 = 15_000;
 /// Worlds that are played at once.
 const THREADS: usize = 4;
 
+/// Worlds that broke a rule which are shown, and breaches of each.
+const SHOWN: usize = 20;
+const BREACHES_SHOWN: usize = 4;
+
 /// What one world showed.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 struct LossFigure {
     plan: LossPlan,
     away_ms: u64,
-    lost: bool,
-    others: bool,
+    breaches: Vec<RuleBreach>,
+}
+
+impl LossFigure {
+    /// Whether a task was found missing.
+    fn is_lost(&self) -> bool {
+        self.breaches.iter().any(|breach| breach.rule == "LOST")
+    }
+
+    /// Whether another rule was broken.
+    fn breaks_others(&self) -> bool {
+        self.breaches.iter().any(|breach| breach.rule != "LOST")
+    }
 }
 
 /// Plays pairs of losses at all distances and prints how long tasks that last were away.
@@ -54,10 +70,20 @@
             }
         }
     }
-    let broken = figures.iter().filter(|figure| figure.lost || figure.others);
-    match broken.count() {
-        0 => ExitCode::SUCCESS,
-        _ => ExitCode::FAILURE,
+    let mut broken: Vec<&LossFigure> = figures.iter().collect();
+    broken.retain(|figure| !figure.breaches.is_empty());
+    // Rules other than the one that is measured come first.
+    broken.sort_by_key(|figure| !figure.breaks_others());
+    for figure in broken.iter().take(SHOWN) {
+        println!("{}: away for {} ms", figure.plan, figure.away_ms);
+        for breach in figure.breaches.iter().take(BREACHES_SHOWN) {
+            println!("  {}: {}", breach.rule, breach.text);
+        }
+    }
+    if broken.is_empty() {
+        ExitCode::SUCCESS
+    } else {
+        ExitCode::FAILURE
     }
 }
 
@@ -81,12 +107,10 @@
 
 fn play(plan: LossPlan) -> LossFigure {
     let report = play_losses(&plan);
-    let lost = |rule: &str| rule == "LOST";
     LossFigure {
         plan,
         away_ms: report.away_ms,
-        lost: report.breaches.iter().any(|breach| lost(breach.rule)),
-        others: report.breaches.iter().any(|breach| !lost(breach.rule)),
+        breaches: report.breaches,
     }
 }
 
@@ -113,8 +137,11 @@
         worker.as_str(),
         first,
         figures.len(),
-        figures.iter().filter(|figure| figure.lost).count(),
-        figures.iter().filter(|figure| figure.others).count(),
+        figures.iter().filter(|figure| figure.is_lost()).count(),
+        figures
+            .iter()
+            .filter(|figure| figure.breaks_others())
+            .count(),
         seconds(times[times.len() / 2]),
         seconds(worst.away_ms),
         worst.plan.distance_ms as f64 / 1_000.0,
--- a/crates/bankvalve_check/src/site/site_workers.rs
+++ b/crates/bankvalve_check/src/site/site_workers.rs
@@ -274,6 +274,7 @@
         let now = self.now_ms;
         match *news {
             WorkerNews::Started(task, run) => {
+                self.bring_up_to_date(id, task);
                 self.rules.started(id, task, run, now);
                 self.lasting_started(id, task, run);
                 self.check_limit(task.step, id);
@@ -288,6 +289,20 @@
         }
     }
 
+    /// Lets time pass on the other workers that still have a task: what ended there since they were
+    /// last looked at, up to half a second ago, does not run any more.
+    fn bring_up_to_date(&mut self, id: &WorkerId, task: TaskKey) {
+        let now = self.now_ms;
+        let has = |worker: &&SiteWorker| worker.id != *id && worker.runs().contains_key(&task);
+        let others = self.workers.iter().filter_map(|(address, worker)| {
+            worker.as_ref().filter(has)?;
+            Some(address.clone())
+        });
+        for address in others.collect::<Vec<_>>() {
+            self.worker_time(&address);
+        }
+    }
+
     pub(super) fn check_limit(&mut self, step: StepKey, id: &WorkerId) {
         let spec = &self.specs[&step.job].steps[usize::from(step.step)];
         let limit = spec.per_worker_limit as usize;
