--- a/crates/bankvalve_check/tests/site/main.rs
+++ b/crates/bankvalve_check/tests/site/main.rs
@@ -5,12 +5,15 @@
 mod config;
 mod crashing;
 mod jobs;
+mod lasting;
 mod leading;
 mod lost_workers;
 mod overload;
 mod random;
 mod recover;
+mod sight;
 mod table;
+mod takeover;
 mod wide_gangs;
 mod workers;
 
--- a/crates/bankvalve_queue/src/core/lead.rs
+++ b/crates/bankvalve_queue/src/core/lead.rs
@@ -10,6 +10,7 @@
 use super::making_room::RoomClaim;
 use super::seat::LiveRun;
 use super::seat_map::SeatMap;
+use super::unheard::WaitSight;
 use super::waiting::WaitingStep;
 use super::EntryCore;
 use crate::caller::CallerRequest;
@@ -90,7 +91,6 @@
 pub(super) struct LeadState {
     pub(super) epoch: u64,
     pub(super) row_version: u64,
-    pub(super) predecessor: Option<(PeerAddress, u64)>,
     pub(super) began_at: CoreTime,
     /// Whether the whole ledger has been read.
     pub(super) loaded: bool,
@@ -141,6 +141,8 @@
     /// Jobs that are over, of which it is not kept yet.
     pub(super) ending: BTreeSet<JobId>,
     pub(super) seats: SeatMap,
+    /// What is told of tasks that do not run though they did.
+    pub(super) wait_sight: WaitSight,
     pub(super) calls: BTreeMap<Ticket, OpenCall>,
     /// Time that the way to a carrier and back takes, as heartbeats and their echoes tell.
     pub(super) way_time: Duration,
@@ -179,16 +181,10 @@
 }
 
 impl LeadState {
-    pub(super) fn new(
-        epoch: u64,
-        row_version: u64,
-        predecessor: Option<(PeerAddress, u64)>,
-        now: CoreTime,
-    ) -> Self {
+    pub(super) fn new(epoch: u64, row_version: u64, now: CoreTime) -> Self {
         Self {
             epoch,
             row_version,
-            predecessor,
             began_at: now,
             loaded: false,
             load_at: None,
@@ -219,6 +215,7 @@
             stops: BTreeMap::new(),
             ending: BTreeSet::new(),
             seats: SeatMap::default(),
+            wait_sight: WaitSight::default(),
             calls: BTreeMap::new(),
             way_time: Duration::ZERO,
             call_limits: BTreeSet::new(),
@@ -440,6 +437,7 @@
             return;
         }
         lead.next_forget = self.now + FORGET_EVERY;
+        self.forget_stopped_holds();
         self.tell_left_out();
         let Some(lead) = self.lead.as_deref_mut() else {
             return;
--- a/crates/bankvalve_queue/src/core/placing.rs
+++ b/crates/bankvalve_queue/src/core/placing.rs
@@ -47,6 +47,9 @@
     pub(super) fast_first: bool,
     /// Tasks among them that are suspects and start where nothing else runs.
     alone: Vec<TaskKey>,
+    /// Whether a task among them lasts and has been away for too long, so that workers that rest are
+    /// taken as well.
+    pub(super) pressed: bool,
 }
 
 /// Choice of workers for tasks of a step.
@@ -144,6 +147,11 @@
         let job = self.book.job(key.job)?;
         let spec = job.spec.steps.get(usize::from(key.step))?.clone();
         let record = job.step(key)?;
+        let waits = |task: &TaskKey| record.tasks.get(task.index as usize);
+        let pressed = tasks
+            .iter()
+            .filter_map(waits)
+            .any(|task| self.is_pressed(&spec, task));
         let queue = self
             .table
             .as_ref()
@@ -161,17 +169,26 @@
             spec,
             tasks,
             alone,
+            pressed,
         })
     }
 
     /// The tasks of a step that are to be placed now, and which of them alone: those that nothing speaks
-    /// against first, then suspects in their turn; a gang as a whole, its suspects first.
+    /// against first, then suspects in their turn; a gang as a whole, its suspects first. One that has been
+    /// away for too long waits for no turn.
     fn tasks_to_place(&mut self, key: StepKey) -> Option<(Vec<TaskKey>, Vec<TaskKey>)> {
         let job = self.book.job(key.job)?;
-        let gang = job.spec.steps.get(usize::from(key.step))?.gang;
+        let spec = job.spec.steps.get(usize::from(key.step))?;
+        let gang = spec.gang;
         let waiting = job.step(key)?.tasks.iter().enumerate();
-        let waiting = waiting.filter(|(_, task)| task.phase == TaskPhase::Waiting);
-        let (suspects, others): (Vec<_>, Vec<_>) = waiting.partition(|(_, task)| task.is_suspect());
+        let waiting: Vec<_> = waiting
+            .filter(|(_, task)| task.phase == TaskPhase::Waiting)
+            .collect();
+        let pressed = |task: &TaskRecord| self.is_pressed(spec, task);
+        let whole = gang && waiting.iter().any(|(_, task)| pressed(task));
+        let is_tried = |task: &TaskRecord| task.is_suspect() && !whole && !pressed(task);
+        let (suspects, others): (Vec<_>, Vec<_>) =
+            waiting.into_iter().partition(|(_, task)| is_tried(task));
         let keys = |tasks: &[(usize, &TaskRecord)]| -> Vec<TaskKey> {
             let indexes = tasks.iter().map(|(index, _)| *index as u32);
             indexes.map(|index| key.task(index)).collect()
@@ -351,8 +368,9 @@
             }
             seat.add_run(task, live);
             let left = seat.entry.room.minus(&seat.used).millicores;
+            let waited = lead.wait_sight.start_text(&task, now);
             self.log_often("placer", "place", || {
-                let detail = format!("run {} on {worker}, room left {left}", step.run);
+                let detail = format!("run {} on {worker}, room left {left}{waited}", step.run);
                 (task.to_string(), detail)
             });
             let run = step.run;
--- a/crates/bankvalve_queue/src/core/reports.rs
+++ b/crates/bankvalve_queue/src/core/reports.rs
@@ -6,7 +6,7 @@
 use super::seat::{LifeEnd, LiveRun, RunPhase};
 use super::EntryCore;
 use crate::guard::SiteGuard;
-use crate::ids::{CoreTime, RunId, TaskKey, WorkerId};
+use crate::ids::{CoreTime, RunId, TaskKey, WallMillis, WorkerId};
 use crate::job::StepSpec;
 use crate::ledger::{CrashEvidence, EndKind, JobOutcome, LedgerEvent, StepRecord, TaskPhase};
 use crate::policy::PolicySwitch;
@@ -17,6 +17,12 @@
 /// Least ratio of a measured to a guessed run time that is taken for one.
 const LEAST_RATIO: f64 = 0.05;
 
+/// A run of a task that lasts which lived for longer fails by itself, as such tasks may at any time, and
+/// speaks against its worker no more: they never end well, so that three such failures in hours had a
+/// worker rest, and each later one for up to 24 s. A worker that fails what it starts does so within
+/// its shortest rest.
+const SERVED_LIFE: Duration = Duration::from_secs(3);
+
 /// A run that ended with its worker.
 struct LostRun {
     task: TaskKey,
@@ -61,9 +67,11 @@
             .is_some_and(|live| live.run == end.run);
         let mut ran = Duration::ZERO;
         let mut guess = Duration::ZERO;
+        let mut served = false;
         if held {
             if let Some(live) = seat.remove_run(&end.task) {
                 ran = now.saturating_sub(live.began);
+                served = live.lasting && ran > SERVED_LIFE;
                 if live.measured && end.saved.is_empty() {
                     guess = live.estimate;
                 }
@@ -85,7 +93,7 @@
         let may_rest = self.settings.without != Some(PolicySwitch::FailureRest);
         let rests = match end.how {
             EndKind::Done => seat.note_result(job, true, now),
-            EndKind::Failed if may_rest => seat.note_result(job, false, now),
+            EndKind::Failed if may_rest && !served => seat.note_result(job, false, now),
             _ => false,
         };
         if rests {
@@ -175,12 +183,29 @@
         saved: String,
         effect: Effect,
     ) {
+        let at = self.wall;
+        self.keep_end(task, run, how, saved, at, effect);
+    }
+
+    fn keep_end(
+        &mut self,
+        task: TaskKey,
+        run: u64,
+        how: EndKind,
+        saved: String,
+        at: WallMillis,
+        effect: Effect,
+    ) {
+        let now = self.now;
+        if let Some(lead) = self.lead.as_deref_mut().filter(|_| how != EndKind::Done) {
+            lead.wait_sight.note_end(task, run, now);
+        }
         let event = LedgerEvent::Ended {
             task,
             run,
             how,
             saved,
-            at: self.wall,
+            at,
         };
         self.propose(event, effect);
     }
@@ -272,10 +297,12 @@
         saved: String,
         why: &str,
     ) {
+        let now = self.now;
         let Some(lead) = self.lead.as_deref_mut() else {
             return;
         };
         lead.stale = true;
+        let unheard = lead.wait_sight.take_unheard(&task, run, now);
         if let Some(seat) = lead.seats.get_mut(id) {
             if seat.runs.get(&task).is_some_and(|live| live.run == run) {
                 seat.remove_run(&task);
@@ -283,12 +310,13 @@
         }
         self.log_often("runs", "end", || {
             let how = how.as_str();
-            let detail = format!("run {run} on {id}: {how}, {why}");
+            let detail = format!("run {run} on {id}: {how}, {why}{unheard}");
             (task.to_string(), detail)
         });
         self.counters.count("ends", how.as_str());
         if self.is_current(task, run) {
-            self.propose_end(task, run, how, saved, Effect::None);
+            let at = self.last_word_of(id, how);
+            self.keep_end(task, run, how, saved, at, Effect::None);
         }
     }
 
