test: guards on which a successor's shorter wait rests are noticed when they are gone

known-holds: a successor that reckons with the longest holds breaks LOST. leader-in-touch: a leader that is cut off together with one worker and goes on prolonging its hold has the task run twice. resume-kept: a leader that prolongs a hold again before that is kept does as well. A task that waits for no trial any more is not told as a suspect.

--- a/crates/bankvalve_check/src/site/site_world.rs
+++ b/crates/bankvalve_check/src/site/site_world.rs
@@ -196,7 +196,7 @@
     /// Until when a worker does not reach the table, by address.
     pub(super) worker_off_table_until: BTreeMap<String, u64>,
     /// Workers that one instance alone reaches, by address, and which.
-    pub(super) worker_reached_by: BTreeMap<String, usize>,
+    pub worker_reached_by: BTreeMap<String, usize>,
     /// What is seen of tasks that last.
     pub lasting: LastingCheck,
     /// Time for which tasks of some jobs work, in milliseconds; that of the others is drawn.
--- a/crates/bankvalve_check/tests/site/random.rs
+++ b/crates/bankvalve_check/tests/site/random.rs
@@ -43,8 +43,8 @@
         (SiteGuard::LedgerProgress, 7),
         (SiteGuard::GrowingPatience, 3),
     ];
-    // The drawn worlds notice these seldom: each has a world of its own, below, in `workers` and in
-    // `crashing`.
+    // The drawn worlds notice these seldom: each has a world of its own, below, in `workers`, in
+    // `crashing` and in `holds`.
     let seldom = [
         SiteGuard::SureRefusal,
         SiteGuard::LateDone,
@@ -52,6 +52,9 @@
         SiteGuard::AloneEvidence,
         SiteGuard::RoomOfNow,
         SiteGuard::BootTime,
+        SiteGuard::KnownHolds,
+        SiteGuard::LeaderInTouch,
+        SiteGuard::ResumeKept,
     ];
     let others = SiteGuard::ALL.into_iter();
     let others = others.filter(|guard| !seldom.contains(guard));
--- a/crates/bankvalve_queue/src/core/stopped_holds.rs
+++ b/crates/bankvalve_queue/src/core/stopped_holds.rs
@@ -130,11 +130,15 @@
 
     /// A worker was heard: its hold may be prolonged again once that is kept.
     pub(super) fn resume_hold(&mut self, id: &WorkerId) {
+        let kept_first = self.keeps(SiteGuard::ResumeKept);
         let seat = self.lead_seat(id);
         let Some(seat) = seat.filter(|seat| seat.hold_stop == HoldStop::Stopped) else {
             return;
         };
-        seat.hold_stop = HoldStop::Resuming;
+        seat.hold_stop = match kept_first {
+            true => HoldStop::Resuming,
+            false => HoldStop::None,
+        };
         let worker = id.clone();
         let event = LedgerEvent::HoldResumed { worker };
         self.propose(event, Effect::ProlongHold(id.clone()));
--- a/crates/bankvalve_queue/src/core/unheard.rs
+++ b/crates/bankvalve_queue/src/core/unheard.rs
@@ -661,14 +661,18 @@
         if !lead.waiting.contains_key(&step) {
             return StartWait::Others;
         }
-        if job.task(task).is_some_and(|record| record.is_suspect()) {
+        let spec = job.spec.steps.get(usize::from(step.step));
+        let pressed = |record| spec.is_some_and(|spec| self.is_pressed(spec, record));
+        if job
+            .task(task)
+            .is_some_and(|record| record.is_suspect() && !pressed(record))
+        {
             return StartWait::Suspect;
         }
         if lead.room_claims.contains_key(&step) {
             return StartWait::RoomMade;
         }
         let most = *most.get_or_insert_with(|| lead.most_room());
-        let spec = job.spec.steps.get(usize::from(step.step));
         if spec.is_some_and(|spec| !spec.room().fits(&most)) {
             return StartWait::NoRoom;
         }
--- a/crates/bankvalve_queue/src/guard.rs
+++ b/crates/bankvalve_queue/src/guard.rs
@@ -49,11 +49,13 @@
     KnownHolds,
     /// A leader that is not sure that it leads prolongs holds only while its peers hear it.
     LeaderInTouch,
+    /// A hold that the ledger has as stopped is prolonged only once it is kept that it is resumed.
+    ResumeKept,
 }
 
 impl SiteGuard {
     /// All guards.
-    pub const ALL: [SiteGuard; 21] = [
+    pub const ALL: [SiteGuard; 22] = [
         SiteGuard::LedgerFirst,
         SiteGuard::OwnRow,
         SiteGuard::KeptEnds,
@@ -75,6 +77,7 @@
         SiteGuard::BootTime,
         SiteGuard::KnownHolds,
         SiteGuard::LeaderInTouch,
+        SiteGuard::ResumeKept,
     ];
 
     /// Name used on the command line.
@@ -110,6 +113,7 @@
             SiteGuard::BootTime => "boot-time",
             SiteGuard::KnownHolds => "known-holds",
             SiteGuard::LeaderInTouch => "leader-in-touch",
+            SiteGuard::ResumeKept => "resume-kept",
         }
     }
 
