--- a/crates/bankvalve_queue/src/core/election.rs
+++ b/crates/bankvalve_queue/src/core/election.rs
@@ -203,6 +203,7 @@
                 self.note_former_leader(&old);
             }
         }
+        self.note_epoch(leader.epoch);
         let own = leader.address == self.settings.address;
         if !own {
             let now = self.now;
@@ -477,6 +478,7 @@
             Some(old) => self.note_former_leader(old),
             None => {}
         }
+        self.note_epoch(epoch);
         let before = predecessor.map(|old| (old.address, old.life));
         let detail =
             format!(
--- a/crates/bankvalve_queue/src/core/former_leaders.rs
+++ b/crates/bankvalve_queue/src/core/former_leaders.rs
@@ -55,26 +55,62 @@
 
 /// Leaders of before whose holds may still last.
 #[derive(Debug, Default)]
-pub(super) struct FormerLeaders(Vec<FormerLeader>);
+pub(super) struct FormerLeaders {
+    leaders: Vec<FormerLeader>,
+    /// Latest epoch of which it is known who leads or led.
+    latest: u64,
+    /// Until when holds of leaders may last of which this instance never heard.
+    missed_until: CoreTime,
+}
 
 impl FormerLeaders {
+    /// Another epoch is heard of.
+    ///
+    /// Leaders between two that it knows are reckoned with as if each went on for as long as one may. Of
+    /// those before its first one an instance that has just started tells nothing: after a loss of all
+    /// each wait would be 25 s. What the ledger has of a worker's hold then goes before the own reckoning.
+    fn note_epoch(&mut self, epoch: u64, now: CoreTime, longest: Duration) {
+        let first = self.latest == 0;
+        let missed = epoch > self.latest + 1;
+        self.latest = self.latest.max(epoch);
+        if first && missed {
+            self.missed_until = now + UNCONFIRMED_LIMIT + longest * 2;
+        } else if missed {
+            let unknown = FormerLeader {
+                address: PeerAddress::from(([0, 0, 0, 0], 0)),
+                life: 0,
+                epoch: epoch - 1,
+                stops_by: now + UNCONFIRMED_LIMIT,
+                known: false,
+                hold: longest,
+            };
+            self.add(unknown, now, longest);
+        }
+    }
+
+    /// Tells whether leaders may have been missed whose holds may still last.
+    pub(super) fn may_lack_some(&self, now: CoreTime) -> bool {
+        now < self.missed_until
+    }
+
     /// When all holds that they asked for are surely over.
     pub(super) fn holds_over_at(&self) -> CoreTime {
         let over = |former: &FormerLeader| {
             former.stops_by + former.hold.mul_f64(SLOW_CLOCK_FACTOR) + ORDER_SLACK
         };
-        self.0.iter().map(over).max().unwrap_or_default()
+        self.leaders.iter().map(over).max().unwrap_or_default()
     }
 
     /// Whether it is known of all of them when they stopped.
     pub(super) fn are_known(&self) -> bool {
-        self.0.iter().all(|former| former.known)
+        self.leaders.iter().all(|former| former.known)
     }
 
     fn add(&mut self, former: FormerLeader, now: CoreTime, longest: Duration) {
         let over = |old: &FormerLeader| now > old.stops_by + longest * 2;
-        self.0.retain(|old| !over(old) && old.epoch != former.epoch);
-        self.0.push(former);
+        self.leaders
+            .retain(|old| !over(old) && old.epoch != former.epoch);
+        self.leaders.push(former);
     }
 
     /// Takes from a heartbeat that a former leader's life is over, or that it knows that it does not
@@ -85,7 +121,11 @@
         news: &HeartbeatNews,
         now: CoreTime,
     ) {
-        for former in self.0.iter_mut().filter(|former| former.address == from) {
+        for former in self
+            .leaders
+            .iter_mut()
+            .filter(|former| former.address == from)
+        {
             let deposed = !news.leading && news.epoch > former.epoch;
             if news.life != former.life || deposed {
                 former.stops_by = former.stops_by.min(now);
@@ -104,6 +144,12 @@
         HOLD.min(self.settings.hold_limit)
     }
 
+    /// Another epoch is heard of.
+    pub(super) fn note_epoch(&mut self, epoch: u64) {
+        let longest = self.settings.hold_limit;
+        self.former_leaders.note_epoch(epoch, self.now, longest);
+    }
+
     /// Notes that another leads after `old`, or this instance.
     pub(super) fn note_former_leader(&mut self, old: &LeaderView) {
         let now = self.now;
--- a/crates/bankvalve_queue/src/core/seat.rs
+++ b/crates/bankvalve_queue/src/core/seat.rs
@@ -337,7 +337,7 @@
     /// port refuses is gone, whenever it was heard: work placed there in the 1.3 s after was turned
     /// back at once, a thousand times in two minutes in which some 170 workers ended.
     pub(super) fn is_lively(&self, now: CoreTime) -> bool {
-        !self.refused && self.is_heard(now, HEARD_LATELY.max(self.look_wait + ANSWER_SLACK))
+        !self.refused && self.is_heard(now, HEARD_LATELY.max(self.usual_silence()))
     }
 
     /// Tells whether its next look is due.
@@ -378,7 +378,13 @@
 
     /// Tells whether its hold may be prolonged: it was heard so lately, and nothing is kept against it.
     pub(super) fn may_prolong(&self, now: CoreTime, heard_within: Duration) -> bool {
-        self.proved && self.is_heard(now, heard_within) && self.hold_stop == HoldStop::None
+        let within = heard_within.max(self.usual_silence());
+        self.proved && self.is_heard(now, within) && self.hold_stop == HoldStop::None
+    }
+
+    /// Silence of a worker that answers as it should: the wait of its last look, and its way.
+    pub(super) fn usual_silence(&self) -> Duration {
+        self.look_wait + ANSWER_SLACK
     }
 
     /// Time by its own clock until every hold that this leader prolonged is surely over.
--- a/crates/bankvalve_queue/src/core/stopped_holds.rs
+++ b/crates/bankvalve_queue/src/core/stopped_holds.rs
@@ -25,6 +25,8 @@
 /// Silence of a worker with runs after which it is kept that its hold is not prolonged: just more than
 /// the silence in which looks still prolong it.
 const STOP_AFTER: Duration = Duration::from_millis(1_700);
+/// Added to the usual silence of a worker whose looks wait for longer.
+const LOOK_PROLONGS: Duration = Duration::from_millis(100);
 /// Looks at a worker that this leader never heard without an answer, for the same.
 const STOP_UNANSWERED: u32 = 2;
 /// Workers with runs that are silent at once, as a divisor of all of them and at least, from which on
@@ -76,6 +78,7 @@
     pub(super) fn former_holds_over_at(&self, worker: &WorkerId) -> CoreTime {
         let former = self.former_leaders.holds_over_at();
         match self.stopped_holds.over_at(worker) {
+            Some(at) if self.former_leaders.may_lack_some(self.now) => at,
             Some(at) if self.keeps(SiteGuard::KnownHolds) => at.min(former),
             _ => former,
         }
@@ -177,7 +180,8 @@
 fn is_silent(seat: &Seat, seen: CoreTime) -> bool {
     let since = seat.heard_at.unwrap_or(seat.known_at);
     let asked = seat.proved || seat.entry.address.is_empty() || seat.unanswered >= STOP_UNANSWERED;
-    !seat.runs.is_empty() && asked && seen.saturating_sub(since) >= STOP_AFTER
+    let usual = STOP_AFTER.max(seat.usual_silence() + LOOK_PROLONGS);
+    !seat.runs.is_empty() && asked && seen.saturating_sub(since) >= usual
 }
 
 /// Tells whether so many workers are silent that it is the leader's own doing.
