test: drawn losses of workers and leaders while jobs last

Cause: a clean drawn run says nothing of a pair of losses that it does not draw.

Calm follows each pair, so that the rule has something to judge. How often each pair was played is printed, and how long tasks were away.

An unused variable of the commit before is gone.

--- a/crates/bankvalve_check/src/site/mod.rs
+++ b/crates/bankvalve_check/src/site/mod.rs
@@ -6,6 +6,7 @@
 mod site_config;
 mod site_costs;
 mod site_crashes;
+mod site_drawn_losses;
 mod site_faults;
 mod site_jobs;
 mod site_lasting;
@@ -41,8 +42,8 @@
 pub use site_plan::{SiteNode, SitePlan};
 pub use site_processor::{NodeProcessor, StepTime};
 pub use site_random::{
-    run_broken_episode, run_crash_episode, run_short_episode, run_site_episode, run_site_random,
-    SiteBurden, SiteReport,
+    run_broken_episode, run_crash_episode, run_loss_episode, run_short_episode, run_site_episode,
+    run_site_random, SiteBurden, SiteReport,
 };
 pub use site_recovery::LinkRecord;
 pub use site_rules::{RuleBook, RuleBreach};
--- a/crates/bankvalve_check/src/site/site_losses.rs
+++ b/crates/bankvalve_check/src/site/site_losses.rs
@@ -183,6 +183,10 @@
 pub(super) enum LossStep {
     /// A worker is lost that runs something that lasts; which of them goes by a number.
     Worker { how: WorkerLoss, pick: usize },
+    /// Such a worker does not reach the table for a time.
+    OffTableFor { pick: usize, for_ms: u64 },
+    /// A new worker comes.
+    NewWorker,
     /// The leader is lost.
     Leader(LeaderLoss),
     /// An instance that was told to stop is gone, and starts again.
@@ -353,6 +357,15 @@
                     self.lose_worker_so(&address, how);
                 }
             }
+            LossStep::OffTableFor { pick, for_ms } => {
+                if let Some(address) = self.worker_to_lose(pick) {
+                    self.detach_worker(&address, Some(for_ms));
+                }
+            }
+            LossStep::NewWorker => {
+                let address = format!("10.9.1.{}:80", self.workers.len());
+                self.add_worker(address);
+            }
             LossStep::Leader(how) => self.lose_leader(how),
             LossStep::Ends { node, life } => {
                 if self.is_life(node, life) {
--- a/crates/bankvalve_check/src/site/site_random.rs
+++ b/crates/bankvalve_check/src/site/site_random.rs
@@ -8,8 +8,13 @@
 use rand::Rng;
 
 use super::site_crashes::DrawnCrashes;
+use super::site_drawn_losses::DrawnLosses;
 use super::site_operator::DrawnOperator;
-use super::{job_of, RuleBreach, SiteFault, SitePlan, SiteWorld, StepTime, QUEUE, URGENT_QUEUE};
+use super::site_world::HOLD_LIMIT_MS;
+use super::{
+    job_of, LeaderLoss, RuleBreach, SiteFault, SitePlan, SiteWorld, StepTime, WorkerLoss, QUEUE,
+    URGENT_QUEUE,
+};
 
 /// Virtual time in which jobs and troubles come, in milliseconds.
 const TROUBLED_MS: u64 = 40_000;
@@ -38,6 +43,14 @@
 /// Most tasks of a step that is drawn.
 const WIDTH: u32 = 4;
 
+/// Virtual time of the first pair of losses, where there are such, in milliseconds.
+const FIRST_LOSS_MS: u64 = 6_000;
+/// Longest hold there, in milliseconds: that of the users' sites.
+const USERS_HOLD_MS: u64 = 10_000;
+
+/// How much further apart jobs come there: such a run lasts for longer, and room must be left.
+const LOSSES_PACE: u64 = 4;
+
 /// What came of a run.
 #[derive(Debug)]
 pub struct SiteReport {
@@ -55,6 +68,10 @@
     pub told: u64,
     /// Troubles that struck.
     pub faults: BTreeMap<SiteFault, u64>,
+    /// Pairs of losses that were laid out.
+    pub pairs: BTreeMap<(WorkerLoss, LeaderLoss), u64>,
+    /// Times for which tasks that last were away, in milliseconds.
+    pub away_ms: Vec<u64>,
 }
 
 /// Runs one episode: troubles of the kinds given strike a site under load.
@@ -78,6 +95,12 @@
     run_episode(seed, kinds, broken, SiteBurden::Crashes)
 }
 
+/// Runs one episode in which workers and leaders are lost together while jobs that last run, with a
+/// guard taken away if asked.
+pub fn run_loss_episode(seed: u64, kinds: &[SiteFault], broken: Option<SiteGuard>) -> SiteReport {
+    run_episode(seed, kinds, broken, SiteBurden::Losses)
+}
+
 /// What the leader of a drawn site is short of.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum SiteBurden {
@@ -94,17 +117,20 @@
     /// Nothing, but some tasks end the workers that run them, workers' rooms move, machines are
     /// suspended, and another program writes among the workers' entries.
     Crashes,
+    /// Nothing, but workers and leaders are lost together, some of them for good, and some jobs last.
+    Losses,
 }
 
 impl SiteBurden {
     /// All burdens.
-    pub const ALL: [SiteBurden; 6] = [
+    pub const ALL: [SiteBurden; 7] = [
         SiteBurden::Usual,
         SiteBurden::Carried,
         SiteBurden::Hubs,
         SiteBurden::Processor,
         SiteBurden::Link,
         SiteBurden::Crashes,
+        SiteBurden::Losses,
     ];
 
     /// Name used on the command line.
@@ -122,12 +148,13 @@
             SiteBurden::Processor => "processor",
             SiteBurden::Link => "link",
             SiteBurden::Crashes => "crashes",
+            SiteBurden::Losses => "losses",
         }
     }
 
     fn strengths(self) -> Option<Vec<u64>> {
         match self {
-            SiteBurden::Usual | SiteBurden::Crashes => None,
+            SiteBurden::Usual | SiteBurden::Crashes | SiteBurden::Losses => None,
             SiteBurden::Carried | SiteBurden::Link => Some(vec![10; 5]),
             SiteBurden::Processor => Some(vec![1_000; 4]),
             SiteBurden::Hubs => {
@@ -140,7 +167,7 @@
     fn lay(self, world: &mut SiteWorld) {
         match self {
             SiteBurden::Usual | SiteBurden::Carried | SiteBurden::Hubs => {}
-            SiteBurden::Crashes => world.looks_wait = true,
+            SiteBurden::Crashes | SiteBurden::Losses => world.looks_wait = true,
             SiteBurden::Processor => {
                 world.looks_wait = true;
                 for node in &mut world.nodes {
@@ -174,7 +201,16 @@
         None if large => (strengths.len(), strengths.to_vec()),
         None => (3 + (seed % 3) as usize, Vec::new()),
     };
-    let mut world = SiteWorld::new(SitePlan {
+    let mut losses = (burden == SiteBurden::Losses).then(|| DrawnLosses::new(seed, FIRST_LOSS_MS));
+    let (troubled_ms, hold_limit_ms, pace) = match losses {
+        Some(_) => (
+            DrawnLosses::troubled_ms(FIRST_LOSS_MS),
+            USERS_HOLD_MS,
+            LOSSES_PACE,
+        ),
+        None => (TROUBLED_MS, HOLD_LIMIT_MS, 1),
+    };
+    let plan = SitePlan {
         seed,
         entries,
         strengths,
@@ -182,7 +218,8 @@
         broken,
         without: None,
         good_percent: (seed % 2 == 0).then_some(85),
-    });
+    };
+    let mut world = SiteWorld::with_hold_limit(plan, hold_limit_ms);
     world.callers_leave = true;
     burden.lay(&mut world);
     if large {
@@ -196,8 +233,11 @@
     let mut next_fault = FIRST_MS + world.rng.random_range(0..2_000);
     let mut job = seed.wrapping_mul(1_000_000);
     world.run_until(FIRST_MS / 2);
-    while world.now_ms < TROUBLED_MS {
-        let pause = world.rng.random_range(20..180);
+    if let Some(losses) = losses.as_mut() {
+        losses.submit(&mut world);
+    }
+    while world.now_ms < troubled_ms {
+        let pause = world.rng.random_range(20..180) * pace;
         let until = world.now_ms + pause;
         world.run_until(until);
         world.check_versions();
@@ -205,13 +245,19 @@
         if let Some(crashes) = crashes.as_mut() {
             crashes.act(&mut world);
         }
+        if let Some(losses) = losses.as_mut() {
+            losses.act(&mut world);
+        }
         job += 1;
         submit_drawn(&mut world, job, crashes.as_mut());
         if world.rng.random_range(0..20) == 0 {
             let old = job - world.rng.random_range(0..5).min(job);
             world.cancel(old);
         }
-        if world.now_ms >= next_fault && !kinds.is_empty() {
+        let strikes = losses
+            .as_ref()
+            .is_none_or(|losses| losses.lets_strike(world.now_ms));
+        if strikes && world.now_ms >= next_fault && !kinds.is_empty() {
             let kind = kinds[world.rng.random_range(0..kinds.len())];
             *faults.entry(kind).or_default() += 1;
             kind.strike(&mut world);
@@ -229,22 +275,31 @@
     if large {
         world.lose_all_at_the_end(seed);
     } else {
-        world.run_until(TROUBLED_MS + LONGEST_DOWN_MS);
+        world.run_until(troubled_ms + LONGEST_DOWN_MS);
     }
     world.check_return(job + 1);
-    while world.now_ms < TROUBLED_MS + CALM_MS {
+    if losses.is_some() {
+        DrawnLosses::cancel(&mut world);
+    }
+    while world.now_ms < troubled_ms + CALM_MS {
         let until = world.now_ms + 1_000;
         world.run_until(until);
         world.check_versions();
     }
     check_ends(&mut world);
     ask_at_end(&mut world);
+    let spans = world.lasting.spans.iter();
+    let away_ms = spans
+        .filter_map(|span| Some(span.until_ms? - span.from_ms))
+        .collect();
     SiteReport {
         events: world.events,
         starts: world.rules.starts,
         accepted: world.rules.accepted().len() as u64,
         breaches: std::mem::take(&mut world.rules.breaches),
         faults,
+        pairs: losses.map_or_else(BTreeMap::new, |losses| losses.played),
+        away_ms,
         versions: operator.written,
         told: world.told.len() as u64,
     }
@@ -342,6 +397,8 @@
     let (mut versions, mut told) = (0, 0);
     let (mut passed, mut failed) = (0, 0);
     let mut faults: BTreeMap<SiteFault, u64> = BTreeMap::new();
+    let mut pairs: BTreeMap<(WorkerLoss, LeaderLoss), u64> = BTreeMap::new();
+    let mut away_ms = Vec::new();
     let mut number = seed;
     while done < events {
         let report = run_episode(number, kinds_of(number), broken, burden);
@@ -350,6 +407,10 @@
         accepted += report.accepted;
         versions += report.versions;
         told += report.told;
+        for (pair, count) in report.pairs {
+            *pairs.entry(pair).or_default() += count;
+        }
+        away_ms.extend(report.away_ms);
         for (kind, count) in report.faults {
             *faults.entry(kind).or_default() += count;
         }
@@ -367,6 +428,14 @@
     for (kind, count) in &faults {
         println!("{:<24}{count}", format!("{kind:?}"));
     }
+    for ((worker, leader), count) in &pairs {
+        println!("{:<29}{:<26}{count}", worker.as_str(), leader.as_str());
+    }
+    away_ms.sort_unstable();
+    if let Some(longest) = away_ms.last() {
+        let (count, median) = (away_ms.len(), away_ms[away_ms.len() / 2]);
+        println!("tasks that last away {count} times, median {median} ms, longest {longest} ms");
+    }
     let seconds = begun.elapsed().as_secs_f64();
     println!("{done} events, {accepted} jobs accepted, {starts} starts, {seconds:.1} s");
     println!("{versions} configurations, {told} callers told of queues");
--- a/crates/bankvalve_check/src/site/site_workers.rs
+++ b/crates/bankvalve_check/src/site/site_workers.rs
@@ -292,7 +292,6 @@
     /// Lets time pass on the other workers that still have a task: what ended there since they were
     /// last looked at, up to half a second ago, does not run any more.
     fn bring_up_to_date(&mut self, id: &WorkerId, task: TaskKey) {
-        let now = self.now_ms;
         let has = |worker: &&SiteWorker| worker.id != *id && worker.runs().contains_key(&task);
         let others = self.workers.iter().filter_map(|(address, worker)| {
             worker.as_ref().filter(has)?;
--- a/crates/bankvalve_check/src/site/site_world.rs
+++ b/crates/bankvalve_check/src/site/site_world.rs
@@ -34,7 +34,7 @@
 
 /// Longest hold that the platform allows if a test says nothing else, in milliseconds: the example
 /// settings' one.
-const HOLD_LIMIT_MS: u64 = 6_000;
+pub(super) const HOLD_LIMIT_MS: u64 = 6_000;
 
 /// Something that happens later.
 #[derive(Debug)]
--- a/crates/bankvalve_check/tests/site/lost_workers.rs
+++ b/crates/bankvalve_check/tests/site/lost_workers.rs
@@ -11,7 +11,8 @@
 use std::collections::BTreeSet;
 
 use bankvalve_check::site::{
-    job_of, play_losses, LeaderLoss, LossJob, LossPlan, SitePlan, SiteWorld, WorkerLoss, QUEUE,
+    job_of, play_losses, run_loss_episode, LeaderLoss, LossJob, LossPlan, SiteFault, SitePlan,
+    SiteWorld, WorkerLoss, QUEUE,
 };
 use bankvalve_queue::{JobId, TaskKey};
 
@@ -367,3 +368,15 @@
         assert!(!is_found_missing(&world), "cancelled: {cancelled}");
     }
 }
+
+#[test]
+fn troubles_break_no_rule_while_workers_and_leaders_are_lost() {
+    for seed in 1..7 {
+        let report = run_loss_episode(seed, &SiteFault::ALL, None);
+        assert_eq!(report.breaches, [], "seed {seed}");
+        let pairs: u64 = report.pairs.values().sum();
+        assert_eq!(pairs, 3, "seed {seed}");
+        assert!(report.starts > 100, "seed {seed}: {} starts", report.starts);
+        assert!(!report.away_ms.is_empty(), "seed {seed}: no task was away");
+    }
+}
