fix(queue): what drawn losses found: holds that a worker has outlived, a leader that reaches nobody

Change: of a worker that has answered, holds of leaders before last no longer than one that was asked for just then. A leader that no peer has heard for 0.6 s, and that the table has not confirmed since, tells of open jobs only once it is sure that it leads.

--- a/crates/bankvalve_check/tests/site/lost_workers.rs
+++ b/crates/bankvalve_check/tests/site/lost_workers.rs
@@ -380,3 +380,26 @@
         assert!(!report.away_ms.is_empty(), "seed {seed}: no task was away");
     }
 }
+
+#[test]
+fn a_worker_that_the_new_leader_heard_is_not_waited_for_by_holds_that_it_has_outlived() {
+    // Found with this seed: a worker answered a new leader and was lost soon after; its tasks waited for
+    // the holds that a leader before might still ask for, whose orders it took no more.
+    let report = run_loss_episode(15, &SiteFault::ALL, None);
+    assert_eq!(report.breaches, []);
+}
+
+#[test]
+fn a_run_that_was_found_in_the_ledger_gives_no_job_up_as_one_that_had_just_begun() {
+    // Found with this seed: a run of 21 s was taken for a young one by a new leader, and its job was
+    // given up.
+    let report = run_loss_episode(222, &SiteFault::ALL, None);
+    assert_eq!(report.breaches, []);
+}
+
+#[test]
+fn a_leader_that_reaches_nobody_does_not_show_a_job_as_open_that_another_has_cancelled() {
+    // Found with this seed: a leader that was cut off from peers and table told callers of its own.
+    let report = run_loss_episode(162, &SiteFault::ALL, None);
+    assert_eq!(report.breaches, []);
+}
--- a/crates/bankvalve_queue/src/core/callers.rs
+++ b/crates/bankvalve_queue/src/core/callers.rs
@@ -446,8 +446,10 @@
         };
         let state = record.state();
         let open = matches!(state, JobState::Pending | JobState::Running);
-        // Another may have led while this instance stood still, and cancelled or ended the job.
-        if open && self.lead.as_deref().is_some_and(LeadState::doubts_its_lead) {
+        // Another may have led while this instance stood still or was cut off, and cancelled or ended
+        // the job.
+        let doubts = self.lead.as_deref().is_some_and(LeadState::doubts_its_lead);
+        if open && (doubts || self.is_cut_off()) {
             self.confirm_unknown(origin, CallerRequest::Status { job });
             return;
         }
--- a/crates/bankvalve_queue/src/core/former_leaders.rs
+++ b/crates/bankvalve_queue/src/core/former_leaders.rs
@@ -33,6 +33,9 @@
 /// A successor that was in touch with a leader this lately relies on it: half of the time above, so
 /// that the two need not agree on the moment.
 const TOUCH_RELIED_ON: Duration = Duration::from_secs(5);
+/// A leader that no peer has heard for so long may have a successor: less than the silence after which
+/// the first one claims.
+const UNHEARD_LONG: Duration = Duration::from_millis(600);
 /// A leader that was certain so lately asks for holds from that moment on: under load each write makes
 /// it certain, some forty times a second.
 const CERTAIN_LATELY: Duration = Duration::from_millis(300);
@@ -101,6 +104,13 @@
         self.leaders.iter().map(over).max().unwrap_or_default()
     }
 
+    /// Longest time for which a hold lasts that any of them asked for: of a worker that has taken up the
+    /// next token, no hold of theirs is younger than that.
+    pub(super) fn longest_hold(&self) -> Duration {
+        let holds = self.leaders.iter().map(|former| former.hold);
+        holds.max().unwrap_or_default().mul_f64(SLOW_CLOCK_FACTOR) + ORDER_SLACK
+    }
+
     /// Whether it is known of all of them when they stopped.
     pub(super) fn are_known(&self) -> bool {
         self.leaders.iter().all(|former| former.known)
@@ -235,6 +245,19 @@
         }
     }
 
+    /// Tells whether this leader reaches nobody: no peer that was in touch lately has heard it for as long
+    /// as it takes until another claims, and the table has not told since that it leads.
+    pub(super) fn is_cut_off(&self) -> bool {
+        let Some(lead) = self.lead.as_deref() else {
+            return false;
+        };
+        let since = lead.confirmed_at.saturating_sub(TOUCH_MEMORY);
+        let contacts = self.peers.values().filter_map(|peer| peer.echo.contact());
+        let last = contacts.filter(|at| *at >= since).max();
+        let long = |at: CoreTime| self.age(at) > UNHEARD_LONG;
+        long(lead.confirmed_at) && last.is_some_and(long)
+    }
+
     /// Tells whether each peer still hears this leader that may rely on it.
     fn all_are_in_touch(&self, certain_at: CoreTime) -> bool {
         let since = certain_at.saturating_sub(TOUCH_MEMORY);
--- a/crates/bankvalve_queue/src/core/holds.rs
+++ b/crates/bankvalve_queue/src/core/holds.rs
@@ -176,7 +176,11 @@
             return true;
         }
         let former = self.former_holds_over_at(id);
-        self.now > former && (!seat.proved || seat.hold_is_over(self.now))
+        if !seat.proved {
+            return self.now > former;
+        }
+        let taken = seat.proved_at + self.former_leaders.longest_hold();
+        self.now > former.min(taken) && seat.hold_is_over(self.now)
     }
 
     /// Looks at a worker at once if that is due, without going through all of them.
@@ -370,6 +374,9 @@
         };
         let first = !seat.proved;
         seat.proved = true;
+        if first {
+            seat.proved_at = now;
+        }
         seat.heard_at = Some(now);
         seat.unanswered = 0;
         seat.refused = false;
--- a/crates/bankvalve_queue/src/core/seat.rs
+++ b/crates/bankvalve_queue/src/core/seat.rs
@@ -239,6 +239,8 @@
     pub(super) over: bool,
     /// Whether it has answered under the own token.
     pub(super) proved: bool,
+    /// When it first did: from then on it takes no order of a leader before.
+    pub(super) proved_at: CoreTime,
     /// When an answer came, and the worker's clock in it.
     pub(super) clock: Option<(CoreTime, u64)>,
     /// Greatest reading of its clock to which a hold was prolonged.
@@ -279,6 +281,7 @@
             refused: false,
             over: false,
             proved: false,
+            proved_at: CoreTime::ZERO,
             clock: None,
             granted_until: 0,
             hold_stop: HoldStop::None,
