--- a/crates/bankvalve_check/src/site/site_workers.rs
+++ b/crates/bankvalve_check/src/site/site_workers.rs
@@ -102,6 +102,10 @@
         let alone = self.worker_reached_by.get(address);
         cut.is_none_or(|until| *until <= now)
             && alone.is_none_or(|only| *only == node)
+            && self
+                .only_reaches
+                .get(&node)
+                .is_none_or(|only| only == address)
             && self.nodes[node].cut_from_workers_until <= now
     }
 
--- a/crates/bankvalve_check/src/site/site_world.rs
+++ b/crates/bankvalve_check/src/site/site_world.rs
@@ -195,6 +195,8 @@
     pub worker_cut_until: BTreeMap<String, u64>,
     /// Until when a worker does not reach the table, by address.
     pub(super) worker_off_table_until: BTreeMap<String, u64>,
+    /// The only worker that an instance reaches, by instance.
+    pub only_reaches: BTreeMap<usize, String>,
     /// Workers that one instance alone reaches, by address, and which.
     pub worker_reached_by: BTreeMap<String, usize>,
     /// What is seen of tasks that last.
@@ -292,6 +294,7 @@
             worker_cut_until: BTreeMap::new(),
             worker_off_table_until: BTreeMap::new(),
             worker_reached_by: BTreeMap::new(),
+            only_reaches: BTreeMap::new(),
             lasting: LastingCheck::default(),
             work_ms: BTreeMap::new(),
             callers_leave: false,
--- a/crates/bankvalve_check/tests/site/sight.rs
+++ b/crates/bankvalve_check/tests/site/sight.rs
@@ -147,11 +147,13 @@
     leader
 }
 
-/// The same with all other instances, which come back soon: none of them was in touch with the leader.
+/// The same with all other instances, of which one comes back soon: it was in touch with nobody, and
+/// cannot hear from the third whether that still hears the leader.
 fn lose_worker_and_all(world: &mut SiteWorld, down_ms: u64) -> usize {
     let leader = lose_worker_and_leader(world, down_ms);
-    for node in (0..world.nodes.len()).filter(|node| *node != leader) {
-        world.kill(node, 500);
+    let others = (0..world.nodes.len()).filter(|node| *node != leader);
+    for (node, down_ms) in others.zip([500, 60_000]) {
+        world.kill(node, down_ms);
     }
     leader
 }
--- a/crates/bankvalve_queue/src/core/election.rs
+++ b/crates/bankvalve_queue/src/core/election.rs
@@ -47,7 +47,7 @@
     pub(super) heard_at: CoreTime,
     /// Whether its process is surely gone: its port refused, or another life answers there.
     pub(super) gone: bool,
-    /// Whether another life has answered there since.
+    /// Whether a later life has answered there since.
     pub(super) ended: bool,
     /// Whether it said last that it takes no requests up yet.
     pub(super) loading: bool,
@@ -90,6 +90,7 @@
 pub(super) struct ClaimState {
     pub(super) epoch: u64,
     pub(super) busy: bool,
+    /// When its first copy was sent.
     pub(super) sent_at: CoreTime,
     pub(super) next_at: CoreTime,
     /// Batches of the own book, if the claim stands only where the ledger has no more.
@@ -285,6 +286,7 @@
                 leader.heard_at = now;
                 leader.life = news.life;
                 leader.gone = false;
+                leader.ended = false;
                 leader.loading = news.loading;
                 leader.refuse_percent = news.refuse_percent;
                 self.suspect_since = None;
@@ -373,6 +375,12 @@
             writes: vec![RowWrite { key, value }],
             removals: Vec::new(),
         };
+        // An earlier copy may be the one that is done.
+        let sent_at = match self.claim_sent {
+            (of, at) if of == epoch => at,
+            _ => self.now,
+        };
+        self.claim_sent = (epoch, sent_at);
         let silence = self.leader.as_ref().map(|leader| self.age(leader.heard_at));
         let detail = format!("on row version {version}, leader silent for {silence:?}");
         self.log("election", "claim", format!("epoch {epoch}"), detail);
@@ -380,7 +388,7 @@
         self.claim = Some(ClaimState {
             epoch,
             busy: true,
-            sent_at: self.now,
+            sent_at,
             next_at: self.now + CLAIM_PAUSE,
             complete,
         });
--- a/crates/bankvalve_queue/src/core/entry_core.rs
+++ b/crates/bankvalve_queue/src/core/entry_core.rs
@@ -240,6 +240,8 @@
     pub(super) claims_unanswered: u32,
     /// Latest epoch that was claimed.
     pub(super) claimed_epoch: u64,
+    /// Epoch that was claimed last, and when the first copy of that claim was sent.
+    pub(super) claim_sent: (u64, CoreTime),
     pub(super) suspect_since: Option<CoreTime>,
     pub(super) asked_to_lead: Option<u64>,
     /// Whether the leader that asked had stopped commanding.
@@ -314,6 +316,7 @@
             claim: None,
             claims_unanswered: 0,
             claimed_epoch: 0,
+            claim_sent: (0, Duration::ZERO),
             suspect_since: None,
             asked_to_lead: None,
             asked_over: false,
--- a/crates/bankvalve_queue/src/core/former_leaders.rs
+++ b/crates/bankvalve_queue/src/core/former_leaders.rs
@@ -137,7 +137,8 @@
             .filter(|former| former.address == from)
         {
             let deposed = !news.leading && news.epoch > former.epoch;
-            if news.life != former.life || deposed {
+            // A late word of an earlier life says nothing of it: lives are the times at which they began.
+            if news.life > former.life || deposed {
                 former.stops_by = former.stops_by.min(now);
                 former.known = true;
                 if news.hold_ms > 0 {
@@ -183,9 +184,49 @@
         (told > 0 && self.keeps(SiteGuard::KnownHolds)).then(|| Duration::from_millis(told))
     }
 
+    /// Takes from what all members tell that a leader of before, of whose end nothing is known, is in
+    /// touch with nobody, and so does not go beyond what was certain.
+    ///
+    /// After a loss of all those that come back were in touch with nobody. But whoever the leader could
+    /// be in touch with is a member: if all others are heard, and none of them hears it, nobody is.
+    pub(super) fn note_unheard_leaders(&mut self) {
+        if self.former_leaders.are_known() || !self.keeps(SiteGuard::KnownHolds) {
+            return;
+        }
+        let (now, own) = (self.now, self.hold_time());
+        let mut leaders = std::mem::take(&mut self.former_leaders.leaders);
+        for former in leaders.iter_mut().filter(|former| !former.known) {
+            if self.nobody_hears(former) {
+                former.stops_by = former.stops_by.min(now);
+                former.known = true;
+                // Members of one version ask for the same.
+                former.hold = former.hold.min(own);
+            }
+        }
+        self.former_leaders.leaders = leaders;
+    }
+
+    fn nobody_hears(&self, former: &FormerLeader) -> bool {
+        // One that was missed has no address by which members could tell of it.
+        let named = former.life > 0 && self.members_known;
+        let mut others = self
+            .peers
+            .iter()
+            .filter(|(address, _)| **address != former.address);
+        let heard = self.peers.get(&former.address);
+        let silent = heard.is_none_or(|peer| !peer.is_live(self.now));
+        named
+            && silent
+            && others.all(|(_, peer)| {
+                let age = Duration::from_millis(peer.news.leader_age_ms);
+                let hears = peer.news.leader == Some(former.address) && age < IN_TOUCH;
+                peer.is_live(self.now) && !hears
+            })
+    }
+
     /// Notes that the own lead is over, or one whose leader has told that it stopped.
     pub(super) fn note_ended_leader(&mut self, old: &LeaderView) {
-        let hold = self.hold_time();
+        let hold = self.told_hold(old).unwrap_or(self.settings.hold_limit);
         self.add_former_leader(old, self.now, true, hold);
     }
 
@@ -258,13 +299,17 @@
         long(lead.confirmed_at) && last.is_some_and(long)
     }
 
-    /// Tells whether each peer still hears this leader that may rely on it.
+    /// Tells whether each peer still hears this leader that may rely on it. One that no peer has heard
+    /// at all, though there are some, is in touch with nobody: it may be cut off.
     fn all_are_in_touch(&self, certain_at: CoreTime) -> bool {
         let since = certain_at.saturating_sub(TOUCH_MEMORY);
-        self.peers.iter().all(|(address, peer)| {
+        let mut contacts = self.peers.iter().filter_map(|(address, peer)| {
             let relies = !self.is_slow_pair(*address) && !peer.news.stopping;
-            let contact = peer.echo.contact().filter(|at| relies && *at >= since);
-            contact.is_none_or(|at| self.age(at) < IN_TOUCH)
-        })
+            peer.echo.contact().filter(|at| relies && *at >= since)
+        });
+        let Some(first) = contacts.next() else {
+            return self.peers.is_empty();
+        };
+        contacts.fold(first, CoreTime::min) + IN_TOUCH > self.now
     }
 }
--- a/crates/bankvalve_queue/src/core/holds.rs
+++ b/crates/bankvalve_queue/src/core/holds.rs
@@ -111,7 +111,9 @@
         let mut over = Vec::new();
         let mut gone = Vec::new();
         for (id, seat) in lead.seats.iter() {
-            let silent = seen.saturating_sub(seat.heard_at.unwrap_or(seat.known_at));
+            let told = self.stopped_holds.silent_since(id);
+            let known_at = told.unwrap_or(seat.known_at).min(seat.known_at);
+            let silent = seen.saturating_sub(seat.heard_at.unwrap_or(known_at));
             let silent_long = is_silent(seat);
             if !seat.runs.is_empty() && silent_long && self.is_over(id, seat) {
                 over.push((id.clone(), seat.listed, silent));
@@ -177,7 +179,10 @@
         }
         let former = self.former_holds_over_at(id);
         if !seat.proved {
-            return self.now > former;
+            // It may live, and answer: it is asked once, if its entry is there.
+            let asked = !seat.listed || seat.unanswered > 0;
+            let workers_known = self.lead.as_deref().is_some_and(|lead| lead.workers_known);
+            return self.now > former && workers_known && asked;
         }
         let taken = seat.proved_at + self.former_leaders.longest_hold();
         self.now > former.min(taken) && seat.hold_is_over(self.now)
@@ -214,7 +219,9 @@
             seat.granted_until = seat.granted_until.max(until);
         }
         let settled = seat.seen == seat.kept;
-        let wait = if !(seat.proved && settled && heard) {
+        // One lost answer is made up for at once: a second wait would take it past the silence from which
+        // on its hold is not prolonged.
+        let wait = if !(seat.proved && settled && heard) || seat.unanswered > 0 {
             Duration::ZERO
         } else if many && seat.runs.is_empty() {
             IDLE_LOOK_WAIT
--- a/crates/bankvalve_queue/src/core/members.rs
+++ b/crates/bankvalve_queue/src/core/members.rs
@@ -196,7 +196,7 @@
         } else if self.is_gone_leader(from, &news) {
             self.lose_leader();
             if let Some(leader) = self.leader.as_mut() {
-                leader.ended = true;
+                leader.ended |= news.life > leader.life;
             }
         }
         let now = self.now;
@@ -217,6 +217,7 @@
         peer.slow = slow;
         peer.echo.note(now, &news);
         peer.news = news;
+        self.note_unheard_leaders();
         if first && self.lead.is_some() {
             // It should not have to wait for the next heartbeat to know who leads.
             let news = self.news_for(from, &self.own_news());
--- a/crates/bankvalve_queue/src/core/stopped_holds.rs
+++ b/crates/bankvalve_queue/src/core/stopped_holds.rs
@@ -8,7 +8,8 @@
 //! it, whatever it hears, before the ledger has that it does again: the writes of a leader that has
 //! lost its lead fail, so a successor that has read the ledger may rely on what stands there.
 //!
-//! Two small events for a worker that falls silent, some 50 bytes each; none while all is well.
+//! Two small events for a worker that falls silent, some 50 bytes each; none for an answer that is lost
+//! now and then.
 
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -22,26 +23,47 @@
 use crate::ids::{CoreTime, WorkerId};
 use crate::ledger::LedgerEvent;
 
-/// Silence of a worker with runs after which it is kept that its hold is not prolonged: just more than
-/// the silence in which looks still prolong it.
+/// Silence of a worker with runs after which it is kept that its hold is not prolonged, where its port
+/// refuses or its entry is gone: just more than the silence in which looks still prolong it.
 const STOP_AFTER: Duration = Duration::from_millis(1_700);
+/// The same where nothing else speaks against it: a look that waits, a silence of 1.5 s, and a look that
+/// is given up in it. A worker that is silent for less, just before the table is slow or away, so that
+/// nothing can be kept, would lose what it runs.
+const STOP_AFTER_SILENCE: Duration = Duration::from_millis(3_400);
 /// Added to the usual silence of a worker whose looks wait for longer.
 const LOOK_PROLONGS: Duration = Duration::from_millis(100);
 /// Looks at a worker that this leader never heard without an answer, for the same.
 const STOP_UNANSWERED: u32 = 2;
+/// A hold that is known to be over by so much sooner than was kept is kept anew, for the next leader: the
+/// one before may have been heard again since.
+const KEPT_ANEW: Duration = Duration::from_secs(1);
 /// Workers with runs that are silent at once, as a divisor of all of them and at least, from which on
 /// nothing is kept: it is the leader's own link or processor, and each of them would cost two events.
 const COMMON_SHARE: usize = 2;
 const COMMON_LEAST: usize = 4;
 
-/// Workers whose holds are not prolonged, each with when its hold is surely over.
+/// A hold that is not prolonged any more.
+#[derive(Clone, Copy, Debug)]
+struct StoppedHold {
+    /// When it is surely over.
+    over_at: CoreTime,
+    /// When this instance heard of it; the worker has been silent since before.
+    known_at: CoreTime,
+}
+
+/// Workers whose holds are not prolonged.
 #[derive(Debug, Default)]
-pub(super) struct StoppedHolds(BTreeMap<WorkerId, CoreTime>);
+pub(super) struct StoppedHolds(BTreeMap<WorkerId, StoppedHold>);
 
 impl StoppedHolds {
     /// When the hold of a worker is surely over, if it is not prolonged any more.
     pub(super) fn over_at(&self, worker: &WorkerId) -> Option<CoreTime> {
-        self.0.get(worker).copied()
+        self.0.get(worker).map(|hold| hold.over_at)
+    }
+
+    /// Since when a worker has been silent at the latest, if its hold is not prolonged any more.
+    pub(super) fn silent_since(&self, worker: &WorkerId) -> Option<CoreTime> {
+        self.0.get(worker).map(|hold| hold.known_at)
     }
 
     /// How a worker's hold stands for one that has the ledger.
@@ -64,8 +86,14 @@
         match event {
             // It was reckoned when the event was made, so counted from now it is no sooner.
             LedgerEvent::HoldStopped { worker, over_ms } => {
-                let over_at = self.now + Duration::from_millis(*over_ms);
-                self.stopped_holds.0.insert(worker.clone(), over_at);
+                let now = self.now;
+                let over_at = now + Duration::from_millis(*over_ms);
+                let hold = StoppedHold {
+                    over_at,
+                    known_at: now,
+                };
+                let kept = self.stopped_holds.0.entry(worker.clone()).or_insert(hold);
+                kept.over_at = over_at;
             }
             LedgerEvent::HoldResumed { worker } => {
                 self.stopped_holds.0.remove(worker);
@@ -77,7 +105,11 @@
     /// When no hold of a worker by leaders of before can last any more.
     pub(super) fn former_holds_over_at(&self, worker: &WorkerId) -> CoreTime {
         let former = self.former_leaders.holds_over_at();
-        match self.stopped_holds.over_at(worker) {
+        let began_at = self.lead.as_deref().map(|lead| lead.began_at);
+        let own = |hold: &&StoppedHold| began_at.is_some_and(|began_at| hold.known_at >= began_at);
+        // What this leader itself has kept is what it assumed then, and it may know better now.
+        let told = self.stopped_holds.0.get(worker).filter(|hold| !own(hold));
+        match told.map(|hold| hold.over_at) {
             Some(at) if self.former_leaders.may_lack_some(self.now) => at,
             Some(at) if self.keeps(SiteGuard::KnownHolds) => at.min(former),
             _ => former,
@@ -123,12 +155,17 @@
     /// Time after which the hold of a silent worker is over, if it is not kept yet.
     fn hold_to_stop(&self, lead: &LeadState, id: &WorkerId) -> Option<(WorkerId, u64)> {
         let seat = lead.seats.get(id)?;
-        if seat.hold_stop != HoldStop::None {
-            return None;
-        }
         let own = seat.hold_left(self.now).mul_f64(SLOW_CLOCK_FACTOR);
         let former = self.former_holds_over_at(id).saturating_sub(self.now);
-        Some((id.clone(), own.max(former).as_millis() as u64 + 1))
+        let left = own.max(former);
+        let kept = self.stopped_holds.over_at(id);
+        let sooner = kept.is_some_and(|at| self.now + left + KEPT_ANEW < at);
+        let due = match seat.hold_stop {
+            HoldStop::None => true,
+            HoldStop::Stopped => sooner && !seat.proved,
+            HoldStop::Resuming => false,
+        };
+        due.then(|| (id.clone(), left.as_millis() as u64 + 1))
     }
 
     /// A worker was heard: its hold may be prolonged again once that is kept.
@@ -180,7 +217,9 @@
 fn is_silent(seat: &Seat, seen: CoreTime) -> bool {
     let since = seat.heard_at.unwrap_or(seat.known_at);
     let asked = seat.proved || seat.entry.address.is_empty() || seat.unanswered >= STOP_UNANSWERED;
-    let usual = STOP_AFTER.max(seat.usual_silence() + LOOK_PROLONGS);
+    let lost = seat.refused || !seat.listed;
+    let least = if lost { STOP_AFTER } else { STOP_AFTER_SILENCE };
+    let usual = least.max(seat.usual_silence() + LOOK_PROLONGS);
     !seat.runs.is_empty() && asked && seen.saturating_sub(since) >= usual
 }
 
--- a/crates/bankvalve_queue/src/core/store_link.rs
+++ b/crates/bankvalve_queue/src/core/store_link.rs
@@ -165,12 +165,7 @@
         }
         match question.purpose {
             StorePurpose::Register => self.end_register(&outcome),
-            StorePurpose::Claim => {
-                self.end_claim(outcome);
-                if let Some(lead) = self.lead.as_deref_mut() {
-                    lead.confirmed_at = lead.confirmed_at.min(question.asked_at);
-                }
-            }
+            StorePurpose::Claim => self.end_claim(outcome),
             StorePurpose::Commit { sequence, sent_at } => {
                 self.end_commit(sequence, sent_at, outcome);
             }
--- a/crates/bankvalve_queue/src/core/unheard.rs
+++ b/crates/bankvalve_queue/src/core/unheard.rs
@@ -486,7 +486,12 @@
     fn belief_of(&self, id: &WorkerId, seat: &Seat, patience: Duration) -> Belief {
         let now = self.now;
         let (hold, over_at) = if seat.proved {
-            (WaitReason::OwnHold, seat.hold_over_at())
+            let taken = seat.proved_at + self.former_leaders.longest_hold();
+            let former = self.former_holds_over_at(id).min(taken);
+            (
+                WaitReason::OwnHold,
+                seat.hold_over_at().map(|at| at.max(former)),
+            )
         } else {
             let reason = if self.is_told_of(id) || self.former_leaders.are_known() {
                 WaitReason::FormerHoldKnown
