test: a bound on a hold that was kept while it was only assumed

Cause: an instance that has just started and leads, while nothing is heard of the leader before, keeps in the ledger that the hold of a worker which does not answer is over in 23.6 s at most.

--- a/crates/bankvalve_check/tests/site/lost_workers.rs
+++ b/crates/bankvalve_check/tests/site/lost_workers.rs
@@ -16,7 +16,7 @@
 };
 use bankvalve_queue::{JobId, TaskKey};
 
-use crate::assert_kept;
+use crate::{assert_kept, follower};
 
 /// Longest hold on the users' sites, in milliseconds.
 const HOLD_LIMIT_MS: u64 = 10_000;
@@ -403,3 +403,61 @@
     let report = run_loss_episode(162, &SiteFault::ALL, None);
     assert_eq!(report.breaches, []);
 }
+
+/// Drawn losses with these seeds break no rule.
+fn assert_drawn_kept(seeds: &[u64]) {
+    for seed in seeds {
+        let report = run_loss_episode(*seed, &SiteFault::ALL, None);
+        assert_eq!(report.breaches, [], "seed {seed}");
+    }
+}
+
+#[test]
+fn what_other_seeds_showed_as_well_is_mended_there_too() {
+    // Found with these seeds: like the second and the last of the three above.
+    assert_drawn_kept(&[2_143, 2_038]);
+}
+
+#[test]
+fn a_bound_that_was_kept_while_it_was_assumed_gives_way_to_what_is_known_since() {
+    // Found with these seeds: an instance that had just started led while nothing was heard of the
+    // leader before, and kept in the ledger that a worker's hold may last for 23 s more. It held to
+    // that when the old leader's next life was heard some seconds later, and so did its successor.
+    assert_drawn_kept(&[18, 2_013, 2_049, 3_011, 3_021]);
+}
+
+#[test]
+fn a_lasting_task_is_back_in_time_though_instances_come_back_one_after_the_other() {
+    let mut late = Vec::new();
+    for (seed, (first_s, last_s)) in (1..).zip([(1, 4), (1, 6), (1, 8), (2, 6), (3, 8)]) {
+        let mut world = site(seed);
+        // Leaders have changed before, so that one which starts later does not know of all.
+        for _ in 0..2 {
+            let leader = world.leader().expect("an instance leads");
+            world.kill(leader, 1_000);
+            let until = world.now_ms + 10_000;
+            world.run_until(until);
+        }
+        let lost_at = world.now_ms;
+        let address = victim(&world);
+        world.lose_worker(&address, false);
+        world.run_until(lost_at + 500);
+        let leader = world.leader().expect("an instance leads");
+        let first = follower(&world);
+        for node in 0..3 {
+            let down_s = if node == first { first_s } else { last_s };
+            world.kill(node, down_s * 1_000);
+        }
+        let back = world.now_ms + last_s * 1_000;
+        let away = back_at(&mut world) - lost_at;
+        let limit = AWAY_MS.max(back - lost_at + CALM_MS);
+        if away > limit || !world.rules.breaches.is_empty() {
+            let breaches = &world.rules.breaches;
+            late.push(format!(
+                "leader {leader}, back after {first_s} and {last_s} s, seed {seed}: away for \
+                 {away} ms, {limit} ms are allowed: {breaches:?}"
+            ));
+        }
+    }
+    assert!(late.is_empty(), "{}", late.join("\n"));
+}
