--- a/crates/bankvalve_check/src/site/site_losses.rs
+++ b/crates/bankvalve_check/src/site/site_losses.rs
@@ -458,11 +458,17 @@
     }
 
     /// A worker does not reach the table, for a time or for good: its entry runs out, and it runs on.
+    /// Nothing changes for one that does not reach it already.
     pub fn detach_worker(&mut self, address: &str, for_ms: Option<u64>) {
         let now = self.now_ms;
         let Some(Some(worker)) = self.workers.get(address) else {
             return;
         };
+        let off = self.worker_off_table_until.get(address);
+        if off.is_some_and(|until| *until > now) {
+            // It is off already; one that is so for good does not come back.
+            return;
+        }
         let worker = worker.id.clone();
         self.lasting.trouble(now);
         let until = for_ms.map_or(u64::MAX, |for_ms| now + for_ms);
