--- /dev/null
+++ b/crates/bankvalve_queue/src/core/restarts.rs
@@ -0,0 +1,105 @@
+//! Why a task whose run has ended has not started again. Nothing is decided here.
+
+use std::time::Duration;
+
+use super::task_waits::StartWait;
+use super::unheard::rounded;
+use super::EntryCore;
+use crate::ids::{RunId, TaskKey};
+use crate::job::TaskSize;
+use crate::ledger::{JobOutcome, TaskPhase};
+
+/// Wait for a start after a run's end that is told: some five times what an end, a placement and a
+/// start take on a calm day.
+const START_WAIT: Duration = Duration::from_secs(2);
+
+impl EntryCore {
+    /// Tells of tasks that have waited for long since their run ended, and forgets those that wait no
+    /// more.
+    pub(super) fn watch_ended(&mut self) {
+        let now = self.now;
+        let Some(lead) = self.lead.as_deref_mut() else {
+            return;
+        };
+        let mut ended = std::mem::take(&mut lead.wait_sight.ended);
+        ended.retain(|task, ended| self.still_waits(*task, ended.run));
+        let mut most = None;
+        let mut told = Vec::new();
+        for (task, ended) in &mut ended {
+            if now.saturating_sub(ended.since) < START_WAIT {
+                continue;
+            }
+            let reason = self.start_wait(*task, &mut most);
+            if ended.reason.is_none() {
+                told.push((*task, ended.run, ended.since, reason));
+            }
+            ended.reason = Some(reason);
+            ended.found[reason as usize] += 1;
+        }
+        if let Some(lead) = self.lead.as_deref_mut() {
+            lead.wait_sight.ended = ended;
+        }
+        for (task, run, since, reason) in told {
+            self.log_often("placer", "waits", || {
+                let waited = rounded(now.saturating_sub(since));
+                let reason = reason.as_str();
+                let detail = format!("run {run} ended {waited:?} ago, not started: {reason}");
+                (task.to_string(), detail)
+            });
+        }
+    }
+
+    /// Tells whether a task has not been placed since a run ended.
+    fn still_waits(&self, task: TaskKey, run: RunId) -> bool {
+        let job = self.book.job(task.step.job);
+        let open = job.filter(|job| job.outcome == JobOutcome::Open);
+        open.and_then(|job| job.task(task))
+            .is_some_and(|record| match &record.phase {
+                TaskPhase::Waiting => true,
+                TaskPhase::Placed { run: now, .. } => *now == run,
+                TaskPhase::Done => false,
+            })
+    }
+
+    /// Why a task has not started, as far as that is told cheaply; `most` keeps the most room that is
+    /// free on whichever workers.
+    fn start_wait(&self, task: TaskKey, most: &mut Option<TaskSize>) -> StartWait {
+        let now = self.now;
+        let (Some(lead), Some(job)) = (self.lead.as_deref(), self.book.job(task.step.job)) else {
+            return StartWait::Placing;
+        };
+        let step = task.step;
+        if self.store_is_away() {
+            return StartWait::TableAway;
+        }
+        if !self.may_command() || !lead.workers_known {
+            return StartWait::Unconfirmed;
+        }
+        if !lead.waiting.contains_key(&step) {
+            return StartWait::Others;
+        }
+        let spec = job.spec.steps.get(usize::from(step.step));
+        let pressed = |record| spec.is_some_and(|spec| self.is_pressed(spec, record));
+        if job
+            .task(task)
+            .is_some_and(|record| record.is_suspect() && !pressed(record))
+        {
+            return StartWait::Suspect;
+        }
+        if lead.room_claims.contains_key(&step) {
+            return StartWait::RoomMade;
+        }
+        let most = *most.get_or_insert_with(|| lead.most_room());
+        if spec.is_some_and(|spec| !spec.room().fits(&most)) {
+            return StartWait::NoRoom;
+        }
+        let permitted = |step| {
+            let advice = lead.advice.get(step);
+            advice.is_some_and(|advice| advice.permitted(now).next().is_some())
+        };
+        if job.terms.advice.is_some() && !permitted(&step) {
+            return StartWait::Permits;
+        }
+        StartWait::Placing
+    }
+}
--- a/crates/bankvalve_queue/src/core/unheard.rs
+++ b/crates/bankvalve_queue/src/core/unheard.rs
@@ -1,5 +1,6 @@
-//! Why a task does not run now: its last run is still believed on a worker that is not heard, or it
-//! has ended and the task waits to start.
+//! Why a task does not run now: its last run is still believed on a worker that is not heard. Why one
+//! whose run has ended has not started again is told by `restarts`, and both are counted in
+//! [`TaskWaits`].
 //!
 //! Nothing is decided here. [`EntryCore::watch_waits`] looks some ten times a second at what `holds`
 //! and `placing` decide by, logs when a task begins and ceases to wait and for which reason, and
@@ -12,9 +13,9 @@
 use super::holds::UNCONFIRMED_LIMIT;
 use super::lead::LeadState;
 use super::seat::{RunPhase, Seat, ANSWER_SLACK, CLOCK_SLACK, SILENT_LONG, SLOW_CLOCK_PERCENT};
+use super::task_waits::{StartWait, TaskWaits, WaitReason};
 use super::EntryCore;
 use crate::ids::{CoreTime, RunId, StepKey, TaskKey, WorkerId};
-use crate::job::TaskSize;
 use crate::ledger::{JobOutcome, JobRecord, TaskPhase};
 
 /// Time between two looks at what tasks wait for: a tenth of the shortest wait that is told.
@@ -25,161 +26,6 @@
 /// Time within which a worker answers a new leader as a rule: a first look is waited for some 0.6 s,
 /// asked again 0.25 s later.
 const FIRST_ANSWER: Duration = Duration::from_millis(1_500);
-/// Wait for a start after a run's end that is told: some five times what an end, a placement and a
-/// start take on a calm day.
-const START_WAIT: Duration = Duration::from_secs(2);
-
-/// Why a task waits whose last run is believed on a worker that is not heard.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub enum WaitReason {
-    /// This leader asked the worker to hold what it runs until a time that may not have come there.
-    OwnHold,
-    /// The leader before may have asked so; when it stopped is known.
-    FormerHoldKnown,
-    /// The same of a leader of whose end nothing was heard: the latest one that could be is assumed.
-    FormerHoldAssumed,
-    /// The hold is over, and the worker's entry still stands in the table.
-    EntryListed,
-    /// This leader is not sure that it leads, and gives nothing up.
-    Unconfirmed,
-}
-
-impl WaitReason {
-    /// All reasons.
-    pub const ALL: [WaitReason; 5] = [
-        WaitReason::OwnHold,
-        WaitReason::FormerHoldKnown,
-        WaitReason::FormerHoldAssumed,
-        WaitReason::EntryListed,
-        WaitReason::Unconfirmed,
-    ];
-
-    /// Word for logs.
-    pub fn as_str(self) -> &'static str {
-        match self {
-            WaitReason::OwnHold => "own_hold",
-            WaitReason::FormerHoldKnown => "former_hold_known",
-            WaitReason::FormerHoldAssumed => "former_hold_assumed",
-            WaitReason::EntryListed => "entry_listed",
-            WaitReason::Unconfirmed => "unconfirmed",
-        }
-    }
-
-    /// Name of the count of such tasks in the metrics.
-    pub fn quantity(self) -> &'static str {
-        match self {
-            WaitReason::OwnHold => "unheard_own_hold",
-            WaitReason::FormerHoldKnown => "unheard_former_hold_known",
-            WaitReason::FormerHoldAssumed => "unheard_former_hold_assumed",
-            WaitReason::EntryListed => "unheard_entry_listed",
-            WaitReason::Unconfirmed => "unheard_unconfirmed",
-        }
-    }
-}
-
-/// Why a task whose run has ended has not started again.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub enum StartWait {
-    /// The table turns writes away or does not answer, so that no start could be kept.
-    TableAway,
-    /// This leader is not sure that it leads, or has not read the workers' entries yet.
-    Unconfirmed,
-    /// Others of its gang, or steps before it, are not over yet.
-    Others,
-    /// Workers ended under it, and it waits for its turn to run alone, or for a worker to itself.
-    Suspect,
-    /// No permit for any worker is at hand.
-    Permits,
-    /// Room is being made for it.
-    RoomMade,
-    /// No worker has the room.
-    NoRoom,
-    /// None of these: it waits behind others, or for workers that may run it.
-    Placing,
-}
-
-impl StartWait {
-    /// All reasons.
-    pub const ALL: [StartWait; 8] = [
-        StartWait::TableAway,
-        StartWait::Unconfirmed,
-        StartWait::Others,
-        StartWait::Suspect,
-        StartWait::Permits,
-        StartWait::RoomMade,
-        StartWait::NoRoom,
-        StartWait::Placing,
-    ];
-
-    /// Word for logs.
-    pub fn as_str(self) -> &'static str {
-        match self {
-            StartWait::TableAway => "table_away",
-            StartWait::Unconfirmed => "unconfirmed",
-            StartWait::Others => "others",
-            StartWait::Suspect => "suspect",
-            StartWait::Permits => "permits",
-            StartWait::RoomMade => "room_made",
-            StartWait::NoRoom => "no_room",
-            StartWait::Placing => "placing",
-        }
-    }
-
-    /// Name of the count of such tasks in the metrics.
-    pub fn quantity(self) -> &'static str {
-        match self {
-            StartWait::TableAway => "restart_table_away",
-            StartWait::Unconfirmed => "restart_unconfirmed",
-            StartWait::Others => "restart_others",
-            StartWait::Suspect => "restart_suspect",
-            StartWait::Permits => "restart_permits",
-            StartWait::RoomMade => "restart_room_made",
-            StartWait::NoRoom => "restart_no_room",
-            StartWait::Placing => "restart_placing",
-        }
-    }
-}
-
-/// Tasks that do not run though they did, by reason, as the leader last looked.
-#[derive(Clone, Debug, Default)]
-pub struct TaskWaits {
-    unheard: [u64; WaitReason::ALL.len()],
-    starts: [u64; StartWait::ALL.len()],
-    /// Time since the worker was last heard of the task that waits longest for one that is not heard.
-    pub oldest_unheard: Option<Duration>,
-    /// Time since the run ended of the task that waits longest for its start.
-    pub oldest_start: Option<Duration>,
-}
-
-impl TaskWaits {
-    /// Tasks that wait for a worker that is not heard, for a reason.
-    pub fn unheard(&self, reason: WaitReason) -> u64 {
-        self.unheard[reason as usize]
-    }
-
-    /// Tasks whose run ended two seconds ago or more and that wait to start, for a reason.
-    pub fn starts(&self, reason: StartWait) -> u64 {
-        self.starts[reason as usize]
-    }
-
-    /// All counts, by the name that they have in the metrics.
-    ///
-    /// # Examples
-    ///
-    /// ```
-    /// let waits = bankvalve_queue::TaskWaits::default();
-    /// assert!(waits.quantities().all(|(_, tasks)| tasks == 0));
-    /// ```
-    pub fn quantities(&self) -> impl Iterator<Item = (&'static str, u64)> + '_ {
-        let unheard = WaitReason::ALL
-            .iter()
-            .map(|reason| (reason.quantity(), self.unheard(*reason)));
-        let starts = StartWait::ALL
-            .iter()
-            .map(|reason| (reason.quantity(), self.starts(*reason)));
-        unheard.chain(starts)
-    }
-}
 
 /// A run that is believed on a worker that is not heard.
 #[derive(Clone, Debug)]
@@ -193,14 +39,14 @@
 
 /// A task whose run has ended.
 #[derive(Clone, Debug)]
-struct EndedRun {
-    run: RunId,
+pub(super) struct EndedRun {
+    pub(super) run: RunId,
     /// When it ended, or when this leader began if that was before.
-    since: CoreTime,
+    pub(super) since: CoreTime,
     /// Why the task had not started when it was last looked at, once it has waited for long.
-    reason: Option<StartWait>,
+    pub(super) reason: Option<StartWait>,
     /// How often each reason was found, in the order of [`StartWait::ALL`].
-    found: [u32; StartWait::ALL.len()],
+    pub(super) found: [u32; StartWait::ALL.len()],
 }
 
 impl EndedRun {
@@ -219,7 +65,7 @@
     first_look: Option<CoreTime>,
     next_look: CoreTime,
     unheard: BTreeMap<TaskKey, UnheardRun>,
-    ended: BTreeMap<TaskKey, EndedRun>,
+    pub(super) ended: BTreeMap<TaskKey, EndedRun>,
 }
 
 /// By what a run on a worker that is not heard is still believed.
@@ -601,98 +447,9 @@
             (task.to_string(), detail)
         });
     }
-
-    /// Tells of tasks that have waited for long since their run ended, and forgets those that wait no
-    /// more.
-    fn watch_ended(&mut self) {
-        let now = self.now;
-        let Some(lead) = self.lead.as_deref_mut() else {
-            return;
-        };
-        let mut ended = std::mem::take(&mut lead.wait_sight.ended);
-        ended.retain(|task, ended| self.still_waits(*task, ended.run));
-        let mut most = None;
-        let mut told = Vec::new();
-        for (task, ended) in &mut ended {
-            if now.saturating_sub(ended.since) < START_WAIT {
-                continue;
-            }
-            let reason = self.start_wait(*task, &mut most);
-            if ended.reason.is_none() {
-                told.push((*task, ended.run, ended.since, reason));
-            }
-            ended.reason = Some(reason);
-            ended.found[reason as usize] += 1;
-        }
-        if let Some(lead) = self.lead.as_deref_mut() {
-            lead.wait_sight.ended = ended;
-        }
-        for (task, run, since, reason) in told {
-            self.log_often("placer", "waits", || {
-                let waited = rounded(now.saturating_sub(since));
-                let reason = reason.as_str();
-                let detail = format!("run {run} ended {waited:?} ago, not started: {reason}");
-                (task.to_string(), detail)
-            });
-        }
-    }
-
-    /// Tells whether a task has not been placed since a run ended.
-    fn still_waits(&self, task: TaskKey, run: RunId) -> bool {
-        let job = self.book.job(task.step.job);
-        let open = job.filter(|job| job.outcome == JobOutcome::Open);
-        open.and_then(|job| job.task(task))
-            .is_some_and(|record| match &record.phase {
-                TaskPhase::Waiting => true,
-                TaskPhase::Placed { run: now, .. } => *now == run,
-                TaskPhase::Done => false,
-            })
-    }
-
-    /// Why a task has not started, as far as that is told cheaply; `most` keeps the most room that is
-    /// free on whichever workers.
-    fn start_wait(&self, task: TaskKey, most: &mut Option<TaskSize>) -> StartWait {
-        let now = self.now;
-        let (Some(lead), Some(job)) = (self.lead.as_deref(), self.book.job(task.step.job)) else {
-            return StartWait::Placing;
-        };
-        let step = task.step;
-        if self.store_is_away() {
-            return StartWait::TableAway;
-        }
-        if !self.may_command() || !lead.workers_known {
-            return StartWait::Unconfirmed;
-        }
-        if !lead.waiting.contains_key(&step) {
-            return StartWait::Others;
-        }
-        let spec = job.spec.steps.get(usize::from(step.step));
-        let pressed = |record| spec.is_some_and(|spec| self.is_pressed(spec, record));
-        if job
-            .task(task)
-            .is_some_and(|record| record.is_suspect() && !pressed(record))
-        {
-            return StartWait::Suspect;
-        }
-        if lead.room_claims.contains_key(&step) {
-            return StartWait::RoomMade;
-        }
-        let most = *most.get_or_insert_with(|| lead.most_room());
-        if spec.is_some_and(|spec| !spec.room().fits(&most)) {
-            return StartWait::NoRoom;
-        }
-        let permitted = |step| {
-            let advice = lead.advice.get(step);
-            advice.is_some_and(|advice| advice.permitted(now).next().is_some())
-        };
-        if job.terms.advice.is_some() && !permitted(&step) {
-            return StartWait::Permits;
-        }
-        StartWait::Placing
-    }
 }
 
 /// A duration in whole milliseconds, for the log.
-fn rounded(time: Duration) -> Duration {
+pub(super) fn rounded(time: Duration) -> Duration {
     Duration::from_millis(time.as_millis() as u64)
 }
