--- a/crates/bankvalve_queue/src/core/mod.rs
+++ b/crates/bankvalve_queue/src/core/mod.rs
@@ -5,8 +5,10 @@
 //! ledger, `callers` answers requests, `book_reads` from a follower's book, `holds`, `reports`,
 //! `orders` and `overdue` deal with workers, `advice` asks the policy service, `placing`
 //! decides which task runs where, and `making_room` what gives way to it. `sight`
-//! tells how the instance stands, `unheard` why tasks do not run that did. `table_watch` and `table_pull` have the
-//! operator's configuration, `queue_lookup` what is not in it.
+//! tells how the instance stands, `unheard` and `restarts` why tasks do not run that did.
+//! `former_leaders` and `stopped_holds` tell until when holds of leaders before may last.
+//! `table_watch` and `table_pull` have the operator's configuration, `queue_lookup` what is not
+//! in it.
 
 mod advice;
 mod away;
@@ -35,6 +37,7 @@
 mod queue_lookup;
 mod read_back;
 mod reports;
+mod restarts;
 mod round_trip;
 mod seat;
 mod seat_list;
@@ -46,6 +49,7 @@
 mod suspects;
 mod table_pull;
 mod table_watch;
+mod task_waits;
 mod unheard;
 mod waiting;
 mod withdraw;
@@ -53,4 +57,4 @@
 mod yielding;
 
 pub use entry_core::{CoreAction, CoreEvent, EntryCore, EntrySettings};
-pub use unheard::{StartWait, TaskWaits, WaitReason};
+pub use task_waits::{StartWait, TaskWaits, WaitReason};
