--- a/crates/bankvalve_check/tests/site/answers.rs
+++ b/crates/bankvalve_check/tests/site/answers.rs
@@ -183,8 +183,8 @@
 
 #[test]
 fn each_far_instance_answers_in_time_though_all_connections_of_a_site_with_hubs_go_silent() {
-    // Found with these seeds, also on older code: one of 66 instances tells a caller after 2.6 s that it
-    // does not know.
+    // Found with these seeds, the second one on older code alone: one of 66 instances tells a caller after
+    // 2.6 s that it does not know.
     for seed in [122, 126] {
         let report = run_short_episode(seed, &SiteFault::ALL, SiteBurden::Hubs);
         assert_eq!(report.breaches, [], "seed {seed}");
