test(site): a job is shown as failed by the users' promise, not by the product's policy

Cause: check_failed took for a cause what the product takes for evidence: four ends under a task whatever ended the workers, or a second one while it ran alone for at most 1.5 s. A check that copies the policy which it checks finds no job that is given up without cause.

Change: a job shown as failed is LOST unless one of its tasks, or a gang (failures in one run count once), has failed as often as its attempts allow, or one of its tasks has itself ended two workers. Failures of tasks that last never justify it. The text says how many workers its worst task ended.

--- a/crates/bankvalve_check/src/site/site_crashes.rs
+++ b/crates/bankvalve_check/src/site/site_crashes.rs
@@ -161,10 +161,7 @@
     pub(super) fn runs_end_with(&mut self, worker: &SiteWorker) {
         let now = self.now_ms;
         self.lasting.trouble(now);
-        let others = worker.runs().len() > 1;
         for (task, run) in worker.runs() {
-            let ran_ms = (now + worker.clock_offset_ms).saturating_sub(run.began);
-            self.rules.ended_under(*task, ran_ms, others);
             self.rules
                 .ended(&worker.id, *task, run.run, EndKind::Lost, now);
             self.lasting_ended(&worker.id, *task, run.run, EndKind::Lost);
--- a/crates/bankvalve_check/src/site/site_rules.rs
+++ b/crates/bankvalve_check/src/site/site_rules.rs
@@ -19,13 +19,8 @@
 /// too many.
 const CRASHES_COUNTED: u32 = 3;
 const STARTS_TOO_MANY: u32 = 3;
-/// Workers that ended under a task which ends its workers after which its job may be shown as failed.
+/// Workers that a task itself has ended after which its job may be shown as failed.
 const CRASHES_TO_FAIL: u32 = 2;
-/// The same for a task that had no part in it.
-const ENDS_TO_FAIL: u32 = 4;
-/// Longest run on a worker that ran nothing else and ended by chance which may be held against the
-/// task, if another worker had ended under it before, in milliseconds.
-const ALONE_MS: u64 = 1_500;
 
 /// What is known of a task from outside.
 #[derive(Clone, Debug, Default)]
@@ -35,13 +30,9 @@
     done_kept: bool,
     failed_kept: u32,
     /// Runs that failed, whether that is acknowledged or not.
-    failed: u32,
-    /// Workers that it has ended.
+    failed: BTreeSet<RunId>,
+    /// Workers that it has itself ended.
     crashes: u32,
-    /// Workers that ended while they ran it, whatever ended them.
-    ends_under: u32,
-    /// Whether the last of them ran nothing else and had just started it.
-    ended_alone: bool,
     /// Starts since it ended so many that it may be given up for good.
     starts_after: u32,
 }
@@ -227,7 +218,9 @@
     ) {
         let history = self.tasks.entry(task).or_default();
         history.live.remove(&(worker.clone(), run));
-        history.failed += u32::from(how == EndKind::Failed);
+        if how == EndKind::Failed {
+            history.failed.insert(run);
+        }
         if how == EndKind::Done {
             history.done_at = Some(now_ms);
         }
@@ -238,39 +231,38 @@
         self.tasks.entry(task).or_default().crashes += 1;
     }
 
-    /// A worker ended that had run a task for a time, among others or not.
-    pub fn ended_under(&mut self, task: TaskKey, ran_ms: u64, others: bool) {
-        let history = self.tasks.entry(task).or_default();
-        history.ends_under += 1;
-        history.ended_alone = !others && ran_ms <= ALONE_MS;
-    }
-
     /// Workers that a job's tasks have ended.
     pub fn crashes_of(&self, job: JobId) -> u32 {
         let tasks = self.tasks.iter().filter(|(task, _)| task.step.job == job);
         tasks.map(|(_, history)| history.crashes).sum()
     }
 
-    /// A job is shown as failed only if a task, or a gang, has failed too often, or has ended too
-    /// many workers.
+    /// A job is shown as failed only if a task, or a gang, has failed as often as it may, or a task
+    /// has itself ended two workers. Workers that ended under a task for another reason are none, be
+    /// they as many as they may; nor are failures of a task that lasts, which has no limit.
     pub fn check_failed(&mut self, job: JobId, now_ms: u64) {
         let Some((spec, attempts)) = self.specs.get(&job) else {
             return;
         };
-        let gang = |task: &TaskKey| spec.steps[usize::from(task.step.step)].gang;
-        let mut gang_failures: BTreeMap<StepKey, u32> = BTreeMap::new();
-        let mut cause = false;
+        let step_of = |task: &TaskKey| &spec.steps[usize::from(task.step.step)];
+        let often = |failed: &BTreeSet<RunId>| failed.len() as u32 >= *attempts;
+        // A gang fails as a whole: members of which each failed in the same run count once.
+        let mut gang_failures: BTreeMap<StepKey, BTreeSet<RunId>> = BTreeMap::new();
+        let (mut cause, mut crashes) = (false, 0);
         for (task, history) in self.tasks.iter().filter(|(task, _)| task.step.job == job) {
-            let blamed = history.crashes > 0 || history.ended_alone;
-            cause |= blamed && history.ends_under >= CRASHES_TO_FAIL;
-            cause |= history.ends_under >= ENDS_TO_FAIL || history.failed >= *attempts;
-            if gang(task) {
-                *gang_failures.entry(task.step).or_default() += history.failed;
+            let step = step_of(task);
+            crashes = crashes.max(history.crashes);
+            cause |= history.crashes >= CRASHES_TO_FAIL;
+            cause |= !step.lasting && often(&history.failed);
+            if step.gang && !step.lasting {
+                let failures = gang_failures.entry(task.step).or_default();
+                failures.extend(&history.failed);
             }
         }
-        cause |= gang_failures.values().any(|failed| failed >= attempts);
+        cause |= gang_failures.values().any(often);
         if !cause {
-            let text = format!("{job:016x} is shown as failed without cause");
+            let text =
+                format!("{job:016x} is shown as failed without cause, {crashes} workers ended");
             self.breach("LOST", now_ms, &text);
         }
     }
