test(site): drawn series of lost workers, with guilty and innocent tasks on them

Printed: losses played by kind, jobs given up without cause, workers that each guilty task ended, and the time from a healthy task's loss to its next start by rate of losses. Workers of the world may have failure domains; room is asked of workers of the service only.

--- a/crates/bankvalve_check/src/command/mod.rs
+++ b/crates/bankvalve_check/src/command/mod.rs
@@ -41,7 +41,7 @@
         /// Take a guard away and expect to fail; `list` names the guards
         #[bpaf(long("break"), argument("NAME"), optional)]
         guard: Option<String>,
-        /// What burdens the site: usual (nothing), carried, hubs, processor, link, crashes or losses
+        /// What burdens the site: usual (nothing), carried, hubs, processor, link, crashes, losses or storms
         #[bpaf(argument("NAME"), fallback("usual".into()))]
         burden: String,
     },
--- a/crates/bankvalve_check/src/site/mod.rs
+++ b/crates/bankvalve_check/src/site/mod.rs
@@ -25,6 +25,9 @@
 mod site_rooms;
 mod site_rules;
 mod site_silence;
+mod site_storm_figures;
+mod site_storm_losses;
+mod site_storms;
 mod site_view;
 mod site_workers;
 mod site_world;
@@ -46,5 +49,8 @@
     run_site_random, SiteBurden, SiteReport,
 };
 pub use site_recovery::LinkRecord;
-pub use site_rules::{RuleBook, RuleBreach};
+pub use site_rules::{RuleBook, RuleBreach, RunGap};
+pub use site_storm_figures::StormFigures;
+pub use site_storm_losses::StormLoss;
+pub use site_storms::run_storm_episode;
 pub use site_world::{SiteWorld, QUEUE, URGENT_QUEUE};
--- a/crates/bankvalve_check/src/site/site_crashes.rs
+++ b/crates/bankvalve_check/src/site/site_crashes.rs
@@ -140,6 +140,7 @@
         let live = worker.and_then(|worker| worker.runs().get(&task));
         if live.is_some_and(|live| live.run == run) {
             self.rules.crashed(task);
+            self.storms.lost_at.push(self.now_ms);
             self.end_worker(address, crash.down_ms);
         }
     }
@@ -187,7 +188,11 @@
     }
 
     /// Ends a worker's life, whose entry runs out after a time; tells whether there was one.
-    fn end_worker_life(&mut self, address: &str, entry_ms: std::ops::Range<u64>) -> bool {
+    pub(super) fn end_worker_life(
+        &mut self,
+        address: &str,
+        entry_ms: std::ops::Range<u64>,
+    ) -> bool {
         let Some(worker) = self.workers.get_mut(address).and_then(Option::take) else {
             return false;
         };
--- a/crates/bankvalve_check/src/site/site_drawn_losses.rs
+++ b/crates/bankvalve_check/src/site/site_drawn_losses.rs
@@ -42,6 +42,25 @@
 /// Instances that are left at least.
 const LEFT: usize = 3;
 
+/// Hands in jobs that last.
+pub(super) fn submit_lasting(world: &mut SiteWorld, rng: &mut Pcg64Mcg) {
+    for number in 0..LASTING_JOBS {
+        let count = rng.random_range(1..=LASTING_WIDTH);
+        let queue = if number % 2 == 0 { QUEUE } else { URGENT_QUEUE };
+        let mut spec = job_of(FIRST_LASTING + number, queue, &[count], false);
+        spec.steps[0].lasting = true;
+        spec.steps[0].per_worker_limit = rng.random_range(0..3);
+        world.submit(spec);
+    }
+}
+
+/// Cancels them.
+pub(super) fn cancel_lasting(world: &mut SiteWorld) {
+    for number in 0..LASTING_JOBS {
+        world.cancel(FIRST_LASTING + number);
+    }
+}
+
 /// Draws pairs of losses, by a source of its own, so that the rest of what is drawn stays as it is.
 #[derive(Debug)]
 pub(super) struct DrawnLosses {
@@ -72,21 +91,7 @@
 
     /// Hands in jobs that last.
     pub(super) fn submit(&mut self, world: &mut SiteWorld) {
-        for number in 0..LASTING_JOBS {
-            let count = self.rng.random_range(1..=LASTING_WIDTH);
-            let queue = if number % 2 == 0 { QUEUE } else { URGENT_QUEUE };
-            let mut spec = job_of(FIRST_LASTING + number, queue, &[count], false);
-            spec.steps[0].lasting = true;
-            spec.steps[0].per_worker_limit = self.rng.random_range(0..3);
-            world.submit(spec);
-        }
-    }
-
-    /// Cancels them.
-    pub(super) fn cancel(world: &mut SiteWorld) {
-        for number in 0..LASTING_JOBS {
-            world.cancel(FIRST_LASTING + number);
-        }
+        submit_lasting(world, &mut self.rng);
     }
 
     /// Whether the usual troubles strike now.
--- a/crates/bankvalve_check/src/site/site_lasting.rs
+++ b/crates/bankvalve_check/src/site/site_lasting.rs
@@ -5,7 +5,7 @@
 use bankvalve_queue::{EndKind, JobId, JobSpec, RunId, StepSpec, TaskKey, TaskSize, WorkerId};
 use bankvalve_standin::site::SiteWorker;
 
-use super::site_world::SiteWorld;
+use super::site_world::{SiteWorld, SERVICE};
 
 /// Time after the end of its last run in which a task that lasts must run again, in milliseconds:
 /// the users' six seconds from the last run, and three that are looked at.
@@ -239,6 +239,7 @@
         // Tasks that fill and tasks that serve share no worker.
         let mixes = !step.fills && step.latency_target_ms == 0;
         self.store.lists(&worker.id)
+            && worker.entry.service == SERVICE
             && !worker.entry.leaving
             && cut.is_none_or(|until| *until <= now)
             && !self.worker_reached_by.contains_key(address)
--- a/crates/bankvalve_check/src/site/site_random.rs
+++ b/crates/bankvalve_check/src/site/site_random.rs
@@ -4,12 +4,14 @@
 use std::process::ExitCode;
 use std::time::Instant;
 
-use bankvalve_queue::{JobState, SiteGuard};
+use bankvalve_queue::{JobSpec, JobState, SiteGuard};
 use rand::Rng;
 
 use super::site_crashes::DrawnCrashes;
-use super::site_drawn_losses::DrawnLosses;
+use super::site_drawn_losses::{cancel_lasting, DrawnLosses};
 use super::site_operator::DrawnOperator;
+use super::site_storm_figures::StormFigures;
+use super::site_storms::run_storm_episode;
 use super::site_world::HOLD_LIMIT_MS;
 use super::{
     job_of, LeaderLoss, RuleBreach, SiteFault, SitePlan, SiteWorld, StepTime, WorkerLoss, QUEUE,
@@ -46,7 +48,7 @@
 /// Virtual time of the first pair of losses, where there are such, in milliseconds.
 const FIRST_LOSS_MS: u64 = 6_000;
 /// Longest hold there, in milliseconds: that of the users' sites.
-const USERS_HOLD_MS: u64 = 10_000;
+pub(super) const USERS_HOLD_MS: u64 = 10_000;
 
 /// How much further apart jobs come there: such a run lasts for longer, and room must be left.
 const LOSSES_PACE: u64 = 4;
@@ -72,6 +74,28 @@
     pub pairs: BTreeMap<(WorkerLoss, LeaderLoss), u64>,
     /// Times for which tasks that last were away, in milliseconds.
     pub away_ms: Vec<u64>,
+    /// What series of lost workers showed.
+    pub storms: StormFigures,
+}
+
+impl SiteReport {
+    /// What a world that is over shows.
+    pub(super) fn of(world: &mut SiteWorld) -> Self {
+        let spans = world.lasting.spans.iter();
+        let away_ms = spans.filter_map(|span| Some(span.until_ms? - span.from_ms));
+        Self {
+            away_ms: away_ms.collect(),
+            events: world.events,
+            starts: world.rules.starts,
+            accepted: world.rules.accepted().len() as u64,
+            breaches: std::mem::take(&mut world.rules.breaches),
+            faults: BTreeMap::new(),
+            pairs: BTreeMap::new(),
+            versions: 0,
+            told: world.told.len() as u64,
+            storms: StormFigures::default(),
+        }
+    }
 }
 
 /// Runs one episode: troubles of the kinds given strike a site under load.
@@ -119,11 +143,14 @@
     Crashes,
     /// Nothing, but workers and leaders are lost together, some of them for good, and some jobs last.
     Losses,
+    /// Nothing, but workers are lost in series in all manners, leaders in between, while some tasks end
+    /// the workers that run them and some last.
+    Storms,
 }
 
 impl SiteBurden {
     /// All burdens.
-    pub const ALL: [SiteBurden; 7] = [
+    pub const ALL: [SiteBurden; 8] = [
         SiteBurden::Usual,
         SiteBurden::Carried,
         SiteBurden::Hubs,
@@ -131,6 +158,7 @@
         SiteBurden::Link,
         SiteBurden::Crashes,
         SiteBurden::Losses,
+        SiteBurden::Storms,
     ];
 
     /// Name used on the command line.
@@ -149,12 +177,15 @@
             SiteBurden::Link => "link",
             SiteBurden::Crashes => "crashes",
             SiteBurden::Losses => "losses",
+            SiteBurden::Storms => "storms",
         }
     }
 
     fn strengths(self) -> Option<Vec<u64>> {
         match self {
-            SiteBurden::Usual | SiteBurden::Crashes | SiteBurden::Losses => None,
+            SiteBurden::Usual | SiteBurden::Crashes | SiteBurden::Losses | SiteBurden::Storms => {
+                None
+            }
             SiteBurden::Carried | SiteBurden::Link => Some(vec![10; 5]),
             SiteBurden::Processor => Some(vec![1_000; 4]),
             SiteBurden::Hubs => {
@@ -167,7 +198,9 @@
     fn lay(self, world: &mut SiteWorld) {
         match self {
             SiteBurden::Usual | SiteBurden::Carried | SiteBurden::Hubs => {}
-            SiteBurden::Crashes | SiteBurden::Losses => world.looks_wait = true,
+            SiteBurden::Crashes | SiteBurden::Losses | SiteBurden::Storms => {
+                world.looks_wait = true
+            }
             SiteBurden::Processor => {
                 world.looks_wait = true;
                 for node in &mut world.nodes {
@@ -191,6 +224,9 @@
     broken: Option<SiteGuard>,
     burden: SiteBurden,
 ) -> SiteReport {
+    if burden == SiteBurden::Storms {
+        return run_storm_episode(seed, broken);
+    }
     // Each fourth site has more instances than are near each other, and unlike ones.
     let usual = matches!(burden, SiteBurden::Usual | SiteBurden::Crashes);
     let mut crashes = (burden == SiteBurden::Crashes).then(|| DrawnCrashes::new(seed));
@@ -279,7 +315,7 @@
     }
     world.check_return(job + 1);
     if losses.is_some() {
-        DrawnLosses::cancel(&mut world);
+        cancel_lasting(&mut world);
     }
     while world.now_ms < troubled_ms + CALM_MS {
         let until = world.now_ms + 1_000;
@@ -288,24 +324,24 @@
     }
     check_ends(&mut world);
     ask_at_end(&mut world);
-    let spans = world.lasting.spans.iter();
-    let away_ms = spans
-        .filter_map(|span| Some(span.until_ms? - span.from_ms))
-        .collect();
     SiteReport {
-        events: world.events,
-        starts: world.rules.starts,
-        accepted: world.rules.accepted().len() as u64,
-        breaches: std::mem::take(&mut world.rules.breaches),
         faults,
         pairs: losses.map_or_else(BTreeMap::new, |losses| losses.played),
-        away_ms,
         versions: operator.written,
-        told: world.told.len() as u64,
+        ..SiteReport::of(&mut world)
     }
 }
 
 fn submit_drawn(world: &mut SiteWorld, job: u64, crashes: Option<&mut DrawnCrashes>) {
+    let spec = drawn_job(world, job);
+    if let Some(crashes) = crashes {
+        crashes.lay(world, &spec);
+    }
+    world.submit(spec);
+}
+
+/// Draws a job.
+pub(super) fn drawn_job(world: &mut SiteWorld, job: u64) -> JobSpec {
     let steps = world.rng.random_range(1..4);
     let counts: Vec<u32> = (0..steps)
         .map(|_| world.rng.random_range(1..=WIDTH))
@@ -327,14 +363,11 @@
             step.per_worker_limit = 2;
         }
     }
-    if let Some(crashes) = crashes {
-        crashes.lay(world, &spec);
-    }
-    world.submit(spec);
+    spec
 }
 
 /// All accepted jobs must have ended.
-fn check_ends(world: &mut SiteWorld) {
+pub(super) fn check_ends(world: &mut SiteWorld) {
     let now = world.now_ms;
     let open: Vec<u64> = world
         .rules
@@ -369,7 +402,7 @@
 /// Each instance must answer for each accepted job in time, also when connections go silent.
 ///
 /// The jobs are drawn from the later quarter: how they ended is told for two minutes only.
-fn ask_at_end(world: &mut SiteWorld) {
+pub(super) fn ask_at_end(world: &mut SiteWorld) {
     let accepted: Vec<u64> = world.rules.accepted().iter().copied().collect();
     let later = &accepted[accepted.len() - accepted.len() / 4..];
     world.silence_peers();
@@ -399,6 +432,7 @@
     let mut faults: BTreeMap<SiteFault, u64> = BTreeMap::new();
     let mut pairs: BTreeMap<(WorkerLoss, LeaderLoss), u64> = BTreeMap::new();
     let mut away_ms = Vec::new();
+    let mut storms = StormFigures::default();
     let mut number = seed;
     while done < events {
         let report = run_episode(number, kinds_of(number), broken, burden);
@@ -411,6 +445,7 @@
             *pairs.entry(pair).or_default() += count;
         }
         away_ms.extend(report.away_ms);
+        storms.add(report.storms);
         for (kind, count) in report.faults {
             *faults.entry(kind).or_default() += count;
         }
@@ -436,6 +471,7 @@
         let (count, median) = (away_ms.len(), away_ms[away_ms.len() / 2]);
         println!("tasks that last away {count} times, median {median} ms, longest {longest} ms");
     }
+    storms.print();
     let seconds = begun.elapsed().as_secs_f64();
     println!("{done} events, {accepted} jobs accepted, {starts} starts, {seconds:.1} s");
     println!("{versions} configurations, {told} callers told of queues");
--- a/crates/bankvalve_check/src/site/site_rules.rs
+++ b/crates/bankvalve_check/src/site/site_rules.rs
@@ -22,6 +22,19 @@
 /// Workers that a task itself has ended after which its job may be shown as failed.
 const CRASHES_TO_FAIL: u32 = 2;
 
+/// A time for which a task had no run, since its run was lost with its worker.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct RunGap {
+    /// The task.
+    pub task: TaskKey,
+    /// When its run was lost, in milliseconds.
+    pub from_ms: u64,
+    /// When the next one began, in milliseconds.
+    pub until_ms: u64,
+    /// Runs that it had lost by then.
+    pub losses: u32,
+}
+
 /// What is known of a task from outside.
 #[derive(Clone, Debug, Default)]
 struct TaskHistory {
@@ -33,6 +46,9 @@
     failed: BTreeSet<RunId>,
     /// Workers that it has itself ended.
     crashes: u32,
+    /// Runs that were lost with their worker, and when the last one was, if none runs since.
+    losses: u32,
+    lost_at: Option<u64>,
     /// Starts since it ended so many that it may be given up for good.
     starts_after: u32,
 }
@@ -53,6 +69,10 @@
     pub breaches: Vec<RuleBreach>,
     /// Starts seen.
     pub starts: u64,
+    /// Jobs that were shown as failed without cause.
+    pub without_cause: BTreeSet<JobId>,
+    /// Times for which tasks had no run since theirs was lost.
+    pub run_gaps: Vec<RunGap>,
     end_waits: Vec<u64>,
 }
 
@@ -169,6 +189,14 @@
         history.starts_after += u32::from(history.crashes >= CRASHES_COUNTED);
         let (crashes, starts_after) = (history.crashes, history.starts_after);
         history.live.insert((worker.clone(), run), ());
+        let losses = history.losses;
+        let lost_at = history.lost_at.take();
+        self.run_gaps.extend(lost_at.map(|from_ms| RunGap {
+            task,
+            from_ms,
+            until_ms: now_ms,
+            losses,
+        }));
         if others {
             self.breach(
                 "TWICE",
@@ -221,6 +249,10 @@
         if how == EndKind::Failed {
             history.failed.insert(run);
         }
+        if matches!(how, EndKind::Lost | EndKind::Lapsed) {
+            history.losses += 1;
+            history.lost_at = Some(now_ms);
+        }
         if how == EndKind::Done {
             history.done_at = Some(now_ms);
         }
@@ -231,6 +263,11 @@
         self.tasks.entry(task).or_default().crashes += 1;
     }
 
+    /// Workers that a task has itself ended.
+    pub fn crashes_by(&self, task: TaskKey) -> u32 {
+        self.tasks.get(&task).map_or(0, |history| history.crashes)
+    }
+
     /// Workers that a job's tasks have ended.
     pub fn crashes_of(&self, job: JobId) -> u32 {
         let tasks = self.tasks.iter().filter(|(task, _)| task.step.job == job);
@@ -261,6 +298,7 @@
         }
         cause |= gang_failures.values().any(often);
         if !cause {
+            self.without_cause.insert(job);
             let text =
                 format!("{job:016x} is shown as failed without cause, {crashes} workers ended");
             self.breach("LOST", now_ms, &text);
--- a/crates/bankvalve_check/src/site/site_workers.rs
+++ b/crates/bankvalve_check/src/site/site_workers.rs
@@ -38,7 +38,7 @@
         let entry = WorkerEntry {
             service: SERVICE.into(),
             address: address.clone(),
-            domain: "domain".into(),
+            domain: self.domain_of(&address),
             labels: vec!["a".into(), format!("r{}", self.lives % 3)],
             room: TaskSize {
                 millicores: 4_000,
--- a/crates/bankvalve_check/src/site/site_world.rs
+++ b/crates/bankvalve_check/src/site/site_world.rs
@@ -20,6 +20,7 @@
 use super::site_lasting::LastingCheck;
 use super::site_losses::LossStep;
 use super::site_silence::SilentLane;
+use super::site_storm_losses::{StormRecord, StormStep};
 use super::site_workers::WaitingLook;
 use super::{LinkRecord, RuleBook, SiteAnswer, SiteNode, SitePlan};
 
@@ -120,6 +121,8 @@
     },
     /// A step of a loss that was laid out before.
     Loss(LossStep),
+    /// A part of a series of losses.
+    Storm(StormStep),
     ApplyLate {
         request: StoreRequest,
     },
@@ -195,6 +198,9 @@
     pub worker_cut_until: BTreeMap<String, u64>,
     /// Until when a worker does not reach the table, by address.
     pub(super) worker_off_table_until: BTreeMap<String, u64>,
+    /// Failure domains of the workers; none are told apart with 0.
+    pub(super) domains: u64,
+    pub(super) storms: StormRecord,
     /// The only worker that an instance reaches, by instance.
     pub only_reaches: BTreeMap<usize, String>,
     /// Workers that one instance alone reaches, by address, and which.
@@ -294,6 +300,8 @@
             worker_cut_until: BTreeMap::new(),
             worker_off_table_until: BTreeMap::new(),
             worker_reached_by: BTreeMap::new(),
+            domains: 0,
+            storms: StormRecord::default(),
             only_reaches: BTreeMap::new(),
             lasting: LastingCheck::default(),
             work_ms: BTreeMap::new(),
@@ -444,6 +452,7 @@
             }
             Later::EntryBack { address, worker } => self.entry_back(&address, &worker),
             Later::Loss(step) => self.take_loss(step),
+            Later::Storm(step) => self.take_storm(step),
             Later::ApplyLate { request } => {
                 self.store.handle(&request);
                 self.answer_watches();
