test(site): jobs given up while workers are lost in series, red

Two hand-written cases and seven drawn runs show jobs given up without cause: an order that never arrived counts as a run that just began (no run begins on the worker in the test, the log says 'alone evidence: given up'), and a suspect lost with its failure domain counts as alone, since the others' ends are seen later.

Also, green: a guilty task beside series of losses is given up and BUDGET is kept; with CrashBudget or AloneEvidence taken away a run breaks a rule that breaks none with all guards.

--- a/crates/bankvalve_check/tests/site/main.rs
+++ b/crates/bankvalve_check/tests/site/main.rs
@@ -13,6 +13,7 @@
 mod random;
 mod recover;
 mod sight;
+mod storms;
 mod table;
 mod takeover;
 mod wide_gangs;
--- /dev/null
+++ b/crates/bankvalve_check/tests/site/storms.rs
@@ -0,0 +1,203 @@
+//! Workers that are lost in series, with guilty and innocent tasks on them.
+//!
+//! Seen on a site of some fifty workers, in days on which workers were lost one after the other: jobs
+//! were shown as failed none of whose tasks had failed as often as it may, or ends the workers that
+//! run it. Runs that had just been ordered when their worker was lost were taken for ones that had
+//! ended it, also where the order had never arrived and where the whole failure domain went; two such
+//! ends, or four of any kind over the life of a job that lasts, were taken for proof. That the jobs
+//! were given up at just these ends, with no end `failed` before, and that the same tasks ran to a
+//! good end in worlds without the losses, proved it.
+
+use bankvalve_check::site::{
+    job_of, run_storm_episode, SitePlan, SiteWorld, TaskCrash, QUEUE, URGENT_QUEUE,
+};
+use bankvalve_queue::{JobId, JobState, SiteGuard, StepKey, TaskKey};
+
+use crate::assert_kept;
+
+/// The job whose workers are lost, and how long its task works, in milliseconds.
+const STRUCK: JobId = 900;
+const WORK_MS: u64 = 5_000;
+/// Time from one look at the workers to the next, in milliseconds.
+const STEP_MS: u64 = 5;
+/// Time in which something must happen that a test waits for, in milliseconds.
+const PATIENCE_MS: u64 = 60_000;
+/// Time from a worker's end until another life comes at its address, in milliseconds.
+const DOWN_MS: u64 = 1_200;
+
+fn struck_task() -> TaskKey {
+    let step = StepKey {
+        job: STRUCK,
+        time: 0,
+        step: 0,
+    };
+    step.task(0)
+}
+
+/// A site of so many workers, spread over so many failure domains.
+fn site(seed: u64, workers: usize, domains: u64) -> SiteWorld {
+    let mut world = SiteWorld::new(SitePlan {
+        seed,
+        entries: 3,
+        strengths: Vec::new(),
+        broken: None,
+        without: None,
+        workers,
+        good_percent: None,
+    });
+    world.spread_over_domains(domains);
+    world.looks_wait = true;
+    world.run_until(2_000);
+    world
+}
+
+/// The worker that has the task, and the number of the run.
+fn holder(world: &SiteWorld) -> Option<(String, u64)> {
+    let workers = world.workers.iter();
+    let mut runs = workers.filter_map(|(address, worker)| {
+        let run = worker.as_ref()?.runs().get(&struck_task())?;
+        Some((address.clone(), run.run))
+    });
+    runs.next()
+}
+
+/// Runs until the task has a run above a number; tells where and which.
+fn run_above(world: &mut SiteWorld, above: u64) -> (String, u64) {
+    let limit = world.now_ms + PATIENCE_MS;
+    while world.now_ms < limit {
+        let until = world.now_ms + STEP_MS;
+        world.run_until(until);
+        if let Some((address, run)) = holder(world).filter(|(_, run)| *run > above) {
+            return (address, run);
+        }
+    }
+    panic!("no run above {above} by {limit} ms");
+}
+
+/// Hands the job in and makes its task a suspect: its first worker ends right after the start.
+fn make_suspect(world: &mut SiteWorld) -> u64 {
+    world.work_ms.insert(STRUCK, WORK_MS);
+    world.submit(job_of(STRUCK, QUEUE, &[1], false));
+    let (address, run) = run_above(world, 0);
+    let until = world.now_ms + 50;
+    world.run_until(until);
+    world.end_worker(&address, DOWN_MS);
+    run
+}
+
+/// The job must come to a good end.
+fn assert_succeeds(world: &mut SiteWorld, case: &str) {
+    let until = world.now_ms + PATIENCE_MS;
+    world.run_until(until);
+    let shown = world.shown.get(&STRUCK).copied();
+    assert_eq!(shown, Some(JobState::Succeeded), "{case}");
+    assert_kept(world);
+}
+
+#[test]
+fn no_healthy_job_is_given_up_while_workers_are_lost_in_series() {
+    let mut wrong = Vec::new();
+    for seed in 20..27 {
+        let report = run_storm_episode(seed, None);
+        assert!(report.starts > 1_000, "seed {seed}: {}", report.starts);
+        wrong.extend(report.breaches.into_iter().map(|breach| (seed, breach)));
+    }
+    assert_eq!(wrong, []);
+}
+
+/// Plays a suspect whose second worker is cut off some time before the order comes, and whose life
+/// ends behind the cut; without a cut it tells when the order comes.
+fn play_order_into_a_cut(seed: u64, cut: Option<(&str, u64)>) -> (SiteWorld, String, u64) {
+    let mut world = site(seed, 10, 10);
+    let first = make_suspect(&mut world);
+    let Some((address, ordered_ms)) = cut else {
+        let (address, _) = run_above(&mut world, first);
+        let at = world.now_ms;
+        return (world, address, at);
+    };
+    // It last answers a little over a second before the order.
+    world.run_until(ordered_ms - 1_100);
+    let cut_until = ordered_ms + 1_500;
+    world.worker_cut_until.insert(address.to_owned(), cut_until);
+    while world.now_ms < ordered_ms + 200 {
+        let until = world.now_ms + STEP_MS;
+        world.run_until(until);
+        assert_eq!(holder(&world), None, "a run began behind the cut");
+    }
+    world.end_worker(address, 1_000);
+    (world, address.to_owned(), ordered_ms)
+}
+
+#[test]
+fn an_order_that_never_arrived_is_not_held_against_its_task() {
+    for seed in 1..9 {
+        let (_, address, ordered_ms) = play_order_into_a_cut(seed, None);
+        let (mut world, ..) = play_order_into_a_cut(seed, Some((&address, ordered_ms)));
+        assert_succeeds(&mut world, &format!("seed {seed}"));
+    }
+}
+
+#[test]
+fn a_suspect_that_is_lost_with_its_failure_domain_is_not_held_to_have_ended_it() {
+    for seed in 1..9 {
+        let mut world = site(seed, 40, 10);
+        let first = make_suspect(&mut world);
+        let (struck, _) = run_above(&mut world, first);
+        let until = world.now_ms + 290 - STEP_MS;
+        world.run_until(until);
+        let domain = world.domain_of(&struck);
+        let addresses: Vec<String> = world.workers.keys().cloned().collect();
+        for address in addresses {
+            if world.domain_of(&address) == domain {
+                // The others are back later, so that their ends are seen after this one's.
+                let down_ms = if address == struck { 400 } else { 4_000 };
+                world.end_worker(&address, down_ms);
+            }
+        }
+        assert_succeeds(&mut world, &format!("seed {seed}"));
+    }
+}
+
+#[test]
+fn a_guilty_task_beside_series_of_losses_is_given_up_once_all_is_calm() {
+    for seed in 1..5 {
+        let mut world = site(seed, 24, 6);
+        let crash = TaskCrash {
+            after_ms: 10,
+            down_ms: DOWN_MS,
+        };
+        world.crashing.insert(struck_task(), crash);
+        world.submit(job_of(STRUCK, URGENT_QUEUE, &[1], false));
+        for job in 1..80 {
+            world.submit(job_of(job, QUEUE, &[2], false));
+            if job % 10 == 0 {
+                let number = (seed + job) % 24;
+                world.end_worker(&format!("10.9.0.{number}:80"), DOWN_MS);
+                world.end_worker(&format!("10.9.0.{}:80", (number + 6) % 24), DOWN_MS);
+            }
+            let until = world.now_ms + 100;
+            world.run_until(until);
+        }
+        let until = world.now_ms + PATIENCE_MS;
+        world.run_until(until);
+        assert_kept(&world);
+        assert_eq!(world.shown.get(&STRUCK), Some(&JobState::Failed));
+        let succeeded = |job: &JobId| world.shown.get(job) == Some(&JobState::Succeeded);
+        let wrong: Vec<JobId> = (1..80).filter(|job| !succeeded(job)).collect();
+        assert!(wrong.is_empty(), "seed {seed}: {wrong:?}");
+        let ended = world.rules.crashes_of(STRUCK);
+        assert!(ended <= 5, "seed {seed}: {ended} workers ended");
+    }
+}
+
+#[test]
+fn a_guard_against_false_verdicts_that_is_taken_away_is_noticed() {
+    for guard in [SiteGuard::CrashBudget, SiteGuard::AloneEvidence] {
+        // Only a run counts that breaks no rule with all guards.
+        let noticed = (1..13).any(|seed| {
+            let broken = run_storm_episode(seed, Some(guard));
+            !broken.breaches.is_empty() && run_storm_episode(seed, None).breaches.is_empty()
+        });
+        assert!(noticed, "nothing notices that {} is gone", guard.as_str());
+    }
+}
