test(site): tasks that last come back late after the table was away, red

Eight instances, 20 workers of which eight are lost 0.3 s apart, then the table is away for 4 s; a policy service that takes 0.56 s and 8 ms for each worker, of which short work (a job of four tasks each 200 ms) keeps three or four instances busy; half of the room that is left is free.

Not traced here.

--- a/crates/bankvalve_check/tests/site/storms.rs
+++ b/crates/bankvalve_check/tests/site/storms.rs
@@ -11,7 +11,7 @@
 use bankvalve_check::site::{
     job_of, run_storm_episode, SitePlan, SiteWorld, TaskCrash, QUEUE, URGENT_QUEUE,
 };
-use bankvalve_queue::{JobId, JobState, SiteGuard, StepKey, TaskKey};
+use bankvalve_queue::{AdviceRule, JobId, JobState, SiteGuard, StepKey, TaskKey};
 
 use crate::assert_kept;
 
@@ -201,3 +201,74 @@
         assert!(noticed, "nothing notices that {} is gone", guard.as_str());
     }
 }
+
+/// The job whose tasks last, and its tasks.
+const LASTING: JobId = 1 << 40;
+const TASKS: u32 = 8;
+/// What the policy service takes for an answer, as by a customer's sheet: with a job each 200 ms it
+/// keeps three or four of eight instances busy.
+const SLOW_POLICY: AdviceRule = AdviceRule {
+    decide_ms: 560.0,
+    each_ms: 8.0,
+    valid_ms: 2_000,
+};
+const SHORT_PAUSE_MS: u64 = 200;
+/// Workers, those of them that are lost, and the time from one to the next, in milliseconds.
+const WORKERS: usize = 20;
+const LOST: u64 = 8;
+const LOST_PAUSE_MS: u64 = 300;
+/// Time for which the table is away, in milliseconds.
+const AWAY_MS: u64 = 4_000;
+
+/// Hands in short work of four tasks until a time, its jobs numbered from one on.
+fn short_work(world: &mut SiteWorld, job: &mut JobId, until_ms: u64) {
+    while world.now_ms < until_ms {
+        *job += 1;
+        world.submit(job_of(*job, QUEUE, &[4], false));
+        let until = world.now_ms + SHORT_PAUSE_MS;
+        world.run_until(until);
+    }
+}
+
+#[test]
+fn a_task_that_lasts_is_back_in_time_after_the_table_was_away_though_short_work_waits_too() {
+    // Seen: two fifths of the workers were lost one after the other, then the table was away. It was
+    // back, there was room for all that waited twice over, and short work went on; a task that lasts
+    // came back many seconds later.
+    let mut wrong = Vec::new();
+    for seed in 2..8 {
+        let plan = SitePlan {
+            seed,
+            entries: 8,
+            strengths: Vec::new(),
+            broken: None,
+            without: None,
+            workers: WORKERS,
+            good_percent: Some(85),
+        };
+        let mut world = SiteWorld::with_hold_limit(plan, 10_000);
+        world.spread_over_domains(5);
+        world.looks_wait = true;
+        world.slow_advice = Some(SLOW_POLICY);
+        world.configure(2);
+        world.run_until(2_000);
+        let mut spec = job_of(LASTING, QUEUE, &[TASKS], false);
+        spec.steps[0].lasting = true;
+        spec.steps[0].per_worker_limit = 1;
+        world.submit(spec);
+        let mut job = 0;
+        short_work(&mut world, &mut job, 20_000);
+        for number in seed..seed + LOST {
+            let address = format!("10.9.0.{}:80", number % WORKERS as u64);
+            world.lose_worker(&address, false);
+            let until = world.now_ms + LOST_PAUSE_MS;
+            short_work(&mut world, &mut job, until);
+        }
+        world.store_away_until = world.now_ms + AWAY_MS;
+        short_work(&mut world, &mut job, 45_000);
+        assert!(!world.lasting.spans.is_empty(), "seed {seed}: nobody lost");
+        let breaches = std::mem::take(&mut world.rules.breaches);
+        wrong.extend(breaches.into_iter().map(|breach| (seed, breach)));
+    }
+    assert_eq!(wrong, []);
+}
