--- a/crates/bankvalve_check/src/site/site_crashes.rs
+++ b/crates/bankvalve_check/src/site/site_crashes.rs
@@ -140,6 +140,7 @@
         let live = worker.and_then(|worker| worker.runs().get(&task));
         if live.is_some_and(|live| live.run == run) {
             self.rules.crashed(task);
+            self.storms.lost_at.push(self.now_ms);
             self.end_worker(address, crash.down_ms);
         }
     }
@@ -161,10 +162,7 @@
     pub(super) fn runs_end_with(&mut self, worker: &SiteWorker) {
         let now = self.now_ms;
         self.lasting.trouble(now);
-        let others = worker.runs().len() > 1;
         for (task, run) in worker.runs() {
-            let ran_ms = (now + worker.clock_offset_ms).saturating_sub(run.began);
-            self.rules.ended_under(*task, ran_ms, others);
             self.rules
                 .ended(&worker.id, *task, run.run, EndKind::Lost, now);
             self.lasting_ended(&worker.id, *task, run.run, EndKind::Lost);
@@ -190,7 +188,11 @@
     }
 
     /// Ends a worker's life, whose entry runs out after a time; tells whether there was one.
-    fn end_worker_life(&mut self, address: &str, entry_ms: std::ops::Range<u64>) -> bool {
+    pub(super) fn end_worker_life(
+        &mut self,
+        address: &str,
+        entry_ms: std::ops::Range<u64>,
+    ) -> bool {
         let Some(worker) = self.workers.get_mut(address).and_then(Option::take) else {
             return false;
         };
--- a/crates/bankvalve_check/src/site/site_rules.rs
+++ b/crates/bankvalve_check/src/site/site_rules.rs
@@ -19,13 +19,21 @@
 /// too many.
 const CRASHES_COUNTED: u32 = 3;
 const STARTS_TOO_MANY: u32 = 3;
-/// Workers that ended under a task which ends its workers after which its job may be shown as failed.
+/// Workers that a task itself has ended after which its job may be shown as failed.
 const CRASHES_TO_FAIL: u32 = 2;
-/// The same for a task that had no part in it.
-const ENDS_TO_FAIL: u32 = 4;
-/// Longest run on a worker that ran nothing else and ended by chance which may be held against the
-/// task, if another worker had ended under it before, in milliseconds.
-const ALONE_MS: u64 = 1_500;
+
+/// A time for which a task had no run, since its run was lost with its worker.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct RunGap {
+    /// The task.
+    pub task: TaskKey,
+    /// When its run was lost, in milliseconds.
+    pub from_ms: u64,
+    /// When the next one began, in milliseconds.
+    pub until_ms: u64,
+    /// Runs that it had lost by then.
+    pub losses: u32,
+}
 
 /// What is known of a task from outside.
 #[derive(Clone, Debug, Default)]
@@ -35,13 +43,12 @@
     done_kept: bool,
     failed_kept: u32,
     /// Runs that failed, whether that is acknowledged or not.
-    failed: u32,
-    /// Workers that it has ended.
+    failed: BTreeSet<RunId>,
+    /// Workers that it has itself ended.
     crashes: u32,
-    /// Workers that ended while they ran it, whatever ended them.
-    ends_under: u32,
-    /// Whether the last of them ran nothing else and had just started it.
-    ended_alone: bool,
+    /// Runs that were lost with their worker, and when the last one was, if none runs since.
+    losses: u32,
+    lost_at: Option<u64>,
     /// Starts since it ended so many that it may be given up for good.
     starts_after: u32,
 }
@@ -62,6 +69,10 @@
     pub breaches: Vec<RuleBreach>,
     /// Starts seen.
     pub starts: u64,
+    /// Jobs that were shown as failed without cause.
+    pub without_cause: BTreeSet<JobId>,
+    /// Times for which tasks had no run since theirs was lost.
+    pub run_gaps: Vec<RunGap>,
     end_waits: Vec<u64>,
 }
 
@@ -178,6 +189,14 @@
         history.starts_after += u32::from(history.crashes >= CRASHES_COUNTED);
         let (crashes, starts_after) = (history.crashes, history.starts_after);
         history.live.insert((worker.clone(), run), ());
+        let losses = history.losses;
+        let lost_at = history.lost_at.take();
+        self.run_gaps.extend(lost_at.map(|from_ms| RunGap {
+            task,
+            from_ms,
+            until_ms: now_ms,
+            losses,
+        }));
         if others {
             self.breach(
                 "TWICE",
@@ -227,7 +246,13 @@
     ) {
         let history = self.tasks.entry(task).or_default();
         history.live.remove(&(worker.clone(), run));
-        history.failed += u32::from(how == EndKind::Failed);
+        if how == EndKind::Failed {
+            history.failed.insert(run);
+        }
+        if matches!(how, EndKind::Lost | EndKind::Lapsed) {
+            history.losses += 1;
+            history.lost_at = Some(now_ms);
+        }
         if how == EndKind::Done {
             history.done_at = Some(now_ms);
         }
@@ -238,11 +263,9 @@
         self.tasks.entry(task).or_default().crashes += 1;
     }
 
-    /// A worker ended that had run a task for a time, among others or not.
-    pub fn ended_under(&mut self, task: TaskKey, ran_ms: u64, others: bool) {
-        let history = self.tasks.entry(task).or_default();
-        history.ends_under += 1;
-        history.ended_alone = !others && ran_ms <= ALONE_MS;
+    /// Workers that a task has itself ended.
+    pub fn crashes_by(&self, task: TaskKey) -> u32 {
+        self.tasks.get(&task).map_or(0, |history| history.crashes)
     }
 
     /// Workers that a job's tasks have ended.
@@ -251,26 +274,33 @@
         tasks.map(|(_, history)| history.crashes).sum()
     }
 
-    /// A job is shown as failed only if a task, or a gang, has failed too often, or has ended too
-    /// many workers.
+    /// A job is shown as failed only if a task, or a gang, has failed as often as it may, or a task
+    /// has itself ended two workers. Workers that ended under a task for another reason are none, be
+    /// they as many as they may; nor are failures of a task that lasts, which has no limit.
     pub fn check_failed(&mut self, job: JobId, now_ms: u64) {
         let Some((spec, attempts)) = self.specs.get(&job) else {
             return;
         };
-        let gang = |task: &TaskKey| spec.steps[usize::from(task.step.step)].gang;
-        let mut gang_failures: BTreeMap<StepKey, u32> = BTreeMap::new();
-        let mut cause = false;
+        let step_of = |task: &TaskKey| &spec.steps[usize::from(task.step.step)];
+        let often = |failed: &BTreeSet<RunId>| failed.len() as u32 >= *attempts;
+        // A gang fails as a whole: members of which each failed in the same run count once.
+        let mut gang_failures: BTreeMap<StepKey, BTreeSet<RunId>> = BTreeMap::new();
+        let (mut cause, mut crashes) = (false, 0);
         for (task, history) in self.tasks.iter().filter(|(task, _)| task.step.job == job) {
-            let blamed = history.crashes > 0 || history.ended_alone;
-            cause |= blamed && history.ends_under >= CRASHES_TO_FAIL;
-            cause |= history.ends_under >= ENDS_TO_FAIL || history.failed >= *attempts;
-            if gang(task) {
-                *gang_failures.entry(task.step).or_default() += history.failed;
+            let step = step_of(task);
+            crashes = crashes.max(history.crashes);
+            cause |= history.crashes >= CRASHES_TO_FAIL;
+            cause |= !step.lasting && often(&history.failed);
+            if step.gang && !step.lasting {
+                let failures = gang_failures.entry(task.step).or_default();
+                failures.extend(&history.failed);
             }
         }
-        cause |= gang_failures.values().any(|failed| failed >= attempts);
+        cause |= gang_failures.values().any(often);
         if !cause {
-            let text = format!("{job:016x} is shown as failed without cause");
+            self.without_cause.insert(job);
+            let text =
+                format!("{job:016x} is shown as failed without cause, {crashes} workers ended");
             self.breach("LOST", now_ms, &text);
         }
     }
