--- a/crates/bankvalve_check/src/site/site_crashes.rs
+++ b/crates/bankvalve_check/src/site/site_crashes.rs
@@ -175,6 +175,7 @@
         if !self.end_worker_life(address, ENTRY_MS) {
             return;
         }
+        self.break_waiting_looks(address);
         let address = address.to_owned();
         self.after(down_ms, Later::ReviveWorker { address });
     }
@@ -184,6 +185,8 @@
     pub fn lose_worker(&mut self, address: &str, silent: bool) {
         if self.end_worker_life(address, LONG_ENTRY_MS) && silent {
             self.worker_cut_until.insert(address.to_owned(), u64::MAX);
+        } else {
+            self.break_waiting_looks(address);
         }
     }
 
--- a/crates/bankvalve_check/src/site/site_workers.rs
+++ b/crates/bankvalve_check/src/site/site_workers.rs
@@ -10,6 +10,8 @@
 use super::site_jobs::plan_of;
 use super::site_world::{Later, SiteWorld, SERVICE};
 
+/// Time until an instance knows that a connection was reset, in milliseconds.
+const RESET_MS: u64 = 2;
 /// One answer of a worker in so many is slow.
 const SLOW_ANSWERS: u32 = 16;
 
@@ -64,6 +66,7 @@
             return;
         };
         self.runs_end_with(&worker);
+        self.break_waiting_looks(address);
         self.store.set_worker(&worker.id, None);
         self.answer_watches();
         let address = address.to_owned();
@@ -228,6 +231,18 @@
         }
     }
 
+    /// The connections of looks that wait at a worker whose process ends are reset.
+    pub(super) fn break_waiting_looks(&mut self, address: &str) {
+        for look in self.waiting_looks.remove(address).unwrap_or_default() {
+            let (node, life, ticket) = look.origin;
+            let event = CoreEvent::Worker {
+                ticket,
+                answer: WorkerAnswer::NoReply,
+            };
+            self.after(RESET_MS, Later::Event { node, life, event });
+        }
+    }
+
     /// Lets a worker's runs go on, and checks what happened.
     pub(super) fn worker_time(&mut self, address: &str) {
         let now = self.now_ms;
--- a/crates/bankvalve_queue/src/core/choosing.rs
+++ b/crates/bankvalve_queue/src/core/choosing.rs
@@ -96,6 +96,8 @@
     near: bool,
     /// Whether it rests, and is taken all the same if no other has room.
     rests: bool,
+    /// Whether it began so lately that one before it may have been lost there.
+    fresh: bool,
     /// How slow it is, in steps.
     slow: i64,
 }
@@ -110,6 +112,7 @@
             held: held_of(seat, step.key),
             near: rack.is_some_and(|rack| seat.entry.labels.contains(rack)),
             rests: now < seat.resting_until,
+            fresh: seat.is_fresh(now),
             slow: (seat.slowness / SLOWNESS_STEP).round() as i64,
         }
     }
@@ -118,11 +121,13 @@
         wanted.fits(&self.room) && self.held < limit
     }
 
-    /// Least is best: one that does not rest; near its data; for urgent work fast; then the one that is left fullest.
-    fn rank(&self, step: &PlacedStep) -> (bool, Reverse<bool>, i64, u64) {
+    /// Least is best: one that does not rest; for a suspect one that has been there for long, since one that
+    /// comes and goes tells nothing of it; near its data; for urgent work fast; then the one that is left fullest.
+    fn rank(&self, step: &PlacedStep) -> (bool, bool, Reverse<bool>, i64, u64) {
         let left = self.room.minus(&step.room).millicores;
         let slow = if step.fast_first { self.slow } else { 0 };
-        (self.rests, Reverse(self.near), slow, left)
+        let fresh = self.fresh && step.has_trials();
+        (self.rests, fresh, Reverse(self.near), slow, left)
     }
 }
 
@@ -138,6 +143,7 @@
         let best = free
             .iter_mut()
             .filter(|candidate| candidate.takes(&step.room_of(task, candidate.seat), limit))
+            .filter(|candidate| step.may_join(task, candidate.seat, now))
             .min_by_key(|candidate| candidate.rank(step));
         let Some(best) = best else {
             break;
--- a/crates/bankvalve_queue/src/core/commit.rs
+++ b/crates/bankvalve_queue/src/core/commit.rs
@@ -9,7 +9,7 @@
 use crate::caller::CallerAnswer;
 use crate::guard::SiteGuard;
 use crate::ids::{CoreTime, JobId, TaskKey, Ticket, WorkerId};
-use crate::ledger::{JobOutcome, LedgerBatch, LedgerEvent};
+use crate::ledger::{CrashEnd, JobOutcome, LedgerBatch, LedgerEvent};
 use crate::peer::{PeerAddress, PeerMessage};
 use crate::store::{RowCondition, RowKey, RowWrite, StoreOutcome, StoreRequest, StoredRow};
 
@@ -129,11 +129,11 @@
         let age = self.wall.saturating_sub(record.accepted_at);
         let detail = format!("{:?} kept {age} ms after its acceptance", record.outcome);
         let given_up = record.given_up_task().map(|(task, count)| {
-            let workers = count.workers().join(" ");
-            (
-                task.to_string(),
-                format!("workers ended under it: {workers}"),
-            )
+            let ends: Vec<String> = count.ends().iter().map(CrashEnd::to_string).collect();
+            let (ends, chance) = (ends.join("; "), count.chance_ppm());
+            let detail =
+                format!("workers ended under it, {chance:.3} in a million by chance: {ends}");
+            (task.to_string(), detail)
         });
         self.counters.count("jobs", "over");
         self.log("ledger", "over", format!("{job:016x}"), detail);
--- a/crates/bankvalve_queue/src/core/holds.rs
+++ b/crates/bankvalve_queue/src/core/holds.rs
@@ -24,6 +24,9 @@
 /// The same for a worker with runs whose end is urgent: an answer that is lost shows only when the
 /// wait is over, and a short lookup takes about as long.
 const URGENT_LOOK_WAIT: Duration = Duration::from_millis(350);
+/// The same for a worker that a suspect has to itself: how soon after the start it ends is what tells a
+/// guilty task from one that was there by chance, and trials are few and short.
+const TRIAL_LOOK_WAIT: Duration = Duration::from_millis(50);
 /// Longest time for the way there and back, and a slow worker.
 const LOOK_SLACK: Duration = Duration::from_millis(600);
 /// Time beyond a call's own after which its answer does not come any more: the link tells of each
@@ -223,6 +226,8 @@
         // on its hold is not prolonged.
         let wait = if !(seat.proved && settled && heard) || seat.unanswered > 0 {
             Duration::ZERO
+        } else if seat.is_on_trial() {
+            TRIAL_LOOK_WAIT
         } else if many && seat.runs.is_empty() {
             IDLE_LOOK_WAIT
         } else if short_looks && seat.has_urgent_run() {
@@ -353,6 +358,9 @@
             // One lost answer is asked for anew at once; a worker that stays silent is not pressed.
             let first_silence = seat.is_heard(now, FIRST_SILENCE);
             seat.refused = answer == WorkerAnswer::NotSent;
+            if seat.refused {
+                seat.refused_at.get_or_insert(now);
+            }
             seat.next_hold = match (first_silence, seat.refused) {
                 (false, _) => now + SILENT_PAUSE,
                 (true, true) => now + REFUSED_PAUSE,
@@ -370,6 +378,7 @@
                 });
             }
             self.counters.count("retries", "worker_silent");
+            self.keep_crashes(id);
             if let Some(lead) = self.lead.as_deref_mut().filter(|_| first_silence) {
                 lead.note_miss();
             }
@@ -387,6 +396,8 @@
         seat.heard_at = Some(now);
         seat.unanswered = 0;
         seat.refused = false;
+        seat.refused_at = None;
+        seat.over = false;
         seat.next_hold = if first {
             now
         } else {
--- a/crates/bankvalve_queue/src/core/lead.rs
+++ b/crates/bankvalve_queue/src/core/lead.rs
@@ -10,6 +10,7 @@
 use super::making_room::RoomClaim;
 use super::seat::LiveRun;
 use super::seat_map::SeatMap;
+use super::suspects::WorkerLoss;
 use super::unheard::WaitSight;
 use super::waiting::WaitingStep;
 use super::EntryCore;
@@ -126,8 +127,8 @@
     pub(super) begun: BTreeSet<JobId>,
     /// Suspects that have a worker to themselves, with that worker.
     pub(super) trials: BTreeMap<TaskKey, WorkerId>,
-    /// When workers ended lately, but for those that a suspect had to itself.
-    pub(super) worker_ends: VecDeque<CoreTime>,
+    /// Workers that were lost lately, but for those whose end is held against a task.
+    pub(super) worker_losses: Vec<WorkerLoss>,
     /// How often a task was stopped because its run was overdue.
     pub(super) moves: BTreeMap<TaskKey, u32>,
     /// Since when steps have found no room for all their tasks.
@@ -207,7 +208,7 @@
             uncommitted: BTreeMap::new(),
             begun: BTreeSet::new(),
             trials: BTreeMap::new(),
-            worker_ends: VecDeque::new(),
+            worker_losses: Vec::new(),
             moves: BTreeMap::new(),
             room_waits: BTreeMap::new(),
             plan_pauses: BTreeMap::new(),
--- a/crates/bankvalve_queue/src/core/orders.rs
+++ b/crates/bankvalve_queue/src/core/orders.rs
@@ -59,6 +59,7 @@
             return;
         }
         live.phase = RunPhase::Ordered;
+        live.ordered_at = Some(now);
         let wait = now.saturating_sub(live.began);
         lead.note_order_wait(wait);
         self.send_start(&worker, task);
@@ -231,6 +232,7 @@
             return;
         };
         live.busy = false;
+        live.answered |= matches!(answer, WorkerAnswer::Done { .. });
         if live.phase != RunPhase::Ordered {
             return;
         }
--- a/crates/bankvalve_queue/src/core/placing.rs
+++ b/crates/bankvalve_queue/src/core/placing.rs
@@ -7,12 +7,12 @@
 use super::choosing::{admits, admitting, choose, first_question, unknown_with_room, workers_of};
 use super::commit::Effect;
 use super::seat::{LiveRun, Reservation, RunPhase, Seat};
-use super::suspects::TrialTurn;
+use super::suspects::{SuspectStand, TrialTurn};
 use super::waiting::{Lateness, WaitingRank};
 use super::EntryCore;
 use crate::ids::{CoreTime, RunId, StepKey, TaskKey, WorkerId};
 use crate::job::{StepSpec, TaskSize};
-use crate::ledger::{LedgerEvent, TaskPhase, TaskRecord};
+use crate::ledger::{CrashCount, LedgerEvent, TaskPhase, TaskRecord};
 use crate::policy::PolicySwitch;
 use crate::queue_table::AdviceRule;
 
@@ -47,11 +47,16 @@
     pub(super) fast_first: bool,
     /// Tasks among them that are suspects and start where nothing else runs.
     alone: Vec<TaskKey>,
+    /// Tasks among them that are suspects and start where nothing else that is new runs.
+    apart: Vec<TaskKey>,
     /// Whether a task among them lasts and has been away for too long, so that workers that rest are
     /// taken as well.
     pub(super) pressed: bool,
 }
 
+/// Tasks to be placed, those among them that start alone, and those that start apart from new runs.
+type TrialTasks = (Vec<TaskKey>, Vec<TaskKey>, Vec<TaskKey>);
+
 /// Choice of workers for tasks of a step.
 pub(super) type Choice = Vec<(TaskKey, WorkerId)>;
 
@@ -73,6 +78,16 @@
         }
     }
 
+    /// Whether suspects are among its tasks that start alone or apart.
+    pub(super) fn has_trials(&self) -> bool {
+        !(self.alone.is_empty() && self.apart.is_empty())
+    }
+
+    /// Whether a task may go to a worker for what else runs there.
+    pub(super) fn may_join(&self, task: &TaskKey, seat: &Seat, now: CoreTime) -> bool {
+        !self.apart.contains(task) || !seat.has_new_run(now)
+    }
+
     /// Room that each of its tasks takes on a worker; of a gang, that of the others than suspects.
     pub(super) fn room_on(&self, seat: &Seat) -> TaskSize {
         if self.alone.len() == self.tasks.len() {
@@ -143,7 +158,7 @@
     }
 
     fn step_to_place(&mut self, key: StepKey) -> Option<PlacedStep> {
-        let (tasks, alone) = self.tasks_to_place(key)?;
+        let (tasks, alone, apart) = self.tasks_to_place(key)?;
         let job = self.book.job(key.job)?;
         let spec = job.spec.steps.get(usize::from(key.step))?.clone();
         let record = job.step(key)?;
@@ -169,14 +184,15 @@
             spec,
             tasks,
             alone,
+            apart,
             pressed,
         })
     }
 
-    /// The tasks of a step that are to be placed now, and which of them alone: those that nothing speaks
+    /// The tasks of a step that are to be placed now, which of them alone, and which apart: those that nothing speaks
     /// against first, then suspects in their turn; a gang as a whole, its suspects first. One that has been
-    /// away for too long waits for no turn.
-    fn tasks_to_place(&mut self, key: StepKey) -> Option<(Vec<TaskKey>, Vec<TaskKey>)> {
+    /// away for too long waits for no turn, unless it may end the workers of others.
+    fn tasks_to_place(&mut self, key: StepKey) -> Option<TrialTasks> {
         let job = self.book.job(key.job)?;
         let spec = job.spec.steps.get(usize::from(key.step))?;
         let gang = spec.gang;
@@ -186,7 +202,9 @@
             .collect();
         let pressed = |task: &TaskRecord| self.is_pressed(spec, task);
         let whole = gang && waiting.iter().any(|(_, task)| pressed(task));
-        let is_tried = |task: &TaskRecord| task.is_suspect() && !whole && !pressed(task);
+        let is_grave = |task: &TaskRecord| task.crash_count().is_some_and(CrashCount::is_grave);
+        let in_a_hurry = |task: &TaskRecord| (whole || pressed(task)) && !is_grave(task);
+        let is_tried = |task: &TaskRecord| task.is_suspect() && !in_a_hurry(task);
         let (suspects, others): (Vec<_>, Vec<_>) =
             waiting.into_iter().partition(|(_, task)| is_tried(task));
         let keys = |tasks: &[(usize, &TaskRecord)]| -> Vec<TaskKey> {
@@ -194,18 +212,20 @@
             indexes.map(|index| key.task(index)).collect()
         };
         if suspects.is_empty() || !(gang || others.is_empty()) {
-            return (!others.is_empty()).then(|| (keys(&others), Vec::new()));
+            return (!others.is_empty()).then(|| (keys(&others), Vec::new(), Vec::new()));
         }
-        let young = suspects.iter().any(|(_, task)| task.is_young_suspect());
+        let hurried = |task: &TaskRecord| whole || pressed(task);
+        let stand = SuspectStand::of(suspects.iter().map(|(_, task)| (*task, hurried(task))));
         let tried = keys(if gang { &suspects } else { &suspects[..1] });
         let tasks = if gang {
             [tried.clone(), keys(&others)].concat()
         } else {
             tried.clone()
         };
-        match self.turn_of(key, young) {
-            TrialTurn::Alone => Some((tasks, tried)),
-            TrialTurn::Among => Some((tasks, Vec::new())),
+        match self.turn_of(key, stand) {
+            TrialTurn::Alone => Some((tasks, tried, Vec::new())),
+            TrialTurn::Apart => Some((tasks, Vec::new(), tried)),
+            TrialTurn::Among => Some((tasks, Vec::new(), Vec::new())),
             TrialTurn::Later => None,
         }
     }
@@ -361,9 +381,9 @@
             let mut live = LiveRun::new(step.run, &step.spec, RunPhase::Proposed, now);
             live.permit = permit;
             live.set_priority(step.priority);
-            if step.alone.contains(&task) {
+            if step.alone.contains(&task) || step.apart.contains(&task) {
                 live.on_trial = true;
-                live.room = seat.entry.room;
+                live.room = seat.entry.room.minus(&seat.used);
                 lead.trials.insert(task, worker.clone());
             }
             seat.add_run(task, live);
--- a/crates/bankvalve_queue/src/core/reports.rs
+++ b/crates/bankvalve_queue/src/core/reports.rs
@@ -8,7 +8,9 @@
 use crate::guard::SiteGuard;
 use crate::ids::{CoreTime, RunId, TaskKey, WallMillis, WorkerId};
 use crate::job::StepSpec;
-use crate::ledger::{CrashEvidence, EndKind, JobOutcome, LedgerEvent, StepRecord, TaskPhase};
+use crate::ledger::{
+    CrashEnd, CrashWeight, EndKind, JobOutcome, LedgerEvent, StepRecord, TaskPhase,
+};
 use crate::policy::PolicySwitch;
 use crate::worker::{EndReport, HoldReport, RunReport};
 
@@ -30,6 +32,8 @@
     how: EndKind,
     saved: String,
     why: String,
+    /// Whether what is told of its worker's end is not kept yet.
+    is_news: bool,
 }
 
 impl EntryCore {
@@ -321,7 +325,7 @@
     }
 
     /// Logs how many workers have ended under a task by now, and what follows.
-    fn log_crash(&mut self, task: TaskKey, evidence: CrashEvidence) {
+    pub(super) fn log_crash(&mut self, task: TaskKey) {
         let job = self.book.job(task.step.job);
         let Some(count) = job.and_then(|job| job.task(task)?.crash_count()) else {
             return;
@@ -331,9 +335,13 @@
             (_, true) => "suspect",
             _ => "starts again",
         };
-        let (number, evidence) = (count.workers().len(), evidence.as_str());
+        let number = count.ends().len();
+        let last = count.ends().last().map(CrashEnd::to_string);
+        let (last, chance) = (last.unwrap_or_default(), count.chance_ppm());
         self.log_often("runs", "crash", || {
-            let detail = format!("{number} workers ended under it, {evidence} evidence: {next}");
+            let detail = format!(
+                "{number} workers ended under it, all proofs by chance {chance:.3} in a million: {next}; {last}"
+            );
             (task.to_string(), detail)
         });
     }
@@ -350,21 +358,21 @@
         let lost = |(task, live): (&TaskKey, &LiveRun)| LostRun {
             task: *task,
             run: live.run,
-            how: self.end_with_worker(id, live, end),
+            how: self.end_with_worker(id, task, live, end),
             saved: live.saved.clone(),
+            is_news: live.crash.is_none(),
             why: format!("{}, {}", end.as_str(), live.sight(now)),
         };
         let runs: Vec<LostRun> = seat.runs.iter().map(lost).collect();
         let detail = format!("{}, {}", end.as_str(), seat.sight(now));
         self.log("workers", "lost", id.to_string(), detail);
         self.counters.count("workers", "lost");
-        if end == LifeEnd::OtherLife {
-            self.note_worker_end(id);
-        }
+        let proof = |lost: &LostRun| matches!(lost.how, EndKind::Crashed(evidence) if evidence.weight == CrashWeight::Proof);
+        self.note_worker_loss(id, runs.iter().any(proof));
         for lost in runs {
             self.end_without_report(id, lost.task, lost.run, lost.how, lost.saved, &lost.why);
-            if let EndKind::Crashed(evidence) = lost.how {
-                self.log_crash(lost.task, evidence);
+            if lost.is_news && matches!(lost.how, EndKind::Crashed(_)) {
+                self.log_crash(lost.task);
             }
         }
     }
--- a/crates/bankvalve_queue/src/core/seat.rs
+++ b/crates/bankvalve_queue/src/core/seat.rs
@@ -6,6 +6,7 @@
 use super::overdue::RunProgress;
 use crate::ids::{CoreTime, JobId, RunId, StepKey, TaskKey};
 use crate::job::{StepSpec, TaskSize};
+use crate::ledger::{CrashEvidence, CrashWeight};
 use crate::worker::WorkerEntry;
 
 /// A worker that was heard so lately gets work.
@@ -28,6 +29,10 @@
 const MEASURED_BEFORE: u32 = 10;
 /// Most that one task says about it; guesses of run times are off by up to 90%.
 const SLOWNESS_BOUND: f64 = 0.8;
+/// Age of a run from which on its worker's end is not its doing, if another there is newer.
+const SETTLED_LIFE: Duration = Duration::from_millis(1_500);
+/// Time for which a life of a worker counts as a new one.
+const FRESH_TIME: Duration = Duration::from_secs(15);
 /// Most doublings of it.
 const REST_DOUBLINGS: u32 = 3;
 
@@ -78,6 +83,23 @@
     }
 }
 
+/// The time within which a worker was lost.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct LossSpan {
+    pub(super) first: CoreTime,
+    pub(super) last: CoreTime,
+}
+
+impl LossSpan {
+    /// At a known moment.
+    pub(super) fn at(at: CoreTime) -> Self {
+        Self {
+            first: at,
+            last: at,
+        }
+    }
+}
+
 /// Whether a worker's hold may be prolonged, as the ledger has it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum HoldStop {
@@ -149,10 +171,14 @@
     pub(super) together: bool,
     /// How far it has come, once a list has told.
     pub(super) progress: Option<RunProgress>,
+    /// When the first order was sent by this leader.
+    pub(super) ordered_at: Option<CoreTime>,
+    /// Whether the worker has answered an order for it.
+    pub(super) answered: bool,
     /// When a list last told that it runs.
     pub(super) listed_at: Option<CoreTime>,
-    /// Whether it was started by a leader before, so that it is older than is known here.
-    pub(super) adopted: bool,
+    /// What was seen of its worker's end, once that is kept.
+    pub(super) crash: Option<CrashEvidence>,
     /// Whether workers ended under its task, so that it has its worker to itself; its room is the
     /// whole worker then.
     pub(super) on_trial: bool,
@@ -164,7 +190,6 @@
             run,
             load: RunLoad::of(spec),
             room: spec.room(),
-            adopted: phase == RunPhase::Adopted,
             phase,
             began: now,
             estimate: Duration::from_millis(spec.estimate_ms),
@@ -181,7 +206,10 @@
             lasting: spec.lasting,
             together: spec.gang || spec.lasting,
             progress: None,
+            ordered_at: None,
+            answered: false,
             listed_at: None,
+            crash: None,
             on_trial: false,
         }
     }
@@ -195,6 +223,26 @@
         }
     }
 
+    /// Whether it began so lately that it may be what ends its worker; of a run that was found in the
+    /// ledger, as far as is known.
+    pub(super) fn is_new(&self, at: CoreTime) -> bool {
+        at.saturating_sub(self.began) < SETTLED_LIFE
+    }
+
+    /// Whether the worker has answered its order, or listed it.
+    pub(super) fn is_confirmed(&self) -> bool {
+        self.answered || self.listed_at.is_some()
+    }
+
+    /// Whether an order that may have arrived was sent: one that its worker's port refused has not.
+    pub(super) fn may_have_begun(&self) -> bool {
+        match self.phase {
+            RunPhase::Proposed => false,
+            RunPhase::Ordered => self.busy || self.copies > 0,
+            _ => true,
+        }
+    }
+
     /// For the log: where it stood, and for how long it was surely seen to run.
     pub(super) fn sight(&self, now: CoreTime) -> String {
         let age = now.saturating_sub(self.began);
@@ -235,7 +283,9 @@
     pub(super) unlisted_at: Option<CoreTime>,
     /// Whether its port refused the last look.
     pub(super) refused: bool,
-    /// Whether another life has answered in its place.
+    /// When its port first refused a look since it was heard.
+    pub(super) refused_at: Option<CoreTime>,
+    /// Whether it was given up, and was not heard since.
     pub(super) over: bool,
     /// Whether it has answered under the own token.
     pub(super) proved: bool,
@@ -279,6 +329,7 @@
             usable: true,
             unlisted_at: None,
             refused: false,
+            refused_at: None,
             over: false,
             proved: false,
             proved_at: CoreTime::ZERO,
@@ -336,6 +387,45 @@
         self.proved && !self.over && (self.refused || !self.is_heard(now, SILENT_LONG))
     }
 
+    /// When it was lost, as far as is known: its port refused, which is seen at once, or else at some
+    /// moment of the time for which it may be silent and well.
+    pub(super) fn lost_within(&self) -> LossSpan {
+        if let Some(at) = self.refused_at {
+            return LossSpan::at(at);
+        }
+        let first = self.heard_at.unwrap_or(self.known_at);
+        let last = first + SILENT_LONG;
+        LossSpan { first, last }
+    }
+
+    /// Tells whether a run here began so lately that it may be what ends the worker.
+    pub(super) fn has_new_run(&self, now: CoreTime) -> bool {
+        self.runs.values().any(|live| live.is_new(now))
+    }
+
+    /// Tells whether its first answer to this leader came lately.
+    pub(super) fn is_fresh(&self, now: CoreTime) -> bool {
+        now.saturating_sub(self.proved_at) < FRESH_TIME
+    }
+
+    /// Tells whether a suspect has it to itself.
+    pub(super) fn is_on_trial(&self) -> bool {
+        self.runs.values().any(|live| live.on_trial)
+    }
+
+    /// Tells whether its end is held against a task.
+    pub(super) fn is_ended_by_task(&self) -> bool {
+        let proof = |evidence: &CrashEvidence| evidence.weight == CrashWeight::Proof;
+        let mut runs = self.runs.values();
+        runs.any(|live| live.on_trial || live.crash.as_ref().is_some_and(proof))
+    }
+
+    /// Tells whether it is lost as far as is known: silent, or away since this leader began.
+    pub(super) fn is_lost(&self, now: CoreTime) -> bool {
+        let away = !self.proved && self.listed && self.unanswered > 0;
+        away || self.is_silent(now)
+    }
+
     /// Tells whether it answers as it should: within the time that its last look gave it. One whose
     /// port refuses is gone, whenever it was heard: work placed there in the 1.3 s after was turned
     /// back at once, a thousand times in two minutes in which some 170 workers ended.
--- a/crates/bankvalve_queue/src/core/suspects.rs
+++ b/crates/bankvalve_queue/src/core/suspects.rs
@@ -1,52 +1,116 @@
 //! Tasks under which workers ended: what each end tells against them, and how they are tried.
 //!
 //! [`CrashCount`](crate::CrashCount) decides in the ledger who is a suspect and who is given up. Here
-//! the leader tells what it knows of an end, and starts suspects one at a time, each on a worker
+//! the leader tells what it has seen of an end, and starts suspects one at a time, each on a worker
 //! where nothing else runs, so that it takes nobody along and the next end there is evidence.
 //!
-//! No trial begins while suspects hold one worker in eight, those among them that have just ended under
-//! one. A gang's suspects begin together, so that they may hold more; one that has waited too long for
-//! its turn or a free worker starts among others and is not counted. A task that lasts waits only as
-//! long as [`is_pressed`](EntryCore::is_pressed) allows, which counts all of its waits.
+//! What is not seen is no evidence: an order without an answer may never have arrived, and a worker that
+//! is silent may be cut off. A worker that is ended by its task has its port refuse; when it first did is
+//! known to some 50 ms during a trial. How likely chance is to end a worker in that time is reckoned from
+//! the rate at which workers are lost with no suspect on them, so that in a storm of losses the same
+//! end weighs less, and least if others were lost at that moment.
+//!
+//! Suspects are tried on one worker in eight at once, and hold one in four with those that have just
+//! ended under one. A gang's suspects begin together, so that they may hold more; one that has waited too
+//! long for its turn or a free worker starts among others, and after a second end beside runs that are not
+//! new, which tells as much. A task that lasts waits only as long as
+//! [`is_pressed`](EntryCore::is_pressed) allows, which counts all of its waits.
 
 use std::time::Duration;
 
+use super::commit::Effect;
 use super::lead::LeadState;
-use super::seat::{LifeEnd, LiveRun, RunPhase, Seat};
+use super::seat::{LifeEnd, LiveRun, LossSpan, RunPhase, Seat};
 use super::EntryCore;
 use crate::guard::SiteGuard;
-use crate::ids::{CoreTime, StepKey, TaskKey, WorkerId};
+use crate::ids::{CoreTime, RunId, StepKey, TaskKey, WorkerId};
 use crate::job::TaskSize;
-use crate::ledger::{CrashEvidence, EndKind};
+use crate::ledger::{CrashCount, CrashEvidence, CrashWeight, EndKind, LedgerEvent, TaskRecord};
 
-/// A run that was listed for less than this is taken for one that had just been started: a look tells
-/// of it within 0.35 s where it is urgent, and those that end their workers do so in some 10 ms.
-const YOUNG_LIFE: Duration = Duration::from_millis(300);
+/// Time from an order within which the port of a worker that its task ends refuses, as a rule.
+const YOUNG_LIFE: Duration = Duration::from_secs(1);
+/// The same up to which the end may be proof.
+const PROOF_LIFE: Duration = Duration::from_secs(2);
+/// Time for which a port has refused after which the end is kept: others that were lost with the worker are
+/// seen by then.
+const SEEN_TIME: Duration = Duration::from_millis(400);
 /// A run that lived so long has nothing to do with its worker's end, and one that lasts for weeks
 /// sees some workers end.
 const LONG_LIFE: Duration = Duration::from_secs(30);
-/// Time for which a suspect runs alone; from then on others may join it.
-const TRIAL_TIME: Duration = Duration::from_secs(1);
-/// Workers that suspects hold at most, as a divisor of all, at least one.
+/// Workers on which suspects are tried at once, as a divisor of all, at least one.
 const TRIAL_SHARE: usize = 8;
+/// The same with those that have ended under a suspect and are not given up yet; at least two.
+const HELD_SHARE: usize = 4;
 /// Wait for a free worker and a turn after which a suspect is started among others all the same,
 /// where only its share in several ends speaks against it: callers are told after three seconds that
 /// nothing runs though there is room.
 const WEAK_PATIENCE: Duration = Duration::from_millis(2_000);
 /// The same for one whose worker ended right after its start.
 const YOUNG_PATIENCE: Duration = Duration::from_secs(8);
-/// Time within which the ends of several workers belong together: a rack, a failure domain.
-const COMMON_TIME: Duration = Duration::from_secs(3);
-/// Workers that ended or are silent at once, as a divisor of all and at least, from which on the end of
-/// one of them tells nothing against what it ran alone.
-const COMMON_SHARE: usize = 8;
-const COMMON_LEAST: usize = 4;
+/// Time before and after the end of a worker within which others that are lost are lost with it: a rack,
+/// a failure domain, a cut. Ports that refuse are seen within it.
+const COMMON_TIME: Duration = Duration::from_millis(200);
+/// Time without such losses after which a suspect is tried that may be proven by it.
+const CALM_TIME: Duration = Duration::from_secs(1);
+/// Other workers lost in that time from which on no suspect is tried that may be proven by it, as a divisor
+/// of all, at least one.
+const COMMON_SHARE: usize = 40;
+/// Others lost at once from which on what had just been started is no suspect, as a divisor of all and at
+/// least.
+const STORM_SHARE: usize = 20;
+const STORM_LEAST: usize = 3;
+/// Time over which the rate of losses is reckoned, and the least of it for a new leader.
+const RATE_TIME: Duration = Duration::from_secs(30);
+const LEAST_RATE_TIME: Duration = Duration::from_secs(10);
+/// Losses of a worker in a second that are reckoned with at least.
+const LEAST_RATE: f64 = 0.001;
+/// Odds of chance above which an end is no proof, in parts per million.
+const PROOF_LIMIT_PPM: u32 = 50_000;
+const MILLION: f64 = 1e6;
+
+/// A worker that was lost.
+#[derive(Clone, Debug)]
+pub(super) struct WorkerLoss {
+    worker: WorkerId,
+    address: String,
+    /// When, as far as is known.
+    span: LossSpan,
+}
+
+/// How the suspects of a step that are to start stand.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct SuspectStand {
+    /// Whether a worker of one ended right after its start.
+    young: bool,
+    /// Whether one is never started beside others that are new.
+    grave: bool,
+    /// Whether one lasts and has been away for too long.
+    hurried: bool,
+}
+
+impl SuspectStand {
+    /// Of tasks, each with whether it is in a hurry.
+    pub(super) fn of<'a>(tasks: impl Iterator<Item = (&'a TaskRecord, bool)>) -> Self {
+        let mut stand = Self::default();
+        for (task, hurried) in tasks {
+            let Some(count) = task.crash_count() else {
+                continue;
+            };
+            stand.young |= count.is_young();
+            stand.grave |= count.is_grave();
+            stand.hurried |= hurried;
+        }
+        stand
+    }
+}
 
 /// How a suspect may be started now.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum TrialTurn {
     /// Where nothing else runs.
     Alone,
+    /// Where nothing else that is new runs, and nothing new joins it: no worker became free in time.
+    Apart,
     /// Among others, since it has waited for long enough.
     Among,
     /// Not yet.
@@ -55,45 +119,156 @@
 
 impl EntryCore {
     /// How a run ended whose worker's life is over.
-    pub(super) fn end_with_worker(&self, id: &WorkerId, live: &LiveRun, end: LifeEnd) -> EndKind {
+    pub(super) fn end_with_worker(
+        &self,
+        id: &WorkerId,
+        task: &TaskKey,
+        live: &LiveRun,
+        end: LifeEnd,
+    ) -> EndKind {
         let Some(lead) = self.lead.as_deref() else {
             return EndKind::Lost;
         };
         let Some(seat) = lead.seats.get(id) else {
             return EndKind::Lost;
         };
-        let lived = live.lived();
-        let ordered = live.phase != RunPhase::Proposed;
-        let crashed = ordered && !seat.left_as_planned() && lived < LONG_LIFE;
-        if !crashed || !self.keeps(SiteGuard::CrashBudget) {
-            return EndKind::Lost;
+        if live.phase == RunPhase::Ordered && !live.may_have_begun() {
+            return EndKind::NeverRan;
+        }
+        if let Some(evidence) = live.crash {
+            return EndKind::Crashed(evidence);
         }
-        // Without a new life it is sure only where the port refuses and the entry is gone. A worker that
-        // is cut off, while its entry stands, has not ended; one that was never heard again after the
-        // start may have.
-        let dead = !seat.listed && seat.refused;
-        if end == LifeEnd::HoldOver && !dead {
-            let cut_off = seat.listed && (live.adopted || !lived.is_zero());
-            return if cut_off {
-                EndKind::Lost
-            } else {
-                EndKind::Crashed(CrashEvidence::Weak)
+        // Without a new life a worker is known to have ended only where its port refuses and its entry
+        // is gone; one that is silent may be cut off, and run on.
+        let ended = end == LifeEnd::OtherLife || (!seat.listed && seat.refused);
+        let evidence = self.crash_of(lead, id, seat, task, live);
+        let evidence = evidence.filter(|_| ended);
+        evidence.map_or(EndKind::Lost, EndKind::Crashed)
+    }
+
+    /// Keeps what is seen of a worker's end under runs that had just been started, once its port has refused
+    /// for a while: they are given up only when its hold is over, and the leader may be lost before.
+    pub(super) fn keep_crashes(&mut self, id: &WorkerId) {
+        let now = self.now;
+        let Some(lead) = self.lead.as_deref() else {
+            return;
+        };
+        let Some(seat) = lead.seats.get(id) else {
+            return;
+        };
+        let refused_for = seat.refused_at.map(|at| now.saturating_sub(at));
+        if !seat.refused || refused_for.is_none_or(|time| time < SEEN_TIME) {
+            return;
+        }
+        let seen = |(task, live): (&TaskKey, &LiveRun)| {
+            let evidence = self.crash_of(lead, id, seat, task, live);
+            let evidence = evidence.filter(|evidence| evidence.weight != CrashWeight::Weak)?;
+            live.crash.is_none().then_some((*task, live.run, evidence))
+        };
+        let seen: Vec<(TaskKey, RunId, CrashEvidence)> =
+            seat.runs.iter().filter_map(seen).collect();
+        let at = self.wall;
+        for (task, run, evidence) in seen {
+            let lead = self.lead.as_deref_mut();
+            if let Some(live) = lead.and_then(|lead| lead.live_run(id, &task)) {
+                live.crash = Some(evidence);
+            }
+            let event = LedgerEvent::CrashSeen {
+                task,
+                run,
+                evidence,
+                at,
             };
+            self.propose(event, Effect::None);
+            self.log_crash(task);
         }
-        let started = matches!(live.phase, RunPhase::Ordered | RunPhase::Running { .. });
-        // What a leader before started had not just been started, however lately this one was told of it.
-        let young = started && lived < YOUNG_LIFE && !live.adopted;
-        let alone = seat.runs.len() == 1 && !is_common(lead, id, self.now);
-        let alone = alone || !self.keeps(SiteGuard::AloneEvidence);
-        EndKind::Crashed(match (young, alone) {
-            (false, _) => CrashEvidence::Weak,
-            (true, false) => CrashEvidence::Young,
-            (true, true) => CrashEvidence::Alone,
-        })
-    }
-
-    /// Notes that a worker ended, for what is said of those that end soon after.
-    pub(super) fn note_worker_end(&mut self, id: &WorkerId) {
+    }
+
+    /// What a worker's end tells against a run, if it counts at all.
+    fn crash_of(
+        &self,
+        lead: &LeadState,
+        id: &WorkerId,
+        seat: &Seat,
+        task: &TaskKey,
+        live: &LiveRun,
+    ) -> Option<CrashEvidence> {
+        let order = seat.refused_at.zip(live.ordered_at);
+        let had_ended = order.is_some_and(|(refused, ordered)| refused <= ordered);
+        let counts = live.may_have_begun()
+            && !had_ended
+            && !seat.left_as_planned()
+            && live.lived() < LONG_LIFE
+            && self.keeps(SiteGuard::CrashBudget);
+        counts.then(|| self.evidence_of(lead, id, seat, task, live))
+    }
+
+    /// What was seen of a worker's end under a run.
+    fn evidence_of(
+        &self,
+        lead: &LeadState,
+        id: &WorkerId,
+        seat: &Seat,
+        task: &TaskKey,
+        live: &LiveRun,
+    ) -> CrashEvidence {
+        let now = self.now;
+        let since_order = |at: CoreTime| {
+            let ordered = live.ordered_at.unwrap_or(at);
+            at.saturating_sub(ordered).as_millis() as u32
+        };
+        let confirmed = live.is_confirmed();
+        let alive_ms = live.listed_at.map_or(0, since_order);
+        let over = seat.refused_at.filter(|_| live.ordered_at.is_some());
+        let over_ms = over.map(since_order);
+        let at = seat.lost_within().last;
+        let others = lead.lost_beside(id, at, now);
+        let beside = seat
+            .runs
+            .iter()
+            .filter(|(other, run)| *other != task && run.is_new(at));
+        let beside = beside.count();
+        // An order that was not answered may have come after the worker's end: all of the time since the
+        // worker was last heard is what chance had.
+        let unheard = seat.heard_at.zip(live.ordered_at).filter(|_| !confirmed);
+        let before = unheard.map_or(Duration::ZERO, |(heard, ordered)| {
+            ordered.saturating_sub(heard)
+        });
+        let chance_ppm = over_ms.map_or(MILLION as u32, |over_ms| {
+            let count = self
+                .book
+                .job(task.step.job)
+                .and_then(|job| job.task(*task)?.crash_count());
+            let again = count.and_then(|count| count.common_age_ms(alive_ms, over_ms));
+            let span = again.map_or(over_ms, |span| span.min(over_ms));
+            let span = Duration::from_millis(u64::from(span)) + before;
+            let rate = lead.loss_rate(&seat.entry.address, now);
+            let rate = rate.max(lead.rate_beside(others));
+            let chance = rate * span.as_secs_f64();
+            (chance.min(1.0) * MILLION).ceil() as u32
+        });
+        let sole = beside == 0 || !self.keeps(SiteGuard::AloneEvidence);
+        let young = |over: u32| u128::from(over) <= YOUNG_LIFE.as_millis();
+        let soon = |over: u32| u128::from(over) <= PROOF_LIFE.as_millis();
+        let weight = match over_ms {
+            Some(over) if sole && soon(over) && chance_ppm <= PROOF_LIMIT_PPM => CrashWeight::Proof,
+            Some(over) if young(over) && !lead.is_storm(others) => CrashWeight::Young,
+            _ => CrashWeight::Weak,
+        };
+        CrashEvidence {
+            weight,
+            confirmed,
+            alive_ms,
+            over_ms,
+            beside: beside as u32,
+            others: others as u32,
+            chance_ppm,
+        }
+    }
+
+    /// Notes that a worker was lost, for what is said of others that are; not one whose end is held against
+    /// a task.
+    pub(super) fn note_worker_loss(&mut self, id: &WorkerId, held: bool) {
         let now = self.now;
         let Some(lead) = self.lead.as_deref_mut() else {
             return;
@@ -102,19 +277,21 @@
             return;
         };
         seat.over = true;
-        let tried = seat.runs.values().any(|live| live.on_trial);
-        if tried || seat.left_as_planned() {
+        if seat.is_ended_by_task() || held || seat.left_as_planned() {
             return;
         }
-        lead.worker_ends.push_back(now);
-        let old = |at: &CoreTime| now.saturating_sub(*at) > COMMON_TIME;
-        while lead.worker_ends.front().is_some_and(old) {
-            lead.worker_ends.pop_front();
-        }
+        let loss = WorkerLoss {
+            worker: id.clone(),
+            address: seat.entry.address.clone(),
+            span: seat.lost_within(),
+        };
+        lead.worker_losses
+            .retain(|loss| now.saturating_sub(loss.span.last) <= RATE_TIME && loss.worker != *id);
+        lead.worker_losses.push(loss);
     }
 
     /// How a suspect of a step may be started now.
-    pub(super) fn turn_of(&mut self, step: StepKey, young: bool) -> TrialTurn {
+    pub(super) fn turn_of(&mut self, step: StepKey, stand: SuspectStand) -> TrialTurn {
         self.note_room_wait(step);
         let now = self.now;
         let Some(lead) = self.lead.as_deref_mut() else {
@@ -122,15 +299,22 @@
         };
         lead.end_trials();
         let waited = lead.room_waits.get(&step).copied().unwrap_or(now);
-        let patience = if young { YOUNG_PATIENCE } else { WEAK_PATIENCE };
-        let of_step = |task: &TaskKey| task.step == step;
-        let most = (lead.seats.len() / TRIAL_SHARE).max(1);
-        if now.saturating_sub(waited) > patience {
-            TrialTurn::Among
-        } else if lead.trials.len() >= most || lead.trials.keys().any(of_step) {
-            TrialTurn::Later
+        let patience = if stand.young {
+            YOUNG_PATIENCE
         } else {
-            TrialTurn::Alone
+            WEAK_PATIENCE
+        };
+        let waited = now.saturating_sub(waited);
+        let impatient = stand.hurried || waited > patience;
+        let among = stand.hurried || !stand.young || waited > patience * 2;
+        // The next end may prove it: not while other workers are lost, or it would tell nothing.
+        let storm = || lead.is_common(lead.lost_since(now.saturating_sub(CALM_TIME), now));
+        match (impatient, stand.grave) {
+            (true, false) if among => TrialTurn::Among,
+            (true, _) => TrialTurn::Apart,
+            (false, _) if !lead.has_turn_for(step) => TrialTurn::Later,
+            (false, true) if storm() => TrialTurn::Later,
+            (false, _) => TrialTurn::Alone,
         }
     }
 
@@ -140,11 +324,12 @@
         let Some(seat) = lead.and_then(|lead| lead.seats.get(id)) else {
             return;
         };
-        let due = |live: &LiveRun| live.on_trial && live.lived() >= TRIAL_TIME;
+        let due =
+            |task: &TaskKey, live: &LiveRun| live.on_trial && live.lived() >= self.trial_time(task);
         let due: Vec<(TaskKey, TaskSize)> = seat
             .runs
             .iter()
-            .filter(|(_, live)| due(live))
+            .filter(|(task, live)| due(task, live))
             .map(|(task, _)| (*task, self.room_of(*task)))
             .collect();
         let Some(lead) = self.lead.as_deref_mut() else {
@@ -158,6 +343,13 @@
         }
     }
 
+    /// Time for which a suspect is kept apart from others.
+    fn trial_time(&self, task: &TaskKey) -> Duration {
+        let job = self.book.job(task.step.job);
+        let count = job.and_then(|job| job.task(*task)?.crash_count());
+        count.map(CrashCount::trial_time).unwrap_or_default()
+    }
+
     /// Room that a task takes by its step.
     pub(super) fn room_of(&self, task: TaskKey) -> TaskSize {
         let job = self.book.job(task.step.job);
@@ -175,16 +367,92 @@
             live.is_some_and(|live| live.on_trial)
         });
     }
-}
 
-/// Tells whether other workers have ended lately, or are silent, as when a rack or a failure domain
-/// is lost.
-fn is_common(lead: &LeadState, id: &WorkerId, now: CoreTime) -> bool {
-    let lately = |at: &&CoreTime| now.saturating_sub(**at) <= COMMON_TIME;
-    let ended = lead.worker_ends.iter().filter(lately).count();
-    let is_silent =
-        |seat: &Seat| seat.is_silent(now) && !seat.runs.values().any(|live| live.on_trial);
-    let others = lead.seats.iter().filter(|(other, _)| *other != id);
-    let silent = others.filter(|(_, seat)| is_silent(seat)).count();
-    ended + silent >= COMMON_LEAST.max(lead.seats.len() / COMMON_SHARE)
+    /// Whether a suspect of a step may be tried now.
+    fn has_turn_for(&self, step: StepKey) -> bool {
+        let of_step = |task: &TaskKey| task.step == step;
+        let is_well = |worker: &WorkerId| {
+            let seat = self.seats.get(worker);
+            seat.is_some_and(|seat| !seat.refused)
+        };
+        let tried = self
+            .trials
+            .values()
+            .filter(|worker| is_well(worker))
+            .count();
+        tried < (self.seats.len() / TRIAL_SHARE).max(1)
+            && self.trials.len() < (self.seats.len() / HELD_SHARE).max(2)
+            && !self.trials.keys().any(of_step)
+    }
+
+    /// Workers that were lost with no suspect to themselves, with when: those that are over, and those that
+    /// are silent now.
+    fn losses(&self, now: CoreTime) -> impl Iterator<Item = (&WorkerId, LossSpan)> {
+        let over = self
+            .worker_losses
+            .iter()
+            .map(|loss| (&loss.worker, loss.span));
+        let told = |id: &WorkerId| self.worker_losses.iter().any(|loss| loss.worker == *id);
+        let silent = self.seats.iter().filter(move |(_, seat)| {
+            seat.is_lost(now) && !seat.is_ended_by_task() && !seat.left_as_planned()
+        });
+        let silent = silent.map(|(id, seat)| (id, seat.lost_within()));
+        over.chain(silent.filter(move |(id, _)| !told(id)))
+    }
+
+    /// Other workers that were lost about when one was.
+    fn lost_beside(&self, id: &WorkerId, at: CoreTime, now: CoreTime) -> usize {
+        let (from, until) = (at.saturating_sub(COMMON_TIME), at + COMMON_TIME);
+        let near = |span: &LossSpan| span.first <= until && span.last >= from;
+        let losses = self.losses(now);
+        let others = losses.filter(|(other, span)| *other != id && near(span));
+        others.count()
+    }
+
+    /// Workers lost since a time.
+    fn lost_since(&self, since: CoreTime, now: CoreTime) -> usize {
+        self.losses(now)
+            .filter(|(_, span)| span.last >= since)
+            .count()
+    }
+
+    /// Tells whether so many losses within a short time are too many to try a suspect.
+    fn is_common(&self, others: usize) -> bool {
+        others >= (self.seats.len() / COMMON_SHARE).max(1)
+    }
+
+    /// Tells whether so many were lost with a worker that nothing is asked of what ran there.
+    fn is_storm(&self, others: usize) -> bool {
+        others >= (self.seats.len() / STORM_SHARE).max(STORM_LEAST)
+    }
+
+    /// Losses in a second of one worker while others are lost at once.
+    fn rate_beside(&self, others: usize) -> f64 {
+        if others == 0 {
+            return 0.0;
+        }
+        let workers = self.seats.len().max(1) as f64;
+        (others + 1) as f64 / ((COMMON_TIME * 2).as_secs_f64() * workers)
+    }
+
+    /// Losses in a second of one worker, as far as was seen lately: of all, or of those at its address
+    /// if these are more.
+    fn loss_rate(&self, address: &str, now: CoreTime) -> f64 {
+        let led = now.saturating_sub(self.began_at);
+        let time = led.clamp(LEAST_RATE_TIME, RATE_TIME);
+        let lost = self.lost_since(now.saturating_sub(time), now) + 1;
+        let of_all = lost as f64 / (time.as_secs_f64() * self.seats.len().max(1) as f64);
+        let here = self
+            .worker_losses
+            .iter()
+            .filter(|loss| loss.address == address);
+        let here: Vec<CoreTime> = here.map(|loss| loss.span.last).collect();
+        let first = here.iter().min().copied().unwrap_or(now);
+        let time = match here.len() {
+            0 | 1 => RATE_TIME,
+            _ => now.saturating_sub(first).max(Duration::from_secs(1)),
+        };
+        let of_address = here.len() as f64 / time.as_secs_f64();
+        of_all.max(of_address).max(LEAST_RATE)
+    }
 }
--- a/crates/bankvalve_queue/src/ledger/crash_count.rs
+++ b/crates/bankvalve_queue/src/ledger/crash_count.rs
@@ -5,91 +5,239 @@
 //! runs there. Such a worker cannot tell of the end, so it is counted here, in the ledger, where it
 //! outlasts the leader.
 //!
-//! Innocent tasks end beside the guilty one, or with a rack. So the first ends only make a suspect,
-//! which is started where nothing else runs; ended there once more, it is guilty.
+//! Workers are lost by themselves as well, one by one or a failure domain at a time, and take along what
+//! had just been started there. So an end is proof only by what was seen of it: the worker's port
+//! refused soon after the order, and no other run there was new. Even that happens by chance; how
+//! seldom is reckoned with each end and kept with it, and a task is given up once chance is no
+//! explanation for all of them. An end of which less was seen
+//! makes a suspect at most, which is tried where nothing else runs.
+
+use std::fmt;
+use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
 
-use crate::ids::WorkerId;
+use crate::ids::{RunId, WorkerId};
 
 /// Workers that ended under a task from which on it is a suspect, however the ends came about. One is
 /// too few: of some 170 workers lost in two minutes of an ordinary bad day each took five to
 /// thirteen runs along.
 const SUSPECT_CRASHES: usize = 2;
-/// Least workers that a task must have ended before it is given up: the users' own figure.
-const LEAST_CRASHES: usize = 2;
-/// Workers after which a task is given up without further evidence. The users take five for too
-/// many (three starts more after three); one less leaves room for an end of which no word came.
-const MOST_CRASHES: usize = 4;
+/// Least ends that are proof before a task is given up: the users' own figure. A trial takes nobody
+/// along, so a second one costs little; a job that is given up wrongly is lost.
+const LEAST_PROOFS: usize = 2;
+/// Odds that chance ended all workers that are proof, up to which a task is given up, in parts per
+/// million.
+const CHANCE_LIMIT_PPM: f64 = 50.0;
+/// Ends from which on a task starts only where nothing else that is new runs, if one of its workers ended
+/// right after its start: each start more is one of the few that the users grant it.
+const GRAVE_CRASHES: usize = 2;
+/// Ends right after a start after which one proof is enough. The users take five starts after the third
+/// worker for too many; this leaves room for an end of which no word came.
+const MOST_YOUNG: usize = 4;
+/// Time for which a trial goes on past the age at which runs ended before, and that age where it is not
+/// known, in milliseconds.
+const TRIAL_SLACK_MS: u32 = 250;
+const UNKNOWN_AGE_MS: u32 = 750;
+/// Longest age that a trial waits for, in milliseconds.
+const LONGEST_AGE_MS: u32 = 3_000;
+/// Time by which a run must have outlived all that ended with their workers before it, to show
+/// that its task does not end them, in milliseconds.
+const CLEARED_AFTER_MS: u32 = 1_000;
 
 /// What the end of a worker tells against a run that it had.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub enum CrashEvidence {
-    /// Little: it had run for a while, or it is not sure that the worker ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub enum CrashWeight {
+    /// Little: it had run for a while, or it was not seen when and how the worker ended.
     Weak,
-    /// The run had just been started, among others.
+    /// The worker ended right after the run was ordered, among other new runs or other workers.
     Young,
-    /// The run had just been started where nothing else ran, while no other workers ended.
-    Alone,
+    /// The worker ended soon after the run was ordered, the only new one there.
+    Proof,
 }
 
-impl CrashEvidence {
+impl CrashWeight {
     /// Word for logs.
     pub fn as_str(self) -> &'static str {
         match self {
-            CrashEvidence::Weak => "weak",
-            CrashEvidence::Young => "young",
-            CrashEvidence::Alone => "alone",
+            CrashWeight::Weak => "weak",
+            CrashWeight::Young => "young",
+            CrashWeight::Proof => "proof",
         }
     }
 }
 
+/// What was seen of a worker's end under a run.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct CrashEvidence {
+    /// What it tells against the task.
+    pub weight: CrashWeight,
+    /// Whether the worker answered the order, or a list had the run.
+    pub confirmed: bool,
+    /// Time from the order until a list last had the run, in milliseconds; 0 if none had.
+    pub alive_ms: u32,
+    /// Time from the order until the worker's port first refused, in milliseconds; none if that was
+    /// not seen, or a leader before gave the order.
+    pub over_ms: Option<u32>,
+    /// Other runs on the worker that were new.
+    pub beside: u32,
+    /// Other workers that were lost at the same time.
+    pub others: u32,
+    /// Odds that a worker ends by chance in the time in which this one did, in parts per million.
+    pub chance_ppm: u32,
+}
+
+impl fmt::Display for CrashEvidence {
+    fn fmt(&self, into: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let answered = match (self.confirmed, self.alive_ms) {
+            (false, _) => "the order not answered".to_owned(),
+            (true, 0) => "never listed".to_owned(),
+            (true, alive) => format!("listed until {alive} ms after the order"),
+        };
+        let over = match self.over_ms {
+            Some(over) => format!("port refused {over} ms after it"),
+            None => "not seen when it ended".to_owned(),
+        };
+        let weight = self.weight.as_str();
+        let (beside, others, chance) = (self.beside, self.others, self.chance_ppm);
+        write!(
+            into,
+            "{answered}, {over}, {beside} new runs beside, {others} other workers lost with it, by chance \
+             {chance} in a million: {weight} evidence"
+        )
+    }
+}
+
+/// The end of a worker under a run.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct CrashEnd {
+    /// The worker.
+    pub worker: WorkerId,
+    /// The run.
+    pub run: RunId,
+    /// What was seen of it.
+    pub evidence: CrashEvidence,
+}
+
+impl fmt::Display for CrashEnd {
+    fn fmt(&self, into: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(
+            into,
+            "run {} on {}: {}",
+            self.run, self.worker, self.evidence
+        )
+    }
+}
+
 /// Workers that ended under one task.
 ///
 /// # Examples
 ///
 /// ```
-/// use bankvalve_queue::{CrashCount, CrashEvidence};
+/// use bankvalve_queue::{CrashCount, CrashEnd, CrashEvidence, CrashWeight};
 ///
+/// let evidence = CrashEvidence {
+///     weight: CrashWeight::Proof,
+///     confirmed: true,
+///     alive_ms: 0,
+///     over_ms: Some(60),
+///     beside: 0,
+///     others: 0,
+///     chance_ppm: 100,
+/// };
 /// let mut count = CrashCount::default();
-/// count.note("w-1".into(), CrashEvidence::Young);
-/// assert!(count.is_suspect() && !count.is_spent());
-/// count.note("w-2".into(), CrashEvidence::Alone);
+/// for (worker, run) in [("w-1", 1), ("w-2", 2)] {
+///     assert!(!count.is_spent());
+///     count.note(CrashEnd { worker: worker.into(), run, evidence });
+///     assert!(count.is_suspect());
+/// }
 /// assert!(count.is_spent());
 /// ```
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct CrashCount {
-    workers: Vec<WorkerId>,
-    young: bool,
-    proven: bool,
+    ends: Vec<CrashEnd>,
 }
 
 impl CrashCount {
-    /// Notes that a worker ended.
-    pub fn note(&mut self, worker: WorkerId, evidence: CrashEvidence) {
-        self.workers.push(worker);
-        self.young |= evidence != CrashEvidence::Weak;
-        let enough = self.workers.len() >= LEAST_CRASHES;
-        self.proven |= enough && evidence == CrashEvidence::Alone;
+    /// Notes that a worker ended; once a run, by what was seen first.
+    ///
+    /// A run that has outlived all that ended with their workers before clears its task of those: what
+    /// ends its workers does so again at about the same age.
+    pub fn note(&mut self, end: CrashEnd) {
+        if self.ends.iter().any(|known| known.run == end.run) {
+            return;
+        }
+        let oldest = self.oldest_age_ms().unwrap_or_default();
+        if end.evidence.alive_ms >= oldest + CLEARED_AFTER_MS {
+            self.ends.clear();
+        }
+        self.ends.push(end);
+    }
+
+    /// The ends, in order.
+    pub fn ends(&self) -> &[CrashEnd] {
+        &self.ends
+    }
+
+    /// Greatest age at which a run ended with its worker, where that is known; in milliseconds.
+    fn oldest_age_ms(&self) -> Option<u32> {
+        let ages = self.ends.iter().map(|end| end.evidence.over_ms);
+        ages.flatten().max()
+    }
+
+    /// Time for which a run is kept apart from others, so that an end like those before it shows.
+    pub fn trial_time(&self) -> Duration {
+        let age = self.oldest_age_ms().unwrap_or(UNKNOWN_AGE_MS);
+        Duration::from_millis(u64::from(age.min(LONGEST_AGE_MS) + TRIAL_SLACK_MS))
     }
 
-    /// The workers, in order.
-    pub fn workers(&self) -> &[WorkerId] {
-        &self.workers
+    /// The ends that are proof.
+    fn proofs(&self) -> impl Iterator<Item = &CrashEvidence> {
+        let evidence = self.ends.iter().map(|end| &end.evidence);
+        evidence.filter(|evidence| evidence.weight == CrashWeight::Proof)
     }
 
-    /// Whether the task is started only where nothing else runs.
+    /// Whether the task is started only where nothing else runs, if that can be had.
     pub fn is_suspect(&self) -> bool {
-        self.young || self.workers.len() >= SUSPECT_CRASHES
+        self.is_young() || self.ends.len() >= SUSPECT_CRASHES
     }
 
     /// Whether one of its workers ended right after it was started there.
     pub fn is_young(&self) -> bool {
-        self.young
+        let mut ends = self.ends.iter();
+        ends.any(|end| end.evidence.weight > CrashWeight::Weak)
+    }
+
+    /// Whether the task is never started beside others that are new.
+    pub fn is_grave(&self) -> bool {
+        self.is_young() && self.ends.len() >= GRAVE_CRASHES
+    }
+
+    /// Shortest span of ages in which this end of a run, seen alive at one age and over at another, and
+    /// one before it lie; in milliseconds.
+    pub fn common_age_ms(&self, alive_ms: u32, over_ms: u32) -> Option<u32> {
+        let ages = self.ends.iter().filter_map(|end| {
+            let over = end.evidence.over_ms?;
+            Some((end.evidence.alive_ms, over))
+        });
+        ages.map(|(alive, over)| over.max(over_ms) - alive.min(alive_ms))
+            .min()
+    }
+
+    /// Odds that chance ended all workers that are proof, in parts per million.
+    pub fn chance_ppm(&self) -> f64 {
+        let chances = self
+            .proofs()
+            .map(|evidence| f64::from(evidence.chance_ppm) / 1e6);
+        chances.product::<f64>() * 1e6
     }
 
     /// Whether the task is given up.
     pub fn is_spent(&self) -> bool {
-        self.proven || self.workers.len() >= MOST_CRASHES
+        let proofs = self.proofs().count();
+        let proven = proofs >= LEAST_PROOFS && self.chance_ppm() <= CHANCE_LIMIT_PPM;
+        let young = |end: &&CrashEnd| end.evidence.weight > CrashWeight::Weak;
+        let many = self.ends.iter().filter(young).count() >= MOST_YOUNG;
+        proven || (proofs > 0 && many)
     }
 }
--- a/crates/bankvalve_queue/src/ledger/event.rs
+++ b/crates/bankvalve_queue/src/ledger/event.rs
@@ -89,6 +89,18 @@
         /// When, by the leader's time of day; of a run that no list told of, when it was last heard of.
         at: WallMillis,
     },
+    /// A worker ended under a run that is not given up yet, since its hold may last. Kept as soon as it is
+    /// seen: the leader that saw it may be lost before.
+    CrashSeen {
+        /// The task.
+        task: TaskKey,
+        /// The run.
+        run: RunId,
+        /// What was seen.
+        evidence: CrashEvidence,
+        /// When, by the leader's time of day.
+        at: WallMillis,
+    },
     /// A worker is silent: no leader prolongs its hold from here on until it is resumed.
     HoldStopped {
         /// The worker.
@@ -109,9 +121,9 @@
         match self {
             LedgerEvent::Accepted { spec, .. } => Some(spec.id),
             LedgerEvent::Cancelled { job, .. } => Some(*job),
-            LedgerEvent::Started { task, .. } | LedgerEvent::Ended { task, .. } => {
-                Some(task.step.job)
-            }
+            LedgerEvent::Started { task, .. }
+            | LedgerEvent::Ended { task, .. }
+            | LedgerEvent::CrashSeen { task, .. } => Some(task.step.job),
             LedgerEvent::HoldStopped { .. } | LedgerEvent::HoldResumed { .. } => None,
         }
     }
--- a/crates/bankvalve_queue/src/ledger/job_book.rs
+++ b/crates/bankvalve_queue/src/ledger/job_book.rs
@@ -6,7 +6,7 @@
 use super::step_record::{
     count_crash, count_failure, finish_gang, finish_whole_gang, keep_progress,
 };
-use super::{CrashCount, EndKind, LedgerEvent, StepRecord, TaskPhase, TaskRecord};
+use super::{CrashCount, CrashEvidence, EndKind, LedgerEvent, StepRecord, TaskPhase, TaskRecord};
 use crate::caller::JobState;
 use crate::ids::{JobId, RunId, StepKey, TaskKey, WallMillis, WorkerId};
 use crate::job::{JobSpec, JobTerms};
@@ -219,15 +219,9 @@
                 }
             }
             EndKind::Crashed(evidence) => {
-                count_crash(&mut step.tasks[index], evidence);
+                let spent = count_crash(&mut step.tasks[index], evidence);
                 step.set_phase(index, TaskPhase::Waiting);
-                // Started again and again, it would take one worker after the other down.
-                let spent = step.tasks[index]
-                    .crash_count()
-                    .is_some_and(CrashCount::is_spent);
-                if spent && self.outcome == JobOutcome::Open {
-                    self.outcome = JobOutcome::Failed;
-                }
+                self.give_up_if(spent);
             }
             _ => step.set_phase(index, TaskPhase::Waiting),
         }
@@ -239,6 +233,29 @@
             self.outcome = JobOutcome::Succeeded;
         }
     }
+
+    /// A worker has ended under a run that is not given up yet.
+    fn apply_crash(&mut self, task: TaskKey, run: RunId, evidence: CrashEvidence) {
+        if !self.has_place_for(task) {
+            return;
+        }
+        let time = self.times.get_mut(&task.step.time);
+        let step = time.and_then(|time| time.steps.get_mut(usize::from(task.step.step)));
+        let Some(record) = step.and_then(|step| step.tasks.get_mut(task.index as usize)) else {
+            return;
+        };
+        let current = matches!(&record.phase, TaskPhase::Placed { run: now, .. } if *now == run);
+        let spent = current && count_crash(record, evidence);
+        self.give_up_if(spent);
+    }
+
+    /// Gives the job up for a task that, started again and again, would take one worker after the other
+    /// down.
+    fn give_up_if(&mut self, spent: bool) {
+        if spent && self.outcome == JobOutcome::Open {
+            self.outcome = JobOutcome::Failed;
+        }
+    }
 }
 
 /// All jobs.
@@ -281,6 +298,18 @@
                     job.ended_at = *at;
                 }
             }
+            LedgerEvent::CrashSeen {
+                task,
+                run,
+                evidence,
+                at,
+            } => {
+                let open = job.outcome == JobOutcome::Open;
+                job.apply_crash(*task, *run, *evidence);
+                if open && job.outcome != JobOutcome::Open {
+                    job.ended_at = *at;
+                }
+            }
         }
     }
 
--- a/crates/bankvalve_queue/src/ledger/step_record.rs
+++ b/crates/bankvalve_queue/src/ledger/step_record.rs
@@ -1,6 +1,6 @@
 //! A step's tasks, and what ends of their runs do to them.
 
-use super::{CrashCount, CrashEvidence};
+use super::{CrashCount, CrashEnd, CrashEvidence};
 use crate::ids::{RunId, WallMillis, WorkerId};
 use crate::job::StepSpec;
 
@@ -58,11 +58,6 @@
     pub fn is_suspect(&self) -> bool {
         self.crash_count().is_some_and(CrashCount::is_suspect)
     }
-
-    /// Whether that is because a worker ended right after it was started there.
-    pub fn is_young_suspect(&self) -> bool {
-        self.crash_count().is_some_and(CrashCount::is_young)
-    }
 }
 
 /// A step of one time.
@@ -171,13 +166,18 @@
     }
 }
 
-/// A worker ended under a task. It counts against that one alone, also in a gang: of forty members on
-/// as many workers the others have nothing to do with it.
-pub(super) fn count_crash(task: &mut TaskRecord, evidence: CrashEvidence) {
-    let TaskPhase::Placed { worker, .. } = &task.phase else {
-        return;
+/// A worker ended under a task; tells whether that is enough to give it up. It counts against that one
+/// alone, also in a gang: of forty members on as many workers the others have nothing to do with it.
+pub(super) fn count_crash(task: &mut TaskRecord, evidence: CrashEvidence) -> bool {
+    let TaskPhase::Placed { worker, run } = &task.phase else {
+        return false;
+    };
+    let end = CrashEnd {
+        worker: worker.clone(),
+        run: *run,
+        evidence,
     };
-    let worker = worker.clone();
     let count = task.crashes.get_or_insert_default();
-    count.note(worker, evidence);
+    count.note(end);
+    count.is_spent()
 }
--- a/crates/bankvalve_queue/src/lib.rs
+++ b/crates/bankvalve_queue/src/lib.rs
@@ -29,8 +29,8 @@
 pub use ids::{CoreTime, FenceToken, JobId, RunId, StepKey, TaskKey, Ticket, WallMillis, WorkerId};
 pub use job::{JobProblem, JobSpec, JobTerms, StepSpec, TaskSize};
 pub use ledger::{
-    CrashCount, CrashEvidence, EndKind, JobBook, JobOutcome, JobRecord, LedgerBatch, LedgerEvent,
-    StepRecord, TaskPhase, TaskRecord, TimeRecord,
+    CrashCount, CrashEnd, CrashEvidence, CrashWeight, EndKind, JobBook, JobOutcome, JobRecord,
+    LedgerBatch, LedgerEvent, StepRecord, TaskPhase, TaskRecord, TimeRecord,
 };
 pub use peer::{
     peer_time, CarriedCall, CarriedOrder, HeartbeatEcho, HeartbeatNews, PeerAddress, PeerBatch,
