fix: a connection that is not made in time is silence, not a port that refuses

Cause: links tell a refused connection from one that is not made in time; on the way to the core both became 'not sent', and a look that was not sent counted as a refusing port. A worker that is dark or cut off (its first call has no answer, the next ones find no connection) was then taken for gone: no work at once, its hold kept as stopped after 1.7 s of silence in place of 3.4 s, and, with its entry gone, its silence was evidence as if it had been seen to end.

Change: the two are told apart up to the core; only a refused connection sets 'its port refuses'. An order that was not sent is as surely not carried out as before.

Test first, in virtual time, where a cut worker can now show so: a worker cut off for 2.2 s right before the table is away for 10 s.

--- a/crates/bankvalve/src/entry/link_loop.rs
+++ b/crates/bankvalve/src/entry/link_loop.rs
@@ -335,7 +335,8 @@
             status: reply.status,
             body: reply.body.to_vec(),
         },
-        Err(ClientFailure::Refused(_) | ClientFailure::NotSent(_)) => WireReply::NotSent,
+        Err(ClientFailure::Refused(_)) => WireReply::PortRefused,
+        Err(ClientFailure::NotSent(_)) => WireReply::NotSent,
         Err(ClientFailure::NoReply(_)) => WireReply::NoReply,
     }
 }
--- a/crates/bankvalve/tests/site/test_site.rs
+++ b/crates/bankvalve/tests/site/test_site.rs
@@ -280,7 +280,7 @@
     };
     match exchange(entry.plan().metrics, &call) {
         WireReply::Answer { body, .. } => String::from_utf8_lossy(&body).into_owned(),
-        WireReply::NotSent | WireReply::NoReply => String::new(),
+        WireReply::PortRefused | WireReply::NotSent | WireReply::NoReply => String::new(),
     }
 }
 
--- a/crates/bankvalve_check/src/site/site_workers.rs
+++ b/crates/bankvalve_check/src/site/site_workers.rs
@@ -12,6 +12,10 @@
 
 /// One answer of a worker in so many is slow.
 const SLOW_ANSWERS: u32 = 16;
+/// Time after which a call to a worker that is cut off has no answer, in milliseconds.
+const SILENT_CALL_MS: u64 = 900;
+/// Time after which a new connection to it is given up, in milliseconds: that of the entry's links.
+const CONNECT_MS: u64 = 400;
 
 /// A look whose worker waits for an end before it answers.
 #[derive(Debug)]
@@ -119,14 +123,18 @@
     ) {
         let (node, life, ticket) = origin;
         let now = self.now_ms;
+        let connections = (node, address.to_owned());
         if !self.reaches_worker(node, address) {
-            let event = CoreEvent::Worker {
-                ticket,
-                answer: WorkerAnswer::NoReply,
+            let given_up = !self.given_up_workers.insert(connections);
+            let (delay, answer) = match given_up && self.cut_workers_take_no_connection {
+                true => (CONNECT_MS, WorkerAnswer::NotSent),
+                false => (SILENT_CALL_MS, WorkerAnswer::NoReply),
             };
-            self.after(900, Later::Event { node, life, event });
+            let event = CoreEvent::Worker { ticket, answer };
+            self.after(delay, Later::Event { node, life, event });
             return;
         }
+        self.given_up_workers.remove(&connections);
         if self.has_look_wait(origin, meant, address, token, call) {
             return;
         }
@@ -141,7 +149,7 @@
                 worker.handle(now, token, call, self.policy.as_ref(), plan)
             }
             Some(Some(_)) => WorkerAnswer::OtherLife,
-            _ => WorkerAnswer::NotSent,
+            _ => WorkerAnswer::PortRefused,
         };
         let refused = |reason| matches!(&answer, WorkerAnswer::Refused { reason: found, .. } if *found == reason);
         if refused(StartRefusal::Permit) {
--- a/crates/bankvalve_check/src/site/site_world.rs
+++ b/crates/bankvalve_check/src/site/site_world.rs
@@ -1,7 +1,7 @@
 //! Instances, table, workers, policy and callers in one process, under virtual time.
 
 use std::cmp::Reverse;
-use std::collections::{BTreeMap, BinaryHeap};
+use std::collections::{BTreeMap, BTreeSet, BinaryHeap};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -193,6 +193,12 @@
     pub crashing: BTreeMap<TaskKey, TaskCrash>,
     /// Until when a worker is cut off, by address.
     pub worker_cut_until: BTreeMap<String, u64>,
+    /// Whether a worker that is cut off shows as it does over real connections: the first call has no
+    /// answer, and those after it need a new connection, which is not made in time, so that they are not
+    /// sent. Else no call to it has an answer.
+    pub cut_workers_take_no_connection: bool,
+    /// Instances whose connections to a worker were given up, with its address.
+    pub(super) given_up_workers: BTreeSet<(usize, String)>,
     /// Until when a worker does not reach the table, by address.
     pub(super) worker_off_table_until: BTreeMap<String, u64>,
     /// The only worker that an instance reaches, by instance.
@@ -292,6 +298,8 @@
             old_rooms: BTreeMap::new(),
             crashing: BTreeMap::new(),
             worker_cut_until: BTreeMap::new(),
+            cut_workers_take_no_connection: false,
+            given_up_workers: BTreeSet::new(),
             worker_off_table_until: BTreeMap::new(),
             worker_reached_by: BTreeMap::new(),
             only_reaches: BTreeMap::new(),
--- a/crates/bankvalve_check/tests/site/holds.rs
+++ b/crates/bankvalve_check/tests/site/holds.rs
@@ -181,6 +181,26 @@
     }
 }
 
+#[test]
+fn a_worker_that_takes_no_new_connection_for_a_moment_loses_nothing_either() {
+    // Found by reading, not seen with callers: a connection that is not made in time is silence, as an
+    // answer that does not come, but a worker to which a look was not sent counted as one whose port
+    // refuses, and so as gone: half of the silence was enough to keep that its hold is not prolonged. A
+    // worker that was cut off for two seconds, right before the table was away, lost all that it ran. The
+    // links told the two apart all the while; what they told was lost on the way to the core.
+    for seed in 1..4 {
+        let lapsed = lapsed_runs(seed, |world, address| {
+            world.looks_wait = false;
+            world.cut_workers_take_no_connection = true;
+            world.run_until(21_500);
+            world.worker_cut_until.insert(address.to_owned(), 23_700);
+            world.run_until(23_500);
+            world.store_away_until = 33_500;
+        });
+        assert_eq!(lapsed, 0, "seed {seed}");
+    }
+}
+
 #[test]
 fn answers_that_are_lost_now_and_then_stop_no_hold() {
     for seed in 1..4 {
--- a/crates/bankvalve_queue/src/core/holds.rs
+++ b/crates/bankvalve_queue/src/core/holds.rs
@@ -352,7 +352,8 @@
         else {
             // One lost answer is asked for anew at once; a worker that stays silent is not pressed.
             let first_silence = seat.is_heard(now, FIRST_SILENCE);
-            seat.refused = answer == WorkerAnswer::NotSent;
+            // A connection that is not made in time is silence and speaks against nobody.
+            seat.refused = answer == WorkerAnswer::PortRefused;
             seat.next_hold = match (first_silence, seat.refused) {
                 (false, _) => now + SILENT_PAUSE,
                 (true, true) => now + REFUSED_PAUSE,
--- a/crates/bankvalve_queue/src/core/orders.rs
+++ b/crates/bankvalve_queue/src/core/orders.rs
@@ -252,7 +252,7 @@
                 self.counters.count("retries", "order_unanswered");
                 return;
             }
-            WorkerAnswer::NotSent if live.tries < ORDER_TRIES => {
+            WorkerAnswer::PortRefused | WorkerAnswer::NotSent if live.tries < ORDER_TRIES => {
                 live.next_at = now + ORDER_PAUSE;
                 lead.have_order_due(now + ORDER_PAUSE, id, task);
                 self.counters.count("retries", "order_not_sent");
--- a/crates/bankvalve_queue/src/port.rs
+++ b/crates/bankvalve_queue/src/port.rs
@@ -90,7 +90,9 @@
         /// Body.
         body: Vec<u8>,
     },
-    /// No connection could be made, so it was not sent.
+    /// The port refused the connection: nothing listens there, and it was not sent.
+    PortRefused,
+    /// No connection could be made, in time or at all, so it was not sent.
     NotSent,
     /// It may have been received.
     NoReply,
--- a/crates/bankvalve_queue/src/worker.rs
+++ b/crates/bankvalve_queue/src/worker.rs
@@ -164,7 +164,9 @@
     OtherLife,
     /// Not done: the worker is unwell or too busy.
     Unwell,
-    /// Not sent: no connection could be made.
+    /// Not sent: its port refused the connection, so nothing listens there.
+    PortRefused,
+    /// Not sent: no connection could be made, in time or at all. A worker that is silent shows so.
     NotSent,
     /// No answer: done, not done, or done later.
     NoReply,
