--- a/crates/bankvalve_check/tests/site/workers.rs
+++ b/crates/bankvalve_check/tests/site/workers.rs
@@ -437,3 +437,31 @@
     });
     assert!(noticed, "nothing notices that the guard is gone");
 }
+
+#[test]
+fn a_life_that_is_over_gets_nothing_though_its_entry_comes_again() {
+    // Found by reading: that another life answered at a worker's address ends the former one for good,
+    // but its entry, once it came again by a write that was carried out late or a reading of all entries,
+    // had the dead life count as listed. For 1.3 s since it was last heard it then got work, each order
+    // was answered by the other life, and each such run counted as one under which a worker ended. A port
+    // that had refused in between kept work away, so that a new life must come at once for it to show.
+    for seed in 61..65 {
+        let mut world = world(seed);
+        let address = world.workers.keys().next().expect("a worker").clone();
+        let worker = world.workers[&address].as_ref().expect("it lives");
+        let (life, entry) = (worker.id.clone(), worker.entry.clone());
+        world.crash_worker(&address, 0);
+        let now = world.now_ms;
+        world.run_until(now + 300);
+        world.store.set_worker(&life, Some(entry));
+        // Another change has the watches answered.
+        let other = world.workers.keys().last().expect("a worker").clone();
+        world.drain_worker(&other, 60_000);
+        world.run_until(now + 320);
+        world.submit(job_of(9, QUEUE, &[12], false));
+        world.run_until(now + 6_000);
+        let ends = ["lost", "crashed"].map(|how| world.counter("ends", how));
+        assert_eq!(ends, [0, 0], "seed {seed}");
+        assert_kept(&world);
+    }
+}
