fix: a good end counts though the start of its run is not known

Cause: a good end of a run whose start the book lacks was passed over and its worker told to forget it. That the book has no start is no evidence against the worker's list; the task was done again.

Change: a good end counts for any run of a task that is not done. No other end of an unknown run counts. One whose job is not known cannot be kept: it is told by a line, 'runs end_unknown', and a counter.

--- a/crates/bankvalve_queue/src/core/reports.rs
+++ b/crates/bankvalve_queue/src/core/reports.rs
@@ -118,6 +118,12 @@
             self.take_back_later_runs(end.task);
             self.propose_end(end.task, end.run, end.how, end.saved.clone(), effect);
         } else {
+            if end.how == EndKind::Done && self.book.job(job).is_none() {
+                // It cannot be kept; if the job is known to others, its task may be done twice.
+                let detail = format!("run {} on {id}: done, its job is not known here", end.run);
+                self.log("runs", "end_unknown", end.task.to_string(), detail);
+                self.counters.count("ends", "of_unknown_job");
+            }
             self.follow_up(effect);
         }
     }
--- a/crates/bankvalve_queue/src/ledger/step_record.rs
+++ b/crates/bankvalve_queue/src/ledger/step_record.rs
@@ -102,12 +102,14 @@
             .unwrap_or(0)
     }
 
-    /// Tells whether a good end of an earlier run of a task that is not done may still come.
+    /// Tells whether a good end of another run than the one that is placed may still come of a task.
+    ///
+    /// That no start of the run is known speaks against this book, not against the worker's word:
+    /// passed over, the end would be forgotten and its task done twice.
     pub(crate) fn may_be_late(&self, index: usize, run: RunId) -> bool {
-        let task = &self.tasks[index];
-        match task.phase {
-            TaskPhase::Waiting => run <= task.last_run,
-            TaskPhase::Placed { run: now, .. } => run < now,
+        match self.tasks[index].phase {
+            TaskPhase::Waiting => true,
+            TaskPhase::Placed { run: now, .. } => run != now,
             TaskPhase::Done => false,
         }
     }
--- a/crates/bankvalve_queue/tests/book.rs
+++ b/crates/bankvalve_queue/tests/book.rs
@@ -218,3 +218,38 @@
         assert_eq!(record.next_time, 1, "{task}");
     }
 }
+
+#[test]
+fn a_good_end_counts_though_the_start_of_its_run_is_not_known() {
+    // Seen once: runs that had ended well were started again by later leaders; how their ends came to be
+    // missing was not traced. By reading: a leader whose book lacks the start of a run passed its good end
+    // over, and told the worker to forget it all the same. Only that leader's book says that the run was
+    // never started, and the worker's list is proof that it was, and that its work is done.
+    let step = StepSpec {
+        count: 2,
+        ..StepSpec::default()
+    };
+    let mut book = book_of(step);
+    start(&mut book, 1, 1);
+    end(&mut book, 0, 3, EndKind::Done, "");
+    end(&mut book, 1, 2, EndKind::Done, "");
+    assert_eq!(state(&book), JobState::Succeeded);
+}
+
+#[test]
+fn no_other_end_of_an_unknown_run_counts() {
+    let mut book = book_of(StepSpec {
+        count: 1,
+        ..StepSpec::default()
+    });
+    start(&mut book, 0, 1);
+    for run in 2..5 {
+        end(&mut book, 0, run, EndKind::Failed, "");
+        end(&mut book, 0, run, EndKind::Lost, "");
+    }
+    assert_eq!(state(&book), JobState::Running);
+    let record = book.job(1).and_then(|job| job.task(task(0)));
+    let record = record.expect("a task");
+    assert_eq!(record.failures, 0);
+    assert!(matches!(record.phase, TaskPhase::Placed { run: 1, .. }));
+}
