fix(queue): permits and room are at hand for a task that lasts when its run is given up

Cause: a task that lasts began to ask the policy service only when its run was given up and that was kept, about workers with free room at that moment, one or two at a time, 0.6 s and more each, while nothing kept that room for it; while one unknown worker showed room or a question was out, no room was made; and in a backlog it was behind the hundred steps that a placement looks at. What is kept stands until the start is decided on; short steps' own kept rooms there give way. Such steps come first in a placement. Gangs that last are left as they were.

--- a/crates/bankvalve_check/src/site/site_lasting.rs
+++ b/crates/bankvalve_check/src/site/site_lasting.rs
@@ -231,6 +231,18 @@
         copies.sum::<u64>() >= COPIES
     }
 
+    /// Workers that are up, listed and in reach and may run a task, whatever runs there.
+    pub fn able_workers(&self, task: TaskKey) -> usize {
+        let Some(spec) = self.specs.get(&task.step.job) else {
+            return 0;
+        };
+        let step = &spec.steps[usize::from(task.step.step)];
+        let workers = self.workers.iter();
+        let live = workers.filter_map(|(address, worker)| Some((address, worker.as_ref()?)));
+        let able = live.filter(|(address, worker)| self.may_take(address, worker, task, step));
+        able.count()
+    }
+
     fn may_take(&self, address: &str, worker: &SiteWorker, task: TaskKey, step: &StepSpec) -> bool {
         let now = self.now_ms;
         let cut = self.worker_cut_until.get(address);
--- a/crates/bankvalve_check/tests/site/random.rs
+++ b/crates/bankvalve_check/tests/site/random.rs
@@ -44,7 +44,7 @@
         (SiteGuard::GrowingPatience, 3),
     ];
     // The drawn worlds notice these seldom: each has a world of its own, below, in `workers`, in
-    // `crashing` and in `holds`.
+    // `crashing`, in `holds` and in `permits`.
     let seldom = [
         SiteGuard::SureRefusal,
         SiteGuard::LateDone,
@@ -55,6 +55,7 @@
         SiteGuard::KnownHolds,
         SiteGuard::LeaderInTouch,
         SiteGuard::ResumeKept,
+        SiteGuard::ReadyReturn,
     ];
     let others = SiteGuard::ALL.into_iter();
     let others = others.filter(|guard| !seldom.contains(guard));
--- a/crates/bankvalve_queue/src/core/advice.rs
+++ b/crates/bankvalve_queue/src/core/advice.rs
@@ -105,6 +105,23 @@
         self.flights.is_empty() && now >= self.retry_at
     }
 
+    /// Whether a question may be asked after the last one, whatever is on its way.
+    pub(super) fn may_retry(&self, now: CoreTime) -> bool {
+        now >= self.retry_at
+    }
+
+    /// Whether a question about a worker is on its way.
+    pub(super) fn is_asked(&self, worker: &WorkerId) -> bool {
+        let mut flights = self.flights.iter();
+        flights.any(|flight| flight.asked.contains(worker))
+    }
+
+    /// Whether a question is on its way about workers of which nothing is known.
+    pub(super) fn explores(&self) -> bool {
+        let mut asked = self.flights.iter().flat_map(|flight| &flight.asked);
+        asked.any(|worker| !self.known.contains(worker))
+    }
+
     pub(super) fn is_new(&self) -> bool {
         self.known.is_empty()
     }
--- a/crates/bankvalve_queue/src/core/choosing.rs
+++ b/crates/bankvalve_queue/src/core/choosing.rs
@@ -180,7 +180,7 @@
 }
 
 /// So many workers, those with the most room first.
-fn most_room(
+pub(super) fn most_room(
     step: &PlacedStep,
     seats: &[(&WorkerId, &Seat)],
     wanted: usize,
--- a/crates/bankvalve_queue/src/core/lead.rs
+++ b/crates/bankvalve_queue/src/core/lead.rs
@@ -8,6 +8,7 @@
 use super::commit::{CommitFlight, Origin, Proposal};
 use super::load_limit::LoadLimit;
 use super::making_room::RoomClaim;
+use super::returning::ReturningStep;
 use super::seat::LiveRun;
 use super::seat_map::SeatMap;
 use super::unheard::WaitSight;
@@ -159,6 +160,11 @@
     pub(super) touched: BTreeSet<JobId>,
     pub(super) due: BTreeSet<(WallMillis, JobId, u32)>,
     pub(super) advice: BTreeMap<StepKey, StepAdvice>,
+    /// Steps of open jobs whose tasks last, one by one.
+    pub(super) lasting_steps: BTreeSet<StepKey>,
+    /// Those of them with tasks that are away or soon will be.
+    pub(super) returning: BTreeMap<StepKey, ReturningStep>,
+    pub(super) next_returning: CoreTime,
     /// Logarithm of measured to guessed run time by queue, on average.
     pub(super) guess_error: BTreeMap<String, f64>,
     pub(super) adviser_busy: BTreeMap<PeerAddress, CoreTime>,
@@ -227,6 +233,9 @@
             touched: BTreeSet::new(),
             due: BTreeSet::new(),
             advice: BTreeMap::new(),
+            lasting_steps: BTreeSet::new(),
+            returning: BTreeMap::new(),
+            next_returning: now,
             guess_error: BTreeMap::new(),
             adviser_busy: BTreeMap::new(),
             stale: true,
@@ -395,6 +404,7 @@
             self.open_due_times();
             self.run_orders();
             self.refresh_touched();
+            self.run_returning();
             self.run_placing();
             self.run_advice();
         }
--- a/crates/bankvalve_queue/src/core/making_room.rs
+++ b/crates/bankvalve_queue/src/core/making_room.rs
@@ -63,7 +63,7 @@
 
 /// A way to room for one task on one worker.
 #[derive(Clone, Debug)]
-struct RoomPlan {
+pub(super) struct RoomPlan {
     worker: WorkerId,
     /// Time until the room is free.
     after: Duration,
@@ -75,6 +75,17 @@
     weight: u64,
 }
 
+impl RoomPlan {
+    pub(super) fn worker(&self) -> &WorkerId {
+        &self.worker
+    }
+
+    /// Time until the room is free.
+    pub(super) fn after(&self) -> Duration {
+        self.after
+    }
+}
+
 /// A plan for one task, in the order in which plans are taken.
 struct PlannedTask {
     place: usize,
@@ -193,7 +204,7 @@
         } else {
             missing.min(MOST_TASKS)
         };
-        let plans = self.plan_room(step, wanted);
+        let plans = self.plan_room(step, wanted, |_| true);
         if plans.is_empty() || (step.spec.gang && plans.len() < missing) {
             if let Some(lead) = self.lead.as_deref_mut() {
                 lead.plan_pauses.insert(key, now + PLAN_PAUSE);
@@ -224,8 +235,25 @@
         }
     }
 
-    fn plan_room(&self, step: &PlacedStep, tasks: usize) -> Vec<RoomPlan> {
+    /// Plans room for tasks that last and return: what is kept for other steps gives way, but for those
+    /// that return as well.
+    pub(super) fn plan_return(&self, step: &PlacedStep, tasks: usize) -> Vec<RoomPlan> {
+        let lead = self.lead.as_deref();
+        let stands = |key: StepKey| lead.is_some_and(|lead| lead.returning.contains_key(&key));
+        self.plan_room(step, tasks, stands)
+    }
+
+    /// Plans room for tasks of a step; what is kept for others stands as is told.
+    fn plan_room(
+        &self,
+        step: &PlacedStep,
+        tasks: usize,
+        stands: impl Fn(StepKey) -> bool,
+    ) -> Vec<RoomPlan> {
         let now = self.now;
+        if tasks == 0 {
+            return Vec::new();
+        }
         let Some(lead) = self.lead.as_deref() else {
             return Vec::new();
         };
@@ -240,7 +268,7 @@
                 id,
                 seat,
                 room: seat.entry.room.minus(&seat.used),
-                taken: seat.kept_for_others(step.key, now),
+                taken: kept_that_stands(seat, step.key, now, &stands),
                 gone: Vec::new(),
                 held: held_of(seat, step.key),
             })
@@ -366,6 +394,11 @@
         self.counters.count("placements", "room_made");
         self.counters
             .count_many("placements", "stopped_for_room", stops as u64);
+        self.stop_for(plans);
+    }
+
+    /// Stops what plans say is to be stopped.
+    pub(super) fn stop_for(&mut self, plans: &[RoomPlan]) {
         for plan in plans {
             for task in &plan.stops {
                 if let Some(lead) = self.lead.as_deref_mut() {
@@ -391,6 +424,18 @@
     }
 }
 
+/// Room that is kept on a worker for other steps, of those whose room stands.
+fn kept_that_stands(
+    seat: &Seat,
+    step: StepKey,
+    now: CoreTime,
+    stands: impl Fn(StepKey) -> bool,
+) -> TaskSize {
+    let kept = seat.reserved.iter();
+    let kept = kept.filter(|kept| kept.step != step && kept.until > now && stands(kept.step));
+    kept.fold(TaskSize::default(), |sum, kept| sum.plus(&kept.room))
+}
+
 fn weight_of(size: &TaskSize) -> u64 {
     size.millicores + size.accelerators * ACCELERATOR_WEIGHT
 }
--- a/crates/bankvalve_queue/src/core/mod.rs
+++ b/crates/bankvalve_queue/src/core/mod.rs
@@ -4,7 +4,8 @@
 //! decide who leads, `commit`, `read_back`, `confirm` and `withdraw` keep the
 //! ledger, `callers` answers requests, `book_reads` from a follower's book, `holds`, `reports`,
 //! `orders` and `overdue` deal with workers, `advice` asks the policy service, `placing`
-//! decides which task runs where, and `making_room` what gives way to it. `sight`
+//! decides which task runs where, and `making_room` what gives way to it; `returning` has
+//! both at hand for tasks that last. `sight`
 //! tells how the instance stands, `unheard` and `restarts` why tasks do not run that did.
 //! `former_leaders` and `stopped_holds` tell until when holds of leaders before may last.
 //! `table_watch` and `table_pull` have the operator's configuration, `queue_lookup` what is not
@@ -38,6 +39,7 @@
 mod read_back;
 mod reports;
 mod restarts;
+mod returning;
 mod round_trip;
 mod seat;
 mod seat_list;
--- a/crates/bankvalve_queue/src/core/placing.rs
+++ b/crates/bankvalve_queue/src/core/placing.rs
@@ -6,9 +6,10 @@
 use super::advice::StepAdvice;
 use super::choosing::{admits, admitting, choose, first_question, unknown_with_room, workers_of};
 use super::commit::Effect;
+use super::returning::sees_to;
 use super::seat::{LiveRun, Reservation, RunPhase, Seat};
 use super::suspects::TrialTurn;
-use super::waiting::{Lateness, WaitingRank};
+use super::waiting::{Lateness, WaitingRank, FIRST_RANK};
 use super::EntryCore;
 use crate::ids::{CoreTime, RunId, StepKey, TaskKey, WorkerId};
 use crate::job::{StepSpec, TaskSize};
@@ -73,6 +74,11 @@
         }
     }
 
+    /// Whether none of its tasks is tried where nothing else runs.
+    pub(super) fn is_among_others(&self) -> bool {
+        self.alone.is_empty()
+    }
+
     /// Room that each of its tasks takes on a worker; of a gang, that of the others than suspects.
     pub(super) fn room_on(&self, seat: &Seat) -> TaskSize {
         if self.alone.len() == self.tasks.len() {
@@ -104,7 +110,15 @@
         let mut ranked: Vec<(WaitingRank, StepKey)> = lead
             .waiting
             .iter()
-            .map(|(key, step)| (step.rank(wall, by_time), *key))
+            .map(|(key, step)| {
+                let returns = lead.returning.contains_key(key);
+                let rank = if returns {
+                    FIRST_RANK
+                } else {
+                    step.rank(wall, by_time)
+                };
+                (rank, *key)
+            })
             .collect();
         ranked.sort_unstable();
         ranked.truncate(LOOK_LIMIT);
@@ -144,6 +158,20 @@
 
     fn step_to_place(&mut self, key: StepKey) -> Option<PlacedStep> {
         let (tasks, alone) = self.tasks_to_place(key)?;
+        self.placed_step(key, tasks, alone)
+    }
+
+    /// A step with tasks that are to start among others, whether they wait yet or not.
+    pub(super) fn due_step(&self, key: StepKey, tasks: Vec<TaskKey>) -> Option<PlacedStep> {
+        self.placed_step(key, tasks, Vec::new())
+    }
+
+    fn placed_step(
+        &self,
+        key: StepKey,
+        tasks: Vec<TaskKey>,
+        alone: Vec<TaskKey>,
+    ) -> Option<PlacedStep> {
         let job = self.book.job(key.job)?;
         let spec = job.spec.steps.get(usize::from(key.step))?.clone();
         let record = job.step(key)?;
@@ -221,10 +249,22 @@
         let Some(rule) = step.rule else {
             let choice = choose(step, &admitting(lead, step, now), now);
             let placed = choice.len();
+            let returns = sees_to(lead, step);
             self.start_choice(step, choice);
-            self.settle_room(step, placed);
+            if !returns {
+                self.settle_room(step, placed);
+            }
             return;
         };
+        if sees_to(lead, step) {
+            let permitted = advice.permitted(kept_at).filter_map(|id| {
+                let seat = lead.seats.get(id)?;
+                admits(seat, step, now).then_some((id, seat))
+            });
+            let choice = choose(step, &permitted.collect::<Vec<_>>(), now);
+            self.start_choice(step, choice);
+            return;
+        }
         if advice.is_new() {
             if advice.can_ask(now) && self.may_explore(step.key) {
                 let workers = first_question(step, &admitting(lead, step, now), now);
--- a/crates/bankvalve_queue/src/core/restarts.rs
+++ b/crates/bankvalve_queue/src/core/restarts.rs
@@ -86,7 +86,9 @@
         {
             return StartWait::Suspect;
         }
-        if lead.room_claims.contains_key(&step) {
+        let returning = lead.returning.get(&step);
+        let awaited = returning.is_some_and(|returning| returning.awaits_room());
+        if awaited || lead.room_claims.contains_key(&step) {
             return StartWait::RoomMade;
         }
         let most = *most.get_or_insert_with(|| lead.most_room());
--- a/crates/bankvalve_queue/src/core/waiting.rs
+++ b/crates/bankvalve_queue/src/core/waiting.rs
@@ -37,6 +37,10 @@
 /// Order of waiting steps; smaller ones come first.
 pub(super) type WaitingRank = (u32, i64);
 
+/// Rank of steps with tasks that last and are away: few, and bound to run again in time whatever
+/// else waits.
+pub(super) const FIRST_RANK: WaitingRank = (0, i64::MIN);
+
 impl WaitingStep {
     fn new(job: &JobRecord, key: StepKey, tasks: u32) -> Self {
         let chains = job.spec.chains_ms();
@@ -128,6 +132,10 @@
         for key in old {
             lead.waiting.remove(&key);
         }
+        let lasting = lead.lasting_steps.range(first..=last);
+        for key in lasting.copied().collect::<Vec<_>>() {
+            lead.lasting_steps.remove(&key);
+        }
         let Some(job) = self.book.job(id) else {
             return;
         };
@@ -144,6 +152,9 @@
                         time: *time,
                         step: number as u16,
                     };
+                    if spec.lasting && !spec.gang {
+                        lead.lasting_steps.insert(key);
+                    }
                     let waiting = record.steps[number].waiting;
                     if waiting == 0 || !record.is_ready(&job.spec, key.step) {
                         continue;
--- a/crates/bankvalve_queue/src/guard.rs
+++ b/crates/bankvalve_queue/src/guard.rs
@@ -51,11 +51,13 @@
     LeaderInTouch,
     /// A hold that the ledger has as stopped is prolonged only once it is kept that it is resumed.
     ResumeKept,
+    /// Permits and room are at hand for a task that lasts when its run is given up.
+    ReadyReturn,
 }
 
 impl SiteGuard {
     /// All guards.
-    pub const ALL: [SiteGuard; 22] = [
+    pub const ALL: [SiteGuard; 23] = [
         SiteGuard::LedgerFirst,
         SiteGuard::OwnRow,
         SiteGuard::KeptEnds,
@@ -78,6 +80,7 @@
         SiteGuard::KnownHolds,
         SiteGuard::LeaderInTouch,
         SiteGuard::ResumeKept,
+        SiteGuard::ReadyReturn,
     ];
 
     /// Name used on the command line.
@@ -114,6 +117,7 @@
             SiteGuard::KnownHolds => "known-holds",
             SiteGuard::LeaderInTouch => "leader-in-touch",
             SiteGuard::ResumeKept => "resume-kept",
+            SiteGuard::ReadyReturn => "ready-return",
         }
     }
 
