--- a/crates/bankvalve_queue/src/core/making_room.rs
+++ b/crates/bankvalve_queue/src/core/making_room.rs
@@ -363,7 +363,10 @@
 
     fn may_stop_for(&self, step: &PlacedStep, task: TaskKey, live: &LiveRun) -> bool {
         let stops = self.lead.as_deref().and_then(|lead| lead.stops.get(&task));
-        live.saves
+        // Nothing can start in its place while the table is away.
+        let may_stop = self.uses(PolicySwitch::Preemption) && !self.store_is_away();
+        may_stop
+            && live.saves
             && !live.together
             && live.priority > step.priority
             && matches!(live.phase, RunPhase::Running { .. })
--- a/crates/bankvalve_queue/src/core/returning.rs
+++ b/crates/bankvalve_queue/src/core/returning.rs
@@ -21,7 +21,6 @@
 use crate::guard::SiteGuard;
 use crate::ids::{StepKey, TaskKey, WorkerId};
 use crate::ledger::{JobOutcome, TaskPhase, TaskRecord};
-use crate::policy::PolicySwitch;
 use crate::queue_table::AdviceRule;
 
 /// Time between two looks at tasks that last; added to it for each of them, and for each step that is
@@ -335,7 +334,6 @@
     fn keep_for_return(&mut self, step: &PlacedStep, tasks: usize) -> Vec<RoomPlan> {
         let now = self.now;
         let plans = self.plan_return(step, tasks);
-        let stops = self.uses(PolicySwitch::Preemption) && !self.store_is_away();
         let Some(lead) = self.lead.as_deref_mut() else {
             return Vec::new();
         };
@@ -351,9 +349,7 @@
             }
         }
         self.keep_room(step, plans.iter().map(RoomPlan::worker), until);
-        if stops {
-            self.stop_for(&plans);
-        }
+        self.stop_for(&plans);
         plans
     }
 
