test(site): some drawn storms ask a slow policy service

Change: each fourth run has a service that takes 560 ms and 8 ms for each worker, six instances, and jobs twice as far apart; the instances that ask are busy for some four fifths of the time. The report says how often the rule had something to judge.

--- a/crates/bankvalve_check/src/site/site_storm_figures.rs
+++ b/crates/bankvalve_check/src/site/site_storm_figures.rs
@@ -17,6 +17,8 @@
 pub struct StormFigures {
     /// Workers lost, by kind.
     pub played: BTreeMap<StormLoss, u64>,
+    /// How often a task that lasts was away so long that its rule had something to judge.
+    pub judged: u64,
     /// Jobs without a guilty task that were given up.
     pub bystanders: u64,
     /// Jobs with a guilty task that were given up before it had ended two workers.
@@ -39,6 +41,7 @@
         let ended = ended.map(|task| u64::from(world.rules.crashes_by(*task)));
         let mut figures = Self {
             played: world.storms.played.clone(),
+            judged: world.lasting.judged,
             bystanders: bystanders.len() as u64,
             early: early.len() as u64,
             ended: ended.filter(|ended| *ended > 0).collect(),
@@ -62,6 +65,7 @@
         for (kind, count) in other.played {
             *self.played.entry(kind).or_default() += count;
         }
+        self.judged += other.judged;
         self.bystanders += other.bystanders;
         self.early += other.early;
         self.ended.extend(other.ended);
@@ -78,6 +82,7 @@
         for (kind, count) in &self.played {
             println!("{:<29}{count}", kind.as_str());
         }
+        println!("tasks that last judged {} times", self.judged);
         println!(
             "given up without cause: {} bystanders, {} guilty ones too early",
             self.bystanders, self.early
--- a/crates/bankvalve_check/src/site/site_storms.rs
+++ b/crates/bankvalve_check/src/site/site_storms.rs
@@ -3,7 +3,7 @@
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 
-use bankvalve_queue::{JobSpec, SiteGuard};
+use bankvalve_queue::{AdviceRule, JobSpec, SiteGuard};
 
 use super::site_crashes::DrawnCrashes;
 use super::site_drawn_losses::{cancel_lasting, submit_lasting};
@@ -17,6 +17,17 @@
 /// Workers, and the failure domains over which they are spread.
 const WORKERS: usize = 24;
 const DOMAINS: u64 = 6;
+/// One run in so many asks a policy service that takes its time for each answer, as by a customer's
+/// sheet. So many instances, of which half ask, and jobs so many times as far apart, leave a fifth of
+/// it free while all is well.
+const SLOW_POLICIES: u64 = 4;
+const SLOW_ENTRIES: usize = 6;
+const SLOW_PACE: u64 = 2;
+const SLOW_POLICY: AdviceRule = AdviceRule {
+    decide_ms: 560.0,
+    each_ms: 8.0,
+    valid_ms: 2_000,
+};
 /// Virtual time of the first series, in milliseconds.
 const FIRST_SERIES_MS: u64 = 6_000;
 /// Series of a run, and the time from the begin of one to that of the next, in milliseconds: the
@@ -58,6 +69,8 @@
 struct DrawnStorms {
     rng: Pcg64Mcg,
     dense: bool,
+    /// How many times as far apart jobs come.
+    pace: u64,
 }
 
 impl DrawnStorms {
@@ -152,9 +165,14 @@
 /// Runs one episode in which workers are lost in series of all kinds, while some tasks end their
 /// workers, others do not, and some last; with a guard taken away if asked.
 pub fn run_storm_episode(seed: u64, broken: Option<SiteGuard>) -> SiteReport {
+    let slow = seed % SLOW_POLICIES == 0;
     let plan = SitePlan {
         seed,
-        entries: 3 + (seed % 3) as usize,
+        entries: if slow {
+            SLOW_ENTRIES
+        } else {
+            3 + (seed % 3) as usize
+        },
         strengths: Vec::new(),
         workers: WORKERS,
         broken,
@@ -166,9 +184,14 @@
     world.looks_wait = true;
     world.callers_leave = true;
     let rng = Pcg64Mcg::seed_from_u64(seed ^ 0x0073_746f_726d_7300);
+    let pace = if slow { SLOW_PACE } else { 1 };
     let dense = seed % DENSE_RUNS == 0;
-    let mut storms = DrawnStorms { rng, dense };
+    let mut storms = DrawnStorms { rng, dense, pace };
     let mut crashes = DrawnCrashes::new(seed);
+    if slow {
+        world.slow_advice = Some(SLOW_POLICY);
+        world.configure(2);
+    }
     world.run_until(1_000);
     submit_lasting(&mut world, &mut storms.rng);
     let mut job = seed.wrapping_mul(1_000_000);
@@ -202,7 +225,7 @@
     until_ms: u64,
 ) {
     while world.now_ms < until_ms {
-        let pause = world.rng.random_range(PACE_MS);
+        let pause = world.rng.random_range(PACE_MS) * storms.pace;
         let until = (world.now_ms + pause).min(until_ms);
         world.run_until(until);
         *job += 1;
