test(site): permits that are answered and not used after workers were lost, red

Eight of 20 workers are lost for good, 0.3 s apart, then the table is away for 4 s.

From 85 to 110 s each answer finds 7 to 12 good of 12 and nothing is placed. Not traced further.

--- a/crates/bankvalve_check/tests/site/storms.rs
+++ b/crates/bankvalve_check/tests/site/storms.rs
@@ -272,3 +272,46 @@
     }
     assert_eq!(wrong, []);
 }
+
+#[test]
+fn what_waits_for_permits_goes_on_after_workers_were_lost_while_the_table_was_away() {
+    // Seen: more short work came than the policy service bears, workers were lost for good, and then
+    // the table was away. From then on nearly all answers found workers good, and next to nothing was
+    // placed, also once no more work came and most of the room was free.
+    for seed in 2..5 {
+        let plan = SitePlan {
+            seed,
+            entries: 4,
+            strengths: Vec::new(),
+            broken: None,
+            without: None,
+            workers: WORKERS,
+            good_percent: Some(85),
+        };
+        let mut world = SiteWorld::with_hold_limit(plan, 10_000);
+        world.looks_wait = true;
+        world.slow_advice = Some(SLOW_POLICY);
+        world.configure(2);
+        world.run_until(2_000);
+        let mut job = 0;
+        short_work(&mut world, &mut job, 20_000);
+        for number in seed..seed + LOST {
+            let address = format!("10.9.0.{}:80", number % WORKERS as u64);
+            world.lose_worker(&address, false);
+            let until = world.now_ms + LOST_PAUSE_MS;
+            short_work(&mut world, &mut job, until);
+        }
+        world.store_away_until = world.now_ms + AWAY_MS;
+        short_work(&mut world, &mut job, 60_000);
+        let before = world.shown.len();
+        world.run_until(110_000);
+        let open = world.rules.accepted().len() - before;
+        let ended = world.shown.len() - before;
+        // Two instances ask; each question of twelve workers takes 0.66 s.
+        assert!(
+            ended >= 100.min(open),
+            "seed {seed}: {ended} of {open} jobs ended in 50 s without load"
+        );
+        assert_kept(&world);
+    }
+}
