fix: an order without an answer is not waited for once its worker's hold is over

Cause: an order without an answer may never have arrived, but a task of which nothing else is known was waited for on a silent worker as one that was seen to run there: 10 s while the worker's entry stood, 30 s while many were silent, for lists that had nothing to tell of it.

Change: once the hold is over, by which the order is void as well, such a run is ended like what lasts, as lost, which is evidence against nobody: the entry stands. If the order had arrived and its run ended well, that end counts when it is heard, as before.

Test first, in virtual time: workers cut off for good, entries standing, right before 24 tasks of half a second are placed.

--- a/crates/bankvalve_check/tests/site/lost_workers.rs
+++ b/crates/bankvalve_check/tests/site/lost_workers.rs
@@ -16,7 +16,7 @@
 };
 use bankvalve_queue::{JobId, TaskKey};
 
-use crate::{assert_kept, follower};
+use crate::{assert_kept, follower, world_without};
 
 /// Longest hold on the users' sites, in milliseconds.
 const HOLD_LIMIT_MS: u64 = 10_000;
@@ -158,6 +158,41 @@
     }
 }
 
+/// Longest time until a task is done whose order went to a worker that was cut off right before, in
+/// milliseconds: a look that prolongs its hold for the last time comes 1.6 s later at most, the hold lasts
+/// 5 s more, a start takes 1.2 s, and the task works for half a second.
+const REORDERED_MS: u64 = 8_500;
+
+#[test]
+fn a_task_whose_order_never_arrived_starts_elsewhere_once_the_hold_is_over() {
+    // Found by reading. An order without an answer may never have arrived, and its worker may have been
+    // cut off before it was sent. Such a task was waited for as one that was seen to run there: 10 s while
+    // the worker's entry stood, or 30 s while many were silent, for lists that had nothing to tell of it.
+    for (seed, cut) in [(1, 1), (2, 1), (3, 4), (4, 4)] {
+        let mut world = world_without(seed, 8, None);
+        world.run_until(5_000);
+        let addresses: Vec<String> = world.workers.keys().take(cut).cloned().collect();
+        for address in addresses {
+            world.worker_cut_until.insert(address, u64::MAX);
+        }
+        let cut_at = world.now_ms;
+        let job = 5;
+        world.work_ms.insert(job, 500);
+        world.submit(job_of(job, QUEUE, &[24], false));
+        let limit = cut_at + 60_000;
+        while world.now_ms < limit && !world.shown.contains_key(&job) {
+            let until = world.now_ms + STEP_MS;
+            world.run_until(until);
+        }
+        let took = world.now_ms - cut_at;
+        assert_kept(&world);
+        assert!(
+            took <= REORDERED_MS,
+            "seed {seed}, {cut} workers: done after {took} ms"
+        );
+    }
+}
+
 /// Distances from a worker's loss to the leader's, in seconds; below zero the leader is lost first.
 const DISTANCES_S: std::ops::RangeInclusive<i64> = -15..=15;
 /// Some of them, for what is like the pairs above, in milliseconds.
--- a/crates/bankvalve_queue/src/core/holds.rs
+++ b/crates/bankvalve_queue/src/core/holds.rs
@@ -152,7 +152,7 @@
             self.give_up_seat(&id, LifeEnd::HoldOver);
         }
         for (id, ..) in waited_for {
-            self.give_up_lasting(&id);
+            self.give_up_untold(&id);
         }
         if let Some(lead) = self.lead.as_deref_mut() {
             for id in gone {
@@ -179,19 +179,19 @@
         }
     }
 
-    /// Ends the runs that last on a worker whose hold is over and which is waited for. It is waited for
-    /// since its lists may tell of good ends, but what lasts has none: its tasks would be away for as
-    /// long for nothing.
+    /// Ends the runs on a worker whose hold is over and which is waited for, of which its lists will tell
+    /// no good end: their tasks would wait for nothing. If an order did arrive after all, its good end
+    /// counts when it comes.
     ///
     /// Its entry stands, so nothing tells that the worker has ended.
-    fn give_up_lasting(&mut self, id: &WorkerId) {
+    fn give_up_untold(&mut self, id: &WorkerId) {
         let now = self.now;
         let lead = self.lead.as_deref();
         let Some(seat) = lead.and_then(|lead| lead.seats.get(id)) else {
             return;
         };
-        let lasting = seat.runs.iter().filter(|(_, live)| !live.may_end_well());
-        let lost: Vec<_> = lasting
+        let untold = seat.runs.iter().filter(|(_, live)| !live.may_end_well());
+        let lost: Vec<_> = untold
             .map(|(task, live)| (*task, live.run, live.saved.clone(), live.sight(now)))
             .collect();
         for (task, run, saved, sight) in lost {
--- a/crates/bankvalve_queue/src/core/seat.rs
+++ b/crates/bankvalve_queue/src/core/seat.rs
@@ -195,9 +195,11 @@
         }
     }
 
-    /// Whether its worker may have it end well: what lasts does so never.
+    /// Whether a silent worker's lists may still tell of a good end: what lasts has none, and an order
+    /// without an answer, of a run that no list has named, may never have arrived.
     pub(super) fn may_end_well(&self) -> bool {
-        !self.lasting
+        let seen = self.phase != RunPhase::Ordered || self.listed_at.is_some();
+        !self.lasting && seen
     }
 
     /// For the log: where it stood, and for how long it was surely seen to run.
