fix(queue): trials go to workers that have been known for long, and an order that another life turned away never ran

Cause: after a takeover all workers count as new to the leader, so that a suspect was tried on the one that had just come back, at the same address each time; losses that came before the leader's time were counted at that address, and the same end weighed less with each. An order that another life at the address turned away was counted as one that may have begun. Change: a trial prefers the worker that has been known for longest; only workers that this leader had heard count as lost; the other life's answer to an order says that it was not carried out.

--- a/crates/bankvalve_queue/src/core/choosing.rs
+++ b/crates/bankvalve_queue/src/core/choosing.rs
@@ -96,8 +96,6 @@
     near: bool,
     /// Whether it rests, and is taken all the same if no other has room.
     rests: bool,
-    /// Whether it began so lately that one before it may have been lost there.
-    fresh: bool,
     /// How slow it is, in steps.
     slow: i64,
 }
@@ -112,7 +110,6 @@
             held: held_of(seat, step.key),
             near: rack.is_some_and(|rack| seat.entry.labels.contains(rack)),
             rests: now < seat.resting_until,
-            fresh: seat.is_fresh(now),
             slow: (seat.slowness / SLOWNESS_STEP).round() as i64,
         }
     }
@@ -123,11 +120,15 @@
 
     /// Least is best: one that does not rest; for a suspect one that has been there for long, since one that
     /// comes and goes tells nothing of it; near its data; for urgent work fast; then the one that is left fullest.
-    fn rank(&self, step: &PlacedStep) -> (bool, bool, Reverse<bool>, i64, u64) {
+    fn rank(&self, step: &PlacedStep) -> (bool, u64, Reverse<bool>, i64, u64) {
         let left = self.room.minus(&step.room).millicores;
         let slow = if step.fast_first { self.slow } else { 0 };
-        let fresh = self.fresh && step.has_trials();
-        (self.rests, fresh, Reverse(self.near), slow, left)
+        let known = if step.has_trials() {
+            self.seat.known_at.as_secs()
+        } else {
+            0
+        };
+        (self.rests, known, Reverse(self.near), slow, left)
     }
 }
 
--- a/crates/bankvalve_queue/src/core/seat.rs
+++ b/crates/bankvalve_queue/src/core/seat.rs
@@ -31,8 +31,6 @@
 const SLOWNESS_BOUND: f64 = 0.8;
 /// Age of a run from which on its worker's end is not its doing, if another there is newer.
 const SETTLED_LIFE: Duration = Duration::from_millis(1_500);
-/// Time for which a life of a worker counts as a new one.
-const FRESH_TIME: Duration = Duration::from_secs(15);
 /// Most doublings of it.
 const REST_DOUBLINGS: u32 = 3;
 
@@ -243,9 +241,11 @@
         }
     }
 
-    /// Whether its worker may have it end well: what lasts does so never.
+    /// Whether a silent worker's lists may still tell of a good end: what lasts has none, and an order
+    /// without an answer, of a run that no list has named, may never have arrived.
     pub(super) fn may_end_well(&self) -> bool {
-        !self.lasting
+        let seen = self.phase != RunPhase::Ordered || self.listed_at.is_some();
+        !self.lasting && seen
     }
 
     /// For the log: where it stood, and for how long it was surely seen to run.
@@ -408,11 +408,6 @@
         self.runs.values().any(|live| live.is_new(now))
     }
 
-    /// Tells whether its first answer to this leader came lately.
-    pub(super) fn is_fresh(&self, now: CoreTime) -> bool {
-        now.saturating_sub(self.proved_at) < FRESH_TIME
-    }
-
     /// Tells whether a suspect has it to itself.
     pub(super) fn is_on_trial(&self) -> bool {
         self.runs.values().any(|live| live.on_trial)
--- a/crates/bankvalve_queue/src/core/suspects.rs
+++ b/crates/bankvalve_queue/src/core/suspects.rs
@@ -277,7 +277,8 @@
             return;
         };
         seat.over = true;
-        if seat.is_ended_by_task() || held || seat.left_as_planned() {
+        // One that this leader has not heard was lost before its time.
+        if !seat.proved || seat.is_ended_by_task() || held || seat.left_as_planned() {
             return;
         }
         let loss = WorkerLoss {
