--- a/crates/bankvalve_check/tests/site/storms.rs
+++ b/crates/bankvalve_check/tests/site/storms.rs
@@ -192,9 +192,13 @@
 
 #[test]
 fn a_guard_against_false_verdicts_that_is_taken_away_is_noticed() {
-    for guard in [SiteGuard::CrashBudget, SiteGuard::AloneEvidence] {
+    for (guard, seeds) in [
+        (SiteGuard::CrashBudget, 1..13),
+        (SiteGuard::AloneEvidence, 30..42),
+    ] {
         // Only a run counts that breaks no rule with all guards.
-        let noticed = (1..13).any(|seed| {
+        let mut seeds = seeds;
+        let noticed = seeds.any(|seed| {
             let broken = run_storm_episode(seed, Some(guard));
             !broken.breaches.is_empty() && run_storm_episode(seed, None).breaches.is_empty()
         });
--- a/crates/bankvalve_queue/src/core/holds.rs
+++ b/crates/bankvalve_queue/src/core/holds.rs
@@ -433,6 +433,7 @@
         seat.refused = false;
         seat.refused_at = None;
         seat.over = false;
+        seat.forget_crashes();
         seat.next_hold = if first {
             now
         } else {
--- a/crates/bankvalve_queue/src/core/reports.rs
+++ b/crates/bankvalve_queue/src/core/reports.rs
@@ -361,10 +361,13 @@
         let Some(seat) = lead.seats.get(id) else {
             return;
         };
+        let Some(loss) = self.loss_of(id, end) else {
+            return;
+        };
         let lost = |(task, live): (&TaskKey, &LiveRun)| LostRun {
             task: *task,
             run: live.run,
-            how: self.end_with_worker(id, task, live, end),
+            how: self.end_with_worker(seat, &loss, task, live),
             saved: live.saved.clone(),
             is_news: live.crash.is_none(),
             why: format!("{}, {}", end.as_str(), live.sight(now)),
--- a/crates/bankvalve_queue/src/core/seat.rs
+++ b/crates/bankvalve_queue/src/core/seat.rs
@@ -290,6 +290,8 @@
     pub(super) refused: bool,
     /// When its port first refused a look since it was heard.
     pub(super) refused_at: Option<CoreTime>,
+    /// Whether what is seen of its end is kept.
+    pub(super) end_kept: bool,
     /// Whether it was given up, and was not heard since.
     pub(super) over: bool,
     /// Whether it has answered under the own token.
@@ -335,6 +337,7 @@
             unlisted_at: None,
             refused: false,
             refused_at: None,
+            end_kept: false,
             over: false,
             proved: false,
             proved_at: CoreTime::ZERO,
@@ -408,6 +411,15 @@
         self.runs.values().any(|live| live.is_new(now))
     }
 
+    /// It is heard again: it had not ended.
+    pub(super) fn forget_crashes(&mut self) {
+        if std::mem::take(&mut self.end_kept) {
+            for live in self.runs.values_mut() {
+                live.crash = None;
+            }
+        }
+    }
+
     /// Tells whether a suspect has it to itself.
     pub(super) fn is_on_trial(&self) -> bool {
         self.runs.values().any(|live| live.on_trial)
--- a/crates/bankvalve_queue/src/core/suspects.rs
+++ b/crates/bankvalve_queue/src/core/suspects.rs
@@ -31,6 +31,8 @@
 const YOUNG_LIFE: Duration = Duration::from_secs(1);
 /// The same up to which the end may be proof.
 const PROOF_LIFE: Duration = Duration::from_secs(2);
+/// Longest span of ages that counts as the same age again, in milliseconds.
+const AGAIN_SPAN_MS: u32 = 1_000;
 /// Time for which a port has refused after which the end is kept: others that were lost with the worker are
 /// seen by then.
 const SEEN_TIME: Duration = Duration::from_millis(400);
@@ -54,7 +56,7 @@
 const CALM_TIME: Duration = Duration::from_secs(1);
 /// Other workers lost in that time from which on no suspect is tried that may be proven by it, as a divisor
 /// of all, at least one.
-const COMMON_SHARE: usize = 40;
+const COMMON_SHARE: usize = 100;
 /// Others lost at once from which on what had just been started is no suspect, as a divisor of all and at
 /// least.
 const STORM_SHARE: usize = 20;
@@ -77,6 +79,23 @@
     span: LossSpan,
 }
 
+/// What is known of a worker's end.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct SeatLoss {
+    /// Whether it has surely ended. One that is silent may be cut off, and run on: without a new life it is
+    /// known only where its port refuses and its entry is gone.
+    is_end: bool,
+    /// When it had surely ended by: its port refused, or another life answered.
+    over_at: Option<CoreTime>,
+    /// When it ended, as far as is known.
+    at: CoreTime,
+    /// Others that were lost with it, and whether they are so many that its end tells nothing.
+    others: usize,
+    is_storm: bool,
+    /// Losses of a worker in a second by chance.
+    rate: f64,
+}
+
 /// How the suspects of a step that are to start stand.
 #[derive(Clone, Copy, Debug, Default)]
 pub(super) struct SuspectStand {
@@ -84,6 +103,8 @@
     young: bool,
     /// Whether one is never started beside others that are new.
     grave: bool,
+    /// Whether one of its ends is proof.
+    proven: bool,
     /// Whether one lasts and has been away for too long.
     hurried: bool,
 }
@@ -98,6 +119,7 @@
             };
             stand.young |= count.is_young();
             stand.grave |= count.is_grave();
+            stand.proven |= count.has_proof();
             stand.hurried |= hurried;
         }
         stand
@@ -118,31 +140,29 @@
 }
 
 impl EntryCore {
+    /// What is known of a worker's end, for what it tells against its runs.
+    pub(super) fn loss_of(&self, id: &WorkerId, end: LifeEnd) -> Option<SeatLoss> {
+        let lead = self.lead.as_deref()?;
+        let seat = lead.seats.get(id)?;
+        Some(lead.loss_of(id, seat, Some(end), self.now))
+    }
+
     /// How a run ended whose worker's life is over.
     pub(super) fn end_with_worker(
         &self,
-        id: &WorkerId,
+        seat: &Seat,
+        loss: &SeatLoss,
         task: &TaskKey,
         live: &LiveRun,
-        end: LifeEnd,
     ) -> EndKind {
-        let Some(lead) = self.lead.as_deref() else {
-            return EndKind::Lost;
-        };
-        let Some(seat) = lead.seats.get(id) else {
-            return EndKind::Lost;
-        };
         if live.phase == RunPhase::Ordered && !live.may_have_begun() {
             return EndKind::NeverRan;
         }
         if let Some(evidence) = live.crash {
             return EndKind::Crashed(evidence);
         }
-        // Without a new life a worker is known to have ended only where its port refuses and its entry
-        // is gone; one that is silent may be cut off, and run on.
-        let ended = end == LifeEnd::OtherLife || (!seat.listed && seat.refused);
-        let evidence = self.crash_of(lead, id, seat, task, live);
-        let evidence = evidence.filter(|_| ended);
+        let evidence = self.crash_of(seat, loss, task, live);
+        let evidence = evidence.filter(|_| loss.is_end);
         evidence.map_or(EndKind::Lost, EndKind::Crashed)
     }
 
@@ -157,17 +177,23 @@
             return;
         };
         let refused_for = seat.refused_at.map(|at| now.saturating_sub(at));
-        if !seat.refused || refused_for.is_none_or(|time| time < SEEN_TIME) {
+        if seat.end_kept || !seat.refused || refused_for.is_none_or(|time| time < SEEN_TIME) {
             return;
         }
+        let loss = lead.loss_of(id, seat, None, now);
         let seen = |(task, live): (&TaskKey, &LiveRun)| {
-            let evidence = self.crash_of(lead, id, seat, task, live);
-            let evidence = evidence.filter(|evidence| evidence.weight != CrashWeight::Weak)?;
-            live.crash.is_none().then_some((*task, live.run, evidence))
+            let evidence = self.crash_of(seat, &loss, task, live)?;
+            (evidence.weight != CrashWeight::Weak).then_some((*task, live.run, evidence))
         };
         let seen: Vec<(TaskKey, RunId, CrashEvidence)> =
             seat.runs.iter().filter_map(seen).collect();
-        let at = self.wall;
+        if let Some(seat) = self
+            .lead
+            .as_deref_mut()
+            .and_then(|lead| lead.seats.get_mut(id))
+        {
+            seat.end_kept = true;
+        }
         for (task, run, evidence) in seen {
             let lead = self.lead.as_deref_mut();
             if let Some(live) = lead.and_then(|lead| lead.live_run(id, &task)) {
@@ -177,7 +203,6 @@
                 task,
                 run,
                 evidence,
-                at,
             };
             self.propose(event, Effect::None);
             self.log_crash(task);
@@ -187,72 +212,69 @@
     /// What a worker's end tells against a run, if it counts at all.
     fn crash_of(
         &self,
-        lead: &LeadState,
-        id: &WorkerId,
         seat: &Seat,
+        loss: &SeatLoss,
         task: &TaskKey,
         live: &LiveRun,
     ) -> Option<CrashEvidence> {
-        let order = seat.refused_at.zip(live.ordered_at);
-        let had_ended = order.is_some_and(|(refused, ordered)| refused <= ordered);
+        let order = loss.over_at.zip(live.ordered_at);
+        let had_ended = order.is_some_and(|(over, ordered)| over <= ordered);
         let counts = live.may_have_begun()
             && !had_ended
             && !seat.left_as_planned()
             && live.lived() < LONG_LIFE
             && self.keeps(SiteGuard::CrashBudget);
-        counts.then(|| self.evidence_of(lead, id, seat, task, live))
+        counts.then(|| self.evidence_of(seat, loss, task, live))
     }
 
     /// What was seen of a worker's end under a run.
     fn evidence_of(
         &self,
-        lead: &LeadState,
-        id: &WorkerId,
         seat: &Seat,
+        loss: &SeatLoss,
         task: &TaskKey,
         live: &LiveRun,
     ) -> CrashEvidence {
-        let now = self.now;
         let since_order = |at: CoreTime| {
             let ordered = live.ordered_at.unwrap_or(at);
             at.saturating_sub(ordered).as_millis() as u32
         };
         let confirmed = live.is_confirmed();
         let alive_ms = live.listed_at.map_or(0, since_order);
-        let over = seat.refused_at.filter(|_| live.ordered_at.is_some());
+        let over = loss.over_at.filter(|_| live.ordered_at.is_some());
         let over_ms = over.map(since_order);
-        let at = seat.lost_within().last;
-        let others = lead.lost_beside(id, at, now);
         let beside = seat
             .runs
             .iter()
-            .filter(|(other, run)| *other != task && run.is_new(at));
+            .filter(|(other, run)| *other != task && run.is_new(loss.at));
         let beside = beside.count();
-        // An order that was not answered may have come after the worker's end: all of the time since the
-        // worker was last heard is what chance had.
-        let unheard = seat.heard_at.zip(live.ordered_at).filter(|_| !confirmed);
-        let before = unheard.map_or(Duration::ZERO, |(heard, ordered)| {
-            ordered.saturating_sub(heard)
-        });
+        let job = self.book.job(task.step.job);
+        let count = job.and_then(|job| job.task(*task)?.crash_count());
+        let again =
+            over_ms.and_then(|over| count.and_then(|count| count.common_age_ms(alive_ms, over)));
         let chance_ppm = over_ms.map_or(MILLION as u32, |over_ms| {
-            let count = self
-                .book
-                .job(task.step.job)
-                .and_then(|job| job.task(*task)?.crash_count());
-            let again = count.and_then(|count| count.common_age_ms(alive_ms, over_ms));
             let span = again.map_or(over_ms, |span| span.min(over_ms));
-            let span = Duration::from_millis(u64::from(span)) + before;
-            let rate = lead.loss_rate(&seat.entry.address, now);
-            let rate = rate.max(lead.rate_beside(others));
-            let chance = rate * span.as_secs_f64();
+            let chance = loss.rate * Duration::from_millis(u64::from(span)).as_secs_f64();
             (chance.min(1.0) * MILLION).ceil() as u32
         });
-        let sole = beside == 0 || !self.keeps(SiteGuard::AloneEvidence);
-        let young = |over: u32| u128::from(over) <= YOUNG_LIFE.as_millis();
-        let soon = |over: u32| u128::from(over) <= PROOF_LIFE.as_millis();
+        let sole = beside == 0 && !loss.is_storm;
+        let guarded = self.keeps(SiteGuard::AloneEvidence);
+        let (sole, chance_ppm) = if guarded {
+            (sole, chance_ppm)
+        } else {
+            (true, 1)
+        };
+        let within = |over: u32, life: Duration| u128::from(over) <= life.as_millis();
+        // At a greater age only where nothing else ran at all, and as before.
+        let again = again.is_some_and(|span| span <= AGAIN_SPAN_MS) && seat.runs.len() == 1;
+        let proof = |over: u32| {
+            sole && confirmed
+                && chance_ppm <= PROOF_LIMIT_PPM
+                && (within(over, PROOF_LIFE) || again)
+        };
         let weight = match over_ms {
-            Some(over) if sole && soon(over) && chance_ppm <= PROOF_LIMIT_PPM => CrashWeight::Proof,
-            Some(over) if young(over) && !lead.is_storm(others) => CrashWeight::Young,
+            Some(over) if proof(over) => CrashWeight::Proof,
+            Some(over) if within(over, YOUNG_LIFE) && !loss.is_storm => CrashWeight::Young,
             _ => CrashWeight::Weak,
         };
         CrashEvidence {
@@ -261,7 +283,7 @@
             alive_ms,
             over_ms,
             beside: beside as u32,
-            others: others as u32,
+            others: loss.others as u32,
             chance_ppm,
         }
     }
@@ -308,13 +330,15 @@
         let waited = now.saturating_sub(waited);
         let impatient = stand.hurried || waited > patience;
         let among = stand.hurried || !stand.young || waited > patience * 2;
+        let grave = stand.grave && (stand.proven || waited <= patience * 3);
         // The next end may prove it: not while other workers are lost, or it would tell nothing.
-        let storm = || lead.is_common(lead.lost_since(now.saturating_sub(CALM_TIME), now));
-        match (impatient, stand.grave) {
+        let calm_from = now.saturating_sub(CALM_TIME);
+        let storm = || calm_from < lead.began_at || lead.is_common(lead.lost_since(calm_from, now));
+        match (impatient, grave) {
             (true, false) if among => TrialTurn::Among,
             (true, _) => TrialTurn::Apart,
             (false, _) if !lead.has_turn_for(step) => TrialTurn::Later,
-            (false, true) if storm() => TrialTurn::Later,
+            (false, _) if stand.young && storm() => TrialTurn::Later,
             (false, _) => TrialTurn::Alone,
         }
     }
@@ -386,6 +410,23 @@
             && !self.trials.keys().any(of_step)
     }
 
+    /// What is known of a worker's end.
+    fn loss_of(&self, id: &WorkerId, seat: &Seat, end: Option<LifeEnd>, now: CoreTime) -> SeatLoss {
+        let other_life = end == Some(LifeEnd::OtherLife);
+        let over_at = seat.refused_at.or(other_life.then_some(now));
+        let at = over_at.unwrap_or(seat.lost_within().last);
+        let others = self.lost_beside(id, at, now);
+        let rate = self.loss_rate(&seat.entry.address, now);
+        SeatLoss {
+            is_end: other_life || (!seat.listed && seat.refused),
+            over_at,
+            at,
+            others,
+            is_storm: self.is_storm(others),
+            rate: rate.max(self.rate_beside(others)),
+        }
+    }
+
     /// Workers that were lost with no suspect to themselves, with when: those that are over, and those that
     /// are silent now.
     fn losses(&self, now: CoreTime) -> impl Iterator<Item = (&WorkerId, LossSpan)> {
--- a/crates/bankvalve_queue/src/ledger/crash_count.rs
+++ b/crates/bankvalve_queue/src/ledger/crash_count.rs
@@ -39,8 +39,11 @@
 /// known, in milliseconds.
 const TRIAL_SLACK_MS: u32 = 250;
 const UNKNOWN_AGE_MS: u32 = 750;
-/// Longest age that a trial waits for, in milliseconds.
-const LONGEST_AGE_MS: u32 = 3_000;
+/// Longest age that a trial waits for, of one end and of ends that were alike, and by how much these may
+/// differ; in milliseconds.
+const SINGLE_AGE_MS: u32 = 1_500;
+const LONGEST_AGE_MS: u32 = 6_000;
+const ALIKE_MS: u32 = 500;
 /// Time by which a run must have outlived all that ended with their workers before it, to show
 /// that its task does not end them, in milliseconds.
 const CLEARED_AFTER_MS: u32 = 1_000;
@@ -69,6 +72,7 @@
 
 /// What was seen of a worker's end under a run.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(from = "StoredEvidence")]
 pub struct CrashEvidence {
     /// What it tells against the task.
     pub weight: CrashWeight,
@@ -76,8 +80,8 @@
     pub confirmed: bool,
     /// Time from the order until a list last had the run, in milliseconds; 0 if none had.
     pub alive_ms: u32,
-    /// Time from the order until the worker's port first refused, in milliseconds; none if that was
-    /// not seen, or a leader before gave the order.
+    /// Time from the order until the worker's port first refused, or another life answered, in
+    /// milliseconds; none if neither was seen, or a leader before gave the order.
     pub over_ms: Option<u32>,
     /// Other runs on the worker that were new.
     pub beside: u32,
@@ -87,6 +91,51 @@
     pub chance_ppm: u32,
 }
 
+/// Evidence as ledgers have it: a version before this one kept a word alone.
+#[derive(Deserialize)]
+#[serde(untagged)]
+enum StoredEvidence {
+    Told(CrashWeight, bool, u32, Option<u32>, u32, u32, u32),
+    Word(String),
+}
+
+impl From<StoredEvidence> for CrashEvidence {
+    fn from(stored: StoredEvidence) -> Self {
+        match stored {
+            StoredEvidence::Told(
+                weight,
+                confirmed,
+                alive_ms,
+                over_ms,
+                beside,
+                others,
+                chance_ppm,
+            ) => Self {
+                weight,
+                confirmed,
+                alive_ms,
+                over_ms,
+                beside,
+                others,
+                chance_ppm,
+            },
+            // What was seen is not known: it makes a suspect at most.
+            StoredEvidence::Word(word) => Self {
+                weight: match word.as_str() {
+                    "Weak" => CrashWeight::Weak,
+                    _ => CrashWeight::Young,
+                },
+                confirmed: false,
+                alive_ms: 0,
+                over_ms: None,
+                beside: 0,
+                others: 0,
+                chance_ppm: 1_000_000,
+            },
+        }
+    }
+}
+
 impl fmt::Display for CrashEvidence {
     fn fmt(&self, into: &mut fmt::Formatter<'_>) -> fmt::Result {
         let answered = match (self.confirmed, self.alive_ms) {
@@ -95,7 +144,7 @@
             (true, alive) => format!("listed until {alive} ms after the order"),
         };
         let over = match self.over_ms {
-            Some(over) => format!("port refused {over} ms after it"),
+            Some(over) => format!("surely ended {over} ms after it"),
             None => "not seen when it ended".to_owned(),
         };
         let weight = self.weight.as_str();
@@ -143,7 +192,7 @@
 ///     over_ms: Some(60),
 ///     beside: 0,
 ///     others: 0,
-///     chance_ppm: 100,
+///     chance_ppm: 20,
 /// };
 /// let mut count = CrashCount::default();
 /// for (worker, run) in [("w-1", 1), ("w-2", 2)] {
@@ -159,12 +208,15 @@
 }
 
 impl CrashCount {
-    /// Notes that a worker ended; once a run, by what was seen first.
+    /// Notes that a worker ended; once a run, by what was seen when it ended.
     ///
     /// A run that has outlived all that ended with their workers before clears its task of those: what
     /// ends its workers does so again at about the same age.
     pub fn note(&mut self, end: CrashEnd) {
-        if self.ends.iter().any(|known| known.run == end.run) {
+        if let Some(known) = self.ends.iter_mut().find(|known| known.run == end.run) {
+            if end.evidence.over_ms.is_some() {
+                *known = end;
+            }
             return;
         }
         let oldest = self.oldest_age_ms().unwrap_or_default();
@@ -174,6 +226,11 @@
         self.ends.push(end);
     }
 
+    /// Takes back the end of a worker that has told of the run since: it lives.
+    pub fn take_back(&mut self, run: RunId) {
+        self.ends.retain(|end| end.run != run);
+    }
+
     /// The ends, in order.
     pub fn ends(&self) -> &[CrashEnd] {
         &self.ends
@@ -185,10 +242,25 @@
         ages.flatten().max()
     }
 
-    /// Time for which a run is kept apart from others, so that an end like those before it shows.
+    /// Time for which a run is kept apart from others, so that an end like those before it shows: one at
+    /// a great age only if two of them were alike.
     pub fn trial_time(&self) -> Duration {
-        let age = self.oldest_age_ms().unwrap_or(UNKNOWN_AGE_MS);
-        Duration::from_millis(u64::from(age.min(LONGEST_AGE_MS) + TRIAL_SLACK_MS))
+        let ages = self.ends.iter().filter_map(|end| end.evidence.over_ms);
+        let alike = |age: &u32| {
+            let others = self.ends.iter().filter_map(|end| end.evidence.over_ms);
+            others
+                .filter(|other| other.abs_diff(*age) <= ALIKE_MS)
+                .count()
+                > 1
+        };
+        let repeated = ages
+            .clone()
+            .filter(alike)
+            .max()
+            .map(|age| age.min(LONGEST_AGE_MS));
+        let single = ages.max().unwrap_or(UNKNOWN_AGE_MS).min(SINGLE_AGE_MS);
+        let age = repeated.map_or(single, |age| age.max(single));
+        Duration::from_millis(u64::from(age + TRIAL_SLACK_MS))
     }
 
     /// The ends that are proof.
@@ -197,6 +269,11 @@
         evidence.filter(|evidence| evidence.weight == CrashWeight::Proof)
     }
 
+    /// Whether one of the ends is proof.
+    pub fn has_proof(&self) -> bool {
+        self.proofs().next().is_some()
+    }
+
     /// Whether the task is started only where nothing else runs, if that can be had.
     pub fn is_suspect(&self) -> bool {
         self.is_young() || self.ends.len() >= SUSPECT_CRASHES
@@ -225,10 +302,12 @@
     }
 
     /// Odds that chance ended all workers that are proof, in parts per million.
+    ///
+    /// The first end has no part in them: of all tasks those are looked at under which a worker ended.
     pub fn chance_ppm(&self) -> f64 {
-        let chances = self
-            .proofs()
-            .map(|evidence| f64::from(evidence.chance_ppm) / 1e6);
+        let tried = self.ends.iter().skip(1).map(|end| &end.evidence);
+        let proofs = tried.filter(|evidence| evidence.weight == CrashWeight::Proof);
+        let chances = proofs.map(|evidence| f64::from(evidence.chance_ppm) / 1e6);
         chances.product::<f64>() * 1e6
     }
 
@@ -236,7 +315,8 @@
     pub fn is_spent(&self) -> bool {
         let proofs = self.proofs().count();
         let proven = proofs >= LEAST_PROOFS && self.chance_ppm() <= CHANCE_LIMIT_PPM;
-        let young = |end: &&CrashEnd| end.evidence.weight > CrashWeight::Weak;
+        let young =
+            |end: &&CrashEnd| end.evidence.confirmed && end.evidence.weight > CrashWeight::Weak;
         let many = self.ends.iter().filter(young).count() >= MOST_YOUNG;
         proven || (proofs > 0 && many)
     }
--- a/crates/bankvalve_queue/src/ledger/event.rs
+++ b/crates/bankvalve_queue/src/ledger/event.rs
@@ -98,8 +98,6 @@
         run: RunId,
         /// What was seen.
         evidence: CrashEvidence,
-        /// When, by the leader's time of day.
-        at: WallMillis,
     },
     /// A worker is silent: no leader prolongs its hold from here on until it is resumed.
     HoldStopped {
--- a/crates/bankvalve_queue/src/ledger/job_book.rs
+++ b/crates/bankvalve_queue/src/ledger/job_book.rs
@@ -204,6 +204,11 @@
         if !saved.is_empty() {
             keep_progress(step, index, gang, saved);
         }
+        // What a worker tells of a run shows that it had not ended under it.
+        let lost = matches!(how, EndKind::Lost | EndKind::Crashed(_) | EndKind::NeverRan);
+        if let Some(count) = step.tasks[index].crashes.as_deref_mut().filter(|_| !lost) {
+            count.take_back(run);
+        }
         match how {
             EndKind::Done if lasting => step.set_phase(index, TaskPhase::Waiting),
             EndKind::Done if gang && late => finish_whole_gang(step),
@@ -219,9 +224,13 @@
                 }
             }
             EndKind::Crashed(evidence) => {
-                let spent = count_crash(&mut step.tasks[index], evidence);
+                count_crash(&mut step.tasks[index], evidence);
+                step.set_phase(index, TaskPhase::Waiting);
+                self.give_up_if_spent(number, task);
+            }
+            EndKind::Lost => {
                 step.set_phase(index, TaskPhase::Waiting);
-                self.give_up_if(spent);
+                self.give_up_if_spent(number, task);
             }
             _ => step.set_phase(index, TaskPhase::Waiting),
         }
@@ -244,15 +253,18 @@
         let Some(record) = step.and_then(|step| step.tasks.get_mut(task.index as usize)) else {
             return;
         };
-        let current = matches!(&record.phase, TaskPhase::Placed { run: now, .. } if *now == run);
-        let spent = current && count_crash(record, evidence);
-        self.give_up_if(spent);
+        if matches!(&record.phase, TaskPhase::Placed { run: now, .. } if *now == run) {
+            count_crash(record, evidence);
+        }
     }
 
     /// Gives the job up for a task that, started again and again, would take one worker after the other
     /// down.
-    fn give_up_if(&mut self, spent: bool) {
-        if spent && self.outcome == JobOutcome::Open {
+    fn give_up_if_spent(&mut self, step: usize, task: TaskKey) {
+        let time = self.times.get(&task.step.time);
+        let record = time.and_then(|time| time.steps[step].tasks.get(task.index as usize));
+        let count = record.and_then(TaskRecord::crash_count);
+        if count.is_some_and(CrashCount::is_spent) && self.outcome == JobOutcome::Open {
             self.outcome = JobOutcome::Failed;
         }
     }
@@ -302,14 +314,7 @@
                 task,
                 run,
                 evidence,
-                at,
-            } => {
-                let open = job.outcome == JobOutcome::Open;
-                job.apply_crash(*task, *run, *evidence);
-                if open && job.outcome != JobOutcome::Open {
-                    job.ended_at = *at;
-                }
-            }
+            } => job.apply_crash(*task, *run, *evidence),
         }
     }
 
--- a/crates/bankvalve_queue/src/ledger/step_record.rs
+++ b/crates/bankvalve_queue/src/ledger/step_record.rs
@@ -168,18 +168,16 @@
     }
 }
 
-/// A worker ended under a task; tells whether that is enough to give it up. It counts against that one
-/// alone, also in a gang: of forty members on as many workers the others have nothing to do with it.
-pub(super) fn count_crash(task: &mut TaskRecord, evidence: CrashEvidence) -> bool {
+/// A worker ended under a task. It counts against that one alone, also in a gang: of forty members on
+/// as many workers the others have nothing to do with it.
+pub(super) fn count_crash(task: &mut TaskRecord, evidence: CrashEvidence) {
     let TaskPhase::Placed { worker, run } = &task.phase else {
-        return false;
+        return;
     };
     let end = CrashEnd {
         worker: worker.clone(),
         run: *run,
         evidence,
     };
-    let count = task.crashes.get_or_insert_default();
-    count.note(end);
-    count.is_spent()
+    task.crashes.get_or_insert_default().note(end);
 }
--- a/crates/bankvalve_queue/tests/book.rs
+++ b/crates/bankvalve_queue/tests/book.rs
@@ -3,8 +3,8 @@
 use std::sync::Arc;
 
 use bankvalve_queue::{
-    EndKind, JobBook, JobSpec, JobState, JobTerms, LedgerEvent, StepKey, StepSpec, TaskKey,
-    TaskPhase,
+    CrashWeight, EndKind, JobBook, JobSpec, JobState, JobTerms, LedgerEvent, StepKey, StepSpec,
+    TaskKey, TaskPhase,
 };
 
 fn task(index: u32) -> TaskKey {
@@ -253,3 +253,23 @@
     assert_eq!(record.failures, 0);
     assert!(matches!(record.phase, TaskPhase::Placed { run: 1, .. }));
 }
+
+#[test]
+fn an_end_that_an_earlier_version_kept_with_a_word_alone_makes_a_suspect_at_most() {
+    /// An end as it was kept: the evidence was a word.
+    #[derive(serde::Serialize)]
+    enum EarlierEnd {
+        Crashed(&'static str),
+    }
+    let kept = rmp_serde::to_vec(&EarlierEnd::Crashed("Alone")).expect("it can be encoded");
+    let how: EndKind = rmp_serde::from_slice(&kept).expect("it can be read");
+    let EndKind::Crashed(evidence) = how else {
+        panic!("expected a worker's end, found {how:?}");
+    };
+    assert_eq!(evidence.weight, CrashWeight::Young);
+    assert!(!evidence.confirmed);
+    let again: EndKind =
+        rmp_serde::from_slice(&rmp_serde::to_vec(&how).expect("it can be encoded"))
+            .expect("it can be read");
+    assert_eq!(again, how);
+}
