test(site): suspects lost with their domain at other ages, refusals after a cut, guilty tasks of other ages

A suspect that is lost with its failure domain 20 to 290 ms after its start, and one that is ordered into a cut after which the port refuses, must succeed. Guilty tasks that end their workers after 10 to 5,000 ms, which are back after 0 to 1,300 ms, must be shown as failed after five workers at most. Beside the test of a suspect lost with its domain, which stays as it was.

--- a/crates/bankvalve_check/tests/site/crashing.rs
+++ b/crates/bankvalve_check/tests/site/crashing.rs
@@ -125,6 +125,32 @@
     }
 }
 
+#[test]
+fn guilty_tasks_of_any_age_and_any_time_away_are_given_up() {
+    // Seen: tasks that end their workers after more than two seconds, or whose worker was back before
+    // its port was seen to refuse, were never given up and went on ending workers. An end was proof
+    // only at a small age, and only a refused port told by when the worker had ended.
+    let mut wrong = Vec::new();
+    for after_ms in [10, 1_700, 2_100, 3_000, 5_000] {
+        for down_ms in [0, 5, 40, 300, 1_300] {
+            let mut world = site(11);
+            submit_healthy(&mut world, 1, 10);
+            // Its tasks work for longer than they leave their workers.
+            world.work_ms.insert(CRASHING, 20_000);
+            submit_crashing(&mut world, CRASHING, TaskCrash { after_ms, down_ms });
+            submit_healthy(&mut world, 11, 100);
+            world.run_until(150_000);
+            assert_kept(&world);
+            let shown = world.shown.get(&CRASHING).copied();
+            let ended = world.rules.crashes_of(CRASHING);
+            if shown != Some(JobState::Failed) || ended > 5 {
+                wrong.push((after_ms, down_ms, shown, ended));
+            }
+        }
+    }
+    assert_eq!(wrong, []);
+}
+
 #[test]
 fn workers_whose_ports_stay_dead_tell_the_guilty_task_as_well() {
     // Found with seed 11: without a new life that answers, each end was little evidence, so that the
--- a/crates/bankvalve_check/tests/site/storms.rs
+++ b/crates/bankvalve_check/tests/site/storms.rs
@@ -3,10 +3,11 @@
 //! Seen on a site of some fifty workers, in days on which workers were lost one after the other: jobs
 //! were shown as failed none of whose tasks had failed as often as it may, or ends the workers that
 //! run it. Runs that had just been ordered when their worker was lost were taken for ones that had
-//! ended it, also where the order had never arrived and where the whole failure domain went; two such
-//! ends, or four of any kind over the life of a job that lasts, were taken for proof. That the jobs
-//! were given up at just these ends, with no end `failed` before, and that the same tasks ran to a
-//! good end in worlds without the losses, proved it.
+//! ended it, also where the order had never arrived and where the whole failure domain went. Two such
+//! ends, the second with nothing else placed beside it, were taken for proof; so were four of any kind
+//! under one task, even of orders that were never sent. That the jobs were given up at just these ends,
+//! with no end `failed` before, and that the same tasks ran to a good end in worlds without the losses,
+//! proved it.
 
 use bankvalve_check::site::{
     job_of, run_storm_episode, SitePlan, SiteWorld, TaskCrash, QUEUE, URGENT_QUEUE,
@@ -137,6 +138,54 @@
     }
 }
 
+/// As `play_order_into_a_cut`, but the cut may begin shortly before the order, and the worker's port
+/// refuses once it is over.
+fn play_refusal_after_a_cut(
+    seed: u64,
+    workers: usize,
+    since_ms: u64,
+    cut_ms: u64,
+    (address, ordered_ms): (&str, u64),
+) -> SiteWorld {
+    let mut world = site(seed, workers, 10);
+    let _ = make_suspect(&mut world);
+    world.run_until(ordered_ms - since_ms);
+    let cut_until = ordered_ms + cut_ms;
+    world.worker_cut_until.insert(address.to_owned(), cut_until);
+    while world.now_ms < ordered_ms + 50 {
+        let until = world.now_ms + STEP_MS;
+        world.run_until(until);
+        assert_eq!(holder(&world), None, "a run began behind the cut");
+    }
+    world.end_worker(address, 5_000);
+    world
+}
+
+#[test]
+fn an_order_into_a_cut_after_which_the_port_refuses_is_not_held_against_its_task() {
+    // Seen: a suspect was ordered to a worker that was cut off and ended behind the cut; the port
+    // refused once the cut was over, and the job was given up. The refusal told that the worker had
+    // ended, and was taken to tell that the task had run there, though no order was answered.
+    for workers in [10, 40] {
+        for seed in 1..3 {
+            let mut free = site(seed, workers, 10);
+            let first = make_suspect(&mut free);
+            let (address, _) = run_above(&mut free, first);
+            let order = (address.as_str(), free.now_ms);
+            for since_ms in [100, 300, 1_100] {
+                for cut_ms in [100, 300, 1_000, 1_500] {
+                    let mut world =
+                        play_refusal_after_a_cut(seed, workers, since_ms, cut_ms, order);
+                    let case = format!(
+                        "seed {seed}, {workers} workers, cut {since_ms} before to {cut_ms} ms after"
+                    );
+                    assert_succeeds(&mut world, &case);
+                }
+            }
+        }
+    }
+}
+
 #[test]
 fn a_suspect_that_is_lost_with_its_failure_domain_is_not_held_to_have_ended_it() {
     for seed in 1..9 {
@@ -158,6 +207,38 @@
     }
 }
 
+#[test]
+fn a_suspect_that_is_lost_with_its_failure_domain_at_any_age_is_not_held_to_have_ended_it() {
+    // Seen: a suspect that was tried alone was given up when its whole failure domain was lost within
+    // 0.2 s of its start. An end so early was proof by its age alone, whatever else ended with it.
+    let (small, few, large) = ((40, 10), (40, 4), (350, 15));
+    for ((workers, domains), ages_ms, seeds) in [
+        (small, &[20, 60, 150, 290][..], 1..5),
+        (few, &[20, 60, 150, 290][..], 1..5),
+        (large, &[20, 150][..], 1..2),
+    ] {
+        for seed in seeds {
+            for after_ms in ages_ms {
+                let mut world = site(seed, workers, domains);
+                let first = make_suspect(&mut world);
+                let (struck, _) = run_above(&mut world, first);
+                let until = world.now_ms + after_ms;
+                world.run_until(until);
+                let domain = world.domain_of(&struck);
+                let addresses: Vec<String> = world.workers.keys().cloned().collect();
+                for address in addresses {
+                    if world.domain_of(&address) == domain {
+                        world.end_worker(&address, 4_000);
+                    }
+                }
+                let case =
+                    format!("seed {seed}, {workers} workers in {domains} domains, {after_ms} ms");
+                assert_succeeds(&mut world, &case);
+            }
+        }
+    }
+}
+
 #[test]
 fn a_guilty_task_beside_series_of_losses_is_given_up_once_all_is_calm() {
     for seed in 1..5 {
