--- a/crates/bankvalve_check/tests/site/storms.rs
+++ b/crates/bankvalve_check/tests/site/storms.rs
@@ -106,6 +106,23 @@
     assert_eq!(wrong, []);
 }
 
+#[test]
+fn no_healthy_job_is_given_up_though_two_workers_end_by_chance_right_after_its_trials_begin() {
+    // The worker of a bystander ends 0.7 s after its start, that of its trial after 0.1 s, alone, and
+    // that of the next one after 0.05 s: reckoned as seven in a million.
+    let report = run_storm_episode(2_003, None);
+    assert_eq!(report.breaches, []);
+}
+
+#[test]
+fn drawn_storms_leave_no_task_that_lasts_away_and_no_guilty_one_started_too_often() {
+    // Seen in 2 of 106 drawn runs; what they have in common, if anything, is not traced.
+    for seed in [1_020, 2_029] {
+        let report = run_storm_episode(seed, None);
+        assert_eq!(report.breaches, [], "seed {seed}");
+    }
+}
+
 /// Plays a suspect whose second worker is cut off some time before the order comes, and whose life
 /// ends behind the cut; without a cut it tells when the order comes.
 fn play_order_into_a_cut(seed: u64, cut: Option<(&str, u64)>) -> (SiteWorld, String, u64) {
