feat(platform): read when a worker's process started; tell of restarts and of ends passed over

It is decoded once, into ProcessStart of the core, from entries and from lists. The leader logs 'workers restarted' and 'runs end_passed_over' and counts both. Nothing is decided by it yet.

--- a/crates/bankvalve_check/src/site/site_workers.rs
+++ b/crates/bankvalve_check/src/site/site_workers.rs
@@ -1,8 +1,8 @@
 //! Workers of a site: their lives, their runs and their gangs.
 
 use bankvalve_queue::{
-    CoreEvent, EndKind, StartRefusal, StepKey, TaskKey, TaskSize, Ticket, WorkerAnswer, WorkerCall,
-    WorkerEntry, WorkerId,
+    CoreEvent, EndKind, ProcessStart, StartRefusal, StepKey, TaskKey, TaskSize, Ticket,
+    WorkerAnswer, WorkerCall, WorkerEntry, WorkerId,
 };
 use bankvalve_standin::site::{SiteWorker, WorkerNews};
 use rand::Rng;
@@ -53,6 +53,7 @@
             },
             leaving: false,
             remaining_ms: None,
+            started: Some(ProcessStart(self.wall_ms())),
         };
         self.store.set_worker(&id, Some(entry.clone()));
         let offset = self.rng.random_range(0..100_000);
--- a/crates/bankvalve_queue/src/core/holds.rs
+++ b/crates/bankvalve_queue/src/core/holds.rs
@@ -423,6 +423,19 @@
         let Some(seat) = lead.seats.get_mut(id) else {
             return;
         };
+        let before = std::mem::replace(&mut seat.started, report.started);
+        if seat.proved && before != report.started {
+            self.counters.count("workers", "restarted");
+            let detail = format!("{before:?} before, {:?} now", report.started);
+            self.log("workers", "restarted", id.to_string(), detail);
+        }
+        let Some(seat) = self
+            .lead
+            .as_deref_mut()
+            .and_then(|lead| lead.seats.get_mut(id))
+        else {
+            return;
+        };
         let first = !seat.proved;
         seat.proved = true;
         if first {
--- a/crates/bankvalve_queue/src/core/reports.rs
+++ b/crates/bankvalve_queue/src/core/reports.rs
@@ -57,6 +57,19 @@
             return;
         };
         if end.number <= seat.seen {
+            let held = seat.runs.get(&end.task);
+            if held.is_some_and(|live| live.run == end.run) {
+                let seen = seat.seen;
+                self.counters.count("ends", "passed_over");
+                self.log_often("runs", "end_passed_over", || {
+                    let (how, number) = (end.how.as_str(), end.number);
+                    let detail = format!(
+                        "run {} on {id}: {how}, its number {number} is not above {seen}, the last taken",
+                        end.run
+                    );
+                    (end.task.to_string(), detail)
+                });
+            }
             return;
         }
         seat.seen = end.number;
--- a/crates/bankvalve_queue/src/core/seat.rs
+++ b/crates/bankvalve_queue/src/core/seat.rs
@@ -7,7 +7,7 @@
 use crate::ids::{CoreTime, JobId, RunId, StepKey, TaskKey};
 use crate::job::{StepSpec, TaskSize};
 use crate::ledger::{CrashEvidence, CrashWeight};
-use crate::worker::WorkerEntry;
+use crate::worker::{ProcessStart, WorkerEntry};
 
 /// A worker that was heard so lately gets work.
 const HEARD_LATELY: Duration = Duration::from_millis(1_300);
@@ -314,6 +314,8 @@
     pub(super) runs: BTreeMap<TaskKey, LiveRun>,
     pub(super) used: TaskSize,
     pub(super) reserved: Vec<Reservation>,
+    /// Start of the process that answers, as its last list told.
+    pub(super) started: Option<ProcessStart>,
     /// Greatest number of an end that was taken.
     pub(super) seen: u64,
     /// Greatest number of an end that is kept.
@@ -353,6 +355,7 @@
             runs: BTreeMap::new(),
             used: TaskSize::default(),
             reserved: Vec::new(),
+            started: None,
             seen: 0,
             kept: 0,
             slowness: 0.0,
--- a/crates/bankvalve_queue/src/lib.rs
+++ b/crates/bankvalve_queue/src/lib.rs
@@ -44,6 +44,6 @@
     WorkerNews,
 };
 pub use worker::{
-    AdviceAnswer, AdviceAsk, EndReport, HoldReport, RunReport, StartOrder, StartRefusal,
-    WorkerAnswer, WorkerCall, WorkerEntry,
+    AdviceAnswer, AdviceAsk, EndReport, HoldReport, ProcessStart, RunReport, StartOrder,
+    StartRefusal, WorkerAnswer, WorkerCall, WorkerEntry,
 };
--- a/crates/bankvalve_queue/src/worker.rs
+++ b/crates/bankvalve_queue/src/worker.rs
@@ -2,9 +2,24 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::ids::{CoreTime, RunId, StepKey, TaskKey, WorkerId};
+use crate::ids::{CoreTime, RunId, StepKey, TaskKey, WallMillis, WorkerId};
 use crate::job::TaskSize;
 
+/// When a worker's process started, in Unix milliseconds by its own time of day.
+///
+/// It tells the incarnations of a worker apart, which may bear one id. Time of day may step back, so that
+/// a later incarnation may have a smaller one: which of two is newer does not follow from it.
+///
+/// # Examples
+///
+/// ```
+/// use bankvalve_queue::ProcessStart;
+///
+/// assert_ne!(ProcessStart(1_767_823_612_823), ProcessStart(1_767_823_612_824));
+/// ```
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ProcessStart(pub WallMillis);
+
 /// A worker's own account of itself.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct WorkerEntry {
@@ -22,6 +37,8 @@
     pub leaving: bool,
     /// Least time left before it leaves, in milliseconds.
     pub remaining_ms: Option<u64>,
+    /// Start of the process that wrote it, if it says so.
+    pub started: Option<ProcessStart>,
 }
 
 /// An order to start a run.
@@ -141,6 +158,8 @@
     pub running: Vec<RunReport>,
     /// Ends that it has not been told to forget.
     pub ended: Vec<EndReport>,
+    /// Start of the process whose lists these are, if it says so.
+    pub started: Option<ProcessStart>,
 }
 
 /// What became of a call to a worker.
--- a/crates/bankvalve_standin/src/site/site_platform.rs
+++ b/crates/bankvalve_standin/src/site/site_platform.rs
@@ -8,8 +8,8 @@
 use bankvalve_link::{HttpAnswer, HttpRequest, HttpServer, ServerLimits};
 use bankvalve_platform::counterpart::{self, PlatformCall};
 use bankvalve_queue::{
-    EndKind, FenceToken, QueueTable, RunId, StoreOutcome, StoreRequest, TaskKey, TaskSize,
-    WireAnswer, WorkerAnswer, WorkerCall, WorkerEntry, WorkerId,
+    EndKind, FenceToken, ProcessStart, QueueTable, RunId, StoreOutcome, StoreRequest, TaskKey,
+    TaskSize, WireAnswer, WorkerAnswer, WorkerCall, WorkerEntry, WorkerId,
 };
 
 use super::{SitePolicy, SiteStore, SiteWorker, WorkerNews};
@@ -18,6 +18,8 @@
 const LOOK: Duration = Duration::from_millis(4);
 /// Time for which a call is left without an answer; callers give up long before.
 const SILENCE: Duration = Duration::from_secs(120);
+/// Start of a first process, in Unix milliseconds, to which a worker's number is added.
+const FIRST_START_MS: u64 = 1_000_000_000_000;
 /// Work of a task whose text does not tell it, in milliseconds.
 const WORK_MS: u64 = 100;
 
@@ -181,6 +183,7 @@
             },
             leaving: false,
             remaining_ms: None,
+            started: Some(ProcessStart(FIRST_START_MS + number)),
         };
         state.store.set_worker(&id, Some(entry.clone()));
         let worker = SiteWorker::new(id.clone(), entry, number * 10_000);
--- a/crates/bankvalve_standin/src/site/site_worker.rs
+++ b/crates/bankvalve_standin/src/site/site_worker.rs
@@ -201,6 +201,7 @@
         HoldReport {
             running: running.chain(self.also_listed.iter().cloned()).collect(),
             ended: self.ends.clone(),
+            started: self.entry.started,
         }
     }
 
