--- a/crates/bankvalve_check/src/site/mod.rs
+++ b/crates/bankvalve_check/src/site/mod.rs
@@ -21,6 +21,7 @@
 mod site_promise;
 mod site_random;
 mod site_recovery;
+mod site_restarts;
 mod site_return;
 mod site_rooms;
 mod site_rules;
@@ -44,11 +45,13 @@
 pub use site_overload::{play_overload, ScarceMeans, ServedLoad};
 pub use site_plan::{SiteNode, SitePlan};
 pub use site_processor::{NodeProcessor, StepTime};
+use site_random::run_episode;
 pub use site_random::{
     run_broken_episode, run_crash_episode, run_loss_episode, run_short_episode, run_site_episode,
     run_site_random, SiteBurden, SiteReport,
 };
 pub use site_recovery::LinkRecord;
+pub use site_restarts::{run_restart_episode, WorkerRestart};
 pub use site_rules::{RuleBook, RuleBreach, RunGap};
 pub use site_storm_figures::StormFigures;
 pub use site_storm_losses::StormLoss;
--- a/crates/bankvalve_check/src/site/site_crashes.rs
+++ b/crates/bankvalve_check/src/site/site_crashes.rs
@@ -5,6 +5,7 @@
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 
+use super::site_restarts::WorkerRestart;
 use super::site_world::{Later, SiteWorld};
 
 /// Time from the end of a worker until its entry runs out, in milliseconds: that of heartbeats of
@@ -141,7 +142,15 @@
         if live.is_some_and(|live| live.run == run) {
             self.rules.crashed(task);
             self.storms.lost_at.push(self.now_ms);
-            self.end_worker(address, crash.down_ms);
+            if self.crashed_keep_ids {
+                let restart = WorkerRestart {
+                    down_ms: crash.down_ms,
+                    ..WorkerRestart::default()
+                };
+                self.restart_worker(address, restart);
+            } else {
+                self.end_worker(address, crash.down_ms);
+            }
         }
     }
 
--- a/crates/bankvalve_check/src/site/site_faults.rs
+++ b/crates/bankvalve_check/src/site/site_faults.rs
@@ -90,6 +90,27 @@
         SiteFault::StoreVerySlow,
     ];
 
+    /// Kinds that are drawn beside restarts of workers.
+    pub const BESIDE_RESTARTS: [SiteFault; 17] = [
+        SiteFault::KillLeader,
+        SiteFault::KillAny,
+        SiteFault::KillAll,
+        SiteFault::FreezeLeader,
+        SiteFault::StopLeader,
+        SiteFault::CutLeaderFromStore,
+        SiteFault::TurnLeaderAway,
+        SiteFault::CutFromPeers,
+        SiteFault::StoreBusy,
+        SiteFault::StoreSilent,
+        SiteFault::StoreSlow,
+        SiteFault::StoreLost,
+        SiteFault::ForgetHistory,
+        SiteFault::CrashWorker,
+        SiteFault::CutWorker,
+        SiteFault::LateOrders,
+        SiteFault::SilentPeers,
+    ];
+
     /// Strikes.
     pub fn strike(self, world: &mut SiteWorld) {
         let now = world.now_ms;
--- a/crates/bankvalve_check/src/site/site_links.rs
+++ b/crates/bankvalve_check/src/site/site_links.rs
@@ -97,6 +97,7 @@
                     let limit = time.as_millis() as u64;
                     self.after(limit, Later::Event { node, life, event });
                 }
+                let received_by = self.process_at(&address).filter(|_| late);
                 // A late order's answer finds nobody, and neither does a lost one.
                 let life = if late || lost { 0 } else { life };
                 self.after(
@@ -109,6 +110,7 @@
                         address,
                         token,
                         call,
+                        received_by,
                     },
                 );
             }
--- a/crates/bankvalve_check/src/site/site_random.rs
+++ b/crates/bankvalve_check/src/site/site_random.rs
@@ -10,6 +10,7 @@
 use super::site_crashes::DrawnCrashes;
 use super::site_drawn_losses::{cancel_lasting, DrawnLosses};
 use super::site_operator::DrawnOperator;
+use super::site_restarts::DrawnRestarts;
 use super::site_storm_figures::StormFigures;
 use super::site_storms::run_storm_episode;
 use super::site_world::HOLD_LIMIT_MS;
@@ -76,6 +77,8 @@
     pub away_ms: Vec<u64>,
     /// What series of lost workers showed.
     pub storms: StormFigures,
+    /// Processes of workers that ended to start again under their ids.
+    pub restarts: u64,
 }
 
 impl SiteReport {
@@ -94,6 +97,7 @@
             versions: 0,
             told: world.told.len() as u64,
             storms: StormFigures::default(),
+            restarts: world.restarts,
         }
     }
 }
@@ -146,11 +150,13 @@
     /// Nothing, but workers are lost in series in all manners, leaders in between, while some tasks end
     /// the workers that run them and some last.
     Storms,
+    /// Nothing, but workers start again under their ids in series.
+    Restarts,
 }
 
 impl SiteBurden {
     /// All burdens.
-    pub const ALL: [SiteBurden; 8] = [
+    pub const ALL: [SiteBurden; 9] = [
         SiteBurden::Usual,
         SiteBurden::Carried,
         SiteBurden::Hubs,
@@ -159,6 +165,7 @@
         SiteBurden::Crashes,
         SiteBurden::Losses,
         SiteBurden::Storms,
+        SiteBurden::Restarts,
     ];
 
     /// Name used on the command line.
@@ -178,14 +185,17 @@
             SiteBurden::Crashes => "crashes",
             SiteBurden::Losses => "losses",
             SiteBurden::Storms => "storms",
+            SiteBurden::Restarts => "restarts",
         }
     }
 
     fn strengths(self) -> Option<Vec<u64>> {
         match self {
-            SiteBurden::Usual | SiteBurden::Crashes | SiteBurden::Losses | SiteBurden::Storms => {
-                None
-            }
+            SiteBurden::Usual
+            | SiteBurden::Crashes
+            | SiteBurden::Losses
+            | SiteBurden::Storms
+            | SiteBurden::Restarts => None,
             SiteBurden::Carried | SiteBurden::Link => Some(vec![10; 5]),
             SiteBurden::Processor => Some(vec![1_000; 4]),
             SiteBurden::Hubs => {
@@ -198,9 +208,10 @@
     fn lay(self, world: &mut SiteWorld) {
         match self {
             SiteBurden::Usual | SiteBurden::Carried | SiteBurden::Hubs => {}
-            SiteBurden::Crashes | SiteBurden::Losses | SiteBurden::Storms => {
-                world.looks_wait = true
-            }
+            SiteBurden::Crashes
+            | SiteBurden::Losses
+            | SiteBurden::Storms
+            | SiteBurden::Restarts => world.looks_wait = true,
             SiteBurden::Processor => {
                 world.looks_wait = true;
                 for node in &mut world.nodes {
@@ -218,7 +229,7 @@
     }
 }
 
-fn run_episode(
+pub(super) fn run_episode(
     seed: u64,
     kinds: &[SiteFault],
     broken: Option<SiteGuard>,
@@ -237,6 +248,7 @@
         None if large => (strengths.len(), strengths.to_vec()),
         None => (3 + (seed % 3) as usize, Vec::new()),
     };
+    let mut restarts = (burden == SiteBurden::Restarts).then(|| DrawnRestarts::new(seed, FIRST_MS));
     let mut losses = (burden == SiteBurden::Losses).then(|| DrawnLosses::new(seed, FIRST_LOSS_MS));
     let (troubled_ms, hold_limit_ms, pace) = match losses {
         Some(_) => (
@@ -284,6 +296,9 @@
         if let Some(losses) = losses.as_mut() {
             losses.act(&mut world);
         }
+        if let Some(restarts) = restarts.as_mut() {
+            restarts.act(&mut world);
+        }
         job += 1;
         submit_drawn(&mut world, job, crashes.as_mut());
         if world.rng.random_range(0..20) == 0 {
@@ -429,18 +444,24 @@
     let (mut done, mut starts, mut accepted) = (0, 0, 0);
     let (mut versions, mut told) = (0, 0);
     let (mut passed, mut failed) = (0, 0);
+    let mut restarts = 0;
     let mut faults: BTreeMap<SiteFault, u64> = BTreeMap::new();
     let mut pairs: BTreeMap<(WorkerLoss, LeaderLoss), u64> = BTreeMap::new();
     let mut away_ms = Vec::new();
     let mut storms = StormFigures::default();
     let mut number = seed;
     while done < events {
-        let report = run_episode(number, kinds_of(number), broken, burden);
+        let kinds = match burden {
+            SiteBurden::Restarts => &SiteFault::BESIDE_RESTARTS,
+            _ => kinds_of(number),
+        };
+        let report = run_episode(number, kinds, broken, burden);
         done += report.events;
         starts += report.starts;
         accepted += report.accepted;
         versions += report.versions;
         told += report.told;
+        restarts += report.restarts;
         for (pair, count) in report.pairs {
             *pairs.entry(pair).or_default() += count;
         }
@@ -475,6 +496,7 @@
     let seconds = begun.elapsed().as_secs_f64();
     println!("{done} events, {accepted} jobs accepted, {starts} starts, {seconds:.1} s");
     println!("{versions} configurations, {told} callers told of queues");
+    println!("{restarts} workers started again under their ids");
     println!("{passed} passed, {failed} failed");
     if failed == 0 {
         ExitCode::SUCCESS
--- /dev/null
+++ b/crates/bankvalve_check/src/site/site_restarts.rs
@@ -0,0 +1,179 @@
+//! Workers whose process ends and starts again under the same id.
+
+use bankvalve_queue::{EndKind, ProcessStart, SiteGuard, WorkerId};
+use bankvalve_standin::site::SiteWorker;
+use rand::seq::SliceRandom;
+use rand::{Rng, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+
+use super::site_world::{Later, SiteWorld};
+use super::{run_episode, SiteBurden, SiteFault, SiteReport};
+
+/// Silence of a worker after which its entry is gone, in milliseconds: three heartbeats.
+const ENTRY_LEFT_MS: u64 = 4_500;
+/// Time of day is this far from true at most, in milliseconds.
+const STEP_MS: u64 = 5_000;
+/// Time until the new process has written its entry, in milliseconds.
+const ENTRY_MS: std::ops::Range<u64> = 0..1_500;
+/// Time for which a process is down: at times less than lies between two looks, in milliseconds.
+const SHORT_DOWN_MS: std::ops::Range<u64> = 0..20;
+const DOWN_MS: std::ops::Range<u64> = 20..6_000;
+/// Time between two series of restarts, in milliseconds.
+const SERIES_PAUSE_MS: std::ops::Range<u64> = 800..7_000;
+/// Time over which the restarts of a series are spread, in milliseconds.
+const SPREAD_MS: std::ops::Range<u64> = 1..800;
+/// Most workers of a series, in percent.
+const MOST_PERCENT: usize = 40;
+
+/// How a worker's process ends and starts again.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct WorkerRestart {
+    /// Time for which no process is there, in milliseconds.
+    pub down_ms: u64,
+    /// Whether open connections are not reset, as after a loss of power: looks that wait are not answered.
+    pub silent: bool,
+    /// Time from the start of the new process until it has written its entry, in milliseconds.
+    pub entry_after_ms: u64,
+    /// How far the time of day of the new process is behind the true one, in milliseconds.
+    pub behind_ms: u64,
+    /// What the steady clock of the new process begins with, in milliseconds.
+    pub clock_ms: u64,
+}
+
+impl WorkerRestart {
+    /// Draws one of whichever kind.
+    fn drawn(rng: &mut Pcg64Mcg) -> Self {
+        let short = rng.random_range(0..2) == 0;
+        let behind = rng.random_range(0..3) == 0;
+        Self {
+            down_ms: rng.random_range(if short { SHORT_DOWN_MS } else { DOWN_MS }),
+            silent: rng.random_range(0..3) == 0,
+            entry_after_ms: rng.random_range(ENTRY_MS),
+            behind_ms: if behind {
+                rng.random_range(0..STEP_MS)
+            } else {
+                0
+            },
+            clock_ms: rng.random_range(0..100_000),
+        }
+    }
+}
+
+impl SiteWorld {
+    /// A worker's process ends, and another starts under its id and at its address after a time.
+    pub fn restart_worker(&mut self, address: &str, restart: WorkerRestart) {
+        let Some(worker) = self.workers.get_mut(address).and_then(Option::take) else {
+            return;
+        };
+        self.runs_end_with(&worker);
+        for (task, run) in worker.runs() {
+            self.gang_news(task.step, run.run, Some(EndKind::Lost));
+        }
+        if !restart.silent {
+            self.break_waiting_looks(address);
+        }
+        self.restarts += 1;
+        let worker_id = worker.id.clone();
+        self.after(ENTRY_LEFT_MS, Later::EntryGone { worker: worker_id });
+        let later = Later::ProcessStarts {
+            address: address.to_owned(),
+            worker: Box::new(worker),
+            restart,
+        };
+        self.after(restart.down_ms, later);
+    }
+
+    pub(super) fn process_starts(
+        &mut self,
+        address: String,
+        before: &SiteWorker,
+        restart: WorkerRestart,
+    ) {
+        if self.workers.get(&address).is_some_and(Option::is_some) {
+            return;
+        }
+        let (id, mut entry) = (before.id.clone(), before.entry.clone());
+        // Two processes differ in their start by a millisecond at least.
+        let start = self.wall_ms() - restart.behind_ms;
+        let start = match entry.started {
+            Some(ProcessStart(other)) if other == start => start + 1,
+            _ => start,
+        };
+        entry.started = Some(ProcessStart(start));
+        entry.leaving = false;
+        entry.remaining_ms = None;
+        // Offsets are added to the true time, so that a clock may begin with anything.
+        let offset = restart.clock_ms;
+        let mut worker = SiteWorker::restarted(id.clone(), entry, self.now_ms, offset);
+        worker.hold_limit_ms = self.hold_limit_ms;
+        self.workers.insert(address.clone(), Some(worker));
+        let back = Later::EntryBack {
+            address,
+            worker: id,
+        };
+        self.after(restart.entry_after_ms, back);
+    }
+
+    /// Start of the process that listens at an address.
+    pub(super) fn process_at(&self, address: &str) -> Option<ProcessStart> {
+        self.workers.get(address)?.as_ref()?.entry.started
+    }
+
+    /// Tells whether a process of a worker lives and reaches the table.
+    pub(super) fn writes_entry(&self, id: &WorkerId) -> bool {
+        self.workers.iter().any(|(address, worker)| {
+            let off = self.worker_off_table_until.get(address);
+            let reaches = off.is_none_or(|until| *until <= self.now_ms);
+            reaches && worker.as_ref().is_some_and(|worker| worker.id == *id)
+        })
+    }
+
+    /// Restarts a share of the workers, each in a manner of its own.
+    fn restart_share(&mut self, rng: &mut Pcg64Mcg) {
+        let mut addresses: Vec<String> = self.workers.keys().cloned().collect();
+        addresses.shuffle(rng);
+        let most = (addresses.len() * MOST_PERCENT / 100).max(1);
+        addresses.truncate(rng.random_range(1..=most));
+        let spread = rng.random_range(SPREAD_MS);
+        for address in addresses {
+            let restart = WorkerRestart::drawn(rng);
+            let delay = rng.random_range(0..spread);
+            self.after(delay, Later::ProcessEnds { address, restart });
+        }
+    }
+}
+
+/// Draws series of restarts, by a source of its own.
+#[derive(Debug)]
+pub(super) struct DrawnRestarts {
+    rng: Pcg64Mcg,
+    next_ms: u64,
+}
+
+impl DrawnRestarts {
+    pub(super) fn new(seed: u64, first_ms: u64) -> Self {
+        Self {
+            rng: Pcg64Mcg::seed_from_u64(seed ^ 0x7265_7374_6172_7473),
+            next_ms: first_ms,
+        }
+    }
+
+    /// Begins a series if one is due.
+    pub(super) fn act(&mut self, world: &mut SiteWorld) {
+        if world.now_ms >= self.next_ms {
+            world.restart_share(&mut self.rng);
+            self.next_ms = world.now_ms + self.rng.random_range(SERIES_PAUSE_MS);
+        }
+    }
+}
+
+/// Runs one episode in which workers start again under their ids in series, with a guard taken away
+/// if asked.
+pub fn run_restart_episode(seed: u64, broken: Option<SiteGuard>) -> SiteReport {
+    run_episode(
+        seed,
+        &SiteFault::BESIDE_RESTARTS,
+        broken,
+        SiteBurden::Restarts,
+    )
+}
--- a/crates/bankvalve_check/src/site/site_workers.rs
+++ b/crates/bankvalve_check/src/site/site_workers.rs
@@ -274,12 +274,11 @@
             return;
         };
         let ended = worker.has_ends();
-        let offset = worker.clock_offset_ms;
         let next = worker
             .runs()
             .values()
             .filter_map(|run| run.ends)
-            .map(|(at, _)| (at - offset).max(now + 1))
+            .map(|(at, _)| worker.time_of(at).max(now + 1))
             .min()
             .unwrap_or(now + 500)
             .min(now + 500);
@@ -352,14 +351,14 @@
             return;
         }
         let now = self.now_ms;
-        let members: Vec<(String, TaskKey, u64)> = self
+        let members: Vec<(String, TaskKey)> = self
             .workers
             .iter()
             .filter_map(|(address, worker)| Some((address, worker.as_ref()?)))
             .flat_map(|(address, worker)| {
                 let runs = worker.runs().iter();
                 runs.filter(|(task, live)| task.step == step && live.run == run)
-                    .map(|(task, _)| (address.clone(), *task, worker.clock_offset_ms))
+                    .map(|(task, _)| (address.clone(), *task))
                     .collect::<Vec<_>>()
             })
             .collect();
@@ -376,7 +375,7 @@
         let Some(work) = work else {
             return;
         };
-        for (address, task, _) in members {
+        for (address, task) in members {
             if let Some(Some(worker)) = self.workers.get_mut(&address) {
                 worker.begin_work(task, now, work);
             }
--- a/crates/bankvalve_check/src/site/site_world.rs
+++ b/crates/bankvalve_check/src/site/site_world.rs
@@ -7,7 +7,7 @@
 
 use bankvalve_queue::{
     AdviceRule, CallerRequest, CoreEvent, DecisionLine, EntryCore, JobId, JobSpec, JobState,
-    PeerAddress, RunId, SiteGuard, StoreRequest, TaskKey, TaskSize, Ticket, WorkerId,
+    PeerAddress, ProcessStart, RunId, SiteGuard, StoreRequest, TaskKey, TaskSize, Ticket, WorkerId,
 };
 use bankvalve_standin::site::{SitePolicy, SiteStore, SiteWorker};
 use rand::SeedableRng;
@@ -19,6 +19,7 @@
 use super::site_crashes::TaskCrash;
 use super::site_lasting::LastingCheck;
 use super::site_losses::LossStep;
+use super::site_restarts::WorkerRestart;
 use super::site_silence::SilentLane;
 use super::site_storm_losses::{StormRecord, StormStep};
 use super::site_workers::WaitingLook;
@@ -84,6 +85,8 @@
         address: String,
         token: u64,
         call: bankvalve_queue::WorkerCall,
+        /// The process that has received it already and carries it out late; it is gone with it.
+        received_by: Option<ProcessStart>,
     },
     WorkerTime {
         address: String,
@@ -104,6 +107,17 @@
     ReviveWorker {
         address: String,
     },
+    /// A worker's process ends, to start again under its id.
+    ProcessEnds {
+        address: String,
+        restart: WorkerRestart,
+    },
+    /// A worker's next process starts under its id.
+    ProcessStarts {
+        address: String,
+        worker: Box<SiteWorker>,
+        restart: WorkerRestart,
+    },
     /// A task ends the worker that runs it.
     TaskCrash {
         address: String,
@@ -156,6 +170,8 @@
     /// Workers by address; none while one is down.
     pub workers: BTreeMap<String, Option<SiteWorker>>,
     pub(super) lives: u64,
+    /// Processes of workers that ended to start again under their ids.
+    pub restarts: u64,
     pub(super) policy: Option<SitePolicy>,
     /// What the policy service takes for an answer, one question of an instance at a time; if not
     /// set, some milliseconds whatever it is asked. Holds from the next configuration on.
@@ -196,6 +212,8 @@
     pub(super) old_rooms: BTreeMap<WorkerId, Vec<(u64, TaskSize)>>,
     /// What each task does that ends the workers that run it.
     pub crashing: BTreeMap<TaskKey, TaskCrash>,
+    /// Whether workers that such tasks end start again under their ids.
+    pub crashed_keep_ids: bool,
     /// Until when a worker is cut off, by address.
     pub worker_cut_until: BTreeMap<String, u64>,
     /// Whether a worker that is cut off shows as it does over real connections: the first call has no
@@ -284,6 +302,7 @@
             watches: Vec::new(),
             workers: BTreeMap::new(),
             lives: 0,
+            restarts: 0,
             policy,
             slow_advice: None,
             urgent_advice: None,
@@ -306,6 +325,7 @@
             fail_percent: 0,
             old_rooms: BTreeMap::new(),
             crashing: BTreeMap::new(),
+            crashed_keep_ids: false,
             worker_cut_until: BTreeMap::new(),
             cut_workers_take_no_connection: false,
             given_up_workers: BTreeSet::new(),
@@ -425,7 +445,12 @@
                 address,
                 token,
                 call,
+                received_by,
             } => {
+                let process = self.process_at(&address);
+                if received_by.is_some_and(|received_by| process != Some(received_by)) {
+                    return;
+                }
                 self.worker_arrives((node, life, ticket), &worker, &address, token, &call);
             }
             Later::WorkerTime { address } => self.worker_time(&address),
@@ -456,7 +481,14 @@
             },
             Later::Cancel { job } => self.cancel(job),
             Later::ReviveWorker { address } => self.add_worker(address),
+            Later::ProcessEnds { address, restart } => self.restart_worker(&address, restart),
+            Later::ProcessStarts {
+                address,
+                worker,
+                restart,
+            } => self.process_starts(address, &worker, restart),
             Later::TaskCrash { address, task, run } => self.task_crashes(&address, task, run),
+            Later::EntryGone { worker } if self.writes_entry(&worker) => {}
             Later::EntryGone { worker } => {
                 self.store.set_worker(&worker, None);
                 self.answer_watches();
--- a/crates/bankvalve_check/tests/site/main.rs
+++ b/crates/bankvalve_check/tests/site/main.rs
@@ -13,6 +13,7 @@
 mod permits;
 mod random;
 mod recover;
+mod restarts;
 mod sight;
 mod storms;
 mod table;
--- /dev/null
+++ b/crates/bankvalve_check/tests/site/restarts.rs
@@ -0,0 +1,334 @@
+//! Workers whose process ends and starts again under the same id: what belongs to one process of a worker
+//! must not be taken for the other's.
+
+use std::collections::BTreeSet;
+
+use bankvalve_check::site::{
+    job_of, run_restart_episode, SitePlan, SiteWorld, TaskCrash, WorkerRestart, QUEUE, URGENT_QUEUE,
+};
+use bankvalve_queue::{JobId, JobState, SiteGuard, StepKey, TaskKey};
+
+use crate::{assert_kept, follower};
+
+/// Workers of the site.
+const WORKERS: usize = 8;
+/// Time in which the runs of a lost worker are given up and start again elsewhere, in milliseconds: the
+/// longest hold on the users' sites, by a clock that is 2% slow, the silence before, and a start.
+const GIVEN_UP_MS: u64 = 13_000;
+
+fn site(seed: u64) -> SiteWorld {
+    site_with(seed, None, None)
+}
+
+fn site_with(seed: u64, good_percent: Option<u64>, broken: Option<SiteGuard>) -> SiteWorld {
+    let mut world = SiteWorld::new(SitePlan {
+        seed,
+        entries: 3,
+        strengths: Vec::new(),
+        broken,
+        without: None,
+        workers: WORKERS,
+        good_percent,
+    });
+    world.looks_wait = true;
+    world.run_until(1_000);
+    world
+}
+
+/// Hands jobs of two tasks in, one each `pace_ms`.
+fn submit(world: &mut SiteWorld, jobs: std::ops::Range<JobId>, pace_ms: u64) {
+    for job in jobs {
+        let queue = if job % 2 == 0 { QUEUE } else { URGENT_QUEUE };
+        world.submit(job_of(job, queue, &[2], false));
+        let until = world.now_ms + pace_ms;
+        world.run_until(until);
+    }
+}
+
+fn addresses(world: &SiteWorld) -> Vec<String> {
+    world.workers.keys().cloned().collect()
+}
+
+fn restart_all(world: &mut SiteWorld, restart: WorkerRestart) {
+    for address in addresses(world) {
+        world.restart_worker(&address, restart);
+    }
+}
+
+/// All jobs have succeeded, and no rule was broken.
+fn assert_all_done(world: &SiteWorld, jobs: usize) {
+    assert_kept(world);
+    let done = world.shown.values();
+    let done = done.filter(|state| **state == JobState::Succeeded).count();
+    assert_eq!(done, jobs);
+}
+
+/// A restart without a pause, whose entry is written at once.
+const AT_ONCE: WorkerRestart = WorkerRestart {
+    down_ms: 0,
+    silent: false,
+    entry_after_ms: 0,
+    behind_ms: 0,
+    clock_ms: 0,
+};
+
+/// Guards against ends that are passed over, and their runs repeated, since a restarted worker
+/// numbers its ends from 1 again.
+#[test]
+fn ends_of_a_restarted_worker_are_taken_by_its_own_numbers() {
+    for down_ms in [0, 5, 100, 1_300, 4_000] {
+        let mut world = site(1);
+        submit(&mut world, 1..60, 100);
+        let until = world.now_ms + 3_000;
+        world.run_until(until);
+        let starts = world.rules.starts;
+        restart_all(&mut world, WorkerRestart { down_ms, ..AT_ONCE });
+        let until = world.now_ms + down_ms + 200;
+        world.run_until(until);
+        submit(&mut world, 60..100, 100);
+        world.run_until(60_000);
+        assert_all_done(&world, 99);
+        assert_eq!(world.rules.starts - starts, 80, "down for {down_ms} ms");
+    }
+}
+
+/// Guards against ends that are acknowledged unread, by a look that bears the number which the process
+/// before had reached: ends wait to be kept, so that looks are far apart.
+#[test]
+fn ends_of_a_restarted_worker_are_not_acknowledged_by_the_numbers_of_the_process_before() {
+    for seed in 1..9 {
+        let mut world = site(seed);
+        for job in 1..400 {
+            world.work_ms.insert(job, 15);
+        }
+        submit(&mut world, 1..100, 30);
+        world.store_delay_ms = 250;
+        for round in 0..20 {
+            let first = 100 + round * 10;
+            submit(&mut world, first..first + 10, 30);
+            let all = addresses(&world);
+            let address = &all[round as usize % all.len()];
+            let silent = round % 2 == 0;
+            world.restart_worker(address, WorkerRestart { silent, ..AT_ONCE });
+        }
+        world.store_delay_ms = 0;
+        world.run_until(60_000);
+        assert_all_done(&world, 299);
+    }
+}
+
+/// Tasks of a job that run on some worker.
+fn running(world: &SiteWorld, job: JobId) -> BTreeSet<TaskKey> {
+    let workers = world.workers.values().flatten();
+    let tasks = workers.flat_map(|worker| worker.runs().keys());
+    tasks.filter(|task| task.step.job == job).copied().collect()
+}
+
+/// Address of the worker that runs a task of a job.
+fn place_of(world: &SiteWorld, job: JobId) -> String {
+    let runs = |address: &&String| {
+        let worker = world.workers[*address].as_ref();
+        worker.is_some_and(|worker| worker.runs().keys().any(|task| task.step.job == job))
+    };
+    let address = world.workers.keys().find(runs);
+    address.expect("a worker runs a task of the job").clone()
+}
+
+/// Guards against a hold that is reckoned by the clock of the process before, so that the runs of a
+/// worker that is lost later are waited for until the new clock has reached the old one.
+#[test]
+fn the_hold_of_a_restarted_worker_is_reckoned_by_its_own_clock() {
+    for clock_ms in [0, 1_000_000] {
+        let mut world = site(2);
+        submit(&mut world, 1..20, 100);
+        let until = world.now_ms + 3_000;
+        world.run_until(until);
+        let restart = WorkerRestart {
+            clock_ms,
+            ..AT_ONCE
+        };
+        restart_all(&mut world, restart);
+        let until = world.now_ms + 300;
+        world.run_until(until);
+        world.work_ms.insert(1_000, 600_000);
+        world.submit(job_of(1_000, QUEUE, &[1], false));
+        let until = world.now_ms + 5_000;
+        world.run_until(until);
+        let address = place_of(&world, 1_000);
+        world.lose_worker(&address, true);
+        let lost_at = world.now_ms;
+        while running(&world, 1_000).is_empty() && world.now_ms < lost_at + 120_000 {
+            let until = world.now_ms + 20;
+            world.run_until(until);
+        }
+        let away = world.now_ms - lost_at;
+        assert!(
+            away <= GIVEN_UP_MS,
+            "clock from {clock_ms}: away for {away} ms"
+        );
+        assert_kept(&world);
+    }
+}
+
+/// Guards against a run that starts elsewhere while an order of it, which had no answer, is carried out by
+/// the next process of the worker that it was meant for.
+#[test]
+fn an_order_that_the_next_process_carries_out_late_starts_nothing_twice() {
+    for seed in 1..13 {
+        let mut world = site(seed);
+        world.late_orders_percent = 40;
+        for round in 0..30 {
+            submit(&mut world, round * 5 + 1..round * 5 + 6, 40);
+            let all = addresses(&world);
+            let address = &all[round as usize % all.len()];
+            let silent = round % 3 == 0;
+            world.restart_worker(address, WorkerRestart { silent, ..AT_ONCE });
+        }
+        world.late_orders_percent = 0;
+        world.run_until(90_000);
+        assert_all_done(&world, 150);
+    }
+}
+
+/// Guards against an order by the start's time of day: the clock of a machine may have stepped back.
+#[test]
+fn a_restart_is_seen_though_the_time_of_day_stepped_back() {
+    let mut world = site(4);
+    submit(&mut world, 1..60, 100);
+    for behind_ms in [5_000, 0, 60_000] {
+        let restart = WorkerRestart {
+            behind_ms,
+            ..AT_ONCE
+        };
+        restart_all(&mut world, restart);
+        let until = world.now_ms + 200;
+        world.run_until(until);
+        let first = 60 + world.now_ms;
+        submit(&mut world, first..first + 20, 100);
+    }
+    world.run_until(60_000);
+    assert_all_done(&world, 119);
+}
+
+/// Guards against entries and lists that disagree for a while: the entry of the process before is read
+/// after the list of the next one, and the reverse.
+#[test]
+fn entries_and_lists_of_different_processes_break_no_rule() {
+    for entry_after_ms in [0, 400, 3_000] {
+        for silent in [false, true] {
+            let mut world = site(5);
+            submit(&mut world, 1..60, 100);
+            let restart = WorkerRestart {
+                down_ms: 40,
+                silent,
+                entry_after_ms,
+                ..AT_ONCE
+            };
+            restart_all(&mut world, restart);
+            submit(&mut world, 60..100, 100);
+            world.run_until(60_000);
+            assert_all_done(&world, 99);
+        }
+    }
+}
+
+/// Guards against permits that outlive the process that they were given for.
+#[test]
+fn permits_of_the_process_before_are_not_used() {
+    for seed in 1..5 {
+        let mut world = site_with(seed, Some(85), None);
+        submit(&mut world, 1..60, 60);
+        for round in 0..6 {
+            restart_all(&mut world, AT_ONCE);
+            let first = 60 + round * 10;
+            submit(&mut world, first..first + 10, 60);
+        }
+        world.run_until(60_000);
+        assert_all_done(&world, 119);
+        let refused = world.permit_refusals;
+        assert!(
+            refused <= 12,
+            "seed {seed}: {refused} starts without a permit"
+        );
+    }
+}
+
+/// Guards against evidence that is counted by the worker's id: two processes that a task ends are two.
+#[test]
+fn a_task_that_ends_processes_of_one_id_is_given_up_and_no_other_is_blamed() {
+    for seed in 1..6 {
+        let mut world = site(seed);
+        world.crashed_keep_ids = true;
+        submit(&mut world, 1..21, 100);
+        let crashing: JobId = 900;
+        let step = StepKey {
+            job: crashing,
+            time: 0,
+            step: 0,
+        };
+        let crash = TaskCrash {
+            after_ms: 10,
+            down_ms: 1_300,
+        };
+        world.crashing.insert(step.task(0), crash);
+        world.submit(job_of(crashing, URGENT_QUEUE, &[2], false));
+        submit(&mut world, 21..120, 100);
+        world.run_until(60_000);
+        assert_kept(&world);
+        assert_eq!(world.shown.get(&crashing), Some(&JobState::Failed));
+        let done = world.shown.values();
+        let done = done.filter(|state| **state == JobState::Succeeded).count();
+        assert_eq!(done, 119, "seed {seed}");
+    }
+}
+
+/// Guards against a successor that takes the ledger's rows, which name a worker, for runs of whichever
+/// process answers now.
+#[test]
+fn a_leader_that_takes_over_between_an_end_and_a_start_breaks_no_rule() {
+    for (seed, down_ms) in [(1, 0), (2, 300), (3, 1_500), (4, 3_000), (5, 6_000)] {
+        let mut world = site(seed);
+        submit(&mut world, 1..60, 50);
+        restart_all(&mut world, WorkerRestart { down_ms, ..AT_ONCE });
+        let until = world.now_ms + down_ms / 2;
+        world.run_until(until);
+        let leader = world.leader().expect("an instance leads");
+        world.kill(leader, 1_000);
+        submit(&mut world, 60..100, 100);
+        world.run_until(90_000);
+        assert_all_done(&world, 99);
+    }
+}
+
+/// The same where all instances are lost while the workers start again.
+#[test]
+fn a_loss_of_all_instances_while_workers_start_again_breaks_no_rule() {
+    let mut world = site(6);
+    submit(&mut world, 1..60, 50);
+    let other = follower(&world);
+    for node in 0..world.nodes.len() {
+        let down_ms = if node == other { 1_000 } else { 1_500 };
+        world.kill(node, down_ms);
+    }
+    let restart = WorkerRestart {
+        down_ms: 700,
+        ..AT_ONCE
+    };
+    restart_all(&mut world, restart);
+    let until = world.now_ms + 4_000;
+    world.run_until(until);
+    submit(&mut world, 60..100, 100);
+    world.run_until(90_000);
+    assert_all_done(&world, 99);
+}
+
+/// Guards against all of these together, mixed with lost leaders, slow and absent tables, late
+/// orders and cut connections.
+#[test]
+fn drawn_series_of_restarts_break_no_rule() {
+    for seed in 1..9 {
+        let report = run_restart_episode(seed, None);
+        assert_eq!(report.breaches, [], "seed {seed}");
+        assert!(report.restarts > 10, "seed {seed}: {}", report.restarts);
+    }
+}
--- a/crates/bankvalve_standin/src/site/site_policy.rs
+++ b/crates/bankvalve_standin/src/site/site_policy.rs
@@ -30,13 +30,21 @@
         }
     }
 
-    /// Tells whether a permit holds for a step on a worker.
-    pub fn holds(&self, step: StepKey, worker: &str, permit: &str, now_ms: u64) -> bool {
+    /// Tells whether a permit holds for a step on a worker whose process started at a time: one that was
+    /// given to the process before does not.
+    pub fn holds(
+        &self,
+        step: StepKey,
+        (worker, started_ms): (&str, u64),
+        permit: &str,
+        now_ms: u64,
+    ) -> bool {
         let Some((given, name)) = permit.split_once('/') else {
             return false;
         };
         let given: u64 = given.parse().unwrap_or(0);
-        name == format!("{step}/{worker}") && now_ms <= given + self.valid_ms
+        let holds = (started_ms..=given + self.valid_ms).contains(&now_ms) && given >= started_ms;
+        holds && name == format!("{step}/{worker}")
     }
 
     fn permit(&self, step: StepKey, worker: &str, now_ms: u64) -> String {
--- a/crates/bankvalve_standin/src/site/site_worker.rs
+++ b/crates/bankvalve_standin/src/site/site_worker.rs
@@ -58,7 +58,9 @@
     /// Its entry.
     pub entry: WorkerEntry,
     /// Offset of its clock, in milliseconds.
-    pub clock_offset_ms: u64,
+    clock_offset_ms: u64,
+    /// Time at which its clock began with the offset, in milliseconds.
+    clock_base_ms: u64,
     /// Longest hold that it grants, in milliseconds.
     pub hold_limit_ms: u64,
     token: FenceToken,
@@ -82,6 +84,7 @@
             id,
             entry,
             clock_offset_ms,
+            clock_base_ms: 0,
             hold_limit_ms: HOLD_LIMIT_MS,
             token: 0,
             until: 0,
@@ -96,6 +99,25 @@
         }
     }
 
+    /// Another process of a worker under its id, which holds and knows nothing of the one before; its clock
+    /// begins with `clock_ms` at `now_ms`.
+    pub fn restarted(id: WorkerId, entry: WorkerEntry, now_ms: u64, clock_ms: u64) -> Self {
+        Self {
+            clock_base_ms: now_ms,
+            ..Self::new(id, entry, clock_ms)
+        }
+    }
+
+    /// Reading of its clock at a time.
+    pub fn clock_at(&self, now_ms: u64) -> u64 {
+        now_ms + self.clock_offset_ms - self.clock_base_ms
+    }
+
+    /// Time at which its clock has a reading, in milliseconds.
+    pub fn time_of(&self, clock: u64) -> u64 {
+        (clock + self.clock_base_ms).saturating_sub(self.clock_offset_ms)
+    }
+
     /// Handles a call at a time; `room_of` and `time_of` tell a task's size and its work.
     pub fn handle(
         &mut self,
@@ -106,7 +128,7 @@
         plan: impl Fn(TaskKey) -> (TaskSize, Option<(u64, EndKind)>),
     ) -> WorkerAnswer {
         self.run_until(now_ms);
-        let clock = now_ms + self.clock_offset_ms;
+        let clock = self.clock_at(now_ms);
         let refused = |reason| WorkerAnswer::Refused {
             clock_ms: Some(clock),
             reason,
@@ -135,8 +157,10 @@
                     None => {
                         let step = order.task.step;
                         let permit = order.permit.as_deref().unwrap_or_default();
-                        let permitted = policy
-                            .is_none_or(|policy| policy.holds(step, &self.id, permit, now_ms));
+                        let permitted = policy.is_none_or(|policy| {
+                            let process = (&*self.id, self.clock_base_ms);
+                            policy.holds(step, process, permit, now_ms)
+                        });
                         if !permitted {
                             return refused(StartRefusal::Permit);
                         }
@@ -207,7 +231,7 @@
 
     /// Lets time pass: runs end, and all of them if the hold is over.
     pub fn run_until(&mut self, now_ms: u64) {
-        let clock = now_ms + self.clock_offset_ms;
+        let clock = self.clock_at(now_ms);
         let lapsed = clock >= self.until;
         let ran = !self.runs.is_empty();
         let over: Vec<(TaskKey, EndKind)> = self
@@ -250,8 +274,9 @@
 
     /// Lets a gang's member begin its work.
     pub fn begin_work(&mut self, task: TaskKey, now_ms: u64, work: (u64, EndKind)) {
+        let clock = self.clock_at(now_ms);
         if let Some(run) = self.runs.get_mut(&task) {
-            run.ends = Some((now_ms + self.clock_offset_ms + work.0, work.1));
+            run.ends = Some((clock + work.0, work.1));
         }
     }
 
@@ -278,7 +303,7 @@
 
     /// Time on the caller's clock at which its hold is over, in milliseconds.
     pub fn held_until_ms(&self) -> u64 {
-        self.until.saturating_sub(self.clock_offset_ms)
+        self.time_of(self.until)
     }
 
     /// Whether an end waits for an answer to a look.
