test(site): a look forgets ends once, a silent restart answers none, a late order needs a receiver

Three faults of the virtual site's own, found while its restarts were traced: a look that waits had its acknowledgement applied a second time when it was answered, also to ends that came meanwhile; a look at a process that ended in silence was answered by the next one; an order that was sent while nothing listened was carried out later by whichever process came.

--- a/crates/bankvalve_check/src/site/site_links.rs
+++ b/crates/bankvalve_check/src/site/site_links.rs
@@ -10,7 +10,7 @@
 use super::site_bytes::{message_bytes, request_bytes};
 use super::site_plan::SiteNode;
 use super::site_silence::call_ms;
-use super::site_world::{Later, SiteWorld, QUEUE};
+use super::site_world::{Later, OrderReceiver, SiteWorld, QUEUE};
 
 /// Time that the policy service takes, in milliseconds.
 const ADVICE_MS: u64 = 10;
@@ -97,7 +97,7 @@
                     let limit = time.as_millis() as u64;
                     self.after(limit, Later::Event { node, life, event });
                 }
-                let received_by = self.process_at(&address).filter(|_| late);
+                let receiver = late.then(|| OrderReceiver(self.process_at(&address)));
                 // A late order's answer finds nobody, and neither does a lost one.
                 let life = if late || lost { 0 } else { life };
                 self.after(
@@ -110,7 +110,7 @@
                         address,
                         token,
                         call,
-                        received_by,
+                        receiver,
                     },
                 );
             }
--- a/crates/bankvalve_check/src/site/site_restarts.rs
+++ b/crates/bankvalve_check/src/site/site_restarts.rs
@@ -69,8 +69,9 @@
         for (task, run) in worker.runs() {
             self.gang_news(task.step, run.run, Some(EndKind::Lost));
         }
-        if !restart.silent {
-            self.break_waiting_looks(address);
+        match restart.silent {
+            true => self.silence_waiting_looks(address),
+            false => self.break_waiting_looks(address),
         }
         self.restarts += 1;
         let worker_id = worker.id.clone();
--- a/crates/bankvalve_check/src/site/site_workers.rs
+++ b/crates/bankvalve_check/src/site/site_workers.rs
@@ -215,7 +215,11 @@
             origin,
             meant: meant.clone(),
             token,
-            call: now_call,
+            call: WorkerCall::Hold {
+                until_ms: *until_ms,
+                kept: 0,
+                wait_ms: 0,
+            },
         };
         let address = address.to_owned();
         let looks = self.waiting_looks.entry(address.clone()).or_default();
@@ -242,13 +246,22 @@
 
     /// The connections of looks that wait at a worker whose process ends are reset.
     pub(super) fn break_waiting_looks(&mut self, address: &str) {
+        self.leave_waiting_looks(address, RESET_MS);
+    }
+
+    /// Looks that wait at a worker whose machine loses power have no answer.
+    pub(super) fn silence_waiting_looks(&mut self, address: &str) {
+        self.leave_waiting_looks(address, SILENT_CALL_MS);
+    }
+
+    fn leave_waiting_looks(&mut self, address: &str, known_after_ms: u64) {
         for look in self.waiting_looks.remove(address).unwrap_or_default() {
             let (node, life, ticket) = look.origin;
             let event = CoreEvent::Worker {
                 ticket,
                 answer: WorkerAnswer::NoReply,
             };
-            self.after(RESET_MS, Later::Event { node, life, event });
+            self.after(known_after_ms, Later::Event { node, life, event });
         }
     }
 
--- a/crates/bankvalve_check/src/site/site_world.rs
+++ b/crates/bankvalve_check/src/site/site_world.rs
@@ -38,6 +38,10 @@
 /// settings' one.
 pub(super) const HOLD_LIMIT_MS: u64 = 6_000;
 
+/// The process that had received an order, if one listened.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct OrderReceiver(pub(super) Option<ProcessStart>);
+
 /// Something that happens later.
 #[derive(Debug)]
 pub(super) enum Later {
@@ -85,8 +89,8 @@
         address: String,
         token: u64,
         call: bankvalve_queue::WorkerCall,
-        /// The process that has received it already and carries it out late; it is gone with it.
-        received_by: Option<ProcessStart>,
+        /// Of an order that is carried out late, who has received it; it is gone with that process.
+        receiver: Option<OrderReceiver>,
     },
     WorkerTime {
         address: String,
@@ -445,12 +449,11 @@
                 address,
                 token,
                 call,
-                received_by,
+                receiver,
             } => {
                 let process = self.process_at(&address);
-                if received_by.is_some_and(|received_by| process != Some(received_by)) {
-                    return;
-                }
+                let is_gone = receiver.is_some_and(|receiver| receiver.0 != process);
+                let worker = if is_gone { WorkerId::from("") } else { worker };
                 self.worker_arrives((node, life, ticket), &worker, &address, token, &call);
             }
             Later::WorkerTime { address } => self.worker_time(&address),
