fix(queue): what a leader knows of a worker belongs to one of its processes

Cause: a worker that had started again under its id kept its seat. The numbers of its ends, counted from one, were not above the last one taken, so each end was passed over, its run found in no list and started anew, and the end acknowledged unread. Holds were reckoned by the clock of the process before. Evidence against tasks was counted once for an id, permits outlived the process, an end that was kept late was acknowledged to the next process.

Change: lists tell which process they are of; a list of another one begins a new Seat, the runs of the old one having ended with it. Calls, trials, losses and acknowledgements bear an Incarnation, a worker's id and a number, so that what was meant for one process cannot reach the next by the id alone. A run whose order may still be on its way is stopped in the new process before it starts elsewhere; one that was confirmed after the list was asked for is left to the next list. Clocks are read from lists alone, as answers to orders do not tell their process.

Guards own-numbers and own-clock are noticed when they are taken away.

Why it holds: of two lists the one asked for later is newer, since looks at a worker go one at a time and a late answer's call is forgotten; starts are compared for equality alone, so a time of day that steps back does no harm.

--- a/crates/bankvalve_check/tests/site/random.rs
+++ b/crates/bankvalve_check/tests/site/random.rs
@@ -44,7 +44,7 @@
         (SiteGuard::GrowingPatience, 3),
     ];
     // The drawn worlds notice these seldom: each has a world of its own, below, in `workers`, in
-    // `crashing`, in `holds` and in `permits`.
+    // `crashing`, in `holds`, in `permits` and in `restarts`.
     let seldom = [
         SiteGuard::SureRefusal,
         SiteGuard::LateDone,
@@ -56,6 +56,8 @@
         SiteGuard::LeaderInTouch,
         SiteGuard::ResumeKept,
         SiteGuard::ReadyReturn,
+        SiteGuard::OwnNumbers,
+        SiteGuard::OwnClock,
     ];
     let others = SiteGuard::ALL.into_iter();
     let others = others.filter(|guard| !seldom.contains(guard));
--- a/crates/bankvalve_check/tests/site/restarts.rs
+++ b/crates/bankvalve_check/tests/site/restarts.rs
@@ -134,42 +134,60 @@
     address.expect("a worker runs a task of the job").clone()
 }
 
+/// Time for which a task is away whose worker starts again with a clock, and is lost 5 s later.
+fn away_after_a_restart(clock_ms: u64, broken: Option<SiteGuard>) -> u64 {
+    let mut world = site_with(2, None, broken);
+    submit(&mut world, 1..20, 100);
+    let until = world.now_ms + 3_000;
+    world.run_until(until);
+    let restart = WorkerRestart {
+        clock_ms,
+        ..AT_ONCE
+    };
+    restart_all(&mut world, restart);
+    let until = world.now_ms + 300;
+    world.run_until(until);
+    world.work_ms.insert(1_000, 600_000);
+    world.submit(job_of(1_000, QUEUE, &[1], false));
+    let until = world.now_ms + 5_000;
+    world.run_until(until);
+    let address = place_of(&world, 1_000);
+    world.lose_worker(&address, true);
+    let lost_at = world.now_ms;
+    while running(&world, 1_000).is_empty() && world.now_ms < lost_at + 120_000 {
+        let until = world.now_ms + 20;
+        world.run_until(until);
+    }
+    assert_kept(&world);
+    world.now_ms - lost_at
+}
+
 /// Guards against a hold that is reckoned by the clock of the process before, so that the runs of a
 /// worker that is lost later are waited for until the new clock has reached the old one.
 #[test]
 fn the_hold_of_a_restarted_worker_is_reckoned_by_its_own_clock() {
     for clock_ms in [0, 1_000_000] {
-        let mut world = site(2);
-        submit(&mut world, 1..20, 100);
-        let until = world.now_ms + 3_000;
-        world.run_until(until);
-        let restart = WorkerRestart {
-            clock_ms,
-            ..AT_ONCE
-        };
-        restart_all(&mut world, restart);
-        let until = world.now_ms + 300;
-        world.run_until(until);
-        world.work_ms.insert(1_000, 600_000);
-        world.submit(job_of(1_000, QUEUE, &[1], false));
-        let until = world.now_ms + 5_000;
-        world.run_until(until);
-        let address = place_of(&world, 1_000);
-        world.lose_worker(&address, true);
-        let lost_at = world.now_ms;
-        while running(&world, 1_000).is_empty() && world.now_ms < lost_at + 120_000 {
-            let until = world.now_ms + 20;
-            world.run_until(until);
-        }
-        let away = world.now_ms - lost_at;
+        let away = away_after_a_restart(clock_ms, None);
         assert!(
             away <= GIVEN_UP_MS,
             "clock from {clock_ms}: away for {away} ms"
         );
-        assert_kept(&world);
     }
 }
 
+#[test]
+fn a_hold_by_the_clock_of_the_process_before_is_noticed() {
+    let away = away_after_a_restart(0, Some(SiteGuard::OwnClock));
+    assert!(away > GIVEN_UP_MS, "away for {away} ms");
+}
+
+#[test]
+fn ends_by_the_numbers_of_the_process_before_are_noticed() {
+    let broken = Some(SiteGuard::OwnNumbers);
+    let noticed = (1..9).any(|seed| !run_restart_episode(seed, broken).breaches.is_empty());
+    assert!(noticed);
+}
+
 /// Guards against a run that starts elsewhere while an order of it, which had no answer, is carried out by
 /// the next process of the worker that it was meant for.
 #[test]
--- a/crates/bankvalve_queue/src/core/advice.rs
+++ b/crates/bankvalve_queue/src/core/advice.rs
@@ -321,6 +321,17 @@
         }
     }
 
+    /// Forgets the permits for a worker: they were for the process before.
+    pub(super) fn drop_permits_of(&mut self, worker: &WorkerId) {
+        let Some(lead) = self.lead.as_deref_mut() else {
+            return;
+        };
+        let advices = lead.advice.values_mut();
+        for permit in advices.filter_map(|advice| advice.good.get_mut(worker)) {
+            permit.until = CoreTime::ZERO;
+        }
+    }
+
     /// Asks others in place of a peer that does not answer.
     pub(super) fn reassign_advice(&mut self, peer: PeerAddress) {
         let Some(lead) = self.lead.as_deref_mut() else {
--- a/crates/bankvalve_queue/src/core/commit.rs
+++ b/crates/bankvalve_queue/src/core/commit.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use super::following::batch_key;
+use super::incarnation::Incarnation;
 use super::store_link::{StorePurpose, CELL_TABLE, LEAD_PART, LEDGER_TABLE};
 use super::EntryCore;
 use crate::caller::CallerAnswer;
@@ -51,7 +52,7 @@
     None,
     Answer(Origin, CallerAnswer),
     Order(TaskKey, u64),
-    ForgetEnd(WorkerId, u64),
+    ForgetEnd(Incarnation, u64),
     /// A job is over.
     Over(JobId),
     /// A worker's hold may be prolonged again.
@@ -378,16 +379,16 @@
                 Effect::Order(task, run) => self.begin_order(task, run),
                 Effect::Over(job) => self.note_over(job),
                 Effect::ProlongHold(worker) => self.prolong_again(&worker),
-                Effect::ForgetEnd(worker, number) => {
+                Effect::ForgetEnd(incarnation, number) => {
                     if let Some(lead) = self.lead.as_deref_mut() {
-                        if let Some(seat) = lead.seats.get_mut(&worker) {
+                        if let Some(seat) = lead.seats.of_mut(&incarnation) {
                             seat.kept = seat.kept.max(number);
                             if seat.kept == seat.seen {
                                 seat.next_hold = self.now;
                             }
                         }
                     }
-                    self.look_if_due(&worker);
+                    self.look_if_due(&incarnation.worker);
                 }
             }
         }
--- a/crates/bankvalve_queue/src/core/holds.rs
+++ b/crates/bankvalve_queue/src/core/holds.rs
@@ -11,7 +11,7 @@
 use crate::ids::{CoreTime, Ticket, WorkerId};
 use crate::ledger::EndKind;
 use crate::policy::PolicySwitch;
-use crate::worker::{StartRefusal, WorkerAnswer, WorkerCall};
+use crate::worker::{HoldReport, StartRefusal, WorkerAnswer, WorkerCall};
 
 /// Longest hold that is asked for; a lost worker's tasks start again only when it is over,
 /// and what a cut-off worker runs lives so long.
@@ -293,12 +293,13 @@
         let Some(lead) = self.lead.as_deref_mut() else {
             return;
         };
-        let Some(seat) = lead.seats.get(id) else {
+        let (Some(seat), Some(incarnation)) = (lead.seats.get(id), lead.seats.incarnation_of(id))
+        else {
             return;
         };
         let address = seat.entry.address.clone();
         let open = OpenCall {
-            worker: id.clone(),
+            worker: incarnation,
             purpose,
             sent_at: self.now,
             carrier,
@@ -324,23 +325,28 @@
             return;
         };
         lead.call_limits.remove(&(open.limit, ticket));
-        let (id, purpose) = (open.worker, open.purpose);
+        let purpose = open.purpose;
         let order = !matches!(purpose, CallPurpose::Hold);
         if order && matches!(answer, WorkerAnswer::Done { .. }) {
             lead.note_answer(now.saturating_sub(open.sent_at));
         }
-        let Some(seat) = lead.seats.get_mut(&id) else {
-            return;
-        };
-        let clock = match &answer {
-            WorkerAnswer::Done { clock_ms, .. } | WorkerAnswer::Refused { clock_ms, .. } => {
-                *clock_ms
+        let fenced = matches!(
+            answer,
+            WorkerAnswer::Refused {
+                reason: StartRefusal::Fenced,
+                ..
             }
-            _ => None,
-        };
-        if let Some(clock) = clock {
-            seat.note_clock(now, clock);
+        );
+        if fenced {
+            self.depose("a worker has seen a later token");
+            self.read_leader_row();
+            return;
         }
+        // Of a process that another has followed, an answer tells nothing any more.
+        let Some(seat) = lead.seats.of_mut(&open.worker) else {
+            return;
+        };
+        let id = open.worker.worker;
         match answer {
             WorkerAnswer::OtherLife => {
                 if let CallPurpose::Start { task, .. } = purpose {
@@ -360,82 +366,81 @@
                     seat.next_hold = now + FORGET_SEAT;
                 }
             }
-            WorkerAnswer::Refused {
-                reason: StartRefusal::Fenced,
-                ..
-            } => {
-                self.depose("a worker has seen a later token");
-                self.read_leader_row();
-            }
             answer => match purpose {
-                CallPurpose::Hold => self.end_look(&id, open.sent_at, answer),
+                CallPurpose::Hold => self.end_look(&id, open.sent_at, &answer),
                 CallPurpose::Start { task, run } => self.end_start(&id, task, run, &answer),
                 CallPurpose::Stop { task, run } => self.end_stop(&id, task, run, &answer),
             },
         }
     }
 
-    fn end_look(&mut self, id: &WorkerId, sent_at: CoreTime, answer: WorkerAnswer) {
+    fn end_look(&mut self, id: &WorkerId, sent_at: CoreTime, answer: &WorkerAnswer) {
+        if let Some(seat) = self.lead_seat(id) {
+            seat.hold_busy = false;
+        }
+        match answer {
+            WorkerAnswer::Done {
+                report: Some(report),
+                clock_ms,
+            } if self.identify_process(id, sent_at, report, *clock_ms) => {
+                self.end_answered_look(id, sent_at, report, *clock_ms);
+            }
+            _ => self.end_silent_look(id, sent_at, answer),
+        }
+    }
+
+    fn end_silent_look(&mut self, id: &WorkerId, sent_at: CoreTime, answer: &WorkerAnswer) {
         let now = self.now;
-        let Some(lead) = self.lead.as_deref_mut() else {
+        let Some(seat) = self.lead_seat(id) else {
             return;
         };
-        let Some(seat) = lead.seats.get_mut(id) else {
-            return;
+        // One lost answer is asked for anew at once; a worker that stays silent is not pressed.
+        let first_silence = seat.is_heard(now, FIRST_SILENCE);
+        // A connection that is not made in time is silence and speaks against nobody.
+        seat.refused = *answer == WorkerAnswer::PortRefused;
+        if seat.refused {
+            seat.refused_at.get_or_insert(now);
+        }
+        seat.next_hold = match (first_silence, seat.refused) {
+            (false, _) => now + SILENT_PAUSE,
+            (true, true) => now + REFUSED_PAUSE,
+            (true, false) => now,
         };
-        seat.hold_busy = false;
-        let WorkerAnswer::Done {
-            report: Some(report),
-            ..
-        } = answer
-        else {
-            // One lost answer is asked for anew at once; a worker that stays silent is not pressed.
-            let first_silence = seat.is_heard(now, FIRST_SILENCE);
-            // A connection that is not made in time is silence and speaks against nobody.
-            seat.refused = answer == WorkerAnswer::PortRefused;
-            if seat.refused {
-                seat.refused_at.get_or_insert(now);
-            }
-            seat.next_hold = match (first_silence, seat.refused) {
-                (false, _) => now + SILENT_PAUSE,
-                (true, true) => now + REFUSED_PAUSE,
-                (true, false) => now,
-            };
-            let asked = now.saturating_sub(sent_at);
-            let runs = seat.runs.len();
-            seat.unanswered += 1;
-            let unanswered = seat.unanswered;
-            if unanswered.is_power_of_two() {
-                self.log_often("workers", "silent", || {
-                    let detail =
-                        format!("{answer:?} after {asked:?}, look {unanswered}, {runs} runs");
-                    (id.to_string(), detail)
-                });
-            }
-            self.counters.count("retries", "worker_silent");
-            self.keep_crashes(id);
-            if let Some(lead) = self.lead.as_deref_mut().filter(|_| first_silence) {
-                lead.note_miss();
-            }
+        let asked = now.saturating_sub(sent_at);
+        let runs = seat.runs.len();
+        seat.unanswered += 1;
+        let unanswered = seat.unanswered;
+        if unanswered.is_power_of_two() {
+            self.log_often("workers", "silent", || {
+                let detail = format!("{answer:?} after {asked:?}, look {unanswered}, {runs} runs");
+                (id.to_string(), detail)
+            });
+        }
+        self.counters.count("retries", "worker_silent");
+        self.keep_crashes(id);
+        if let Some(lead) = self.lead.as_deref_mut().filter(|_| first_silence) {
+            lead.note_miss();
+        }
+    }
+
+    fn end_answered_look(
+        &mut self,
+        id: &WorkerId,
+        sent_at: CoreTime,
+        report: &HoldReport,
+        clock_ms: Option<u64>,
+    ) {
+        let now = self.now;
+        let Some(lead) = self.lead.as_deref_mut() else {
             return;
         };
         lead.note_in_time();
         let Some(seat) = lead.seats.get_mut(id) else {
             return;
         };
-        let before = std::mem::replace(&mut seat.started, report.started);
-        if seat.proved && before != report.started {
-            self.counters.count("workers", "restarted");
-            let detail = format!("{before:?} before, {:?} now", report.started);
-            self.log("workers", "restarted", id.to_string(), detail);
+        if let Some(clock) = clock_ms {
+            seat.note_clock(now, clock);
         }
-        let Some(seat) = self
-            .lead
-            .as_deref_mut()
-            .and_then(|lead| lead.seats.get_mut(id))
-        else {
-            return;
-        };
         let first = !seat.proved;
         seat.proved = true;
         if first {
@@ -453,7 +458,7 @@
             (sent_at + LOOK_PACE).max(now)
         };
         self.resume_hold(id);
-        self.take_report(id, sent_at, &report);
+        self.take_report(id, sent_at, report);
         let Some(lead) = self.lead.as_deref_mut() else {
             return;
         };
--- a/crates/bankvalve_queue/src/core/lead.rs
+++ b/crates/bankvalve_queue/src/core/lead.rs
@@ -6,6 +6,7 @@
 use super::advice::StepAdvice;
 use super::carriers::CarrierList;
 use super::commit::{CommitFlight, Origin, Proposal};
+use super::incarnation::Incarnation;
 use super::load_limit::LoadLimit;
 use super::making_room::RoomClaim;
 use super::returning::ReturningStep;
@@ -71,7 +72,7 @@
 /// A call to a worker that has no answer yet.
 #[derive(Clone, Debug)]
 pub(super) struct OpenCall {
-    pub(super) worker: WorkerId,
+    pub(super) worker: Incarnation,
     pub(super) purpose: CallPurpose,
     pub(super) sent_at: CoreTime,
     /// Who carries it, if it is carried.
@@ -127,7 +128,7 @@
     /// Open jobs of which a worker has told that a task began.
     pub(super) begun: BTreeSet<JobId>,
     /// Suspects that have a worker to themselves, with that worker.
-    pub(super) trials: BTreeMap<TaskKey, WorkerId>,
+    pub(super) trials: BTreeMap<TaskKey, Incarnation>,
     /// Workers that were lost lately, but for those whose end is held against a task.
     pub(super) worker_losses: Vec<WorkerLoss>,
     /// How often a task was stopped because its run was overdue.
--- a/crates/bankvalve_queue/src/core/mod.rs
+++ b/crates/bankvalve_queue/src/core/mod.rs
@@ -7,6 +7,7 @@
 //! decides which task runs where, and `making_room` what gives way to it; `returning` has
 //! both at hand for tasks that last. `sight`
 //! tells how the instance stands, `unheard` and `restarts` why tasks do not run that did.
+//! `incarnation` tells the processes of a worker apart.
 //! `former_leaders` and `stopped_holds` tell until when holds of leaders before may last.
 //! `table_watch` and `table_pull` have the operator's configuration, `queue_lookup` what is not
 //! in it.
@@ -25,6 +26,7 @@
 mod former_leaders;
 mod holds;
 mod hubs;
+mod incarnation;
 mod lead;
 mod ledger_page;
 mod load_limit;
--- a/crates/bankvalve_queue/src/core/placing.rs
+++ b/crates/bankvalve_queue/src/core/placing.rs
@@ -410,6 +410,7 @@
                 .get(&step.key)
                 .and_then(|advice| advice.permit(&worker, now))
                 .map(str::to_owned);
+            let trial = lead.seats.incarnation_of(&worker);
             let Some(seat) = lead.seats.get_mut(&worker) else {
                 continue;
             };
@@ -420,7 +421,7 @@
             if step.alone.contains(&task) || step.apart.contains(&task) {
                 live.on_trial = true;
                 live.room = seat.entry.room.minus(&seat.used);
-                lead.trials.insert(task, worker.clone());
+                lead.trials.extend(trial.map(|trial| (task, trial)));
             }
             seat.add_run(task, live);
             let left = seat.entry.room.minus(&seat.used).millicores;
--- a/crates/bankvalve_queue/src/core/reports.rs
+++ b/crates/bankvalve_queue/src/core/reports.rs
@@ -53,6 +53,9 @@
         let Some(lead) = self.lead.as_deref_mut() else {
             return;
         };
+        let Some(incarnation) = lead.seats.incarnation_of(id) else {
+            return;
+        };
         let Some(seat) = lead.seats.get_mut(id) else {
             return;
         };
@@ -128,7 +131,7 @@
             (end.task.to_string(), detail)
         });
         self.counters.count("ends", end.how.as_str());
-        let effect = Effect::ForgetEnd(id.clone(), end.number);
+        let effect = Effect::ForgetEnd(incarnation, end.number);
         if self.is_current(end.task, end.run) {
             self.propose_end(end.task, end.run, end.how, end.saved.clone(), effect);
         } else if end.how == EndKind::Done && self.is_late_done(end.task, end.run) {
@@ -301,12 +304,16 @@
                 _ => false,
             };
             if settled && !listed(task, live.run) {
-                missing.push((*task, live.run, live.saved.clone()));
+                let how = live.ended_as.unwrap_or(EndKind::NeverRan);
+                missing.push((*task, live.run, how, live.saved.clone()));
             }
         }
-        for (task, run, saved) in missing {
+        for (task, run, how, saved) in missing {
             let why = "no list has it";
-            self.end_without_report(id, task, run, EndKind::NeverRan, saved, why);
+            self.end_without_report(id, task, run, how, saved, why);
+            if matches!(how, EndKind::Crashed(_)) {
+                self.log_crash(task);
+            }
         }
     }
 
--- a/crates/bankvalve_queue/src/core/seat.rs
+++ b/crates/bankvalve_queue/src/core/seat.rs
@@ -6,7 +6,7 @@
 use super::overdue::RunProgress;
 use crate::ids::{CoreTime, JobId, RunId, StepKey, TaskKey};
 use crate::job::{StepSpec, TaskSize};
-use crate::ledger::{CrashEvidence, CrashWeight};
+use crate::ledger::{CrashEvidence, CrashWeight, EndKind};
 use crate::worker::{ProcessStart, WorkerEntry};
 
 /// A worker that was heard so lately gets work.
@@ -67,6 +67,8 @@
 pub(super) enum LifeEnd {
     /// Another life answers at its address.
     OtherLife,
+    /// Another process answers under its id.
+    Restarted,
     /// It is silent, and its hold has surely run out.
     HoldOver,
 }
@@ -76,6 +78,7 @@
     pub(super) fn as_str(self) -> &'static str {
         match self {
             LifeEnd::OtherLife => "another life answers",
+            LifeEnd::Restarted => "it has started again",
             LifeEnd::HoldOver => "its hold is over",
         }
     }
@@ -177,6 +180,8 @@
     pub(super) listed_at: Option<CoreTime>,
     /// What was seen of its worker's end, once that is kept.
     pub(super) crash: Option<CrashEvidence>,
+    /// How it ended with an earlier process of its worker, if the present one does not have it.
+    pub(super) ended_as: Option<EndKind>,
     /// Whether workers ended under its task, so that it has its worker to itself; its room is the
     /// whole worker then.
     pub(super) on_trial: bool,
@@ -208,10 +213,45 @@
             answered: false,
             listed_at: None,
             crash: None,
+            ended_as: None,
             on_trial: false,
         }
     }
 
+    /// Tells whether a copy of its order may be on its way. Of one that is being stopped it is not known
+    /// whether its start had an answer.
+    pub(super) fn may_arrive_late(&self) -> bool {
+        match self.phase {
+            RunPhase::Proposed | RunPhase::Adopted => false,
+            RunPhase::Ordered => self.busy || self.copies > 0,
+            RunPhase::Running { .. } => self.copies > 0,
+            RunPhase::Stopping { .. } => true,
+        }
+    }
+
+    /// The run, to be stopped in the next process of its worker; `ended_as` is how it ended with this one.
+    pub(super) fn stopped_after(self, ended_as: EndKind, now: CoreTime) -> Self {
+        Self {
+            phase: RunPhase::Stopping { confirmed: None },
+            busy: false,
+            next_at: now,
+            ..self.or_ended_as(ended_as)
+        }
+    }
+
+    /// The run, which has ended so if the next process of its worker does not have it.
+    pub(super) fn or_ended_as(self, ended_as: EndKind) -> Self {
+        Self {
+            ended_as: Some(ended_as),
+            ..self
+        }
+    }
+
+    /// Tells whether its begin was confirmed at a time or later.
+    pub(super) fn is_running_since(&self, at: CoreTime) -> bool {
+        matches!(self.phase, RunPhase::Running { since } if since >= at)
+    }
+
     /// Time for which it has surely run, as far as this leader was told.
     pub(super) fn lived(&self) -> Duration {
         match (&self.phase, self.listed_at) {
@@ -275,9 +315,11 @@
     pub(super) until: CoreTime,
 }
 
-/// A worker.
+/// One process of a worker.
 #[derive(Debug)]
 pub(super) struct Seat {
+    /// Number of this incarnation.
+    pub(super) number: u64,
     pub(super) entry: WorkerEntry,
     pub(super) listed: bool,
     /// Whether a queue or an open job names its service.
@@ -332,6 +374,7 @@
 impl Seat {
     pub(super) fn new(entry: WorkerEntry, listed: bool, now: CoreTime) -> Self {
         Self {
+            number: 0,
             entry,
             listed,
             named: true,
@@ -367,6 +410,21 @@
         }
     }
 
+    /// The next process of a worker, which has just answered. Its entry and what the ledger has of its hold
+    /// are the worker's.
+    pub(super) fn restarted(before: &Self, started: Option<ProcessStart>, now: CoreTime) -> Self {
+        Self {
+            started,
+            named: before.named,
+            usable: before.usable,
+            unlisted_at: before.unlisted_at,
+            hold_stop: before.hold_stop,
+            proved: true,
+            proved_at: now,
+            ..Self::new(before.entry.clone(), before.listed, now)
+        }
+    }
+
     /// For the log: how it stood when it was given up.
     pub(super) fn sight(&self, now: CoreTime) -> String {
         let silent = now.saturating_sub(self.heard_at.unwrap_or(self.known_at));
--- a/crates/bankvalve_queue/src/core/seat_map.rs
+++ b/crates/bankvalve_queue/src/core/seat_map.rs
@@ -5,6 +5,7 @@
 
 use std::collections::{BTreeMap, HashMap};
 
+use super::incarnation::Incarnation;
 use super::seat::Seat;
 use crate::ids::WorkerId;
 
@@ -15,6 +16,8 @@
     order: BTreeMap<WorkerId, usize>,
     seats: Vec<Option<Seat>>,
     free: Vec<usize>,
+    /// Number of the last incarnation that was begun.
+    last_number: u64,
 }
 
 impl SeatMap {
@@ -32,11 +35,33 @@
         self.seats[place].as_mut()
     }
 
-    pub(super) fn insert(&mut self, id: WorkerId, seat: Seat) {
+    /// The process of a worker that is known now.
+    pub(super) fn incarnation_of(&self, id: &WorkerId) -> Option<Incarnation> {
+        let number = self.get(id)?.number;
+        let worker = id.clone();
+        Some(Incarnation { worker, number })
+    }
+
+    /// What is known of a process, unless another has followed it or its worker is forgotten.
+    pub(super) fn of(&self, incarnation: &Incarnation) -> Option<&Seat> {
+        let seat = self.get(&incarnation.worker)?;
+        (seat.number == incarnation.number).then_some(seat)
+    }
+
+    /// The same, to change it.
+    pub(super) fn of_mut(&mut self, incarnation: &Incarnation) -> Option<&mut Seat> {
+        let seat = self.get_mut(&incarnation.worker)?;
+        (seat.number == incarnation.number).then_some(seat)
+    }
+
+    /// Begins an incarnation of a worker, in place of the one before.
+    pub(super) fn insert(&mut self, id: WorkerId, mut seat: Seat) {
         let place = match self.places.get(&id) {
             Some(place) => *place,
             None => self.new_place(id),
         };
+        self.last_number += 1;
+        seat.number = self.last_number;
         self.seats[place] = Some(seat);
     }
 
@@ -60,7 +85,13 @@
             Some(place) => *place,
             None => self.new_place(id),
         };
-        self.seats[place].get_or_insert_with(make)
+        let last_number = &mut self.last_number;
+        self.seats[place].get_or_insert_with(|| {
+            *last_number += 1;
+            let mut seat = make();
+            seat.number = *last_number;
+            seat
+        })
     }
 
     pub(super) fn remove(&mut self, id: &WorkerId) {
--- a/crates/bankvalve_queue/src/core/stopped_holds.rs
+++ b/crates/bankvalve_queue/src/core/stopped_holds.rs
@@ -212,10 +212,6 @@
             self.propose(LedgerEvent::HoldResumed { worker }, Effect::None);
         }
     }
-
-    fn lead_seat(&mut self, id: &WorkerId) -> Option<&mut Seat> {
-        self.lead.as_deref_mut()?.seats.get_mut(id)
-    }
 }
 
 /// Tells whether a worker with runs has not been heard for so long that its hold is not prolonged.
--- a/crates/bankvalve_queue/src/core/suspects.rs
+++ b/crates/bankvalve_queue/src/core/suspects.rs
@@ -19,6 +19,7 @@
 use std::time::Duration;
 
 use super::commit::Effect;
+use super::incarnation::Incarnation;
 use super::lead::LeadState;
 use super::seat::{LifeEnd, LiveRun, LossSpan, RunPhase, Seat};
 use super::EntryCore;
@@ -73,7 +74,7 @@
 /// A worker that was lost.
 #[derive(Clone, Debug)]
 pub(super) struct WorkerLoss {
-    worker: WorkerId,
+    worker: Incarnation,
     address: String,
     /// When, as far as is known.
     span: LossSpan,
@@ -155,6 +156,9 @@
         task: &TaskKey,
         live: &LiveRun,
     ) -> EndKind {
+        if let Some(how) = live.ended_as {
+            return how;
+        }
         if live.phase == RunPhase::Ordered && !live.may_have_begun() {
             return EndKind::NeverRan;
         }
@@ -303,13 +307,19 @@
         if !seat.proved || seat.is_ended_by_task() || held || seat.left_as_planned() {
             return;
         }
+        let number = seat.number;
         let loss = WorkerLoss {
-            worker: id.clone(),
+            worker: Incarnation {
+                worker: id.clone(),
+                number,
+            },
             address: seat.entry.address.clone(),
             span: seat.lost_within(),
         };
-        lead.worker_losses
-            .retain(|loss| now.saturating_sub(loss.span.last) <= RATE_TIME && loss.worker != *id);
+        lead.worker_losses.retain(|old| {
+            let lately = now.saturating_sub(old.span.last) <= RATE_TIME;
+            lately && old.worker != loss.worker
+        });
         lead.worker_losses.push(loss);
     }
 
@@ -388,7 +398,7 @@
     fn end_trials(&mut self) {
         let seats = &self.seats;
         self.trials.retain(|task, worker| {
-            let live = seats.get(worker).and_then(|seat| seat.runs.get(task));
+            let live = seats.of(worker).and_then(|seat| seat.runs.get(task));
             live.is_some_and(|live| live.on_trial)
         });
     }
@@ -396,8 +406,8 @@
     /// Whether a suspect of a step may be tried now.
     fn has_turn_for(&self, step: StepKey) -> bool {
         let of_step = |task: &TaskKey| task.step == step;
-        let is_well = |worker: &WorkerId| {
-            let seat = self.seats.get(worker);
+        let is_well = |worker: &Incarnation| {
+            let seat = self.seats.of(worker);
             seat.is_some_and(|seat| !seat.refused)
         };
         let tried = self
@@ -412,7 +422,7 @@
 
     /// What is known of a worker's end.
     fn loss_of(&self, id: &WorkerId, seat: &Seat, end: Option<LifeEnd>, now: CoreTime) -> SeatLoss {
-        let other_life = end == Some(LifeEnd::OtherLife);
+        let other_life = matches!(end, Some(LifeEnd::OtherLife | LifeEnd::Restarted));
         let over_at = seat.refused_at.or(other_life.then_some(now));
         let at = over_at.unwrap_or(seat.lost_within().last);
         let others = self.lost_beside(id, at, now);
@@ -433,13 +443,16 @@
         let over = self
             .worker_losses
             .iter()
-            .map(|loss| (&loss.worker, loss.span));
-        let told = |id: &WorkerId| self.worker_losses.iter().any(|loss| loss.worker == *id);
+            .map(|loss| (&loss.worker.worker, loss.span));
+        let told = |id: &WorkerId, seat: &Seat| {
+            let mut losses = self.worker_losses.iter().map(|loss| &loss.worker);
+            losses.any(|lost| lost.worker == *id && lost.number == seat.number)
+        };
         let silent = self.seats.iter().filter(move |(_, seat)| {
             seat.is_lost(now) && !seat.is_ended_by_task() && !seat.left_as_planned()
         });
-        let silent = silent.map(|(id, seat)| (id, seat.lost_within()));
-        over.chain(silent.filter(move |(id, _)| !told(id)))
+        let silent = silent.filter(move |(id, seat)| !told(id, seat));
+        over.chain(silent.map(|(id, seat)| (id, seat.lost_within())))
     }
 
     /// Other workers that were lost about when one was.
--- a/crates/bankvalve_queue/src/guard.rs
+++ b/crates/bankvalve_queue/src/guard.rs
@@ -53,11 +53,15 @@
     ResumeKept,
     /// Permits and room are at hand for a task that lasts when its run is given up.
     ReadyReturn,
+    /// Ends of a worker that has started again under its id are counted anew.
+    OwnNumbers,
+    /// Holds of a worker that has started again under its id are reckoned by its new clock.
+    OwnClock,
 }
 
 impl SiteGuard {
     /// All guards.
-    pub const ALL: [SiteGuard; 23] = [
+    pub const ALL: [SiteGuard; 25] = [
         SiteGuard::LedgerFirst,
         SiteGuard::OwnRow,
         SiteGuard::KeptEnds,
@@ -81,6 +85,8 @@
         SiteGuard::LeaderInTouch,
         SiteGuard::ResumeKept,
         SiteGuard::ReadyReturn,
+        SiteGuard::OwnNumbers,
+        SiteGuard::OwnClock,
     ];
 
     /// Name used on the command line.
@@ -118,6 +124,8 @@
             SiteGuard::LeaderInTouch => "leader-in-touch",
             SiteGuard::ResumeKept => "resume-kept",
             SiteGuard::ReadyReturn => "ready-return",
+            SiteGuard::OwnNumbers => "own-numbers",
+            SiteGuard::OwnClock => "own-clock",
         }
     }
 
