fix(queue): ends are acknowledged only to the process that listed them

What callers saw: nothing yet beside the fault before; a task ran again whose end the next process of its worker had listed to nobody.

Cause: each look bore the number of the last end that was kept, also after seconds in which the worker may have started again. The next process forgets its own ends up to that number, which nobody has read.

Change: the number is sent once for what is kept, and only within 150 ms of a list of that process; later a look without it comes first, and the next one acknowledges. No look acknowledges what was acknowledged before.

Weighed: to bind the acknowledgement to the connection by which the list came, which ends with the process, would close that gap; it needs a link that tells its connections apart.

--- a/crates/bankvalve_queue/src/core/holds.rs
+++ b/crates/bankvalve_queue/src/core/holds.rs
@@ -249,7 +249,12 @@
         if let Some(until) = until_ms {
             seat.granted_until = seat.granted_until.max(until);
         }
-        let settled = seat.seen == seat.kept;
+        let has_kept_ends = seat.has_kept_ends();
+        let acknowledges = match has_kept_ends && seat.may_acknowledge(now) {
+            true => seat.kept,
+            false => 0,
+        };
+        let settled = seat.seen == seat.kept && (!has_kept_ends || acknowledges > 0);
         // One lost answer is made up for at once: a second wait would take it past the silence from which
         // on its hold is not prolonged.
         let wait = if !(seat.proved && settled && heard) || seat.unanswered > 0 {
@@ -268,11 +273,12 @@
         seat.look_wait = wait;
         let call = WorkerCall::Hold {
             until_ms,
-            kept: seat.kept,
+            kept: acknowledges,
             wait_ms: wait.as_millis() as u64,
         };
         self.counters.count("calls", "look");
-        self.call_worker(id, CallPurpose::Hold, call, wait + slack);
+        let purpose = CallPurpose::Hold { acknowledges };
+        self.call_worker(id, purpose, call, wait + slack);
     }
 
     pub(super) fn call_worker(
@@ -326,7 +332,7 @@
         };
         lead.call_limits.remove(&(open.limit, ticket));
         let purpose = open.purpose;
-        let order = !matches!(purpose, CallPurpose::Hold);
+        let order = !matches!(purpose, CallPurpose::Hold { .. });
         if order && matches!(answer, WorkerAnswer::Done { .. }) {
             lead.note_answer(now.saturating_sub(open.sent_at));
         }
@@ -367,14 +373,22 @@
                 }
             }
             answer => match purpose {
-                CallPurpose::Hold => self.end_look(&id, open.sent_at, &answer),
+                CallPurpose::Hold { acknowledges } => {
+                    self.end_look(&id, (open.sent_at, acknowledges), &answer)
+                }
                 CallPurpose::Start { task, run } => self.end_start(&id, task, run, &answer),
                 CallPurpose::Stop { task, run } => self.end_stop(&id, task, run, &answer),
             },
         }
     }
 
-    fn end_look(&mut self, id: &WorkerId, sent_at: CoreTime, answer: &WorkerAnswer) {
+    /// Takes the answer to a look that was sent at a time and acknowledged ends up to a number.
+    fn end_look(
+        &mut self,
+        id: &WorkerId,
+        (sent_at, acknowledged): (CoreTime, u64),
+        answer: &WorkerAnswer,
+    ) {
         if let Some(seat) = self.lead_seat(id) {
             seat.hold_busy = false;
         }
@@ -382,7 +396,17 @@
             WorkerAnswer::Done {
                 report: Some(report),
                 clock_ms,
-            } if self.identify_process(id, sent_at, report, *clock_ms) => {
+            } => {
+                let before = self.lead_seat(id).map(|seat| seat.number);
+                if !self.identify_process(id, sent_at, report, *clock_ms) {
+                    self.end_silent_look(id, sent_at, answer);
+                    return;
+                }
+                if let Some(seat) = self.lead_seat(id) {
+                    if before == Some(seat.number) {
+                        seat.acknowledged = seat.acknowledged.max(acknowledged);
+                    }
+                }
                 self.end_answered_look(id, sent_at, report, *clock_ms);
             }
             _ => self.end_silent_look(id, sent_at, answer),
@@ -466,7 +490,7 @@
             lead.stale = true;
         }
         if let Some(seat) = lead.seats.get_mut(id) {
-            if seat.seen != seat.kept {
+            if seat.seen != seat.kept && !seat.has_kept_ends() {
                 seat.next_hold = now + KEEP_PAUSE;
             }
         }
--- a/crates/bankvalve_queue/src/core/lead.rs
+++ b/crates/bankvalve_queue/src/core/lead.rs
@@ -64,9 +64,18 @@
 /// What a call to a worker was for.
 #[derive(Clone, Debug)]
 pub(super) enum CallPurpose {
-    Hold,
-    Start { task: TaskKey, run: u64 },
-    Stop { task: TaskKey, run: u64 },
+    /// A look, and the number of the last end that it acknowledges; 0 for none.
+    Hold {
+        acknowledges: u64,
+    },
+    Start {
+        task: TaskKey,
+        run: u64,
+    },
+    Stop {
+        task: TaskKey,
+        run: u64,
+    },
 }
 
 /// A call to a worker that has no answer yet.
--- a/crates/bankvalve_queue/src/core/seat.rs
+++ b/crates/bankvalve_queue/src/core/seat.rs
@@ -15,6 +15,8 @@
 pub(super) const SILENT_LONG: Duration = Duration::from_millis(1_300);
 /// Time for the way of a look and a slow worker, beyond the wait that the look asks for.
 pub(super) const ANSWER_SLACK: Duration = Duration::from_millis(400);
+/// Least time in which a worker's process ends, and another starts and ends a run.
+const RESTART_LEAST: Duration = Duration::from_millis(150);
 /// How much slower than ours a worker's clock may run, in percent.
 pub(super) const SLOW_CLOCK_PERCENT: u32 = 2;
 /// Added to every bound on a worker's clock.
@@ -362,6 +364,8 @@
     pub(super) seen: u64,
     /// Greatest number of an end that is kept.
     pub(super) kept: u64,
+    /// Greatest number up to which the process has surely forgotten its ends.
+    pub(super) acknowledged: u64,
     /// Logarithm of how much longer than elsewhere tasks take here.
     pub(super) slowness: f64,
     measured: u32,
@@ -401,6 +405,7 @@
             started: None,
             seen: 0,
             kept: 0,
+            acknowledged: 0,
             slowness: 0.0,
             measured: 0,
             failures: 0,
@@ -517,6 +522,17 @@
         self.runs.values().any(|live| live.urgent)
     }
 
+    /// Tells whether ends are kept that its process lists until it is told so.
+    pub(super) fn has_kept_ends(&self) -> bool {
+        self.kept > self.acknowledged
+    }
+
+    /// Tells whether the process that listed what is kept is surely the one that a call reaches now: one that
+    /// has started since would forget ends of its own, which nobody has read.
+    pub(super) fn may_acknowledge(&self, now: CoreTime) -> bool {
+        self.unanswered == 0 && self.is_heard(now, RESTART_LEAST)
+    }
+
     /// Starts that have no answer yet.
     pub(super) fn open_starts(&self) -> usize {
         let open = |live: &&LiveRun| live.busy && live.phase == RunPhase::Ordered;
