--- a/crates/bankvalve_check/tests/site/restarts.rs
+++ b/crates/bankvalve_check/tests/site/restarts.rs
@@ -250,6 +250,39 @@
     }
 }
 
+/// Guards against a worker that gets no work any more: its runs were given up on silence, its next entry
+/// was read while it was still silent, and then it answered.
+#[test]
+fn a_worker_that_was_given_up_gets_work_again_once_it_answers() {
+    for keeps_process in [false, true] {
+        let mut world = site(7);
+        submit(&mut world, 1..20, 100);
+        let address = place_of(&world, 19);
+        world.work_ms.insert(1_000, 600_000);
+        let silent_ms = 14_000;
+        let cut_until = world.now_ms + silent_ms;
+        world.worker_cut_until.insert(address.clone(), cut_until);
+        let until = world.now_ms + 12_000;
+        world.run_until(until);
+        if keeps_process {
+            world.detach_worker(&address, Some(10));
+        } else {
+            world.restart_worker(&address, AT_ONCE);
+        }
+        world.run_until(cut_until + 1_000);
+        for job in 2_000..2_064 {
+            world.work_ms.insert(job, 5_000);
+        }
+        submit(&mut world, 2_000..2_064, 10);
+        let runs = world.workers[&address]
+            .as_ref()
+            .map(|worker| worker.runs().len());
+        assert!(runs > Some(0), "keeps its process: {keeps_process}");
+        world.run_until(90_000);
+        assert_kept(&world);
+    }
+}
+
 /// Guards against permits that outlive the process that they were given for.
 #[test]
 fn permits_of_the_process_before_are_not_used() {
