fix(queue): a worker that was given up gets work again once it answers

What callers saw: fewer workers than there were. A worker that was cut off for longer than its hold, and whose entry was read in that time, got no task any more for as long as it lived; on a site with many such workers jobs would wait with room free.

Cause: an entry read while its worker was given up was taken for that of a life that is over, and not listed; when the worker answered, nothing listed it again.

Change: an entry that stands is listed; a worker that was given up is passed over until it answers.

Class: what was concluded of a process was written into what the table says of its worker.

--- a/crates/bankvalve_queue/src/core/choosing.rs
+++ b/crates/bankvalve_queue/src/core/choosing.rs
@@ -24,6 +24,7 @@
 pub(super) fn admits(seat: &Seat, step: &PlacedStep, now: CoreTime) -> bool {
     // What is cheap and often fails comes first: all workers are asked this for each step.
     let usable = seat.proved
+        && !seat.over
         && seat.listed
         && seat.usable
         && seat.hold_stop == HoldStop::None
--- a/crates/bankvalve_queue/src/core/seat.rs
+++ b/crates/bankvalve_queue/src/core/seat.rs
@@ -500,7 +500,7 @@
 
     /// Tells whether it is lost as far as is known: silent, or away since this leader began.
     pub(super) fn is_lost(&self, now: CoreTime) -> bool {
-        let away = !self.proved && self.listed && self.unanswered > 0;
+        let away = !self.proved && !self.over && self.listed && self.unanswered > 0;
         away || self.is_silent(now)
     }
 
--- a/crates/bankvalve_queue/src/core/seat_list.rs
+++ b/crates/bankvalve_queue/src/core/seat_list.rs
@@ -89,8 +89,7 @@
         let rooms = (seat.entry.room, entry.room);
         seat.named = self.services.contains(&entry.service);
         seat.entry = entry;
-        // An entry may be older than what was seen since: a life that another has followed is over.
-        seat.listed = !seat.over;
+        seat.listed = true;
         seat.usable = true;
         if notice {
             self.begin_leaving(id);
