fix(queue): nothing starts by an entry of another process than the one that answers

What callers saw: nothing yet. Found by the list of what a restart may break: an entry of the process before, read after the list of the next one, told its labels.

Change: while entry and lists are of different processes nothing is placed on a worker and no order is repeated; an entry of another process has its worker looked at at once. The test for acknowledgements has entries that come late, which makes it stricter.

--- a/crates/bankvalve_check/src/site/site_restarts.rs
+++ b/crates/bankvalve_check/src/site/site_restarts.rs
@@ -9,6 +9,8 @@
 use super::site_world::{Later, SiteWorld};
 use super::{run_episode, SiteBurden, SiteFault, SiteReport};
 
+/// Label of a process of another kind.
+const OTHER_KIND: &str = "b";
 /// Silence of a worker after which its entry is gone, in milliseconds: three heartbeats.
 const ENTRY_LEFT_MS: u64 = 4_500;
 /// Time of day is this far from true at most, in milliseconds.
@@ -38,6 +40,8 @@
     pub behind_ms: u64,
     /// What the steady clock of the new process begins with, in milliseconds.
     pub clock_ms: u64,
+    /// Whether the new process is of another kind: its labels differ.
+    pub other_kind: bool,
 }
 
 impl WorkerRestart {
@@ -55,6 +59,7 @@
                 0
             },
             clock_ms: rng.random_range(0..100_000),
+            other_kind: false,
         }
     }
 }
@@ -101,6 +106,9 @@
             _ => start,
         };
         entry.started = Some(ProcessStart(start));
+        if restart.other_kind {
+            entry.labels = vec![OTHER_KIND.into()];
+        }
         entry.leaving = false;
         entry.remaining_ms = None;
         // Offsets are added to the true time, so that a clock may begin with anything.
--- a/crates/bankvalve_check/tests/site/restarts.rs
+++ b/crates/bankvalve_check/tests/site/restarts.rs
@@ -70,6 +70,7 @@
     entry_after_ms: 0,
     behind_ms: 0,
     clock_ms: 0,
+    other_kind: false,
 };
 
 /// Guards against ends that are passed over, and their runs repeated, since a restarted worker
@@ -109,7 +110,12 @@
             let all = addresses(&world);
             let address = &all[round as usize % all.len()];
             let silent = round % 2 == 0;
-            world.restart_worker(address, WorkerRestart { silent, ..AT_ONCE });
+            let restart = WorkerRestart {
+                silent,
+                entry_after_ms: 1_500,
+                ..AT_ONCE
+            };
+            world.restart_worker(address, restart);
         }
         world.store_delay_ms = 0;
         world.run_until(60_000);
@@ -283,6 +289,34 @@
     }
 }
 
+/// Guards against starts by the entry of the process before, whose labels the next one may lack.
+#[test]
+fn nothing_starts_by_the_entry_of_the_process_before() {
+    for silent in [false, true] {
+        let mut world = site(8);
+        submit(&mut world, 1..20, 100);
+        world.run_until(10_000);
+        assert_all_done(&world, 19);
+        let restart = WorkerRestart {
+            silent,
+            entry_after_ms: 3_000,
+            other_kind: true,
+            ..AT_ONCE
+        };
+        restart_all(&mut world, restart);
+        // The next looks tell of the other processes.
+        let until = world.now_ms + 2_000;
+        world.run_until(until);
+        let starts = world.rules.starts;
+        let mut spec = job_of(1_000, QUEUE, &[2], false);
+        spec.steps[0].required_label = Some("a".into());
+        world.submit(spec);
+        world.run_until(30_000);
+        assert_eq!(world.rules.starts - starts, 0, "silent: {silent}");
+        assert_kept(&world);
+    }
+}
+
 /// Guards against permits that outlive the process that they were given for.
 #[test]
 fn permits_of_the_process_before_are_not_used() {
--- a/crates/bankvalve_queue/src/core/choosing.rs
+++ b/crates/bankvalve_queue/src/core/choosing.rs
@@ -26,6 +26,7 @@
     let usable = seat.proved
         && !seat.over
         && seat.listed
+        && seat.has_own_entry()
         && seat.usable
         && seat.hold_stop == HoldStop::None
         && !seat.entry.leaving
--- a/crates/bankvalve_queue/src/core/incarnation.rs
+++ b/crates/bankvalve_queue/src/core/incarnation.rs
@@ -7,7 +7,8 @@
 //!
 //! Which process answers is told by the start that its lists bear. Looks at a worker are sent one at a
 //! time, so that of two lists the one that came later is newer. Starts are times of day, which step back, so
-//! they tell only whether two processes differ. An entry may be older or newer than a list.
+//! they tell only whether two processes differ. An entry may be older or newer than a list: while they
+//! are of different processes, nothing starts by that entry.
 //!
 //! Calls name the worker's id alone, so one that was meant for a process may reach the next. What it
 //! may have begun there is found in the new lists; what it may still begin is stopped first, which
--- a/crates/bankvalve_queue/src/core/orders.rs
+++ b/crates/bankvalve_queue/src/core/orders.rs
@@ -154,10 +154,11 @@
         let Some(seat) = lead.seats.get_mut(id) else {
             return false;
         };
+        let has_own_entry = seat.has_own_entry();
         let Some(live) = seat.runs.get_mut(&task) else {
             return false;
         };
-        if list_age.is_none_or(|age| age >= LIST_AGE) {
+        if list_age.is_none_or(|age| age >= LIST_AGE) || !has_own_entry {
             live.next_at = now + LIST_PAUSE;
             lead.have_order_due(now + LIST_PAUSE, id, task);
             return false;
--- a/crates/bankvalve_queue/src/core/seat.rs
+++ b/crates/bankvalve_queue/src/core/seat.rs
@@ -522,6 +522,12 @@
         self.runs.values().any(|live| live.urgent)
     }
 
+    /// Tells whether its entry was written by the process that answers, as far as both are told.
+    pub(super) fn has_own_entry(&self) -> bool {
+        let told = self.started.zip(self.entry.started);
+        told.is_none_or(|(answers, wrote)| answers == wrote)
+    }
+
     /// Tells whether ends are kept that its process lists until it is told so.
     pub(super) fn has_kept_ends(&self) -> bool {
         self.kept > self.acknowledged
--- a/crates/bankvalve_queue/src/core/seat_list.rs
+++ b/crates/bankvalve_queue/src/core/seat_list.rs
@@ -91,6 +91,10 @@
         seat.entry = entry;
         seat.listed = true;
         seat.usable = true;
+        let other_process = seat.proved && !seat.has_own_entry();
+        if other_process {
+            seat.next_hold = now;
+        }
         if notice {
             self.begin_leaving(id);
         }
@@ -98,6 +102,9 @@
             let detail = format!("{:?}, {:?} before", rooms.1, rooms.0);
             self.log("workers", "shrunk", id.to_string(), detail);
         }
+        if other_process {
+            self.look_if_due(id);
+        }
     }
 
     /// Notes services whose workers are ours to call.
