--- a/crates/bankvalve_check/src/site/mod.rs
+++ b/crates/bankvalve_check/src/site/mod.rs
@@ -51,7 +51,7 @@
     run_site_random, SiteBurden, SiteReport,
 };
 pub use site_recovery::LinkRecord;
-pub use site_restarts::{run_restart_episode, WorkerRestart};
+pub use site_restarts::{run_restart_episode, RestartFigures, WorkerRestart};
 pub use site_rules::{RuleBook, RuleBreach, RunGap};
 pub use site_storm_figures::StormFigures;
 pub use site_storm_losses::StormLoss;
--- a/crates/bankvalve_check/src/site/site_random.rs
+++ b/crates/bankvalve_check/src/site/site_random.rs
@@ -10,7 +10,7 @@
 use super::site_crashes::DrawnCrashes;
 use super::site_drawn_losses::{cancel_lasting, DrawnLosses};
 use super::site_operator::DrawnOperator;
-use super::site_restarts::DrawnRestarts;
+use super::site_restarts::{DrawnRestarts, RestartFigures};
 use super::site_storm_figures::StormFigures;
 use super::site_storms::run_storm_episode;
 use super::site_world::HOLD_LIMIT_MS;
@@ -77,8 +77,8 @@
     pub away_ms: Vec<u64>,
     /// What series of lost workers showed.
     pub storms: StormFigures,
-    /// Processes of workers that ended to start again under their ids.
-    pub restarts: u64,
+    /// What restarts of workers under their ids showed.
+    pub restarts: RestartFigures,
 }
 
 impl SiteReport {
@@ -97,7 +97,7 @@
             versions: 0,
             told: world.told.len() as u64,
             storms: StormFigures::default(),
-            restarts: world.restarts,
+            restarts: std::mem::take(&mut world.restarts),
         }
     }
 }
@@ -444,7 +444,8 @@
     let (mut done, mut starts, mut accepted) = (0, 0, 0);
     let (mut versions, mut told) = (0, 0);
     let (mut passed, mut failed) = (0, 0);
-    let mut restarts = 0;
+    let mut restarts = RestartFigures::default();
+    let mut broken_rules: BTreeMap<&'static str, u64> = BTreeMap::new();
     let mut faults: BTreeMap<SiteFault, u64> = BTreeMap::new();
     let mut pairs: BTreeMap<(WorkerLoss, LeaderLoss), u64> = BTreeMap::new();
     let mut away_ms = Vec::new();
@@ -461,7 +462,10 @@
         accepted += report.accepted;
         versions += report.versions;
         told += report.told;
-        restarts += report.restarts;
+        restarts.add(report.restarts);
+        for breach in &report.breaches {
+            *broken_rules.entry(breach.rule).or_default() += 1;
+        }
         for (pair, count) in report.pairs {
             *pairs.entry(pair).or_default() += count;
         }
@@ -496,7 +500,10 @@
     let seconds = begun.elapsed().as_secs_f64();
     println!("{done} events, {accepted} jobs accepted, {starts} starts, {seconds:.1} s");
     println!("{versions} configurations, {told} callers told of queues");
-    println!("{restarts} workers started again under their ids");
+    restarts.print();
+    for (rule, count) in &broken_rules {
+        println!("{rule} broken {count} times");
+    }
     println!("{passed} passed, {failed} failed");
     if failed == 0 {
         ExitCode::SUCCESS
--- a/crates/bankvalve_check/src/site/site_restarts.rs
+++ b/crates/bankvalve_check/src/site/site_restarts.rs
@@ -1,5 +1,7 @@
 //! Workers whose process ends and starts again under the same id.
 
+use std::collections::BTreeMap;
+
 use bankvalve_queue::{EndKind, ProcessStart, SiteGuard, WorkerId};
 use bankvalve_standin::site::SiteWorker;
 use rand::seq::SliceRandom;
@@ -27,6 +29,43 @@
 /// Most workers of a series, in percent.
 const MOST_PERCENT: usize = 40;
 
+/// What restarts of workers showed.
+#[derive(Clone, Debug, Default)]
+pub struct RestartFigures {
+    /// Processes that ended to start again under their ids.
+    pub count: u64,
+    /// Times from the start of a process to the first start of a task there, in milliseconds.
+    pub first_start_ms: Vec<u64>,
+    /// When processes started under which nothing has started yet, in milliseconds.
+    waiting: BTreeMap<WorkerId, u64>,
+}
+
+impl RestartFigures {
+    /// A task has started on a worker.
+    pub(super) fn note_start(&mut self, worker: &WorkerId, now_ms: u64) {
+        let started_ms = self.waiting.remove(worker);
+        self.first_start_ms
+            .extend(started_ms.map(|started_ms| now_ms - started_ms));
+    }
+
+    pub(super) fn add(&mut self, other: RestartFigures) {
+        self.count += other.count;
+        self.first_start_ms.extend(other.first_start_ms);
+    }
+
+    pub(super) fn print(&mut self) {
+        let times = &mut self.first_start_ms;
+        times.sort_unstable();
+        let part = |percent: usize| times.get(times.len() * percent / 100).copied().unwrap_or(0);
+        println!(
+            "{} workers started again under their ids; first start there after {} ms in the median, {} ms in nine of ten",
+            self.count,
+            part(50),
+            part(90)
+        );
+    }
+}
+
 /// How a worker's process ends and starts again.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct WorkerRestart {
@@ -78,7 +117,7 @@
             true => self.silence_waiting_looks(address),
             false => self.break_waiting_looks(address),
         }
-        self.restarts += 1;
+        self.restarts.count += 1;
         let worker_id = worker.id.clone();
         self.after(ENTRY_LEFT_MS, Later::EntryGone { worker: worker_id });
         let later = Later::ProcessStarts {
@@ -115,6 +154,7 @@
         let offset = restart.clock_ms;
         let mut worker = SiteWorker::restarted(id.clone(), entry, self.now_ms, offset);
         worker.hold_limit_ms = self.hold_limit_ms;
+        self.restarts.waiting.insert(id.clone(), self.now_ms);
         self.workers.insert(address.clone(), Some(worker));
         let back = Later::EntryBack {
             address,
--- a/crates/bankvalve_check/src/site/site_workers.rs
+++ b/crates/bankvalve_check/src/site/site_workers.rs
@@ -316,6 +316,7 @@
             WorkerNews::Started(task, run) => {
                 self.bring_up_to_date(id, task);
                 self.rules.started(id, task, run, now);
+                self.restarts.note_start(id, now);
                 self.lasting_started(id, task, run);
                 self.check_limit(task.step, id);
                 self.gang_news(task.step, run, None);
--- a/crates/bankvalve_check/src/site/site_world.rs
+++ b/crates/bankvalve_check/src/site/site_world.rs
@@ -19,7 +19,7 @@
 use super::site_crashes::TaskCrash;
 use super::site_lasting::LastingCheck;
 use super::site_losses::LossStep;
-use super::site_restarts::WorkerRestart;
+use super::site_restarts::{RestartFigures, WorkerRestart};
 use super::site_silence::SilentLane;
 use super::site_storm_losses::{StormRecord, StormStep};
 use super::site_workers::WaitingLook;
@@ -174,8 +174,8 @@
     /// Workers by address; none while one is down.
     pub workers: BTreeMap<String, Option<SiteWorker>>,
     pub(super) lives: u64,
-    /// Processes of workers that ended to start again under their ids.
-    pub restarts: u64,
+    /// What restarts of workers under their ids showed.
+    pub restarts: RestartFigures,
     pub(super) policy: Option<SitePolicy>,
     /// What the policy service takes for an answer, one question of an instance at a time; if not
     /// set, some milliseconds whatever it is asked. Holds from the next configuration on.
@@ -306,7 +306,7 @@
             watches: Vec::new(),
             workers: BTreeMap::new(),
             lives: 0,
-            restarts: 0,
+            restarts: RestartFigures::default(),
             policy,
             slow_advice: None,
             urgent_advice: None,
--- a/crates/bankvalve_check/tests/site/restarts.rs
+++ b/crates/bankvalve_check/tests/site/restarts.rs
@@ -414,6 +414,7 @@
     for seed in 1..9 {
         let report = run_restart_episode(seed, None);
         assert_eq!(report.breaches, [], "seed {seed}");
-        assert!(report.restarts > 10, "seed {seed}: {}", report.restarts);
+        let restarts = report.restarts.count;
+        assert!(restarts > 10, "seed {seed}: {restarts}");
     }
 }
