fix(queue): a question to the policy service waits for an instance for four seconds at most

Cause: nothing limited how far ahead questions were handed to the instances that ask.

Change: a question is asked only if an instance would begin it within 4 s; the step waits and asks when one is free.

--- a/crates/bankvalve_queue/src/core/advice.rs
+++ b/crates/bankvalve_queue/src/core/advice.rs
@@ -42,6 +42,10 @@
 const ASK_TIMEOUT: Duration = Duration::from_millis(900);
 /// Time between two looks for questions that had no answer.
 const ADVICE_SCAN: Duration = Duration::from_millis(20);
+/// Wait for an instance to ask for which a question is still handed to it. Permits last for seconds, and room
+/// is kept until they come: questions that wait for longer take room from all others, and their answers are
+/// of no use when they come.
+const ASK_AHEAD: Duration = Duration::from_secs(4);
 /// Pause after a question that got no answer.
 const ASK_PAUSE: Duration = Duration::from_millis(200);
 
@@ -238,6 +242,15 @@
             .unwrap_or(own)
     }
 
+    /// Tells whether an instance is at hand that would soon ask a question.
+    pub(super) fn has_adviser_soon(&self, rule: AdviceRule, workers: usize) -> bool {
+        let takes = rule.time_for(workers.min(PART));
+        let adviser = self.choose_adviser(takes);
+        let busy = self.lead.as_deref().map(|lead| &lead.adviser_busy);
+        let until = busy.and_then(|busy| busy.get(&adviser));
+        until.is_none_or(|until| *until <= self.now + ASK_AHEAD)
+    }
+
     /// Carries a question for the leader.
     pub(super) fn carry_advice(&mut self, from: PeerAddress, ticket: Ticket, ask: AdviceAsk) {
         let own_ticket = self.take_ticket();
--- a/crates/bankvalve_queue/src/core/placing.rs
+++ b/crates/bankvalve_queue/src/core/placing.rs
@@ -281,8 +281,9 @@
             self.start_choice(step, choice);
             return;
         }
+        let can_ask = advice.can_ask(now) && self.has_adviser_soon(rule, step.tasks.len());
         if advice.is_new() {
-            if advice.can_ask(now) && self.may_explore(step.key) {
+            if can_ask && self.may_explore(step.key) {
                 let workers = first_question(step, &admitting(lead, step, now), now);
                 if !workers.is_empty() {
                     self.ask_advice(step.key, rule, &workers);
@@ -299,7 +300,6 @@
             advice.permitted(kept_at).filter_map(admitted).collect();
         let choice = choose(step, &permitted, now);
         let whole = choice.len() == step.tasks.len();
-        let can_ask = advice.can_ask(now);
         let mut question = Vec::new();
         let mut kept = Vec::new();
         let mut others = Vec::new();
