--- a/crates/bankvalve_queue/src/core/holds.rs
+++ b/crates/bankvalve_queue/src/core/holds.rs
@@ -39,15 +39,13 @@
 const KEEP_PAUSE: Duration = Duration::from_millis(500);
 /// A worker that was heard so lately has left one look without an answer, no more.
 const FIRST_SILENCE: Duration = Duration::from_millis(1_300);
-/// Pause after a look that the worker's port refused: a new life there is found within it. Without
-/// one, each dead worker was asked some 200 times a second.
+/// Pause after a look that the worker's port refused: a new process there is found within it.
 const REFUSED_PAUSE: Duration = Duration::from_millis(50);
 /// Pause after a look without an answer.
 const SILENT_PAUSE: Duration = Duration::from_millis(250);
 /// The same for a worker that runs nothing, on a site of many workers.
 const IDLE_LOOK_WAIT: Duration = Duration::from_millis(2_000);
-/// Workers from which on a site has many: looks at a thousand idle ones each second would take a
-/// tenth of a core.
+/// Workers from which on a site has many, so that looks at idle ones are a load.
 const MANY_WORKERS: usize = 500;
 /// First looks on their way at once: each needs a new connection, and thousands of them would
 /// take the processor for longer than any of them waits.
--- a/crates/bankvalve_queue/src/core/seat.rs
+++ b/crates/bankvalve_queue/src/core/seat.rs
@@ -505,8 +505,7 @@
     }
 
     /// Tells whether it answers as it should: within the time that its last look gave it. One whose
-    /// port refuses is gone, whenever it was heard: work placed there in the 1.3 s after was turned
-    /// back at once, a thousand times in two minutes in which some 170 workers ended.
+    /// port refuses is gone, whenever it was heard.
     pub(super) fn is_lively(&self, now: CoreTime) -> bool {
         !self.refused && self.is_heard(now, HEARD_LATELY.max(self.usual_silence()))
     }
