fix(log): lines are written in parts that a pipe takes unbroken

Cause: 40 ms of lines went out in one write, and a write of more than the pipe's 4,096 bytes may be broken up. Change: a write takes whole lines of 4,000 bytes at most.

--- a/crates/bankvalve/src/entry/decision_log.rs
+++ b/crates/bankvalve/src/entry/decision_log.rs
@@ -20,6 +20,8 @@
 /// Time in which lines gather before they are written: each write wakes a thread and costs a call of
 /// the system. The ring holds some two seconds of a busy leader's lines.
 const GATHER: Duration = Duration::from_millis(40);
+/// Most that is written at once, in bytes: a pipe takes 4,096 unbroken, and a reader may cut what is longer.
+const WRITE_BYTES: usize = 4_000;
 /// Span in which lines of a kind are counted.
 const SPAN: Duration = Duration::from_secs(1);
 /// Longest wait for the writer before the process ends: time for a full ring on a slow machine.
@@ -149,8 +151,10 @@
             }
             push_line(&mut text, time, level, &line);
         }
-        // Nobody is left to tell if standard output is gone.
-        let _ = out.write_all(&text);
+        for lines in line_chunks(&text, WRITE_BYTES) {
+            // Nobody is left to tell if standard output is gone.
+            let _ = out.write_all(lines);
+        }
         let flushed = !waiting.is_empty();
         for written in waiting {
             // Who waits may have given up.
@@ -162,6 +166,30 @@
     }
 }
 
+/// Parts of a text of at most so many bytes, each of whole lines; a line that is longer is a part of its own.
+///
+/// # Examples
+///
+/// ```
+/// let chunks = bankvalve::entry::line_chunks(b"one\ntwo\nthree\n", 8);
+/// assert_eq!(chunks, [&b"one\ntwo\n"[..], b"three\n"]);
+/// ```
+pub fn line_chunks(text: &[u8], most: usize) -> Vec<&[u8]> {
+    let mut chunks = Vec::new();
+    let (mut begin, mut end) = (0, 0);
+    for line in text.split_inclusive(|byte| *byte == b'\n') {
+        if end > begin && end + line.len() - begin > most {
+            chunks.push(&text[begin..end]);
+            begin = end;
+        }
+        end += line.len();
+    }
+    if end > begin {
+        chunks.push(&text[begin..end]);
+    }
+    chunks
+}
+
 fn left_out_line(count: u64) -> DecisionLine {
     DecisionLine {
         part: "log",
--- a/crates/bankvalve/src/entry/mod.rs
+++ b/crates/bankvalve/src/entry/mod.rs
@@ -15,6 +15,6 @@
 mod listeners;
 
 pub use core_loop::EntryHandle;
-pub use decision_log::{DecisionLog, LineLevel};
+pub use decision_log::{line_chunks, DecisionLog, LineLevel};
 pub use entry_metrics::EntryMetrics;
 pub use entry_process::EntryProcess;
