--- a/crates/bankvalve_check/src/site/site_restarts.rs
+++ b/crates/bankvalve_check/src/site/site_restarts.rs
@@ -54,6 +54,9 @@
     }
 
     pub(super) fn print(&mut self) {
+        if self.count == 0 {
+            return;
+        }
         let times = &mut self.first_start_ms;
         times.sort_unstable();
         let part = |percent: usize| times.get(times.len() * percent / 100).copied().unwrap_or(0);
