--- a/crates/bankvalve_queue/src/core/advice.rs
+++ b/crates/bankvalve_queue/src/core/advice.rs
@@ -42,9 +42,8 @@
 const ASK_TIMEOUT: Duration = Duration::from_millis(900);
 /// Time between two looks for questions that had no answer.
 const ADVICE_SCAN: Duration = Duration::from_millis(20);
-/// Wait for an instance to ask for which a question is still handed to it. Permits last for seconds, and room
-/// is kept until they come: questions that wait for longer take room from all others, and their answers are
-/// of no use when they come.
+/// Longest queue of questions at an instance, by time, to which another is added. Room is reserved until a
+/// question is answered, so a long queue reserves it for permits that come too late to be used.
 const ASK_AHEAD: Duration = Duration::from_secs(4);
 /// Pause after a question that got no answer.
 const ASK_PAUSE: Duration = Duration::from_millis(200);
--- a/crates/bankvalve_queue/src/core/seat.rs
+++ b/crates/bankvalve_queue/src/core/seat.rs
@@ -241,7 +241,7 @@
         }
     }
 
-    /// The run, which has ended so if the next process of its worker does not have it.
+    /// The run, with how it ended if the next process of its worker does not list it.
     pub(super) fn or_ended_as(self, ended_as: EndKind) -> Self {
         Self {
             ended_as: Some(ended_as),
@@ -364,7 +364,7 @@
     pub(super) seen: u64,
     /// Greatest number of an end that is kept.
     pub(super) kept: u64,
-    /// Greatest number up to which the process has surely forgotten its ends.
+    /// Greatest number up to which the process has confirmed an acknowledgement of its ends.
     pub(super) acknowledged: u64,
     /// Logarithm of how much longer than elsewhere tasks take here.
     pub(super) slowness: f64,
@@ -527,13 +527,13 @@
         told.is_none_or(|(answers, wrote)| answers == wrote)
     }
 
-    /// Tells whether ends are kept that its process lists until it is told so.
+    /// Tells whether ends are kept in the ledger that its process has not been told to drop.
     pub(super) fn has_kept_ends(&self) -> bool {
         self.kept > self.acknowledged
     }
 
-    /// Tells whether the process that listed what is kept is surely the one that a call reaches now: one that
-    /// has started since would forget ends of its own, which nobody has read.
+    /// Tells whether a call now still reaches the process that listed what is kept: one that has started since
+    /// would drop ends of its own that nobody has read.
     pub(super) fn may_acknowledge(&self, now: CoreTime) -> bool {
         self.unanswered == 0 && self.is_heard(now, RESTART_LEAST)
     }
