--- a/crates/bankvalve_check/tests/site/restarts.rs
+++ b/crates/bankvalve_check/tests/site/restarts.rs
@@ -432,3 +432,10 @@
         assert!(restarts > 10, "seed {seed}: {restarts}");
     }
 }
+
+/// Guards against a healthy job that is given up for restarts which it did not bring about.
+#[test]
+fn no_healthy_job_is_given_up_while_workers_start_again_in_series() {
+    let report = run_restart_episode(29_261, None);
+    assert_eq!(report.breaches, []);
+}
