refactor(check): one way in which a worker's process and its runs end

restart_worker repeated what end_worker_life does to runs and gangs; both call take_worker now. A permit's two bounds are said once.

--- a/crates/bankvalve_check/src/site/site_crashes.rs
+++ b/crates/bankvalve_check/src/site/site_crashes.rs
@@ -199,20 +199,25 @@
         }
     }
 
+    /// Takes the process off that runs at an address: its runs end with it, and what is left of their gangs.
+    pub(super) fn take_worker(&mut self, address: &str) -> Option<SiteWorker> {
+        let worker = self.workers.get_mut(address).and_then(Option::take)?;
+        self.runs_end_with(&worker);
+        for (task, run) in worker.runs() {
+            self.gang_news(task.step, run.run, Some(EndKind::Lost));
+        }
+        Some(worker)
+    }
+
     /// Ends a worker's life, whose entry runs out after a time; tells whether there was one.
     pub(super) fn end_worker_life(
         &mut self,
         address: &str,
         entry_ms: std::ops::Range<u64>,
     ) -> bool {
-        let Some(worker) = self.workers.get_mut(address).and_then(Option::take) else {
+        let Some(worker) = self.take_worker(address) else {
             return false;
         };
-        self.runs_end_with(&worker);
-        // What is left of a gang ends as well.
-        for (task, run) in worker.runs() {
-            self.gang_news(task.step, run.run, Some(EndKind::Lost));
-        }
         let entry_ms = self.rng.random_range(entry_ms);
         let worker = worker.id;
         self.after(entry_ms, Later::EntryGone { worker });
--- a/crates/bankvalve_check/src/site/site_restarts.rs
+++ b/crates/bankvalve_check/src/site/site_restarts.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 
-use bankvalve_queue::{EndKind, ProcessStart, SiteGuard, WorkerId};
+use bankvalve_queue::{ProcessStart, SiteGuard, WorkerId};
 use bankvalve_standin::site::SiteWorker;
 use rand::seq::SliceRandom;
 use rand::{Rng, SeedableRng};
@@ -109,13 +109,9 @@
 impl SiteWorld {
     /// A worker's process ends, and another starts under its id and at its address after a time.
     pub fn restart_worker(&mut self, address: &str, restart: WorkerRestart) {
-        let Some(worker) = self.workers.get_mut(address).and_then(Option::take) else {
+        let Some(worker) = self.take_worker(address) else {
             return;
         };
-        self.runs_end_with(&worker);
-        for (task, run) in worker.runs() {
-            self.gang_news(task.step, run.run, Some(EndKind::Lost));
-        }
         match restart.silent {
             true => self.silence_waiting_looks(address),
             false => self.break_waiting_looks(address),
--- a/crates/bankvalve_standin/src/site/site_policy.rs
+++ b/crates/bankvalve_standin/src/site/site_policy.rs
@@ -43,7 +43,7 @@
             return false;
         };
         let given: u64 = given.parse().unwrap_or(0);
-        let holds = (started_ms..=given + self.valid_ms).contains(&now_ms) && given >= started_ms;
+        let holds = given >= started_ms && now_ms <= given + self.valid_ms;
         holds && name == format!("{step}/{worker}")
     }
 
