fix(queue): questions for denied requests follow each other as before

Cause: not traced to its end. An answer to such a question also tells that the table lives, so that a leader in doubt stays; with fewer of them there are more takeovers, and successors see too little of how a guilty task's workers ended. The longer pause is taken back: 50 ms bounds what callers with wrong keys cost an instance, 20 reads a second, as for unknown queues. The finding stays open.

--- a/crates/bankvalve_queue/src/core/denials.rs
+++ b/crates/bankvalve_queue/src/core/denials.rs
@@ -4,7 +4,7 @@
 //! The pattern that it answers: callers that ask for queues, or with keys, that an instance does not
 //! know. Those who are told so are gone, although the queue or the key may have been added a moment
 //! ago; each of them asked about by itself, one caller with a wrong key would fill the table's reads.
-//! So they wait together for one question to the table, of which there are some few a second.
+//! So all that come meanwhile wait for one question to the table, and the next follows after a pause.
 
 use std::time::Duration;
 
@@ -96,7 +96,7 @@
         let version = self.table_version();
         let reason = lookup.reason.as_str();
         self.counters.count("callers", reason);
-        self.log_often("callers", "denied", || {
+        self.log_often("callers", reason, || {
             (
                 lookup.asked,
                 format!("{reason}, version {version} is the newest"),
--- a/crates/bankvalve_queue/src/core/table_watch.rs
+++ b/crates/bankvalve_queue/src/core/table_watch.rs
@@ -37,9 +37,6 @@
 /// 6,000 a second from all instances together.
 const QUESTION_PAUSE: Duration = Duration::from_millis(50);
 
-/// Time between two questions for callers whose requests are denied, whatever their number.
-const LOOKUP_PAUSE: Duration = Duration::from_millis(200);
-
 /// Where a configuration came from.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum TableSource {
@@ -80,8 +77,6 @@
     pub(super) pull: PeerPull,
     pub(super) gift: Option<PeerGift>,
     pub(super) lookups: Vec<DenialLookup>,
-    /// When the table is next asked for callers whose requests are denied.
-    next_lookup: CoreTime,
     /// When the configuration in force was last known to be the newest, by the table or by a peer
     /// with the same one.
     pub(super) newest_at: Option<CoreTime>,
@@ -141,8 +136,7 @@
         let heard_due = now >= tables.behind_since + ANNOUNCED_GRACE
             && now >= tables.since + OPERATOR_PAUSE
             && !watch_fresh;
-        let denied = !tables.lookups.is_empty() && now >= tables.next_lookup;
-        let wanted = (behind && heard_due) || denied;
+        let wanted = (behind && heard_due) || !tables.lookups.is_empty();
         let free = tables.question.is_none() && tables.arriving.is_none();
         if !wanted || !free || now < tables.next_question {
             return;
@@ -158,7 +152,6 @@
             sent_at: now,
             whole,
         });
-        tables.next_lookup = now + LOOKUP_PAUSE;
         self.counters.count("config", "question");
         self.ask_store(StorePurpose::AskOperator, request);
     }
