feat(queue): jobs beyond a customer's weight come last, and gangs start where nothing failed last

Changes, each behind a PolicySwitch for the comparison: - CustomerShares: a token bucket of two seconds for each customer at its weight; a job without a token ranks after all others, makes no room and gives way to them, and is refused at once while a quarter of all room is waited for. - ProvedWorkers: gangs, and what is asked about for them, prefer workers whose last run that ended by itself did not fail; short work proves workers again. - ObservedStops: the time of a stop is observed where 300 ms were assumed.

--- a/crates/bankvalve/src/entry/entry_metrics.rs
+++ b/crates/bankvalve/src/entry/entry_metrics.rs
@@ -39,6 +39,7 @@
         register_counters(&meter, core);
         register_state(&meter, core);
         register_ages(&meter, core);
+        register_customers(&meter, core);
         let latency = meter
             .f64_histogram("bankvalve_request_ms")
             .with_description("Time to the answer of a caller's request, by method and status")
@@ -88,6 +89,34 @@
         .build();
 }
 
+fn register_customers(meter: &Meter, core: &EntryHandle) {
+    let of_core = core.clone();
+    meter
+        .u64_observable_gauge("bankvalve_customer")
+        .with_description("Customers with the most running, by quantity, as the leader sees them")
+        .with_callback(move |observer| {
+            for customer in of_core.view().customers {
+                let quantities = [
+                    ("running_millicores", customer.running.millicores),
+                    ("running_memory_mib", customer.running.memory_mib),
+                    ("running_accelerators", customer.running.accelerators),
+                    ("waiting_tasks", customer.waiting_tasks),
+                    ("jobs_accepted", customer.accepted),
+                    ("jobs_beyond_share", customer.beyond_share),
+                    ("jobs_refused_beyond_share", customer.refused),
+                ];
+                for (quantity, value) in quantities {
+                    let labels = [
+                        KeyValue::new("customer", customer.name.to_string()),
+                        KeyValue::new("quantity", quantity),
+                    ];
+                    observer.observe(value, &labels);
+                }
+            }
+        })
+        .build();
+}
+
 /// Ages that are not known are left out.
 fn register_ages(meter: &Meter, core: &EntryHandle) {
     let of_core = core.clone();
--- a/crates/bankvalve_check/src/site/site_customers.rs
+++ b/crates/bankvalve_check/src/site/site_customers.rs
@@ -5,7 +5,7 @@
 
 use bankvalve_queue::{
     CallerAnswer, CallerIdentity, CallerRequest, CoreEvent, CustomerName, CustomerRule,
-    DenialReason, JobId, KeyDigest, RunLimit, TaskKey, TaskSize, Ticket,
+    DenialReason, JobId, KeyDigest, RunLimit, TaskKey, TaskPhase, TaskRecord, TaskSize, Ticket,
 };
 
 use super::site_calls::{OpenCall, PATIENCE_MS};
@@ -390,6 +390,48 @@
         }
     }
 
+    /// What the leader counts against a customer's limit is no less than what its book has running.
+    pub fn check_usage(&mut self) {
+        let leader = self
+            .leader()
+            .and_then(|node| self.nodes[node].core.as_ref());
+        let Some(core) = leader.filter(|core| !core.view().loading) else {
+            return;
+        };
+        let mut booked: BTreeMap<CustomerName, TaskSize> = BTreeMap::new();
+        for job in core.book().jobs() {
+            let Some(customer) = &job.spec.customer else {
+                continue;
+            };
+            let steps = job.times.values().flat_map(|time| &time.steps);
+            // Of each time, the steps in order.
+            let numbered = steps.enumerate();
+            for (number, step) in numbered {
+                let size = job.spec.steps[number % job.spec.steps.len()].size;
+                let is_placed = |task: &&TaskRecord| matches!(task.phase, TaskPhase::Placed { .. });
+                let placed = step.tasks.iter().filter(is_placed).count();
+                let sum = booked.entry(customer.clone()).or_default();
+                *sum = sum.plus(&size.times(placed as u64));
+            }
+        }
+        let views = core.view().customers;
+        let counted = |name: &CustomerName| {
+            let view = views.iter().find(|view| view.name == *name);
+            view.map_or(TaskSize::default(), |view| view.running)
+        };
+        let missing = booked
+            .iter()
+            .find(|(name, size)| !size.fits(&counted(name)));
+        if let Some((name, size)) = missing {
+            let text = format!(
+                "{name}: the book has {size:?} placed, counted {:?}",
+                counted(name)
+            );
+            let now = self.now_ms;
+            self.rules.breach("QUOTA", now, &text);
+        }
+    }
+
     /// A job as the instance reads it: its customer is the one that the key belongs to.
     pub(super) fn submitted_as(request: CallerRequest, caller: &CallerIdentity) -> CallerRequest {
         match request {
--- a/crates/bankvalve_check/src/site/site_random.rs
+++ b/crates/bankvalve_check/src/site/site_random.rs
@@ -312,6 +312,7 @@
             restarts.act(&mut world);
         }
         if let Some(customers) = customers.as_mut() {
+            world.check_usage();
             if customers.change(&mut world) {
                 operator.write_now(&mut world);
             }
--- a/crates/bankvalve_check/src/site/site_workers.rs
+++ b/crates/bankvalve_check/src/site/site_workers.rs
@@ -142,7 +142,8 @@
         if self.has_look_wait(origin, meant, address, token, call) {
             return;
         }
-        let fails = self.rng.random_range(0..100) < self.fail_percent;
+        let drawn_fails = self.rng.random_range(0..100) < self.fail_percent;
+        let fails = drawn_fails || self.failing_workers.contains(address);
         let drawn = self.rng.random_range(100..1_500);
         let works = &self.work_ms;
         let time = |task: TaskKey| works.get(&task.step.job).copied().unwrap_or(drawn);
@@ -391,6 +392,12 @@
             return;
         };
         for (address, task) in members {
+            let fails = ended.is_none() && self.failing_workers.contains(&address);
+            let work = if fails {
+                (work.0 / 4, EndKind::Failed)
+            } else {
+                work
+            };
             if let Some(Some(worker)) = self.workers.get_mut(&address) {
                 worker.begin_work(task, now, work);
             }
--- a/crates/bankvalve_check/tests/site/customers.rs
+++ b/crates/bankvalve_check/tests/site/customers.rs
@@ -5,7 +5,7 @@
 use bankvalve_check::site::{
     job_of, run_customer_episode, SitePlan, SiteWorld, QUEUE, URGENT_QUEUE,
 };
-use bankvalve_queue::{CallerAnswer, JobId, JobSpec, RunLimit, SiteGuard};
+use bankvalve_queue::{CallerAnswer, JobId, JobSpec, PolicySwitch, RunLimit, SiteGuard};
 
 use crate::{assert_kept, follower};
 
@@ -288,3 +288,97 @@
     assert_eq!(told, ["open", URGENT_QUEUE]);
     assert_kept(&world);
 }
+
+/// Jobs of two customers that are done in time beside a third one that sends so many times its usual,
+/// which is 4 jobs a second; in all they ask for four fifths of the room as long as it sends that.
+fn served_beside(times: u64, without: Option<PolicySwitch>) -> usize {
+    const SECONDS: u64 = 15;
+    const IN_TIME_MS: u64 = 2_500;
+    let mut world = SiteWorld::new(SitePlan {
+        seed: 20 + times,
+        entries: 3,
+        strengths: Vec::new(),
+        broken: None,
+        without,
+        workers: 12,
+        good_percent: None,
+    });
+    for (name, weight) in [("hot", 5.0), ("east", 13.0), ("west", 13.0)] {
+        world.set_customer(name, weight, RunLimit::default());
+    }
+    world.configure(2);
+    world.run_until(1_000);
+    world.callers_leave = true;
+    let mut due = Vec::new();
+    let mut served = 0;
+    let hand_in = |world: &mut SiteWorld, id: JobId, name: &str| {
+        world.work_ms.insert(id, 800);
+        let spec = JobSpec {
+            customer: Some(name.into()),
+            ..job_of(id, QUEUE, &[2], false)
+        };
+        world.submit(spec);
+    };
+    for tenth in 0..SECONDS * 10 {
+        hand_in(&mut world, 1_000 + tenth, "east");
+        hand_in(&mut world, 2_000 + tenth, "west");
+        due.extend([1_000 + tenth, 2_000 + tenth].map(|id| (world.now_ms + IN_TIME_MS, id)));
+        for number in (0..times * 4).filter(|number| number % 10 == tenth % 10) {
+            hand_in(&mut world, 10_000 + tenth * 100 + number, "hot");
+        }
+        run_for(&mut world, 100);
+        let (over, open): (Vec<_>, Vec<_>) = due.drain(..).partition(|(at, _)| *at <= world.now_ms);
+        served += over
+            .iter()
+            .filter(|(_, id)| world.shown.contains_key(id))
+            .count();
+        due = open;
+    }
+    assert_kept(&world);
+    served
+}
+
+// Guards against customers that pay for what another one sends beyond its share.
+#[test]
+fn a_customer_that_sends_many_times_its_usual_takes_nothing_from_others() {
+    let usual = served_beside(1, None);
+    for times in [2, 4, 8] {
+        let served = served_beside(times, None);
+        assert!(
+            served * 100 >= usual * 95,
+            "{times} times: {served} of {usual}"
+        );
+    }
+    let unguarded = served_beside(8, Some(PolicySwitch::CustomerShares));
+    assert!(
+        unguarded * 100 < usual * 95,
+        "{unguarded} of {usual} by order of arrival"
+    );
+}
+
+// Guards against a sum that differs from what it is the sum of, by whichever event.
+#[test]
+fn what_counts_against_a_limit_is_what_the_book_has_at_each_moment() {
+    let mut world = world_of(30, 6, cores(9), None);
+    world.lost_percent = 10;
+    world.late_orders_percent = 10;
+    world.fail_percent = 10;
+    for id in 1..30 {
+        world.submit(job(id, NORTH, &[2, 2], id % 3 == 0));
+    }
+    for moment in 0..12_000 {
+        match moment {
+            2_000 => world.crash_worker("10.9.0.1:80", 700),
+            3_500 => world.cancel(7),
+            5_000 | 8_000 => {
+                let leader = world.leader().unwrap_or(0);
+                world.kill(leader, 900);
+            }
+            _ => {}
+        }
+        run_for(&mut world, 1);
+        world.check_usage();
+    }
+    assert!(most_cores(&world, NORTH) <= 9);
+    assert_kept(&world);
+}
--- a/crates/bankvalve_check/tests/site/main.rs
+++ b/crates/bankvalve_check/tests/site/main.rs
@@ -5,6 +5,7 @@
 mod config;
 mod crashing;
 mod customers;
+mod failing_workers;
 mod holds;
 mod jobs;
 mod lasting;
--- a/crates/bankvalve_queue/src/core/callers.rs
+++ b/crates/bankvalve_queue/src/core/callers.rs
@@ -451,13 +451,19 @@
         } else {
             None
         };
-        if let Some(reason) = refusal {
+        let refusal = refusal.map(|reason| match reason {
+            RefusalReason::StoreAway => (reason, STORE_RETRY_MS),
+            _ => (reason, RETRY_MS),
+        });
+        let refusal = refusal.or_else(|| {
+            let retry_ms = self.take_share(job, spec.customer.as_ref()).err()?;
+            Some((RefusalReason::ShareSpent, retry_ms))
+        });
+        if let Some((reason, retry_ms)) = refusal {
             let id = format!("{job:016x}");
-            self.log("callers", "refuse", id, reason.as_str().to_owned());
-            let retry_ms = match reason {
-                RefusalReason::StoreAway => STORE_RETRY_MS,
-                _ => RETRY_MS,
-            };
+            let customer = spec.customer.as_deref().unwrap_or("no customer");
+            let detail = format!("{} of {customer}, back in {retry_ms} ms", reason.as_str());
+            self.log("callers", "refuse", id, detail);
             self.answer(origin, CallerAnswer::Refused { reason, retry_ms });
             return;
         }
--- a/crates/bankvalve_queue/src/core/choosing.rs
+++ b/crates/bankvalve_queue/src/core/choosing.rs
@@ -121,8 +121,9 @@
     }
 
     /// Least is best: one that does not rest; for a suspect one that has been there for long, since one that
-    /// comes and goes tells nothing of it; near its data; for urgent work fast; then the one that is left fullest.
-    fn rank(&self, step: &PlacedStep) -> (bool, u64, Reverse<bool>, i64, u64) {
+    /// comes and goes tells nothing of it; for a gang, which one failure ends, one whose last run did not
+    /// fail; near its data; for urgent work fast; then the one that is left fullest.
+    fn rank(&self, step: &PlacedStep) -> (bool, u64, bool, Reverse<bool>, i64, u64) {
         let left = self.room.minus(&step.room).millicores;
         let slow = if step.fast_first { self.slow } else { 0 };
         let known = if step.has_trials() {
@@ -130,7 +131,8 @@
         } else {
             0
         };
-        (self.rests, known, Reverse(self.near), slow, left)
+        let failed = step.proved_first && self.seat.failed_last();
+        (self.rests, known, failed, Reverse(self.near), slow, left)
     }
 }
 
@@ -195,7 +197,10 @@
     wanted: usize,
     now: CoreTime,
 ) -> Vec<WorkerId> {
-    let room = |seat: &Seat| Reverse(seat.room_for(step.key, now).millicores);
+    let room = |seat: &Seat| {
+        let failed = step.proved_first && seat.failed_last();
+        (failed, Reverse(seat.room_for(step.key, now).millicores))
+    };
     let rooms = seats.iter().enumerate();
     let mut by_room: Vec<_> = rooms
         .map(|(place, (_, seat))| (room(seat), place))
--- a/crates/bankvalve_queue/src/core/customer_limits.rs
+++ b/crates/bankvalve_queue/src/core/customer_limits.rs
@@ -50,6 +50,11 @@
         (!known.limit.is_unlimited()).then_some(known)
     }
 
+    /// Whether customers were ever named.
+    pub(super) fn are_known(&self) -> bool {
+        !self.known.is_empty()
+    }
+
     fn are_any(&self) -> bool {
         self.known.values().any(|known| !known.limit.is_unlimited())
     }
@@ -66,6 +71,11 @@
         self.running.get(customer).copied().unwrap_or_default()
     }
 
+    /// Customers with what they have running.
+    pub(super) fn running(&self) -> impl Iterator<Item = (&CustomerName, &TaskSize)> {
+        self.running.iter()
+    }
+
     fn add(&mut self, customer: &CustomerName, size: &TaskSize) {
         let running = self.running.entry(customer.clone()).or_default();
         *running = running.plus(size);
@@ -74,7 +84,7 @@
 
 impl LeadState {
     /// Sums up what each customer has running, or may have.
-    fn sum_usage(&self) -> CustomerUsage {
+    pub(super) fn sum_usage(&self) -> CustomerUsage {
         let mut usage = CustomerUsage::default();
         let runs = self.seats.values().flat_map(|seat| seat.runs.values());
         for live in runs {
--- a/crates/bankvalve_queue/src/core/entry_core.rs
+++ b/crates/bankvalve_queue/src/core/entry_core.rs
@@ -412,6 +412,7 @@
         EntryView {
             ready: self.is_ready(),
             leading: lead.is_some(),
+            loading: lead.is_some_and(|lead| !lead.loaded),
             stopped: self.stopping && lead.is_none() && self.asks.is_empty(),
             jobs: self.book.len() as u64,
             waiting_tasks: lead.map_or(0, LeadState::waiting_tasks),
@@ -426,6 +427,7 @@
             },
             ledger_batches: self.applied,
             leaderless_ms: self.leaderless_ms(),
+            customers: self.customer_views(),
             counters: self.counters.clone(),
         }
     }
--- a/crates/bankvalve_queue/src/core/mod.rs
+++ b/crates/bankvalve_queue/src/core/mod.rs
@@ -10,7 +10,8 @@
 //! `incarnation` tells the processes of a worker apart.
 //! `former_leaders` and `stopped_holds` tell until when holds of leaders before may last.
 //! `table_watch` and `table_pull` have the operator's configuration, `denials` what is not in it.
-//! `customer_access` tells which jobs a customer may see, `customer_limits` what it may have running.
+//! `customer_access` tells which jobs a customer may see, `customer_limits` what it may have running,
+//! `customer_shares` what comes after the others' jobs.
 
 mod advice;
 mod away;
@@ -22,6 +23,7 @@
 mod confirm;
 mod customer_access;
 mod customer_limits;
+mod customer_shares;
 mod denials;
 mod election;
 mod entry_core;
--- a/crates/bankvalve_queue/src/core/orders.rs
+++ b/crates/bankvalve_queue/src/core/orders.rs
@@ -334,6 +334,7 @@
             _ => {}
         }
         live.phase = RunPhase::Stopping { confirmed: None };
+        live.stopped_at = Some(now);
         live.next_at = now;
         live.busy = false;
         lead.have_order_due(now, id, task);
--- a/crates/bankvalve_queue/src/core/placing.rs
+++ b/crates/bankvalve_queue/src/core/placing.rs
@@ -34,6 +34,10 @@
 const LATE_IDLE_PERCENT: usize = 40;
 const TOO_LATE_IDLE_PERCENT: usize = 50;
 
+/// Added to the priority of what is beyond its customer's share: whatever else there is may take its
+/// room.
+const BEYOND_PRIORITY: u32 = 1_000;
+
 /// A step that is being placed.
 pub(super) struct PlacedStep {
     pub(super) key: StepKey,
@@ -48,6 +52,8 @@
     pub(super) urgent: bool,
     /// Whether it prefers workers that were measured as fast.
     pub(super) fast_first: bool,
+    /// Whether it prefers workers whose last run did not fail.
+    pub(super) proved_first: bool,
     /// Tasks among them that are suspects and start where nothing else runs.
     alone: Vec<TaskKey>,
     /// Tasks among them that are suspects and start where nothing else that is new runs.
@@ -141,6 +147,7 @@
         ranked.sort_unstable();
         self.begin_usage();
         self.leave_out_at_limit(&mut ranked);
+        self.note_backlog();
         let Some(lead) = self.lead.as_deref_mut() else {
             return;
         };
@@ -210,14 +217,19 @@
             .as_ref()
             .and_then(|table| table.queue(&job.spec.queue));
         let terms = queue.map_or(&job.terms, |queue| &queue.terms);
+        let lead = self.lead.as_deref();
+        let beyond = lead.is_some_and(|lead| lead.shares.is_beyond(key.job));
         Some(PlacedStep {
             key,
             service: terms.service.clone(),
             customer: job.spec.customer.clone(),
             rule: terms.advice,
-            priority: terms.priority,
-            urgent: terms.priority == 0,
-            fast_first: terms.priority == 0 && self.uses(PolicySwitch::FastWorkers),
+            priority: terms
+                .priority
+                .saturating_add(if beyond { BEYOND_PRIORITY } else { 0 }),
+            urgent: terms.priority == 0 && !beyond,
+            fast_first: terms.priority == 0 && !beyond && self.uses(PolicySwitch::FastWorkers),
+            proved_first: spec.gang && self.uses(PolicySwitch::ProvedWorkers),
             room: spec.room(),
             run: record.last_run() + 1,
             spec,
--- a/crates/bankvalve_queue/src/core/seat.rs
+++ b/crates/bankvalve_queue/src/core/seat.rs
@@ -183,6 +183,8 @@
     pub(super) ordered_at: Option<CoreTime>,
     /// Whether the worker has answered an order for it.
     pub(super) answered: bool,
+    /// When it was first told to stop.
+    pub(super) stopped_at: Option<CoreTime>,
     /// When a list last told that it runs.
     pub(super) listed_at: Option<CoreTime>,
     /// What was seen of its worker's end, once that is kept.
@@ -220,6 +222,7 @@
             progress: None,
             ordered_at: None,
             answered: false,
+            stopped_at: None,
             listed_at: None,
             crash: None,
             ended_as: None,
@@ -688,6 +691,11 @@
         self.slowness += weight * (bounded - self.slowness);
     }
 
+    /// Whether the last run here that ended by itself failed.
+    pub(super) fn failed_last(&self) -> bool {
+        self.failures > 0
+    }
+
     /// Notes how a run ended; returns whether the worker begins to rest.
     pub(super) fn note_result(&mut self, job: u64, good: bool, now: CoreTime) -> bool {
         if good {
--- a/crates/bankvalve_queue/src/core/waiting.rs
+++ b/crates/bankvalve_queue/src/core/waiting.rs
@@ -13,6 +13,8 @@
 #[derive(Clone, Debug)]
 pub(super) struct WaitingStep {
     pub(super) tasks: u32,
+    /// Whether its customer had sent more than its share when the job came.
+    pub(super) beyond_share: bool,
     pub(super) gang: bool,
     /// Room that each of its tasks takes, with the processor of those that fill.
     pub(super) size: TaskSize,
@@ -39,6 +41,9 @@
     TooLate,
 }
 
+/// Added to the class of steps beyond their customers' shares.
+const BEYOND_CLASS: u32 = 4;
+
 /// Order of waiting steps; smaller ones come first.
 pub(super) type WaitingRank = (u32, i64);
 
@@ -47,7 +52,7 @@
 pub(super) const FIRST_RANK: WaitingRank = (0, i64::MIN);
 
 impl WaitingStep {
-    fn new(job: &JobRecord, key: StepKey, tasks: u32) -> Self {
+    fn new(job: &JobRecord, key: StepKey, tasks: u32, beyond_share: bool) -> Self {
         let chains = job.spec.chains_ms();
         let whole = chains.iter().copied().max().unwrap_or(0) as f64;
         let rest = chains[usize::from(key.step)] as f64;
@@ -59,6 +64,7 @@
         let step = &job.spec.steps[usize::from(key.step)];
         Self {
             tasks,
+            beyond_share,
             gang: step.gang,
             size: step.size,
             customer: job.spec.customer.clone(),
@@ -72,7 +78,7 @@
 
     /// Tells whether it is of a queue that comes first.
     pub(super) fn is_urgent(&self) -> bool {
-        self.priority == 0
+        self.priority == 0 && !self.beyond_share
     }
 
     /// How its job can still end if it starts at a time of day.
@@ -88,7 +94,8 @@
     }
 
     /// Rank at a time of day: urgent work first, then what can still end in time by its latest
-    /// start, then what can still end late, then the rest.
+    /// start, then what can still end late, then the rest; after all that, in the same order, what
+    /// is beyond its customer's share.
     ///
     /// Without regard to time, by priority and acceptance alone.
     pub(super) fn rank(&self, wall_ms: u64, by_time: bool) -> WaitingRank {
@@ -100,6 +107,11 @@
             Lateness::Late => 2,
             Lateness::TooLate => 3,
         };
+        let class = if self.beyond_share {
+            class + BEYOND_CLASS
+        } else {
+            class
+        };
         (class, self.on_time_ms)
     }
 }
@@ -148,6 +160,7 @@
         let Some(job) = self.book.job(id) else {
             return;
         };
+        let beyond = lead.shares.is_beyond(id);
         let mut stops = Vec::new();
         if job.outcome != JobOutcome::Open {
             for (time, record) in &job.times {
@@ -172,7 +185,7 @@
                         placed_of_step(key, record, &mut stops);
                     } else {
                         lead.waiting
-                            .insert(key, WaitingStep::new(job, key, waiting));
+                            .insert(key, WaitingStep::new(job, key, waiting, beyond));
                     }
                 }
             }
--- a/crates/bankvalve_queue/src/decision.rs
+++ b/crates/bankvalve_queue/src/decision.rs
@@ -5,6 +5,8 @@
 
 use crate::caller::RefusalReason;
 use crate::core::TaskWaits;
+use crate::customer::CustomerName;
+use crate::job::TaskSize;
 
 /// One decision, to be logged.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -62,6 +64,23 @@
     }
 }
 
+/// How a customer stands, as its leader sees it.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct CustomerView {
+    /// The customer.
+    pub name: CustomerName,
+    /// What it has running, or may have.
+    pub running: TaskSize,
+    /// Its tasks that wait for room.
+    pub waiting_tasks: u64,
+    /// Its jobs that were accepted by this leader.
+    pub accepted: u64,
+    /// Of them those beyond its share.
+    pub beyond_share: u64,
+    /// Its jobs that were refused since they were beyond its share.
+    pub refused: u64,
+}
+
 /// How an instance stands, for readiness and metrics.
 #[derive(Clone, Debug, Default)]
 pub struct EntryView {
@@ -69,6 +88,8 @@
     pub ready: bool,
     /// Whether it leads.
     pub leading: bool,
+    /// Whether it leads and still reads the ledger.
+    pub loading: bool,
     /// Whether a planned stop is over.
     pub stopped: bool,
     /// Jobs known.
@@ -89,6 +110,8 @@
     pub ledger_batches: u64,
     /// Milliseconds for which it has known of no leader that works.
     pub leaderless_ms: u64,
+    /// Customers with the most running, as its leader sees them; none on others.
+    pub customers: Vec<CustomerView>,
     /// Counters.
     pub counters: EntryCounters,
 }
--- a/crates/bankvalve_queue/src/lib.rs
+++ b/crates/bankvalve_queue/src/lib.rs
@@ -28,7 +28,7 @@
 };
 pub use core::{CoreAction, CoreEvent, EntryCore, EntrySettings, StartWait, TaskWaits, WaitReason};
 pub use customer::{CallerIdentity, CustomerName, CustomerRule, KeyDigest, RunLimit};
-pub use decision::{DecisionLine, EntryCounters, EntryView};
+pub use decision::{CustomerView, DecisionLine, EntryCounters, EntryView};
 pub use guard::SiteGuard;
 pub use ids::{CoreTime, FenceToken, JobId, RunId, StepKey, TaskKey, Ticket, WallMillis, WorkerId};
 pub use job::{JobProblem, JobSpec, JobTerms, StepSpec, TaskSize};
--- a/crates/bankvalve_queue/src/policy.rs
+++ b/crates/bankvalve_queue/src/policy.rs
@@ -32,11 +32,17 @@
     LatestStart,
     /// Jobs that are not kept are refused while the table is away.
     Withdrawal,
+    /// What a customer sends beyond its share comes after all else.
+    CustomerShares,
+    /// Gangs prefer workers whose last run did not fail.
+    ProvedWorkers,
+    /// The time that a stop takes is observed.
+    ObservedStops,
 }
 
 impl PolicySwitch {
     /// All policies.
-    pub const ALL: [PolicySwitch; 13] = [
+    pub const ALL: [PolicySwitch; 16] = [
         PolicySwitch::ReadBack,
         PolicySwitch::QuickRepeat,
         PolicySwitch::ShortLooks,
@@ -50,5 +56,8 @@
         PolicySwitch::ShortQuestions,
         PolicySwitch::LatestStart,
         PolicySwitch::Withdrawal,
+        PolicySwitch::CustomerShares,
+        PolicySwitch::ProvedWorkers,
+        PolicySwitch::ObservedStops,
     ];
 }
