--- a/crates/bankvalve_check/src/site/site_config.rs
+++ b/crates/bankvalve_check/src/site/site_config.rs
@@ -181,7 +181,7 @@
             terms: JobTerms {
                 service: SERVICE.into(),
                 priority,
-                attempts: 3,
+                attempts: self.attempts,
                 stretch: 2.0,
                 target_ms: 500,
                 advice,
--- a/crates/bankvalve_check/src/site/site_world.rs
+++ b/crates/bankvalve_check/src/site/site_world.rs
@@ -213,6 +213,8 @@
     pub lost_looks_percent: u32,
     /// Share of runs that fail, in percent.
     pub fail_percent: u32,
+    /// Failed runs that queues allow; holds from the next configuration on.
+    pub attempts: u32,
     /// Workers that fail all that they run, by address.
     pub failing_workers: BTreeSet<String>,
     /// Rooms that workers had before, and until when.
@@ -331,6 +333,7 @@
             late_orders_percent: 0,
             lost_looks_percent: 0,
             fail_percent: 0,
+            attempts: 3,
             failing_workers: BTreeSet::new(),
             old_rooms: BTreeMap::new(),
             crashing: BTreeMap::new(),
--- a/crates/bankvalve_check/tests/site/failing_workers.rs
+++ b/crates/bankvalve_check/tests/site/failing_workers.rs
@@ -18,6 +18,8 @@
         workers: 18,
         good_percent: None,
     });
+    world.attempts = 2;
+    world.configure(2);
     world.run_until(1_000);
     world.failing_workers = (0..3).map(|number| format!("10.9.0.{number}:80")).collect();
     for id in 1..=100 {
--- a/crates/bankvalve_queue/src/core/callers.rs
+++ b/crates/bankvalve_queue/src/core/callers.rs
@@ -5,7 +5,6 @@
 use super::commit::{Effect, Origin};
 use super::lead::{LeadState, UnknownAsk};
 use super::sight::job_text;
-use super::withdraw::STORE_RETRY_MS;
 use super::EntryCore;
 use crate::caller::{CallerAnswer, CallerRequest, JobState, RefusalReason, ResolvedRequest};
 use crate::core::CoreAction;
@@ -31,8 +30,6 @@
 const COUNT_AGE: Duration = Duration::from_millis(300);
 /// Span over which those who are refused for want of means come back.
 const RETRY_SPREAD_MS: u64 = 1_500;
-/// Most events that may wait to be kept.
-const PENDING_LIMIT: usize = 5_000;
 /// Most requests that wait for the leader.
 const ASK_LIMIT: usize = 4_000;
 
@@ -416,72 +413,6 @@
         self.book.jobs().filter(waits).count() as u64
     }
 
-    fn serve_submit(
-        &mut self,
-        origin: Origin,
-        spec: std::sync::Arc<crate::job::JobSpec>,
-        terms: crate::job::JobTerms,
-    ) {
-        let job = spec.id;
-        if let Some(record) = self.book.job(job) {
-            if record.spec.customer != spec.customer {
-                let (owner, other) = (record.spec.customer.clone(), spec.customer.clone());
-                self.refuse_stranger(origin, job, owner.as_deref(), other.as_deref());
-                return;
-            }
-            if self.store_is_away() && self.is_unkept(job) {
-                self.answer(origin, CallerAnswer::Unknown);
-                return;
-            }
-            self.follow_up(Effect::Answer(origin, CallerAnswer::Accepted));
-            return;
-        }
-        if self.is_beyond_limit(&spec) {
-            self.counters.count("callers", "beyond_limit");
-            let detail = "a gang in it is larger than its customer may run at once".to_owned();
-            self.log("callers", "beyond_limit", format!("{job:016x}"), detail);
-            self.answer(origin, CallerAnswer::BeyondLimit);
-            return;
-        }
-        let pending = self.lead.as_ref().map_or(0, |lead| lead.pending.len());
-        let refusal = if self.store_is_away() {
-            Some(RefusalReason::StoreAway)
-        } else if pending > PENDING_LIMIT {
-            Some(RefusalReason::Overload)
-        } else {
-            None
-        };
-        let refusal = refusal.map(|reason| match reason {
-            RefusalReason::StoreAway => (reason, STORE_RETRY_MS),
-            _ => (reason, RETRY_MS),
-        });
-        let refusal = refusal.or_else(|| {
-            let retry_ms = self.take_share(job, spec.customer.as_ref()).err()?;
-            Some((RefusalReason::ShareSpent, retry_ms))
-        });
-        if let Some((reason, retry_ms)) = refusal {
-            let id = format!("{job:016x}");
-            let customer = spec.customer.as_deref().unwrap_or("no customer");
-            let detail = format!("{} of {customer}, back in {retry_ms} ms", reason.as_str());
-            self.log("callers", "refuse", id, detail);
-            self.answer(origin, CallerAnswer::Refused { reason, retry_ms });
-            return;
-        }
-        let tasks: u32 = spec.steps.iter().map(|step| step.count).sum();
-        let chain = spec.chains_ms().into_iter().max().unwrap_or(0);
-        let detail = format!(
-            "queue {} steps {} tasks {tasks} chain {chain} ms",
-            spec.queue,
-            spec.steps.len()
-        );
-        self.log("callers", "accept", format!("{job:016x}"), detail);
-        self.counters.count("jobs", "accepted");
-        let at = self.wall;
-        let event = LedgerEvent::Accepted { spec, terms, at };
-        self.propose(event, Effect::Answer(origin, CallerAnswer::Accepted));
-        self.schedule_times(job);
-    }
-
     fn serve_status(&mut self, origin: Origin, caller: &CallerIdentity, job: JobId) {
         let Some(record) = self.book.job(job) else {
             self.confirm_unknown(origin, caller, CallerRequest::Status { job });
@@ -517,12 +448,6 @@
         self.answer(origin, CallerAnswer::State(state));
     }
 
-    /// Tells whether something about a job is not kept yet.
-    fn is_unkept(&self, job: JobId) -> bool {
-        let lead = self.lead.as_deref();
-        lead.is_some_and(|lead| lead.uncommitted.contains_key(&job))
-    }
-
     fn serve_cancel(&mut self, origin: Origin, caller: &CallerIdentity, job: JobId) {
         let Some(record) = self.book.job(job) else {
             self.confirm_unknown(origin, caller, CallerRequest::Cancel { job });
--- a/crates/bankvalve_queue/src/core/choosing.rs
+++ b/crates/bankvalve_queue/src/core/choosing.rs
@@ -5,8 +5,9 @@
 
 use super::advice::{StepAdvice, ASK_LIMIT};
 use super::lead::LeadState;
+use super::live_run::RunLoad;
 use super::placing::{Choice, PlacedStep};
-use super::seat::{HoldStop, RunLoad, Seat};
+use super::seat::{HoldStop, Seat};
 use crate::ids::{CoreTime, StepKey, WorkerId};
 use crate::job::TaskSize;
 
--- a/crates/bankvalve_queue/src/core/incarnation.rs
+++ b/crates/bankvalve_queue/src/core/incarnation.rs
@@ -16,7 +16,8 @@
 
 use std::collections::BTreeSet;
 
-use super::seat::{LifeEnd, LiveRun, RunPhase, Seat};
+use super::live_run::{LiveRun, RunPhase};
+use super::seat::{LifeEnd, Seat};
 use super::EntryCore;
 use crate::guard::SiteGuard;
 use crate::ids::{CoreTime, RunId, TaskKey, WorkerId};
--- a/crates/bankvalve_queue/src/core/lead.rs
+++ b/crates/bankvalve_queue/src/core/lead.rs
@@ -9,10 +9,10 @@
 use super::customer_limits::{CustomerUsage, LimitStand};
 use super::customer_shares::CustomerShares;
 use super::incarnation::Incarnation;
+use super::live_run::LiveRun;
 use super::load_limit::LoadLimit;
 use super::making_room::RoomClaim;
 use super::returning::ReturningStep;
-use super::seat::LiveRun;
 use super::seat_map::SeatMap;
 use super::suspects::WorkerLoss;
 use super::unheard::WaitSight;
@@ -64,9 +64,6 @@
 const MISS_STEP: Duration = Duration::from_millis(10);
 const MISS_MOST: Duration = Duration::from_millis(1_500);
 
-/// Longest time of one stop that counts in what stops take: what takes longer was lost on its way.
-const STOP_MOST: Duration = Duration::from_millis(3_000);
-
 /// What a call to a worker was for.
 #[derive(Clone, Debug)]
 pub(super) enum CallPurpose {
@@ -140,8 +137,6 @@
     last_commit: Option<(Duration, CoreTime)>,
     /// Time from a proposal of a start to its order, lately.
     order_wait: Duration,
-    /// Time from the order to stop a run until its end is known, lately; none before the first.
-    stop_time: Option<Duration>,
     pub(super) uncommitted: BTreeMap<JobId, u32>,
     /// Open jobs of which a worker has told that a task began.
     pub(super) begun: BTreeSet<JobId>,
@@ -235,7 +230,6 @@
             commit_time: Duration::ZERO,
             last_commit: None,
             order_wait: Duration::ZERO,
-            stop_time: None,
             uncommitted: BTreeMap::new(),
             begun: BTreeSet::new(),
             trials: BTreeMap::new(),
@@ -396,18 +390,6 @@
         (self.answer_time * ANSWER_FACTOR).clamp(ANSWER_LEAST, most) + self.missed_time
     }
 
-    /// A run ended so long after it was told to stop.
-    pub(super) fn note_stop(&mut self, took: Duration) {
-        let took = took.min(STOP_MOST);
-        let before = self.stop_time.unwrap_or(took);
-        self.stop_time = Some((before * 7 + took) / 8);
-    }
-
-    /// Time that a stop takes, as observed; none before the first.
-    pub(super) fn stop_time(&self) -> Option<Duration> {
-        self.stop_time
-    }
-
     /// A start was ordered so long after it was proposed.
     pub(super) fn note_order_wait(&mut self, wait: Duration) {
         self.order_wait = (self.order_wait * 3 + wait) / 4;
--- a/crates/bankvalve_queue/src/core/making_room.rs
+++ b/crates/bankvalve_queue/src/core/making_room.rs
@@ -10,9 +10,9 @@
 use std::time::Duration;
 
 use super::choosing::{admits, held_of};
-use super::lead::LeadState;
+use super::live_run::{LiveRun, RunPhase};
 use super::placing::PlacedStep;
-use super::seat::{LiveRun, RunPhase, Seat};
+use super::seat::Seat;
 use super::EntryCore;
 use crate::ids::{CoreTime, StepKey, TaskKey, WorkerId};
 use crate::job::TaskSize;
@@ -36,7 +36,7 @@
 /// it cannot begin: one of 20 members waited for 35 s among small tasks, until they ended, and waits
 /// for under 6 s now.
 const MOST_TASKS: usize = 12;
-/// Time from the order to stop a run until its room is free, before any was observed.
+/// Time from the order to stop a run until its room is free, as a rule.
 const STOP_TIME: Duration = Duration::from_millis(300);
 /// Time for which room is kept at a time.
 const KEEP_TIME: Duration = Duration::from_millis(1_200);
@@ -307,7 +307,6 @@
         } else {
             PATIENCE
         };
-        let stop_time = self.stop_time();
         let mut room = planned.room;
         let wanted = step.room_on(planned.seat).plus(&planned.taken);
         let mut plan = RoomPlan {
@@ -327,8 +326,8 @@
             .filter(|(task, _)| !planned.gone.contains(task))
             .map(|(task, live)| {
                 let left = self.time_left(*task, live);
-                let stop = self.may_stop_for(step, *task, live) && left > stop_time;
-                let after = if stop { stop_time } else { left };
+                let stop = self.may_stop_for(step, *task, live) && left > STOP_TIME;
+                let after = if stop { STOP_TIME } else { left };
                 let weight = if stop { weight_of(&live.room) } else { 0 };
                 let patience = if stop { patience } else { Duration::ZERO };
                 (after + patience, weight, stop, *task, live.room)
@@ -353,18 +352,10 @@
         (wanted.fits(&room) && plan.after <= LONGEST_WAIT).then_some(plan)
     }
 
-    /// Time from the order to stop a run until its room is free.
-    fn stop_time(&self) -> Duration {
-        let lead = self.lead.as_deref();
-        let observed = lead.and_then(LeadState::stop_time);
-        let observed = observed.filter(|_| self.uses(PolicySwitch::ObservedStops));
-        observed.unwrap_or(STOP_TIME)
-    }
-
     /// Time that a run still takes, by how far it has come and what is expected of its like.
     fn time_left(&self, task: TaskKey, live: &LiveRun) -> Duration {
         if matches!(live.phase, RunPhase::Stopping { .. }) {
-            return self.stop_time();
+            return STOP_TIME;
         }
         if live.lasting {
             return LONGEST_WAIT * 2;
--- a/crates/bankvalve_queue/src/core/mod.rs
+++ b/crates/bankvalve_queue/src/core/mod.rs
@@ -2,8 +2,8 @@
 //!
 //! `members` hears peers, `standby` ranks them, `election` and `yielding`
 //! decide who leads, `commit`, `read_back`, `confirm` and `withdraw` keep the
-//! ledger, `callers` answers requests, `book_reads` from a follower's book, `holds`, `reports`,
-//! `orders` and `overdue` deal with workers, `advice` asks the policy service, `placing`
+//! ledger, `callers` answers requests, `book_reads` from a follower's book, `submissions` takes
+//! jobs up, `holds`, `reports`, `orders` and `overdue` deal with workers, `advice` asks the policy service, `placing`
 //! decides which task runs where, and `making_room` what gives way to it; `returning` has
 //! both at hand for tasks that last. `sight`
 //! tells how the instance stands, `unheard` and `restarts` why tasks do not run that did.
@@ -34,6 +34,7 @@
 mod incarnation;
 mod lead;
 mod ledger_page;
+mod live_run;
 mod load_limit;
 mod log_budget;
 mod making_room;
@@ -54,6 +55,7 @@
 mod standby;
 mod stopped_holds;
 mod store_link;
+mod submissions;
 mod suspects;
 mod table_pull;
 mod table_watch;
--- a/crates/bankvalve_queue/src/core/orders.rs
+++ b/crates/bankvalve_queue/src/core/orders.rs
@@ -4,7 +4,7 @@
 
 use super::holds::PROLONG_IF_HEARD;
 use super::lead::CallPurpose;
-use super::seat::{LiveRun, RunPhase};
+use super::live_run::{LiveRun, RunPhase};
 use super::EntryCore;
 use crate::guard::SiteGuard;
 use crate::ids::{TaskKey, WorkerId};
@@ -334,7 +334,6 @@
             _ => {}
         }
         live.phase = RunPhase::Stopping { confirmed: None };
-        live.stopped_at = Some(now);
         live.next_at = now;
         live.busy = false;
         lead.have_order_due(now, id, task);
--- a/crates/bankvalve_queue/src/core/overdue.rs
+++ b/crates/bankvalve_queue/src/core/overdue.rs
@@ -6,7 +6,7 @@
 
 use std::time::Duration;
 
-use super::seat::{LiveRun, RunPhase};
+use super::live_run::{LiveRun, RunPhase};
 use super::EntryCore;
 use crate::ids::{CoreTime, TaskKey, WorkerId};
 use crate::policy::PolicySwitch;
--- a/crates/bankvalve_queue/src/core/placing.rs
+++ b/crates/bankvalve_queue/src/core/placing.rs
@@ -6,8 +6,9 @@
 use super::advice::StepAdvice;
 use super::choosing::{admits, admitting, choose, first_question, unknown_with_room, workers_of};
 use super::commit::Effect;
+use super::live_run::{LiveRun, RunPhase};
 use super::returning::sees_to;
-use super::seat::{LiveRun, Reservation, RunPhase, Seat};
+use super::seat::{Reservation, Seat};
 use super::suspects::{SuspectStand, TrialTurn};
 use super::waiting::{Lateness, WaitingRank, FIRST_RANK};
 use super::EntryCore;
@@ -34,6 +35,10 @@
 const LATE_IDLE_PERCENT: usize = 40;
 const TOO_LATE_IDLE_PERCENT: usize = 50;
 
+/// Failed runs that a queue allows at most for its gangs to prefer workers whose last run did not fail:
+/// with more of them a run that is tried at once is worth more than one that waits for such workers.
+const FEW_ATTEMPTS: u32 = 2;
+
 /// Added to the priority of what is beyond its customer's share: whatever else there is may take its
 /// room.
 const BEYOND_PRIORITY: u32 = 1_000;
@@ -229,7 +234,9 @@
                 .saturating_add(if beyond { BEYOND_PRIORITY } else { 0 }),
             urgent: terms.priority == 0 && !beyond,
             fast_first: terms.priority == 0 && !beyond && self.uses(PolicySwitch::FastWorkers),
-            proved_first: spec.gang && self.uses(PolicySwitch::ProvedWorkers),
+            proved_first: spec.gang
+                && terms.attempts <= FEW_ATTEMPTS
+                && self.uses(PolicySwitch::ProvedWorkers),
             room: spec.room(),
             run: record.last_run() + 1,
             spec,
--- a/crates/bankvalve_queue/src/core/reports.rs
+++ b/crates/bankvalve_queue/src/core/reports.rs
@@ -3,7 +3,8 @@
 use std::time::Duration;
 
 use super::commit::Effect;
-use super::seat::{LifeEnd, LiveRun, RunPhase};
+use super::live_run::{LiveRun, RunPhase};
+use super::seat::LifeEnd;
 use super::EntryCore;
 use crate::guard::SiteGuard;
 use crate::ids::{CoreTime, RunId, TaskKey, WallMillis, WorkerId};
@@ -88,24 +89,15 @@
         let mut ran = Duration::ZERO;
         let mut guess = Duration::ZERO;
         let mut served = false;
-        let mut stop_took = None;
         if held {
             if let Some(live) = seat.remove_run(&end.task) {
                 ran = now.saturating_sub(live.began);
-                let stopped_at = live.stopped_at.filter(|_| end.how == EndKind::Stopped);
-                stop_took = stopped_at.map(|at| now.saturating_sub(at));
                 served = live.lasting && ran > SERVED_LIFE;
                 if live.measured && end.saved.is_empty() {
                     guess = live.estimate;
                 }
             }
         }
-        if let Some(took) = stop_took {
-            lead.note_stop(took);
-        }
-        let Some(seat) = lead.seats.get_mut(id) else {
-            return;
-        };
         let job = end.task.step.job;
         if end.how == EndKind::Done && !guess.is_zero() {
             let queue = self.book.job(job).map(|job| job.spec.queue.clone());
--- a/crates/bankvalve_queue/src/core/seat_list.rs
+++ b/crates/bankvalve_queue/src/core/seat_list.rs
@@ -3,7 +3,8 @@
 use std::collections::BTreeSet;
 use std::time::Duration;
 
-use super::seat::{LiveRun, RunPhase, Seat};
+use super::live_run::{LiveRun, RunPhase};
+use super::seat::Seat;
 use super::EntryCore;
 use crate::customer::CustomerName;
 use crate::ids::{RunId, TaskKey, WorkerId};
--- a/crates/bankvalve_queue/src/core/unheard.rs
+++ b/crates/bankvalve_queue/src/core/unheard.rs
@@ -12,9 +12,8 @@
 
 use super::holds::UNCONFIRMED_LIMIT;
 use super::lead::LeadState;
-use super::seat::{
-    LiveRun, RunPhase, Seat, ANSWER_SLACK, CLOCK_SLACK, SILENT_LONG, SLOW_CLOCK_PERCENT,
-};
+use super::live_run::{LiveRun, RunPhase};
+use super::seat::{Seat, ANSWER_SLACK, CLOCK_SLACK, SILENT_LONG, SLOW_CLOCK_PERCENT};
 use super::task_waits::{StartWait, TaskWaits, WaitReason};
 use super::EntryCore;
 use crate::ids::{CoreTime, RunId, StepKey, TaskKey, WorkerId};
--- a/crates/bankvalve_queue/src/policy.rs
+++ b/crates/bankvalve_queue/src/policy.rs
@@ -34,15 +34,13 @@
     Withdrawal,
     /// What a customer sends beyond its share comes after all else.
     CustomerShares,
-    /// Gangs prefer workers whose last run did not fail.
+    /// Gangs of queues that allow few failed runs prefer workers whose last run did not fail.
     ProvedWorkers,
-    /// The time that a stop takes is observed.
-    ObservedStops,
 }
 
 impl PolicySwitch {
     /// All policies.
-    pub const ALL: [PolicySwitch; 16] = [
+    pub const ALL: [PolicySwitch; 15] = [
         PolicySwitch::ReadBack,
         PolicySwitch::QuickRepeat,
         PolicySwitch::ShortLooks,
@@ -58,6 +56,5 @@
         PolicySwitch::Withdrawal,
         PolicySwitch::CustomerShares,
         PolicySwitch::ProvedWorkers,
-        PolicySwitch::ObservedStops,
     ];
 }
