--- a/crates/bankvalve/tests/site/entry_child.rs
+++ b/crates/bankvalve/tests/site/entry_child.rs
@@ -151,6 +151,12 @@
         log.iter().find(|line| line["event"] == event).cloned()
     }
 
+    /// All that it has logged.
+    pub(crate) fn log_text(&self) -> String {
+        let log = self.log.lock().expect("the lines");
+        log.iter().map(|line| format!("{line}\n")).collect()
+    }
+
     /// Panics with its last lines if the instance has ended.
     pub(crate) fn assert_runs(&self) {
         if self.log_is_over() {
