feat(queue): a job beyond its customer's share has its turn, and a gang keeps its place at a limit

Seen under virtual time: a job beyond its customer's weight waits for as long as others fill the site; a gang whose customer is at its limit is shut out by that customer's small work once it is late, since late steps rank last.

Change: a customer's bucket goes into debt for such a job, which has its turn once the bucket has filled for it; its time counts from there, and the token comes back if the job is over before. A gang that room below its limit is kept for goes before all but urgent steps of its customer. Test: the others ask for more than all cores for 30 s; jobs beyond their share are done.

Found on the way in the check: callers that keep a key asked with it at the end, though it was gone; they take the newest one then.

--- a/crates/bankvalve_check/src/site/site_customers.rs
+++ b/crates/bankvalve_check/src/site/site_customers.rs
@@ -267,6 +267,13 @@
         }
     }
 
+    /// All callers but those with keys that never were take the newest one of their customers.
+    pub(super) fn take_newest_keys(&mut self) {
+        let customers = &mut self.customers;
+        let forged = &customers.forged;
+        customers.stubborn.retain(|_, key| forged.contains(key));
+    }
+
     /// An instance that does not know a key asks whether a newer configuration does.
     fn ask_denied(&mut self, node: usize, call: OpenCall, key_use: KeyUse) {
         let Some(core) = self.nodes[node].core.as_mut() else {
--- a/crates/bankvalve_check/src/site/site_drawn_customers.rs
+++ b/crates/bankvalve_check/src/site/site_drawn_customers.rs
@@ -112,6 +112,7 @@
             world.set_customer(&name, 2.0, limit);
             world.add_key(&name);
         }
+        world.take_newest_keys();
     }
 
     /// Draws the customer of a job.
--- a/crates/bankvalve_check/tests/site/customers.rs
+++ b/crates/bankvalve_check/tests/site/customers.rs
@@ -382,3 +382,37 @@
     assert!(most_cores(&world, NORTH) <= 9);
     assert_kept(&world);
 }
+
+// Guards against jobs beyond their customer's share that never run while others fill the site.
+#[test]
+fn a_job_beyond_its_customers_share_has_its_turn_though_the_others_leave_no_room() {
+    let mut world = world_of(40, 4, RunLimit::default(), None);
+    world.set_customer(SOUTH, 1.0, RunLimit::default());
+    world.configure(3);
+    run_for(&mut world, 1_500);
+    let hand_in = |world: &mut SiteWorld, id: JobId, name: &str| {
+        world.work_ms.insert(id, 1_000);
+        world.submit(job(id, name, &[2], false));
+    };
+    // North's ten jobs a second, all within its weight, would take more than all 16 cores.
+    for tenth in 0..300 {
+        hand_in(&mut world, 1_000 + tenth, NORTH);
+        if (20..24).contains(&tenth) {
+            for number in 0..3 {
+                hand_in(&mut world, tenth * 10 + number, SOUTH);
+            }
+        }
+        run_for(&mut world, 100);
+    }
+    // Four of South's twelve are within its bucket; the last one has its turn eight seconds later.
+    let south = (200..240).filter(|id| world.rules.accepted().contains(id));
+    let open: Vec<JobId> = south.filter(|id| !world.shown.contains_key(id)).collect();
+    assert!(open.is_empty(), "{open:?} are open after 30 s");
+    let begun = world
+        .rules
+        .accepted()
+        .iter()
+        .filter(|id| **id < 1_000)
+        .count();
+    assert!(begun >= 4, "{begun} jobs accepted");
+}
--- a/crates/bankvalve_queue/src/core/commit.rs
+++ b/crates/bankvalve_queue/src/core/commit.rs
@@ -121,8 +121,10 @@
 
     /// Logs that the end of a job is kept.
     fn note_over(&mut self, job: JobId) {
+        let now = self.now;
         if let Some(lead) = self.lead.as_deref_mut() {
             lead.ending.remove(&job);
+            lead.shares.end_job(job, now);
         }
         let Some(record) = self.book.job(job) else {
             return;
--- a/crates/bankvalve_queue/src/core/customer_limits.rs
+++ b/crates/bankvalve_queue/src/core/customer_limits.rs
@@ -116,16 +116,34 @@
     /// Leaves out steps, the first in rank first, of which no task may start beside what runs.
     ///
     /// Room below its limit is kept for a gang: smaller steps of its customer that come later would
-    /// fill it again and again.
+    /// fill it again and again. Once it is, only urgent steps come before the gang, so that it is not
+    /// shut out for being late.
     pub(super) fn leave_out_at_limit<Rank>(&mut self, ranked: &mut Vec<(Rank, StepKey)>) {
         if !self.limits.are_any() || !self.keeps(SiteGuard::CustomerLimit) {
             return;
         }
-        let limits = &self.limits;
+        let (limits, now) = (&self.limits, self.now);
         let Some(lead) = self.lead.as_deref_mut() else {
             return;
         };
         let (waiting, usage) = (&lead.waiting, &mut lead.usage);
+        let before = &lead.held_back;
+        let is_kept_for = |key: &StepKey| {
+            let step = waiting.get(key).filter(|step| step.gang);
+            let held = before.get(key) == Some(&LimitStand::AtLimit);
+            held && step.is_some_and(|step| !step.is_beyond_share(now))
+        };
+        if before.keys().any(is_kept_for) {
+            let is_urgent = |key: &StepKey| {
+                let step = waiting.get(key);
+                step.is_some_and(|step| step.is_urgent() && !step.is_beyond_share(now))
+            };
+            ranked.sort_by_key(|(_, key)| match (is_urgent(key), is_kept_for(key)) {
+                (true, _) => 0,
+                (false, true) => 1,
+                (false, false) => 2,
+            });
+        }
         let mut held_back = BTreeMap::new();
         ranked.retain(|(_, key)| {
             let Some(step) = waiting.get(key) else {
--- a/crates/bankvalve_queue/src/core/customer_shares.rs
+++ b/crates/bankvalve_queue/src/core/customer_shares.rs
@@ -4,9 +4,13 @@
 //! which jobs come, it takes the room of all others, who have sent no more than before. So each
 //! customer has a token bucket that fills at its weight; a job for which there is no token starts
 //! where nothing else wants the room, and is refused at once while much else waits for it.
+//!
+//! Such a job has its turn when the bucket has filled for it and for those of its customer before it
+//! that are still open, so that none waits for ever; one that is over by then gives its token back, so
+//! that a customer does not pay for room that nobody else wanted.
 
 use std::cmp::Reverse;
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 use super::EntryCore;
@@ -28,6 +32,8 @@
 /// Span over which those who are refused together come back, in milliseconds.
 const SPREAD_MS: u64 = 1_000;
 
+/// Longest time until a job has its turn, in seconds.
+const LONGEST_TURN_S: f64 = 300.0;
 /// Customers that metrics name at most.
 const VIEWS: usize = 64;
 
@@ -38,6 +44,21 @@
     filled_at: CoreTime,
 }
 
+/// When a job has its turn beside those within their customers' shares.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct JobTurn {
+    pub(super) at: CoreTime,
+    /// Time from its coming to its turn.
+    pub(super) wait: Duration,
+}
+
+/// An open job that was beyond its customer's share when it came.
+#[derive(Clone, Debug)]
+struct BeyondJob {
+    customer: CustomerName,
+    turn: JobTurn,
+}
+
 /// Jobs of one customer, as this leader has counted them.
 #[derive(Clone, Copy, Debug, Default)]
 struct JobTally {
@@ -64,21 +85,31 @@
 pub(super) struct CustomerShares {
     buckets: BTreeMap<CustomerName, TokenBucket>,
     tallies: BTreeMap<CustomerName, JobTally>,
-    /// Open jobs beyond their customers' shares.
-    beyond: BTreeSet<JobId>,
+    beyond: BTreeMap<JobId, BeyondJob>,
     /// Processor for which tasks waited at the last placement, as a share of all room in percent.
     backlog_percent: u64,
 }
 
 impl CustomerShares {
-    /// Whether a job was beyond its customer's share when it came.
-    pub(super) fn is_beyond(&self, job: JobId) -> bool {
-        self.beyond.contains(&job)
+    /// When a job has its turn, if it was beyond its customer's share when it came.
+    pub(super) fn turn_of(&self, job: JobId) -> Option<JobTurn> {
+        self.beyond.get(&job).map(|beyond| beyond.turn)
+    }
+
+    /// A job is over.
+    pub(super) fn end_job(&mut self, job: JobId, now: CoreTime) {
+        let Some(beyond) = self.beyond.remove(&job) else {
+            return;
+        };
+        let bucket = self.buckets.get_mut(&beyond.customer);
+        if let Some(bucket) = bucket.filter(|_| beyond.turn.at > now) {
+            bucket.tokens += 1.0;
+        }
     }
 
     /// Forgets jobs that are over.
     pub(super) fn retain(&mut self, open: impl Fn(JobId) -> bool) {
-        self.beyond.retain(|job| open(*job));
+        self.beyond.retain(|job, _| open(*job));
     }
 }
 
@@ -125,7 +156,16 @@
             return Err((wait_ms as u64).clamp(least, most) + job % SPREAD_MS);
         }
         tally.beyond_share += 1;
-        shares.beyond.insert(job);
+        bucket.tokens -= 1.0;
+        let wait = Duration::from_secs_f64((-bucket.tokens / weight).clamp(0.0, LONGEST_TURN_S));
+        let beyond = BeyondJob {
+            customer: customer.clone(),
+            turn: JobTurn {
+                at: now + wait,
+                wait,
+            },
+        };
+        shares.beyond.insert(job, beyond);
         self.counters.count("jobs", "beyond_share");
         Ok(())
     }
--- a/crates/bankvalve_queue/src/core/making_room.rs
+++ b/crates/bankvalve_queue/src/core/making_room.rs
@@ -143,7 +143,7 @@
             return false;
         };
         let step = lead.waiting.get(&key);
-        if step.is_some_and(|step| step.beyond_share) {
+        if step.is_some_and(|step| step.is_beyond_share(self.now)) {
             return false;
         }
         let urgent = step.is_some_and(|step| step.is_urgent());
--- a/crates/bankvalve_queue/src/core/placing.rs
+++ b/crates/bankvalve_queue/src/core/placing.rs
@@ -144,7 +144,7 @@
                 let rank = if returns {
                     FIRST_RANK
                 } else {
-                    step.rank(wall, by_time)
+                    step.rank(now, wall, by_time)
                 };
                 (rank, *key)
             })
@@ -223,7 +223,8 @@
             .and_then(|table| table.queue(&job.spec.queue));
         let terms = queue.map_or(&job.terms, |queue| &queue.terms);
         let lead = self.lead.as_deref();
-        let beyond = lead.is_some_and(|lead| lead.shares.is_beyond(key.job));
+        let waiting = lead.and_then(|lead| lead.waiting.get(&key));
+        let beyond = waiting.is_some_and(|step| step.is_beyond_share(self.now));
         Some(PlacedStep {
             key,
             service: terms.service.clone(),
--- a/crates/bankvalve_queue/src/core/waiting.rs
+++ b/crates/bankvalve_queue/src/core/waiting.rs
@@ -1,8 +1,9 @@
 //! Steps whose turn has come, and in which order they get room.
 
+use super::customer_shares::JobTurn;
 use super::EntryCore;
 use crate::customer::CustomerName;
-use crate::ids::{JobId, StepKey, TaskKey, WorkerId};
+use crate::ids::{CoreTime, JobId, StepKey, TaskKey, WorkerId};
 use crate::job::{StepSpec, TaskSize};
 use crate::ledger::{JobOutcome, JobRecord, TaskPhase, TimeRecord};
 
@@ -13,8 +14,8 @@
 #[derive(Clone, Debug)]
 pub(super) struct WaitingStep {
     pub(super) tasks: u32,
-    /// Whether its customer had sent more than its share when the job came.
-    pub(super) beyond_share: bool,
+    /// When its job has its turn, if its customer had sent more than its share when it came.
+    turn: Option<JobTurn>,
     pub(super) gang: bool,
     /// Room that each of its tasks takes, with the processor of those that fill.
     pub(super) size: TaskSize,
@@ -52,7 +53,7 @@
 pub(super) const FIRST_RANK: WaitingRank = (0, i64::MIN);
 
 impl WaitingStep {
-    fn new(job: &JobRecord, key: StepKey, tasks: u32, beyond_share: bool) -> Self {
+    fn new(job: &JobRecord, key: StepKey, tasks: u32, turn: Option<JobTurn>) -> Self {
         let chains = job.spec.chains_ms();
         let whole = chains.iter().copied().max().unwrap_or(0) as f64;
         let rest = chains[usize::from(key.step)] as f64;
@@ -61,10 +62,12 @@
             0 => job.accepted_at,
             due => due,
         } as f64;
+        // What is beyond its customer's share is in time if it is by its turn.
+        let begin = begin + turn.map_or(0.0, |turn| turn.wait.as_secs_f64() * 1_000.0);
         let step = &job.spec.steps[usize::from(key.step)];
         Self {
             tasks,
-            beyond_share,
+            turn,
             gang: step.gang,
             size: step.size,
             customer: job.spec.customer.clone(),
@@ -78,7 +81,12 @@
 
     /// Tells whether it is of a queue that comes first.
     pub(super) fn is_urgent(&self) -> bool {
-        self.priority == 0 && !self.beyond_share
+        self.priority == 0
+    }
+
+    /// Tells whether all that is within its customer's share comes before it.
+    pub(super) fn is_beyond_share(&self, now: CoreTime) -> bool {
+        self.turn.is_some_and(|turn| now < turn.at)
     }
 
     /// How its job can still end if it starts at a time of day.
@@ -98,7 +106,7 @@
     /// is beyond its customer's share.
     ///
     /// Without regard to time, by priority and acceptance alone.
-    pub(super) fn rank(&self, wall_ms: u64, by_time: bool) -> WaitingRank {
+    pub(super) fn rank(&self, now: CoreTime, wall_ms: u64, by_time: bool) -> WaitingRank {
         if !by_time {
             return (self.priority, self.begin_ms);
         }
@@ -107,7 +115,7 @@
             Lateness::Late => 2,
             Lateness::TooLate => 3,
         };
-        let class = if self.beyond_share {
+        let class = if self.is_beyond_share(now) {
             class + BEYOND_CLASS
         } else {
             class
@@ -160,7 +168,7 @@
         let Some(job) = self.book.job(id) else {
             return;
         };
-        let beyond = lead.shares.is_beyond(id);
+        let turn = lead.shares.turn_of(id);
         let mut stops = Vec::new();
         if job.outcome != JobOutcome::Open {
             for (time, record) in &job.times {
@@ -185,7 +193,7 @@
                         placed_of_step(key, record, &mut stops);
                     } else {
                         lead.waiting
-                            .insert(key, WaitingStep::new(job, key, waiting, beyond));
+                            .insert(key, WaitingStep::new(job, key, waiting, turn));
                     }
                 }
             }
