--- a/crates/bankvalve_check/src/command/mod.rs
+++ b/crates/bankvalve_check/src/command/mod.rs
@@ -6,6 +6,7 @@
 use bankvalve_queue::SiteGuard;
 use bpaf::Bpaf;
 
+use crate::growth::run_growth;
 use crate::measure::{run_decisions, run_measure};
 use crate::random::run_random;
 use crate::site::{run_lasting, run_site_costs, run_site_random, SiteBurden};
@@ -89,6 +90,16 @@
         #[bpaf(argument("NAME"))]
         profile: String,
     },
+    /// Shows how the busiest instance's cost grows, from the table that a run at several sizes printed
+    #[bpaf(command)]
+    Growth {
+        /// File to draw it to, as SVG
+        #[bpaf(argument("FILE"), optional)]
+        plot: Option<String>,
+        /// The run's output
+        #[bpaf(positional("FILE"))]
+        file: String,
+    },
     /// Measures the time of single decisions at growing sizes
     #[bpaf(command)]
     Decide,
@@ -123,6 +134,7 @@
         } => run_site_costs(workers, seconds, load),
         CheckCommand::Trace { files, plot } => run_trace(&files, plot.as_deref()),
         CheckCommand::Measure { seed, profile } => run_measure(&profile, seed),
+        CheckCommand::Growth { file, plot } => run_growth(&file, plot.as_deref()),
         CheckCommand::Decide => run_decisions(),
         CheckCommand::Slopes { folder } => run_slopes(&folder),
     }
