--- a/crates/bankvalve_check/tests/site/customers.rs
+++ b/crates/bankvalve_check/tests/site/customers.rs
@@ -7,7 +7,7 @@
 };
 use bankvalve_queue::{CallerAnswer, JobId, JobSpec, PolicySwitch, RunLimit, SiteGuard};
 
-use crate::{assert_kept, follower};
+use crate::{assert_kept, follower, plan_of};
 
 const NORTH: &str = "north";
 const SOUTH: &str = "south";
@@ -29,13 +29,8 @@
 /// A site of so many workers of four cores each with two customers, after its first second.
 fn world_of(seed: u64, workers: usize, limit: RunLimit, broken: Option<SiteGuard>) -> SiteWorld {
     let mut world = SiteWorld::new(SitePlan {
-        seed,
-        entries: 3,
-        strengths: Vec::new(),
         broken,
-        without: None,
-        workers,
-        good_percent: None,
+        ..plan_of(seed, workers)
     });
     world.set_customer(NORTH, 10.0, limit);
     world.set_customer(SOUTH, 10.0, RunLimit::default());
@@ -295,13 +290,8 @@
     const SECONDS: u64 = 15;
     const IN_TIME_MS: u64 = 2_500;
     let mut world = SiteWorld::new(SitePlan {
-        seed: 20 + times,
-        entries: 3,
-        strengths: Vec::new(),
-        broken: None,
         without,
-        workers: 12,
-        good_percent: None,
+        ..plan_of(20 + times, 12)
     });
     for (name, weight) in [("hot", 5.0), ("east", 13.0), ("west", 13.0)] {
         world.set_customer(name, weight, RunLimit::default());
--- a/crates/bankvalve_check/tests/site/failing_workers.rs
+++ b/crates/bankvalve_check/tests/site/failing_workers.rs
@@ -3,6 +3,8 @@
 use bankvalve_check::site::{job_of, SitePlan, SiteWorld, QUEUE, URGENT_QUEUE};
 use bankvalve_queue::{JobState, PolicySwitch};
 
+use crate::plan_of;
+
 /// First id of the gangs.
 const GANGS: u64 = 10_000;
 
@@ -10,13 +12,8 @@
 /// that it runs.
 fn failed_gangs(seed: u64, without: Option<PolicySwitch>) -> usize {
     let mut world = SiteWorld::new(SitePlan {
-        seed,
-        entries: 3,
-        strengths: Vec::new(),
-        broken: None,
         without,
-        workers: 18,
-        good_percent: None,
+        ..plan_of(seed, 18)
     });
     world.attempts = 2;
     world.configure(2);
--- a/crates/bankvalve_check/tests/site/main.rs
+++ b/crates/bankvalve_check/tests/site/main.rs
@@ -30,16 +30,24 @@
     world_without(seed, 4, None)
 }
 
-/// A site of so many workers, after its first second, with a guard taken away if asked.
-fn world_without(seed: u64, workers: usize, broken: Option<SiteGuard>) -> SiteWorld {
-    let mut world = SiteWorld::new(SitePlan {
+/// Three instances and so many workers, with all guards and policies.
+fn plan_of(seed: u64, workers: usize) -> SitePlan {
+    SitePlan {
         seed,
         entries: 3,
         strengths: Vec::new(),
-        broken,
+        broken: None,
         without: None,
         workers,
         good_percent: None,
+    }
+}
+
+/// A site of so many workers, after its first second, with a guard taken away if asked.
+fn world_without(seed: u64, workers: usize, broken: Option<SiteGuard>) -> SiteWorld {
+    let mut world = SiteWorld::new(SitePlan {
+        broken,
+        ..plan_of(seed, workers)
     });
     world.run_until(1_000);
     world
