test(site): QUOTA, RECOVER, CONFIG and a second LOST of drawn worlds, red and listed

Callers of drawn worlds saw a customer's sum that lacked a placed run, a site that accepted no job after the loss of all, an instance some versions of the configuration behind, and a healthy job shown as failed. Each is a rule of the service and was not listed yet.

None is traced.

--- a/crates/bankvalve_check/tests/site/crashing.rs
+++ b/crates/bankvalve_check/tests/site/crashing.rs
@@ -272,6 +272,13 @@
     }
 }
 
+/// Guards against an instance that stays a version of the configuration behind.
+#[test]
+fn each_instance_has_the_configuration_in_force_in_time_while_tasks_end_their_workers() {
+    let report = run_crash_episode(63_147, &SiteFault::ALL, None);
+    assert_eq!(report.breaches, []);
+}
+
 #[test]
 fn a_guard_against_such_tasks_that_is_taken_away_is_noticed() {
     for guard in [SiteGuard::CrashBudget, SiteGuard::AloneEvidence] {
--- a/crates/bankvalve_check/tests/site/customers.rs
+++ b/crates/bankvalve_check/tests/site/customers.rs
@@ -3,7 +3,8 @@
 use std::sync::Arc;
 
 use bankvalve_check::site::{
-    job_of, run_customer_episode, SitePlan, SiteWorld, QUEUE, URGENT_QUEUE,
+    job_of, run_customer_episode, run_short_episode, RuleBreach, SiteBurden, SiteFault, SitePlan,
+    SiteWorld, QUEUE, URGENT_QUEUE,
 };
 use bankvalve_queue::{CallerAnswer, JobId, JobSpec, PolicySwitch, RunLimit, SiteGuard};
 
@@ -61,6 +62,28 @@
     }
 }
 
+/// What a drawn world breaks in which the table leaves some requests without an answer.
+fn unanswered_breaches(seed: u64) -> Vec<RuleBreach> {
+    run_short_episode(seed, &SiteFault::UNANSWERED, SiteBurden::Customers).breaches
+}
+
+/// Guards against a customer's sum that lacks a run which the book has placed.
+#[test]
+fn the_sums_of_customers_agree_with_the_book_after_each_event_of_drawn_worlds() {
+    let reports = [64_089, 74_023].map(|seed| (seed, unanswered_breaches(seed)));
+    let wrong: Vec<_> = reports
+        .iter()
+        .filter(|(_, found)| !found.is_empty())
+        .collect();
+    assert!(wrong.is_empty(), "{wrong:?}");
+}
+
+/// Guards against a site that leads again after the loss of all instances and accepts no jobs.
+#[test]
+fn jobs_are_accepted_again_after_the_loss_of_all_in_a_drawn_world() {
+    assert_eq!(unanswered_breaches(64_009), []);
+}
+
 #[test]
 fn a_limit_that_is_not_kept_is_noticed() {
     let report = run_customer_episode(1, Some(SiteGuard::CustomerLimit));
--- a/crates/bankvalve_check/tests/site/restarts.rs
+++ b/crates/bankvalve_check/tests/site/restarts.rs
@@ -439,3 +439,15 @@
     let report = run_restart_episode(29_261, None);
     assert_eq!(report.breaches, []);
 }
+
+/// The same in a series with other troubles.
+#[test]
+fn no_healthy_job_is_given_up_while_workers_start_again_beside_other_troubles() {
+    assert_eq!(run_restart_episode(71_136, None).breaches, []);
+}
+
+/// Guards against an instance that stays some versions of the configuration behind.
+#[test]
+fn each_instance_has_the_configuration_in_force_in_time_while_workers_start_again() {
+    assert_eq!(run_restart_episode(71_132, None).breaches, []);
+}
