fix(queue): ends are acknowledged on the connection that listed them

Callers saw a task that must run once run twice (TWICE) where a worker starts again under its id in no time.

Cause: an acknowledgement was sent within 150 ms of a list. A process that starts in that time and ends a run loses the end, unread: nothing in the exchange tells two processes apart before the ends are dropped.

Change: looks at a worker go on a connection of their own; a list bears its number, and an acknowledgement goes on that connection or is not sent. A carrier's connection counts where calls are carried. One that has ended is no silence of the worker: it is looked at anew at once.

Why it holds: TCP ties a connection to one process, and the process ends it when it ends.

--- a/crates/bankvalve/src/entry/link_loop.rs
+++ b/crates/bankvalve/src/entry/link_loop.rs
@@ -10,9 +10,9 @@
     encode_message, ClientFailure, ClientLimits, HttpClient, HttpReply, WIRE_TYPE,
 };
 use bankvalve_queue::{
-    AdviceAnswer, CarriedOrder, CoreAction, CoreEvent, PeerAddress, PeerBatch, PeerMessage,
-    PeerPatience, PlatformPort, StoreRequest, Ticket, WireCall, WireReply, WorkerAnswer,
-    KEPT_CONNECTIONS, PEER_FLIGHTS,
+    AdviceAnswer, CarriedOrder, ConnectionId, CoreAction, CoreEvent, PeerAddress, PeerBatch,
+    PeerMessage, PeerPatience, PlatformPort, StoreRequest, Ticket, WireCall, WireReply,
+    WorkerAnswer, WorkerCall, KEPT_CONNECTIONS, PEER_FLIGHTS,
 };
 use hyper::Method;
 use tokio::sync::mpsc;
@@ -182,8 +182,16 @@
             } => {
                 tokio::task::spawn_local(async move {
                     let wire = (self.port.worker_call)(&worker, token, &call);
-                    let reply = self.call(address, wire, time).await;
-                    let answer = (self.port.worker_answer)(&call, &reply);
+                    let answer = match &call {
+                        WorkerCall::Hold { connection, .. } => {
+                            let (reply, on) = self.look(address, wire, (*connection, time)).await;
+                            answer_on((self.port.worker_answer)(&call, &reply), on)
+                        }
+                        _ => {
+                            let reply = self.call(address, wire, time).await;
+                            (self.port.worker_answer)(&call, &reply)
+                        }
+                    };
                     self.core.give(CoreEvent::Worker { ticket, answer });
                 });
             }
@@ -296,6 +304,29 @@
         reply_of(sent)
     }
 
+    /// Looks at a worker on the connection that is held to it; returns the reply and its connection.
+    async fn look(
+        &self,
+        address: impl std::fmt::Display,
+        call: WireCall,
+        times: (Option<ConnectionId>, Duration),
+    ) -> (WireReply, Option<ConnectionId>) {
+        let url = format!("http://{address}{}", call.path);
+        let headers = &call.headers;
+        let sent = self.client.send_held(
+            Method::POST,
+            &url,
+            headers,
+            call.content_type,
+            call.body,
+            times,
+        );
+        match sent.await {
+            Ok((reply, connection)) => (reply_of(Ok(reply)), Some(connection)),
+            Err(failure) => (reply_of(Err(failure)), None),
+        }
+    }
+
     async fn call(
         &self,
         address: impl std::fmt::Display,
@@ -329,6 +360,18 @@
     }
 }
 
+/// The answer to a look with the connection on which it came.
+fn answer_on(mut answer: WorkerAnswer, connection: Option<ConnectionId>) -> WorkerAnswer {
+    if let WorkerAnswer::Done {
+        report: Some(report),
+        ..
+    } = &mut answer
+    {
+        report.connection = connection;
+    }
+    answer
+}
+
 fn reply_of(sent: Result<HttpReply, ClientFailure>) -> WireReply {
     match sent {
         Ok(reply) => WireReply::Answer {
--- a/crates/bankvalve_check/src/site/site_restarts.rs
+++ b/crates/bankvalve_check/src/site/site_restarts.rs
@@ -127,6 +127,13 @@
         self.after(restart.down_ms, later);
     }
 
+    /// The same at a later time.
+    pub fn restart_worker_at(&mut self, at_ms: u64, address: &str, restart: WorkerRestart) {
+        let address = address.to_owned();
+        let delay = at_ms.saturating_sub(self.now_ms);
+        self.after(delay, Later::ProcessEnds { address, restart });
+    }
+
     pub(super) fn process_starts(
         &mut self,
         address: String,
@@ -153,6 +160,7 @@
         let offset = restart.clock_ms;
         let mut worker = SiteWorker::restarted(id.clone(), entry, self.now_ms, offset);
         worker.hold_limit_ms = self.hold_limit_ms;
+        worker.process = self.next_process();
         self.restarts.waiting.insert(id.clone(), self.now_ms);
         self.workers.insert(address.clone(), Some(worker));
         let back = Later::EntryBack {
--- a/crates/bankvalve_check/src/site/site_workers.rs
+++ b/crates/bankvalve_check/src/site/site_workers.rs
@@ -1,8 +1,8 @@
 //! Workers of a site: their lives, their runs and their gangs.
 
 use bankvalve_queue::{
-    CoreEvent, EndKind, ProcessStart, StartRefusal, StepKey, TaskKey, TaskSize, Ticket,
-    WorkerAnswer, WorkerCall, WorkerEntry, WorkerId,
+    ConnectionId, CoreEvent, EndKind, ProcessStart, StartRefusal, StepKey, TaskKey, TaskSize,
+    Ticket, WorkerAnswer, WorkerCall, WorkerEntry, WorkerId,
 };
 use bankvalve_standin::site::{SiteWorker, WorkerNews};
 use rand::Rng;
@@ -28,6 +28,14 @@
     call: WorkerCall,
 }
 
+/// The connection that a call must go on, if it may not go on another.
+fn bound_to(call: &WorkerCall) -> Option<ConnectionId> {
+    match call {
+        WorkerCall::Hold { connection, .. } => *connection,
+        _ => None,
+    }
+}
+
 impl SiteWorld {
     /// Workers that run tasks of jobs of both kinds that a test tells apart.
     pub fn workers_shared_by(&self, kind: impl Fn(bankvalve_queue::JobId) -> bool) -> usize {
@@ -61,6 +69,7 @@
         self.worker_reached_by.remove(&address);
         let mut worker = SiteWorker::new(id, entry, offset);
         worker.hold_limit_ms = self.hold_limit_ms;
+        worker.process = self.next_process();
         self.workers.insert(address, Some(worker));
         self.answer_watches();
     }
@@ -139,6 +148,18 @@
             return;
         }
         self.given_up_workers.remove(&connections);
+        let connection = self.connection_to(node, address);
+        if bound_to(call).is_some_and(|bound| connection != Some(bound)) {
+            // Its end is known by then, or else the call finds a port that knows no such connection.
+            let known = self.rng.random_range(0..2) == 0;
+            let answer = match known {
+                true => WorkerAnswer::NotSent,
+                false => WorkerAnswer::NoReply,
+            };
+            let event = CoreEvent::Worker { ticket, answer };
+            self.after(RESET_MS, Later::Event { node, life, event });
+            return;
+        }
         if self.has_look_wait(origin, meant, address, token, call) {
             return;
         }
@@ -149,13 +170,17 @@
         let time = |task: TaskKey| works.get(&task.step.job).copied().unwrap_or(drawn);
         let specs = &self.specs;
         let plan = |task: TaskKey| plan_of(specs, task, time(task), fails);
-        let answer = match self.workers.get_mut(address) {
+        let mut answer = match self.workers.get_mut(address) {
             Some(Some(worker)) if worker.id == *meant => {
                 worker.handle(now, token, call, self.policy.as_ref(), plan)
             }
             Some(Some(_)) => WorkerAnswer::OtherLife,
             _ => WorkerAnswer::PortRefused,
         };
+        if let WorkerAnswer::Done { report, .. } = &mut answer {
+            let reports = report.iter_mut();
+            reports.for_each(|report| report.connection = connection);
+        }
         let refused = |reason| matches!(&answer, WorkerAnswer::Refused { reason: found, .. } if *found == reason);
         if refused(StartRefusal::Permit) {
             self.permit_refusals += 1;
@@ -172,6 +197,18 @@
         self.after(delay, Later::Event { node, life, event });
     }
 
+    /// The connection of an instance to the process that listens at an address.
+    fn connection_to(&self, node: usize, address: &str) -> Option<ConnectionId> {
+        let worker = self.workers.get(address)?.as_ref()?;
+        Some(worker.process * self.nodes.len() as u64 + node as u64)
+    }
+
+    /// Number for a process of a worker that starts.
+    pub(super) fn next_process(&mut self) -> u64 {
+        self.processes += 1;
+        self.processes
+    }
+
     /// Has a look wait at its worker, if looks do and nothing has ended there yet.
     fn has_look_wait(
         &mut self,
@@ -184,6 +221,7 @@
         let WorkerCall::Hold {
             until_ms,
             kept,
+            connection,
             wait_ms,
         } = call
         else {
@@ -203,6 +241,7 @@
         let now_call = WorkerCall::Hold {
             until_ms: *until_ms,
             kept: *kept,
+            connection: *connection,
             wait_ms: 0,
         };
         let plan = |_| (TaskSize::default(), None);
@@ -219,6 +258,7 @@
             call: WorkerCall::Hold {
                 until_ms: *until_ms,
                 kept: 0,
+                connection: *connection,
                 wait_ms: 0,
             },
         };
--- a/crates/bankvalve_check/src/site/site_world.rs
+++ b/crates/bankvalve_check/src/site/site_world.rs
@@ -175,6 +175,8 @@
     /// Workers by address; none while one is down.
     pub workers: BTreeMap<String, Option<SiteWorker>>,
     pub(super) lives: u64,
+    /// Processes of workers that were started so far.
+    pub(super) processes: u64,
     /// What restarts of workers under their ids showed.
     pub restarts: RestartFigures,
     pub(super) policy: Option<SitePolicy>,
@@ -312,6 +314,7 @@
             watches: Vec::new(),
             workers: BTreeMap::new(),
             lives: 0,
+            processes: 0,
             restarts: RestartFigures::default(),
             policy,
             slow_advice: None,
--- a/crates/bankvalve_check/tests/site/carriers.rs
+++ b/crates/bankvalve_check/tests/site/carriers.rs
@@ -1,7 +1,8 @@
 //! Carriers, which hold the workers' connections for a leader that has many, and hubs.
 
 use bankvalve_check::site::{
-    job_of, run_short_episode, SiteBurden, SiteFault, SitePlan, SiteWorld, QUEUE, URGENT_QUEUE,
+    job_of, run_short_episode, SiteBurden, SiteFault, SitePlan, SiteWorld, WorkerRestart, QUEUE,
+    URGENT_QUEUE,
 };
 
 use crate::assert_kept;
@@ -68,6 +69,31 @@
     }
 }
 
+/// Guards against acknowledgements that a carrier sends to the next process of a worker.
+#[test]
+fn ends_are_acknowledged_to_their_process_alone_while_calls_are_carried() {
+    for restart_ms in (0..300).step_by(10) {
+        let mut world = carried_world(3, 5, 5);
+        world.store_delay_ms = 100;
+        let restart = WorkerRestart {
+            silent: restart_ms % 20 == 0,
+            ..WorkerRestart::default()
+        };
+        for (index, address) in world.workers.clone().keys().enumerate() {
+            let at_ms = 2_000 + restart_ms + 100 * index as u64;
+            world.restart_worker_at(at_ms, address, restart);
+        }
+        for job in 1..60 {
+            world.work_ms.insert(job, 5);
+        }
+        submit_some(&mut world, 1..60);
+        world.store_delay_ms = 0;
+        world.run_until(12_000);
+        assert_kept(&world);
+        assert_eq!(world.shown.len(), 59, "restarts from {restart_ms} ms on");
+    }
+}
+
 #[test]
 fn troubles_break_no_rule_while_calls_are_carried() {
     for seed in 1..9 {
--- a/crates/bankvalve_check/tests/site/restarts.rs
+++ b/crates/bankvalve_check/tests/site/restarts.rs
@@ -8,7 +8,7 @@
 };
 use bankvalve_queue::{JobId, JobState, SiteGuard, StepKey, TaskKey};
 
-use crate::{assert_kept, follower};
+use crate::{assert_kept, follower, plan_of};
 
 /// Workers of the site.
 const WORKERS: usize = 8;
@@ -137,6 +137,39 @@
     }
 }
 
+/// A site of one worker that starts again some time after a job was handed in, while more come and ends wait
+/// 100 ms to be kept.
+fn restart_between_ends(restart_ms: u64) -> SiteWorld {
+    let mut world = SiteWorld::new(plan_of(1, 1));
+    world.looks_wait = true;
+    world.run_until(1_000);
+    world.store_delay_ms = 100;
+    let address = addresses(&world)[0].clone();
+    let restart = WorkerRestart {
+        silent: true,
+        entry_after_ms: 1_500,
+        ..AT_ONCE
+    };
+    world.restart_worker_at(2_000 + restart_ms, &address, restart);
+    for job in 1..60 {
+        world.work_ms.insert(job, 5);
+        world.submit(job_of(job, URGENT_QUEUE, &[2], false));
+        let until = world.now_ms + 50;
+        world.run_until(until);
+    }
+    world.store_delay_ms = 0;
+    world.run_until(12_000);
+    world
+}
+
+/// The same at each distance of the restart from the ends around it.
+#[test]
+fn an_end_of_the_next_process_is_not_acknowledged_unread_whenever_it_starts() {
+    for restart_ms in (0..300).step_by(2) {
+        assert_all_done(&restart_between_ends(restart_ms), 59);
+    }
+}
+
 /// Tasks of a job that run on some worker.
 fn running(world: &SiteWorld, job: JobId) -> BTreeSet<TaskKey> {
     let workers = world.workers.values().flatten();
--- a/crates/bankvalve_link/src/client/kept_connections.rs
+++ b/crates/bankvalve_link/src/client/kept_connections.rs
@@ -1,8 +1,9 @@
 //! The connections that a client keeps open, by address.
 
 use std::collections::HashMap;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
-use std::time::Instant;
+use std::time::{Instant, SystemTime};
 
 use bytes::Bytes;
 use http_body_util::Full;
@@ -11,6 +12,7 @@
 use hyper_util::client::legacy::Client;
 use hyper_util::rt::{TokioExecutor, TokioTimer};
 
+use super::held_connection::{HeldConnection, HeldNumber};
 use super::ClientLimits;
 
 /// Addresses from which on those are forgotten that were not called for as long as a connection is
@@ -28,6 +30,8 @@
     generation: u64,
     /// Whether a call of this generation was answered, so that connections may be kept.
     answered: bool,
+    /// A connection that is told from others, while no call is on it.
+    held: Option<HeldConnection>,
     used_at: Instant,
 }
 
@@ -40,6 +44,8 @@
 pub(super) struct KeptConnections {
     limits: ClientLimits,
     lanes: Arc<Mutex<HashMap<Authority, AddressLane>>>,
+    /// Number of the next connection that is held.
+    next_held: Arc<AtomicU64>,
 }
 
 impl KeptConnections {
@@ -47,6 +53,34 @@
         Self {
             limits,
             lanes: Arc::default(),
+            next_held: Arc::new(AtomicU64::new(first_number())),
+        }
+    }
+
+    /// Number for a connection that is about to be made.
+    pub(super) fn next_number(&self) -> HeldNumber {
+        self.next_held.fetch_add(1, Ordering::Relaxed)
+    }
+
+    /// Takes the connection that is held to an address, if there is one, and tells the generation of the others.
+    pub(super) fn take_held(&self, address: &Authority) -> (Option<HeldConnection>, u64) {
+        let (_, generation) = self.pool(address);
+        let held = self
+            .lock()
+            .get_mut(address)
+            .and_then(|lane| lane.held.take());
+        let idle_time = self.limits.idle_time;
+        let held = held.filter(|held| held.used_at.elapsed() < idle_time);
+        (held, generation)
+    }
+
+    /// Holds a connection on which a call of a generation was answered.
+    pub(super) fn hold(&self, address: &Authority, generation: u64, mut held: HeldConnection) {
+        held.used_at = Instant::now();
+        if let Some(lane) = self.lock().get_mut(address) {
+            if lane.generation == generation {
+                lane.held = Some(held);
+            }
         }
     }
 
@@ -66,6 +100,7 @@
             pool: new_pool(&self.limits),
             generation: 0,
             answered: false,
+            held: None,
             used_at: now,
         };
         let pool = lane.pool.clone();
@@ -89,6 +124,7 @@
                 lane.pool = new_pool(&self.limits);
                 lane.generation += 1;
                 lane.answered = false;
+                lane.held = None;
             }
         }
     }
@@ -99,6 +135,12 @@
     }
 }
 
+/// The first number of a client's held connections: above those of a process before it.
+fn first_number() -> HeldNumber {
+    let now = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH);
+    now.unwrap_or_default().as_micros() as HeldNumber
+}
+
 fn new_pool(limits: &ClientLimits) -> ConnectionPool {
     let mut connector = HttpConnector::new();
     connector.set_nodelay(true);
--- a/crates/bankvalve_link/src/client/mod.rs
+++ b/crates/bankvalve_link/src/client/mod.rs
@@ -1,5 +1,6 @@
 //! An HTTP client that keeps connections open.
 
+mod held_connection;
 mod kept_connections;
 
 use std::io::ErrorKind;
@@ -12,8 +13,11 @@
 use hyper::http::uri::Authority;
 use hyper::{Method, Request, Response};
 
+use self::held_connection::{with_path_alone, HeldConnection};
 use self::kept_connections::{ConnectionPool, KeptConnections};
 
+pub use self::held_connection::HeldNumber;
+
 /// Time after which an idle connection is closed.
 const IDLE_TIME: Duration = Duration::from_secs(20);
 /// Time in which a connection must be made.
@@ -104,7 +108,7 @@
 #[derive(Clone, Debug)]
 pub struct HttpClient {
     kept: KeptConnections,
-    reply_bytes: usize,
+    limits: ClientLimits,
 }
 
 impl HttpClient {
@@ -130,7 +134,7 @@
     pub fn with_limits(limits: ClientLimits) -> Self {
         Self {
             kept: KeptConnections::new(limits),
-            reply_bytes: limits.reply_bytes,
+            limits,
         }
     }
 
@@ -148,18 +152,7 @@
         body: impl Into<Bytes>,
         time: Duration,
     ) -> Result<HttpReply, ClientFailure> {
-        let mut builder = Request::builder()
-            .method(method)
-            .uri(url)
-            .header(CONTENT_TYPE, content_type);
-        for (name, value) in headers {
-            let value = HeaderValue::from_str(value)
-                .map_err(|error| ClientFailure::NotSent(error.to_string()))?;
-            builder = builder.header(HeaderName::from_static(name), value);
-        }
-        let request = builder
-            .body(Full::new(body.into()))
-            .map_err(|error| ClientFailure::NotSent(error.to_string()))?;
+        let request = request_of(method, url, headers, content_type, body.into())?;
         let address = address_of(&request, url)?;
         let (pool, generation) = self.kept.pool(&address);
         let exchange = tokio::time::timeout(time, self.exchange(&pool, request));
@@ -167,6 +160,60 @@
         self.note_end(&address, generation, end)
     }
 
+    /// Sends a request on the connection that is held to its address and tells the number of that connection, or
+    /// on a new one, which is held from then on. One call at a time goes on it.
+    ///
+    /// With `only` it is sent on the connection of that number alone. A connection ends with the process that it
+    /// leads to, so the request reaches the process that answered on it, or none.
+    ///
+    /// # Errors
+    ///
+    /// Returns whether the request may have been received; `NotSent` if the only connection has ended.
+    pub async fn send_held(
+        &self,
+        method: Method,
+        url: &str,
+        headers: &[(&'static str, String)],
+        content_type: &'static str,
+        body: impl Into<Bytes>,
+        (only, time): (Option<HeldNumber>, Duration),
+    ) -> Result<(HttpReply, HeldNumber), ClientFailure> {
+        let request = request_of(method, url, headers, content_type, body.into())?;
+        let address = address_of(&request, url)?;
+        let request = with_path_alone(request, &address)?;
+        let (held, generation) = self.kept.take_held(&address);
+        let exchange = async {
+            let mut held = self.ready_connection(&address, held, only).await?;
+            let reply = self.exchange_on(&mut held, request).await?;
+            let number = held.number;
+            self.kept.hold(&address, generation, held);
+            Ok((reply, number))
+        };
+        let exchange = tokio::time::timeout(time, exchange);
+        let end = exchange.await.unwrap_or(Err(CallEnd::Silent));
+        self.note_end(&address, generation, end)
+    }
+
+    /// The connection for a call: the one that was held, if it is open, or a new one.
+    async fn ready_connection(
+        &self,
+        address: &Authority,
+        held: Option<HeldConnection>,
+        only: Option<HeldNumber>,
+    ) -> Result<HeldConnection, CallEnd> {
+        let fits = |held: &HeldConnection| only.is_none_or(|only| held.number == only);
+        if let Some(mut held) = held.filter(fits) {
+            if held.sender.ready().await.is_ok() {
+                return Ok(held);
+            }
+        }
+        if only.is_some() {
+            let text = "the connection has ended".to_owned();
+            return Err(CallEnd::Failed(ClientFailure::NotSent(text)));
+        }
+        HeldConnection::connect(address, self.kept.next_number(), &self.limits).await
+    }
+
     /// Sends a request and waits a time for the reply to begin, and then for its whole body as long
     /// as that goes on: no pause in it may be longer than `pause`.
     ///
@@ -195,12 +242,12 @@
     }
 
     /// Notes how a call ended on the connections among which it was.
-    fn note_end(
+    fn note_end<R>(
         &self,
         address: &Authority,
         generation: u64,
-        end: Result<HttpReply, CallEnd>,
-    ) -> Result<HttpReply, ClientFailure> {
+        end: Result<R, CallEnd>,
+    ) -> Result<R, ClientFailure> {
         match end {
             Ok(reply) => {
                 self.kept.note_answer(address, generation);
@@ -226,7 +273,7 @@
         let response = begun.await.map_err(out_of_time)??;
         let (status, retry_after_ms) = head_of(&response);
         begins(response.body().size_hint().exact());
-        let mut body = Limited::new(response.into_body(), self.reply_bytes);
+        let mut body = Limited::new(response.into_body(), self.limits.reply_bytes);
         let mut whole = BytesMut::new();
         loop {
             let frame = tokio::time::timeout(pause, body.frame());
@@ -253,8 +300,23 @@
         request: Request<Full<Bytes>>,
     ) -> Result<HttpReply, CallEnd> {
         let response = begin(pool, request).await?;
+        self.take_reply(response).await
+    }
+
+    /// Exchanges a request and its reply on a connection.
+    async fn exchange_on(
+        &self,
+        held: &mut HeldConnection,
+        request: Request<Full<Bytes>>,
+    ) -> Result<HttpReply, CallEnd> {
+        let response = held.sender.send_request(request).await;
+        self.take_reply(response.map_err(|error| CallEnd::of(&error))?)
+            .await
+    }
+
+    async fn take_reply(&self, response: Response<Incoming>) -> Result<HttpReply, CallEnd> {
         let (status, retry_after_ms) = head_of(&response);
-        let body = Limited::new(response.into_body(), self.reply_bytes)
+        let body = Limited::new(response.into_body(), self.limits.reply_bytes)
             .collect()
             .await
             .map_err(|error| CallEnd::of(&*error))?
@@ -267,6 +329,27 @@
     }
 }
 
+fn request_of(
+    method: Method,
+    url: &str,
+    headers: &[(&'static str, String)],
+    content_type: &'static str,
+    body: Bytes,
+) -> Result<Request<Full<Bytes>>, ClientFailure> {
+    let mut builder = Request::builder()
+        .method(method)
+        .uri(url)
+        .header(CONTENT_TYPE, content_type);
+    for (name, value) in headers {
+        let value = HeaderValue::from_str(value)
+            .map_err(|error| ClientFailure::NotSent(error.to_string()))?;
+        builder = builder.header(HeaderName::from_static(name), value);
+    }
+    builder
+        .body(Full::new(body))
+        .map_err(|error| ClientFailure::NotSent(error.to_string()))
+}
+
 fn address_of(request: &Request<Full<Bytes>>, url: &str) -> Result<Authority, ClientFailure> {
     let address = request.uri().authority().cloned();
     address.ok_or_else(|| ClientFailure::NotSent(format!("{url}: expected an address")))
--- a/crates/bankvalve_link/src/lib.rs
+++ b/crates/bankvalve_link/src/lib.rs
@@ -13,7 +13,7 @@
 mod server;
 mod wire;
 
-pub use client::{ClientFailure, ClientLimits, HttpClient, HttpReply};
+pub use client::{ClientFailure, ClientLimits, HeldNumber, HttpClient, HttpReply};
 pub use keys::{
     sign_command, CallerKey, KeyFailure, KeyRing, OperatorKey, OperatorSigner, PeerSigner,
     CLOCK_SLACK,
--- a/crates/bankvalve_queue/src/core/carriers.rs
+++ b/crates/bankvalve_queue/src/core/carriers.rs
@@ -48,7 +48,7 @@
     }
 
     /// The carrier of a worker's calls; the same one while the carriers stay.
-    fn carrier_of(&self, worker: &WorkerId) -> Option<PeerAddress> {
+    pub(super) fn carrier_of(&self, worker: &WorkerId) -> Option<PeerAddress> {
         let weight = |peer: &PeerAddress| choice_weight(worker, peer);
         self.peers.iter().copied().max_by_key(weight)
     }
@@ -197,10 +197,12 @@
             CarriedOrder::Hold {
                 until_ms,
                 kept,
+                connection,
                 wait_ms,
             } => WorkerCall::Hold {
                 until_ms,
                 kept,
+                connection,
                 wait_ms,
             },
         })
--- a/crates/bankvalve_queue/src/core/holds.rs
+++ b/crates/bankvalve_queue/src/core/holds.rs
@@ -5,7 +5,7 @@
 use super::carriers::CARRY_SLACK;
 use super::lead::{CallPurpose, LeadState, OpenCall};
 use super::round_trip::WAY_MOST;
-use super::seat::{LifeEnd, Seat, SILENT_LONG};
+use super::seat::{LifeEnd, ListConnection, Seat, SILENT_LONG};
 use super::EntryCore;
 use crate::guard::SiteGuard;
 use crate::ids::{CoreTime, Ticket, WorkerId};
@@ -234,6 +234,7 @@
             return;
         };
         let many = lead.seats.len() > MANY_WORKERS;
+        let carrier = lead.carriers.carrier_of(id);
         let slack = lead.answer_limit(LOOK_SLACK);
         let Some(seat) = lead.seats.get_mut(id) else {
             return;
@@ -247,12 +248,9 @@
         if let Some(until) = until_ms {
             seat.granted_until = seat.granted_until.max(until);
         }
-        let has_kept_ends = seat.has_kept_ends();
-        let acknowledges = match has_kept_ends && seat.may_acknowledge(now) {
-            true => seat.kept,
-            false => 0,
-        };
-        let settled = seat.seen == seat.kept && (!has_kept_ends || acknowledges > 0);
+        let connection = seat.acknowledges_on(carrier);
+        let acknowledges = connection.map_or(0, |_| seat.kept);
+        let settled = seat.seen == seat.kept && (!seat.has_kept_ends() || connection.is_some());
         // One lost answer is made up for at once: a second wait would take it past the silence from which
         // on its hold is not prolonged.
         let wait = if !(seat.proved && settled && heard) || seat.unanswered > 0 {
@@ -272,6 +270,7 @@
         let call = WorkerCall::Hold {
             until_ms,
             kept: acknowledges,
+            connection,
             wait_ms: wait.as_millis() as u64,
         };
         self.counters.count("calls", "look");
@@ -329,7 +328,7 @@
             return;
         };
         lead.call_limits.remove(&(open.limit, ticket));
-        let purpose = open.purpose;
+        let purpose = &open.purpose;
         let order = !matches!(purpose, CallPurpose::Hold { .. });
         if order && matches!(answer, WorkerAnswer::Done { .. }) {
             lead.note_answer(now.saturating_sub(open.sent_at));
@@ -350,12 +349,12 @@
         let Some(seat) = lead.seats.of_mut(&open.worker) else {
             return;
         };
-        let id = open.worker.worker;
+        let id = open.worker.worker.clone();
         match answer {
             WorkerAnswer::OtherLife => {
                 if let CallPurpose::Start { task, .. } = purpose {
                     // The other life has turned the order away: it was not carried out.
-                    if let Some(live) = seat.runs.get_mut(&task) {
+                    if let Some(live) = seat.runs.get_mut(task) {
                         live.busy = false;
                     }
                 }
@@ -370,9 +369,9 @@
                     seat.next_hold = now + FORGET_SEAT;
                 }
             }
-            answer => match purpose {
+            answer => match *purpose {
                 CallPurpose::Hold { acknowledges } => {
-                    self.end_look(&id, (open.sent_at, acknowledges), &answer)
+                    self.end_look(&id, &open, acknowledges, &answer)
                 }
                 CallPurpose::Start { task, run } => self.end_start(&id, task, run, &answer),
                 CallPurpose::Stop { task, run } => self.end_stop(&id, task, run, &answer),
@@ -380,15 +379,18 @@
         }
     }
 
-    /// Takes the answer to a look that was sent at a time and acknowledged ends up to a number.
+    /// Takes the answer to a look that acknowledged ends up to a number.
     fn end_look(
         &mut self,
         id: &WorkerId,
-        (sent_at, acknowledged): (CoreTime, u64),
+        open: &OpenCall,
+        acknowledged: u64,
         answer: &WorkerAnswer,
     ) {
+        let sent_at = open.sent_at;
         if let Some(seat) = self.lead_seat(id) {
             seat.hold_busy = false;
+            seat.listed_on = None;
         }
         match answer {
             WorkerAnswer::Done {
@@ -404,9 +406,21 @@
                     if before == Some(seat.number) {
                         seat.acknowledged = seat.acknowledged.max(acknowledged);
                     }
+                    seat.listed_on = report.connection.map(|connection| ListConnection {
+                        carrier: open.carrier,
+                        connection,
+                    });
                 }
                 self.end_answered_look(id, sent_at, report, *clock_ms);
             }
+            // Its connection has ended, which tells nothing of the worker: it is asked on another one.
+            WorkerAnswer::NotSent if acknowledged > 0 => {
+                self.counters.count("retries", "connection_ended");
+                if let Some(seat) = self.lead_seat(id) {
+                    seat.next_hold = sent_at;
+                }
+                self.look_if_due(id);
+            }
             _ => self.end_silent_look(id, sent_at, answer),
         }
     }
--- a/crates/bankvalve_queue/src/core/seat.rs
+++ b/crates/bankvalve_queue/src/core/seat.rs
@@ -4,9 +4,10 @@
 use std::time::Duration;
 
 use super::live_run::{LiveRun, RunLoad, RunPhase};
-use crate::ids::{CoreTime, JobId, StepKey, TaskKey};
+use crate::ids::{ConnectionId, CoreTime, JobId, StepKey, TaskKey};
 use crate::job::TaskSize;
 use crate::ledger::{CrashEvidence, CrashWeight};
+use crate::peer::PeerAddress;
 use crate::worker::{ProcessStart, WorkerEntry};
 
 /// A worker that was heard so lately gets work.
@@ -15,8 +16,6 @@
 pub(super) const SILENT_LONG: Duration = Duration::from_millis(1_300);
 /// Time for the way of a look and a slow worker, beyond the wait that the look asks for.
 pub(super) const ANSWER_SLACK: Duration = Duration::from_millis(400);
-/// Least time in which a worker's process ends, and another starts and ends a run.
-const RESTART_LEAST: Duration = Duration::from_millis(150);
 /// How much slower than ours a worker's clock may run, in percent.
 pub(super) const SLOW_CLOCK_PERCENT: u32 = 2;
 /// Added to every bound on a worker's clock.
@@ -84,6 +83,14 @@
     Resuming,
 }
 
+/// The connection on which a worker's list came.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) struct ListConnection {
+    /// Who made it; none for the leader itself.
+    pub(super) carrier: Option<PeerAddress>,
+    pub(super) connection: ConnectionId,
+}
+
 /// Room kept for a step while it waits for permits, or for that room.
 #[derive(Clone, Debug)]
 pub(super) struct Reservation {
@@ -135,6 +142,8 @@
     pub(super) reserved: Vec<Reservation>,
     /// Start of the process that answers, as its last list told.
     pub(super) started: Option<ProcessStart>,
+    /// Connection on which its last list came.
+    pub(super) listed_on: Option<ListConnection>,
     /// Greatest number of an end that was taken.
     pub(super) seen: u64,
     /// Greatest number of an end that is kept.
@@ -178,6 +187,7 @@
             used: TaskSize::default(),
             reserved: Vec::new(),
             started: None,
+            listed_on: None,
             seen: 0,
             kept: 0,
             acknowledged: 0,
@@ -307,10 +317,13 @@
         self.kept > self.acknowledged
     }
 
-    /// Tells whether a call now still reaches the process that listed what is kept: one that has started since
-    /// would drop ends of its own that nobody has read.
-    pub(super) fn may_acknowledge(&self, now: CoreTime) -> bool {
-        self.unanswered == 0 && self.is_heard(now, RESTART_LEAST)
+    /// The connection for an acknowledgement by a carrier, if ends wait for one.
+    ///
+    /// Another process would drop ends of its own that nobody has read, and a connection ends with the process
+    /// that has listed on it.
+    pub(super) fn acknowledges_on(&self, carrier: Option<PeerAddress>) -> Option<ConnectionId> {
+        let listed_on = self.listed_on.filter(|on| on.carrier == carrier)?;
+        self.has_kept_ends().then_some(listed_on.connection)
     }
 
     /// Starts that have no answer yet.
--- a/crates/bankvalve_queue/src/ids.rs
+++ b/crates/bankvalve_queue/src/ids.rs
@@ -18,6 +18,8 @@
 pub type FenceToken = u64;
 /// Id of one life of a worker.
 pub type WorkerId = Arc<str>;
+/// Number of a connection, as the instance counts its own over all of its lives.
+pub type ConnectionId = u64;
 /// Number by which an answer finds its question.
 pub type Ticket = u64;
 
--- a/crates/bankvalve_queue/src/lib.rs
+++ b/crates/bankvalve_queue/src/lib.rs
@@ -30,7 +30,10 @@
 pub use customer::{CallerIdentity, CustomerName, CustomerRule, KeyDigest, RunLimit};
 pub use decision::{CustomerView, DecisionLine, EntryCounters, EntryView};
 pub use guard::SiteGuard;
-pub use ids::{CoreTime, FenceToken, JobId, RunId, StepKey, TaskKey, Ticket, WallMillis, WorkerId};
+pub use ids::{
+    ConnectionId, CoreTime, FenceToken, JobId, RunId, StepKey, TaskKey, Ticket, WallMillis,
+    WorkerId,
+};
 pub use job::{JobProblem, JobSpec, JobTerms, StepSpec, TaskSize};
 pub use ledger::{
     CrashCount, CrashEnd, CrashEvidence, CrashWeight, EndKind, JobBook, JobOutcome, JobRecord,
--- a/crates/bankvalve_queue/src/peer.rs
+++ b/crates/bankvalve_queue/src/peer.rs
@@ -7,7 +7,7 @@
 
 use crate::caller::{CallerAnswer, CallerRequest};
 use crate::customer::CallerIdentity;
-use crate::ids::{FenceToken, RunId, TaskKey, Ticket, WorkerId};
+use crate::ids::{ConnectionId, FenceToken, RunId, TaskKey, Ticket, WorkerId};
 use crate::worker::{AdviceAnswer, AdviceAsk, WorkerAnswer, WorkerCall};
 
 /// Address at which a peer listens for peers.
@@ -184,6 +184,8 @@
         until_ms: Option<u64>,
         /// Number of the last end that is kept and may be forgotten.
         kept: u64,
+        /// The only connection of the carrier that it may go on.
+        connection: Option<ConnectionId>,
         /// Time to wait for an end, in milliseconds.
         wait_ms: u64,
     },
@@ -207,10 +209,12 @@
             WorkerCall::Hold {
                 until_ms,
                 kept,
+                connection,
                 wait_ms,
             } => Some(CarriedOrder::Hold {
                 until_ms: *until_ms,
                 kept: *kept,
+                connection: *connection,
                 wait_ms: *wait_ms,
             }),
             WorkerCall::Pace { .. } => None,
--- a/crates/bankvalve_queue/src/worker.rs
+++ b/crates/bankvalve_queue/src/worker.rs
@@ -2,7 +2,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::ids::{CoreTime, RunId, StepKey, TaskKey, WallMillis, WorkerId};
+use crate::ids::{ConnectionId, CoreTime, RunId, StepKey, TaskKey, WallMillis, WorkerId};
 use crate::job::TaskSize;
 
 /// When a worker's process started, in Unix milliseconds by its own time of day.
@@ -76,6 +76,8 @@
         until_ms: Option<u64>,
         /// Number of the last end that is kept and may be forgotten.
         kept: u64,
+        /// The only connection that it may go on; it is not sent if that has ended. Whichever if none.
+        connection: Option<ConnectionId>,
         /// Time to wait for an end, in milliseconds.
         wait_ms: u64,
     },
@@ -160,6 +162,8 @@
     pub ended: Vec<EndReport>,
     /// Start of the process whose lists these are, if it says so.
     pub started: Option<ProcessStart>,
+    /// Connection on which they came. It ends with that process.
+    pub connection: Option<ConnectionId>,
 }
 
 /// What became of a call to a worker.
@@ -185,7 +189,8 @@
     Unwell,
     /// Not sent: its port refused the connection, so nothing listens there.
     PortRefused,
-    /// Not sent: no connection could be made, in time or at all. A worker that is silent shows so.
+    /// Not sent: no connection could be made, in time or at all, or the only one that the call may go on
+    /// has ended. A worker that is silent shows so.
     NotSent,
     /// No answer: done, not done, or done later.
     NoReply,
--- a/crates/bankvalve_standin/src/site/site_worker.rs
+++ b/crates/bankvalve_standin/src/site/site_worker.rs
@@ -57,6 +57,8 @@
     pub id: WorkerId,
     /// Its entry.
     pub entry: WorkerEntry,
+    /// Number by which whoever plays it tells its process from others.
+    pub process: u64,
     /// Offset of its clock, in milliseconds.
     clock_offset_ms: u64,
     /// Time at which its clock began with the offset, in milliseconds.
@@ -83,6 +85,7 @@
         Self {
             id,
             entry,
+            process: 0,
             clock_offset_ms,
             clock_base_ms: 0,
             hold_limit_ms: HOLD_LIMIT_MS,
@@ -226,6 +229,7 @@
             running: running.chain(self.also_listed.iter().cloned()).collect(),
             ended: self.ends.clone(),
             started: self.entry.started,
+            connection: None,
         }
     }
 
