fix(queue): a leader without a configuration tells what customers run

Operators saw a customer's sums vanish (QUOTA in drawn worlds: the book has tasks placed, the sum is 0) while a leader had no configuration yet after the loss of all instances.

Cause: the sums were told only once limits were known. Nothing starts without a configuration, so no limit was passed by.

The written world, with instances that are down for 100 to 1,600 ms, fails before in all distances that leave a leader without a configuration, and passes.

Why it holds: the sum is taken from the runs themselves, whichever limits are known.

--- a/crates/bankvalve_check/src/site/site_links.rs
+++ b/crates/bankvalve_check/src/site/site_links.rs
@@ -261,7 +261,13 @@
         let cut = self.nodes[node].cut_from_store_until > now;
         let answer = |outcome| CoreEvent::Store { ticket, outcome };
         let watch = matches!(&request, StoreRequest::WatchOperator { wait_ms, .. } if *wait_ms >= LONG_WAIT_MS);
-        if watch && self.nodes[node].watch_lost_until > now {
+        let about_config = matches!(
+            &request,
+            StoreRequest::WatchOperator { .. } | StoreRequest::ReadOperator
+        );
+        let unanswered = (watch && self.nodes[node].watch_lost_until > now)
+            || (about_config && self.nodes[node].config_lost_until > now);
+        if unanswered {
             // It is told that there was no answer when its time is over.
             self.after(
                 WATCH_LOST_MS,
--- a/crates/bankvalve_check/src/site/site_plan.rs
+++ b/crates/bankvalve_check/src/site/site_plan.rs
@@ -60,6 +60,8 @@
     pub processor: NodeProcessor,
     /// Until when its long questions to the table about the configuration have no answer.
     pub watch_lost_until: u64,
+    /// Until when none of its questions to the table about the configuration has an answer.
+    pub config_lost_until: u64,
     pub(super) parked: Vec<CoreEvent>,
     /// Until when trouble disturbs it, as far as was noted.
     pub(super) disturbed_until: u64,
@@ -88,6 +90,7 @@
             link_use: LinkUse::default(),
             processor: NodeProcessor::default(),
             watch_lost_until: 0,
+            config_lost_until: 0,
             parked: Vec::new(),
             disturbed_until: 0,
             newest_table: 0,
--- a/crates/bankvalve_check/tests/site/customers.rs
+++ b/crates/bankvalve_check/tests/site/customers.rs
@@ -78,6 +78,31 @@
     assert!(wrong.is_empty(), "{wrong:?}");
 }
 
+/// Guards against a leader that does not tell what customers have running until it has a configuration, and
+/// against starts by such a leader, which knows no limits.
+#[test]
+fn a_leader_without_a_configuration_tells_what_runs_and_starts_nothing() {
+    for down_ms in (100..1_600).step_by(50) {
+        let mut world = world_of(1, 4, cores(4), None);
+        world.work_ms.insert(1, 30_000);
+        submit_at(&mut world, 0, job(1, NORTH, &[4], false));
+        run_for(&mut world, 1_000);
+        submit_at(&mut world, 0, job(2, NORTH, &[4], false));
+        let lost_until = world.now_ms + down_ms + 2_000;
+        for node in 0..world.nodes.len() {
+            world.nodes[node].config_lost_until = lost_until;
+            world.kill(node, down_ms);
+        }
+        let starts = world.rules.starts;
+        for _ in 0..100 {
+            run_for(&mut world, 50);
+            world.check_usage();
+        }
+        assert_kept(&world);
+        assert_eq!(world.rules.starts, starts, "down for {down_ms} ms");
+    }
+}
+
 /// Guards against a site that leads again after the loss of all instances and accepts no jobs.
 #[test]
 fn jobs_are_accepted_again_after_the_loss_of_all_in_a_drawn_world() {
--- a/crates/bankvalve_queue/src/core/customer_shares.rs
+++ b/crates/bankvalve_queue/src/core/customer_shares.rs
@@ -172,7 +172,9 @@
 
     /// Customers with the most running, for the metrics.
     pub(super) fn customer_views(&self) -> Vec<CustomerView> {
-        let Some(lead) = self.lead.as_deref().filter(|_| self.limits.are_known()) else {
+        // Without a configuration it is not known either that customers have no limits.
+        let may_be_limited = self.limits.are_known() || self.table.is_none();
+        let Some(lead) = self.lead.as_deref().filter(|_| may_be_limited) else {
             return Vec::new();
         };
         let mut views: BTreeMap<&CustomerName, CustomerView> = BTreeMap::new();
