fix(queue): workers that restart again and again are one piece of evidence against a task

Callers saw a healthy job shown as failed while workers restarted in series (LOST).

Cause: a suspect is tried where nothing else runs, and a worker that has just restarted runs nothing, so each trial went to the one worker that comes and goes; its ends were multiplied as if they had nothing in common.

The written world, one worker of a busy site that restarts 50 to 950 ms after each start, fails on the parent.

Change: of several ends on one worker the first alone counts, and a suspect is not tried alone on a worker that has ended under it, unless the site has no other.

--- a/crates/bankvalve_check/tests/site/restarts.rs
+++ b/crates/bankvalve_check/tests/site/restarts.rs
@@ -473,6 +473,55 @@
     assert_eq!(report.breaches, []);
 }
 
+/// A site that is busy but for one worker, under which a healthy task starts and which restarts each time some
+/// time after that.
+fn restarts_under_each_start(after_ms: u64) -> SiteWorld {
+    let mut world = site(1);
+    let first = addresses(&world)[0].clone();
+    for job in 1..(4 * WORKERS as JobId + 1) {
+        world.work_ms.insert(job, 30_000);
+        world.submit(job_of(job, QUEUE, &[1], false));
+    }
+    let until = world.now_ms + 1_000;
+    world.run_until(until);
+    let ended = world.workers[&first]
+        .as_ref()
+        .map(|worker| worker.runs().len());
+    assert_eq!(ended, Some(4));
+    world.restart_worker(&first, AT_ONCE);
+    let healthy: JobId = 900;
+    world.work_ms.insert(healthy, 2_000);
+    world.submit(job_of(healthy, URGENT_QUEUE, &[1], false));
+    let mut restarted = 0;
+    while world.now_ms < 30_000 {
+        let until = world.now_ms + 5;
+        world.run_until(until);
+        let worker = world.workers[&first].as_ref();
+        let runs = worker.map(|worker| worker.runs());
+        let began = runs.is_some_and(|runs| runs.keys().any(|task| task.step.job == healthy));
+        if began && world.rules.starts > restarted {
+            restarted = world.rules.starts;
+            world.restart_worker_at(world.now_ms + after_ms, &first, AT_ONCE);
+        }
+    }
+    world.run_until(60_000);
+    world
+}
+
+/// Guards against a healthy job that is given up for a worker which restarts under each of its trials.
+#[test]
+fn a_healthy_job_is_not_given_up_for_the_restarts_of_one_worker() {
+    for after_ms in (50..1_000).step_by(50) {
+        let world = restarts_under_each_start(after_ms);
+        assert_kept(&world);
+        assert_eq!(
+            world.shown.get(&900),
+            Some(&JobState::Succeeded),
+            "after {after_ms} ms"
+        );
+    }
+}
+
 /// The same in a series with other troubles.
 #[test]
 fn no_healthy_job_is_given_up_while_workers_start_again_beside_other_troubles() {
--- a/crates/bankvalve_queue/src/core/choosing.rs
+++ b/crates/bankvalve_queue/src/core/choosing.rs
@@ -22,7 +22,7 @@
 const GANG_ASK_LEAST: usize = 100;
 
 /// Tells whether a worker may be given tasks of a step at all.
-pub(super) fn admits(seat: &Seat, step: &PlacedStep, now: CoreTime) -> bool {
+pub(super) fn admits((id, seat): (&WorkerId, &Seat), step: &PlacedStep, now: CoreTime) -> bool {
     // What is cheap and often fails comes first: all workers are asked this for each step.
     let usable = seat.proved
         && !seat.over
@@ -32,7 +32,11 @@
         && seat.hold_stop == HoldStop::None
         && !seat.entry.leaving
         && (now >= seat.resting_until || step.pressed);
-    if !usable || !step.room.fits(&seat.entry.room) || !seat.is_lively(now) {
+    if !usable
+        || step.tried_on.contains(id)
+        || !step.room.fits(&seat.entry.room)
+        || !seat.is_lively(now)
+    {
         return false;
     }
     let label = step
@@ -50,7 +54,7 @@
     now: CoreTime,
 ) -> Vec<(&'a WorkerId, &'a Seat)> {
     let seats = lead.seats.iter();
-    seats.filter(|(_, seat)| admits(seat, step, now)).collect()
+    seats.filter(|entry| admits(*entry, step, now)).collect()
 }
 
 /// Tasks of a step that a worker holds.
@@ -228,7 +232,7 @@
     let seats: Vec<(&WorkerId, &Seat)> = lead
         .seats
         .iter()
-        .filter(|(_, seat)| has_room(seat) && admits(seat, step, now))
+        .filter(|(id, seat)| has_room(seat) && admits((id, seat), step, now))
         .filter(|(id, _)| !advice.is_known(id))
         .collect();
     most_room(step, &seats, wanted_workers(step), now)
--- a/crates/bankvalve_queue/src/core/making_room.rs
+++ b/crates/bankvalve_queue/src/core/making_room.rs
@@ -268,7 +268,7 @@
         let mut seats: Vec<PlannedSeat<'_>> = lead
             .seats
             .iter()
-            .filter(|(id, seat)| permitted(id) && admits(seat, step, now))
+            .filter(|(id, seat)| permitted(id) && admits((id, seat), step, now))
             .map(|(id, seat)| PlannedSeat {
                 id,
                 seat,
--- a/crates/bankvalve_queue/src/core/placing.rs
+++ b/crates/bankvalve_queue/src/core/placing.rs
@@ -63,6 +63,8 @@
     alone: Vec<TaskKey>,
     /// Tasks among them that are suspects and start where nothing else that is new runs.
     apart: Vec<TaskKey>,
+    /// Workers that ended under those that start alone: one more end there would be no further evidence.
+    pub(super) tried_on: Vec<WorkerId>,
     /// Whether a task among them lasts and has been away for too long, so that workers that rest are
     /// taken as well.
     pub(super) pressed: bool,
@@ -225,7 +227,11 @@
         let lead = self.lead.as_deref();
         let waiting = lead.and_then(|lead| lead.waiting.get(&key));
         let beyond = waiting.is_some_and(|step| step.is_beyond_share(self.now));
-        Some(PlacedStep {
+        let counts = alone.iter().filter_map(waits);
+        let ends = counts.filter_map(TaskRecord::crash_count);
+        let tried_on = ends.flat_map(|count| count.ends().iter().map(|end| end.worker.clone()));
+        let tried_on = tried_on.collect();
+        let mut step = PlacedStep {
             key,
             service: terms.service.clone(),
             customer: job.spec.customer.clone(),
@@ -244,8 +250,15 @@
             tasks,
             alone,
             apart,
+            tried_on,
             pressed,
-        })
+        };
+        // On a site that has no other worker for it, it is tried there again.
+        let mut seats = lead.iter().flat_map(|lead| lead.seats.iter());
+        if !step.tried_on.is_empty() && !seats.any(|entry| admits(entry, &step, self.now)) {
+            step.tried_on.clear();
+        }
+        Some(step)
     }
 
     /// The tasks of a step that are to be placed now, which of them alone, and which apart: those that nothing speaks
@@ -310,7 +323,7 @@
         if sees_to(lead, step) {
             let permitted = advice.permitted(kept_at).filter_map(|id| {
                 let seat = lead.seats.get(id)?;
-                admits(seat, step, now).then_some((id, seat))
+                admits((id, seat), step, now).then_some((id, seat))
             });
             let choice = choose(step, &permitted.collect::<Vec<_>>(), now);
             self.start_choice(step, choice);
@@ -329,7 +342,7 @@
         // Far fewer are permitted than there are.
         let admitted = |id| {
             let seat = lead.seats.get(id)?;
-            admits(seat, step, now).then_some((id, seat))
+            admits((id, seat), step, now).then_some((id, seat))
         };
         let permitted: Vec<(&WorkerId, &Seat)> =
             advice.permitted(kept_at).filter_map(admitted).collect();
--- a/crates/bankvalve_queue/src/core/returning.rs
+++ b/crates/bankvalve_queue/src/core/returning.rs
@@ -309,18 +309,19 @@
         };
         let empty = StepAdvice::default();
         let advice = lead.advice.get(&step.key).unwrap_or(&empty);
-        let takes =
-            |seat: &Seat| admits(seat, step, now) && held_of(seat, step.key) < step.worker_limit();
+        let takes = |id: &WorkerId, seat: &Seat| {
+            admits((id, seat), step, now) && held_of(seat, step.key) < step.worker_limit()
+        };
         let good = advice
             .good()
-            .filter(|id| lead.seats.get(id).is_some_and(takes));
+            .filter(|id| lead.seats.get(id).is_some_and(|seat| takes(id, seat)));
         let good = good.count();
         let missing = (tasks * GOOD_PER_TASK + GOOD_SPARE).saturating_sub(good);
         if missing == 0 || advice.explores() || !advice.may_retry(now) {
             return good;
         }
         let unknown = lead.seats.iter();
-        let unknown = unknown.filter(|(id, seat)| !advice.is_known(id) && takes(seat));
+        let unknown = unknown.filter(|(id, seat)| !advice.is_known(id) && takes(id, seat));
         let unknown: Vec<(&WorkerId, &Seat)> = unknown.collect();
         let count = (missing * ASK_PER_GOOD).clamp(ASK_LEAST, ASK_MOST);
         let question = most_room(step, &unknown, count, now);
--- a/crates/bankvalve_queue/src/ledger/crash_count.rs
+++ b/crates/bankvalve_queue/src/ledger/crash_count.rs
@@ -263,9 +263,20 @@
         Duration::from_millis(u64::from(age + TRIAL_SLACK_MS))
     }
 
+    /// The ends of workers of which none had ended under the task before: one cause may end the same worker
+    /// again and again.
+    fn independent(&self) -> impl Iterator<Item = &CrashEnd> {
+        let numbered = self.ends.iter().enumerate();
+        let first = |(number, end): &(usize, &CrashEnd)| {
+            let mut before = self.ends[..*number].iter();
+            before.all(|other| other.worker != end.worker)
+        };
+        numbered.filter(first).map(|(_, end)| end)
+    }
+
     /// The ends that are proof.
     fn proofs(&self) -> impl Iterator<Item = &CrashEvidence> {
-        let evidence = self.ends.iter().map(|end| &end.evidence);
+        let evidence = self.independent().map(|end| &end.evidence);
         evidence.filter(|evidence| evidence.weight == CrashWeight::Proof)
     }
 
@@ -305,7 +316,7 @@
     ///
     /// The first end has no part in them: of all tasks those are looked at under which a worker ended.
     pub fn chance_ppm(&self) -> f64 {
-        let tried = self.ends.iter().skip(1).map(|end| &end.evidence);
+        let tried = self.independent().skip(1).map(|end| &end.evidence);
         let proofs = tried.filter(|evidence| evidence.weight == CrashWeight::Proof);
         let chances = proofs.map(|evidence| f64::from(evidence.chance_ppm) / 1e6);
         chances.product::<f64>() * 1e6
@@ -317,7 +328,7 @@
         let proven = proofs >= LEAST_PROOFS && self.chance_ppm() <= CHANCE_LIMIT_PPM;
         let young =
             |end: &&CrashEnd| end.evidence.confirmed && end.evidence.weight > CrashWeight::Weak;
-        let many = self.ends.iter().filter(young).count() >= MOST_YOUNG;
+        let many = self.independent().filter(young).count() >= MOST_YOUNG;
         proven || (proofs > 0 && many)
     }
 }
