fix(queue): a task with proof against it is given up before its third start after three ends

Callers saw one worker after the other taken down by a task that ends them: three starts after three ends and more (BUDGET).

Change: from the third end on, ends that nobody told among them, a task is granted two more starts if a later end is proof and all ends may have come at its age. Tasks that last are left out: their runs end for many reasons. A suspect is not stopped for being slow.

--- a/crates/bankvalve_check/tests/site/crashing.rs
+++ b/crates/bankvalve_check/tests/site/crashing.rs
@@ -215,6 +215,46 @@
     }
 }
 
+/// Plays a task that ends its workers, while the leader is lost some time after each of the first three ends.
+fn lose_leaders_after_ends(after_ms: u64, crash: TaskCrash) -> SiteWorld {
+    let mut world = site(41);
+    submit_healthy(&mut world, 1, 10);
+    world.work_ms.insert(CRASHING, 4_000);
+    submit_crashing(&mut world, CRASHING, crash);
+    for ends in 1..4 {
+        while world.rules.crashes_of(CRASHING) < ends && world.now_ms < 60_000 {
+            let until = world.now_ms + 5;
+            world.run_until(until);
+        }
+        let until = world.now_ms + after_ms;
+        world.run_until(until);
+        if let Some(leader) = world.leader() {
+            world.kill(leader, 3_000);
+        }
+    }
+    submit_healthy(&mut world, 11, 100);
+    world.run_until(120_000);
+    world
+}
+
+/// Guards against a guilty task that is started again and again by leaders of which none has seen its workers
+/// end.
+#[test]
+fn a_task_is_given_up_in_time_though_the_leader_is_lost_after_each_end() {
+    for end_after_ms in [290, 900] {
+        let crash = TaskCrash {
+            after_ms: end_after_ms,
+            down_ms: 600,
+        };
+        for after_ms in (0..1_000).step_by(50) {
+            let world = lose_leaders_after_ends(after_ms, crash);
+            assert_kept(&world);
+            let shown = world.shown.get(&CRASHING);
+            assert_eq!(shown, Some(&JobState::Failed), "lost {after_ms} ms after");
+        }
+    }
+}
+
 #[test]
 fn the_count_outlasts_writes_that_are_lost_or_slow() {
     for seed in 41..45 {
--- a/crates/bankvalve_queue/src/core/overdue.rs
+++ b/crates/bankvalve_queue/src/core/overdue.rs
@@ -9,6 +9,7 @@
 use super::live_run::{LiveRun, RunPhase};
 use super::EntryCore;
 use crate::ids::{CoreTime, TaskKey, WorkerId};
+use crate::ledger::TaskRecord;
 use crate::policy::PolicySwitch;
 use crate::worker::RunReport;
 
@@ -115,6 +116,9 @@
         let mut overdue = Vec::new();
         for report in running {
             let expected = self.expected_time(report.task);
+            let job = self.book.job(report.task.step.job);
+            let record = job.and_then(|job| job.task(report.task));
+            let is_suspect = record.is_some_and(TaskRecord::is_suspect);
             let Some(lead) = self.lead.as_deref_mut() else {
                 return;
             };
@@ -125,7 +129,8 @@
             };
             let progress = RunProgress::note(live.progress, report.percent, asked_at, now);
             live.progress = Some(progress);
-            if moves >= MOST_MOVES || !may_move(live) {
+            // Each start of a suspect may end a worker, and it is granted few.
+            if moves >= MOST_MOVES || is_suspect || !may_move(live) {
                 continue;
             }
             if let Some(reason) = progress.judge(live.began, expected) {
--- a/crates/bankvalve_queue/src/ledger/crash_count.rs
+++ b/crates/bankvalve_queue/src/ledger/crash_count.rs
@@ -35,6 +35,10 @@
 /// Ends right after a start after which one proof is enough. The users take five starts after the third
 /// worker for too many; this leaves room for an end of which no word came.
 const MOST_YOUNG: usize = 4;
+/// Ends from which on the starts of a task are counted, runs whose end nobody told among them, and starts that
+/// are granted to it then: the users take a third one for too many.
+const COUNTED_ENDS: usize = 3;
+const MOST_STARTS: u32 = 2;
 /// Time for which a trial goes on past the age at which runs ended before, and that age where it is not
 /// known, in milliseconds.
 const TRIAL_SLACK_MS: u32 = 250;
@@ -205,6 +209,10 @@
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct CrashCount {
     ends: Vec<CrashEnd>,
+    /// Runs since the first end of which nobody told how they ended: their workers may have ended as well.
+    untold: usize,
+    /// Runs that have ended, and not well, since its starts are counted.
+    starts: u32,
 }
 
 impl CrashCount {
@@ -221,7 +229,7 @@
         }
         let oldest = self.oldest_age_ms().unwrap_or_default();
         if end.evidence.alive_ms >= oldest + CLEARED_AFTER_MS {
-            self.ends.clear();
+            *self = Self::default();
         }
         self.ends.push(end);
     }
@@ -231,6 +239,17 @@
         self.ends.retain(|end| end.run != run);
     }
 
+    /// Notes that a run has ended, and not well; `told` is whether anybody told how. An end that is noted is
+    /// noted first.
+    pub fn note_run(&mut self, run: RunId, told: bool) {
+        let before = self.ends.iter().filter(|end| end.run != run).count();
+        if before + self.untold >= COUNTED_ENDS {
+            self.starts += 1;
+        } else if !told && before == self.ends.len() {
+            self.untold += 1;
+        }
+    }
+
     /// The ends, in order.
     pub fn ends(&self) -> &[CrashEnd] {
         &self.ends
@@ -312,12 +331,25 @@
             .min()
     }
 
-    /// Odds that chance ended all workers that are proof, in parts per million.
-    ///
-    /// The first end has no part in them: of all tasks those are looked at under which a worker ended.
+    /// The ends that are proof but for the first end: of all tasks those are looked at under which a worker ended.
+    fn later_proofs(&self) -> impl Iterator<Item = &CrashEvidence> {
+        let later = self.independent().skip(1).map(|end| &end.evidence);
+        later.filter(|evidence| evidence.weight == CrashWeight::Proof)
+    }
+
+    /// Whether all workers may have ended at the age that a proof tells, as far as their ages are known.
+    fn agree_with(&self, proof: &CrashEvidence) -> bool {
+        let last = proof.over_ms.unwrap_or(u32::MAX).saturating_add(ALIKE_MS);
+        let mut ends = self.ends.iter().map(|end| &end.evidence);
+        ends.all(|end| {
+            let over = end.over_ms.unwrap_or(u32::MAX).saturating_add(ALIKE_MS);
+            end.alive_ms <= last && proof.alive_ms <= over
+        })
+    }
+
+    /// Odds that chance ended all workers that are proof, in parts per million; the first end has no part in them.
     pub fn chance_ppm(&self) -> f64 {
-        let tried = self.independent().skip(1).map(|end| &end.evidence);
-        let proofs = tried.filter(|evidence| evidence.weight == CrashWeight::Proof);
+        let proofs = self.later_proofs();
         let chances = proofs.map(|evidence| f64::from(evidence.chance_ppm) / 1e6);
         chances.product::<f64>() * 1e6
     }
@@ -329,6 +361,8 @@
         let young =
             |end: &&CrashEnd| end.evidence.confirmed && end.evidence.weight > CrashWeight::Weak;
         let many = self.independent().filter(young).count() >= MOST_YOUNG;
-        proven || (proofs > 0 && many)
+        let alike = || self.later_proofs().any(|proof| self.agree_with(proof));
+        let started = self.starts >= MOST_STARTS && alike();
+        proven || started || (proofs > 0 && many)
     }
 }
--- a/crates/bankvalve_queue/src/ledger/job_book.rs
+++ b/crates/bankvalve_queue/src/ledger/job_book.rs
@@ -226,14 +226,17 @@
             EndKind::Crashed(evidence) => {
                 count_crash(&mut step.tasks[index], evidence);
                 step.set_phase(index, TaskPhase::Waiting);
-                self.give_up_if_spent(number, task);
-            }
-            EndKind::Lost => {
-                step.set_phase(index, TaskPhase::Waiting);
-                self.give_up_if_spent(number, task);
             }
             _ => step.set_phase(index, TaskPhase::Waiting),
         }
+        if !matches!(how, EndKind::Done | EndKind::NeverRan) {
+            // The runs of a task that lasts end for many reasons, most of them after a long life.
+            let counted = step.tasks[index].crashes.as_mut().filter(|_| !lasting);
+            if let Some(count) = counted {
+                count.note_run(run, how != EndKind::Lost);
+            }
+            self.give_up_if_spent(number, task);
+        }
         if self.times[&task.step.time].is_done() {
             self.times.remove(&task.step.time);
             self.times_done += 1;
