fix(queue): an instance that is behind with its questions to the policy service is asked less

Callers saw tasks that last away for up to 24 s after a change of leader, with workers free (LOST).

Cause: each question waits for its turn at the instance that asks it. A new leader does not know of those that the leader before has left there, reckons with a shorter queue, gives each question up 0.9 s after its reckoned time, and asks another in its place. So the queue stays as long as it is, and three answers of four come too late, for as long as there is more short work than the service bears.

Hypotheses ruled out: holds (over after 9.3 s), room.

Change: where a question is given up, the instance that has it counts as busy for the longest queue.

Why it holds: given-up questions lengthen what is reckoned, so the queue drains until answers are in time.

--- a/crates/bankvalve_check/tests/site/storms.rs
+++ b/crates/bankvalve_check/tests/site/storms.rs
@@ -14,6 +14,7 @@
     URGENT_QUEUE,
 };
 use bankvalve_queue::{AdviceRule, JobId, JobState, SiteGuard, StepKey, TaskKey};
+use bankvalve_standin::site::SiteWorker;
 
 use crate::assert_kept;
 
@@ -24,6 +25,8 @@
 const STEP_MS: u64 = 5;
 /// Time in which something must happen that a test waits for, in milliseconds.
 const PATIENCE_MS: u64 = 60_000;
+/// Time within which a task that lasts runs again, in milliseconds.
+const RETURN_MS: u64 = 9_000;
 /// Time from a worker's end until another life comes at its address, in milliseconds.
 const DOWN_MS: u64 = 1_200;
 
@@ -428,3 +431,68 @@
         assert_kept(&world);
     }
 }
+
+/// A site with more short work than the policy service bears, whose leader is lost; then the worker of a task that
+/// lasts is lost. Returns for how long that task is away, in milliseconds.
+fn away_after_a_takeover(lost_after_ms: u64) -> u64 {
+    let plan = SitePlan {
+        seed: 2,
+        entries: 4,
+        strengths: Vec::new(),
+        broken: None,
+        without: None,
+        workers: WORKERS,
+        good_percent: Some(85),
+    };
+    let mut world = SiteWorld::with_hold_limit(plan, 10_000);
+    world.looks_wait = true;
+    world.slow_advice = Some(SLOW_POLICY);
+    world.configure(2);
+    world.run_until(2_000);
+    let lasting = 900_000;
+    world.work_ms.insert(lasting, 10_000_000);
+    let mut spec = job_of(lasting, QUEUE, &[1], false);
+    spec.steps[0].lasting = true;
+    world.submit(spec);
+    let mut job = 0;
+    short_work(&mut world, &mut job, 20_000);
+    let leader = world.leader().expect("an instance leads");
+    world.kill(leader, 3_000);
+    let until = world.now_ms + lost_after_ms;
+    short_work(&mut world, &mut job, until);
+    let address = place_of(&world, lasting).expect("a worker runs the task that lasts");
+    world.crash_worker(&address, 1_000);
+    let lost_at = world.now_ms;
+    while place_of(&world, lasting).is_none() && world.now_ms < lost_at + 60_000 {
+        let until = world.now_ms + 100;
+        short_work(&mut world, &mut job, until);
+    }
+    world.now_ms - lost_at
+}
+
+/// Address of a worker that runs a task of a job.
+fn place_of(world: &SiteWorld, job: JobId) -> Option<String> {
+    let mut workers = world.workers.iter();
+    let runs = |worker: &Option<_>| {
+        let runs = worker
+            .iter()
+            .flat_map(|worker: &SiteWorker| worker.runs().keys());
+        runs.into_iter().any(|task| task.step.job == job)
+    };
+    let found = workers.find(|(_, worker)| runs(worker));
+    found.map(|(address, _)| address.clone())
+}
+
+/// Guards against questions to the policy service that are all given up, since a leader before has left its own in
+/// the way of them.
+#[test]
+fn a_task_that_lasts_has_its_permits_though_questions_of_a_leader_before_are_in_the_way() {
+    // The takeover itself is no calm time for some four seconds.
+    for lost_after_ms in (4_000..14_000).step_by(500) {
+        let away = away_after_a_takeover(lost_after_ms);
+        assert!(
+            away <= RETURN_MS,
+            "lost {lost_after_ms} ms after the leader: away for {away} ms"
+        );
+    }
+}
--- a/crates/bankvalve_queue/src/core/advice.rs
+++ b/crates/bankvalve_queue/src/core/advice.rs
@@ -367,17 +367,21 @@
             return;
         }
         lead.next_advice_scan = now + ADVICE_SCAN;
-        let mut lost = 0;
+        let mut lost = Vec::new();
         for advice in lead.advice.values_mut() {
-            let before = advice.flights.len();
+            let flights = advice.flights.iter().filter(|flight| now > flight.until);
+            lost.extend(flights.map(|flight| flight.adviser));
             advice.flights.retain(|flight| now <= flight.until);
-            lost += before - advice.flights.len();
-        }
-        if lost > 0 {
-            lead.stale = true;
         }
-        for _ in 0..lost {
-            self.counters.count("retries", "advice_unanswered");
+        lead.stale |= !lost.is_empty();
+        self.counters
+            .count_many("retries", "advice_unanswered", lost.len() as u64);
+        // An instance that is behind what is reckoned, with questions of a leader before, stays behind for as long as
+        // new ones replace those that are given up.
+        let free_at = now + ASK_AHEAD + ASK_TIMEOUT;
+        for adviser in lost {
+            let busy = lead.adviser_busy.entry(adviser).or_insert(free_at);
+            *busy = (*busy).max(free_at);
         }
     }
 }
