fix(check): a second freeze of an instance does not shorten the first

Cause, the check's own: FreezeLeader set the end of the freeze anew, so that a second strike with a shorter span woke the instance for events at 4.63 s while its next tick still came at 9.07 s. No process takes events for seconds and runs no timers.

Change: a freeze lasts at least as long as the one before. The check stays as strict: the instance is frozen for longer than before, and must have the configuration in time after it.

--- a/crates/bankvalve_check/src/site/site_faults.rs
+++ b/crates/bankvalve_check/src/site/site_faults.rs
@@ -127,7 +127,7 @@
                     world.kill(node, span);
                 }
             }
-            SiteFault::FreezeLeader => world.nodes[leader].frozen_until = now + span,
+            SiteFault::FreezeLeader => world.freeze(leader, span),
             SiteFault::StopLeader => {
                 world.stop(leader);
                 world.run_until(now + 1_000);
--- a/crates/bankvalve_check/src/site/site_lives.rs
+++ b/crates/bankvalve_check/src/site/site_lives.rs
@@ -70,6 +70,14 @@
         }
     }
 
+    /// Freezes an instance for a time, or for as long as it is frozen already: it would be awake without its
+    /// timers otherwise.
+    pub fn freeze(&mut self, number: usize, for_ms: u64) {
+        let until = self.now_ms + for_ms;
+        let node = &mut self.nodes[number];
+        node.frozen_until = node.frozen_until.max(until);
+    }
+
     /// Suspends an instance's machine for a time.
     pub fn suspend(&mut self, number: usize, for_ms: u64) {
         let now = self.now_ms;
--- a/crates/bankvalve_check/src/site/site_losses.rs
+++ b/crates/bankvalve_check/src/site/site_losses.rs
@@ -398,7 +398,7 @@
             LeaderLoss::DarkShort => self.darken(node, Some(DARK_SHORT_MS)),
             LeaderLoss::DarkLong => self.darken(node, Some(DARK_LONG_MS)),
             LeaderLoss::DarkForGood => self.darken(node, None),
-            LeaderLoss::Frozen => self.nodes[node].frozen_until = self.now_ms + FROZEN_MS,
+            LeaderLoss::Frozen => self.freeze(node, FROZEN_MS),
             LeaderLoss::Replaced => {
                 self.darken(node, None);
                 self.after(REPLACED_MS, Later::Loss(LossStep::Joins));
