--- a/crates/bankvalve_check/tests/site/crashing.rs
+++ b/crates/bankvalve_check/tests/site/crashing.rs
@@ -319,6 +319,20 @@
     assert_eq!(report.breaches, []);
 }
 
+/// The same in a quick series of large configurations over thin links.
+#[test]
+fn a_quick_series_of_large_configurations_is_in_force_in_time_while_tasks_end_their_workers() {
+    let report = run_crash_episode(300_747, &SiteFault::ALL, None);
+    assert_eq!(report.breaches, []);
+}
+
+/// Guards against a site that leads again after the loss of all instances and refuses a job.
+#[test]
+fn jobs_are_accepted_again_after_the_loss_of_all_while_tasks_end_their_workers() {
+    let report = run_crash_episode(300_887, &SiteFault::UNANSWERED, None);
+    assert_eq!(report.breaches, []);
+}
+
 #[test]
 fn a_guard_against_such_tasks_that_is_taken_away_is_noticed() {
     for guard in [SiteGuard::CrashBudget, SiteGuard::AloneEvidence] {
--- a/crates/bankvalve_check/tests/site/storms.rs
+++ b/crates/bankvalve_check/tests/site/storms.rs
@@ -137,6 +137,23 @@
     assert_eq!(wrong, []);
 }
 
+/// The same in worlds whose gangs are broken by others before the guilty member ends its worker, or whose leaders
+/// are lost in series.
+#[test]
+fn drawn_storms_and_broken_gangs_leave_no_task_away_and_no_guilty_one_started_too_often() {
+    let storms = [200_366, 200_908].map(|seed| (seed, run_storm_episode(seed, None)));
+    let crashes = [(
+        300_079,
+        run_crash_episode(300_079, &SiteFault::UNANSWERED, None),
+    )];
+    let reports = storms.into_iter().chain(crashes);
+    let wrong: Vec<_> = reports
+        .filter(|(_, report)| !report.breaches.is_empty())
+        .map(|(seed, report)| (seed, report.breaches))
+        .collect();
+    assert_eq!(wrong, []);
+}
+
 /// Plays a suspect whose second worker is cut off some time before the order comes, and whose life
 /// ends behind the cut; without a cut it tells when the order comes.
 fn play_order_into_a_cut(seed: u64, cut: Option<(&str, u64)>) -> (SiteWorld, String, u64) {
