--- a/crates/bankvalve_check/tests/site/storms.rs
+++ b/crates/bankvalve_check/tests/site/storms.rs
@@ -406,26 +406,32 @@
     assert_eq!(wrong, []);
 }
 
+/// A site of four instances, after two seconds, whose policy service bears less than comes.
+fn site_of_slow_policy(seed: u64) -> SiteWorld {
+    let plan = SitePlan {
+        seed,
+        entries: 4,
+        strengths: Vec::new(),
+        broken: None,
+        without: None,
+        workers: WORKERS,
+        good_percent: Some(85),
+    };
+    let mut world = SiteWorld::with_hold_limit(plan, 10_000);
+    world.looks_wait = true;
+    world.slow_advice = Some(SLOW_POLICY);
+    world.configure(2);
+    world.run_until(2_000);
+    world
+}
+
 #[test]
 fn what_waits_for_permits_goes_on_after_workers_were_lost_while_the_table_was_away() {
     // Seen: more short work came than the policy service bears, workers were lost for good, and then
     // the table was away. From then on nearly all answers found workers good, and next to nothing was
     // placed, also once no more work came and most of the room was free.
     for seed in 2..5 {
-        let plan = SitePlan {
-            seed,
-            entries: 4,
-            strengths: Vec::new(),
-            broken: None,
-            without: None,
-            workers: WORKERS,
-            good_percent: Some(85),
-        };
-        let mut world = SiteWorld::with_hold_limit(plan, 10_000);
-        world.looks_wait = true;
-        world.slow_advice = Some(SLOW_POLICY);
-        world.configure(2);
-        world.run_until(2_000);
+        let mut world = site_of_slow_policy(seed);
         let mut job = 0;
         short_work(&mut world, &mut job, 20_000);
         for number in seed..seed + LOST {
@@ -452,20 +458,7 @@
 /// A site with more short work than the policy service bears, whose leader is lost; then the worker of a task that
 /// lasts is lost. Returns for how long that task is away, in milliseconds.
 fn away_after_a_takeover(lost_after_ms: u64) -> u64 {
-    let plan = SitePlan {
-        seed: 2,
-        entries: 4,
-        strengths: Vec::new(),
-        broken: None,
-        without: None,
-        workers: WORKERS,
-        good_percent: Some(85),
-    };
-    let mut world = SiteWorld::with_hold_limit(plan, 10_000);
-    world.looks_wait = true;
-    world.slow_advice = Some(SLOW_POLICY);
-    world.configure(2);
-    world.run_until(2_000);
+    let mut world = site_of_slow_policy(2);
     let lasting = 900_000;
     world.work_ms.insert(lasting, 10_000_000);
     let mut spec = job_of(lasting, QUEUE, &[1], false);
