fix(callers): an uncommitted end is told as running only by a confirmed leader

Callers saw a cancelled job as running, 6 s after its cancel was confirmed (virtual site, crashes, STALE). A leader that was paused confirms its leadership before it tells that a job is open, but a job whose end is uncommitted passed that check as ended and was then told as running. The state to be told is formed first now. Ruled out: followers' reads by a read index; no follower answered.

--- a/crates/bankvalve_check/tests/site/answers.rs
+++ b/crates/bankvalve_check/tests/site/answers.rs
@@ -5,7 +5,7 @@
 };
 use bankvalve_queue::{CallerAnswer, JobState, SiteGuard};
 
-use crate::{assert_kept, unlike_world, world};
+use crate::{assert_kept, unlike_world, world, world_without};
 
 /// Jobs handed in; each is asked about at each instance.
 const JOBS: u64 = 20;
@@ -243,3 +243,40 @@
         assert_kept(&world);
     }
 }
+
+/// Guards against a leader that was paused and shows a job as running whose cancel the next leader has
+/// confirmed.
+#[test]
+fn a_leader_that_was_paused_does_not_show_a_cancelled_job_as_running() {
+    for seed in 1..9 {
+        let mut world = world_without(seed, 4, None);
+        world.work_ms.insert(1, 60_000);
+        world.submit(job_of(1, QUEUE, &[2], false));
+        world.run_until(2_500);
+        let paused = world.leader().expect("an instance leads");
+        world.freeze(paused, 5_000);
+        world.run_until(4_500);
+        for _ in 0..8 {
+            world.cancel(1);
+            let until = world.now_ms + 60;
+            world.run_until(until);
+        }
+        world.run_until(5_500);
+        for _ in 0..6 {
+            world.cancel(1);
+            world.ask_at(paused, 1);
+        }
+        world.run_until(15_000);
+        assert!(world.rules.is_cancelled(1), "seed {seed}");
+        assert_kept(&world);
+    }
+}
+
+/// Guards against the same in a drawn world.
+#[test]
+fn a_cancelled_job_is_not_shown_as_running_in_a_drawn_world() {
+    assert_eq!(
+        run_crash_episode(870_238, &SiteFault::ALL, None).breaches,
+        []
+    );
+}
--- a/crates/bankvalve_queue/src/core/callers.rs
+++ b/crates/bankvalve_queue/src/core/callers.rs
@@ -442,7 +442,12 @@
             self.hide_job(origin, caller, job);
             return;
         }
-        let state = record.state();
+        let ending = |lead: &LeadState| lead.ending.contains(&job);
+        let state = if self.lead.as_deref().is_some_and(ending) {
+            JobState::Running
+        } else {
+            record.state()
+        };
         let open = matches!(state, JobState::Pending | JobState::Running);
         // While this instance was frozen or cut off, another leader may have cancelled the job or
         // recorded its end.
@@ -454,13 +459,7 @@
             self.await_confirmation(origin, caller, CallerRequest::Status { job });
             return;
         }
-        let ending = |lead: &LeadState| lead.ending.contains(&job);
-        let state = if self.lead.as_deref().is_some_and(ending) {
-            JobState::Running
-        } else {
-            state
-        };
-        if !matches!(state, JobState::Pending | JobState::Running) {
+        if !open {
             self.log(
                 "callers",
                 "shown",
