test(site): an instance that stands still is not in touch, also past a calm

crashes reported CONFIG of an instance that answered 2 ms after a pause of some 6.6 s. By its trace the drawn calm ended the trouble that was noted, but not the pause, and no version was checked before it answered. Nothing else of the check changes.

--- a/crates/bankvalve_check/src/site/site_promise.rs
+++ b/crates/bankvalve_check/src/site/site_promise.rs
@@ -66,7 +66,9 @@
     /// which was undisturbed as well, for long enough.
     pub(super) fn is_in_touch(&self, number: usize) -> bool {
         let node = &self.nodes[number];
-        let since = node.started_ms.max(node.disturbed_until);
+        // A pause may outlast the calm that ends the other troubles.
+        let disturbed_until = node.disturbed_until.max(node.frozen_until);
+        let since = node.started_ms.max(disturbed_until);
         let since = since.max(self.store_disturbed_until);
         node.is_up() && since.saturating_add(CONTACT_MS) <= self.now_ms
     }
--- a/crates/bankvalve_check/tests/site/config.rs
+++ b/crates/bankvalve_check/tests/site/config.rs
@@ -2,7 +2,9 @@
 
 use std::sync::Arc;
 
-use bankvalve_check::site::{job_of, QueueTold, SitePlan, SiteWorld, QUEUE};
+use bankvalve_check::site::{
+    job_of, run_crash_episode, QueueTold, SiteFault, SitePlan, SiteWorld, QUEUE,
+};
 
 use bankvalve_queue::SiteGuard;
 
@@ -294,3 +296,10 @@
     assert_kept(&world);
     assert!(!world.rules.accepted().contains(&2));
 }
+
+/// Guards against an instance that counts as in touch while it stands still, once other troubles have ended.
+#[test]
+fn an_instance_that_stands_still_past_the_calm_is_not_held_to_a_time() {
+    let report = run_crash_episode(810_017, &SiteFault::UNANSWERED, None);
+    assert_eq!(report.breaches, []);
+}
