fix(orders): a start waits while its worker's entry is unreadable

An order was compared with the last capacity that could be read. It waits now, as it does while the entries are older than 3 s.

--- a/crates/bankvalve_check/src/site/site_rooms.rs
+++ b/crates/bankvalve_check/src/site/site_rooms.rs
@@ -2,7 +2,7 @@
 
 use bankvalve_queue::{TaskSize, WorkerId};
 
-use super::site_world::SiteWorld;
+use super::site_world::{Later, SiteWorld};
 
 /// Time for which a room that has shrunk still counts, in milliseconds: that of being in touch, and a
 /// heartbeat of the worker.
@@ -22,6 +22,21 @@
         self.write_entry(address);
     }
 
+    /// Another program overwrites a worker's entry, which the worker writes again only after a time.
+    pub fn overwrite_entry(&mut self, address: &str, for_ms: u64) {
+        let Some(Some(worker)) = self.workers.get(address) else {
+            return;
+        };
+        let worker = worker.id.clone();
+        let until = self.now_ms + for_ms;
+        self.worker_off_table_until
+            .insert(address.to_owned(), until);
+        self.store.write_unusable_worker(&worker);
+        self.answer_watches();
+        let address = address.to_owned();
+        self.after(for_ms, Later::EntryBack { address, worker });
+    }
+
     /// Tells whether a worker may hold so much: what its room allows, or one that it had lately.
     pub(super) fn may_hold(&self, id: &WorkerId, used: &TaskSize, room: &TaskSize) -> bool {
         let now = self.now_ms;
--- a/crates/bankvalve_check/tests/site/workers.rs
+++ b/crates/bankvalve_check/tests/site/workers.rs
@@ -1,6 +1,8 @@
 //! Workers: late orders, looks, silence, what they may share.
 
-use bankvalve_check::site::{job_of, RuleBreach, SitePlan, SiteWorld, QUEUE, URGENT_QUEUE};
+use bankvalve_check::site::{
+    job_of, run_crash_episode, RuleBreach, SiteFault, SitePlan, SiteWorld, QUEUE, URGENT_QUEUE,
+};
 use bankvalve_queue::{PolicySwitch, SiteGuard, StepSpec, TaskSize};
 
 use crate::{assert_kept, world, world_without};
@@ -465,3 +467,49 @@
         assert_kept(&world);
     }
 }
+
+/// Workers' room shrinks while starts are being committed, and another program has overwritten their entries,
+/// so that nobody is told.
+fn world_of_hidden_rooms(seed: u64, readable_after_ms: u64) -> SiteWorld {
+    let mut world = world_without(seed, 4, None);
+    for job in 1..=4 {
+        world.submit(job_of(job, QUEUE, &[4], false));
+    }
+    let until = world.now_ms + 3 + seed % 16;
+    world.run_until(until);
+    world.store_delay_ms = 900;
+    let room = TaskSize {
+        millicores: 1_000,
+        memory_mib: 8_000,
+        accelerators: 0,
+    };
+    for number in 0..4 {
+        let address = format!("10.9.0.{number}:80");
+        world.overwrite_entry(&address, readable_after_ms);
+        world.resize_worker(&address, room);
+    }
+    let until = world.now_ms + 6_000;
+    world.run_until(until);
+    world.store_delay_ms = 0;
+    world.run_until(60_000);
+    world
+}
+
+/// Guards against starts by the capacity in an entry that has become unreadable.
+#[test]
+fn a_start_waits_while_its_workers_entry_is_unreadable() {
+    for seed in 160..176 {
+        let world = world_of_hidden_rooms(seed, 9_000);
+        assert_kept(&world);
+        assert_eq!(world.shown.len(), 4, "seed {seed}");
+    }
+}
+
+/// Guards against the same in a drawn world.
+#[test]
+fn no_worker_holds_more_than_its_shrunk_capacity_in_a_drawn_world() {
+    assert_eq!(
+        run_crash_episode(810_100, &SiteFault::ALL, None).breaches,
+        []
+    );
+}
--- a/crates/bankvalve_queue/src/core/orders.rs
+++ b/crates/bankvalve_queue/src/core/orders.rs
@@ -167,7 +167,8 @@
         let Some(state) = lead.worker_states.get_mut(id) else {
             return false;
         };
-        let entry_is_current = state.entry_is_current();
+        // An unreadable entry may hide that the capacity has shrunk.
+        let entry_is_current = state.entry_is_current() && state.entry_readable;
         let Some(live) = state.runs.get_mut(&task) else {
             return false;
         };
