fix(config): a leader starts tasks only by a recent configuration

A customer had 4 to 9 cores running at a limit of 2.2 (virtual site, customers, QUOTA): an instance that claimed the lead as the table came back after 12 s placed 13 tasks by the version from before the outage, 0.35 s before its watch asked again. Tasks start now only if the configuration was known to be the newest at most 4 s ago, and a leader asks the table from 2 s on; a working watch tells that each second.

--- a/crates/bankvalve_check/tests/site/customers.rs
+++ b/crates/bankvalve_check/tests/site/customers.rs
@@ -466,3 +466,54 @@
         .count();
     assert!(begun >= 4, "{begun} jobs accepted");
 }
+
+/// Worlds in which a customer's limit is lowered during an outage of the table, and the leader is lost so long
+/// before the table is back.
+fn worlds_of_an_outage(broken: Option<SiteGuard>) -> Vec<SiteWorld> {
+    let mut worlds = Vec::new();
+    for distance_ms in (600..1_300).step_by(100) {
+        let outage_ms = 14_000;
+        let mut world = world_of(12, 8, cores(8), broken);
+        for id in 1..9 {
+            world.work_ms.insert(id, 4_000);
+            world.submit(job(id, NORTH, &[4], false));
+        }
+        run_for(&mut world, 1_000);
+        world.store_away_until = world.now_ms + outage_ms;
+        world.store_silent = true;
+        run_for(&mut world, 1_000);
+        world.set_customer(NORTH, 10.0, cores(2));
+        world.configure(3);
+        // Reads of the configuration that were lost in the outage are missed only after it.
+        let missed_until = world.store_away_until + 600;
+        for node in &mut world.nodes {
+            node.config_lost_until = missed_until;
+        }
+        run_for(&mut world, outage_ms - 1_000 - distance_ms);
+        let leader = world.leader().expect("an instance leads");
+        world.kill(leader, 5_000);
+        run_for(&mut world, 8_000);
+        worlds.push(world);
+    }
+    worlds
+}
+
+/// Guards against a leader that starts tasks by the configuration from before an outage of the table.
+#[test]
+fn a_leader_does_not_start_tasks_by_a_configuration_from_before_an_outage() {
+    for world in worlds_of_an_outage(None) {
+        assert_kept(&world);
+    }
+    let unguarded = worlds_of_an_outage(Some(SiteGuard::RecentConfig));
+    let exceeds = |world: &SiteWorld| {
+        world
+            .rules
+            .breaches
+            .iter()
+            .any(|breach| breach.rule == "QUOTA")
+    };
+    assert!(
+        unguarded.iter().any(exceeds),
+        "nothing notices that the guard is gone"
+    );
+}
--- a/crates/bankvalve_check/tests/site/random.rs
+++ b/crates/bankvalve_check/tests/site/random.rs
@@ -61,6 +61,7 @@
         SiteGuard::LeaderKeys,
         SiteGuard::CustomerLimit,
         SiteGuard::LimitOfNow,
+        SiteGuard::RecentConfig,
     ];
     let others = SiteGuard::ALL.into_iter();
     let others = others.filter(|guard| !seldom.contains(guard));
--- a/crates/bankvalve_queue/src/core/table_watch.rs
+++ b/crates/bankvalve_queue/src/core/table_watch.rs
@@ -33,6 +33,12 @@
 const MIN_CHANGE_INTERVAL: Duration = Duration::from_millis(300);
 /// Delay after a configuration that could not be read.
 const UNREADABLE_RETRY_DELAY: Duration = Duration::from_millis(1_000);
+/// Age of the last confirmation that the configuration is the newest from which a leader queries the table.
+/// Its watch usually confirms that each second.
+const LEADER_QUERY_AGE: Duration = Duration::from_millis(2_000);
+/// Maximum age of that confirmation for a leader to start tasks. A configuration that has since been written
+/// may have lower limits.
+const MAX_START_CONFIG_AGE: Duration = Duration::from_millis(4_000);
 /// Delay after a query that was answered. Each call costs money, and the table can handle about 6,000
 /// a second from all instances together.
 const QUERY_INTERVAL: Duration = Duration::from_millis(50);
@@ -109,6 +115,21 @@
         self.expire_lookups();
     }
 
+    /// Returns whether the configuration was known to be the newest recently enough to start tasks by it.
+    ///
+    /// After an outage of the table, a leader may have one that is many versions behind.
+    pub(super) fn may_start_by_config(&self) -> bool {
+        let recent = |at| self.age(at) < MAX_START_CONFIG_AGE;
+        !self.enforces(SiteGuard::RecentConfig) || self.tables.newest_at.is_some_and(recent)
+    }
+
+    /// Returns whether this instance leads and has not known for a while whether its configuration is the
+    /// newest.
+    fn leads_by_old_config(&self) -> bool {
+        let old = |at| self.age(at) >= LEADER_QUERY_AGE;
+        self.lead.is_some() && self.table.is_some() && self.tables.newest_at.is_none_or(old)
+    }
+
     fn watch_config(&mut self) {
         let now = self.now;
         let tables = &mut self.tables;
@@ -133,12 +154,13 @@
     fn query_config(&mut self) {
         let now = self.now;
         let behind = self.is_behind_announced();
+        let leads_by_old_config = self.leads_by_old_config();
         let tables = &mut self.tables;
         let watch_fresh = tables.watch.busy && now < tables.watch_sent + ANNOUNCED_GRACE;
         let announced_due = now >= tables.behind_since + ANNOUNCED_GRACE
             && now >= tables.in_force_since + MIN_CHANGE_INTERVAL
             && !watch_fresh;
-        let wanted = (behind && announced_due) || !tables.lookups.is_empty();
+        let wanted = (behind && announced_due) || !tables.lookups.is_empty() || leads_by_old_config;
         let idle = tables.query.is_none() && tables.arriving.is_none();
         if !wanted || !idle || now < tables.next_query_at {
             return;
--- a/crates/bankvalve_queue/src/guard.rs
+++ b/crates/bankvalve_queue/src/guard.rs
@@ -71,11 +71,13 @@
     CustomerLimit,
     /// A start that was pending while its customer's limit was lowered is checked against the lower limit.
     LimitOfNow,
+    /// A leader starts no task unless its configuration was recently known to be the newest.
+    RecentConfig,
 }
 
 impl SiteGuard {
     /// All guards.
-    pub const ALL: [SiteGuard; 28] = [
+    pub const ALL: [SiteGuard; 29] = [
         SiteGuard::LedgerFirst,
         SiteGuard::OwnRow,
         SiteGuard::KeptEnds,
@@ -104,6 +106,7 @@
         SiteGuard::LeaderKeys,
         SiteGuard::CustomerLimit,
         SiteGuard::LimitOfNow,
+        SiteGuard::RecentConfig,
     ];
 
     /// Returns the name on the command line.
@@ -146,6 +149,7 @@
             SiteGuard::LeaderKeys => "leader-keys",
             SiteGuard::CustomerLimit => "customer-limit",
             SiteGuard::LimitOfNow => "limit-of-now",
+            SiteGuard::RecentConfig => "recent-config",
         }
     }
 
