fix(orders): a leader that was paused sends no start before it has confirmed its lead

A run started a second time 0.95 s after its good end was acknowledged (virtual site, restarts, TWICE). The leader had been paused for 1.8 s with a committed start in hand, and sent its order on waking, before it heard that it was deposed; the worker's process had started again and knew no token. Starts wait now, 10 ms at a time, until the leader's row was read after the pause; orders also wait for a recent configuration, as placement does. Written world: pauses of 1.8 s at each of 23 milliseconds of a start, restarts 1, 2 and 4 ms before the end; red without the guard confirmed-start.

--- a/crates/bankvalve_check/tests/site/random.rs
+++ b/crates/bankvalve_check/tests/site/random.rs
@@ -61,6 +61,7 @@
         SiteGuard::LeaderKeys,
         SiteGuard::CustomerLimit,
         SiteGuard::LimitOfNow,
+        SiteGuard::ConfirmedStart,
         SiteGuard::RecentConfig,
     ];
     let others = SiteGuard::ALL.into_iter();
--- a/crates/bankvalve_check/tests/site/restarts.rs
+++ b/crates/bankvalve_check/tests/site/restarts.rs
@@ -15,6 +15,8 @@
 /// Time in which the runs of a lost worker are given up and start again elsewhere, in milliseconds: the
 /// longest hold on the users' sites, by a clock that is 2% slow, the silence before, and a start.
 const GIVEN_UP_MS: u64 = 13_000;
+/// Pause of a leader in which another one takes over, in milliseconds.
+const PAUSE_MS: u64 = 1_800;
 
 fn site(seed: u64) -> SiteWorld {
     site_with(seed, None, None)
@@ -533,3 +535,54 @@
 fn each_instance_has_the_configuration_in_force_in_time_while_workers_start_again() {
     assert_eq!(run_restart_episode(71_132, None).breaches, []);
 }
+
+/// A leader pauses at a moment of a start, another one leads, and all workers are restarted just before the
+/// first one goes on.
+fn worlds_of_a_paused_leader(broken: Option<SiteGuard>) -> Vec<SiteWorld> {
+    let mut worlds = Vec::new();
+    for freeze_after_ms in 1..24 {
+        for before_ms in [1, 2, 4] {
+            let mut world = site_with(freeze_after_ms, None, broken);
+            world.work_ms.insert(1, 150);
+            world.submit(job_of(1, QUEUE, &[2], false));
+            let until = world.now_ms + freeze_after_ms;
+            world.run_until(until);
+            let leader = world.leader().expect("an instance leads");
+            let ends_at = world.now_ms + PAUSE_MS;
+            world.freeze(leader, PAUSE_MS);
+            world.run_until(ends_at - before_ms);
+            restart_all(&mut world, WorkerRestart::default());
+            let until = world.now_ms + 15_000;
+            world.run_until(until);
+            worlds.push(world);
+        }
+    }
+    worlds
+}
+
+/// Guards against a leader that was paused and sends an order which a restarted worker accepts, though the
+/// run has ended under the next leader.
+#[test]
+fn a_leader_that_was_paused_sends_no_start_before_it_knows_that_it_leads() {
+    for world in worlds_of_a_paused_leader(None) {
+        assert_kept(&world);
+    }
+    let unguarded = worlds_of_a_paused_leader(Some(SiteGuard::ConfirmedStart));
+    let twice = |world: &SiteWorld| {
+        world
+            .rules
+            .breaches
+            .iter()
+            .any(|breach| breach.rule == "TWICE")
+    };
+    assert!(
+        unguarded.iter().any(twice),
+        "nothing notices that the guard is gone"
+    );
+}
+
+/// Guards against the same in a drawn world.
+#[test]
+fn no_run_starts_again_after_its_good_end_in_a_drawn_world() {
+    assert_eq!(run_restart_episode(870_085, None).breaches, []);
+}
--- a/crates/bankvalve_queue/src/core/orders.rs
+++ b/crates/bankvalve_queue/src/core/orders.rs
@@ -29,6 +29,8 @@
 const MAX_ENTRY_AGE: Duration = Duration::from_millis(3_000);
 /// Time before a start is checked again if the workers' entries are too old.
 const STALE_ENTRY_DELAY: Duration = Duration::from_millis(50);
+/// Time before a start that waits for a confirmation is checked again.
+const UNCONFIRMED_DELAY: Duration = Duration::from_millis(10);
 /// Time before a trial run's start is checked again while a long poll of its worker is in flight.
 const LONG_POLL_DELAY: Duration = Duration::from_millis(20);
 /// Time before a stop order is repeated.
@@ -90,7 +92,10 @@
     fn send_start(&mut self, id: &WorkerId, task: TaskKey) {
         let now = self.now;
         let bound = self.lease_bound();
-        if !self.has_capacity_now(id, task) || self.awaits_long_poll(id, task) {
+        if self.awaits_confirmation(id, task)
+            || !self.has_capacity_now(id, task)
+            || self.awaits_long_poll(id, task)
+        {
             return;
         }
         if !self.is_within_limit_now(id, task) {
@@ -186,6 +191,28 @@
         false
     }
 
+    /// Returns whether a start waits until it is confirmed that this instance still leads and that its
+    /// configuration is the newest, and schedules it again.
+    ///
+    /// During a pause of this instance, another one may have led, and the run may have ended. A worker that
+    /// was restarted since then has not seen the other leader's token and would accept the order.
+    fn awaits_confirmation(&mut self, id: &WorkerId, task: TaskKey) -> bool {
+        let now = self.now;
+        let unconfirmed_lead = self.enforces(SiteGuard::ConfirmedStart);
+        let outdated = !self.may_start_by_config();
+        let Some(lead) = self.lead.as_deref_mut() else {
+            return false;
+        };
+        if !(outdated || (unconfirmed_lead && lead.must_confirm_lead())) {
+            return false;
+        }
+        if let Some(live) = lead.live_run(id, &task) {
+            live.next_at = now + UNCONFIRMED_DELAY;
+            lead.schedule_order(now + UNCONFIRMED_DELAY, id, task);
+        }
+        true
+    }
+
     /// Returns whether a trial run's first order waits for the answer to a long poll, and schedules it again.
     ///
     /// The worker answers such a poll only when a run ends or the wait is over. If the run crashed its worker
--- a/crates/bankvalve_queue/src/guard.rs
+++ b/crates/bankvalve_queue/src/guard.rs
@@ -71,13 +71,15 @@
     CustomerLimit,
     /// A start that was pending while its customer's limit was lowered is checked against the lower limit.
     LimitOfNow,
+    /// A leader that was paused sends no start before it has confirmed that it still leads.
+    ConfirmedStart,
     /// A leader starts no task unless its configuration was recently known to be the newest.
     RecentConfig,
 }
 
 impl SiteGuard {
     /// All guards.
-    pub const ALL: [SiteGuard; 29] = [
+    pub const ALL: [SiteGuard; 30] = [
         SiteGuard::LedgerFirst,
         SiteGuard::OwnRow,
         SiteGuard::KeptEnds,
@@ -106,6 +108,7 @@
         SiteGuard::LeaderKeys,
         SiteGuard::CustomerLimit,
         SiteGuard::LimitOfNow,
+        SiteGuard::ConfirmedStart,
         SiteGuard::RecentConfig,
     ];
 
@@ -149,6 +152,7 @@
             SiteGuard::LeaderKeys => "leader-keys",
             SiteGuard::CustomerLimit => "customer-limit",
             SiteGuard::LimitOfNow => "limit-of-now",
+            SiteGuard::ConfirmedStart => "confirmed-start",
             SiteGuard::RecentConfig => "recent-config",
         }
     }
