feat(queue): no task starts in a failure domain that the operator has evacuated

Each instance now reads them with the configuration (with a request of their own where a large configuration fills the first page), and heartbeats pass them on with the version of the table up to which they are complete, so that a leader that the table does not answer learns of them from its peers. A leader that does not know them starts nothing. A worker of an evacuated domain is not selected for first starts, retries, restarts, gangs, trials or advice; its reserved capacity is released; a start that was being committed is cancelled, one without an answer stopped. What runs there goes on. Capacity sums leave the domain out. Log, metric and `bankvalve evacuations` tell which are evacuated.

Written worlds: successors at 20 distances, the loss of all, a leader without a watch, a forgotten history, short pages, all domains, slow commits (red without the guard evacuated-now).

--- a/crates/bankvalve/src/command/mod.rs
+++ b/crates/bankvalve/src/command/mod.rs
@@ -10,6 +10,7 @@
 mod options;
 mod render;
 mod serve_command;
+mod site_commands;
 
 use std::process::ExitCode;
 
@@ -93,6 +94,7 @@
         CommandLine::Bundle(BundleCommand::Accept { client, file }) => {
             operator_commands::accept_bundle(&client, &file)
         }
+        CommandLine::Evacuations { metrics } => site_commands::evacuations(&metrics),
         CommandLine::Settings(SettingsCommand::Check { file }) => {
             serve_command::check_settings(&file)
         }
--- a/crates/bankvalve/src/command/options.rs
+++ b/crates/bankvalve/src/command/options.rs
@@ -279,6 +279,13 @@
     /// Show, check and accept bundles of configuration
     #[bpaf(command("bundle"))]
     Bundle(#[bpaf(external(bundle_command))] BundleCommand),
+    /// List the failure domains that an instance of a site knows as evacuated
+    #[bpaf(command)]
+    Evacuations {
+        /// Address at which the instance serves its metrics
+        #[bpaf(argument("IP:PORT"))]
+        metrics: String,
+    },
     /// Check and describe settings
     #[bpaf(command("settings"))]
     Settings(#[bpaf(external(settings_command))] SettingsCommand),
--- a/crates/bankvalve/src/entry/entry_metrics.rs
+++ b/crates/bankvalve/src/entry/entry_metrics.rs
@@ -41,6 +41,7 @@
         register_state(&meter, core);
         register_ages(&meter, core);
         register_customers(&meter, core);
+        register_evacuations(&meter, core);
         let latency = meter
             .f64_histogram("bankvalve_request_ms")
             .with_description("Time to the answer of a caller's request, by method and status")
@@ -118,6 +119,29 @@
         .build();
 }
 
+fn register_evacuations(meter: &Meter, core: &EntryHandle) {
+    let of_core = core.clone();
+    meter
+        .u64_observable_gauge("bankvalve_evacuation")
+        .with_description("Evacuated failure domains that the instance knows, by quantity")
+        .with_callback(move |observer| {
+            for evacuation in of_core.view().evacuations {
+                let quantities = [
+                    ("known_for_ms", evacuation.age.as_millis() as u64),
+                    ("requested_at_version", evacuation.requested_at),
+                ];
+                for (quantity, value) in quantities {
+                    let labels = [
+                        KeyValue::new("domain", evacuation.domain.clone()),
+                        KeyValue::new("quantity", quantity),
+                    ];
+                    observer.observe(value, &labels);
+                }
+            }
+        })
+        .build();
+}
+
 /// Registers the ages; an unknown age is not exported.
 fn register_ages(meter: &Meter, core: &EntryHandle) {
     let of_core = core.clone();
--- a/crates/bankvalve/tests/site/main.rs
+++ b/crates/bankvalve/tests/site/main.rs
@@ -2,6 +2,7 @@
 
 mod dev;
 mod entry_child;
+mod evacuations;
 mod keys;
 mod leaving;
 mod serving;
--- a/crates/bankvalve_check/src/site/site_random.rs
+++ b/crates/bankvalve_check/src/site/site_random.rs
@@ -10,6 +10,7 @@
 use super::site_crashes::DrawnCrashes;
 use super::site_drawn_customers::DrawnCustomers;
 use super::site_drawn_losses::{cancel_lasting, DrawnLosses};
+use super::site_evacuations::DrawnEvacuations;
 use super::site_operator::DrawnOperator;
 use super::site_restarts::{DrawnRestarts, RestartFigures};
 use super::site_storm_figures::StormFigures;
@@ -171,11 +172,13 @@
     Restarts,
     /// Nothing, but queues ask for keys of customers, whose keys and limits change.
     Customers,
+    /// Nothing, but the operator evacuates failure domains of workers.
+    Evacuations,
 }
 
 impl SiteBurden {
     /// All burdens.
-    pub const ALL: [SiteBurden; 10] = [
+    pub const ALL: [SiteBurden; 11] = [
         SiteBurden::Usual,
         SiteBurden::Carried,
         SiteBurden::Hubs,
@@ -186,6 +189,7 @@
         SiteBurden::Storms,
         SiteBurden::Restarts,
         SiteBurden::Customers,
+        SiteBurden::Evacuations,
     ];
 
     /// Name used on the command line.
@@ -207,6 +211,7 @@
             SiteBurden::Storms => "storms",
             SiteBurden::Restarts => "restarts",
             SiteBurden::Customers => "customers",
+            SiteBurden::Evacuations => "evacuations",
         }
     }
 
@@ -217,7 +222,8 @@
             | SiteBurden::Losses
             | SiteBurden::Storms
             | SiteBurden::Restarts
-            | SiteBurden::Customers => None,
+            | SiteBurden::Customers
+            | SiteBurden::Evacuations => None,
             SiteBurden::Carried | SiteBurden::Link => Some(vec![10; 5]),
             SiteBurden::Processor => Some(vec![1_000; 4]),
             SiteBurden::Hubs => {
@@ -234,7 +240,8 @@
             | SiteBurden::Losses
             | SiteBurden::Storms
             | SiteBurden::Restarts
-            | SiteBurden::Customers => world.looks_wait = true,
+            | SiteBurden::Customers
+            | SiteBurden::Evacuations => world.looks_wait = true,
             SiteBurden::Processor => {
                 world.looks_wait = true;
                 for node in &mut world.nodes {
@@ -324,6 +331,11 @@
         customers.lay(&mut world);
         operator.write_now(&mut world);
     }
+    let mut evacuations =
+        (burden == SiteBurden::Evacuations).then(|| DrawnEvacuations::new(seed, FIRST_MS));
+    if evacuations.is_some() {
+        DrawnEvacuations::lay(&mut world);
+    }
     let mut faults = BTreeMap::new();
     let mut next_fault = FIRST_MS + world.rng.random_range(0..2_000);
     let mut job = seed.wrapping_mul(1_000_000);
@@ -352,6 +364,9 @@
                 operator.write_now(&mut world);
             }
         }
+        if let Some(evacuations) = evacuations.as_mut() {
+            evacuations.act(&mut world);
+        }
         job += 1;
         submit_drawn(&mut world, job, crashes.as_mut(), customers.as_mut());
         if world.rng.random_range(0..20) == 0 {
@@ -376,6 +391,9 @@
     if crashes.is_some() {
         DrawnCrashes::calm(&mut world);
     }
+    if evacuations.is_some() {
+        DrawnEvacuations::calm(&mut world);
+    }
     if customers.is_some() {
         DrawnCustomers::calm(&mut world);
         operator.write_now(&mut world);
--- a/crates/bankvalve_check/src/site/site_workers.rs
+++ b/crates/bankvalve_check/src/site/site_workers.rs
@@ -361,6 +361,7 @@
                 self.lasting_started(id, task, run);
                 self.check_limit(task.step, id);
                 self.check_customer_limit(task);
+                self.check_evacuated_start(id, task);
                 self.gang_news(task.step, run, None);
             }
             WorkerEvent::Ended(task, run, how) => {
--- a/crates/bankvalve_check/src/site/site_world.rs
+++ b/crates/bankvalve_check/src/site/site_world.rs
@@ -18,6 +18,7 @@
 use super::site_costs::{part_of, StepCosts};
 use super::site_crashes::TaskCrash;
 use super::site_customers::SiteCustomers;
+use super::site_evacuations::SiteEvacuations;
 use super::site_lasting::LastingCheck;
 use super::site_losses::LossStep;
 use super::site_restarts::{RestartFigures, WorkerRestart};
@@ -262,6 +263,7 @@
     pub links_carry_all: bool,
     pub(super) config: SiteConfig,
     pub(super) customers: SiteCustomers,
+    pub(super) evacuations: SiteEvacuations,
     /// What callers that asked for queues were told.
     pub told: Vec<QueueAnswer>,
     pub(super) silent_lanes: BTreeMap<(usize, usize), SilentLane>,
@@ -360,6 +362,7 @@
             links_carry_all: false,
             config: SiteConfig::default(),
             customers: SiteCustomers::default(),
+            evacuations: SiteEvacuations::default(),
             told: Vec::new(),
             silent_lanes: BTreeMap::new(),
             given_up_together: true,
@@ -466,7 +469,9 @@
                 let process = self.process_at(&address);
                 let is_gone = receiver.is_some_and(|receiver| receiver.0 != process);
                 let worker = if is_gone { WorkerId::from("") } else { worker };
+                self.evacuations.sender = receiver.is_none().then_some(node);
                 self.worker_arrives((node, life, ticket), &worker, &address, token, &call);
+                self.evacuations.sender = None;
             }
             Later::WorkerTime { address } => self.worker_time(&address),
             Later::Restart { node } => self.start(node),
--- a/crates/bankvalve_check/tests/site/main.rs
+++ b/crates/bankvalve_check/tests/site/main.rs
@@ -7,6 +7,7 @@
 mod crashing;
 mod customer_backlog;
 mod customers;
+mod evacuations;
 mod failing_workers;
 mod former_leader;
 mod guilty_tasks;
--- a/crates/bankvalve_check/tests/site/random.rs
+++ b/crates/bankvalve_check/tests/site/random.rs
@@ -44,7 +44,7 @@
         (SiteGuard::GrowingPatience, 3),
     ];
     // The drawn worlds notice these seldom: each has a world of its own, below, in `workers`, in
-    // `crashing`, in `customers`, in `holds`, in `permits` and in `restarts`.
+    // `crashing`, in `customers`, in `evacuations`, in `holds`, in `permits` and in `restarts`.
     let seldom = [
         SiteGuard::SureRefusal,
         SiteGuard::LateDone,
@@ -63,6 +63,8 @@
         SiteGuard::LimitOfNow,
         SiteGuard::ConfirmedStart,
         SiteGuard::RecentConfig,
+        SiteGuard::EvacuatedDomain,
+        SiteGuard::EvacuatedNow,
     ];
     let others = SiteGuard::ALL.into_iter();
     let others = others.filter(|guard| !seldom.contains(guard));
--- a/crates/bankvalve_queue/src/core/capacity_reclaim.rs
+++ b/crates/bankvalve_queue/src/core/capacity_reclaim.rs
@@ -174,15 +174,25 @@
 
     /// Forgets that a step waited for capacity, and drops its reservations.
     pub(super) fn drop_capacity_claim(&mut self, key: StepKey) {
-        let now = self.now;
         let Some(lead) = self.lead.as_deref_mut() else {
             return;
         };
         lead.capacity_waits.remove(&key);
-        if lead.capacity_claims.remove(&key).is_some() {
-            for state in lead.worker_states.values_mut() {
-                state.drop_reservation(key, now);
-            }
+        if lead.capacity_claims.contains_key(&key) {
+            self.release_reservations(key);
+        }
+    }
+
+    /// Drops a step's reservations, so that its capacity is planned again. The step keeps the time since
+    /// which it has waited.
+    pub(super) fn release_reservations(&mut self, key: StepKey) {
+        let now = self.now;
+        let Some(lead) = self.lead.as_deref_mut() else {
+            return;
+        };
+        lead.capacity_claims.remove(&key);
+        for state in lead.worker_states.values_mut() {
+            state.drop_reservation(key, now);
         }
     }
 
@@ -206,6 +216,7 @@
         let capacities = lead
             .worker_states
             .values()
+            .filter(|state| !state.domain_evacuated)
             .map(|state| state.entry.room.millicores);
         let total: u64 = capacities.sum();
         let too_many_claims =
--- a/crates/bankvalve_queue/src/core/customer_shares.rs
+++ b/crates/bankvalve_queue/src/core/customer_shares.rs
@@ -228,6 +228,7 @@
         let capacities = lead
             .worker_states
             .values()
+            .filter(|state| !state.domain_evacuated)
             .map(|state| state.entry.room.millicores);
         let all: u64 = capacities.sum();
         lead.shares.backlog_percent = wanted * 100 / all.max(1);
--- a/crates/bankvalve_queue/src/core/entry_core.rs
+++ b/crates/bankvalve_queue/src/core/entry_core.rs
@@ -10,6 +10,7 @@
 use super::callers::OpenRequest;
 use super::customer_limits::CustomerLimits;
 use super::election::{LeaderView, PeerView};
+use super::evacuations::EvacuatedDomains;
 use super::follower_reads::FollowerReads;
 use super::former_leaders::FormerLeaders;
 use super::lead_state::LeadState;
@@ -246,6 +247,7 @@
     pub(super) table: Option<QueueTable>,
     /// How newer configurations are found and read.
     pub(super) tables: TableWatch,
+    pub(super) evacuations: EvacuatedDomains,
     pub(super) limits: CustomerLimits,
     pub(super) peers: BTreeMap<PeerAddress, PeerView>,
     /// The preferred members, as of the last heartbeat.
@@ -337,6 +339,7 @@
             lag: Duration::ZERO,
             table: None,
             tables: TableWatch::default(),
+            evacuations: EvacuatedDomains::default(),
             limits: CustomerLimits::default(),
             peers: BTreeMap::new(),
             preferred: Vec::new(),
@@ -450,6 +453,7 @@
             ledger_batches: self.applied,
             leaderless_ms: self.leaderless_ms(),
             customers: self.customer_views(),
+            evacuations: self.evacuation_views(),
             counters: self.counters.clone(),
         }
     }
--- a/crates/bankvalve_queue/src/core/lead_state.rs
+++ b/crates/bankvalve_queue/src/core/lead_state.rs
@@ -422,6 +422,7 @@
         let free = self
             .worker_states
             .values()
+            .filter(|state| !state.domain_evacuated)
             .map(|state| state.entry.room.minus(&state.used));
         free.fold(TaskSize::default(), |most, free| TaskSize {
             millicores: most.millicores.max(free.millicores),
--- a/crates/bankvalve_queue/src/core/members.rs
+++ b/crates/bankvalve_queue/src/core/members.rs
@@ -163,6 +163,7 @@
             echo: None,
             stopping: self.stopping,
             hold_ms: self.lease_duration().as_millis() as u64,
+            evacuations: self.evacuations.list(),
         }
     }
 
@@ -196,6 +197,7 @@
         self.record_announced_version(from, heartbeat.table_version);
         self.record_newest_version(heartbeat.table_version, heartbeat.table_age_ms);
         self.finish_outgoing_copy(from, heartbeat.table_version);
+        self.handle_peer_evacuations(heartbeat.evacuations.as_ref());
         if let Some(lead) = &self.lead {
             if heartbeat.epoch > lead.epoch {
                 self.step_down("a peer reported a later epoch");
--- a/crates/bankvalve_queue/src/core/mod.rs
+++ b/crates/bankvalve_queue/src/core/mod.rs
@@ -34,7 +34,8 @@
 //!   `restart_preparation` reserves capacity and gets permits for long-running tasks. `lost_contact` and
 //!   `restart_waits` report why tasks are not running.
 //! - Configuration: `table_watch` and `table_pull` fetch the operator's configuration, and `denials` handles
-//!   requests that it denies.
+//!   requests that it denies. `evacuations` keeps tasks from starting in failure domains that the operator has
+//!   evacuated.
 
 mod advice;
 mod call_proxies;
@@ -47,6 +48,7 @@
 mod denials;
 mod election;
 mod entry_core;
+mod evacuations;
 mod follower;
 mod follower_reads;
 mod former_leaders;
--- a/crates/bankvalve_queue/src/core/orders.rs
+++ b/crates/bankvalve_queue/src/core/orders.rs
@@ -98,6 +98,9 @@
         {
             return;
         }
+        if self.cancel_evacuated_start(id, task) {
+            return;
+        }
         if !self.is_within_limit_now(id, task) {
             self.cancel_start(
                 id,
@@ -238,8 +241,14 @@
         waits
     }
 
-    /// Cancels a start that does not fit its worker or its customer's limit any more.
-    fn cancel_start(&mut self, id: &WorkerId, task: TaskKey, kind: &'static str, why: &str) {
+    /// Cancels a start that its worker, its customer's limit or an evacuation does not allow any more.
+    pub(super) fn cancel_start(
+        &mut self,
+        id: &WorkerId,
+        task: TaskKey,
+        kind: &'static str,
+        why: &str,
+    ) {
         let lead = self.lead.as_deref_mut();
         let Some(live) = lead.and_then(|lead| lead.live_run(id, &task)) else {
             return;
--- a/crates/bankvalve_queue/src/core/placement.rs
+++ b/crates/bankvalve_queue/src/core/placement.rs
@@ -169,8 +169,9 @@
     pub(super) fn run_placement(&mut self) {
         let now = self.now;
         let by_time = self.uses(PolicySwitch::LatestStart);
-        // Without a recent configuration, the customers' limits are unknown.
-        let unknown = self.table.is_none() || !self.may_start_by_config();
+        // Without a recent configuration, the customers' limits and the evacuations are unknown.
+        let unknown =
+            self.table.is_none() || !self.evacuations.are_known() || !self.may_start_by_config();
         let blocked = self.store_is_unavailable() || !self.may_command() || unknown;
         let Some(lead) = self.lead.as_deref_mut() else {
             return;
--- a/crates/bankvalve_queue/src/core/restart_preparation.rs
+++ b/crates/bankvalve_queue/src/core/restart_preparation.rs
@@ -266,7 +266,8 @@
         let worker_states = lead
             .into_iter()
             .flat_map(|lead| lead.worker_states.values());
-        let responsive = worker_states.filter(|state| state.is_responsive(now));
+        let responsive =
+            worker_states.filter(|state| state.is_responsive(now) && !state.domain_evacuated);
         let all: u64 = responsive.map(|state| state.entry.room.millicores).sum();
         all * MAX_RESERVED_PERCENT / 100
     }
--- a/crates/bankvalve_queue/src/core/store_link.rs
+++ b/crates/bankvalve_queue/src/core/store_link.rs
@@ -58,6 +58,8 @@
     WatchConfig,
     /// Query for a newer configuration than the watch has delivered.
     QueryConfig,
+    /// Read of the operator's evacuations that the read of the configuration did not contain.
+    ReadEvacuations,
     /// Workers' entries: a page of all of them, or their changes since a version.
     Workers {
         full: bool,
@@ -186,6 +188,7 @@
             StorePurpose::WatchCell => self.end_watch_cell(outcome),
             StorePurpose::WatchConfig => self.end_config_watch(outcome),
             StorePurpose::QueryConfig => self.end_config_query(outcome),
+            StorePurpose::ReadEvacuations => self.end_evacuation_read(outcome),
             StorePurpose::Workers { full, scan } => self.end_workers(outcome, full, scan),
             StorePurpose::DropMember => {}
             StorePurpose::Probe => self.end_probe(&outcome),
--- a/crates/bankvalve_queue/src/core/store_requests.rs
+++ b/crates/bankvalve_queue/src/core/store_requests.rs
@@ -125,6 +125,7 @@
             StorePurpose::WatchCell => "watch_cell",
             StorePurpose::WatchConfig => "operator",
             StorePurpose::QueryConfig => "ask_operator",
+            StorePurpose::ReadEvacuations => "evacuations",
             StorePurpose::Workers { .. } => "workers",
             StorePurpose::DropMember => "drop_member",
             StorePurpose::Probe => "probe",
--- a/crates/bankvalve_queue/src/core/table_watch.rs
+++ b/crates/bankvalve_queue/src/core/table_watch.rs
@@ -91,6 +91,11 @@
 }
 
 impl TableWatch {
+    /// Returns the version of the table up to which changes of the operator's rows are known.
+    pub(super) fn watched_after(&self) -> Option<u64> {
+        self.watch.after
+    }
+
     /// Returns whether the last query failed or has been unanswered for too long, while no answer is
     /// arriving.
     pub(super) fn is_unanswered(&self, now: CoreTime) -> bool {
@@ -111,6 +116,7 @@
     pub(super) fn run_table(&mut self) {
         self.watch_config();
         self.query_config();
+        self.run_evacuation_read();
         self.run_pull();
         self.expire_lookups();
     }
@@ -324,6 +330,7 @@
     /// Handles the table's answer to a request that was sent at `sent_at`. Returns whether the
     /// configuration in it could be read.
     fn handle_config_news(&mut self, news: OperatorNews, version: u64, sent_at: CoreTime) -> bool {
+        self.handle_evacuation_news(news.evacuations, version);
         if news.table.is_none() && !news.raw.is_empty() {
             let detail = format!("{} bytes at version {version}", news.raw.len());
             self.log("config", "unreadable", String::new(), detail);
--- a/crates/bankvalve_queue/src/core/worker_entries.rs
+++ b/crates/bankvalve_queue/src/core/worker_entries.rs
@@ -83,6 +83,7 @@
 
     fn handle_worker_entry(&mut self, id: &WorkerId, entry: WorkerEntry, full: bool) {
         let now = self.now;
+        let domain_evacuated = self.is_evacuated(&entry.domain);
         let Some(lead) = self.lead.as_deref_mut() else {
             return;
         };
@@ -90,6 +91,7 @@
         let Some(state) = lead.worker_states.get_mut(id) else {
             let mut state = WorkerState::new(entry, true, now);
             state.service_in_use = self.services.contains(&state.entry.service);
+            state.domain_evacuated = domain_evacuated;
             state.lease_stop = self.stopped_leases.state_of(id);
             if let Some(slowness) = slowness {
                 state.start_slowness(*slowness);
@@ -107,6 +109,7 @@
         let shrunk = !state.entry.room.fits(&entry.room);
         let capacities = (state.entry.room, entry.room);
         state.service_in_use = self.services.contains(&entry.service);
+        state.domain_evacuated = domain_evacuated;
         state.entry = entry;
         state.listed = true;
         state.entry_readable = true;
--- a/crates/bankvalve_queue/src/core/worker_selection.rs
+++ b/crates/bankvalve_queue/src/core/worker_selection.rs
@@ -36,7 +36,7 @@
         && state.entry_is_current()
         && state.entry_readable
         && state.lease_stop == LeaseStop::None
-        && !state.entry.leaving
+        && state.takes_new_runs()
         && (now >= state.backoff_until || step.past_deadline);
     if !usable
         || step.crashed_workers.contains(id)
--- a/crates/bankvalve_queue/src/core/worker_state.rs
+++ b/crates/bankvalve_queue/src/core/worker_state.rs
@@ -122,6 +122,8 @@
     pub(super) listed: bool,
     /// Whether a queue or an open job names the worker's service.
     pub(super) service_in_use: bool,
+    /// Whether the worker's failure domain is evacuated.
+    pub(super) domain_evacuated: bool,
     /// Whether the entry could be decoded when it was last read.
     pub(super) entry_readable: bool,
     /// When the entry was last found to be removed.
@@ -186,6 +188,7 @@
             entry,
             listed,
             service_in_use: true,
+            domain_evacuated: false,
             entry_readable: true,
             unlisted_at: None,
             refused: false,
@@ -226,6 +229,7 @@
         Self {
             started,
             service_in_use: before.service_in_use,
+            domain_evacuated: before.domain_evacuated,
             entry_readable: before.entry_readable,
             unlisted_at: before.unlisted_at,
             lease_stop: before.lease_stop,
--- a/crates/bankvalve_queue/src/decision.rs
+++ b/crates/bankvalve_queue/src/decision.rs
@@ -6,6 +6,7 @@
 use crate::caller::RefusalReason;
 use crate::core::TaskWaits;
 use crate::customer::CustomerName;
+use crate::ids::DomainName;
 use crate::job::TaskSize;
 
 /// A line of the decision log.
@@ -81,6 +82,17 @@
     pub refused: u64,
 }
 
+/// An evacuated failure domain, as known to an instance.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct EvacuationView {
+    /// Name of the failure domain.
+    pub domain: DomainName,
+    /// Version of the table at which the operator requested the evacuation.
+    pub requested_at: u64,
+    /// Time since the instance learned of it.
+    pub age: Duration,
+}
+
 /// Status of an instance, for readiness and metrics.
 #[derive(Clone, Debug, Default)]
 pub struct EntryView {
@@ -112,6 +124,8 @@
     pub leaderless_ms: u64,
     /// Customers with the most CPU in use, as known to the leader; empty on other instances.
     pub customers: Vec<CustomerView>,
+    /// Evacuated failure domains.
+    pub evacuations: Vec<EvacuationView>,
     /// Counters.
     pub counters: EntryCounters,
 }
--- a/crates/bankvalve_queue/src/guard.rs
+++ b/crates/bankvalve_queue/src/guard.rs
@@ -75,11 +75,15 @@
     ConfirmedStart,
     /// A leader starts no task unless its configuration was recently known to be the newest.
     RecentConfig,
+    /// No task starts on the workers of an evacuated failure domain.
+    EvacuatedDomain,
+    /// A start that was pending while the failure domain of its worker was evacuated is not sent.
+    EvacuatedNow,
 }
 
 impl SiteGuard {
     /// All guards.
-    pub const ALL: [SiteGuard; 30] = [
+    pub const ALL: [SiteGuard; 32] = [
         SiteGuard::LedgerFirst,
         SiteGuard::OwnRow,
         SiteGuard::KeptEnds,
@@ -110,6 +114,8 @@
         SiteGuard::LimitOfNow,
         SiteGuard::ConfirmedStart,
         SiteGuard::RecentConfig,
+        SiteGuard::EvacuatedDomain,
+        SiteGuard::EvacuatedNow,
     ];
 
     /// Returns the name on the command line.
@@ -154,6 +160,8 @@
             SiteGuard::LimitOfNow => "limit-of-now",
             SiteGuard::ConfirmedStart => "confirmed-start",
             SiteGuard::RecentConfig => "recent-config",
+            SiteGuard::EvacuatedDomain => "evacuated-domain",
+            SiteGuard::EvacuatedNow => "evacuated-now",
         }
     }
 
--- a/crates/bankvalve_queue/src/ids.rs
+++ b/crates/bankvalve_queue/src/ids.rs
@@ -18,6 +18,8 @@
 pub type FenceToken = u64;
 /// Id of a worker. A worker that restarts may keep its id.
 pub type WorkerId = Arc<str>;
+/// Name of a failure domain.
+pub type DomainName = String;
 /// Number of an instance's connection to a worker, unique across restarts of the instance.
 pub type ConnectionId = u64;
 /// Number that matches an answer to its request.
--- a/crates/bankvalve_queue/src/lib.rs
+++ b/crates/bankvalve_queue/src/lib.rs
@@ -28,11 +28,11 @@
 };
 pub use core::{CoreAction, CoreEvent, EntryCore, EntrySettings, StartWait, TaskWaits, WaitReason};
 pub use customer::{CallerIdentity, CustomerName, CustomerRule, KeyDigest, RunLimit};
-pub use decision::{CustomerView, DecisionLine, EntryCounters, EntryView};
+pub use decision::{CustomerView, DecisionLine, EntryCounters, EntryView, EvacuationView};
 pub use guard::SiteGuard;
 pub use ids::{
-    ConnectionId, CoreTime, FenceToken, JobId, RunId, StepKey, TaskKey, Ticket, WallMillis,
-    WorkerId,
+    ConnectionId, CoreTime, DomainName, FenceToken, JobId, RunId, StepKey, TaskKey, Ticket,
+    WallMillis, WorkerId,
 };
 pub use job::{JobProblem, JobSpec, JobTerms, StepSpec, TaskSize};
 pub use ledger::{
@@ -40,15 +40,15 @@
     LedgerBatch, LedgerEvent, RepetitionRecord, StepRecord, TaskPhase, TaskRecord,
 };
 pub use peer::{
-    peer_batch_timeout, BatchTimeout, HeartbeatBody, HeartbeatEcho, PeerAddress, PeerBatch,
-    PeerMessage, ProxiedCall, ProxiedOrder, PEER_BATCHES_IN_FLIGHT, POOLED_CONNECTIONS,
+    peer_batch_timeout, BatchTimeout, EvacuationList, HeartbeatBody, HeartbeatEcho, PeerAddress,
+    PeerBatch, PeerMessage, ProxiedCall, ProxiedOrder, PEER_BATCHES_IN_FLIGHT, POOLED_CONNECTIONS,
 };
 pub use policy::PolicySwitch;
 pub use port::{PlatformPort, RequestFault, WireAnswer, WireCall, WireReply, WireRequest};
 pub use queue_table::{AdviceRule, QueueRule, QueueTable};
 pub use store::{
-    OperatorNews, RowChange, RowCondition, RowKey, RowWrite, StoreOutcome, StoreRequest, StoredRow,
-    WorkerRow,
+    DomainEvacuation, EvacuationNews, OperatorNews, RowChange, RowCondition, RowKey, RowWrite,
+    StoreOutcome, StoreRequest, StoredRow, WorkerRow,
 };
 pub use worker::{
     AdviceAnswer, AdviceRequest, EndReport, HoldReport, ProcessStart, RunReport, StartOrder,
--- a/crates/bankvalve_queue/src/peer.rs
+++ b/crates/bankvalve_queue/src/peer.rs
@@ -10,7 +10,7 @@
 
 use crate::caller::{CallerAnswer, CallerRequest};
 use crate::customer::CallerIdentity;
-use crate::ids::{ConnectionId, FenceToken, RunId, TaskKey, Ticket, WorkerId};
+use crate::ids::{ConnectionId, DomainName, FenceToken, RunId, TaskKey, Ticket, WorkerId};
 use crate::worker::{AdviceAnswer, AdviceRequest, WorkerAnswer, WorkerCall};
 
 /// Address at which an instance accepts messages from its peers.
@@ -103,6 +103,15 @@
     pub held_ms: u64,
 }
 
+/// The evacuated failure domains that an instance knows.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct EvacuationList {
+    /// Version of the table up to which all evacuations and withdrawals are included.
+    pub version: u64,
+    /// The failure domains, each with the version at which its evacuation was requested.
+    pub domains: Vec<(DomainName, u64)>,
+}
+
 /// Contents of a heartbeat.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct HeartbeatBody {
@@ -147,6 +156,9 @@
     pub stopping: bool,
     /// Longest lease that the sender requests from workers when it leads, in milliseconds.
     pub hold_ms: u64,
+    /// Evacuated failure domains; `None` if the sender does not know them yet.
+    #[serde(default)]
+    pub evacuations: Option<EvacuationList>,
 }
 
 /// A call to a worker that a proxy sends for the leader.
--- a/crates/bankvalve_queue/src/store.rs
+++ b/crates/bankvalve_queue/src/store.rs
@@ -4,7 +4,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::ids::WorkerId;
+use crate::ids::{DomainName, WorkerId};
 use crate::queue_table::QueueTable;
 use crate::worker::WorkerEntry;
 
@@ -104,6 +104,9 @@
     },
     /// Reads the operator's rows, which contain the configuration.
     ReadOperator,
+    /// Reads the operator's rows that contain evacuations. Needed only if the answer to
+    /// [`StoreRequest::ReadOperator`] did not contain them all.
+    ReadEvacuations,
     /// Waits for changes of the operator's rows.
     WatchOperator {
         /// Version after which changes are returned.
@@ -125,7 +128,35 @@
     },
 }
 
-/// Configuration in the operator's rows.
+/// A failure domain that the operator has evacuated, or whose evacuation was withdrawn.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct DomainEvacuation {
+    /// Name of the failure domain.
+    pub domain: DomainName,
+    /// Whether the evacuation was withdrawn.
+    pub withdrawn: bool,
+    /// Version of the table at which this was written.
+    pub version: u64,
+}
+
+/// Evacuations in the operator's rows.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum EvacuationNews {
+    /// What has changed since the version in the request, in order.
+    Changes(Vec<DomainEvacuation>),
+    /// All evacuations in force.
+    All(Vec<DomainEvacuation>),
+    /// The page that was read ends before the last of these rows.
+    Incomplete,
+}
+
+impl Default for EvacuationNews {
+    fn default() -> Self {
+        EvacuationNews::Changes(Vec::new())
+    }
+}
+
+/// Configuration and evacuations in the operator's rows.
 #[derive(Clone, Default, PartialEq)]
 pub struct OperatorNews {
     /// The decoded configuration; `None` if the rows contain none that can be decoded.
@@ -133,6 +164,8 @@
     /// The configuration as it is sent to peers, with digests in place of keys; if it cannot be decoded, the
     /// bytes that were read.
     pub raw: Vec<u8>,
+    /// Evacuated failure domains.
+    pub evacuations: EvacuationNews,
 }
 
 impl fmt::Debug for OperatorNews {
@@ -141,6 +174,7 @@
         f.debug_struct("OperatorNews")
             .field("version", &version)
             .field("bytes", &self.raw.len())
+            .field("evacuations", &self.evacuations)
             .finish()
     }
 }
--- a/crates/bankvalve_queue/tests/config.rs
+++ b/crates/bankvalve_queue/tests/config.rs
@@ -128,7 +128,11 @@
     let table = version.map(|version| QueueTable::new(version, Vec::new(), BTreeMap::new()));
     let raw = table.iter().map(|table| table.version as u8).collect();
     StoreOutcome::Operator {
-        news: OperatorNews { table, raw },
+        news: OperatorNews {
+            table,
+            raw,
+            ..OperatorNews::default()
+        },
         version: at,
     }
 }
@@ -256,6 +260,7 @@
         news: OperatorNews {
             table: None,
             raw: b"{".to_vec(),
+            ..OperatorNews::default()
         },
         version: 20,
     };
--- a/crates/bankvalve_standin/src/site/site_platform.rs
+++ b/crates/bankvalve_standin/src/site/site_platform.rs
@@ -196,6 +196,11 @@
         self.shared.lock().store.configure(table);
     }
 
+    /// Evacuates a failure domain, or withdraws its evacuation.
+    pub fn evacuate(&self, domain: &str, evacuated: bool) {
+        self.shared.lock().store.evacuate(domain, evacuated);
+    }
+
     /// Sets the fault of the table.
     pub fn set_store_fault(&self, store_fault: StoreFault) {
         self.shared.lock().store_fault = store_fault;
--- a/crates/bankvalve_standin/src/site/site_store.rs
+++ b/crates/bankvalve_standin/src/site/site_store.rs
@@ -3,8 +3,8 @@
 use std::collections::BTreeMap;
 
 use bankvalve_queue::{
-    OperatorNews, QueueTable, RowChange, RowKey, StoreOutcome, StoreRequest, StoredRow,
-    WorkerEntry, WorkerId, WorkerRow,
+    DomainEvacuation, EvacuationNews, OperatorNews, QueueTable, RowChange, RowKey, StoreOutcome,
+    StoreRequest, StoredRow, WorkerEntry, WorkerId, WorkerRow,
 };
 
 /// Maximum number of rows in one answer.
@@ -17,12 +17,17 @@
     rows: BTreeMap<RowKey, (Vec<u8>, u64)>,
     changes: Vec<RowChange>,
     config: Option<(QueueTable, Vec<u8>, u64)>,
+    /// Evacuated failure domains, each with the version at which it was evacuated.
+    evacuated: BTreeMap<String, u64>,
+    evacuation_changes: Vec<DomainEvacuation>,
     workers: BTreeMap<WorkerId, WorkerRow>,
     worker_changes: Vec<(u64, WorkerId, WorkerRow)>,
     /// Version up to which the history of changes has been discarded.
     forgotten: u64,
     /// Maximum number of worker entries in one answer; `None` for the same maximum as for rows.
     pub worker_page: Option<usize>,
+    /// Whether the first page of the operator's rows ends after the configuration.
+    pub short_operator_page: bool,
 }
 
 impl SiteStore {
@@ -45,10 +50,29 @@
                     StoreOutcome::Changes { changes, version }
                 })
             }
-            StoreRequest::ReadOperator => Some(self.operator(0)),
+            StoreRequest::ReadOperator => {
+                let evacuations = match self.short_operator_page {
+                    true => EvacuationNews::Incomplete,
+                    false => self.all_evacuations(),
+                };
+                Some(self.operator(0, evacuations))
+            }
+            StoreRequest::ReadEvacuations => Some(StoreOutcome::Operator {
+                news: OperatorNews {
+                    evacuations: self.all_evacuations(),
+                    ..OperatorNews::default()
+                },
+                version: self.version,
+            }),
             StoreRequest::WatchOperator { after, .. } => {
-                let changed = self.config.as_ref().is_some_and(|(.., at)| at > after);
-                let outcome = self.operator(*after);
+                let changes = self.evacuation_changes.iter();
+                let changes: Vec<DomainEvacuation> = changes
+                    .filter(|change| change.version > *after)
+                    .cloned()
+                    .collect();
+                let configured = self.config.as_ref().is_some_and(|(.., at)| at > after);
+                let changed = configured || !changes.is_empty();
+                let outcome = self.operator(*after, EvacuationNews::Changes(changes));
                 self.watched(*after, changed, |_| outcome)
             }
             StoreRequest::ReadWorkers { from } => Some(self.read_workers(from)),
@@ -119,6 +143,31 @@
         self.config = Some((table, raw, self.version));
     }
 
+    /// Evacuates a failure domain, or withdraws its evacuation.
+    pub fn evacuate(&mut self, domain: &str, evacuated: bool) {
+        self.version += 1;
+        if evacuated {
+            self.evacuated.insert(domain.to_owned(), self.version);
+        } else {
+            self.evacuated.remove(domain);
+        }
+        self.evacuation_changes.push(DomainEvacuation {
+            domain: domain.to_owned(),
+            withdrawn: !evacuated,
+            version: self.version,
+        });
+    }
+
+    fn all_evacuations(&self) -> EvacuationNews {
+        let evacuated = self.evacuated.iter();
+        let evacuated = evacuated.map(|(domain, version)| DomainEvacuation {
+            domain: domain.clone(),
+            withdrawn: false,
+            version: *version,
+        });
+        EvacuationNews::All(evacuated.collect())
+    }
+
     /// Writes a worker's entry, or removes it if `entry` is `None`.
     pub fn set_worker(&mut self, id: &WorkerId, entry: Option<WorkerEntry>) {
         self.record_worker_change(id, entry.map_or(WorkerRow::Gone, WorkerRow::Entry));
@@ -153,6 +202,7 @@
     pub fn forget_history(&mut self) {
         self.forgotten = self.version;
         self.changes.clear();
+        self.evacuation_changes.clear();
         self.worker_changes.clear();
     }
 
@@ -173,12 +223,13 @@
         changed.then(|| outcome(self.version))
     }
 
-    fn operator(&self, after: u64) -> StoreOutcome {
+    fn operator(&self, after: u64, evacuations: EvacuationNews) -> StoreOutcome {
         let config = self.config.as_ref().filter(|(.., at)| *at > after);
         StoreOutcome::Operator {
             news: OperatorNews {
                 table: config.map(|(table, ..)| table.clone()),
                 raw: config.map_or(Vec::new(), |(_, raw, _)| raw.clone()),
+                evacuations,
             },
             version: self.version,
         }
