fix(shares): what the placement pass has just placed is not waiting

The backlog was summed at the begin of a placement pass, so tasks that ended together left their capacity as wanted for the moment until the same pass gave it away.

--- a/crates/bankvalve_queue/src/core/placement.rs
+++ b/crates/bankvalve_queue/src/core/placement.rs
@@ -202,7 +202,6 @@
         ranked.sort_unstable();
         self.sum_usage_for_placement();
         self.remove_steps_at_limit(&mut ranked);
-        self.record_backlog();
         let Some(lead) = self.lead.as_deref_mut() else {
             return;
         };
@@ -224,6 +223,7 @@
             }
         }
         self.refresh_placed_steps();
+        self.record_backlog();
     }
 
     /// Updates the waiting steps whose tasks have just been placed, without causing another placement pass.
