--- a/crates/bankvalve_queue/src/core/table_pull.rs
+++ b/crates/bankvalve_queue/src/core/table_pull.rs
@@ -13,6 +13,9 @@
 
 /// Number of peers asked at a time: some may be dead, or have no newer configuration either.
 const PEERS_PER_QUERY: usize = 3;
+/// First round in which the leader is asked beside other peers: by then each of them may have sent copies to
+/// two instances.
+const LEADER_ROUND: usize = 3;
 /// Maximum wait for an offer from one of them.
 const OFFER_TIMEOUT: Duration = Duration::from_millis(400);
 /// Minimum time between two configurations pulled from peers: in a quick series only the last one
@@ -94,7 +97,8 @@
             newer && !peer.heartbeat.stopping
         };
         let mut candidates: Vec<PeerAddress> = others.into_iter().filter(may_have).collect();
-        if candidates.is_empty() || self.tables.pull.round_count % 2 == 1 {
+        let round_count = self.tables.pull.round_count;
+        if candidates.is_empty() || (round_count >= LEADER_ROUND && round_count % 2 == 1) {
             candidates.extend(leader.filter(may_have));
         }
         candidates
