fix(members): registrations of many instances wait for each other without being sent again

Virtual time, 1,200 instances and 12,000 workers: nobody led for 6 s after a return of all, and reads of members' rows took 136 MB. One part of the table takes 200 writes a second; a registration timed out after 2.4 s and was sent again behind its own copy, so that rows were missing when all were lost. Its time-out may grow to 9.6 s now, the rows have a part of their own again, and watches of a large site pause for 0.7 s, in which some hundred rows are written.

--- a/crates/bankvalve_queue/src/core/member_rows.rs
+++ b/crates/bankvalve_queue/src/core/member_rows.rs
@@ -18,7 +18,9 @@
 use crate::store::{RowKey, RowWrite, StoreOutcome, StoreRequest, StoredRow};
 
 /// Table of the members' rows.
-pub(super) const MEMBER_TABLE: &str = "members";
+const MEMBER_TABLE: &str = "members";
+/// Part of the members' rows. Writes to one part wait for each other, so it is not that of the leader's row.
+const MEMBER_PART: &str = "member";
 /// Number of members, by rank, that read all rows, and whose rows all members read. A site that is not large
 /// has no others.
 const FIRST_RANKS: usize = LARGE_SITE_MEMBERS;
@@ -35,6 +37,8 @@
 const SPACED_WATCH_PEERS: usize = 12;
 /// Pause between two spaced-out watches, so that one answer contains several changes.
 const SPACED_WATCH_PAUSE: Duration = Duration::from_millis(150);
+/// The same pause on a large site, whose members take seconds to write their rows.
+const LARGE_SITE_WATCH_PAUSE: Duration = Duration::from_millis(700);
 /// Time without contact after which a member whose row is gone is forgotten.
 const FORGET_MEMBER_AFTER: Duration = Duration::from_secs(5);
 /// CPU capacity from which all members rank alike, in thousandths of a core.
@@ -123,7 +127,7 @@
 
 impl EntryCore {
     pub(super) fn member_key(&self, address: PeerAddress, strength: u64) -> RowKey {
-        RowKey::new(MEMBER_TABLE, "", rank_key(strength, address))
+        RowKey::new(MEMBER_TABLE, MEMBER_PART, rank_key(strength, address))
     }
 
     fn own_key(&self) -> RowKey {
@@ -179,7 +183,7 @@
         let limit = (!scan.all_wanted).then_some(scan.ranks as u32);
         let request = StoreRequest::Read {
             table: MEMBER_TABLE.to_owned(),
-            part: String::new(),
+            part: MEMBER_PART.to_owned(),
             from,
             limit,
         };
@@ -253,16 +257,18 @@
     /// Handles the result of the watch on the members' rows.
     pub(super) fn end_member_watch(&mut self, outcome: StoreOutcome) {
         let now = self.now;
-        let spaced_out = self.peers.len() > SPACED_WATCH_PEERS;
+        let pause = match self.peers.len() {
+            peers if peers + 1 >= LARGE_SITE_MEMBERS => LARGE_SITE_WATCH_PAUSE,
+            peers if peers > SPACED_WATCH_PEERS => SPACED_WATCH_PAUSE,
+            _ => Duration::ZERO,
+        };
         let watch = &mut self.member_rows.watch;
         watch.busy = false;
         match outcome {
             StoreOutcome::Changes { changes, version } => {
                 watch.after = Some(version);
                 watch.failures = 0;
-                if spaced_out {
-                    watch.next_at = now + SPACED_WATCH_PAUSE;
-                }
+                watch.next_at = now + pause;
                 for change in changes {
                     self.handle_member_row(&change.key, change.value.as_deref());
                 }
--- a/crates/bankvalve_queue/src/core/store_requests.rs
+++ b/crates/bankvalve_queue/src/core/store_requests.rs
@@ -104,6 +104,8 @@
                 MAX_LARGE_DOUBLINGS
             }
             StorePurpose::QueryConfig => MAX_LARGE_DOUBLINGS,
+            // When many instances register at once, their writes wait for each other.
+            StorePurpose::Register => MAX_LARGE_DOUBLINGS,
             // These check whether the table answers in time, so their timeout is fixed.
             StorePurpose::Confirm | StorePurpose::Probe => 0,
             _ => MAX_DOUBLINGS,
