feat(link): a client opens no more connections than its machine has descriptors for

The client counts its connections now. From nine tenths of its limit, half of the descriptors in the settings, it closes the idle connections to an eighth of the hosts, those not called for longest; at the limit a call is known not to be sent. Connections for polls that no poll uses are closed after 5 s. Callers get a quarter of the descriptors at most. The metric bankvalve_connections tells how many are open, closed and refused.

--- a/crates/bankvalve/src/entry/entry_metrics.rs
+++ b/crates/bankvalve/src/entry/entry_metrics.rs
@@ -1,7 +1,9 @@
 //! Metrics of an entry instance through opentelemetry, served for scraping.
 
+use std::sync::Arc;
 use std::time::Duration;
 
+use bankvalve_link::ConnectionCounts;
 use opentelemetry::metrics::{Histogram, Meter, MeterProvider};
 use opentelemetry::KeyValue;
 use opentelemetry_sdk::metrics::SdkMeterProvider;
@@ -29,7 +31,7 @@
 }
 
 impl EntryMetrics {
-    pub(super) fn new(core: &EntryHandle) -> Self {
+    pub(super) fn new(core: &EntryHandle, connections: Arc<ConnectionCounts>) -> Self {
         let registry = Registry::new();
         let exporter = opentelemetry_prometheus::exporter()
             .with_registry(registry.clone())
@@ -42,6 +44,7 @@
         register_ages(&meter, core);
         register_customers(&meter, core);
         register_evacuations(&meter, core);
+        register_connections(&meter, connections);
         let latency = meter
             .f64_histogram("bankvalve_request_ms")
             .with_description("Time to the answer of a caller's request, by method and status")
@@ -119,6 +122,23 @@
         .build();
 }
 
+fn register_connections(meter: &Meter, connections: Arc<ConnectionCounts>) {
+    meter
+        .u64_observable_gauge("bankvalve_connections")
+        .with_description("Connections to workers, peers and the platform, by quantity")
+        .with_callback(move |observer| {
+            let quantities = [
+                ("open", connections.open() as u64),
+                ("closed_idle_near_limit", connections.closed_idle()),
+                ("refused_at_limit", connections.refused()),
+            ];
+            for (quantity, value) in quantities {
+                observer.observe(value, &[KeyValue::new("quantity", quantity)]);
+            }
+        })
+        .build();
+}
+
 fn register_evacuations(meter: &Meter, core: &EntryHandle) {
     let of_core = core.clone();
     meter
--- a/crates/bankvalve/src/entry/entry_process.rs
+++ b/crates/bankvalve/src/entry/entry_process.rs
@@ -15,7 +15,7 @@
 use super::decision_log::{DecisionLog, LineLevel};
 use super::entry_listeners::EntryListeners;
 use super::entry_metrics::EntryMetrics;
-use super::link_loop::{run_links, LinkAddresses};
+use super::link_loop::{new_client, run_links, LinkAddresses};
 use super::listeners::ListenerState;
 use crate::serve::ServeFailure;
 use crate::settings::{SiteListen, SiteSettings};
@@ -34,6 +34,11 @@
 /// Maximum number of simultaneous connections from peers: three from each on a site of about 400 instances.
 const MAX_PEER_CONNECTIONS: usize = 1_200;
 
+/// Share of the descriptors for connections to others, in percent.
+const OUTGOING_PERCENT: u64 = 50;
+/// Share of the descriptors for connections of callers, in percent.
+const CALLER_PERCENT: u64 = 25;
+
 /// A running entry instance.
 #[derive(Debug)]
 pub struct EntryProcess {
@@ -63,8 +68,9 @@
         let (links, actions) = mpsc::channel(ring);
         let own = core_settings(settings, listen.peers);
         let core_loop = CoreLoop::new(own, port, &core, links, log.clone());
+        let client = new_client(outgoing_connections(settings));
         let state = ListenerState {
-            metrics: Arc::new(EntryMetrics::new(&core)),
+            metrics: Arc::new(EntryMetrics::new(&core, client.connection_counts())),
             core: core.clone(),
             port,
             stopping: Arc::new(AtomicBool::new(false)),
@@ -81,7 +87,7 @@
             .build()
             .change_context(ServeFailure::Thread)?;
         spawn("links", move || {
-            runtime.block_on(run_links(link_addresses, port, core, actions));
+            runtime.block_on(run_links(client, link_addresses, port, core, actions));
         })?;
         spawn("core", move || core_loop.run(&inputs))?;
         log.note(LineLevel::Info, started_line(&settings.site.name, &listen));
@@ -162,13 +168,25 @@
     }
 }
 
+/// Returns how many connections to others the instance may open. The remaining descriptors are for files, for
+/// callers and for connections that peers open.
+fn outgoing_connections(settings: &SiteSettings) -> usize {
+    (settings.limits.descriptors * OUTGOING_PERCENT / 100) as usize
+}
+
+/// Returns how many connections of callers the instance accepts at the same time.
+fn caller_connections(settings: &SiteSettings) -> usize {
+    let share = settings.limits.descriptors * CALLER_PERCENT / 100;
+    settings.limits.caller_connections.min(share).max(1) as usize
+}
+
 fn start_servers(
     settings: &SiteSettings,
     listeners: EntryListeners,
     state: &ListenerState,
 ) -> Result<Vec<HttpServer>, Report<ServeFailure>> {
     let limits = ServerLimits {
-        connections: settings.limits.caller_connections as usize,
+        connections: caller_connections(settings),
         body_bytes: settings.limits.body_bytes as usize,
         ..ServerLimits::default()
     };
--- a/crates/bankvalve/src/entry/link_loop.rs
+++ b/crates/bankvalve/src/entry/link_loop.rs
@@ -42,6 +42,9 @@
 /// Time after which an idle connection is closed. It is long because new connections to workers are
 /// expensive.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(90);
+/// Time after which a connection for polls is closed that no poll uses: workers are polled each few seconds,
+/// so another instance polls this one.
+const HELD_TIMEOUT: Duration = Duration::from_secs(5);
 /// Maximum size of a reply, in bytes. The largest replies are pages of rows.
 const MAX_REPLY_BYTES: usize = 8 * 1024 * 1024;
 
@@ -122,20 +125,27 @@
     batch_timeout: Cell<BatchTimeout>,
 }
 
+/// Creates the client for all calls of an instance, which opens no more than `connections` connections.
+pub(super) fn new_client(connections: usize) -> HttpClient {
+    HttpClient::with_limits(ClientLimits {
+        idle: POOLED_CONNECTIONS,
+        idle_time: IDLE_TIMEOUT,
+        held_time: HELD_TIMEOUT,
+        open: connections,
+        connect_time: CONNECT_TIMEOUT,
+        ack_timeout: Some(ACK_TIMEOUT),
+        reply_bytes: MAX_REPLY_BYTES,
+    })
+}
+
 /// Performs the core's actions until the core drops its end of the channel.
 pub(super) async fn run_links(
+    client: HttpClient,
     addresses: LinkAddresses,
     port: PlatformPort,
     core: EntryHandle,
     mut actions: mpsc::Receiver<Vec<CoreAction>>,
 ) {
-    let client = HttpClient::with_limits(ClientLimits {
-        idle: POOLED_CONNECTIONS,
-        idle_time: IDLE_TIMEOUT,
-        connect_time: CONNECT_TIMEOUT,
-        ack_timeout: Some(ACK_TIMEOUT),
-        reply_bytes: MAX_REPLY_BYTES,
-    });
     let links = Rc::new(LinkLoop {
         addresses,
         port,
--- a/crates/bankvalve/src/settings/site_settings.rs
+++ b/crates/bankvalve/src/settings/site_settings.rs
@@ -112,8 +112,10 @@
 pub struct SiteLimits {
     /// Longest value of a row of the table, in bytes.
     pub row_bytes: u64,
-    /// Open connections of callers.
+    /// Open connections of callers, at most a quarter of the descriptors.
     pub caller_connections: u64,
+    /// Descriptors that the process may have open. Half of them are for connections to others.
+    pub descriptors: u64,
     /// Largest body of a caller's request in bytes.
     pub body_bytes: u64,
     /// Entries in each ring between two threads.
@@ -125,6 +127,7 @@
         Self {
             row_bytes: 65_536,
             caller_connections: 2_000,
+            descriptors: 16_384,
             body_bytes: 262_144,
             ring: 8_192,
         }
@@ -250,6 +253,7 @@
         check_range("limits.row_bytes", limits.row_bytes, 4_096, 1 << 24)?;
         let connections = limits.caller_connections;
         check_range("limits.caller_connections", connections, 1, 100_000)?;
+        check_range("limits.descriptors", limits.descriptors, 256, 1 << 24)?;
         check_range("limits.body_bytes", limits.body_bytes, 1_024, 64 << 20)?;
         check_range("limits.ring", limits.ring, 64, 1 << 20)?;
         self.log_level().map(|_| ())
--- a/crates/bankvalve_link/src/client/connection_pools.rs
+++ b/crates/bankvalve_link/src/client/connection_pools.rs
@@ -3,7 +3,7 @@
 use std::collections::HashMap;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
-use std::time::{Instant, SystemTime};
+use std::time::{Duration, Instant, SystemTime};
 
 use bytes::Bytes;
 use http_body_util::Full;
@@ -13,6 +13,7 @@
 use hyper_util::rt::{TokioExecutor, TokioTimer};
 
 use super::held_connection::{HeldConnection, HeldNumber};
+use super::open_connections::{ConnectionCounts, LimitedConnector};
 use super::ClientLimits;
 
 /// Number of addresses from which on the client drops those it has not called for
@@ -20,8 +21,24 @@
 /// grow without limit otherwise.
 const ADDRESS_SWEEP_THRESHOLD: usize = 64;
 
+/// Share of the limit of open connections from which on idle ones are closed, in percent.
+const CLOSE_IDLE_PERCENT: usize = 90;
+/// One address in so many loses its idle connections then, those that were not called for longest.
+const CLOSE_IDLE_DIVISOR: usize = 8;
+/// Interval between two sweeps of held connections that no call uses any more.
+const HELD_SWEEP_INTERVAL: Duration = Duration::from_secs(1);
+/// Minimum interval between two times that idle connections are closed.
+const CLOSE_IDLE_INTERVAL: Duration = Duration::from_millis(20);
+
+/// When unused connections are closed next.
+#[derive(Debug)]
+struct SweepTimes {
+    held: Instant,
+    idle: Instant,
+}
+
 /// Pooled connections to one address, which are replaced together.
-pub(super) type ConnectionPool = Client<HttpConnector, Full<Bytes>>;
+pub(super) type ConnectionPool = Client<LimitedConnector, Full<Bytes>>;
 
 /// State of the connections to one address.
 #[derive(Debug)]
@@ -45,19 +62,73 @@
 pub(super) struct ConnectionPools {
     limits: ClientLimits,
     addresses: Arc<Mutex<HashMap<Authority, AddressConnections>>>,
+    counts: Arc<ConnectionCounts>,
+    sweeps: Arc<Mutex<SweepTimes>>,
     /// Number of the next held connection.
     next_held: Arc<AtomicU64>,
 }
 
 impl ConnectionPools {
     pub(super) fn new(limits: ClientLimits) -> Self {
+        let now = Instant::now();
         Self {
             limits,
             addresses: Arc::default(),
+            counts: Arc::default(),
+            sweeps: Arc::new(Mutex::new(SweepTimes {
+                held: now + HELD_SWEEP_INTERVAL,
+                idle: now,
+            })),
             next_held: Arc::new(AtomicU64::new(first_connection_number())),
         }
     }
 
+    /// Returns the numbers of this client's connections.
+    pub(super) fn counts(&self) -> &Arc<ConnectionCounts> {
+        &self.counts
+    }
+
+    /// Closes held connections that no call has used for a while, and idle connections if the client is near
+    /// its limit.
+    ///
+    /// An instance that takes over polls all workers itself until others do so for it. It keeps none of those
+    /// connections, and never opens more than its machine has descriptors for.
+    fn close_unused(&self, addresses: &mut HashMap<Authority, AddressConnections>, now: Instant) {
+        let mut sweeps = self
+            .sweeps
+            .lock()
+            .unwrap_or_else(|error| error.into_inner());
+        if now >= sweeps.held {
+            sweeps.held = now + HELD_SWEEP_INTERVAL;
+            let held_time = self.limits.held_time;
+            for connections in addresses.values_mut() {
+                let is_used =
+                    |held: &HeldConnection| now.saturating_duration_since(held.used_at) < held_time;
+                connections.held = connections.held.take().filter(is_used);
+            }
+        }
+        let near_limit = self.counts.open() * 100 >= self.limits.open * CLOSE_IDLE_PERCENT;
+        if !near_limit || now < sweeps.idle {
+            return;
+        }
+        sweeps.idle = now + CLOSE_IDLE_INTERVAL;
+        let mut by_use: Vec<(Instant, Authority)> = addresses
+            .iter()
+            .filter(|(_, connections)| connections.answered || connections.held.is_some())
+            .map(|(address, connections)| (connections.used_at, address.clone()))
+            .collect();
+        by_use.sort_unstable_by_key(|(used_at, _)| *used_at);
+        let count = by_use.len().div_ceil(CLOSE_IDLE_DIVISOR);
+        for (_, address) in by_use.into_iter().take(count) {
+            if let Some(connections) = addresses.get_mut(&address) {
+                connections.held = None;
+                connections.pool = new_pool(&self.limits, &self.counts);
+                connections.answered = false;
+            }
+        }
+        self.counts.count_closed_idle(count as u64);
+    }
+
     /// Returns the number for a new held connection.
     pub(super) fn next_number(&self) -> HeldNumber {
         self.next_held.fetch_add(1, Ordering::Relaxed)
@@ -93,6 +164,7 @@
     pub(super) fn pool(&self, address: &Authority) -> (ConnectionPool, u64) {
         let now = Instant::now();
         let mut addresses = self.lock();
+        self.close_unused(&mut addresses, now);
         if let Some(connections) = addresses.get_mut(address) {
             connections.used_at = now;
             return (connections.pool.clone(), connections.generation);
@@ -104,7 +176,7 @@
             });
         }
         let connections = AddressConnections {
-            pool: new_pool(&self.limits),
+            pool: new_pool(&self.limits, &self.counts),
             generation: 0,
             answered: false,
             held: None,
@@ -129,7 +201,7 @@
     pub(super) fn replace_pool(&self, address: &Authority, generation: u64) {
         if let Some(connections) = self.lock().get_mut(address) {
             if connections.generation == generation && connections.answered {
-                connections.pool = new_pool(&self.limits);
+                connections.pool = new_pool(&self.limits, &self.counts);
                 connections.generation += 1;
                 connections.answered = false;
                 connections.held = None;
@@ -151,7 +223,7 @@
     now.unwrap_or_default().as_micros() as HeldNumber
 }
 
-fn new_pool(limits: &ClientLimits) -> ConnectionPool {
+fn new_pool(limits: &ClientLimits, counts: &Arc<ConnectionCounts>) -> ConnectionPool {
     let mut connector = HttpConnector::new();
     connector.set_nodelay(true);
     connector.set_connect_timeout(Some(limits.connect_time));
@@ -161,5 +233,9 @@
         .pool_idle_timeout(limits.idle_time)
         .pool_max_idle_per_host(limits.idle)
         .retry_canceled_requests(false)
-        .build(connector)
+        .build(LimitedConnector::new(
+            connector,
+            counts.clone(),
+            limits.open,
+        ))
 }
--- a/crates/bankvalve_link/src/client/held_connection.rs
+++ b/crates/bankvalve_link/src/client/held_connection.rs
@@ -1,6 +1,7 @@
 //! A numbered connection, which callers can request again by its number.
 
 use std::io::ErrorKind;
+use std::sync::Arc;
 use std::time::Instant;
 
 use bytes::Bytes;
@@ -13,6 +14,7 @@
 use socket2::SockRef;
 use tokio::net::TcpStream;
 
+use super::open_connections::{limit_error, ConnectionCounts, OpenConnection};
 use super::{CallEnd, ClientFailure, ClientLimits};
 
 /// Number of a connection that a client holds open; unique among the connections of that client.
@@ -32,8 +34,11 @@
         address: &Authority,
         number: HeldNumber,
         limits: &ClientLimits,
+        counts: &Arc<ConnectionCounts>,
     ) -> Result<Self, CallEnd> {
         let not_sent = |text: String| CallEnd::Failed(ClientFailure::NotSent(text));
+        let counted = OpenConnection::count(counts, limits.open);
+        let counted = counted.ok_or_else(|| not_sent(limit_error(limits.open).to_string()))?;
         let connecting = TcpStream::connect(address.as_str());
         let connected = tokio::time::timeout(limits.connect_time, connecting).await;
         let connected = connected.map_err(|_| not_sent("connection attempt timed out".into()))?;
@@ -52,7 +57,10 @@
         let handshaken = handshake(TokioIo::new(stream)).await;
         let (sender, connection) = handshaken.map_err(|error| not_sent(error.to_string()))?;
         // Drives the connection. Its errors are ignored here: the call in flight on it fails with them.
-        tokio::spawn(async move { drop(connection.await) });
+        tokio::spawn(async move {
+            drop(connection.await);
+            drop(counted);
+        });
         Ok(Self {
             number,
             sender,
--- a/crates/bankvalve_link/src/client/mod.rs
+++ b/crates/bankvalve_link/src/client/mod.rs
@@ -2,8 +2,10 @@
 
 mod connection_pools;
 mod held_connection;
+mod open_connections;
 
 use std::io::ErrorKind;
+use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
@@ -17,11 +19,16 @@
 use self::held_connection::{to_origin_form, HeldConnection};
 
 pub use self::held_connection::HeldNumber;
+pub use self::open_connections::ConnectionCounts;
 
 /// Default time after which an idle connection is closed.
 const IDLE_TIME: Duration = Duration::from_secs(20);
 /// Default timeout of a connection attempt.
 const CONNECT_TIME: Duration = Duration::from_secs(2);
+/// Default maximum number of open connections.
+const MAX_OPEN_CONNECTIONS: usize = 16_384;
+/// Default maximum size of a reply's body in bytes.
+const MAX_REPLY_BYTES: usize = 1 << 20;
 
 /// Limits and timeouts of a client's connections.
 #[derive(Clone, Copy, Debug)]
@@ -30,6 +37,11 @@
     pub idle: usize,
     /// Time after which an idle connection is closed.
     pub idle_time: Duration,
+    /// Time after which a held connection is closed that no call uses.
+    pub held_time: Duration,
+    /// Maximum number of open connections to all hosts together. Near it, the idle connections to the hosts
+    /// that were not called for longest are closed.
+    pub open: usize,
     /// Timeout of a connection attempt.
     pub connect_time: Duration,
     /// Time that sent bytes may stay unacknowledged before the system closes the connection
@@ -39,6 +51,20 @@
     pub reply_bytes: usize,
 }
 
+impl Default for ClientLimits {
+    fn default() -> Self {
+        Self {
+            idle: 1,
+            idle_time: IDLE_TIME,
+            held_time: IDLE_TIME,
+            open: MAX_OPEN_CONNECTIONS,
+            connect_time: CONNECT_TIME,
+            ack_timeout: None,
+            reply_bytes: MAX_REPLY_BYTES,
+        }
+    }
+}
+
 /// Why a request has no reply, and whether it may have been received.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum ClientFailure {
@@ -125,10 +151,8 @@
     pub fn new(idle: usize, reply_bytes: usize) -> Self {
         Self::with_limits(ClientLimits {
             idle,
-            idle_time: IDLE_TIME,
-            connect_time: CONNECT_TIME,
-            ack_timeout: None,
             reply_bytes,
+            ..ClientLimits::default()
         })
     }
 
@@ -140,6 +164,11 @@
         }
     }
 
+    /// Returns the numbers of this client's connections, which its clones share.
+    pub fn connection_counts(&self) -> Arc<ConnectionCounts> {
+        self.pools.counts().clone()
+    }
+
     /// Sends a request and waits for the complete reply, for at most `time`.
     ///
     /// # Errors
@@ -218,7 +247,8 @@
             let text = "the requested connection has ended".to_owned();
             return Err(CallEnd::Failed(ClientFailure::NotSent(text)));
         }
-        HeldConnection::connect(address, self.pools.next_number(), &self.limits).await
+        let number = self.pools.next_number();
+        HeldConnection::connect(address, number, &self.limits, self.pools.counts()).await
     }
 
     /// Sends a GET request whose reply may take long to arrive.
--- a/crates/bankvalve_link/src/lib.rs
+++ b/crates/bankvalve_link/src/lib.rs
@@ -13,7 +13,9 @@
 mod server;
 mod wire;
 
-pub use client::{ClientFailure, ClientLimits, HeldNumber, HttpClient, HttpReply};
+pub use client::{
+    ClientFailure, ClientLimits, ConnectionCounts, HeldNumber, HttpClient, HttpReply,
+};
 pub use keys::{
     sign_command, CallerKey, KeyFailure, KeyRing, OperatorKey, OperatorSigner, PeerSigner,
     CLOCK_SLACK,
--- a/crates/bankvalve_link/tests/silence.rs
+++ b/crates/bankvalve_link/tests/silence.rs
@@ -100,6 +100,7 @@
         connect_time: ANSWER_TIME,
         ack_timeout,
         reply_bytes: 1_024,
+        ..ClientLimits::default()
     })
 }
 
--- a/crates/bankvalve_link/tests/unreached.rs
+++ b/crates/bankvalve_link/tests/unreached.rs
@@ -21,6 +21,7 @@
         connect_time: CONNECT_TIME,
         ack_timeout: None,
         reply_bytes: 1_024,
+        ..ClientLimits::default()
     });
     let url = format!("http://{address}/");
     let body = Vec::new();
