perf(placement): a step is compared with enough workers, not with all

A scan begins where the last one ended and ends with 500 eligible workers that have capacity, or 12 for each task; while capacity is scarce, and for steps that want a rack, a label or a trial, it covers all. Test: workers visited for each start at 1,500, 6,000 and 12,000 workers; counter placements/workers_scanned.

--- a/crates/bankvalve_check/tests/site/fleet.rs
+++ b/crates/bankvalve_check/tests/site/fleet.rs
@@ -2,7 +2,7 @@
 
 use bankvalve_check::site::{job_of, play_fleet, SitePlan, SiteWorld, QUEUE};
 
-use crate::assert_kept;
+use crate::{assert_kept, plan_of};
 
 /// CPU of the instances that rank first and of the others, in thousandths of a core.
 const STRONG: u64 = 500;
@@ -110,3 +110,25 @@
     assert!(world.shown.len() > 10, "{} jobs", world.shown.len());
     assert_kept(&world);
 }
+
+/// Workers that the leader's scans visit for each start on a site of so many workers.
+fn scanned_for_each_start(workers: usize) -> u64 {
+    let mut world = SiteWorld::new(plan_of(4, workers));
+    world.run_until(5_000);
+    run_jobs(&mut world, 1, 60);
+    let scanned = world.counter("placements", "workers_scanned");
+    assert!(world.rules.starts >= 100, "{} starts", world.rules.starts);
+    assert_kept(&world);
+    scanned / world.rules.starts
+}
+
+/// Guards against a leader whose cost for each start grows with the workers.
+#[test]
+fn a_start_costs_as_many_looks_at_workers_however_many_there_are() {
+    let [small, large, twice] = [1_500, 6_000, 12_000].map(scanned_for_each_start);
+    assert!(large <= small, "{large} at 6,000 workers, {small} at 1,500");
+    assert!(
+        twice <= small,
+        "{twice} at 12,000 workers, {small} at 1,500"
+    );
+}
--- a/crates/bankvalve_queue/src/core/placement.rs
+++ b/crates/bankvalve_queue/src/core/placement.rs
@@ -104,6 +104,13 @@
         }
     }
 
+    /// Returns whether some eligible workers are better than others for reasons other than their free capacity.
+    pub(super) fn prefers_some_workers(&self) -> bool {
+        let spec = &self.spec;
+        let rack = spec.data_rack.is_some() || (spec.gang && spec.same_rack);
+        rack || spec.required_label.is_some() || self.has_trials()
+    }
+
     /// Returns the number of suspects that must be isolated or placed apart from new runs.
     pub(super) fn trial_count(&self) -> usize {
         self.isolated.len() + self.apart_from_new.len()
@@ -224,6 +231,10 @@
         }
         self.refresh_placed_steps();
         self.record_backlog();
+        let lead = self.lead.as_deref();
+        let scanned = lead.map_or(0, |lead| lead.scanned_workers.take());
+        self.counters
+            .count_many("placements", "workers_scanned", scanned);
     }
 
     /// Updates the waiting steps whose tasks have just been placed, without causing another placement pass.
--- a/crates/bankvalve_queue/src/core/worker_selection.rs
+++ b/crates/bankvalve_queue/src/core/worker_selection.rs
@@ -13,6 +13,11 @@
 
 /// Width of a slowness class, as a logarithm of run time. Workers of one class count as equally fast.
 const SLOWNESS_CLASS_WIDTH: f64 = 0.06;
+/// Number of workers up to which each step is compared with all of them.
+const MAX_SCANNED_WORKERS: usize = 1_500;
+/// Minimum number of workers with free capacity to choose from on a larger site, and for each task of a step.
+const MIN_CHOICE: usize = 500;
+const CHOICE_PER_TASK: usize = 12;
 /// Number of workers to request advice about for each task of a step.
 const ADVICE_WORKERS_PER_TASK: usize = 4;
 /// Minimum number of workers to request advice about for a step.
@@ -55,16 +60,53 @@
         && !state.has_conflicting_run(RunLoad::of(&step.spec))
 }
 
-/// Returns all workers that are eligible for tasks of a step.
+/// Returns workers that are eligible for tasks of a step: all of them, or, on a site of many workers, enough to
+/// choose from.
 pub(super) fn eligible_workers<'a>(
     lead: &'a LeadState,
     step: &StepToPlace,
     now: CoreTime,
 ) -> Vec<(&'a WorkerId, &'a WorkerState)> {
-    let workers = lead.worker_states.iter();
-    workers
-        .filter(|entry| is_eligible(*entry, step, now))
-        .collect()
+    select_workers(lead, step, now, |_, _| true)
+}
+
+/// Returns eligible workers for which `is_wanted` holds.
+///
+/// A scan of all workers for each step would cost the leader of a large site time by the product of its steps
+/// and workers. So a scan begins where the last one ended, and ends once it has found as many workers with free
+/// capacity as are worth choosing from. While capacity is scarce, it covers all workers. Steps that prefer or
+/// need certain workers are always compared with all.
+fn select_workers<'a>(
+    lead: &'a LeadState,
+    step: &StepToPlace,
+    now: CoreTime,
+    is_wanted: impl Fn(&WorkerId, &WorkerState) -> bool,
+) -> Vec<(&'a WorkerId, &'a WorkerState)> {
+    let needs_all = lead.worker_states.len() <= MAX_SCANNED_WORKERS || step.prefers_some_workers();
+    let enough = match needs_all {
+        true => usize::MAX,
+        false => MIN_CHOICE.max(step.tasks.len() * CHOICE_PER_TASK),
+    };
+    let mut selected = Vec::new();
+    let mut with_capacity = 0;
+    let mut scanned = lead.worker_states.iter_from(&lead.scan_cursor.borrow());
+    let mut visited = 0;
+    for (id, state) in scanned.by_ref() {
+        visited += 1;
+        if !is_eligible((id, state), step, now) || !is_wanted(id, state) {
+            continue;
+        }
+        selected.push((id, state));
+        with_capacity += usize::from(step.resources.fits(&state.free_for(step.key, now)));
+        if with_capacity >= enough {
+            break;
+        }
+    }
+    lead.scanned_workers
+        .set(lead.scanned_workers.get() + visited);
+    let next = scanned.next().map(|(id, _)| id.clone());
+    *lead.scan_cursor.borrow_mut() = next.unwrap_or_else(|| "".into());
+    selected
 }
 
 /// Returns how many tasks of a step a worker has.
@@ -280,11 +322,8 @@
         step.resources_on(state)
             .fits(&state.free_for(step.key, now))
     };
-    let workers: Vec<(&WorkerId, &WorkerState)> = lead
-        .worker_states
-        .iter()
-        .filter(|(id, state)| has_capacity(state) && is_eligible((id, state), step, now))
-        .filter(|(id, _)| !advice.has_answer_for(id))
-        .collect();
+    let workers = select_workers(lead, step, now, |id, state| {
+        has_capacity(state) && !advice.has_answer_for(id)
+    });
     workers_with_most_free(step, &workers, advice_request_size(step), now)
 }
