perf(placement): a bounded scan takes the first workers with capacity

On the fleet's return of all, scans that began where the last one ended spread starts over all workers: 37,998 new connections in place of 24,910, 6,778 descriptors of the busiest instance in place of 5,914, 165 MB in place of 147. Each scan begins with the same workers now and passes those without capacity by; if fewer than enough have any, all are compared as before. `bankvalve_check fleet` also tells when a configuration, an evacuation and a change of leader have reached all.

--- a/crates/bankvalve_check/src/site/site_fleet.rs
+++ b/crates/bankvalve_check/src/site/site_fleet.rs
@@ -3,8 +3,9 @@
 
 use std::collections::BTreeMap;
 use std::process::ExitCode;
+use std::time::Duration;
 
-use bankvalve_queue::{StoreOutcome, StoreRequest, Ticket};
+use bankvalve_queue::{EntryView, StoreOutcome, StoreRequest, Ticket};
 
 use super::site_recovery::answer_bytes;
 use super::{job_of, SitePlan, SiteWorld, QUEUE, URGENT_QUEUE};
@@ -23,6 +24,8 @@
 const STRONG_PERCENT: usize = 12;
 /// Time for which the table carries out one write, in milliseconds: one part takes 200 a second.
 const WRITE_TURN_MS: u64 = 5;
+/// Age of the last contact with the leader below which an instance follows it.
+const IN_CONTACT: Duration = Duration::from_millis(500);
 /// Bytes of the heads of a call to the table and its answer.
 const CALL_BYTES: u64 = 400;
 
@@ -94,6 +97,12 @@
     pub calm: TableUse,
     /// Table use from the loss of all instances on.
     pub back: TableUse,
+    /// Milliseconds until a configuration was in force on all instances.
+    pub config_ms: u64,
+    /// Milliseconds until all instances knew of an evacuation.
+    pub evacuation_ms: u64,
+    /// Milliseconds from the loss of the leader until all instances were in contact with the next one.
+    pub takeover_ms: u64,
     /// Milliseconds from the return of the instances to the first start.
     pub first_start_ms: Option<u64>,
     /// Rules that were broken.
@@ -121,6 +130,19 @@
     world.table_use = Some(TableUse::default());
     play_jobs(&mut world, 1, LOAD_MS);
     let calm = std::mem::take(&mut world.table_use).unwrap_or_default();
+    world.configure(2);
+    let config_ms = time_until_all(&mut world, |view| view.table_version == 2);
+    world.evacuate("elsewhere");
+    let evacuation_ms = time_until_all(&mut world, |view| !view.evacuations.is_empty());
+    let leader = world.leader().unwrap_or_default();
+    world.kill(leader, 4 * LOAD_MS);
+    let killed_ms = world.now_ms;
+    let follows =
+        |view: &EntryView| view.leading || view.leader_age.is_some_and(|age| age < IN_CONTACT);
+    let until = killed_ms + 2 * IN_CONTACT.as_millis() as u64;
+    world.run_until(until);
+    time_until_all(&mut world, follows);
+    let takeover_ms = world.now_ms - killed_ms;
     world.table_use = Some(TableUse::default());
     for node in 0..instances {
         world.kill(node, DOWN_MS);
@@ -139,6 +161,9 @@
         world.submit(job_of(job, URGENT_QUEUE, &[4], false));
     }
     FleetFigures {
+        config_ms,
+        evacuation_ms,
+        takeover_ms,
         start,
         calm,
         back: std::mem::take(&mut world.table_use).unwrap_or_default(),
@@ -147,6 +172,20 @@
     }
 }
 
+/// Runs until a condition holds for all instances that run, and returns how long that took, in milliseconds.
+fn time_until_all(world: &mut SiteWorld, holds: impl Fn(&EntryView) -> bool) -> u64 {
+    let began_ms = world.now_ms;
+    let all = |world: &SiteWorld| {
+        let cores = world.nodes.iter().filter_map(|node| node.core.as_ref());
+        cores.into_iter().all(|core| holds(&core.view()))
+    };
+    while !all(world) && world.now_ms < began_ms + LOAD_MS {
+        let until = world.now_ms + 10;
+        world.run_until(until);
+    }
+    world.now_ms - began_ms
+}
+
 fn play_jobs(world: &mut SiteWorld, first_job: u64, ms: u64) {
     for number in 0..ms / JOB_PAUSE_MS {
         let job = first_job + number;
@@ -176,6 +215,10 @@
             println!("  {kind:<26}{calls:>10}{bytes:>14}");
         }
     }
+    println!(
+        "on all instances: a configuration after {} ms, an evacuation after {} ms, the next leader after {} ms",
+        figures.config_ms, figures.evacuation_ms, figures.takeover_ms
+    );
     match figures.first_start_ms {
         Some(ms) => println!("first start {ms} ms after the return of all instances"),
         None => println!("nothing started after the return of all instances"),
--- a/crates/bankvalve_queue/src/core/lead_state.rs
+++ b/crates/bankvalve_queue/src/core/lead_state.rs
@@ -1,6 +1,6 @@
 //! State that only a leader has, and the leader's main loop.
 
-use std::cell::{Cell, RefCell};
+use std::cell::Cell;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::time::Duration;
 
@@ -168,9 +168,7 @@
     /// Jobs whose end is not committed yet.
     pub(super) ending: BTreeSet<JobId>,
     pub(super) worker_states: WorkerMap,
-    /// Worker at which the next scan for a step's workers begins.
-    pub(super) scan_cursor: RefCell<WorkerId>,
-    /// Workers that such scans have visited since the last placement pass.
+    /// Workers that scans for steps' workers have visited since the last placement pass.
     pub(super) scanned_workers: Cell<u64>,
     /// Reporting on tasks that are not running although they ran before.
     pub(super) wait_tracker: WaitTracker,
@@ -260,7 +258,6 @@
             preemptions: BTreeMap::new(),
             ending: BTreeSet::new(),
             worker_states: WorkerMap::default(),
-            scan_cursor: RefCell::new("".into()),
             scanned_workers: Cell::new(0),
             wait_tracker: WaitTracker::default(),
             calls: BTreeMap::new(),
--- a/crates/bankvalve_queue/src/core/worker_map.rs
+++ b/crates/bankvalve_queue/src/core/worker_map.rs
@@ -114,17 +114,6 @@
             .filter_map(|(id, slot)| Some((id, worker_states[*slot].as_ref()?)))
     }
 
-    /// Returns all workers in the order of their ids, beginning with `first` and going round.
-    pub(super) fn iter_from(
-        &self,
-        first: &WorkerId,
-    ) -> impl Iterator<Item = (&WorkerId, &WorkerState)> {
-        let worker_states = &self.worker_states;
-        let before = self.order.range(..first.clone());
-        let order = self.order.range(first.clone()..).chain(before);
-        order.filter_map(|(id, slot)| Some((id, worker_states[*slot].as_ref()?)))
-    }
-
     /// Returns all worker states in arbitrary order.
     pub(super) fn values(&self) -> impl Iterator<Item = &WorkerState> + Clone {
         self.worker_states.iter().flatten()
--- a/crates/bankvalve_queue/src/core/worker_selection.rs
+++ b/crates/bankvalve_queue/src/core/worker_selection.rs
@@ -73,39 +73,51 @@
 /// Returns eligible workers for which `is_wanted` holds.
 ///
 /// A scan of all workers for each step would cost the leader of a large site time by the product of its steps
-/// and workers. So a scan begins where the last one ended, and ends once it has found as many workers with free
-/// capacity as are worth choosing from. While capacity is scarce, it covers all workers. Steps that prefer or
-/// need certain workers are always compared with all.
+/// and workers. So a scan ends once it has found as many workers with free capacity as are worth choosing from.
+/// Each scan begins with the same workers, so that they are filled first and the others stay without a
+/// connection for orders. While capacity is scarce, a scan covers all workers. Steps that prefer or need certain
+/// workers are always compared with all.
 fn select_workers<'a>(
     lead: &'a LeadState,
     step: &StepToPlace,
     now: CoreTime,
     is_wanted: impl Fn(&WorkerId, &WorkerState) -> bool,
 ) -> Vec<(&'a WorkerId, &'a WorkerState)> {
-    let needs_all = lead.worker_states.len() <= MAX_SCANNED_WORKERS || step.prefers_some_workers();
-    let enough = match needs_all {
-        true => usize::MAX,
-        false => MIN_CHOICE.max(step.tasks.len() * CHOICE_PER_TASK),
-    };
-    let mut selected = Vec::new();
-    let mut with_capacity = 0;
-    let mut scanned = lead.worker_states.iter_from(&lead.scan_cursor.borrow());
+    let many = lead.worker_states.len() > MAX_SCANNED_WORKERS;
+    if many && !step.prefers_some_workers() {
+        let enough = MIN_CHOICE.max(step.tasks.len() * CHOICE_PER_TASK);
+        let with_capacity = |id: &WorkerId, state: &WorkerState| {
+            step.resources.fits(&state.free_for(step.key, now)) && is_wanted(id, state)
+        };
+        let selected = scan_workers(lead, step, now, with_capacity, enough);
+        if selected.len() >= enough {
+            return selected;
+        }
+    }
+    scan_workers(lead, step, now, is_wanted, usize::MAX)
+}
+
+/// Returns the first eligible workers for which `is_wanted` holds, `enough` at most.
+fn scan_workers<'a>(
+    lead: &'a LeadState,
+    step: &StepToPlace,
+    now: CoreTime,
+    is_wanted: impl Fn(&WorkerId, &WorkerState) -> bool,
+    enough: usize,
+) -> Vec<(&'a WorkerId, &'a WorkerState)> {
     let mut visited = 0;
-    for (id, state) in scanned.by_ref() {
+    let mut selected = Vec::new();
+    for (id, state) in lead.worker_states.iter() {
         visited += 1;
-        if !is_eligible((id, state), step, now) || !is_wanted(id, state) {
-            continue;
-        }
-        selected.push((id, state));
-        with_capacity += usize::from(step.resources.fits(&state.free_for(step.key, now)));
-        if with_capacity >= enough {
-            break;
+        if is_wanted(id, state) && is_eligible((id, state), step, now) {
+            selected.push((id, state));
+            if selected.len() >= enough {
+                break;
+            }
         }
     }
     lead.scanned_workers
         .set(lead.scanned_workers.get() + visited);
-    let next = scanned.next().map(|(id, _)| id.clone());
-    *lead.scan_cursor.borrow_mut() = next.unwrap_or_else(|| "".into());
     selected
 }
 
