fix(members): a member that is cut off does not ask for ever more ranks

A member that nobody leads and that the table does not answer raised the number of ranks to read with each tick, four times each: after 32 ticks it overflowed (found by the test of a removed row in a build with overflow checks; a release build would have read none). It asks for more only once the last read was answered, and for 16,384 at most.

--- a/crates/bankvalve_check/src/site/site_fleet.rs
+++ b/crates/bankvalve_check/src/site/site_fleet.rs
@@ -28,6 +28,8 @@
 const IN_CONTACT: Duration = Duration::from_millis(500);
 /// Bytes of the heads of a call to the table and its answer.
 const CALL_BYTES: u64 = 400;
+/// Bytes of a configuration: that of the large sites' usual days.
+const CONFIG_BYTES: u64 = 4_000;
 
 /// Calls to the table and bytes from it, by kind of request.
 #[derive(Clone, Debug, Default)]
@@ -62,9 +64,6 @@
     }
 }
 
-/// Bytes of a configuration: that of the large sites' usual days.
-const CONFIG_BYTES: u64 = 4_000;
-
 fn kind_of(request: &StoreRequest) -> &'static str {
     match request {
         StoreRequest::Transact { writes, .. } => match writes.first() {
@@ -91,7 +90,7 @@
 /// What a fleet of a size showed.
 #[derive(Clone, Debug, Default)]
 pub struct FleetFigures {
-    /// Table use until the load, and during the load after the loss of all instances.
+    /// Table use from the start of all instances until the load.
     pub start: TableUse,
     /// Table use in the load before the loss.
     pub calm: TableUse,
--- a/crates/bankvalve_link/src/client/open_connections.rs
+++ b/crates/bankvalve_link/src/client/open_connections.rs
@@ -18,6 +18,14 @@
 type ConnectError = Box<dyn std::error::Error + Send + Sync>;
 
 /// Numbers of a client's connections.
+///
+/// # Examples
+///
+/// ```
+/// let client = bankvalve_link::HttpClient::new(4, 1024);
+/// let counts = client.connection_counts();
+/// assert_eq!((counts.open(), counts.closed_idle(), counts.refused()), (0, 0, 0));
+/// ```
 #[derive(Debug, Default)]
 pub struct ConnectionCounts {
     open: AtomicUsize,
--- a/crates/bankvalve_queue/src/core/member_rows.rs
+++ b/crates/bankvalve_queue/src/core/member_rows.rs
@@ -26,6 +26,8 @@
 const FIRST_RANKS: usize = LARGE_SITE_MEMBERS;
 /// Factor by which a member reads more rows when none of the members it knows takes over.
 const MORE_RANKS_FACTOR: usize = 4;
+/// Maximum number of ranks that a member reads, unless it reads all.
+const MAX_READ_RANKS: usize = 16_384;
 /// Interval at which a member that does not watch the rows reads the first ranks again.
 const REFRESH_INTERVAL: Duration = Duration::from_secs(30);
 /// Time until it does so for the first time: at a start of all instances, many rows are written just then.
@@ -89,9 +91,13 @@
         self.scope == MemberScope::All
     }
 
-    /// Reads more ranks as soon as possible.
+    /// Reads more ranks as soon as possible, unless the last such read is still unanswered.
     pub(super) fn read_more_ranks(&mut self) {
-        self.ranks = self.ranks.max(FIRST_RANKS) * MORE_RANKS_FACTOR;
+        if self.refresh_at.is_zero() {
+            return;
+        }
+        let more = self.ranks.max(FIRST_RANKS) * MORE_RANKS_FACTOR;
+        self.ranks = more.min(MAX_READ_RANKS);
         self.refresh_at = CoreTime::ZERO;
     }
 
--- a/crates/bankvalve_standin/src/site/site_platform.rs
+++ b/crates/bankvalve_standin/src/site/site_platform.rs
@@ -196,7 +196,19 @@
         self.shared.lock().store.configure(table);
     }
 
-    /// Evacuates a failure domain, or withdraws its evacuation.
+    /// Evacuates a failure domain, or withdraws its evacuation, as the operator does in the table.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use std::net::TcpListener;
+    /// use bankvalve_standin::site::SitePlatform;
+    ///
+    /// let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    /// let platform = SitePlatform::start(listener, None).unwrap();
+    /// platform.evacuate("hobart", true);
+    /// platform.evacuate("hobart", false);
+    /// ```
     pub fn evacuate(&self, domain: &str, evacuated: bool) {
         self.shared.lock().store.evacuate(domain, evacuated);
     }
