--- a/crates/bankvalve_queue/src/core/customer_shares.rs
+++ b/crates/bankvalve_queue/src/core/customer_shares.rs
@@ -209,7 +209,7 @@
         views
     }
 
-    /// Records how much CPU the waiting tasks request, for a placement pass. Tasks that wait for their
+    /// Records how much CPU the tasks request that a placement pass leaves waiting. Tasks that wait for their
     /// customer's limit do not count: they leave the free capacity to others.
     pub(super) fn record_backlog(&mut self) {
         if !self.limits.are_known() {
