fix(config): a denial needs an answer that has all that peers announced

What callers saw: 404 for a queue of a configuration that was acknowledged more than the allowed time before (users' record, see docs/incidents).

Cause, by reading: a query asks the table for changes after a position. An answer without rows was taken as proof that the configuration in force was the newest, also when a peer had announced a newer one before the query was sent. The instance noticed the contradiction (log event 'missed'), but only after it had denied the callers that waited, and recorded the configuration as the newest. A watch sent before that could then set the wrong position again, so the complete read that should follow was never sent. Lookups and queries were ordered by time, so one that came at the same reading of the clock as the query counted as before it.

Change: an answer of changes that lacks a version which peers had announced before it was sent proves nothing; all is read at once. Changes advance the position only if they adjoin what is known. Callers are ordered by ticket. The log line of a denial tells how long it waited, and what the proof asked for and when, and what was announced by then.

Site worlds of configurations and the drawn worlds (34 tests) pass.

--- a/crates/bankvalve_check/tests/site/random.rs
+++ b/crates/bankvalve_check/tests/site/random.rs
@@ -44,8 +44,10 @@
         (SiteGuard::GrowingPatience, 3),
     ];
     // The drawn worlds notice these seldom: each has a world of its own, below, in `workers`, in
-    // `crashing`, in `customers`, in `evacuations`, in `holds`, in `permits` and in `restarts`.
+    // `crashing`, in `customers`, in `evacuations`, in `holds`, in `permits` and in `restarts`, or a test
+    // of one instance (`config` of `bankvalve_queue`).
     let seldom = [
+        SiteGuard::AnnouncedNewest,
         SiteGuard::SureRefusal,
         SiteGuard::LateDone,
         SiteGuard::CrashBudget,
--- a/crates/bankvalve_queue/src/core/denials.rs
+++ b/crates/bankvalve_queue/src/core/denials.rs
@@ -10,6 +10,7 @@
 use std::time::Duration;
 
 use super::callers::{RETRY_MS, TIMEOUT_PERCENT};
+use super::table_watch::ConfigRequest;
 use super::EntryCore;
 use crate::caller::{CallerAnswer, CallerRequest, DenialReason, RefusalReason};
 use crate::core::CoreAction;
@@ -53,7 +54,7 @@
             until: self.now + timeout.min(MAX_LOOKUP_WAIT),
         };
         if !self.enforces(SiteGuard::KnownNewest) {
-            self.deny(lookup);
+            self.deny(lookup, &ConfigRequest::default());
             return;
         }
         if self.tables.lookups.len() >= MAX_LOOKUPS {
@@ -64,15 +65,16 @@
         self.run_table();
     }
 
-    /// Denies the callers that came before `queried_at`: the configuration in force was the newest then.
-    pub(super) fn end_lookups(&mut self, queried_at: CoreTime) {
+    /// Denies the callers that came before a request for the configuration was sent: its answer shows that the
+    /// configuration in force was the newest then.
+    pub(super) fn end_lookups(&mut self, proof: &ConfigRequest) {
         let lookups = std::mem::take(&mut self.tables.lookups);
         let (ready, later): (Vec<_>, Vec<_>) = lookups
             .into_iter()
-            .partition(|lookup| lookup.at <= queried_at);
+            .partition(|lookup| lookup.ticket < proof.ticket);
         self.tables.lookups = later;
         for lookup in ready {
-            self.deny(lookup);
+            self.deny(lookup, proof);
         }
     }
 
@@ -91,17 +93,20 @@
         }
     }
 
-    fn deny(&mut self, lookup: DenialLookup) {
+    fn deny(&mut self, lookup: DenialLookup, proof: &ConfigRequest) {
         let ticket = lookup.ticket;
         let answer = CallerAnswer::TableIsNewest;
         let version = self.table_version();
         let reason = lookup.reason.as_str();
+        let (waited, proof_age) = (self.age(lookup.at), self.age(proof.sent_at));
         self.counters.count("callers", reason);
         self.log_often("callers", reason, || {
-            (
-                lookup.host_and_path,
-                format!("{reason}, version {version} is the newest"),
-            )
+            let detail = format!(
+                "{reason} after {waited:?}, version {version} is the newest, by a request {proof_age:?} ago \
+                 for {}",
+                proof.text()
+            );
+            (lookup.host_and_path, detail)
         });
         self.actions.push(CoreAction::Answer { ticket, answer });
     }
--- a/crates/bankvalve_queue/src/core/table_watch.rs
+++ b/crates/bankvalve_queue/src/core/table_watch.rs
@@ -52,28 +52,42 @@
     Peer,
 }
 
-/// A configuration query that is in flight.
-#[derive(Clone, Copy, Debug)]
-struct ConfigQuery {
-    sent_at: CoreTime,
-    /// Whether it reads the complete configuration. Only then can its answer show that an announced
-    /// version does not exist.
-    complete: bool,
+/// A request for the configuration, as it was sent.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct ConfigRequest {
+    /// Its ticket. Requests of callers with lower tickets came before it.
+    pub(super) ticket: Ticket,
+    pub(super) sent_at: CoreTime,
+    /// Version of the table after which it asks for changes; `None` if it reads the complete configuration.
+    after: Option<u64>,
+    /// Newest version of the configuration that peers had announced by then.
+    announced: u64,
+}
+
+impl ConfigRequest {
+    /// Describes the request for the log.
+    pub(super) fn text(&self) -> String {
+        let asked = match self.after {
+            Some(after) => format!("changes after {after}"),
+            None => "all rows".to_owned(),
+        };
+        format!("{asked}, version {} was announced", self.announced)
+    }
 }
 
 /// State of watching and querying the operator's configuration.
 #[derive(Debug, Default)]
 pub(super) struct TableWatch {
     watch: WatchState,
-    watch_sent: CoreTime,
-    query: Option<ConfigQuery>,
+    /// The watch in flight, or the last one.
+    watch_request: ConfigRequest,
+    query: Option<ConfigRequest>,
     query_failures: u32,
     next_query_at: CoreTime,
     /// Request whose answer has begun to arrive.
     arriving: Option<Ticket>,
     /// Newest version that a peer has announced.
     announced: u64,
-    announced_at: CoreTime,
     /// Since when this instance has been behind an announced version.
     behind_since: CoreTime,
     /// The configuration as the operator wrote it.
@@ -99,7 +113,7 @@
     /// Returns whether the last query failed or has been unanswered for too long, while no answer is
     /// arriving.
     pub(super) fn is_unanswered(&self, now: CoreTime) -> bool {
-        let is_late = |query: &ConfigQuery| {
+        let is_late = |query: &ConfigRequest| {
             let age = now.saturating_sub(query.sent_at);
             self.query_failures > 0 || age >= QUERY_UNANSWERED_AFTER
         };
@@ -109,6 +123,30 @@
         };
         self.arriving.is_none() && unanswered
     }
+
+    fn new_request(&self, now: CoreTime) -> ConfigRequest {
+        ConfigRequest {
+            ticket: Ticket::default(),
+            sent_at: now,
+            after: self.watch.after,
+            announced: self.announced,
+        }
+    }
+
+    /// Records that all changes up to a version of the table are known, after an answer to `request`.
+    ///
+    /// Changes since a version show nothing about those before it. So after a reset, only a complete read
+    /// sets the version again.
+    fn advance_position(&mut self, request: &ConfigRequest, version: u64) {
+        let known = self.watch.after;
+        let adjoins = match request.after {
+            None => true,
+            Some(after) => known.is_some_and(|known| after <= known),
+        };
+        if adjoins {
+            self.watch.after = Some(known.unwrap_or(0).max(version));
+        }
+    }
 }
 
 impl EntryCore {
@@ -149,7 +187,7 @@
             return;
         }
         tables.watch.busy = true;
-        tables.watch_sent = now;
+        tables.watch_request = tables.new_request(now);
         let request = match tables.watch.after {
             None => StoreRequest::ReadOperator,
             Some(after) => {
@@ -157,7 +195,8 @@
                 StoreRequest::WatchOperator { after, wait_ms }
             }
         };
-        self.send_store_request(StorePurpose::WatchConfig, request);
+        let ticket = self.send_store_request(StorePurpose::WatchConfig, request);
+        self.tables.watch_request.ticket = ticket;
     }
 
     /// Queries the table for a newer version, if a peer has announced one or the configuration in force
@@ -167,7 +206,7 @@
         let behind = self.is_behind_announced();
         let leads_by_old_config = self.leads_by_old_config();
         let tables = &mut self.tables;
-        let watch_fresh = tables.watch.busy && now < tables.watch_sent + ANNOUNCED_GRACE;
+        let watch_fresh = tables.watch.busy && now < tables.watch_request.sent_at + ANNOUNCED_GRACE;
         let announced_due = now >= tables.behind_since + ANNOUNCED_GRACE
             && now >= tables.in_force_since + MIN_CHANGE_INTERVAL
             && !watch_fresh;
@@ -176,19 +215,17 @@
         if !wanted || !idle || now < tables.next_query_at {
             return;
         }
-        let (request, complete) = match tables.watch.after {
-            None => (StoreRequest::ReadOperator, true),
+        let request = match tables.watch.after {
+            None => StoreRequest::ReadOperator,
             Some(after) => {
                 let wait_ms = QUERY_WAIT_MS;
-                (StoreRequest::WatchOperator { after, wait_ms }, false)
+                StoreRequest::WatchOperator { after, wait_ms }
             }
         };
-        tables.query = Some(ConfigQuery {
-            sent_at: now,
-            complete,
-        });
+        let query = tables.new_request(now);
         self.counters.count("config", "question");
-        self.send_store_request(StorePurpose::QueryConfig, request);
+        let ticket = self.send_store_request(StorePurpose::QueryConfig, request);
+        self.tables.query = Some(ConfigRequest { ticket, ..query });
     }
 
     /// Returns whether a peer has announced a newer version than the one in force here.
@@ -231,7 +268,6 @@
             self.tables.behind_since = self.now;
         }
         self.tables.announced = version;
-        self.tables.announced_at = self.now;
         let detail = format!("by {from}, {in_force} is in force");
         self.log("config", "announced", version.to_string(), detail);
     }
@@ -264,8 +300,8 @@
         match outcome {
             StoreOutcome::Operator { news, version } => {
                 let changed = news.table.is_some();
-                let sent_at = self.tables.watch_sent;
-                let read = self.handle_config_news(news, version, sent_at);
+                let request = self.tables.watch_request;
+                let read = self.handle_config_news(news, version, &request);
                 // The table answers again, so a query that failed before says nothing any more.
                 self.tables.query_failures = 0;
                 let watch = &mut self.tables.watch;
@@ -290,18 +326,12 @@
         };
         match outcome {
             StoreOutcome::Operator { news, version } => {
-                let read = self.handle_config_news(news, version, query.sent_at);
-                let tables = &mut self.tables;
-                tables.query_failures = 0;
-                tables.next_query_at = now
-                    + if read {
-                        QUERY_INTERVAL
-                    } else {
-                        UNREADABLE_RETRY_DELAY
-                    };
-                if read {
-                    self.end_lookups(query.sent_at);
-                    self.handle_missing_version(query);
+                self.tables.query_failures = 0;
+                self.tables.next_query_at = now + QUERY_INTERVAL;
+                if !self.handle_config_news(news, version, &query) {
+                    self.tables.next_query_at = now + UNREADABLE_RETRY_DELAY;
+                } else if !self.is_disproved(&query) {
+                    self.end_lookups(&query);
                 }
             }
             // The complete configuration is read at once, since a caller may be waiting.
@@ -315,26 +345,39 @@
         self.run_watches();
     }
 
-    /// Handles a version that a peer has announced and that the table did not have in a later query.
-    fn handle_missing_version(&mut self, query: ConfigQuery) {
-        if !self.is_behind_announced() || query.sent_at < self.tables.announced_at {
+    /// Returns whether the answer to a request for changes does not prove that the configuration in force is
+    /// the newest: peers had announced a newer version before the request was sent.
+    fn is_disproved(&self, request: &ConfigRequest) -> bool {
+        let lacks_announced = self.table_version() < request.announced;
+        lacks_announced && request.after.is_some() && self.enforces(SiteGuard::AnnouncedNewest)
+    }
+
+    /// Handles the answer to a request that lacks a version that peers had announced before.
+    fn handle_missing_version(&mut self, request: &ConfigRequest) {
+        let version = request.announced.to_string();
+        let tables = &mut self.tables;
+        if request.after.is_some() {
+            // The version up to which changes were known is wrong, so the next request reads all. It is sent
+            // at once, since a caller may be waiting.
+            tables.watch.after = None;
+            tables.next_query_at = self.now;
+            self.log("config", "missed", version, request.text());
             return;
         }
-        let version = self.tables.announced.to_string();
-        if query.complete {
-            self.log("config", "not_there", version, String::new());
-            self.tables.announced = 0;
-            self.tables.next_query_at = self.now + UNREADABLE_RETRY_DELAY;
-        } else {
-            // The version up to which changes were known is wrong, so the next request reads all.
-            self.log("config", "missed", version, String::new());
-            self.tables.watch.after = None;
+        if tables.announced == request.announced {
+            tables.announced = 0;
         }
+        tables.next_query_at = self.now + UNREADABLE_RETRY_DELAY;
+        self.log("config", "not_there", version, String::new());
     }
 
-    /// Handles the table's answer to a request that was sent at `sent_at`. Returns whether the
-    /// configuration in it could be read.
-    fn handle_config_news(&mut self, news: OperatorNews, version: u64, sent_at: CoreTime) -> bool {
+    /// Handles the table's answer to a request. Returns whether the configuration in it could be read.
+    fn handle_config_news(
+        &mut self,
+        news: OperatorNews,
+        version: u64,
+        request: &ConfigRequest,
+    ) -> bool {
         self.handle_evacuation_news(news.evacuations, version);
         if news.table.is_none() && !news.raw.is_empty() {
             let detail = format!("{} bytes at version {version}", news.raw.len());
@@ -343,12 +386,15 @@
             return false;
         }
         self.tables.confirmed = Some(self.now);
-        let after = self.tables.watch.after.unwrap_or(0);
-        self.tables.watch.after = Some(after.max(version));
+        self.tables.advance_position(request, version);
         if let Some(table) = news.table {
             self.use_table(table, news.raw, TableSource::Table);
         }
-        self.record_newest_at(sent_at);
+        if self.table_version() < request.announced {
+            self.handle_missing_version(request);
+        } else {
+            self.record_newest_at(request.sent_at);
+        }
         true
     }
 
--- a/crates/bankvalve_queue/src/guard.rs
+++ b/crates/bankvalve_queue/src/guard.rs
@@ -30,6 +30,9 @@
     NewerTable,
     /// A queue or a key is denied only once the configuration in force is known to be the newest.
     KnownNewest,
+    /// Changes read from the table do not show that the configuration in force is the newest if peers have
+    /// announced a newer one before.
+    AnnouncedNewest,
     /// A caller's request that the leader has not answered is sent again.
     ResentAsk,
     /// A follower returns the state of an open job only once its book has reached the read index: the last
@@ -83,7 +86,7 @@
 
 impl SiteGuard {
     /// All guards.
-    pub const ALL: [SiteGuard; 32] = [
+    pub const ALL: [SiteGuard; 33] = [
         SiteGuard::LedgerFirst,
         SiteGuard::OwnRow,
         SiteGuard::KeptEnds,
@@ -95,6 +98,7 @@
         SiteGuard::LateDone,
         SiteGuard::NewerTable,
         SiteGuard::KnownNewest,
+        SiteGuard::AnnouncedNewest,
         SiteGuard::ResentAsk,
         SiteGuard::ReadMark,
         SiteGuard::LedgerProgress,
@@ -141,6 +145,7 @@
             SiteGuard::LateDone => "late-done",
             SiteGuard::NewerTable => "newer-table",
             SiteGuard::KnownNewest => "known-newest",
+            SiteGuard::AnnouncedNewest => "announced-newest",
             SiteGuard::ResentAsk => "resent-ask",
             SiteGuard::ReadMark => "read-mark",
             SiteGuard::LedgerProgress => "ledger-progress",
--- a/crates/bankvalve_queue/tests/config.rs
+++ b/crates/bankvalve_queue/tests/config.rs
@@ -9,7 +9,7 @@
 use bankvalve_queue::{
     CallerAnswer, CallerIdentity, CallerRequest, CoreAction, CoreEvent, DenialReason, EntryCore,
     EntrySettings, HeartbeatBody, KeyDigest, OperatorNews, PeerAddress, PeerMessage, QueueTable,
-    RefusalReason, ResolvedRequest, StoreOutcome, StoreRequest, Ticket,
+    RefusalReason, ResolvedRequest, SiteGuard, StoreOutcome, StoreRequest, Ticket,
 };
 
 /// A single instance, and the time on its clock in milliseconds.
@@ -28,11 +28,14 @@
     /// Creates such an instance with a limit on how long it accepts requests with a key after its
     /// configuration was last known to be the newest.
     fn with_key_age_limit(key_age_limit: Option<Duration>) -> Self {
-        let address = PeerAddress::from(([10, 0, 0, 1], 7_300));
-        let core = EntryCore::new(EntrySettings {
+        Self::with_settings(EntrySettings {
             key_age_limit,
-            ..EntrySettings::example(address)
-        });
+            ..example_settings()
+        })
+    }
+
+    fn with_settings(settings: EntrySettings) -> Self {
+        let core = EntryCore::new(settings);
         let mut instance = Self { core, at_ms: 0 };
         let requested = config_requests(&instance.step(CoreEvent::Tick));
         let (ticket, _) = requested
@@ -124,6 +127,10 @@
     }
 }
 
+fn example_settings() -> EntrySettings {
+    EntrySettings::example(PeerAddress::from(([10, 0, 0, 1], 7_300)))
+}
+
 fn operator_outcome(version: Option<u64>, at: u64) -> StoreOutcome {
     let table = version.map(|version| QueueTable::new(version, Vec::new(), BTreeMap::new()));
     let raw = table.iter().map(|table| table.version as u8).collect();
@@ -225,6 +232,68 @@
     assert_eq!(instance.core.table_version(), 4);
 }
 
+/// Returns an instance that has read changes which lack version 2 of the configuration, although a peer has
+/// announced that version; and the resulting actions. A caller for an unknown queue waits.
+fn instance_without_announced_change(broken: Option<SiteGuard>) -> (TestInstance, Vec<CoreAction>) {
+    let mut instance = TestInstance::with_settings(EntrySettings {
+        broken,
+        ..example_settings()
+    });
+    instance.run_until(1_000);
+    instance.announce_version(2);
+    let (_, actions) = instance.request_unknown_queue();
+    let (query, _) = config_queries(&actions)[0];
+    let actions = instance.answer(query, operator_outcome(None, 40));
+    (instance, actions)
+}
+
+// Guards against a denial by a configuration that is older than one which a peer has in force.
+#[test]
+fn changes_that_lack_an_announced_version_do_not_prove_a_denial() {
+    for complete in [1, 2] {
+        let (mut instance, actions) = instance_without_announced_change(None);
+        assert_eq!(answers(&actions), []);
+        let requested = config_requests(&actions);
+        let [(read, StoreRequest::ReadOperator)] = requested.as_slice() else {
+            panic!("expected a complete read at once, found {requested:?}");
+        };
+        let actions = instance.answer(*read, operator_outcome(Some(complete), 40));
+        assert!(matches!(
+            answers(&actions).as_slice(),
+            [(_, CallerAnswer::TableIsNewest)]
+        ));
+        assert_eq!(instance.core.table_version(), complete);
+    }
+}
+
+#[test]
+fn a_denial_by_changes_that_lack_an_announced_version_would_be_noticed() {
+    let (_, actions) = instance_without_announced_change(Some(SiteGuard::AnnouncedNewest));
+    assert!(matches!(
+        answers(&actions).as_slice(),
+        [(_, CallerAnswer::TableIsNewest)]
+    ));
+}
+
+// Guards against a watch that was sent before a wrong position was noticed and that sets it again.
+#[test]
+fn an_earlier_watch_does_not_replace_the_complete_read_after_a_missed_change() {
+    let mut instance = TestInstance::new();
+    let (watch, _) = config_requests(&instance.run_until(1_000))[0];
+    instance.announce_version(2);
+    let (_, actions) = instance.request_unknown_queue();
+    let (query, _) = config_queries(&actions)[0];
+    instance.answer(query, operator_outcome(None, 40));
+    instance.answer(watch, operator_outcome(None, 41));
+    let requested = config_requests(&instance.run_until(4_000));
+    assert!(
+        requested
+            .iter()
+            .all(|(_, request)| *request == StoreRequest::ReadOperator),
+        "{requested:?}"
+    );
+}
+
 #[test]
 fn the_complete_configuration_is_read_at_once_if_the_table_has_dropped_its_history() {
     let mut instance = TestInstance::new();
