test(site): no instance goes back to an older configuration

No check knew this rule: note_table watches the version in force, which does not go back. site_versions compares, for each life of an instance, which versions allow each answer: counts of queues, and the terms of jobs that were accepted at the first attempt.

--- a/crates/bankvalve_check/src/site/mod.rs
+++ b/crates/bankvalve_check/src/site/mod.rs
@@ -33,6 +33,7 @@
 mod site_storm_figures;
 mod site_storm_losses;
 mod site_storms;
+mod site_versions;
 mod site_view;
 mod site_workers;
 mod site_world;
--- a/crates/bankvalve_check/src/site/site_calls.rs
+++ b/crates/bankvalve_check/src/site/site_calls.rs
@@ -186,6 +186,9 @@
                 let never = matches!(answer, CallerAnswer::BeyondLimit | CallerAnswer::IdInUse);
                 let refused = denied || never || matches!(answer, CallerAnswer::Refused { .. });
                 self.rules.attempt_ended(job, accepted, refused);
+                if accepted && (tries == 0 || tries == u32::MAX) {
+                    self.check_accepted_version(node, job, asked_ms);
+                }
                 if refused {
                     self.refusal_waits_ms.push(now - asked_ms);
                 }
--- a/crates/bankvalve_check/src/site/site_config.rs
+++ b/crates/bankvalve_check/src/site/site_config.rs
@@ -44,6 +44,12 @@
             .map(|(_, written)| &written.table)
     }
 
+    /// When a version was written, in milliseconds; 0 if it was not.
+    pub(super) fn written_at(&self, version: u64) -> u64 {
+        let written = self.written.get(&version);
+        written.map_or(0, |written| written.at_ms)
+    }
+
     /// The newest version at a time; 0 for none.
     pub(super) fn newest_at(&self, at_ms: u64) -> u64 {
         let before = self.written.iter().rev();
@@ -308,6 +314,7 @@
             told,
         };
         self.check_answer(&answer);
+        self.check_told_version(&answer);
         self.told.push(answer);
     }
 }
--- a/crates/bankvalve_check/src/site/site_world.rs
+++ b/crates/bankvalve_check/src/site/site_world.rs
@@ -24,6 +24,7 @@
 use super::site_restarts::{RestartFigures, WorkerRestart};
 use super::site_silence::SilentLane;
 use super::site_storm_losses::{StormRecord, StormStep};
+use super::site_versions::VersionHistory;
 use super::site_workers::WaitingLook;
 use super::{LinkRecord, RuleBook, SiteAnswer, SiteNode, SitePlan, TableUse};
 
@@ -263,6 +264,8 @@
     /// Whether links carry all bytes of an instance, one after the other, both ways.
     pub links_carry_all: bool,
     pub(super) config: SiteConfig,
+    /// Versions that answers have shown to be in use.
+    pub(super) versions: VersionHistory,
     pub(super) customers: SiteCustomers,
     pub(super) evacuations: SiteEvacuations,
     /// Use of the table, where that is measured.
@@ -364,6 +367,7 @@
             peer_bytes: BTreeMap::new(),
             links_carry_all: false,
             config: SiteConfig::default(),
+            versions: VersionHistory::default(),
             customers: SiteCustomers::default(),
             evacuations: SiteEvacuations::default(),
             table_use: None,
--- a/crates/bankvalve_check/tests/site/main.rs
+++ b/crates/bankvalve_check/tests/site/main.rs
@@ -3,6 +3,7 @@
 mod answers;
 mod carriers;
 mod config;
+mod config_return;
 mod config_series;
 mod crashing;
 mod customer_backlog;
