fix(config): a request that waited is not handled by a configuration from later

Cause: a request for an unknown queue or key waits up to 1 s for the table. If the first query is lost (0.7 s) and the second brings a newer configuration, the request is handled by it, while requests that came in between were handled by the older one.

Ruled out: making all requests wait (each caller would pay for one unknown queue); a wait below the allowed 0.25 s (a slow table, 0.3 s, could then prove no denial at all).

Change: such a request is handled by a newer configuration only if that came into force at most 0.15 s after the request arrived; else it is refused with a time to come back. A denial stands as before, since both versions deny it. A request whose wait ended without an answer is refused in any case.

--- a/crates/bankvalve/src/entry/listeners.rs
+++ b/crates/bankvalve/src/entry/listeners.rs
@@ -85,7 +85,8 @@
     }
 
     /// Resolves a request by the configuration in force. A denial (unknown queue or key) is returned only
-    /// once that configuration is known to be the newest.
+    /// once that configuration is known to be the newest, and a queue or key of a newer one is accepted only
+    /// if that came into force soon after the request.
     async fn resolve(&self, wire: &WireRequest<'_>) -> Result<ResolvedRequest, WireAnswer> {
         let first = self.resolve_in_force(wire);
         let Err(RequestFault::Denied {
@@ -99,7 +100,10 @@
         let asked = request_text(wire);
         let newest = self.core.query_newest(asked, reason, patience_ms).await;
         match self.resolve_in_force(wire) {
-            Err(RequestFault::Denied { .. }) if newest != CallerAnswer::TableIsNewest => {
+            Err(RequestFault::Denied { .. }) if !newest.proves_denial() => {
+                Err((self.port.write_answer)(&newest))
+            }
+            Ok(_) if newest != CallerAnswer::TableIsNewest => {
                 Err((self.port.write_answer)(&newest))
             }
             read => read.map_err(RequestFault::into_answer),
--- a/crates/bankvalve_check/src/site/site_calls.rs
+++ b/crates/bankvalve_check/src/site/site_calls.rs
@@ -169,7 +169,7 @@
 
     pub(super) fn finish_call(&mut self, node: usize, ticket: Ticket, answer: CallerAnswer) {
         let now = self.now_ms;
-        if self.resend_denied(node, ticket) {
+        if self.resend_denied(node, ticket, &answer) {
             return;
         }
         let denied = self.check_key_use(node, ticket, &answer);
@@ -215,7 +215,9 @@
                         self.after(300, Later::Ask { job });
                         return;
                     }
-                    CallerAnswer::Unknown | CallerAnswer::Refused { .. } => {
+                    CallerAnswer::Unknown
+                    | CallerAnswer::Refused { .. }
+                    | CallerAnswer::TableChanged { .. } => {
                         self.after(300, Later::Ask { job });
                         return;
                     }
--- a/crates/bankvalve_check/src/site/site_config.rs
+++ b/crates/bankvalve_check/src/site/site_config.rs
@@ -293,9 +293,9 @@
         };
         let known = self.table(self.table_version(node)).queue(&queue).is_some();
         let call = OpenCall::Count { queue, asked_ms };
-        if known {
+        if known && *answer == CallerAnswer::TableIsNewest {
             self.resolve_queue(node, call);
-        } else if *answer == CallerAnswer::TableIsNewest {
+        } else if !known && answer.proves_denial() {
             self.end_count(node, call, QueueTold::NoQueue);
         } else {
             self.end_count(node, call, QueueTold::ComeBack);
--- a/crates/bankvalve_check/src/site/site_customers.rs
+++ b/crates/bankvalve_check/src/site/site_customers.rs
@@ -292,7 +292,12 @@
     }
 
     /// Sends a request on whose key was not known, if the instance's configuration has it by now.
-    pub(super) fn resend_denied(&mut self, node: usize, ticket: Ticket) -> bool {
+    pub(super) fn resend_denied(
+        &mut self,
+        node: usize,
+        ticket: Ticket,
+        answer: &CallerAnswer,
+    ) -> bool {
         let uses = &mut self.customers.uses;
         let Some(key_use) = uses
             .get(&(node, ticket))
@@ -301,8 +306,7 @@
             return false;
         };
         let key = key_use.key;
-        let version = self.table_version(node);
-        if version == 0 || self.table(version).customer_of(&key).is_none() {
+        if !self.knows_key(node, &key) || *answer != CallerAnswer::TableIsNewest {
             return false;
         }
         let key_use = self.customers.uses.remove(&(node, ticket));
@@ -315,6 +319,12 @@
         true
     }
 
+    /// Whether the configuration in force at an instance has a key.
+    fn knows_key(&self, node: usize, key: &KeyDigest) -> bool {
+        let version = self.table_version(node);
+        version > 0 && self.table(version).customer_of(key).is_some()
+    }
+
     /// Checks what a caller with a key was told; tells whether it was that its key is not known.
     pub(super) fn check_key_use(
         &mut self,
@@ -325,7 +335,7 @@
         let Some(key_use) = self.customers.uses.remove(&(node, ticket)) else {
             return false;
         };
-        let denied = *answer == CallerAnswer::TableIsNewest;
+        let denied = answer.proves_denial() && !self.knows_key(node, &key_use.key);
         let served = matches!(
             answer,
             CallerAnswer::Accepted
--- a/crates/bankvalve_check/tests/site/config_return.rs
+++ b/crates/bankvalve_check/tests/site/config_return.rs
@@ -71,6 +71,12 @@
     assert!(broken.is_empty(), "{} distances: {broken:#?}", broken.len());
 }
 
+#[test]
+fn a_request_that_passes_later_ones_would_be_noticed() {
+    let broken = Some(SiteGuard::ChangeInTime);
+    assert_ne!(breaches_of_waiting_request(500, broken), []);
+}
+
 /// The leader accepts a job of a weak instance by a newer configuration than that instance has, and is lost.
 /// The next leader learns of that configuration only later; jobs are handed in at the weak instance meanwhile.
 fn breaches_of_leader_change(behind_ms: u64, broken: Option<SiteGuard>) -> Vec<RuleBreach> {
--- a/crates/bankvalve_check/tests/site/random.rs
+++ b/crates/bankvalve_check/tests/site/random.rs
@@ -44,10 +44,11 @@
         (SiteGuard::GrowingPatience, 3),
     ];
     // The drawn worlds notice these seldom: each has a world of its own, below, in `workers`, in
-    // `crashing`, in `customers`, in `evacuations`, in `holds`, in `permits` and in `restarts`, or a test
+    // `config_return`, in `crashing`, in `customers`, in `evacuations`, in `holds`, in `permits` and in `restarts`, or a test
     // of one instance (`config` of `bankvalve_queue`).
     let seldom = [
         SiteGuard::AnnouncedNewest,
+        SiteGuard::ChangeInTime,
         SiteGuard::SureRefusal,
         SiteGuard::LateDone,
         SiteGuard::CrashBudget,
--- a/crates/bankvalve_queue/src/caller.rs
+++ b/crates/bankvalve_queue/src/caller.rs
@@ -81,6 +81,12 @@
     /// The configuration in force is at least as new as the request, so a queue or a key that is not in it
     /// does not exist.
     TableIsNewest,
+    /// The same, but it came into force only some time after the request. A queue or a key that is in it is
+    /// for later requests.
+    TableChanged {
+        /// Time after which the caller may retry, in milliseconds.
+        retry_ms: u64,
+    },
     /// Number of the queue's jobs that have not begun.
     Waiting(u64),
     /// The request has had no effect and never will; the caller may retry.
@@ -94,6 +100,25 @@
     Unknown,
 }
 
+impl CallerAnswer {
+    /// Returns whether a queue or a key that is not in the configuration in force does not exist.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use bankvalve_queue::CallerAnswer;
+    ///
+    /// assert!(CallerAnswer::TableIsNewest.proves_denial());
+    /// assert!(!CallerAnswer::Unknown.proves_denial());
+    /// ```
+    pub fn proves_denial(&self) -> bool {
+        matches!(
+            self,
+            CallerAnswer::TableIsNewest | CallerAnswer::TableChanged { .. }
+        )
+    }
+}
+
 /// Why the configuration in force denies a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum DenialReason {
--- a/crates/bankvalve_queue/src/core/denials.rs
+++ b/crates/bankvalve_queue/src/core/denials.rs
@@ -6,6 +6,10 @@
 //! its own for each request, one caller with a wrong key would use up the table's reads. So all
 //! requests that arrive in the meantime wait for one configuration query, and the next query follows
 //! after a pause.
+//!
+//! A request that waited is handled by a newer configuration only if that came into force soon after the
+//! request had arrived. Otherwise requests that came after it may have been handled by the older one, and
+//! the instance would go back from one to the other.
 
 use std::time::Duration;
 
@@ -21,6 +25,9 @@
 /// Maximum time that a caller waits until it is known whether there is a newer configuration. The
 /// table answers within a few milliseconds, or half a second if it is slow.
 const MAX_LOOKUP_WAIT: Duration = Duration::from_millis(1_000);
+/// Maximum time between a request's arrival and the time when a configuration comes into force that handles
+/// it. Requests that arrived after it may have been handled by the configuration before.
+const MAX_CHANGE_DELAY: Duration = Duration::from_millis(150);
 /// Maximum number of callers that wait for a configuration query.
 const MAX_LOOKUPS: usize = 2_000;
 
@@ -95,7 +102,14 @@
 
     fn deny(&mut self, lookup: DenialLookup, proof: &ConfigRequest) {
         let ticket = lookup.ticket;
-        let answer = CallerAnswer::TableIsNewest;
+        let changed_late = self.tables.in_force_since > lookup.at + MAX_CHANGE_DELAY;
+        let answer = if changed_late && self.enforces(SiteGuard::ChangeInTime) {
+            self.counters.count("callers", "config_changed");
+            let retry_ms = RETRY_MS;
+            CallerAnswer::TableChanged { retry_ms }
+        } else {
+            CallerAnswer::TableIsNewest
+        };
         let version = self.table_version();
         let reason = lookup.reason.as_str();
         let (waited, proof_age) = (self.age(lookup.at), self.age(proof.sent_at));
--- a/crates/bankvalve_queue/src/core/entry_core.rs
+++ b/crates/bankvalve_queue/src/core/entry_core.rs
@@ -150,8 +150,8 @@
         request: ResolvedRequest,
     },
     /// The configuration in force denies a caller's request. The instance answers with
-    /// [`CallerAnswer::TableIsNewest`] once that configuration is known to be at least as new as the
-    /// request, or with a refusal.
+    /// [`CallerAnswer::TableIsNewest`] or [`CallerAnswer::TableChanged`] once that configuration is known to
+    /// be at least as new as the request, or with a refusal.
     RequestDenied {
         /// Ticket of the request.
         ticket: Ticket,
--- a/crates/bankvalve_queue/src/core/table_watch.rs
+++ b/crates/bankvalve_queue/src/core/table_watch.rs
@@ -93,7 +93,7 @@
     /// The configuration as the operator wrote it.
     pub(super) raw: Vec<u8>,
     /// When the configuration in force arrived.
-    in_force_since: CoreTime,
+    pub(super) in_force_since: CoreTime,
     /// When the table last answered a watch or a query of the configuration.
     pub(super) confirmed: Option<CoreTime>,
     pub(super) pull: PeerPull,
--- a/crates/bankvalve_queue/src/guard.rs
+++ b/crates/bankvalve_queue/src/guard.rs
@@ -33,6 +33,9 @@
     /// Changes read from the table do not show that the configuration in force is the newest if peers have
     /// announced a newer one before.
     AnnouncedNewest,
+    /// A request that has waited for a newer configuration is handled by it only if it came into force soon
+    /// after the request had arrived.
+    ChangeInTime,
     /// A caller's request that the leader has not answered is sent again.
     ResentAsk,
     /// A follower returns the state of an open job only once its book has reached the read index: the last
@@ -86,7 +89,7 @@
 
 impl SiteGuard {
     /// All guards.
-    pub const ALL: [SiteGuard; 33] = [
+    pub const ALL: [SiteGuard; 34] = [
         SiteGuard::LedgerFirst,
         SiteGuard::OwnRow,
         SiteGuard::KeptEnds,
@@ -99,6 +102,7 @@
         SiteGuard::NewerTable,
         SiteGuard::KnownNewest,
         SiteGuard::AnnouncedNewest,
+        SiteGuard::ChangeInTime,
         SiteGuard::ResentAsk,
         SiteGuard::ReadMark,
         SiteGuard::LedgerProgress,
@@ -146,6 +150,7 @@
             SiteGuard::NewerTable => "newer-table",
             SiteGuard::KnownNewest => "known-newest",
             SiteGuard::AnnouncedNewest => "announced-newest",
+            SiteGuard::ChangeInTime => "change-in-time",
             SiteGuard::ResentAsk => "resent-ask",
             SiteGuard::ReadMark => "read-mark",
             SiteGuard::LedgerProgress => "ledger-progress",
