fix(config): a leader accepts no job by an older configuration than a former one

What callers saw: a job accepted under the terms of a newer configuration, then, through the same instance, one under the older terms ('went back').

Cause: the leader interprets a request by its own configuration if that is newer than the instance's. When it was lost, its successor did not know by which version it had acted, and accepted by its own older one.

Change: the terms of a job carry the version of their configuration, with the forwarded request and into the ledger (a trailing field; older rows are read as version 0). A leader that has read the ledger refuses new jobs and counts that both it and the forwarding instance have only an older configuration for, and asks for that version at once. A complete read of the table that lacks it ends this.

Ruled out: the version with each answer, kept by the forwarding instance. The answer may be lost with the leader while the start is not; the ledger holds whatever a worker may have seen.

Cost: the version in each accepted job's row, 1 to 3 bytes. All instances must be replaced together, as with earlier fields of the ledger.

Changed tests, as strict: the round trip of requests takes its rule from the configuration, which sets the version; the former ledger rows lack it.

--- a/crates/bankvalve/src/dev/dev_site.rs
+++ b/crates/bankvalve/src/dev/dev_site.rs
@@ -89,6 +89,7 @@
             stretch: 2.0,
             target_ms: 500,
             advice: None,
+            ..JobTerms::default()
         },
     }
 }
--- a/crates/bankvalve/tests/site/test_site.rs
+++ b/crates/bankvalve/tests/site/test_site.rs
@@ -266,6 +266,7 @@
                 each_ms: 0.1,
                 valid_ms: 1_500,
             }),
+            ..JobTerms::default()
         },
     }
 }
--- a/crates/bankvalve_check/src/site/site_config.rs
+++ b/crates/bankvalve_check/src/site/site_config.rs
@@ -191,6 +191,7 @@
                 stretch: 2.0,
                 target_ms: 500,
                 advice,
+                ..JobTerms::default()
             },
         }
     }
--- a/crates/bankvalve_check/tests/site/config_return.rs
+++ b/crates/bankvalve_check/tests/site/config_return.rs
@@ -95,7 +95,7 @@
     run_for(&mut world, 100);
     assert_eq!(world.terms_of(1).map(|terms| terms.priority), Some(7));
     world.darken(leader, None);
-    for job in 2..40 {
+    for job in 2..80 {
         run_for(&mut world, 100);
         world.submit_at(WEAK, &Arc::new(job_of(job, QUEUE, &[1], false)));
     }
@@ -115,6 +115,12 @@
     assert!(broken.is_empty(), "{} times: {broken:#?}", broken.len());
 }
 
+#[test]
+fn a_leader_that_accepts_by_an_older_configuration_would_be_noticed() {
+    let broken = Some(SiteGuard::FormerConfig);
+    assert_ne!(breaches_of_leader_change(3_000, broken), []);
+}
+
 /// Guards against a refusal of callers that ask for a queue shortly before it is added.
 #[test]
 fn a_queue_that_is_added_while_its_caller_waits_is_found_at_once() {
--- a/crates/bankvalve_check/tests/site/random.rs
+++ b/crates/bankvalve_check/tests/site/random.rs
@@ -49,6 +49,7 @@
     let seldom = [
         SiteGuard::AnnouncedNewest,
         SiteGuard::ChangeInTime,
+        SiteGuard::FormerConfig,
         SiteGuard::SureRefusal,
         SiteGuard::LateDone,
         SiteGuard::CrashBudget,
--- a/crates/bankvalve_queue/src/caller.rs
+++ b/crates/bankvalve_queue/src/caller.rs
@@ -154,6 +154,9 @@
     Stopping,
     /// It is not known whether a newer configuration has the queue or the key.
     TableUnsure,
+    /// A former leader accepted jobs by a newer configuration than the one under which the request was
+    /// interpreted, and the leader does not have it yet.
+    ConfigOutdated,
     /// The queue is missing in a newer configuration than the one under which the request was interpreted.
     QueueDropped,
     /// The key is missing in a newer configuration than the one under which the request was interpreted.
@@ -166,12 +169,13 @@
 
 impl RefusalReason {
     /// All reasons.
-    pub const ALL: [RefusalReason; 9] = [
+    pub const ALL: [RefusalReason; 10] = [
         RefusalReason::NoLeader,
         RefusalReason::StoreAway,
         RefusalReason::Overload,
         RefusalReason::Stopping,
         RefusalReason::TableUnsure,
+        RefusalReason::ConfigOutdated,
         RefusalReason::QueueDropped,
         RefusalReason::KeyDropped,
         RefusalReason::KeysUnsure,
@@ -186,6 +190,7 @@
             RefusalReason::Overload => "overload",
             RefusalReason::Stopping => "stopping",
             RefusalReason::TableUnsure => "table_unsure",
+            RefusalReason::ConfigOutdated => "config_outdated",
             RefusalReason::QueueDropped => "queue_dropped",
             RefusalReason::KeyDropped => "key_dropped",
             RefusalReason::KeysUnsure => "keys_unsure",
--- a/crates/bankvalve_queue/src/core/commit.rs
+++ b/crates/bankvalve_queue/src/core/commit.rs
@@ -450,10 +450,13 @@
     /// Ends a new leader's loading: its book contains the entire ledger.
     pub(super) fn end_loading(&mut self) {
         let applied = self.applied;
+        let former_table_version = self.book.newest_table_version();
         if let Some(lead) = self.lead.as_deref_mut() {
             lead.sequence = applied;
             lead.loaded = true;
+            lead.former_table_version = former_table_version;
         }
+        self.record_announced_version("the ledger", former_table_version);
         self.catching_up = false;
         self.adopt_runs();
     }
--- a/crates/bankvalve_queue/src/core/denials.rs
+++ b/crates/bankvalve_queue/src/core/denials.rs
@@ -143,6 +143,20 @@
         self.actions.push(CoreAction::Answer { ticket, answer });
     }
 
+    /// Returns whether a request would be handled by an older configuration than a former leader accepted a job
+    /// by: both this leader and the instance that interpreted the request have older ones.
+    fn is_by_outdated_config(&self, request: &CallerRequest, version: u64) -> bool {
+        let depends_on_config = match request {
+            CallerRequest::Submit { spec, .. } => self.book.job(spec.id).is_none(),
+            CallerRequest::Count { .. } => true,
+            CallerRequest::Status { .. } | CallerRequest::Cancel { .. } => false,
+        };
+        let lead = self.lead.as_deref();
+        let former = lead.map_or(0, |lead| lead.former_table_version);
+        let newest = version.max(self.table_version());
+        depends_on_config && newest < former && self.enforces(SiteGuard::FormerConfig)
+    }
+
     /// Applies the leader's configuration to a request that an instance interpreted under `version`.
     ///
     /// If the leader's configuration is newer, the job gets its terms, and it decides whether the queue and
@@ -153,6 +167,9 @@
         caller: &CallerIdentity,
         version: u64,
     ) -> Result<CallerRequest, RefusalReason> {
+        if self.is_by_outdated_config(&request, version) {
+            return Err(RefusalReason::ConfigOutdated);
+        }
         let Some(table) = self.table.as_ref().filter(|table| table.version > version) else {
             return Ok(request);
         };
--- a/crates/bankvalve_queue/src/core/lead_state.rs
+++ b/crates/bankvalve_queue/src/core/lead_state.rs
@@ -117,6 +117,8 @@
     pub(super) began_at: CoreTime,
     /// Whether the entire ledger has been read.
     pub(super) loaded: bool,
+    /// Newest version of the configuration by which a former leader accepted a job.
+    pub(super) former_table_version: u64,
     /// When to retry reading a page of the ledger after a failed read.
     pub(super) load_at: Option<CoreTime>,
     /// Whether all workers' entries have been read.
@@ -230,6 +232,7 @@
             row_version,
             began_at: now,
             loaded: false,
+            former_table_version: 0,
             load_at: None,
             workers_known: false,
             confirmed_at: now,
--- a/crates/bankvalve_queue/src/core/table_watch.rs
+++ b/crates/bankvalve_queue/src/core/table_watch.rs
@@ -5,6 +5,7 @@
 //! anything. It asks a peer only if the table does not answer (`table_pull`). Peers send a configuration
 //! only on request, since a large one fills a slow link for a second.
 
+use std::fmt;
 use std::time::Duration;
 
 use super::denials::DenialLookup;
@@ -14,7 +15,6 @@
 use crate::core::CoreAction;
 use crate::guard::SiteGuard;
 use crate::ids::{CoreTime, Ticket};
-use crate::peer::PeerAddress;
 use crate::queue_table::QueueTable;
 use crate::store::{OperatorNews, StoreOutcome, StoreRequest};
 
@@ -258,8 +258,8 @@
         limit.is_none_or(fresh)
     }
 
-    /// Records the version that a peer has in force.
-    pub(super) fn record_announced_version(&mut self, from: PeerAddress, version: u64) {
+    /// Records a version that a peer has in force, or that the ledger names.
+    pub(super) fn record_announced_version(&mut self, source: impl fmt::Display, version: u64) {
         let in_force = self.table_version();
         if version <= in_force || version <= self.tables.announced {
             return;
@@ -268,7 +268,7 @@
             self.tables.behind_since = self.now;
         }
         self.tables.announced = version;
-        let detail = format!("by {from}, {in_force} is in force");
+        let detail = format!("by {source}, {in_force} is in force");
         self.log("config", "announced", version.to_string(), detail);
     }
 
@@ -368,6 +368,10 @@
             tables.announced = 0;
         }
         tables.next_query_at = self.now + UNREADABLE_RETRY_DELAY;
+        if let Some(lead) = self.lead.as_deref_mut() {
+            // The operator has begun again with lower versions.
+            lead.former_table_version = 0;
+        }
         self.log("config", "not_there", version, String::new());
     }
 
--- a/crates/bankvalve_queue/src/guard.rs
+++ b/crates/bankvalve_queue/src/guard.rs
@@ -36,6 +36,8 @@
     /// A request that has waited for a newer configuration is handled by it only if it came into force soon
     /// after the request had arrived.
     ChangeInTime,
+    /// A leader accepts no job by an older configuration than a former leader did.
+    FormerConfig,
     /// A caller's request that the leader has not answered is sent again.
     ResentAsk,
     /// A follower returns the state of an open job only once its book has reached the read index: the last
@@ -89,7 +91,7 @@
 
 impl SiteGuard {
     /// All guards.
-    pub const ALL: [SiteGuard; 34] = [
+    pub const ALL: [SiteGuard; 35] = [
         SiteGuard::LedgerFirst,
         SiteGuard::OwnRow,
         SiteGuard::KeptEnds,
@@ -103,6 +105,7 @@
         SiteGuard::KnownNewest,
         SiteGuard::AnnouncedNewest,
         SiteGuard::ChangeInTime,
+        SiteGuard::FormerConfig,
         SiteGuard::ResentAsk,
         SiteGuard::ReadMark,
         SiteGuard::LedgerProgress,
@@ -150,6 +153,7 @@
             SiteGuard::NewerTable => "newer-table",
             SiteGuard::KnownNewest => "known-newest",
             SiteGuard::AnnouncedNewest => "announced-newest",
+            SiteGuard::FormerConfig => "former-config",
             SiteGuard::ChangeInTime => "change-in-time",
             SiteGuard::ResentAsk => "resent-ask",
             SiteGuard::ReadMark => "read-mark",
--- a/crates/bankvalve_queue/src/job.rs
+++ b/crates/bankvalve_queue/src/job.rs
@@ -162,6 +162,9 @@
     pub target_ms: u64,
     /// Timing of the policy service that decides which workers may run a step; `None` if no advice is needed.
     pub advice: Option<AdviceRule>,
+    /// Version of the configuration that the terms are from; 0 if it is not known.
+    #[serde(default)]
+    pub table_version: u64,
 }
 
 /// An invalid field of a job.
--- a/crates/bankvalve_queue/src/ledger/job_book.rs
+++ b/crates/bankvalve_queue/src/ledger/job_book.rs
@@ -279,6 +279,7 @@
 #[derive(Clone, Debug, Default)]
 pub struct JobBook {
     jobs: BTreeMap<JobId, JobRecord>,
+    newest_table_version: u64,
 }
 
 impl JobBook {
@@ -327,6 +328,7 @@
         if self.jobs.contains_key(&spec.id) {
             return;
         }
+        self.newest_table_version = self.newest_table_version.max(terms.table_version);
         let mut record = JobRecord {
             spec: spec.clone(),
             terms: terms.clone(),
@@ -359,6 +361,11 @@
         self.jobs.values()
     }
 
+    /// Returns the newest version of the configuration by which a job was accepted; 0 if there was no job.
+    pub fn newest_table_version(&self) -> u64 {
+        self.newest_table_version
+    }
+
     /// Returns the number of jobs.
     pub fn len(&self) -> usize {
         self.jobs.len()
--- a/crates/bankvalve_queue/src/queue_table.rs
+++ b/crates/bankvalve_queue/src/queue_table.rs
@@ -71,7 +71,8 @@
     pub fn new(version: u64, rules: Vec<QueueRule>, guarded: BTreeMap<String, bool>) -> Self {
         let mut by_host: BTreeMap<String, Vec<String>> = BTreeMap::new();
         let mut queues = BTreeMap::new();
-        for rule in rules {
+        for mut rule in rules {
+            rule.terms.table_version = version;
             by_host
                 .entry(rule.host.clone())
                 .or_default()
--- a/crates/bankvalve_queue/tests/book.rs
+++ b/crates/bankvalve_queue/tests/book.rs
@@ -5,8 +5,8 @@
 use std::sync::Arc;
 
 use bankvalve_queue::{
-    CrashWeight, EndKind, JobBook, JobSpec, JobState, JobTerms, LedgerBatch, LedgerEvent, StepKey,
-    StepSpec, TaskKey, TaskPhase, WallMillis,
+    AdviceRule, CrashWeight, EndKind, JobBook, JobSpec, JobState, JobTerms, LedgerBatch,
+    LedgerEvent, StepKey, StepSpec, TaskKey, TaskPhase, WallMillis,
 };
 use serde::Serialize;
 
@@ -291,11 +291,22 @@
     period_ms: u64,
 }
 
+/// Terms as the ledger stored them before they had the version of their configuration.
+#[derive(Default, Serialize)]
+struct FormerTerms {
+    service: String,
+    priority: u32,
+    attempts: u32,
+    stretch: f64,
+    target_ms: u64,
+    advice: Option<AdviceRule>,
+}
+
 #[derive(Serialize)]
 enum FormerEvent {
     Accepted {
         spec: FormerSpec,
-        terms: JobTerms,
+        terms: FormerTerms,
         at: WallMillis,
     },
 }
@@ -305,7 +316,8 @@
     events: Vec<FormerEvent>,
 }
 
-// Guards against losing jobs when bankvalve is upgraded from a version whose jobs had no customers.
+// Guards against losing jobs when bankvalve is upgraded from a version whose jobs had no customers and whose
+// terms had no version.
 #[test]
 fn a_ledger_written_before_there_were_customers_is_still_readable() {
     let spec = FormerSpec {
@@ -317,7 +329,7 @@
         first_due_ms: 0,
         period_ms: 0,
     };
-    let terms = JobTerms::default();
+    let terms = FormerTerms::default();
     let events = vec![FormerEvent::Accepted { spec, terms, at: 5 }];
     let row = rmp_serde::to_vec(&FormerBatch { events }).expect("it can be encoded");
     let batch = LedgerBatch::decode(&row).expect("it can be read");
@@ -325,6 +337,7 @@
     batch.events.iter().for_each(|event| book.apply(event));
     let job = book.job(1).expect("the job");
     assert_eq!((&*job.spec.payload, &job.spec.customer), ("text", &None));
+    assert_eq!(book.newest_table_version(), 0);
 }
 
 #[test]
