--- a/crates/bankvalve_check/tests/site/carriers.rs
+++ b/crates/bankvalve_check/tests/site/carriers.rs
@@ -1,24 +1,16 @@
 //! Carriers, which hold the workers' connections for a leader that has many, and hubs.
 
 use bankvalve_check::site::{
-    job_of, run_short_episode, SiteBurden, SiteFault, SitePlan, SiteWorld, WorkerRestart, QUEUE,
-    URGENT_QUEUE,
+    job_of, run_short_episode, SiteBurden, SiteFault, SiteWorld, WorkerRestart, QUEUE, URGENT_QUEUE,
 };
 
-use crate::assert_kept;
+use crate::{assert_kept, plan_of_strengths};
 
 /// A site whose instances have little processor for their workers.
 fn carried_world(seed: u64, entries: usize, strong: usize) -> SiteWorld {
     let strength = |node| if node < strong { 14 } else { 10 };
-    let mut world = SiteWorld::new(SitePlan {
-        seed,
-        entries,
-        strengths: (0..entries).map(strength).collect(),
-        broken: None,
-        without: None,
-        workers: 12,
-        good_percent: None,
-    });
+    let strengths = (0..entries).map(strength).collect();
+    let mut world = SiteWorld::new(plan_of_strengths(seed, strengths, 12));
     world.looks_wait = true;
     world.run_until(1_500);
     world
--- a/crates/bankvalve_check/tests/site/config.rs
+++ b/crates/bankvalve_check/tests/site/config.rs
@@ -2,13 +2,11 @@
 
 use std::sync::Arc;
 
-use bankvalve_check::site::{
-    job_of, run_crash_episode, QueueTold, SiteFault, SitePlan, SiteWorld, QUEUE,
-};
+use bankvalve_check::site::{job_of, run_crash_episode, QueueTold, SiteFault, SiteWorld, QUEUE};
 
 use bankvalve_queue::SiteGuard;
 
-use crate::{assert_kept, follower, world};
+use crate::{assert_kept, follower, plan_of_strengths, world, world_without};
 
 /// Size of a large configuration: 1,400 queues more, as the users saw.
 const LARGE: usize = 1_100_000;
@@ -26,17 +24,9 @@
 /// A large site of unlike instances on links that carry everything, one after the other.
 fn world_of_links(seed: u64) -> SiteWorld {
     let strong = |node| node + 3 >= ENTRIES;
-    let mut world = SiteWorld::new(SitePlan {
-        seed,
-        entries: ENTRIES,
-        strengths: (0..ENTRIES)
-            .map(|node| if strong(node) { 500 } else { 120 })
-            .collect(),
-        broken: None,
-        without: None,
-        workers: 4,
-        good_percent: None,
-    });
+    let strength = |node| if strong(node) { 500 } else { 120 };
+    let strengths = (0..ENTRIES).map(strength).collect();
+    let mut world = SiteWorld::new(plan_of_strengths(seed, strengths, 4));
     world.links_carry_all = true;
     for node in 0..ENTRIES {
         let rate = if strong(node) { WIDE } else { THIN };
@@ -225,16 +215,7 @@
 
 /// Rules broken when an instance that has a newer configuration is given an older one.
 fn breaches_of_older(broken: Option<SiteGuard>) -> usize {
-    let mut world = SiteWorld::new(SitePlan {
-        seed: 71,
-        entries: 3,
-        strengths: Vec::new(),
-        broken,
-        without: None,
-        workers: 4,
-        good_percent: None,
-    });
-    world.run_until(1_000);
+    let mut world = world_without(71, 4, broken);
     world.configure(5);
     world.run_until(2_000);
     world.give_table(1, 3);
@@ -250,16 +231,7 @@
 
 #[test]
 fn a_queue_that_is_denied_without_asking_would_be_noticed() {
-    let mut world = SiteWorld::new(SitePlan {
-        seed: 72,
-        entries: 3,
-        strengths: Vec::new(),
-        broken: Some(SiteGuard::KnownNewest),
-        without: None,
-        workers: 4,
-        good_percent: None,
-    });
-    world.run_until(1_000);
+    let mut world = world_without(72, 4, Some(SiteGuard::KnownNewest));
     let node = follower(&world);
     world.nodes[node].watch_lost_until = 60_000;
     world.run_until(3_000);
--- a/crates/bankvalve_check/tests/site/config_return.rs
+++ b/crates/bankvalve_check/tests/site/config_return.rs
@@ -5,6 +5,8 @@
 use bankvalve_check::site::{job_of, QueueTold, RuleBreach, SitePlan, SiteWorld, QUEUE};
 use bankvalve_queue::SiteGuard;
 
+use crate::plan_of_strengths;
+
 /// Instances of a site; the last two are strong ones.
 const ENTRIES: usize = 5;
 /// A weak instance.
@@ -13,17 +15,11 @@
 const OPEN_WATCH_MS: u64 = 1_500;
 
 fn world_without(seed: u64, broken: Option<SiteGuard>) -> SiteWorld {
-    let strong = |node| node + 2 >= ENTRIES;
+    let strength = |node| if node + 2 >= ENTRIES { 500 } else { 120 };
+    let strengths = (0..ENTRIES).map(strength).collect();
     let mut world = SiteWorld::new(SitePlan {
-        seed,
-        entries: ENTRIES,
-        strengths: (0..ENTRIES)
-            .map(|node| if strong(node) { 500 } else { 120 })
-            .collect(),
         broken,
-        without: None,
-        workers: 4,
-        good_percent: None,
+        ..plan_of_strengths(seed, strengths, 4)
     });
     world.run_until(4_000);
     world
--- a/crates/bankvalve_check/tests/site/config_series.rs
+++ b/crates/bankvalve_check/tests/site/config_series.rs
@@ -1,6 +1,8 @@
 //! Large configurations in quick series over thin links: no copy that is of no use delays the next.
 
-use bankvalve_check::site::{SitePlan, SiteWorld};
+use bankvalve_check::site::SiteWorld;
+
+use crate::plan_of_strengths;
 
 /// Size of a large configuration, in bytes.
 const LARGE: usize = 1_050_000;
@@ -21,15 +23,7 @@
 const LOOK_MS: u64 = 20;
 
 fn world_of_links(seed: u64, large_batches: u64) -> SiteWorld {
-    let mut world = SiteWorld::new(SitePlan {
-        seed,
-        entries: STRENGTHS.len(),
-        strengths: STRENGTHS.to_vec(),
-        broken: None,
-        without: None,
-        workers: 4,
-        good_percent: None,
-    });
+    let mut world = SiteWorld::new(plan_of_strengths(seed, STRENGTHS.to_vec(), 4));
     world.links_carry_all = true;
     for (node, strength) in STRENGTHS.into_iter().enumerate() {
         let rate = if strength == 500 { WIDE } else { THIN };
--- a/crates/bankvalve_check/tests/site/fleet.rs
+++ b/crates/bankvalve_check/tests/site/fleet.rs
@@ -1,8 +1,8 @@
 //! Sites of so many instances that not every one of them knows all others.
 
-use bankvalve_check::site::{job_of, play_fleet, SitePlan, SiteWorld, QUEUE};
+use bankvalve_check::site::{job_of, play_fleet, SiteWorld, QUEUE};
 
-use crate::{assert_kept, plan_of};
+use crate::{assert_kept, plan_of, plan_of_strengths};
 
 /// CPU of the instances that rank first and of the others, in thousandths of a core.
 const STRONG: u64 = 500;
@@ -13,15 +13,8 @@
 /// A site with so many instances, of which the first ones are strong, after its start.
 fn fleet(seed: u64, entries: usize, strong: usize) -> SiteWorld {
     let strength = |node| if node < strong { STRONG } else { WEAK };
-    let mut world = SiteWorld::new(SitePlan {
-        seed,
-        entries,
-        strengths: (0..entries).map(strength).collect(),
-        broken: None,
-        without: None,
-        workers: 12,
-        good_percent: None,
-    });
+    let strengths = (0..entries).map(strength).collect();
+    let mut world = SiteWorld::new(plan_of_strengths(seed, strengths, 12));
     world.run_until(6_000);
     world
 }
--- a/crates/bankvalve_check/tests/site/main.rs
+++ b/crates/bankvalve_check/tests/site/main.rs
@@ -52,6 +52,15 @@
     }
 }
 
+/// Instances of these strengths, in thousandths of a core, and so many workers.
+fn plan_of_strengths(seed: u64, strengths: Vec<u64>, workers: usize) -> SitePlan {
+    SitePlan {
+        entries: strengths.len(),
+        strengths,
+        ..plan_of(seed, workers)
+    }
+}
+
 /// A site of so many workers, after its first second, with a guard taken away if asked.
 fn world_without(seed: u64, workers: usize, broken: Option<SiteGuard>) -> SiteWorld {
     let mut world = SiteWorld::new(SitePlan {
@@ -76,15 +85,8 @@
 /// A site of many weak instances and three strong ones, the last ones.
 fn unlike_world(seed: u64, entries: usize) -> SiteWorld {
     let strength = |node| if node + 3 < entries { 120 } else { 500 };
-    let mut world = SiteWorld::new(SitePlan {
-        seed,
-        entries,
-        strengths: (0..entries).map(strength).collect(),
-        broken: None,
-        without: None,
-        workers: 4,
-        good_percent: None,
-    });
+    let strengths = (0..entries).map(strength).collect();
+    let mut world = SiteWorld::new(plan_of_strengths(seed, strengths, 4));
     world.run_until(1_000);
     world
 }
