test(site): a site whose operator begins again with lower versions accepts jobs

A leader refuses jobs by an older configuration than the ledger names, until a complete read of the table lacks that version. Without that exception the second job is refused for ever (shown by taking it out: [1] in place of [1, 2]); with it, both are accepted.

--- a/crates/bankvalve_check/tests/site/config_return.rs
+++ b/crates/bankvalve_check/tests/site/config_return.rs
@@ -130,3 +130,24 @@
     let told: Vec<QueueTold> = world.told.iter().map(|answer| answer.told).collect();
     assert_eq!(told, [QueueTold::Found]);
 }
+
+/// Guards against a site that accepts nothing because its ledger names a version that the operator has not
+/// written since it began again with lower ones.
+#[test]
+fn a_site_whose_operator_begins_again_with_lower_versions_accepts_jobs() {
+    let mut world = world_without(94, None);
+    world.configure(7);
+    run_for(&mut world, 1_000);
+    world.submit_at(WEAK, &Arc::new(job_of(1, QUEUE, &[1], false)));
+    run_for(&mut world, 1_000);
+    for node in 0..ENTRIES {
+        world.kill(node, 500);
+    }
+    world.configure(1);
+    run_for(&mut world, 12_000);
+    world.submit_at(WEAK, &Arc::new(job_of(2, QUEUE, &[1], false)));
+    run_for(&mut world, 3_000);
+    assert_eq!(world.table_version(WEAK), 1);
+    let accepted: Vec<_> = world.rules.accepted().iter().copied().collect();
+    assert_eq!(accepted, [1, 2]);
+}
