refactor(queue): one folder each for placement, admission and forecast

Cause: the core has over fifty modules side by side, and the work on hard load adds to three of its duties.

Change: modules are moved, without a change of behaviour, and paths between them are written from `crate::core`.

Checked: clippy with -D warnings on all targets. No measurement, since no code but paths and visibility changes.

--- a/crates/bankvalve_queue/src/core/customer_limits.rs
+++ b/crates/bankvalve_queue/src/core/admission/customer_limits.rs
@@ -8,10 +8,10 @@
 
 use std::collections::BTreeMap;
 
-use super::lead_state::LeadState;
-use super::placement::StepToPlace;
-use super::waiting_steps::WaitingStep;
-use super::EntryCore;
+use crate::core::lead_state::LeadState;
+use crate::core::placement::waiting_steps::WaitingStep;
+use crate::core::placement::StepToPlace;
+use crate::core::EntryCore;
 use crate::customer::{CustomerName, RunLimit};
 use crate::guard::SiteGuard;
 use crate::ids::{CoreTime, StepKey, TaskKey, WorkerId};
@@ -28,7 +28,7 @@
 
 /// Limits of all customers that any configuration so far contains.
 #[derive(Debug, Default)]
-pub(super) struct CustomerLimits {
+pub(in crate::core) struct CustomerLimits {
     known: BTreeMap<CustomerName, KnownLimit>,
 }
 
@@ -51,7 +51,7 @@
     }
 
     /// Returns whether any configuration so far contains customers.
-    pub(super) fn are_known(&self) -> bool {
+    pub(in crate::core) fn are_known(&self) -> bool {
         !self.known.is_empty()
     }
 
@@ -61,7 +61,11 @@
 
     /// Returns how many tasks of a waiting step its customer's limit allows beside `usage`, to which they
     /// are added.
-    pub(super) fn take_startable(&self, step: &WaitingStep, usage: &mut CustomerUsage) -> u64 {
+    pub(in crate::core) fn take_startable(
+        &self,
+        step: &WaitingStep,
+        usage: &mut CustomerUsage,
+    ) -> u64 {
         let tasks = u64::from(step.tasks);
         let Some((customer, known)) = step.customer.as_ref().zip(self.of(step.customer.as_ref()))
         else {
@@ -79,7 +83,7 @@
 /// What customers have running, and during a placement pass also what is reserved for steps that wait
 /// for their customer's limit.
 #[derive(Clone, Debug, Default)]
-pub(super) struct CustomerUsage {
+pub(in crate::core) struct CustomerUsage {
     running: BTreeMap<CustomerName, TaskSize>,
 }
 
@@ -89,7 +93,7 @@
     }
 
     /// Returns the customers with what they have running.
-    pub(super) fn running(&self) -> impl Iterator<Item = (&CustomerName, &TaskSize)> {
+    pub(in crate::core) fn running(&self) -> impl Iterator<Item = (&CustomerName, &TaskSize)> {
         self.running.iter()
     }
 
@@ -101,7 +105,7 @@
 
 impl LeadState {
     /// Sums up what each customer has running, or may have running.
-    pub(super) fn sum_usage(&self) -> CustomerUsage {
+    pub(in crate::core) fn sum_usage(&self) -> CustomerUsage {
         let mut usage = CustomerUsage::default();
         let runs = self
             .worker_states
@@ -118,12 +122,12 @@
 
 impl EntryCore {
     /// Applies the limits of a configuration that is about to be in force.
-    pub(super) fn apply_limits(&mut self, table: &QueueTable) {
+    pub(in crate::core) fn apply_limits(&mut self, table: &QueueTable) {
         self.limits.update(table, self.now);
     }
 
     /// Sums up what customers have running, for a placement pass.
-    pub(super) fn sum_usage_for_placement(&mut self) {
+    pub(in crate::core) fn sum_usage_for_placement(&mut self) {
         let any = self.limits.has_limits();
         if let Some(lead) = self.lead.as_deref_mut() {
             lead.usage = match any {
@@ -139,7 +143,10 @@
     /// What is free below the limit is reserved for a gang that waits for it: otherwise smaller steps of
     /// its customer would use it up again and again. From the next placement pass on, only urgent steps
     /// come before such a gang, so that a late gang is not overtaken by steps that are still in time.
-    pub(super) fn remove_steps_at_limit<Rank>(&mut self, ranked: &mut Vec<(Rank, StepKey)>) {
+    pub(in crate::core) fn remove_steps_at_limit<Rank>(
+        &mut self,
+        ranked: &mut Vec<(Rank, StepKey)>,
+    ) {
         if !self.limits.has_limits() || !self.enforces(SiteGuard::CustomerLimit) {
             return;
         }
@@ -222,7 +229,7 @@
     /// Reduces an assignment to as many tasks as the customer's limit allows: for a gang, all or none.
     ///
     /// Every start goes through this function.
-    pub(super) fn within_limit<Assigned>(
+    pub(in crate::core) fn within_limit<Assigned>(
         &mut self,
         step: &StepToPlace,
         mut assignment: Vec<Assigned>,
@@ -243,7 +250,11 @@
     }
 
     /// Returns how many tasks of a size a customer may start in addition to what it has running.
-    pub(super) fn tasks_within_limit(&self, customer: &CustomerName, size: &TaskSize) -> usize {
+    pub(in crate::core) fn tasks_within_limit(
+        &self,
+        customer: &CustomerName,
+        size: &TaskSize,
+    ) -> usize {
         let known = self.limits.of(Some(customer));
         let Some(known) = known.filter(|_| self.enforces(SiteGuard::CustomerLimit)) else {
             return usize::MAX;
@@ -257,7 +268,7 @@
     /// Returns whether a start that is about to be sent is still within its customer's limit. The limit
     /// may have been lowered while the start was being committed, which takes seconds if the table is
     /// slow.
-    pub(super) fn is_within_limit_now(&self, id: &WorkerId, task: TaskKey) -> bool {
+    pub(in crate::core) fn is_within_limit_now(&self, id: &WorkerId, task: TaskKey) -> bool {
         if !self.enforces(SiteGuard::LimitOfNow) {
             return true;
         }
@@ -282,7 +293,7 @@
     }
 
     /// Returns whether a gang of a job exceeds its customer's limit by itself, so that it can never run.
-    pub(super) fn is_beyond_limit(&self, spec: &JobSpec) -> bool {
+    pub(in crate::core) fn is_beyond_limit(&self, spec: &JobSpec) -> bool {
         let Some(known) = self.limits.of(spec.customer.as_ref()) else {
             return false;
         };
@@ -294,7 +305,7 @@
 
 /// Whether a step may start tasks within its customer's limit.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(super) enum LimitStatus {
+pub(in crate::core) enum LimitStatus {
     /// At least one task may start, or the entire gang.
     Within,
     /// The step waits until its customer has less running.
--- a/crates/bankvalve_queue/src/core/customer_shares.rs
+++ b/crates/bankvalve_queue/src/core/admission/customer_shares.rs
@@ -16,7 +16,7 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use super::EntryCore;
+use crate::core::EntryCore;
 use crate::customer::CustomerName;
 use crate::decision::CustomerView;
 use crate::ids::{CoreTime, JobId};
@@ -50,10 +50,10 @@
 
 /// Scheduled start of a job beyond its customer's share: from then on it ranks like one within it.
 #[derive(Clone, Copy, Debug)]
-pub(super) struct ScheduledStart {
-    pub(super) at: CoreTime,
+pub(in crate::core) struct ScheduledStart {
+    pub(in crate::core) at: CoreTime,
     /// Time from its submission to its scheduled start.
-    pub(super) wait: Duration,
+    pub(in crate::core) wait: Duration,
 }
 
 /// An open job that was beyond its customer's share when it was submitted.
@@ -86,7 +86,7 @@
 
 /// Token buckets of customers, and their jobs beyond their shares.
 #[derive(Debug, Default)]
-pub(super) struct CustomerShares {
+pub(in crate::core) struct CustomerShares {
     buckets: BTreeMap<CustomerName, TokenBucket>,
     tallies: BTreeMap<CustomerName, JobTally>,
     beyond: BTreeMap<JobId, BeyondJob>,
@@ -96,12 +96,12 @@
 
 impl CustomerShares {
     /// Returns the scheduled start of a job that was beyond its customer's share, or `None` for any other.
-    pub(super) fn scheduled_start(&self, job: JobId) -> Option<ScheduledStart> {
+    pub(in crate::core) fn scheduled_start(&self, job: JobId) -> Option<ScheduledStart> {
         self.beyond.get(&job).map(|beyond| beyond.scheduled_start)
     }
 
     /// Removes a job that has ended, and returns its token if it ended before its scheduled start.
-    pub(super) fn end_job(&mut self, job: JobId, now: CoreTime) {
+    pub(in crate::core) fn end_job(&mut self, job: JobId, now: CoreTime) {
         let Some(beyond) = self.beyond.remove(&job) else {
             return;
         };
@@ -112,7 +112,7 @@
     }
 
     /// Removes jobs that are no longer open.
-    pub(super) fn retain(&mut self, open: impl Fn(JobId) -> bool) {
+    pub(in crate::core) fn retain(&mut self, open: impl Fn(JobId) -> bool) {
         self.beyond.retain(|job, _| open(*job));
     }
 }
@@ -120,7 +120,7 @@
 impl EntryCore {
     /// Takes a token for a submitted job. If there is none and the site is full, returns the time after
     /// which the caller may retry, in milliseconds.
-    pub(super) fn take_share(
+    pub(in crate::core) fn take_share(
         &mut self,
         job: JobId,
         customer: Option<&CustomerName>,
@@ -175,7 +175,7 @@
     }
 
     /// Returns the customers with the most CPU in use, for the metrics.
-    pub(super) fn customer_views(&self) -> Vec<CustomerView> {
+    pub(in crate::core) fn customer_views(&self) -> Vec<CustomerView> {
         // Without a configuration, customers may have limits that are not known yet.
         let may_be_limited = self.limits.are_known() || self.table.is_none();
         let Some(lead) = self.lead.as_deref().filter(|_| may_be_limited) else {
@@ -211,7 +211,7 @@
 
     /// Records how much CPU the tasks request that a placement pass leaves waiting. Tasks that wait for their
     /// customer's limit do not count: they leave the free capacity to others.
-    pub(super) fn record_backlog(&mut self) {
+    pub(in crate::core) fn record_backlog(&mut self) {
         if !self.limits.are_known() {
             return;
         }
--- a/crates/bankvalve_queue/src/core/load_limit.rs
+++ b/crates/bankvalve_queue/src/core/admission/load_limit.rs
@@ -29,7 +29,7 @@
 
 /// The share of new jobs that the leader accepts.
 #[derive(Debug)]
-pub(super) struct LoadLimit {
+pub(in crate::core) struct LoadLimit {
     percent: u32,
     longest_wait: Duration,
     next_at: CoreTime,
@@ -38,7 +38,7 @@
 }
 
 impl LoadLimit {
-    pub(super) fn new(now: CoreTime) -> Self {
+    pub(in crate::core) fn new(now: CoreTime) -> Self {
         Self {
             percent: 100,
             longest_wait: Duration::ZERO,
@@ -48,7 +48,7 @@
     }
 
     /// Records how long an event has waited, and changes the share when that is due.
-    pub(super) fn record_wait(&mut self, now: CoreTime, wait: Duration) {
+    pub(in crate::core) fn record_wait(&mut self, now: CoreTime, wait: Duration) {
         self.longest_wait = self.longest_wait.max(wait);
         if now < self.next_at {
             return;
@@ -66,26 +66,26 @@
     }
 
     /// Returns whether jobs were refused recently, so that the leader should save link capacity.
-    pub(super) fn was_limited_recently(&self, now: CoreTime) -> bool {
+    pub(in crate::core) fn was_limited_recently(&self, now: CoreTime) -> bool {
         let is_recent = |at: CoreTime| now.saturating_sub(at) < LIMITED_RECENTLY;
         self.limited_at.is_some_and(is_recent)
     }
 
     /// Returns the share of new jobs that the leader accepts, in percent.
-    pub(super) fn percent(&self) -> u32 {
+    pub(in crate::core) fn percent(&self) -> u32 {
         self.percent
     }
 }
 
 /// Admits a share of jobs, evenly distributed.
 #[derive(Debug, Default)]
-pub(super) struct ShareGate {
+pub(in crate::core) struct ShareGate {
     credit: u32,
 }
 
 impl ShareGate {
     /// Returns whether the next job is admitted, if `percent` of all jobs are.
-    pub(super) fn passes(&mut self, percent: u32) -> bool {
+    pub(in crate::core) fn passes(&mut self, percent: u32) -> bool {
         self.credit = (self.credit + percent).min(200);
         let passes = self.credit >= 100;
         if passes {
--- /dev/null
+++ b/crates/bankvalve_queue/src/core/admission/mod.rs
@@ -0,0 +1,6 @@
+//! Which jobs are accepted, and within which limits and shares of their customers.
+
+pub(in crate::core) mod customer_limits;
+pub(in crate::core) mod customer_shares;
+pub(in crate::core) mod load_limit;
+mod submissions;
--- a/crates/bankvalve_queue/src/core/submissions.rs
+++ b/crates/bankvalve_queue/src/core/admission/submissions.rs
@@ -2,11 +2,11 @@
 
 use std::sync::Arc;
 
-use super::callers::RETRY_MS;
-use super::commit::{Effect, Origin};
-use super::job_withdrawal::STORE_RETRY_MS;
-use super::EntryCore;
 use crate::caller::{CallerAnswer, RefusalReason};
+use crate::core::callers::RETRY_MS;
+use crate::core::commit::{Effect, Origin};
+use crate::core::job_withdrawal::STORE_RETRY_MS;
+use crate::core::EntryCore;
 use crate::ids::JobId;
 use crate::job::{JobSpec, JobTerms};
 use crate::ledger::LedgerEvent;
@@ -16,7 +16,12 @@
 
 impl EntryCore {
     /// Accepts or refuses a submitted job, as the leader.
-    pub(super) fn serve_submit(&mut self, origin: Origin, spec: Arc<JobSpec>, terms: JobTerms) {
+    pub(in crate::core) fn serve_submit(
+        &mut self,
+        origin: Origin,
+        spec: Arc<JobSpec>,
+        terms: JobTerms,
+    ) {
         let job = spec.id;
         if let Some(record) = self.book.job(job) {
             if record.spec.customer != spec.customer {
--- a/crates/bankvalve_queue/src/core/entry_core.rs
+++ b/crates/bankvalve_queue/src/core/entry_core.rs
@@ -6,9 +6,10 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
+use super::admission::customer_limits::CustomerLimits;
+use super::admission::load_limit::ShareGate;
 use super::call_proxies::ProxyOrigin;
 use super::callers::OpenRequest;
-use super::customer_limits::CustomerLimits;
 use super::election::{LeaderView, PeerView};
 use super::evacuations::EvacuatedDomains;
 use super::follower_reads::FollowerReads;
@@ -16,7 +17,6 @@
 use super::lead_state::LeadState;
 use super::leader_absence::LeaderGap;
 use super::ledger_page::LedgerPage;
-use super::load_limit::ShareGate;
 use super::log_budget::LogBudget;
 use super::member_rows::MemberRows;
 use super::readiness::UnreadyReason;
--- /dev/null
+++ b/crates/bankvalve_queue/src/core/forecast/mod.rs
@@ -0,0 +1,3 @@
+//! What the leader expects of running work: how long runs take, and which of them are overdue.
+
+pub(in crate::core) mod overdue_runs;
--- a/crates/bankvalve_queue/src/core/overdue_runs.rs
+++ b/crates/bankvalve_queue/src/core/forecast/overdue_runs.rs
@@ -7,8 +7,8 @@
 
 use std::time::Duration;
 
-use super::live_run::{LiveRun, RunPhase};
-use super::EntryCore;
+use crate::core::live_run::{LiveRun, RunPhase};
+use crate::core::EntryCore;
 use crate::ids::{CoreTime, TaskKey, WorkerId};
 use crate::ledger::TaskRecord;
 use crate::policy::PolicySwitch;
@@ -35,7 +35,7 @@
 
 /// Progress of a run, as its worker's run lists report it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(super) struct RunProgress {
+pub(in crate::core) struct RunProgress {
     percent: u32,
     /// When the current percentage was first reported.
     since: CoreTime,
@@ -61,7 +61,7 @@
 
 impl RunProgress {
     /// Returns the progress after a run list that was requested at `requested_at` and has arrived now.
-    pub(super) fn updated(
+    pub(in crate::core) fn updated(
         known: Option<Self>,
         percent: u32,
         requested_at: CoreTime,
@@ -78,7 +78,7 @@
     }
 
     /// Returns the remaining time of a run at its pace, or `None` if the pace is not known.
-    pub(super) fn time_left(&self, ran: Duration) -> Option<Duration> {
+    pub(in crate::core) fn time_left(&self, ran: Duration) -> Option<Duration> {
         let known = self.percent > 0 && ran >= MIN_PACE_TIME;
         known.then(|| (ran * 100 / self.percent).saturating_sub(ran))
     }
@@ -103,7 +103,7 @@
 
 impl EntryCore {
     /// Records the progress of a worker's runs, and stops the overdue ones to start them elsewhere.
-    pub(super) fn check_progress(
+    pub(in crate::core) fn check_progress(
         &mut self,
         id: &WorkerId,
         requested_at: CoreTime,
@@ -144,7 +144,7 @@
 
     /// Returns the expected run time of a task: the estimate of its job, corrected by the recent estimate
     /// error of the queue.
-    pub(super) fn expected_time(&self, task: TaskKey) -> Duration {
+    pub(in crate::core) fn expected_time(&self, task: TaskKey) -> Duration {
         let Some(job) = self.book.job(task.step.job) else {
             return Duration::ZERO;
         };
--- a/crates/bankvalve_queue/src/core/live_run.rs
+++ b/crates/bankvalve_queue/src/core/live_run.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use super::overdue_runs::RunProgress;
+use super::forecast::overdue_runs::RunProgress;
 use crate::customer::CustomerName;
 use crate::ids::{CoreTime, RunId};
 use crate::job::{StepSpec, TaskSize};
--- a/crates/bankvalve_queue/src/core/mod.rs
+++ b/crates/bankvalve_queue/src/core/mod.rs
@@ -24,34 +24,33 @@
 //!   sites.
 //! - Ledger: `commit`, `read_back`, `lead_confirmation` and `job_withdrawal` write it; `follower` keeps a
 //!   follower's book up to date.
-//! - Callers: `callers` answers requests, `follower_reads` answers status requests from a follower's book,
-//!   and `submissions` accepts jobs. `customer_access` decides which jobs a customer may see,
-//!   `customer_limits` what it may have running, and `customer_shares` which jobs start after those of other
+//! - Callers: `callers` answers requests, and `follower_reads` answers status requests from a follower's
+//!   book. `customer_access` decides which jobs a customer may see.
+//! - Admission: the modules in `admission` accept or refuse submitted jobs, and apply the limits and shares of
 //!   customers.
-//! - Workers: `lease_renewal`, `worker_reports`, `orders` and `overdue_runs` poll workers and start and stop
+//! - Forecast: the modules in `forecast` hold what the leader expects of running work.
+//! - Workers: `lease_renewal`, `worker_reports` and `orders` poll workers and start and stop
 //!   runs. `incarnation` distinguishes the processes of a worker, and `call_proxies` has standbys send calls.
-//! - Placement: `placement` decides which task runs on which worker, `advice` queries the policy service, and
-//!   `capacity_reclaim` preempts runs. `suspects` isolates tasks that may crash workers.
-//!   `restart_preparation` reserves capacity and gets permits for long-running tasks. `lost_contact` and
+//! - Placement: `placement` decides which task runs on which worker. In its folder, `advice` queries the policy
+//!   service, `capacity_reclaim` preempts runs, and `restart_preparation` reserves capacity and gets permits for
+//!   long-running tasks. `suspects` isolates tasks that may crash workers. `lost_contact` and
 //!   `restart_waits` report why tasks are not running.
 //! - Configuration: `table_watch` and `table_pull` fetch the operator's configuration, and `denials` handles
 //!   requests that it denies. `evacuations` keeps tasks from starting in failure domains that the operator has
 //!   evacuated.
 
-mod advice;
+mod admission;
 mod call_proxies;
 mod callers;
-mod capacity_reclaim;
 mod commit;
 mod customer_access;
-mod customer_limits;
-mod customer_shares;
 mod denials;
 mod election;
 mod entry_core;
 mod evacuations;
 mod follower;
 mod follower_reads;
+mod forecast;
 mod former_leaders;
 mod handover;
 mod hubs;
@@ -63,34 +62,28 @@
 mod lease_renewal;
 mod ledger_page;
 mod live_run;
-mod load_limit;
 mod log_budget;
 mod lost_contact;
 mod member_ranks;
 mod member_rows;
 mod members;
 mod orders;
-mod overdue_runs;
 mod placement;
 mod read_back;
 mod readiness;
 mod restart_deadline;
-mod restart_preparation;
 mod restart_waits;
 mod round_trip;
 mod stopped_leases;
 mod store_link;
 mod store_requests;
-mod submissions;
 mod suspects;
 mod table_pull;
 mod table_watch;
 mod task_waits;
-mod waiting_steps;
 mod worker_entries;
 mod worker_map;
 mod worker_reports;
-mod worker_selection;
 mod worker_state;
 
 pub use entry_core::{CoreAction, CoreEvent, EntryCore, EntrySettings};
--- a/crates/bankvalve_queue/src/core/advice.rs
+++ b/crates/bankvalve_queue/src/core/placement/advice.rs
@@ -14,8 +14,8 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
-use super::EntryCore;
 use crate::core::CoreAction;
+use crate::core::EntryCore;
 use crate::ids::{CoreTime, StepKey, Ticket, WorkerId};
 use crate::peer::{PeerAddress, PeerMessage};
 use crate::policy::PolicySwitch;
@@ -24,7 +24,7 @@
 
 /// Maximum number of workers to request advice about for a step at once, over all parts of the request. The
 /// policy service accepts a hundred in one request.
-pub(super) const MAX_ADVICE_WORKERS: usize = 300;
+pub(in crate::core) const MAX_ADVICE_WORKERS: usize = 300;
 /// Minimum number of workers in a part of a request that is split.
 const MIN_PART_WORKERS: usize = 40;
 /// Maximum number of workers in one request.
@@ -74,7 +74,7 @@
 
 /// What the policy service has answered for one step.
 #[derive(Debug, Default)]
-pub(super) struct StepAdvice {
+pub(in crate::core) struct StepAdvice {
     /// Workers that may run the step, each with its last permit.
     allowed: BTreeMap<WorkerId, Permit>,
     /// Workers about which the service has answered.
@@ -85,55 +85,55 @@
 }
 
 impl StepAdvice {
-    pub(super) fn is_allowed(&self, worker: &WorkerId) -> bool {
+    pub(in crate::core) fn is_allowed(&self, worker: &WorkerId) -> bool {
         self.allowed.contains_key(worker)
     }
 
     /// Returns the workers that may run the step.
-    pub(super) fn allowed_workers(&self) -> impl Iterator<Item = &WorkerId> {
+    pub(in crate::core) fn allowed_workers(&self) -> impl Iterator<Item = &WorkerId> {
         self.allowed.keys()
     }
 
     /// Returns the workers whose permits are valid beyond a time.
-    pub(super) fn permitted(&self, until: CoreTime) -> impl Iterator<Item = &WorkerId> {
+    pub(in crate::core) fn permitted(&self, until: CoreTime) -> impl Iterator<Item = &WorkerId> {
         let permits = self.allowed.iter();
         permits
             .filter(move |(_, permit)| permit.until > until)
             .map(|(id, _)| id)
     }
 
-    pub(super) fn has_answer_for(&self, worker: &WorkerId) -> bool {
+    pub(in crate::core) fn has_answer_for(&self, worker: &WorkerId) -> bool {
         self.answered.contains(worker)
     }
 
     /// Returns the permit for a worker if it is valid beyond a time.
-    pub(super) fn permit(&self, worker: &WorkerId, until: CoreTime) -> Option<&str> {
+    pub(in crate::core) fn permit(&self, worker: &WorkerId, until: CoreTime) -> Option<&str> {
         let permit = self.allowed.get(worker)?;
         (permit.until > until).then_some(permit.text.as_str())
     }
 
-    pub(super) fn can_send_request(&self, now: CoreTime) -> bool {
+    pub(in crate::core) fn can_send_request(&self, now: CoreTime) -> bool {
         self.in_flight.is_empty() && now >= self.retry_at
     }
 
     /// Returns whether the delay after a busy answer has passed, regardless of requests in flight.
-    pub(super) fn may_retry(&self, now: CoreTime) -> bool {
+    pub(in crate::core) fn may_retry(&self, now: CoreTime) -> bool {
         now >= self.retry_at
     }
 
     /// Returns whether a request about a worker is in flight.
-    pub(super) fn is_in_flight_for(&self, worker: &WorkerId) -> bool {
+    pub(in crate::core) fn is_in_flight_for(&self, worker: &WorkerId) -> bool {
         let mut in_flight = self.in_flight.iter();
         in_flight.any(|request| request.workers.contains(worker))
     }
 
     /// Returns whether a request is in flight about workers of which nothing is known.
-    pub(super) fn asks_about_unknown(&self) -> bool {
+    pub(in crate::core) fn asks_about_unknown(&self) -> bool {
         let mut workers = self.in_flight.iter().flat_map(|request| &request.workers);
         workers.any(|worker| !self.answered.contains(worker))
     }
 
-    pub(super) fn has_no_answer(&self) -> bool {
+    pub(in crate::core) fn has_no_answer(&self) -> bool {
         self.answered.is_empty()
     }
 }
@@ -141,7 +141,7 @@
 impl EntryCore {
     /// Requests advice about workers for a step, in parts. Each answer causes another placement pass. Returns
     /// when the last answer is expected.
-    pub(super) fn request_advice(
+    pub(in crate::core) fn request_advice(
         &mut self,
         step: StepKey,
         rule: AdviceRule,
@@ -166,7 +166,7 @@
     }
 
     /// Returns the number of live peers that are estimated to have no request pending.
-    pub(super) fn idle_advisers(&self) -> usize {
+    pub(in crate::core) fn idle_advisers(&self) -> usize {
         let now = self.now;
         let busy = self.lead.as_deref().map(|lead| &lead.adviser_busy);
         let is_busy = |address: &PeerAddress| {
@@ -261,7 +261,7 @@
     }
 
     /// Returns whether the backlog of some instance is short enough for another request.
-    pub(super) fn has_available_adviser(&self, rule: AdviceRule, workers: usize) -> bool {
+    pub(in crate::core) fn has_available_adviser(&self, rule: AdviceRule, workers: usize) -> bool {
         let duration = rule.time_for(workers.min(MIN_PART_WORKERS));
         let adviser = self.choose_adviser(duration);
         let busy = self.lead.as_deref().map(|lead| &lead.adviser_busy);
@@ -270,7 +270,12 @@
     }
 
     /// Sends an advice request of the leader to the policy service.
-    pub(super) fn proxy_advice(&mut self, from: PeerAddress, ticket: Ticket, ask: AdviceRequest) {
+    pub(in crate::core) fn proxy_advice(
+        &mut self,
+        from: PeerAddress,
+        ticket: Ticket,
+        ask: AdviceRequest,
+    ) {
         let local_ticket = self.take_ticket();
         self.proxied_advice.insert(local_ticket, (from, ticket));
         self.actions.push(CoreAction::Advice {
@@ -279,7 +284,7 @@
         });
     }
 
-    pub(super) fn handle_advice(&mut self, ticket: Ticket, answer: AdviceAnswer) {
+    pub(in crate::core) fn handle_advice(&mut self, ticket: Ticket, answer: AdviceAnswer) {
         match self.proxied_advice.remove(&ticket) {
             Some((peer, ticket)) => {
                 self.send_via_hub(peer, PeerMessage::Advised { ticket, answer });
@@ -288,7 +293,7 @@
         }
     }
 
-    pub(super) fn finish_advice(&mut self, ticket: Ticket, answer: AdviceAnswer) {
+    pub(in crate::core) fn finish_advice(&mut self, ticket: Ticket, answer: AdviceAnswer) {
         let now = self.now;
         let Some(lead) = self.lead.as_deref_mut() else {
             return;
@@ -343,7 +348,7 @@
         }
     }
 
-    pub(super) fn drop_permit(&mut self, step: StepKey, worker: &WorkerId) {
+    pub(in crate::core) fn drop_permit(&mut self, step: StepKey, worker: &WorkerId) {
         let Some(lead) = self.lead.as_deref_mut() else {
             return;
         };
@@ -357,7 +362,7 @@
     }
 
     /// Expires the permits for a worker, which were issued for its previous process.
-    pub(super) fn drop_permits_of(&mut self, worker: &WorkerId) {
+    pub(in crate::core) fn drop_permits_of(&mut self, worker: &WorkerId) {
         let Some(lead) = self.lead.as_deref_mut() else {
             return;
         };
@@ -368,7 +373,7 @@
     }
 
     /// Drops the requests in flight at a peer that does not respond, so that other instances get them.
-    pub(super) fn reassign_advice(&mut self, peer: PeerAddress) {
+    pub(in crate::core) fn reassign_advice(&mut self, peer: PeerAddress) {
         let Some(lead) = self.lead.as_deref_mut() else {
             return;
         };
@@ -381,7 +386,7 @@
     }
 
     /// Abandons requests that have had no answer for too long.
-    pub(super) fn run_advice(&mut self) {
+    pub(in crate::core) fn run_advice(&mut self) {
         let now = self.now;
         let Some(lead) = self.lead.as_deref_mut() else {
             return;
--- a/crates/bankvalve_queue/src/core/capacity_reclaim.rs
+++ b/crates/bankvalve_queue/src/core/placement/capacity_reclaim.rs
@@ -10,11 +10,11 @@
 use std::collections::BinaryHeap;
 use std::time::Duration;
 
-use super::live_run::{LiveRun, RunPhase};
-use super::placement::StepToPlace;
-use super::worker_selection::{is_eligible, tasks_on};
-use super::worker_state::WorkerState;
-use super::EntryCore;
+use crate::core::live_run::{LiveRun, RunPhase};
+use crate::core::placement::worker_selection::{is_eligible, tasks_on};
+use crate::core::placement::StepToPlace;
+use crate::core::worker_state::WorkerState;
+use crate::core::EntryCore;
 use crate::ids::{CoreTime, StepKey, TaskKey, WorkerId};
 use crate::job::TaskSize;
 use crate::policy::PolicySwitch;
@@ -55,7 +55,7 @@
 
 /// Capacity that is reserved for a step.
 #[derive(Clone, Copy, Debug)]
-pub(super) struct CapacityClaim {
+pub(in crate::core) struct CapacityClaim {
     since: CoreTime,
     until: CoreTime,
     /// Reserved CPU in millicores.
@@ -64,7 +64,7 @@
 
 /// A plan to get capacity for one task on one worker.
 #[derive(Clone, Debug)]
-pub(super) struct CapacityPlan {
+pub(in crate::core) struct CapacityPlan {
     worker: WorkerId,
     /// Time until the capacity is free.
     after: Duration,
@@ -77,12 +77,12 @@
 }
 
 impl CapacityPlan {
-    pub(super) fn worker(&self) -> &WorkerId {
+    pub(in crate::core) fn worker(&self) -> &WorkerId {
         &self.worker
     }
 
     /// Returns the time until the capacity is free.
-    pub(super) fn after(&self) -> Duration {
+    pub(in crate::core) fn after(&self) -> Duration {
         self.after
     }
 }
@@ -137,7 +137,7 @@
 
 impl EntryCore {
     /// Returns whether a step has waited so long for capacity that it may be reclaimed.
-    pub(super) fn may_reclaim_capacity(&self, key: StepKey) -> bool {
+    pub(in crate::core) fn may_reclaim_capacity(&self, key: StepKey) -> bool {
         let Some(lead) = self.lead.as_deref() else {
             return false;
         };
@@ -158,14 +158,14 @@
     }
 
     /// Returns whether capacity is being reclaimed or reserved for a step.
-    pub(super) fn has_capacity_claim(&self, key: StepKey) -> bool {
+    pub(in crate::core) fn has_capacity_claim(&self, key: StepKey) -> bool {
         let lead = self.lead.as_deref();
         let claim = lead.and_then(|lead| lead.capacity_claims.get(&key));
         claim.is_some_and(|claim| claim.until > self.now)
     }
 
     /// Records that tasks of a step found no capacity.
-    pub(super) fn record_capacity_wait(&mut self, key: StepKey) {
+    pub(in crate::core) fn record_capacity_wait(&mut self, key: StepKey) {
         let now = self.now;
         if let Some(lead) = self.lead.as_deref_mut() {
             lead.capacity_waits.entry(key).or_insert(now);
@@ -173,7 +173,7 @@
     }
 
     /// Forgets that a step waited for capacity, and drops its reservations.
-    pub(super) fn drop_capacity_claim(&mut self, key: StepKey) {
+    pub(in crate::core) fn drop_capacity_claim(&mut self, key: StepKey) {
         let Some(lead) = self.lead.as_deref_mut() else {
             return;
         };
@@ -185,7 +185,7 @@
 
     /// Drops a step's reservations, so that its capacity is planned again. The step keeps the time since
     /// which it has waited.
-    pub(super) fn release_reservations(&mut self, key: StepKey) {
+    pub(in crate::core) fn release_reservations(&mut self, key: StepKey) {
         let now = self.now;
         let Some(lead) = self.lead.as_deref_mut() else {
             return;
@@ -197,7 +197,7 @@
     }
 
     /// Reclaims capacity for tasks of a step that found none.
-    pub(super) fn reclaim_capacity(&mut self, step: &StepToPlace, missing: usize) {
+    pub(in crate::core) fn reclaim_capacity(&mut self, step: &StepToPlace, missing: usize) {
         let now = self.now;
         let key = step.key;
         let Some(lead) = self.lead.as_deref() else {
@@ -263,7 +263,11 @@
 
     /// Plans capacity for long-running tasks that restart. It may be reserved for other steps, unless they
     /// restart as well.
-    pub(super) fn plan_restart(&self, step: &StepToPlace, tasks: usize) -> Vec<CapacityPlan> {
+    pub(in crate::core) fn plan_restart(
+        &self,
+        step: &StepToPlace,
+        tasks: usize,
+    ) -> Vec<CapacityPlan> {
         let lead = self.lead.as_deref();
         let respects = |key: StepKey| lead.is_some_and(|lead| lead.restarting.contains_key(&key));
         self.plan_capacity(step, tasks, respects)
@@ -449,7 +453,7 @@
     }
 
     /// Stops the runs that must end for the plans.
-    pub(super) fn stop_planned_runs(&mut self, plans: &[CapacityPlan]) {
+    pub(in crate::core) fn stop_planned_runs(&mut self, plans: &[CapacityPlan]) {
         for plan in plans {
             for task in &plan.stops {
                 if let Some(lead) = self.lead.as_deref_mut() {
--- a/crates/bankvalve_queue/src/core/placement.rs
+++ b/crates/bankvalve_queue/src/core/placement/mod.rs
@@ -1,20 +1,26 @@
 //! The placement loop: decides which waiting task runs on which worker.
 
+pub(in crate::core) mod advice;
+pub(in crate::core) mod capacity_reclaim;
+pub(in crate::core) mod restart_preparation;
+pub(in crate::core) mod waiting_steps;
+pub(in crate::core) mod worker_selection;
+
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use super::advice::StepAdvice;
-use super::commit::Effect;
-use super::live_run::{LiveRun, RunPhase};
-use super::restart_preparation::is_prepared_restart;
-use super::suspects::{SuspectHistory, TrialMode};
-use super::waiting_steps::{Lateness, WaitingRank, FIRST_RANK};
-use super::worker_selection::{
+use crate::core::commit::Effect;
+use crate::core::live_run::{LiveRun, RunPhase};
+use crate::core::placement::advice::StepAdvice;
+use crate::core::placement::restart_preparation::is_prepared_restart;
+use crate::core::placement::waiting_steps::{Lateness, WaitingRank, FIRST_RANK};
+use crate::core::placement::worker_selection::{
     assign_workers, eligible_workers, first_advice_request, is_eligible, unasked_with_capacity,
     workers_to_ask,
 };
-use super::worker_state::{Reservation, WorkerState};
-use super::EntryCore;
+use crate::core::suspects::{SuspectHistory, TrialMode};
+use crate::core::worker_state::{Reservation, WorkerState};
+use crate::core::EntryCore;
 use crate::customer::CustomerName;
 use crate::ids::{CoreTime, RunId, StepKey, TaskKey, WorkerId};
 use crate::job::{StepSpec, TaskSize};
@@ -52,43 +58,43 @@
 const BEYOND_SHARE_PRIORITY: u32 = 1_000;
 
 /// A step whose tasks are being placed.
-pub(super) struct StepToPlace {
-    pub(super) key: StepKey,
-    pub(super) spec: StepSpec,
-    pub(super) service: String,
-    pub(super) customer: Option<CustomerName>,
-    pub(super) rule: Option<AdviceRule>,
-    pub(super) tasks: Vec<TaskKey>,
+pub(in crate::core) struct StepToPlace {
+    pub(in crate::core) key: StepKey,
+    pub(in crate::core) spec: StepSpec,
+    pub(in crate::core) service: String,
+    pub(in crate::core) customer: Option<CustomerName>,
+    pub(in crate::core) rule: Option<AdviceRule>,
+    pub(in crate::core) tasks: Vec<TaskKey>,
     run: RunId,
-    pub(super) resources: TaskSize,
-    pub(super) priority: u32,
+    pub(in crate::core) resources: TaskSize,
+    pub(in crate::core) priority: u32,
     /// Whether the step has the highest priority, 0.
-    pub(super) urgent: bool,
+    pub(in crate::core) urgent: bool,
     /// Whether the step prefers workers on which tasks run faster.
-    pub(super) fast_first: bool,
+    pub(in crate::core) fast_first: bool,
     /// Whether the step prefers workers whose last run did not fail.
-    pub(super) healthy_first: bool,
+    pub(in crate::core) healthy_first: bool,
     /// Suspects among the tasks that start only where nothing else runs.
     isolated: Vec<TaskKey>,
     /// Suspects among the tasks that start only where no other new run is.
     apart_from_new: Vec<TaskKey>,
     /// Workers that ended while they ran one of the isolated suspects. Another end of the same worker would
     /// add no evidence.
-    pub(super) crashed_workers: Vec<WorkerId>,
+    pub(in crate::core) crashed_workers: Vec<WorkerId>,
     /// Whether one of the tasks is long-running and past its restart deadline, so that workers in back-off
     /// are eligible too.
-    pub(super) past_deadline: bool,
+    pub(in crate::core) past_deadline: bool,
 }
 
 /// The tasks to place, the isolated suspects among them, and the suspects placed apart from new runs.
 type TrialTasks = (Vec<TaskKey>, Vec<TaskKey>, Vec<TaskKey>);
 
 /// Tasks of a step, each with the worker selected for it.
-pub(super) type Assignment = Vec<(TaskKey, WorkerId)>;
+pub(in crate::core) type Assignment = Vec<(TaskKey, WorkerId)>;
 
 impl StepToPlace {
     /// Returns the maximum number of the step's tasks on one worker.
-    pub(super) fn worker_limit(&self) -> usize {
+    pub(in crate::core) fn worker_limit(&self) -> usize {
         match self.spec.per_worker_limit {
             0 => usize::MAX,
             limit => limit as usize,
@@ -96,7 +102,7 @@
     }
 
     /// Returns the resources that a task takes on a worker. An isolated task takes the whole worker.
-    pub(super) fn resources_of(&self, task: &TaskKey, state: &WorkerState) -> TaskSize {
+    pub(in crate::core) fn resources_of(&self, task: &TaskKey, state: &WorkerState) -> TaskSize {
         if self.isolated.contains(task) {
             state.entry.room
         } else {
@@ -105,44 +111,53 @@
     }
 
     /// Returns whether some eligible workers are better than others for reasons other than their free capacity.
-    pub(super) fn prefers_some_workers(&self) -> bool {
+    pub(in crate::core) fn prefers_some_workers(&self) -> bool {
         let spec = &self.spec;
         let rack = spec.data_rack.is_some() || (spec.gang && spec.same_rack);
         rack || spec.required_label.is_some() || self.has_trials()
     }
 
     /// Returns the number of suspects that must be isolated or placed apart from new runs.
-    pub(super) fn trial_count(&self) -> usize {
+    pub(in crate::core) fn trial_count(&self) -> usize {
         self.isolated.len() + self.apart_from_new.len()
     }
 
     /// Returns whether any task is such a suspect.
-    pub(super) fn has_trials(&self) -> bool {
+    pub(in crate::core) fn has_trials(&self) -> bool {
         self.trial_count() > 0
     }
 
     /// Returns whether a task is a suspect that must be isolated or placed apart from new runs.
-    pub(super) fn is_trial(&self, task: &TaskKey) -> bool {
+    pub(in crate::core) fn is_trial(&self, task: &TaskKey) -> bool {
         self.isolated.contains(task) || self.apart_from_new.contains(task)
     }
 
     /// Returns whether a task may start beside the runs that the worker has.
-    pub(super) fn may_join(&self, task: &TaskKey, state: &WorkerState, now: CoreTime) -> bool {
+    pub(in crate::core) fn may_join(
+        &self,
+        task: &TaskKey,
+        state: &WorkerState,
+        now: CoreTime,
+    ) -> bool {
         !self.apart_from_new.contains(task) || !state.has_new_run(now)
     }
 
     /// Returns whether all tasks may start beside any other runs.
-    pub(super) fn has_no_trials(&self) -> bool {
+    pub(in crate::core) fn has_no_trials(&self) -> bool {
         !self.has_trials()
     }
 
     /// Returns whether all tasks are long-running suspects that start only where no other new run is.
-    pub(super) fn starts_apart(&self) -> bool {
+    pub(in crate::core) fn starts_apart(&self) -> bool {
         self.spec.lasting && !self.tasks.is_empty() && self.apart_from_new.len() == self.tasks.len()
     }
 
     /// Returns the time until the tasks may start beside the runs that a worker has.
-    pub(super) fn time_until_joinable(&self, state: &WorkerState, now: CoreTime) -> Duration {
+    pub(in crate::core) fn time_until_joinable(
+        &self,
+        state: &WorkerState,
+        now: CoreTime,
+    ) -> Duration {
         if self.starts_apart() {
             state.time_until_settled(now)
         } else {
@@ -152,7 +167,7 @@
 
     /// Returns what is reserved on a worker for each task: the whole worker if no new run may join it before
     /// the task starts.
-    pub(super) fn resources_to_reserve(&self, state: &WorkerState) -> TaskSize {
+    pub(in crate::core) fn resources_to_reserve(&self, state: &WorkerState) -> TaskSize {
         if self.starts_apart() {
             state.entry.room
         } else {
@@ -162,7 +177,7 @@
 
     /// Returns the resources that each task takes on a worker: the whole worker if all tasks are isolated, or
     /// else those of a task that is not.
-    pub(super) fn resources_on(&self, state: &WorkerState) -> TaskSize {
+    pub(in crate::core) fn resources_on(&self, state: &WorkerState) -> TaskSize {
         if self.isolated.len() == self.tasks.len() {
             state.entry.room
         } else {
@@ -173,7 +188,7 @@
 
 impl EntryCore {
     /// Runs a placement pass if one is due.
-    pub(super) fn run_placement(&mut self) {
+    pub(in crate::core) fn run_placement(&mut self) {
         let now = self.now;
         let by_time = self.uses(PolicySwitch::LatestStart);
         // Without a recent configuration, the customers' limits and the evacuations are unknown.
@@ -267,7 +282,11 @@
 
     /// Returns a step with only these tasks, which may still be running. They may start beside any other
     /// runs, unless all of them must be isolated: then they start apart from new runs.
-    pub(super) fn step_to_restart(&self, key: StepKey, tasks: Vec<TaskKey>) -> Option<StepToPlace> {
+    pub(in crate::core) fn step_to_restart(
+        &self,
+        key: StepKey,
+        tasks: Vec<TaskKey>,
+    ) -> Option<StepToPlace> {
         let record = self.book.job(key.job)?.step(key)?;
         let must_be_isolated = |task: &TaskKey| {
             let count = record.tasks.get(task.index as usize);
@@ -519,7 +538,7 @@
 
     /// Reserves capacity for one task of a step on each of these workers; for several on a worker that occurs
     /// several times.
-    pub(super) fn reserve_capacity<'a>(
+    pub(in crate::core) fn reserve_capacity<'a>(
         &mut self,
         step: &StepToPlace,
         workers: impl Iterator<Item = &'a WorkerId>,
--- a/crates/bankvalve_queue/src/core/restart_preparation.rs
+++ b/crates/bankvalve_queue/src/core/placement/restart_preparation.rs
@@ -12,13 +12,13 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use super::advice::StepAdvice;
-use super::capacity_reclaim::CapacityPlan;
-use super::lead_state::LeadState;
-use super::placement::StepToPlace;
-use super::worker_selection::{is_eligible, tasks_on, workers_with_most_free};
-use super::worker_state::{WorkerState, UNRESPONSIVE_AFTER};
-use super::EntryCore;
+use crate::core::lead_state::LeadState;
+use crate::core::placement::advice::StepAdvice;
+use crate::core::placement::capacity_reclaim::CapacityPlan;
+use crate::core::placement::worker_selection::{is_eligible, tasks_on, workers_with_most_free};
+use crate::core::placement::StepToPlace;
+use crate::core::worker_state::{WorkerState, UNRESPONSIVE_AFTER};
+use crate::core::EntryCore;
 use crate::guard::SiteGuard;
 use crate::ids::{StepKey, TaskKey, WorkerId};
 use crate::ledger::{JobOutcome, TaskPhase, TaskRecord};
@@ -51,7 +51,7 @@
 
 /// A step with long-running tasks that are down or soon will be.
 #[derive(Clone, Debug, Default)]
-pub(super) struct RestartingStep {
+pub(in crate::core) struct RestartingStep {
     /// Since when one of them has been down, in Unix milliseconds; 0 if that is not known.
     since: u64,
     /// Tasks for which capacity is reserved now.
@@ -77,12 +77,12 @@
 
 impl RestartingStep {
     /// Returns whether capacity and permits are prepared for all these tasks.
-    pub(super) fn covers(&self, tasks: &[TaskKey]) -> bool {
+    pub(in crate::core) fn covers(&self, tasks: &[TaskKey]) -> bool {
         tasks.iter().all(|task| self.due.contains(task))
     }
 
     /// Returns whether capacity is reserved but none of it is free yet.
-    pub(super) fn awaits_capacity(&self) -> bool {
+    pub(in crate::core) fn awaits_capacity(&self) -> bool {
         self.prepared.reservations > 0 && self.prepared.free == 0
     }
 }
@@ -99,7 +99,7 @@
 
 impl EntryCore {
     /// Prepares permits and capacity for long-running tasks whose runs have ended or soon will.
-    pub(super) fn prepare_restarts(&mut self) {
+    pub(in crate::core) fn prepare_restarts(&mut self) {
         let now = self.now;
         let may_prepare = self.may_command() && self.enforces(SiteGuard::ReadyReturn);
         let Some(lead) = self.lead.as_deref_mut() else {
@@ -421,7 +421,7 @@
 }
 
 /// Returns whether a step's tasks are restarts for which capacity and permits are prepared.
-pub(super) fn is_prepared_restart(lead: &LeadState, step: &StepToPlace) -> bool {
+pub(in crate::core) fn is_prepared_restart(lead: &LeadState, step: &StepToPlace) -> bool {
     let restarting = lead.restarting.get(&step.key);
     step.has_no_trials() && restarting.is_some_and(|restarting| restarting.covers(&step.tasks))
 }
--- a/crates/bankvalve_queue/src/core/waiting_steps.rs
+++ b/crates/bankvalve_queue/src/core/placement/waiting_steps.rs
@@ -1,7 +1,7 @@
 //! Steps that wait for placement, and the order in which they get capacity.
 
-use super::customer_shares::ScheduledStart;
-use super::EntryCore;
+use crate::core::admission::customer_shares::ScheduledStart;
+use crate::core::EntryCore;
 use crate::customer::CustomerName;
 use crate::ids::{CoreTime, JobId, StepKey, TaskKey, WorkerId};
 use crate::job::{StepSpec, TaskSize};
@@ -12,14 +12,14 @@
 
 /// A step with tasks that wait for placement.
 #[derive(Clone, Debug)]
-pub(super) struct WaitingStep {
-    pub(super) tasks: u32,
+pub(in crate::core) struct WaitingStep {
+    pub(in crate::core) tasks: u32,
     /// Scheduled start of its job, if the job exceeded its customer's share when it arrived.
     scheduled_start: Option<ScheduledStart>,
-    pub(super) gang: bool,
+    pub(in crate::core) gang: bool,
     /// Resources of each task. Those of a best-effort task include the CPU that it uses but does not reserve.
-    pub(super) size: TaskSize,
-    pub(super) customer: Option<CustomerName>,
+    pub(in crate::core) size: TaskSize,
+    pub(in crate::core) customer: Option<CustomerName>,
     priority: u32,
     /// Whether the tasks are long-running: they have no end that could be late.
     lasting: bool,
@@ -34,7 +34,7 @@
 
 /// How late a job finishes at best.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(super) enum Lateness {
+pub(in crate::core) enum Lateness {
     /// Within its objective. Urgent jobs and long-running tasks always count as in time: by the age of its
     /// job, a long-running task would always be too late, and advice for it would be requested last.
     InTime,
@@ -48,10 +48,10 @@
 const BEYOND_SHARE_CLASS: u32 = 4;
 
 /// Class of a waiting step, and its place in the class. Smaller ranks come first.
-pub(super) type WaitingRank = (u32, i64);
+pub(in crate::core) type WaitingRank = (u32, i64);
 
 /// Rank of long-running steps that restart. They are few, and must run again in time whatever else waits.
-pub(super) const FIRST_RANK: WaitingRank = (0, i64::MIN);
+pub(in crate::core) const FIRST_RANK: WaitingRank = (0, i64::MIN);
 
 impl WaitingStep {
     fn new(
@@ -89,18 +89,18 @@
     }
 
     /// Returns whether its queue has the highest priority.
-    pub(super) fn is_urgent(&self) -> bool {
+    pub(in crate::core) fn is_urgent(&self) -> bool {
         self.priority == 0
     }
 
     /// Returns whether all steps within their customers' shares come before it.
-    pub(super) fn is_beyond_share(&self, now: CoreTime) -> bool {
+    pub(in crate::core) fn is_beyond_share(&self, now: CoreTime) -> bool {
         self.scheduled_start
             .is_some_and(|scheduled_start| now < scheduled_start.at)
     }
 
     /// Returns how late its job can finish if it starts at a time of day.
-    pub(super) fn lateness(&self, wall_ms: u64) -> Lateness {
+    pub(in crate::core) fn lateness(&self, wall_ms: u64) -> Lateness {
         let now = wall_ms as i64;
         if self.priority == 0 || self.lasting || now <= self.latest_start_ms {
             Lateness::InTime
@@ -117,7 +117,7 @@
     ///
     /// Without `by_time`, the rank depends only on the priority and on when the job was accepted or became
     /// due.
-    pub(super) fn rank(&self, now: CoreTime, wall_ms: u64, by_time: bool) -> WaitingRank {
+    pub(in crate::core) fn rank(&self, now: CoreTime, wall_ms: u64, by_time: bool) -> WaitingRank {
         if !by_time {
             return (self.priority, self.begin_ms);
         }
@@ -137,7 +137,7 @@
 
 impl EntryCore {
     /// Updates the waiting steps of jobs that have changed.
-    pub(super) fn refresh_dirty_jobs(&mut self) {
+    pub(in crate::core) fn refresh_dirty_jobs(&mut self) {
         let Some(lead) = self.lead.as_deref_mut() else {
             return;
         };
--- a/crates/bankvalve_queue/src/core/worker_selection.rs
+++ b/crates/bankvalve_queue/src/core/placement/worker_selection.rs
@@ -3,11 +3,11 @@
 use std::cmp::Reverse;
 use std::collections::BTreeMap;
 
-use super::advice::{StepAdvice, MAX_ADVICE_WORKERS};
-use super::lead_state::LeadState;
-use super::live_run::RunLoad;
-use super::placement::{Assignment, StepToPlace};
-use super::worker_state::{LeaseStop, WorkerState};
+use crate::core::lead_state::LeadState;
+use crate::core::live_run::RunLoad;
+use crate::core::placement::advice::{StepAdvice, MAX_ADVICE_WORKERS};
+use crate::core::placement::{Assignment, StepToPlace};
+use crate::core::worker_state::{LeaseStop, WorkerState};
 use crate::ids::{CoreTime, StepKey, WorkerId};
 use crate::job::TaskSize;
 
@@ -29,7 +29,7 @@
 const MIN_ADVICE_WORKERS_GANG: usize = 100;
 
 /// Returns whether a worker is eligible for tasks of a step, whatever free capacity it has.
-pub(super) fn is_eligible(
+pub(in crate::core) fn is_eligible(
     (id, state): (&WorkerId, &WorkerState),
     step: &StepToPlace,
     now: CoreTime,
@@ -62,7 +62,7 @@
 
 /// Returns workers that are eligible for tasks of a step: all of them, or, on a site of many workers, enough to
 /// choose from.
-pub(super) fn eligible_workers<'a>(
+pub(in crate::core) fn eligible_workers<'a>(
     lead: &'a LeadState,
     step: &StepToPlace,
     now: CoreTime,
@@ -122,14 +122,14 @@
 }
 
 /// Returns how many tasks of a step a worker has.
-pub(super) fn tasks_on(state: &WorkerState, step: StepKey) -> usize {
+pub(in crate::core) fn tasks_on(state: &WorkerState, step: StepKey) -> usize {
     let first = step.task(0);
     let last = step.task(u32::MAX);
     state.runs.range(first..=last).count()
 }
 
 /// Selects workers for as many tasks as fit; for a gang, for all tasks or none.
-pub(super) fn assign_workers(
+pub(in crate::core) fn assign_workers(
     step: &StepToPlace,
     workers: &[(&WorkerId, &WorkerState)],
     now: CoreTime,
@@ -266,7 +266,7 @@
     assignment
 }
 
-pub(super) fn workers_to_ask(assignment: &Assignment) -> Vec<WorkerId> {
+pub(in crate::core) fn workers_to_ask(assignment: &Assignment) -> Vec<WorkerId> {
     let mut workers: Vec<WorkerId> = assignment
         .iter()
         .map(|(_, worker)| worker.clone())
@@ -278,7 +278,7 @@
 }
 
 /// Returns the workers for a step's first advice request: those with the most free capacity.
-pub(super) fn first_advice_request(
+pub(in crate::core) fn first_advice_request(
     step: &StepToPlace,
     workers: &[(&WorkerId, &WorkerState)],
     now: CoreTime,
@@ -298,7 +298,7 @@
 
 /// Returns up to `wanted` workers, those with the most free CPU first. For a step that prefers workers whose
 /// last run did not fail, these come before all others.
-pub(super) fn workers_with_most_free(
+pub(in crate::core) fn workers_with_most_free(
     step: &StepToPlace,
     workers: &[(&WorkerId, &WorkerState)],
     wanted: usize,
@@ -324,7 +324,7 @@
 }
 
 /// Returns eligible workers with enough free capacity about which the policy service has not answered yet.
-pub(super) fn unasked_with_capacity(
+pub(in crate::core) fn unasked_with_capacity(
     lead: &LeadState,
     step: &StepToPlace,
     advice: &StepAdvice,
