feat(admission): submits wait through the rest of a short outage of the table

Cause: each submit is refused at once while the table is unavailable. Callers that come back after 1.1, 0.7, 0.5 and 0.4 s have used up their tries 2.7 s after the first, and an outage lasts 3 to 7 s. Change: the instance that the caller reached holds a submit that the leader has refused for this, if no other copy is open (SiteGuard::HeldAlone) and if half of the known outages that lasted as long ended before the caller's final answer and the job's latest start. The leader's heartbeats report since when the table is unavailable, and hubs pass it on. At its return what is held is sent, urgent first, then by latest start. At most 1,000 requests and 8 MiB for each instance. The time to come back is when the request would be held, spread over 500 ms. Log lines callers wait, wait_over and wait_end; counters outage_wait. PolicySwitch::OutageWait.

--- a/crates/bankvalve_check/src/site/site_calls.rs
+++ b/crates/bankvalve_check/src/site/site_calls.rs
@@ -9,6 +9,7 @@
 };
 use rand::Rng;
 
+use super::site_answers::SiteAnswer;
 use super::site_customers::KeyUse;
 use super::site_world::{Later, SiteWorld};
 
@@ -182,6 +183,14 @@
                 if denied {
                     self.take_newest_key(job);
                 }
+                if tries == u32::MAX {
+                    self.submit_answers.push(SiteAnswer {
+                        node,
+                        job,
+                        took_ms: now - asked_ms,
+                        answer: answer.clone(),
+                    });
+                }
                 let accepted = answer == CallerAnswer::Accepted;
                 let never = matches!(answer, CallerAnswer::BeyondLimit | CallerAnswer::IdInUse);
                 let refused = denied || never || matches!(answer, CallerAnswer::Refused { .. });
--- a/crates/bankvalve_check/src/site/site_world.rs
+++ b/crates/bankvalve_check/src/site/site_world.rs
@@ -286,6 +286,8 @@
     pub costs: Option<StepCosts>,
     /// What callers were told that asked one instance about one job.
     pub answers: Vec<SiteAnswer>,
+    /// What callers were told that handed a job in at one instance, once.
+    pub submit_answers: Vec<SiteAnswer>,
     /// Lines that instances logged, with the time in milliseconds and the instance, where they are
     /// kept.
     pub lines: Option<Vec<(u64, usize, DecisionLine)>>,
@@ -379,6 +381,7 @@
             waiting_looks: BTreeMap::new(),
             costs: None,
             answers: Vec::new(),
+            submit_answers: Vec::new(),
             max_lease_ms,
             lines: None,
             plan,
--- a/crates/bankvalve_queue/src/core/admission/mod.rs
+++ b/crates/bankvalve_queue/src/core/admission/mod.rs
@@ -2,5 +2,7 @@
 
 pub(in crate::core) mod customer_limits;
 pub(in crate::core) mod customer_shares;
+mod held_requests;
 pub(in crate::core) mod load_limit;
+pub(in crate::core) mod outage_wait;
 mod submissions;
--- a/crates/bankvalve_queue/src/core/callers.rs
+++ b/crates/bankvalve_queue/src/core/callers.rs
@@ -43,7 +43,7 @@
     /// Version of the configuration under which the request was interpreted.
     table_version: u64,
     pub(super) since: CoreTime,
-    until: CoreTime,
+    pub(super) until: CoreTime,
     /// Whether the local book is to answer it, by a read index.
     read_locally: bool,
     /// Leader that it was last sent to, and when. That leader may be this instance.
@@ -149,7 +149,10 @@
         ended.then(|| CallerAnswer::State(record.state()))
     }
 
-    fn send_request(&mut self, ticket: Ticket) {
+    pub(super) fn send_request(&mut self, ticket: Ticket) {
+        if self.outage_wait.holds(ticket) {
+            return;
+        }
         let now = self.now;
         let Some(view) = self.leader.as_ref() else {
             return;
@@ -231,6 +234,9 @@
         let mut to_resend = Vec::new();
         let mut timed_out = Vec::new();
         for (ticket, open_request) in &self.open_requests {
+            if self.outage_wait.holds(*ticket) {
+                continue;
+            }
             let waited = now.saturating_sub(open_request.since);
             if now >= open_request.until
                 || (waited > MAX_LEADER_WAIT && open_request.sent.is_none())
@@ -268,9 +274,13 @@
 
     /// Answers a caller. The answer becomes `Unknown` if another copy of the request may take effect.
     pub(super) fn finish_request(&mut self, ticket: Ticket, answer: CallerAnswer) {
+        let Some(answer) = self.hold_refused(ticket, answer) else {
+            return;
+        };
         let Some(open_request) = self.open_requests.remove(&ticket) else {
             return;
         };
+        self.outage_wait.release(self.now, ticket);
         let cancels = matches!(open_request.request, CallerRequest::Cancel { .. });
         let answer = match answer {
             // A former leader may have committed the job, so it may still run.
--- a/crates/bankvalve_queue/src/core/election.rs
+++ b/crates/bankvalve_queue/src/core/election.rs
@@ -57,6 +57,8 @@
     pub(super) loading: bool,
     /// Share of new jobs that it refuses, in percent.
     pub(super) refuse_percent: u32,
+    /// Since when the table is unavailable to it.
+    pub(super) store_away_since: Option<CoreTime>,
 }
 
 impl LeaderView {
@@ -72,6 +74,7 @@
             ended: false,
             loading: false,
             refuse_percent: 0,
+            store_away_since: None,
         }
     }
 }
@@ -299,11 +302,13 @@
             self.follow(LeaderView {
                 loading: heartbeat.loading,
                 refuse_percent: heartbeat.refuse_percent,
+                store_away_since: self.reported_outage(heartbeat),
                 ..LeaderView::new(from, heartbeat.life, heartbeat.epoch, self.now)
             });
             return;
         }
         let now = self.now;
+        let store_away_since = self.reported_outage(heartbeat);
         if let Some(leader) = self.leader.as_mut() {
             if leader.address == from {
                 leader.last_contact = now;
@@ -312,11 +317,18 @@
                 leader.ended = false;
                 leader.loading = heartbeat.loading;
                 leader.refuse_percent = heartbeat.refuse_percent;
+                leader.store_away_since = store_away_since;
                 self.suspect_since = None;
             }
         }
     }
 
+    /// Returns since when the table is unavailable to the leader, by a heartbeat.
+    pub(super) fn reported_outage(&self, heartbeat: &HeartbeatBody) -> Option<CoreTime> {
+        let lasted = Duration::from_millis(heartbeat.store_away_ms?);
+        Some(self.now.saturating_sub(lasted))
+    }
+
     pub(super) fn run_election(&mut self) {
         if self.lead.is_some() {
             self.consider_handover();
--- a/crates/bankvalve_queue/src/core/entry_core.rs
+++ b/crates/bankvalve_queue/src/core/entry_core.rs
@@ -8,6 +8,7 @@
 
 use super::admission::customer_limits::CustomerLimits;
 use super::admission::load_limit::ShareGate;
+use super::admission::outage_wait::OutageWait;
 use super::call_proxies::ProxyOrigin;
 use super::callers::OpenRequest;
 use super::election::{LeaderView, PeerView};
@@ -331,6 +332,8 @@
     pub(super) log_budget: LogBudget,
     /// Admits the share of new jobs that the leader accepts.
     pub(super) gate: ShareGate,
+    /// Submits that are held while the table is unavailable.
+    pub(super) outage_wait: OutageWait,
     pub(super) counters: EntryCounters,
     pub(super) actions: Vec<CoreAction>,
 }
@@ -399,6 +402,7 @@
             logged_readiness: None,
             log_budget: LogBudget::default(),
             gate: ShareGate::default(),
+            outage_wait: OutageWait::default(),
             counters: EntryCounters::default(),
             actions: Vec::new(),
         }
@@ -515,6 +519,7 @@
         self.run_watches();
         self.run_membership();
         self.run_election();
+        self.run_outage_wait();
         self.run_heartbeats();
         self.run_open_requests();
         self.run_follower_reads();
--- a/crates/bankvalve_queue/src/core/members.rs
+++ b/crates/bankvalve_queue/src/core/members.rs
@@ -108,6 +108,9 @@
             stopping: self.stopping,
             hold_ms: self.lease_duration().as_millis() as u64,
             evacuations: self.evacuations.list(),
+            store_away_ms: self
+                .store_away_since()
+                .map(|at| self.age(at).as_millis() as u64),
         }
     }
 
@@ -199,6 +202,7 @@
         let at = self
             .now
             .checked_sub(Duration::from_millis(heartbeat.leader_age_ms));
+        let store_away_since = self.reported_outage(heartbeat);
         let Some((leader, at)) = self.leader.as_mut().zip(at) else {
             return;
         };
@@ -206,6 +210,7 @@
         if same && !leader.gone {
             leader.last_contact = leader.last_contact.max(at);
             leader.refuse_percent = heartbeat.refuse_percent;
+            leader.store_away_since = store_away_since;
         }
     }
 
--- a/crates/bankvalve_queue/src/core/mod.rs
+++ b/crates/bankvalve_queue/src/core/mod.rs
@@ -86,5 +86,6 @@
 mod worker_reports;
 mod worker_state;
 
+pub use admission::outage_wait::{HoldDecision, HoldTerms, OutageForecast, OutageWait, WaitTally};
 pub use entry_core::{CoreAction, CoreEvent, EntryCore, EntrySettings};
 pub use task_waits::{StartWait, TaskWaits, WaitReason};
--- a/crates/bankvalve_queue/src/guard.rs
+++ b/crates/bankvalve_queue/src/guard.rs
@@ -87,11 +87,14 @@
     EvacuatedDomain,
     /// A start that was pending while the failure domain of its worker was evacuated is not sent.
     EvacuatedNow,
+    /// A submit of which a copy may still be accepted is not held through an outage of the table: its refusal
+    /// at the end of the wait would not be certain.
+    HeldAlone,
 }
 
 impl SiteGuard {
     /// All guards.
-    pub const ALL: [SiteGuard; 35] = [
+    pub const ALL: [SiteGuard; 36] = [
         SiteGuard::LedgerFirst,
         SiteGuard::OwnRow,
         SiteGuard::KeptEnds,
@@ -127,6 +130,7 @@
         SiteGuard::RecentConfig,
         SiteGuard::EvacuatedDomain,
         SiteGuard::EvacuatedNow,
+        SiteGuard::HeldAlone,
     ];
 
     /// Returns the name on the command line.
@@ -176,6 +180,7 @@
             SiteGuard::RecentConfig => "recent-config",
             SiteGuard::EvacuatedDomain => "evacuated-domain",
             SiteGuard::EvacuatedNow => "evacuated-now",
+            SiteGuard::HeldAlone => "held-alone",
         }
     }
 
--- a/crates/bankvalve_queue/src/job.rs
+++ b/crates/bankvalve_queue/src/job.rs
@@ -244,7 +244,7 @@
     }
 
     /// Returns an upper bound of the job's size in the ledger, in bytes.
-    fn ledger_bytes(&self) -> usize {
+    pub(crate) fn ledger_bytes(&self) -> usize {
         /// Bytes of a step's numbers and flags, and of the separators of its texts.
         const STEP_BYTES: usize = 120;
         /// Bytes of the index of an earlier step.
--- a/crates/bankvalve_queue/src/peer.rs
+++ b/crates/bankvalve_queue/src/peer.rs
@@ -159,6 +159,10 @@
     /// Evacuated failure domains; `None` if the sender does not know them yet.
     #[serde(default)]
     pub evacuations: Option<EvacuationList>,
+    /// Milliseconds since the table became unavailable to the leader, as last known to the sender; `None` if
+    /// it is available.
+    #[serde(default)]
+    pub store_away_ms: Option<u64>,
 }
 
 /// A call to a worker that a proxy sends for the leader.
