--- a/crates/bankvalve_check/tests/site/main.rs
+++ b/crates/bankvalve_check/tests/site/main.rs
@@ -19,6 +19,7 @@
 mod lasting;
 mod leading;
 mod lost_workers;
+mod outage;
 mod overload;
 mod permits;
 mod random;
