feat(queue): steps are placed by priority where a queue's priority is between others

Cause: steps that are not urgent are ordered by their latest start, whatever the priority of their queue. In a burst, gangs of priority 1 that have become late come after all batches of priority 2 that are still in time. Steps that await their first answer of the policy service take places of the pass (100) although nothing can be done for them.

Change: `PolicySwitch::CapacityPlan`, in effect if a queue's priority comes after 0 and before another's. Steps are then ordered by priority, lateness and latest start; only steps that can no longer earn anything come after those of every priority. Steps that await their first answer are left out of the pass.

Checked: the tests of the crate pass. Effect not measured yet.

--- a/crates/bankvalve_queue/src/core/placement/mod.rs
+++ b/crates/bankvalve_queue/src/core/placement/mod.rs
@@ -13,7 +13,7 @@
 use crate::core::live_run::{LiveRun, RunPhase};
 use crate::core::placement::advice::StepAdvice;
 use crate::core::placement::restart_preparation::is_prepared_restart;
-use crate::core::placement::waiting_steps::{Lateness, WaitingRank, FIRST_RANK};
+use crate::core::placement::waiting_steps::{Lateness, StepOrder, WaitingRank, FIRST_RANK};
 use crate::core::placement::worker_selection::{
     assign_workers, eligible_workers, first_advice_request, is_eligible, unasked_with_capacity,
     workers_to_ask,
@@ -26,7 +26,7 @@
 use crate::job::{StepSpec, TaskSize};
 use crate::ledger::{CrashCount, LedgerEvent, TaskPhase, TaskRecord};
 use crate::policy::PolicySwitch;
-use crate::queue_table::AdviceRule;
+use crate::queue_table::{AdviceRule, QueueTable};
 
 /// Maximum number of steps considered in one placement pass, in the order of their ranks.
 const MAX_STEPS_PER_PASS: usize = 100;
@@ -190,7 +190,12 @@
     /// Runs a placement pass if one is due.
     pub(in crate::core) fn run_placement(&mut self) {
         let now = self.now;
-        let by_time = self.uses(PolicySwitch::LatestStart);
+        let plans_capacity = self.plans_capacity();
+        let order = match (self.uses(PolicySwitch::LatestStart), plans_capacity) {
+            (false, _) => StepOrder::Arrival,
+            (true, false) => StepOrder::LatestStart,
+            (true, true) => StepOrder::Priority,
+        };
         // Without a recent configuration, the customers' limits and the evacuations are unknown.
         let unknown =
             self.table.is_none() || !self.evacuations.are_known() || !self.may_start_by_config();
@@ -216,7 +221,7 @@
                 let rank = if restarts {
                     FIRST_RANK
                 } else {
-                    step.rank(now, wall, by_time)
+                    step.rank(now, wall, order)
                 };
                 (rank, *key)
             })
@@ -227,6 +232,14 @@
         let Some(lead) = self.lead.as_deref_mut() else {
             return;
         };
+        if plans_capacity {
+            // The first answer is awaited: nothing can be done for the step. In a burst, such steps would take
+            // most places of a pass.
+            ranked.retain(|(_, key)| {
+                let advice = lead.advice.get(key);
+                !advice.is_some_and(StepAdvice::awaits_first_answer)
+            });
+        }
         ranked.truncate(MAX_STEPS_PER_PASS);
         lead.next_placement += PLACEMENT_INTERVAL_PER_STEP * ranked.len() as u32;
         let largest_free = lead.max_free();
@@ -252,6 +265,14 @@
             .count_many("placements", "workers_scanned", scanned);
     }
 
+    /// Returns whether capacity is planned by priority: the configuration has queues of a priority between the
+    /// first and the last.
+    pub(in crate::core) fn plans_capacity(&self) -> bool {
+        let table = self.table.as_ref();
+        let applies = table.is_some_and(QueueTable::has_intermediate_priority);
+        applies && self.uses(PolicySwitch::CapacityPlan)
+    }
+
     /// Updates the waiting steps whose tasks have just been placed, without causing another placement pass.
     fn refresh_placed_steps(&mut self) {
         self.refresh_dirty_jobs();
--- a/crates/bankvalve_queue/src/core/placement/waiting_steps.rs
+++ b/crates/bankvalve_queue/src/core/placement/waiting_steps.rs
@@ -33,7 +33,7 @@
 }
 
 /// How late a job finishes at best.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub(in crate::core) enum Lateness {
     /// Within its objective. Urgent jobs and long-running tasks always count as in time: by the age of its
     /// job, a long-running task would always be too late, and advice for it would be requested last.
@@ -47,11 +47,23 @@
 /// Added to the class of steps beyond their customers' shares.
 const BEYOND_SHARE_CLASS: u32 = 4;
 
-/// Class of a waiting step, and its place in the class. Smaller ranks come first.
-pub(in crate::core) type WaitingRank = (u32, i64);
+/// Class of a waiting step, the priority of its queue and its lateness where they count, and its place among
+/// steps that are alike in these. Smaller ranks come first.
+pub(in crate::core) type WaitingRank = (u32, u32, Lateness, i64);
 
 /// Rank of long-running steps that restart. They are few, and must run again in time whatever else waits.
-pub(in crate::core) const FIRST_RANK: WaitingRank = (0, i64::MIN);
+pub(in crate::core) const FIRST_RANK: WaitingRank = (0, 0, Lateness::InTime, i64::MIN);
+
+/// What the order of waiting steps depends on.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(in crate::core) enum StepOrder {
+    /// Priority, and when the job was accepted or became due.
+    Arrival,
+    /// Lateness, and the latest start in time. Of the priorities, only the first counts.
+    LatestStart,
+    /// Priority, then lateness, then the latest start in time.
+    Priority,
+}
 
 impl WaitingStep {
     fn new(
@@ -115,23 +127,35 @@
     /// then steps that can finish late, then the others; in each class, by their latest start in time. Steps
     /// beyond their customers' shares come after all these, in the same order.
     ///
-    /// Without `by_time`, the rank depends only on the priority and on when the job was accepted or became
-    /// due.
-    pub(in crate::core) fn rank(&self, now: CoreTime, wall_ms: u64, by_time: bool) -> WaitingRank {
-        if !by_time {
-            return (self.priority, self.begin_ms);
-        }
-        let class = match self.lateness(wall_ms) {
+    /// In the order of priorities, a smaller priority value comes before a larger one even if its step can
+    /// only finish late. Otherwise gangs that had become late waited for all batches of a lower priority that
+    /// were still in time. Only steps that can no longer earn anything come after those of any priority.
+    pub(in crate::core) fn rank(
+        &self,
+        now: CoreTime,
+        wall_ms: u64,
+        order: StepOrder,
+    ) -> WaitingRank {
+        let lateness = self.lateness(wall_ms);
+        let class = match lateness {
             Lateness::InTime => u32::from(self.priority > 0),
             Lateness::Late => 2,
             Lateness::TooLate => 3,
         };
-        let class = if self.is_beyond_share(now) {
-            class + BEYOND_SHARE_CLASS
+        let is_beyond_share = self.is_beyond_share(now);
+        let shift = if is_beyond_share {
+            BEYOND_SHARE_CLASS
         } else {
-            class
+            0
         };
-        (class, self.latest_start_ms)
+        match order {
+            StepOrder::Arrival => (self.priority, 0, Lateness::InTime, self.begin_ms),
+            StepOrder::LatestStart => (class + shift, 0, lateness, self.latest_start_ms),
+            StepOrder::Priority => {
+                let class = if lateness == Lateness::Late { 1 } else { class };
+                (class + shift, self.priority, lateness, self.latest_start_ms)
+            }
+        }
     }
 }
 
--- a/crates/bankvalve_queue/src/policy.rs
+++ b/crates/bankvalve_queue/src/policy.rs
@@ -38,11 +38,14 @@
     /// Gangs of queues that allow few failed runs prefer workers whose last run did not fail
     /// ("proved" workers).
     ProvedWorkers,
+    /// Where the configuration has queues of a priority between the first and the last, capacity is planned by
+    /// priority.
+    CapacityPlan,
 }
 
 impl PolicySwitch {
     /// All policies.
-    pub const ALL: [PolicySwitch; 15] = [
+    pub const ALL: [PolicySwitch; 16] = [
         PolicySwitch::ReadBack,
         PolicySwitch::QuickRepeat,
         PolicySwitch::ShortLooks,
@@ -58,5 +61,6 @@
         PolicySwitch::Withdrawal,
         PolicySwitch::CustomerShares,
         PolicySwitch::ProvedWorkers,
+        PolicySwitch::CapacityPlan,
     ];
 }
--- a/crates/bankvalve_queue/src/queue_table.rs
+++ b/crates/bankvalve_queue/src/queue_table.rs
@@ -137,6 +137,33 @@
         self.queues.values()
     }
 
+    /// Returns whether a queue's priority comes after the first, 0, and before another queue's.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use std::collections::BTreeMap;
+    /// use bankvalve_queue::{JobTerms, QueueRule, QueueTable};
+    ///
+    /// let table = |priorities: &[u32]| {
+    ///     let rule = |priority: &u32| QueueRule {
+    ///         name: priority.to_string(),
+    ///         terms: JobTerms { priority: *priority, ..Default::default() },
+    ///         ..Default::default()
+    ///     };
+    ///     QueueTable::new(1, priorities.iter().map(rule).collect(), BTreeMap::new())
+    /// };
+    /// assert!(!table(&[0, 1]).has_intermediate_priority());
+    /// assert!(table(&[0, 1, 2]).has_intermediate_priority());
+    /// assert!(table(&[1, 2]).has_intermediate_priority());
+    /// ```
+    pub fn has_intermediate_priority(&self) -> bool {
+        let priorities = self.queues.values().map(|rule| rule.terms.priority);
+        let later = priorities.filter(|priority| *priority > 0);
+        let range = later.clone().min().zip(later.max());
+        range.is_some_and(|(least, most)| least < most)
+    }
+
     /// Finds the queue on a host with the longest prefix of a path.
     ///
     /// # Examples
