feat(queue): runs whose stop loses least work are stopped first

Cause: of the runs that may be stopped for a step, the largest are chosen first, whatever their priority and the work since their last save.

Change: where capacity is planned by priority, runs of the last priority are stopped first, then those that lose least (resources times the time since the last save, about one a second, and a restart). Of the runs chosen on a worker, those that need not be stopped are left out. A gang costs what all its members lose. So far no member of a gang is stopped for another step (`must_not_move`); now one is if an urgent step finds no capacity by its latest start without that and does with it, once for each gang, and only if its priority is lower. Counter `placements/stopped_gang_members`.

Effect not measured.

--- a/crates/bankvalve_queue/src/core/placement/capacity_reclaim.rs
+++ b/crates/bankvalve_queue/src/core/placement/capacity_reclaim.rs
@@ -7,7 +7,7 @@
 //! steps do not take it again and again.
 
 use std::cmp::{Ordering, Reverse};
-use std::collections::BinaryHeap;
+use std::collections::{BTreeSet, BinaryHeap};
 use std::time::Duration;
 
 use crate::core::live_run::{LiveRun, RunPhase};
@@ -50,6 +50,12 @@
 const WAIT_BEFORE_STOP: Duration = Duration::from_millis(700);
 /// Maximum number of times that a task is stopped for other steps, so that it can finish.
 const MAX_PREEMPTIONS: u32 = 3;
+/// Interval at which tasks with checkpoints save their progress.
+const SAVE_INTERVAL: Duration = Duration::from_millis(1_000);
+/// Time until a stopped task works again, which adds to the work that its stop loses.
+const RESTART_COST: Duration = Duration::from_millis(500);
+/// Maximum number of times that members of a gang are stopped for other steps: each stop ends all members.
+const MAX_GANG_PREEMPTIONS: u32 = 1;
 /// Weight of an accelerator in millicores when runs to stop are selected. The platform uses the same figure.
 const ACCELERATOR_WEIGHT: u64 = 8_000;
 
@@ -72,8 +78,50 @@
     freed: Vec<TaskKey>,
     /// Runs to stop for the task.
     stops: Vec<TaskKey>,
-    /// Weight of the runs to stop, in millicores.
-    weight: u64,
+    /// Cost of stopping these runs.
+    cost: StopCost,
+}
+
+/// Cost of stopping runs. The smaller is the better choice.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+struct StopCost {
+    /// Whether a gang ends with one of the runs.
+    ends_gang: bool,
+    /// Smallest priority value of the runs; the reverse, so that the last priority is stopped first.
+    priority: Option<Reverse<u32>>,
+    /// Work that is lost, as millicores times milliseconds, or just millicores without a plan of capacity.
+    work: u64,
+}
+
+impl StopCost {
+    fn plus(self, other: Self) -> Self {
+        Self {
+            ends_gang: self.ends_gang || other.ends_gang,
+            priority: self.priority.max(other.priority),
+            work: self.work.saturating_add(other.work),
+        }
+    }
+}
+
+/// Which gangs may be stopped for a step.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum GangStops {
+    /// None.
+    Never,
+    /// Those of lower priority, if the step can start within this time.
+    Within(Duration),
+}
+
+/// A run whose resources a task could use.
+struct FreedRun {
+    /// Time until its resources are free.
+    after: Duration,
+    /// Place among the runs to choose from. A gang is stopped only if nothing else frees enough in time.
+    sort_after: Duration,
+    stop: bool,
+    cost: StopCost,
+    task: TaskKey,
+    resources: TaskSize,
 }
 
 impl CapacityPlan {
@@ -94,8 +142,9 @@
 }
 
 impl PlannedTask {
-    fn rank(&self) -> (Duration, u64, usize) {
-        (self.plan.after, self.plan.weight, self.worker_index)
+    fn rank(&self) -> (bool, Duration, StopCost, usize) {
+        let cost = self.plan.cost;
+        (cost.ends_gang, self.plan.after, cost, self.worker_index)
     }
 }
 
@@ -275,11 +324,37 @@
 
     /// Plans capacity for tasks of a step, outside the reservations of the other steps for which `respects`
     /// is true.
+    ///
+    /// Gangs are stopped only for an urgent step for which there is otherwise no capacity by its latest start.
     fn plan_capacity(
         &self,
         step: &StepToPlace,
         tasks: usize,
         respects: impl Fn(StepKey) -> bool,
+    ) -> Vec<CapacityPlan> {
+        let plans = self.plan_with_stops(step, tasks, &respects, GangStops::Never);
+        let lead = self.lead.as_deref();
+        let waiting = lead.and_then(|lead| lead.waiting.get(&step.key));
+        let slack = waiting.map_or(Duration::ZERO, |waiting| waiting.slack(self.wall));
+        let in_time = plans.len() >= tasks && plans.iter().all(|plan| plan.after <= slack);
+        if in_time || !step.urgent || slack < STOP_TIME || !self.plans_capacity() {
+            return plans;
+        }
+        let stops = GangStops::Within(slack);
+        let with_gangs = self.plan_with_stops(step, tasks, &respects, stops);
+        if with_gangs.len() >= tasks {
+            with_gangs
+        } else {
+            plans
+        }
+    }
+
+    fn plan_with_stops(
+        &self,
+        step: &StepToPlace,
+        tasks: usize,
+        respects: impl Fn(StepKey) -> bool,
+        gang_stops: GangStops,
     ) -> Vec<CapacityPlan> {
         let now = self.now;
         if tasks == 0 {
@@ -309,16 +384,22 @@
         // Takes the plan with the earliest capacity first. A plan changes only the capacity of its own
         // worker, so each of a thousand workers is planned once, and a selected one once more.
         let mut soonest: BinaryHeap<Reverse<PlannedTask>> = BinaryHeap::new();
-        let next_on = |planned_workers: &[PlannedWorker<'_>], worker_index: usize| {
+        let mut ended_gangs: BTreeSet<StepKey> = BTreeSet::new();
+        let next_on = |planned_workers: &[PlannedWorker<'_>],
+                       ended_gangs: &BTreeSet<StepKey>,
+                       worker_index: usize| {
             let worker = &planned_workers[worker_index];
             let may_take = worker.tasks_held < step.worker_limit() && !worker.has_trial;
-            let plan = self.plan_on(step, worker).filter(|_| may_take)?;
+            let plan = self.plan_on(step, worker, gang_stops, ended_gangs);
+            let plan = plan.filter(|_| may_take)?;
             Some(Reverse(PlannedTask { worker_index, plan }))
         };
-        soonest.extend(
-            (0..planned_workers.len())
-                .filter_map(|worker_index| next_on(&planned_workers, worker_index)),
-        );
+        let all_plans = |planned_workers: &[PlannedWorker<'_>], ended_gangs: &BTreeSet<StepKey>| {
+            let indexes = 0..planned_workers.len();
+            let plans = indexes.filter_map(|index| next_on(planned_workers, ended_gangs, index));
+            plans.collect::<BinaryHeap<_>>()
+        };
+        soonest.extend(all_plans(&planned_workers, &ended_gangs));
         let mut plans = Vec::new();
         while plans.len() < tasks {
             let Some(Reverse(PlannedTask { worker_index, plan })) = soonest.pop() else {
@@ -327,73 +408,154 @@
             planned_workers[worker_index].apply(step, &plan);
             // Trials are assigned first, each to a worker that takes no other task of the step.
             planned_workers[worker_index].has_trial = plans.len() < step.trial_count();
-            soonest.extend(next_on(&planned_workers, worker_index));
+            if plan.cost.ends_gang {
+                // The other members end too, so what they take is free for the next tasks.
+                ended_gangs.extend(plan.stops.iter().map(|task| task.step));
+                soonest = all_plans(&planned_workers, &ended_gangs);
+            } else {
+                soonest.extend(next_on(&planned_workers, &ended_gangs, worker_index));
+            }
             plans.push(plan);
         }
         plans
     }
 
     /// Returns the plan with the earliest capacity for one task on a worker.
-    fn plan_on(&self, step: &StepToPlace, planned: &PlannedWorker<'_>) -> Option<CapacityPlan> {
-        let wait_before_stop = if step.urgent {
-            Duration::ZERO
-        } else {
-            WAIT_BEFORE_STOP
-        };
-        let mut free = planned.free;
+    fn plan_on(
+        &self,
+        step: &StepToPlace,
+        planned: &PlannedWorker<'_>,
+        gang_stops: GangStops,
+        ended_gangs: &BTreeSet<StepKey>,
+    ) -> Option<CapacityPlan> {
         let wanted = step.resources_on(planned.state).plus(&planned.unavailable);
         let mut plan = CapacityPlan {
             worker: planned.id.clone(),
             after: step.time_until_joinable(planned.state, self.now),
             freed: Vec::new(),
             stops: Vec::new(),
-            weight: 0,
+            cost: StopCost::default(),
         };
+        let mut free = planned.free;
         if wanted.fits(&free) {
             return Some(plan);
         }
-        let mut options: Vec<(Duration, u64, bool, TaskKey, TaskSize)> = planned
-            .state
-            .runs
-            .iter()
-            .filter(|(task, _)| !planned.used_runs.contains(task))
-            .map(|(task, live)| {
-                let left = self.time_left(*task, live);
-                let stop = self.may_preempt_for(step, *task, live) && left > STOP_TIME;
-                let after = if stop { STOP_TIME } else { left };
-                let weight = if stop { weight_of(&live.resources) } else { 0 };
-                let wait_before_stop = if stop {
-                    wait_before_stop
-                } else {
-                    Duration::ZERO
-                };
-                (
-                    after + wait_before_stop,
-                    weight,
-                    stop,
-                    *task,
-                    live.resources,
-                )
-            })
+        let by_cost = self.plans_capacity();
+        let runs = planned.state.runs.iter();
+        let runs = runs.filter(|(task, _)| !planned.used_runs.contains(task));
+        let mut options: Vec<FreedRun> = runs
+            .map(|(task, live)| self.freed_run(step, *task, live, gang_stops, ended_gangs))
             .collect();
-        // Of the runs whose resources are free at the same time, the largest come first, so that few are
-        // stopped.
-        options.sort_unstable_by_key(|(after, _, _, task, size)| {
-            (*after, Reverse(weight_of(size)), *task)
+        // Of the runs whose resources are free at the same time, those whose stop costs least come first. By
+        // size, the largest come first, so that few are stopped.
+        options.sort_unstable_by_key(|run| {
+            let cost = run.cost.work / weight_of(&run.resources).max(1);
+            let cost = (run.cost.ends_gang, run.cost.priority, cost);
+            let cost = if by_cost { cost } else { Default::default() };
+            let size = Reverse(weight_of(&run.resources));
+            (run.sort_after, cost, size, run.task)
         });
-        for (after, weight, stop, task, size) in options {
+        let mut chosen: Vec<FreedRun> = Vec::new();
+        for run in options {
             if wanted.fits(&free) {
                 break;
             }
-            free = free.plus(&size);
-            plan.after = plan.after.max(after);
-            plan.weight += weight;
-            plan.freed.push(task);
-            if stop {
-                plan.stops.push(task);
+            free = free.plus(&run.resources);
+            chosen.push(run);
+        }
+        if !wanted.fits(&free) {
+            return None;
+        }
+        if by_cost {
+            drop_needless_stops(&mut chosen, &wanted, free);
+        }
+        for run in chosen {
+            plan.after = plan.after.max(run.after);
+            plan.cost = plan.cost.plus(run.cost);
+            plan.freed.push(run.task);
+            if run.stop {
+                plan.stops.push(run.task);
             }
         }
-        (wanted.fits(&free) && plan.after <= MAX_CAPACITY_WAIT).then_some(plan)
+        let limit = match gang_stops {
+            GangStops::Never => MAX_CAPACITY_WAIT,
+            GangStops::Within(slack) => slack,
+        };
+        (plan.after <= limit).then_some(plan)
+    }
+
+    /// Returns when the resources of a run are free for a step, and at what cost.
+    fn freed_run(
+        &self,
+        step: &StepToPlace,
+        task: TaskKey,
+        live: &LiveRun,
+        gang_stops: GangStops,
+        ended_gangs: &BTreeSet<StepKey>,
+    ) -> FreedRun {
+        let wait_before_stop = if step.urgent {
+            Duration::ZERO
+        } else {
+            WAIT_BEFORE_STOP
+        };
+        let mut run = FreedRun {
+            after: self.time_left(task, live),
+            sort_after: Duration::ZERO,
+            stop: false,
+            cost: StopCost::default(),
+            task,
+            resources: live.resources,
+        };
+        if run.after > STOP_TIME && ended_gangs.contains(&task.step) {
+            run.after = STOP_TIME;
+        } else if run.after > STOP_TIME && self.may_preempt_for(step, task, live, gang_stops) {
+            run.after = STOP_TIME + wait_before_stop;
+            run.stop = true;
+            run.cost = self.stop_cost(task, live);
+        }
+        run.sort_after = match gang_stops {
+            GangStops::Within(slack) if run.cost.ends_gang => slack,
+            _ => run.after,
+        };
+        run
+    }
+
+    /// Returns the cost of stopping a run. One that saves its progress loses what it did since; a member of a
+    /// gang loses that of all members.
+    fn stop_cost(&self, task: TaskKey, live: &LiveRun) -> StopCost {
+        let weight = weight_of(&live.resources);
+        if !self.plans_capacity() {
+            return StopCost {
+                work: weight,
+                ..StopCost::default()
+            };
+        }
+        let gang_size = self.gang_size(task.step);
+        let lost = self.time_since_save(live) + RESTART_COST;
+        let members = gang_size.unwrap_or(1);
+        let work = weight.saturating_mul(members);
+        StopCost {
+            ends_gang: gang_size.is_some(),
+            priority: Some(Reverse(live.priority)),
+            work: work.saturating_mul(lost.as_millis() as u64),
+        }
+    }
+
+    /// Returns the number of members of a gang, or `None` for a step whose tasks run one by one.
+    fn gang_size(&self, key: StepKey) -> Option<u64> {
+        let job = self.book.job(key.job)?;
+        let spec = job.spec.steps.get(usize::from(key.step))?;
+        spec.gang.then_some(u64::from(spec.count))
+    }
+
+    /// Returns the estimated time since a run last saved its progress.
+    fn time_since_save(&self, live: &LiveRun) -> Duration {
+        let ran = self.age(live.began);
+        if live.saves {
+            Duration::from_millis((ran.as_millis() % SAVE_INTERVAL.as_millis()) as u64)
+        } else {
+            ran
+        }
     }
 
     /// Returns the remaining time of a run by its progress, or else by the expected run time of its task.
@@ -410,19 +572,44 @@
         remaining.unwrap_or(expected)
     }
 
-    fn may_preempt_for(&self, step: &StepToPlace, task: TaskKey, live: &LiveRun) -> bool {
-        let preemptions = self
-            .lead
-            .as_deref()
-            .and_then(|lead| lead.preemptions.get(&task));
+    fn may_preempt_for(
+        &self,
+        step: &StepToPlace,
+        task: TaskKey,
+        live: &LiveRun,
+        gang_stops: GangStops,
+    ) -> bool {
         // Nothing can start in its place while the table is unavailable.
         let may_preempt = self.uses(PolicySwitch::Preemption) && !self.store_is_unavailable();
+        let is_gang = live.must_not_move && !live.lasting;
+        let may_stop_gang = is_gang && gang_stops != GangStops::Never;
+        let max_preemptions = if is_gang {
+            MAX_GANG_PREEMPTIONS
+        } else {
+            MAX_PREEMPTIONS
+        };
         may_preempt
             && live.saves
-            && !live.must_not_move
+            && (!live.must_not_move || may_stop_gang)
             && live.priority > step.priority
             && matches!(live.phase, RunPhase::Running { .. })
-            && preemptions.copied().unwrap_or(0) < MAX_PREEMPTIONS
+            && self.preemptions_of(task, is_gang) < max_preemptions
+    }
+
+    /// Returns how often a task, or any member of its gang, was stopped for other steps.
+    fn preemptions_of(&self, task: TaskKey, is_gang: bool) -> u32 {
+        let Some(lead) = self.lead.as_deref() else {
+            return 0;
+        };
+        let members = if is_gang {
+            task.step.task(0)..=task.step.task(u32::MAX)
+        } else {
+            task..=task
+        };
+        lead.preemptions
+            .range(members)
+            .map(|(_, count)| *count)
+            .sum()
     }
 
     fn apply_plans(&mut self, step: &StepToPlace, plans: &[CapacityPlan]) {
@@ -440,6 +627,7 @@
         lead.capacity_claims.insert(step.key, claim);
         self.reserve_capacity(step, plans.iter().map(|plan| &plan.worker), until);
         let stops = plans.iter().map(|plan| plan.stops.len()).sum::<usize>();
+        let ended_gangs = plans.iter().filter(|plan| plan.cost.ends_gang).count();
         let detail = format!(
             "capacity for {} tasks, first on {}, after {after:?}, {stops} runs stopped",
             plans.len(),
@@ -449,6 +637,8 @@
         self.counters.count("placements", "room_made");
         self.counters
             .count_many("placements", "stopped_for_room", stops as u64);
+        self.counters
+            .count_many("placements", "stopped_gang_members", ended_gangs as u64);
         self.stop_planned_runs(plans);
     }
 
@@ -494,6 +684,24 @@
     reservations.fold(TaskSize::default(), |sum, entry| sum.plus(&entry.resources))
 }
 
+/// Drops runs from the choice that need not be stopped, those that cost most first. `free` is what is free with
+/// all of them.
+fn drop_needless_stops(chosen: &mut Vec<FreedRun>, wanted: &TaskSize, mut free: TaskSize) {
+    let mut by_cost: Vec<(StopCost, TaskKey, TaskSize)> = chosen
+        .iter()
+        .filter(|run| run.stop)
+        .map(|run| (run.cost, run.task, run.resources))
+        .collect();
+    by_cost.sort_unstable_by_key(|(cost, task, _)| Reverse((*cost, *task)));
+    for (_, task, resources) in by_cost {
+        let without = free.minus(&resources);
+        if wanted.fits(&without) {
+            free = without;
+            chosen.retain(|run| run.task != task);
+        }
+    }
+}
+
 fn weight_of(size: &TaskSize) -> u64 {
     size.millicores + size.accelerators * ACCELERATOR_WEIGHT
 }
--- a/crates/bankvalve_queue/src/core/placement/waiting_steps.rs
+++ b/crates/bankvalve_queue/src/core/placement/waiting_steps.rs
@@ -1,5 +1,7 @@
 //! Steps that wait for placement, and the order in which they get capacity.
 
+use std::time::Duration;
+
 use crate::core::admission::customer_shares::ScheduledStart;
 use crate::core::EntryCore;
 use crate::customer::CustomerName;
@@ -111,6 +113,12 @@
             .is_some_and(|scheduled_start| now < scheduled_start.at)
     }
 
+    /// Returns the time until its latest start in time, or zero if that has passed.
+    pub(in crate::core) fn slack(&self, wall_ms: u64) -> Duration {
+        let left = self.latest_start_ms.saturating_sub(wall_ms as i64);
+        Duration::from_millis(left.max(0) as u64)
+    }
+
     /// Returns how late its job can finish if it starts at a time of day.
     pub(in crate::core) fn lateness(&self, wall_ms: u64) -> Lateness {
         let now = wall_ms as i64;
