--- a/crates/bankvalve_queue/src/core/mod.rs
+++ b/crates/bankvalve_queue/src/core/mod.rs
@@ -88,4 +88,6 @@
 
 pub use admission::outage_wait::{HoldDecision, HoldTerms, OutageForecast, OutageWait, WaitTally};
 pub use entry_core::{CoreAction, CoreEvent, EntryCore, EntrySettings};
+pub use placement::capacity_profile::{earliest_on_all, CapacityProfile};
+pub use placement::planned_start::{IdleReserve, PlanReview, PlannedStart, ReplanReason};
 pub use task_waits::{StartWait, TaskWaits, WaitReason};
--- a/crates/bankvalve_queue/src/core/placement/capacity_reclaim.rs
+++ b/crates/bankvalve_queue/src/core/placement/capacity_reclaim.rs
@@ -13,7 +13,7 @@
 use crate::core::live_run::{LiveRun, RunPhase};
 use crate::core::placement::worker_selection::{is_eligible, tasks_on};
 use crate::core::placement::StepToPlace;
-use crate::core::worker_state::WorkerState;
+use crate::core::worker_state::{Reservation, ReservationTerms, WorkerState};
 use crate::core::EntryCore;
 use crate::ids::{CoreTime, StepKey, TaskKey, WorkerId};
 use crate::job::TaskSize;
@@ -32,13 +32,13 @@
 /// the capacity unused, and later batches earned 0.72 instead of 1.00 of their value.
 const MAX_RESERVED_PERCENT: u64 = 4;
 /// Time before capacity is planned again for a step for which it could not be: a plan covers all workers.
-const PLAN_RETRY_DELAY: Duration = Duration::from_millis(250);
+pub(in crate::core) const PLAN_RETRY_DELAY: Duration = Duration::from_millis(250);
 /// Maximum number of tasks of a step for which capacity is reclaimed at once. Gangs are exempt, because they
 /// cannot start with less than all members: under this limit, one of 20 members waited for 35 s until the
 /// small tasks around it had ended; without the limit, it waits for less than 6 s.
 const MAX_TASKS_AT_ONCE: usize = 12;
 /// Usual time from the order to stop a run until its resources are free.
-const STOP_TIME: Duration = Duration::from_millis(300);
+pub(in crate::core) const STOP_TIME: Duration = Duration::from_millis(300);
 /// Time for which capacity is reserved at once.
 const RESERVE_TIME: Duration = Duration::from_millis(1_200);
 /// Remaining time of a reservation from which it is extended on the same workers. Otherwise other steps would
@@ -50,6 +50,10 @@
 const WAIT_BEFORE_STOP: Duration = Duration::from_millis(700);
 /// Maximum number of times that a task is stopped for other steps, so that it can finish.
 const MAX_PREEMPTIONS: u32 = 3;
+/// Interval at which tasks with checkpoints save their progress.
+const SAVE_INTERVAL: Duration = Duration::from_millis(1_000);
+/// Time until a stopped task works again, which adds to the work that its stop loses.
+const RESTART_COST: Duration = Duration::from_millis(500);
 /// Weight of an accelerator in millicores when runs to stop are selected. The platform uses the same figure.
 const ACCELERATOR_WEIGHT: u64 = 8_000;
 
@@ -72,8 +76,36 @@
     freed: Vec<TaskKey>,
     /// Runs to stop for the task.
     stops: Vec<TaskKey>,
-    /// Weight of the runs to stop, in millicores.
-    weight: u64,
+    /// Cost of stopping these runs.
+    cost: StopCost,
+}
+
+/// Cost of stopping runs. The smaller is the better choice.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+struct StopCost {
+    /// Smallest priority value of the runs; the reverse, so that the last priority is stopped first.
+    priority: Option<Reverse<u32>>,
+    /// Work that is lost, as millicores times milliseconds, or just millicores without a plan of capacity.
+    work: u64,
+}
+
+impl StopCost {
+    fn plus(self, other: Self) -> Self {
+        Self {
+            priority: self.priority.max(other.priority),
+            work: self.work.saturating_add(other.work),
+        }
+    }
+}
+
+/// A run whose resources a task could use.
+struct FreedRun {
+    /// Time until its resources are free.
+    after: Duration,
+    stop: bool,
+    cost: StopCost,
+    task: TaskKey,
+    resources: TaskSize,
 }
 
 impl CapacityPlan {
@@ -81,6 +113,11 @@
         &self.worker
     }
 
+    /// Returns the runs to stop.
+    pub(in crate::core) fn stops(&self) -> &[TaskKey] {
+        &self.stops
+    }
+
     /// Returns the time until the capacity is free.
     pub(in crate::core) fn after(&self) -> Duration {
         self.after
@@ -94,8 +131,8 @@
 }
 
 impl PlannedTask {
-    fn rank(&self) -> (Duration, u64, usize) {
-        (self.plan.after, self.plan.weight, self.worker_index)
+    fn rank(&self) -> (Duration, StopCost, usize) {
+        (self.plan.after, self.plan.cost, self.worker_index)
     }
 }
 
@@ -149,7 +186,9 @@
             return false;
         }
         let urgent = step.is_some_and(|step| step.is_urgent());
-        let wait = if urgent {
+        let wait = if step.is_some_and(|step| lead.plans.covers(step)) {
+            Duration::ZERO
+        } else if urgent {
             URGENT_RECLAIM_DELAY
         } else {
             RECLAIM_DELAY
@@ -161,7 +200,8 @@
     pub(in crate::core) fn has_capacity_claim(&self, key: StepKey) -> bool {
         let lead = self.lead.as_deref();
         let claim = lead.and_then(|lead| lead.capacity_claims.get(&key));
-        claim.is_some_and(|claim| claim.until > self.now)
+        lead.is_some_and(|lead| lead.plans.has_start(&key))
+            || claim.is_some_and(|claim| claim.until > self.now)
     }
 
     /// Records that tasks of a step found no capacity.
@@ -178,7 +218,7 @@
             return;
         };
         lead.capacity_waits.remove(&key);
-        if lead.capacity_claims.contains_key(&key) {
+        if lead.capacity_claims.contains_key(&key) || lead.plans.has_start(&key) {
             self.release_reservations(key);
         }
     }
@@ -191,6 +231,7 @@
             return;
         };
         lead.capacity_claims.remove(&key);
+        lead.plans.remove_start(&key);
         for state in lead.worker_states.values_mut() {
             state.drop_reservation(key, now);
         }
@@ -219,8 +260,15 @@
             .filter(|state| !state.domain_evacuated)
             .map(|state| state.entry.room.millicores);
         let total: u64 = capacities.sum();
-        let too_many_claims =
-            others.count() >= MIN_CLAIMS && claimed * 100 >= total * MAX_RESERVED_PERCENT;
+        let too_many_claims = if lead
+            .waiting
+            .get(&key)
+            .is_some_and(|step| lead.plans.covers(step))
+        {
+            !lead.plans.allows_more()
+        } else {
+            others.count() >= MIN_CLAIMS && claimed * 100 >= total * MAX_RESERVED_PERCENT
+        };
         let paused = |at: &CoreTime| now < *at;
         if !step.urgent && (too_many_claims || lead.next_plan_at.get(&key).is_some_and(paused)) {
             return;
@@ -230,7 +278,7 @@
         } else {
             missing.min(MAX_TASKS_AT_ONCE)
         };
-        let plans = self.plan_capacity(step, wanted, |_| true);
+        let plans = self.plan_beside_reservations(step, wanted);
         if plans.is_empty() || (step.spec.gang && plans.len() < missing) {
             if let Some(lead) = self.lead.as_deref_mut() {
                 lead.next_plan_at.insert(key, now + PLAN_RETRY_DELAY);
@@ -261,6 +309,16 @@
         }
     }
 
+    /// Plans capacity for tasks of a step beside the reservations that it may not use.
+    pub(in crate::core) fn plan_beside_reservations(
+        &self,
+        step: &StepToPlace,
+        tasks: usize,
+    ) -> Vec<CapacityPlan> {
+        let respects = |entry: &Reservation| entry.terms.priority < step.yielding_priority;
+        self.plan_capacity(step, tasks, respects)
+    }
+
     /// Plans capacity for long-running tasks that restart. It may be reserved for other steps, unless they
     /// restart as well.
     pub(in crate::core) fn plan_restart(
@@ -269,7 +327,9 @@
         tasks: usize,
     ) -> Vec<CapacityPlan> {
         let lead = self.lead.as_deref();
-        let respects = |key: StepKey| lead.is_some_and(|lead| lead.restarting.contains_key(&key));
+        let respects = |entry: &Reservation| {
+            lead.is_some_and(|lead| lead.restarting.contains_key(&entry.step))
+        };
         self.plan_capacity(step, tasks, respects)
     }
 
@@ -279,7 +339,7 @@
         &self,
         step: &StepToPlace,
         tasks: usize,
-        respects: impl Fn(StepKey) -> bool,
+        respects: impl Fn(&Reservation) -> bool,
     ) -> Vec<CapacityPlan> {
         let now = self.now;
         if tasks == 0 {
@@ -335,69 +395,108 @@
 
     /// Returns the plan with the earliest capacity for one task on a worker.
     fn plan_on(&self, step: &StepToPlace, planned: &PlannedWorker<'_>) -> Option<CapacityPlan> {
-        let wait_before_stop = if step.urgent {
-            Duration::ZERO
-        } else {
-            WAIT_BEFORE_STOP
-        };
-        let mut free = planned.free;
         let wanted = step.resources_on(planned.state).plus(&planned.unavailable);
         let mut plan = CapacityPlan {
             worker: planned.id.clone(),
             after: step.time_until_joinable(planned.state, self.now),
             freed: Vec::new(),
             stops: Vec::new(),
-            weight: 0,
+            cost: StopCost::default(),
         };
+        let mut free = planned.free;
         if wanted.fits(&free) {
             return Some(plan);
         }
-        let mut options: Vec<(Duration, u64, bool, TaskKey, TaskSize)> = planned
-            .state
-            .runs
-            .iter()
-            .filter(|(task, _)| !planned.used_runs.contains(task))
-            .map(|(task, live)| {
-                let left = self.time_left(*task, live);
-                let stop = self.may_preempt_for(step, *task, live) && left > STOP_TIME;
-                let after = if stop { STOP_TIME } else { left };
-                let weight = if stop { weight_of(&live.resources) } else { 0 };
-                let wait_before_stop = if stop {
-                    wait_before_stop
-                } else {
-                    Duration::ZERO
-                };
-                (
-                    after + wait_before_stop,
-                    weight,
-                    stop,
-                    *task,
-                    live.resources,
-                )
-            })
+        let by_cost = self.plans_capacity();
+        let runs = planned.state.runs.iter();
+        let runs = runs.filter(|(task, _)| !planned.used_runs.contains(task));
+        let mut options: Vec<FreedRun> = runs
+            .map(|(task, live)| self.freed_run(step, *task, live))
             .collect();
-        // Of the runs whose resources are free at the same time, the largest come first, so that few are
-        // stopped.
-        options.sort_unstable_by_key(|(after, _, _, task, size)| {
-            (*after, Reverse(weight_of(size)), *task)
+        // Of the runs whose resources are free at the same time, those whose stop costs least come first. By
+        // size, the largest come first, so that few are stopped.
+        options.sort_unstable_by_key(|run| {
+            let cost = run.cost.work / weight_of(&run.resources).max(1);
+            let cost = (run.cost.priority, cost);
+            let cost = if by_cost { cost } else { Default::default() };
+            let size = Reverse(weight_of(&run.resources));
+            (run.after, cost, size, run.task)
         });
-        for (after, weight, stop, task, size) in options {
+        let mut chosen: Vec<FreedRun> = Vec::new();
+        for run in options {
             if wanted.fits(&free) {
                 break;
             }
-            free = free.plus(&size);
-            plan.after = plan.after.max(after);
-            plan.weight += weight;
-            plan.freed.push(task);
-            if stop {
-                plan.stops.push(task);
+            free = free.plus(&run.resources);
+            chosen.push(run);
+        }
+        if !wanted.fits(&free) {
+            return None;
+        }
+        if by_cost {
+            drop_needless_stops(&mut chosen, &wanted, free);
+        }
+        for run in chosen {
+            plan.after = plan.after.max(run.after);
+            plan.cost = plan.cost.plus(run.cost);
+            plan.freed.push(run.task);
+            if run.stop {
+                plan.stops.push(run.task);
             }
         }
-        (wanted.fits(&free) && plan.after <= MAX_CAPACITY_WAIT).then_some(plan)
+        (plan.after <= MAX_CAPACITY_WAIT).then_some(plan)
+    }
+
+    /// Returns when the resources of a run are free for a step, and at what cost.
+    fn freed_run(&self, step: &StepToPlace, task: TaskKey, live: &LiveRun) -> FreedRun {
+        let wait_before_stop = if step.urgent {
+            Duration::ZERO
+        } else {
+            WAIT_BEFORE_STOP
+        };
+        let mut run = FreedRun {
+            after: self.time_left(task, live),
+            stop: false,
+            cost: StopCost::default(),
+            task,
+            resources: live.resources,
+        };
+        if run.after > STOP_TIME && self.may_preempt_for(step, task, live) {
+            run.after = STOP_TIME + wait_before_stop;
+            run.stop = true;
+            run.cost = self.stop_cost(live);
+        }
+        run
+    }
+
+    /// Returns the cost of stopping a run: what it has done since its last save, and a restart.
+    fn stop_cost(&self, live: &LiveRun) -> StopCost {
+        let weight = weight_of(&live.resources);
+        if !self.plans_capacity() {
+            return StopCost {
+                work: weight,
+                ..StopCost::default()
+            };
+        }
+        let lost = self.time_since_save(live) + RESTART_COST;
+        StopCost {
+            priority: Some(Reverse(live.priority)),
+            work: weight.saturating_mul(lost.as_millis() as u64),
+        }
+    }
+
+    /// Returns the estimated time since a run last saved its progress.
+    fn time_since_save(&self, live: &LiveRun) -> Duration {
+        let ran = self.age(live.began);
+        if live.saves {
+            Duration::from_millis((ran.as_millis() % SAVE_INTERVAL.as_millis()) as u64)
+        } else {
+            ran
+        }
     }
 
     /// Returns the remaining time of a run by its progress, or else by the expected run time of its task.
-    fn time_left(&self, task: TaskKey, live: &LiveRun) -> Duration {
+    pub(in crate::core) fn time_left(&self, task: TaskKey, live: &LiveRun) -> Duration {
         if matches!(live.phase, RunPhase::Stopping { .. }) {
             return STOP_TIME;
         }
@@ -418,10 +517,7 @@
         // Nothing can start in its place while the table is unavailable.
         let may_preempt = self.uses(PolicySwitch::Preemption) && !self.store_is_unavailable();
         may_preempt
-            && live.saves
-            && !live.must_not_move
-            && live.priority > step.priority
-            && matches!(live.phase, RunPhase::Running { .. })
+            && live.may_be_stopped_for(step.priority)
             && preemptions.copied().unwrap_or(0) < MAX_PREEMPTIONS
     }
 
@@ -438,7 +534,12 @@
             millicores: step.resources.millicores * plans.len() as u64,
         };
         lead.capacity_claims.insert(step.key, claim);
-        self.reserve_capacity(step, plans.iter().map(|plan| &plan.worker), until);
+        let terms = ReservationTerms {
+            priority: self.reservation_priority(step),
+            from: now,
+            until,
+        };
+        self.reserve_capacity(step, plans.iter().map(|plan| &plan.worker), terms);
         let stops = plans.iter().map(|plan| plan.stops.len()).sum::<usize>();
         let detail = format!(
             "capacity for {} tasks, first on {}, after {after:?}, {stops} runs stopped",
@@ -456,13 +557,18 @@
     pub(in crate::core) fn stop_planned_runs(&mut self, plans: &[CapacityPlan]) {
         for plan in plans {
             for task in &plan.stops {
-                if let Some(lead) = self.lead.as_deref_mut() {
-                    *lead.preemptions.entry(*task).or_default() += 1;
-                }
-                self.stop_run(&plan.worker, *task);
+                self.preempt_run(&plan.worker, *task);
             }
         }
     }
+
+    /// Stops a run for another step.
+    pub(in crate::core) fn preempt_run(&mut self, worker: &WorkerId, task: TaskKey) {
+        if let Some(lead) = self.lead.as_deref_mut() {
+            *lead.preemptions.entry(task).or_default() += 1;
+        }
+        self.stop_run(worker, task);
+    }
 }
 
 impl PlannedWorker<'_> {
@@ -486,14 +592,32 @@
     state: &WorkerState,
     step: StepKey,
     now: CoreTime,
-    respects: impl Fn(StepKey) -> bool,
+    respects: impl Fn(&Reservation) -> bool,
 ) -> TaskSize {
     let reservations = state.reserved.iter();
     let reservations = reservations
-        .filter(|entry| entry.step != step && entry.until > now && respects(entry.step));
+        .filter(|entry| entry.step != step && entry.terms.until > now && respects(entry));
     reservations.fold(TaskSize::default(), |sum, entry| sum.plus(&entry.resources))
 }
 
+/// Drops runs from the choice that need not be stopped, those that cost most first. `free` is what is free with
+/// all of them.
+fn drop_needless_stops(chosen: &mut Vec<FreedRun>, wanted: &TaskSize, mut free: TaskSize) {
+    let mut by_cost: Vec<(StopCost, TaskKey, TaskSize)> = chosen
+        .iter()
+        .filter(|run| run.stop)
+        .map(|run| (run.cost, run.task, run.resources))
+        .collect();
+    by_cost.sort_unstable_by_key(|(cost, task, _)| Reverse((*cost, *task)));
+    for (_, task, resources) in by_cost {
+        let without = free.minus(&resources);
+        if wanted.fits(&without) {
+            free = without;
+            chosen.retain(|run| run.task != task);
+        }
+    }
+}
+
 fn weight_of(size: &TaskSize) -> u64 {
     size.millicores + size.accelerators * ACCELERATOR_WEIGHT
 }
--- a/crates/bankvalve_queue/src/lib.rs
+++ b/crates/bankvalve_queue/src/lib.rs
@@ -27,8 +27,9 @@
     CallerAnswer, CallerRequest, DenialReason, JobState, RefusalReason, ResolvedRequest,
 };
 pub use core::{
-    CoreAction, CoreEvent, EntryCore, EntrySettings, HoldDecision, HoldTerms, OutageForecast,
-    OutageWait, StartWait, TaskWaits, WaitReason, WaitTally,
+    earliest_on_all, CapacityProfile, CoreAction, CoreEvent, EntryCore, EntrySettings,
+    HoldDecision, HoldTerms, IdleReserve, OutageForecast, OutageWait, PlanReview, PlannedStart,
+    ReplanReason, StartWait, TaskWaits, WaitReason, WaitTally,
 };
 pub use customer::{CallerIdentity, CustomerName, CustomerRule, KeyDigest, RunLimit};
 pub use decision::{CustomerView, DecisionLine, EntryCounters, EntryView, EvacuationView};
--- a/crates/bankvalve_queue/src/policy.rs
+++ b/crates/bankvalve_queue/src/policy.rs
@@ -40,11 +40,14 @@
     ProvedWorkers,
     /// Submits that the table is likely to serve in time wait through the rest of a short outage.
     OutageWait,
+    /// Where the configuration has queues of a priority between the first and the last, capacity is planned by
+    /// priority.
+    CapacityPlan,
 }
 
 impl PolicySwitch {
     /// All policies.
-    pub const ALL: [PolicySwitch; 16] = [
+    pub const ALL: [PolicySwitch; 17] = [
         PolicySwitch::ReadBack,
         PolicySwitch::QuickRepeat,
         PolicySwitch::ShortLooks,
@@ -61,5 +64,6 @@
         PolicySwitch::CustomerShares,
         PolicySwitch::ProvedWorkers,
         PolicySwitch::OutageWait,
+        PolicySwitch::CapacityPlan,
     ];
 }
