feat(check): hard load in virtual time, with a table of what becomes of each kind

Change: `bankvalve_check hard-load` plays the mix of docs/design/hard-load.md at a mean load of 0.84 with a burst of 8 s, counts jobs by kind and span, and finds starts that a waiting step of a higher priority could have used, from what callers and workers saw. The rates of gangs and batches and their widths are both lowered by the root of the share of workers. Not stated on the page and chosen: the parts of the objectives, the shares of gangs among urgent jobs (10%) and of batches that save (30%), widths within a round of ten.

--- a/crates/bankvalve_check/src/command/mod.rs
+++ b/crates/bankvalve_check/src/command/mod.rs
@@ -3,14 +3,15 @@
 use std::process::ExitCode;
 
 use bankvalve_cell::owner::GuardName;
-use bankvalve_queue::SiteGuard;
+use bankvalve_queue::{PolicySwitch, SiteGuard};
 use bpaf::Bpaf;
 
 use crate::growth::run_growth;
 use crate::measure::{run_decisions, run_measure};
 use crate::random::run_random;
 use crate::site::{
-    print_site_log, run_fleet, run_lasting, run_site_costs, run_site_random, SiteBurden,
+    print_site_log, run_fleet, run_hard_load, run_lasting, run_site_costs, run_site_random,
+    HardLoadPlan, SiteBurden,
 };
 use crate::slopes::run_slopes;
 use crate::trace::run_trace;
@@ -86,6 +87,27 @@
         #[bpaf(argument("N"), fallback(6_000))]
         workers: usize,
     },
+    /// Plays urgent work, gangs and batches with a burst, and counts what becomes of the jobs by kind
+    #[bpaf(command("hard-load"))]
+    HardLoad {
+        /// First seed; the same seed repeats exactly
+        #[bpaf(argument("S"), fallback(1))]
+        seed: u64,
+        /// Number of seeds
+        #[bpaf(argument("N"), fallback(3))]
+        seeds: u64,
+        /// Load in the burst, as a multiple of the usual load
+        #[bpaf(argument("X"), fallback(1.8))]
+        burst: f64,
+        /// Turn a policy off; `list` names the policies
+        #[bpaf(argument("NAME"), optional)]
+        without: Option<String>,
+        /// Workers; the load goes with them
+        #[bpaf(argument("N"), fallback(250))]
+        workers: usize,
+        /// The workers of one failure domain run at 0.55 of the usual speed
+        slow_domain: bool,
+    },
     /// Reads the decision logs of a run and tells where the time of jobs goes
     #[bpaf(command)]
     Trace {
@@ -150,6 +172,22 @@
             load,
         } => run_site_costs(workers, seconds, load),
         CheckCommand::Fleet { instances, workers } => run_fleet(instances, workers),
+        CheckCommand::HardLoad {
+            seed,
+            seeds,
+            burst,
+            without,
+            workers,
+            slow_domain,
+        } => {
+            let plan = HardLoadPlan {
+                burst,
+                workers,
+                slow_domain,
+                ..HardLoadPlan::usual(seed)
+            };
+            hard_load(plan, seeds, without.as_deref())
+        }
         CheckCommand::Trace { files, plot } => run_trace(&files, plot.as_deref()),
         CheckCommand::Measure { seed, profile } => run_measure(&profile, seed),
         CheckCommand::Growth { file, plot } => run_growth(&file, plot.as_deref()),
@@ -183,22 +221,40 @@
     }
 }
 
-/// The guard that is to be taken away; `list` prints the names and ends the command.
-fn guard_named<Guard>(
+fn hard_load(plan: HardLoadPlan, seeds: u64, without: Option<&str>) -> ExitCode {
+    let names = PolicySwitch::ALL.map(|policy| (format!("{policy:?}"), policy));
+    let names = names.iter().map(|(name, policy)| (name.as_str(), *policy));
+    match named("--without", without, names) {
+        Ok(without) => run_hard_load(HardLoadPlan { without, ..plan }, seeds),
+        Err(code) => code,
+    }
+}
+
+/// The guard that is to be taken away.
+fn guard_named<'a, Guard>(
     name: Option<&str>,
-    mut guards: impl Iterator<Item = (&'static str, Guard)>,
+    guards: impl Iterator<Item = (&'a str, Guard)>,
 ) -> Result<Option<Guard>, ExitCode> {
+    named("--break", name, guards)
+}
+
+/// What an option names; `list` prints the names and ends the command.
+fn named<'a, Named>(
+    option: &str,
+    name: Option<&str>,
+    mut all: impl Iterator<Item = (&'a str, Named)>,
+) -> Result<Option<Named>, ExitCode> {
     let Some(name) = name else {
         return Ok(None);
     };
     if name == "list" {
-        guards.for_each(|(known, _)| println!("{known}"));
+        all.for_each(|(known, _)| println!("{known}"));
         return Err(ExitCode::SUCCESS);
     }
-    match guards.find(|(known, _)| *known == name) {
-        Some((_, guard)) => Ok(Some(guard)),
+    match all.find(|(known, _)| *known == name) {
+        Some((_, found)) => Ok(Some(found)),
         None => {
-            eprintln!("error: --break: expected a name that --break list prints, found {name}");
+            eprintln!("error: {option}: expected a name that {option} list prints, found {name}");
             Err(ExitCode::from(2))
         }
     }
--- a/crates/bankvalve_check/src/site/mod.rs
+++ b/crates/bankvalve_check/src/site/mod.rs
@@ -12,10 +12,13 @@
 mod site_evacuations;
 mod site_faults;
 mod site_fleet;
+mod site_hard_load;
+mod site_inversions;
 mod site_jobs;
 mod site_lasting;
 mod site_links;
 mod site_lives;
+mod site_load_record;
 mod site_loss_table;
 mod site_losses;
 mod site_operator;
@@ -46,6 +49,11 @@
 pub use site_evacuations::run_evacuation_episode;
 pub use site_faults::SiteFault;
 pub use site_fleet::{play_fleet, run_fleet, FleetFigures, TableUse};
+pub use site_hard_load::{
+    play_disturbed_load, play_hard_load, run_hard_load, HardLoadFigures, HardLoadPlan, KindFigures,
+    ServedKind,
+};
+pub use site_inversions::Inversions;
 pub use site_jobs::job_of;
 pub use site_lasting::{AwaySpan, LastingCheck};
 pub use site_loss_table::run_lasting;
--- a/crates/bankvalve_check/src/site/site_calls.rs
+++ b/crates/bankvalve_check/src/site/site_calls.rs
@@ -17,6 +17,10 @@
 /// One caller in so many leaves when its job is refused.
 const LEAVING: u32 = 3;
 
+/// Retries of callers under a hard load, and the pause before each, in milliseconds.
+const LOAD_RETRIES: u32 = 4;
+const LOAD_PAUSE_MS: std::ops::Range<u64> = 400..1_100;
+
 /// A caller's request on its way.
 #[derive(Debug)]
 pub(super) enum OpenCall {
@@ -189,18 +193,25 @@
                 if accepted && (tries == 0 || tries == u32::MAX) {
                     self.check_accepted_version(node, job, asked_ms);
                 }
+                if let Some(load) = self.load.as_mut() {
+                    load.note_answer(job, accepted, refused, now);
+                }
                 if refused {
                     self.refusal_waits_ms.push(now - asked_ms);
                 }
+                let (most_tries, pause_ms) = match self.load {
+                    Some(_) => (LOAD_RETRIES, self.rng.random_range(LOAD_PAUSE_MS)),
+                    None => (12, 500),
+                };
                 if accepted {
                     self.after(300, Later::Ask { job });
                 } else if refused && self.callers_leave && self.rng.random_range(0..LEAVING) == 0 {
                     // It was told that the job does not run, and leaves.
                 } else if never {
                     // It would be told so again.
-                } else if tries < 12 {
+                } else if tries < most_tries {
                     let tries = tries + 1;
-                    self.after(500, Later::Submit { job, tries });
+                    self.after(pause_ms, Later::Submit { job, tries });
                 }
             }
             Some(OpenCall::Ask { job, after_cancel }) => {
--- a/crates/bankvalve_check/src/site/site_config.rs
+++ b/crates/bankvalve_check/src/site/site_config.rs
@@ -8,6 +8,7 @@
 };
 
 use super::site_calls::{OpenCall, PATIENCE_MS};
+use super::site_hard_load::{WorkKind, KINDS};
 use super::site_world::{SiteWorld, QUEUE, SERVICE, URGENT_QUEUE};
 
 /// Queues that ask for a key once there are customers.
@@ -165,10 +166,20 @@
 
     /// What the policy service takes for a queue's steps, where that is not the usual.
     pub(super) fn advice_of(&self, queue: &str) -> Option<AdviceRule> {
+        if let Some(kind) = self.work_kind(queue) {
+            return Some(kind.advice);
+        }
         let urgent = self.urgent_advice.filter(|_| queue == URGENT_QUEUE);
         urgent.or(self.slow_advice)
     }
 
+    /// The kind of work of a queue, under a hard load.
+    pub(super) fn work_kind(&self, queue: &str) -> Option<&'static WorkKind> {
+        const ALL: &[WorkKind] = &KINDS;
+        let kinds = self.load.as_ref().map(|_| ALL)?;
+        kinds.iter().find(|kind| kind.queue == queue)
+    }
+
     fn rule(&self, name: &str, priority: u32) -> QueueRule {
         let usual = AdviceRule {
             decide_ms: 10.0,
@@ -179,6 +190,7 @@
             .plan
             .good_percent
             .map(|_| self.advice_of(name).unwrap_or(usual));
+        let kind = self.work_kind(name);
         QueueRule {
             name: name.into(),
             host: "host".into(),
@@ -188,8 +200,8 @@
                 service: SERVICE.into(),
                 priority,
                 attempts: self.attempts,
-                stretch: 2.0,
-                target_ms: 500,
+                stretch: kind.map_or(2.0, |kind| kind.stretch),
+                target_ms: kind.map_or(500, |kind| kind.target_ms),
                 advice,
                 ..JobTerms::default()
             },
--- a/crates/bankvalve_check/src/site/site_crashes.rs
+++ b/crates/bankvalve_check/src/site/site_crashes.rs
@@ -175,6 +175,7 @@
             self.rules
                 .ended(&worker.id, *task, run.run, EndKind::Lost, now);
             self.lasting_ended(&worker.id, *task, run.run, EndKind::Lost);
+            self.note_load_end(&worker.id, *task, run.run, EndKind::Lost);
         }
     }
 
--- a/crates/bankvalve_check/src/site/site_links.rs
+++ b/crates/bankvalve_check/src/site/site_links.rs
@@ -3,9 +3,10 @@
 use std::time::Duration;
 
 use bankvalve_queue::{
-    AdviceRequest, CoreAction, CoreEvent, PeerAddress, StoreOutcome, StoreRequest, Ticket,
+    AdviceRequest, CoreAction, CoreEvent, PeerAddress, StepKey, StoreOutcome, StoreRequest, Ticket,
     WorkerAnswer,
 };
+use bankvalve_standin::site::SitePolicy;
 use rand::Rng;
 
 use super::site_bytes::{message_bytes, request_bytes};
@@ -120,7 +121,10 @@
             }
             CoreAction::Advice { ticket, ask } => {
                 let delay = self.advice_time(node, &ask);
-                let answer = match &self.policy {
+                if let Some(load) = self.load.as_mut() {
+                    *load.advice.entry(ask.step).or_default() += 1;
+                }
+                let answer = match self.policy_of(ask.step) {
                     Some(policy) => policy.answer(&ask, self.now_ms + delay),
                     None => bankvalve_queue::AdviceAnswer::NoReply,
                 };
@@ -145,6 +149,17 @@
         }
     }
 
+    /// The policy for a step, which depends on its queue under a hard load.
+    pub(super) fn policy_of(&self, step: StepKey) -> Option<SitePolicy> {
+        let spec = self.specs.get(&step.job);
+        let kind = spec.and_then(|spec| self.work_kind(&spec.queue));
+        let usual = self.policy.clone()?;
+        Some(kind.map_or(usual, |kind| SitePolicy {
+            good_percent: kind.good_percent,
+            valid_ms: kind.advice.valid_ms,
+        }))
+    }
+
     /// Milliseconds until the policy service has answered an instance's question.
     fn advice_time(&mut self, node: usize, ask: &AdviceRequest) -> u64 {
         let queue = self.specs.get(&ask.step.job).map(|spec| &*spec.queue);
--- a/crates/bankvalve_check/src/site/site_workers.rs
+++ b/crates/bankvalve_check/src/site/site_workers.rs
@@ -7,6 +7,7 @@
 use bankvalve_standin::site::{SiteWorker, WorkerEvent};
 use rand::Rng;
 
+use super::site_hard_load::WORKER_SIZE;
 use super::site_jobs::plan_of;
 use super::site_world::{Later, SiteWorld, SERVICE};
 
@@ -54,10 +55,13 @@
             address: address.clone(),
             domain: self.domain_of(&address),
             labels: vec!["a".into(), format!("r{}", self.lives % 3)],
-            room: TaskSize {
-                millicores: 4_000,
-                memory_mib: 8_000,
-                accelerators: 0,
+            room: match self.load {
+                Some(_) => WORKER_SIZE,
+                None => TaskSize {
+                    millicores: 4_000,
+                    memory_mib: 8_000,
+                    accelerators: 0,
+                },
             },
             leaving: false,
             remaining_ms: None,
@@ -167,12 +171,22 @@
         let fails = drawn_fails || self.failing_workers.contains(address);
         let drawn = self.rng.random_range(100..1_500);
         let works = &self.work_ms;
-        let time = |task: TaskKey| works.get(&task.step.job).copied().unwrap_or(drawn);
+        let load = self.load.as_deref();
+        let time = |task: TaskKey| {
+            let laid_out = load.and_then(|load| load.work_ms(task, address));
+            let set = laid_out.or_else(|| works.get(&task.step.job).copied());
+            set.unwrap_or(drawn)
+        };
         let specs = &self.specs;
         let plan = |task: TaskKey| plan_of(specs, task, time(task), fails);
+        // A permit names when it was issued; for how long it is valid depends on the queue.
+        let policy = match call {
+            WorkerCall::Start(order) => self.policy_of(order.task.step),
+            _ => None,
+        };
         let mut answer = match self.workers.get_mut(address) {
             Some(Some(worker)) if worker.id == *meant => {
-                worker.handle(now, token, call, self.policy.as_ref(), plan)
+                worker.handle(now, token, call, policy.as_ref(), plan)
             }
             Some(Some(_)) => WorkerAnswer::OtherLife,
             _ => WorkerAnswer::PortRefused,
@@ -362,11 +376,13 @@
                 self.check_limit(task.step, id);
                 self.check_customer_limit(task);
                 self.check_evacuated_start(id, task);
+                self.note_load_start(id, task, run);
                 self.gang_news(task.step, run, None);
             }
             WorkerEvent::Ended(task, run, how) => {
                 self.rules.ended(id, task, run, how, now);
                 self.lasting_ended(id, task, run, how);
+                self.note_load_end(id, task, run, how);
                 self.gang_news(task.step, run, Some(how));
             }
             WorkerEvent::Kept(task, _, how) => self.rules.kept(task, how, now),
@@ -424,7 +440,12 @@
             Some(_) => Some((0, EndKind::Broken)),
             None if members.len() == spec.count as usize => {
                 let drawn = self.rng.random_range(200..1_200);
-                let time = self.work_ms.get(&step.job).copied();
+                let load = self.load.as_deref();
+                let laid_out = members.iter().filter_map(|(address, task)| {
+                    load.and_then(|load| load.work_ms(*task, address))
+                });
+                let set = self.work_ms.get(&step.job).copied();
+                let time = laid_out.max().or(set);
                 Some((time.unwrap_or(drawn), EndKind::Done))
             }
             None => None,
@@ -441,6 +462,9 @@
             };
             if let Some(Some(worker)) = self.workers.get_mut(&address) {
                 worker.begin_work(task, now, work);
+                if let Some(load) = self.load.as_mut().filter(|_| ended.is_none()) {
+                    load.note_work(&worker.id, (task, run), now);
+                }
             }
             self.after(work.0 + 1, Later::WorkerTime { address });
         }
--- a/crates/bankvalve_check/src/site/site_world.rs
+++ b/crates/bankvalve_check/src/site/site_world.rs
@@ -20,6 +20,7 @@
 use super::site_customers::SiteCustomers;
 use super::site_evacuations::SiteEvacuations;
 use super::site_lasting::LastingCheck;
+use super::site_load_record::LoadRecord;
 use super::site_losses::LossStep;
 use super::site_restarts::{RestartFigures, WorkerRestart};
 use super::site_silence::SilentLane;
@@ -289,6 +290,8 @@
     /// Lines that instances logged, with the time in milliseconds and the instance, where they are
     /// kept.
     pub lines: Option<Vec<(u64, usize, DecisionLine)>>,
+    /// What is seen of a hard load; queues, times of work and callers are those of its kinds then.
+    pub(super) load: Option<Box<LoadRecord>>,
 }
 
 impl std::fmt::Debug for SiteWorld {
@@ -381,6 +384,7 @@
             answers: Vec::new(),
             max_lease_ms,
             lines: None,
+            load: None,
             plan,
         };
         world.configure(1);
