feat(queue): refuse jobs that would end too late, by a forecast

Cause: in a burst, all jobs are accepted until the leader itself is behind. Their work takes capacity from jobs that could end in time, and callers learn only by waiting that a job is of no use.

Change: after placement passes, the leader forecasts when work of each priority begins that arrives now: the work of the same and smaller values that waits, divided by the capacity that arrivals of smaller values leave. A job is refused as `forecast` if it would surely end beyond three times its objective, or if it would be late while others of its priority, or those that it delays, can still start in time. It is never refused while all its tasks fit in what is free, in the first 3 s of a leader, by a forecast older than 2 s, or on a site without a priority between others (PolicySwitch::AdmissionForecast).

--- a/crates/bankvalve_check/tests/site/main.rs
+++ b/crates/bankvalve_check/tests/site/main.rs
@@ -1,5 +1,6 @@
 //! Entry instances on the users' platform, under virtual time: each fault found once stays found.
 
+mod admission;
 mod answers;
 mod carriers;
 mod config;
--- a/crates/bankvalve_queue/src/caller.rs
+++ b/crates/bankvalve_queue/src/caller.rs
@@ -165,11 +165,13 @@
     KeysUnsure,
     /// The site is full, and the customer has submitted more than its share.
     ShareSpent,
+    /// The job is expected to end too late, or late at the expense of others.
+    Forecast,
 }
 
 impl RefusalReason {
     /// All reasons.
-    pub const ALL: [RefusalReason; 10] = [
+    pub const ALL: [RefusalReason; 11] = [
         RefusalReason::NoLeader,
         RefusalReason::StoreAway,
         RefusalReason::Overload,
@@ -180,6 +182,7 @@
         RefusalReason::KeyDropped,
         RefusalReason::KeysUnsure,
         RefusalReason::ShareSpent,
+        RefusalReason::Forecast,
     ];
 
     /// Returns the name in logs and counters.
@@ -195,6 +198,7 @@
             RefusalReason::KeyDropped => "key_dropped",
             RefusalReason::KeysUnsure => "keys_unsure",
             RefusalReason::ShareSpent => "share_spent",
+            RefusalReason::Forecast => "forecast",
         }
     }
 }
--- a/crates/bankvalve_queue/src/core/admission/submissions.rs
+++ b/crates/bankvalve_queue/src/core/admission/submissions.rs
@@ -14,6 +14,26 @@
 /// Maximum number of pending events above which new jobs are refused.
 const MAX_PENDING_EVENTS: usize = 5_000;
 
+/// Why a new job is refused.
+struct Refusal {
+    reason: RefusalReason,
+    /// Time after which its caller may retry, in milliseconds.
+    retry_ms: u64,
+    /// What the decision is based on, for the log.
+    why: String,
+}
+
+impl Refusal {
+    fn new(reason: RefusalReason, retry_ms: u64) -> Self {
+        let why = String::new();
+        Self {
+            reason,
+            retry_ms,
+            why,
+        }
+    }
+}
+
 impl EntryCore {
     /// Accepts or refuses a submitted job, as the leader.
     pub(in crate::core) fn serve_submit(
@@ -40,32 +60,39 @@
             self.refuse_beyond_limit(origin, job);
             return;
         }
-        let refusal = self.refusal_reason(&spec);
-        if let Some((reason, retry_ms)) = refusal {
-            let id = format!("{job:016x}");
-            let customer = spec.customer.as_deref().unwrap_or("no customer");
-            let detail = format!("{} of {customer}, retry in {retry_ms} ms", reason.as_str());
-            self.log("callers", "refuse", id, detail);
+        if let Some(refusal) = self.refusal_of(&spec, &terms) {
+            let Refusal {
+                reason, retry_ms, ..
+            } = refusal;
+            self.log_often("callers", "refuse", || {
+                let customer = spec.customer.as_deref().unwrap_or("no customer");
+                let (reason, why) = (reason.as_str(), refusal.why);
+                let detail = format!("{reason} of {customer}, retry in {retry_ms} ms{why}");
+                (format!("{job:016x}"), detail)
+            });
             self.answer(origin, CallerAnswer::Refused { reason, retry_ms });
             return;
         }
+        self.record_accepted_work(&spec, &terms);
         self.accept(origin, spec, terms);
     }
 
-    /// Returns why a new job is refused now, and the time after which its caller may retry, in
-    /// milliseconds. Returns `None` if the job is accepted.
-    fn refusal_reason(&mut self, spec: &JobSpec) -> Option<(RefusalReason, u64)> {
+    /// Returns why a new job is refused now, or `None` if it is accepted.
+    fn refusal_of(&mut self, spec: &JobSpec, terms: &JobTerms) -> Option<Refusal> {
         let pending = self.lead.as_ref().map_or(0, |lead| lead.pending.len());
         if self.store_is_unavailable() {
-            return Some((RefusalReason::StoreAway, STORE_RETRY_MS));
+            return Some(Refusal::new(RefusalReason::StoreAway, STORE_RETRY_MS));
         }
         if pending > MAX_PENDING_EVENTS {
-            return Some((RefusalReason::Overload, RETRY_MS));
+            return Some(Refusal::new(RefusalReason::Overload, RETRY_MS));
+        }
+        if let Some((retry_ms, why)) = self.refuse_by_forecast(spec, terms) {
+            let refusal = Refusal::new(RefusalReason::Forecast, retry_ms);
+            return Some(Refusal { why, ..refusal });
         }
         let share = self.take_share(spec.id, spec.customer.as_ref());
-        share
-            .err()
-            .map(|retry_ms| (RefusalReason::ShareSpent, retry_ms))
+        let refuse = |retry_ms| Refusal::new(RefusalReason::ShareSpent, retry_ms);
+        share.err().map(refuse)
     }
 
     fn refuse_beyond_limit(&mut self, origin: Origin, job: JobId) {
--- a/crates/bankvalve_queue/src/core/lead_state.rs
+++ b/crates/bankvalve_queue/src/core/lead_state.rs
@@ -4,6 +4,7 @@
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::time::Duration;
 
+use super::admission::admission_forecast::AdmissionForecast;
 use super::admission::customer_limits::{CustomerUsage, LimitStatus};
 use super::admission::customer_shares::CustomerShares;
 use super::admission::load_limit::LoadLimit;
@@ -220,6 +221,8 @@
     pub(super) next_forget: CoreTime,
     pub(super) next_measurements: CoreTime,
     pub(super) load: LoadLimit,
+    pub(super) forecast: AdmissionForecast,
+    pub(super) next_forecast: CoreTime,
     pub(super) next_advice_scan: CoreTime,
     /// For each queue, the number of jobs not known to have started, and when it was counted.
     pub(super) waiting_counts: BTreeMap<String, (CoreTime, u64)>,
@@ -291,6 +294,8 @@
             next_forget: now,
             next_measurements: now,
             load: LoadLimit::new(now),
+            forecast: AdmissionForecast::default(),
+            next_forecast: now,
             next_advice_scan: now,
             waiting_counts: BTreeMap::new(),
         }
--- a/crates/bankvalve_queue/src/core/mod.rs
+++ b/crates/bankvalve_queue/src/core/mod.rs
@@ -26,8 +26,8 @@
 //!   follower's book up to date.
 //! - Callers: `callers` answers requests, and `follower_reads` answers status requests from a follower's
 //!   book. `customer_access` decides which jobs a customer may see.
-//! - Admission: the modules in `admission` accept or refuse submitted jobs, and apply the limits and shares of
-//!   customers.
+//! - Admission: the modules in `admission` accept or refuse submitted jobs, by a forecast of when they would begin,
+//!   and apply the limits and shares of customers.
 //! - Forecast: the modules in `forecast` hold what the leader expects of running work.
 //! - Workers: `lease_renewal`, `worker_reports` and `orders` poll workers and start and stop
 //!   runs. `incarnation` distinguishes the processes of a worker, and `call_proxies` has standbys send calls.
@@ -86,5 +86,8 @@
 mod worker_reports;
 mod worker_state;
 
+pub use admission::admission_forecast::{
+    AdmissionForecast, BacklogView, ForecastRefusal, JobSize, WaitingWork,
+};
 pub use entry_core::{CoreAction, CoreEvent, EntryCore, EntrySettings};
 pub use task_waits::{StartWait, TaskWaits, WaitReason};
--- a/crates/bankvalve_queue/src/core/placement/mod.rs
+++ b/crates/bankvalve_queue/src/core/placement/mod.rs
@@ -246,6 +246,7 @@
         }
         self.refresh_placed_steps();
         self.record_backlog();
+        self.update_forecast();
         let lead = self.lead.as_deref();
         let scanned = lead.map_or(0, |lead| lead.scanned_workers.take());
         self.counters
--- a/crates/bankvalve_queue/src/core/placement/waiting_steps.rs
+++ b/crates/bankvalve_queue/src/core/placement/waiting_steps.rs
@@ -88,6 +88,22 @@
         }
     }
 
+    /// Returns the priority of its queue.
+    pub(in crate::core) fn priority(&self) -> u32 {
+        self.priority
+    }
+
+    /// Returns whether its tasks are long-running.
+    pub(in crate::core) fn is_lasting(&self) -> bool {
+        self.lasting
+    }
+
+    /// Returns the time left at a time of day until the latest start with which its job ends within its
+    /// objective, in seconds; negative if that has passed.
+    pub(in crate::core) fn slack_s(&self, wall_ms: u64) -> f64 {
+        (self.latest_start_ms - wall_ms as i64) as f64 / 1_000.0
+    }
+
     /// Returns whether its queue has the highest priority.
     pub(in crate::core) fn is_urgent(&self) -> bool {
         self.priority == 0
--- a/crates/bankvalve_queue/src/core/worker_reports.rs
+++ b/crates/bankvalve_queue/src/core/worker_reports.rs
@@ -90,11 +90,13 @@
         let mut estimated = Duration::ZERO;
         let mut outlived_start = false;
         let mut known_run_time = Duration::ZERO;
+        let mut ended_cores = 0.0;
         if is_known_run {
             if let Some(live) = state.remove_run(&end.task) {
                 known_run_time = live.known_run_time();
                 ran = now.saturating_sub(live.began);
                 outlived_start = live.lasting && ran > START_FAILURE_WINDOW;
+                ended_cores = live.resources.millicores as f64 / 1_000.0;
                 if live.measured && end.saved.is_empty() {
                     estimated = live.estimate;
                 }
@@ -112,6 +114,10 @@
                 .or_insert(ratio);
             *error += ESTIMATE_ERROR_WEIGHT * (ratio - *error);
             state.record_slowness(ratio - *error);
+            let expected = estimated.as_secs_f64() * error.exp();
+            lead.forecast.record_ended(ended_cores * expected);
+        } else if end.how == EndKind::Done || !end.saved.is_empty() {
+            lead.forecast.record_ended(ended_cores * ran.as_secs_f64());
         }
         let may_back_off = self.settings.without != Some(PolicySwitch::FailureRest);
         let backs_off = match end.how {
--- a/crates/bankvalve_queue/src/lib.rs
+++ b/crates/bankvalve_queue/src/lib.rs
@@ -26,7 +26,10 @@
 pub use caller::{
     CallerAnswer, CallerRequest, DenialReason, JobState, RefusalReason, ResolvedRequest,
 };
-pub use core::{CoreAction, CoreEvent, EntryCore, EntrySettings, StartWait, TaskWaits, WaitReason};
+pub use core::{
+    AdmissionForecast, BacklogView, CoreAction, CoreEvent, EntryCore, EntrySettings,
+    ForecastRefusal, JobSize, StartWait, TaskWaits, WaitReason, WaitingWork,
+};
 pub use customer::{CallerIdentity, CustomerName, CustomerRule, KeyDigest, RunLimit};
 pub use decision::{CustomerView, DecisionLine, EntryCounters, EntryView, EvacuationView};
 pub use guard::SiteGuard;
--- a/crates/bankvalve_queue/src/policy.rs
+++ b/crates/bankvalve_queue/src/policy.rs
@@ -38,11 +38,13 @@
     /// Gangs of queues that allow few failed runs prefer workers whose last run did not fail
     /// ("proved" workers).
     ProvedWorkers,
+    /// Jobs that would end too late, or late at the expense of others, are refused at once.
+    AdmissionForecast,
 }
 
 impl PolicySwitch {
     /// All policies.
-    pub const ALL: [PolicySwitch; 15] = [
+    pub const ALL: [PolicySwitch; 16] = [
         PolicySwitch::ReadBack,
         PolicySwitch::QuickRepeat,
         PolicySwitch::ShortLooks,
@@ -58,5 +60,6 @@
         PolicySwitch::Withdrawal,
         PolicySwitch::CustomerShares,
         PolicySwitch::ProvedWorkers,
+        PolicySwitch::AdmissionForecast,
     ];
 }
