feat(queue): instances refuse by the leader's admission credits

Cause: the leader refuses each job of a burst by itself, which uses up its CPU and link in bursts of many times the usual load.

Change: the leader lowers the share of a queue of which it refuses more than half, so that it sees about twice what it accepts, and makes it whole as soon as it refuses none. Its heartbeat carries these shares with its epoch and their age, for 64 queues at most and only where they are below 100 percent; hubs pass them on. The instance that a caller reaches refuses the rest as `forecast`, except for jobs in its book. A table older than 2 s, or of another epoch than the leader's, counts as none (SiteGuard::CreditAge and CreditEpoch turn the tests of both red).

--- a/crates/bankvalve_check/tests/site/admission.rs
+++ b/crates/bankvalve_check/tests/site/admission.rs
@@ -6,11 +6,11 @@
 use bankvalve_check::site::{job_of, SitePlan, SiteWorld, QUEUE, URGENT_QUEUE};
 use bankvalve_queue::{JobId, PolicySwitch};
 
-use crate::{assert_kept, plan_of};
+use crate::{assert_kept, follower, plan_of};
 
 /// Queue whose priority is after those of the others.
 const LAST_QUEUE: &str = "last";
-/// Time of each task, in milliseconds; as estimated.
+/// Usual time of each task, in milliseconds; as estimated.
 const TASK_MS: u64 = 800;
 /// Time within which a job of one step should end, in milliseconds, by the terms of the queues.
 const OBJECTIVE_MS: u64 = 2_100;
@@ -36,6 +36,8 @@
 struct BurstWorld {
     world: SiteWorld,
     next: JobId,
+    /// Time that each task takes, in milliseconds.
+    work_ms: u64,
     /// When each job was submitted, and its queue.
     submitted: BTreeMap<JobId, (u64, &'static str)>,
 }
@@ -50,6 +52,7 @@
         Self {
             world,
             next: 1,
+            work_ms: TASK_MS,
             submitted: BTreeMap::new(),
         }
     }
@@ -65,7 +68,7 @@
         let job = self.next;
         self.next += 1;
         self.submitted.insert(job, (self.world.now_ms, queue));
-        self.world.work_ms.insert(job, TASK_MS);
+        self.world.work_ms.insert(job, self.work_ms);
         let spec = Arc::new(job_of(job, queue, &[tasks], false));
         self.world.submit_at(node, &spec);
     }
@@ -183,6 +186,35 @@
     assert_kept(&site.world);
 }
 
+/// Guards against a leader that has to refuse each job of a burst by itself, and against instances that refuse jobs
+/// after the burst.
+#[test]
+fn instances_refuse_most_jobs_of_a_burst_on_their_own() {
+    let mut site = BurstWorld::without(None);
+    let node = follower(&site.world);
+    site.load(node, 10_000, 1);
+    let by_credits = |site: &BurstWorld| site.world.counter_of(node, "admission", "by_credits");
+    assert_eq!(by_credits(&site), 0);
+    // Urgent jobs alone take more than the site has, so that some of what waits is left after the burst.
+    site.load(node, 3_000, 8);
+    let in_burst = by_credits(&site);
+    let by_leader =
+        site.world.counter("admission", "late") + site.world.counter("admission", "useless");
+    println!("{in_burst} refused by credits, {by_leader} by the leader");
+    assert!(in_burst > by_leader, "{in_burst} and {by_leader}");
+    site.load(node, 6_000, 1);
+    let refused = by_credits(&site);
+    let after = site.load(node, 6_000, 1);
+    site.world.run_until(after + 12_000);
+    site.print(after, after + 6_000);
+    assert_eq!(by_credits(&site), refused);
+    for queue in [URGENT_QUEUE, QUEUE, LAST_QUEUE] {
+        let tally = site.tally(queue, after, after + 6_000);
+        assert!(tally.in_time_percent() >= 90, "{queue}: {tally:?}");
+    }
+    assert_kept(&site.world);
+}
+
 /// Guards against refusals on a site whose operator has not put any queue between others.
 #[test]
 fn a_site_without_a_middle_priority_refuses_nothing() {
@@ -218,6 +250,19 @@
     assert_kept(&site.world);
 }
 
+/// Guards against a leader that refuses nothing, or everything, until it has measured how long runs take.
+#[test]
+fn a_leader_without_measurements_uses_the_callers_estimates() {
+    let mut site = BurstWorld::without(None);
+    site.work_ms = 60_000;
+    let from = site.load_leader(1_000, 1);
+    let burst = site.load_leader(6_000, 4);
+    let usual = site.tally(LAST_QUEUE, from, burst);
+    let in_burst = site.tally(LAST_QUEUE, burst, burst + 6_000);
+    assert_eq!(usual.refused, 0, "{usual:?}");
+    assert!(in_burst.refused >= 100, "{in_burst:?}");
+}
+
 /// Guards against a leader that was frozen and refuses jobs by what it knew, or since its workers are out of
 /// contact until they have answered.
 #[test]
--- a/crates/bankvalve_check/tests/site/random.rs
+++ b/crates/bankvalve_check/tests/site/random.rs
@@ -69,6 +69,8 @@
         SiteGuard::RecentConfig,
         SiteGuard::EvacuatedDomain,
         SiteGuard::EvacuatedNow,
+        SiteGuard::CreditAge,
+        SiteGuard::CreditEpoch,
     ];
     let others = SiteGuard::ALL.into_iter();
     let others = others.filter(|guard| !seldom.contains(guard));
--- a/crates/bankvalve_queue/src/core/admission/admission_decision.rs
+++ b/crates/bankvalve_queue/src/core/admission/admission_decision.rs
@@ -3,6 +3,8 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
+use crate::caller::CallerRequest;
+use crate::core::admission::admission_credits::{spread_retry_ms, CreditMeter, CreditRules};
 use crate::core::admission::admission_forecast::{
     AdmissionForecast, BacklogView, JobSize, WaitingWork,
 };
@@ -11,8 +13,10 @@
 use crate::core::placement::waiting_steps::Lateness;
 use crate::core::worker_state::WorkerState;
 use crate::core::EntryCore;
+use crate::guard::SiteGuard;
 use crate::ids::{StepKey, TaskKey};
 use crate::job::{JobSpec, JobTerms, StepSpec, TaskSize};
+use crate::peer::{AdmissionCredits, HeartbeatBody, PeerAddress};
 use crate::policy::PolicySwitch;
 use crate::queue_table::QueueTable;
 
@@ -49,11 +53,13 @@
         lead.next_forecast = now + UPDATE_INTERVAL + UPDATE_INTERVAL_PER_WORKER * workers;
         if !in_effect {
             lead.forecast = AdmissionForecast::default();
+            lead.credits = CreditMeter::default();
             return;
         }
         let view = self.backlog_view();
         if let Some(lead) = self.lead.as_deref_mut() {
             lead.forecast.update(&view);
+            lead.credits.update(now);
         }
     }
 
@@ -194,6 +200,10 @@
             backlog.collect::<String>()
         );
         self.counters.count("admission", outcome);
+        if let Some(lead) = self.lead.as_deref_mut() {
+            let longest_ms = refusal.longest_retry_ms();
+            lead.credits.record_refused(&spec.queue, longest_ms);
+        }
         Some((refusal.retry_ms(spec.id), why))
     }
 
@@ -209,7 +219,77 @@
         };
         if let Some(lead) = self.lead.as_deref_mut() {
             lead.forecast.record_accepted(now, terms.priority, &size);
+            lead.credits.record_accepted(&spec.queue);
+        }
+    }
+}
+
+impl EntryCore {
+    /// Returns the admission credits in force at this instance, with their age: those of its own forecast if it leads,
+    /// or those that the leader or a hub last sent. Returns `None` if all jobs of all queues are passed on.
+    pub(in crate::core) fn credits_in_force(&self) -> Option<AdmissionCredits> {
+        let now = self.now;
+        if let Some(lead) = self.lead.as_deref() {
+            let age = lead.forecast.age(now)?;
+            let queues = lead.credits.credits();
+            let is_limited = lead.forecast.is_current(now) && !queues.is_empty();
+            return is_limited.then(|| AdmissionCredits {
+                epoch: lead.epoch,
+                age_ms: age.as_millis() as u64,
+                queues,
+            });
+        }
+        let leader = self.leader.as_ref()?;
+        self.credit_gate
+            .table(leader.epoch, now, self.credit_rules())
+    }
+
+    fn credit_rules(&self) -> CreditRules {
+        CreditRules {
+            age: self.enforces(SiteGuard::CreditAge),
+            epoch: self.enforces(SiteGuard::CreditEpoch),
+        }
+    }
+
+    /// Takes over the admission credits of a heartbeat, if it is from the leader or from a hub that follows it.
+    pub(in crate::core) fn receive_credits(
+        &mut self,
+        from: PeerAddress,
+        heartbeat: &HeartbeatBody,
+    ) {
+        let Some(leader) = self.leader.as_ref().filter(|_| self.lead.is_none()) else {
+            return;
+        };
+        let from_leader = heartbeat.leading && leader.address == from;
+        let from_hub = !heartbeat.leading
+            && heartbeat.leader == Some(leader.address)
+            && self.is_behind_hubs()
+            && self.preferred.contains(&from);
+        if heartbeat.epoch == leader.epoch && (from_leader || from_hub) {
+            let now = self.now;
+            self.credit_gate.receive(heartbeat.credits.as_ref(), now);
+        }
+    }
+
+    /// Returns the time after which the caller of a job may retry that is refused by the leader's credits, in
+    /// milliseconds. Returns `None` if the request is passed on.
+    ///
+    /// The leader decides about the jobs that reach it by itself. A job in the book was accepted before.
+    pub(in crate::core) fn refuse_by_credits(&mut self, request: &CallerRequest) -> Option<u64> {
+        let CallerRequest::Submit { spec, .. } = request else {
+            return None;
+        };
+        let epoch = self.leader.as_ref()?.epoch;
+        let is_known = self.lead.is_some() || self.book.job(spec.id).is_some();
+        if is_known || !self.uses(PolicySwitch::AdmissionForecast) {
+            return None;
         }
+        let (now, rules) = (self.now, self.credit_rules());
+        let refused = self.credit_gate.pass(&spec.queue, epoch, now, rules).err();
+        refused.map(|longest_ms| {
+            self.counters.count("admission", "by_credits");
+            spread_retry_ms(longest_ms, spec.id)
+        })
     }
 }
 
--- a/crates/bankvalve_queue/src/core/admission/admission_forecast.rs
+++ b/crates/bankvalve_queue/src/core/admission/admission_forecast.rs
@@ -116,11 +116,16 @@
     /// Returns the time after which the caller may retry, in milliseconds. It differs by `spread`, a number that
     /// differs between jobs, so that retries arrive over the time in which the backlog drains.
     pub fn retry_ms(&self, spread: u64) -> u64 {
-        let (least, most) = RETRY_RANGE_MS;
-        let drain = (self.drain.as_millis() as u64).clamp(least, most);
+        let (least, drain) = (RETRY_RANGE_MS.0, self.longest_retry_ms());
         let first = (self.excess.as_millis() as u64).clamp(least, least.max(drain / 2));
         first + spread % (drain - first + 1)
     }
+
+    /// Returns the longest time after which callers may retry, in milliseconds.
+    pub fn longest_retry_ms(&self) -> u64 {
+        let (least, most) = RETRY_RANGE_MS;
+        (self.drain.as_millis() as u64).clamp(least, most)
+    }
 }
 
 /// Average rates at which work of a priority arrives, in cores.
@@ -294,10 +299,14 @@
         self.ended_since_update += core_seconds;
     }
 
+    /// Returns the time since the last update; `None` if there was none.
+    pub fn age(&self, now: CoreTime) -> Option<Duration> {
+        self.updated_at.map(|at| now.saturating_sub(at))
+    }
+
     /// Returns whether the forecast is recent.
     pub fn is_current(&self, now: CoreTime) -> bool {
-        self.updated_at
-            .is_some_and(|at| now.saturating_sub(at) <= MAX_AGE)
+        self.age(now).is_some_and(|age| age <= MAX_AGE)
     }
 
     /// Returns the time until a job that arrives now begins, if it keeps its place among those in time.
--- a/crates/bankvalve_queue/src/core/admission/load_limit.rs
+++ b/crates/bankvalve_queue/src/core/admission/load_limit.rs
@@ -78,7 +78,7 @@
 }
 
 /// Admits a share of jobs, evenly distributed.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub(in crate::core) struct ShareGate {
     credit: u32,
 }
--- a/crates/bankvalve_queue/src/core/admission/mod.rs
+++ b/crates/bankvalve_queue/src/core/admission/mod.rs
@@ -1,6 +1,7 @@
 //! Which jobs are accepted, and within which limits and shares of their customers.
 
-mod admission_decision;
+pub(in crate::core) mod admission_credits;
+pub(in crate::core) mod admission_decision;
 pub(in crate::core) mod admission_forecast;
 pub(in crate::core) mod customer_limits;
 pub(in crate::core) mod customer_shares;
--- a/crates/bankvalve_queue/src/core/callers.rs
+++ b/crates/bankvalve_queue/src/core/callers.rs
@@ -82,6 +82,10 @@
             self.refuse(ticket, RefusalReason::Overload);
             return;
         }
+        if let Some(retry_ms) = self.refuse_by_credits(&request.request) {
+            self.refuse_until(ticket, RefusalReason::Forecast, retry_ms);
+            return;
+        }
         let timeout = Duration::from_millis(request.patience_ms * TIMEOUT_PERCENT / 100);
         let (since, until) = (self.now, self.now + timeout);
         let open_request = OpenRequest {
@@ -108,16 +112,17 @@
     }
 
     fn refuse(&mut self, ticket: Ticket, reason: RefusalReason) {
-        self.counters.refuse(reason);
         // Spreads the retries of callers that are refused at the same time.
         let spread = match reason {
             RefusalReason::Overload => ticket % RETRY_SPREAD_MS,
             _ => 0,
         };
-        let answer = CallerAnswer::Refused {
-            reason,
-            retry_ms: RETRY_MS + spread,
-        };
+        self.refuse_until(ticket, reason, RETRY_MS + spread);
+    }
+
+    fn refuse_until(&mut self, ticket: Ticket, reason: RefusalReason, retry_ms: u64) {
+        self.counters.refuse(reason);
+        let answer = CallerAnswer::Refused { reason, retry_ms };
         self.actions.push(CoreAction::Answer { ticket, answer });
     }
 
--- a/crates/bankvalve_queue/src/core/entry_core.rs
+++ b/crates/bankvalve_queue/src/core/entry_core.rs
@@ -6,6 +6,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
+use super::admission::admission_credits::CreditGate;
 use super::admission::customer_limits::CustomerLimits;
 use super::admission::load_limit::ShareGate;
 use super::call_proxies::ProxyOrigin;
@@ -331,6 +332,8 @@
     pub(super) log_budget: LogBudget,
     /// Admits the share of new jobs that the leader accepts.
     pub(super) gate: ShareGate,
+    /// Admits the share of each queue's new jobs that the leader wants to see.
+    pub(super) credit_gate: CreditGate,
     pub(super) counters: EntryCounters,
     pub(super) actions: Vec<CoreAction>,
 }
@@ -399,6 +402,7 @@
             logged_readiness: None,
             log_budget: LogBudget::default(),
             gate: ShareGate::default(),
+            credit_gate: CreditGate::default(),
             counters: EntryCounters::default(),
             actions: Vec::new(),
         }
--- a/crates/bankvalve_queue/src/core/lead_state.rs
+++ b/crates/bankvalve_queue/src/core/lead_state.rs
@@ -4,6 +4,7 @@
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::time::Duration;
 
+use super::admission::admission_credits::CreditMeter;
 use super::admission::admission_forecast::AdmissionForecast;
 use super::admission::customer_limits::{CustomerUsage, LimitStatus};
 use super::admission::customer_shares::CustomerShares;
@@ -223,6 +224,7 @@
     pub(super) load: LoadLimit,
     pub(super) forecast: AdmissionForecast,
     pub(super) next_forecast: CoreTime,
+    pub(super) credits: CreditMeter,
     pub(super) next_advice_scan: CoreTime,
     /// For each queue, the number of jobs not known to have started, and when it was counted.
     pub(super) waiting_counts: BTreeMap<String, (CoreTime, u64)>,
@@ -296,6 +298,7 @@
             load: LoadLimit::new(now),
             forecast: AdmissionForecast::default(),
             next_forecast: now,
+            credits: CreditMeter::default(),
             next_advice_scan: now,
             waiting_counts: BTreeMap::new(),
         }
--- a/crates/bankvalve_queue/src/core/members.rs
+++ b/crates/bankvalve_queue/src/core/members.rs
@@ -108,6 +108,7 @@
             stopping: self.stopping,
             hold_ms: self.lease_duration().as_millis() as u64,
             evacuations: self.evacuations.list(),
+            credits: self.credits_in_force(),
         }
     }
 
@@ -160,6 +161,7 @@
                 leader.ended |= heartbeat.life > leader.life;
             }
         }
+        self.receive_credits(from, &heartbeat);
         let now = self.now;
         self.former_leaders.record_heartbeat(from, &heartbeat, now);
         let slow = self.has_slow_heartbeat(from);
--- a/crates/bankvalve_queue/src/core/mod.rs
+++ b/crates/bankvalve_queue/src/core/mod.rs
@@ -86,6 +86,7 @@
 mod worker_reports;
 mod worker_state;
 
+pub use admission::admission_credits::{CreditGate, CreditMeter, CreditRules};
 pub use admission::admission_forecast::{
     AdmissionForecast, BacklogView, ForecastRefusal, JobSize, WaitingWork,
 };
--- a/crates/bankvalve_queue/src/guard.rs
+++ b/crates/bankvalve_queue/src/guard.rs
@@ -87,11 +87,15 @@
     EvacuatedDomain,
     /// A start that was pending while the failure domain of its worker was evacuated is not sent.
     EvacuatedNow,
+    /// A table of admission credits older than 2 s counts as none.
+    CreditAge,
+    /// A former leader's table of admission credits counts as none.
+    CreditEpoch,
 }
 
 impl SiteGuard {
     /// All guards.
-    pub const ALL: [SiteGuard; 35] = [
+    pub const ALL: [SiteGuard; 37] = [
         SiteGuard::LedgerFirst,
         SiteGuard::OwnRow,
         SiteGuard::KeptEnds,
@@ -127,6 +131,8 @@
         SiteGuard::RecentConfig,
         SiteGuard::EvacuatedDomain,
         SiteGuard::EvacuatedNow,
+        SiteGuard::CreditAge,
+        SiteGuard::CreditEpoch,
     ];
 
     /// Returns the name on the command line.
@@ -176,6 +182,8 @@
             SiteGuard::RecentConfig => "recent-config",
             SiteGuard::EvacuatedDomain => "evacuated-domain",
             SiteGuard::EvacuatedNow => "evacuated-now",
+            SiteGuard::CreditAge => "credit-age",
+            SiteGuard::CreditEpoch => "credit-epoch",
         }
     }
 
--- a/crates/bankvalve_queue/src/lib.rs
+++ b/crates/bankvalve_queue/src/lib.rs
@@ -27,8 +27,9 @@
     CallerAnswer, CallerRequest, DenialReason, JobState, RefusalReason, ResolvedRequest,
 };
 pub use core::{
-    AdmissionForecast, BacklogView, CoreAction, CoreEvent, EntryCore, EntrySettings,
-    ForecastRefusal, JobSize, StartWait, TaskWaits, WaitReason, WaitingWork,
+    AdmissionForecast, BacklogView, CoreAction, CoreEvent, CreditGate, CreditMeter, CreditRules,
+    EntryCore, EntrySettings, ForecastRefusal, JobSize, StartWait, TaskWaits, WaitReason,
+    WaitingWork,
 };
 pub use customer::{CallerIdentity, CustomerName, CustomerRule, KeyDigest, RunLimit};
 pub use decision::{CustomerView, DecisionLine, EntryCounters, EntryView, EvacuationView};
@@ -43,8 +44,9 @@
     LedgerBatch, LedgerEvent, RepetitionRecord, StepRecord, TaskPhase, TaskRecord,
 };
 pub use peer::{
-    peer_batch_timeout, BatchTimeout, EvacuationList, HeartbeatBody, HeartbeatEcho, PeerAddress,
-    PeerBatch, PeerMessage, ProxiedCall, ProxiedOrder, PEER_BATCHES_IN_FLIGHT, POOLED_CONNECTIONS,
+    peer_batch_timeout, AdmissionCredits, BatchTimeout, EvacuationList, HeartbeatBody,
+    HeartbeatEcho, PeerAddress, PeerBatch, PeerMessage, ProxiedCall, ProxiedOrder, QueueCredit,
+    PEER_BATCHES_IN_FLIGHT, POOLED_CONNECTIONS,
 };
 pub use policy::PolicySwitch;
 pub use port::{PlatformPort, RequestFault, WireAnswer, WireCall, WireReply, WireRequest};
--- a/crates/bankvalve_queue/src/peer.rs
+++ b/crates/bankvalve_queue/src/peer.rs
@@ -112,6 +112,28 @@
     pub domains: Vec<(DomainName, u64)>,
 }
 
+/// Share of a queue's new jobs that is passed on to the leader.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct QueueCredit {
+    /// Name of the queue.
+    pub queue: String,
+    /// The share, in percent.
+    pub percent: u32,
+    /// Longest time after which callers of the other jobs may retry, in milliseconds.
+    pub retry_ms: u64,
+}
+
+/// Shares of queues' new jobs that are passed on to the leader.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct AdmissionCredits {
+    /// Epoch of the leader that calculated them.
+    pub epoch: u64,
+    /// Milliseconds since it calculated them.
+    pub age_ms: u64,
+    /// Queues of which less than all jobs are passed on; 64 at most.
+    pub queues: Vec<QueueCredit>,
+}
+
 /// Contents of a heartbeat.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct HeartbeatBody {
@@ -159,6 +181,10 @@
     /// Evacuated failure domains; `None` if the sender does not know them yet.
     #[serde(default)]
     pub evacuations: Option<EvacuationList>,
+    /// Shares of queues' new jobs that are passed on to the leader, as last known to the sender; `None` if all jobs
+    /// of all queues are.
+    #[serde(default)]
+    pub credits: Option<AdmissionCredits>,
 }
 
 /// A call to a worker that a proxy sends for the leader.
