--- a/crates/bankvalve_check/tests/site/random.rs
+++ b/crates/bankvalve_check/tests/site/random.rs
@@ -70,6 +70,8 @@
         SiteGuard::EvacuatedDomain,
         SiteGuard::EvacuatedNow,
         SiteGuard::HeldAlone,
+        SiteGuard::CreditAge,
+        SiteGuard::CreditEpoch,
     ];
     let others = SiteGuard::ALL.into_iter();
     let others = others.filter(|guard| !seldom.contains(guard));
--- a/crates/bankvalve_queue/src/core/entry_core.rs
+++ b/crates/bankvalve_queue/src/core/entry_core.rs
@@ -6,6 +6,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
+use super::admission::admission_credits::CreditGate;
 use super::admission::customer_limits::CustomerLimits;
 use super::admission::load_limit::ShareGate;
 use super::admission::outage_wait::OutageWait;
@@ -334,6 +335,8 @@
     pub(super) gate: ShareGate,
     /// Submits that are held while the table is unavailable.
     pub(super) outage_wait: OutageWait,
+    /// Admits the share of each queue's new jobs that the leader wants to see.
+    pub(super) credit_gate: CreditGate,
     pub(super) counters: EntryCounters,
     pub(super) actions: Vec<CoreAction>,
 }
@@ -403,6 +406,7 @@
             log_budget: LogBudget::default(),
             gate: ShareGate::default(),
             outage_wait: OutageWait::default(),
+            credit_gate: CreditGate::default(),
             counters: EntryCounters::default(),
             actions: Vec::new(),
         }
--- a/crates/bankvalve_queue/src/core/members.rs
+++ b/crates/bankvalve_queue/src/core/members.rs
@@ -111,6 +111,7 @@
             store_away_ms: self
                 .store_away_since()
                 .map(|at| self.age(at).as_millis() as u64),
+            credits: self.credits_in_force(),
         }
     }
 
@@ -163,6 +164,7 @@
                 leader.ended |= heartbeat.life > leader.life;
             }
         }
+        self.receive_credits(from, &heartbeat);
         let now = self.now;
         self.former_leaders.record_heartbeat(from, &heartbeat, now);
         let slow = self.has_slow_heartbeat(from);
--- a/crates/bankvalve_queue/src/guard.rs
+++ b/crates/bankvalve_queue/src/guard.rs
@@ -90,11 +90,15 @@
     /// A submit of which a copy may still be accepted is not held through an outage of the table: its refusal
     /// at the end of the wait would not be certain.
     HeldAlone,
+    /// A table of admission credits older than 2 s counts as none.
+    CreditAge,
+    /// A former leader's table of admission credits counts as none.
+    CreditEpoch,
 }
 
 impl SiteGuard {
     /// All guards.
-    pub const ALL: [SiteGuard; 36] = [
+    pub const ALL: [SiteGuard; 38] = [
         SiteGuard::LedgerFirst,
         SiteGuard::OwnRow,
         SiteGuard::KeptEnds,
@@ -131,6 +135,8 @@
         SiteGuard::EvacuatedDomain,
         SiteGuard::EvacuatedNow,
         SiteGuard::HeldAlone,
+        SiteGuard::CreditAge,
+        SiteGuard::CreditEpoch,
     ];
 
     /// Returns the name on the command line.
@@ -181,6 +187,8 @@
             SiteGuard::EvacuatedDomain => "evacuated-domain",
             SiteGuard::EvacuatedNow => "evacuated-now",
             SiteGuard::HeldAlone => "held-alone",
+            SiteGuard::CreditAge => "credit-age",
+            SiteGuard::CreditEpoch => "credit-epoch",
         }
     }
 
--- a/crates/bankvalve_queue/src/lib.rs
+++ b/crates/bankvalve_queue/src/lib.rs
@@ -27,9 +27,10 @@
     CallerAnswer, CallerRequest, DenialReason, JobState, RefusalReason, ResolvedRequest,
 };
 pub use core::{
-    earliest_on_all, CapacityProfile, CoreAction, CoreEvent, EntryCore, EntrySettings,
-    HoldDecision, HoldTerms, IdleReserve, OutageForecast, OutageWait, PlanReview, PlannedStart,
-    ReplanReason, StartWait, TaskWaits, WaitReason, WaitTally,
+    earliest_on_all, AdmissionForecast, BacklogView, CapacityProfile, CoreAction, CoreEvent,
+    CreditGate, CreditMeter, CreditRules, EntryCore, EntrySettings, ForecastRefusal, HoldDecision,
+    HoldTerms, IdleReserve, JobSize, OutageForecast, OutageWait, PlanReview, PlannedStart,
+    ReplanReason, StartWait, TaskWaits, WaitReason, WaitTally, WaitingWork,
 };
 pub use customer::{CallerIdentity, CustomerName, CustomerRule, KeyDigest, RunLimit};
 pub use decision::{CustomerView, DecisionLine, EntryCounters, EntryView, EvacuationView};
@@ -44,8 +45,9 @@
     LedgerBatch, LedgerEvent, RepetitionRecord, StepRecord, TaskPhase, TaskRecord,
 };
 pub use peer::{
-    peer_batch_timeout, BatchTimeout, EvacuationList, HeartbeatBody, HeartbeatEcho, PeerAddress,
-    PeerBatch, PeerMessage, ProxiedCall, ProxiedOrder, PEER_BATCHES_IN_FLIGHT, POOLED_CONNECTIONS,
+    peer_batch_timeout, AdmissionCredits, BatchTimeout, EvacuationList, HeartbeatBody,
+    HeartbeatEcho, PeerAddress, PeerBatch, PeerMessage, ProxiedCall, ProxiedOrder, QueueCredit,
+    PEER_BATCHES_IN_FLIGHT, POOLED_CONNECTIONS,
 };
 pub use policy::PolicySwitch;
 pub use port::{PlatformPort, RequestFault, WireAnswer, WireCall, WireReply, WireRequest};
--- a/crates/bankvalve_queue/src/policy.rs
+++ b/crates/bankvalve_queue/src/policy.rs
@@ -43,11 +43,13 @@
     /// Where the configuration has queues of a priority between the first and the last, capacity is planned by
     /// priority.
     CapacityPlan,
+    /// Jobs that would end too late, or late at the expense of others, are refused at once.
+    AdmissionForecast,
 }
 
 impl PolicySwitch {
     /// All policies.
-    pub const ALL: [PolicySwitch; 17] = [
+    pub const ALL: [PolicySwitch; 18] = [
         PolicySwitch::ReadBack,
         PolicySwitch::QuickRepeat,
         PolicySwitch::ShortLooks,
@@ -65,5 +67,6 @@
         PolicySwitch::ProvedWorkers,
         PolicySwitch::OutageWait,
         PolicySwitch::CapacityPlan,
+        PolicySwitch::AdmissionForecast,
     ];
 }
