feat(forecast): learn run times by image and the speed of workers

Cause: the run time expected of a task was its estimate, corrected by a mean error of its queue that mixed the error of estimates, the speed of workers and the few tasks that take seven times as long. It knew neither images nor slow failure domains, and a new worker counted as usual.

Change: RunTimeModel keeps the distribution of measured to estimated time by image and by queue and gives a median, a 0.9 quantile, the time of all tasks of a step and the remaining time of a run. WorkerSpeed averages a worker's own runs and shrinks them towards its failure domain and kind. The tasks of a step share one estimate, so that they count for less than independent ones. expected_time and time_left use both; run_time_on gives the expected time of a task on a worker. The pace of a run is taken at the time of its last report, since a run whose report is old counted as slow. Without PolicySwitch::RunTimeModel all is as before.

Not measured on a site yet.

--- a/crates/bankvalve_check/tests/site/crashing.rs
+++ b/crates/bankvalve_check/tests/site/crashing.rs
@@ -342,8 +342,9 @@
 
 #[test]
 fn a_guard_against_such_tasks_that_is_taken_away_is_noticed() {
+    // Without the second guard, about one seed of thirty breaks a rule.
     for guard in [SiteGuard::CrashBudget, SiteGuard::AloneEvidence] {
-        let noticed = (1..20).any(|seed| {
+        let noticed = (1..120).any(|seed| {
             let report = run_crash_episode(seed, &SiteFault::ALL, Some(guard));
             !report.breaches.is_empty()
         });
--- a/crates/bankvalve_queue/src/core/follower.rs
+++ b/crates/bankvalve_queue/src/core/follower.rs
@@ -77,6 +77,10 @@
             return;
         }
         lead.next_measurements = now + MEASUREMENT_INTERVAL;
+        self.refresh_speeds();
+        let Some(lead) = self.lead.as_deref() else {
+            return;
+        };
         let workers: Vec<(WorkerId, f64)> = lead
             .worker_states
             .iter()
--- a/crates/bankvalve_queue/src/core/forecast/overdue_runs.rs
+++ b/crates/bankvalve_queue/src/core/forecast/overdue_runs.rs
@@ -41,6 +41,9 @@
     since: CoreTime,
     /// When the last list was requested. The progress in it is no older.
     requested_at: CoreTime,
+    /// When that list arrived. A worker may answer long after the request, so the progress in it is about as
+    /// old as this.
+    reported_at: CoreTime,
 }
 
 /// Why a run is started elsewhere.
@@ -74,6 +77,7 @@
             percent,
             since,
             requested_at,
+            reported_at: now,
         }
     }
 
@@ -83,6 +87,19 @@
         known.then(|| (ran * 100 / self.percent).saturating_sub(ran))
     }
 
+    /// Returns the remaining time of a run at the pace that it had until its progress was last reported, or
+    /// `None` if the pace is not known. Unlike by [`time_left`](Self::time_left), a run whose last report is
+    /// old does not count as slow.
+    pub(in crate::core) fn time_left_at(&self, began: CoreTime, now: CoreTime) -> Option<Duration> {
+        let worked = self.reported_at.saturating_sub(began);
+        if self.percent == 0 || worked < MIN_PACE_TIME {
+            return None;
+        }
+        // Workers report whole percents, rounded down.
+        let total = worked * 200 / (2 * self.percent + 1);
+        Some((total.max(worked)).saturating_sub(now.saturating_sub(began)))
+    }
+
     /// Returns why a run is overdue, or `None` if it is not.
     fn overdue_reason(&self, began: CoreTime, expected: Duration) -> Option<OverdueReason> {
         let stall = MIN_STALL_TIME.max(expected * STALL_PERCENT / 100);
@@ -142,21 +159,6 @@
         }
     }
 
-    /// Returns the expected run time of a task: the estimate of its job, corrected by the recent estimate
-    /// error of the queue.
-    pub(in crate::core) fn expected_time(&self, task: TaskKey) -> Duration {
-        let Some(job) = self.book.job(task.step.job) else {
-            return Duration::ZERO;
-        };
-        // A worker's run list may name a step that the job does not have.
-        let Some(step) = job.spec.steps.get(usize::from(task.step.step)) else {
-            return Duration::ZERO;
-        };
-        let lead = self.lead.as_deref();
-        let error = lead.and_then(|lead| lead.estimate_error.get(&job.spec.queue));
-        Duration::from_millis(step.estimate_ms).mul_f64(error.copied().unwrap_or(0.0).exp())
-    }
-
     fn move_run(&mut self, id: &WorkerId, task: TaskKey, percent: u32, reason: OverdueReason) {
         let now = self.now;
         let detail = format!("{} at {percent} percent on {id}", reason.as_str());
--- /dev/null
+++ b/crates/bankvalve_queue/src/core/forecast/run_forecast.rs
@@ -0,0 +1,121 @@
+//! Use of the learned run times and worker speeds by the leader: what is expected of its tasks and runs.
+
+use std::time::Duration;
+
+use crate::core::forecast::run_times::{RunGroup, RunTimeEstimate, RunTimeModel};
+use crate::core::forecast::worker_speed::WorkerGroup;
+use crate::core::live_run::LiveRun;
+use crate::core::worker_state::WorkerState;
+use crate::core::EntryCore;
+use crate::ids::{StepKey, TaskKey, WorkerId};
+use crate::policy::PolicySwitch;
+
+impl WorkerState {
+    /// Updates what is expected of the worker's speed.
+    pub(in crate::core) fn refresh_speed(&mut self, model: &RunTimeModel) {
+        let group = WorkerGroup::of(&self.entry);
+        let expected = model.speeds().expected(&group, &self.speed);
+        self.slowness = expected.slowness;
+        self.speed_class = expected.class;
+    }
+}
+
+impl EntryCore {
+    /// Returns the group of a step's tasks and their estimated run time, or `None` if the step is unknown: a
+    /// worker's run list may name a step that the job does not have.
+    fn run_group(&self, step: StepKey) -> Option<(RunGroup<'_>, Duration)> {
+        let job = self.book.job(step.job)?;
+        let spec = job.spec.steps.get(usize::from(step.step))?;
+        let group = RunGroup {
+            image: &spec.image,
+            queue: &job.spec.queue,
+        };
+        Some((group, Duration::from_millis(spec.estimate_ms)))
+    }
+
+    /// Returns the expected run time of a task of a step on a worker of some slowness, which is a logarithm
+    /// and 0 for a usual worker.
+    pub(in crate::core) fn run_time_at(&self, step: StepKey, slowness: f64) -> RunTimeEstimate {
+        let Some((group, estimate)) = self.run_group(step) else {
+            return RunTimeEstimate::default();
+        };
+        let Some(lead) = self.lead.as_deref() else {
+            return RunTimeEstimate::exact(estimate);
+        };
+        if self.uses(PolicySwitch::RunTimeModel) {
+            return lead.run_times.expected(&group, estimate, slowness);
+        }
+        let error = lead.estimate_error.get(group.queue);
+        RunTimeEstimate::exact(estimate.mul_f64(error.copied().unwrap_or(0.0).exp()))
+    }
+
+    /// Returns the expected run time of a task of a step on a worker. For a gang, the slowest member counts.
+    #[allow(dead_code, reason = "for the capacity plan and admission by forecast")]
+    pub(in crate::core) fn run_time_on(
+        &self,
+        step: StepKey,
+        worker: &WorkerState,
+    ) -> RunTimeEstimate {
+        self.run_time_at(step, worker.slowness)
+    }
+
+    /// Returns the expected run time of a task on a usual worker.
+    pub(in crate::core) fn expected_time(&self, task: TaskKey) -> Duration {
+        self.run_time_at(task.step, 0.0).typical
+    }
+
+    /// Returns the remaining time of a run: by its pace if that is known, or else by the expected run time of
+    /// its task on its worker.
+    pub(in crate::core) fn remaining_time(&self, task: TaskKey, live: &LiveRun) -> RunTimeEstimate {
+        let ran = self.age(live.began);
+        let uses_model = self.uses(PolicySwitch::RunTimeModel);
+        let progress = live.progress;
+        let by_pace = if uses_model {
+            progress.and_then(|progress| progress.time_left_at(live.began, self.now))
+        } else {
+            progress.and_then(|progress| progress.time_left(ran))
+        };
+        if let Some(left) = by_pace {
+            return RunTimeEstimate::exact(left);
+        }
+        if !uses_model {
+            return RunTimeEstimate::exact(self.expected_time(task).saturating_sub(ran));
+        }
+        match (self.run_group(task.step), self.lead.as_deref()) {
+            (Some((group, estimate)), Some(lead)) => {
+                let slowness = live.slowness;
+                lead.run_times.remaining(&group, estimate, slowness, ran)
+            }
+            _ => RunTimeEstimate::default(),
+        }
+    }
+
+    /// Updates the usual speed of workers, and what is expected of each of them.
+    pub(in crate::core) fn refresh_speeds(&mut self) {
+        if !self.uses(PolicySwitch::RunTimeModel) {
+            return;
+        }
+        let Some(lead) = self.lead.as_deref_mut() else {
+            return;
+        };
+        let listed = lead.worker_states.values().filter(|state| state.listed);
+        let groups = listed.map(|state| WorkerGroup::of(&state.entry));
+        lead.run_times.speeds_mut().set_usual(groups);
+        for state in lead.worker_states.values_mut() {
+            state.refresh_speed(&lead.run_times);
+        }
+    }
+
+    /// Updates what is expected of a worker whose entry is new or has changed.
+    pub(in crate::core) fn refresh_speed_of(&mut self, id: &WorkerId) {
+        if !self.uses(PolicySwitch::RunTimeModel) {
+            return;
+        }
+        let Some(lead) = self.lead.as_deref_mut() else {
+            return;
+        };
+        if let Some(state) = lead.worker_states.get_mut(id) {
+            state.refresh_speed(&lead.run_times);
+        }
+    }
+}
--- a/crates/bankvalve_queue/src/core/lead_state.rs
+++ b/crates/bankvalve_queue/src/core/lead_state.rs
@@ -9,6 +9,7 @@
 use super::admission::load_limit::LoadLimit;
 use super::call_proxies::ProxyList;
 use super::commit::{InFlightCommit, Origin, Proposal};
+use super::forecast::run_times::RunTimeModel;
 use super::incarnation::Incarnation;
 use super::live_run::LiveRun;
 use super::lost_contact::WaitTracker;
@@ -205,6 +206,7 @@
     pub(super) next_restart_preparation: CoreTime,
     /// Moving average, by queue, of the logarithm of measured to estimated run time.
     pub(super) estimate_error: BTreeMap<String, f64>,
+    pub(super) run_times: RunTimeModel,
     /// When each adviser is expected to have answered all its advice requests.
     pub(super) adviser_busy: BTreeMap<PeerAddress, CoreTime>,
     /// Whether free capacity, permits or waiting steps have changed since the last placement pass.
@@ -281,6 +283,7 @@
             restarting: BTreeMap::new(),
             next_restart_preparation: now,
             estimate_error: BTreeMap::new(),
+            run_times: RunTimeModel::default(),
             adviser_busy: BTreeMap::new(),
             placement_due: true,
             next_placement: now,
--- a/crates/bankvalve_queue/src/core/live_run.rs
+++ b/crates/bankvalve_queue/src/core/live_run.rs
@@ -85,6 +85,8 @@
     pub(super) began: CoreTime,
     /// Estimated run time.
     pub(super) estimate: Duration,
+    /// Slowness of its worker when it was added there: a logarithm, 0 for a usual worker.
+    pub(super) slowness: f64,
     /// Copies of the order that had no answer and may still be executed.
     pub(super) copies: u32,
     /// Whether an order for it is in flight.
@@ -137,6 +139,7 @@
             phase,
             began: now,
             estimate: Duration::from_millis(spec.estimate_ms),
+            slowness: 0.0,
             copies: 0,
             busy: false,
             next_at: now,
--- a/crates/bankvalve_queue/src/core/mod.rs
+++ b/crates/bankvalve_queue/src/core/mod.rs
@@ -87,4 +87,10 @@
 mod worker_state;
 
 pub use entry_core::{CoreAction, CoreEvent, EntryCore, EntrySettings};
+pub use forecast::run_times::{
+    MeasuredModel, MeasuredRunGroup, RunGroup, RunSample, RunTimeEstimate, RunTimeModel,
+};
+pub use forecast::worker_speed::{
+    ExpectedSpeed, GroupSpeeds, MeasuredWorkerGroup, WorkerGroup, WorkerSpeed,
+};
 pub use task_waits::{StartWait, TaskWaits, WaitReason};
--- a/crates/bankvalve_queue/src/core/placement/capacity_reclaim.rs
+++ b/crates/bankvalve_queue/src/core/placement/capacity_reclaim.rs
@@ -396,7 +396,7 @@
         (wanted.fits(&free) && plan.after <= MAX_CAPACITY_WAIT).then_some(plan)
     }
 
-    /// Returns the remaining time of a run by its progress, or else by the expected run time of its task.
+    /// Returns the expected remaining time of a run.
     fn time_left(&self, task: TaskKey, live: &LiveRun) -> Duration {
         if matches!(live.phase, RunPhase::Stopping { .. }) {
             return STOP_TIME;
@@ -404,10 +404,7 @@
         if live.lasting {
             return MAX_CAPACITY_WAIT * 2;
         }
-        let ran = self.age(live.began);
-        let expected = self.expected_time(task).saturating_sub(ran);
-        let remaining = live.progress.and_then(|progress| progress.time_left(ran));
-        remaining.unwrap_or(expected)
+        self.remaining_time(task, live).typical
     }
 
     fn may_preempt_for(&self, step: &StepToPlace, task: TaskKey, live: &LiveRun) -> bool {
--- a/crates/bankvalve_queue/src/core/worker_entries.rs
+++ b/crates/bankvalve_queue/src/core/worker_entries.rs
@@ -97,6 +97,7 @@
                 state.start_slowness(*slowness);
             }
             lead.worker_states.insert(id.clone(), state);
+            self.refresh_speed_of(id);
             if !full {
                 self.log("workers", "listed", id.to_string(), String::new());
             }
@@ -117,6 +118,7 @@
         if other_process {
             state.next_poll = now;
         }
+        self.refresh_speed_of(id);
         if leave_announced {
             self.begin_leaving(id);
         }
--- a/crates/bankvalve_queue/src/core/worker_reports.rs
+++ b/crates/bankvalve_queue/src/core/worker_reports.rs
@@ -3,6 +3,8 @@
 use std::time::Duration;
 
 use super::commit::Effect;
+use super::forecast::run_times::{RunGroup, RunSample};
+use super::forecast::worker_speed::WorkerGroup;
 use super::live_run::{LiveRun, RunPhase};
 use super::worker_state::ProcessEnd;
 use super::EntryCore;
@@ -51,6 +53,7 @@
     fn handle_end(&mut self, id: &WorkerId, end: &EndReport) {
         let now = self.now;
         let waits_for_commit = self.enforces(SiteGuard::KeptEnds);
+        let uses_model = self.uses(PolicySwitch::RunTimeModel);
         let Some(lead) = self.lead.as_deref_mut() else {
             return;
         };
@@ -101,7 +104,24 @@
             }
         }
         let job = end.task.step.job;
-        if end.how == EndKind::Done && !estimated.is_zero() {
+        if end.how == EndKind::Done && !estimated.is_zero() && uses_model {
+            let spec = self.book.job(job).map(|job| &job.spec);
+            let index = usize::from(end.task.step.step);
+            if let Some((spec, step)) = spec.and_then(|spec| Some((spec, spec.steps.get(index)?))) {
+                let sample = RunSample {
+                    group: RunGroup {
+                        image: &step.image,
+                        queue: &spec.queue,
+                    },
+                    tasks: step.count,
+                    estimate: estimated,
+                    ran,
+                    worker: WorkerGroup::of(&state.entry),
+                };
+                lead.run_times.record(&sample, &mut state.speed);
+                state.refresh_speed(&lead.run_times);
+            }
+        } else if end.how == EndKind::Done && !estimated.is_zero() {
             let queue = self.book.job(job).map(|job| job.spec.queue.clone());
             let ratio = (ran.as_secs_f64() / estimated.as_secs_f64())
                 .max(MIN_RUN_TIME_RATIO)
--- a/crates/bankvalve_queue/src/core/worker_state.rs
+++ b/crates/bankvalve_queue/src/core/worker_state.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
+use super::forecast::worker_speed::WorkerSpeed;
 use super::live_run::{LiveRun, RunLoad, RunPhase};
 use crate::ids::{ConnectionId, CoreTime, JobId, StepKey, TaskKey};
 use crate::job::TaskSize;
@@ -170,6 +171,10 @@
     pub(super) last_end_acknowledged: u64,
     /// Logarithm of how much longer tasks take on this worker than on others.
     pub(super) slowness: f64,
+    /// Speed class; a higher one is slower. It is 0 for all workers while their speeds do not differ.
+    pub(super) speed_class: i64,
+    /// Average of the worker's own measurements, from which the slowness is computed.
+    pub(super) speed: WorkerSpeed,
     /// Number of tasks that have been averaged into the slowness.
     measured: u32,
     /// Consecutive failures. Several in a row of one job count as one.
@@ -215,6 +220,8 @@
             last_end_committed: 0,
             last_end_acknowledged: 0,
             slowness: 0.0,
+            speed_class: 0,
+            speed: WorkerSpeed::default(),
             measured: 0,
             failures: 0,
             failed_job: 0,
@@ -233,6 +240,7 @@
             entry_readable: before.entry_readable,
             unlisted_at: before.unlisted_at,
             lease_stop: before.lease_stop,
+            speed: before.speed,
             token_accepted: true,
             token_accepted_at: now,
             ..Self::new(before.entry.clone(), before.listed, now)
@@ -419,7 +427,8 @@
             .is_some_and(|clock| clock > self.lease_until)
     }
 
-    pub(super) fn add_run(&mut self, task: TaskKey, run: LiveRun) {
+    pub(super) fn add_run(&mut self, task: TaskKey, mut run: LiveRun) {
+        run.slowness = self.slowness;
         self.used = self.used.plus(&run.resources);
         self.runs.insert(task, run);
     }
@@ -507,6 +516,10 @@
     /// Starts with the slowness that the previous leader measured.
     pub(super) fn start_slowness(&mut self, slowness: f64) {
         self.slowness = slowness;
+        // A list of all workers' entries may be read again after this leader has measured more.
+        if self.speed.weight() < f64::from(INHERITED_MEASUREMENTS) {
+            self.speed = WorkerSpeed::inherited(slowness, f64::from(INHERITED_MEASUREMENTS));
+        }
         self.measured = INHERITED_MEASUREMENTS;
     }
 
--- a/crates/bankvalve_queue/src/lib.rs
+++ b/crates/bankvalve_queue/src/lib.rs
@@ -26,7 +26,11 @@
 pub use caller::{
     CallerAnswer, CallerRequest, DenialReason, JobState, RefusalReason, ResolvedRequest,
 };
-pub use core::{CoreAction, CoreEvent, EntryCore, EntrySettings, StartWait, TaskWaits, WaitReason};
+pub use core::{
+    CoreAction, CoreEvent, EntryCore, EntrySettings, ExpectedSpeed, GroupSpeeds, MeasuredModel,
+    MeasuredRunGroup, MeasuredWorkerGroup, RunGroup, RunSample, RunTimeEstimate, RunTimeModel,
+    StartWait, TaskWaits, WaitReason, WorkerGroup, WorkerSpeed,
+};
 pub use customer::{CallerIdentity, CustomerName, CustomerRule, KeyDigest, RunLimit};
 pub use decision::{CustomerView, DecisionLine, EntryCounters, EntryView, EvacuationView};
 pub use guard::SiteGuard;
--- a/crates/bankvalve_queue/src/policy.rs
+++ b/crates/bankvalve_queue/src/policy.rs
@@ -38,11 +38,14 @@
     /// Gangs of queues that allow few failed runs prefer workers whose last run did not fail
     /// ("proved" workers).
     ProvedWorkers,
+    /// Run times are expected by the measured times of the image and by the speed of the worker. Without this
+    /// policy, they are expected by the average error of the queue's estimates.
+    RunTimeModel,
 }
 
 impl PolicySwitch {
     /// All policies.
-    pub const ALL: [PolicySwitch; 15] = [
+    pub const ALL: [PolicySwitch; 16] = [
         PolicySwitch::ReadBack,
         PolicySwitch::QuickRepeat,
         PolicySwitch::ShortLooks,
@@ -58,5 +61,6 @@
         PolicySwitch::Withdrawal,
         PolicySwitch::CustomerShares,
         PolicySwitch::ProvedWorkers,
+        PolicySwitch::RunTimeModel,
     ];
 }
