feat(placement): select workers by speed where speeds differ

Cause: on a site with a failure domain at half the speed of the others, gangs and batches were packed without regard to speed, so that fast workers were busy with work that had slack, and urgent steps asked for permits on the workers with the most free capacity, often the slow ones.

Change: workers are put into speed classes, which are all the same unless the speeds of failure domains, kinds or workers differ by more than chance explains. A step takes the slowest class in which all its tasks end in its objective about as likely as in the fastest, urgent steps take the fastest. A gang goes to the class that has room for all its members, since the slowest counts. Advice is requested on workers of the preferred classes first if enough of them have capacity. A class of few workers, which are degraded, is sought by no step. Without different classes the order is as before.

--- a/crates/bankvalve_queue/src/core/forecast/run_forecast.rs
+++ b/crates/bankvalve_queue/src/core/forecast/run_forecast.rs
@@ -1,15 +1,22 @@
 //! Use of the learned run times and worker speeds by the leader: what is expected of its tasks and runs.
 
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 use crate::core::forecast::run_times::{RunGroup, RunTimeEstimate, RunTimeModel};
 use crate::core::forecast::worker_speed::WorkerGroup;
 use crate::core::live_run::LiveRun;
+use crate::core::placement::speed_preference::{SpeedClass, SpeedPreference, StepTiming};
+use crate::core::placement::waiting_steps::WaitingStep;
 use crate::core::worker_state::WorkerState;
 use crate::core::EntryCore;
 use crate::ids::{StepKey, TaskKey, WorkerId};
 use crate::policy::PolicySwitch;
 
+/// Minimum share of the workers that a speed class has for steps to prefer it. A few slow workers are degraded,
+/// and no step should seek them.
+const MIN_CLASS_SHARE: f64 = 0.05;
+
 impl WorkerState {
     /// Updates what is expected of the worker's speed.
     pub(in crate::core) fn refresh_speed(&mut self, model: &RunTimeModel) {
@@ -90,6 +97,41 @@
         }
     }
 
+    /// Returns which workers a step prefers by their speed.
+    pub(in crate::core) fn speed_preference(
+        &self,
+        step: StepKey,
+        tasks: usize,
+        waiting: Option<&WaitingStep>,
+    ) -> SpeedPreference {
+        let lead = self.lead.as_deref();
+        let (Some(lead), Some(waiting)) = (lead, waiting) else {
+            return SpeedPreference::Any;
+        };
+        if lead.speed_classes.len() < 2 || waiting.is_lasting() {
+            return SpeedPreference::Any;
+        }
+        if waiting.is_urgent() {
+            return if self.uses(PolicySwitch::FastWorkers) {
+                SpeedPreference::fastest(&lead.speed_classes)
+            } else {
+                SpeedPreference::Any
+            };
+        }
+        let Some((group, estimate)) = self.run_group(step) else {
+            return SpeedPreference::Any;
+        };
+        let latest_end_ms = waiting.latest_end_ms(self.wall, estimate.as_millis() as u64);
+        let time_ms = latest_end_ms.saturating_sub_unsigned(self.wall).max(0);
+        let timing = StepTiming {
+            group,
+            estimate,
+            tasks,
+            time: Duration::from_millis(time_ms as u64),
+        };
+        SpeedPreference::of(&lead.run_times, &lead.speed_classes, &timing)
+    }
+
     /// Updates the usual speed of workers, and what is expected of each of them.
     pub(in crate::core) fn refresh_speeds(&mut self) {
         if !self.uses(PolicySwitch::RunTimeModel) {
@@ -101,9 +143,24 @@
         let listed = lead.worker_states.values().filter(|state| state.listed);
         let groups = listed.map(|state| WorkerGroup::of(&state.entry));
         lead.run_times.speeds_mut().set_usual(groups);
+        let mut classes: BTreeMap<i64, (f64, f64)> = BTreeMap::new();
         for state in lead.worker_states.values_mut() {
             state.refresh_speed(&lead.run_times);
+            if state.listed {
+                let (sum, count) = classes.entry(state.speed_class).or_default();
+                *sum += state.slowness;
+                *count += 1.0;
+            }
         }
+        let listed: f64 = classes.values().map(|(_, count)| count).sum();
+        let classes = classes.into_iter();
+        lead.speed_classes = classes
+            .filter(|(_, (_, count))| *count >= listed * MIN_CLASS_SHARE)
+            .map(|(class, (sum, count))| SpeedClass {
+                class,
+                slowness: sum / count,
+            })
+            .collect();
     }
 
     /// Updates what is expected of a worker whose entry is new or has changed.
--- a/crates/bankvalve_queue/src/core/forecast/run_times.rs
+++ b/crates/bankvalve_queue/src/core/forecast/run_times.rs
@@ -358,6 +358,24 @@
         )
     }
 
+    /// Returns the probability that a number of tasks that start together, on workers of some slowness, have all
+    /// ended within a time.
+    pub fn probability_within(
+        &self,
+        group: &RunGroup<'_>,
+        estimate: Duration,
+        slowness: f64,
+        tasks: usize,
+        time: Duration,
+    ) -> f64 {
+        if estimate.is_zero() {
+            return 1.0;
+        }
+        let log_ratio = (time.as_secs_f64() / estimate.as_secs_f64()).ln() - slowness;
+        let each = probability_of(self.quantiles(group), log_ratio);
+        each.powf(tasks.max(1) as f64)
+    }
+
     /// Returns the expected remaining time of a run that has already taken some time.
     pub fn remaining(
         &self,
--- a/crates/bankvalve_queue/src/core/lead_state.rs
+++ b/crates/bankvalve_queue/src/core/lead_state.rs
@@ -16,6 +16,7 @@
 use super::placement::advice::StepAdvice;
 use super::placement::capacity_reclaim::CapacityClaim;
 use super::placement::restart_preparation::RestartingStep;
+use super::placement::speed_preference::SpeedClass;
 use super::placement::waiting_steps::WaitingStep;
 use super::suspects::WorkerLoss;
 use super::worker_map::WorkerMap;
@@ -207,6 +208,8 @@
     /// Moving average, by queue, of the logarithm of measured to estimated run time.
     pub(super) estimate_error: BTreeMap<String, f64>,
     pub(super) run_times: RunTimeModel,
+    /// Speed classes of the workers, the fastest first; at most one while speeds do not differ.
+    pub(super) speed_classes: Vec<SpeedClass>,
     /// When each adviser is expected to have answered all its advice requests.
     pub(super) adviser_busy: BTreeMap<PeerAddress, CoreTime>,
     /// Whether free capacity, permits or waiting steps have changed since the last placement pass.
@@ -284,6 +287,7 @@
             next_restart_preparation: now,
             estimate_error: BTreeMap::new(),
             run_times: RunTimeModel::default(),
+            speed_classes: Vec::new(),
             adviser_busy: BTreeMap::new(),
             placement_due: true,
             next_placement: now,
--- a/crates/bankvalve_queue/src/core/mod.rs
+++ b/crates/bankvalve_queue/src/core/mod.rs
@@ -93,4 +93,5 @@
 pub use forecast::worker_speed::{
     ExpectedSpeed, GroupSpeeds, MeasuredWorkerGroup, WorkerGroup, WorkerSpeed,
 };
+pub use placement::speed_preference::{SpeedClass, SpeedPreference, StepTiming};
 pub use task_waits::{StartWait, TaskWaits, WaitReason};
--- a/crates/bankvalve_queue/src/core/placement/mod.rs
+++ b/crates/bankvalve_queue/src/core/placement/mod.rs
@@ -3,6 +3,7 @@
 pub(in crate::core) mod advice;
 pub(in crate::core) mod capacity_reclaim;
 pub(in crate::core) mod restart_preparation;
+pub(in crate::core) mod speed_preference;
 pub(in crate::core) mod waiting_steps;
 pub(in crate::core) mod worker_selection;
 
@@ -13,6 +14,7 @@
 use crate::core::live_run::{LiveRun, RunPhase};
 use crate::core::placement::advice::StepAdvice;
 use crate::core::placement::restart_preparation::is_prepared_restart;
+use crate::core::placement::speed_preference::SpeedPreference;
 use crate::core::placement::waiting_steps::{Lateness, WaitingRank, FIRST_RANK};
 use crate::core::placement::worker_selection::{
     assign_workers, eligible_workers, first_advice_request, is_eligible, unasked_with_capacity,
@@ -72,6 +74,8 @@
     pub(in crate::core) urgent: bool,
     /// Whether the step prefers workers on which tasks run faster.
     pub(in crate::core) fast_first: bool,
+    /// Which workers the step prefers by their speed class, where speeds differ.
+    pub(in crate::core) speed: SpeedPreference,
     /// Whether the step prefers workers whose last run did not fail.
     pub(in crate::core) healthy_first: bool,
     /// Suspects among the tasks that start only where nothing else runs.
@@ -338,6 +342,7 @@
             fast_first: terms.priority == 0
                 && !beyond_share
                 && self.uses(PolicySwitch::FastWorkers),
+            speed: self.speed_preference(key, tasks.len(), waiting),
             healthy_first: spec.gang
                 && terms.attempts <= HEALTHY_FIRST_MAX_ATTEMPTS
                 && self.uses(PolicySwitch::ProvedWorkers),
--- a/crates/bankvalve_queue/src/core/placement/waiting_steps.rs
+++ b/crates/bankvalve_queue/src/core/placement/waiting_steps.rs
@@ -88,11 +88,26 @@
         }
     }
 
+    /// Returns whether its tasks are long-running.
+    pub(in crate::core) fn is_lasting(&self) -> bool {
+        self.lasting
+    }
+
     /// Returns whether its queue has the highest priority.
     pub(in crate::core) fn is_urgent(&self) -> bool {
         self.priority == 0
     }
 
+    /// Returns the latest time at which the step may end for its job to finish within its objective, or to
+    /// still earn something if that is no longer possible, in Unix milliseconds.
+    pub(in crate::core) fn latest_end_ms(&self, wall_ms: u64, estimate_ms: u64) -> i64 {
+        let latest_start_ms = match self.lateness(wall_ms) {
+            Lateness::InTime => self.latest_start_ms,
+            Lateness::Late | Lateness::TooLate => self.latest_useful_start_ms,
+        };
+        latest_start_ms.saturating_add_unsigned(estimate_ms)
+    }
+
     /// Returns whether all steps within their customers' shares come before it.
     pub(in crate::core) fn is_beyond_share(&self, now: CoreTime) -> bool {
         self.scheduled_start
--- a/crates/bankvalve_queue/src/core/placement/worker_selection.rs
+++ b/crates/bankvalve_queue/src/core/placement/worker_selection.rs
@@ -6,6 +6,7 @@
 use crate::core::lead_state::LeadState;
 use crate::core::live_run::RunLoad;
 use crate::core::placement::advice::{StepAdvice, MAX_ADVICE_WORKERS};
+use crate::core::placement::speed_preference::SpeedPreference;
 use crate::core::placement::{Assignment, StepToPlace};
 use crate::core::worker_state::{LeaseStop, WorkerState};
 use crate::ids::{CoreTime, StepKey, WorkerId};
@@ -206,14 +207,18 @@
     /// 2. For suspects, workers known for longest: the loss of one that leaves often is no evidence.
     /// 3. For gangs, which end with one failure, workers whose last run did not fail.
     /// 4. Workers near the step's data.
-    /// 5. For urgent steps, fast workers.
+    /// 5. For urgent steps, fast workers; for others, where speeds differ, those of the preferred speed.
     /// 6. Workers with the least CPU left after the assignment.
-    fn rank(&self, step: &StepToPlace) -> (bool, u64, bool, Reverse<bool>, i64, u64) {
+    fn rank(
+        &self,
+        step: &StepToPlace,
+        speed: SpeedPreference,
+    ) -> (bool, u64, bool, Reverse<bool>, i64, u64) {
         let left = self.free.minus(&step.resources).millicores;
         let slowness_class = if step.fast_first {
             self.slowness_class
         } else {
-            0
+            speed.rank(self.state.speed_class)
         };
         let known_since = if step.has_trials() {
             self.state.known_at.as_secs()
@@ -243,6 +248,7 @@
         .map(|(id, state)| Candidate::new(id, state, step, now))
         .filter(|candidate| candidate.can_take(&step.resources_on(candidate.state), limit))
         .collect();
+    let speed = speed_for(step, &candidates, limit);
     let mut assignment = Vec::new();
     for task in &step.tasks {
         let best = candidates
@@ -251,7 +257,7 @@
                 candidate.can_take(&step.resources_of(task, candidate.state), limit)
             })
             .filter(|candidate| step.may_join(task, candidate.state, now))
-            .min_by_key(|candidate| candidate.rank(step));
+            .min_by_key(|candidate| candidate.rank(step, speed));
         let Some(best) = best else {
             break;
         };
@@ -266,6 +272,19 @@
     assignment
 }
 
+/// Returns the speed preference of a step, adapted to the capacity of the candidates if the step is a gang.
+fn speed_for(step: &StepToPlace, candidates: &[Candidate<'_>], limit: usize) -> SpeedPreference {
+    if !step.spec.gang || step.speed == SpeedPreference::Any {
+        return step.speed;
+    }
+    let rooms = candidates.iter().map(|candidate| {
+        let tasks = step.resources.times_within(&candidate.free);
+        let left = limit.saturating_sub(candidate.tasks_held);
+        (candidate.state.speed_class, tasks.min(left))
+    });
+    step.speed.for_gang(step.tasks.len(), rooms)
+}
+
 pub(in crate::core) fn workers_to_ask(assignment: &Assignment) -> Vec<WorkerId> {
     let mut workers: Vec<WorkerId> = assignment
         .iter()
@@ -297,16 +316,29 @@
 }
 
 /// Returns up to `wanted` workers, those with the most free CPU first. For a step that prefers workers whose
-/// last run did not fail, these come before all others.
+/// last run did not fail, these come before all others. If enough workers of the preferred speed have capacity,
+/// these come first.
 pub(in crate::core) fn workers_with_most_free(
     step: &StepToPlace,
     workers: &[(&WorkerId, &WorkerState)],
     wanted: usize,
     now: CoreTime,
 ) -> Vec<WorkerId> {
+    let is_preferred = |state: &WorkerState| {
+        step.speed.includes(state.speed_class)
+            && step.resources.fits(&state.free_for(step.key, now))
+    };
+    let by_speed = step.speed != SpeedPreference::Any
+        && workers
+            .iter()
+            .filter(|(_, state)| is_preferred(state))
+            .count()
+            >= wanted;
     let sort_key = |state: &WorkerState| {
         let failed = step.healthy_first && state.last_run_failed();
-        (failed, Reverse(state.free_for(step.key, now).millicores))
+        let other_speed = by_speed && !is_preferred(state);
+        let free = state.free_for(step.key, now).millicores;
+        (failed, other_speed, Reverse(free))
     };
     let indexed = workers.iter().enumerate();
     let mut sorted: Vec<_> = indexed
--- a/crates/bankvalve_queue/src/job.rs
+++ b/crates/bankvalve_queue/src/job.rs
@@ -41,6 +41,19 @@
             && self.accelerators <= capacity.accelerators
     }
 
+    /// Returns how many times these resources fit into a capacity at once.
+    pub fn times_within(&self, capacity: &TaskSize) -> usize {
+        let parts = [
+            (self.millicores, capacity.millicores),
+            (self.memory_mib, capacity.memory_mib),
+            (self.accelerators, capacity.accelerators),
+        ];
+        let times = parts
+            .iter()
+            .filter_map(|(each, all)| all.checked_div(*each));
+        times.min().map_or(usize::MAX, |times| times as usize)
+    }
+
     /// Returns the sum of both.
     #[must_use]
     pub fn plus(&self, other: &TaskSize) -> TaskSize {
--- a/crates/bankvalve_queue/src/lib.rs
+++ b/crates/bankvalve_queue/src/lib.rs
@@ -29,7 +29,8 @@
 pub use core::{
     CoreAction, CoreEvent, EntryCore, EntrySettings, ExpectedSpeed, GroupSpeeds, MeasuredModel,
     MeasuredRunGroup, MeasuredWorkerGroup, RunGroup, RunSample, RunTimeEstimate, RunTimeModel,
-    StartWait, TaskWaits, WaitReason, WorkerGroup, WorkerSpeed,
+    SpeedClass, SpeedPreference, StartWait, StepTiming, TaskWaits, WaitReason, WorkerGroup,
+    WorkerSpeed,
 };
 pub use customer::{CallerIdentity, CustomerName, CustomerRule, KeyDigest, RunLimit};
 pub use decision::{CustomerView, DecisionLine, EntryCounters, EntryView, EvacuationView};
--- a/crates/bankvalve_queue/tests/run_times.rs
+++ b/crates/bankvalve_queue/tests/run_times.rs
@@ -3,7 +3,8 @@
 use std::time::Duration;
 
 use bankvalve_queue::{
-    ExpectedSpeed, RunGroup, RunSample, RunTimeModel, WorkerEntry, WorkerGroup, WorkerSpeed,
+    ExpectedSpeed, RunGroup, RunSample, RunTimeModel, SpeedClass, SpeedPreference, StepTiming,
+    WorkerEntry, WorkerGroup, WorkerSpeed,
 };
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64Mcg;
@@ -351,3 +352,80 @@
     entry.labels = vec!["rack-7".into()];
     assert_eq!(WorkerGroup::of(&entry).kind, "");
 }
+
+const FAST: SpeedClass = SpeedClass {
+    class: -1,
+    slowness: -0.2,
+};
+const SLOW: SpeedClass = SpeedClass {
+    class: 2,
+    slowness: 0.6,
+};
+
+/// Returns the preference of a step whose tasks must end within a multiple of their estimate.
+fn preference(
+    model: &RunTimeModel,
+    classes: &[SpeedClass],
+    tasks: usize,
+    time: f64,
+) -> SpeedPreference {
+    let timing = StepTiming {
+        group: BATCH,
+        estimate: ESTIMATE,
+        tasks,
+        time: ESTIMATE.mul_f64(time),
+    };
+    SpeedPreference::of(model, classes, &timing)
+}
+
+#[test]
+fn a_step_takes_the_slowest_workers_on_which_it_ends_in_time() {
+    let mut site = SimulatedSite::new(9, vec![("d1", 1.0); 40]);
+    site.estimate_spread = 0.1;
+    site.run_steps(600);
+    let of = |tasks, time| preference(&site.model, &[FAST, SLOW], tasks, time);
+    // With much slack, it leaves the fast workers to others.
+    assert_eq!(of(1, 20.0), SpeedPreference::UpTo(SLOW.class));
+    // A single task usually ends in time on a slow worker, though not if it takes seven times as long.
+    assert_eq!(of(1, 3.0), SpeedPreference::UpTo(SLOW.class));
+    // It ends in time only on a fast one.
+    assert_eq!(of(1, 1.3), SpeedPreference::UpTo(FAST.class));
+    // One of many tasks takes seven times as long, which ends in time only on a fast worker.
+    assert_eq!(of(25, 8.0), SpeedPreference::UpTo(FAST.class));
+    // It ends in time nowhere.
+    assert_eq!(of(1, 0.1), SpeedPreference::UpTo(SLOW.class));
+}
+
+#[test]
+fn workers_of_one_class_are_not_preferred_to_each_other() {
+    let model = RunTimeModel::default();
+    let any = preference(&model, &[FAST], 1, 3.0);
+    assert_eq!(any, SpeedPreference::Any);
+    assert_eq!(any.rank(0), any.rank(3));
+    assert_eq!(SpeedPreference::fastest(&[SLOW]), SpeedPreference::Any);
+}
+
+#[test]
+fn the_wanted_class_comes_first_and_slower_ones_last() {
+    let mut classes = [-1, 0, 1, 2, 3];
+    classes.sort_by_key(|class| SpeedPreference::UpTo(1).rank(*class));
+    assert_eq!(classes, [1, 0, -1, 2, 3]);
+}
+
+#[test]
+fn a_gang_takes_workers_of_one_speed_if_they_have_room_for_all_its_members() {
+    // A gang of some fast and some slow workers would keep the fast ones busy until the slow ones end.
+    let fastest = SpeedPreference::UpTo(-1);
+    let of = |rooms: &[(i64, usize)]| fastest.for_gang(20, rooms.iter().copied());
+    assert_eq!(
+        of(&[(2, 30), (-1, 10), (-1, 10)]),
+        SpeedPreference::UpTo(-1)
+    );
+    // The fast ones have not enough room, so that it takes the slow ones first.
+    assert_eq!(of(&[(2, 30), (-1, 10), (-1, 9)]), SpeedPreference::UpTo(2));
+    // Nor have all.
+    assert_eq!(of(&[(2, 3), (-1, 10)]), fastest);
+    // With slack, it does not take faster ones than it needs.
+    let slow = SpeedPreference::UpTo(2).for_gang(20, [(-1, 40), (2, 40)].into_iter());
+    assert_eq!(slow, SpeedPreference::UpTo(2));
+}
