--- a/crates/bankvalve_queue/src/core/admission/admission_decision.rs
+++ b/crates/bankvalve_queue/src/core/admission/admission_decision.rs
@@ -9,12 +9,11 @@
     AdmissionForecast, BacklogView, JobSize, WaitingWork,
 };
 use crate::core::lead_state::LeadState;
-use crate::core::live_run::LiveRun;
 use crate::core::placement::waiting_steps::Lateness;
 use crate::core::worker_state::WorkerState;
 use crate::core::EntryCore;
 use crate::guard::SiteGuard;
-use crate::ids::{StepKey, TaskKey};
+use crate::ids::StepKey;
 use crate::job::{JobSpec, JobTerms, StepSpec, TaskSize};
 use crate::peer::{AdmissionCredits, HeartbeatBody, PeerAddress};
 use crate::policy::PolicySwitch;
@@ -130,18 +129,12 @@
         let mut running: BTreeMap<u32, f64> = BTreeMap::new();
         let runs = lead.worker_states.values().flat_map(|state| &state.runs);
         for (task, live) in runs.filter(|(_, live)| !live.lasting) {
-            let left = self.remaining_time(*task, live).as_secs_f64();
+            let left = self.remaining_time(*task, live).typical.as_secs_f64();
             *running.entry(live.priority).or_default() += cores(live.resources.millicores) * left;
         }
         running
     }
 
-    fn remaining_time(&self, task: TaskKey, live: &LiveRun) -> Duration {
-        let ran = self.age(live.began);
-        let at_pace = live.progress.and_then(|progress| progress.time_left(ran));
-        at_pace.unwrap_or_else(|| self.expected_time(task).saturating_sub(ran))
-    }
-
     fn step_spec(&self, key: StepKey) -> Option<&StepSpec> {
         let job = self.book.job(key.job)?;
         job.spec.steps.get(usize::from(key.step))
--- a/crates/bankvalve_queue/src/core/lead_state.rs
+++ b/crates/bankvalve_queue/src/core/lead_state.rs
@@ -11,6 +11,7 @@
 use super::admission::load_limit::LoadLimit;
 use super::call_proxies::ProxyList;
 use super::commit::{InFlightCommit, Origin, Proposal};
+use super::forecast::run_times::RunTimeModel;
 use super::incarnation::Incarnation;
 use super::live_run::LiveRun;
 use super::lost_contact::WaitTracker;
@@ -18,6 +19,7 @@
 use super::placement::capacity_reclaim::CapacityClaim;
 use super::placement::planned_capacity::CapacityPlans;
 use super::placement::restart_preparation::RestartingStep;
+use super::placement::speed_preference::SpeedClass;
 use super::placement::waiting_steps::WaitingStep;
 use super::suspects::WorkerLoss;
 use super::worker_map::WorkerMap;
@@ -210,6 +212,9 @@
     pub(super) next_restart_preparation: CoreTime,
     /// Moving average, by queue, of the logarithm of measured to estimated run time.
     pub(super) estimate_error: BTreeMap<String, f64>,
+    pub(super) run_times: RunTimeModel,
+    /// Speed classes of the workers, the fastest first; at most one while speeds do not differ.
+    pub(super) speed_classes: Vec<SpeedClass>,
     /// When each adviser is expected to have answered all its advice requests.
     pub(super) adviser_busy: BTreeMap<PeerAddress, CoreTime>,
     /// Whether free capacity, permits or waiting steps have changed since the last placement pass.
@@ -290,6 +295,8 @@
             restarting: BTreeMap::new(),
             next_restart_preparation: now,
             estimate_error: BTreeMap::new(),
+            run_times: RunTimeModel::default(),
+            speed_classes: Vec::new(),
             adviser_busy: BTreeMap::new(),
             placement_due: true,
             next_placement: now,
--- a/crates/bankvalve_queue/src/core/mod.rs
+++ b/crates/bankvalve_queue/src/core/mod.rs
@@ -92,6 +92,13 @@
 };
 pub use admission::outage_wait::{HoldDecision, HoldTerms, OutageForecast, OutageWait, WaitTally};
 pub use entry_core::{CoreAction, CoreEvent, EntryCore, EntrySettings};
+pub use forecast::run_times::{
+    MeasuredModel, MeasuredRunGroup, RunGroup, RunSample, RunTimeEstimate, RunTimeModel,
+};
+pub use forecast::worker_speed::{
+    ExpectedSpeed, GroupSpeeds, MeasuredWorkerGroup, WorkerGroup, WorkerSpeed,
+};
 pub use placement::capacity_profile::{earliest_on_all, CapacityProfile};
 pub use placement::planned_start::{IdleReserve, PlanReview, PlannedStart, ReplanReason};
+pub use placement::speed_preference::{SpeedClass, SpeedPreference, StepTiming};
 pub use task_waits::{StartWait, TaskWaits, WaitReason};
--- a/crates/bankvalve_queue/src/core/placement/planned_capacity.rs
+++ b/crates/bankvalve_queue/src/core/placement/planned_capacity.rs
@@ -137,7 +137,11 @@
 
     /// Returns the run time that nine of ten tasks of a step do not exceed.
     fn upper_time(&self, key: StepKey) -> Duration {
-        self.expected_time(key.task(0)).mul_f64(UPPER_TIME_FACTOR)
+        if self.uses(PolicySwitch::RunTimeModel) {
+            self.run_time_at(key, 0.0).upper
+        } else {
+            self.expected_time(key.task(0)).mul_f64(UPPER_TIME_FACTOR)
+        }
     }
 
     /// Prepares the planned starts for a placement pass: drops those of steps that no longer wait, and measures
--- a/crates/bankvalve_queue/src/lib.rs
+++ b/crates/bankvalve_queue/src/lib.rs
@@ -28,9 +28,11 @@
 };
 pub use core::{
     earliest_on_all, AdmissionForecast, BacklogView, CapacityProfile, CoreAction, CoreEvent,
-    CreditGate, CreditMeter, CreditRules, EntryCore, EntrySettings, ForecastRefusal, HoldDecision,
-    HoldTerms, IdleReserve, JobSize, OutageForecast, OutageWait, PlanReview, PlannedStart,
-    ReplanReason, StartWait, TaskWaits, WaitReason, WaitTally, WaitingWork,
+    CreditGate, CreditMeter, CreditRules, EntryCore, EntrySettings, ExpectedSpeed, ForecastRefusal,
+    GroupSpeeds, HoldDecision, HoldTerms, IdleReserve, JobSize, MeasuredModel, MeasuredRunGroup,
+    MeasuredWorkerGroup, OutageForecast, OutageWait, PlanReview, PlannedStart, ReplanReason,
+    RunGroup, RunSample, RunTimeEstimate, RunTimeModel, SpeedClass, SpeedPreference, StartWait,
+    StepTiming, TaskWaits, WaitReason, WaitTally, WaitingWork, WorkerGroup, WorkerSpeed,
 };
 pub use customer::{CallerIdentity, CustomerName, CustomerRule, KeyDigest, RunLimit};
 pub use decision::{CustomerView, DecisionLine, EntryCounters, EntryView, EvacuationView};
--- a/crates/bankvalve_queue/src/policy.rs
+++ b/crates/bankvalve_queue/src/policy.rs
@@ -45,11 +45,14 @@
     CapacityPlan,
     /// Jobs that would end too late, or late at the expense of others, are refused at once.
     AdmissionForecast,
+    /// Run times are expected by the measured times of the image and by the speed of the worker. Without this
+    /// policy, they are expected by the average error of the queue's estimates.
+    RunTimeModel,
 }
 
 impl PolicySwitch {
     /// All policies.
-    pub const ALL: [PolicySwitch; 18] = [
+    pub const ALL: [PolicySwitch; 19] = [
         PolicySwitch::ReadBack,
         PolicySwitch::QuickRepeat,
         PolicySwitch::ShortLooks,
@@ -68,5 +71,6 @@
         PolicySwitch::OutageWait,
         PolicySwitch::CapacityPlan,
         PolicySwitch::AdmissionForecast,
+        PolicySwitch::RunTimeModel,
     ];
 }
