test(admission): the log and the counters tell who waited for the table

Cause: lines and counters of the wait had no test. Change: one that holds a submit and reads both. Conclusion: none.

--- a/crates/bankvalve_queue/tests/held_requests.rs
+++ b/crates/bankvalve_queue/tests/held_requests.rs
@@ -27,6 +27,8 @@
     /// Leaders that the request was sent to.
     sent_to: Vec<PeerAddress>,
     answers: Vec<(u64, CallerAnswer)>,
+    /// Lines about callers: event and detail.
+    lines: Vec<(&'static str, String)>,
 }
 
 impl HoldingInstance {
@@ -46,6 +48,7 @@
             ticket,
             sent_to: Vec::new(),
             answers: Vec::new(),
+            lines: Vec::new(),
         };
         instance.run_until(20);
         let spec = Arc::new(JobSpec {
@@ -78,6 +81,9 @@
                     to,
                     message: PeerMessage::Ask { .. },
                 } => self.sent_to.push(to),
+                CoreAction::Log(line) if line.part == "callers" => {
+                    self.lines.push((line.event, line.detail));
+                }
                 CoreAction::Answer { answer, .. } => self.answers.push((self.at_ms, answer)),
                 _ => {}
             }
@@ -229,3 +235,23 @@
         "{unguarded:?}"
     );
 }
+
+#[test]
+fn the_log_and_the_counters_tell_who_waited() {
+    // An operator must be able to tell a wait from a lost request.
+    let mut instance = holding();
+    instance.run_until(1_500);
+    instance.away_ms = None;
+    instance.run_until(1_800);
+    let events: Vec<_> = instance.lines.iter().map(|(event, _)| *event).collect();
+    assert_eq!(events, ["wait", "wait_end"]);
+    let detail = &instance.lines[1].1;
+    assert!(
+        detail.contains("1 wait") && detail.contains("1 held"),
+        "{detail}"
+    );
+    let counters = instance.core.view().counters;
+    assert_eq!(counters.of("outage_wait", "held"), 1);
+    assert_eq!(counters.of("outage_wait", "sent"), 1);
+    assert_eq!(counters.of("outage_wait", "refused_late"), 0);
+}
