feat(forecast): the next leader takes over the learned run times and speeds

Cause: a new leader knew only a slowness of each worker and an error of each queue, and would have learned the run times of images and the speed of failure domains anew.

Change: the message with the leader's measurements has the quantiles of images and queues and the averages of groups of workers, at most 8 KiB of them, the most measured first. A new leader counts them for few measurements of its own. A message without the field can be read. Quantiles of another number and averages that are no number are dropped.

A member of an earlier version can't read a message with the new field, as with every new field so far: rmp_serde refuses arrays with more elements than expected. Versions do not mix (docs/DESIGN.md).

--- a/crates/bankvalve_queue/src/core/election.rs
+++ b/crates/bankvalve_queue/src/core/election.rs
@@ -5,6 +5,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::commit::batch_row;
+use super::forecast::run_times::RunTimeModel;
 use super::lead_state::LeadState;
 use super::round_trip::PeerEcho;
 use super::store_link::{StorePurpose, CELL_TABLE, LEAD_PART, LEDGER_TABLE};
@@ -12,6 +13,7 @@
 use crate::guard::SiteGuard;
 use crate::ids::CoreTime;
 use crate::peer::{HeartbeatBody, PeerAddress};
+use crate::policy::PolicySwitch;
 use crate::store::{RowCondition, RowKey, RowWrite, StoreOutcome, StoreRequest, StoredRow};
 
 /// Time without contact after which a leader is suspected: four heartbeats and the delay of a slow
@@ -542,7 +544,10 @@
         self.log("election", "lead", format!("epoch {epoch}"), detail);
         let mut lead = LeadState::new(epoch, row_version, self.now);
         lead.confirmed_at = claimed_at;
-        lead.estimate_error = self.measurements.1.clone();
+        lead.estimate_error = self.measurements.queues.clone();
+        if self.uses(PolicySwitch::RunTimeModel) {
+            lead.run_times = RunTimeModel::inherited(&self.measurements.model);
+        }
         // The first heartbeat reports this.
         lead.loaded = complete;
         self.lead = Some(Box::new(lead));
--- a/crates/bankvalve_queue/src/core/entry_core.rs
+++ b/crates/bankvalve_queue/src/core/entry_core.rs
@@ -12,6 +12,7 @@
 use super::callers::OpenRequest;
 use super::election::{LeaderView, PeerView};
 use super::evacuations::EvacuatedDomains;
+use super::follower::LeaderMeasurements;
 use super::follower_reads::FollowerReads;
 use super::former_leaders::FormerLeaders;
 use super::lead_state::LeadState;
@@ -290,8 +291,8 @@
     pub(super) catching_up: bool,
     /// State of this instance as the leader; `None` on a follower.
     pub(super) lead: Option<Box<LeadState>>,
-    /// Slowness of workers and estimate errors of queues, as last sent by the leader.
-    pub(super) measurements: (BTreeMap<WorkerId, f64>, BTreeMap<String, f64>),
+    /// What the leader has measured, as it last sent it.
+    pub(super) measurements: LeaderMeasurements,
     pub(super) open_requests: BTreeMap<Ticket, OpenRequest>,
     pub(super) follower_reads: FollowerReads,
     /// Advice requests that this instance sends for the leader: the leader and its ticket.
--- a/crates/bankvalve_queue/src/core/follower.rs
+++ b/crates/bankvalve_queue/src/core/follower.rs
@@ -1,7 +1,9 @@
 //! A follower's book, which stays close to the end of the ledger, and the dispatch of peer messages.
 
+use std::collections::BTreeMap;
 use std::time::Duration;
 
+use super::forecast::run_times::MeasuredModel;
 use super::store_link::{StorePurpose, LEAD_PART, LEDGER_TABLE};
 use super::store_requests::OpenStoreRequest;
 use super::EntryCore;
@@ -9,6 +11,7 @@
 use crate::ids::{CoreTime, WorkerId};
 use crate::ledger::LedgerBatch;
 use crate::peer::{PeerAddress, PeerMessage};
+use crate::policy::PolicySwitch;
 use crate::store::{StoreOutcome, StoreRequest};
 
 /// Delay before missing batches are read from the table, since they may still be in flight.
@@ -21,6 +24,20 @@
 /// Interval between two messages with the leader's measurements.
 const MEASUREMENT_INTERVAL: Duration = Duration::from_secs(2);
 
+/// Maximum size of the measured run times and speeds of groups in such a message. With five standbys, they use
+/// less than two percent of a link of 10 Mbit/s, the slowest at the users' sites.
+const MAX_MODEL_BYTES: usize = 8 * 1024;
+
+/// What the leader has measured, as it last sent it to this standby.
+#[derive(Debug, Default)]
+pub(super) struct LeaderMeasurements {
+    /// Slowness of workers.
+    pub(super) workers: BTreeMap<WorkerId, f64>,
+    /// Estimate errors of queues.
+    pub(super) queues: BTreeMap<String, f64>,
+    pub(super) model: MeasuredModel,
+}
+
 pub(super) fn batch_key(sequence: u64) -> String {
     format!("{sequence:012}")
 }
@@ -55,7 +72,11 @@
                 self.handle_committed(epoch, sequence, &batch);
                 self.forward_committed(epoch, sequence, batch, onward);
             }
-            PeerMessage::Measured { workers, queues } => self.handle_measurements(workers, queues),
+            PeerMessage::Measured {
+                workers,
+                queues,
+                model,
+            } => self.handle_measurements(workers, queues, model),
             PeerMessage::TakeOver { epoch, over } => self.handle_take_over(from, epoch, over),
             PeerMessage::TableWanted { version } => self.handle_table_wanted(from, version),
             PeerMessage::TableOffer { version, bytes } => {
@@ -67,7 +88,8 @@
         }
     }
 
-    /// Sends the slowness of workers and the estimate errors of queues to the standbys, at intervals.
+    /// Sends the slowness of workers, the estimate errors of queues and the learned run times to the standbys,
+    /// at intervals.
     pub(super) fn send_measurements(&mut self) {
         let now = self.now;
         let Some(lead) = self.lead.as_deref_mut() else {
@@ -95,18 +117,33 @@
         if workers.is_empty() {
             return;
         }
+        let model = if self.uses(PolicySwitch::RunTimeModel) {
+            lead.run_times.measured(MAX_MODEL_BYTES)
+        } else {
+            MeasuredModel::default()
+        };
         for peer in self.live_standbys() {
             let message = PeerMessage::Measured {
                 workers: workers.clone(),
                 queues: queues.clone(),
+                model: model.clone(),
             };
             self.send_message(peer, message);
         }
     }
 
-    fn handle_measurements(&mut self, workers: Vec<(WorkerId, f64)>, queues: Vec<(String, f64)>) {
+    fn handle_measurements(
+        &mut self,
+        workers: Vec<(WorkerId, f64)>,
+        queues: Vec<(String, f64)>,
+        model: MeasuredModel,
+    ) {
         if self.lead.is_none() {
-            self.measurements = (workers.into_iter().collect(), queues.into_iter().collect());
+            self.measurements = LeaderMeasurements {
+                workers: workers.into_iter().collect(),
+                queues: queues.into_iter().collect(),
+                model,
+            };
         }
     }
 
--- a/crates/bankvalve_queue/src/core/forecast/run_times.rs
+++ b/crates/bankvalve_queue/src/core/forecast/run_times.rs
@@ -176,8 +176,9 @@
 
     /// Creates the distribution that the previous leader measured, from its quantiles.
     fn inherited(measured: &MeasuredRunGroup, prior: &LogQuantiles) -> Option<Self> {
-        let quantiles = LogQuantiles::try_from(measured.percent.as_slice()).ok()?;
-        let weight = f64::from(measured.weight).min(MAX_INHERITED_WEIGHT);
+        let quantiles = <[f32; QUANTILE_COUNT]>::try_from(measured.quantiles.as_slice()).ok()?;
+        let quantiles = quantiles.map(f64::from);
+        let weight = f64::from(measured.weight).clamp(0.0, MAX_INHERITED_WEIGHT);
         let mut distribution = Self::new(prior);
         let mut below = 0.0;
         for (index, quantile) in QUANTILES.into_iter().enumerate() {
@@ -236,13 +237,13 @@
     /// Number of measurements that it is from.
     pub weight: f32,
     /// Quantiles of the logarithm of measured to estimated time, on a usual worker.
-    pub percent: Vec<f64>,
+    pub quantiles: Vec<f32>,
 }
 
 impl MeasuredRunGroup {
     /// Returns the factor of the median run time, and of the 0.9 quantile, over the estimate.
     pub fn factors(&self) -> (f64, f64) {
-        let at = |index: usize| self.percent.get(index).copied().unwrap_or(0.0).exp();
+        let at = |index: usize| f64::from(self.quantiles.get(index).copied().unwrap_or(0.0)).exp();
         (at(MEDIAN), at(MEDIAN + 2))
     }
 }
@@ -423,13 +424,16 @@
     /// encoded, half of it for runs.
     pub fn measured(&self, max_bytes: usize) -> MeasuredModel {
         /// Bytes of an encoded group besides its names.
-        const RUN_GROUP_BYTES: usize = 16 + 9 * QUANTILE_COUNT;
+        const RUN_GROUP_BYTES: usize = 16 + 5 * QUANTILE_COUNT;
         const WORKER_GROUP_BYTES: usize = 32;
         let of = |(name, distribution): (&String, &RatioDistribution), is_image| MeasuredRunGroup {
             name: name.clone(),
             is_image,
             weight: distribution.weight as f32,
-            percent: distribution.quantiles.to_vec(),
+            quantiles: distribution
+                .quantiles
+                .map(|quantile| quantile as f32)
+                .to_vec(),
         };
         let queues = self.queues.iter().map(|entry| of(entry, false));
         let images = self.images.iter().map(|entry| of(entry, true));
--- a/crates/bankvalve_queue/src/core/worker_entries.rs
+++ b/crates/bankvalve_queue/src/core/worker_entries.rs
@@ -87,7 +87,7 @@
         let Some(lead) = self.lead.as_deref_mut() else {
             return;
         };
-        let slowness = self.measurements.0.get(id);
+        let slowness = self.measurements.workers.get(id);
         let Some(state) = lead.worker_states.get_mut(id) else {
             let mut state = WorkerState::new(entry, true, now);
             state.service_in_use = self.services.contains(&state.entry.service);
--- a/crates/bankvalve_queue/src/peer.rs
+++ b/crates/bankvalve_queue/src/peer.rs
@@ -9,6 +9,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::caller::{CallerAnswer, CallerRequest};
+use crate::core::MeasuredModel;
 use crate::customer::CallerIdentity;
 use crate::ids::{ConnectionId, DomainName, FenceToken, RunId, TaskKey, Ticket, WorkerId};
 use crate::worker::{AdviceAnswer, AdviceRequest, WorkerAnswer, WorkerCall};
@@ -337,6 +338,9 @@
         workers: Vec<(WorkerId, f64)>,
         /// Queues, each with the logarithm of the ratio of measured to estimated run times.
         queues: Vec<(String, f64)>,
+        /// Run times by image and queue, and the speed of groups of workers.
+        #[serde(default)]
+        model: MeasuredModel,
     },
     /// The receiver is to take over leadership from the sender.
     TakeOver {
--- a/crates/bankvalve_queue/tests/peers.rs
+++ b/crates/bankvalve_queue/tests/peers.rs
@@ -2,7 +2,10 @@
 
 use std::time::Duration;
 
-use bankvalve_queue::{peer_batch_timeout, BatchTimeout, PeerAddress};
+use bankvalve_queue::{
+    peer_batch_timeout, BatchTimeout, MeasuredModel, PeerAddress, PeerMessage, WorkerId,
+};
+use serde::Serialize;
 
 /// Bandwidth of the slowest link on the users' sites, in bits per second.
 const SLOWEST_LINK_BITS_PER_S: f64 = 10e6;
@@ -45,3 +48,31 @@
     }
     assert!(timeout.time(100) < usual + Duration::from_millis(30));
 }
+
+/// The message with measurements as versions without learned run times send it.
+#[derive(Serialize)]
+enum EarlierMessage {
+    Measured {
+        workers: Vec<(WorkerId, f64)>,
+        queues: Vec<(String, f64)>,
+    },
+}
+
+/// Guards against a standby that loses all messages of a batch from a leader of an earlier version.
+#[test]
+fn measurements_of_an_earlier_version_can_be_read() {
+    let workers = vec![(WorkerId::from("w-1"), 0.3)];
+    let queues = vec![("batch".to_owned(), 0.1)];
+    let sent = EarlierMessage::Measured {
+        workers: workers.clone(),
+        queues: queues.clone(),
+    };
+    let bytes = rmp_serde::to_vec(&sent).expect("it can be encoded");
+    let read: PeerMessage = rmp_serde::from_slice(&bytes).expect("it can be read");
+    let expected = PeerMessage::Measured {
+        workers,
+        queues,
+        model: MeasuredModel::default(),
+    };
+    assert_eq!(read, expected);
+}
--- a/crates/bankvalve_queue/tests/run_times.rs
+++ b/crates/bankvalve_queue/tests/run_times.rs
@@ -429,3 +429,94 @@
     let slow = SpeedPreference::UpTo(2).for_gang(20, [(-1, 40), (2, 40)].into_iter());
     assert_eq!(slow, SpeedPreference::UpTo(2));
 }
+
+#[test]
+fn a_new_leader_continues_with_the_measurements_of_the_one_before() {
+    let mut site = SimulatedSite::new(11, uneven_workers(40));
+    site.usual_factor = 1.5;
+    site.run_steps(600);
+    let bytes = rmp_serde::to_vec(&site.model.measured(8_192)).expect("it can be encoded");
+    let measured = rmp_serde::from_slice(&bytes).expect("it can be read");
+    let model = RunTimeModel::inherited(&measured);
+    let before = site.model.expected(&BATCH, ESTIMATE, 0.0);
+    let after = model.expected(&BATCH, ESTIMATE, 0.0);
+    let factor = |time: Duration| time.as_secs_f64() / ESTIMATE.as_secs_f64();
+    assert_near(
+        factor(after.typical),
+        factor(before.typical),
+        10.0,
+        "median",
+    );
+    assert_near(
+        factor(after.upper),
+        factor(before.upper),
+        15.0,
+        "0.9 quantile",
+    );
+    let group = WorkerGroup {
+        domain: "d4",
+        kind: "",
+    };
+    let slowness = model.speeds().slowness(&group, &WorkerSpeed::default());
+    assert!(slowness > 0.3, "of a worker in the slow domain: {slowness}");
+}
+
+#[test]
+fn what_is_sent_to_standbys_is_bounded_in_bytes() {
+    // Callers choose the names of images. Long ones must not fill the links of small instances.
+    let mut model = RunTimeModel::default();
+    let mut worker = WorkerSpeed::default();
+    for number in 0..150 {
+        for _ in 0..=number {
+            let image = format!("{number}-{}", "x".repeat(number));
+            let sample = RunSample {
+                group: RunGroup {
+                    image: &image,
+                    queue: "batch",
+                },
+                tasks: 1,
+                estimate: ESTIMATE,
+                ran: ESTIMATE,
+                worker: WorkerGroup {
+                    domain: &image,
+                    kind: &image,
+                },
+            };
+            model.record(&sample, &mut worker);
+        }
+    }
+    for max_bytes in [0, 500, 8_192] {
+        let measured = model.measured(max_bytes);
+        let bytes = rmp_serde::to_vec(&measured).expect("it can be encoded");
+        // The lists themselves take a few bytes besides their entries.
+        assert!(bytes.len() <= max_bytes + 16, "{} bytes", bytes.len());
+    }
+    // The groups with the most measurements come first.
+    let sent = model.measured(8_192);
+    assert_eq!(sent.runs[0].name, "batch");
+    assert!(sent.runs[1].name.starts_with("149-"));
+}
+
+#[test]
+fn measurements_that_make_no_sense_are_not_taken_over() {
+    // A peer of another version may keep another number of quantiles.
+    let mut site = SimulatedSite::new(12, vec![("d1", 1.0); 4]);
+    site.run_steps(50);
+    let mut measured = site.model.measured(8_192);
+    for group in &mut measured.runs {
+        group.quantiles.truncate(3);
+    }
+    for group in &mut measured.workers {
+        group.slowness = f64::NAN;
+    }
+    let model = RunTimeModel::inherited(&measured);
+    assert_eq!(model.expected(&BATCH, ESTIMATE, 0.0).typical, ESTIMATE);
+    let group = WorkerGroup {
+        domain: "d1",
+        kind: "",
+    };
+    assert_eq!(
+        model.speeds().slowness(&group, &WorkerSpeed::default()),
+        0.0
+    );
+}
