feat(forecast): log lines and a gauge of expected run times and speeds

Cause: an operator could not see what the leader expects of which workers, nor why a step prefers some of them.

Change: every 30 s the leader logs forecast worker_group for the failure domains and kinds with the most measurements, with the speed classes that are in use, and forecast run_group for images and queues.

--- a/crates/bankvalve/src/entry/entry_metrics.rs
+++ b/crates/bankvalve/src/entry/entry_metrics.rs
@@ -44,6 +44,7 @@
         register_ages(&meter, core);
         register_customers(&meter, core);
         register_evacuations(&meter, core);
+        register_worker_groups(&meter, core);
         register_connections(&meter, connections);
         let latency = meter
             .f64_histogram("bankvalve_request_ms")
@@ -162,6 +163,32 @@
         .build();
 }
 
+fn register_worker_groups(meter: &Meter, core: &EntryHandle) {
+    let of_core = core.clone();
+    meter
+        .u64_observable_gauge("bankvalve_worker_group")
+        .with_description(
+            "Expected speed of workers by failure domain and kind, as the leader sees them",
+        )
+        .with_callback(move |observer| {
+            for group in of_core.view().worker_groups {
+                let quantities = [
+                    ("time_percent_of_usual", group.time_factor * 100.0),
+                    ("measurements", group.measurements),
+                ];
+                for (quantity, value) in quantities {
+                    let labels = [
+                        KeyValue::new("domain", group.domain.clone()),
+                        KeyValue::new("kind", group.kind.clone()),
+                        KeyValue::new("quantity", quantity),
+                    ];
+                    observer.observe(value.round() as u64, &labels);
+                }
+            }
+        })
+        .build();
+}
+
 /// Registers the ages; an unknown age is not exported.
 fn register_ages(meter: &Meter, core: &EntryHandle) {
     let of_core = core.clone();
--- a/crates/bankvalve_queue/src/core/entry_core.rs
+++ b/crates/bankvalve_queue/src/core/entry_core.rs
@@ -465,6 +465,7 @@
             leaderless_ms: self.leaderless_ms(),
             customers: self.customer_views(),
             evacuations: self.evacuation_views(),
+            worker_groups: self.worker_group_views(),
             counters: self.counters.clone(),
         }
     }
--- a/crates/bankvalve_queue/src/core/follower.rs
+++ b/crates/bankvalve_queue/src/core/follower.rs
@@ -100,6 +100,7 @@
         }
         lead.next_measurements = now + MEASUREMENT_INTERVAL;
         self.refresh_speeds();
+        self.log_forecast();
         let Some(lead) = self.lead.as_deref() else {
             return;
         };
--- a/crates/bankvalve_queue/src/core/forecast/run_forecast.rs
+++ b/crates/bankvalve_queue/src/core/forecast/run_forecast.rs
@@ -10,6 +10,7 @@
 use crate::core::placement::waiting_steps::WaitingStep;
 use crate::core::worker_state::WorkerState;
 use crate::core::EntryCore;
+use crate::decision::WorkerGroupView;
 use crate::ids::{StepKey, TaskKey, WorkerId};
 use crate::policy::PolicySwitch;
 
@@ -17,6 +18,11 @@
 /// and no step should seek them.
 const MIN_CLASS_SHARE: f64 = 0.05;
 
+/// Interval at which the expected run times and speeds are logged.
+pub(in crate::core) const FORECAST_LOG_INTERVAL: Duration = Duration::from_secs(30);
+/// Maximum number of groups of workers, and of images and queues, in the log and the metrics.
+const MAX_SHOWN_GROUPS: usize = 12;
+
 impl WorkerState {
     /// Updates what is expected of the worker's speed.
     pub(in crate::core) fn refresh_speed(&mut self, model: &RunTimeModel) {
@@ -163,6 +169,58 @@
             .collect();
     }
 
+    /// Returns the groups of workers with the most measurements.
+    pub(in crate::core) fn worker_group_views(&self) -> Vec<WorkerGroupView> {
+        let Some(lead) = self.lead.as_deref() else {
+            return Vec::new();
+        };
+        let mut groups = lead.run_times.speeds().measured();
+        groups.sort_by(|one, other| other.weight.total_cmp(&one.weight));
+        let shown = groups.into_iter().take(MAX_SHOWN_GROUPS);
+        shown
+            .map(|group| WorkerGroupView {
+                domain: group.domain,
+                kind: group.kind,
+                time_factor: group.slowness.exp(),
+                measurements: group.weight,
+            })
+            .collect()
+    }
+
+    /// Logs what is expected of groups of workers, images and queues, if that is due.
+    pub(in crate::core) fn log_forecast(&mut self) {
+        let now = self.now;
+        if !self.uses(PolicySwitch::RunTimeModel) {
+            return;
+        }
+        let Some(lead) = self.lead.as_deref_mut() else {
+            return;
+        };
+        if now < lead.next_forecast_log {
+            return;
+        }
+        lead.next_forecast_log = now + FORECAST_LOG_INTERVAL;
+        let classes: Vec<i64> = lead.speed_classes.iter().map(|class| class.class).collect();
+        let mut runs = lead.run_times.measured(usize::MAX).runs;
+        runs.truncate(MAX_SHOWN_GROUPS);
+        for group in self.worker_group_views() {
+            let detail = format!(
+                "kind {:?}: tasks take {:.2} times as long as on a usual worker, {:.0} measurements, speed classes {classes:?}",
+                group.kind, group.time_factor, group.measurements
+            );
+            self.log("forecast", "worker_group", group.domain, detail);
+        }
+        for group in runs {
+            let kind = if group.is_image { "image" } else { "queue" };
+            let (typical, upper) = group.factors();
+            let detail = format!(
+                "{kind}: tasks usually take {typical:.2} times as long as estimated, nine of ten at most {upper:.2} times, {:.0} measurements",
+                group.weight
+            );
+            self.log("forecast", "run_group", group.name, detail);
+        }
+    }
+
     /// Updates what is expected of a worker whose entry is new or has changed.
     pub(in crate::core) fn refresh_speed_of(&mut self, id: &WorkerId) {
         if !self.uses(PolicySwitch::RunTimeModel) {
--- a/crates/bankvalve_queue/src/core/lead_state.rs
+++ b/crates/bankvalve_queue/src/core/lead_state.rs
@@ -9,6 +9,7 @@
 use super::admission::load_limit::LoadLimit;
 use super::call_proxies::ProxyList;
 use super::commit::{InFlightCommit, Origin, Proposal};
+use super::forecast::run_forecast::FORECAST_LOG_INTERVAL;
 use super::forecast::run_times::RunTimeModel;
 use super::incarnation::Incarnation;
 use super::live_run::LiveRun;
@@ -210,6 +211,8 @@
     pub(super) run_times: RunTimeModel,
     /// Speed classes of the workers, the fastest first; at most one while speeds do not differ.
     pub(super) speed_classes: Vec<SpeedClass>,
+    /// When to log the expected run times and speeds again.
+    pub(super) next_forecast_log: CoreTime,
     /// When each adviser is expected to have answered all its advice requests.
     pub(super) adviser_busy: BTreeMap<PeerAddress, CoreTime>,
     /// Whether free capacity, permits or waiting steps have changed since the last placement pass.
@@ -288,6 +291,7 @@
             estimate_error: BTreeMap::new(),
             run_times: RunTimeModel::default(),
             speed_classes: Vec::new(),
+            next_forecast_log: now + FORECAST_LOG_INTERVAL,
             adviser_busy: BTreeMap::new(),
             placement_due: true,
             next_placement: now,
--- a/crates/bankvalve_queue/src/core/worker_reports.rs
+++ b/crates/bankvalve_queue/src/core/worker_reports.rs
@@ -120,6 +120,7 @@
                 };
                 lead.run_times.record(&sample, &mut state.speed);
                 state.refresh_speed(&lead.run_times);
+                self.counters.count("run_times", "measured");
             }
         } else if end.how == EndKind::Done && !estimated.is_zero() {
             let queue = self.book.job(job).map(|job| job.spec.queue.clone());
--- a/crates/bankvalve_queue/src/decision.rs
+++ b/crates/bankvalve_queue/src/decision.rs
@@ -93,6 +93,19 @@
     pub age: Duration,
 }
 
+/// What the leader expects of the speed of a group of workers.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct WorkerGroupView {
+    /// Failure domain.
+    pub domain: DomainName,
+    /// Label of the kind; empty if the workers have none.
+    pub kind: String,
+    /// Factor of the run times on its workers over those on a usual worker.
+    pub time_factor: f64,
+    /// Number of measurements that the factor is from, at most 2,000. Tasks of a step count for less than one.
+    pub measurements: f64,
+}
+
 /// Status of an instance, for readiness and metrics.
 #[derive(Clone, Debug, Default)]
 pub struct EntryView {
@@ -126,6 +139,8 @@
     pub customers: Vec<CustomerView>,
     /// Evacuated failure domains.
     pub evacuations: Vec<EvacuationView>,
+    /// Groups of workers with the most measurements, as known to the leader; empty on other instances.
+    pub worker_groups: Vec<WorkerGroupView>,
     /// Counters.
     pub counters: EntryCounters,
 }
--- a/crates/bankvalve_queue/src/lib.rs
+++ b/crates/bankvalve_queue/src/lib.rs
@@ -33,7 +33,9 @@
     WorkerSpeed,
 };
 pub use customer::{CallerIdentity, CustomerName, CustomerRule, KeyDigest, RunLimit};
-pub use decision::{CustomerView, DecisionLine, EntryCounters, EntryView, EvacuationView};
+pub use decision::{
+    CustomerView, DecisionLine, EntryCounters, EntryView, EvacuationView, WorkerGroupView,
+};
 pub use guard::SiteGuard;
 pub use ids::{
     ConnectionId, CoreTime, DomainName, FenceToken, JobId, RunId, StepKey, TaskKey, Ticket,
