--- a/crates/bankvalve_check/src/site/site_workers.rs
+++ b/crates/bankvalve_check/src/site/site_workers.rs
@@ -178,7 +178,9 @@
             set.unwrap_or(drawn)
         };
         let specs = &self.specs;
-        let plan = |task: TaskKey| plan_of(specs, task, time(task), fails);
+        let is_slow = self.slow_domain.as_deref() == Some(&*self.domain_of(address));
+        let factor = if is_slow { 2 } else { 1 };
+        let plan = |task: TaskKey| plan_of(specs, task, time(task) * factor, fails);
         // A permit names when it was issued; for how long it is valid depends on the queue.
         let policy = match call {
             WorkerCall::Start(order) => self.policy_of(order.task.step),
--- a/crates/bankvalve_check/src/site/site_world.rs
+++ b/crates/bankvalve_check/src/site/site_world.rs
@@ -223,6 +223,8 @@
     pub attempts: u32,
     /// Workers that fail all that they run, by address.
     pub failing_workers: BTreeSet<String>,
+    /// Failure domain whose workers take twice the usual time for tasks that are not in gangs.
+    pub slow_domain: Option<String>,
     /// Rooms that workers had before, and until when.
     pub(super) old_rooms: BTreeMap<WorkerId, Vec<(u64, TaskSize)>>,
     /// What each task does that ends the workers that run it.
@@ -388,6 +390,7 @@
             max_lease_ms,
             lines: None,
             load: None,
+            slow_domain: None,
             plan,
         };
         world.configure(1);
