feat(bankvalve): gauges of the expected wait and the admission credits

Cause: an operator sees that jobs are refused as `forecast`, but not how long work of each priority waits, nor by which shares an instance refuses.

Conclusion: the view of an instance has both, and neither where the forecast is switched off or the table is too old (unit and site tests). The exported metrics themselves were compiled, not read from a running process.

--- a/crates/bankvalve/src/entry/entry_metrics.rs
+++ b/crates/bankvalve/src/entry/entry_metrics.rs
@@ -44,6 +44,8 @@
         register_ages(&meter, core);
         register_customers(&meter, core);
         register_evacuations(&meter, core);
+        register_forecast_waits(&meter, core);
+        register_credits(&meter, core);
         register_connections(&meter, connections);
         let latency = meter
             .f64_histogram("bankvalve_request_ms")
@@ -162,6 +164,52 @@
         .build();
 }
 
+fn register_forecast_waits(meter: &Meter, core: &EntryHandle) {
+    let of_core = core.clone();
+    meter
+        .u64_observable_gauge("bankvalve_forecast_wait_ms")
+        .with_description(
+            "Expected wait of work that arrives now, by priority, as the leader sees it",
+        )
+        .with_callback(move |observer| {
+            for (priority, wait) in of_core.view().forecast_waits {
+                let labels = [KeyValue::new("priority", i64::from(priority))];
+                observer.observe(wait.as_millis() as u64, &labels);
+            }
+        })
+        .build();
+}
+
+fn register_credits(meter: &Meter, core: &EntryHandle) {
+    let of_core = core.clone();
+    meter
+        .u64_observable_gauge("bankvalve_admission_credit")
+        .with_description(
+            "Queues of which the instance passes less than all new jobs on, by quantity",
+        )
+        .with_callback(move |observer| {
+            let Some(credits) = of_core.view().credits else {
+                return;
+            };
+            for credit in credits.queues {
+                let quantities = [
+                    ("percent", u64::from(credit.percent)),
+                    ("retry_ms", credit.retry_ms),
+                    ("age_ms", credits.age_ms),
+                    ("epoch", credits.epoch),
+                ];
+                for (quantity, value) in quantities {
+                    let labels = [
+                        KeyValue::new("queue", credit.queue.clone()),
+                        KeyValue::new("quantity", quantity),
+                    ];
+                    observer.observe(value, &labels);
+                }
+            }
+        })
+        .build();
+}
+
 /// Registers the ages; an unknown age is not exported.
 fn register_ages(meter: &Meter, core: &EntryHandle) {
     let of_core = core.clone();
--- a/crates/bankvalve_check/src/site/site_view.rs
+++ b/crates/bankvalve_check/src/site/site_view.rs
@@ -45,6 +45,14 @@
         leader.map_or_else(TaskWaits::default, |core| core.view().task_waits)
     }
 
+    /// Expected wait of work of a priority, in milliseconds, as the leader shows it; none without a forecast.
+    pub fn forecast_wait_ms(&self, priority: u32) -> Option<u64> {
+        let leader = self.nodes[self.leader()?].core.as_ref()?;
+        let waits = leader.view().forecast_waits;
+        let wait = waits.iter().find(|(of, _)| *of == priority);
+        wait.map(|(_, wait)| wait.as_millis() as u64)
+    }
+
     /// A counter of the leader; 0 without one.
     pub fn counter(&self, family: &'static str, kind: &'static str) -> u64 {
         let leader = self
--- a/crates/bankvalve_check/tests/site/admission.rs
+++ b/crates/bankvalve_check/tests/site/admission.rs
@@ -215,6 +215,24 @@
     assert_kept(&site.world);
 }
 
+/// Guards against an operator who cannot see how long work waits, or who sees a wait that has no forecast behind it.
+#[test]
+fn the_leader_shows_the_expected_wait_of_each_priority() {
+    let mut site = BurstWorld::without(None);
+    site.load_leader(10_000, 1);
+    assert!(site
+        .world
+        .forecast_wait_ms(2)
+        .is_some_and(|wait| wait < 500));
+    site.load_leader(4_000, 4);
+    let waits = [0, 1, 2].map(|priority| site.world.forecast_wait_ms(priority));
+    assert!(waits[0].is_some_and(|wait| wait < 500), "{waits:?}");
+    assert!(waits[1] < waits[2] && waits[2] >= Some(1_000), "{waits:?}");
+    let mut site = BurstWorld::without(Some(PolicySwitch::AdmissionForecast));
+    site.load_leader(4_000, 1);
+    assert_eq!(site.world.forecast_wait_ms(2), None);
+}
+
 /// Guards against refusals on a site whose operator has not put any queue between others.
 #[test]
 fn a_site_without_a_middle_priority_refuses_nothing() {
--- a/crates/bankvalve_queue/src/core/admission/admission_decision.rs
+++ b/crates/bankvalve_queue/src/core/admission/admission_decision.rs
@@ -244,6 +244,14 @@
             .table(leader.epoch, now, self.credit_rules())
     }
 
+    /// Returns the expected wait of work that arrives now, by priority, on a leader with a recent forecast.
+    pub(in crate::core) fn forecast_waits(&self) -> Vec<(u32, Duration)> {
+        let forecast = self.lead.as_deref().map(|lead| &lead.forecast);
+        let current = forecast.filter(|forecast| forecast.is_current(self.now));
+        let waits = current.map(|forecast| forecast.waits(self.now));
+        waits.into_iter().flatten().collect()
+    }
+
     fn credit_rules(&self) -> CreditRules {
         CreditRules {
             age: self.enforces(SiteGuard::CreditAge),
--- a/crates/bankvalve_queue/src/core/admission/admission_forecast.rs
+++ b/crates/bankvalve_queue/src/core/admission/admission_forecast.rs
@@ -326,9 +326,10 @@
         self.time_for(priority, own, self.passed(now))
     }
 
-    /// Returns the expected wait of a job that comes after all that waits, by priority.
+    /// Returns the expected wait of a job that comes after all that waits, by priority. It has the priorities of
+    /// which work has arrived.
     pub fn waits(&self, now: CoreTime) -> BTreeMap<u32, Duration> {
-        let priorities = self.backlogs.keys();
+        let priorities = self.backlogs.keys().chain(self.arrivals.keys());
         let waits = priorities.map(|priority| (*priority, self.late_wait(now, *priority)));
         waits.collect()
     }
--- a/crates/bankvalve_queue/src/core/entry_core.rs
+++ b/crates/bankvalve_queue/src/core/entry_core.rs
@@ -467,6 +467,8 @@
             ledger_batches: self.applied,
             leaderless_ms: self.leaderless_ms(),
             customers: self.customer_views(),
+            forecast_waits: self.forecast_waits(),
+            credits: self.credits_in_force(),
             evacuations: self.evacuation_views(),
             counters: self.counters.clone(),
         }
--- a/crates/bankvalve_queue/src/decision.rs
+++ b/crates/bankvalve_queue/src/decision.rs
@@ -8,6 +8,7 @@
 use crate::customer::CustomerName;
 use crate::ids::DomainName;
 use crate::job::TaskSize;
+use crate::peer::AdmissionCredits;
 
 /// A line of the decision log.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -124,6 +125,11 @@
     pub leaderless_ms: u64,
     /// Customers with the most CPU in use, as known to the leader; empty on other instances.
     pub customers: Vec<CustomerView>,
+    /// Expected wait of work that arrives now, by priority, as known to the leader; empty on other instances and
+    /// without a recent forecast.
+    pub forecast_waits: Vec<(u32, Duration)>,
+    /// Share of a queue's new jobs that the instance passes on to the leader, where it is not all of them.
+    pub credits: Option<AdmissionCredits>,
     /// Evacuated failure domains.
     pub evacuations: Vec<EvacuationView>,
     /// Counters.
--- a/crates/bankvalve_queue/tests/admission_credits.rs
+++ b/crates/bankvalve_queue/tests/admission_credits.rs
@@ -251,6 +251,18 @@
     }
 }
 
+/// Guards against an operator who cannot see by which shares an instance refuses.
+#[test]
+fn the_credits_in_force_are_shown_with_their_age() {
+    let mut follower = Follower::new(None, None);
+    assert_eq!(follower.core.view().credits, None);
+    follower.hear(START_MS, 2, EPOCH, table(EPOCH, 100, 25));
+    follower.step(START_MS + 300, CoreEvent::Tick);
+    assert_eq!(follower.core.view().credits, table(EPOCH, 400, 25));
+    follower.step(START_MS + 2_000, CoreEvent::Tick);
+    assert_eq!(follower.core.view().credits, None);
+}
+
 /// Guards against a caller that is told that its job has not run, though it was accepted before.
 #[test]
 fn a_job_that_was_accepted_is_not_refused_when_it_is_submitted_again() {
