test(site): goals of hard load, and priority inversions counted from outside

Cause: the goals of docs/design/hard-load.md and its inversion check had no test.

Under a hard load a worker's runs are looked at once for each end: each look led to one more before.

--- a/crates/bankvalve_check/src/site/site_hard_load.rs
+++ b/crates/bankvalve_check/src/site/site_hard_load.rs
@@ -36,6 +36,8 @@
 const BURST_MS: u64 = 8_000;
 const AFTER_MS: u64 = 8_000;
 const REST_MS: u64 = 50_000;
+/// Time after the load in which callers hand in again what was refused, in milliseconds.
+const RETRIES_MS: u64 = 10_000;
 /// Time for which the table carries out one write to a part, in milliseconds.
 const WRITE_TURN_MS: u64 = 5;
 /// Validity of a permit, in milliseconds.
@@ -215,6 +217,8 @@
     pub first_waits_ms: Vec<u64>,
     /// Requests to the policy service for each step that had any.
     pub advice_per_step: f64,
+    /// Jobs that ended within their objective before, during and after the burst, by the time of their end.
+    pub ends_in_time: [u32; 3],
     /// Core-seconds of work that was lost.
     pub lost_core_s: f64,
     /// Runs that were stopped, that ended since another member of their gang did, and that gave up waiting
@@ -238,6 +242,11 @@
     pub kinds: [KindFigures; 3],
     /// Starts that a step of a higher priority could have used.
     pub inversions: Inversions,
+    /// Looks at the site, each ten milliseconds, that found a leader other than before, none, or the table
+    /// unavailable. Starts soon after those are not checked for inversions.
+    pub unsettled_looks: usize,
+    /// Accepted jobs that had not ended when all were to be over.
+    pub open_jobs: usize,
     /// Rules that were broken.
     pub breaches: Vec<RuleBreach>,
 }
@@ -412,7 +421,11 @@
     let mut arrivals = arrivals.into_iter().zip(1..).peekable();
     let end = START_MS + BEFORE_MS + BURST_MS + AFTER_MS + REST_MS;
     let mut leader = world.leader();
-    while world.now_ms < end {
+    let is_over = |world: &SiteWorld| {
+        world.now_ms >= end
+            || (world.now_ms >= end - REST_MS + RETRIES_MS && world.open_jobs() == 0)
+    };
+    while !is_over(&world) {
         let now = world.now_ms;
         let due = |next: &((u64, usize), JobId)| next.0 .0 <= now;
         while let Some(((at, number), id)) = arrivals.next_if(due) {
@@ -427,12 +440,15 @@
         let until = world.now_ms + 10;
         world.run_until(until);
     }
-    world.rules.check_refused(end);
+    world.rules.check_refused(world.now_ms);
+    let open_jobs = world.open_jobs();
     let record = world.load.take().unwrap_or_default();
     let shown = |state: &JobState| *state == JobState::Succeeded;
     HardLoadFigures {
         kinds: [0, 1, 2].map(|kind| kind_figures(&world, &record, kind, shown)),
         inversions: find_inversions(&world, &record),
+        unsettled_looks: record.unsettled.len(),
+        open_jobs,
         breaches: std::mem::take(&mut world.rules.breaches),
     }
 }
@@ -443,9 +459,9 @@
     let leads = world.leader();
     let changed = std::mem::replace(leader, leads) != leads || leads.is_none();
     let away = world.store_away_until > now;
-    let ids = match now.is_multiple_of(LIVES_MS) {
-        true => world.worker_ids(),
-        false => Vec::new(),
+    let ids = match now % LIVES_MS {
+        0 => world.worker_ids(),
+        _ => Vec::new(),
     };
     let Some(record) = world.load.as_mut() else {
         return;
@@ -497,6 +513,7 @@
         match ends.get(id).filter(|_| over) {
             Some(at) if at - job.asked_ms <= job.objective_ms => {
                 span.in_time += 1;
+                figures.ends_in_time[span_of(*at)] += 1;
                 span.value += 1.0;
             }
             Some(at) => {
@@ -541,12 +558,14 @@
                 );
             }
         }
-        println!("     kind     first wait p50 / p95 ms  advice per step  lost core s  stopped  broken  alone");
+        println!("     kind     in time by end  first wait p50 / p95 ms  advice per step  lost core s  stopped  broken  alone");
         for (kind, found) in KINDS.iter().zip(&figures.kinds) {
             let waits = format!("{} / {}", found.first_wait_ms(50), found.first_wait_ms(95));
             let [stopped, gone, alone] = found.ends;
+            let [before, burst, after] = found.ends_in_time;
+            let ends = format!("{before}, {burst}, {after}");
             println!(
-                "     {:<9}{waits:<25}{:<17.2}{:<13.0}{stopped:<9}{gone:<8}{alone}",
+                "     {:<9}{ends:<16}{waits:<25}{:<17.2}{:<13.0}{stopped:<9}{gone:<8}{alone}",
                 kind.name, found.advice_per_step, found.lost_core_s
             );
         }
--- a/crates/bankvalve_check/src/site/site_inversions.rs
+++ b/crates/bankvalve_check/src/site/site_inversions.rs
@@ -102,6 +102,8 @@
 /// Finds the inversions of a load. Jobs have no customers there, so that all are within limits and shares.
 pub(super) fn find_inversions(world: &SiteWorld, record: &LoadRecord) -> Inversions {
     let steps = seen_steps(world, record);
+    let seen = SeenRuns::of(world, record);
+    let mut allowed: BTreeMap<StepKey, Vec<usize>> = BTreeMap::new();
     let mut starts: BTreeMap<u64, BTreeSet<StepKey>> = BTreeMap::new();
     for step in steps.values().filter(|step| step.job_in_time) {
         for run in &step.runs {
@@ -116,21 +118,26 @@
         if waiting.is_empty() {
             continue;
         }
-        let moment = SiteMoment::of(world, record, at);
-        for lower in started.iter().map(|key| &steps[key]) {
-            let is_higher = |higher: &&&SeenStep<'_>| higher.kind < lower.kind;
-            let waited = lower.ready_ms + DECISION_MS <= at;
-            for higher in waiting.iter().filter(is_higher).filter(|_| waited) {
-                if moment.fits(higher, |run| run.task.step == lower.key) {
+        let moment = seen.around(at);
+        for higher in waiting {
+            let workers = allowed
+                .entry(higher.key)
+                .or_insert_with(|| seen.allowed_workers(higher));
+            let waited = |lower: &&SeenStep<'_>| {
+                lower.kind > higher.kind && lower.ready_ms + DECISION_MS <= at
+            };
+            for lower in started.iter().map(|key| &steps[key]).filter(waited) {
+                let of_lower = |run: &SeenRun<'_>| run.span.task.step == lower.key;
+                if seen.fits(&moment, higher, workers, of_lower) {
                     let pair = (higher.key, lower.key);
                     found.pairs.entry(pair).or_insert(at);
                 }
                 let late_ms = higher.latest_start_ms as u64 + DECISION_MS;
-                let overtook = |run: &RunSpan| {
-                    let kind = record.jobs[&run.task.step.job].kind;
-                    kind > higher.kind && run.from_ms >= late_ms
-                };
-                if !found.overtaken.contains(&higher.key) && moment.fits(higher, overtook) {
+                let overtook =
+                    |run: &SeenRun<'_>| run.kind > higher.kind && run.span.from_ms >= late_ms;
+                if !found.overtaken.contains(&higher.key)
+                    && seen.fits(&moment, higher, workers, overtook)
+                {
                     found.overtaken.insert(higher.key);
                 }
             }
@@ -212,64 +219,101 @@
     }
 }
 
-/// What runs around a time.
-struct SiteMoment<'a> {
+/// A run, with the index of its worker, and the millicores and memory that it takes.
+#[derive(Clone, Copy)]
+struct SeenRun<'a> {
+    span: &'a RunSpan,
+    kind: usize,
+    worker: usize,
+    size: (u64, u64),
+}
+
+/// All runs, in the order of their starts, and the workers.
+struct SeenRuns<'a> {
     world: &'a SiteWorld,
-    record: &'a LoadRecord,
+    workers: Vec<(&'a WorkerId, (u64, u64))>,
+    runs: Vec<SeenRun<'a>>,
+}
+
+/// What runs around a time, and whether each worker lives.
+struct SiteMoment<'a> {
     at_ms: u64,
-    /// Runs, with the millicores and memory of each.
-    runs: Vec<(&'a RunSpan, (u64, u64))>,
-    /// Workers that live.
-    workers: Vec<&'a WorkerId>,
+    runs: Vec<SeenRun<'a>>,
+    lives: Vec<bool>,
 }
 
-impl<'a> SiteMoment<'a> {
-    fn of(world: &'a SiteWorld, record: &'a LoadRecord, at_ms: u64) -> Self {
-        let (since, until) = (at_ms - DECISION_MS, at_ms + DECISION_MS);
-        let here =
-            |run: &&RunSpan| run.from_ms <= until && run.end.is_none_or(|(end, _)| end >= since);
-        let runs = record.runs.iter().filter(here);
-        let lives = |seen: &(u64, u64)| seen.0 <= since && seen.1 >= until;
-        let workers = record.workers.iter().filter(|(_, seen)| lives(seen));
+impl<'a> SeenRuns<'a> {
+    fn of(world: &'a SiteWorld, record: &'a LoadRecord) -> Self {
+        let workers: Vec<_> = record
+            .workers
+            .iter()
+            .map(|(id, seen)| (id, *seen))
+            .collect();
+        let numbers: BTreeMap<&WorkerId, usize> = record.workers.keys().zip(0..).collect();
+        let runs = record.runs.iter().filter_map(|span| {
+            Some(SeenRun {
+                span,
+                kind: record.jobs[&span.task.step.job].kind,
+                worker: *numbers.get(&span.worker)?,
+                size: size_of(world, span.task.step),
+            })
+        });
+        let runs = runs.collect();
         Self {
             world,
-            record,
+            workers,
+            runs,
+        }
+    }
+
+    fn around(&self, at_ms: u64) -> SiteMoment<'a> {
+        let (since, until) = (at_ms - DECISION_MS, at_ms + DECISION_MS);
+        let begun = self.runs.partition_point(|run| run.span.from_ms <= until);
+        let here = |run: &&SeenRun<'_>| run.span.end.is_none_or(|(end, _)| end >= since);
+        let lives = |(_, seen): &(_, (u64, u64))| seen.0 <= since && seen.1 >= until;
+        SiteMoment {
             at_ms,
-            runs: runs
-                .map(|run| (run, size_of(world, run.task.step)))
-                .collect(),
-            workers: workers.map(|(id, _)| id).collect(),
+            runs: self.runs[..begun].iter().filter(here).copied().collect(),
+            lives: self.workers.iter().map(lives).collect(),
         }
     }
 
+    fn allowed_workers(&self, step: &SeenStep<'_>) -> Vec<usize> {
+        let policy = SitePolicy {
+            good_percent: KINDS[step.kind].good_percent,
+            valid_ms: 0,
+        };
+        let numbers = 0..self.workers.len();
+        let is_good = |number: &usize| policy.is_good(step.key, self.workers[*number].0);
+        numbers.filter(is_good).collect()
+    }
+
     /// Tells whether all waiting tasks of a step would have fitted on the workers that the policy allows,
     /// without some of the runs. Of runs that start soon after, those of a lower priority do not count.
-    fn fits(&self, step: &SeenStep<'_>, without: impl Fn(&RunSpan) -> bool) -> bool {
-        let mut taken: BTreeMap<&WorkerId, (u64, u64)> = BTreeMap::new();
-        for (run, size) in &self.runs {
-            let kind = self.record.jobs[&run.task.step.job].kind;
-            let counts = run.from_ms <= self.at_ms || kind <= step.kind;
+    fn fits(
+        &self,
+        moment: &SiteMoment<'_>,
+        step: &SeenStep<'_>,
+        allowed: &[usize],
+        without: impl Fn(&SeenRun<'_>) -> bool,
+    ) -> bool {
+        let mut taken = vec![(0, 0); self.workers.len()];
+        for run in &moment.runs {
+            let counts = run.span.from_ms <= moment.at_ms || run.kind <= step.kind;
             if counts && !without(run) {
-                let taken = taken.entry(&run.worker).or_default();
-                taken.0 += size.0;
-                taken.1 += size.1;
+                let taken: &mut (u64, u64) = &mut taken[run.worker];
+                taken.0 += run.size.0;
+                taken.1 += run.size.1;
             }
         }
-        let policy = SitePolicy {
-            good_percent: KINDS[step.kind].good_percent,
-            valid_ms: 0,
-        };
         let size = size_of(self.world, step.key);
-        let allowed = self
-            .workers
-            .iter()
-            .filter(|id| policy.is_good(step.key, id));
-        let fitting = allowed.map(|id| {
-            let taken = taken.get(id).copied().unwrap_or_default();
-            let cores = WORKER_SIZE.millicores.saturating_sub(taken.0) / size.0;
-            cores.min(WORKER_SIZE.memory_mib.saturating_sub(taken.1) / size.1)
+        let live = allowed.iter().filter(|worker| moment.lives[**worker]);
+        let fitting = live.map(|worker| {
+            let (millicores, mib) = taken[*worker];
+            let cores = WORKER_SIZE.millicores.saturating_sub(millicores) / size.0;
+            cores.min(WORKER_SIZE.memory_mib.saturating_sub(mib) / size.1)
         });
-        let waiting = step.waiting_tasks(self.at_ms - DECISION_MS, self.at_ms);
+        let waiting = step.waiting_tasks(moment.at_ms - DECISION_MS, moment.at_ms);
         fitting.sum::<u64>() >= u64::from(waiting)
     }
 }
--- a/crates/bankvalve_check/src/site/site_load_record.rs
+++ b/crates/bankvalve_check/src/site/site_load_record.rs
@@ -67,6 +67,8 @@
     pub(super) advice: BTreeMap<StepKey, u64>,
     /// How many times the usual time each slow worker takes, by address.
     pub(super) slowness: BTreeMap<String, f64>,
+    /// When each worker's runs are looked at next, by address, in milliseconds.
+    wakes: BTreeMap<String, u64>,
     /// First and last time at which each worker was seen alive, in milliseconds.
     pub(super) workers: BTreeMap<WorkerId, (u64, u64)>,
     /// Spans in which the table was unavailable or the leader was new, in milliseconds.
@@ -84,6 +86,17 @@
         Some((left * slowness) as u64)
     }
 
+    /// Tells whether a worker's runs would not be looked at by a time anyhow, and notes that they will be. On a
+    /// worker that is never idle, each look would otherwise lead to one more.
+    pub(super) fn is_new_wake(&mut self, address: &str, now: u64, next: u64) -> bool {
+        let wake = self.wakes.entry(address.to_owned()).or_default();
+        let is_new = *wake <= now || *wake > next;
+        if is_new {
+            *wake = next;
+        }
+        is_new
+    }
+
     pub(super) fn note_start(
         &mut self,
         worker: &WorkerId,
@@ -156,6 +169,14 @@
 }
 
 impl SiteWorld {
+    /// Accepted jobs whose callers do not know of their end.
+    pub(super) fn open_jobs(&self) -> usize {
+        let jobs = self.load.iter().flat_map(|load| &load.jobs);
+        let open =
+            jobs.filter(|(id, job)| job.accepted_ms.is_some() && !self.shown.contains_key(id));
+        open.count()
+    }
+
     fn load_step(&self, task: TaskKey) -> &StepSpec {
         &self.specs[&task.step.job].steps[usize::from(task.step.step)]
     }
--- a/crates/bankvalve_check/src/site/site_workers.rs
+++ b/crates/bankvalve_check/src/site/site_workers.rs
@@ -350,7 +350,9 @@
             .min()
             .unwrap_or(now + 500)
             .min(now + 500);
-        if !worker.runs().is_empty() {
+        let load = self.load.as_mut();
+        let is_new = load.is_none_or(|load| load.is_new_wake(address, now, next));
+        if !worker.runs().is_empty() && is_new {
             let address = address.to_owned();
             self.after(next - now, Later::WorkerTime { address });
         }
@@ -429,8 +431,8 @@
             .iter()
             .filter_map(|(address, worker)| Some((address, worker.as_ref()?)))
             .flat_map(|(address, worker)| {
-                let runs = worker.runs().iter();
-                runs.filter(|(task, live)| task.step == step && live.run == run)
+                let runs = worker.runs().range(step.task(0)..=step.task(u32::MAX));
+                runs.filter(|(_, live)| live.run == run)
                     .map(|(task, _)| (address.clone(), *task))
                     .collect::<Vec<_>>()
             })
--- a/crates/bankvalve_check/tests/site/main.rs
+++ b/crates/bankvalve_check/tests/site/main.rs
@@ -14,6 +14,7 @@
 mod former_leader;
 mod guilty_tasks;
 mod guilty_worlds;
+mod hard_load;
 mod holds;
 mod jobs;
 mod lasting;
