--- a/crates/bankvalve_queue/src/core/admission/admission_credits.rs
+++ b/crates/bankvalve_queue/src/core/admission/admission_credits.rs
@@ -191,7 +191,9 @@
         let held = now.saturating_sub(self.received_at);
         let age_ms = table.age_ms.saturating_add(held.as_millis() as u64);
         let is_old = u128::from(age_ms) > MAX_AGE.as_millis();
-        let counts = !(rules.age && is_old) && !(rules.epoch && table.epoch != epoch);
+        let is_outdated = rules.age && is_old;
+        let is_former = rules.epoch && table.epoch != epoch;
+        let counts = !is_outdated && !is_former;
         counts.then_some((table, age_ms))
     }
 
--- a/crates/bankvalve_queue/src/core/admission/admission_decision.rs
+++ b/crates/bankvalve_queue/src/core/admission/admission_decision.rs
@@ -232,7 +232,7 @@
             let age = lead.forecast.age(now)?;
             let queues = lead.credits.credits();
             let is_limited = lead.forecast.is_current(now) && !queues.is_empty();
-            return is_limited.then(|| AdmissionCredits {
+            return is_limited.then_some(AdmissionCredits {
                 epoch: lead.epoch,
                 age_ms: age.as_millis() as u64,
                 queues,
