feat(queue): plans bounded by the idle share of the moment, stops decided at the start

Cause: measured in a burst, the moving average of idle reserves kept all gangs from planning for seconds; planned stops were of runs that had ended meanwhile, so that almost none was sent; a gang at its customer's limit held a planned start; requests for advice of batches, four workers a task, filled the policy service.

Change: the bound is 15 % of the moment, only while steps of the last priority wait, and the first gang may always plan. Steps that wait for a limit have no planned start. Runs in the way are chosen just before the start. A gang plans as far ahead as its slack. Counters `plan_bounded` and `plan_no_capacity`.

Checked: the tests of the crate pass.

--- a/crates/bankvalve_queue/src/core/placement/capacity_reclaim.rs
+++ b/crates/bankvalve_queue/src/core/placement/capacity_reclaim.rs
@@ -11,6 +11,7 @@
 use std::time::Duration;
 
 use crate::core::live_run::{LiveRun, RunPhase};
+use crate::core::placement::planned_start::STOP_AHEAD;
 use crate::core::placement::worker_selection::{is_eligible, tasks_on};
 use crate::core::placement::StepToPlace;
 use crate::core::worker_state::{Reservation, ReservationTerms, WorkerState};
@@ -45,7 +46,7 @@
 /// take at once what has become free of it.
 const RESERVE_EXTEND_AHEAD: Duration = Duration::from_millis(300);
 /// Maximum time until capacity becomes free for which it is reserved.
-const MAX_CAPACITY_WAIT: Duration = Duration::from_millis(5_000);
+pub(in crate::core) const MAX_CAPACITY_WAIT: Duration = Duration::from_millis(5_000);
 /// Time that a step which is not urgent waits for runs to end before it has a run stopped.
 const WAIT_BEFORE_STOP: Duration = Duration::from_millis(700);
 /// Maximum number of times that a task is stopped for other steps, so that it can finish.
@@ -403,16 +404,39 @@
             stops: Vec::new(),
             cost: StopCost::default(),
         };
-        let mut free = planned.free;
+        let free = planned.free;
         if wanted.fits(&free) {
             return Some(plan);
         }
-        let by_cost = self.plans_capacity();
         let runs = planned.state.runs.iter();
         let runs = runs.filter(|(task, _)| !planned.used_runs.contains(task));
-        let mut options: Vec<FreedRun> = runs
-            .map(|(task, live)| self.freed_run(step, *task, live))
-            .collect();
+        let wait_before_stop = if step.urgent {
+            Duration::ZERO
+        } else {
+            WAIT_BEFORE_STOP
+        };
+        let options = runs.map(|(task, live)| self.freed_run(step, *task, live, wait_before_stop));
+        let chosen = self.choose_runs(options.collect(), &wanted, free)?;
+        for run in chosen {
+            plan.after = plan.after.max(run.after);
+            plan.cost = plan.cost.plus(run.cost);
+            plan.freed.push(run.task);
+            if run.stop {
+                plan.stops.push(run.task);
+            }
+        }
+        (plan.after <= step.max_capacity_wait).then_some(plan)
+    }
+
+    /// Returns the runs to wait for or to stop, so that resources are free beside what is free already, or `None`
+    /// if all of them free too little.
+    fn choose_runs(
+        &self,
+        mut options: Vec<FreedRun>,
+        wanted: &TaskSize,
+        mut free: TaskSize,
+    ) -> Option<Vec<FreedRun>> {
+        let by_cost = self.plans_capacity();
         // Of the runs whose resources are free at the same time, those whose stop costs least come first. By
         // size, the largest come first, so that few are stopped.
         options.sort_unstable_by_key(|run| {
@@ -434,26 +458,35 @@
             return None;
         }
         if by_cost {
-            drop_needless_stops(&mut chosen, &wanted, free);
-        }
-        for run in chosen {
-            plan.after = plan.after.max(run.after);
-            plan.cost = plan.cost.plus(run.cost);
-            plan.freed.push(run.task);
-            if run.stop {
-                plan.stops.push(run.task);
-            }
+            drop_needless_stops(&mut chosen, wanted, free);
         }
-        (plan.after <= MAX_CAPACITY_WAIT).then_some(plan)
+        Some(chosen)
+    }
+
+    /// Returns the runs to stop on a worker now, so that resources are free about when a stop ends.
+    pub(in crate::core) fn stops_on(
+        &self,
+        step: &StepToPlace,
+        state: &WorkerState,
+        wanted: &TaskSize,
+    ) -> Vec<TaskKey> {
+        let runs = state.runs.iter();
+        let options = runs.map(|(task, live)| self.freed_run(step, *task, live, Duration::ZERO));
+        let soon = options.filter(|run| run.after <= STOP_AHEAD).collect();
+        let free = state.entry.room.minus(&state.used);
+        let chosen = self.choose_runs(soon, wanted, free);
+        let stops = chosen.into_iter().flatten().filter(|run| run.stop);
+        stops.map(|run| run.task).collect()
     }
 
     /// Returns when the resources of a run are free for a step, and at what cost.
-    fn freed_run(&self, step: &StepToPlace, task: TaskKey, live: &LiveRun) -> FreedRun {
-        let wait_before_stop = if step.urgent {
-            Duration::ZERO
-        } else {
-            WAIT_BEFORE_STOP
-        };
+    fn freed_run(
+        &self,
+        step: &StepToPlace,
+        task: TaskKey,
+        live: &LiveRun,
+        wait_before_stop: Duration,
+    ) -> FreedRun {
         let mut run = FreedRun {
             after: self.time_left(task, live),
             stop: false,
@@ -461,7 +494,12 @@
             task,
             resources: live.resources,
         };
-        if run.after > STOP_TIME && self.may_preempt_for(step, task, live) {
+        let least = if self.plans_capacity() {
+            STOP_TIME + wait_before_stop
+        } else {
+            STOP_TIME
+        };
+        if run.after > least && self.may_preempt_for(step, task, live) {
             run.after = STOP_TIME + wait_before_stop;
             run.stop = true;
             run.cost = self.stop_cost(live);
@@ -509,7 +547,12 @@
         remaining.unwrap_or(expected)
     }
 
-    fn may_preempt_for(&self, step: &StepToPlace, task: TaskKey, live: &LiveRun) -> bool {
+    pub(in crate::core) fn may_preempt_for(
+        &self,
+        step: &StepToPlace,
+        task: TaskKey,
+        live: &LiveRun,
+    ) -> bool {
         let preemptions = self
             .lead
             .as_deref()
--- a/crates/bankvalve_queue/src/core/placement/mod.rs
+++ b/crates/bankvalve_queue/src/core/placement/mod.rs
@@ -15,6 +15,7 @@
 use crate::core::commit::Effect;
 use crate::core::live_run::{LiveRun, RunPhase};
 use crate::core::placement::advice::StepAdvice;
+use crate::core::placement::capacity_reclaim::MAX_CAPACITY_WAIT;
 use crate::core::placement::restart_preparation::is_prepared_restart;
 use crate::core::placement::waiting_steps::{Lateness, StepOrder, WaitingRank, FIRST_RANK};
 use crate::core::placement::worker_selection::{
@@ -90,6 +91,11 @@
     /// Time by which a run that starts now is expected to have ended, if it may use capacity that is reserved
     /// for later.
     pub(in crate::core) expected_end: CoreTime,
+    /// Room for tasks that the workers of an advice request are to have, for a step of the last priority where
+    /// capacity is planned.
+    pub(in crate::core) wanted_slots: Option<usize>,
+    /// Longest time until capacity becomes free for which it is reserved.
+    pub(in crate::core) max_capacity_wait: Duration,
     /// Smallest priority value of the steps whose reserved capacity this step may use.
     pub(in crate::core) yielding_priority: u32,
     /// Whether the step is a gang whose start is planned if it finds no capacity.
@@ -114,6 +120,14 @@
         )
     }
 
+    /// Returns what other steps have reserved on a worker and this step may not use.
+    pub(in crate::core) fn reserved_on(&self, state: &WorkerState, now: CoreTime) -> TaskSize {
+        let ignores = |entry: &Reservation| {
+            entry.step == self.key || entry.terms.priority >= self.yielding_priority
+        };
+        state.reserved_except(ignores, now)
+    }
+
     /// Returns the maximum number of the step's tasks on one worker.
     pub(in crate::core) fn worker_limit(&self) -> usize {
         match self.spec.per_worker_limit {
@@ -390,9 +404,17 @@
             crashed_workers,
             past_deadline,
             expected_end: self.expected_end(key),
+            wanted_slots: None,
+            max_capacity_wait: MAX_CAPACITY_WAIT,
             yielding_priority: 0,
             plans_start,
         };
+        if plans_start {
+            // A later start is worth more than another request about a hundred workers.
+            let slack = waiting.map_or(Duration::ZERO, |waiting| waiting.slack(self.wall));
+            step.max_capacity_wait = step.max_capacity_wait.max(slack);
+        }
+        step.wanted_slots = self.wanted_slots(&step);
         step.yielding_priority = self.yielding_priority(&step);
         // If no other worker is eligible, the workers that already ended while they ran the task are eligible
         // again.
@@ -487,7 +509,9 @@
         if advice.has_no_answer() {
             if can_request && self.may_request_advice_on_unasked(step.key) {
                 let workers = first_advice_request(step, &eligible_workers(lead, step, now), now);
-                if !workers.is_empty() {
+                if workers.is_empty() {
+                    self.record_capacity_wait(step.key);
+                } else {
                     self.request_advice(step.key, rule, &workers);
                 }
             }
--- a/crates/bankvalve_queue/src/core/placement/planned_capacity.rs
+++ b/crates/bankvalve_queue/src/core/placement/planned_capacity.rs
@@ -14,7 +14,7 @@
 use crate::core::placement::waiting_steps::WaitingStep;
 use crate::core::placement::worker_selection::{is_eligible, unasked_for_plan};
 use crate::core::placement::StepToPlace;
-use crate::core::worker_state::{Reservation, ReservationTerms, WorkerState};
+use crate::core::worker_state::ReservationTerms;
 use crate::core::EntryCore;
 use crate::ids::{CoreTime, StepKey, TaskKey, WorkerId};
 use crate::job::TaskSize;
@@ -27,6 +27,8 @@
 /// Remaining slack from which an urgent step uses capacity that is reserved for a later priority: a stop and a
 /// start.
 const PRESSED_SLACK: Duration = Duration::from_millis(400);
+/// Room for tasks to request advice about, for each task: some 45 in 100 workers may run a batch.
+const SLOTS_PER_TASK: usize = 3;
 /// Share of the free CPU above which a step counts as wide, in percent.
 const WIDE_STEP_PERCENT: u64 = 10;
 
@@ -37,9 +39,10 @@
     last_priority: Option<u32>,
     starts: BTreeMap<StepKey, PlannedStart>,
     idle: IdleReserve,
-    /// CPU of all workers, and what of it no run takes, in millicores.
-    total_millicores: u64,
+    /// CPU that no run takes, in millicores.
     free_millicores: u64,
+    /// Whether a gang was considered in the current placement pass. The first one may always plan its start.
+    is_first_planned: bool,
     /// CPU that is reserved for planned starts.
     reserved_millicores: u64,
 }
@@ -69,15 +72,15 @@
         precedes_others && !step.is_urgent() && !step.lasting && (step.gang || wide)
     }
 
-    /// Returns the CPU that is reserved for planned starts, and what of it stands idle on average, in
+    /// Returns the CPU that is reserved for planned starts, and what of it stands idle while other steps wait, in
     /// millicores.
     pub(in crate::core) fn reserved_and_idle(&self) -> (u64, u64) {
-        (self.reserved_millicores, self.idle.average_millicores())
+        (self.reserved_millicores, self.idle.millicores())
     }
 
     /// Returns whether more may be reserved, by what stands idle of the reserved capacity.
     pub(in crate::core) fn allows_more(&self) -> bool {
-        self.idle.allows_more(self.total_millicores)
+        self.idle.allows_more()
     }
 }
 
@@ -106,6 +109,17 @@
         }
     }
 
+    /// Returns how much room for tasks the workers of an advice request are to have: enough although only a part
+    /// of them is allowed. `None` for gangs and for steps that precede others.
+    pub(in crate::core) fn wanted_slots(&self, step: &StepToPlace) -> Option<usize> {
+        let lead = self.lead.as_deref()?;
+        let is_last = lead.plans.last_priority? <= step.priority;
+        let applies = is_last && !step.spec.gang && !step.spec.lasting && !step.has_trials();
+        // A task that finds no room for long needs permits for capacity to be reclaimed for it.
+        let waits_long = self.may_reclaim_capacity(step.key);
+        (applies && !waits_long).then(|| step.tasks.len() * SLOTS_PER_TASK)
+    }
+
     /// Returns the smallest priority value of the steps whose reserved capacity a step may use: the last, or any
     /// later than its own if it is urgent and would otherwise become late. Urgent runs that used reserved
     /// capacity as long as others can be stopped would delay every planned start.
@@ -156,7 +170,15 @@
         };
         lead.plans.last_priority = last_priority;
         let waiting = &lead.waiting;
-        let is_waiting = |key: &StepKey| last_priority.is_some() && waiting.contains_key(key);
+        let at_limit = &lead.waiting_for_limit;
+        // A step that waits for its customer's limit could not use its capacity.
+        let is_waiting = |key: &StepKey| {
+            last_priority.is_some() && waiting.contains_key(key) && !at_limit.contains_key(key)
+        };
+        let mut last_steps = waiting
+            .iter()
+            .filter(|(key, _)| !at_limit.contains_key(key));
+        let others_wait = last_steps.any(|(_, step)| Some(step.priority) >= last_priority);
         let obsolete: Vec<StepKey> = lead
             .plans
             .starts
@@ -181,13 +203,14 @@
                 reserved += planned;
                 idle += planned.min(unused);
             }
-            lead.plans.idle.record(now, idle);
         }
-        lead.plans.total_millicores = total;
+        lead.plans.idle = IdleReserve::new(total);
+        lead.plans.idle.add(if others_wait { idle } else { 0 });
+        lead.plans.is_first_planned = false;
         lead.plans.free_millicores = free;
         lead.plans.reserved_millicores = reserved;
         for key in obsolete {
-            self.log_plan_end(key, "given up: the step no longer waits");
+            self.log_plan_end(key, "given up: the step no longer waits for capacity");
             self.release_reservations(key);
         }
     }
@@ -196,6 +219,10 @@
     pub(in crate::core) fn plan_start(&mut self, step: &StepToPlace, missing: usize) {
         let now = self.now;
         let key = step.key;
+        let Some(lead) = self.lead.as_deref_mut() else {
+            return;
+        };
+        let is_first = !std::mem::replace(&mut lead.plans.is_first_planned, true);
         if self.keeps_planned_start(step) {
             return;
         }
@@ -206,17 +233,23 @@
         if paused {
             return;
         }
-        let allows_more = lead.plans.allows_more();
+        let allows_more = is_first || lead.plans.allows_more();
         let plans = self.plan_beside_reservations(step, missing);
         let is_free = plans.iter().all(|plan| plan.after().is_zero());
         if plans.len() < missing || !(allows_more || is_free) {
+            let why = if allows_more {
+                "plan_no_capacity"
+            } else {
+                "plan_bounded"
+            };
+            self.counters.count("placements", why);
             if let Some(lead) = self.lead.as_deref_mut() {
                 lead.next_plan_at.insert(key, now + PLAN_RETRY_DELAY);
             }
             return;
         }
         self.apply_planned_start(step, &plans);
-        self.stop_runs_for(key);
+        self.stop_runs_for(step);
     }
 
     fn apply_planned_start(&mut self, step: &StepToPlace, plans: &[CapacityPlan]) {
@@ -228,30 +261,27 @@
             *counts.entry(plan.worker()).or_default() += 1;
         }
         let workers = counts.into_iter().map(|(id, count)| (id.clone(), count));
-        let stops = plans.iter().flat_map(|plan| {
-            let stops = plan.stops().iter();
-            stops.map(|task| (plan.worker().clone(), *task))
-        });
-        let stops: Vec<(WorkerId, TaskKey)> = stops.collect();
+        let stops = plans.iter().map(|plan| plan.stops().len()).sum::<usize>();
         let detail = format!(
             "{} tasks on {} workers, first {}, after {after:?}, {} runs to stop",
             plans.len(),
             workers.len(),
             plans[0].worker(),
-            stops.len()
+            stops
         );
         self.counters.count("placements", "planned");
-        self.counters
-            .count_many("placements", "stopped_for_room", stops.len() as u64);
-        let start = PlannedStart::new(now, after, workers.collect(), stops);
+        let start = PlannedStart::new(now, after, workers.collect());
         let terms = ReservationTerms {
             priority: self.reservation_priority(step),
             from: start.from,
             until: start.until,
         };
         self.reserve_capacity(step, plans.iter().map(CapacityPlan::worker), terms);
+        let free_now = plans.iter().filter(|plan| plan.after().is_zero());
+        let idle = step.resources.millicores * free_now.count() as u64;
         if let Some(lead) = self.lead.as_deref_mut() {
             lead.plans.starts.insert(step.key, start);
+            lead.plans.idle.add(idle);
         }
         self.log("placer", "plan", step.key.to_string(), detail);
     }
@@ -268,7 +298,7 @@
             return false;
         };
         if !start.review_is_due(now) {
-            self.stop_runs_for(key);
+            self.stop_runs_for(step);
             return true;
         }
         let left = self.time_to_planned_start(step, &start);
@@ -293,7 +323,7 @@
                 lead.plans.starts.insert(key, start);
             }
         }
-        self.stop_runs_for(key);
+        self.stop_runs_for(step);
         true
     }
 
@@ -309,8 +339,8 @@
                 return None;
             }
             let ends = state.runs.iter().map(|(task, live)| {
-                let is_stopped = start.stops.iter().any(|(_, stop)| stop == task);
                 let left = self.time_left(*task, live);
+                let is_stopped = self.may_preempt_for(step, *task, live);
                 let left = if is_stopped {
                     left.min(until_start)
                 } else {
@@ -320,22 +350,37 @@
             });
             let profile = CapacityProfile::new(state.entry.room.minus(&state.used), ends);
             let wanted = step.resources_on(state).times(*count);
-            Some((profile, wanted.plus(&reserved_before(step, state, now))))
+            Some((profile, wanted.plus(&step.reserved_on(state, now))))
         };
         let profiles = start.workers.iter().map(profile_of);
         let profiles = profiles.collect::<Option<Vec<(CapacityProfile, TaskSize)>>>()?;
         earliest_on_all(profiles.iter().map(|(profile, wanted)| (profile, wanted)))
     }
 
-    /// Stops the runs in the way of a planned start that is near.
-    fn stop_runs_for(&mut self, key: StepKey) {
+    /// Stops the runs in the way of a planned start that is near. Which ones is decided only then: those that were
+    /// there when it was planned may have ended, and others may have used the capacity since.
+    fn stop_runs_for(&mut self, step: &StepToPlace) {
         let now = self.now;
-        let Some(lead) = self.lead.as_deref_mut() else {
+        let Some(lead) = self.lead.as_deref() else {
             return;
         };
-        let start = lead.plans.starts.get_mut(&key);
-        let due = start.map(|start| start.take_due_stops(now));
-        for (worker, task) in due.unwrap_or_default() {
+        let start = lead.plans.starts.get(&step.key);
+        let Some(start) = start.filter(|start| start.stops_are_due(now)) else {
+            return;
+        };
+        let mut stops: Vec<(WorkerId, TaskKey)> = Vec::new();
+        for (id, count) in &start.workers {
+            let Some(state) = lead.worker_states.get(id) else {
+                continue;
+            };
+            let wanted = step.resources_on(state).times(*count);
+            let wanted = wanted.plus(&step.reserved_on(state, now));
+            let tasks = self.stops_on(step, state, &wanted);
+            stops.extend(tasks.into_iter().map(|task| (id.clone(), task)));
+        }
+        self.counters
+            .count_many("placements", "stopped_for_room", stops.len() as u64);
+        for (worker, task) in stops {
             self.preempt_run(&worker, task);
         }
     }
@@ -423,11 +468,3 @@
         }
     }
 }
-
-/// Returns the capacity that is reserved on a worker for other steps and that a step may not use.
-fn reserved_before(step: &StepToPlace, state: &WorkerState, now: CoreTime) -> TaskSize {
-    let ignores = |entry: &Reservation| {
-        entry.step == step.key || entry.terms.priority >= step.yielding_priority
-    };
-    state.reserved_except(ignores, now)
-}
--- a/crates/bankvalve_queue/src/core/placement/planned_start.rs
+++ b/crates/bankvalve_queue/src/core/placement/planned_start.rs
@@ -7,7 +7,7 @@
 
 use std::time::Duration;
 
-use crate::ids::{CoreTime, TaskKey, WorkerId};
+use crate::ids::{CoreTime, WorkerId};
 
 /// Time between two reviews of a planned start.
 const REVIEW_INTERVAL: Duration = Duration::from_millis(100);
@@ -17,12 +17,11 @@
 /// Time for which capacity stays reserved after the planned start.
 const START_SLACK: Duration = Duration::from_millis(700);
 /// Time before a planned start at which the runs in its way are stopped.
-const STOP_AHEAD: Duration = Duration::from_millis(350);
+pub(crate) const STOP_AHEAD: Duration = Duration::from_millis(350);
 
-/// Time over which reserved capacity that stands idle is averaged.
-const IDLE_AVERAGE_TIME: Duration = Duration::from_millis(1_500);
-/// Maximum share of all capacity that may stand idle in reservations, on average, in percent.
-const MAX_IDLE_PERCENT: f64 = 4.0;
+/// Maximum share of all CPU that may stand idle in reservations while other steps wait, in percent. A bound of 4%
+/// on a moving average kept all gangs from planning for up to 8 s after some had planned.
+const MAX_IDLE_PERCENT: u64 = 15;
 
 /// What is to happen with a planned start.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -68,8 +67,6 @@
     pub until: CoreTime,
     /// The workers, each with the number of tasks that it is to run.
     pub workers: Vec<(WorkerId, u64)>,
-    /// Runs to stop shortly before the start.
-    pub stops: Vec<(WorkerId, TaskKey)>,
     /// When the start was expected first, or permits for it.
     due: CoreTime,
     /// Shortest remaining time until the capacity is free, of all reviews, and when it was found.
@@ -79,18 +76,12 @@
 
 impl PlannedStart {
     /// Creates a planned start that is expected after some time.
-    pub fn new(
-        now: CoreTime,
-        after: Duration,
-        workers: Vec<(WorkerId, u64)>,
-        stops: Vec<(WorkerId, TaskKey)>,
-    ) -> Self {
+    pub fn new(now: CoreTime, after: Duration, workers: Vec<(WorkerId, u64)>) -> Self {
         Self {
             since: now,
             from: now + after,
             until: now + after + START_SLACK,
             workers,
-            stops,
             due: now + after,
             nearest: (after, now),
             reviewed_at: now,
@@ -136,13 +127,9 @@
         self.until = self.until.max(expected_at + START_SLACK);
     }
 
-    /// Removes and returns the runs that have to be stopped now.
-    pub fn take_due_stops(&mut self, now: CoreTime) -> Vec<(WorkerId, TaskKey)> {
-        if now + STOP_AHEAD >= self.from {
-            std::mem::take(&mut self.stops)
-        } else {
-            Vec::new()
-        }
+    /// Returns whether the runs that are still in the way have to be stopped now.
+    pub fn stops_are_due(&self, now: CoreTime) -> bool {
+        now + STOP_AHEAD >= self.from
     }
 
     /// Returns whether advice that takes `takes` has to be requested now to be there at the planned start.
@@ -151,45 +138,45 @@
     }
 }
 
-/// Moving average of the reserved capacity that stands idle. It bounds reservations by what they cost.
+/// Reserved capacity that stands idle although other steps wait. It bounds reservations by what they cost.
 ///
 /// # Examples
 ///
 /// ```
-/// use std::time::Duration;
 /// use bankvalve_queue::IdleReserve;
 ///
-/// let mut idle = IdleReserve::default();
-/// idle.record(Duration::from_secs(1), 0);
-/// assert!(idle.allows_more(100_000));
-/// idle.record(Duration::from_secs(9), 20_000);
-/// assert!(!idle.allows_more(100_000));
-/// idle.record(Duration::from_secs(15), 0);
-/// assert!(idle.allows_more(100_000));
+/// let mut idle = IdleReserve::new(100_000);
+/// assert!(idle.allows_more());
+/// idle.add(20_000);
+/// assert!(!idle.allows_more());
 /// ```
 #[derive(Clone, Copy, Debug, Default)]
 pub struct IdleReserve {
-    recorded_at: CoreTime,
-    /// Average, in millicores.
-    average: f64,
+    total_millicores: u64,
+    idle_millicores: u64,
 }
 
 impl IdleReserve {
-    /// Records the reserved millicores that have stood idle since the last record.
-    pub fn record(&mut self, now: CoreTime, idle_millicores: u64) {
-        let passed = now.saturating_sub(self.recorded_at).as_secs_f64();
-        let weight = 1.0 - (-passed / IDLE_AVERAGE_TIME.as_secs_f64()).exp();
-        self.average += weight * (idle_millicores as f64 - self.average);
-        self.recorded_at = now;
+    /// Creates a record for workers with this CPU in all, of which nothing stands idle.
+    pub fn new(total_millicores: u64) -> Self {
+        Self {
+            total_millicores,
+            idle_millicores: 0,
+        }
+    }
+
+    /// Adds reserved CPU that stands idle.
+    pub fn add(&mut self, millicores: u64) {
+        self.idle_millicores += millicores;
     }
 
-    /// Returns the average, in millicores.
-    pub fn average_millicores(&self) -> u64 {
-        self.average as u64
+    /// Returns the reserved CPU that stands idle, in millicores.
+    pub fn millicores(&self) -> u64 {
+        self.idle_millicores
     }
 
-    /// Returns whether more may be reserved on workers with this capacity in all.
-    pub fn allows_more(&self, total_millicores: u64) -> bool {
-        self.average * 100.0 <= total_millicores as f64 * MAX_IDLE_PERCENT
+    /// Returns whether more may be reserved.
+    pub fn allows_more(&self) -> bool {
+        self.idle_millicores * 100 <= self.total_millicores * MAX_IDLE_PERCENT
     }
 }
--- a/crates/bankvalve_queue/src/core/placement/worker_selection.rs
+++ b/crates/bankvalve_queue/src/core/placement/worker_selection.rs
@@ -22,6 +22,8 @@
 const ADVICE_WORKERS_PER_TASK: usize = 4;
 /// Minimum number of workers to request advice about for a step.
 const MIN_ADVICE_WORKERS: usize = 16;
+/// Minimum number of workers to request advice about for a step that counts its tasks' room on them.
+const MIN_SLOT_WORKERS: usize = 32;
 /// Maximum number of workers to request advice about at once for a step whose tasks start one by one.
 const MAX_ADVICE_WORKERS_SINGLE: usize = 100;
 /// Minimum number of workers to request advice about for a gang, which needs capacity for all its members
@@ -289,9 +291,45 @@
     workers: &[(&WorkerId, &WorkerState)],
     now: CoreTime,
 ) -> Vec<WorkerId> {
+    if let Some(wanted) = step.wanted_slots {
+        return workers_with_slots(step, workers, wanted, now);
+    }
     workers_with_most_free(step, workers, advice_request_size(step), now)
 }
 
+/// Returns the workers with the most free capacity that have room for a number of tasks, and some more, so that
+/// the step knows where it may run later. Without any room, returns none: its permits would expire unused.
+///
+/// Requests about four workers for each task, whatever room they have, saturated the policy service in a burst.
+fn workers_with_slots(
+    step: &StepToPlace,
+    workers: &[(&WorkerId, &WorkerState)],
+    wanted: usize,
+    now: CoreTime,
+) -> Vec<WorkerId> {
+    let sorted = workers_with_most_free(step, workers, MAX_ADVICE_WORKERS_SINGLE, now);
+    let by_id: BTreeMap<&WorkerId, &WorkerState> = workers.iter().copied().collect();
+    let slots_on = |id: &WorkerId| {
+        let free = by_id.get(id).map(|state| step.free_on(state, now));
+        let each = step.resources.millicores.max(1);
+        free.filter(|free| step.resources.fits(free))
+            .map_or(0, |free| (free.millicores / each) as usize)
+    };
+    let mut slots = 0;
+    let mut count = 0;
+    for id in &sorted {
+        if slots >= wanted && count >= MIN_SLOT_WORKERS {
+            break;
+        }
+        slots += slots_on(id).min(step.worker_limit());
+        count += 1;
+    }
+    if slots == 0 {
+        return Vec::new();
+    }
+    sorted.into_iter().take(count).collect()
+}
+
 /// Returns how many workers an advice request for a step covers.
 fn advice_request_size(step: &StepToPlace) -> usize {
     let wanted = step.tasks.len() * ADVICE_WORKERS_PER_TASK;
@@ -334,13 +372,14 @@
 ///
 /// At 0.84 of all CPU in use, few workers have enough free for a member of a gang.
 fn obtainable_on(step: &StepToPlace, state: &WorkerState, now: CoreTime) -> u64 {
-    let free = step.free_on(state, now).millicores;
     if !step.plans_start {
-        return free;
+        return step.free_on(state, now).millicores;
     }
     let runs = state.runs.values();
     let stoppable = runs.filter(|live| live.may_be_stopped_for(step.priority));
-    free + stoppable.map(|live| live.resources.millicores).sum::<u64>()
+    let stoppable: u64 = stoppable.map(|live| live.resources.millicores).sum();
+    let unused = state.entry.room.minus(&state.used).millicores;
+    (unused + stoppable).saturating_sub(step.reserved_on(state, now).millicores)
 }
 
 /// Returns eligible workers about which the policy service has not answered yet, those first on which a gang
