fix(queue): the forecast's yield and arrivals do not follow the onset of a burst

The long average of arrivals of a leader that is half a minute old held the burst, so that batches were forecast to wait for up to 113 s.

Change: the yield is averaged over 60 s, the arrivals over 30 s at least, and after the next two seconds at least 0.35 of the usable capacity is assumed to be left to a priority.

--- a/crates/bankvalve_queue/src/core/admission/admission_forecast.rs
+++ b/crates/bankvalve_queue/src/core/admission/admission_forecast.rs
@@ -18,18 +18,20 @@
 /// the burst's excess.
 const LONG_AVERAGE: Duration = Duration::from_secs(60);
 /// Time from which the long average is that of all time so far, until its time constant has passed.
-const MIN_AVERAGED: Duration = Duration::from_secs(10);
+const MIN_AVERAGED: Duration = Duration::from_secs(30);
 /// Time constant of the short average of the rate at which work arrives. After a burst, it falls below the long
 /// one within some seconds.
 const SHORT_AVERAGE: Duration = Duration::from_secs(2);
 /// Time for which work is expected to go on arriving at the rate of the short average. Bursts last for 4 to 8 s.
 const NEAR_S: f64 = 2.0;
-/// Time constant of the averages of used capacity and of ended work. Runs of gangs end in groups, so that
-/// shorter averages are noisy.
+/// Time constant of the average share of the capacity that is in use while work waits.
 const USE_AVERAGE: Duration = Duration::from_secs(15);
-/// Minimum share of all capacity that is assumed to be left to a priority. Arrivals of smaller values may stop
-/// at any time.
-const MIN_CAPACITY_LEFT: f64 = 0.2;
+/// Time constant of the averages of used capacity and of ended work. Runs end some seconds after their capacity counts
+/// as used: with 15 s, the yield fell from 1.0 to 0.65 at the onset of a burst.
+const YIELD_AVERAGE: Duration = Duration::from_secs(60);
+/// Minimum shares of the usable capacity that are assumed to be left to a priority in the next two seconds, and after
+/// them, when a burst may be over.
+const MIN_CAPACITY_LEFT: (f64, f64) = (0.2, 0.35);
 /// Range of the share of used capacity that completes work. It is below 1 since some runs fail or take far
 /// longer than expected.
 const YIELD_RANGE: (f64, f64) = (0.7, 1.0);
@@ -251,8 +253,8 @@
         let slowest = self.capacity * (1.0 - MAX_CAPACITY_FALL);
         self.capacity = view.capacity_cores.max(slowest);
         let ended = std::mem::take(&mut self.ended_since_update) / passed.as_secs_f64().max(1e-3);
-        move_average(&mut self.ended, ended, passed, USE_AVERAGE);
-        move_average(&mut self.used, view.used_cores, passed, USE_AVERAGE);
+        move_average(&mut self.ended, ended, passed, YIELD_AVERAGE);
+        move_average(&mut self.used, view.used_cores, passed, YIELD_AVERAGE);
         let waiting: f64 = view.waiting.iter().map(|work| work.core_seconds).sum();
         if waiting > MIN_BACKLOG_S * self.capacity {
             let share = view.used_cores / self.capacity.max(1e-3);
@@ -465,8 +467,11 @@
             later += rate.lasting();
         }
         let usable = self.usable();
-        let left = |taken: f64| (usable - taken).max(usable * MIN_CAPACITY_LEFT).max(1e-3);
-        (left(near), left(later))
+        let left = |taken: f64, least: f64| (usable - taken).max(usable * least).max(1e-3);
+        (
+            left(near, MIN_CAPACITY_LEFT.0),
+            left(later, MIN_CAPACITY_LEFT.1),
+        )
     }
 
     /// Returns the time in which a priority has completed work of so many core-seconds, in seconds.
