--- a/crates/bankvalve_queue/src/core/admission/admission_decision.rs
+++ b/crates/bankvalve_queue/src/core/admission/admission_decision.rs
@@ -186,6 +186,7 @@
             .map(|step| (step.resources(), step.count))
             .collect();
         if lead.forecast.fits_now(&first_steps) {
+            self.counters.count("admission", "fits_now");
             return None;
         }
         let outcome = if refusal.useless { "useless" } else { "late" };
