fix(queue): planned starts on the same workers do not wait for each other

Cause: two planned starts on a worker each waited for capacity beside the reservation of the other, so that more plans made gangs start later. Stops were sent 0.35 s ahead and a start was planned again 1.2 s after it was due, often before its stops had ended.

Change: a planned start ignores reservations that were planned after it. Runs in the way are stopped from 1.5 s before the start, and a start is planned again only if its capacity comes no nearer for 3 s.

--- a/crates/bankvalve_queue/src/core/placement/capacity_reclaim.rs
+++ b/crates/bankvalve_queue/src/core/placement/capacity_reclaim.rs
@@ -579,6 +579,7 @@
         lead.capacity_claims.insert(step.key, claim);
         let terms = ReservationTerms {
             priority: self.reservation_priority(step),
+            planned_at: now,
             from: now,
             until,
         };
--- a/crates/bankvalve_queue/src/core/placement/mod.rs
+++ b/crates/bankvalve_queue/src/core/placement/mod.rs
@@ -94,6 +94,8 @@
     /// Room for tasks that the workers of an advice request are to have, for a step of the last priority where
     /// capacity is planned.
     pub(in crate::core) wanted_slots: Option<usize>,
+    /// When its start was planned.
+    pub(in crate::core) planned_at: Option<CoreTime>,
     /// Longest time until capacity becomes free for which it is reserved.
     pub(in crate::core) max_capacity_wait: Duration,
     /// Smallest priority value of the steps whose reserved capacity this step may use.
@@ -112,18 +114,23 @@
     /// Returns what is free for the step's tasks on a worker: apart from reservations of other steps, except
     /// those that may be used until their planned start.
     pub(in crate::core) fn free_on(&self, state: &WorkerState, now: CoreTime) -> TaskSize {
-        state.free_beside(
-            |entry| {
-                entry.step == self.key || entry.admits(self.yielding_priority, self.expected_end)
-            },
-            now,
-        )
+        let may_use = |entry: &Reservation| {
+            self.precedes(entry) || entry.admits(self.yielding_priority, self.expected_end)
+        };
+        state.free_beside(may_use, now)
+    }
+
+    /// Returns whether a reservation is the step's own, or was planned after its start.
+    fn precedes(&self, entry: &Reservation) -> bool {
+        let planned_at = self.planned_at;
+        entry.step == self.key
+            || planned_at.is_some_and(|planned_at| entry.is_planned_after(planned_at, self.key))
     }
 
     /// Returns what other steps have reserved on a worker and this step may not use.
     pub(in crate::core) fn reserved_on(&self, state: &WorkerState, now: CoreTime) -> TaskSize {
         let ignores = |entry: &Reservation| {
-            entry.step == self.key || entry.terms.priority >= self.yielding_priority
+            self.precedes(entry) || entry.terms.priority >= self.yielding_priority
         };
         state.reserved_except(ignores, now)
     }
@@ -405,6 +412,7 @@
             past_deadline,
             expected_end: self.expected_end(key),
             wanted_slots: None,
+            planned_at: lead.and_then(|lead| lead.plans.planned_at(&key)),
             max_capacity_wait: MAX_CAPACITY_WAIT,
             yielding_priority: 0,
             plans_start,
--- a/crates/bankvalve_queue/src/core/placement/planned_capacity.rs
+++ b/crates/bankvalve_queue/src/core/placement/planned_capacity.rs
@@ -53,6 +53,11 @@
         self.last_priority.is_some()
     }
 
+    /// Returns when the start of a step was planned.
+    pub(in crate::core) fn planned_at(&self, key: &StepKey) -> Option<CoreTime> {
+        self.starts.get(key).map(|start| start.since)
+    }
+
     /// Returns whether a step has a planned start.
     pub(in crate::core) fn has_start(&self, key: &StepKey) -> bool {
         self.starts.contains_key(key)
@@ -273,6 +278,7 @@
         let start = PlannedStart::new(now, after, workers.collect());
         let terms = ReservationTerms {
             priority: self.reservation_priority(step),
+            planned_at: now,
             from: start.from,
             until: start.until,
         };
--- a/crates/bankvalve_queue/src/core/placement/planned_start.rs
+++ b/crates/bankvalve_queue/src/core/placement/planned_start.rs
@@ -12,12 +12,14 @@
 /// Time between two reviews of a planned start.
 const REVIEW_INTERVAL: Duration = Duration::from_millis(100);
 /// Time for which the capacity of a planned start that is due may come no nearer before it is planned again:
-/// the longest stop, 900 ms, with the poll that reports it.
-const STALL_TIME: Duration = Duration::from_millis(1_200);
+/// several stops, of up to 900 ms each with the poll that reports it. With 1.2 s, nearly every start with stops
+/// was planned again, and what it had stopped was lost.
+const STALL_TIME: Duration = Duration::from_millis(3_000);
 /// Time for which capacity stays reserved after the planned start.
 const START_SLACK: Duration = Duration::from_millis(700);
-/// Time before a planned start at which the runs in its way are stopped.
-pub(crate) const STOP_AHEAD: Duration = Duration::from_millis(350);
+/// Time before a planned start from which the runs in its way are stopped. Starts that are near have them stopped
+/// at once: a stop takes up to 900 ms until a worker's list shows its end.
+pub(crate) const STOP_AHEAD: Duration = Duration::from_millis(1_500);
 
 /// Maximum share of all CPU that may stand idle in reservations while other steps wait, in percent. A bound of 4%
 /// on a moving average kept all gangs from planning for up to 8 s after some had planned.
--- a/crates/bankvalve_queue/src/core/worker_state.rs
+++ b/crates/bankvalve_queue/src/core/worker_state.rs
@@ -117,6 +117,8 @@
 pub(super) struct ReservationTerms {
     /// Priority of the step; steps of a smaller value may use the capacity.
     pub(super) priority: u32,
+    /// When it was planned.
+    pub(super) planned_at: CoreTime,
     /// When the step is expected to start. Until then, shorter runs may use the capacity.
     pub(super) from: CoreTime,
     pub(super) until: CoreTime,
@@ -127,6 +129,7 @@
     pub(super) fn always(now: CoreTime, until: CoreTime) -> Self {
         Self {
             priority: 0,
+            planned_at: now,
             from: now,
             until,
         }
@@ -134,6 +137,12 @@
 }
 
 impl Reservation {
+    /// Returns whether it was planned after another step's start, which then comes first. If each planned start
+    /// waited for the capacity of the other, both would be planned again and again.
+    pub(super) fn is_planned_after(&self, planned_at: CoreTime, step: StepKey) -> bool {
+        self.terms.priority > 0 && (self.terms.planned_at, self.step) > (planned_at, step)
+    }
+
     /// Returns whether a run that is expected to end at a time may use the reserved capacity. It may use all that
     /// is reserved for steps of `yielding_priority` and later ones.
     pub(super) fn admits(&self, yielding_priority: u32, expected_end: CoreTime) -> bool {
