test(site): gangs of a middle priority in a burst, and after three troubles

Cause: nothing in the site tests has a third priority, so none reaches the plan of capacity.

Change: batches at more than the capacity, gangs and urgent work beside them, without trouble and with the loss of a tenth of the workers, of the table for two seconds, and of the leader.

--- a/crates/bankvalve_check/tests/site/main.rs
+++ b/crates/bankvalve_check/tests/site/main.rs
@@ -21,6 +21,7 @@
 mod lost_workers;
 mod overload;
 mod permits;
+mod priorities;
 mod random;
 mod recover;
 mod restart_deadline;
