--- a/crates/bankvalve_check/tests/site/main.rs
+++ b/crates/bankvalve_check/tests/site/main.rs
@@ -24,6 +24,7 @@
 mod outage;
 mod overload;
 mod permits;
+mod priorities;
 mod random;
 mod recover;
 mod restart_deadline;
