--- a/crates/bankvalve/src/dev/dev_site.rs
+++ b/crates/bankvalve/src/dev/dev_site.rs
@@ -15,7 +15,7 @@
 use crate::entry::{DecisionLog, EntryProcess};
 use crate::settings::{
     LogSettings, SiteBounds, SiteInstance, SiteKeys, SiteLimits, SiteListen,
-    SitePlatform as PlatformAddresses, SiteProcessor, SiteSettings,
+    SitePlatform as PlatformAddresses, SitePolicies, SiteProcessor, SiteSettings,
 };
 
 /// Service that the site's workers run.
@@ -119,6 +119,7 @@
         },
         processor: SiteProcessor::default(),
         keys: SiteKeys::default(),
+        policies: SitePolicies::default(),
         limits: SiteLimits::default(),
         log: LogSettings::default(),
     }
--- a/crates/bankvalve/src/entry/entry_process.rs
+++ b/crates/bankvalve/src/entry/entry_process.rs
@@ -163,6 +163,7 @@
         status_time: Duration::from_millis(bounds.status),
         row_bytes: settings.limits.row_bytes as usize,
         key_age_limit: settings.keys.age_limit(),
+        policies: settings.policies.optional(),
         broken: None,
         without: DISABLED_POLICY,
     }
--- a/crates/bankvalve/src/settings/mod.rs
+++ b/crates/bankvalve/src/settings/mod.rs
@@ -12,8 +12,8 @@
 pub use settings_file::{parse_jsonc, SettingsProblem};
 
 pub use site_settings::{
-    SiteBounds, SiteInstance, SiteKeys, SiteLimits, SiteListen, SitePlatform, SiteProcessor,
-    SiteSettings,
+    SiteBounds, SiteInstance, SiteKeys, SiteLimits, SiteListen, SitePlatform, SitePolicies,
+    SiteProcessor, SiteSettings,
 };
 
 /// Text of the default settings, with comments.
--- a/crates/bankvalve/src/settings/site_settings.rs
+++ b/crates/bankvalve/src/settings/site_settings.rs
@@ -5,6 +5,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use bankvalve_queue::OptionalPolicies;
 use schemars::JsonSchema;
 use serde::{Deserialize, Serialize};
 
@@ -164,6 +165,34 @@
     }
 }
 
+/// Optional policies of the scheduler. Each is off unless it is called for here.
+#[derive(Clone, Debug, Default, Serialize, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields, default)]
+pub struct SitePolicies {
+    /// Whether gangs get planned starts, and steps are placed by priority, where the configuration has a queue
+    /// whose priority is between those of others.
+    pub capacity_plan: bool,
+    /// Whether run times and the speed of workers are learned.
+    pub run_times: bool,
+    /// Whether jobs are refused that are expected to end too late.
+    pub admission_forecast: bool,
+    /// Whether submits wait through the rest of a short outage of the table. It helps callers that do not
+    /// follow the time to come back that a refusal tells.
+    pub outage_wait: bool,
+}
+
+impl SitePolicies {
+    /// Returns the policies as the scheduler takes them.
+    pub(crate) fn optional(&self) -> OptionalPolicies {
+        OptionalPolicies {
+            capacity_plan: self.capacity_plan,
+            run_times: self.run_times,
+            admission_forecast: self.admission_forecast,
+            outage_wait: self.outage_wait,
+        }
+    }
+}
+
 /// Settings of an entry instance on the users' platform.
 #[derive(Clone, Debug, Serialize, Deserialize, JsonSchema)]
 #[serde(deny_unknown_fields)]
@@ -182,6 +211,9 @@
     /// Keys of customers.
     #[serde(default)]
     pub keys: SiteKeys,
+    /// Optional policies.
+    #[serde(default)]
+    pub policies: SitePolicies,
     /// Limits.
     #[serde(default)]
     pub limits: SiteLimits,
--- a/crates/bankvalve_queue/src/core/entry_core.rs
+++ b/crates/bankvalve_queue/src/core/entry_core.rs
@@ -34,7 +34,7 @@
 use crate::ids::{CoreTime, FenceToken, Ticket, WallMillis, WorkerId};
 use crate::ledger::JobBook;
 use crate::peer::{PeerAddress, PeerMessage};
-use crate::policy::PolicySwitch;
+use crate::policy::{OptionalPolicies, PolicySwitch};
 use crate::queue_table::QueueTable;
 use crate::store::{RowKey, StoreOutcome, StoreRequest};
 use crate::worker::{AdviceAnswer, AdviceRequest, WorkerAnswer, WorkerCall};
@@ -75,6 +75,8 @@
     /// Maximum age of the last confirmation that the local configuration is the newest. Requests with a
     /// key are refused once it is older; `None` if they are always accepted.
     pub key_age_limit: Option<Duration>,
+    /// Optional policies that the site's settings call for.
+    pub policies: OptionalPolicies,
     /// Guard to disable; `None` except in checks.
     pub broken: Option<SiteGuard>,
     /// Policy to switch off; `None` except in measurements.
@@ -93,6 +95,7 @@
             status_time: Duration::from_secs(120),
             row_bytes: 65_536,
             key_age_limit: None,
+            policies: OptionalPolicies::ALL,
             broken: None,
             without: None,
         }
@@ -565,7 +568,7 @@
 
     /// Returns whether a policy is switched on.
     pub(super) fn uses(&self, policy: PolicySwitch) -> bool {
-        self.settings.without != Some(policy)
+        self.settings.policies.includes(policy) && self.settings.without != Some(policy)
     }
 
     /// Returns the time since the instance started.
--- a/crates/bankvalve_queue/src/lib.rs
+++ b/crates/bankvalve_queue/src/lib.rs
@@ -53,7 +53,7 @@
     HeartbeatEcho, PeerAddress, PeerBatch, PeerMessage, ProxiedCall, ProxiedOrder, QueueCredit,
     PEER_BATCHES_IN_FLIGHT, POOLED_CONNECTIONS,
 };
-pub use policy::PolicySwitch;
+pub use policy::{OptionalPolicies, PolicySwitch};
 pub use port::{PlatformPort, RequestFault, WireAnswer, WireCall, WireReply, WireRequest};
 pub use queue_table::{AdviceRule, QueueRule, QueueTable};
 pub use store::{
--- a/crates/bankvalve_queue/src/policy.rs
+++ b/crates/bankvalve_queue/src/policy.rs
@@ -74,3 +74,47 @@
         PolicySwitch::RunTimeModel,
     ];
 }
+
+/// Policies that take effect only where a site's settings call for them. The default has none.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct OptionalPolicies {
+    /// [`PolicySwitch::CapacityPlan`].
+    pub capacity_plan: bool,
+    /// [`PolicySwitch::RunTimeModel`].
+    pub run_times: bool,
+    /// [`PolicySwitch::AdmissionForecast`].
+    pub admission_forecast: bool,
+    /// [`PolicySwitch::OutageWait`].
+    pub outage_wait: bool,
+}
+
+impl OptionalPolicies {
+    /// All optional policies.
+    pub const ALL: Self = Self {
+        capacity_plan: true,
+        run_times: true,
+        admission_forecast: true,
+        outage_wait: true,
+    };
+
+    /// Returns whether a policy is called for. Policies that are not optional always are.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use bankvalve_queue::{OptionalPolicies, PolicySwitch};
+    ///
+    /// let none = OptionalPolicies::default();
+    /// assert!(none.includes(PolicySwitch::LatestStart));
+    /// assert!(!none.includes(PolicySwitch::CapacityPlan));
+    /// ```
+    pub fn includes(&self, policy: PolicySwitch) -> bool {
+        match policy {
+            PolicySwitch::CapacityPlan => self.capacity_plan,
+            PolicySwitch::RunTimeModel => self.run_times,
+            PolicySwitch::AdmissionForecast => self.admission_forecast,
+            PolicySwitch::OutageWait => self.outage_wait,
+            _ => true,
+        }
+    }
+}
