fix(deploy): no optional policy is called for until LOST is traced

A rule goes before any gain.

Change: the deploy template calls for none of the four policies. Worlds in virtual time have none either, as the template does; the tests of the parts create theirs with the policies.

Conclusion: the parts are built and can be switched on; none is in effect.

--- a/crates/bankvalve_check/src/site/site_hard_load.rs
+++ b/crates/bankvalve_check/src/site/site_hard_load.rs
@@ -3,7 +3,8 @@
 use std::process::ExitCode;
 
 use bankvalve_queue::{
-    AdviceRule, EndKind, JobId, JobSpec, JobState, PolicySwitch, StepSpec, TaskSize,
+    AdviceRule, EndKind, JobId, JobSpec, JobState, OptionalPolicies, PolicySwitch, StepSpec,
+    TaskSize,
 };
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64Mcg;
@@ -366,15 +367,18 @@
     // As many requests to the policy service come to an instance as on the stated site.
     let instances = (STATED_INSTANCES * plan.scale().sqrt()) as usize;
     let strength = |number| if number < 6 { 500 } else { 120 };
-    let mut world = SiteWorld::new(SitePlan {
-        seed: plan.seed,
-        entries: instances,
-        strengths: (0..instances).map(strength).collect(),
-        broken: None,
-        without: plan.without,
-        workers: plan.workers,
-        good_percent: Some(100),
-    });
+    let mut world = SiteWorld::with_policies(
+        SitePlan {
+            seed: plan.seed,
+            entries: instances,
+            strengths: (0..instances).map(strength).collect(),
+            broken: None,
+            without: plan.without,
+            workers: plan.workers,
+            good_percent: Some(100),
+        },
+        OptionalPolicies::ALL,
+    );
     world.looks_wait = true;
     world.store_turn_ms = WRITE_TURN_MS;
     world.load = Some(Box::default());
--- a/crates/bankvalve_check/src/site/site_lives.rs
+++ b/crates/bankvalve_check/src/site/site_lives.rs
@@ -28,6 +28,7 @@
         settings.hold_limit = Duration::from_millis(self.max_lease_ms);
         settings.broken = self.plan.broken;
         settings.without = self.plan.without;
+        settings.policies = self.policies;
         if let Some(strength) = self.plan.strengths.get(number) {
             settings.strength = *strength;
         }
--- a/crates/bankvalve_check/src/site/site_world.rs
+++ b/crates/bankvalve_check/src/site/site_world.rs
@@ -7,7 +7,8 @@
 
 use bankvalve_queue::{
     AdviceRule, CallerRequest, CoreEvent, DecisionLine, EntryCore, JobId, JobSpec, JobState,
-    PeerAddress, ProcessStart, RunId, SiteGuard, StoreRequest, TaskKey, TaskSize, Ticket, WorkerId,
+    OptionalPolicies, PeerAddress, ProcessStart, RunId, SiteGuard, StoreRequest, TaskKey, TaskSize,
+    Ticket, WorkerId,
 };
 use bankvalve_standin::site::{SitePolicy, SiteStore, SiteWorker};
 use rand::SeedableRng;
@@ -289,6 +290,8 @@
     pub costs: Option<StepCosts>,
     /// What callers were told that asked one instance about one job.
     pub answers: Vec<SiteAnswer>,
+    /// Optional policies of the instances.
+    pub(super) policies: OptionalPolicies,
     /// What callers were told that handed a job in at one instance, once.
     pub submit_answers: Vec<SiteAnswer>,
     /// Lines that instances logged, with the time in milliseconds and the instance, where they are
@@ -310,8 +313,18 @@
         Self::with_hold_limit(plan, HOLD_LIMIT_MS)
     }
 
+    /// Makes a world whose instances have some of the optional policies. In all others they have none, as the
+    /// deploy template calls for none.
+    pub fn with_policies(plan: SitePlan, policies: OptionalPolicies) -> Self {
+        Self::with_all(plan, HOLD_LIMIT_MS, policies)
+    }
+
     /// The same, with another longest hold than the usual one, in milliseconds.
     pub fn with_hold_limit(plan: SitePlan, max_lease_ms: u64) -> Self {
+        Self::with_all(plan, max_lease_ms, OptionalPolicies::default())
+    }
+
+    fn with_all(plan: SitePlan, max_lease_ms: u64, policies: OptionalPolicies) -> Self {
         let rng = Pcg64Mcg::seed_from_u64(plan.seed);
         let policy = plan.good_percent.map(|good_percent| SitePolicy {
             good_percent,
@@ -386,6 +399,7 @@
             waiting_looks: BTreeMap::new(),
             costs: None,
             answers: Vec::new(),
+            policies,
             submit_answers: Vec::new(),
             max_lease_ms,
             lines: None,
