refactor(queue): one place for free capacity, and no unused run time

Cause: the forecast's view of the backlog added up reservations again, as `free_beside` does, and `run_time_on` had no caller. Change: the view calls `free_beside`; the unused function and its `allow(dead_code)` are removed. No change of behaviour. Checked: clippy of the crate; its tests admission_forecast, admission_credits, plan and run_times pass.

--- a/crates/bankvalve_queue/src/core/admission/admission_decision.rs
+++ b/crates/bankvalve_queue/src/core/admission/admission_decision.rs
@@ -79,18 +79,11 @@
             usable && state.is_responsive(now)
         };
         for state in lead.worker_states.values().filter(in_use) {
-            let reserved = state
-                .reserved
-                .iter()
-                .filter(|entry| entry.terms.until > now);
-            let reserved =
-                reserved.fold(TaskSize::default(), |sum, entry| sum.plus(&entry.resources));
             let lasting = state.runs.values().filter(|live| live.lasting);
             let lasting: u64 = lasting.map(|live| live.resources.millicores).sum();
             view.capacity_cores += cores(state.entry.room.millicores.saturating_sub(lasting));
             view.used_cores += cores(state.used.millicores.saturating_sub(lasting));
-            view.free
-                .push(state.entry.room.minus(&state.used).minus(&reserved));
+            view.free.push(state.free_beside(|_| false, now));
         }
         view.waiting = self.waiting_work(lead);
         let waiting: f64 = view.waiting.iter().map(|work| work.core_seconds).sum();
--- a/crates/bankvalve_queue/src/core/forecast/run_forecast.rs
+++ b/crates/bankvalve_queue/src/core/forecast/run_forecast.rs
@@ -62,16 +62,6 @@
         RunTimeEstimate::exact(estimate.mul_f64(error.copied().unwrap_or(0.0).exp()))
     }
 
-    /// Returns the expected run time of a task of a step on a worker. For a gang, the slowest member counts.
-    #[allow(dead_code, reason = "for the capacity plan and admission by forecast")]
-    pub(in crate::core) fn run_time_on(
-        &self,
-        step: StepKey,
-        worker: &WorkerState,
-    ) -> RunTimeEstimate {
-        self.run_time_at(step, worker.slowness)
-    }
-
     /// Returns the expected run time of a task on a usual worker.
     pub(in crate::core) fn expected_time(&self, task: TaskKey) -> Duration {
         self.run_time_at(task.step, 0.0).typical
