--- a/review/1/case.py
+++ b/review/1/case.py
@@ -19,16 +19,16 @@
 async def case(site, trouble):
     record = site.record
     await site.store.start()
-    site.config(3, [("recon", "/recon/", "billing", 2, 4)])
+    site.config(3, [("settle", "/settle/", "refund-core", 2, 4)])
     for name in ("w-1", "w-2"):
-        worker = standins.Worker(record, site.store, name, "billing", lambda task, run, spec: (WORK_MS, "done"))
+        worker = standins.Worker(record, site.store, name, "refund-core", lambda task, run, spec: (WORK_MS, "done"))
         site.workers.append(worker)
         await worker.start()
     await site.start_entries(3)
     await site.wait_for("a leader polls the workers", lambda: all(w.token and w.calls > 3 for w in site.workers), 20)
     jobs = [f"{0x5c0e7a2100000000 + number:016x}" for number in range(JOBS)]
     step = {"Count": TASKS, "Cpu": 20, "MemMb": 64, "EstRuntimeMs": WORK_MS}
-    accepted = await asyncio.gather(*(site.submit("/recon/", job, "meter data", [step]) for job in jobs))
+    accepted = await asyncio.gather(*(site.submit("/settle/", job, "settlement", [step]) for job in jobs))
     if not all(accepted):
         raise standins.CannotRun("a job was not accepted")
     total = JOBS * TASKS
@@ -49,7 +49,7 @@
 
     async def all_succeeded():
         for job in jobs:
-            answer = await site.call(site.entries[0], "GET", "/recon/" + job)
+            answer = await site.call(site.entries[0], "GET", "/settle/" + job)
             if not answer or answer[0] != 200 or answer[1].get("State") != "succeeded":
                 await asyncio.sleep(0.2)
                 return False
--- a/review/2/case.py
+++ b/review/3/case.py
@@ -22,16 +22,16 @@
     """Sends a job and waits for an answer for a while; returns the status, or None if the client left."""
     first = {"Count": 2, "Cpu": 980, "MemMb": 2000, "EstRuntimeMs": WORK_MS}
     steps = [first, {**first, "AfterRev": [0]}, {**first, "AfterRev": [1]}]
-    answer = await site.call(entry, "POST", "/recon/" + job, {"Spec": "meter data", "Steps": steps}, PATIENCE_S)
+    answer = await site.call(entry, "POST", "/settle/" + job, {"Spec": "settlement", "Steps": steps}, PATIENCE_S)
     return answer and answer[0]
 
 
 async def case(site, trouble):
     record = site.record
     await site.store.start()
-    site.config(3, [("recon", "/recon/", "billing", 2, 4)])
+    site.config(3, [("settle", "/settle/", "refund-core", 2, 4)])
     for name in ("w-1", "w-2", "w-3"):
-        worker = standins.Worker(record, site.store, name, "billing", lambda task, run, spec: (WORK_MS, "done"))
+        worker = standins.Worker(record, site.store, name, "refund-core", lambda task, run, spec: (WORK_MS, "done"))
         site.workers.append(worker)
         await worker.start()
     await site.start_entries(3)
@@ -52,7 +52,7 @@
     record.add("script", f"answers to the clients: {handed_in}")
     cancelled = {}
     for job in jobs:
-        answer = await site.call(other, "DELETE", "/recon/" + job)
+        answer = await site.call(other, "DELETE", "/settle/" + job)
         if answer and (200 <= answer[0] < 300 or answer[0] == 410):
             cancelled[job] = record.now()
     await asyncio.sleep(max(0.0, FREEZE_S - (record.now() - began) / 1000))
@@ -63,7 +63,7 @@
         raise standins.CannotRun(f"{len(cancelled)} of {JOBS} cancels were acknowledged")
     await asyncio.sleep(3 * WORK_MS / 1000 + 3.0)
     for job in jobs:
-        await site.call(other, "GET", "/recon/" + job)
+        await site.call(other, "GET", "/settle/" + job)
     # The leader saw no disruption itself, the store saw none, and the leader has a path to it: it is in touch.
     if await site.leader() is not leader:
         raise standins.CannotRun("another instance leads now")
