fix(queue): a run that a full report does not name is not taken for one that never ran

Cause: end_missing_runs ended a run as never begun when a worker's answer listed it neither as running nor as ended. The platform limits an answer to 500 ends, oldest first, so a full answer says nothing of the ends behind it.

Evidence: the record of the case has the first answer with 500 of 720 ends at 7,111 ms and the second starts at 7,127 ms, and the decision log "place … run 2 … 0ns after run 1 ended": the leader ended run 1 itself. Ruled out: an answer that passes a newer one (one poll at a time; late answers are dropped), an expired lease (5 s, the cut is shorter), an end passed over by its number (the next answer has it, and it is acknowledged).

Change: a missing run ends without a report only once all ends that existed by then have been read: an answer held none, or an end was read of a run that was listed as running, or ordered, at that time or later. Until then polls do not wait. Weighed: the limit as a constant of platform/ with "complete or not" carried to the core. It decides one answer earlier where a short answer has ends, but is wrong as soon as the limit is another figure; the chosen rule holds for any limit and, since each further end proves it, also on a worker that is never quiet. Ends are handled in the order of their numbers, whatever order an answer has them in.

Related paths: adopted, running and stopping runs share the one place (crash evidence kept for a run, too, by `ended_as`); runs that the next process of a restarted worker does not list were taken for lost, now they wait in the same way; gangs, failures and leaders lost during the cut have tests. Rooms were never in danger: a run that is not listed as running takes none. Answers whose ends were all known already count as incomplete, too.

The stand-in's worker reports 500 ends at once, in all tests; drawn worlds play 5 and 2 as well, since nothing may depend on the value. The check of TWICE and BUDGET now also counts a start before the acknowledgement of the earlier end, as the rule says ("then or later"), unless the lease has expired in between; its first form counted ends across an expired lease without runs, and ends of a process that was gone, which the rule excludes.

Tests: four of cut_reports and one of restarts fail without the guard.

--- a/crates/bankvalve_check/src/site/site_random.rs
+++ b/crates/bankvalve_check/src/site/site_random.rs
@@ -5,6 +5,7 @@
 use std::time::Instant;
 
 use bankvalve_queue::{DecisionLine, JobSpec, JobState, SiteGuard};
+use bankvalve_standin::site::MAX_ENDS_PER_REPORT;
 use rand::Rng;
 
 use super::site_crashes::DrawnCrashes;
@@ -120,6 +121,12 @@
     pub(super) keeps_lines: bool,
 }
 
+/// Most ended runs in one answer of a worker of a drawn world. The platform's limit is out of reach of the few
+/// tasks there, and nothing may depend on its value.
+pub(super) fn drawn_end_limit(seed: u64) -> usize {
+    [MAX_ENDS_PER_REPORT, 5, 2][(seed % 3) as usize]
+}
+
 /// Runs one episode: troubles of the kinds given strike a site under load.
 pub fn run_site_episode(seed: u64, kinds: &[SiteFault]) -> SiteReport {
     run_broken_episode(seed, kinds, None)
@@ -316,6 +323,7 @@
         good_percent: (seed % 2 == 0).then_some(85),
     };
     let mut world = SiteWorld::with_hold_limit(plan, max_lease_ms);
+    world.limit_end_reports(drawn_end_limit(seed));
     world.lines = keeps_lines.then(Vec::new);
     world.callers_leave = true;
     burden.lay(&mut world);
--- a/crates/bankvalve_check/src/site/site_restarts.rs
+++ b/crates/bankvalve_check/src/site/site_restarts.rs
@@ -160,6 +160,7 @@
         let offset = restart.clock_ms;
         let mut worker = SiteWorker::restarted(id.clone(), entry, self.now_ms, offset);
         worker.max_lease_ms = self.max_lease_ms;
+        worker.max_ends_per_report = self.max_ends_per_report;
         worker.process = self.next_process();
         self.restarts.waiting.insert(id.clone(), self.now_ms);
         self.workers.insert(address.clone(), Some(worker));
--- a/crates/bankvalve_check/src/site/site_rules.rs
+++ b/crates/bankvalve_check/src/site/site_rules.rs
@@ -41,7 +41,12 @@
     live: BTreeMap<(WorkerId, RunId), ()>,
     done_at: Option<u64>,
     done_kept: bool,
+    /// Runs that were done, whether that is acknowledged or not.
+    done: BTreeSet<RunId>,
     failed_kept: u32,
+    failed_under_lease: BTreeSet<RunId>,
+    /// Starts that are wrong if ends from before them are acknowledged later.
+    doubtful_starts: Vec<DoubtfulStart>,
     /// Runs that failed, whether that is acknowledged or not.
     failed: BTreeSet<RunId>,
     /// Workers that it has itself ended.
@@ -53,6 +58,16 @@
     starts_after: u32,
 }
 
+/// A start after ends that were not acknowledged yet.
+#[derive(Clone, Debug)]
+struct DoubtfulStart {
+    text: String,
+    /// Runs that were done before it.
+    done: BTreeSet<RunId>,
+    /// Runs that had failed before it, if they were as many as the task may have.
+    failed: BTreeSet<RunId>,
+}
+
 /// What workers and callers have seen, and which rules were broken.
 #[derive(Debug, Default)]
 pub struct RuleBook {
@@ -186,6 +201,14 @@
         let others = history.live.keys().any(|(at, _)| at != worker);
         let done = history.done_kept;
         let failed = history.failed_kept;
+        let often = history.failed.len() as u32 >= attempts;
+        if (!history.done.is_empty() && !done) || (often && failed < attempts) {
+            history.doubtful_starts.push(DoubtfulStart {
+                text: format!("{task} run {run} on {worker} at {now_ms} ms"),
+                done: history.done.clone(),
+                failed: history.failed.iter().filter(|_| often).copied().collect(),
+            });
+        }
         history.starts_after += u32::from(history.crashes >= CRASHES_COUNTED);
         let (crashes, starts_after) = (history.crashes, history.starts_after);
         history.live.insert((worker.clone(), run), ());
@@ -255,6 +278,7 @@
         }
         if how == EndKind::Done {
             history.done_at = Some(now_ms);
+            history.done.insert(run);
         }
     }
 
@@ -323,6 +347,39 @@
         }
     }
 
+    /// An end was acknowledged before the lease of its worker expired: a task that had started after that end
+    /// should not have.
+    pub fn check_earlier_starts(&mut self, task: TaskKey, run: RunId, how: EndKind, now_ms: u64) {
+        let attempts = self
+            .specs
+            .get(&task.step.job)
+            .map(|(_, attempts)| *attempts);
+        let history = self.tasks.entry(task).or_default();
+        if how == EndKind::Failed {
+            history.failed_under_lease.insert(run);
+        }
+        let failed = &history.failed_under_lease;
+        let is_open = |start: &DoubtfulStart| match how {
+            EndKind::Done => !start.done.contains(&run),
+            EndKind::Failed => {
+                let failures = start.failed.intersection(failed).count() as u32;
+                attempts.is_none_or(|attempts| failures < attempts)
+            }
+            _ => true,
+        };
+        let starts = std::mem::take(&mut history.doubtful_starts);
+        let (open, wrong): (Vec<_>, Vec<_>) = starts.into_iter().partition(is_open);
+        history.doubtful_starts = open;
+        let rule = match how {
+            EndKind::Done => "TWICE",
+            _ => "BUDGET",
+        };
+        for DoubtfulStart { text, .. } in wrong {
+            let text = format!("{text}, the earlier end of run {run} is acknowledged now");
+            self.breach(rule, now_ms, &text);
+        }
+    }
+
     /// Notes a broken rule.
     pub fn breach(&mut self, rule: &'static str, now_ms: u64, text: &str) {
         let text = format!("{now_ms} ms: {text}");
--- a/crates/bankvalve_check/src/site/site_workers.rs
+++ b/crates/bankvalve_check/src/site/site_workers.rs
@@ -73,11 +73,20 @@
         self.worker_reached_by.remove(&address);
         let mut worker = SiteWorker::new(id, entry, offset);
         worker.max_lease_ms = self.max_lease_ms;
+        worker.max_ends_per_report = self.max_ends_per_report;
         worker.process = self.next_process();
         self.workers.insert(address, Some(worker));
         self.answer_watches();
     }
 
+    /// Limits the ended runs in one answer of a worker, also of later processes.
+    pub fn limit_end_reports(&mut self, max_ends: usize) {
+        self.max_ends_per_report = max_ends;
+        for worker in self.workers.values_mut().flatten() {
+            worker.max_ends_per_report = max_ends;
+        }
+    }
+
     /// A worker dies; another life begins at its address after a time.
     pub fn crash_worker(&mut self, address: &str, down_ms: u64) {
         let Some(worker) = self.workers.get_mut(address).and_then(Option::take) else {
@@ -390,6 +399,9 @@
                 self.gang_news(task.step, run, Some(how));
             }
             WorkerEvent::Kept(task, _, how) => self.rules.kept(task, how, now),
+            WorkerEvent::KeptUnderLease(task, run, how) => {
+                self.rules.check_earlier_starts(task, run, how, now);
+            }
         }
     }
 
--- a/crates/bankvalve_check/src/site/site_world.rs
+++ b/crates/bankvalve_check/src/site/site_world.rs
@@ -10,7 +10,7 @@
     OptionalPolicies, PeerAddress, ProcessStart, RunId, SiteGuard, StoreRequest, TaskKey, TaskSize,
     Ticket, WorkerId,
 };
-use bankvalve_standin::site::{SitePolicy, SiteStore, SiteWorker};
+use bankvalve_standin::site::{SitePolicy, SiteStore, SiteWorker, MAX_ENDS_PER_REPORT};
 use rand::SeedableRng;
 use rand_pcg::Pcg64Mcg;
 
@@ -162,6 +162,8 @@
     pub(super) plan: SitePlan,
     /// Longest hold that the platform allows, in milliseconds.
     pub(super) max_lease_ms: u64,
+    /// Most ended runs in one answer of a worker.
+    pub(super) max_ends_per_report: usize,
     /// Draws all that is left to chance.
     pub rng: Pcg64Mcg,
     /// Virtual time in milliseconds.
@@ -402,6 +404,7 @@
             policies,
             submit_answers: Vec::new(),
             max_lease_ms,
+            max_ends_per_report: MAX_ENDS_PER_REPORT,
             lines: None,
             load: None,
             slow_domain: None,
--- a/crates/bankvalve_check/tests/site/main.rs
+++ b/crates/bankvalve_check/tests/site/main.rs
@@ -9,6 +9,7 @@
 mod crashing;
 mod customer_backlog;
 mod customers;
+mod cut_reports;
 mod evacuations;
 mod failing_workers;
 mod fleet;
--- a/crates/bankvalve_check/tests/site/random.rs
+++ b/crates/bankvalve_check/tests/site/random.rs
@@ -36,6 +36,7 @@
         (SiteGuard::StopsCount, 1),
         (SiteGuard::CompleteBook, 1),
         (SiteGuard::NewerList, 1),
+        (SiteGuard::AllEnds, 1),
         (SiteGuard::NewerTable, 2),
         (SiteGuard::KnownNewest, 1),
         (SiteGuard::ResentAsk, 1),
--- a/crates/bankvalve_check/tests/site/restarts.rs
+++ b/crates/bankvalve_check/tests/site/restarts.rs
@@ -7,6 +7,7 @@
     job_of, run_restart_episode, SitePlan, SiteWorld, TaskCrash, WorkerRestart, QUEUE, URGENT_QUEUE,
 };
 use bankvalve_queue::{JobId, JobState, SiteGuard, StepKey, TaskKey};
+use bankvalve_standin::site::MAX_ENDS_PER_REPORT;
 
 use crate::{assert_kept, follower, plan_of};
 
@@ -98,7 +99,13 @@
 /// A world in which ends wait to be kept, so that looks are far apart, while workers start again in no time
 /// and runs are short.
 fn restarts_between_far_looks(seed: u64) -> SiteWorld {
-    let mut world = site(seed);
+    restarts_with_reports_of(seed, MAX_ENDS_PER_REPORT, None)
+}
+
+/// The same with workers that list so many ends at once, and with a guard taken away if asked.
+fn restarts_with_reports_of(seed: u64, max_ends: usize, broken: Option<SiteGuard>) -> SiteWorld {
+    let mut world = site_with(seed, None, broken);
+    world.limit_end_reports(max_ends);
     for job in 1..400 {
         world.work_ms.insert(job, 15);
     }
@@ -131,6 +138,25 @@
     }
 }
 
+/// Guards against taking a run for lost with its worker's process although the next process has it, and its
+/// end stands behind those that this process lists first.
+#[test]
+fn a_restarted_worker_with_more_ends_than_it_lists_repeats_no_run() {
+    for max_ends in [1, 2, 4] {
+        for seed in 1..9 {
+            assert_all_done(&restarts_with_reports_of(seed, max_ends, None), 299);
+        }
+    }
+    let broken = Some(SiteGuard::AllEnds);
+    let noticed = |seed| {
+        !restarts_with_reports_of(seed, 1, broken)
+            .rules
+            .breaches
+            .is_empty()
+    };
+    assert!((1..9).any(noticed));
+}
+
 /// The same where a run ends within 150 ms of the last list of the process before.
 #[test]
 fn an_end_right_after_a_list_of_the_process_before_is_not_acknowledged_unread() {
--- a/crates/bankvalve_queue/src/core/incarnation.rs
+++ b/crates/bankvalve_queue/src/core/incarnation.rs
@@ -101,7 +101,8 @@
             true => max_lease.unwrap_or(0),
             false => before.lease_until,
         };
-        for (task, live) in moved {
+        for (task, mut live) in moved {
+            live.unlisted_since = None;
             if live.phase == (RunPhase::Stopping { confirmed: None }) {
                 lead.schedule_order(now, id, task);
             }
@@ -122,6 +123,7 @@
         let running = report.running.iter().map(|run| (run.task, run.run));
         let ended = report.ended.iter().map(|end| (end.task, end.run));
         let reported: BTreeSet<(TaskKey, RunId)> = running.chain(ended).collect();
+        let may_lack_ends = self.enforces(SiteGuard::AllEnds) && !report.ended.is_empty();
         let loss = self.loss_of(id, ProcessEnd::Restarted);
         let state = self
             .lead
@@ -138,9 +140,11 @@
             if live.may_arrive_late() {
                 return Some((*task, live.clone().stopped_after(how(), now)));
             }
-            // The list may be older than the run's start. The next one shows which process has started it.
-            let started_after_poll = live.is_running_since(sent_at);
-            started_after_poll.then(|| (*task, live.clone().with_end_if_unlisted(how())))
+            // The list may be older than the run's start, or the run's end may follow the listed ones. The next
+            // lists show which process has started it.
+            let may_be_reported =
+                live.is_running_since(sent_at) || (may_lack_ends && live.may_have_started());
+            may_be_reported.then(|| (*task, live.clone().with_end_if_unlisted(how())))
         });
         let moved: Vec<(TaskKey, LiveRun)> = moved.collect();
         if let Some(state) = self.worker_state_mut(id) {
--- a/crates/bankvalve_queue/src/core/lease_renewal.rs
+++ b/crates/bankvalve_queue/src/core/lease_renewal.rs
@@ -284,9 +284,10 @@
         let acknowledges = connection.map_or(0, |_| state.last_end_committed);
         let settled = state.last_end_seen == state.last_end_committed
             && (!state.has_unacknowledged_ends() || connection.is_some());
+        let must_not_wait = !state.token_accepted || !in_contact || state.awaits_further_ends();
         // After a lost answer the worker does not wait. A second wait would exceed the time since the last
         // contact within which its lease is renewed.
-        let wait = if !(state.token_accepted && settled && in_contact) || state.unanswered > 0 {
+        let wait = if must_not_wait || !settled || state.unanswered > 0 {
             Duration::ZERO
         } else if state.is_on_trial() {
             TRIAL_POLL_WAIT
--- a/crates/bankvalve_queue/src/core/live_run.rs
+++ b/crates/bankvalve_queue/src/core/live_run.rs
@@ -118,6 +118,9 @@
     pub(super) answered: bool,
     /// When the worker last reported it as running.
     pub(super) listed_at: Option<CoreTime>,
+    /// When the first of the latest run lists arrived that prove that the worker does not have the run. How
+    /// it ended may be among ends that the worker has not reported yet.
+    pub(super) unlisted_since: Option<CoreTime>,
     /// Evidence about the worker's end, once proposed to the ledger.
     pub(super) crash: Option<CrashEvidence>,
     /// How it ended with an earlier process of its worker, in case the current process does not have
@@ -156,6 +159,7 @@
             ordered_at: None,
             answered: false,
             listed_at: None,
+            unlisted_since: None,
             crash: None,
             ended_as: None,
             on_trial: false,
@@ -193,6 +197,26 @@
         }
     }
 
+    /// Returns the latest time at which the run is known not to have ended: it was listed as running, or its
+    /// order had not been sent.
+    pub(super) fn not_ended_at(&self) -> Option<CoreTime> {
+        self.listed_at.max(self.ordered_at)
+    }
+
+    /// Returns whether run lists that lack the run, requested at `sent_at`, prove that the worker does not
+    /// have it.
+    pub(super) fn is_gone_if_unlisted(&self, sent_at: CoreTime) -> bool {
+        match self.phase {
+            RunPhase::Adopted => true,
+            // The call was confirmed before the lists were requested, so the lists are newer.
+            RunPhase::Running { since: at }
+            | RunPhase::Stopping {
+                confirmed: Some(at),
+            } => at < sent_at,
+            _ => false,
+        }
+    }
+
     /// Returns whether its start was confirmed at `at` or later.
     pub(super) fn is_running_since(&self, at: CoreTime) -> bool {
         matches!(self.phase, RunPhase::Running { since } if since >= at)
--- a/crates/bankvalve_queue/src/core/worker_reports.rs
+++ b/crates/bankvalve_queue/src/core/worker_reports.rs
@@ -1,5 +1,6 @@
 //! Handling of a worker's run lists: running runs, ended runs, and runs that the worker does not report.
 
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 use super::commit::Effect;
@@ -41,7 +42,10 @@
 
 impl EntryCore {
     pub(super) fn handle_report(&mut self, id: &WorkerId, sent_at: CoreTime, report: &HoldReport) {
-        for end in &report.ended {
+        // The numbers of handled ends rise, so an end that followed one with a higher number would be lost.
+        let mut ends: Vec<&EndReport> = report.ended.iter().collect();
+        ends.sort_unstable_by_key(|end| end.number);
+        for end in ends {
             self.handle_end(id, end);
         }
         self.handle_running(id, &report.running);
@@ -96,6 +100,7 @@
         let mut ended_cores = 0.0;
         if is_known_run {
             if let Some(live) = state.remove_run(&end.task) {
+                state.record_ends_read(live.not_ended_at());
                 known_run_time = live.known_run_time();
                 ran = now.saturating_sub(live.began);
                 outlived_start = live.lasting && ran > START_FAILURE_WINDOW;
@@ -322,6 +327,7 @@
                         lead.started_jobs.insert(report.task.step.job);
                     }
                     live.listed_at = Some(now);
+                    live.unlisted_since = None;
                     if !report.saved.is_empty() && live.saved != report.saved {
                         live.saved.clone_from(&report.saved);
                     }
@@ -348,32 +354,38 @@
 
     /// Ends runs that the worker lists neither as running nor as ended: they never started, or no longer
     /// exist.
+    ///
+    /// An answer contains a limited number of ends, the oldest ones. So a run that is missing among the running
+    /// ones may have ended in any way until all ends that existed by then have been read. They have been once
+    /// an answer contains none, or an end is read of a run that was still running at that time or was ordered
+    /// later. Neither depends on the limit.
     fn end_missing_runs(&mut self, id: &WorkerId, sent_at: CoreTime, report: &HoldReport) {
+        let now = self.now;
         let requires_newer = self.enforces(SiteGuard::NewerList);
-        let Some(lead) = self.lead.as_deref_mut() else {
-            return;
-        };
-        let Some(state) = lead.worker_states.get_mut(id) else {
+        let requires_all_ends = self.enforces(SiteGuard::AllEnds);
+        let Some(state) = self.worker_state_mut(id) else {
             return;
         };
-        let listed = |task: &TaskKey, run: u64| {
-            report
-                .running
-                .iter()
-                .any(|entry| entry.task == *task && entry.run == run)
+        if report.ended.is_empty() {
+            state.ends_read_until = Some(now);
+        }
+        let read_until = state.ends_read_until;
+        let requested_at = if requires_newer {
+            sent_at
+        } else {
+            CoreTime::MAX
         };
+        let listed = report.running.iter().map(|entry| (entry.task, entry.run));
+        let listed: BTreeSet<(TaskKey, RunId)> = listed.collect();
         let mut missing = Vec::new();
-        for (task, live) in &state.runs {
-            let is_known_gone = match live.phase {
-                RunPhase::Adopted => true,
-                RunPhase::Stopping {
-                    confirmed: Some(at),
-                } => at < sent_at || !requires_newer,
-                // The start was confirmed before the list was requested, so the list is newer.
-                RunPhase::Running { since } => since < sent_at || !requires_newer,
-                _ => false,
-            };
-            if is_known_gone && !listed(task, live.run) {
+        for (task, live) in &mut state.runs {
+            let is_known_gone =
+                live.unlisted_since.is_some() || live.is_gone_if_unlisted(requested_at);
+            if !is_known_gone || listed.contains(&(*task, live.run)) {
+                continue;
+            }
+            let since = *live.unlisted_since.get_or_insert(now);
+            if !requires_all_ends || read_until >= Some(since) {
                 let how = live.ended_as.unwrap_or(EndKind::NeverRan);
                 missing.push((*task, live.run, how, live.saved.clone()));
             }
--- a/crates/bankvalve_queue/src/core/worker_state.rs
+++ b/crates/bankvalve_queue/src/core/worker_state.rs
@@ -203,6 +203,9 @@
     pub(super) listed_on: Option<ListConnection>,
     /// Highest number of an ended run that was handled.
     pub(super) last_end_seen: u64,
+    /// Arrival time of the latest run lists for which all ends that existed when they were made have been
+    /// read.
+    pub(super) ends_read_until: Option<CoreTime>,
     /// Highest number of an ended run that is committed.
     pub(super) last_end_committed: u64,
     /// Highest number of an ended run whose acknowledgement the process has confirmed.
@@ -255,6 +258,7 @@
             started: None,
             listed_on: None,
             last_end_seen: 0,
+            ends_read_until: None,
             last_end_committed: 0,
             last_end_acknowledged: 0,
             slowness: 0.0,
@@ -397,6 +401,17 @@
         known.is_none_or(|(answers, wrote)| answers == wrote)
     }
 
+    /// Returns whether a run's end may be among those that the worker has not reported yet.
+    pub(super) fn awaits_further_ends(&self) -> bool {
+        self.runs.values().any(|live| live.unlisted_since.is_some())
+    }
+
+    /// Records that an end was read of a run that had not ended at a time. The worker reports its ends in the
+    /// order in which they occurred, so all that had occurred by then have been read.
+    pub(super) fn record_ends_read(&mut self, not_ended_at: Option<CoreTime>) {
+        self.ends_read_until = self.ends_read_until.max(not_ended_at);
+    }
+
     /// Returns whether the ledger has ended runs whose acknowledgement the process has not confirmed.
     pub(super) fn has_unacknowledged_ends(&self) -> bool {
         self.last_end_committed > self.last_end_acknowledged
--- a/crates/bankvalve_queue/src/guard.rs
+++ b/crates/bankvalve_queue/src/guard.rs
@@ -24,6 +24,9 @@
     /// A run that is missing in a worker's run lists counts as ended only if the lists were requested after
     /// the worker had confirmed the run.
     NewerList,
+    /// A run that is missing in a worker's run lists counts as ended without a report only once all ends that
+    /// existed when the lists were made have been read.
+    AllEnds,
     /// If a worker reports the success of a run after the run was declared lost, the success still counts.
     LateDone,
     /// An older configuration never replaces a newer one.
@@ -98,7 +101,7 @@
 
 impl SiteGuard {
     /// All guards.
-    pub const ALL: [SiteGuard; 38] = [
+    pub const ALL: [SiteGuard; 39] = [
         SiteGuard::LedgerFirst,
         SiteGuard::OwnRow,
         SiteGuard::KeptEnds,
@@ -107,6 +110,7 @@
         SiteGuard::SureRefusal,
         SiteGuard::CompleteBook,
         SiteGuard::NewerList,
+        SiteGuard::AllEnds,
         SiteGuard::LateDone,
         SiteGuard::NewerTable,
         SiteGuard::KnownNewest,
@@ -159,6 +163,7 @@
             SiteGuard::SureRefusal => "sure-refusal",
             SiteGuard::CompleteBook => "complete-book",
             SiteGuard::NewerList => "newer-list",
+            SiteGuard::AllEnds => "all-ends",
             SiteGuard::LateDone => "late-done",
             SiteGuard::NewerTable => "newer-table",
             SiteGuard::KnownNewest => "known-newest",
--- a/crates/bankvalve_standin/src/site/mod.rs
+++ b/crates/bankvalve_standin/src/site/mod.rs
@@ -9,4 +9,4 @@
 pub use site_platform::{SeenRun, SitePlatform, StoreFault};
 pub use site_policy::SitePolicy;
 pub use site_store::SiteStore;
-pub use site_worker::{SiteRun, SiteWorker, WorkerEvent};
+pub use site_worker::{SiteRun, SiteWorker, WorkerEvent, MAX_ENDS_PER_REPORT};
--- a/crates/bankvalve_standin/src/site/site_platform.rs
+++ b/crates/bankvalve_standin/src/site/site_platform.rs
@@ -86,7 +86,7 @@
                         seen.ended = Some((now_ms, how));
                     }
                 }
-                WorkerEvent::Kept(..) => {}
+                WorkerEvent::Kept(..) | WorkerEvent::KeptUnderLease(..) => {}
             }
         }
     }
--- a/crates/bankvalve_standin/src/site/site_worker.rs
+++ b/crates/bankvalve_standin/src/site/site_worker.rs
@@ -14,6 +14,8 @@
 const DEFAULT_MAX_LEASE_MS: u64 = 6_000;
 /// Time from a stop call to the end of the run, in milliseconds.
 const STOP_MS: u64 = 150;
+/// Most ended runs in one answer of a worker of the users' platform.
+pub const MAX_ENDS_PER_REPORT: usize = 500;
 
 /// A run in progress on a worker.
 #[derive(Clone, Debug)]
@@ -49,6 +51,8 @@
     Ended(TaskKey, RunId, EndKind),
     /// The leader acknowledged that the end is committed to the ledger.
     Kept(TaskKey, RunId, EndKind),
+    /// The same of an end since which the lease has not expired, whether or not tasks were running.
+    KeptUnderLease(TaskKey, RunId, EndKind),
 }
 
 /// One process of a worker.
@@ -66,6 +70,8 @@
     clock_base_ms: u64,
     /// Longest lease that the worker grants from its current time, in milliseconds.
     pub max_lease_ms: u64,
+    /// Most ended runs that a report contains, oldest first. The others follow once these are acknowledged.
+    pub max_ends_per_report: usize,
     token: FenceToken,
     lease_until: u64,
     runs: BTreeMap<TaskKey, SiteRun>,
@@ -75,6 +81,8 @@
     acknowledged: u64,
     /// Number of the last end that was recorded when the lease last expired while tasks were running.
     last_expired_end: u64,
+    /// Number of the last end that was recorded when the lease last expired.
+    last_end_before_expiry: u64,
     /// Runs that reports list although the worker does not have them, to simulate a faulty worker program.
     pub also_listed: Vec<RunReport>,
     events: Vec<WorkerEvent>,
@@ -90,6 +98,7 @@
             clock_offset_ms,
             clock_base_ms: 0,
             max_lease_ms: DEFAULT_MAX_LEASE_MS,
+            max_ends_per_report: MAX_ENDS_PER_REPORT,
             token: 0,
             lease_until: 0,
             runs: BTreeMap::new(),
@@ -98,6 +107,7 @@
             next_end: 1,
             acknowledged: 0,
             last_expired_end: 0,
+            last_end_before_expiry: 0,
             also_listed: Vec::new(),
             events: Vec::new(),
         }
@@ -219,6 +229,10 @@
         for end in self.ends.iter().filter(acknowledged) {
             let event = WorkerEvent::Kept(end.task, end.run, end.how);
             self.events.push(event);
+            if end.number > self.last_end_before_expiry {
+                let event = WorkerEvent::KeptUnderLease(end.task, end.run, end.how);
+                self.events.push(event);
+            }
         }
         self.ends.retain(|end| end.number > kept);
     }
@@ -233,7 +247,12 @@
         });
         HoldReport {
             running: running.chain(self.also_listed.iter().cloned()).collect(),
-            ended: self.ends.clone(),
+            ended: self
+                .ends
+                .iter()
+                .take(self.max_ends_per_report)
+                .cloned()
+                .collect(),
             started: self.entry.started,
             connection: None,
         }
@@ -259,6 +278,9 @@
         for (task, how) in finished {
             self.end(task, how);
         }
+        if expired {
+            self.last_end_before_expiry = self.next_end - 1;
+        }
         // A lease that expires while the worker has no runs ends none.
         if expired && ran {
             self.last_expired_end = self.next_end - 1;
