fix(queue): a cancel of an unknown job keeps a later submission from starting it

What callers saw: a client that had no answer to its submission left and cancelled the job at another instance, which answered 410.

Cause: "no such job" acknowledges a cancel, but nothing remembered it. A submission that was under way at that time, in the sockets of an instance that stood still, on a cut link between instances or at a former leader, was accepted as a new job.

Evidence: the record of the case (cancel answered at 6,723 ms, instance awake at 7,596, first start at 7,609, the leader undisturbed). Ruled out: mixed-up copies of the cancel (there is one), a leader that is cut off (it leads and commits throughout).

Change: such a cancel is an event of the ledger, CancelledUnknown, committed before it is answered; the commit also confirms the lead, as the reading of the leader's row did before. A submission of the job by a caller whose job the canceller may cancel is accepted as AcceptedCancelled: 200, then shown as cancelled, no task starts, repeated submissions stay one job. Weighed for the late submission: 503, which would be true, but lets a client return until the record is gone, and then run. The next leader reads both events. Records last as long as those of ended jobs (twice status_s), 8,192 for each customer and 65,536 in all; beyond that a cancel is refused as cancels_full, and nothing is promised. A cancel of another customer's job is recorded and answered in the same way as one of an unknown job, and does not touch that customer's submissions. Both events are in batches of their own kind, which older versions skip.

Cost: one event of about 30 bytes for each such cancel, committed with others; a repeated one adds none for status_s.

Related paths: a cancel answered 200 leaves the job's record for as long; a cancel whose first copy was answered by one leader and its submission accepted by the next has worlds with up to two leaders lost; "no such job" of a status promises nothing for later and is as before; "no such queue" rests on the newest configuration and is as before. Open: a copy of a submission that was held up while another copy was refused with 503 may still be accepted; the client may repeat the same id at any time, so the leader cannot tell the two apart.

The virtual site's callers now give up and cancel if a submission has no answer (drawn worlds), the answer "no such job" counts as an acknowledgement, and a start over 3 s after an acknowledged cancel is UNASKED.

Tests: early_cancels (held up in four ways, 0 to 14.7 s, with none to two leaders lost after the cancel); without the guard each way starts the job.

--- a/crates/bankvalve_check/src/site/site_calls.rs
+++ b/crates/bankvalve_check/src/site/site_calls.rs
@@ -17,6 +17,11 @@
 pub(super) const PATIENCE_MS: u64 = 3_000;
 /// One caller in so many leaves when its job is refused.
 const LEAVING: u32 = 3;
+/// Where callers leave, one in so many gives up and cancels its job if its submission has no answer after a time
+/// within this range, in milliseconds.
+const GIVING_UP: u64 = 2;
+const SHORT_PATIENCE_MS: u64 = 200;
+const SHORT_PATIENCE_RANGE_MS: u64 = 2_500;
 
 /// Retries of callers under a hard load, and the pause before each, in milliseconds.
 const LOAD_RETRIES: u32 = 4;
@@ -64,6 +69,10 @@
         let job = spec.id;
         self.specs.insert(job, spec);
         self.after(1, Later::Submit { job, tries: 0 });
+        if self.callers_leave && job % GIVING_UP == 0 {
+            let patience_ms = SHORT_PATIENCE_MS + job % SHORT_PATIENCE_RANGE_MS;
+            self.after(patience_ms, Later::GiveUp { job });
+        }
     }
 
     /// A caller hands a job in at one instance, once.
@@ -88,17 +97,25 @@
     pub fn cancel(&mut self, job: JobId) {
         self.lasting.cancel_asked(job);
         match self.any_node() {
-            Some(node) => {
-                self.call(
-                    node,
-                    OpenCall::Cancel { job },
-                    CallerRequest::Cancel { job },
-                );
-            }
+            Some(node) => self.cancel_at(node, job),
             None => self.after(300, Later::Cancel { job }),
         }
     }
 
+    /// A caller cancels a job at one instance.
+    pub fn cancel_at(&mut self, node: usize, job: JobId) {
+        let request = CallerRequest::Cancel { job };
+        self.call(node, OpenCall::Cancel { job }, request);
+    }
+
+    /// A caller that has had no answer to its submission gives up and cancels the job, whatever became of it.
+    pub(super) fn give_up_unanswered(&mut self, job: JobId) {
+        if !self.rules.was_answered(job) {
+            self.given_up_unanswered += 1;
+            self.cancel(job);
+        }
+    }
+
     /// Asks the leader how many jobs of a queue have not begun; none without a leader.
     pub fn count_waiting(&mut self, queue: &str) -> Option<u64> {
         let leader = self.leader()?;
@@ -269,8 +286,10 @@
                 self.note_answer(node, job, asked_at, answer);
             }
             Some(OpenCall::Cancel { job }) => match answer {
-                CallerAnswer::Cancelled => self.rules.cancel_confirmed(job, now),
-                CallerAnswer::NoSuchJob => {}
+                // Both acknowledge the cancel, also of a job whose submission is still under way.
+                CallerAnswer::Cancelled | CallerAnswer::NoSuchJob => {
+                    self.rules.cancel_confirmed(job, now);
+                }
                 _ => {
                     if denied {
                         self.take_newest_key(job);
--- a/crates/bankvalve_check/src/site/site_random.rs
+++ b/crates/bankvalve_check/src/site/site_random.rs
@@ -72,6 +72,8 @@
     pub versions: u64,
     /// Callers that asked for queues and were told something.
     pub told: u64,
+    /// Callers that cancelled a job whose submission had had no answer.
+    pub given_up: u64,
     /// Troubles that struck.
     pub faults: BTreeMap<SiteFault, u64>,
     /// Pairs of losses that were laid out.
@@ -101,6 +103,7 @@
             pairs: BTreeMap::new(),
             versions: 0,
             told: world.told.len() as u64,
+            given_up: world.given_up_unanswered,
             storms: StormFigures::default(),
             restarts: std::mem::take(&mut world.restarts),
             lines: world.lines.take().unwrap_or_default(),
@@ -575,7 +578,7 @@
 ) -> ExitCode {
     let begun = Instant::now();
     let (mut done, mut starts, mut accepted) = (0, 0, 0);
-    let (mut versions, mut told) = (0, 0);
+    let (mut versions, mut told, mut given_up) = (0, 0, 0);
     let (mut passed, mut failed) = (0, 0);
     let mut restarts = RestartFigures::default();
     let mut broken_rules: BTreeMap<&'static str, u64> = BTreeMap::new();
@@ -592,6 +595,7 @@
         accepted += report.accepted;
         versions += report.versions;
         told += report.told;
+        given_up += report.given_up;
         restarts.add(report.restarts);
         for breach in &report.breaches {
             *broken_rules.entry(breach.rule).or_default() += 1;
@@ -630,6 +634,7 @@
     let seconds = begun.elapsed().as_secs_f64();
     println!("{done} events, {accepted} jobs accepted, {starts} starts, {seconds:.1} s");
     println!("{versions} configurations, {told} callers told of queues");
+    println!("{given_up} callers cancelled a job whose submission had had no answer");
     restarts.print();
     for (rule, count) in &broken_rules {
         println!("{rule} broken {count} times");
--- a/crates/bankvalve_check/src/site/site_rules.rs
+++ b/crates/bankvalve_check/src/site/site_rules.rs
@@ -15,6 +15,8 @@
     pub text: String,
 }
 
+/// Time after the acknowledgement of a job's cancel from which none of its tasks may start, in milliseconds.
+const CANCEL_MS: u64 = 3_000;
 /// Workers that a task has ended, from which on its starts are counted, and how many of these are
 /// too many.
 const CRASHES_COUNTED: u32 = 3;
@@ -108,6 +110,11 @@
         self.attempted.insert(job);
     }
 
+    /// Whether an attempt to hand a job in has ended.
+    pub fn was_answered(&self, job: JobId) -> bool {
+        self.attempted.contains(&job)
+    }
+
     /// Checks, once all is over, that nothing ran that was refused each time.
     pub fn check_refused(&mut self, now_ms: u64) {
         let started: BTreeSet<JobId> = self.tasks.keys().map(|task| task.step.job).collect();
@@ -197,6 +204,12 @@
             self.breach("UNASKED", now_ms, &format!("{task} run {run}"));
             return;
         };
+        let cancelled_at = self.cancelled.get(&job).copied();
+        if let Some(at) = cancelled_at.filter(|at| now_ms > at + CANCEL_MS) {
+            let text =
+                format!("{task} run {run} on {worker}, its cancel was acknowledged at {at} ms");
+            self.breach("UNASKED", now_ms, &text);
+        }
         let history = self.tasks.entry(task).or_default();
         let others = history.live.keys().any(|(at, _)| at != worker);
         let done = history.done_kept;
--- a/crates/bankvalve_check/src/site/site_world.rs
+++ b/crates/bankvalve_check/src/site/site_world.rs
@@ -113,6 +113,10 @@
     Cancel {
         job: JobId,
     },
+    /// A caller gives up if its submission has had no answer.
+    GiveUp {
+        job: JobId,
+    },
     ReviveWorker {
         address: String,
     },
@@ -257,6 +261,8 @@
     pub work_ms: BTreeMap<JobId, u64>,
     /// Whether some callers leave when their job is refused, in place of asking again.
     pub callers_leave: bool,
+    /// Callers that cancelled a job whose submission had had no answer.
+    pub given_up_unanswered: u64,
     /// Events so far.
     pub events: u64,
     /// Starts that workers turned away since their permit had run out.
@@ -382,6 +388,7 @@
             lasting: LastingCheck::default(),
             work_ms: BTreeMap::new(),
             callers_leave: false,
+            given_up_unanswered: 0,
             events: 0,
             permit_refusals: 0,
             tables_passed: 0,
@@ -535,6 +542,7 @@
                 None => self.after(300, Later::Ask { job }),
             },
             Later::Cancel { job } => self.cancel(job),
+            Later::GiveUp { job } => self.give_up_unanswered(job),
             Later::ReviveWorker { address } => self.add_worker(address),
             Later::ProcessEnds { address, restart } => self.restart_worker(&address, restart),
             Later::ProcessStarts {
--- a/crates/bankvalve_check/tests/site/random.rs
+++ b/crates/bankvalve_check/tests/site/random.rs
@@ -43,6 +43,7 @@
         (SiteGuard::ReadMark, 1),
         (SiteGuard::LedgerProgress, 7),
         (SiteGuard::GrowingPatience, 3),
+        (SiteGuard::EarlyCancel, 1),
     ];
     // The drawn worlds notice these seldom: each has a world of its own, below, in `workers`, in
     // `config_return`, in `crashing`, in `customers`, in `evacuations`, in `holds`, in `permits` and in `restarts`, or a test
--- a/crates/bankvalve_queue/src/caller.rs
+++ b/crates/bankvalve_queue/src/caller.rs
@@ -167,11 +167,13 @@
     ShareSpent,
     /// The job is expected to end too late, or late at the expense of others.
     Forecast,
+    /// Too many cancels of unknown jobs are recorded for the caller's customer, or in all.
+    CancelsFull,
 }
 
 impl RefusalReason {
     /// All reasons.
-    pub const ALL: [RefusalReason; 11] = [
+    pub const ALL: [RefusalReason; 12] = [
         RefusalReason::NoLeader,
         RefusalReason::StoreAway,
         RefusalReason::Overload,
@@ -183,6 +185,7 @@
         RefusalReason::KeysUnsure,
         RefusalReason::ShareSpent,
         RefusalReason::Forecast,
+        RefusalReason::CancelsFull,
     ];
 
     /// Returns the name in logs and counters.
@@ -199,6 +202,7 @@
             RefusalReason::KeysUnsure => "keys_unsure",
             RefusalReason::ShareSpent => "share_spent",
             RefusalReason::Forecast => "forecast",
+            RefusalReason::CancelsFull => "cancels_full",
         }
     }
 }
--- a/crates/bankvalve_queue/src/core/admission/submissions.rs
+++ b/crates/bankvalve_queue/src/core/admission/submissions.rs
@@ -56,6 +56,10 @@
             self.follow_up(Effect::Answer(origin, CallerAnswer::Accepted));
             return;
         }
+        if self.is_cancelled_early(&spec) && !self.store_is_unavailable() {
+            self.accept_cancelled(origin, spec, terms);
+            return;
+        }
         if self.is_beyond_limit(&spec) {
             self.refuse_beyond_limit(origin, job);
             return;
--- a/crates/bankvalve_queue/src/core/callers.rs
+++ b/crates/bankvalve_queue/src/core/callers.rs
@@ -460,7 +460,8 @@
             return;
         };
         if !self.may_access(record, caller) {
-            self.hide_job(origin, caller, job);
+            self.log_hidden_job(caller, job);
+            self.answer(origin, CallerAnswer::NoSuchJob);
             return;
         }
         let ending = |lead: &LeadState| lead.ending.contains(&job);
@@ -493,11 +494,12 @@
 
     fn serve_cancel(&mut self, origin: Origin, caller: &CallerIdentity, job: JobId) {
         let Some(record) = self.book.job(job) else {
-            self.await_confirmation(origin, caller, CallerRequest::Cancel { job });
+            self.cancel_unknown(origin, caller, job);
             return;
         };
         if !self.may_access(record, caller) {
-            self.hide_job(origin, caller, job);
+            self.log_hidden_job(caller, job);
+            self.cancel_unknown(origin, caller, job);
             return;
         }
         let effect = Effect::Answer(origin, CallerAnswer::Cancelled);
@@ -513,7 +515,7 @@
 
     /// Queues a request until it is confirmed that this instance leads. Only then may it answer that there
     /// is no such job, or that a job is open.
-    fn await_confirmation(
+    pub(super) fn await_confirmation(
         &mut self,
         origin: Origin,
         caller: &CallerIdentity,
--- a/crates/bankvalve_queue/src/core/commit.rs
+++ b/crates/bankvalve_queue/src/core/commit.rs
@@ -487,13 +487,13 @@
     batch
 }
 
-/// Returns whether the next event is about a worker and the batch about jobs, or the reverse.
+/// Returns whether the next event may be skipped and those of the batch may not, or the reverse.
 ///
-/// They are not mixed: an instance of an older version skips a batch with worker events that it cannot
-/// decode, and must not miss job events that it could decode.
+/// They are not mixed: an instance of an older version skips a batch with events that it cannot decode, and
+/// must not miss job events that it could decode.
 fn mixes_kinds(batch: &LedgerBatch, next: &Proposal) -> bool {
     let first = batch.events.first().zip(next.event.as_ref());
-    first.is_some_and(|(first, next)| first.job().is_some() != next.job().is_some())
+    first.is_some_and(|(first, next)| first.may_be_skipped() != next.may_be_skipped())
 }
 
 /// Returns whether the rows of a conflict show that an earlier copy of the write was applied.
@@ -515,7 +515,9 @@
     /// Encoded size of a step of a job, in bytes.
     const STEP: usize = 96;
     match event {
-        LedgerEvent::Accepted { spec, .. } => EVENT + spec.payload.len() + STEP * spec.steps.len(),
+        LedgerEvent::Accepted { spec, .. } | LedgerEvent::AcceptedCancelled { spec, .. } => {
+            EVENT + spec.payload.len() + STEP * spec.steps.len()
+        }
         LedgerEvent::Ended { saved, .. } => EVENT + saved.len(),
         _ => EVENT,
     }
--- a/crates/bankvalve_queue/src/core/customer_access.rs
+++ b/crates/bankvalve_queue/src/core/customer_access.rs
@@ -3,8 +3,9 @@
 use super::commit::Origin;
 use super::EntryCore;
 use crate::caller::CallerAnswer;
-use crate::customer::CallerIdentity;
+use crate::customer::{CallerIdentity, CustomerName};
 use crate::ids::JobId;
+use crate::job::JobSpec;
 use crate::ledger::JobRecord;
 
 /// Log text for a caller or a job without a customer.
@@ -14,8 +15,16 @@
     /// Returns whether a caller may see and cancel a job. The job's customer may, and everyone may if the
     /// job has no customer or its queue is public.
     pub(super) fn may_access(&self, record: &JobRecord, caller: &CallerIdentity) -> bool {
-        let spec = &record.spec;
-        if spec.customer.is_none() || spec.customer == caller.customer {
+        self.may_access_job_of(&record.spec, caller.customer.as_ref())
+    }
+
+    /// Returns whether callers of a customer may see and cancel a job.
+    pub(super) fn may_access_job_of(
+        &self,
+        spec: &JobSpec,
+        customer: Option<&CustomerName>,
+    ) -> bool {
+        if spec.customer.is_none() || spec.customer.as_ref() == customer {
             return true;
         }
         let rule = self
@@ -25,12 +34,11 @@
         rule.is_some_and(|rule| !rule.keyed)
     }
 
-    /// Answers a request about another customer's job as if the job did not exist.
-    pub(super) fn hide_job(&mut self, origin: Origin, caller: &CallerIdentity, job: JobId) {
+    /// Logs a request about another customer's job. Its answer is the same as if the job did not exist.
+    pub(super) fn log_hidden_job(&mut self, caller: &CallerIdentity, job: JobId) {
         let record = self.book.job(job);
         let owner = record.and_then(|record| record.spec.customer.clone());
         self.log_foreign_access(job, owner.as_deref(), caller.customer.as_deref());
-        self.answer(origin, CallerAnswer::NoSuchJob);
     }
 
     /// Refuses a job that is submitted under the id of another customer's job.
--- a/crates/bankvalve_queue/src/core/job_withdrawal.rs
+++ b/crates/bankvalve_queue/src/core/job_withdrawal.rs
@@ -61,7 +61,10 @@
             .pending
             .iter()
             .filter_map(|proposal| match &proposal.event {
-                Some(LedgerEvent::Accepted { spec, .. }) => Some(spec.id),
+                Some(
+                    LedgerEvent::Accepted { spec, .. }
+                    | LedgerEvent::AcceptedCancelled { spec, .. },
+                ) => Some(spec.id),
                 _ => None,
             })
             .collect();
@@ -69,7 +72,9 @@
         let mut rest = VecDeque::new();
         for proposal in std::mem::take(&mut lead.pending) {
             let job = proposal.event.as_ref().and_then(LedgerEvent::job);
-            let withdrawn = job.is_some_and(|job| jobs.contains(&job));
+            // A cancel from before the submission stands for all other copies of it.
+            let early_cancel = matches!(proposal.event, Some(LedgerEvent::CancelledUnknown { .. }));
+            let withdrawn = !early_cancel && job.is_some_and(|job| jobs.contains(&job));
             match proposal.effect {
                 Effect::Answer(origin, _) if withdrawn => answers.push((origin, true)),
                 // The request may be about a job that is withdrawn.
--- a/crates/bankvalve_queue/src/core/mod.rs
+++ b/crates/bankvalve_queue/src/core/mod.rs
@@ -45,6 +45,7 @@
 mod commit;
 mod customer_access;
 mod denials;
+mod early_cancels;
 mod election;
 mod entry_core;
 mod evacuations;
--- a/crates/bankvalve_queue/src/guard.rs
+++ b/crates/bankvalve_queue/src/guard.rs
@@ -93,6 +93,9 @@
     /// A submit of which a copy may still be accepted is not held through an outage of the table: its refusal
     /// at the end of the wait would not be certain.
     HeldAlone,
+    /// A cancel of an unknown job is recorded before it is answered, and a later submission does not start the
+    /// job.
+    EarlyCancel,
     /// A table of admission credits older than 2 s counts as none.
     CreditAge,
     /// A former leader's table of admission credits counts as none.
@@ -101,7 +104,7 @@
 
 impl SiteGuard {
     /// All guards.
-    pub const ALL: [SiteGuard; 39] = [
+    pub const ALL: [SiteGuard; 40] = [
         SiteGuard::LedgerFirst,
         SiteGuard::OwnRow,
         SiteGuard::KeptEnds,
@@ -139,6 +142,7 @@
         SiteGuard::EvacuatedDomain,
         SiteGuard::EvacuatedNow,
         SiteGuard::HeldAlone,
+        SiteGuard::EarlyCancel,
         SiteGuard::CreditAge,
         SiteGuard::CreditEpoch,
     ];
@@ -192,6 +196,7 @@
             SiteGuard::EvacuatedDomain => "evacuated-domain",
             SiteGuard::EvacuatedNow => "evacuated-now",
             SiteGuard::HeldAlone => "held-alone",
+            SiteGuard::EarlyCancel => "early-cancel",
             SiteGuard::CreditAge => "credit-age",
             SiteGuard::CreditEpoch => "credit-epoch",
         }
--- a/crates/bankvalve_queue/src/ledger/event.rs
+++ b/crates/bankvalve_queue/src/ledger/event.rs
@@ -5,6 +5,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::CrashEvidence;
+use crate::customer::CustomerName;
 use crate::ids::{JobId, RunId, TaskKey, WallMillis, WorkerId};
 use crate::job::{JobSpec, JobTerms};
 
@@ -114,14 +115,49 @@
         /// The worker.
         worker: WorkerId,
     },
+    /// A caller was told that a job does not exist when it cancelled it. A later submission of the job does
+    /// not start it.
+    CancelledUnknown {
+        /// The job.
+        job: JobId,
+        /// Customer of the caller that cancelled it.
+        customer: Option<CustomerName>,
+        /// When, by the leader's time of day.
+        at: WallMillis,
+    },
+    /// A job was accepted that had been cancelled before. It is cancelled from the start.
+    AcceptedCancelled {
+        /// The job.
+        spec: Arc<JobSpec>,
+        /// Terms of its queue.
+        terms: JobTerms,
+        /// When, by the leader's time of day.
+        at: WallMillis,
+    },
 }
 
 impl LedgerEvent {
+    /// Returns whether an instance of a version that does not have the event may skip it: the state of all jobs
+    /// that it knows is correct without it.
+    pub(crate) fn may_be_skipped(&self) -> bool {
+        matches!(
+            self,
+            LedgerEvent::HoldStopped { .. }
+                | LedgerEvent::HoldResumed { .. }
+                | LedgerEvent::CancelledUnknown { .. }
+                | LedgerEvent::AcceptedCancelled { .. }
+        )
+    }
+
     /// Returns the job that the event is about, or `None` if it is about a worker.
     pub fn job(&self) -> Option<JobId> {
         match self {
-            LedgerEvent::Accepted { spec, .. } => Some(spec.id),
-            LedgerEvent::Cancelled { job, .. } => Some(*job),
+            LedgerEvent::Accepted { spec, .. } | LedgerEvent::AcceptedCancelled { spec, .. } => {
+                Some(spec.id)
+            }
+            LedgerEvent::Cancelled { job, .. } | LedgerEvent::CancelledUnknown { job, .. } => {
+                Some(*job)
+            }
             LedgerEvent::Started { task, .. }
             | LedgerEvent::Ended { task, .. }
             | LedgerEvent::CrashSeen { task, .. } => Some(task.step.job),
--- a/crates/bankvalve_queue/src/ledger/job_book.rs
+++ b/crates/bankvalve_queue/src/ledger/job_book.rs
@@ -3,11 +3,13 @@
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
+use super::early_cancels::EarlyCancels;
 use super::step_record::{
     count_crash, count_failure, count_run, finish_all_members, finish_gang, record_progress,
 };
 use super::{CrashCount, CrashEvidence, EndKind, LedgerEvent, StepRecord, TaskPhase, TaskRecord};
 use crate::caller::JobState;
+use crate::customer::CustomerName;
 use crate::ids::{JobId, RunId, StepKey, TaskKey, WallMillis, WorkerId};
 use crate::job::{JobSpec, JobTerms};
 
@@ -279,21 +281,35 @@
 #[derive(Clone, Debug, Default)]
 pub struct JobBook {
     jobs: BTreeMap<JobId, JobRecord>,
+    early_cancels: EarlyCancels,
     newest_table_version: u64,
 }
 
 impl JobBook {
     /// Applies an event.
     pub fn apply(&mut self, event: &LedgerEvent) {
-        if let LedgerEvent::Accepted { spec, terms, at } = event {
-            self.accept(spec, terms, *at);
-            return;
+        match event {
+            LedgerEvent::Accepted { spec, terms, at } => {
+                self.accept(spec, terms, *at, JobOutcome::Open);
+                return;
+            }
+            LedgerEvent::AcceptedCancelled { spec, terms, at } => {
+                self.accept(spec, terms, *at, JobOutcome::Cancelled);
+                return;
+            }
+            LedgerEvent::CancelledUnknown { job, customer, at } => {
+                self.early_cancels.record(*job, customer, *at);
+                return;
+            }
+            _ => {}
         }
         let Some(job) = event.job().and_then(|job| self.jobs.get_mut(&job)) else {
             return;
         };
         match event {
             LedgerEvent::Accepted { .. }
+            | LedgerEvent::AcceptedCancelled { .. }
+            | LedgerEvent::CancelledUnknown { .. }
             | LedgerEvent::HoldStopped { .. }
             | LedgerEvent::HoldResumed { .. } => {}
             LedgerEvent::Cancelled { at, .. } => {
@@ -324,7 +340,13 @@
         }
     }
 
-    fn accept(&mut self, spec: &Arc<JobSpec>, terms: &JobTerms, at: WallMillis) {
+    fn accept(
+        &mut self,
+        spec: &Arc<JobSpec>,
+        terms: &JobTerms,
+        at: WallMillis,
+        outcome: JobOutcome,
+    ) {
         if self.jobs.contains_key(&spec.id) {
             return;
         }
@@ -333,8 +355,8 @@
             spec: spec.clone(),
             terms: terms.clone(),
             accepted_at: at,
-            ended_at: 0,
-            outcome: JobOutcome::Open,
+            ended_at: if outcome == JobOutcome::Open { 0 } else { at },
+            outcome,
             begun: false,
             times: BTreeMap::new(),
             times_done: 0,
@@ -381,8 +403,26 @@
         self.jobs.remove(&id);
     }
 
-    /// Removes jobs that ended before a time.
+    /// Returns when a customer's callers last cancelled a job that was unknown; `None` if they did not, or too
+    /// long ago.
+    pub fn early_cancel(&self, job: JobId, customer: &Option<CustomerName>) -> Option<WallMillis> {
+        self.early_cancels.cancelled_at(job, customer)
+    }
+
+    /// Returns the customers whose callers have cancelled a job that was unknown.
+    pub fn early_cancellers(&self, job: JobId) -> impl Iterator<Item = &Option<CustomerName>> {
+        self.early_cancels.customers(job)
+    }
+
+    /// Returns whether another cancel of an unknown job can be recorded for a customer. Their number is
+    /// limited, for each customer and in all.
+    pub fn has_capacity_for_early_cancel(&self, customer: &Option<CustomerName>) -> bool {
+        self.early_cancels.has_capacity(customer)
+    }
+
+    /// Removes jobs that ended, and cancels of unknown jobs, before a time.
     pub fn forget_ended(&mut self, before: WallMillis) {
+        self.early_cancels.forget(before);
         self.jobs
             .retain(|_, job| job.outcome == JobOutcome::Open || job.ended_at >= before);
     }
--- a/crates/bankvalve_queue/src/ledger/mod.rs
+++ b/crates/bankvalve_queue/src/ledger/mod.rs
@@ -1,6 +1,7 @@
 //! The ledger: its events, batches of events, and the state of all jobs that results from them.
 
 mod crash_count;
+mod early_cancels;
 mod event;
 mod job_book;
 mod step_record;
