fix(link): a request whose caller has left during a stall is not handled

What callers saw: an instance that stood still handled, once awake, all requests that had waited in its sockets, also those of callers that had given up; their jobs were accepted unless they had been cancelled meanwhile, and took capacity for nobody.

Cause: the HTTP server passes a request on in the same turn in which it reads it. That the caller has closed the connection is found in a later turn, after the request was handled.

Change: on the listeners of callers, a request is handled two turns of the connection later; if the connection was closed by then, it is dropped. This holds for callers that are seen to have left, and is no substitute for the record of cancels: a copy may wait elsewhere, and a link that lost the closing looks open. A deadline that lies in the past cannot be told from the request alone, since it names a duration.

--- a/crates/bankvalve/src/entry/entry_process.rs
+++ b/crates/bankvalve/src/entry/entry_process.rs
@@ -189,6 +189,7 @@
     let limits = ServerLimits {
         connections: caller_connections(settings),
         body_bytes: settings.limits.body_bytes as usize,
+        skips_abandoned: true,
         ..ServerLimits::default()
     };
     let peer_limits = ServerLimits {
--- a/crates/bankvalve/src/settings/instance_settings.rs
+++ b/crates/bankvalve/src/settings/instance_settings.rs
@@ -370,6 +370,7 @@
             header_time: Duration::from_millis(self.limits.header_ms),
             body_time: Duration::from_millis(self.limits.body_ms),
             body_bytes: self.limits.body_bytes,
+            skips_abandoned: true,
             ..ServerLimits::default()
         }
     }
--- a/crates/bankvalve_link/src/server/http_server.rs
+++ b/crates/bankvalve_link/src/server/http_server.rs
@@ -20,6 +20,8 @@
 
 /// Maximum size of a request's head in bytes.
 const MAX_HEAD_BYTES: usize = 16 * 1024;
+/// Turns that a connection needs to notice that it has been closed: one to end reading the request, one to read on.
+const CLOSE_CHECK_TURNS: usize = 2;
 /// Maximum number of headers of a request.
 const MAX_HEADERS: usize = 64;
 
@@ -310,6 +312,9 @@
             return closing_response(StatusCode::REQUEST_TIMEOUT);
         }
     };
+    if limits.skips_abandoned {
+        check_for_close().await;
+    }
     let request = HttpRequest {
         method: head.method,
         path: head.uri.path().to_owned(),
@@ -325,6 +330,13 @@
     }
 }
 
+/// Lets the connection notice that its caller has closed it, in which case this future is dropped.
+async fn check_for_close() {
+    for _ in 0..CLOSE_CHECK_TURNS {
+        tokio::task::yield_now().await;
+    }
+}
+
 fn respond(answer: HttpAnswer) -> Response<Full<Bytes>> {
     let mut builder = Response::builder()
         .status(answer.status)
--- a/crates/bankvalve_link/src/server/server_limits.rs
+++ b/crates/bankvalve_link/src/server/server_limits.rs
@@ -25,6 +25,9 @@
     pub body_bytes: usize,
     /// Time in which the handler must answer a request.
     pub answer_time: Duration,
+    /// Whether a request is handled only if its caller has not closed the connection. Where the process stood
+    /// still, a request may have waited in its sockets for longer than the caller did.
+    pub skips_abandoned: bool,
 }
 
 impl Default for ServerLimits {
@@ -35,6 +38,7 @@
             body_time: Duration::from_secs(10),
             body_bytes: 1024 * 1024,
             answer_time: Duration::from_secs(60),
+            skips_abandoned: false,
         }
     }
 }
