test(site): only the owner's cancel of an unknown job counts as acknowledged

another_customers_job_is_neither_shown_nor_cancelled_nor_taken_for_ones_own: the check took "no such job" to a stranger for an acknowledgement of the owner's cancel. A stranger is told so for any job, which acknowledges nothing; the call now bears whether its customer is the job's. The test is unchanged. New: a stranger's cancel before the submission does not keep the owner's job from starting.

--- a/crates/bankvalve_check/src/site/site_calls.rs
+++ b/crates/bankvalve_check/src/site/site_calls.rs
@@ -48,6 +48,8 @@
     },
     Cancel {
         job: JobId,
+        /// Whether the caller's customer is that of the job.
+        by_owner: bool,
     },
     Count {
         queue: String,
@@ -105,7 +107,8 @@
     /// A caller cancels a job at one instance.
     pub fn cancel_at(&mut self, node: usize, job: JobId) {
         let request = CallerRequest::Cancel { job };
-        self.call(node, OpenCall::Cancel { job }, request);
+        let by_owner = true;
+        self.call(node, OpenCall::Cancel { job, by_owner }, request);
     }
 
     /// A caller that has had no answer to its submission gives up and cancels the job, whatever became of it.
@@ -175,6 +178,14 @@
             return;
         };
         let request = Self::submitted_as(request, &caller);
+        let owner = |job| self.specs.get(&job).and_then(|spec| spec.customer.as_ref());
+        let call = match call {
+            OpenCall::Cancel { job, .. } => OpenCall::Cancel {
+                job,
+                by_owner: owner(job).is_none_or(|owner| caller.customer.as_ref() == Some(owner)),
+            },
+            call => call,
+        };
         let ticket = core.new_ticket();
         self.calls.insert((node, ticket), call);
         let request = ResolvedRequest {
@@ -285,7 +296,9 @@
                 }
                 self.note_answer(node, job, asked_at, answer);
             }
-            Some(OpenCall::Cancel { job }) => match answer {
+            Some(OpenCall::Cancel { job, by_owner }) => match answer {
+                // Another customer's callers are told the same, which acknowledges nothing.
+                CallerAnswer::NoSuchJob if !by_owner => {}
                 // Both acknowledge the cancel, also of a job whose submission is still under way.
                 CallerAnswer::Cancelled | CallerAnswer::NoSuchJob => {
                     self.rules.cancel_confirmed(job, now);
--- a/crates/bankvalve_check/tests/site/customers.rs
+++ b/crates/bankvalve_check/tests/site/customers.rs
@@ -213,6 +213,21 @@
     assert_eq!(world.rules.starts, 1);
 }
 
+// Guards against strangers who keep a job from starting by cancelling its id before it is submitted.
+#[test]
+fn a_cancel_by_another_customer_before_a_job_is_submitted_does_not_cancel_it() {
+    let mut world = world_of(7, 4, RunLimit::default(), None);
+    world.use_key_of(9, SOUTH);
+    world.cancel_at(0, 9);
+    run_for(&mut world, 500);
+    world.use_key_of(9, NORTH);
+    submit_at(&mut world, 1, job(9, NORTH, &[1], false));
+    run_for(&mut world, 3_000);
+    assert_eq!(world.counter("jobs", "cancelled_unknown"), 1);
+    assert_eq!(world.counter("jobs", "accepted_cancelled"), 0);
+    assert_eq!(world.rules.starts, 1);
+}
+
 // Guards against a customer that takes more than it may, by whichever way its starts come.
 #[test]
 fn a_customer_has_no_more_running_than_it_may() {
