test(standin): the table's limits by bytes and entries, and the policy service's by workers

The stand-ins played the platform's 500 rows, but neither its megabyte for a page and a transaction, nor 100 entries, the size of rows and keys, nor the 100 workers of a question to the policy service. They do now, in all tests and drawn worlds: a page ends where its rows reach a megabyte, a transaction beyond a limit does nothing, a question about more workers is a broken rule.

--- a/crates/bankvalve_check/src/site/site_links.rs
+++ b/crates/bankvalve_check/src/site/site_links.rs
@@ -16,6 +16,8 @@
 
 /// Time that the policy service takes, in milliseconds.
 const ADVICE_MS: u64 = 10;
+/// Most workers in one question to the policy service.
+const MAX_ADVICE_WORKERS: usize = 100;
 /// Longest way of a message to a peer, in milliseconds.
 const WAY_MS: u64 = 4;
 /// The same of a configuration, which may be large, where links do not tell.
@@ -120,6 +122,10 @@
                 );
             }
             CoreAction::Advice { ticket, ask } => {
+                if ask.workers.len() > MAX_ADVICE_WORKERS {
+                    let text = format!("{}: advice about {} workers", ask.step, ask.workers.len());
+                    self.rules.breach("ADVICE", self.now_ms, &text);
+                }
                 let delay = self.advice_time(node, &ask);
                 if let Some(load) = self.load.as_mut() {
                     *load.advice.entry(ask.step).or_default() += 1;
--- a/crates/bankvalve_standin/src/site/site_store.rs
+++ b/crates/bankvalve_standin/src/site/site_store.rs
@@ -9,6 +9,21 @@
 
 /// Maximum number of rows in one answer.
 const MAX_PAGE_ROWS: usize = 500;
+/// Maximum size of the rows in one answer, and of a transaction, in bytes as encoded.
+const MAX_BYTES: usize = 1_000_000;
+/// Maximum number of conditions, writes and removals of a transaction.
+const MAX_TRANSACTION_ENTRIES: usize = 100;
+/// Maximum size of a row's value in bytes.
+const MAX_ROW_BYTES: usize = 64 * 1024;
+/// Maximum size of a key in bytes.
+const MAX_KEY_BYTES: usize = 200;
+/// Encoded size of a row without its key and value, in bytes.
+const ROW_OVERHEAD_BYTES: usize = 64;
+
+/// Returns the encoded size of a row in bytes. Values are encoded as base64.
+fn encoded_bytes(key: &RowKey, value: &[u8]) -> usize {
+    ROW_OVERHEAD_BYTES + key.key.len() + value.len().div_ceil(3) * 4
+}
 
 /// In-memory table, including the rows of the operator and of the workers.
 #[derive(Clone, Debug, Default)]
@@ -244,6 +259,17 @@
         else {
             return StoreOutcome::Busy;
         };
+        let entries = conditions.len() + writes.len() + removals.len();
+        let bytes = writes
+            .iter()
+            .map(|write| encoded_bytes(&write.key, &write.value));
+        let is_row = |key: &RowKey, value: &[u8]| {
+            key.key.len() <= MAX_KEY_BYTES && value.len() <= MAX_ROW_BYTES
+        };
+        let are_rows = writes.iter().all(|write| is_row(&write.key, &write.value));
+        if entries > MAX_TRANSACTION_ENTRIES || bytes.sum::<usize>() > MAX_BYTES || !are_rows {
+            return StoreOutcome::Busy;
+        }
         let version_of = |key: &RowKey| self.rows.get(key).map_or(0, |(_, version)| *version);
         if conditions
             .iter()
@@ -297,8 +323,15 @@
                 version: *version,
             })
             .collect();
-        let more = rows.len() > max_rows;
-        rows.truncate(max_rows);
+        let mut bytes = 0;
+        let mut fits = |row: &&StoredRow| {
+            bytes += encoded_bytes(&row.key, &row.value);
+            bytes <= MAX_BYTES
+        };
+        let fitting = rows.iter().take_while(&mut fits).count().max(1);
+        let page = max_rows.min(fitting);
+        let more = rows.len() > page;
+        rows.truncate(page);
         StoreOutcome::Rows {
             rows,
             more,
