test(queue): the record of cancels at one instance, and what it costs

An instance with a simulated table: a cancel of an unknown job is answered only once its event is committed; the record outlives a submission that is withdrawn while the table refuses writes; beyond 8,192 for a customer a cancel is refused as cancels_full, and one that is recorded is acknowledged all the same. The test of the limit of the book moves to where the book is.

--- a/crates/bankvalve_check/tests/site/early_cancels.rs
+++ b/crates/bankvalve_check/tests/site/early_cancels.rs
@@ -125,32 +125,3 @@
     assert_eq!(world.shown.get(&JOB), Some(&JobState::Cancelled));
     assert!(world.rules.accepted().contains(&JOB));
 }
-
-/// Guards against a cancel that is answered without being recorded when the record is full: it is refused, and
-/// nothing is promised.
-#[test]
-fn a_customer_with_too_many_recorded_cancels_is_refused_and_others_are_not() {
-    use bankvalve_queue::{CustomerName, JobBook, LedgerEvent};
-
-    let customer: Option<CustomerName> = Some("a".into());
-    let other: Option<CustomerName> = Some("b".into());
-    let mut book = JobBook::default();
-    let mut job = 0;
-    while book.has_capacity_for_early_cancel(&customer) {
-        job += 1;
-        let customer = customer.clone();
-        book.apply(&LedgerEvent::CancelledUnknown {
-            job,
-            customer,
-            at: job,
-        });
-    }
-    assert!(job > 1_000);
-    assert!(book.has_capacity_for_early_cancel(&other));
-    assert_eq!(book.early_cancel(5, &customer), Some(5));
-    assert_eq!(book.early_cancel(5, &other), None);
-    book.forget_ended(job);
-    assert!(book.has_capacity_for_early_cancel(&customer));
-    assert_eq!(book.early_cancel(5, &customer), None);
-    assert_eq!(book.early_cancel(job, &customer), Some(job));
-}
--- a/crates/bankvalve_queue/tests/book.rs
+++ b/crates/bankvalve_queue/tests/book.rs
@@ -5,8 +5,8 @@
 use std::sync::Arc;
 
 use bankvalve_queue::{
-    AdviceRule, CrashWeight, EndKind, JobBook, JobSpec, JobState, JobTerms, LedgerBatch,
-    LedgerEvent, StepKey, StepSpec, TaskKey, TaskPhase, WallMillis,
+    AdviceRule, CrashWeight, CustomerName, EndKind, JobBook, JobSpec, JobState, JobTerms,
+    LedgerBatch, LedgerEvent, StepKey, StepSpec, TaskKey, TaskPhase, WallMillis,
 };
 use serde::Serialize;
 
@@ -355,3 +355,47 @@
         batch
     );
 }
+
+/// Guards against a customer whose cancels of unknown jobs use up what others may record.
+#[test]
+fn cancels_of_unknown_jobs_are_limited_for_each_customer_and_forgotten_in_time() {
+    let customer: Option<CustomerName> = Some("a".into());
+    let other: Option<CustomerName> = Some("b".into());
+    let mut book = JobBook::default();
+    let mut job = 0;
+    while book.has_capacity_for_early_cancel(&customer) {
+        job += 1;
+        let customer = customer.clone();
+        let at = job;
+        book.apply(&LedgerEvent::CancelledUnknown { job, customer, at });
+    }
+    assert!(book.has_capacity_for_early_cancel(&other));
+    assert_eq!(book.early_cancel(5, &customer), Some(5));
+    assert_eq!(book.early_cancel(5, &other), None);
+    assert!(book.early_cancellers(5).eq([&customer]));
+    book.forget_ended(job);
+    assert!(book.has_capacity_for_early_cancel(&customer));
+    assert_eq!(book.early_cancel(5, &customer), None);
+    assert_eq!(book.early_cancel(job, &customer), Some(job));
+}
+
+/// Guards against a job that runs at the next leader although it was cancelled before it was submitted.
+#[test]
+fn a_job_that_is_accepted_as_cancelled_stays_so() {
+    let spec = Arc::new(JobSpec {
+        id: 1,
+        steps: vec![StepSpec::default()],
+        ..JobSpec::default()
+    });
+    let terms = JobTerms::default();
+    let mut book = JobBook::default();
+    let accepted = LedgerEvent::AcceptedCancelled {
+        spec: spec.clone(),
+        terms: terms.clone(),
+        at: 5,
+    };
+    book.apply(&accepted);
+    book.apply(&LedgerEvent::Accepted { spec, terms, at: 6 });
+    let record = book.job(1).expect("a job");
+    assert_eq!((record.state(), record.ended_at), (JobState::Cancelled, 5));
+}
--- a/crates/bankvalve_queue/tests/refusal.rs
+++ b/crates/bankvalve_queue/tests/refusal.rs
@@ -5,8 +5,8 @@
 
 use bankvalve_queue::{
     CallerAnswer, CallerRequest, CoreAction, CoreEvent, EntryCore, EntrySettings, HeartbeatBody,
-    JobSpec, PeerAddress, PeerMessage, RefusalReason, ResolvedRequest, RowWrite, StepSpec,
-    StoreOutcome, StoreRequest, StoredRow, Ticket,
+    JobSpec, JobState, OptionalPolicies, PeerAddress, PeerMessage, RefusalReason, ResolvedRequest,
+    RowWrite, StepSpec, StoreOutcome, StoreRequest, StoredRow, Ticket,
 };
 
 fn address(last: u8) -> PeerAddress {
@@ -26,6 +26,49 @@
 }
 
 impl InstanceWithTable {
+    fn new(policies: OptionalPolicies) -> Self {
+        Self {
+            core: EntryCore::new(EntrySettings {
+                policies,
+                ..EntrySettings::example(address(1))
+            }),
+            at_ms: 0,
+            unanswered_batches: Vec::new(),
+            rows: Vec::new(),
+            other_actions: Vec::new(),
+        }
+    }
+
+    fn run_until_leading(&mut self) {
+        while !self.core.view().leading {
+            assert!(
+                self.at_ms < 10_000,
+                "the instance does not become the leader"
+            );
+            self.run_for(10);
+        }
+    }
+
+    /// Sends a caller's request, and returns its ticket.
+    fn request(&mut self, request: CallerRequest) -> Ticket {
+        let ticket = self.core.new_ticket();
+        let request = ResolvedRequest {
+            request,
+            ..submission()
+        };
+        self.step(CoreEvent::Caller { ticket, request });
+        ticket
+    }
+
+    /// Answers all writes of ledger batches, and runs until the next ones are sent.
+    fn answer_batches(&mut self, outcome: &StoreOutcome) {
+        for ticket in std::mem::take(&mut self.unanswered_batches) {
+            let outcome = outcome.clone();
+            self.step(CoreEvent::Store { ticket, outcome });
+        }
+        self.run_for(50);
+    }
+
     fn step(&mut self, event: CoreEvent) {
         let mut events = vec![event];
         while let Some(event) = events.pop() {
@@ -110,13 +153,7 @@
 
 #[test]
 fn a_late_refusal_by_the_former_leader_does_not_refuse_a_job_that_this_leader_commits() {
-    let mut instance = InstanceWithTable {
-        core: EntryCore::new(EntrySettings::example(address(1))),
-        at_ms: 0,
-        unanswered_batches: Vec::new(),
-        rows: Vec::new(),
-        other_actions: Vec::new(),
-    };
+    let mut instance = InstanceWithTable::new(OptionalPolicies::ALL);
     instance.run_for(50);
     let body = HeartbeatBody {
         life: 9,
@@ -152,13 +189,7 @@
         peer: address(2),
         refused: true,
     });
-    while !instance.core.view().leading {
-        assert!(
-            instance.at_ms < 10_000,
-            "the instance does not become the leader"
-        );
-        instance.run_for(10);
-    }
+    instance.run_until_leading();
     instance.run_for(200);
     assert_eq!(
         instance.unanswered_batches.len(),
@@ -185,3 +216,82 @@
     });
     assert_eq!(instance.answer_to(ticket), Some(&CallerAnswer::Accepted));
 }
+
+const APPLIED: StoreOutcome = StoreOutcome::Applied { version: 8 };
+
+/// Guards against an acknowledged cancel that the next leader does not find in the ledger.
+#[test]
+fn a_cancel_of_an_unknown_job_is_answered_only_once_it_is_recorded() {
+    let mut instance = InstanceWithTable::new(OptionalPolicies::default());
+    instance.run_until_leading();
+    let cancel = instance.request(CallerRequest::Cancel { job: 7 });
+    instance.run_for(100);
+    assert_eq!(instance.answer_to(cancel), None);
+    assert_eq!(instance.unanswered_batches.len(), 1);
+    instance.answer_batches(&APPLIED);
+    assert_eq!(instance.answer_to(cancel), Some(&CallerAnswer::NoSuchJob));
+    // A repeated cancel needs no other record.
+    let repeated = instance.request(CallerRequest::Cancel { job: 7 });
+    instance.run_for(500);
+    assert_eq!(instance.unanswered_batches.len(), 0);
+    assert_eq!(instance.answer_to(repeated), Some(&CallerAnswer::NoSuchJob));
+}
+
+/// Guards against a cancel that is forgotten with a submission that the table did not take.
+#[test]
+fn a_recorded_cancel_outlives_a_submission_that_is_withdrawn() {
+    let mut instance = InstanceWithTable::new(OptionalPolicies::default());
+    instance.run_until_leading();
+    let cancel = instance.request(CallerRequest::Cancel { job: 7 });
+    let submit = instance.request(submission().request);
+    for _ in 0..40 {
+        instance.answer_batches(&StoreOutcome::Busy);
+    }
+    let refused = instance.answer_to(submit);
+    assert!(
+        matches!(refused, Some(CallerAnswer::Refused { .. })),
+        "{refused:?}"
+    );
+    for _ in 0..10 {
+        instance.answer_batches(&APPLIED);
+    }
+    assert_eq!(instance.answer_to(cancel), Some(&CallerAnswer::NoSuchJob));
+    let again = instance.request(submission().request);
+    for _ in 0..10 {
+        instance.answer_batches(&APPLIED);
+    }
+    assert_eq!(instance.answer_to(again), Some(&CallerAnswer::Accepted));
+    let status = instance.request(CallerRequest::Status { job: 7 });
+    instance.run_for(500);
+    let cancelled = CallerAnswer::State(JobState::Cancelled);
+    assert_eq!(instance.answer_to(status), Some(&cancelled));
+}
+
+/// Guards against a promise that is not kept: where no more cancels can be recorded, none is acknowledged.
+#[test]
+fn a_cancel_that_cannot_be_recorded_is_refused() {
+    let mut instance = InstanceWithTable::new(OptionalPolicies::default());
+    instance.run_until_leading();
+    let mut accepted = 0;
+    let refused = loop {
+        let ticket = instance.request(CallerRequest::Cancel {
+            job: 1_000 + accepted,
+        });
+        if let Some(answer) = instance.answer_to(ticket) {
+            break answer.clone();
+        }
+        accepted += 1;
+        if accepted % 1_000 == 0 {
+            instance.answer_batches(&APPLIED);
+        }
+    };
+    let reason = RefusalReason::CancelsFull;
+    assert!(matches!(refused, CallerAnswer::Refused { reason: found, .. } if found == reason));
+    assert_eq!(accepted, 8_192);
+    // One that is recorded already is acknowledged all the same.
+    instance.answer_batches(&APPLIED);
+    instance.answer_batches(&APPLIED);
+    let repeated = instance.request(CallerRequest::Cancel { job: 1_000 });
+    instance.answer_batches(&APPLIED);
+    assert_eq!(instance.answer_to(repeated), Some(&CallerAnswer::NoSuchJob));
+}
