test(site): begin the search for a world that notices alone-evidence where one does

Of the storms 30 to 89, the first that notices it is 62, so the search from 30 on took over a minute of the tests. It begins with 60 and still ends with 89; the assertion is the same.

--- a/crates/bankvalve_check/tests/site/storms.rs
+++ b/crates/bankvalve_check/tests/site/storms.rs
@@ -342,7 +342,7 @@
 fn a_guard_against_false_verdicts_that_is_taken_away_is_noticed() {
     for (guard, seeds) in [
         (SiteGuard::CrashBudget, 1..13),
-        (SiteGuard::AloneEvidence, 30..90),
+        (SiteGuard::AloneEvidence, 60..90),
     ] {
         // Only a run counts that breaks no rule with all guards.
         let mut seeds = seeds;
