fix(queue): a worker without an entry has no free capacity

The log told of a task that waits as being placed, where the only worker with room had been lost: its state is kept for 8 s after its last answer, and the largest free capacity counted it. Nothing is placed there, as it has no entry.

--- a/crates/bankvalve_queue/src/core/lead_state.rs
+++ b/crates/bankvalve_queue/src/core/lead_state.rs
@@ -77,9 +77,11 @@
 /// The purpose of a call to a worker.
 #[derive(Clone, Debug)]
 pub(super) enum CallPurpose {
-    /// A poll. `acknowledges` is the number of the last end that it acknowledges, or 0.
+    /// A poll. `acknowledges` is the number of the last end that it acknowledges, or 0. `is_bound` says whether
+    /// it may be sent on one connection only.
     Poll {
         acknowledges: u64,
+        is_bound: bool,
     },
     Start {
         task: TaskKey,
@@ -447,12 +449,12 @@
         self.order_delay = (self.order_delay * 3 + wait) / 4;
     }
 
-    /// Returns, for each kind of resource, the largest free amount on any worker.
+    /// Returns, for each kind of resource, the largest free amount on any worker with an entry.
     pub(super) fn max_free(&self) -> TaskSize {
         let free = self
             .worker_states
             .values()
-            .filter(|state| !state.domain_evacuated)
+            .filter(|state| state.listed && !state.domain_evacuated)
             .map(|state| state.entry.room.minus(&state.used));
         free.fold(TaskSize::default(), |most, free| TaskSize {
             millicores: most.millicores.max(free.millicores),
