fix(link)!: leases and orders reach only the process whose answer they rest on

Callers saw a task that must run once run on two workers at the same time: its worker had restarted under its id, its leader was lost, and the worker was cut off.

Cause: a poll or a start order that was meant for the process before, on a new connection, bore a deadline by that process's clock. The next process's clock begins afresh, so it took the deadline for the longest lease that it grants (10 s). The leader that saw the restart assumed as much; its successor assumed the 5 s that leaders request, and started the run elsewhere while the process still held it.

Why this fix works: a connection ends with the process at its other end. A poll renews a lease or acknowledges ends on the connection of the worker's last lists alone, and an order goes on a connection on which its process has said who it is. So no process gets a deadline by another clock, whoever asks, and what leaders assume of each other's leases holds.

The virtual site breaks the new rule PROCESS if a poll that renews a lease or acknowledges an end may reach whoever answers.

Tests that changed: a leader's confirmation before its first start was noticed missing in worlds whose link gives an order to whoever listens; the link does not any more, so these worlds have it do so, and hold with either mechanism alone. A test of the log's lines on a former leader's record kills that leader earlier, since the lease ends up to 1.3 s sooner: a poll that follows a lost answer renews nothing.

Orders and polls passed on by other instances have one more field. All instances of a site must be replaced together.

--- a/crates/bankvalve/src/entry/link_loop.rs
+++ b/crates/bankvalve/src/entry/link_loop.rs
@@ -7,12 +7,14 @@
 use std::time::{Duration, Instant};
 
 use bankvalve_link::{
-    encode_message, ClientFailure, ClientLimits, HttpClient, HttpReply, WIRE_TYPE,
+    encode_message, ClientFailure, ClientLimits, HttpClient, HttpReply, PostCall, ProcessCheck,
+    WIRE_TYPE,
 };
 use bankvalve_queue::{
-    AdviceAnswer, BatchTimeout, ConnectionId, CoreAction, CoreEvent, PeerAddress, PeerBatch,
-    PeerMessage, PlatformPort, ProxiedOrder, StoreRequest, Ticket, WireCall, WireReply,
-    WorkerAnswer, WorkerCall, PEER_BATCHES_IN_FLIGHT, POOLED_CONNECTIONS,
+    AdviceAnswer, BatchTimeout, ConnectionId, CoreAction, CoreEvent, FenceToken, PeerAddress,
+    PeerBatch, PeerMessage, PlatformPort, ProcessStart, ProxiedOrder, StoreRequest, Ticket,
+    WireCall, WireReply, WorkerAnswer, WorkerCall, WorkerId, PEER_BATCHES_IN_FLIGHT,
+    POOLED_CONNECTIONS,
 };
 use hyper::Method;
 use tokio::sync::mpsc;
@@ -37,6 +39,8 @@
 const POLL_BATCH_INTERVAL: Duration = Duration::from_millis(80);
 /// Timeout for establishing a connection: about ten one-way trips across the site.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
+/// Timeout for establishing a connection to a worker and finding out which process answers on it.
+const IDENTIFY_TIMEOUT: Duration = Duration::from_millis(400);
 /// Time for which sent bytes may stay unacknowledged before the connection is closed.
 const ACK_TIMEOUT: Duration = Duration::from_millis(1_500);
 /// Time after which an idle connection is closed. It is long because new connections to workers are
@@ -202,8 +206,20 @@
                                 self.poll_worker(address, wire, (*connection, time)).await;
                             with_connection((self.port.worker_answer)(&call, &reply), on)
                         }
-                        _ => {
-                            let reply = self.call(address, wire, time).await;
+                        order => {
+                            let reply = match order.ordered_process() {
+                                Some(process) => {
+                                    let order = WorkerOrder {
+                                        worker: &worker,
+                                        token,
+                                        process,
+                                        wire: &wire,
+                                        time,
+                                    };
+                                    self.send_order(address, order).await
+                                }
+                                None => self.call(address, wire, time).await,
+                            };
                             (self.port.worker_answer)(&call, &reply)
                         }
                     };
@@ -350,6 +366,34 @@
         }
     }
 
+    /// Sends an order to one process of a worker. The order is not sent if another one answers.
+    async fn send_order(
+        &self,
+        address: impl std::fmt::Display,
+        order: WorkerOrder<'_>,
+    ) -> WireReply {
+        let identification = WorkerCall::identification();
+        let check_call = (self.port.worker_call)(order.worker, order.token, &identification);
+        let url = format!("http://{address}{}", order.wire.path);
+        let check_url = format!("http://{address}{}", check_call.path);
+        let read = |reply: &HttpReply| {
+            let reply = reply_of(Ok(reply.clone()));
+            let answer = (self.port.worker_answer)(&identification, &reply);
+            let WorkerAnswer::Done { report, .. } = answer else {
+                return None;
+            };
+            Some(report?.started.map(|started| started.0))
+        };
+        let check = ProcessCheck {
+            expected: order.process.map(|process| process.0),
+            call: post_call(&check_url, &check_call),
+            read: &read,
+            time: IDENTIFY_TIMEOUT,
+        };
+        let call = post_call(&url, order.wire);
+        reply_of(self.client.send_to_process(call, check, order.time).await)
+    }
+
     async fn call(
         &self,
         address: impl std::fmt::Display,
@@ -383,6 +427,25 @@
     }
 }
 
+/// An order to one process of a worker.
+struct WorkerOrder<'a> {
+    worker: &'a WorkerId,
+    token: FenceToken,
+    /// Start of the process, if the worker reports it.
+    process: Option<ProcessStart>,
+    wire: &'a WireCall,
+    time: Duration,
+}
+
+fn post_call<'a>(url: &'a str, call: &'a WireCall) -> PostCall<'a> {
+    PostCall {
+        url,
+        headers: &call.headers,
+        content_type: call.content_type,
+        body: &call.body,
+    }
+}
+
 /// Returns the answer to a poll with the connection on which it arrived.
 fn with_connection(mut answer: WorkerAnswer, connection: Option<ConnectionId>) -> WorkerAnswer {
     if let WorkerAnswer::Done {
--- a/crates/bankvalve_check/src/site/site_workers.rs
+++ b/crates/bankvalve_check/src/site/site_workers.rs
@@ -29,6 +29,24 @@
     call: WorkerCall,
 }
 
+/// Whether an order that is carried out late has reached its worker before.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum CallRoute {
+    /// The call arrives on a connection that the sender's link has chosen for it.
+    Link,
+    /// The call waits at the worker since it arrived.
+    Received,
+}
+
+/// What a call carries that another process of its worker would take for its own: a deadline by the clock of the
+/// process that it is for, or the number of an end there.
+fn means_one_process(call: &WorkerCall) -> bool {
+    match call {
+        WorkerCall::Hold { until_ms, kept, .. } => until_ms.is_some() || *kept > 0,
+        _ => false,
+    }
+}
+
 /// The connection that a call must go on, if it may not go on another.
 fn bound_to(call: &WorkerCall) -> Option<ConnectionId> {
     match call {
@@ -146,6 +164,7 @@
         address: &str,
         token: u64,
         call: &bankvalve_queue::WorkerCall,
+        route: CallRoute,
     ) {
         let (node, life, ticket) = origin;
         let now = self.now_ms;
@@ -173,6 +192,19 @@
             self.after(RESET_MS, Later::Event { node, life, event });
             return;
         }
+        if means_one_process(call) && bound_to(call).is_none() {
+            let text = format!(
+                "a poll of {meant} renews a lease or acknowledges an end of whoever answers"
+            );
+            self.rules.breach("PROCESS", now, &text);
+        }
+        let identifies = route == CallRoute::Link && !self.orders_reach_any_process;
+        if identifies && self.is_for_other_process(meant, address, call) {
+            let answer = self.identify_worker(meant, address, token);
+            let event = CoreEvent::Worker { ticket, answer };
+            self.after(RESET_MS, Later::Event { node, life, event });
+            return;
+        }
         if self.has_look_wait(origin, meant, address, token, call) {
             return;
         }
@@ -222,6 +254,33 @@
         self.after(delay, Later::Event { node, life, event });
     }
 
+    /// Tells whether an order is for another process than the one that listens at an address, under the same id.
+    fn is_for_other_process(&self, meant: &WorkerId, address: &str, call: &WorkerCall) -> bool {
+        let worker = self.workers.get(address).and_then(Option::as_ref);
+        let answering = worker.filter(|worker| worker.id == *meant);
+        let ordered = call.ordered_process();
+        answering
+            .zip(ordered)
+            .is_some_and(|(worker, process)| worker.entry.started != process)
+    }
+
+    /// The link's outcome of an order for another process than the one that answers on the new connection.
+    fn identify_worker(&mut self, meant: &WorkerId, address: &str, token: u64) -> WorkerAnswer {
+        let now = self.now_ms;
+        let poll = WorkerCall::identification();
+        let answer = match self.workers.get_mut(address) {
+            Some(Some(worker)) if worker.id == *meant => {
+                let plan = |_| (TaskSize::default(), None);
+                worker.handle(now, token, &poll, None, plan)
+            }
+            _ => WorkerAnswer::NotSent,
+        };
+        match answer {
+            WorkerAnswer::Refused { .. } => answer,
+            _ => WorkerAnswer::NotSent,
+        }
+    }
+
     /// The connection of an instance to the process that listens at an address.
     fn connection_to(&self, node: usize, address: &str) -> Option<ConnectionId> {
         let worker = self.workers.get(address)?.as_ref()?;
@@ -306,7 +365,9 @@
             self.waiting_looks.insert(address.to_owned(), waiting);
         }
         for look in ended {
-            self.worker_arrives(look.origin, &look.meant, address, look.token, &look.call);
+            let route = CallRoute::Received;
+            let (origin, meant) = (look.origin, &look.meant);
+            self.worker_arrives(origin, meant, address, look.token, &look.call, route);
         }
     }
 
--- a/crates/bankvalve_check/src/site/site_world.rs
+++ b/crates/bankvalve_check/src/site/site_world.rs
@@ -27,7 +27,7 @@
 use super::site_silence::SilentLane;
 use super::site_storm_losses::{StormRecord, StormStep};
 use super::site_versions::VersionHistory;
-use super::site_workers::WaitingLook;
+use super::site_workers::{CallRoute, WaitingLook};
 use super::{LinkRecord, RuleBook, SiteAnswer, SiteNode, SitePlan, TableUse};
 
 /// Name of the usual queue.
@@ -292,6 +292,9 @@
     pub refusal_waits_ms: Vec<u64>,
     /// Whether workers answer a look only at an end, or when its wait is over; else at once.
     pub looks_wait: bool,
+    /// Whether an order is taken by whichever process listens at its worker's address under the same id, as on a
+    /// link that does not tell processes apart.
+    pub orders_reach_any_process: bool,
     /// Looks that wait, by the worker's address.
     pub(super) waiting_looks: BTreeMap<String, Vec<WaitingLook>>,
     /// What the leader's steps cost, where that is measured.
@@ -405,6 +408,7 @@
             given_up_together: true,
             refusal_waits_ms: Vec::new(),
             looks_wait: false,
+            orders_reach_any_process: false,
             waiting_looks: BTreeMap::new(),
             costs: None,
             answers: Vec::new(),
@@ -512,7 +516,12 @@
                 let is_gone = receiver.is_some_and(|receiver| receiver.0 != process);
                 let worker = if is_gone { WorkerId::from("") } else { worker };
                 self.evacuations.sender = receiver.is_none().then_some(node);
-                self.worker_arrives((node, life, ticket), &worker, &address, token, &call);
+                let route = match receiver {
+                    Some(_) => CallRoute::Received,
+                    None => CallRoute::Link,
+                };
+                let origin = (node, life, ticket);
+                self.worker_arrives(origin, &worker, &address, token, &call, route);
                 self.evacuations.sender = None;
             }
             Later::WorkerTime { address } => self.worker_time(&address),
--- a/crates/bankvalve_check/tests/site/restarts.rs
+++ b/crates/bankvalve_check/tests/site/restarts.rs
@@ -564,11 +564,15 @@
 
 /// A leader pauses at a moment of a start, another one leads, and all workers are restarted just before the
 /// first one goes on.
-fn worlds_of_a_paused_leader(broken: Option<SiteGuard>) -> Vec<SiteWorld> {
+fn worlds_of_a_paused_leader(
+    broken: Option<SiteGuard>,
+    orders_reach_any_process: bool,
+) -> Vec<SiteWorld> {
     let mut worlds = Vec::new();
     for freeze_after_ms in 1..24 {
         for before_ms in [1, 2, 4] {
             let mut world = site_with(freeze_after_ms, None, broken);
+            world.orders_reach_any_process = orders_reach_any_process;
             world.work_ms.insert(1, 150);
             world.submit(job_of(1, QUEUE, &[2], false));
             let until = world.now_ms + freeze_after_ms;
@@ -587,13 +591,17 @@
 }
 
 /// Guards against a leader that was paused and sends an order which a restarted worker accepts, though the
-/// run has ended under the next leader.
+/// run has ended under the next leader. Either of two mechanisms prevents it: the leader confirms that it leads,
+/// and the link sends the order to the process that it is for.
 #[test]
 fn a_leader_that_was_paused_sends_no_start_before_it_knows_that_it_leads() {
-    for world in worlds_of_a_paused_leader(None) {
-        assert_kept(&world);
+    let guard = Some(SiteGuard::ConfirmedStart);
+    for (broken, any_process) in [(None, false), (None, true), (guard, false)] {
+        for world in worlds_of_a_paused_leader(broken, any_process) {
+            assert_kept(&world);
+        }
     }
-    let unguarded = worlds_of_a_paused_leader(Some(SiteGuard::ConfirmedStart));
+    let unguarded = worlds_of_a_paused_leader(guard, true);
     let twice = |world: &SiteWorld| {
         world
             .rules
--- a/crates/bankvalve_check/tests/site/sight.rs
+++ b/crates/bankvalve_check/tests/site/sight.rs
@@ -260,7 +260,7 @@
     let mut world = world(57);
     let address = start_lasting(&mut world);
     world.crash_worker(&address, 60_000);
-    world.run_until(7_000);
+    world.run_until(4_900);
     let leader = world.leader().expect("an instance leads");
     world.kill(leader, 60_000);
     world.run_until(9_000);
--- a/crates/bankvalve_link/src/client/connection_pools.rs
+++ b/crates/bankvalve_link/src/client/connection_pools.rs
@@ -14,6 +14,7 @@
 
 use super::held_connection::{HeldConnection, HeldNumber};
 use super::open_connections::{ConnectionCounts, LimitedConnector};
+use super::process_calls::ProcessTag;
 use super::ClientLimits;
 
 /// Number of addresses from which on the client drops those it has not called for
@@ -50,9 +51,28 @@
     answered: bool,
     /// The numbered connection to this address; `None` while a call uses it.
     held: Option<HeldConnection>,
+    /// Idle connections to processes that have identified themselves.
+    identified: Vec<IdentifiedConnection>,
     used_at: Instant,
 }
 
+/// An idle connection and the process at its other end.
+#[derive(Debug)]
+struct IdentifiedConnection {
+    process: ProcessTag,
+    held: HeldConnection,
+}
+
+impl AddressConnections {
+    /// Closes all connections that no call uses, and opens new ones for later calls.
+    fn close_idle(&mut self, limits: &ClientLimits, counts: &Arc<ConnectionCounts>) {
+        self.held = None;
+        self.identified.clear();
+        self.pool = new_pool(limits, counts);
+        self.answered = false;
+    }
+}
+
 /// The connections that a client keeps open, with a separate pool for each address.
 ///
 /// Open connections can stop responding together and without a reset, while new connections work.
@@ -105,6 +125,12 @@
                 let is_used =
                     |held: &HeldConnection| now.saturating_duration_since(held.used_at) < held_time;
                 connections.held = connections.held.take().filter(is_used);
+                let idle_time = self.limits.idle_time;
+                let is_open = |idle: &mut IdentifiedConnection| {
+                    let unused = now.saturating_duration_since(idle.held.used_at);
+                    unused < idle_time && !idle.held.sender.is_closed()
+                };
+                connections.identified.retain_mut(is_open);
             }
         }
         let near_limit = self.counts.open() * 100 >= self.limits.open * CLOSE_IDLE_PERCENT;
@@ -114,16 +140,18 @@
         sweeps.idle = now + CLOSE_IDLE_INTERVAL;
         let mut by_use: Vec<(Instant, Authority)> = addresses
             .iter()
-            .filter(|(_, connections)| connections.answered || connections.held.is_some())
+            .filter(|(_, connections)| {
+                connections.answered
+                    || connections.held.is_some()
+                    || !connections.identified.is_empty()
+            })
             .map(|(address, connections)| (connections.used_at, address.clone()))
             .collect();
         by_use.sort_unstable_by_key(|(used_at, _)| *used_at);
         let count = by_use.len().div_ceil(CLOSE_IDLE_DIVISOR);
         for (_, address) in by_use.into_iter().take(count) {
             if let Some(connections) = addresses.get_mut(&address) {
-                connections.held = None;
-                connections.pool = new_pool(&self.limits, &self.counts);
-                connections.answered = false;
+                connections.close_idle(&self.limits, &self.counts);
             }
         }
         self.counts.count_closed_idle(count as u64);
@@ -160,6 +188,48 @@
         }
     }
 
+    /// Takes an idle connection to a process at an address and returns it with the address's generation.
+    ///
+    /// Closes idle connections to other processes there.
+    pub(super) fn take_identified(
+        &self,
+        address: &Authority,
+        process: ProcessTag,
+    ) -> (Option<HeldConnection>, u64) {
+        let (_, generation) = self.pool(address);
+        let mut addresses = self.lock();
+        let Some(connections) = addresses.get_mut(address) else {
+            return (None, generation);
+        };
+        let is_open = |idle: &mut IdentifiedConnection| {
+            idle.process == process && !idle.held.sender.is_closed()
+        };
+        connections.identified.retain_mut(is_open);
+        let idle = connections.identified.pop();
+        (idle.map(|idle| idle.held), generation)
+    }
+
+    /// Stores a connection to a process for later calls, after a call on it was answered.
+    ///
+    /// Drops the connection if the address has got a new generation since, or enough idle connections.
+    pub(super) fn hold_identified(
+        &self,
+        address: &Authority,
+        generation: u64,
+        process: ProcessTag,
+        mut held: HeldConnection,
+    ) {
+        held.used_at = Instant::now();
+        let max_idle = self.limits.idle;
+        if let Some(connections) = self.lock().get_mut(address) {
+            if connections.generation == generation && connections.identified.len() < max_idle {
+                connections
+                    .identified
+                    .push(IdentifiedConnection { process, held });
+            }
+        }
+    }
+
     /// Returns the pool for a call to an address, and its generation.
     pub(super) fn pool(&self, address: &Authority) -> (ConnectionPool, u64) {
         let now = Instant::now();
@@ -180,6 +250,7 @@
             generation: 0,
             answered: false,
             held: None,
+            identified: Vec::new(),
             used_at: now,
         };
         let pool = connections.pool.clone();
@@ -201,10 +272,8 @@
     pub(super) fn replace_pool(&self, address: &Authority, generation: u64) {
         if let Some(connections) = self.lock().get_mut(address) {
             if connections.generation == generation && connections.answered {
-                connections.pool = new_pool(&self.limits, &self.counts);
+                connections.close_idle(&self.limits, &self.counts);
                 connections.generation += 1;
-                connections.answered = false;
-                connections.held = None;
             }
         }
     }
--- a/crates/bankvalve_link/src/client/mod.rs
+++ b/crates/bankvalve_link/src/client/mod.rs
@@ -3,6 +3,7 @@
 mod connection_pools;
 mod held_connection;
 mod open_connections;
+mod process_calls;
 
 use std::io::ErrorKind;
 use std::sync::Arc;
@@ -20,6 +21,7 @@
 
 pub use self::held_connection::HeldNumber;
 pub use self::open_connections::ConnectionCounts;
+pub use self::process_calls::{PostCall, ProcessCheck, ProcessTag};
 
 /// Default time after which an idle connection is closed.
 const IDLE_TIME: Duration = Duration::from_secs(20);
--- a/crates/bankvalve_link/src/lib.rs
+++ b/crates/bankvalve_link/src/lib.rs
@@ -14,7 +14,8 @@
 mod wire;
 
 pub use client::{
-    ClientFailure, ClientLimits, ConnectionCounts, HeldNumber, HttpClient, HttpReply,
+    ClientFailure, ClientLimits, ConnectionCounts, HeldNumber, HttpClient, HttpReply, PostCall,
+    ProcessCheck, ProcessTag,
 };
 pub use keys::{
     sign_command, CallerKey, KeyFailure, KeyRing, OperatorKey, OperatorSigner, PeerSigner,
--- a/crates/bankvalve_queue/src/core/call_proxies.rs
+++ b/crates/bankvalve_queue/src/core/call_proxies.rs
@@ -191,6 +191,7 @@
                 saved,
                 permit,
                 until_ms,
+                process,
             } => WorkerCall::Start(Box::new(StartOrder {
                 task,
                 run,
@@ -198,8 +199,9 @@
                 saved,
                 permit,
                 until_ms,
+                process,
             })),
-            ProxiedOrder::Stop { task, run } => WorkerCall::Stop { task, run },
+            ProxiedOrder::Stop { task, run, process } => WorkerCall::Stop { task, run, process },
             ProxiedOrder::Hold {
                 until_ms,
                 kept,
--- a/crates/bankvalve_queue/src/core/incarnation.rs
+++ b/crates/bankvalve_queue/src/core/incarnation.rs
@@ -10,9 +10,11 @@
 //! back, so they show only whether two processes differ. A worker's entry may be older or newer than its run
 //! lists. While they come from different processes, no run starts based on that entry.
 //!
-//! Calls name only the worker's id, so a call that was meant for one process may reach the next. A run that
-//! it may have started there appears in the new lists. A run that it may still start is stopped first, which
-//! makes the worker refuse the start order.
+//! Calls name only the worker's id, and a process takes a call that was meant for the one before. So calls that
+//! mean something to one process only go on a connection on which that process has answered: lease renewals and
+//! acknowledgements (see `lease_renewal`), and start and stop orders, which name their process. A start order
+//! that may still be carried out, because it had no answer, is stopped first in the next process, which makes the
+//! worker refuse it.
 
 use std::collections::BTreeSet;
 
@@ -95,7 +97,8 @@
             (state.last_end_seen, state.last_end_committed) =
                 (before.last_end_seen, before.last_end_committed);
         }
-        // A deadline by the old clock may be far in the future on the new one. The worker limits it to this.
+        // An instance of an earlier version may have passed on a deadline by the old clock, which may be far in
+        // the future on the new one. The worker limits it to this.
         let max_lease = clock_ms.map(|clock| clock + hold_limit.as_millis() as u64);
         state.lease_until = match own_clock {
             true => max_lease.unwrap_or(0),
--- a/crates/bankvalve_queue/src/core/lease_renewal.rs
+++ b/crates/bankvalve_queue/src/core/lease_renewal.rs
@@ -3,6 +3,10 @@
 //! A worker keeps its runs until its lease expires by its own clock. Each poll may renew the lease, and its
 //! answer lists the runs that are running and those that have ended. Once the lease of an unresponsive worker
 //! is known to have expired, the worker is declared lost and its tasks can start elsewhere.
+//!
+//! A deadline is a reading of one process's clock. Another process of the worker would take it for a much longer
+//! lease, of which no leader knows. So a poll renews the lease only on the connection on which the process has
+//! sent its last run lists, and the first poll on each connection asks for the lists alone.
 
 use std::time::Duration;
 
@@ -74,9 +78,9 @@
 const MANY_UNRESPONSIVE_DIVISOR: usize = 4;
 /// Smallest number of unresponsive workers with runs that counts as many.
 const MIN_MANY_UNRESPONSIVE: usize = 3;
-/// Time since the last contact within which a worker's lease is renewed. It allows one more renewal after a
-/// poll whose answer is lost (1.5 s). A lost worker's tasks start again no sooner than this time plus the
-/// lease after the last contact.
+/// Time since the last contact within which a worker's lease is renewed. A poll renews it only if the one before
+/// was answered, a start order until this time is over. A lost worker's tasks start again no sooner than this time
+/// plus the lease after the last contact.
 pub(super) const RENEW_WITHIN: Duration = Duration::from_millis(1_600);
 /// Longest time for which a leader sends calls to workers without confirmation of its leadership.
 pub(super) const UNCONFIRMED_LIMIT: Duration = Duration::from_secs(15);
@@ -272,19 +276,21 @@
             return;
         };
         let in_contact = state.has_contact(now, RENEW_WITHIN);
-        let until_ms = if state.may_renew_lease(now, RENEW_WITHIN) {
-            state.lease_deadline(bound)
-        } else {
-            None
-        };
+        let connection = state.connection_of(proxy);
+        // Without a connection to the process, the poll only finds out which process answers.
+        let until_ms = connection
+            .filter(|_| state.may_renew_lease(now, RENEW_WITHIN))
+            .and_then(|_| state.lease_deadline(bound));
         if let Some(until) = until_ms {
             state.lease_until = state.lease_until.max(until);
         }
-        let connection = state.acknowledges_on(proxy);
         let acknowledges = connection.map_or(0, |_| state.last_end_committed);
         let settled = state.last_end_seen == state.last_end_committed
             && (!state.has_unacknowledged_ends() || connection.is_some());
-        let must_not_wait = !state.token_accepted || !in_contact || state.awaits_further_ends();
+        let must_not_wait = !state.token_accepted
+            || !in_contact
+            || connection.is_none()
+            || state.awaits_further_ends();
         // After a lost answer the worker does not wait. A second wait would exceed the time since the last
         // contact within which its lease is renewed.
         let wait = if must_not_wait || !settled || state.unanswered > 0 {
@@ -312,7 +318,10 @@
             wait_ms: wait.as_millis() as u64,
         };
         self.counters.count("calls", "look");
-        let purpose = CallPurpose::Poll { acknowledges };
+        let purpose = CallPurpose::Poll {
+            acknowledges,
+            is_bound: connection.is_some(),
+        };
         self.call_worker(id, purpose, call, wait + slack);
     }
 
@@ -412,8 +421,15 @@
                 }
             }
             answer => match *purpose {
-                CallPurpose::Poll { acknowledges } => {
-                    self.handle_poll_answer(&id, &open, acknowledges, &answer)
+                CallPurpose::Poll {
+                    acknowledges,
+                    is_bound,
+                } => {
+                    if is_bound && answer == WorkerAnswer::NotSent {
+                        self.handle_closed_connection(&id, open.sent_at);
+                    } else {
+                        self.handle_poll_answer(&id, &open, acknowledges, &answer);
+                    }
                 }
                 CallPurpose::Start { task, run } => {
                     self.handle_start_answer(&id, task, run, &answer)
@@ -457,19 +473,22 @@
                 }
                 self.handle_answered_poll(id, sent_at, report, *clock_ms);
             }
-            // The connection for the acknowledgement has closed, which shows nothing about the worker: it is
-            // polled again on another one.
-            WorkerAnswer::NotSent if acknowledged > 0 => {
-                self.counters.count("retries", "connection_ended");
-                if let Some(state) = self.worker_state_mut(id) {
-                    state.next_poll = sent_at;
-                }
-                self.poll_if_due(id);
-            }
             _ => self.handle_unanswered_poll(id, sent_at, answer),
         }
     }
 
+    /// Polls a worker on another connection, because the one for the last poll has closed. That shows nothing
+    /// about the worker.
+    fn handle_closed_connection(&mut self, id: &WorkerId, sent_at: CoreTime) {
+        self.counters.count("retries", "connection_ended");
+        if let Some(state) = self.worker_state_mut(id) {
+            state.poll_in_flight = false;
+            state.listed_on = None;
+            state.next_poll = sent_at;
+        }
+        self.poll_if_due(id);
+    }
+
     fn handle_unanswered_poll(&mut self, id: &WorkerId, sent_at: CoreTime, answer: &WorkerAnswer) {
         let now = self.now;
         let Some(state) = self.worker_state_mut(id) else {
--- a/crates/bankvalve_queue/src/core/orders.rs
+++ b/crates/bankvalve_queue/src/core/orders.rs
@@ -136,6 +136,7 @@
             // The answer to one of these orders sends the next one.
             return;
         }
+        let process = state.started;
         let Some(live) = state.runs.get_mut(&task) else {
             return;
         };
@@ -150,6 +151,7 @@
             saved: saved.unwrap_or_default(),
             permit: live.permit.clone(),
             until_ms,
+            process,
         };
         self.counters.count("calls", "start");
         let call = WorkerCall::Start(Box::new(order));
@@ -483,13 +485,17 @@
         let Some(lead) = self.lead.as_deref_mut() else {
             return;
         };
-        let Some(live) = lead.live_run(id, &task) else {
+        let Some(state) = lead.worker_states.get_mut(id) else {
+            return;
+        };
+        let process = state.started;
+        let Some(live) = state.runs.get_mut(&task) else {
             return;
         };
         live.busy = true;
         let run = live.run;
         self.counters.count("calls", "stop");
-        let call = WorkerCall::Stop { task, run };
+        let call = WorkerCall::Stop { task, run, process };
         let time = self.order_timeout();
         self.call_worker(id, CallPurpose::Stop { task, run }, call, time);
     }
--- a/crates/bankvalve_queue/src/core/worker_state.rs
+++ b/crates/bankvalve_queue/src/core/worker_state.rs
@@ -417,16 +417,14 @@
         self.last_end_committed > self.last_end_acknowledged
     }
 
-    /// Returns the connection on which a proxy, or the leader itself, can acknowledge committed ends,
-    /// if any wait for it.
+    /// Returns the connection on which a proxy, or the leader itself, has received the last run lists.
     ///
-    /// An acknowledgement must reach the process that reported the ends: another process would drop
-    /// ends of its own that nobody has read. A connection ends with the process that sent its lists on
-    /// it.
-    pub(super) fn acknowledges_on(&self, proxy: Option<PeerAddress>) -> Option<ConnectionId> {
+    /// A connection ends with the process at its other end, so a call on it reaches the process that sent
+    /// these lists, or none. Another process would drop ends of its own that nobody has read, and would take a
+    /// deadline by the clock of this one for the longest lease that it grants.
+    pub(super) fn connection_of(&self, proxy: Option<PeerAddress>) -> Option<ConnectionId> {
         let listed_on = self.listed_on.filter(|on| on.proxy == proxy)?;
-        self.has_unacknowledged_ends()
-            .then_some(listed_on.connection)
+        Some(listed_on.connection)
     }
 
     /// Returns the number of starts without an answer yet.
--- a/crates/bankvalve_queue/src/peer.rs
+++ b/crates/bankvalve_queue/src/peer.rs
@@ -12,7 +12,7 @@
 use crate::core::MeasuredModel;
 use crate::customer::CallerIdentity;
 use crate::ids::{ConnectionId, DomainName, FenceToken, RunId, TaskKey, Ticket, WorkerId};
-use crate::worker::{AdviceAnswer, AdviceRequest, WorkerAnswer, WorkerCall};
+use crate::worker::{AdviceAnswer, AdviceRequest, ProcessStart, WorkerAnswer, WorkerCall};
 
 /// Address at which an instance accepts messages from its peers.
 pub type PeerAddress = SocketAddr;
@@ -222,6 +222,9 @@
         permit: Option<String>,
         /// Deadline on the worker's clock, in milliseconds, from which the worker refuses the start.
         until_ms: u64,
+        /// Start of the process that is to receive the order, if the worker reports it.
+        #[serde(default)]
+        process: Option<ProcessStart>,
     },
     /// Stops a run.
     Stop {
@@ -229,6 +232,9 @@
         task: TaskKey,
         /// The run.
         run: RunId,
+        /// Start of the process that is to receive the order, if the worker reports it.
+        #[serde(default)]
+        process: Option<ProcessStart>,
     },
     /// Renews the lease, which the names call the hold, and requests the run lists.
     Hold {
@@ -253,10 +259,12 @@
                 saved: order.saved.clone(),
                 permit: order.permit.clone(),
                 until_ms: order.until_ms,
+                process: order.process,
             }),
-            WorkerCall::Stop { task, run } => Some(ProxiedOrder::Stop {
+            WorkerCall::Stop { task, run, process } => Some(ProxiedOrder::Stop {
                 task: *task,
                 run: *run,
+                process: *process,
             }),
             WorkerCall::Hold {
                 until_ms,
--- a/crates/bankvalve_queue/src/worker.rs
+++ b/crates/bankvalve_queue/src/worker.rs
@@ -57,6 +57,9 @@
     /// Deadline on the worker's clock, in milliseconds. The worker refuses the start from then on, and the
     /// order renews the worker's lease until then.
     pub until_ms: u64,
+    /// Start of the process to whose clock the deadline refers. The order is sent only on a connection on which
+    /// that process has answered. `None` if the worker does not report its start.
+    pub process: Option<ProcessStart>,
 }
 
 /// A call to a worker.
@@ -70,12 +73,16 @@
         task: TaskKey,
         /// The run.
         run: RunId,
+        /// Start of the process that is to receive the order, as in [`StartOrder::process`].
+        process: Option<ProcessStart>,
     },
     /// Renews the lease and requests the run lists.
     Hold {
-        /// End of the lease on the worker's clock, in milliseconds; `None` leaves the lease as it is.
+        /// End of the lease on the worker's clock, in milliseconds; `None` leaves the lease as it is. Only for a
+        /// call that is bound to a connection, because another process has another clock.
         until_ms: Option<u64>,
         /// Number of the last ended run that is committed to the ledger; the worker may forget ends up to it.
+        /// Only for a call that is bound to a connection, because another process has other numbers.
         kept: u64,
         /// The only connection on which the call may be sent; if it has closed, the call is not sent. `None`
         /// allows any connection.
@@ -94,6 +101,48 @@
     },
 }
 
+impl WorkerCall {
+    /// Returns the process that is to receive the call if it is an order; the inner `None` if the worker does
+    /// not report its start. `None` for other calls.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use bankvalve_queue::{ProcessStart, WorkerCall};
+    ///
+    /// let task = "000000000000002a.0.0.1".parse().unwrap();
+    /// let process = Some(ProcessStart(1_767_823_612_823));
+    /// let stop = WorkerCall::Stop { task, run: 1, process };
+    /// assert_eq!(stop.ordered_process(), Some(process));
+    /// ```
+    pub fn ordered_process(&self) -> Option<Option<ProcessStart>> {
+        match self {
+            WorkerCall::Start(order) => Some(order.process),
+            WorkerCall::Stop { process, .. } => Some(*process),
+            WorkerCall::Hold { .. } | WorkerCall::Pace { .. } => None,
+        }
+    }
+
+    /// Returns a poll that any process may receive: it renews no lease and acknowledges no end.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use bankvalve_queue::WorkerCall;
+    ///
+    /// let poll = WorkerCall::identification();
+    /// assert!(matches!(poll, WorkerCall::Hold { until_ms: None, kept: 0, .. }));
+    /// ```
+    pub fn identification() -> Self {
+        WorkerCall::Hold {
+            until_ms: None,
+            kept: 0,
+            connection: None,
+            wait_ms: 0,
+        }
+    }
+}
+
 /// Why a worker refused a call.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum StartRefusal {
--- a/crates/bankvalve_standin/tests/platform_limits.rs
+++ b/crates/bankvalve_standin/tests/platform_limits.rs
@@ -96,6 +96,7 @@
             saved: String::new(),
             permit: None,
             until_ms: 5_000,
+            process: None,
         };
         worker.handle(0, 1, &WorkerCall::Start(Box::new(order)), None, plan);
     }
