fix(queue): a restarted worker is asked for no longer lease than a successor assumes

The leader that sees a restart took the longest lease of the platform as the new process's, so as to wait for it. An order that is repeated while the worker's answers are lost asks for the lease that is on record, so it asked the new process for just that; a successor assumes 5 s. TWICE would follow if the leader is lost and the worker is cut off then; the sequence was not played to its end.

Now a new process has no lease on record, since no call with a deadline reaches it before it has answered, and an order waits while there is no lease to ask for.

A worker to which orders could not be sent backs off. - A connection that closes after the identification leaves the order unsent, not unanswered.

--- a/crates/bankvalve/src/entry/link_loop.rs
+++ b/crates/bankvalve/src/entry/link_loop.rs
@@ -13,8 +13,8 @@
 use bankvalve_queue::{
     AdviceAnswer, BatchTimeout, ConnectionId, CoreAction, CoreEvent, FenceToken, PeerAddress,
     PeerBatch, PeerMessage, PlatformPort, ProcessStart, ProxiedOrder, StoreRequest, Ticket,
-    WireCall, WireReply, WorkerAnswer, WorkerCall, WorkerId, PEER_BATCHES_IN_FLIGHT,
-    POOLED_CONNECTIONS,
+    WireCall, WireReply, WorkerAnswer, WorkerCall, WorkerId, IDENTIFICATION_TIMEOUT,
+    PEER_BATCHES_IN_FLIGHT, POOLED_CONNECTIONS,
 };
 use hyper::Method;
 use tokio::sync::mpsc;
@@ -39,8 +39,6 @@
 const POLL_BATCH_INTERVAL: Duration = Duration::from_millis(80);
 /// Timeout for establishing a connection: about ten one-way trips across the site.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
-/// Timeout for establishing a connection to a worker and finding out which process answers on it.
-const IDENTIFY_TIMEOUT: Duration = Duration::from_millis(400);
 /// Time for which sent bytes may stay unacknowledged before the connection is closed.
 const ACK_TIMEOUT: Duration = Duration::from_millis(1_500);
 /// Time after which an idle connection is closed. It is long because new connections to workers are
@@ -206,20 +204,19 @@
                                 self.poll_worker(address, wire, (*connection, time)).await;
                             with_connection((self.port.worker_answer)(&call, &reply), on)
                         }
-                        order => {
-                            let reply = match order.ordered_process() {
-                                Some(process) => {
-                                    let order = WorkerOrder {
-                                        worker: &worker,
-                                        token,
-                                        process,
-                                        wire: &wire,
-                                        time,
-                                    };
-                                    self.send_order(address, order).await
-                                }
-                                None => self.call(address, wire, time).await,
+                        WorkerCall::Start(start) => {
+                            let order = WorkerOrder {
+                                worker: &worker,
+                                token,
+                                process: start.process,
+                                wire: &wire,
+                                time,
                             };
+                            let reply = self.send_order(address, order).await;
+                            (self.port.worker_answer)(&call, &reply)
+                        }
+                        WorkerCall::Stop { .. } | WorkerCall::Pace { .. } => {
+                            let reply = self.call(address, wire, time).await;
                             (self.port.worker_answer)(&call, &reply)
                         }
                     };
@@ -366,7 +363,7 @@
         }
     }
 
-    /// Sends an order to one process of a worker. The order is not sent if another one answers.
+    /// Sends a start order to one process of a worker. It is not sent if another one answers.
     async fn send_order(
         &self,
         address: impl std::fmt::Display,
@@ -388,7 +385,7 @@
             expected: order.process.map(|process| process.0),
             call: post_call(&check_url, &check_call),
             read: &read,
-            time: IDENTIFY_TIMEOUT,
+            time: IDENTIFICATION_TIMEOUT,
         };
         let call = post_call(&url, order.wire);
         reply_of(self.client.send_to_process(call, check, order.time).await)
@@ -427,7 +424,7 @@
     }
 }
 
-/// An order to one process of a worker.
+/// A start order to one process of a worker.
 struct WorkerOrder<'a> {
     worker: &'a WorkerId,
     token: FenceToken,
--- a/crates/bankvalve_check/src/site/site_workers.rs
+++ b/crates/bankvalve_check/src/site/site_workers.rs
@@ -29,7 +29,10 @@
     call: WorkerCall,
 }
 
-/// Whether an order that is carried out late has reached its worker before.
+/// Longest lease that a successor assumes a leader to have requested, in milliseconds.
+const ASSUMED_LEASE_MS: u64 = 5_000;
+
+/// How a call got to its worker.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum CallRoute {
     /// The call arrives on a connection that the sender's link has chosen for it.
@@ -40,7 +43,7 @@
 
 /// What a call carries that another process of its worker would take for its own: a deadline by the clock of the
 /// process that it is for, or the number of an end there.
-fn means_one_process(call: &WorkerCall) -> bool {
+fn is_process_specific(call: &WorkerCall) -> bool {
     match call {
         WorkerCall::Hold { until_ms, kept, .. } => until_ms.is_some() || *kept > 0,
         _ => false,
@@ -192,13 +195,14 @@
             self.after(RESET_MS, Later::Event { node, life, event });
             return;
         }
-        if means_one_process(call) && bound_to(call).is_none() {
+        if is_process_specific(call) && bound_to(call).is_none() {
             let text = format!(
                 "a poll of {meant} renews a lease or acknowledges an end of whoever answers"
             );
             self.rules.breach("PROCESS", now, &text);
         }
         let identifies = route == CallRoute::Link && !self.orders_reach_any_process;
+        self.check_lease(meant, address, call);
         if identifies && self.is_for_other_process(meant, address, call) {
             let answer = self.identify_worker(meant, address, token);
             let event = CoreEvent::Worker { ticket, answer };
@@ -258,10 +262,33 @@
     fn is_for_other_process(&self, meant: &WorkerId, address: &str, call: &WorkerCall) -> bool {
         let worker = self.workers.get(address).and_then(Option::as_ref);
         let answering = worker.filter(|worker| worker.id == *meant);
-        let ordered = call.ordered_process();
-        answering
-            .zip(ordered)
-            .is_some_and(|(worker, process)| worker.entry.started != process)
+        let WorkerCall::Start(order) = call else {
+            return false;
+        };
+        answering.is_some_and(|worker| worker.entry.started != order.process)
+    }
+
+    /// Checks that a process grants no longer lease than a successor of the leader that requests it assumes.
+    fn check_lease(&mut self, meant: &WorkerId, address: &str, call: &WorkerCall) {
+        let now = self.now_ms;
+        let worker = self.workers.get(address).and_then(Option::as_ref);
+        let Some(worker) = worker.filter(|worker| worker.id == *meant) else {
+            return;
+        };
+        let until_ms = match call {
+            WorkerCall::Start(order) if order.process == worker.entry.started => order.until_ms,
+            WorkerCall::Hold {
+                until_ms: Some(until_ms),
+                ..
+            } => *until_ms,
+            _ => return,
+        };
+        let lease_ms = until_ms.saturating_sub(worker.clock_at(now));
+        if lease_ms > ASSUMED_LEASE_MS {
+            let text =
+                format!("{meant} is asked for a lease of {lease_ms} ms, not {ASSUMED_LEASE_MS} ms");
+            self.rules.breach("LEASE", now, &text);
+        }
     }
 
     /// The link's outcome of an order for another process than the one that answers on the new connection.
--- a/crates/bankvalve_check/tests/site/restarts.rs
+++ b/crates/bankvalve_check/tests/site/restarts.rs
@@ -620,3 +620,28 @@
 fn no_run_starts_again_after_its_good_end_in_a_drawn_world() {
     assert_eq!(run_restart_episode(870_085, None).breaches, []);
 }
+
+/// Guards against an order that asks a restarted worker for a lease as long as a leader has to wait for it, which a
+/// successor does not assume: the worker's answers are lost, and the order is repeated.
+#[test]
+fn an_order_repeated_to_a_restarted_worker_asks_for_no_longer_lease() {
+    for wait_ms in (1_000..2_400).step_by(100) {
+        let mut world = SiteWorld::with_hold_limit(plan_of(1, WORKERS), 10_000);
+        world.run_until(1_000);
+        submit(&mut world, 1..20, 50);
+        restart_all(&mut world, AT_ONCE);
+        let until = world.now_ms + 200;
+        world.run_until(until);
+        world.late_orders_percent = 100;
+        submit(&mut world, 20..40, 5);
+        world.lost_looks_percent = 100;
+        let until = world.now_ms + wait_ms;
+        world.run_until(until);
+        world.late_orders_percent = 0;
+        let until = world.now_ms + 400;
+        world.run_until(until);
+        world.lost_looks_percent = 0;
+        world.run_until(60_000);
+        assert_kept(&world);
+    }
+}
--- a/crates/bankvalve_link/src/client/process_calls.rs
+++ b/crates/bankvalve_link/src/client/process_calls.rs
@@ -1,8 +1,8 @@
 //! Calls that only one process at an address may receive.
 //!
 //! Another process may listen at the address by the time at which a call arrives, and nothing in the call
-//! tells the two apart. A connection ends with the process that accepted it. So the first request on each
-//! connection asks the process who it is, and calls for that process go on that connection.
+//! tells the two apart. A connection ends with the process that accepted it. So the process identifies itself in
+//! the reply to the first request on each connection, and calls for that process go on that connection.
 
 use std::time::Duration;
 
@@ -94,10 +94,12 @@
             Some(held) => held,
             None => {
                 let identified = self.identify(&address, &check).await;
-                match self.record_end(&address, generation, identified)? {
-                    Identification::Expected(held) => held,
+                let held = match self.record_end(&address, generation, identified)? {
+                    Identification::Expected(held) => ready(Some(held)).await,
                     Identification::Unknown(reply) => return Ok(reply),
-                }
+                };
+                let closed = || ClientFailure::NotSent("the connection has closed".into());
+                held.ok_or_else(closed)?
             }
         };
         let exchange = tokio::time::timeout(time, self.exchange_on(&mut held, request));
--- a/crates/bankvalve_queue/src/core/call_proxies.rs
+++ b/crates/bankvalve_queue/src/core/call_proxies.rs
@@ -201,7 +201,7 @@
                 until_ms,
                 process,
             })),
-            ProxiedOrder::Stop { task, run, process } => WorkerCall::Stop { task, run, process },
+            ProxiedOrder::Stop { task, run } => WorkerCall::Stop { task, run },
             ProxiedOrder::Hold {
                 until_ms,
                 kept,
--- a/crates/bankvalve_queue/src/core/incarnation.rs
+++ b/crates/bankvalve_queue/src/core/incarnation.rs
@@ -12,7 +12,7 @@
 //!
 //! Calls name only the worker's id, and a process takes a call that was meant for the one before. So calls that
 //! mean something to one process only go on a connection on which that process has answered: lease renewals and
-//! acknowledgements (see `lease_renewal`), and start and stop orders, which name their process. A start order
+//! acknowledgements (see `lease_renewal`), and start orders, which name their process. A start order
 //! that may still be carried out, because it had no answer, is stopped first in the next process, which makes the
 //! worker refuse it.
 
@@ -43,7 +43,6 @@
         id: &WorkerId,
         sent_at: CoreTime,
         report: &HoldReport,
-        clock_ms: Option<u64>,
     ) -> bool {
         let Some(state) = self.worker_state_mut(id) else {
             return false;
@@ -56,7 +55,7 @@
                 self.counters.count("workers", "process_not_told");
                 return false;
             }
-            self.start_incarnation(id, sent_at, report, clock_ms);
+            self.start_incarnation(id, sent_at, report);
             let started = report.started;
             self.counters.count("workers", "restarted");
             let detail = format!("{before:?} before, {started:?} now");
@@ -67,15 +66,8 @@
 
     /// Starts a new incarnation of a worker. The runs of the previous process have ended, except those that
     /// the new one has started from an order in flight, or may still start.
-    fn start_incarnation(
-        &mut self,
-        id: &WorkerId,
-        sent_at: CoreTime,
-        report: &HoldReport,
-        clock_ms: Option<u64>,
-    ) {
+    fn start_incarnation(&mut self, id: &WorkerId, sent_at: CoreTime, report: &HoldReport) {
         let now = self.now;
-        let hold_limit = self.settings.hold_limit;
         let moved = self.take_moved_runs(id, sent_at, report);
         if self
             .worker_state_mut(id)
@@ -97,13 +89,10 @@
             (state.last_end_seen, state.last_end_committed) =
                 (before.last_end_seen, before.last_end_committed);
         }
-        // An instance of an earlier version may have passed on a deadline by the old clock, which may be far in
-        // the future on the new one. The worker limits it to this.
-        let max_lease = clock_ms.map(|clock| clock + hold_limit.as_millis() as u64);
-        state.lease_until = match own_clock {
-            true => max_lease.unwrap_or(0),
-            false => before.lease_until,
-        };
+        // No call with a deadline reaches a process before it has answered.
+        if !own_clock {
+            state.lease_until = before.lease_until;
+        }
         for (task, mut live) in moved {
             live.unlisted_since = None;
             if live.phase == (RunPhase::Stopping { confirmed: None }) {
--- a/crates/bankvalve_queue/src/core/lease_renewal.rs
+++ b/crates/bankvalve_queue/src/core/lease_renewal.rs
@@ -5,7 +5,7 @@
 //! is known to have expired, the worker is declared lost and its tasks can start elsewhere.
 //!
 //! A deadline is a reading of one process's clock. Another process of the worker would take it for a much longer
-//! lease, of which no leader knows. So a poll renews the lease only on the connection on which the process has
+//! lease, which no leader accounts for. So a poll renews the lease only on the connection on which the process has
 //! sent its last run lists, and the first poll on each connection asks for the lists alone.
 
 use std::time::Duration;
@@ -19,7 +19,7 @@
 use crate::ids::{CoreTime, Ticket, WorkerId};
 use crate::ledger::EndKind;
 use crate::policy::PolicySwitch;
-use crate::worker::{HoldReport, StartRefusal, WorkerAnswer, WorkerCall};
+use crate::worker::{HoldReport, StartRefusal, WorkerAnswer, WorkerCall, IDENTIFICATION_TIMEOUT};
 
 /// Longest lease that a leader requests. A lost worker's tasks start again only after its lease has
 /// expired, and a worker that is cut off keeps its runs for that long.
@@ -78,8 +78,8 @@
 const MANY_UNRESPONSIVE_DIVISOR: usize = 4;
 /// Smallest number of unresponsive workers with runs that counts as many.
 const MIN_MANY_UNRESPONSIVE: usize = 3;
-/// Time since the last contact within which a worker's lease is renewed. A poll renews it only if the one before
-/// was answered, a start order until this time is over. A lost worker's tasks start again no sooner than this time
+/// Time since the last contact within which start orders renew a worker's lease. Polls renew it only on the
+/// connection of the last answer. A lost worker's tasks start again no sooner than this time
 /// plus the lease after the last contact.
 pub(super) const RENEW_WITHIN: Duration = Duration::from_millis(1_600);
 /// Longest time for which a leader sends calls to workers without confirmation of its leadership.
@@ -341,7 +341,12 @@
         let slack = proxy.map_or(LOST_ANSWER_SLACK, |_| {
             PROXY_SLACK + trip.min(MAX_ROUND_TRIP)
         });
-        let limit = self.now + time + slack;
+        // The order may have to wait for a new connection on which its process identifies itself.
+        let setup = match purpose {
+            CallPurpose::Start { .. } => IDENTIFICATION_TIMEOUT,
+            _ => Duration::ZERO,
+        };
+        let limit = self.now + setup + time + slack;
         let Some(lead) = self.lead.as_deref_mut() else {
             return;
         };
@@ -458,7 +463,7 @@
                 clock_ms,
             } => {
                 let before = self.worker_state_mut(id).map(|state| state.number);
-                if !self.identify_process(id, sent_at, report, *clock_ms) {
+                if !self.identify_process(id, sent_at, report) {
                     self.handle_unanswered_poll(id, sent_at, answer);
                     return;
                 }
--- a/crates/bankvalve_queue/src/core/orders.rs
+++ b/crates/bankvalve_queue/src/core/orders.rs
@@ -35,7 +35,7 @@
 const LONG_POLL_DELAY: Duration = Duration::from_millis(20);
 /// Time before a stop order is repeated.
 const STOP_RETRY_DELAY: Duration = Duration::from_millis(250);
-/// Back-off of a worker that refused an order because it was unwell.
+/// Back-off of a worker that refused an order because it was unwell, or to which an order could not be sent.
 const UNWELL_BACKOFF: Duration = Duration::from_millis(1_500);
 
 impl EntryCore {
@@ -115,18 +115,27 @@
         };
         let saved = job.task(task).map(|task| task.saved.clone());
         let spec = job.spec.clone();
-        let Some(state) = self
-            .lead
-            .as_deref_mut()
-            .and_then(|lead| lead.worker_states.get_mut(id))
-        else {
+        let Some(lead) = self.lead.as_deref_mut() else {
+            return;
+        };
+        let Some(state) = lead.worker_states.get_mut(id) else {
             return;
         };
         let Some(until_ms) = state.lease_deadline(bound) else {
             return;
         };
+        let may_renew = state.may_renew_lease(now, RENEW_WITHIN);
+        if !may_renew && state.lease_left(now).is_zero() {
+            // The worker would refuse the order as late.
+            let next_at = now + ORDER_RETRY_DELAY;
+            if let Some(live) = state.runs.get_mut(&task) {
+                live.next_at = next_at;
+            }
+            lead.schedule_order(next_at, id, task);
+            return;
+        }
         // The lease of an unresponsive worker must expire, or its runs are never declared lost.
-        let until_ms = if state.may_renew_lease(now, RENEW_WITHIN) {
+        let until_ms = if may_renew {
             until_ms
         } else {
             state.lease_until
@@ -376,7 +385,8 @@
                 ..
             }
         );
-        if *answer == WorkerAnswer::Unwell {
+        // A worker that answers polls, but on whose new connections nothing is sent, would get the task again.
+        if matches!(answer, WorkerAnswer::Unwell | WorkerAnswer::NotSent) {
             state.backoff_until = state.backoff_until.max(now + UNWELL_BACKOFF);
         }
         self.counters.count("order_refusals", why);
@@ -485,17 +495,13 @@
         let Some(lead) = self.lead.as_deref_mut() else {
             return;
         };
-        let Some(state) = lead.worker_states.get_mut(id) else {
-            return;
-        };
-        let process = state.started;
-        let Some(live) = state.runs.get_mut(&task) else {
+        let Some(live) = lead.live_run(id, &task) else {
             return;
         };
         live.busy = true;
         let run = live.run;
         self.counters.count("calls", "stop");
-        let call = WorkerCall::Stop { task, run, process };
+        let call = WorkerCall::Stop { task, run };
         let time = self.order_timeout();
         self.call_worker(id, CallPurpose::Stop { task, run }, call, time);
     }
--- a/crates/bankvalve_queue/src/lib.rs
+++ b/crates/bankvalve_queue/src/lib.rs
@@ -62,5 +62,5 @@
 };
 pub use worker::{
     AdviceAnswer, AdviceRequest, EndReport, HoldReport, ProcessStart, RunReport, StartOrder,
-    StartRefusal, WorkerAnswer, WorkerCall, WorkerEntry,
+    StartRefusal, WorkerAnswer, WorkerCall, WorkerEntry, IDENTIFICATION_TIMEOUT,
 };
--- a/crates/bankvalve_queue/src/peer.rs
+++ b/crates/bankvalve_queue/src/peer.rs
@@ -232,9 +232,6 @@
         task: TaskKey,
         /// The run.
         run: RunId,
-        /// Start of the process that is to receive the order, if the worker reports it.
-        #[serde(default)]
-        process: Option<ProcessStart>,
     },
     /// Renews the lease, which the names call the hold, and requests the run lists.
     Hold {
@@ -261,10 +258,9 @@
                 until_ms: order.until_ms,
                 process: order.process,
             }),
-            WorkerCall::Stop { task, run, process } => Some(ProxiedOrder::Stop {
+            WorkerCall::Stop { task, run } => Some(ProxiedOrder::Stop {
                 task: *task,
                 run: *run,
-                process: *process,
             }),
             WorkerCall::Hold {
                 until_ms,
--- a/crates/bankvalve_queue/src/worker.rs
+++ b/crates/bankvalve_queue/src/worker.rs
@@ -1,5 +1,7 @@
 //! Calls to workers, requests to the policy service, and the answers to both.
 
+use std::time::Duration;
+
 use serde::{Deserialize, Serialize};
 
 use crate::ids::{ConnectionId, CoreTime, RunId, StepKey, TaskKey, WallMillis, WorkerId};
@@ -62,6 +64,10 @@
     pub process: Option<ProcessStart>,
 }
 
+/// Timeout for opening a connection to a worker and for the answer to the first poll on it, which identifies the
+/// process there.
+pub const IDENTIFICATION_TIMEOUT: Duration = Duration::from_millis(600);
+
 /// A call to a worker.
 #[derive(Clone, Debug, PartialEq)]
 pub enum WorkerCall {
@@ -73,8 +79,6 @@
         task: TaskKey,
         /// The run.
         run: RunId,
-        /// Start of the process that is to receive the order, as in [`StartOrder::process`].
-        process: Option<ProcessStart>,
     },
     /// Renews the lease and requests the run lists.
     Hold {
@@ -102,27 +106,6 @@
 }
 
 impl WorkerCall {
-    /// Returns the process that is to receive the call if it is an order; the inner `None` if the worker does
-    /// not report its start. `None` for other calls.
-    ///
-    /// # Examples
-    ///
-    /// ```
-    /// use bankvalve_queue::{ProcessStart, WorkerCall};
-    ///
-    /// let task = "000000000000002a.0.0.1".parse().unwrap();
-    /// let process = Some(ProcessStart(1_767_823_612_823));
-    /// let stop = WorkerCall::Stop { task, run: 1, process };
-    /// assert_eq!(stop.ordered_process(), Some(process));
-    /// ```
-    pub fn ordered_process(&self) -> Option<Option<ProcessStart>> {
-        match self {
-            WorkerCall::Start(order) => Some(order.process),
-            WorkerCall::Stop { process, .. } => Some(*process),
-            WorkerCall::Hold { .. } | WorkerCall::Pace { .. } => None,
-        }
-    }
-
     /// Returns a poll that any process may receive: it renews no lease and acknowledges no end.
     ///
     /// # Examples
--- a/crates/bankvalve_standin/src/site/site_worker.rs
+++ b/crates/bankvalve_standin/src/site/site_worker.rs
@@ -193,7 +193,7 @@
                     }
                 }
             }
-            WorkerCall::Stop { task, run, .. } => {
+            WorkerCall::Stop { task, run } => {
                 let finished = self.finished.entry(*task).or_default();
                 *finished = (*finished).max(*run);
                 if let Some(live) = self.runs.get_mut(task).filter(|live| live.run == *run) {
