test(site): all drawn worlds draw the longest hold from the values on the sheets

The longest hold was 10,000 ms in the losses and storms and 6,000 ms in all other drawn worlds; with a lease of 5 s and the slack for slow clocks, 6,000 ms leaves almost nothing between what a worker may hold and what a successor reckons with. So no drawn world with restarts could show a lease that is longer than the usual one.

Each drawn world now has 6,000 or 10,000 ms by its seed alone, from a source of its own, so that the other draws stay as they are. The virtual worker has no default any more: whoever creates it states its limit, and a next process has the one of the process before. A run prints how many worlds had which limit, and how many failed.

A test plays three seeds of each burden and asks for both limits; before, each burden had one.

--- a/crates/bankvalve_check/src/site/site_random.rs
+++ b/crates/bankvalve_check/src/site/site_random.rs
@@ -6,7 +6,8 @@
 
 use bankvalve_queue::{DecisionLine, JobSpec, JobState, SiteGuard};
 use bankvalve_standin::site::MAX_ENDS_PER_REPORT;
-use rand::Rng;
+use rand::{Rng, SeedableRng};
+use rand_pcg::Pcg64Mcg;
 
 use super::site_crashes::DrawnCrashes;
 use super::site_drawn_customers::DrawnCustomers;
@@ -16,7 +17,6 @@
 use super::site_restarts::{DrawnRestarts, RestartFigures};
 use super::site_storm_figures::StormFigures;
 use super::site_storms::run_planned_storms;
-use super::site_world::HOLD_LIMIT_MS;
 use super::{
     job_of, LeaderLoss, RuleBreach, SiteFault, SitePlan, SiteWorld, StepTime, WorkerLoss, QUEUE,
     URGENT_QUEUE,
@@ -51,8 +51,8 @@
 
 /// Virtual time of the first pair of losses, where there are such, in milliseconds.
 const FIRST_LOSS_MS: u64 = 6_000;
-/// Longest hold there, in milliseconds: that of the users' sites.
-pub(super) const USERS_HOLD_MS: u64 = 10_000;
+/// Longest holds on the users' sites, in milliseconds.
+const HOLD_LIMITS_MS: [u64; 2] = [6_000, 10_000];
 
 /// How much further apart jobs come there: such a run lasts for longer, and room must be left.
 const LOSSES_PACE: u64 = 4;
@@ -62,6 +62,8 @@
 pub struct SiteReport {
     /// Rules that were broken.
     pub breaches: Vec<RuleBreach>,
+    /// Longest hold that the platform allowed, in milliseconds.
+    pub hold_limit_ms: u64,
     /// Events of the run.
     pub events: u64,
     /// Starts seen.
@@ -95,6 +97,7 @@
         let away_ms = spans.filter_map(|span| Some(span.until_ms? - span.from_ms));
         Self {
             away_ms: away_ms.collect(),
+            hold_limit_ms: world.max_lease_ms,
             events: world.events,
             starts: world.rules.starts,
             accepted: world.rules.accepted().len() as u64,
@@ -130,6 +133,13 @@
     [MAX_ENDS_PER_REPORT, 5, 2][(seed % 3) as usize]
 }
 
+/// Longest hold that the platform of a drawn world allows, in milliseconds. It is drawn from its own source, so
+/// that all else is drawn as without it.
+pub(super) fn drawn_hold_limit(seed: u64) -> u64 {
+    let mut rng = Pcg64Mcg::seed_from_u64(seed ^ 0x0068_6f6c_6473);
+    HOLD_LIMITS_MS[rng.random_range(0..HOLD_LIMITS_MS.len())]
+}
+
 /// Runs one episode: troubles of the kinds given strike a site under load.
 pub fn run_site_episode(seed: u64, kinds: &[SiteFault]) -> SiteReport {
     run_broken_episode(seed, kinds, None)
@@ -308,13 +318,9 @@
     };
     let mut restarts = (burden == SiteBurden::Restarts).then(|| DrawnRestarts::new(seed, FIRST_MS));
     let mut losses = (burden == SiteBurden::Losses).then(|| DrawnLosses::new(seed, FIRST_LOSS_MS));
-    let (troubled_ms, max_lease_ms, pace) = match losses {
-        Some(_) => (
-            DrawnLosses::troubled_ms(FIRST_LOSS_MS),
-            USERS_HOLD_MS,
-            LOSSES_PACE,
-        ),
-        None => (TROUBLED_MS, HOLD_LIMIT_MS, 1),
+    let (troubled_ms, pace) = match losses {
+        Some(_) => (DrawnLosses::troubled_ms(FIRST_LOSS_MS), LOSSES_PACE),
+        None => (TROUBLED_MS, 1),
     };
     let plan = SitePlan {
         seed,
@@ -325,7 +331,7 @@
         without: None,
         good_percent: (seed % 2 == 0).then_some(85),
     };
-    let mut world = SiteWorld::with_hold_limit(plan, max_lease_ms);
+    let mut world = SiteWorld::with_hold_limit(plan, drawn_hold_limit(seed));
     world.limit_end_reports(drawn_end_limit(seed));
     world.lines = keeps_lines.then(Vec::new);
     world.callers_leave = true;
@@ -586,6 +592,7 @@
     let mut pairs: BTreeMap<(WorkerLoss, LeaderLoss), u64> = BTreeMap::new();
     let mut away_ms = Vec::new();
     let mut storms = StormFigures::default();
+    let mut hold_limits: BTreeMap<u64, (u64, u64)> = BTreeMap::new();
     let mut number = seed;
     while done < events {
         let kinds = kinds_under(burden, number);
@@ -597,6 +604,9 @@
         told += report.told;
         given_up += report.given_up;
         restarts.add(report.restarts);
+        let (played, broke) = hold_limits.entry(report.hold_limit_ms).or_default();
+        *played += 1;
+        *broke += u64::from(!report.breaches.is_empty());
         for breach in &report.breaches {
             *broken_rules.entry(breach.rule).or_default() += 1;
         }
@@ -634,6 +644,9 @@
     let seconds = begun.elapsed().as_secs_f64();
     println!("{done} events, {accepted} jobs accepted, {starts} starts, {seconds:.1} s");
     println!("{versions} configurations, {told} callers told of queues");
+    for (limit_ms, (played, broke)) in &hold_limits {
+        println!("longest hold {limit_ms} ms: {played} runs, {broke} failed");
+    }
     println!("{given_up} callers cancelled a job whose submission had had no answer");
     restarts.print();
     for (rule, count) in &broken_rules {
--- a/crates/bankvalve_check/src/site/site_restarts.rs
+++ b/crates/bankvalve_check/src/site/site_restarts.rs
@@ -158,8 +158,7 @@
         entry.remaining_ms = None;
         // Offsets are added to the true time, so that a clock may begin with anything.
         let offset = restart.clock_ms;
-        let mut worker = SiteWorker::restarted(id.clone(), entry, self.now_ms, offset);
-        worker.max_lease_ms = self.max_lease_ms;
+        let mut worker = before.restarted(entry, self.now_ms, offset);
         worker.max_ends_per_report = self.max_ends_per_report;
         worker.process = self.next_process();
         self.restarts.waiting.insert(id.clone(), self.now_ms);
--- a/crates/bankvalve_check/src/site/site_storms.rs
+++ b/crates/bankvalve_check/src/site/site_storms.rs
@@ -9,7 +9,7 @@
 use super::site_drawn_losses::{cancel_lasting, submit_lasting};
 use super::site_losses::{LeaderLoss, LossStep};
 use super::site_random::{
-    ask_at_end, check_ends, drawn_end_limit, drawn_job, EpisodePlan, SiteReport, USERS_HOLD_MS,
+    ask_at_end, check_ends, drawn_end_limit, drawn_hold_limit, drawn_job, EpisodePlan, SiteReport,
 };
 use super::site_storm_figures::StormFigures;
 use super::site_storm_losses::{StormLoss, StormStep, StormWidth};
@@ -192,7 +192,7 @@
         without: None,
         good_percent: (seed % 2 == 0).then_some(85),
     };
-    let mut world = SiteWorld::with_hold_limit(plan, USERS_HOLD_MS);
+    let mut world = SiteWorld::with_hold_limit(plan, drawn_hold_limit(seed));
     world.limit_end_reports(drawn_end_limit(seed));
     world.lines = keeps_lines.then(Vec::new);
     world.spread_over_domains(DOMAINS);
--- a/crates/bankvalve_check/src/site/site_workers.rs
+++ b/crates/bankvalve_check/src/site/site_workers.rs
@@ -71,8 +71,7 @@
         let offset = self.rng.random_range(0..100_000);
         self.worker_off_table_until.remove(&address);
         self.worker_reached_by.remove(&address);
-        let mut worker = SiteWorker::new(id, entry, offset);
-        worker.max_lease_ms = self.max_lease_ms;
+        let mut worker = SiteWorker::new(id, entry, offset, self.max_lease_ms);
         worker.max_ends_per_report = self.max_ends_per_report;
         worker.process = self.next_process();
         self.workers.insert(address, Some(worker));
--- a/crates/bankvalve_check/tests/site/random.rs
+++ b/crates/bankvalve_check/tests/site/random.rs
@@ -1,7 +1,10 @@
 //! Drawn worlds, and guards that are taken away.
 
+use std::collections::BTreeSet;
+
 use bankvalve_check::site::{
-    job_of, run_broken_episode, run_site_episode, SiteFault, SitePlan, SiteWorld, QUEUE,
+    job_of, run_broken_episode, run_short_episode, run_site_episode, SiteBurden, SiteFault,
+    SitePlan, SiteWorld, QUEUE,
 };
 use bankvalve_queue::SiteGuard;
 
@@ -119,6 +122,16 @@
     assert_eq!(report.breaches, []);
 }
 
+/// Guards against a bound that holds by the slack of one longest lease only, because a burden plays no other.
+#[test]
+fn each_burden_plays_all_longest_leases_of_the_sheets() {
+    for burden in SiteBurden::ALL {
+        let limit = |seed| run_short_episode(seed, &[], burden).hold_limit_ms;
+        let limits: BTreeSet<u64> = (1..4).map(limit).collect();
+        assert_eq!(limits, BTreeSet::from([6_000, 10_000]), "{burden:?}");
+    }
+}
+
 /// Rules broken when jobs are handed in while writes are done late and unanswered, and the table
 /// then turns everything away.
 fn breaches_of_late_writes(broken: Option<SiteGuard>) -> usize {
--- a/crates/bankvalve_standin/src/site/site_platform.rs
+++ b/crates/bankvalve_standin/src/site/site_platform.rs
@@ -20,6 +20,8 @@
 const UNANSWERED_TIME: Duration = Duration::from_secs(120);
 /// Base of the start times of workers, in Unix milliseconds; the number of the worker is added.
 const FIRST_START_MS: u64 = 1_000_000_000_000;
+/// Longest lease that workers grant, in milliseconds.
+const MAX_LEASE_MS: u64 = 6_000;
 /// Run time of a task whose payload has no `work=MS`, in milliseconds.
 const WORK_MS: u64 = 100;
 
@@ -186,7 +188,7 @@
             started: Some(ProcessStart(FIRST_START_MS + number)),
         };
         state.store.set_worker(&id, Some(entry.clone()));
-        let worker = SiteWorker::new(id.clone(), entry, number * 10_000);
+        let worker = SiteWorker::new(id.clone(), entry, number * 10_000, MAX_LEASE_MS);
         state.workers.insert(id.clone(), worker);
         id
     }
--- a/crates/bankvalve_standin/src/site/site_worker.rs
+++ b/crates/bankvalve_standin/src/site/site_worker.rs
@@ -10,8 +10,6 @@
 
 use super::SitePolicy;
 
-/// Default of [`SiteWorker::max_lease_ms`], in milliseconds.
-const DEFAULT_MAX_LEASE_MS: u64 = 6_000;
 /// Time from a stop call to the end of the run, in milliseconds.
 const STOP_MS: u64 = 150;
 /// Most ended runs in one answer of a worker of the users' platform.
@@ -89,15 +87,15 @@
 }
 
 impl SiteWorker {
-    /// Creates a first process of a worker.
-    pub fn new(id: WorkerId, entry: WorkerEntry, clock_offset_ms: u64) -> Self {
+    /// Creates a first process of a worker that grants leases of at most `max_lease_ms`.
+    pub fn new(id: WorkerId, entry: WorkerEntry, clock_offset_ms: u64, max_lease_ms: u64) -> Self {
         Self {
             id,
             entry,
             process: 0,
             clock_offset_ms,
             clock_base_ms: 0,
-            max_lease_ms: DEFAULT_MAX_LEASE_MS,
+            max_lease_ms,
             max_ends_per_report: MAX_ENDS_PER_REPORT,
             token: 0,
             lease_until: 0,
@@ -113,12 +111,13 @@
         }
     }
 
-    /// Creates a new process of a worker with the same id and no state from the previous process. Its clock
+    /// Creates the next process of a worker, with the same id and limits and no state from this one. Its clock
     /// reads `clock_ms` at `now_ms`.
-    pub fn restarted(id: WorkerId, entry: WorkerEntry, now_ms: u64, clock_ms: u64) -> Self {
+    pub fn restarted(&self, entry: WorkerEntry, now_ms: u64, clock_ms: u64) -> Self {
         Self {
             clock_base_ms: now_ms,
-            ..Self::new(id, entry, clock_ms)
+            max_ends_per_report: self.max_ends_per_report,
+            ..Self::new(self.id.clone(), entry, clock_ms, self.max_lease_ms)
         }
     }
 
--- a/crates/bankvalve_standin/tests/platform_limits.rs
+++ b/crates/bankvalve_standin/tests/platform_limits.rs
@@ -83,7 +83,7 @@
 
 #[test]
 fn a_worker_reports_at_most_500_ends_oldest_first() {
-    let mut worker = SiteWorker::new("w-1".into(), WorkerEntry::default(), 0);
+    let mut worker = SiteWorker::new("w-1".into(), WorkerEntry::default(), 0, 6_000);
     let count = MAX_ENDS_PER_REPORT as u32 + 200;
     let plan = |_| (TaskSize::default(), Some((1, EndKind::Done)));
     for index in 0..count {
