fix(placement): steps that cannot start do not keep others from free workers

Callers saw accepted jobs that never started while most workers of their service were free: 13 workers of one service had nothing placed on them for 35 s while steps of another one, full and ranked first, waited in their hundreds.

Cause: a placement pass looked at the first 100 waiting steps by rank, whether anything could be done for them or not. Over 100 steps that cannot start at the head kept every step behind them from being looked at.

Now a pass walks all waiting steps by rank, and a step takes one of the 100 places only if it may go on: capacity of its kind is free on a worker that the policy service may allow, or capacity may be reclaimed or advice requested ahead. The latter have at most half of the places. Services share no workers, so each has an equal share of the places, and what one leaves goes to the others. A step refused by all workers is remembered until a worker appears, restarts or changes its entry, or the configuration changes. Where the first steps take all places and achieve nothing, the pass goes on with ten more where the last one stopped.

Order among steps that compete for capacity is as before: by rank, each looked at before any of lower rank that could use the same capacity, but for the ten.

A larger bound was ruled out: it costs urgent steps, as the pause after a pass grows with it.

--- /dev/null
+++ b/crates/bankvalve_queue/src/core/placement/placement_pass.rs
@@ -0,0 +1,492 @@
+//! What a placement pass looks at.
+//!
+//! To look at a step costs much more than to see that it cannot go on. So a pass walks all waiting steps in the
+//! order of their ranks, and only those that may go on take one of its places. A step that waits for capacity
+//! of its kind, for an answer of the policy service, or for workers that the service allows does not keep
+//! steps behind it from capacity that they can use.
+//!
+//! A worker belongs to one service, so steps of different services never compete for capacity. Each service has
+//! an equal share of the places; what one leaves goes to the others.
+
+use std::collections::BTreeMap;
+
+use crate::core::lead_state::LeadState;
+use crate::core::live_run::RunLoad;
+use crate::core::placement::advice::StepAdvice;
+use crate::core::placement::step_kinds::{KindNumber, StepKind};
+use crate::core::placement::waiting_steps::WaitingRank;
+use crate::core::placement::worker_selection::{is_usable, serves};
+use crate::core::EntryCore;
+use crate::ids::{CoreTime, StepKey, WorkerId};
+use crate::job::TaskSize;
+use crate::queue_table::AdviceRule;
+
+/// Maximum number of steps that a placement pass looks at.
+pub(super) const MAX_STEPS_PER_PASS: usize = 100;
+/// Maximum number of these for which no capacity is free, in percent of each service's share.
+const MAX_PREPARED_PERCENT: usize = 50;
+/// Maximum number of workers in a pass whose answers by the policy service are looked up to see whether steps
+/// may go on.
+const MAX_ANSWER_LOOKUPS: usize = 4_000;
+/// Maximum numbers of steps and answers where a pass goes on where the last one stopped.
+const MAX_RESUMED_STEPS: usize = 10;
+const MAX_RESUMED_LOOKUPS: usize = 2_000;
+
+/// What a look at a step may achieve.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Outlook {
+    /// Tasks may start, or advice may be requested about workers with free capacity.
+    Start,
+    /// No capacity is free: it may be reclaimed or planned, or advice requested ahead.
+    Prepare,
+    /// Nothing, until something changes.
+    Nothing,
+}
+
+/// Workers that serve steps of some kinds.
+#[derive(Debug, Default)]
+struct WorkerPool {
+    /// Workers that take new runs, each with its free capacity when the pass began.
+    workers: Vec<(WorkerId, TaskSize)>,
+    /// Whole capacity of each of them.
+    rooms: Vec<TaskSize>,
+    /// All workers that serve these steps, whether they take new runs or not.
+    serving: Vec<WorkerId>,
+}
+
+/// Service, label, load and whether the tasks are long-running.
+type PoolKey = (String, Option<String>, RunLoad, bool);
+
+/// What a pass knows of a kind of steps.
+#[derive(Debug)]
+struct KindView {
+    service: usize,
+    pool: usize,
+    rule: Option<AdviceRule>,
+    resources: TaskSize,
+    gang: bool,
+    /// Number of tasks that the workers could hold if nothing ran, up to a bound for steps that are not gangs.
+    most_tasks: usize,
+    /// Workers with capacity for a task, as long as no look has found them full.
+    open: Vec<WorkerId>,
+    /// Whether an instance is free enough for another advice request.
+    has_adviser: bool,
+}
+
+/// The places of a service's steps in a pass.
+#[derive(Clone, Copy, Debug, Default)]
+struct ServicePlaces {
+    looked_at: usize,
+    prepared: usize,
+}
+
+/// A placement pass.
+#[derive(Debug)]
+struct PlacementPass {
+    now: CoreTime,
+    committed_at: CoreTime,
+    largest_free: TaskSize,
+    services: BTreeMap<String, usize>,
+    places: Vec<ServicePlaces>,
+    pools: Vec<WorkerPool>,
+    pool_numbers: BTreeMap<PoolKey, usize>,
+    kinds: Vec<Option<KindView>>,
+    /// Number of answers that may still be looked up in this part of the pass.
+    lookups_left: usize,
+    /// Number of steps that may still be looked at in this part of the pass.
+    places_left: usize,
+    /// Number of looks at steps, and of those that achieved nothing.
+    looked_at: usize,
+    fruitless: usize,
+}
+
+/// A waiting step in a pass.
+#[derive(Clone, Copy, Debug)]
+struct RankedStep {
+    rank: WaitingRank,
+    key: StepKey,
+    kind: KindNumber,
+    tasks: usize,
+    /// Whether the policy service allows no worker, and no further one is there to ask about.
+    refused: bool,
+    looked_at: bool,
+}
+
+impl EntryCore {
+    /// Looks at the steps that may go on, in the order of their ranks. Returns the number of looks.
+    pub(super) fn run_pass(&mut self, ranked: &[(WaitingRank, StepKey)]) -> usize {
+        let (mut pass, mut steps) = self.new_pass(ranked);
+        let services = pass.services.len().max(1);
+        let share = MAX_STEPS_PER_PASS.div_ceil(services);
+        let mut stopped_at = self.walk(&mut pass, &mut steps, 0, share);
+        if services > 1 {
+            // Steps get the places that other services have left.
+            let second = self.walk(&mut pass, &mut steps, 0, MAX_STEPS_PER_PASS);
+            stopped_at = stopped_at.max(second);
+        }
+        self.resume_pass(&mut pass, &mut steps, stopped_at);
+        pass.looked_at
+    }
+
+    /// Goes on where the last pass stopped, if this one has stopped before the end without achieving much: the
+    /// first steps cannot go on for reasons that only a look at them shows.
+    fn resume_pass(
+        &mut self,
+        pass: &mut PlacementPass,
+        steps: &mut [RankedStep],
+        stopped_at: usize,
+    ) {
+        let out_of_lookups = pass.lookups_left == 0;
+        let mostly_fruitless = pass.fruitless * 2 > pass.looked_at;
+        let resume_after = self.lead.as_deref().and_then(|lead| lead.resume_after);
+        let mut next = None;
+        if stopped_at < steps.len() && (out_of_lookups || mostly_fruitless) {
+            let resumed = resume_after.map_or(0, |after| {
+                steps.partition_point(|step| (step.rank, step.key) <= after)
+            });
+            let first = match resumed.max(stopped_at) {
+                end if end == steps.len() => stopped_at,
+                first => first,
+            };
+            pass.lookups_left = MAX_RESUMED_LOOKUPS;
+            pass.places_left = MAX_RESUMED_STEPS;
+            let end = self.walk(pass, steps, first, usize::MAX);
+            next = end
+                .checked_sub(1)
+                .map(|last| (steps[last].rank, steps[last].key));
+        }
+        if let Some(lead) = self.lead.as_deref_mut() {
+            lead.resume_after = next;
+        }
+    }
+
+    /// Walks steps from `first` on, and looks at those that may go on while their service has places left, of
+    /// `most` in the pass. Returns where it stopped for lack of places or lookups.
+    fn walk(
+        &mut self,
+        pass: &mut PlacementPass,
+        steps: &mut [RankedStep],
+        first: usize,
+        most: usize,
+    ) -> usize {
+        for (index, step) in steps.iter_mut().enumerate().skip(first) {
+            if pass.places_left == 0 || pass.lookups_left == 0 {
+                return index;
+            }
+            if !step.looked_at {
+                self.look_if_worthwhile(pass, step, most);
+            }
+        }
+        steps.len()
+    }
+
+    fn new_pass(&self, ranked: &[(WaitingRank, StepKey)]) -> (PlacementPass, Vec<RankedStep>) {
+        let mut pass = PlacementPass {
+            now: self.now,
+            committed_at: self.now,
+            largest_free: TaskSize::default(),
+            services: BTreeMap::new(),
+            places: Vec::new(),
+            pools: Vec::new(),
+            pool_numbers: BTreeMap::new(),
+            kinds: Vec::new(),
+            lookups_left: MAX_ANSWER_LOOKUPS,
+            places_left: MAX_STEPS_PER_PASS,
+            looked_at: 0,
+            fruitless: 0,
+        };
+        let Some(lead) = self.lead.as_deref() else {
+            return (pass, Vec::new());
+        };
+        pass.committed_at = self.now + lead.time_to_commit();
+        pass.largest_free = lead.max_free();
+        pass.kinds.resize_with(lead.kinds.bound(), || None);
+        let known = (lead.worker_states.changes(), self.table_version());
+        let mut steps = Vec::with_capacity(ranked.len());
+        for (rank, key) in ranked {
+            let Some(step) = lead.waiting.get(key) else {
+                continue;
+            };
+            if pass.kinds[step.kind].is_none() {
+                let kind = lead.kinds.get(step.kind);
+                pass.kinds[step.kind] = kind.map(|kind| self.kind_view(&mut pass, kind));
+            }
+            steps.push(RankedStep {
+                rank: *rank,
+                key: *key,
+                kind: step.kind,
+                tasks: step.tasks as usize,
+                refused: step.refused_with == Some(known),
+                looked_at: false,
+            });
+        }
+        (pass, steps)
+    }
+
+    fn kind_view(&self, pass: &mut PlacementPass, kind: &StepKind) -> KindView {
+        let table = self.table.as_ref();
+        let queue = table.and_then(|table| table.queue(&kind.queue));
+        let terms = queue.map(|queue| &queue.terms);
+        let service = terms.map_or(&kind.service, |terms| &terms.service);
+        let count = pass.services.len();
+        let number = *pass.services.entry(service.clone()).or_insert(count);
+        if number == count {
+            pass.places.push(ServicePlaces::default());
+        }
+        let key = (service.clone(), kind.label.clone(), kind.load, kind.lasting);
+        let pool = match pass.pool_numbers.get(&key) {
+            Some(pool) => *pool,
+            None => {
+                pass.pools.push(self.worker_pool(&key));
+                pass.pool_numbers.insert(key, pass.pools.len() - 1);
+                pass.pools.len() - 1
+            }
+        };
+        let workers = &pass.pools[pool];
+        let open = workers.workers.iter();
+        let open = open.filter(|(_, free)| kind.resources.fits(free));
+        let tasks = workers.rooms.iter();
+        let tasks = tasks.map(|room| kind.resources.times_within(room));
+        let rule = terms.and_then(|terms| terms.advice);
+        KindView {
+            service: number,
+            pool,
+            rule,
+            resources: kind.resources,
+            gang: kind.gang,
+            most_tasks: tasks.fold(0, usize::saturating_add),
+            open: open.map(|(id, _)| id.clone()).collect(),
+            has_adviser: rule.is_none_or(|rule| self.has_available_adviser(rule, 1)),
+        }
+    }
+
+    fn worker_pool(&self, (service, label, load, lasting): &PoolKey) -> WorkerPool {
+        let mut pool = WorkerPool::default();
+        let Some(lead) = self.lead.as_deref() else {
+            return pool;
+        };
+        for (id, state) in lead.worker_states.iter() {
+            if !serves(state, service, label.as_ref()) {
+                continue;
+            }
+            pool.serving.push(id.clone());
+            if is_usable(state, *lasting, self.now) && !state.has_conflicting_run(*load) {
+                let free = state.entry.room.minus(&state.used);
+                pool.workers.push((id.clone(), free));
+                pool.rooms.push(state.entry.room);
+            }
+        }
+        pool
+    }
+
+    /// Looks at a step if it may go on and its service has places left.
+    fn look_if_worthwhile(&mut self, pass: &mut PlacementPass, step: &mut RankedStep, most: usize) {
+        let Some(Some(kind)) = pass.kinds.get(step.kind) else {
+            return;
+        };
+        let service = kind.service;
+        let places = pass.places[service];
+        if places.looked_at >= most {
+            return;
+        }
+        let may_prepare =
+            places.prepared * 100 < most.min(MAX_STEPS_PER_PASS) * MAX_PREPARED_PERCENT;
+        match self.outlook(pass, step, may_prepare) {
+            Outlook::Nothing => return,
+            Outlook::Prepare => pass.places[service].prepared += 1,
+            Outlook::Start => (),
+        }
+        step.looked_at = true;
+        pass.places[service].looked_at += 1;
+        pass.looked_at += 1;
+        pass.places_left -= 1;
+        let before = self.placement_progress();
+        if let Some(step) = self.step_to_place(step.key) {
+            self.place_step(&step);
+        }
+        if self.placement_progress() == before {
+            pass.fruitless += 1;
+            pass.refresh_adviser(self, step.kind);
+        }
+    }
+
+    /// Returns what a look at a step may achieve.
+    fn outlook(
+        &mut self,
+        pass: &mut PlacementPass,
+        step: &mut RankedStep,
+        may_prepare: bool,
+    ) -> Outlook {
+        let key = step.key;
+        let Some(lead) = self.lead.as_deref() else {
+            return Outlook::Nothing;
+        };
+        let Some(Some(kind)) = pass.kinds.get_mut(step.kind) else {
+            return Outlook::Nothing;
+        };
+        if lead.restarting.contains_key(&key) || self.has_capacity_claim(key) {
+            return Outlook::Start;
+        }
+        let wanted = if kind.gang { step.tasks } else { 1 };
+        if step.refused || kind.most_tasks < wanted {
+            return Outlook::Nothing;
+        }
+        kind.drop_full(lead, wanted);
+        let has_capacity = kind.open_tasks(lead, wanted) >= wanted;
+        if !has_capacity && !may_prepare {
+            return Outlook::Nothing;
+        }
+        pass.lookups_left = pass.lookups_left.saturating_sub(1);
+        let outlook = if kind.rule.is_some() {
+            self.outlook_by_answers(pass, step, has_capacity)
+        } else if has_capacity {
+            Outlook::Start
+        } else {
+            self.outlook_without_capacity(key, false)
+        };
+        if !has_capacity {
+            self.record_capacity_wait(key);
+        }
+        outlook
+    }
+
+    /// Returns what a look at a step may achieve that finds no capacity.
+    fn outlook_without_capacity(&self, key: StepKey, may_request: bool) -> Outlook {
+        let plan_at = self
+            .lead
+            .as_deref()
+            .and_then(|lead| lead.next_plan_at.get(&key));
+        let is_paused = plan_at.is_some_and(|at| self.now < *at);
+        if may_request || (!is_paused && self.may_reclaim_capacity(key)) {
+            Outlook::Prepare
+        } else {
+            Outlook::Nothing
+        }
+    }
+
+    /// Returns what a look at a step may achieve that needs permits of the policy service.
+    fn outlook_by_answers(
+        &mut self,
+        pass: &mut PlacementPass,
+        step: &mut RankedStep,
+        has_capacity: bool,
+    ) -> Outlook {
+        let key = step.key;
+        let (Some(lead), Some(Some(kind))) = (self.lead.as_deref(), pass.kinds.get(step.kind))
+        else {
+            return Outlook::Nothing;
+        };
+        let wanted = if kind.gang { step.tasks } else { 1 };
+        let empty = StepAdvice::default();
+        let advice = lead.advice.get(&key).unwrap_or(&empty);
+        let can_request = advice.can_send_request(pass.now) && kind.has_adviser;
+        if advice.has_no_answer() {
+            if !can_request || !self.may_request_advice_on_unasked(key) {
+                return Outlook::Nothing;
+            }
+            if has_capacity {
+                return Outlook::Start;
+            }
+            let may_fit = kind.resources.fits(&pass.largest_free);
+            return self.outlook_without_capacity(key, may_fit);
+        }
+        let (mut permitted, mut usable) = (0_usize, 0_usize);
+        for worker in &kind.open {
+            if permitted >= wanted || pass.lookups_left == 0 {
+                break;
+            }
+            pass.lookups_left -= 1;
+            let tasks = kind.tasks_on(lead, worker);
+            if advice.permit(worker, pass.committed_at).is_some() {
+                permitted = permitted.saturating_add(tasks);
+                usable = usable.saturating_add(tasks);
+            } else if advice.is_allowed(worker) || !advice.has_answer_for(worker) {
+                usable = usable.saturating_add(tasks);
+            }
+        }
+        if permitted >= wanted || (usable >= wanted && can_request) {
+            return Outlook::Start;
+        }
+        if usable >= wanted {
+            return Outlook::Nothing;
+        }
+        let workers = &pass.pools[kind.pool];
+        if advice.allows_none() && advice.answers() >= workers.serving.len() {
+            let mut serving = workers.serving.iter();
+            pass.lookups_left = pass.lookups_left.saturating_sub(workers.serving.len());
+            step.refused = serving.all(|worker| advice.has_answer_for(worker));
+        }
+        if step.refused {
+            self.record_refusal(key);
+            return Outlook::Nothing;
+        }
+        // A gang requests advice about further workers although none has capacity.
+        self.outlook_without_capacity(key, kind.gang && can_request)
+    }
+
+    /// Records that the policy service allows none of the workers for a step.
+    fn record_refusal(&mut self, key: StepKey) {
+        let version = self.table_version();
+        let Some(lead) = self.lead.as_deref_mut() else {
+            return;
+        };
+        let workers = lead.worker_states.changes();
+        if let Some(step) = lead.waiting.get_mut(&key) {
+            step.refused_with = Some((workers, version));
+        }
+    }
+
+    /// Returns a number that changes when a placement pass starts a task, requests advice, or reserves capacity.
+    fn placement_progress(&self) -> u64 {
+        let lead = self.lead.as_deref();
+        lead.map_or(0, |lead| lead.placement_progress)
+    }
+}
+
+impl PlacementPass {
+    /// Checks again whether an instance is free enough for another advice request about a kind.
+    fn refresh_adviser(&mut self, core: &EntryCore, number: KindNumber) {
+        if let Some(Some(kind)) = self.kinds.get_mut(number) {
+            kind.has_adviser = kind
+                .rule
+                .is_none_or(|rule| core.has_available_adviser(rule, 1));
+        }
+    }
+}
+
+impl KindView {
+    /// Returns how many tasks a worker has capacity for.
+    fn tasks_on(&self, lead: &LeadState, worker: &WorkerId) -> usize {
+        let state = lead.worker_states.get(worker);
+        let free = state.map(|state| state.entry.room.minus(&state.used));
+        free.map_or(0, |free| self.resources.times_within(&free))
+    }
+
+    /// Returns how many tasks all workers have capacity for, up to a bound.
+    fn open_tasks(&self, lead: &LeadState, bound: usize) -> usize {
+        let mut tasks = 0_usize;
+        for worker in self.open.iter().rev() {
+            if tasks >= bound {
+                break;
+            }
+            tasks = tasks.saturating_add(self.tasks_on(lead, worker));
+        }
+        tasks
+    }
+
+    /// Drops workers that have become full in this pass; those at the end, if one task is to be placed.
+    fn drop_full(&mut self, lead: &LeadState, wanted: usize) {
+        let resources = self.resources;
+        let has_capacity = |worker: &WorkerId| {
+            let state = lead.worker_states.get(worker);
+            state.is_some_and(|state| resources.fits(&state.entry.room.minus(&state.used)))
+        };
+        if wanted > 1 {
+            self.open.retain(has_capacity);
+        } else {
+            while self.open.last().is_some_and(|last| !has_capacity(last)) {
+                self.open.pop();
+            }
+        }
+    }
+}
