perf(placement): a pass ranks only steps that something may be done for

The first version ranked and sorted all waiting steps in each pass, and looked each up several times. Steps that no worker could hold or that are refused by all workers are now left out before they are ranked, and of the steps of a full service the first 200 by rank are kept, of which 100 places could be taken before. Workers are scanned once for a pass, not for each kind of step. Where customers have limits, all steps are ranked as before, since those that wait count against the limit.

--- a/crates/bankvalve_queue/src/core/placement/mod.rs
+++ b/crates/bankvalve_queue/src/core/placement/mod.rs
@@ -21,7 +21,7 @@
 use crate::core::placement::capacity_reclaim::MAX_CAPACITY_WAIT;
 use crate::core::placement::restart_preparation::is_prepared_restart;
 use crate::core::placement::speed_preference::SpeedPreference;
-use crate::core::placement::waiting_steps::{Lateness, StepOrder, WaitingRank, FIRST_RANK};
+use crate::core::placement::waiting_steps::{Lateness, StepOrder};
 use crate::core::placement::worker_selection::{
     assign_workers, eligible_workers, first_advice_request, is_eligible, unasked_with_capacity,
     workers_to_ask,
@@ -255,7 +255,6 @@
         }
         lead.placement_due = false;
         lead.next_placement = now + MIN_PLACEMENT_INTERVAL;
-        let wall = self.wall;
         self.update_capacity_plans();
         let Some(lead) = self.lead.as_deref_mut() else {
             return;
@@ -266,24 +265,9 @@
             (true, false) => StepOrder::LatestStart,
             (true, true) => StepOrder::Priority,
         };
-        let mut ranked: Vec<(WaitingRank, StepKey)> = lead
-            .waiting
-            .iter()
-            .map(|(key, step)| {
-                let restarts = lead.restarting.contains_key(key);
-                let rank = if restarts {
-                    FIRST_RANK
-                } else {
-                    step.rank(now, wall, order, lead.plans.has_start(key))
-                };
-                (rank, *key)
-            })
-            .collect();
-        ranked.sort_unstable();
+        let waiting = lead.waiting.len() as u32;
         self.sum_usage_for_placement();
-        self.remove_steps_at_limit(&mut ranked);
-        let waiting = ranked.len() as u32;
-        let looked_at = self.run_pass(&ranked);
+        let looked_at = self.run_pass(order);
         if let Some(lead) = self.lead.as_deref_mut() {
             lead.next_placement += PLACEMENT_INTERVAL_PER_STEP * looked_at as u32;
             lead.next_placement += PLACEMENT_INTERVAL_PER_WAITING * waiting;
--- a/crates/bankvalve_queue/src/core/placement/placement_pass.rs
+++ b/crates/bankvalve_queue/src/core/placement/placement_pass.rs
@@ -14,8 +14,8 @@
 use crate::core::live_run::RunLoad;
 use crate::core::placement::advice::StepAdvice;
 use crate::core::placement::step_kinds::{KindNumber, StepKind};
-use crate::core::placement::waiting_steps::WaitingRank;
-use crate::core::placement::worker_selection::{is_usable, serves};
+use crate::core::placement::waiting_steps::{StepOrder, WaitingRank, FIRST_RANK};
+use crate::core::placement::worker_selection::{has_label, is_usable};
 use crate::core::EntryCore;
 use crate::ids::{CoreTime, StepKey, WorkerId};
 use crate::job::TaskSize;
@@ -28,6 +28,8 @@
 /// Maximum number of workers in a pass whose answers by the policy service are looked up to see whether steps
 /// may go on.
 const MAX_ANSWER_LOOKUPS: usize = 4_000;
+/// Maximum number of steps of a service that a pass ranks among those for which no capacity is free.
+const MAX_FULL_STEPS: usize = 200;
 /// Maximum numbers of steps and answers where a pass goes on where the last one stopped.
 const MAX_RESUMED_STEPS: usize = 10;
 const MAX_RESUMED_LOOKUPS: usize = 2_000;
@@ -43,29 +45,26 @@
     Nothing,
 }
 
-/// Workers that serve steps of some kinds.
-#[derive(Debug, Default)]
-struct WorkerPool {
-    /// Workers that take new runs, each with its free capacity when the pass began.
-    workers: Vec<(WorkerId, TaskSize)>,
-    /// Whole capacity of each of them.
-    rooms: Vec<TaskSize>,
-    /// All workers that serve these steps, whether they take new runs or not.
-    serving: Vec<WorkerId>,
+/// A worker in a pass.
+#[derive(Debug)]
+struct PassWorker {
+    id: WorkerId,
+    room: TaskSize,
+    /// Free capacity when the pass began.
+    free: TaskSize,
+    /// Whether it takes new runs, and whether it does so in back-off only.
+    usable: bool,
+    in_backoff: bool,
 }
 
-/// Service, label, load and whether the tasks are long-running.
-type PoolKey = (String, Option<String>, RunLoad, bool);
-
 /// What a pass knows of a kind of steps.
 #[derive(Debug)]
 struct KindView {
     service: usize,
-    pool: usize,
     rule: Option<AdviceRule>,
     resources: TaskSize,
     gang: bool,
-    /// Number of tasks that the workers could hold if nothing ran, up to a bound for steps that are not gangs.
+    /// Number of tasks that the workers could hold if nothing ran; for steps that are not gangs, 1 at most.
     most_tasks: usize,
     /// Workers with capacity for a task, as long as no look has found them full.
     open: Vec<WorkerId>,
@@ -78,18 +77,23 @@
 struct ServicePlaces {
     looked_at: usize,
     prepared: usize,
+    /// Whether a step was passed over since the service had used its share.
+    used_up: bool,
 }
 
 /// A placement pass.
 #[derive(Debug)]
-struct PlacementPass {
+pub(super) struct PlacementPass {
     now: CoreTime,
     committed_at: CoreTime,
     largest_free: TaskSize,
+    /// Workers and configuration for which refusals by the policy service are looked up.
+    known: (u64, u64),
+    /// Numbers of the services that waiting steps need.
     services: BTreeMap<String, usize>,
     places: Vec<ServicePlaces>,
-    pools: Vec<WorkerPool>,
-    pool_numbers: BTreeMap<PoolKey, usize>,
+    /// Workers of each service.
+    workers: Vec<Vec<PassWorker>>,
     kinds: Vec<Option<KindView>>,
     /// Number of answers that may still be looked up in this part of the pass.
     lookups_left: usize,
@@ -102,7 +106,7 @@
 
 /// A waiting step in a pass.
 #[derive(Clone, Copy, Debug)]
-struct RankedStep {
+pub(super) struct RankedStep {
     rank: WaitingRank,
     key: StepKey,
     kind: KindNumber,
@@ -113,13 +117,16 @@
 }
 
 impl EntryCore {
-    /// Looks at the steps that may go on, in the order of their ranks. Returns the number of looks.
-    pub(super) fn run_pass(&mut self, ranked: &[(WaitingRank, StepKey)]) -> usize {
-        let (mut pass, mut steps) = self.new_pass(ranked);
-        let services = pass.services.len().max(1);
-        let share = MAX_STEPS_PER_PASS.div_ceil(services);
+    /// Runs a placement pass: looks at the steps that may go on, in the order of their ranks. Returns the number of
+    /// looks.
+    pub(super) fn run_pass(&mut self, order: StepOrder) -> usize {
+        let mut pass = self.new_pass();
+        let mut ranked = self.rank_steps(&pass, order);
+        self.remove_steps_at_limit(&mut ranked);
+        let mut steps: Vec<RankedStep> = ranked.into_iter().map(|(step, _)| step).collect();
+        let share = MAX_STEPS_PER_PASS.div_ceil(pass.services.len().max(1));
         let mut stopped_at = self.walk(&mut pass, &mut steps, 0, share);
-        if services > 1 {
+        if pass.places.iter().any(|places| places.used_up) {
             // Steps get the places that other services have left.
             let second = self.walk(&mut pass, &mut steps, 0, MAX_STEPS_PER_PASS);
             stopped_at = stopped_at.max(second);
@@ -128,6 +135,56 @@
         pass.looked_at
     }
 
+    /// Returns the waiting steps in the order of their ranks, without those that nothing can be done for.
+    fn rank_steps(&self, pass: &PlacementPass, order: StepOrder) -> Vec<(RankedStep, StepKey)> {
+        let (now, wall) = (self.now, self.wall);
+        let Some(lead) = self.lead.as_deref() else {
+            return Vec::new();
+        };
+        // Steps that wait for their customer's limit count against it, whether they could run or not.
+        let needs_all = self.has_customer_limits();
+        let mut open = Vec::new();
+        let mut full: Vec<Vec<(RankedStep, StepKey)>> = Vec::new();
+        full.resize_with(pass.services.len(), Vec::new);
+        for (key, waiting) in &lead.waiting {
+            let Some(Some(kind)) = pass.kinds.get(waiting.kind) else {
+                continue;
+            };
+            let restarts = lead.restarting.contains_key(key);
+            let has_start = lead.plans.has_start(key);
+            let step = RankedStep {
+                rank: if restarts {
+                    FIRST_RANK
+                } else {
+                    waiting.rank(now, wall, order, has_start)
+                },
+                key: *key,
+                kind: waiting.kind,
+                tasks: waiting.tasks as usize,
+                refused: waiting.refused_with == Some(pass.known),
+                looked_at: false,
+            };
+            let must_look = restarts || needs_all || self.has_capacity_claim(*key);
+            if !must_look && (step.refused || kind.most_tasks < kind.wanted(&step)) {
+                continue;
+            }
+            if must_look || !kind.open.is_empty() {
+                open.push((step, *key));
+            } else {
+                full[kind.service].push((step, *key));
+            }
+        }
+        for mut steps in full {
+            if steps.len() > MAX_FULL_STEPS {
+                steps.select_nth_unstable_by_key(MAX_FULL_STEPS, |(step, key)| (step.rank, *key));
+                steps.truncate(MAX_FULL_STEPS);
+            }
+            open.append(&mut steps);
+        }
+        open.sort_unstable_by_key(|(step, key)| (step.rank, *key));
+        open
+    }
+
     /// Goes on where the last pass stopped, if this one has stopped before the end without achieving much: the
     /// first steps cannot go on for reasons that only a look at them shows.
     fn resume_pass(
@@ -180,105 +237,101 @@
         steps.len()
     }
 
-    fn new_pass(&self, ranked: &[(WaitingRank, StepKey)]) -> (PlacementPass, Vec<RankedStep>) {
+    fn new_pass(&self) -> PlacementPass {
         let mut pass = PlacementPass {
             now: self.now,
             committed_at: self.now,
             largest_free: TaskSize::default(),
+            known: (0, 0),
             services: BTreeMap::new(),
             places: Vec::new(),
-            pools: Vec::new(),
-            pool_numbers: BTreeMap::new(),
+            workers: Vec::new(),
             kinds: Vec::new(),
             lookups_left: MAX_ANSWER_LOOKUPS,
             places_left: MAX_STEPS_PER_PASS,
             looked_at: 0,
             fruitless: 0,
         };
-        let Some(lead) = self.lead.as_deref() else {
-            return (pass, Vec::new());
+        let Some(lead) = self.lead.as_deref().filter(|lead| !lead.waiting.is_empty()) else {
+            return pass;
         };
         pass.committed_at = self.now + lead.time_to_commit();
         pass.largest_free = lead.max_free();
-        pass.kinds.resize_with(lead.kinds.bound(), || None);
-        let known = (lead.worker_states.changes(), self.table_version());
-        let mut steps = Vec::with_capacity(ranked.len());
-        for (rank, key) in ranked {
-            let Some(step) = lead.waiting.get(key) else {
-                continue;
-            };
-            if pass.kinds[step.kind].is_none() {
-                let kind = lead.kinds.get(step.kind);
-                pass.kinds[step.kind] = kind.map(|kind| self.kind_view(&mut pass, kind));
+        pass.known = (lead.worker_states.changes(), self.table_version());
+        for kind in lead.kinds.iter() {
+            let count = pass.services.len();
+            let service = self.service_of(kind);
+            if !pass.services.contains_key(service) {
+                pass.services.insert(service.to_owned(), count);
             }
-            steps.push(RankedStep {
-                rank: *rank,
-                key: *key,
-                kind: step.kind,
-                tasks: step.tasks as usize,
-                refused: step.refused_with == Some(known),
-                looked_at: false,
-            });
         }
-        (pass, steps)
+        pass.places = vec![ServicePlaces::default(); pass.services.len()];
+        pass.workers.resize_with(pass.services.len(), Vec::new);
+        for (id, state) in lead.worker_states.iter() {
+            if let Some(service) = pass.services.get(&state.entry.service) {
+                pass.workers[*service].push(PassWorker {
+                    id: id.clone(),
+                    room: state.entry.room,
+                    free: state.entry.room.minus(&state.used),
+                    usable: is_usable(state, true, self.now),
+                    in_backoff: self.now < state.backoff_until,
+                });
+            }
+        }
+        let kinds = lead.kinds.numbered();
+        pass.kinds = kinds
+            .map(|kind| kind.map(|kind| self.kind_view(lead, &pass, kind)))
+            .collect();
+        pass
+    }
+
+    fn service_of<'a>(&'a self, kind: &'a StepKind) -> &'a str {
+        let queue = self
+            .table
+            .as_ref()
+            .and_then(|table| table.queue(&kind.queue));
+        queue.map_or(&kind.service, |queue| &queue.terms.service)
     }
 
-    fn kind_view(&self, pass: &mut PlacementPass, kind: &StepKind) -> KindView {
+    fn kind_view(&self, lead: &LeadState, pass: &PlacementPass, kind: &StepKind) -> KindView {
         let table = self.table.as_ref();
         let queue = table.and_then(|table| table.queue(&kind.queue));
-        let terms = queue.map(|queue| &queue.terms);
-        let service = terms.map_or(&kind.service, |terms| &terms.service);
-        let count = pass.services.len();
-        let number = *pass.services.entry(service.clone()).or_insert(count);
-        if number == count {
-            pass.places.push(ServicePlaces::default());
-        }
-        let key = (service.clone(), kind.label.clone(), kind.load, kind.lasting);
-        let pool = match pass.pool_numbers.get(&key) {
-            Some(pool) => *pool,
-            None => {
-                pass.pools.push(self.worker_pool(&key));
-                pass.pool_numbers.insert(key, pass.pools.len() - 1);
-                pass.pools.len() - 1
-            }
+        let rule = queue.and_then(|queue| queue.terms.advice);
+        let service = pass.services[self.service_of(kind)];
+        let needs_more = kind.label.is_some() || kind.load != RunLoad::Plain;
+        let takes = |worker: &&PassWorker| {
+            let fits = worker.usable
+                && (kind.lasting || !worker.in_backoff)
+                && kind.resources.fits(&worker.room);
+            fits && (!needs_more || {
+                let state = lead.worker_states.get(&worker.id);
+                state.is_some_and(|state| {
+                    has_label(state, kind.label.as_ref()) && !state.has_conflicting_run(kind.load)
+                })
+            })
         };
-        let workers = &pass.pools[pool];
-        let open = workers.workers.iter();
-        let open = open.filter(|(_, free)| kind.resources.fits(free));
-        let tasks = workers.rooms.iter();
-        let tasks = tasks.map(|room| kind.resources.times_within(room));
-        let rule = terms.and_then(|terms| terms.advice);
+        let (mut most_tasks, mut open) = (0_usize, Vec::new());
+        for worker in pass.workers[service].iter().filter(takes) {
+            most_tasks = if kind.gang {
+                most_tasks.saturating_add(kind.resources.times_within(&worker.room))
+            } else {
+                1
+            };
+            if kind.resources.fits(&worker.free) {
+                open.push(worker.id.clone());
+            }
+        }
         KindView {
-            service: number,
-            pool,
+            service,
             rule,
             resources: kind.resources,
             gang: kind.gang,
-            most_tasks: tasks.fold(0, usize::saturating_add),
-            open: open.map(|(id, _)| id.clone()).collect(),
+            most_tasks,
+            open,
             has_adviser: rule.is_none_or(|rule| self.has_available_adviser(rule, 1)),
         }
     }
 
-    fn worker_pool(&self, (service, label, load, lasting): &PoolKey) -> WorkerPool {
-        let mut pool = WorkerPool::default();
-        let Some(lead) = self.lead.as_deref() else {
-            return pool;
-        };
-        for (id, state) in lead.worker_states.iter() {
-            if !serves(state, service, label.as_ref()) {
-                continue;
-            }
-            pool.serving.push(id.clone());
-            if is_usable(state, *lasting, self.now) && !state.has_conflicting_run(*load) {
-                let free = state.entry.room.minus(&state.used);
-                pool.workers.push((id.clone(), free));
-                pool.rooms.push(state.entry.room);
-            }
-        }
-        pool
-    }
-
     /// Looks at a step if it may go on and its service has places left.
     fn look_if_worthwhile(&mut self, pass: &mut PlacementPass, step: &mut RankedStep, most: usize) {
         let Some(Some(kind)) = pass.kinds.get(step.kind) else {
@@ -287,6 +340,7 @@
         let service = kind.service;
         let places = pass.places[service];
         if places.looked_at >= most {
+            pass.places[service].used_up = true;
             return;
         }
         let may_prepare =
@@ -327,7 +381,7 @@
         if lead.restarting.contains_key(&key) || self.has_capacity_claim(key) {
             return Outlook::Start;
         }
-        let wanted = if kind.gang { step.tasks } else { 1 };
+        let wanted = kind.wanted(step);
         if step.refused || kind.most_tasks < wanted {
             return Outlook::Nothing;
         }
@@ -376,7 +430,7 @@
         else {
             return Outlook::Nothing;
         };
-        let wanted = if kind.gang { step.tasks } else { 1 };
+        let wanted = kind.wanted(step);
         let empty = StepAdvice::default();
         let advice = lead.advice.get(&key).unwrap_or(&empty);
         let can_request = advice.can_send_request(pass.now) && kind.has_adviser;
@@ -410,14 +464,22 @@
         if usable >= wanted {
             return Outlook::Nothing;
         }
-        let workers = &pass.pools[kind.pool];
-        if advice.allows_none() && advice.answers() >= workers.serving.len() {
-            let mut serving = workers.serving.iter();
-            pass.lookups_left = pass.lookups_left.saturating_sub(workers.serving.len());
-            step.refused = serving.all(|worker| advice.has_answer_for(worker));
+        let workers = &pass.workers[kind.service];
+        if advice.allows_none() && advice.answers() > 0 {
+            let serves = |worker: &&PassWorker| {
+                let state = lead.worker_states.get(&worker.id);
+                let label = lead
+                    .kinds
+                    .get(step.kind)
+                    .and_then(|kind| kind.label.as_ref());
+                state.is_some_and(|state| has_label(state, label))
+            };
+            let mut serving = workers.iter().filter(serves);
+            step.refused = serving.all(|worker| advice.has_answer_for(&worker.id));
+            pass.lookups_left = pass.lookups_left.saturating_sub(workers.len());
         }
         if step.refused {
-            self.record_refusal(key);
+            self.record_refusal(key, pass.known);
             return Outlook::Nothing;
         }
         // A gang requests advice about further workers although none has capacity.
@@ -425,14 +487,10 @@
     }
 
     /// Records that the policy service allows none of the workers for a step.
-    fn record_refusal(&mut self, key: StepKey) {
-        let version = self.table_version();
-        let Some(lead) = self.lead.as_deref_mut() else {
-            return;
-        };
-        let workers = lead.worker_states.changes();
-        if let Some(step) = lead.waiting.get_mut(&key) {
-            step.refused_with = Some((workers, version));
+    fn record_refusal(&mut self, key: StepKey, known: (u64, u64)) {
+        let lead = self.lead.as_deref_mut();
+        if let Some(step) = lead.and_then(|lead| lead.waiting.get_mut(&key)) {
+            step.refused_with = Some(known);
         }
     }
 
@@ -455,6 +513,15 @@
 }
 
 impl KindView {
+    /// Returns for how many tasks of a step there must be capacity for it to start.
+    fn wanted(&self, step: &RankedStep) -> usize {
+        if self.gang {
+            step.tasks
+        } else {
+            1
+        }
+    }
+
     /// Returns how many tasks a worker has capacity for.
     fn tasks_on(&self, lead: &LeadState, worker: &WorkerId) -> usize {
         let state = lead.worker_states.get(worker);
--- a/crates/bankvalve_queue/src/core/placement/step_kinds.rs
+++ b/crates/bankvalve_queue/src/core/placement/step_kinds.rs
@@ -86,8 +86,14 @@
         kind.map(|(kind, _)| kind)
     }
 
-    /// Returns a bound above all numbers in use.
-    pub(in crate::core) fn bound(&self) -> usize {
-        self.kinds.len()
+    /// Iterates over all kinds.
+    pub(in crate::core) fn iter(&self) -> impl Iterator<Item = &StepKind> {
+        self.numbered().flatten()
+    }
+
+    /// Iterates over all numbers from 0 on, each with its kind if it is in use.
+    pub(in crate::core) fn numbered(&self) -> impl Iterator<Item = Option<&StepKind>> {
+        let kinds = self.kinds.iter();
+        kinds.map(|kind| kind.as_ref().map(|(kind, _)| kind))
     }
 }
--- a/crates/bankvalve_queue/src/core/placement/worker_selection.rs
+++ b/crates/bankvalve_queue/src/core/placement/worker_selection.rs
@@ -41,7 +41,8 @@
     is_usable(state, step.past_deadline, now)
         && !step.crashed_workers.contains(id)
         && step.resources.fits(&state.entry.room)
-        && serves(state, &step.service, step.spec.required_label.as_ref())
+        && has_label(state, step.spec.required_label.as_ref())
+        && state.entry.service == step.service
         && !state.has_conflicting_run(RunLoad::of(&step.spec))
 }
 
@@ -62,9 +63,9 @@
         && state.is_responsive(now)
 }
 
-/// Returns whether a worker is of a service and has a label, if there is one.
-pub(in crate::core) fn serves(state: &WorkerState, service: &str, label: Option<&String>) -> bool {
-    label.is_none_or(|label| state.entry.labels.contains(label)) && state.entry.service == service
+/// Returns whether a worker has a label, if there is one.
+pub(in crate::core) fn has_label(state: &WorkerState, label: Option<&String>) -> bool {
+    label.is_none_or(|label| state.entry.labels.contains(label))
 }
 
 /// Returns workers that are eligible for tasks of a step: all of them, or, on a site of many workers, enough to
