--- a/crates/bankvalve/tests/site/entry_child.rs
+++ b/crates/bankvalve/tests/site/entry_child.rs
@@ -151,6 +151,24 @@
         log.iter().find(|line| line["event"] == event).cloned()
     }
 
+    /// Returns the number of logged lines of an event about an id.
+    pub(crate) fn count_lines(&self, event: &str, id: &str) -> usize {
+        let log = self.log.lock().expect("the lines");
+        let lines = log.iter();
+        lines
+            .filter(|line| line["event"] == event && line["id"] == id)
+            .count()
+    }
+
+    /// Returns the resident memory of the process in KiB.
+    pub(crate) fn resident_kib(&self) -> u64 {
+        let status = std::fs::read_to_string(format!("/proc/{}/status", self.child.id()));
+        let status = status.expect("the status of a running process");
+        let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:"));
+        let field = line.and_then(|line| line.split_whitespace().next());
+        field.and_then(|kib| kib.parse().ok()).expect("its memory")
+    }
+
     /// Returns the whole log.
     pub(crate) fn log_text(&self) -> String {
         let log = self.log.lock().expect("the lines");
--- a/crates/bankvalve/tests/site/main.rs
+++ b/crates/bankvalve/tests/site/main.rs
@@ -5,6 +5,7 @@
 mod evacuations;
 mod keys;
 mod leaving;
+mod odd_entries;
 mod serving;
 mod starting;
 mod stopping;
--- a/crates/bankvalve_standin/src/site/site_platform.rs
+++ b/crates/bankvalve_standin/src/site/site_platform.rs
@@ -60,6 +60,11 @@
     store_fault: StoreFault,
     silent_workers: BTreeSet<WorkerId>,
     runs: Vec<SeenRun>,
+    /// Rows that answers contain in place of the stored ones, by the encoded start of the stored row.
+    replaced_rows: BTreeMap<String, Vec<u8>>,
+    /// Bodies of workers' answers to polls, in place of their own.
+    poll_bodies: BTreeMap<WorkerId, Vec<u8>>,
+    advice_body: Option<Vec<u8>>,
 }
 
 impl PlatformState {
@@ -228,6 +233,45 @@
         }
     }
 
+    /// Replaces a row with any bytes in all answers of the table, as another writer might leave it there, or
+    /// restores it.
+    pub fn replace_row(&self, table: &str, part: &str, key: &str, row: Option<Vec<u8>>) {
+        let start = serde_json::json!({ "table": table, "part": part, "TlsKey": key });
+        let text = |field: &str| &start[field];
+        let start = format!(
+            r#"{{"table":{},"part":{},"TlsKey":{}"#,
+            text("table"),
+            text("part"),
+            text("TlsKey")
+        );
+        let rows = &mut self.shared.lock().replaced_rows;
+        match row {
+            Some(row) => rows.insert(start, row),
+            None => rows.remove(&start),
+        };
+    }
+
+    /// Writes the entry of a worker again, which the change feed reports.
+    pub fn rewrite_entry(&self, id: &WorkerId) {
+        let mut state = self.shared.lock();
+        let entry = state.workers.get(id).map(|worker| worker.entry.clone());
+        state.store.set_worker(id, entry);
+    }
+
+    /// Replaces the bodies of a worker's answers to polls, or restores its own answers.
+    pub fn set_poll_body(&self, id: &WorkerId, body: Option<Vec<u8>>) {
+        let bodies = &mut self.shared.lock().poll_bodies;
+        match body {
+            Some(body) => bodies.insert(id.clone(), body),
+            None => bodies.remove(id),
+        };
+    }
+
+    /// Replaces the bodies of the policy service's answers, or restores its own answers.
+    pub fn set_advice_body(&self, body: Option<Vec<u8>>) {
+        self.shared.lock().advice_body = body;
+    }
+
     /// Discards the history of changes, so that older watches must read again.
     pub fn forget_history(&self) {
         self.shared.lock().store.forget_history();
@@ -272,9 +316,15 @@
     let call = counterpart::read_call(&request.path, &request.query, header, &request.body);
     let answer = match call {
         None => return HttpAnswer::empty(404),
-        Some(PlatformCall::Store(request)) => serve_store(&shared, &request).await,
+        Some(PlatformCall::Store(request)) => serve_store(&shared, &request).await.map(|answer| {
+            let body = with_replaced_rows(answer.body, &shared.lock().replaced_rows);
+            WireAnswer { body, ..answer }
+        }),
         Some(PlatformCall::Advice(ask)) => {
             let state = shared.lock();
+            if let Some(body) = &state.advice_body {
+                return HttpAnswer::new(200, "application/json", body.clone());
+            }
             let policy = state.policy.as_ref();
             let answer = policy.map(|policy| policy.answer(&ask, shared.now_ms()));
             answer.and_then(|answer| counterpart::write_advice(&answer))
@@ -283,7 +333,14 @@
             worker,
             token,
             call,
-        }) => serve_worker(&shared, &worker, token, &call).await,
+        }) => {
+            let own = serve_worker(&shared, &worker, token, &call).await;
+            let is_poll = matches!(call, WorkerCall::Hold { .. });
+            match shared.lock().poll_bodies.get(&worker).filter(|_| is_poll) {
+                Some(body) => return HttpAnswer::new(200, "application/json", body.clone()),
+                None => own,
+            }
+        }
     };
     match answer {
         Some(WireAnswer { status, body, .. }) => HttpAnswer::new(status, "application/json", body),
@@ -294,6 +351,20 @@
     }
 }
 
+fn with_replaced_rows(body: Vec<u8>, rows: &BTreeMap<String, Vec<u8>>) -> Vec<u8> {
+    rows.iter().fold(body, |body, (start, row)| {
+        let at = body
+            .windows(start.len())
+            .position(|part| part == start.as_bytes());
+        let Some(at) = at else {
+            return body;
+        };
+        let length = body[at..].iter().position(|byte| *byte == b'}');
+        let end = length.map_or(body.len(), |length| at + length + 1);
+        [&body[..at], row, &body[end..]].concat()
+    })
+}
+
 async fn serve_store(shared: &Shared, request: &StoreRequest) -> Option<WireAnswer> {
     let until = Instant::now() + Duration::from_millis(max_wait_ms(request));
     loop {
