fix(queue): bound the expected time of the policy service

A configuration with `decide_ms` or `each_ms` of 1e300 ended the process: the sum was converted to a duration without a limit. `times_out_of_range_in_a_configuration_are_bounded` failed before ("cannot convert float seconds to Duration") and passes now. Not seen by callers: the platform's store takes only valid configurations. Ruled out by reading: the other conversions in placement and admission are bounded or saturate.

--- a/crates/bankvalve_queue/src/queue_table.rs
+++ b/crates/bankvalve_queue/src/queue_table.rs
@@ -8,6 +8,10 @@
 use crate::customer::{CustomerName, CustomerRule, KeyDigest};
 use crate::job::JobTerms;
 
+/// Longest time that an answer of the policy service is expected to take, in milliseconds. A configuration
+/// may contain any number.
+const MAX_ADVICE_MS: f64 = 86_400_000.0;
+
 /// Timing of the policy service that decides which workers may run a step.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct AdviceRule {
@@ -32,7 +36,7 @@
     /// ```
     pub fn time_for(&self, workers: usize) -> Duration {
         let millis = self.decide_ms + self.each_ms * workers as f64;
-        Duration::from_secs_f64(millis.max(0.0) / 1_000.0)
+        Duration::from_secs_f64(millis.clamp(0.0, MAX_ADVICE_MS) / 1_000.0)
     }
 }
 
