fix(queue): follow the list of workers after a key of maximum length

The next page of the workers' entries was requested from the last key with one character more. After a key of 200 bytes, the longest that the table takes, that start is no key of the table; where it refuses the request, the list is never complete and no worker is used. The next page now starts at the next key of at most 200 bytes. A page on which no key can be read is requested again after a pause and counted as `page_without_key`, instead of starting the list over at once.

The stand-in now refuses such a start (chosen reading: `Source` is a key, so its limit applies).

--- a/crates/bankvalve_queue/src/core/store_link.rs
+++ b/crates/bankvalve_queue/src/core/store_link.rs
@@ -3,8 +3,8 @@
 use std::time::Duration;
 
 use super::EntryCore;
-use crate::ids::{CoreTime, Ticket};
-use crate::store::{StoreOutcome, StoreRequest};
+use crate::ids::{CoreTime, Ticket, WorkerId};
+use crate::store::{StoreOutcome, StoreRequest, WorkerRow};
 
 /// Table of the leader's row.
 pub(super) const CELL_TABLE: &str = "cell";
@@ -13,6 +13,8 @@
 /// Part of the leader's row and of the ledger. They share it so that one transaction can cover both.
 pub(super) const LEAD_PART: &str = "lead";
 
+/// Maximum size of a key in the table, in bytes.
+const MAX_KEY_BYTES: usize = 200;
 /// Maximum time that a watch on the workers' entries waits for a change. A watch whose answer is lost
 /// reports nothing until it times out, so this limits the age of the entries.
 const WATCH_WAIT: Duration = Duration::from_millis(1_000);
@@ -245,18 +247,23 @@
                 more,
                 version,
             } => {
-                let last = entries.last().map(|(id, _)| id.to_string());
+                let next = next_page_start(&entries);
                 if full {
                     self.entry_scan.record_scan_page(&entries, version);
                 }
                 self.handle_worker_entries(entries, full);
-                if more {
-                    // `!` sorts before all characters of ids, so the next page starts after the last id.
-                    let from = format!("{}!", last.unwrap_or_default());
+                if let Some(from) = next.filter(|_| more) {
                     let request = StoreRequest::ReadWorkers { from };
                     self.send_store_request(StorePurpose::Workers { full, scan }, request);
                     return;
                 }
+                if more {
+                    self.counters.count("worker_entries", "page_without_key");
+                    self.worker_watch.busy = false;
+                    self.worker_watch.next_at = self.now + RETRY_PAUSE;
+                    self.run_watches();
+                    return;
+                }
                 let version = if full {
                     self.finish_entry_scan().unwrap_or(version)
                 } else {
@@ -278,3 +285,23 @@
         self.run_watches();
     }
 }
+
+/// Returns the first key after a page of workers' entries, or `None` if no key on the page can be read.
+fn next_page_start(entries: &[(WorkerId, WorkerRow)]) -> Option<String> {
+    let keys = entries.iter().rev().map(|(id, _)| id.to_string());
+    let mut key = keys.into_iter().find(|key| !key.is_empty())?;
+    if key.len() < MAX_KEY_BYTES {
+        // `!` sorts before all characters of ids.
+        key.push('!');
+        return Some(key);
+    }
+    // No longer key exists, so the next one differs in an earlier character.
+    while let Some(last) = key.pop() {
+        let next = char::from_u32(u32::from(last) + 1);
+        if let Some(next) = next.filter(|next| key.len() + next.len_utf8() <= MAX_KEY_BYTES) {
+            key.push(next);
+            return Some(key);
+        }
+    }
+    None
+}
--- a/crates/bankvalve_standin/src/site/site_store.rs
+++ b/crates/bankvalve_standin/src/site/site_store.rs
@@ -90,6 +90,10 @@
                 let outcome = self.operator(*after, EvacuationNews::Changes(changes));
                 self.watched(*after, changed, |_| outcome)
             }
+            // A key that is too long is refused like any other call that the table does not take.
+            StoreRequest::ReadWorkers { from } if from.len() > MAX_KEY_BYTES => {
+                Some(StoreOutcome::Busy)
+            }
             StoreRequest::ReadWorkers { from } => Some(self.read_workers(from)),
             StoreRequest::WatchWorkers { after, .. } => {
                 let entries: Vec<_> = self
