fix(queue): an entry of another writer is no proof that a worker has ended

Callers saw TWICE: an entry with another service and address was written under the key of a living worker. All calls then went to that address; the worker there answered 421, which counted as proof that the first one had ended, and its tasks started elsewhere beside the first runs. If nobody was there, its lease was no longer renewed and its tasks were lost.

So a process is now called where it has answered itself. Only while it does not answer there, every second call goes to its entry's address. A 421, or a refused connection, from an address at which the process has never answered counts as no answer. An entry with a service that is not in use, under the key of a worker that answers, is skipped as unusable, and read again once a further service comes into use. While the addresses differ, no task starts on the worker.

Cost: after a change of leader, a worker that was really replaced while its entry stands, and that has not answered this leader, is given up once the former leader's lease has expired, no longer at the first 421. The wait protects runs that may go on under that lease. Not distinguished: an entry with the worker's own address, a service in use and its start time or none, but another capacity, label or state.

--- a/crates/bankvalve_check/src/site/site_crashes.rs
+++ b/crates/bankvalve_check/src/site/site_crashes.rs
@@ -1,6 +1,6 @@
 //! Tasks that end the workers that run them, and workers that end by themselves.
 
-use bankvalve_queue::{EndKind, JobSpec, RunId, StepKey, TaskKey, TaskSize, WorkerId};
+use bankvalve_queue::{EndKind, JobSpec, RunId, StepKey, TaskKey, TaskSize, WorkerEntry, WorkerId};
 use bankvalve_standin::site::SiteWorker;
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64Mcg;
@@ -167,6 +167,13 @@
         self.answer_watches();
     }
 
+    /// Another writer replaces a worker's entry, or the worker writes it again.
+    pub fn overwrite_with(&mut self, id: &WorkerId, entry: WorkerEntry) {
+        self.lasting.trouble(self.now_ms);
+        self.store.set_worker(id, Some(entry));
+        self.answer_watches();
+    }
+
     /// All that a worker runs ends with it.
     pub(super) fn runs_end_with(&mut self, worker: &SiteWorker) {
         let now = self.now_ms;
--- a/crates/bankvalve_queue/src/core/call_proxies.rs
+++ b/crates/bankvalve_queue/src/core/call_proxies.rs
@@ -141,7 +141,7 @@
     ) -> Option<PeerAddress> {
         let lead = self.lead.as_deref()?;
         let proxy = lead.proxies.proxy_of(worker)?;
-        let address = lead.worker_states.get(worker)?.entry.address.clone();
+        let address = lead.worker_states.get(worker)?.call_address().to_owned();
         let order = ProxiedOrder::of(call)?;
         let call = ProxiedCall {
             worker: worker.clone(),
--- a/crates/bankvalve_queue/src/core/lead_state.rs
+++ b/crates/bankvalve_queue/src/core/lead_state.rs
@@ -95,6 +95,8 @@
 #[derive(Clone, Debug)]
 pub(super) struct OpenCall {
     pub(super) worker: Incarnation,
+    /// Address that the call was sent to.
+    pub(super) address: String,
     pub(super) purpose: CallPurpose,
     pub(super) sent_at: CoreTime,
     /// The peer that sends the call for this leader, if any.
--- a/crates/bankvalve_queue/src/core/lease_renewal.rs
+++ b/crates/bankvalve_queue/src/core/lease_renewal.rs
@@ -342,9 +342,10 @@
         ) else {
             return;
         };
-        let address = state.entry.address.clone();
+        let address = state.call_address().to_owned();
         let open = OpenCall {
             worker: incarnation,
+            address: address.clone(),
             purpose,
             sent_at: self.now,
             proxy,
@@ -392,23 +393,29 @@
             return;
         };
         let id = open.worker.worker.clone();
-        match answer {
+        if let (WorkerAnswer::OtherLife, CallPurpose::Start { task, .. }) = (&answer, purpose) {
+            // The other process has refused the order, so it was not executed.
+            if let Some(live) = state.runs.get_mut(task) {
+                live.busy = false;
+            }
+        }
+        match state.evidence_in(answer, &open.address) {
             WorkerAnswer::OtherLife => {
-                if let CallPurpose::Start { task, .. } = purpose {
-                    // The other process has refused the order, so it was not executed.
-                    if let Some(live) = state.runs.get_mut(task) {
-                        live.busy = false;
-                    }
-                }
                 self.declare_worker_lost(&id, ProcessEnd::OtherLife);
                 if let Some(state) = self
                     .lead
                     .as_deref_mut()
                     .and_then(|lead| lead.worker_states.get_mut(&id))
                 {
-                    state.listed = false;
                     state.poll_in_flight = false;
-                    state.next_poll = now + FORGET_WORKER_AFTER;
+                    if state.entry.address == open.address {
+                        state.listed = false;
+                        state.next_poll = now + FORGET_WORKER_AFTER;
+                    } else {
+                        // The next process may answer at the entry's address.
+                        state.answered_at = None;
+                        state.next_poll = now;
+                    }
                 }
             }
             answer => match *purpose {
@@ -450,6 +457,7 @@
                     if before == Some(state.number) {
                         state.last_end_acknowledged = state.last_end_acknowledged.max(acknowledged);
                     }
+                    state.answered_at = Some(open.address.clone());
                     state.listed_on = report.connection.map(|connection| ListConnection {
                         proxy: open.proxy,
                         connection,
--- a/crates/bankvalve_queue/src/core/worker_entries.rs
+++ b/crates/bankvalve_queue/src/core/worker_entries.rs
@@ -106,7 +106,14 @@
         if let Some(slowness) = slowness.filter(|_| full) {
             state.start_slowness(*slowness);
         }
+        // The process that answers has announced a service in use, so another program wrote the entry.
+        let known_service = self.services.contains(&entry.service);
+        if state.answered_at.is_some() && state.service_in_use && !known_service {
+            self.skip_unreadable_entry(id, "its service is not in use, unlike the worker's");
+            return;
+        }
         let leave_announced = entry.leaving && !state.entry.leaving;
+        let address_changed = state.entry.address != entry.address;
         let shrunk = !state.entry.room.fits(&entry.room);
         let capacities = (state.entry.room, entry.room);
         state.service_in_use = self.services.contains(&entry.service);
@@ -115,7 +122,7 @@
         state.listed = true;
         state.entry_readable = true;
         let other_process = state.token_accepted && !state.entry_is_current();
-        if other_process {
+        if other_process || address_changed {
             state.next_poll = now;
         }
         self.refresh_speed_of(id);
@@ -139,11 +146,17 @@
             return;
         }
         let services = &self.services;
+        let mut skipped_entry = false;
         if let Some(lead) = self.lead.as_deref_mut() {
             for state in lead.worker_states.values_mut() {
                 state.service_in_use = services.contains(&state.entry.service);
+                skipped_entry |= !state.entry_readable;
             }
         }
+        // An entry may have been skipped because its service was not in use.
+        if skipped_entry {
+            self.worker_watch = Default::default();
+        }
     }
 
     fn unlist_worker(&mut self, id: &WorkerId) {
--- a/crates/bankvalve_queue/src/core/worker_state.rs
+++ b/crates/bankvalve_queue/src/core/worker_state.rs
@@ -9,7 +9,7 @@
 use crate::job::TaskSize;
 use crate::ledger::{CrashEvidence, CrashWeight};
 use crate::peer::PeerAddress;
-use crate::worker::{ProcessStart, WorkerEntry};
+use crate::worker::{ProcessStart, WorkerAnswer, WorkerEntry};
 
 /// A worker gets new tasks only if its last contact is more recent than this.
 const RECENT_CONTACT: Duration = Duration::from_millis(1_300);
@@ -199,6 +199,8 @@
     pub(super) reserved: Vec<Reservation>,
     /// Start time of the process that answers, as reported with its last run lists.
     pub(super) started: Option<ProcessStart>,
+    /// Address at which this process last answered a poll.
+    pub(super) answered_at: Option<String>,
     /// Connection on which the last run lists were received.
     pub(super) listed_on: Option<ListConnection>,
     /// Highest number of an ended run that was handled.
@@ -256,6 +258,7 @@
             used: TaskSize::default(),
             reserved: Vec::new(),
             started: None,
+            answered_at: None,
             listed_on: None,
             last_end_seen: 0,
             ends_read_until: None,
@@ -395,10 +398,38 @@
     }
 
     /// Returns whether the entry was written by the process that answers. True if either start time is
-    /// unknown.
+    /// unknown, as long as the process answers at the entry's address.
     pub(super) fn entry_is_current(&self) -> bool {
         let known = self.started.zip(self.entry.started);
         known.is_none_or(|(answers, wrote)| answers == wrote)
+            && self
+                .answered_at
+                .as_ref()
+                .is_none_or(|answered| *answered == self.entry.address)
+    }
+
+    /// Returns the address for the next call. Another writer may have changed the entry, so calls go to
+    /// where the process has answered; while it does not, every second one goes to the entry's address.
+    pub(super) fn call_address(&self) -> &str {
+        match &self.answered_at {
+            Some(answered) if self.unanswered % 2 == 0 => answered,
+            _ => &self.entry.address,
+        }
+    }
+
+    /// Returns what an answer from an address shows about this process. Where it has never answered, another
+    /// process or a refused connection is no evidence that it has ended.
+    pub(super) fn evidence_in(&self, answer: WorkerAnswer, address: &str) -> WorkerAnswer {
+        let at_other_address = self.answered_at.as_deref().is_some_and(|at| at != address);
+        match answer {
+            WorkerAnswer::OtherLife if self.answered_at.is_none() && !self.runs.is_empty() => {
+                WorkerAnswer::NoReply
+            }
+            WorkerAnswer::OtherLife | WorkerAnswer::PortRefused if at_other_address => {
+                WorkerAnswer::NoReply
+            }
+            answer => answer,
+        }
     }
 
     /// Returns whether a run's end may be among those that the worker has not reported yet.
