test(standin): workers of the HTTP stand-in restart under their ids

All workers of the stand-in platform shared the table's address and one server. A call was matched by its `x-expect-instance` header alone, an unknown id had 421, and no worker could end or restart, so that no test over sockets could play what the platform does: a process that is back under its id takes calls that were meant for the process before.

Each worker now has a listener of its own that outlives its processes. `end_worker` ends the process with its connections and its runs, as a loss of power does; calls sent then wait at the listener. `restart_worker` starts the next one under the same id with a clock from 0, and it takes them, with their deadlines by the old clock. A worker still answers 421 to another id. `add_worker` can fail and says so.

--- a/crates/bankvalve/src/dev/dev_site.rs
+++ b/crates/bankvalve/src/dev/dev_site.rs
@@ -44,7 +44,8 @@
     let listener = TcpListener::bind(any).map_err(|error| failed(&error))?;
     let platform = SitePlatform::start(listener, None).map_err(|error| failed(&error))?;
     for _ in 0..options.workers {
-        platform.add_worker(SERVICE, WORKER_MILLICORES);
+        let added = platform.add_worker(SERVICE, WORKER_MILLICORES);
+        added.map_err(|error| failed(&error))?;
     }
     platform.configure(QueueTable::new(1, vec![rule()], BTreeMap::new()));
     let (log, _) = DecisionLog::start().map_err(|error| failed(&error))?;
--- a/crates/bankvalve/tests/site/test_site.rs
+++ b/crates/bankvalve/tests/site/test_site.rs
@@ -97,7 +97,7 @@
         };
         let platform = SitePlatform::start(listener, Some(policy)).expect("a platform");
         for _ in 0..workers {
-            platform.add_worker(SERVICE, 4_000);
+            platform.add_worker(SERVICE, 4_000).expect("a worker");
         }
         let mut site = Self {
             platform,
--- a/crates/bankvalve/tests/site/trouble.rs
+++ b/crates/bankvalve/tests/site/trouble.rs
@@ -100,7 +100,10 @@
     let site = TestSite::start(2, 3);
     site.submit(job_of(1, "work=50", &[1]));
     site.platform.forget_history();
-    let id = site.platform.add_worker("billing", 4_000);
+    let id = site
+        .platform
+        .add_worker("billing", 4_000)
+        .expect("a worker");
     for job in 2..=20 {
         site.submit(job_of(job, "work=200", &[3]));
     }
--- a/crates/bankvalve_standin/src/site/site_platform.rs
+++ b/crates/bankvalve_standin/src/site/site_platform.rs
@@ -22,6 +22,8 @@
 const FIRST_START_MS: u64 = 1_000_000_000_000;
 /// Longest lease that workers grant, in milliseconds.
 const MAX_LEASE_MS: u64 = 6_000;
+/// Time between the start times of two processes of a worker, in milliseconds.
+const RESTART_STEP_MS: u64 = 1_000;
 /// Run time of a task whose payload has no `work=MS`, in milliseconds.
 const WORK_MS: u64 = 100;
 
@@ -61,6 +63,8 @@
     policy: Option<SitePolicy>,
     store_fault: StoreFault,
     silent_workers: BTreeSet<WorkerId>,
+    /// Processes of workers that have ended and whose next process has not started.
+    ended_workers: BTreeMap<WorkerId, SiteWorker>,
     runs: Vec<SeenRun>,
 }
 
@@ -71,7 +75,12 @@
             return;
         };
         worker.run_until(now_ms);
-        for event in worker.take_events() {
+        let events = worker.take_events();
+        self.note_events(id, events, now_ms);
+    }
+
+    fn note_events(&mut self, id: &WorkerId, events: Vec<WorkerEvent>, now_ms: u64) {
+        for event in events {
             match event {
                 WorkerEvent::Started(task, run) => self.runs.push(SeenRun {
                     task,
@@ -113,7 +122,16 @@
     }
 }
 
-/// The platform of the users on one address: its table, its policy service and its workers.
+/// The address of a worker and the server of its process; none while no process is there.
+///
+/// The listener outlives the processes, so that calls sent in between wait for the next one.
+struct WorkerPort {
+    listener: TcpListener,
+    server: Option<HttpServer>,
+}
+
+/// The platform of the users: its table and its policy service on one address, and its workers, each on an
+/// address of its own.
 ///
 /// # Examples
 ///
@@ -125,13 +143,14 @@
 ///
 /// let listener = TcpListener::bind("127.0.0.1:0").unwrap();
 /// let platform = SitePlatform::start(listener, None).unwrap();
-/// platform.add_worker("service", 4_000);
+/// platform.add_worker("service", 4_000).unwrap();
 /// platform.configure(QueueTable::new(1, Vec::new(), BTreeMap::new()));
 /// assert!(platform.runs().is_empty());
 /// ```
 pub struct SitePlatform {
     shared: Arc<Shared>,
     server: HttpServer,
+    ports: Mutex<BTreeMap<WorkerId, WorkerPort>>,
 }
 
 impl std::fmt::Debug for SitePlatform {
@@ -160,22 +179,33 @@
         let server = HttpServer::start("platform", listener, limits, move |request| {
             serve(serving.clone(), request)
         })?;
-        Ok(Self { shared, server })
+        let ports = Mutex::default();
+        Ok(Self {
+            shared,
+            server,
+            ports,
+        })
     }
 
-    /// Returns the address that the platform listens on.
+    /// Returns the address that the table and the policy service listen on.
     pub fn address(&self) -> SocketAddr {
         self.server.address()
     }
 
     /// Adds a worker of a service with the given CPU and returns its id.
-    pub fn add_worker(&self, service: &str, millicores: u64) -> WorkerId {
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if its listener or its thread cannot be set up.
+    pub fn add_worker(&self, service: &str, millicores: u64) -> std::io::Result<WorkerId> {
+        let listener = TcpListener::bind((self.address().ip(), 0))?;
+        let address = listener.local_addr()?;
         let mut state = self.shared.lock();
         let number = state.workers.len() as u64 + 1;
         let id: WorkerId = format!("w-{number}").into();
         let entry = WorkerEntry {
             service: service.into(),
-            address: self.address().to_string(),
+            address: address.to_string(),
             domain: "domain".into(),
             labels: vec!["kind-a".into(), format!("rack-{}", number % 2)],
             room: TaskSize {
@@ -190,7 +220,84 @@
         state.store.set_worker(&id, Some(entry.clone()));
         let worker = SiteWorker::new(id.clone(), entry, number * 10_000, MAX_LEASE_MS);
         state.workers.insert(id.clone(), worker);
-        id
+        drop(state);
+        let server = Some(self.serve_worker_at(&listener, &id)?);
+        let port = WorkerPort { listener, server };
+        self.lock_ports().insert(id.clone(), port);
+        Ok(id)
+    }
+
+    /// Returns the address of a worker.
+    pub fn worker_address(&self, id: &WorkerId) -> Option<SocketAddr> {
+        let ports = self.lock_ports();
+        ports.get(id)?.listener.local_addr().ok()
+    }
+
+    /// Ends a worker's process as a loss of power does: its runs end, and calls to its address have no answer.
+    /// They reach the next process, if one starts before their callers give up.
+    pub fn end_worker(&self, id: &WorkerId) {
+        if let Some(port) = self.lock_ports().get_mut(id) {
+            port.server = None;
+        }
+        let now_ms = self.shared.now_ms();
+        let mut state = self.shared.lock();
+        state.record_events(id, now_ms);
+        let Some(mut worker) = state.workers.remove(id) else {
+            return;
+        };
+        let tasks: Vec<TaskKey> = worker.runs().keys().copied().collect();
+        for task in tasks {
+            worker.end(task, EndKind::Lost);
+        }
+        state.note_events(id, worker.take_events(), now_ms);
+        state.ended_workers.insert(id.clone(), worker);
+        self.shared.changed.notify_all();
+    }
+
+    /// Starts the next process of a worker that has ended, under its id and at its address. Its clock begins
+    /// at 0, so it is behind that of the first process.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if its thread cannot be set up.
+    pub fn restart_worker(&self, id: &WorkerId) -> std::io::Result<()> {
+        let now_ms = self.shared.now_ms();
+        let mut state = self.shared.lock();
+        let Some(before) = state.ended_workers.remove(id) else {
+            return Ok(());
+        };
+        let started = before.entry.started;
+        let entry = WorkerEntry {
+            started: started.map(|ProcessStart(at)| ProcessStart(at + RESTART_STEP_MS)),
+            ..before.entry.clone()
+        };
+        state.store.set_worker(id, Some(entry.clone()));
+        let worker = before.restarted(entry, now_ms, 0);
+        state.workers.insert(id.clone(), worker);
+        drop(state);
+        if let Some(port) = self.lock_ports().get_mut(id) {
+            port.server = Some(self.serve_worker_at(&port.listener, id)?);
+        }
+        Ok(())
+    }
+
+    fn serve_worker_at(
+        &self,
+        listener: &TcpListener,
+        id: &WorkerId,
+    ) -> std::io::Result<HttpServer> {
+        let (shared, id) = (self.shared.clone(), id.clone());
+        let limits = ServerLimits::default();
+        HttpServer::start("worker", listener.try_clone()?, limits, move |request| {
+            serve_at_worker(shared.clone(), id.clone(), request)
+        })
+    }
+
+    fn lock_ports(&self) -> MutexGuard<'_, BTreeMap<WorkerId, WorkerPort>> {
+        match self.ports.lock() {
+            Ok(ports) => ports,
+            Err(error) => error.into_inner(),
+        }
     }
 
     /// Replaces the operator's configuration.
@@ -268,12 +375,15 @@
     }
 }
 
-/// Serves one call. A call that gets no answer is left open for [`UNANSWERED_TIME`].
-async fn serve(shared: Arc<Shared>, request: HttpRequest) -> HttpAnswer {
+fn read_call(request: &HttpRequest) -> Option<PlatformCall> {
     let header = |name: &str| request.header(name).map(str::to_owned);
-    let call = counterpart::read_call(&request.path, &request.query, header, &request.body);
-    let answer = match call {
-        None => return HttpAnswer::empty(404),
+    counterpart::read_call(&request.path, &request.query, header, &request.body)
+}
+
+/// Serves one call to the table or the policy service.
+async fn serve(shared: Arc<Shared>, request: HttpRequest) -> HttpAnswer {
+    let answer = match read_call(&request) {
+        None | Some(PlatformCall::Worker { .. }) => return HttpAnswer::empty(404),
         Some(PlatformCall::Store(request)) => serve_store(&shared, &request).await,
         Some(PlatformCall::Advice(ask)) => {
             let state = shared.lock();
@@ -281,12 +391,30 @@
             let answer = policy.map(|policy| policy.answer(&ask, shared.now_ms()));
             answer.and_then(|answer| counterpart::write_advice(&answer))
         }
-        Some(PlatformCall::Worker {
-            worker,
-            token,
-            call,
-        }) => serve_worker(&shared, &worker, token, &call).await,
     };
+    write_answer(answer).await
+}
+
+/// Serves one call at the address of a worker. Any process of the worker takes it, also one that it was not
+/// meant for.
+async fn serve_at_worker(shared: Arc<Shared>, id: WorkerId, request: HttpRequest) -> HttpAnswer {
+    let Some(PlatformCall::Worker {
+        worker,
+        token,
+        call,
+    }) = read_call(&request)
+    else {
+        return HttpAnswer::empty(404);
+    };
+    let answer = match worker == id {
+        true => serve_worker(&shared, &id, token, &call).await,
+        false => counterpart::write_worker_answer(&WorkerAnswer::OtherLife),
+    };
+    write_answer(answer).await
+}
+
+/// Writes an answer. A call that gets none is left open for [`UNANSWERED_TIME`].
+async fn write_answer(answer: Option<WireAnswer>) -> HttpAnswer {
     match answer {
         Some(WireAnswer { status, body, .. }) => HttpAnswer::new(status, "application/json", body),
         None => {
