--- a/crates/bankvalve/tests/site/odd_entries.rs
+++ b/crates/bankvalve/tests/site/odd_entries.rs
@@ -128,14 +128,20 @@
 #[test]
 fn odd_rows_among_the_workers_stop_neither_the_process_nor_the_list() {
     let mut site = TestSite::start(1, 3);
-    let id = site.platform.add_worker("billing", 4_000);
+    let id = site
+        .platform
+        .add_worker("billing", 4_000)
+        .expect("a worker");
     site.submit(job_of(1, "work=50", &[2]));
     for (number, row) in odd_rows(&site, &id).into_iter().enumerate() {
         let text = String::from_utf8_lossy(&row[..row.len().min(160)]).into_owned();
         site.platform
             .replace_row("servers", "", &id, Some(row.clone()));
         site.platform.rewrite_entry(&id);
-        let good = site.platform.add_worker("billing", 4_000);
+        let good = site
+            .platform
+            .add_worker("billing", 4_000)
+            .expect("a worker");
         wait_until(&format!("a worker after {text} is listed"), || {
             site.entry(0).assert_runs();
             site.entry(0).count_lines("listed", &good) > 0
@@ -166,7 +172,10 @@
 #[test]
 fn changes_of_an_odd_entry_take_no_memory() {
     let site = TestSite::start(1, 3);
-    let id = site.platform.add_worker("billing", 4_000);
+    let id = site
+        .platform
+        .add_worker("billing", 4_000)
+        .expect("a worker");
     let deep = entry_with(&site, "/Labels/0", &nested("[", "]", 20_000));
     let row = row_of(&id, deep);
     site.platform.replace_row("servers", "", &id, Some(row));
@@ -193,7 +202,10 @@
 #[test]
 fn odd_answers_of_a_worker_or_the_policy_service_do_not_stop_the_process() {
     let site = TestSite::start(1, 3);
-    let id = site.platform.add_worker("billing", 4_000);
+    let id = site
+        .platform
+        .add_worker("billing", 4_000)
+        .expect("a worker");
     for (number, value) in odd_values().into_iter().enumerate() {
         for field in ["ClockMs", "born", "Running", "Ended"] {
             let body = format!(r#"{{"ClockMs":1,"born":1,"{field}":{value}}}"#);
