test(site): restarted workers of drawn worlds are cut off soon after, with lost leaders

Half of the series of restarts are now followed by a cut of their workers from all instances and the table, 0 to 4 s after the start of the last process; in a third of them the workers restart twice in a row; in four of five a leader is killed, loses power, freezes or is cut off, before, between or after. One job in 60 works for 7 to 12 s. All is drawn by a source of its own, and a run prints how often each pair was played.

--- a/crates/bankvalve_check/src/command/mod.rs
+++ b/crates/bankvalve_check/src/command/mod.rs
@@ -46,7 +46,7 @@
         #[bpaf(long("break"), argument("NAME"), optional)]
         guard: Option<String>,
         /// What burdens the site: usual (nothing), carried, hubs, processor, link, crashes, losses, storms,
-        /// restarts, customers or evacuations
+        /// restarts, late-restarts, customers or evacuations
         #[bpaf(argument("NAME"), fallback("usual".into()))]
         burden: String,
         /// Run the first seed alone and print the decision lines that contain this text (a job, a task, a
--- a/crates/bankvalve_check/src/site/mod.rs
+++ b/crates/bankvalve_check/src/site/mod.rs
@@ -28,6 +28,7 @@
 mod site_promise;
 mod site_random;
 mod site_recovery;
+mod site_restart_cuts;
 mod site_restarts;
 mod site_return;
 mod site_rooms;
@@ -67,6 +68,7 @@
     run_site_episode, run_site_random, SiteBurden, SiteReport,
 };
 pub use site_recovery::LinkRecord;
+pub use site_restart_cuts::{LossMoment, RestartCut};
 pub use site_restarts::{run_restart_episode, RestartFigures, WorkerRestart};
 pub use site_rules::{RuleBook, RuleBreach, RunGap};
 pub use site_storm_figures::StormFigures;
--- a/crates/bankvalve_check/src/site/site_random.rs
+++ b/crates/bankvalve_check/src/site/site_random.rs
@@ -188,8 +188,10 @@
     /// Nothing, but workers are lost in series in all manners, leaders in between, while some tasks end
     /// the workers that run them and some last.
     Storms,
-    /// Nothing, but workers start again under their ids in series.
+    /// Nothing, but workers start again under their ids in series, and some are cut off soon after.
     Restarts,
+    /// The same, and what a process had received is carried out late by the next one.
+    LateRestarts,
     /// Nothing, but queues ask for keys of customers, whose keys and limits change.
     Customers,
     /// Nothing, but the operator evacuates failure domains of workers.
@@ -198,7 +200,7 @@
 
 impl SiteBurden {
     /// All burdens.
-    pub const ALL: [SiteBurden; 11] = [
+    pub const ALL: [SiteBurden; 12] = [
         SiteBurden::Usual,
         SiteBurden::Carried,
         SiteBurden::Hubs,
@@ -208,6 +210,7 @@
         SiteBurden::Losses,
         SiteBurden::Storms,
         SiteBurden::Restarts,
+        SiteBurden::LateRestarts,
         SiteBurden::Customers,
         SiteBurden::Evacuations,
     ];
@@ -230,6 +233,7 @@
             SiteBurden::Losses => "losses",
             SiteBurden::Storms => "storms",
             SiteBurden::Restarts => "restarts",
+            SiteBurden::LateRestarts => "late-restarts",
             SiteBurden::Customers => "customers",
             SiteBurden::Evacuations => "evacuations",
         }
@@ -242,6 +246,7 @@
             | SiteBurden::Losses
             | SiteBurden::Storms
             | SiteBurden::Restarts
+            | SiteBurden::LateRestarts
             | SiteBurden::Customers
             | SiteBurden::Evacuations => None,
             SiteBurden::Carried | SiteBurden::Link => Some(vec![10; 5]),
@@ -260,6 +265,7 @@
             | SiteBurden::Losses
             | SiteBurden::Storms
             | SiteBurden::Restarts
+            | SiteBurden::LateRestarts
             | SiteBurden::Customers
             | SiteBurden::Evacuations => world.looks_wait = true,
             SiteBurden::Processor => {
@@ -316,7 +322,8 @@
         None if large => (strengths.len(), strengths.to_vec()),
         None => (3 + (seed % 3) as usize, Vec::new()),
     };
-    let mut restarts = (burden == SiteBurden::Restarts).then(|| DrawnRestarts::new(seed, FIRST_MS));
+    let restarts = matches!(burden, SiteBurden::Restarts | SiteBurden::LateRestarts);
+    let mut restarts = restarts.then(|| DrawnRestarts::new(seed, FIRST_MS));
     let mut losses = (burden == SiteBurden::Losses).then(|| DrawnLosses::new(seed, FIRST_LOSS_MS));
     let (troubled_ms, pace) = match losses {
         Some(_) => (DrawnLosses::troubled_ms(FIRST_LOSS_MS), LOSSES_PACE),
@@ -336,6 +343,7 @@
     world.lines = keeps_lines.then(Vec::new);
     world.callers_leave = true;
     burden.lay(&mut world);
+    world.late_orders_outlive_receivers = burden == SiteBurden::LateRestarts;
     if large {
         world.burden(seed);
     }
@@ -385,6 +393,9 @@
             evacuations.act(&mut world);
         }
         job += 1;
+        if let Some(restarts) = restarts.as_mut() {
+            restarts.cuts.draw_work(&mut world, job);
+        }
         submit_drawn(&mut world, job, crashes.as_mut(), customers.as_mut());
         if world.rng.random_range(0..20) == 0 {
             let old = job - world.rng.random_range(0..5).min(job);
@@ -520,7 +531,7 @@
 /// Troubles that strike in the episode of a seed under a burden.
 fn kinds_under(burden: SiteBurden, seed: u64) -> &'static [SiteFault] {
     match burden {
-        SiteBurden::Restarts => &SiteFault::BESIDE_RESTARTS,
+        SiteBurden::Restarts | SiteBurden::LateRestarts => &SiteFault::BESIDE_RESTARTS,
         _ => kinds_of(seed),
     }
 }
--- a/crates/bankvalve_check/src/site/site_restarts.rs
+++ b/crates/bankvalve_check/src/site/site_restarts.rs
@@ -8,6 +8,7 @@
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 
+use super::site_restart_cuts::{DrawnRestartCuts, RestartCut};
 use super::site_world::{Later, SiteWorld};
 use super::{run_episode, SiteBurden, SiteFault, SiteReport};
 
@@ -34,6 +35,8 @@
 pub struct RestartFigures {
     /// Processes that ended to start again under their ids.
     pub count: u64,
+    /// Series that were followed by a cut, by what else happened.
+    pub cuts: BTreeMap<RestartCut, u64>,
     /// Times from the start of a process to the first start of a task there, in milliseconds.
     pub first_start_ms: Vec<u64>,
     /// When processes started under which nothing has started yet, in milliseconds.
@@ -50,6 +53,9 @@
 
     pub(super) fn add(&mut self, other: RestartFigures) {
         self.count += other.count;
+        for (cut, count) in other.cuts {
+            *self.cuts.entry(cut).or_default() += count;
+        }
         self.first_start_ms.extend(other.first_start_ms);
     }
 
@@ -66,6 +72,18 @@
             part(50),
             part(90)
         );
+        for (RestartCut { loss, twice }, count) in &self.cuts {
+            let restarts = if *twice {
+                "two restarts, cut"
+            } else {
+                "restart, cut"
+            };
+            let (how, moment) = match loss {
+                Some((how, moment)) => (how.as_str(), moment.as_str()),
+                None => ("leader kept", ""),
+            };
+            println!("{restarts:<19}{how:<26}{moment:<25}{count}");
+        }
     }
 }
 
@@ -88,7 +106,7 @@
 
 impl WorkerRestart {
     /// Draws one of whichever kind.
-    fn drawn(rng: &mut Pcg64Mcg) -> Self {
+    pub(super) fn drawn(rng: &mut Pcg64Mcg) -> Self {
         let short = rng.random_range(0..2) == 0;
         let behind = rng.random_range(0..3) == 0;
         Self {
@@ -184,26 +202,50 @@
         })
     }
 
-    /// Restarts a share of the workers, each in a manner of its own.
-    fn restart_share(&mut self, rng: &mut Pcg64Mcg) {
+    /// Restarts a share of the workers, each in a manner of its own. Returns which, when and how.
+    fn restart_share(&mut self, rng: &mut Pcg64Mcg) -> Vec<DrawnRestart> {
         let mut addresses: Vec<String> = self.workers.keys().cloned().collect();
         addresses.shuffle(rng);
         let most = (addresses.len() * MOST_PERCENT / 100).max(1);
         addresses.truncate(rng.random_range(1..=most));
         let spread = rng.random_range(SPREAD_MS);
+        let mut series = Vec::new();
         for address in addresses {
             let restart = WorkerRestart::drawn(rng);
-            let delay = rng.random_range(0..spread);
-            self.after(delay, Later::ProcessEnds { address, restart });
+            let delay_ms = rng.random_range(0..spread);
+            let ended = address.clone();
+            self.after(
+                delay_ms,
+                Later::ProcessEnds {
+                    address: ended,
+                    restart,
+                },
+            );
+            series.push(DrawnRestart {
+                address,
+                delay_ms,
+                restart,
+            });
         }
+        series
     }
 }
 
+/// A restart of a series.
+#[derive(Debug)]
+pub(super) struct DrawnRestart {
+    pub(super) address: String,
+    /// Time until the process ends, in milliseconds.
+    pub(super) delay_ms: u64,
+    pub(super) restart: WorkerRestart,
+}
+
 /// Draws series of restarts, by a source of its own.
 #[derive(Debug)]
 pub(super) struct DrawnRestarts {
     rng: Pcg64Mcg,
     next_ms: u64,
+    pub(super) cuts: DrawnRestartCuts,
 }
 
 impl DrawnRestarts {
@@ -211,13 +253,15 @@
         Self {
             rng: Pcg64Mcg::seed_from_u64(seed ^ 0x7265_7374_6172_7473),
             next_ms: first_ms,
+            cuts: DrawnRestartCuts::new(seed),
         }
     }
 
     /// Begins a series if one is due.
     pub(super) fn act(&mut self, world: &mut SiteWorld) {
         if world.now_ms >= self.next_ms {
-            world.restart_share(&mut self.rng);
+            let series = world.restart_share(&mut self.rng);
+            self.cuts.lay_after(world, &series);
             self.next_ms = world.now_ms + self.rng.random_range(SERIES_PAUSE_MS);
         }
     }
--- a/crates/bankvalve_check/src/site/site_world.rs
+++ b/crates/bankvalve_check/src/site/site_world.rs
@@ -120,6 +120,11 @@
     ReviveWorker {
         address: String,
     },
+    /// A worker is cut off from all instances and from the table.
+    CutWorker {
+        address: String,
+        for_ms: u64,
+    },
     /// A worker's process ends, to start again under its id.
     ProcessEnds {
         address: String,
@@ -222,6 +227,8 @@
     pub lost_late: bool,
     /// Share of orders that have no answer and are carried out late, in percent.
     pub late_orders_percent: u32,
+    /// Whether the next process of a worker carries out late what the process before had received.
+    pub late_orders_outlive_receivers: bool,
     /// Share of looks whose answer is lost, in percent.
     pub lost_looks_percent: u32,
     /// Share of runs that fail, in percent.
@@ -370,6 +377,7 @@
             lost_percent: 0,
             lost_late: false,
             late_orders_percent: 0,
+            late_orders_outlive_receivers: false,
             lost_looks_percent: 0,
             fail_percent: 0,
             attempts: 3,
@@ -509,7 +517,10 @@
                 receiver,
             } => {
                 let process = self.process_at(&address);
-                let is_gone = receiver.is_some_and(|receiver| receiver.0 != process);
+                let outlives = self.late_orders_outlive_receivers;
+                let is_gone = receiver.is_some_and(|receiver| {
+                    receiver.0 != process && !(outlives && receiver.0.is_some())
+                });
                 let worker = if is_gone { WorkerId::from("") } else { worker };
                 self.evacuations.sender = receiver.is_none().then_some(node);
                 self.worker_arrives((node, life, ticket), &worker, &address, token, &call);
@@ -544,6 +555,7 @@
             Later::Cancel { job } => self.cancel(job),
             Later::GiveUp { job } => self.give_up_unanswered(job),
             Later::ReviveWorker { address } => self.add_worker(address),
+            Later::CutWorker { address, for_ms } => self.cut_worker(&address, for_ms),
             Later::ProcessEnds { address, restart } => self.restart_worker(&address, restart),
             Later::ProcessStarts {
                 address,
--- a/crates/bankvalve_check/tests/site/restarts.rs
+++ b/crates/bankvalve_check/tests/site/restarts.rs
@@ -4,7 +4,8 @@
 use std::collections::BTreeSet;
 
 use bankvalve_check::site::{
-    job_of, run_restart_episode, SitePlan, SiteWorld, TaskCrash, WorkerRestart, QUEUE, URGENT_QUEUE,
+    job_of, run_restart_episode, LossMoment, SitePlan, SiteWorld, TaskCrash, WorkerRestart, QUEUE,
+    URGENT_QUEUE,
 };
 use bankvalve_queue::{JobId, JobState, SiteGuard, StepKey, TaskKey};
 use bankvalve_standin::site::MAX_ENDS_PER_REPORT;
@@ -494,6 +495,21 @@
     }
 }
 
+/// Guards against drawn restarts that are never followed by a cut, with a leader lost before, between or after.
+#[test]
+fn drawn_restarts_are_followed_by_cuts_and_lost_leaders_at_all_moments() {
+    let mut played = BTreeSet::new();
+    for seed in 1..9 {
+        let cuts = run_restart_episode(seed, None).restarts.cuts;
+        let moments = cuts.keys().map(|cut| cut.loss.map(|(_, moment)| moment));
+        played.extend(moments.zip(cuts.keys().map(|cut| cut.twice)));
+    }
+    let losses = LossMoment::ALL.into_iter().map(Some);
+    let moments = losses.chain([None]);
+    let all = moments.flat_map(|moment| [(moment, false), (moment, true)]);
+    assert_eq!(played, all.collect());
+}
+
 /// Guards against a healthy job that is given up for restarts which it did not bring about.
 #[test]
 fn no_healthy_job_is_given_up_while_workers_start_again_in_series() {
