--- a/crates/bankvalve_queue/src/core/placement/advice.rs
+++ b/crates/bankvalve_queue/src/core/placement/advice.rs
@@ -146,6 +146,11 @@
     pub(in crate::core) fn has_no_answer(&self) -> bool {
         self.answered.is_empty()
     }
+
+    /// Returns whether requests are in flight and none has been answered.
+    pub(in crate::core) fn awaits_first_answer(&self) -> bool {
+        self.answered.is_empty() && !self.in_flight.is_empty()
+    }
 }
 
 impl EntryCore {
--- a/crates/bankvalve_queue/src/core/placement/mod.rs
+++ b/crates/bankvalve_queue/src/core/placement/mod.rs
@@ -43,7 +43,7 @@
 /// step.
 const PLACEMENT_INTERVAL_PER_STEP: Duration = Duration::from_micros(300);
 /// Added for each waiting step, whose rank and outlook each pass determines.
-const PLACEMENT_INTERVAL_PER_WAITING: Duration = Duration::from_micros(2);
+const PLACEMENT_INTERVAL_PER_WAITING: Duration = Duration::from_micros(1);
 /// Time after which a placement pass runs although nothing is known to have changed.
 const IDLE_PLACEMENT_INTERVAL: Duration = Duration::from_millis(250);
 /// Time for which capacity stays reserved for a step after the answer to its advice request is expected.
--- a/crates/bankvalve_queue/src/core/placement/placement_pass.rs
+++ b/crates/bankvalve_queue/src/core/placement/placement_pass.rs
@@ -70,6 +70,9 @@
     open: Vec<WorkerId>,
     /// Whether an instance is free enough for another advice request.
     has_adviser: bool,
+    /// Whether no capacity could be reclaimed for a step in this pass. Without a policy service, it is then the
+    /// same for all steps of the kind.
+    is_irreclaimable: bool,
 }
 
 /// The places of a service's steps in a pass.
@@ -120,6 +123,10 @@
     /// Runs a placement pass: looks at the steps that may go on, in the order of their ranks. Returns the number of
     /// looks.
     pub(super) fn run_pass(&mut self, order: StepOrder) -> usize {
+        let waiting = self.lead.as_deref().map_or(0, |lead| lead.waiting.len());
+        if waiting <= MAX_STEPS_PER_PASS {
+            return self.look_at_all(order);
+        }
         let mut pass = self.new_pass();
         let mut ranked = self.rank_steps(&pass, order);
         self.remove_steps_at_limit(&mut ranked);
@@ -135,6 +142,46 @@
         pass.looked_at
     }
 
+    /// Looks at all waiting steps, if they are few: none can keep another from its place, and to look costs less
+    /// than to determine the outlook of each kind.
+    fn look_at_all(&mut self, order: StepOrder) -> usize {
+        let (now, wall) = (self.now, self.wall);
+        let Some(lead) = self.lead.as_deref() else {
+            return 0;
+        };
+        let ranked = lead.waiting.iter().map(|(key, step)| {
+            let has_start = lead.plans.has_start(key);
+            let rank = match lead.restarting.contains_key(key) {
+                true => FIRST_RANK,
+                false => step.rank(now, wall, order, has_start),
+            };
+            (rank, *key)
+        });
+        let mut ranked: Vec<(WaitingRank, StepKey)> = ranked.collect();
+        ranked.sort_unstable();
+        let largest_free = lead.max_free();
+        self.remove_steps_at_limit(&mut ranked);
+        let lead = self.lead.as_deref();
+        ranked.retain(|(_, key)| {
+            let advice = lead.and_then(|lead| lead.advice.get(key));
+            !advice.is_some_and(StepAdvice::awaits_first_answer)
+        });
+        for (_, key) in &ranked {
+            let job = self.book.job(key.job);
+            let spec = job.and_then(|job| job.spec.steps.get(usize::from(key.step)));
+            if !spec.is_some_and(|spec| spec.resources().fits(&largest_free)) {
+                self.record_capacity_wait(*key);
+                if !self.may_reclaim_capacity(*key) {
+                    continue;
+                }
+            }
+            if let Some(step) = self.step_to_place(*key) {
+                self.place_step(&step);
+            }
+        }
+        ranked.len()
+    }
+
     /// Returns the waiting steps in the order of their ranks, without those that nothing can be done for.
     fn rank_steps(&self, pass: &PlacementPass, order: StepOrder) -> Vec<(RankedStep, StepKey)> {
         let (now, wall) = (self.now, self.wall);
@@ -329,6 +376,7 @@
             most_tasks,
             open,
             has_adviser: rule.is_none_or(|rule| self.has_available_adviser(rule, 1)),
+            is_irreclaimable: false,
         }
     }
 
@@ -345,7 +393,8 @@
         }
         let may_prepare =
             places.prepared * 100 < most.min(MAX_STEPS_PER_PASS) * MAX_PREPARED_PERCENT;
-        match self.outlook(pass, step, may_prepare) {
+        let outlook = self.outlook(pass, step, may_prepare);
+        match outlook {
             Outlook::Nothing => return,
             Outlook::Prepare => pass.places[service].prepared += 1,
             Outlook::Start => (),
@@ -359,8 +408,7 @@
             self.place_step(&step);
         }
         if self.placement_progress() == before {
-            pass.fruitless += 1;
-            pass.refresh_adviser(self, step.kind);
+            pass.record_fruitless(self, step.kind, outlook);
         }
     }
 
@@ -387,7 +435,7 @@
         }
         kind.drop_full(lead, wanted);
         let has_capacity = kind.open_tasks(lead, wanted) >= wanted;
-        if !has_capacity && !may_prepare {
+        if !has_capacity && (!may_prepare || kind.is_irreclaimable) {
             return Outlook::Nothing;
         }
         pass.lookups_left = pass.lookups_left.saturating_sub(1);
@@ -502,12 +550,15 @@
 }
 
 impl PlacementPass {
-    /// Checks again whether an instance is free enough for another advice request about a kind.
-    fn refresh_adviser(&mut self, core: &EntryCore, number: KindNumber) {
-        if let Some(Some(kind)) = self.kinds.get_mut(number) {
-            kind.has_adviser = kind
-                .rule
-                .is_none_or(|rule| core.has_available_adviser(rule, 1));
+    /// Records that a look at a step of a kind achieved nothing.
+    fn record_fruitless(&mut self, core: &EntryCore, number: KindNumber, outlook: Outlook) {
+        self.fruitless += 1;
+        let Some(Some(kind)) = self.kinds.get_mut(number) else {
+            return;
+        };
+        match kind.rule {
+            Some(rule) => kind.has_adviser = core.has_available_adviser(rule, 1),
+            None => kind.is_irreclaimable |= outlook == Outlook::Prepare,
         }
     }
 }
