fix(queue): a 421 counts after a change of leader once the worker's entry is gone too

Now it is no evidence only while the entry stands, by which the call may have been sent to another worker.

--- a/crates/bankvalve_queue/src/core/worker_state.rs
+++ b/crates/bankvalve_queue/src/core/worker_state.rs
@@ -418,11 +418,14 @@
     }
 
     /// Returns what an answer from an address shows about this process. Where it has never answered, another
-    /// process or a refused connection is no evidence that it has ended.
+    /// process or a refused connection is no evidence that it has ended; if it has answered nowhere, another
+    /// process is evidence only once its entry is gone too.
     pub(super) fn evidence_in(&self, answer: WorkerAnswer, address: &str) -> WorkerAnswer {
         let at_other_address = self.answered_at.as_deref().is_some_and(|at| at != address);
         match answer {
-            WorkerAnswer::OtherLife if self.answered_at.is_none() && !self.runs.is_empty() => {
+            WorkerAnswer::OtherLife
+                if self.answered_at.is_none() && self.listed && !self.runs.is_empty() =>
+            {
                 WorkerAnswer::NoReply
             }
             WorkerAnswer::OtherLife | WorkerAnswer::PortRefused if at_other_address => {
