--- a/crates/bankvalve_check/tests/site/restart_then_cut.rs
+++ b/crates/bankvalve_check/tests/site/restart_then_cut.rs
@@ -203,37 +203,38 @@
 /// Guards against a second run beside one that a process holds under a lease by the clock of the process before,
 /// where the leader is lost before the restart.
 #[test]
-fn a_lease_by_the_clock_of_the_process_before_is_outwaited_by_a_leader_before_the_restart() {
+fn no_process_holds_a_lease_by_the_clock_of_the_one_before_after_a_leader_lost_before_the_restart()
+{
     assert_kept_at_all_distances(&leader_lost_before_the_restart(), LONG_LEASE_MS);
 }
 
-/// Guards against the same where the leader is lost between the restart and the cut.
+/// Guards against such a second run where the leader is lost between the restart and the cut.
 #[test]
-fn a_lease_by_the_clock_of_the_process_before_is_outwaited_by_a_leader_between_restart_and_cut() {
+fn no_process_holds_a_lease_by_the_clock_of_the_one_before_after_a_leader_lost_before_the_cut() {
     assert_kept_at_all_distances(&leader_lost_between(), LONG_LEASE_MS);
 }
 
-/// Guards against the same where the leader is lost after the cut.
+/// Guards against such a second run where the leader is lost after the cut.
 #[test]
-fn a_lease_by_the_clock_of_the_process_before_is_outwaited_by_a_leader_after_the_cut() {
+fn no_process_holds_a_lease_by_the_clock_of_the_one_before_after_a_leader_lost_after_the_cut() {
     assert_kept_at_all_distances(&leader_lost_after_the_cut(), LONG_LEASE_MS);
 }
 
-/// Guards against the same where the workers restart twice in a row.
+/// Guards against such a second run where the workers restart twice in a row.
 #[test]
-fn a_lease_by_the_clock_of_the_process_before_is_outwaited_after_two_restarts() {
+fn no_process_holds_a_lease_by_the_clock_of_the_one_before_after_two_restarts() {
     assert_kept_at_all_distances(&two_restarts(), LONG_LEASE_MS);
 }
 
-/// Guards against the same where two leaders are lost in a row.
+/// Guards against such a second run where two leaders are lost in a row.
 #[test]
-fn a_lease_by_the_clock_of_the_process_before_is_outwaited_after_two_lost_leaders() {
+fn no_process_holds_a_lease_by_the_clock_of_the_one_before_after_two_lost_leaders() {
     assert_kept_at_all_distances(&two_leaders_lost(), LONG_LEASE_MS);
 }
 
-/// Guards against the same where the longest lease is hardly longer than the usual one.
+/// Guards against such a second run where the longest lease is hardly longer than the usual one.
 #[test]
-fn a_lease_by_the_clock_of_the_process_before_is_outwaited_with_a_shorter_limit() {
+fn no_process_holds_a_lease_by_the_clock_of_the_one_before_with_a_shorter_limit() {
     let sites = [
         leader_lost_before_the_restart(),
         leader_lost_between(),
