revert: steps that cannot start do not keep others from free workers

The change of the placement pass is taken back.

So the backlog at one service still leaves another's workers idle.

--- a/crates/bankvalve_check/src/site/mod.rs
+++ b/crates/bankvalve_check/src/site/mod.rs
@@ -44,7 +44,7 @@
 
 pub use site_answers::SiteAnswer;
 pub use site_config::{QueueAnswer, QueueTold};
-pub use site_costs::{run_site_costs, CostBacklog, StepCosts};
+pub use site_costs::{run_site_costs, StepCosts};
 pub use site_crashes::TaskCrash;
 pub use site_drawn_customers::run_customer_episode;
 pub use site_evacuations::run_evacuation_episode;
--- a/crates/bankvalve_queue/src/core/admission/customer_limits.rs
+++ b/crates/bankvalve_queue/src/core/admission/customer_limits.rs
@@ -126,11 +126,6 @@
         self.limits.update(table, self.now);
     }
 
-    /// Returns whether placement observes limits of customers.
-    pub(in crate::core) fn has_customer_limits(&self) -> bool {
-        self.limits.has_limits() && self.enforces(SiteGuard::CustomerLimit)
-    }
-
     /// Sums up what customers have running, for a placement pass.
     pub(in crate::core) fn sum_usage_for_placement(&mut self) {
         let any = self.limits.has_limits();
@@ -152,7 +147,7 @@
         &mut self,
         ranked: &mut Vec<(Rank, StepKey)>,
     ) {
-        if !self.has_customer_limits() {
+        if !self.limits.has_limits() || !self.enforces(SiteGuard::CustomerLimit) {
             return;
         }
         let (limits, now) = (&self.limits, self.now);
--- a/crates/bankvalve_queue/src/core/lead_state.rs
+++ b/crates/bankvalve_queue/src/core/lead_state.rs
@@ -21,8 +21,7 @@
 use super::placement::planned_capacity::CapacityPlans;
 use super::placement::restart_preparation::RestartingStep;
 use super::placement::speed_preference::SpeedClass;
-use super::placement::step_kinds::StepKinds;
-use super::placement::waiting_steps::{WaitingRank, WaitingStep};
+use super::placement::waiting_steps::WaitingStep;
 use super::suspects::WorkerLoss;
 use super::worker_map::WorkerMap;
 use super::EntryCore;
@@ -201,8 +200,6 @@
     missed_permille: u32,
     /// Steps with tasks that wait for placement.
     pub(super) waiting: BTreeMap<StepKey, WaitingStep>,
-    /// Kinds of these steps.
-    pub(super) kinds: StepKinds,
     /// What each customer has running, as of the last placement pass.
     pub(super) usage: CustomerUsage,
     /// Steps that waited for their customer's limit at the last placement pass.
@@ -230,10 +227,6 @@
     /// Whether free capacity, permits or waiting steps have changed since the last placement pass.
     pub(super) placement_due: bool,
     pub(super) next_placement: CoreTime,
-    /// Last step that the last placement pass walked, if it ended before the last waiting step.
-    pub(super) resume_after: Option<(WaitingRank, StepKey)>,
-    /// Number of starts, advice requests and reservations so far.
-    pub(super) placement_progress: u64,
     /// When to scan all workers again for due polls and due orders.
     pub(super) next_poll_scan: CoreTime,
     pub(super) next_order_scan: CoreTime,
@@ -299,7 +292,6 @@
             miss_wait: Duration::ZERO,
             missed_permille: 0,
             waiting: BTreeMap::new(),
-            kinds: StepKinds::default(),
             usage: CustomerUsage::default(),
             waiting_for_limit: BTreeMap::new(),
             shares: CustomerShares::default(),
@@ -316,8 +308,6 @@
             adviser_busy: BTreeMap::new(),
             placement_due: true,
             next_placement: now,
-            resume_after: None,
-            placement_progress: 0,
             next_poll_scan: now,
             next_order_scan: now,
             due_orders: BTreeSet::new(),
--- a/crates/bankvalve_queue/src/core/live_run.rs
+++ b/crates/bankvalve_queue/src/core/live_run.rs
@@ -40,7 +40,7 @@
 }
 
 /// How a run affects other runs on its worker.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum RunLoad {
     Plain,
     /// Serves users of its own, with a latency target.
--- a/crates/bankvalve_queue/src/core/placement/advice.rs
+++ b/crates/bankvalve_queue/src/core/placement/advice.rs
@@ -133,16 +133,6 @@
         workers.any(|worker| !self.answered.contains(worker))
     }
 
-    /// Returns the number of workers about which the service has answered.
-    pub(in crate::core) fn answers(&self) -> usize {
-        self.answered.len()
-    }
-
-    /// Returns whether no worker is known that may run the step.
-    pub(in crate::core) fn allows_none(&self) -> bool {
-        self.allowed.is_empty()
-    }
-
     pub(in crate::core) fn has_no_answer(&self) -> bool {
         self.answered.is_empty()
     }
@@ -208,7 +198,6 @@
         let Some(lead) = self.lead.as_deref_mut() else {
             return now;
         };
-        lead.placement_progress += 1;
         let busy = lead.adviser_busy.entry(adviser).or_insert(now);
         *busy = (*busy).max(now) + duration + REQUEST_ROUND_TRIP;
         let until = *busy + LATE_ANSWER_TIMEOUT;
--- a/crates/bankvalve_queue/src/core/placement/capacity_reclaim.rs
+++ b/crates/bankvalve_queue/src/core/placement/capacity_reclaim.rs
@@ -281,13 +281,8 @@
         };
         let plans = self.plan_beside_reservations(step, wanted);
         if plans.is_empty() || (step.spec.gang && plans.len() < missing) {
-            let pause = if step.urgent {
-                URGENT_RECLAIM_DELAY
-            } else {
-                PLAN_RETRY_DELAY
-            };
             if let Some(lead) = self.lead.as_deref_mut() {
-                lead.next_plan_at.insert(key, now + pause);
+                lead.next_plan_at.insert(key, now + PLAN_RETRY_DELAY);
             }
             return;
         }
--- a/crates/bankvalve_queue/src/core/placement/mod.rs
+++ b/crates/bankvalve_queue/src/core/placement/mod.rs
@@ -3,12 +3,10 @@
 pub(in crate::core) mod advice;
 pub(crate) mod capacity_profile;
 pub(in crate::core) mod capacity_reclaim;
-mod placement_pass;
 pub(in crate::core) mod planned_capacity;
 pub(crate) mod planned_start;
 pub(in crate::core) mod restart_preparation;
 pub(in crate::core) mod speed_preference;
-pub(in crate::core) mod step_kinds;
 pub(in crate::core) mod waiting_steps;
 pub(in crate::core) mod worker_selection;
 
@@ -21,7 +19,7 @@
 use crate::core::placement::capacity_reclaim::MAX_CAPACITY_WAIT;
 use crate::core::placement::restart_preparation::is_prepared_restart;
 use crate::core::placement::speed_preference::SpeedPreference;
-use crate::core::placement::waiting_steps::{Lateness, StepOrder};
+use crate::core::placement::waiting_steps::{Lateness, StepOrder, WaitingRank, FIRST_RANK};
 use crate::core::placement::worker_selection::{
     assign_workers, eligible_workers, first_advice_request, is_eligible, unasked_with_capacity,
     workers_to_ask,
@@ -36,14 +34,14 @@
 use crate::policy::PolicySwitch;
 use crate::queue_table::AdviceRule;
 
+/// Maximum number of steps considered in one placement pass, in the order of their ranks.
+const MAX_STEPS_PER_PASS: usize = 100;
 /// Minimum time between two placement passes.
 const MIN_PLACEMENT_INTERVAL: Duration = Duration::from_millis(4);
-/// Added to [`MIN_PLACEMENT_INTERVAL`] for each step that the last pass looked at, so that a long queue does
-/// not use the whole CPU. About three times as long as an instance with a quarter of a core takes to look at a
-/// step.
+/// Added to [`MIN_PLACEMENT_INTERVAL`] for each step that the last pass considered, so that a long queue does
+/// not use the whole CPU. About three times as long as an instance with a quarter of a core takes to consider
+/// a step.
 const PLACEMENT_INTERVAL_PER_STEP: Duration = Duration::from_micros(300);
-/// Added for each waiting step, whose rank and outlook each pass determines.
-const PLACEMENT_INTERVAL_PER_WAITING: Duration = Duration::from_micros(1);
 /// Time after which a placement pass runs although nothing is known to have changed.
 const IDLE_PLACEMENT_INTERVAL: Duration = Duration::from_millis(250);
 /// Time for which capacity stays reserved for a step after the answer to its advice request is expected.
@@ -255,6 +253,7 @@
         }
         lead.placement_due = false;
         lead.next_placement = now + MIN_PLACEMENT_INTERVAL;
+        let wall = self.wall;
         self.update_capacity_plans();
         let Some(lead) = self.lead.as_deref_mut() else {
             return;
@@ -265,16 +264,50 @@
             (true, false) => StepOrder::LatestStart,
             (true, true) => StepOrder::Priority,
         };
-        let waiting = lead.waiting.len() as u32;
+        let mut ranked: Vec<(WaitingRank, StepKey)> = lead
+            .waiting
+            .iter()
+            .map(|(key, step)| {
+                let restarts = lead.restarting.contains_key(key);
+                let rank = if restarts {
+                    FIRST_RANK
+                } else {
+                    step.rank(now, wall, order, lead.plans.has_start(key))
+                };
+                (rank, *key)
+            })
+            .collect();
+        ranked.sort_unstable();
         self.sum_usage_for_placement();
-        let looked_at = self.run_pass(order);
-        if let Some(lead) = self.lead.as_deref_mut() {
-            lead.next_placement += PLACEMENT_INTERVAL_PER_STEP * looked_at as u32;
-            lead.next_placement += PLACEMENT_INTERVAL_PER_WAITING * waiting;
+        self.remove_steps_at_limit(&mut ranked);
+        let Some(lead) = self.lead.as_deref_mut() else {
+            return;
+        };
+        if plans_capacity {
+            // The first answer is awaited: nothing can be done for the step. In a burst, such steps would take
+            // most places of a pass.
+            ranked.retain(|(_, key)| {
+                let advice = lead.advice.get(key);
+                !advice.is_some_and(StepAdvice::awaits_first_answer)
+            });
         }
+        ranked.truncate(MAX_STEPS_PER_PASS);
+        lead.next_placement += PLACEMENT_INTERVAL_PER_STEP * ranked.len() as u32;
+        let largest_free = lead.max_free();
+        let considered = ranked.len() as u64;
         self.counters
-            .count_many("placements", "steps_looked_at", looked_at as u64);
-        self.counters.count("placements", "passes");
+            .count_many("placements", "steps_looked_at", considered);
+        for (_, key) in ranked {
+            if !self.may_fit(key, &largest_free) {
+                self.record_capacity_wait(key);
+                if !self.may_reclaim_capacity(key) {
+                    continue;
+                }
+            }
+            if let Some(step) = self.step_to_place(key) {
+                self.place_step(&step);
+            }
+        }
         self.refresh_placed_steps();
         self.record_backlog();
         self.update_forecast();
@@ -292,6 +325,14 @@
         }
     }
 
+    /// Returns whether a task of a step could fit on any worker, by a cheap check against the largest free
+    /// amounts.
+    fn may_fit(&self, key: StepKey, largest_free: &TaskSize) -> bool {
+        let job = self.book.job(key.job);
+        let spec = job.and_then(|job| job.spec.steps.get(usize::from(key.step)));
+        spec.is_some_and(|spec| spec.resources().fits(largest_free))
+    }
+
     fn step_to_place(&mut self, key: StepKey) -> Option<StepToPlace> {
         let tasks = self.tasks_to_place(key)?;
         let mut step = self.new_step_to_place(key, tasks)?;
@@ -608,7 +649,6 @@
         for worker in workers {
             *counts.entry(worker).or_default() += 1;
         }
-        lead.placement_progress += counts.len() as u64;
         for (worker, count) in counts {
             if let Some(state) = lead.worker_states.get_mut(worker) {
                 state.drop_reservation(step.key, now);
@@ -655,7 +695,6 @@
                     .extend(incarnation.map(|incarnation| (task, incarnation)));
             }
             state.add_run(task, live);
-            lead.placement_progress += 1;
             let left = state.entry.room.minus(&state.used).millicores;
             let waited = lead.wait_tracker.start_text(&task, now);
             self.log_often("placer", "place", || {
--- a/crates/bankvalve_queue/src/core/placement/waiting_steps.rs
+++ b/crates/bankvalve_queue/src/core/placement/waiting_steps.rs
@@ -3,7 +3,6 @@
 use std::time::Duration;
 
 use crate::core::admission::customer_shares::ScheduledStart;
-use crate::core::placement::step_kinds::{KindNumber, StepKind};
 use crate::core::EntryCore;
 use crate::customer::CustomerName;
 use crate::ids::{CoreTime, JobId, StepKey, TaskKey, WorkerId};
@@ -17,9 +16,6 @@
 #[derive(Clone, Debug)]
 pub(in crate::core) struct WaitingStep {
     pub(in crate::core) tasks: u32,
-    pub(in crate::core) kind: KindNumber,
-    /// Workers and configuration with which the policy service was found to allow no worker for it.
-    pub(in crate::core) refused_with: Option<(u64, u64)>,
     /// Scheduled start of its job, if the job exceeded its customer's share when it arrived.
     scheduled_start: Option<ScheduledStart>,
     pub(in crate::core) gang: bool,
@@ -76,7 +72,6 @@
         job: &JobRecord,
         key: StepKey,
         tasks: u32,
-        kind: KindNumber,
         scheduled_start: Option<ScheduledStart>,
     ) -> Self {
         let chains = job.spec.chains_ms();
@@ -95,8 +90,6 @@
         let step = &job.spec.steps[usize::from(key.step)];
         Self {
             tasks,
-            kind,
-            refused_with: None,
             scheduled_start,
             gang: step.gang,
             size: step.size,
@@ -235,9 +228,7 @@
             .map(|(key, _)| *key)
             .collect();
         for key in old {
-            if let Some(step) = lead.waiting.remove(&key) {
-                lead.kinds.remove(step.kind);
-            }
+            lead.waiting.remove(&key);
         }
         let lasting = lead.lasting_steps.range(first..=last);
         for key in lasting.copied().collect::<Vec<_>>() {
@@ -270,9 +261,8 @@
                     if gang_is_partial(spec, waiting) {
                         add_placed_in_step(key, record, &mut stops);
                     } else {
-                        let kind = lead.kinds.add(StepKind::of(job, spec));
-                        let step = WaitingStep::new(job, key, waiting, kind, scheduled_start);
-                        lead.waiting.insert(key, step);
+                        lead.waiting
+                            .insert(key, WaitingStep::new(job, key, waiting, scheduled_start));
                     }
                 }
             }
--- a/crates/bankvalve_queue/src/core/placement/worker_selection.rs
+++ b/crates/bankvalve_queue/src/core/placement/worker_selection.rs
@@ -38,34 +38,29 @@
     now: CoreTime,
 ) -> bool {
     // Cheap checks that often fail come first, because this runs for all workers for each step.
-    is_usable(state, step.past_deadline, now)
-        && !step.crashed_workers.contains(id)
-        && step.resources.fits(&state.entry.room)
-        && has_label(state, step.spec.required_label.as_ref())
-        && state.entry.service == step.service
-        && !state.has_conflicting_run(RunLoad::of(&step.spec))
-}
-
-/// Returns whether new runs may start on a worker, in back-off or not if `ignores_backoff`.
-pub(in crate::core) fn is_usable(
-    state: &WorkerState,
-    ignores_backoff: bool,
-    now: CoreTime,
-) -> bool {
-    state.token_accepted
+    let usable = state.token_accepted
         && !state.declared_lost
         && state.listed
         && state.entry_is_current()
         && state.entry_readable
         && state.lease_stop == LeaseStop::None
         && state.takes_new_runs()
-        && (now >= state.backoff_until || ignores_backoff)
-        && state.is_responsive(now)
-}
-
-/// Returns whether a worker has a label, if there is one.
-pub(in crate::core) fn has_label(state: &WorkerState, label: Option<&String>) -> bool {
-    label.is_none_or(|label| state.entry.labels.contains(label))
+        && (now >= state.backoff_until || step.past_deadline);
+    if !usable
+        || step.crashed_workers.contains(id)
+        || !step.resources.fits(&state.entry.room)
+        || !state.is_responsive(now)
+    {
+        return false;
+    }
+    let label = step
+        .spec
+        .required_label
+        .as_ref()
+        .is_none_or(|label| state.entry.labels.contains(label));
+    label
+        && state.entry.service == step.service
+        && !state.has_conflicting_run(RunLoad::of(&step.spec))
 }
 
 /// Returns workers that are eligible for tasks of a step: all of them, or, on a site of many workers, enough to
--- a/crates/bankvalve_queue/src/core/worker_entries.rs
+++ b/crates/bankvalve_queue/src/core/worker_entries.rs
@@ -118,18 +118,13 @@
         let capacities = (state.entry.room, entry.room);
         state.service_in_use = self.services.contains(&entry.service);
         state.domain_evacuated = domain_evacuated;
-        let before = std::mem::replace(&mut state.entry, entry);
-        let serves_others =
-            before.service != state.entry.service || before.labels != state.entry.labels;
+        state.entry = entry;
         state.listed = true;
         state.entry_readable = true;
         let other_process = state.token_accepted && !state.entry_is_current();
         if other_process || address_changed {
             state.next_poll = now;
         }
-        if serves_others {
-            lead.worker_states.record_entry_change();
-        }
         self.refresh_speed_of(id);
         if leave_announced {
             self.begin_leaving(id);
--- a/crates/bankvalve_queue/src/core/worker_map.rs
+++ b/crates/bankvalve_queue/src/core/worker_map.rs
@@ -18,8 +18,6 @@
     free_slots: Vec<usize>,
     /// Number of the most recently added incarnation.
     last_number: u64,
-    /// Number of entries that changed what a worker may run.
-    entry_changes: u64,
 }
 
 impl WorkerMap {
@@ -60,16 +58,6 @@
         (state.number == incarnation.number).then_some(state)
     }
 
-    /// Records that a worker's entry names another service or other labels than before.
-    pub(super) fn record_entry_change(&mut self) {
-        self.entry_changes += 1;
-    }
-
-    /// Returns a number that changes when a worker appears, restarts, or may run other steps than before.
-    pub(super) fn changes(&self) -> u64 {
-        self.last_number + self.entry_changes
-    }
-
     /// Adds a new incarnation of a worker, replacing the previous one.
     pub(super) fn insert(&mut self, id: WorkerId, mut state: WorkerState) {
         let slot = match self.slots.get(&id) {
--- a/crates/bankvalve_queue/src/job.rs
+++ b/crates/bankvalve_queue/src/job.rs
@@ -23,7 +23,7 @@
 const MAX_ESTIMATE_MS: u64 = 100 * 86_400_000;
 
 /// Resources that a task requests or a worker has.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct TaskSize {
     /// Thousandths of a core.
     pub millicores: u64,
