--- a/review/8/case.py
+++ b/review/8/case.py
@@ -11,7 +11,7 @@
 WORKERS = 16
 JOBS_PER_S = 60
 TRAFFIC_S = 14
-CRASHES_AT_S = [9.0, 10.0, 11.0, 12.0, 13.0]
+CRASHES_AT_S = [9, 10, 11, 12, 13]
 # Bounds of the pages: `finish_s` after the end of the traffic, nothing of the job running for 3 s.
 FINISH_S = 14
 IDLE_S = 3
