fix(queue): limits of trial runs count ended workers, not suspects

Cause: each new run of a crashed worker is a suspect, which starts alone on an empty worker. One worker in eight may run such a trial, so one of eleven, however many trials had gone well before. Eighty suspects of five ends waited for that one place, until their wait of 8 s was over; then all started at the same moment, without any limit.

Evidence: the log's `placer waits` named suspects, and now names the trials and workers at risk with their limits. Ruled out as the cause: the order of a trial that waits for a long poll costs 0.5 to 0.9 s each, but the case holds without a change there.

Now the limits count ended workers. Trials of suspects of one ended worker put one worker at risk together, since as a rule at most one of them is guilty; one worker in four may be at risk. One worker in eight runs a trial at first, and each trial that its worker survives allows one more, until a worker ends during one. The limits hold after the 8 s too, unless a long-running task is past its restart deadline.

Why it works: what allows more trials is evidence that the ends were chance, not time. While nothing is known, no more workers are at risk than before.

--- a/crates/bankvalve_check/tests/site/main.rs
+++ b/crates/bankvalve_check/tests/site/main.rs
@@ -36,6 +36,7 @@
 mod run_times;
 mod sight;
 mod storms;
+mod suspect_backlog;
 mod table;
 mod takeover;
 mod wide_gangs;
--- a/crates/bankvalve_queue/src/core/lead_state.rs
+++ b/crates/bankvalve_queue/src/core/lead_state.rs
@@ -23,6 +23,7 @@
 use super::placement::speed_preference::SpeedClass;
 use super::placement::waiting_steps::WaitingStep;
 use super::suspects::WorkerLoss;
+use super::trial_runs::TrialRuns;
 use super::worker_map::WorkerMap;
 use super::EntryCore;
 use crate::caller::CallerRequest;
@@ -163,8 +164,8 @@
     pub(super) uncommitted: BTreeMap<JobId, u32>,
     /// Open jobs for which a worker has reported that a task started.
     pub(super) started_jobs: BTreeSet<JobId>,
-    /// Suspects in trial runs, and the worker process that each was sent to.
-    pub(super) trials: BTreeMap<TaskKey, Incarnation>,
+    /// Trial runs of suspects.
+    pub(super) trials: TrialRuns,
     /// Workers lost recently, except those whose end counts against a task.
     pub(super) worker_losses: Vec<WorkerLoss>,
     /// How often each task was stopped because its run was overdue.
@@ -272,7 +273,7 @@
             order_delay: Duration::ZERO,
             uncommitted: BTreeMap::new(),
             started_jobs: BTreeSet::new(),
-            trials: BTreeMap::new(),
+            trials: TrialRuns::default(),
             worker_losses: Vec::new(),
             overdue_stops: BTreeMap::new(),
             capacity_waits: BTreeMap::new(),
--- a/crates/bankvalve_queue/src/core/mod.rs
+++ b/crates/bankvalve_queue/src/core/mod.rs
@@ -33,7 +33,8 @@
 //!   runs. `incarnation` distinguishes the processes of a worker, and `call_proxies` has standbys send calls.
 //! - Placement: `placement` decides which task runs on which worker. In its folder, `advice` queries the policy
 //!   service, `capacity_reclaim` preempts runs, and `restart_preparation` reserves capacity and gets permits for
-//!   long-running tasks. `suspects` isolates tasks that may crash workers. `lost_contact` and
+//!   long-running tasks. `suspects` isolates tasks that may crash workers, and `trial_runs` limits
+//!   how many of these run at the same time. `lost_contact` and
 //!   `restart_waits` report why tasks are not running.
 //! - Configuration: `table_watch` and `table_pull` fetch the operator's configuration, and `denials` handles
 //!   requests that it denies. `evacuations` keeps tasks from starting in failure domains that the operator has
@@ -82,6 +83,7 @@
 mod table_pull;
 mod table_watch;
 mod task_waits;
+mod trial_runs;
 mod worker_entries;
 mod worker_map;
 mod worker_reports;
--- a/crates/bankvalve_queue/src/core/placement/mod.rs
+++ b/crates/bankvalve_queue/src/core/placement/mod.rs
@@ -483,7 +483,7 @@
         } else {
             trial_tasks.clone()
         };
-        match self.trial_mode(key, history) {
+        match self.trial_mode(key, &history) {
             TrialMode::Isolated => Some((tasks, trial_tasks, Vec::new())),
             TrialMode::ApartFromNew => Some((tasks, Vec::new(), trial_tasks)),
             TrialMode::AmongOthers => Some((tasks, Vec::new(), Vec::new())),
@@ -667,6 +667,7 @@
         let plans_capacity = self.plans_capacity();
         let assignment = self.within_limit(step, assignment);
         for (task, worker) in assignment {
+            let ended_worker = self.ended_worker_of(&task);
             let Some(lead) = self.lead.as_deref_mut() else {
                 return;
             };
@@ -691,8 +692,9 @@
             if step.is_trial(&task) {
                 live.on_trial = true;
                 live.resources = state.entry.room.minus(&state.used);
-                lead.trials
-                    .extend(incarnation.map(|incarnation| (task, incarnation)));
+                if let Some(incarnation) = incarnation {
+                    lead.trials.add(task, incarnation, ended_worker);
+                }
             }
             state.add_run(task, live);
             let left = state.entry.room.minus(&state.used).millicores;
--- a/crates/bankvalve_queue/src/core/restart_waits.rs
+++ b/crates/bankvalve_queue/src/core/restart_waits.rs
@@ -31,7 +31,8 @@
             }
             let reason = self.start_wait(*task, &mut largest_free);
             if ended.reason.is_none() {
-                reported.push((*task, ended.run, ended.since, reason));
+                let text = self.start_wait_text(*task, reason);
+                reported.push((*task, ended.run, ended.since, text));
             }
             ended.reason = Some(reason);
             ended.found[reason as usize] += 1;
@@ -42,13 +43,25 @@
         for (task, run, since, reason) in reported {
             self.log_often("placer", "waits", || {
                 let waited = rounded(now.saturating_sub(since));
-                let reason = reason.as_str();
                 let detail = format!("run {run} ended {waited:?} ago, not started: {reason}");
                 (task.to_string(), detail)
             });
         }
     }
 
+    /// Returns the text for the log on why a task has not started; for a suspect, with the limits that it may
+    /// wait for.
+    fn start_wait_text(&self, task: TaskKey, reason: StartWait) -> String {
+        match self.lead.as_deref() {
+            Some(lead) if reason == StartWait::Suspect => {
+                let ended_workers = self.ended_worker_of(&task).into_iter().collect();
+                let trials = lead.trials.usage(&ended_workers, &lead.worker_states);
+                format!("{}, {trials} including its own", reason.as_str())
+            }
+            _ => reason.as_str().to_owned(),
+        }
+    }
+
     /// Returns whether a task has not been placed again since a run ended.
     fn still_waits(&self, task: TaskKey, run: RunId) -> bool {
         let job = self.book.job(task.step.job);
--- a/crates/bankvalve_queue/src/core/suspects.rs
+++ b/crates/bankvalve_queue/src/core/suspects.rs
@@ -13,14 +13,15 @@
 //! estimated from the recent rate of losses that no task is blamed for. The more workers are being lost, the
 //! weaker is the evidence of an end, above all if others were lost at the same moment.
 //!
-//! Trial runs take at most one worker in eight at once, or one in four including the workers that have just
-//! ended during one. A gang's suspects start together, so they may take more. A suspect that has waited too
+//! How many trials run at the same time depends on the number of ended workers that no trial has explained yet
+//! (see `trial_runs`). A gang's suspects start together, so they may take more. A suspect that has waited too
 //! long for its start or for a free worker starts beside other runs. If it must be isolated, which is the
 //! case after two ends of which one was an early crash, it starts only beside runs that are not new: there,
 //! an end is as strong evidence as on an empty worker. A long-running task waits only until
 //! [`is_past_restart_deadline`](EntryCore::is_past_restart_deadline) returns true. That deadline covers the
 //! whole time since the task's last run ended, whatever the task waited for.
 
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 use super::commit::Effect;
@@ -48,11 +49,6 @@
 /// Known run time from which the end of a run's worker does not count against the task: a task that runs for
 /// weeks is present when some workers end.
 const UNRELATED_AGE: Duration = Duration::from_secs(30);
-/// One worker in this many, and at least one, may run a trial at the same time.
-const TRIAL_DIVISOR: usize = 8;
-/// One worker in this many, and at least two, may run a trial or have ended during one without having been
-/// declared lost.
-const OCCUPIED_DIVISOR: usize = 4;
 /// Longest wait for a free worker and an allowed start before a suspect starts beside other runs, if it
 /// was present at several ends without an early crash. This is shorter than the three seconds after which
 /// callers are informed that nothing runs although there is capacity.
@@ -113,8 +109,10 @@
 }
 
 /// Crash history of the suspects of a step that are to start.
-#[derive(Clone, Copy, Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub(super) struct SuspectHistory {
+    /// Workers whose ends made them suspects.
+    ended_workers: BTreeSet<WorkerId>,
     /// Whether a worker ended right after the start of one of them.
     early_crash: bool,
     /// Whether one of them must not start beside other new runs.
@@ -133,6 +131,7 @@
             let Some(count) = task.crash_count() else {
                 continue;
             };
+            history.ended_workers.extend(count.last_worker().cloned());
             history.early_crash |= count.has_early_crash();
             history.must_isolate |= count.must_be_isolated();
             history.proven |= count.has_proof();
@@ -394,13 +393,13 @@
     }
 
     /// Returns how the suspects of a step may start now.
-    pub(super) fn trial_mode(&mut self, step: StepKey, history: SuspectHistory) -> TrialMode {
+    pub(super) fn trial_mode(&mut self, step: StepKey, history: &SuspectHistory) -> TrialMode {
         self.record_capacity_wait(step);
         let now = self.now;
         let Some(lead) = self.lead.as_deref_mut() else {
             return TrialMode::Deferred;
         };
-        lead.forget_ended_trials();
+        lead.trials.update(&lead.worker_states, now);
         let since = lead.capacity_waits.get(&step).copied().unwrap_or(now);
         let max_wait = if history.early_crash {
             EARLY_MAX_WAIT
@@ -416,10 +415,16 @@
         let many_losses = || {
             quiet_from < lead.began_at || lead.too_many_for_trial(lead.lost_since(quiet_from, now))
         };
+        let may_start_trial = || {
+            let ended_workers = &history.ended_workers;
+            lead.trials
+                .may_start(step, ended_workers, &lead.worker_states)
+        };
         match (waited_too_long, must_isolate) {
             (true, false) if may_share => TrialMode::AmongOthers,
+            (true, _) if history.past_deadline => TrialMode::ApartFromNew,
+            _ if !may_start_trial() => TrialMode::Deferred,
             (true, _) => TrialMode::ApartFromNew,
-            (false, _) if !lead.may_start_trial(step) => TrialMode::Deferred,
             (false, _) if history.early_crash && many_losses() => TrialMode::Deferred,
             (false, _) => TrialMode::Isolated,
         }
@@ -428,6 +433,7 @@
     /// Ends the trials of suspects on a worker that have been isolated long enough, so that other runs may
     /// join them.
     pub(super) fn end_due_trials(&mut self, id: &WorkerId) {
+        let now = self.now;
         let lead = self.lead.as_deref().filter(|lead| !lead.trials.is_empty());
         let Some(state) = lead.and_then(|lead| lead.worker_states.get(id)) else {
             return;
@@ -448,6 +454,7 @@
             if let Some(state) = lead.worker_states.get_mut(id) {
                 state.end_trial(&task, resources);
             }
+            lead.trials.record_survived(&task, now);
             lead.placement_due = true;
         }
     }
@@ -459,6 +466,13 @@
         count.map(CrashCount::trial_time).unwrap_or_default()
     }
 
+    /// Returns the worker whose end was last recorded against a task.
+    pub(super) fn ended_worker_of(&self, task: &TaskKey) -> Option<WorkerId> {
+        let job = self.book.job(task.step.job);
+        let count = job.and_then(|job| job.task(*task)?.crash_count());
+        count.and_then(CrashCount::last_worker).cloned()
+    }
+
     /// Returns the resources that a task takes according to its step.
     pub(super) fn resources_of(&self, task: TaskKey) -> TaskSize {
         let job = self.book.job(task.step.job);
@@ -468,30 +482,6 @@
 }
 
 impl LeadState {
-    /// Forgets trials that have ended.
-    fn forget_ended_trials(&mut self) {
-        let worker_states = &self.worker_states;
-        self.trials.retain(|task, worker| {
-            let live = worker_states
-                .get_incarnation(worker)
-                .and_then(|state| state.runs.get(task));
-            live.is_some_and(|live| live.on_trial)
-        });
-    }
-
-    /// Returns whether the limits allow a trial run of one of a step's suspects now.
-    fn may_start_trial(&self, step: StepKey) -> bool {
-        let of_step = |task: &TaskKey| task.step == step;
-        let is_up = |worker: &Incarnation| {
-            let state = self.worker_states.get_incarnation(worker);
-            state.is_some_and(|state| !state.refused)
-        };
-        let running = self.trials.values().filter(|worker| is_up(worker)).count();
-        running < (self.worker_states.len() / TRIAL_DIVISOR).max(1)
-            && self.trials.len() < (self.worker_states.len() / OCCUPIED_DIVISOR).max(2)
-            && !self.trials.keys().any(of_step)
-    }
-
     /// Returns what is known about a worker's end.
     fn loss_of(
         &self,
--- a/crates/bankvalve_queue/src/core/worker_reports.rs
+++ b/crates/bankvalve_queue/src/core/worker_reports.rs
@@ -101,6 +101,9 @@
         if is_known_run {
             if let Some(live) = state.remove_run(&end.task) {
                 state.record_ends_read(live.not_ended_at());
+                if live.on_trial {
+                    lead.trials.record_survived(&end.task, now);
+                }
                 known_run_time = live.known_run_time();
                 ran = now.saturating_sub(live.began);
                 outlived_start = live.lasting && ran > START_FAILURE_WINDOW;
--- a/crates/bankvalve_queue/src/ledger/crash_count.rs
+++ b/crates/bankvalve_queue/src/ledger/crash_count.rs
@@ -307,6 +307,11 @@
         &self.ends
     }
 
+    /// Returns the worker of the end that was recorded last.
+    pub fn last_worker(&self) -> Option<&WorkerId> {
+        self.ends.last().map(|end| &end.worker)
+    }
+
     /// Returns the highest known age at which a run ended with its worker, in milliseconds.
     fn oldest_age_ms(&self) -> Option<u32> {
         let ages = self.ends.iter().map(|end| end.evidence.over_ms);
