fix(queue)!: bounds on former leaders' leases travel with heartbeats

Cause: an instance that was cut off learns of epoch 4 after epoch 1. It takes the leaders between for unknown, which may go on for 15 s without contact and have asked for the longest leases. The instance led next and waited for that. By then each other instance had known for seconds that these leases were over, and had no way to tell: an unknown leader has no address, to which what is learned later could be applied.

Evidence: the log lines `election lead`, "6.25 s at most, known" of epoch 4 and "20.5 s at most, assumed" of epoch 5 nine seconds later. Ruled out as a further cause: with the bound in heartbeats nothing else holds the tasks back.

Now each heartbeat tells the time until all leases of leaders before an epoch have expired. A receiver applies it to each such leader if it is less than what it assumes. Why it works: who hears of a leader knows all before it, and only that leader is left to judge. Why it is safe: only a remaining time is sent, counted from its arrival and with 3 % for a faster clock, so it can only be overstated; a heartbeat of an earlier version says nothing. Heartbeats have one more field, so all instances of a site must be replaced together.

--- a/crates/bankvalve_check/tests/site/main.rs
+++ b/crates/bankvalve_check/tests/site/main.rs
@@ -23,6 +23,7 @@
 mod lasting;
 mod leading;
 mod lost_workers;
+mod missed_leaders;
 mod other_writers;
 mod outage;
 mod overload;
--- a/crates/bankvalve_queue/src/core/former_leaders.rs
+++ b/crates/bankvalve_queue/src/core/former_leaders.rs
@@ -15,6 +15,10 @@
 //! So a successor that was in mutual contact waits at most about 6.5 s from the leader's last heartbeat,
 //! instead of 25 s for a leader from which nothing arrives any more. A successor that was not waits for the
 //! time for which a leader continues without confirmed leadership.
+//!
+//! What one instance knows in this way travels with its heartbeats, as the time until all leases of leaders before
+//! an epoch have expired. An instance that was cut off, or has just started, learns from them about leaders that it
+//! has missed. Only the leaders since that epoch are left for it to judge.
 
 use std::time::Duration;
 
@@ -23,7 +27,7 @@
 use super::EntryCore;
 use crate::guard::SiteGuard;
 use crate::ids::CoreTime;
-use crate::peer::{HeartbeatBody, PeerAddress};
+use crate::peer::{FormerLeaseBound, HeartbeatBody, PeerAddress};
 
 /// Age up to which a heartbeat that a peer has received shows that the peer is in contact: three heartbeat
 /// intervals of a non-preferred member, the round trip, and a slow iteration of the event loop.
@@ -55,6 +59,16 @@
     known: bool,
     /// Longest lease that it requested.
     lease: Duration,
+    /// Time by which its leases have expired according to a peer.
+    expired_by: Option<CoreTime>,
+}
+
+impl FormerLeader {
+    /// Returns when all leases that it requested have expired.
+    fn leases_expire_at(&self) -> CoreTime {
+        let expiry = self.stops_by + self.lease.mul_f64(SLOW_CLOCK_FACTOR) + ORDER_SLACK;
+        self.expired_by.map_or(expiry, |at| at.min(expiry))
+    }
 }
 
 /// Former leaders whose leases may still last.
@@ -88,6 +102,7 @@
                 stops_by: now + UNCONFIRMED_LIMIT,
                 known: false,
                 lease: longest,
+                expired_by: None,
             };
             self.add(unknown, now, longest);
         }
@@ -100,10 +115,39 @@
 
     /// Returns when all leases that former leaders requested have expired.
     pub(super) fn leases_expire_at(&self) -> CoreTime {
-        let expiry = |former: &FormerLeader| {
-            former.stops_by + former.lease.mul_f64(SLOW_CLOCK_FACTOR) + ORDER_SLACK
+        let leaders = self.leaders.iter();
+        let expiry = leaders.map(FormerLeader::leases_expire_at).max();
+        expiry.unwrap_or_default()
+    }
+
+    /// Returns the bound on the leases of all leaders before the latest known epoch, for peers; `None` if no epoch
+    /// is known.
+    pub(super) fn bound(&self, now: CoreTime) -> Option<FormerLeaseBound> {
+        let expire_at = self.leases_expire_at().max(self.missed_until);
+        let remaining = expire_at.saturating_sub(now);
+        (self.latest > 0).then(|| FormerLeaseBound {
+            before_epoch: self.latest,
+            remaining_ms: remaining.as_micros().div_ceil(1_000) as u64,
+            known: self.are_known() && !self.may_miss_leaders(now),
+        })
+    }
+
+    /// Records a peer's bound on the leases of former leaders. The time that the bound took to arrive only makes
+    /// the wait longer.
+    pub(super) fn record_bound(&mut self, bound: Option<FormerLeaseBound>, now: CoreTime) {
+        let Some(bound) = bound else {
+            return;
         };
-        self.leaders.iter().map(expiry).max().unwrap_or_default()
+        // The local clock may run faster than the peer's.
+        let remaining = Duration::from_millis(bound.remaining_ms).mul_f64(SLOW_CLOCK_FACTOR);
+        let expired_by = now + remaining;
+        let covered = |former: &&mut FormerLeader| former.epoch < bound.before_epoch;
+        for former in self.leaders.iter_mut().filter(covered) {
+            if expired_by < former.leases_expire_at() {
+                former.expired_by = Some(expired_by);
+                former.known |= bound.known;
+            }
+        }
     }
 
     /// Returns the longest time for which a lease of any former leader lasts. A worker that has accepted a
@@ -250,6 +294,7 @@
             stops_by,
             known,
             lease,
+            expired_by: None,
         };
         let longest = self.settings.hold_limit;
         self.former_leaders.add(former, self.now, longest);
--- a/crates/bankvalve_queue/src/core/members.rs
+++ b/crates/bankvalve_queue/src/core/members.rs
@@ -7,6 +7,7 @@
 use super::round_trip::PeerEcho;
 use super::store_link::StorePurpose;
 use super::EntryCore;
+use crate::guard::SiteGuard;
 use crate::ids::CoreTime;
 use crate::peer::{HeartbeatBody, PeerAddress, PeerMessage};
 use crate::store::StoreRequest;
@@ -112,6 +113,7 @@
                 .store_away_since()
                 .map(|at| self.age(at).as_millis() as u64),
             credits: self.credits_in_force(),
+            former_leases: self.former_leaders.bound(self.now),
         }
     }
 
@@ -167,6 +169,10 @@
         self.receive_credits(from, &heartbeat);
         let now = self.now;
         self.former_leaders.record_heartbeat(from, &heartbeat, now);
+        if self.enforces(SiteGuard::KnownHolds) {
+            self.former_leaders
+                .record_bound(heartbeat.former_leases, now);
+        }
         let slow = self.has_slow_heartbeat(from);
         let peer = self.peers.entry(from).or_insert_with(|| PeerView {
             known_at: now,
--- a/crates/bankvalve_queue/src/peer.rs
+++ b/crates/bankvalve_queue/src/peer.rs
@@ -135,6 +135,20 @@
     pub queues: Vec<QueueCredit>,
 }
 
+/// Bound on the leases that former leaders have requested from workers.
+///
+/// Whoever relies on it knows when the leases of leaders have expired that it has never heard of.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct FormerLeaseBound {
+    /// The bound covers the leaders of all epochs before this one.
+    pub before_epoch: u64,
+    /// Time until all of these leases have expired, in milliseconds by the sender's clock when it sent this; 0 if
+    /// they have.
+    pub remaining_ms: u64,
+    /// Whether the times at which these leaders stopped are known, rather than the worst case.
+    pub known: bool,
+}
+
 /// Contents of a heartbeat.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct HeartbeatBody {
@@ -190,6 +204,10 @@
     /// of all queues are.
     #[serde(default)]
     pub credits: Option<AdmissionCredits>,
+    /// Until when leases of former leaders may last, as far as the sender knows; `None` if it knows of no leader
+    /// yet.
+    #[serde(default)]
+    pub former_leases: Option<FormerLeaseBound>,
 }
 
 /// A call to a worker that a proxy sends for the leader.
