fix(queue): a start does not wait for its worker's entry without end

Callers saw accepted jobs with a task that was placed and never started, and long-running tasks that were away for up to a minute (LOST).

Cause: a start whose worker's entry is not readable, or was not written by the process that answers, waited and was checked again each 50 ms, without an end. An entry of another writer under the key of a living worker is skipped, so it stays in this state for as long as it stands. The step is placed, so nothing else places it.

Now the start is cancelled at once and the task goes back to the queue if no order for it can have arrived; else the run is stopped. Why it works: a cancelled start was never sent, so the task cannot run twice, and a worker without a usable entry is not eligible, so it is placed elsewhere. A list of all entries that is too old is still waited for: it says nothing of this worker.

Under a next leader nothing changes, that test guards TWICE.

--- a/crates/bankvalve_check/tests/site/main.rs
+++ b/crates/bankvalve_check/tests/site/main.rs
@@ -40,6 +40,7 @@
 mod suspect_backlog;
 mod table;
 mod takeover;
+mod unusable_entries;
 mod wide_gangs;
 mod workers;
 
--- a/crates/bankvalve_queue/src/core/orders.rs
+++ b/crates/bankvalve_queue/src/core/orders.rs
@@ -171,8 +171,8 @@
     /// Returns whether a start, also a repeated one, fits the current capacity of its worker. The capacity
     /// may shrink while the start is committed, which takes seconds if the table is slow or unavailable.
     ///
-    /// A start that does not fit is cancelled, or stopped if its order may be in flight. While the worker's
-    /// current entry is unknown, the start waits.
+    /// A start that does not fit, or whose worker's entry is not usable, is cancelled, or stopped if its order may
+    /// be in flight. The start waits while the list of all workers' entries is too old: the table is unavailable.
     fn has_capacity_now(&mut self, id: &WorkerId, task: TaskKey) -> bool {
         if !self.enforces(SiteGuard::RoomOfNow) {
             return true;
@@ -186,16 +186,21 @@
         let Some(state) = lead.worker_states.get_mut(id) else {
             return false;
         };
-        // An unreadable entry may hide that the capacity has shrunk.
-        let entry_is_current = state.entry_is_current() && state.entry_readable;
+        let has_usable_entry = state.has_usable_entry();
         let Some(live) = state.runs.get_mut(&task) else {
             return false;
         };
-        if entry_age.is_none_or(|age| age >= MAX_ENTRY_AGE) || !entry_is_current {
+        if entry_age.is_none_or(|age| age >= MAX_ENTRY_AGE) {
             live.next_at = now + STALE_ENTRY_DELAY;
             lead.schedule_order(now + STALE_ENTRY_DELAY, id, task);
             return false;
         }
+        // An entry of another writer, or one that cannot be read, may stand for as long as the worker lives.
+        if !has_usable_entry {
+            let why = "its worker's entry is not usable";
+            self.cancel_start(id, task, "entry_unusable", why);
+            return false;
+        }
         // An isolated suspect counts as taking the whole worker, but it uses only its step's resources.
         let used = state.used.minus(&live.resources).plus(&wanted);
         if used.fits(&state.entry.room) {
--- a/crates/bankvalve_queue/src/core/placement/worker_selection.rs
+++ b/crates/bankvalve_queue/src/core/placement/worker_selection.rs
@@ -41,8 +41,7 @@
     let usable = state.token_accepted
         && !state.declared_lost
         && state.listed
-        && state.entry_is_current()
-        && state.entry_readable
+        && state.has_usable_entry()
         && state.lease_stop == LeaseStop::None
         && state.takes_new_runs()
         && (now >= state.backoff_until || step.past_deadline);
--- a/crates/bankvalve_queue/src/core/worker_state.rs
+++ b/crates/bankvalve_queue/src/core/worker_state.rs
@@ -408,6 +408,12 @@
                 .is_none_or(|answered| *answered == self.entry.address)
     }
 
+    /// Returns whether the entry can be decoded and was written by the process that answers, so that its capacity
+    /// is that of the worker.
+    pub(super) fn has_usable_entry(&self) -> bool {
+        self.entry_is_current() && self.entry_readable
+    }
+
     /// Returns the address for the next call. Another writer may have changed the entry, so calls go to
     /// where the process has answered; while it does not, every second one goes to the entry's address.
     pub(super) fn call_address(&self) -> &str {
