fix(queue): a gang of several ended workers may start its trials

Cause: the limit of workers at risk was compared with the risk after the start, and a gang's suspects count each of their ended workers.

Now a gang starts as soon as one more worker may be at risk, as its suspects start together.

--- a/crates/bankvalve_check/tests/site/suspect_backlog.rs
+++ b/crates/bankvalve_check/tests/site/suspect_backlog.rs
@@ -295,3 +295,35 @@
         assert_kept(&world);
     }
 }
+
+/// Guards against a gang that never starts again because its members were lost with more workers than may be at
+/// risk.
+#[test]
+fn a_gang_whose_members_are_lost_with_several_workers_runs_again() {
+    let mut late = Vec::new();
+    for seed in 1..6 {
+        let mut world = world_without(seed, 8, None);
+        world.looks_wait = true;
+        let mut gang = short_job(&mut world, MIXED, 3);
+        gang.steps[0].gang = true;
+        gang.steps[0].per_worker_limit = 1;
+        world.work_ms.insert(MIXED, GUILTY_WORK_MS);
+        world.submit(gang);
+        let has_run = |world: &SiteWorld| {
+            let workers = world.workers.values().flatten();
+            workers.filter(|worker| !worker.runs().is_empty()).count()
+        };
+        while has_run(&world) < 3 {
+            run_for(&mut world, 10);
+        }
+        run_for(&mut world, 300);
+        for _ in 0..3 {
+            lose_fullest_worker(&mut world);
+        }
+        run_for(&mut world, FINISH_MS);
+        let succeeded = world.shown.get(&MIXED) == Some(&JobState::Succeeded);
+        late.extend((!succeeded).then_some(seed));
+        assert_kept(&world);
+    }
+    assert!(late.is_empty(), "seeds {late:?}");
+}
--- a/crates/bankvalve_queue/src/core/trial_runs.rs
+++ b/crates/bankvalve_queue/src/core/trial_runs.rs
@@ -8,7 +8,8 @@
 //! - At first, one worker in eight, and at least one, may run a trial. Each trial that its worker survives allows
 //!   one more. An end during a trial withdraws all of these again. So several guilty tasks of the same ended
 //!   worker end few workers at once, and their ends stay distinguishable from a mass loss.
-//! - Of each step, one suspect runs at a time: its tasks run the same program.
+//! - Of each step, one suspect runs at a time: its tasks run the same program. The suspects of a gang start
+//!   together, as soon as one more worker may be at risk.
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::fmt;
@@ -122,8 +123,12 @@
         workers: &WorkerMap,
     ) -> bool {
         let trials = self.usage(ended_workers, workers);
+        // The suspects of a gang start together, however many ended workers they are of.
+        let before = self.usage(&BTreeSet::new(), workers);
+        let risk_allowed =
+            trials.at_risk <= trials.max_at_risk || before.at_risk < before.max_at_risk;
         trials.running < trials.max_running
-            && trials.at_risk <= trials.max_at_risk
+            && risk_allowed
             && !self.running.keys().any(|task| task.step == step)
     }
 
