feat(queue): log the parts of a long-running task's downtime

When a long-running task was placed again, the log told how long it had waited under the present leader and its main reason alone. It did not tell how long passed until its end was known, whether the wait for a permit was a request in flight or none, nor how many requests had no answer, so hypotheses about a long downtime could not be told apart.

One line `placer downtime` now tells these parts, and the new reason `advice` (gauge `restart_advice`) separates a request in flight from `permits`. The main reason of a wait is weighed by time in place of scans.

--- a/crates/bankvalve_check/tests/site/sight.rs
+++ b/crates/bankvalve_check/tests/site/sight.rs
@@ -284,6 +284,29 @@
     check_told_end(&world, known, "former_hold_known");
 }
 
+// Guards against a downtime of which the log does not tell the parts.
+#[test]
+fn the_parts_of_a_long_running_tasks_downtime_are_logged() {
+    let mut world = world_without(55, 1, None);
+    let address = start_lasting(&mut world);
+    world.crash_worker(&address, 15_000);
+    world.run_until(25_000);
+    let lines = task_lines(&world, &["placer downtime"]);
+    let [downtime] = lines.as_slice() else {
+        panic!("expected one downtime, found {lines:#?}");
+    };
+    let detail = &downtime.3;
+    assert!(
+        detail.contains(" since the last contact with run 1: "),
+        "{detail}"
+    );
+    assert!(
+        detail.contains(" until its end was known to this leader, then "),
+        "{detail}"
+    );
+    assert!(detail.contains("(no_room "), "{detail}");
+}
+
 #[test]
 fn a_task_that_waits_to_start_after_its_runs_end_tells_why() {
     let mut world = world_without(55, 1, None);
--- a/crates/bankvalve_queue/src/core/lost_contact.rs
+++ b/crates/bankvalve_queue/src/core/lost_contact.rs
@@ -51,17 +51,34 @@
     pub(super) since: CoreTime,
     /// Why the task had not started at the last scan; `None` until it has waited long enough to be reported.
     pub(super) reason: Option<StartWait>,
-    /// How often each reason was found, in the order of [`StartWait::ALL`].
-    pub(super) found: [u32; StartWait::ALL.len()],
+    /// For how long each reason was found, in the order of [`StartWait::ALL`].
+    pub(super) waited: [Duration; StartWait::ALL.len()],
+    /// When the reason was last determined.
+    pub(super) scanned_at: CoreTime,
 }
 
 impl EndedRun {
-    /// Returns the reason that was found most often, or `None` if the task has not waited long enough to be
+    /// Returns the reason for most of the wait, or `None` if the task has not waited long enough to be
     /// reported.
-    fn most_found(&self) -> Option<StartWait> {
+    fn main_reason(&self) -> Option<StartWait> {
         self.reason?;
-        let found = |reason: &StartWait| self.found[*reason as usize];
-        StartWait::ALL.into_iter().max_by_key(found)
+        let waited = |reason: &StartWait| self.waited[*reason as usize];
+        StartWait::ALL.into_iter().max_by_key(waited)
+    }
+
+    /// Records the reason for the wait since the last scan.
+    pub(super) fn record_reason(&mut self, reason: StartWait, now: CoreTime) {
+        self.waited[reason as usize] += now.saturating_sub(self.scanned_at);
+        self.scanned_at = now;
+    }
+
+    /// Returns the log text on how the wait so far divides into reasons.
+    pub(super) fn parts_text(&self) -> String {
+        let parts = StartWait::ALL.into_iter().filter_map(|reason| {
+            let waited = self.waited[reason as usize];
+            (!waited.is_zero()).then(|| format!("{} {:?}", reason.as_str(), rounded(waited)))
+        });
+        parts.collect::<Vec<_>>().join(", ")
     }
 }
 
@@ -89,7 +106,8 @@
             run,
             since: now,
             reason: None,
-            found: Default::default(),
+            waited: Default::default(),
+            scanned_at: now,
         };
         self.ended.insert(task, ended);
     }
@@ -123,7 +141,7 @@
         };
         let waited = rounded(now.saturating_sub(ended.since));
         let run = ended.run;
-        match ended.most_found() {
+        match ended.main_reason() {
             Some(reason) => {
                 let reason = reason.as_str();
                 format!(", {waited:?} after run {run} ended, mostly {reason}")
--- a/crates/bankvalve_queue/src/core/placement/advice.rs
+++ b/crates/bankvalve_queue/src/core/placement/advice.rs
@@ -82,6 +82,10 @@
     in_flight: Vec<InFlightAdvice>,
     /// When the next request may be sent.
     retry_at: CoreTime,
+    /// Number of requests sent.
+    sent: u32,
+    /// Number of requests that ended without an answer.
+    unanswered: u32,
 }
 
 impl StepAdvice {
@@ -137,6 +141,20 @@
         self.answered.is_empty()
     }
 
+    /// Returns whether a request is in flight.
+    pub(in crate::core) fn is_in_flight(&self) -> bool {
+        !self.in_flight.is_empty()
+    }
+
+    /// Returns the log text on the requests so far.
+    pub(in crate::core) fn requests_text(&self) -> String {
+        let in_flight = self.in_flight.len();
+        format!(
+            "{} advice requests, {} unanswered, {in_flight} in flight",
+            self.sent, self.unanswered
+        )
+    }
+
     /// Returns whether requests are in flight and none has been answered.
     pub(in crate::core) fn awaits_first_answer(&self) -> bool {
         self.answered.is_empty() && !self.in_flight.is_empty()
@@ -204,6 +222,7 @@
         let expected = *busy;
         let time = until.saturating_sub(now);
         let advice = lead.advice.entry(step).or_default();
+        advice.sent += 1;
         advice.in_flight.push(InFlightAdvice {
             ticket,
             adviser,
@@ -340,6 +359,7 @@
             }
             AdviceAnswer::NoReply => {
                 advice.retry_at = now;
+                advice.unanswered += 1;
                 self.counters.count("retries", "advice_unanswered");
             }
         }
@@ -386,7 +406,9 @@
         for advice in lead.advice.values_mut() {
             let before = advice.in_flight.len();
             advice.in_flight.retain(|request| request.adviser != peer);
-            lead.placement_due |= advice.in_flight.len() < before;
+            let lost = before - advice.in_flight.len();
+            advice.unanswered += lost as u32;
+            lead.placement_due |= lost > 0;
         }
     }
 
@@ -407,7 +429,9 @@
                 .iter()
                 .filter(|request| now > request.until);
             late_advisers.extend(expired.map(|request| request.adviser));
+            let before = advice.in_flight.len();
             advice.in_flight.retain(|request| now <= request.until);
+            advice.unanswered += (before - advice.in_flight.len()) as u32;
         }
         lead.placement_due |= !late_advisers.is_empty();
         self.counters
--- a/crates/bankvalve_queue/src/core/placement/mod.rs
+++ b/crates/bankvalve_queue/src/core/placement/mod.rs
@@ -706,6 +706,7 @@
                 );
                 (task.to_string(), detail)
             });
+            self.log_downtime(task);
             let run = step.run;
             let event = LedgerEvent::Started { task, run, worker };
             self.propose(event, Effect::Order(task, run));
--- a/crates/bankvalve_queue/src/core/restart_waits.rs
+++ b/crates/bankvalve_queue/src/core/restart_waits.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use super::lost_contact::rounded;
+use super::placement::advice::StepAdvice;
 use super::task_waits::StartWait;
 use super::EntryCore;
 use crate::ids::{RunId, TaskKey};
@@ -26,16 +27,16 @@
         let mut largest_free = None;
         let mut reported = Vec::new();
         for (task, ended) in &mut ended {
+            let reason = self.start_wait(*task, &mut largest_free);
+            ended.record_reason(reason, now);
             if now.saturating_sub(ended.since) < REPORTED_WAIT {
                 continue;
             }
-            let reason = self.start_wait(*task, &mut largest_free);
             if ended.reason.is_none() {
                 let text = self.start_wait_text(*task, reason);
                 reported.push((*task, ended.run, ended.since, text));
             }
             ended.reason = Some(reason);
-            ended.found[reason as usize] += 1;
         }
         if let Some(lead) = self.lead.as_deref_mut() {
             lead.wait_tracker.ended = ended;
@@ -109,13 +110,50 @@
         if spec.is_some_and(|spec| !spec.resources().fits(&largest_free)) {
             return StartWait::NoRoom;
         }
-        let permitted = |step| {
-            let advice = lead.advice.get(step);
-            advice.is_some_and(|advice| advice.permitted(now).next().is_some())
+        let advice = lead.advice.get(&step);
+        let permitted = advice.is_some_and(|advice| advice.permitted(now).next().is_some());
+        if job.terms.advice.is_none() || permitted {
+            return StartWait::Placing;
+        }
+        if advice.is_some_and(StepAdvice::is_in_flight) {
+            StartWait::Advice
+        } else {
+            StartWait::Permits
+        }
+    }
+
+    /// Logs the downtime of a long-running task that is placed again, and the parts that it consists of.
+    pub(super) fn log_downtime(&mut self, task: TaskKey) {
+        let Some(detail) = self.downtime_text(task) else {
+            return;
         };
-        if job.terms.advice.is_some() && !permitted(&step) {
-            return StartWait::Permits;
+        self.log_often("placer", "downtime", || (task.to_string(), detail));
+    }
+
+    fn downtime_text(&self, task: TaskKey) -> Option<String> {
+        let now = self.now;
+        let lead = self.lead.as_deref()?;
+        let job = self.book.job(task.step.job)?;
+        let spec = job.spec.steps.get(usize::from(task.step.step))?;
+        let record = job.task(task)?;
+        let ended = lead.wait_tracker.ended.get(&task)?;
+        if !spec.lasting || record.ended_at == 0 {
+            return None;
         }
-        StartWait::Placing
+        let downtime = Duration::from_millis(self.wall.saturating_sub(record.ended_at));
+        let waited = rounded(now.saturating_sub(ended.since));
+        let before = downtime.saturating_sub(waited);
+        let led = rounded(now.saturating_sub(lead.began_at));
+        let epoch = lead.epoch;
+        let parts = ended.parts_text();
+        let requests = lead
+            .advice
+            .get(&task.step)
+            .map_or_else(|| "no advice request".to_owned(), StepAdvice::requests_text);
+        Some(format!(
+            "{downtime:?} since the last contact with run {}: {before:?} until its end was known to this leader, \
+             then {waited:?} ({parts}), {requests}, epoch {epoch} for {led:?}",
+            ended.run
+        ))
     }
 }
--- a/crates/bankvalve_queue/src/core/task_waits.rs
+++ b/crates/bankvalve_queue/src/core/task_waits.rs
@@ -65,7 +65,9 @@
     Others,
     /// The task is a suspect, and waits until it may start isolated or until a worker is free.
     Suspect,
-    /// There is no valid permit for any worker.
+    /// There is no valid permit for any worker, and an advice request is in flight.
+    Advice,
+    /// There is no valid permit for any worker, and no advice request is in flight.
     Permits,
     /// Capacity is being reclaimed for it.
     RoomMade,
@@ -77,11 +79,12 @@
 
 impl StartWait {
     /// All reasons.
-    pub const ALL: [StartWait; 8] = [
+    pub const ALL: [StartWait; 9] = [
         StartWait::TableAway,
         StartWait::Unconfirmed,
         StartWait::Others,
         StartWait::Suspect,
+        StartWait::Advice,
         StartWait::Permits,
         StartWait::RoomMade,
         StartWait::NoRoom,
@@ -95,6 +98,7 @@
             StartWait::Unconfirmed => "unconfirmed",
             StartWait::Others => "others",
             StartWait::Suspect => "suspect",
+            StartWait::Advice => "advice",
             StartWait::Permits => "permits",
             StartWait::RoomMade => "room_made",
             StartWait::NoRoom => "no_room",
@@ -109,6 +113,7 @@
             StartWait::Unconfirmed => "restart_unconfirmed",
             StartWait::Others => "restart_others",
             StartWait::Suspect => "restart_suspect",
+            StartWait::Advice => "restart_advice",
             StartWait::Permits => "restart_permits",
             StartWait::RoomMade => "restart_room_made",
             StartWait::NoRoom => "restart_no_room",
