--- /dev/null
+++ b/crates/bankvalve_check/tests/site/departures.rs
@@ -0,0 +1,78 @@
+//! Workers that leave as planned: how soon the long-running tasks that run there run elsewhere.
+
+use bankvalve_check::site::{job_of, SitePlan, SiteWorld, QUEUE};
+use bankvalve_queue::{AdviceRule, JobId};
+
+use crate::assert_kept;
+
+/// Time that the policy service takes for an answer about long-running tasks.
+const SLOW_POLICY: AdviceRule = AdviceRule {
+    decide_ms: 560.0,
+    each_ms: 8.0,
+    valid_ms: 2_000,
+};
+/// The job with long-running tasks, and their number.
+const LASTING: JobId = 1;
+const TASKS: u32 = 4;
+/// Time until the tasks run, and from the worker's announcement until it ends, in milliseconds.
+const START_MS: u64 = 15_000;
+const NOTICE_MS: u64 = 7_000;
+/// Time after its end during which the site is observed, in milliseconds.
+const AFTER_MS: u64 = 15_000;
+/// Longest downtime of a task whose worker announced its departure, in milliseconds: a stop and a start.
+const MAX_DOWNTIME_MS: u64 = 2_000;
+
+/// Returns a site whose long-running tasks all run, and the address of a worker with one of them.
+fn site(seed: u64, lease_limit_ms: u64) -> (SiteWorld, String) {
+    let plan = SitePlan {
+        seed,
+        entries: 5,
+        strengths: Vec::new(),
+        broken: None,
+        without: None,
+        workers: 20,
+        good_percent: Some(40),
+    };
+    let mut world = SiteWorld::with_hold_limit(plan, lease_limit_ms);
+    world.looks_wait = true;
+    world.slow_advice = Some(SLOW_POLICY);
+    world.configure(2);
+    world.run_until(1_000);
+    let mut job = job_of(LASTING, QUEUE, &[TASKS], false);
+    job.steps[0].lasting = true;
+    job.steps[0].per_worker_limit = 1;
+    world.submit(job);
+    world.run_until(START_MS);
+    let mut workers = world.workers.iter();
+    let busy = workers.find(|(_, worker)| worker.as_ref().is_some_and(|it| !it.runs().is_empty()));
+    let address = busy.expect("a task runs").0.clone();
+    (world, address)
+}
+
+/// Returns the longest downtime of a long-running task, in milliseconds.
+fn longest_downtime(world: &SiteWorld) -> u64 {
+    let spans = world.lasting.all_spans();
+    let downtimes = spans
+        .iter()
+        .map(|span| span.until_ms.unwrap_or(world.now_ms) - span.from_ms);
+    downtimes.max().expect("a task was down")
+}
+
+// Guards against long-running tasks that stay on a worker until it ends, although it announced its departure.
+#[test]
+fn a_long_running_task_moves_before_its_worker_leaves() {
+    for (seed, lease_limit_ms) in [(1, 6_000), (2, 10_000), (3, 6_000), (4, 10_000)] {
+        let (mut world, address) = site(seed, lease_limit_ms);
+        world.drain_worker(&address, NOTICE_MS);
+        world.run_until(START_MS + NOTICE_MS);
+        world.crash_worker(&address, 2 * AFTER_MS);
+        world.run_until(START_MS + NOTICE_MS + AFTER_MS);
+        assert!(world.lasting.all_run());
+        let downtime_ms = longest_downtime(&world);
+        assert!(
+            downtime_ms < MAX_DOWNTIME_MS,
+            "seed {seed}: {downtime_ms} ms"
+        );
+        assert_kept(&world);
+    }
+}
--- a/crates/bankvalve_check/tests/site/main.rs
+++ b/crates/bankvalve_check/tests/site/main.rs
@@ -10,6 +10,7 @@
 mod customer_backlog;
 mod customers;
 mod cut_reports;
+mod departures;
 mod early_cancels;
 mod evacuations;
 mod failing_workers;
