fix(queue): long-running tasks move before their workers leave

Callers saw a long-running task down for 14 s while workers and instances were replaced in turn. Its worker had announced its departure nine seconds before it ended. The task stayed there, permits and capacity were sought only once the worker was silent, and then its lease of five seconds was waited for, which nothing but a confirmed end may shorten: a worker that is cut off from the table and refuses connections may still run.

Cause: a known departure was not used. A worker that leaves now counts as one whose tasks are about to be down: advice is requested and capacity reserved while they run, and once both are at hand the run is stopped and the task starts elsewhere after the confirmed end. A worker that responds although its entry is gone counts as leaving too, unless many entries are gone at once, as after an outage of the table; tasks with a limit on those away at once are left there, since such a worker has not said that it drains.

Ruled out: ending the lease sooner on a refused port and a missing entry, which breaks TWICE behind a cut.

Tests of permits, lasting and sight pass.

--- /dev/null
+++ b/crates/bankvalve_queue/src/core/placement/departing_tasks.rs
@@ -0,0 +1,110 @@
+//! Long-running tasks on workers that leave: they move before their workers end.
+//!
+//! A worker that leaves as planned ends with all that it runs, and from then on its lease must expire before its
+//! tasks may start elsewhere. So capacity and permits are prepared while such a task still runs
+//! (`restart_preparation`), then its run is stopped, and the task starts elsewhere as soon as the worker has
+//! reported the end. The downtime is that of a stop and a start.
+
+use std::time::Duration;
+
+use crate::core::lead_state::LeadState;
+use crate::core::live_run::RunPhase;
+use crate::core::placement::capacity_reclaim::CapacityPlan;
+use crate::core::placement::StepToPlace;
+use crate::core::worker_state::WorkerState;
+use crate::core::EntryCore;
+use crate::ids::{CoreTime, TaskKey, WorkerId};
+
+/// Time from the decision to stop a run until its end is reported, for which a permit must be valid in addition
+/// to the time for committing the start.
+const STOP_TIME: Duration = Duration::from_millis(700);
+/// Workers that may respond without an entry and count as leaving, and one in how many if that is more. If many
+/// entries are gone at once, they have lapsed while the table was unavailable, and come back.
+const MIN_UNLISTED_DEPARTURES: usize = 2;
+const UNLISTED_DEPARTURES_DIVISOR: usize = 10;
+
+/// A long-running task that still runs, on a worker that leaves.
+#[derive(Clone, Debug)]
+pub(in crate::core) struct DepartingTask {
+    pub(in crate::core) task: TaskKey,
+    pub(in crate::core) worker: WorkerId,
+}
+
+/// Returns whether workers that respond although their entries are gone are leaving.
+pub(in crate::core) fn unlisted_workers_depart(lead: &LeadState, now: CoreTime) -> bool {
+    let states = lead.worker_states.values();
+    let unlisted = states.filter(|state| !state.listed && state.is_responsive(now));
+    let most = MIN_UNLISTED_DEPARTURES.max(lead.worker_states.len() / UNLISTED_DEPARTURES_DIVISOR);
+    unlisted.count() <= most
+}
+
+impl WorkerState {
+    /// Returns whether the worker is leaving: it has announced that, or it responds although its entry is gone,
+    /// if that means the same at present.
+    pub(in crate::core) fn is_departing(&self, unlisted_depart: bool) -> bool {
+        self.entry.leaving || (unlisted_depart && self.left_as_announced())
+    }
+}
+
+impl EntryCore {
+    /// Stops runs of a step on workers that leave, as many as can start elsewhere right after.
+    pub(in crate::core) fn stop_departing_runs(
+        &mut self,
+        step: &StepToPlace,
+        plans: &[CapacityPlan],
+    ) {
+        if self.placement_is_blocked() {
+            return;
+        }
+        let Some(lead) = self.lead.as_deref() else {
+            return;
+        };
+        let Some(restarting) = lead.restarting.get(&step.key) else {
+            return;
+        };
+        let ready = self.count_ready(step, plans);
+        let mut movable = ready.saturating_sub(restarting.tasks_down());
+        let mut to_stop = Vec::new();
+        for departing in restarting.departing() {
+            let Some(state) = lead.worker_states.get(&departing.worker) else {
+                continue;
+            };
+            // The limit on tasks that are away at once does not count those of a worker that is draining.
+            let may_stop = state.entry.leaving || step.spec.away_limit.is_none();
+            let phase = state.runs.get(&departing.task).map(|live| &live.phase);
+            match phase {
+                Some(RunPhase::Stopping { .. }) => movable = movable.saturating_sub(1),
+                Some(RunPhase::Running { .. }) if may_stop => to_stop.push(departing.clone()),
+                _ => {}
+            }
+        }
+        to_stop.truncate(movable);
+        for departing in to_stop {
+            self.log_often("placer", "depart", || {
+                let detail = format!("stopped on {}, which leaves", departing.worker);
+                (departing.task.to_string(), detail)
+            });
+            self.counters.count("stops", "departing");
+            self.stop_run(&departing.worker, departing.task);
+        }
+    }
+
+    /// Returns the number of plans whose capacity is free, and for whose workers there is a permit that is valid
+    /// long enough for a stop and a start.
+    fn count_ready(&self, step: &StepToPlace, plans: &[CapacityPlan]) -> usize {
+        let Some(lead) = self.lead.as_deref() else {
+            return 0;
+        };
+        let free = plans.iter().filter(|plan| plan.after().is_zero());
+        let Some(rule) = step.rule else {
+            return free.count();
+        };
+        let stop_time = STOP_TIME.min(Duration::from_millis(rule.valid_ms) / 2);
+        let until = self.now + stop_time + lead.time_to_commit();
+        let Some(advice) = lead.advice.get(&step.key) else {
+            return 0;
+        };
+        free.filter(|plan| advice.permit(plan.worker(), until).is_some())
+            .count()
+    }
+}
--- a/crates/bankvalve_queue/src/core/placement/mod.rs
+++ b/crates/bankvalve_queue/src/core/placement/mod.rs
@@ -3,6 +3,7 @@
 pub(in crate::core) mod advice;
 pub(crate) mod capacity_profile;
 pub(in crate::core) mod capacity_reclaim;
+pub(in crate::core) mod departing_tasks;
 pub(in crate::core) mod planned_capacity;
 pub(crate) mod planned_start;
 pub(in crate::core) mod restart_preparation;
@@ -237,10 +238,7 @@
     pub(in crate::core) fn run_placement(&mut self) {
         let now = self.now;
         let by_time = self.uses(PolicySwitch::LatestStart);
-        // Without a recent configuration, the customers' limits and the evacuations are unknown.
-        let unknown =
-            self.table.is_none() || !self.evacuations.are_known() || !self.may_start_by_config();
-        let blocked = self.store_is_unavailable() || !self.may_command() || unknown;
+        let blocked = self.placement_is_blocked();
         let Some(lead) = self.lead.as_deref_mut() else {
             return;
         };
@@ -317,6 +315,14 @@
             .count_many("placements", "workers_scanned", scanned);
     }
 
+    /// Returns whether no task can be placed now.
+    pub(in crate::core) fn placement_is_blocked(&self) -> bool {
+        // Without a recent configuration, the customers' limits and the evacuations are unknown.
+        let unknown =
+            self.table.is_none() || !self.evacuations.are_known() || !self.may_start_by_config();
+        self.store_is_unavailable() || !self.may_command() || unknown
+    }
+
     /// Updates the waiting steps whose tasks have just been placed, without causing another placement pass.
     fn refresh_placed_steps(&mut self) {
         self.refresh_dirty_jobs();
--- a/crates/bankvalve_queue/src/core/placement/restart_preparation.rs
+++ b/crates/bankvalve_queue/src/core/placement/restart_preparation.rs
@@ -8,6 +8,8 @@
 //! not. Shortly before the run can be declared lost, it reserves capacity on allowed workers and gets permits
 //! for them that are valid until the start. None of this needs the table. Reservations are renewed until the
 //! start is decided.
+//!
+//! Tasks on a worker that leaves are prepared in the same way while they still run, see `departing_tasks`.
 
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -15,6 +17,7 @@
 use crate::core::lead_state::LeadState;
 use crate::core::placement::advice::StepAdvice;
 use crate::core::placement::capacity_reclaim::CapacityPlan;
+use crate::core::placement::departing_tasks::{unlisted_workers_depart, DepartingTask};
 use crate::core::placement::worker_selection::{is_eligible, tasks_on, workers_with_most_free};
 use crate::core::placement::StepToPlace;
 use crate::core::worker_state::{ReservationTerms, WorkerState, UNRESPONSIVE_AFTER};
@@ -56,6 +59,8 @@
     since: u64,
     /// Tasks for which capacity is reserved now.
     due: Vec<TaskKey>,
+    /// Those of them that still run, on workers that leave.
+    departing: Vec<DepartingTask>,
     /// Number of tasks for which capacity is not reserved yet.
     later: usize,
     /// What is prepared for them.
@@ -76,6 +81,16 @@
 }
 
 impl RestartingStep {
+    /// Returns the tasks that still run on workers that leave.
+    pub(in crate::core) fn departing(&self) -> &[DepartingTask] {
+        &self.departing
+    }
+
+    /// Returns the number of tasks that are down and for which capacity is reserved.
+    pub(in crate::core) fn tasks_down(&self) -> usize {
+        self.due.len() - self.departing.len()
+    }
+
     /// Returns whether capacity and permits are prepared for all these tasks.
     pub(in crate::core) fn covers(&self, tasks: &[TaskKey]) -> bool {
         tasks.iter().all(|task| self.due.contains(task))
@@ -87,10 +102,21 @@
     }
 }
 
+/// Facts about all workers by which a long-running task's need for a restart is determined.
+#[derive(Clone, Copy, Debug)]
+struct RestartTerms {
+    /// Time without contact for which a worker is waited for whose entry exists.
+    unresponsive_timeout: Duration,
+    /// Whether workers that respond although their entries are gone are leaving.
+    unlisted_depart: bool,
+}
+
 /// Whether a long-running task needs a restart.
 enum RestartStatus {
     /// It runs, or its start is in progress.
     Running,
+    /// It runs on this worker, which leaves.
+    Departing(WorkerId),
     /// Its worker does not respond, but it is too early to reserve capacity.
     Unresponsive,
     /// It is down, or its run can be declared lost soon.
@@ -111,11 +137,14 @@
         let Some(lead) = self.lead.as_deref() else {
             return;
         };
-        let timeout = self.unresponsive_timeout(lead);
+        let terms = RestartTerms {
+            unresponsive_timeout: self.unresponsive_timeout(lead),
+            unlisted_depart: unlisted_workers_depart(lead, now),
+        };
         let mut tasks = 0;
         let mut restarting = BTreeMap::new();
         for key in &lead.lasting_steps {
-            let (scanned, step) = self.restarting_step(lead, *key, timeout);
+            let (scanned, step) = self.restarting_step(lead, *key, terms);
             tasks += scanned;
             restarting.extend(step.map(|step| (*key, step)));
         }
@@ -184,7 +213,7 @@
         &self,
         lead: &LeadState,
         key: StepKey,
-        timeout: Duration,
+        terms: RestartTerms,
     ) -> (u32, Option<RestartingStep>) {
         let job = self.book.job(key.job);
         let job = job.filter(|job| job.outcome == JobOutcome::Open);
@@ -200,9 +229,16 @@
             let task_key = key.task(index as u32);
             let starts_soon =
                 !task.is_suspect() || self.reaches_restart_deadline(spec, task, RESERVE_AHEAD);
-            match self.restart_status(lead, task_key, task, timeout) {
+            match self.restart_status(lead, task_key, task, terms) {
                 RestartStatus::Running => continue,
                 RestartStatus::Due if starts_soon => step.due.push(task_key),
+                RestartStatus::Departing(worker) if starts_soon => {
+                    step.due.push(task_key);
+                    step.departing.push(DepartingTask {
+                        task: task_key,
+                        worker,
+                    });
+                }
                 _ => step.later += 1,
             }
             let since = match task.phase {
@@ -223,8 +259,9 @@
         lead: &LeadState,
         key: TaskKey,
         task: &TaskRecord,
-        timeout: Duration,
+        terms: RestartTerms,
     ) -> RestartStatus {
+        let now = self.now;
         let (worker, run) = match &task.phase {
             // A task that has never run has no downtime.
             TaskPhase::Waiting if task.last_run > 0 => return RestartStatus::Due,
@@ -238,6 +275,9 @@
             // The run was declared lost, but its end is not committed yet.
             return RestartStatus::Due;
         }
+        if state.is_responsive(now) && state.is_departing(terms.unlisted_depart) {
+            return RestartStatus::Departing(worker.clone());
+        }
         let without_contact = self.age(state.last_contact.unwrap_or(state.known_at));
         if without_contact < UNRESPONSIVE_AFTER.max(state.usual_response_gap()) && !state.refused {
             return RestartStatus::Running;
@@ -248,7 +288,7 @@
             self.lease_duration().saturating_sub(without_contact)
         };
         let listed_left = if state.listed && !state.refused {
-            timeout.saturating_sub(without_contact)
+            terms.unresponsive_timeout.saturating_sub(without_contact)
         } else {
             Duration::ZERO
         };
@@ -307,6 +347,7 @@
             self.renew_permits_ahead(&step, rule, &plans);
         }
         prepared.permits = self.count_permits(&step, &plans);
+        self.stop_departing_runs(&step, &plans);
         prepared
     }
 
