test(site): planned stops end, and the policy service turns requests away

The virtual site could ask an instance to stop, but nothing ended its process: a written world had to kill it after a guessed time. `SiteWorld::roll` plays a planned stop to its end as `EntryProcess::stop` does: the process ends once its core has handed over and has no open request, not before the balancer's delay of 2.3 s and after 6 s at the latest. What it had in flight ends with it, and the next process starts a given time after the request to stop. A request to the policy service of the process before keeps its turn there, as before.

The virtual policy service now turns a request away while 32 of the same instance wait, as the platform does. The requests are sent again and all jobs end.

`SiteWorld::unlist_worker` takes a worker's entry away while it runs on.

Existing users of `SiteWorld::stop` are unchanged.

--- a/crates/bankvalve_check/src/site/site_links.rs
+++ b/crates/bankvalve_check/src/site/site_links.rs
@@ -3,8 +3,8 @@
 use std::time::Duration;
 
 use bankvalve_queue::{
-    AdviceRequest, CoreAction, CoreEvent, PeerAddress, StepKey, StoreOutcome, StoreRequest, Ticket,
-    WorkerAnswer,
+    AdviceAnswer, AdviceRequest, CoreAction, CoreEvent, PeerAddress, StepKey, StoreOutcome,
+    StoreRequest, Ticket, WorkerAnswer,
 };
 use bankvalve_standin::site::SitePolicy;
 use rand::Rng;
@@ -16,6 +16,8 @@
 
 /// Time that the policy service takes, in milliseconds.
 const ADVICE_MS: u64 = 10;
+/// Questions of one instance that wait while the policy service handles another one; more are turned away.
+const MAX_WAITING_ADVICE: usize = 32;
 /// Most workers in one question to the policy service.
 const MAX_ADVICE_WORKERS: usize = 100;
 /// Longest way of a message to a peer, in milliseconds.
@@ -126,13 +128,16 @@
                     let text = format!("{}: advice about {} workers", ask.step, ask.workers.len());
                     self.rules.breach("ADVICE", self.now_ms, &text);
                 }
-                let delay = self.advice_time(node, &ask);
+                let turn = self.take_advice_turn(node, &ask);
                 if let Some(load) = self.load.as_mut() {
                     *load.advice.entry(ask.step).or_default() += 1;
                 }
-                let answer = match self.policy_of(ask.step) {
-                    Some(policy) => policy.answer(&ask, self.now_ms + delay),
-                    None => bankvalve_queue::AdviceAnswer::NoReply,
+                let (delay, answer) = match (turn, self.policy_of(ask.step)) {
+                    (None, _) => (REFUSAL_MS, AdviceAnswer::Busy),
+                    (Some(delay), Some(policy)) => {
+                        (delay, policy.answer(&ask, self.now_ms + delay))
+                    }
+                    (Some(delay), None) => (delay, AdviceAnswer::NoReply),
                 };
                 self.after(
                     delay,
@@ -166,16 +171,23 @@
         }))
     }
 
-    /// Milliseconds until the policy service has answered an instance's question.
-    fn advice_time(&mut self, node: usize, ask: &AdviceRequest) -> u64 {
+    /// Milliseconds until the policy service has answered an instance's question; none if it turns it away.
+    fn take_advice_turn(&mut self, node: usize, ask: &AdviceRequest) -> Option<u64> {
         let queue = self.specs.get(&ask.step.job).map(|spec| &*spec.queue);
         let Some(rule) = self.advice_of(queue.unwrap_or(QUEUE)) else {
-            return ADVICE_MS;
+            return Some(ADVICE_MS);
         };
         let now = self.now_ms;
-        let until = self.advice_until.entry(node).or_insert(now);
-        *until = (*until).max(now) + rule.time_for(ask.workers.len()).as_millis() as u64;
-        *until - now
+        let turns = self.advice_turns.entry(node).or_default();
+        turns.retain(|until| *until > now);
+        if turns.len() > MAX_WAITING_ADVICE {
+            self.advice_refusals += 1;
+            return None;
+        }
+        let begins = turns.back().copied().unwrap_or(now);
+        let until = begins + rule.time_for(ask.workers.len()).as_millis() as u64;
+        turns.push_back(until);
+        Some(until - now)
     }
 
     pub(super) fn send_peer(
--- a/crates/bankvalve_check/src/site/site_lives.rs
+++ b/crates/bankvalve_check/src/site/site_lives.rs
@@ -8,6 +8,22 @@
 use super::site_plan::SiteNode;
 use super::site_world::{Later, SiteWorld, WALL_START};
 
+/// Time for which a process that is asked to stop serves on, in milliseconds, as in the program.
+const BALANCER_MS: u64 = 2_300;
+/// Time from one look to the next whether it may end, in milliseconds.
+const STOP_LOOK_MS: u64 = 20;
+/// Time after which it is killed, in milliseconds: the users' sheets name six seconds.
+const GRACE_MS: u64 = 6_000;
+
+/// A planned stop in progress.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct PlannedStop {
+    /// When it began, in milliseconds.
+    began_ms: u64,
+    /// When the next process starts, in milliseconds, or once this one has ended.
+    back_at_ms: u64,
+}
+
 impl SiteWorld {
     /// Starts an instance anew.
     pub fn start(&mut self, number: usize) {
@@ -104,4 +120,31 @@
         self.nodes[number].disturbed_until = u64::MAX;
         self.deliver(number, CoreEvent::Stop);
     }
+
+    /// Stops an instance as planned and has it start again a time after the request to stop. As in the program,
+    /// its process ends once the leadership is handed over and callers have their answers.
+    pub fn roll(&mut self, number: usize, back_ms: u64) {
+        self.stop(number);
+        let life = self.nodes[number].life;
+        let stop = PlannedStop {
+            began_ms: self.now_ms,
+            back_at_ms: self.now_ms + back_ms,
+        };
+        let node = number;
+        self.after(BALANCER_MS, Later::StopCheck { node, life, stop });
+    }
+
+    pub(super) fn check_stop(&mut self, node: usize, life: u64, stop: PlannedStop) {
+        if !self.is_life(node, life) {
+            return;
+        }
+        let now = self.now_ms;
+        let core = self.nodes[node].core.as_ref();
+        let stopped = core.is_some_and(|core| core.view().stopped);
+        if stopped || now >= stop.began_ms + GRACE_MS {
+            self.kill(node, stop.back_at_ms.saturating_sub(now));
+        } else {
+            self.after(STOP_LOOK_MS, Later::StopCheck { node, life, stop });
+        }
+    }
 }
--- a/crates/bankvalve_check/src/site/site_workers.rs
+++ b/crates/bankvalve_check/src/site/site_workers.rs
@@ -131,6 +131,19 @@
         self.write_entry(address);
     }
 
+    /// A worker takes its entry away without a word and runs on.
+    pub fn unlist_worker(&mut self, address: &str) {
+        let Some(Some(worker)) = self.workers.get(address) else {
+            return;
+        };
+        let worker = worker.id.clone();
+        self.worker_off_table_until
+            .insert(address.to_owned(), u64::MAX);
+        self.lasting.trouble(self.now_ms);
+        self.store.set_worker(&worker, None);
+        self.answer_watches();
+    }
+
     /// A worker writes its entry, if it reaches the table.
     pub(super) fn write_entry(&mut self, address: &str) {
         let off = self.worker_off_table_until.get(address);
--- a/crates/bankvalve_check/src/site/site_world.rs
+++ b/crates/bankvalve_check/src/site/site_world.rs
@@ -1,7 +1,7 @@
 //! Instances, table, workers, policy and callers in one process, under virtual time.
 
 use std::cmp::Reverse;
-use std::collections::{BTreeMap, BTreeSet, BinaryHeap};
+use std::collections::{BTreeMap, BTreeSet, BinaryHeap, VecDeque};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -21,6 +21,7 @@
 use super::site_customers::SiteCustomers;
 use super::site_evacuations::SiteEvacuations;
 use super::site_lasting::LastingCheck;
+use super::site_lives::PlannedStop;
 use super::site_load_record::LoadRecord;
 use super::site_losses::LossStep;
 use super::site_restarts::{RestartFigures, WorkerRestart};
@@ -103,6 +104,12 @@
     Restart {
         node: usize,
     },
+    /// A planned stop looks whether its process may end.
+    StopCheck {
+        node: usize,
+        life: u64,
+        stop: PlannedStop,
+    },
     Submit {
         job: JobId,
         tries: u32,
@@ -194,14 +201,18 @@
     pub(super) processes: u64,
     /// What restarts of workers under their ids showed.
     pub restarts: RestartFigures,
-    pub(super) policy: Option<SitePolicy>,
+    /// The policy service, if there is one.
+    pub policy: Option<SitePolicy>,
     /// What the policy service takes for an answer, one question of an instance at a time; if not
     /// set, some milliseconds whatever it is asked. Holds from the next configuration on.
     pub slow_advice: Option<AdviceRule>,
     /// The same for the queue that comes first, if it differs.
     pub urgent_advice: Option<AdviceRule>,
-    /// Until when it answers an instance's questions, by instance, in milliseconds.
-    pub(super) advice_until: BTreeMap<usize, u64>,
+    /// When it has answered each of the questions of an instance, by instance, in milliseconds. Those of a
+    /// process that has ended keep their turn.
+    pub(super) advice_turns: BTreeMap<usize, VecDeque<u64>>,
+    /// Questions that it turned away because too many of the same instance waited.
+    pub advice_refusals: u64,
     pub(super) specs: BTreeMap<JobId, Arc<JobSpec>>,
     pub(super) calls: BTreeMap<(usize, Ticket), OpenCall>,
     /// Jobs whose end was shown, with the state.
@@ -365,7 +376,8 @@
             policy,
             slow_advice: None,
             urgent_advice: None,
-            advice_until: BTreeMap::new(),
+            advice_turns: BTreeMap::new(),
+            advice_refusals: 0,
             specs: BTreeMap::new(),
             calls: BTreeMap::new(),
             shown: BTreeMap::new(),
@@ -537,6 +549,7 @@
             }
             Later::WorkerTime { address } => self.worker_time(&address),
             Later::Restart { node } => self.start(node),
+            Later::StopCheck { node, life, stop } => self.check_stop(node, life, stop),
             Later::Submit { job, tries } => {
                 let spec = self.specs[&job].clone();
                 match self.any_node() {
--- a/crates/bankvalve_check/tests/site/leading.rs
+++ b/crates/bankvalve_check/tests/site/leading.rs
@@ -295,3 +295,35 @@
     let noticed = (31..41).any(|seed| looks_on_waking_up(seed, Some(SiteGuard::BootTime)) > 0);
     assert!(noticed, "nothing notices a clock that stands still");
 }
+
+/// Guards against worlds in which a planned stop ends before the leadership is handed over, or never.
+#[test]
+fn a_rolled_instance_ends_once_it_has_handed_over_and_is_back_in_time() {
+    let mut world = world(5);
+    let leader = world.leader().expect("an instance leads");
+    let stopped_at = world.now_ms;
+    world.roll(leader, 3_000);
+    world.run_until(stopped_at + 2_200);
+    assert!(world.nodes[leader].is_up());
+    assert_ne!(world.leader(), Some(leader));
+    world.run_until(stopped_at + 2_400);
+    assert!(!world.nodes[leader].is_up());
+    world.run_until(stopped_at + 3_100);
+    assert!(world.nodes[leader].is_up());
+    // Nobody takes over from the only instance that is left, so that it is killed in the end.
+    for node in 0..3 {
+        if node != leader {
+            world.kill(node, 60_000);
+        }
+    }
+    world.run_until(stopped_at + 10_000);
+    assert_eq!(world.leader(), Some(leader));
+    world.roll(leader, 8_000);
+    world.run_until(stopped_at + 15_900);
+    assert!(world.nodes[leader].is_up());
+    world.run_until(stopped_at + 16_100);
+    assert!(!world.nodes[leader].is_up());
+    world.run_until(stopped_at + 18_100);
+    assert!(world.nodes[leader].is_up());
+    assert_kept(&world);
+}
--- a/crates/bankvalve_check/tests/site/permits.rs
+++ b/crates/bankvalve_check/tests/site/permits.rs
@@ -221,3 +221,27 @@
     assert!(late(Beside::Nothing) > 0);
     assert!(late(Beside::Table) > 0);
 }
+
+/// Guards against a policy service of the virtual site that lets any number of questions wait.
+#[test]
+fn questions_that_the_policy_service_turns_away_are_asked_again() {
+    let plan = SitePlan {
+        good_percent: Some(90),
+        ..crate::plan_of(1, 40)
+    };
+    let mut world = SiteWorld::new(plan);
+    world.slow_advice = Some(AdviceRule {
+        decide_ms: 20.0,
+        each_ms: 0.2,
+        valid_ms: 1_500,
+    });
+    world.configure(2);
+    world.run_until(2_000);
+    for job in 1..400 {
+        world.submit(job_of(job, QUEUE, &[1], false));
+    }
+    world.run_until(60_000);
+    assert!(world.advice_refusals > 0);
+    assert_eq!(world.shown.len(), 399);
+    assert_kept(&world);
+}
