--- a/crates/bankvalve_check/tests/site/restart_handovers.rs
+++ b/crates/bankvalve_check/tests/site/restart_handovers.rs
@@ -22,6 +22,9 @@
     each_ms: 20.0,
     ..SLOW_POLICY
 };
+/// Time until an address is used again, in milliseconds, and one after each play.
+const REUSED_MS: u64 = 2_000;
+const NEVER_MS: u64 = 100_000;
 /// Most planned changes of leader.
 const MAX_CHANGES: u64 = 5;
 /// Longest downtime, in milliseconds: the users allow six seconds after the last run, and three in which it is
@@ -34,12 +37,13 @@
 /// Time after the last unplanned loss before which a longer one is allowed, in milliseconds: four seconds, and
 /// three in which the task is watched.
 const CALM_MS: u64 = 7_000;
-/// For each seed: distance and offset of the changes of leader, advice and lease limit.
-const SWEPT: [(u64, i64, AdviceRule, u64); 4] = [
-    (1_000, -2_000, SLOW_POLICY, 6_000),
-    (2_000, 0, SLOW_POLICY, 10_000),
-    (0, 1_000, SLOWEST_POLICY, 6_000),
-    (3_000, -1_000, QUICKER_POLICY, 10_000),
+/// For each seed: distance and offset of the changes of leader, advice, lease limit, and the time until an address
+/// is used again.
+const SWEPT: [(u64, i64, AdviceRule, u64, u64); 4] = [
+    (1_000, -2_000, SLOW_POLICY, 6_000, NEVER_MS),
+    (2_000, 0, SLOW_POLICY, 10_000, REUSED_MS),
+    (0, 1_000, SLOWEST_POLICY, 6_000, REUSED_MS),
+    (3_000, -1_000, QUICKER_POLICY, 10_000, NEVER_MS),
 ];
 
 /// Downtimes by number of planned changes of leader.
@@ -66,7 +70,7 @@
 
 /// Returns a play without changes of leader.
 fn swept(seed: u64, departure: Departure) -> Play {
-    let (distance_ms, offset_ms, policy, lease_limit_ms) = SWEPT[seed as usize - 1];
+    let (distance_ms, offset_ms, policy, lease_limit_ms, replaced_ms) = SWEPT[seed as usize - 1];
     Play {
         seed,
         departure,
@@ -77,6 +81,7 @@
         fate: AdviserFate::Sound,
         policy,
         lease_limit_ms,
+        replaced_ms,
     }
 }
 
@@ -160,6 +165,7 @@
 fn downtimes_by_fate(fate: AdviserFate) -> Downtimes {
     played(|seed| Play {
         fate,
+        replaced_ms: REUSED_MS,
         ..swept(seed, Departure::Crash)
     })
 }
--- a/crates/bankvalve_check/tests/site/rolling_site.rs
+++ b/crates/bankvalve_check/tests/site/rolling_site.rs
@@ -40,8 +40,6 @@
 /// Time for which a worker runs on after its announcement, or without its entry, in milliseconds.
 const DRAIN_MS: u64 = 7_000;
 const UNLISTED_MS: u64 = 2_000;
-/// Time until the next worker is there in the place of one that has ended, in milliseconds.
-const REPLACED_MS: u64 = 1_500;
 /// Time from the request to stop an instance until it starts again, in milliseconds.
 pub(crate) const BACK_MS: u64 = 3_000;
 /// Time from the first departure's end until the play ends at the latest, in milliseconds.
@@ -86,6 +84,8 @@
     pub(crate) fate: AdviserFate,
     pub(crate) policy: AdviceRule,
     pub(crate) lease_limit_ms: u64,
+    /// Time until the next worker is there at the address of one that has ended, in milliseconds.
+    pub(crate) replaced_ms: u64,
 }
 
 /// For how long long-running tasks were down, in milliseconds, and the broken rules.
@@ -326,8 +326,8 @@
             (Departure::Announced, false) => site.world.drain_worker(address, DRAIN_MS),
             (Departure::Unannounced, false) => site.world.unlist_worker(address),
             (Departure::Crash, false) => {}
-            (Departure::Crash, true) => site.world.end_worker(address, REPLACED_MS),
-            (_, true) => site.world.crash_worker(address, REPLACED_MS),
+            (Departure::Crash, true) => site.world.end_worker(address, play.replaced_ms),
+            (_, true) => site.world.crash_worker(address, play.replaced_ms),
         }
     }
     let runs = LASTING_TASKS.iter().sum::<u32>() as usize;
