test(site): advice for a restart while its adviser or the leader ends

One long-running task whose worker ends, at fixed times. A request for advice takes 3 s (in one test 0.1 s a worker), and another worker comes at the address after 0.3 s, so that the downtime is that of the request. Seen on this code:

adviser is stopped as planned 5.8 s, usually 3.3 s adviser is killed and back after 0.1 s 7.3 s, usually 3.3 s leader stopped before, answers in hand 2.5 s, usually 0.5 s leader stopped with the request in flight 5.0 s, usually 3.3 s adviser and leader stopped 1 s apart 4.4 s, usually 3.3 s departure announced to the leader before 3.1 s, 2 s at most

Two pass: a leader that is stopped or killed 0 to 48 ms after the answer, so between placement and order as well. Killed in the first 9 ms it costs a second request, 6.6 s in all.

--- a/crates/bankvalve_check/tests/site/main.rs
+++ b/crates/bankvalve_check/tests/site/main.rs
@@ -1,6 +1,7 @@
 //! Entry instances on the users' platform, under virtual time: each fault found once stays found.
 
 mod admission;
+mod advice_handover;
 mod answers;
 mod carriers;
 mod config;
