--- a/crates/bankvalve_check/tests/site/main.rs
+++ b/crates/bankvalve_check/tests/site/main.rs
@@ -1,6 +1,7 @@
 //! Entry instances on the users' platform, under virtual time: each fault found once stays found.
 
 mod admission;
+mod advice_handover;
 mod answers;
 mod carriers;
 mod config;
@@ -33,8 +34,10 @@
 mod random;
 mod recover;
 mod restart_deadline;
+mod restart_handovers;
 mod restart_then_cut;
 mod restarts;
+mod rolling_site;
 mod run_times;
 mod sight;
 mod storms;
