fix(queue): advice outlives the leadership in which it was requested

Each new leader requested all advice again, about workers that the policy service had already answered for, and behind the requests of the leader before, whose instances it took for idle.

Cause: answers and requests under way were kept by the leader alone and ended with it.

- The leader tells its standbys which workers may run its long-running steps, and which requests are in flight; a successor starts with both.
Each change is told once, first those of tasks that are down, eight steps each quarter of a second and standby; a standby that has restarted is told all.
Permits, valid for two seconds, are not passed on.
- An instance gives the answer to a former leader's request to the present leader, or to the next one it hears of.
- Heartbeats tell an instance's backlog at the policy service, so that a new leader does not take busy ones for idle.
- A task on a worker that leaves is stopped as soon as any permitted worker has capacity, not only the planned one.

Weighed: answers in the ledger (a write for each, on a table at its limit); permits in the messages (expired on arrival as a rule); a second copy of each request (takes another's place at a service at its limit).

--- a/crates/bankvalve_queue/src/core/election.rs
+++ b/crates/bankvalve_queue/src/core/election.rs
@@ -236,6 +236,7 @@
         }
         self.leader = Some(leader);
         self.resend_requests();
+        self.pass_kept_answers();
     }
 
     /// Ends this instance's leadership without writing anything.
@@ -562,7 +563,9 @@
         }
         // The first heartbeat reports this.
         lead.loaded = complete;
+        self.inherit_advice(&mut lead);
         self.lead = Some(Box::new(lead));
+        self.pass_kept_answers();
         self.worker_watch = Default::default();
         let (address, life) = (self.settings.address, self.settings.life);
         self.leader = Some(LeaderView {
--- a/crates/bankvalve_queue/src/core/entry_core.rs
+++ b/crates/bankvalve_queue/src/core/entry_core.rs
@@ -10,6 +10,7 @@
 use super::admission::customer_limits::CustomerLimits;
 use super::admission::load_limit::ShareGate;
 use super::admission::outage_wait::OutageWait;
+use super::advice_calls::AdviceCalls;
 use super::call_proxies::ProxyOrigin;
 use super::callers::OpenRequest;
 use super::election::{LeaderView, PeerView};
@@ -22,6 +23,7 @@
 use super::ledger_page::LedgerPage;
 use super::log_budget::LogBudget;
 use super::member_rows::MemberRows;
+use super::placement::shared_advice::KnownAdvice;
 use super::readiness::UnreadyReason;
 use super::stopped_leases::StoppedLeases;
 use super::store_link::WatchState;
@@ -300,8 +302,10 @@
     pub(super) measurements: LeaderMeasurements,
     pub(super) open_requests: BTreeMap<Ticket, OpenRequest>,
     pub(super) follower_reads: FollowerReads,
-    /// Advice requests that this instance sends for the leader: the leader and its ticket.
-    pub(super) proxied_advice: BTreeMap<Ticket, (PeerAddress, Ticket)>,
+    /// Requests that this instance sends to the policy service.
+    pub(super) advice_calls: AdviceCalls,
+    /// What the leader knows from the policy service, as it last told this standby.
+    pub(super) known_advice: KnownAdvice,
     /// Calls that this instance sends for the leader.
     pub(super) proxied_calls: BTreeMap<Ticket, ProxyOrigin>,
     pub(super) open_store_requests: BTreeMap<Ticket, OpenStoreRequest>,
@@ -386,7 +390,8 @@
             measurements: Default::default(),
             open_requests: BTreeMap::new(),
             follower_reads: FollowerReads::default(),
-            proxied_advice: BTreeMap::new(),
+            advice_calls: AdviceCalls::default(),
+            known_advice: KnownAdvice::default(),
             proxied_calls: BTreeMap::new(),
             open_store_requests: BTreeMap::new(),
             store_timeouts: StoreTimeouts::default(),
@@ -462,7 +467,7 @@
             ready: self.is_ready(),
             leading: lead.is_some(),
             loading: lead.is_some_and(|lead| !lead.loaded),
-            stopped: self.stopping && lead.is_none() && self.open_requests.is_empty(),
+            stopped: self.may_end(),
             jobs: self.book.len() as u64,
             waiting_tasks: lead.map_or(0, LeadState::waiting_tasks),
             live_runs: lead.map_or(0, LeadState::live_runs),
@@ -487,6 +492,11 @@
         }
     }
 
+    /// Returns whether a stopping instance has handed over its leadership and answered its callers.
+    fn may_end(&self) -> bool {
+        self.stopping && self.lead.is_none() && self.open_requests.is_empty()
+    }
+
     /// Returns whether this instance leads.
     pub fn leads(&self) -> bool {
         self.lead.is_some()
--- a/crates/bankvalve_queue/src/core/follower.rs
+++ b/crates/bankvalve_queue/src/core/follower.rs
@@ -59,7 +59,15 @@
             PeerMessage::MarkWanted { round } => self.send_read_index(from, round),
             PeerMessage::Mark { round, sequence } => self.handle_read_index(from, round, sequence),
             PeerMessage::Advise { ticket, ask } => self.proxy_advice(from, ticket, ask),
-            PeerMessage::Advised { ticket, answer } => self.finish_advice(ticket, answer),
+            PeerMessage::Advised { ticket, answer } => {
+                self.finish_advice(ticket, answer);
+            }
+            PeerMessage::AdviceAnswered {
+                step,
+                workers,
+                answer,
+            } => self.receive_advice(from, step, workers, answer),
+            PeerMessage::AdviceKnown { summaries } => self.handle_known_advice(summaries),
             PeerMessage::Relay { from, to, message } => self.handle_relayed(from, to, message),
             PeerMessage::Carry { ticket, call } => self.proxy_call(from, ticket, call),
             PeerMessage::Carried { ticket, answer } => self.handle_worker_answer(ticket, answer),
--- a/crates/bankvalve_queue/src/core/handover.rs
+++ b/crates/bankvalve_queue/src/core/handover.rs
@@ -182,6 +182,7 @@
         if until_claimed && self.begin_handover(successor) {
             return;
         }
+        self.hand_over_advice(successor);
         self.step_down(why);
         let over = true;
         self.send_message(successor, PeerMessage::TakeOver { epoch, over });
@@ -199,6 +200,7 @@
             return false;
         }
         lead.handover_sent_at = Some(now);
+        self.hand_over_advice(successor);
         let over = false;
         self.send_message(successor, PeerMessage::TakeOver { epoch, over });
         true
--- a/crates/bankvalve_queue/src/core/lead_state.rs
+++ b/crates/bankvalve_queue/src/core/lead_state.rs
@@ -20,6 +20,7 @@
 use super::placement::capacity_reclaim::CapacityClaim;
 use super::placement::planned_capacity::CapacityPlans;
 use super::placement::restart_preparation::RestartingStep;
+use super::placement::shared_advice::ToldAdvice;
 use super::placement::speed_preference::SpeedClass;
 use super::placement::waiting_steps::WaitingStep;
 use super::suspects::WorkerLoss;
@@ -216,6 +217,10 @@
     /// Those of `lasting_steps` with tasks that are down or soon will be.
     pub(super) restarting: BTreeMap<StepKey, RestartingStep>,
     pub(super) next_restart_preparation: CoreTime,
+    /// When the standbys are next told what is known from the policy service.
+    pub(super) next_advice_share: CoreTime,
+    /// What each standby has been told of it.
+    pub(super) advice_told: BTreeMap<PeerAddress, ToldAdvice>,
     /// Moving average, by queue, of the logarithm of measured to estimated run time.
     pub(super) estimate_error: BTreeMap<String, f64>,
     pub(super) run_times: RunTimeModel,
@@ -302,6 +307,8 @@
             lasting_steps: BTreeSet::new(),
             restarting: BTreeMap::new(),
             next_restart_preparation: now,
+            next_advice_share: now,
+            advice_told: BTreeMap::new(),
             estimate_error: BTreeMap::new(),
             run_times: RunTimeModel::default(),
             speed_classes: Vec::new(),
@@ -486,6 +493,7 @@
             self.run_orders();
             self.refresh_dirty_jobs();
             self.prepare_restarts();
+            self.share_advice();
             self.run_placement();
             self.run_advice();
         }
@@ -548,7 +556,10 @@
         lead.capacity_waits.retain(|step, _| open(step.job));
         lead.capacity_claims.retain(|step, _| open(step.job));
         lead.next_plan_at.retain(|step, _| open(step.job));
-        lead.advice.retain(|step, _| open(step.job));
+        // Before the ledger has been read, inherited advice is about jobs that are not known yet.
+        if lead.loaded {
+            lead.advice.retain(|step, _| open(step.job));
+        }
         lead.waiting_counts.clear();
     }
 
--- a/crates/bankvalve_queue/src/core/members.rs
+++ b/crates/bankvalve_queue/src/core/members.rs
@@ -114,6 +114,7 @@
                 .map(|at| self.age(at).as_millis() as u64),
             credits: self.credits_in_force(),
             former_leases: self.former_leaders.bound(self.now),
+            advice_backlog_ms: self.advice_calls.backlog(self.now).as_millis() as u64,
         }
     }
 
@@ -178,7 +179,8 @@
             known_at: now,
             ..PeerView::default()
         });
-        if peer.heartbeat.life != heartbeat.life {
+        let restarted = peer.heartbeat.life != heartbeat.life;
+        if restarted {
             // Echoes from an earlier process of the peer say nothing about this one.
             peer.echo = PeerEcho::default();
         }
@@ -251,6 +253,7 @@
             }
         }
         self.reassign_advice(peer);
+        self.forget_told_advice(peer);
         if refused {
             self.remove_proxy(peer);
         }
--- a/crates/bankvalve_queue/src/core/mod.rs
+++ b/crates/bankvalve_queue/src/core/mod.rs
@@ -41,6 +41,7 @@
 //!   evacuated.
 
 mod admission;
+mod advice_calls;
 mod call_proxies;
 mod callers;
 mod commit;
--- a/crates/bankvalve_queue/src/core/placement/advice.rs
+++ b/crates/bankvalve_queue/src/core/placement/advice.rs
@@ -14,7 +14,6 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
-use crate::core::CoreAction;
 use crate::core::EntryCore;
 use crate::ids::{CoreTime, StepKey, Ticket, WorkerId};
 use crate::peer::{PeerAddress, PeerMessage};
@@ -42,7 +41,7 @@
 /// Time for the round trip of a request and its answer.
 pub(in crate::core) const REQUEST_ROUND_TRIP: Duration = Duration::from_millis(6);
 /// Time after the expected time of its answer at which a request is abandoned.
-const LATE_ANSWER_TIMEOUT: Duration = Duration::from_millis(900);
+pub(in crate::core) const LATE_ANSWER_TIMEOUT: Duration = Duration::from_millis(900);
 /// Time between two checks for requests without an answer.
 const TIMEOUT_SCAN_INTERVAL: Duration = Duration::from_millis(20);
 /// Longest backlog of requests of an instance, in time, to which another request is added. Capacity stays
@@ -60,16 +59,16 @@
 
 /// An advice request in flight.
 #[derive(Debug)]
-struct InFlightAdvice {
-    ticket: Ticket,
-    adviser: PeerAddress,
-    workers: Vec<WorkerId>,
+pub(super) struct InFlightAdvice {
+    pub(super) ticket: Ticket,
+    pub(super) adviser: PeerAddress,
+    pub(super) workers: Vec<WorkerId>,
     /// When the answer is expected.
-    expected: CoreTime,
+    pub(super) expected: CoreTime,
     /// Whether it takes longer than [`LONG_REQUEST`].
-    long: bool,
+    pub(super) long: bool,
     /// When it is abandoned.
-    until: CoreTime,
+    pub(super) until: CoreTime,
 }
 
 /// What the policy service has answered for one step.
@@ -78,10 +77,12 @@
     /// Workers that may run the step, each with its last permit.
     allowed: BTreeMap<WorkerId, Permit>,
     /// Workers about which the service has answered.
-    answered: BTreeSet<WorkerId>,
-    in_flight: Vec<InFlightAdvice>,
+    pub(super) answered: BTreeSet<WorkerId>,
+    pub(super) in_flight: Vec<InFlightAdvice>,
     /// When the next request may be sent.
     retry_at: CoreTime,
+    /// When a request was last sent, answered or abandoned.
+    pub(super) changed_at: CoreTime,
     /// Number of requests sent.
     sent: u32,
     /// Number of requests that ended without an answer.
@@ -89,6 +90,45 @@
 }
 
 impl StepAdvice {
+    /// Creates the advice that a former leader had, without permits.
+    pub(super) fn known(allowed: Vec<WorkerId>, refused: Vec<WorkerId>) -> Self {
+        let expired = || Permit {
+            text: String::new(),
+            until: CoreTime::ZERO,
+        };
+        let answered = allowed.iter().chain(&refused).cloned().collect();
+        Self {
+            allowed: allowed.into_iter().map(|id| (id, expired())).collect(),
+            answered,
+            ..Self::default()
+        }
+    }
+
+    /// Records an answer about workers.
+    pub(super) fn record_answer(
+        &mut self,
+        workers: Vec<WorkerId>,
+        answer: AdviceAnswer,
+        now: CoreTime,
+    ) {
+        self.changed_at = now;
+        match answer {
+            AdviceAnswer::Good { permits, valid_ms } => {
+                let valid = Duration::from_millis(valid_ms).saturating_sub(PERMIT_MARGIN);
+                self.answered.extend(workers);
+                for (worker, text) in permits {
+                    let until = now + valid;
+                    self.allowed.insert(worker, Permit { text, until });
+                }
+            }
+            AdviceAnswer::Busy => self.retry_at = now + BUSY_RETRY_DELAY,
+            AdviceAnswer::NoReply => {
+                self.retry_at = now;
+                self.unanswered += 1;
+            }
+        }
+    }
+
     pub(in crate::core) fn is_allowed(&self, worker: &WorkerId) -> bool {
         self.allowed.contains_key(worker)
     }
@@ -223,6 +263,7 @@
         let time = until.saturating_sub(now);
         let advice = lead.advice.entry(step).or_default();
         advice.sent += 1;
+        advice.changed_at = now;
         advice.in_flight.push(InFlightAdvice {
             ticket,
             adviser,
@@ -247,7 +288,7 @@
             self.log("advice", "ask", step.to_string(), detail);
         }
         if adviser == local {
-            self.actions.push(CoreAction::Advice { ticket, ask });
+            self.send_own_advice(ticket, ask);
         } else {
             self.send_via_hub(adviser, PeerMessage::Advise { ticket, ask });
         }
@@ -293,34 +334,11 @@
         until.is_none_or(|until| *until <= self.now + MAX_ADVISER_BACKLOG)
     }
 
-    /// Sends an advice request of the leader to the policy service.
-    pub(in crate::core) fn proxy_advice(
-        &mut self,
-        from: PeerAddress,
-        ticket: Ticket,
-        ask: AdviceRequest,
-    ) {
-        let local_ticket = self.take_ticket();
-        self.proxied_advice.insert(local_ticket, (from, ticket));
-        self.actions.push(CoreAction::Advice {
-            ticket: local_ticket,
-            ask,
-        });
-    }
-
-    pub(in crate::core) fn handle_advice(&mut self, ticket: Ticket, answer: AdviceAnswer) {
-        match self.proxied_advice.remove(&ticket) {
-            Some((peer, ticket)) => {
-                self.send_via_hub(peer, PeerMessage::Advised { ticket, answer });
-            }
-            None => self.finish_advice(ticket, answer),
-        }
-    }
-
-    pub(in crate::core) fn finish_advice(&mut self, ticket: Ticket, answer: AdviceAnswer) {
+    /// Handles the answer to a request of this leader. Returns whether there was such a request.
+    pub(in crate::core) fn finish_advice(&mut self, ticket: Ticket, answer: AdviceAnswer) -> bool {
         let now = self.now;
         let Some(lead) = self.lead.as_deref_mut() else {
-            return;
+            return false;
         };
         let position_of = |advice: &StepAdvice| {
             let mut in_flight = advice.in_flight.iter();
@@ -329,40 +347,18 @@
         let mut all = lead.advice.iter_mut();
         let matching = all.find_map(|(step, advice)| Some((*step, position_of(advice)?, advice)));
         let Some((step, position, advice)) = matching else {
-            return;
+            return false;
         };
         let request = advice.in_flight.swap_remove(position);
         lead.placement_due = true;
-        let result = match &answer {
-            AdviceAnswer::Good { permits, .. } => {
-                format!(
-                    "{} of {} workers may run it",
-                    permits.len(),
-                    request.workers.len()
-                )
-            }
-            other => format!("{other:?}"),
-        };
+        let result = answer.result_text(request.workers.len());
         let late = now.saturating_sub(request.expected);
         match answer {
-            AdviceAnswer::Good { permits, valid_ms } => {
-                let valid = Duration::from_millis(valid_ms).saturating_sub(PERMIT_MARGIN);
-                advice.answered.extend(request.workers);
-                for (worker, text) in permits {
-                    let until = now + valid;
-                    advice.allowed.insert(worker, Permit { text, until });
-                }
-            }
-            AdviceAnswer::Busy => {
-                advice.retry_at = now + BUSY_RETRY_DELAY;
-                self.counters.count("retries", "advice_busy");
-            }
-            AdviceAnswer::NoReply => {
-                advice.retry_at = now;
-                advice.unanswered += 1;
-                self.counters.count("retries", "advice_unanswered");
-            }
+            AdviceAnswer::Good { .. } => {}
+            AdviceAnswer::Busy => self.counters.count("retries", "advice_busy"),
+            AdviceAnswer::NoReply => self.counters.count("retries", "advice_unanswered"),
         }
+        advice.record_answer(request.workers, answer, now);
         if request.long {
             self.log(
                 "advice",
@@ -371,6 +367,7 @@
                 format!("{result}, {late:?} after the expected time"),
             );
         }
+        true
     }
 
     pub(in crate::core) fn drop_permit(&mut self, step: StepKey, worker: &WorkerId) {
@@ -399,6 +396,7 @@
 
     /// Drops the requests in flight at a peer that does not respond, so that other instances get them.
     pub(in crate::core) fn reassign_advice(&mut self, peer: PeerAddress) {
+        let now = self.now;
         let Some(lead) = self.lead.as_deref_mut() else {
             return;
         };
@@ -407,8 +405,11 @@
             let before = advice.in_flight.len();
             advice.in_flight.retain(|request| request.adviser != peer);
             let lost = before - advice.in_flight.len();
-            advice.unanswered += lost as u32;
-            lead.placement_due |= lost > 0;
+            if lost > 0 {
+                advice.unanswered += lost as u32;
+                advice.changed_at = now;
+                lead.placement_due = true;
+            }
         }
     }
 
@@ -431,7 +432,11 @@
             late_advisers.extend(expired.map(|request| request.adviser));
             let before = advice.in_flight.len();
             advice.in_flight.retain(|request| now <= request.until);
-            advice.unanswered += (before - advice.in_flight.len()) as u32;
+            let lost = before - advice.in_flight.len();
+            if lost > 0 {
+                advice.unanswered += lost as u32;
+                advice.changed_at = now;
+            }
         }
         lead.placement_due |= !late_advisers.is_empty();
         self.counters
--- a/crates/bankvalve_queue/src/core/placement/departing_tasks.rs
+++ b/crates/bankvalve_queue/src/core/placement/departing_tasks.rs
@@ -9,11 +9,12 @@
 
 use crate::core::lead_state::LeadState;
 use crate::core::live_run::RunPhase;
-use crate::core::placement::capacity_reclaim::CapacityPlan;
+use crate::core::placement::worker_selection::{assign_workers, eligible_workers, is_eligible};
 use crate::core::placement::StepToPlace;
 use crate::core::worker_state::WorkerState;
 use crate::core::EntryCore;
 use crate::ids::{CoreTime, TaskKey, WorkerId};
+use crate::policy::PolicySwitch;
 
 /// Time from the decision to stop a run until its end is reported, for which a permit must be valid in addition
 /// to the time for committing the start.
@@ -48,12 +49,8 @@
 
 impl EntryCore {
     /// Stops runs of a step on workers that leave, as many as can start elsewhere right after.
-    pub(in crate::core) fn stop_departing_runs(
-        &mut self,
-        step: &StepToPlace,
-        plans: &[CapacityPlan],
-    ) {
-        if self.placement_is_blocked() {
+    pub(in crate::core) fn stop_departing_runs(&mut self, step: &StepToPlace) {
+        if self.placement_is_blocked() || !self.uses(PolicySwitch::EarlyMove) {
             return;
         }
         let Some(lead) = self.lead.as_deref() else {
@@ -62,7 +59,10 @@
         let Some(restarting) = lead.restarting.get(&step.key) else {
             return;
         };
-        let ready = self.count_ready(step, plans);
+        if restarting.departing().is_empty() {
+            return;
+        }
+        let ready = self.count_ready(step);
         let mut movable = ready.saturating_sub(restarting.tasks_down());
         let mut to_stop = Vec::new();
         for departing in restarting.departing() {
@@ -89,22 +89,25 @@
         }
     }
 
-    /// Returns the number of plans whose capacity is free, and for whose workers there is a permit that is valid
-    /// long enough for a stop and a start.
-    fn count_ready(&self, step: &StepToPlace, plans: &[CapacityPlan]) -> usize {
+    /// Returns how many tasks of a step could start now, with permits that are valid long enough for a stop and a
+    /// start.
+    fn count_ready(&self, step: &StepToPlace) -> usize {
+        let now = self.now;
         let Some(lead) = self.lead.as_deref() else {
             return 0;
         };
-        let free = plans.iter().filter(|plan| plan.after().is_zero());
         let Some(rule) = step.rule else {
-            return free.count();
+            return assign_workers(step, &eligible_workers(lead, step, now), now).len();
         };
         let stop_time = STOP_TIME.min(Duration::from_millis(rule.valid_ms) / 2);
-        let until = self.now + stop_time + lead.time_to_commit();
+        let until = now + stop_time + lead.time_to_commit();
         let Some(advice) = lead.advice.get(&step.key) else {
             return 0;
         };
-        free.filter(|plan| advice.permit(plan.worker(), until).is_some())
-            .count()
+        let permitted = advice.permitted(until).filter_map(|id| {
+            let state = lead.worker_states.get(id)?;
+            is_eligible((id, state), step, now).then_some((id, state))
+        });
+        assign_workers(step, &permitted.collect::<Vec<_>>(), now).len()
     }
 }
--- a/crates/bankvalve_queue/src/core/placement/mod.rs
+++ b/crates/bankvalve_queue/src/core/placement/mod.rs
@@ -7,6 +7,7 @@
 pub(in crate::core) mod planned_capacity;
 pub(crate) mod planned_start;
 pub(in crate::core) mod restart_preparation;
+pub(in crate::core) mod shared_advice;
 pub(in crate::core) mod speed_preference;
 pub(in crate::core) mod waiting_steps;
 pub(in crate::core) mod worker_selection;
--- a/crates/bankvalve_queue/src/core/placement/restart_preparation.rs
+++ b/crates/bankvalve_queue/src/core/placement/restart_preparation.rs
@@ -123,6 +123,17 @@
     Due,
 }
 
+impl LeadState {
+    /// Returns the steps with tasks that are down or soon will be, the longest downtime first.
+    pub(in crate::core) fn steps_by_downtime(&self) -> Vec<StepKey> {
+        let steps = self.restarting.iter();
+        let mut by_downtime: Vec<(u64, StepKey)> =
+            steps.map(|(key, step)| (step.since, *key)).collect();
+        by_downtime.sort_unstable();
+        by_downtime.into_iter().map(|(_, key)| key).collect()
+    }
+}
+
 impl EntryCore {
     /// Prepares permits and capacity for long-running tasks whose runs have ended or soon will.
     pub(in crate::core) fn prepare_restarts(&mut self) {
@@ -154,11 +165,6 @@
         let steps = restarting.len() as u32;
         lead.next_restart_preparation =
             now + SCAN_INTERVAL + SCAN_INTERVAL_PER_TASK * tasks + SCAN_INTERVAL_PER_STEP * steps;
-        let mut by_age: Vec<(u64, StepKey)> = restarting
-            .iter()
-            .map(|(key, step)| (step.since, *key))
-            .collect();
-        by_age.sort_unstable();
         let before = std::mem::replace(&mut lead.restarting, restarting);
         let finished = before.keys();
         let finished = finished.filter(|key| !lead.restarting.contains_key(key));
@@ -167,8 +173,9 @@
                 state.drop_reservation(*key, now);
             }
         }
+        let by_downtime = lead.steps_by_downtime();
         let mut budget = self.reservable_millicores();
-        for (_, key) in by_age {
+        for key in by_downtime {
             let prepared = self.prepare_step(key, &mut budget);
             let last_prepared = before.get(&key).map(|step| step.prepared);
             self.record_prepared(key, last_prepared, prepared);
@@ -347,7 +354,7 @@
             self.renew_permits_ahead(&step, rule, &plans);
         }
         prepared.permits = self.count_permits(&step, &plans);
-        self.stop_departing_runs(&step, &plans);
+        self.stop_departing_runs(&step);
         prepared
     }
 
--- a/crates/bankvalve_queue/src/lib.rs
+++ b/crates/bankvalve_queue/src/lib.rs
@@ -49,9 +49,10 @@
     LedgerBatch, LedgerEvent, RepetitionRecord, StepRecord, TaskPhase, TaskRecord,
 };
 pub use peer::{
-    peer_batch_timeout, AdmissionCredits, BatchTimeout, EvacuationList, FormerLeaseBound,
-    HeartbeatBody, HeartbeatEcho, PeerAddress, PeerBatch, PeerMessage, ProxiedCall, ProxiedOrder,
-    QueueCredit, PEER_BATCHES_IN_FLIGHT, POOLED_CONNECTIONS,
+    peer_batch_timeout, AdmissionCredits, AdviceInFlight, AdviceSummary, BatchTimeout,
+    EvacuationList, FormerLeaseBound, HeartbeatBody, HeartbeatEcho, PeerAddress, PeerBatch,
+    PeerMessage, ProxiedCall, ProxiedOrder, QueueCredit, PEER_BATCHES_IN_FLIGHT,
+    POOLED_CONNECTIONS,
 };
 pub use policy::{OptionalPolicies, PolicySwitch};
 pub use port::{PlatformPort, RequestFault, WireAnswer, WireCall, WireReply, WireRequest};
--- a/crates/bankvalve_queue/src/peer.rs
+++ b/crates/bankvalve_queue/src/peer.rs
@@ -11,7 +11,7 @@
 use crate::caller::{CallerAnswer, CallerRequest};
 use crate::core::MeasuredModel;
 use crate::customer::CallerIdentity;
-use crate::ids::{ConnectionId, DomainName, FenceToken, RunId, TaskKey, Ticket, WorkerId};
+use crate::ids::{ConnectionId, DomainName, FenceToken, RunId, StepKey, TaskKey, Ticket, WorkerId};
 use crate::worker::{AdviceAnswer, AdviceRequest, ProcessStart, WorkerAnswer, WorkerCall};
 
 /// Address at which an instance accepts messages from its peers.
@@ -208,6 +208,34 @@
     /// yet.
     #[serde(default)]
     pub former_leases: Option<FormerLeaseBound>,
+    /// Milliseconds until the sender's advice requests to the policy service are expected to be answered.
+    #[serde(default)]
+    pub advice_backlog_ms: u64,
+}
+
+/// An advice request in flight, as the leader tells it to its standbys.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct AdviceInFlight {
+    /// Instance that sends it to the policy service.
+    pub adviser: PeerAddress,
+    /// Workers in the request.
+    pub workers: Vec<WorkerId>,
+    /// Time until its answer is expected, in milliseconds.
+    pub expected_ms: u64,
+}
+
+/// What the leader knows from the policy service about a step with long-running tasks that are down or soon will
+/// be. Which workers may run a step does not change; permits expire and are left out.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct AdviceSummary {
+    /// The step.
+    pub step: StepKey,
+    /// Workers that may run it.
+    pub allowed: Vec<WorkerId>,
+    /// Workers that may not run it.
+    pub refused: Vec<WorkerId>,
+    /// Requests without an answer yet.
+    pub in_flight: Vec<AdviceInFlight>,
 }
 
 /// A call to a worker that a proxy sends for the leader.
@@ -348,6 +376,21 @@
         /// The answer.
         answer: AdviceAnswer,
     },
+    /// The policy service's answer to a request of a former leader, for the present one.
+    AdviceAnswered {
+        /// The step that the request was about.
+        step: StepKey,
+        /// Workers in the request.
+        workers: Vec<WorkerId>,
+        /// The answer.
+        answer: AdviceAnswer,
+    },
+    /// What the leader knows from the policy service about long-running tasks, so that a successor can continue
+    /// with it.
+    AdviceKnown {
+        /// One summary for each step.
+        summaries: Vec<AdviceSummary>,
+    },
     /// A message that is sent through a hub, a member that relays messages between the leader and others.
     Relay {
         /// Sender of the message.
--- a/crates/bankvalve_queue/src/policy.rs
+++ b/crates/bankvalve_queue/src/policy.rs
@@ -48,11 +48,15 @@
     /// Run times are expected by the measured times of the image and by the speed of the worker. Without this
     /// policy, they are expected by the average error of the queue's estimates.
     RunTimeModel,
+    /// Long-running tasks on workers that leave are stopped there once they can start elsewhere.
+    EarlyMove,
+    /// Standbys know the policy service's answers about long-running tasks, and answers reach a new leader.
+    SharedAdvice,
 }
 
 impl PolicySwitch {
     /// All policies.
-    pub const ALL: [PolicySwitch; 19] = [
+    pub const ALL: [PolicySwitch; 21] = [
         PolicySwitch::ReadBack,
         PolicySwitch::QuickRepeat,
         PolicySwitch::ShortLooks,
@@ -72,6 +76,8 @@
         PolicySwitch::CapacityPlan,
         PolicySwitch::AdmissionForecast,
         PolicySwitch::RunTimeModel,
+        PolicySwitch::EarlyMove,
+        PolicySwitch::SharedAdvice,
     ];
 }
 
--- a/crates/bankvalve_queue/src/worker.rs
+++ b/crates/bankvalve_queue/src/worker.rs
@@ -257,3 +257,15 @@
     /// No answer arrived.
     NoReply,
 }
+
+impl AdviceAnswer {
+    /// Returns the log text on the answer to a request about a number of workers.
+    pub(crate) fn result_text(&self, asked: usize) -> String {
+        match self {
+            Self::Good { permits, .. } => {
+                format!("{} of {asked} workers may run it", permits.len())
+            }
+            other => format!("{other:?}"),
+        }
+    }
+}
