fix(queue): a request ends with the process of its adviser

A leader waited for the answer to an advice request until 0.9 s after its expected time although the instance that had sent it had been killed and was back: 7.3 s down in place of 3.3 s, if that takes less time than two heartbeats, so that no message to it fails.

Cause: only a message that does not arrive dropped the requests in flight at an instance. A heartbeat of a new process now does so too. The instance stays busy in the leader's reckoning, since the policy service may still handle the requests of the process before, one at a time for each machine.

a_request_through_an_adviser_that_has_started_again_is_sent_through_another_one and an_adviser_that_starts_again_does_not_prolong_downtimes failed before and pass.

--- a/crates/bankvalve_queue/src/core/members.rs
+++ b/crates/bankvalve_queue/src/core/members.rs
@@ -192,6 +192,9 @@
         peer.slow = slow;
         peer.echo.record_heartbeat(now, &heartbeat);
         peer.heartbeat = heartbeat;
+        if restarted {
+            self.reassign_advice(from);
+        }
         self.record_unreachable_leaders();
         if answer_now && self.lead.is_some() {
             // The peer should learn who leads without waiting for the next heartbeat.
--- a/crates/bankvalve_queue/src/core/placement/advice.rs
+++ b/crates/bankvalve_queue/src/core/placement/advice.rs
@@ -394,13 +394,13 @@
         }
     }
 
-    /// Drops the requests in flight at a peer that does not respond, so that other instances get them.
+    /// Drops the requests in flight at a peer that does not respond or has restarted, so that other instances get
+    /// them. The policy service may still handle them, so the peer stays busy until it would have answered.
     pub(in crate::core) fn reassign_advice(&mut self, peer: PeerAddress) {
         let now = self.now;
         let Some(lead) = self.lead.as_deref_mut() else {
             return;
         };
-        lead.adviser_busy.remove(&peer);
         for advice in lead.advice.values_mut() {
             let before = advice.in_flight.len();
             advice.in_flight.retain(|request| request.adviser != peer);
