fix(queue): a stopping instance finishes its advice requests

An instance that is stopped as planned ended once it had handed over and answered its callers, with requests to the policy service in flight for the leader.

A stop now also waits for these requests, within its grace time. It gets no new ones, since its heartbeats say that it stops. an_adviser_that_is_stopped_answers_the_request_that_it_has, a_request_outlives_the_stop_of_its_adviser_and_of_the_leader and an_adviser_that_leaves_does_not_prolong_downtimes failed before and pass.

--- a/crates/bankvalve_queue/src/core/advice_calls.rs
+++ b/crates/bankvalve_queue/src/core/advice_calls.rs
@@ -49,6 +49,11 @@
 }
 
 impl AdviceCalls {
+    /// Returns whether no request is without an answer.
+    pub(super) fn are_finished(&self) -> bool {
+        self.open.is_empty()
+    }
+
     /// Returns the time until all requests are expected to be answered.
     pub(super) fn backlog(&self, now: CoreTime) -> Duration {
         let expected = self.open.values().map(|call| call.expected);
--- a/crates/bankvalve_queue/src/core/entry_core.rs
+++ b/crates/bankvalve_queue/src/core/entry_core.rs
@@ -492,9 +492,11 @@
         }
     }
 
-    /// Returns whether a stopping instance has handed over its leadership and answered its callers.
+    /// Returns whether a stopping instance has handed over its leadership and finished its requests: those of
+    /// callers, and those that it sends to the policy service for a leader.
     fn may_end(&self) -> bool {
-        self.stopping && self.lead.is_none() && self.open_requests.is_empty()
+        let finished = self.open_requests.is_empty() && self.advice_calls.are_finished();
+        self.stopping && self.lead.is_none() && finished
     }
 
     /// Returns whether this instance leads.
