--- a/crates/bankvalve_queue/src/core/placement/advice.rs
+++ b/crates/bankvalve_queue/src/core/placement/advice.rs
@@ -91,12 +91,12 @@
 
 impl StepAdvice {
     /// Creates the advice that a former leader had, without permits.
-    pub(super) fn known(allowed: Vec<WorkerId>, refused: Vec<WorkerId>) -> Self {
+    pub(super) fn known(allowed: Vec<WorkerId>, refused: &[WorkerId]) -> Self {
         let expired = || Permit {
             text: String::new(),
             until: CoreTime::ZERO,
         };
-        let answered = allowed.iter().chain(&refused).cloned().collect();
+        let answered = allowed.iter().chain(refused).cloned().collect();
         Self {
             allowed: allowed.into_iter().map(|id| (id, expired())).collect(),
             answered,
--- a/crates/bankvalve_queue/src/core/placement/shared_advice.rs
+++ b/crates/bankvalve_queue/src/core/placement/shared_advice.rs
@@ -184,7 +184,7 @@
         lead.adviser_busy.insert(local, now + backlog);
         let live: BTreeSet<PeerAddress> = self.live_peers().map(|(address, _)| address).collect();
         for (step, (told_at, summary)) in std::mem::take(&mut self.known_advice) {
-            let mut advice = StepAdvice::known(summary.allowed, summary.refused);
+            let mut advice = StepAdvice::known(summary.allowed, &summary.refused);
             for request in summary.in_flight {
                 let expected = told_at + Duration::from_millis(request.expected_ms);
                 let until = expected + LATE_ANSWER_TIMEOUT;
