fix(queue): a task that is down is advised through the first free instance

Requests for a task that was to be restarted chose among two thirds of the instances, as all long requests do, and could go through the leader itself, whose requests end with its process, or through an instance that had just started: the policy service still handles the requests of the process before, one at a time for each machine.

Requests for restarts now choose among all instances, the leader last, and an instance counts as busy for the rest of the longest backlog after its start.

--- a/crates/bankvalve_queue/src/core/placement/advice.rs
+++ b/crates/bankvalve_queue/src/core/placement/advice.rs
@@ -14,6 +14,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
+use crate::core::lead_state::LeadState;
 use crate::core::EntryCore;
 use crate::ids::{CoreTime, StepKey, Ticket, WorkerId};
 use crate::peer::{PeerAddress, PeerMessage};
@@ -250,7 +251,12 @@
     ) -> CoreTime {
         let now = self.now;
         let duration = rule.time_for(workers.len());
-        let adviser = self.choose_adviser(duration);
+        let restarts = |lead: &LeadState| lead.restarting.contains_key(&step);
+        let adviser = if self.lead.as_deref().is_some_and(restarts) {
+            self.choose_among_all_advisers()
+        } else {
+            self.choose_adviser(duration)
+        };
         let ticket = self.take_ticket();
         let local = self.settings.address;
         let Some(lead) = self.lead.as_deref_mut() else {
@@ -295,34 +301,60 @@
         expected
     }
 
-    /// Returns the instance that is expected to answer first. Long requests leave a third of the instances
-    /// free.
-    fn choose_adviser(&self, duration: Duration) -> PeerAddress {
-        let local = self.settings.address;
+    /// Returns the instances through which a request may be sent, this one last.
+    fn advisers(&self) -> Vec<PeerAddress> {
         let mut advisers: Vec<PeerAddress> = self
             .live_peers()
             .filter(|(_, peer)| !peer.heartbeat.stopping)
             .map(|(address, _)| address)
             .collect();
         advisers.sort_unstable();
-        advisers.push(local);
+        advisers.push(self.settings.address);
+        advisers
+    }
+
+    /// Returns the instance that is expected to answer first, for a task that is down: also one of those that are
+    /// left free for short requests. This leader comes last, since its own requests end with its process.
+    fn choose_among_all_advisers(&self) -> PeerAddress {
+        let advisers = self.advisers();
+        let first = advisers.iter().min_by_key(|address| self.free_at(address));
+        first.copied().unwrap_or(self.settings.address)
+    }
+
+    /// Returns the instance that is expected to answer first. Long requests leave a third of the instances
+    /// free.
+    fn choose_adviser(&self, duration: Duration) -> PeerAddress {
+        let local = self.settings.address;
+        let mut advisers = self.advisers();
         let short_only = advisers.len().div_ceil(3);
         let keeps_some_free = self.uses(PolicySwitch::ShortQuestions);
         if keeps_some_free && duration > LONG_REQUEST && advisers.len() > short_only {
             advisers.truncate(advisers.len() - short_only);
         }
-        let now = self.now;
-        let busy = |address: &PeerAddress| {
-            let lead = self.lead.as_deref();
-            let until = lead.and_then(|lead| lead.adviser_busy.get(address).copied());
-            until.unwrap_or(now).max(now)
-        };
         let is_remote = |address: &PeerAddress| u8::from(*address != local);
-        advisers
+        let first = advisers
             .iter()
-            .copied()
-            .min_by_key(|address| (busy(address), is_remote(address)))
-            .unwrap_or(local)
+            .min_by_key(|address| (self.free_at(address), is_remote(address)));
+        first.copied().unwrap_or(local)
+    }
+
+    /// Returns when an instance is expected to have answered all its advice requests.
+    fn free_at(&self, address: &PeerAddress) -> CoreTime {
+        let now = self.now;
+        let lead = self.lead.as_deref();
+        let until = lead.and_then(|lead| lead.adviser_busy.get(address).copied());
+        until.unwrap_or(now).max(now) + self.unknown_backlog(address)
+    }
+
+    /// Returns for how long an instance that has just started may have to wait for the requests of the process
+    /// before, which the policy service still handles.
+    fn unknown_backlog(&self, address: &PeerAddress) -> Duration {
+        let life = match self.peers.get(address) {
+            Some(peer) if *address != self.settings.address => peer.heartbeat.life,
+            _ => self.settings.life,
+        };
+        let uptime = Duration::from_millis(self.wall.saturating_sub(life));
+        MAX_ADVISER_BACKLOG.saturating_sub(uptime)
     }
 
     /// Returns whether the backlog of some instance is short enough for another request.
