fix(queue): bounds on former leases do not begin anew with each leader

Callers saw a long-running task down for up to 12.5 s after a crash or an unannounced departure with one to five planned changes of leader, where nine seconds are allowed: each successor waited for the lease of the former worker from its own beginning on.

Cause: what one leader knew ended with it. The ledger tells the time that was left when a record was made, and an instance counts it from when it reads the record. A leader also took records that it had read after its beginning for its own.

- The leader tells its standbys every quarter of a second, and its successor at the handover, how long recorded leases still last.
The bound counts for that very record alone: each record has a number, and a lease that was renewed in between has another record.
The ledger's field has a default, so older entries are read as before.
- A leader that hands over first records workers whose port refuses or whose address it does not know, for at most 200 ms: the successor would count from the end of this leadership.
- Only records that a leader has proposed itself count as its own.

All instances of a site must be replaced together.

Ruled out: the time of records in the ledger (the wall clocks of two machines would decide over a lease).

--- a/crates/bankvalve_queue/src/core/handover.rs
+++ b/crates/bankvalve_queue/src/core/handover.rs
@@ -21,6 +21,8 @@
 /// Maximum time for which a leader that has asked a peer to take over continues until the peer's
 /// claim is applied. With a slow table, a claim takes a second.
 const HANDOVER_TIMEOUT: Duration = Duration::from_millis(1_600);
+/// Maximum time for which a handover waits until leases that are no longer renewed are recorded: a few writes.
+const LEASE_RECORD_TIMEOUT: Duration = Duration::from_millis(200);
 /// Number of batches by which an up-to-date book may seem to be behind: those committed between two
 /// heartbeats, and a margin.
 const MAX_BATCHES_IN_FLIGHT: u64 = 60;
@@ -176,13 +178,16 @@
         let Some(successor) = successor.map(|(address, _)| address) else {
             return;
         };
+        if until_claimed && self.awaits_lease_records() {
+            return;
+        }
         let epoch = self.highest_epoch;
         self.log("election", "yield", successor.to_string(), why.to_owned());
         self.counters.count("elections", "yielded");
         if until_claimed && self.begin_handover(successor) {
             return;
         }
-        self.hand_over_advice(successor);
+        self.hand_over_knowledge(successor);
         self.step_down(why);
         let over = true;
         self.send_message(successor, PeerMessage::TakeOver { epoch, over });
@@ -200,12 +205,37 @@
             return false;
         }
         lead.handover_sent_at = Some(now);
-        self.hand_over_advice(successor);
+        self.hand_over_knowledge(successor);
         let over = false;
         self.send_message(successor, PeerMessage::TakeOver { epoch, over });
         true
     }
 
+    /// Records the leases of unresponsive workers that the successor could not bound as well. Returns whether the
+    /// handover waits for the records.
+    fn awaits_lease_records(&mut self) -> bool {
+        let now = self.now;
+        let Some(lead) = self.lead.as_deref_mut() else {
+            return false;
+        };
+        let began_at = *lead.handover_began_at.get_or_insert(now);
+        self.stop_lease_renewals();
+        now.saturating_sub(began_at) < LEASE_RECORD_TIMEOUT && self.has_uncommitted_lease_stop()
+    }
+
+    /// Returns whether this leader is handing over.
+    pub(super) fn is_handing_over(&self) -> bool {
+        let lead = self.lead.as_deref();
+        let began_at = lead.and_then(|lead| lead.handover_began_at);
+        began_at.is_some_and(|at| self.age(at) < HANDOVER_TIMEOUT)
+    }
+
+    /// Tells a successor what is in neither the ledger nor its book and ends with this leadership.
+    fn hand_over_knowledge(&mut self, successor: PeerAddress) {
+        self.hand_over_advice(successor);
+        self.send_lease_bounds(successor);
+    }
+
     /// Handles a leader's request to take over; `over` is set if that leader has stepped down already.
     pub(super) fn handle_take_over(&mut self, from: PeerAddress, epoch: u64, over: bool) {
         if epoch < self.highest_epoch || self.lead.is_some() || self.stopping {
--- a/crates/bankvalve_queue/src/core/lead_state.rs
+++ b/crates/bankvalve_queue/src/core/lead_state.rs
@@ -221,6 +221,8 @@
     pub(super) next_advice_share: CoreTime,
     /// What each standby has been told of it.
     pub(super) advice_told: BTreeMap<PeerAddress, ToldAdvice>,
+    /// When the standbys are next told until when the leases of unresponsive workers last.
+    pub(super) next_lease_bounds: CoreTime,
     /// Moving average, by queue, of the logarithm of measured to estimated run time.
     pub(super) estimate_error: BTreeMap<String, f64>,
     pub(super) run_times: RunTimeModel,
@@ -238,6 +240,8 @@
     pub(super) next_order_scan: CoreTime,
     /// Runs that need an order, by the time at which it is due.
     due_orders: BTreeSet<(CoreTime, WorkerId, TaskKey)>,
+    /// When a handover that waits for the peer's claim began.
+    pub(super) handover_began_at: Option<CoreTime>,
     /// When a peer was asked to lead, while this instance continues to lead.
     pub(super) handover_sent_at: Option<CoreTime>,
     pub(super) next_forget: CoreTime,
@@ -308,6 +312,7 @@
             restarting: BTreeMap::new(),
             next_restart_preparation: now,
             next_advice_share: now,
+            next_lease_bounds: now,
             advice_told: BTreeMap::new(),
             estimate_error: BTreeMap::new(),
             run_times: RunTimeModel::default(),
@@ -319,6 +324,7 @@
             next_poll_scan: now,
             next_order_scan: now,
             due_orders: BTreeSet::new(),
+            handover_began_at: None,
             handover_sent_at: None,
             next_forget: now,
             next_measurements: now,
@@ -494,6 +500,7 @@
             self.refresh_dirty_jobs();
             self.prepare_restarts();
             self.share_advice();
+            self.share_lease_bounds();
             self.run_placement();
             self.run_advice();
         }
--- a/crates/bankvalve_queue/src/core/stopped_leases.rs
+++ b/crates/bankvalve_queue/src/core/stopped_leases.rs
@@ -10,6 +10,9 @@
 //!
 //! This costs two events of about 50 bytes each for a worker that stops responding, and none for an
 //! occasional lost answer.
+//!
+//! A record tells the time left when it was made. An instance that reads it later counts from its reading, so a
+//! leader that has just started would wait longer. So the leader also tells its standbys the time left now.
 
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -20,8 +23,9 @@
 use super::worker_state::{LeaseStop, WorkerState};
 use super::EntryCore;
 use crate::guard::SiteGuard;
-use crate::ids::{CoreTime, WorkerId};
+use crate::ids::{CoreTime, Ticket, WorkerId};
 use crate::ledger::LedgerEvent;
+use crate::peer::{PeerAddress, PeerMessage, StoppedLeaseBound};
 
 /// Time without contact after which the ledger records that the lease of a worker with runs is no longer
 /// renewed, if the worker's port refuses connections or its entry is gone. It is slightly longer than the
@@ -45,6 +49,12 @@
 /// Nothing is recorded if more than one in this many of the workers with runs is unresponsive: the cause is
 /// the leader's own link or CPU, and each of them would cost two events.
 const LEADER_FAULT_DIVISOR: usize = 2;
+/// Interval between two messages with the time left of such leases.
+const BOUNDS_INTERVAL: Duration = Duration::from_millis(250);
+/// Maximum number of leases in such a message.
+const MAX_TOLD_BOUNDS: usize = 64;
+/// Time for which the leader's word on an expired lease is kept for an instance that reads its record late.
+const KEEP_BOUNDS: Duration = Duration::from_secs(60);
 /// Smallest number of unresponsive workers with runs for which nothing is recorded.
 const MIN_LEADER_FAULT: usize = 4;
 
@@ -55,26 +65,41 @@
     expires_at: CoreTime,
     /// When this instance learned of it. The worker had been out of contact for some time before.
     known_at: CoreTime,
+    /// Epoch in which this instance itself recorded it as the leader; `None` if it was read from the ledger.
+    recorded_in: Option<u64>,
+    /// Which record of the worker it is.
+    record: Ticket,
+}
+
+/// The leader's word on a record: until when the lease lasts at most.
+#[derive(Clone, Copy, Debug)]
+struct ToldBound {
+    record: Ticket,
+    expires_at: CoreTime,
 }
 
 /// Workers whose leases are not renewed.
 #[derive(Debug, Default)]
-pub(super) struct StoppedLeases(BTreeMap<WorkerId, StoppedLease>);
+pub(super) struct StoppedLeases {
+    leases: BTreeMap<WorkerId, StoppedLease>,
+    /// What the leader has told, also of records that this instance has not read yet.
+    told: BTreeMap<WorkerId, ToldBound>,
+}
 
 impl StoppedLeases {
     /// Returns the time by which a worker's lease has expired, if it is no longer renewed.
     pub(super) fn expires_at(&self, worker: &WorkerId) -> Option<CoreTime> {
-        self.0.get(worker).map(|lease| lease.expires_at)
+        self.leases.get(worker).map(|lease| lease.expires_at)
     }
 
     /// Returns a time since which a worker has been out of contact, if its lease is no longer renewed.
     pub(super) fn unresponsive_since(&self, worker: &WorkerId) -> Option<CoreTime> {
-        self.0.get(worker).map(|lease| lease.known_at)
+        self.leases.get(worker).map(|lease| lease.known_at)
     }
 
     /// Returns whether renewing a worker's lease is stopped according to the ledger.
     pub(super) fn state_of(&self, worker: &WorkerId) -> LeaseStop {
-        match self.0.contains_key(worker) {
+        match self.leases.contains_key(worker) {
             true => LeaseStop::Stopped,
             false => LeaseStop::None,
         }
@@ -82,7 +107,44 @@
 
     /// Removes all records, because the ledger is read again.
     pub(super) fn clear(&mut self) {
-        self.0.clear();
+        self.leases.clear();
+    }
+
+    /// Applies a record. A lease that the leader has told to expire sooner does.
+    fn apply(&mut self, worker: &WorkerId, over: Duration, record: Ticket, now: CoreTime) {
+        let told = self.told.get(worker);
+        let told = told.filter(|told| record > 0 && told.record == record);
+        let expires_at = now + over;
+        let lease = StoppedLease {
+            expires_at: told.map_or(expires_at, |told| told.expires_at.min(expires_at)),
+            known_at: now,
+            recorded_in: None,
+            record,
+        };
+        let known = self.leases.entry(worker.clone()).or_insert(lease);
+        *known = StoppedLease {
+            known_at: known.known_at,
+            ..lease
+        };
+    }
+
+    /// Takes the leader's word on a record. It is of no use for any other record of the worker, between which the
+    /// lease was renewed.
+    fn record_bound(&mut self, bound: StoppedLeaseBound, now: CoreTime) {
+        // The local clock may run faster than the leader's.
+        let left = Duration::from_millis(bound.remaining_ms).mul_f64(SLOW_CLOCK_FACTOR);
+        let told = ToldBound {
+            record: bound.record,
+            expires_at: now + left,
+        };
+        if let Some(lease) = self.leases.get_mut(&bound.worker) {
+            if lease.record == told.record {
+                lease.expires_at = lease.expires_at.min(told.expires_at);
+            }
+        }
+        self.told
+            .retain(|_, told| now < told.expires_at + KEEP_BOUNDS);
+        self.told.insert(bound.worker, told);
     }
 }
 
@@ -92,18 +154,16 @@
         match event {
             // The time left was calculated when the event was proposed, so counted from now it is long
             // enough.
-            LedgerEvent::HoldStopped { worker, over_ms } => {
-                let now = self.now;
-                let expires_at = now + Duration::from_millis(*over_ms);
-                let lease = StoppedLease {
-                    expires_at,
-                    known_at: now,
-                };
-                let recorded = self.stopped_leases.0.entry(worker.clone()).or_insert(lease);
-                recorded.expires_at = expires_at;
+            LedgerEvent::HoldStopped {
+                worker,
+                over_ms,
+                record,
+            } => {
+                let over = Duration::from_millis(*over_ms);
+                self.stopped_leases.apply(worker, over, *record, self.now);
             }
             LedgerEvent::HoldResumed { worker } => {
-                self.stopped_leases.0.remove(worker);
+                self.stopped_leases.leases.remove(worker);
             }
             event => self.book.apply(event),
         }
@@ -112,13 +172,13 @@
     /// Returns when no lease that former leaders requested from a worker can last any longer.
     pub(super) fn former_leases_expire_at(&self, worker: &WorkerId) -> CoreTime {
         let former = self.former_leaders.leases_expire_at();
-        let began_at = self.lead.as_deref().map(|lead| lead.began_at);
+        let epoch = self.lead.as_deref().map(|lead| lead.epoch);
         let is_local =
-            |lease: &&StoppedLease| began_at.is_some_and(|began_at| lease.known_at >= began_at);
+            |lease: &&StoppedLease| lease.recorded_in.is_some() && lease.recorded_in == epoch;
         // A record by this leader itself contains what it assumed then. It may know more now.
         let record = self
             .stopped_leases
-            .0
+            .leases
             .get(worker)
             .filter(|lease| !is_local(lease));
         match record.map(|lease| lease.expires_at) {
@@ -140,8 +200,10 @@
         let Some(lead) = self.lead.as_deref() else {
             return;
         };
-        let unresponsive =
-            |(_, state): &(&WorkerId, &WorkerState)| must_stop_renewal(state, event_time);
+        let hands_over = self.is_handing_over();
+        let unresponsive = |(_, state): &(&WorkerId, &WorkerState)| {
+            must_stop_renewal(state, event_time, hands_over)
+        };
         let workers: Vec<WorkerId> = lead
             .worker_states
             .iter()
@@ -164,8 +226,16 @@
             }
             let detail = format!("expires in at most {over_ms} ms");
             self.log("workers", "hold_stopped", worker.to_string(), detail);
-            let event = LedgerEvent::HoldStopped { worker, over_ms };
+            let event = LedgerEvent::HoldStopped {
+                worker: worker.clone(),
+                over_ms,
+                record: self.take_ticket(),
+            };
             self.propose(event, Effect::None);
+            let epoch = self.lead.as_deref().map(|lead| lead.epoch);
+            if let Some(lease) = self.stopped_leases.leases.get_mut(&worker) {
+                lease.recorded_in = epoch;
+            }
         }
     }
 
@@ -173,9 +243,7 @@
     /// recorded.
     fn lease_to_stop(&self, lead: &LeadState, id: &WorkerId) -> Option<(WorkerId, u64)> {
         let state = lead.worker_states.get(id)?;
-        let local = state.lease_left(self.now).mul_f64(SLOW_CLOCK_FACTOR);
-        let former = self.former_leases_expire_at(id).saturating_sub(self.now);
-        let left = local.max(former);
+        let left = self.any_lease_left(id, state);
         let recorded = self.stopped_leases.expires_at(id);
         let sooner = recorded.is_some_and(|at| self.now + left + RERECORD_DIFFERENCE < at);
         let due = match state.lease_stop {
@@ -186,6 +254,71 @@
         due.then(|| (id.clone(), left.as_millis() as u64 + 1))
     }
 
+    /// Returns whether a record of a lease that is no longer renewed is not committed yet.
+    pub(super) fn has_uncommitted_lease_stop(&self) -> bool {
+        let is_stop = |event: &LedgerEvent| matches!(event, LedgerEvent::HoldStopped { .. });
+        self.lead.as_deref().is_some_and(|lead| {
+            let pending = lead.pending.iter().filter_map(|it| it.event.as_ref());
+            let in_flight = lead.in_flight_commit.iter().flat_map(|it| &it.events);
+            pending.chain(in_flight).any(is_stop)
+        })
+    }
+
+    /// Returns the time until no lease of this leader or a former one can last any longer on a worker.
+    fn any_lease_left(&self, id: &WorkerId, state: &WorkerState) -> Duration {
+        let local = state.lease_left(self.now).mul_f64(SLOW_CLOCK_FACTOR);
+        let former = self.former_leases_expire_at(id).saturating_sub(self.now);
+        local.max(former)
+    }
+
+    /// Tells the standbys for how long the leases of unresponsive workers last at most, at intervals.
+    pub(super) fn share_lease_bounds(&mut self) {
+        let now = self.now;
+        let Some(lead) = self.lead.as_deref_mut() else {
+            return;
+        };
+        if self.stopped_leases.leases.is_empty() || now < lead.next_lease_bounds {
+            return;
+        }
+        lead.next_lease_bounds = now + BOUNDS_INTERVAL;
+        for standby in self.live_standbys() {
+            self.send_lease_bounds(standby);
+        }
+    }
+
+    /// Tells an instance for how long the leases of unresponsive workers last at most.
+    pub(super) fn send_lease_bounds(&mut self, to: PeerAddress) {
+        let Some(lead) = self.lead.as_deref() else {
+            return;
+        };
+        let bound_of = |(worker, lease): (&WorkerId, &StoppedLease)| {
+            let state = lead.worker_states.get(worker)?;
+            let waits = !state.runs.is_empty() && state.lease_stop == LeaseStop::Stopped;
+            let left = self.any_lease_left(worker, state);
+            waits.then(|| StoppedLeaseBound {
+                worker: worker.clone(),
+                record: lease.record,
+                remaining_ms: left.as_millis() as u64 + 1,
+            })
+        };
+        let leases = self.stopped_leases.leases.iter();
+        let bounds: Vec<StoppedLeaseBound> =
+            leases.filter_map(bound_of).take(MAX_TOLD_BOUNDS).collect();
+        if !bounds.is_empty() {
+            self.send_message(to, PeerMessage::LeaseBounds { bounds });
+        }
+    }
+
+    /// Handles the leader's word on leases that are no longer renewed.
+    pub(super) fn handle_lease_bounds(&mut self, bounds: Vec<StoppedLeaseBound>) {
+        if self.lead.is_some() || !self.enforces(SiteGuard::KnownHolds) {
+            return;
+        }
+        for bound in bounds {
+            self.stopped_leases.record_bound(bound, self.now);
+        }
+    }
+
     /// Proposes that the lease of a worker that has answered is renewed again, if it was stopped. It may be
     /// renewed once that is committed.
     pub(super) fn request_lease_renewal(&mut self, id: &WorkerId) {
@@ -221,20 +354,26 @@
             return;
         };
         let gone = |id: &&WorkerId| lead.workers_known && lead.worker_states.get(id).is_none();
-        let gone: Vec<WorkerId> = self.stopped_leases.0.keys().filter(gone).cloned().collect();
+        let leases = self.stopped_leases.leases.keys();
+        let gone: Vec<WorkerId> = leases.filter(gone).cloned().collect();
         for worker in gone {
             self.propose(LedgerEvent::HoldResumed { worker }, Effect::None);
         }
     }
 }
 
-/// Returns whether a worker with runs has been out of contact for so long that renewing its lease must stop.
-fn must_stop_renewal(state: &WorkerState, event_time: CoreTime) -> bool {
+/// Returns whether a worker with runs has been out of contact for so long that renewing its lease must stop. A
+/// leader that hands over does not wait if the worker's port refuses, or if it does not know the worker's address
+/// and so has never renewed its lease: its successor would count from the end of its leadership.
+fn must_stop_renewal(state: &WorkerState, event_time: CoreTime, hands_over: bool) -> bool {
     let since = state.last_contact.unwrap_or(state.known_at);
     let polled = state.token_accepted
         || state.entry.address.is_empty()
         || state.unanswered >= STOP_AFTER_UNANSWERED;
     let lost = state.refused || !state.listed;
+    if hands_over && (state.refused || state.entry.address.is_empty()) {
+        return !state.runs.is_empty() && polled;
+    }
     let min_stop_after = if lost {
         STOP_IF_LOST_AFTER
     } else {
--- a/crates/bankvalve_queue/src/ledger/event.rs
+++ b/crates/bankvalve_queue/src/ledger/event.rs
@@ -6,7 +6,7 @@
 
 use super::CrashEvidence;
 use crate::customer::CustomerName;
-use crate::ids::{JobId, RunId, TaskKey, WallMillis, WorkerId};
+use crate::ids::{JobId, RunId, TaskKey, Ticket, WallMillis, WorkerId};
 use crate::job::{JobSpec, JobTerms};
 
 /// How a run ended.
@@ -109,6 +109,9 @@
         worker: WorkerId,
         /// Time after which its lease is known to have expired, in milliseconds.
         over_ms: u64,
+        /// Distinguishes this record from all others; 0 if it was made by an earlier version.
+        #[serde(default)]
+        record: Ticket,
     },
     /// A worker's lease may be renewed again, or the worker is forgotten. Stored under this name.
     HoldResumed {
--- a/crates/bankvalve_queue/src/lib.rs
+++ b/crates/bankvalve_queue/src/lib.rs
@@ -51,7 +51,7 @@
 pub use peer::{
     peer_batch_timeout, AdmissionCredits, AdviceInFlight, AdviceSummary, BatchTimeout,
     EvacuationList, FormerLeaseBound, HeartbeatBody, HeartbeatEcho, PeerAddress, PeerBatch,
-    PeerMessage, ProxiedCall, ProxiedOrder, QueueCredit, PEER_BATCHES_IN_FLIGHT,
+    PeerMessage, ProxiedCall, ProxiedOrder, QueueCredit, StoppedLeaseBound, PEER_BATCHES_IN_FLIGHT,
     POOLED_CONNECTIONS,
 };
 pub use policy::{OptionalPolicies, PolicySwitch};
--- a/crates/bankvalve_queue/src/peer.rs
+++ b/crates/bankvalve_queue/src/peer.rs
@@ -213,6 +213,17 @@
     pub advice_backlog_ms: u64,
 }
 
+/// The leader's word on a worker's lease that is no longer renewed.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct StoppedLeaseBound {
+    /// The worker.
+    pub worker: WorkerId,
+    /// The record in the ledger that the lease is no longer renewed.
+    pub record: Ticket,
+    /// Time until it has expired, in milliseconds by the leader's clock when it sent this; 0 if it has.
+    pub remaining_ms: u64,
+}
+
 /// An advice request in flight, as the leader tells it to its standbys.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct AdviceInFlight {
@@ -391,6 +402,11 @@
         /// One summary for each step.
         summaries: Vec<AdviceSummary>,
     },
+    /// Until when leases that are no longer renewed last at most, as far as the leader knows.
+    LeaseBounds {
+        /// One bound for each worker.
+        bounds: Vec<StoppedLeaseBound>,
+    },
     /// A message that is sent through a hub, a member that relays messages between the leader and others.
     Relay {
         /// Sender of the message.
