fix(queue): a successor knows where workers without entries listen

Callers saw a long-running task down for 2.6 to 3.5 s in the mean when its worker's entry went without announcement and one to five planned changes of leader followed, 0.6 s without a change.

Cause: a leader that has seen such a worker's entry still polls the worker and moves its tasks while it runs on. A successor finds no address in the table, so it can do neither, and waits for the longest lease once the worker has ended.

The leader tells its standbys every quarter of a second, and its successor at the handover, where workers with runs listen whose entries are gone; 16 at most, since many that are gone at once have lapsed and come back. What an answer from such an address shows is judged as for a worker whose entry the leader itself has seen go.

All instances of a site must be replaced together.

Weighed: the address with each run in the ledger (bytes for every run, for the few whose worker loses its entry).

--- a/crates/bankvalve_queue/src/core/entry_core.rs
+++ b/crates/bankvalve_queue/src/core/entry_core.rs
@@ -29,6 +29,7 @@
 use super::store_link::WatchState;
 use super::store_requests::{OpenStoreRequest, StoreTimeouts};
 use super::table_watch::{TableSource, TableWatch};
+use super::unlisted_workers::ToldWorkers;
 use super::worker_entries::EntryScan;
 use crate::caller::{CallerAnswer, DenialReason, ResolvedRequest};
 use crate::decision::{DecisionLine, EntryCounters, EntryView};
@@ -283,6 +284,7 @@
     pub(super) handover_leader_stopped: bool,
     pub(super) former_leaders: FormerLeaders,
     pub(super) stopped_leases: StoppedLeases,
+    pub(super) told_workers: ToldWorkers,
     pub(super) next_heartbeat: CoreTime,
     pub(super) next_other_heartbeat: CoreTime,
     pub(super) next_slow_heartbeat: CoreTime,
@@ -377,6 +379,7 @@
             handover_leader_stopped: false,
             former_leaders: FormerLeaders::default(),
             stopped_leases: StoppedLeases::default(),
+            told_workers: ToldWorkers::default(),
             next_heartbeat: Duration::ZERO,
             next_other_heartbeat: Duration::ZERO,
             next_slow_heartbeat: Duration::ZERO,
--- a/crates/bankvalve_queue/src/core/follower.rs
+++ b/crates/bankvalve_queue/src/core/follower.rs
@@ -69,6 +69,7 @@
             } => self.receive_advice(from, step, workers, answer),
             PeerMessage::AdviceKnown { summaries } => self.handle_known_advice(summaries),
             PeerMessage::LeaseBounds { bounds } => self.handle_lease_bounds(bounds),
+            PeerMessage::UnlistedWorkers { workers } => self.handle_unlisted_workers(workers),
             PeerMessage::Relay { from, to, message } => self.handle_relayed(from, to, message),
             PeerMessage::Carry { ticket, call } => self.proxy_call(from, ticket, call),
             PeerMessage::Carried { ticket, answer } => self.handle_worker_answer(ticket, answer),
--- a/crates/bankvalve_queue/src/core/handover.rs
+++ b/crates/bankvalve_queue/src/core/handover.rs
@@ -234,6 +234,7 @@
     fn hand_over_knowledge(&mut self, successor: PeerAddress) {
         self.hand_over_advice(successor);
         self.send_lease_bounds(successor);
+        self.send_unlisted_workers(successor);
     }
 
     /// Handles a leader's request to take over; `over` is set if that leader has stepped down already.
--- a/crates/bankvalve_queue/src/core/lead_state.rs
+++ b/crates/bankvalve_queue/src/core/lead_state.rs
@@ -223,6 +223,8 @@
     pub(super) advice_told: BTreeMap<PeerAddress, ToldAdvice>,
     /// When the standbys are next told until when the leases of unresponsive workers last.
     pub(super) next_lease_bounds: CoreTime,
+    /// When the standbys are next told where workers listen whose entries are gone.
+    pub(super) next_unlisted_tell: CoreTime,
     /// Moving average, by queue, of the logarithm of measured to estimated run time.
     pub(super) estimate_error: BTreeMap<String, f64>,
     pub(super) run_times: RunTimeModel,
@@ -313,6 +315,7 @@
             next_restart_preparation: now,
             next_advice_share: now,
             next_lease_bounds: now,
+            next_unlisted_tell: now,
             advice_told: BTreeMap::new(),
             estimate_error: BTreeMap::new(),
             run_times: RunTimeModel::default(),
@@ -501,6 +504,7 @@
             self.prepare_restarts();
             self.share_advice();
             self.share_lease_bounds();
+            self.tell_unlisted_workers();
             self.run_placement();
             self.run_advice();
         }
--- a/crates/bankvalve_queue/src/core/mod.rs
+++ b/crates/bankvalve_queue/src/core/mod.rs
@@ -30,7 +30,8 @@
 //!   and apply the limits and shares of customers.
 //! - Forecast: the modules in `forecast` hold what the leader expects of running work.
 //! - Workers: `lease_renewal`, `worker_reports` and `orders` poll workers and start and stop
-//!   runs. `incarnation` distinguishes the processes of a worker, and `call_proxies` has standbys send calls.
+//!   runs. `incarnation` distinguishes the processes of a worker, `unlisted_workers` tells standbys where workers without entries listen,
+//!   and `call_proxies` has standbys send calls.
 //! - Placement: `placement` decides which task runs on which worker. In its folder, `advice` queries the policy
 //!   service, `capacity_reclaim` preempts runs, and `restart_preparation` reserves capacity and gets permits for
 //!   long-running tasks. `suspects` isolates tasks that may crash workers, and `trial_runs` limits
@@ -85,6 +86,7 @@
 mod table_watch;
 mod task_waits;
 mod trial_runs;
+mod unlisted_workers;
 mod worker_entries;
 mod worker_map;
 mod worker_reports;
--- a/crates/bankvalve_queue/src/core/worker_entries.rs
+++ b/crates/bankvalve_queue/src/core/worker_entries.rs
@@ -264,9 +264,9 @@
         for adopted in placed {
             lead.dirty_jobs.insert(adopted.task.step.job);
             let lease_stop = self.stopped_leases.state_of(&adopted.worker);
-            let state = lead.worker_states.get_or_insert_with(adopted.worker, || {
-                WorkerState::new(WorkerEntry::default(), false, now)
-            });
+            let (told, worker) = (&self.told_workers, adopted.worker);
+            let states = &mut lead.worker_states;
+            let state = states.get_or_insert_with(worker.clone(), || told.state_of(&worker, now));
             state.lease_stop = lease_stop;
             let mut live = LiveRun::new(adopted.run, &adopted.spec, RunPhase::Adopted, now);
             live.set_priority(adopted.priority);
--- a/crates/bankvalve_queue/src/lib.rs
+++ b/crates/bankvalve_queue/src/lib.rs
@@ -51,8 +51,8 @@
 pub use peer::{
     peer_batch_timeout, AdmissionCredits, AdviceInFlight, AdviceSummary, BatchTimeout,
     EvacuationList, FormerLeaseBound, HeartbeatBody, HeartbeatEcho, PeerAddress, PeerBatch,
-    PeerMessage, ProxiedCall, ProxiedOrder, QueueCredit, StoppedLeaseBound, PEER_BATCHES_IN_FLIGHT,
-    POOLED_CONNECTIONS,
+    PeerMessage, ProxiedCall, ProxiedOrder, QueueCredit, StoppedLeaseBound, UnlistedWorker,
+    PEER_BATCHES_IN_FLIGHT, POOLED_CONNECTIONS,
 };
 pub use policy::{OptionalPolicies, PolicySwitch};
 pub use port::{PlatformPort, RequestFault, WireAnswer, WireCall, WireReply, WireRequest};
--- a/crates/bankvalve_queue/src/peer.rs
+++ b/crates/bankvalve_queue/src/peer/mod.rs
@@ -14,6 +14,12 @@
 use crate::ids::{ConnectionId, DomainName, FenceToken, RunId, StepKey, TaskKey, Ticket, WorkerId};
 use crate::worker::{AdviceAnswer, AdviceRequest, ProcessStart, WorkerAnswer, WorkerCall};
 
+mod told_knowledge;
+
+pub use told_knowledge::{
+    AdviceInFlight, AdviceSummary, FormerLeaseBound, StoppedLeaseBound, UnlistedWorker,
+};
+
 /// Address at which an instance accepts messages from its peers.
 pub type PeerAddress = SocketAddr;
 
@@ -135,20 +141,6 @@
     pub queues: Vec<QueueCredit>,
 }
 
-/// Bound on the leases that former leaders have requested from workers.
-///
-/// Whoever relies on it knows when the leases of leaders have expired that it has never heard of.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct FormerLeaseBound {
-    /// The bound covers the leaders of all epochs before this one.
-    pub before_epoch: u64,
-    /// Time until all of these leases have expired, in milliseconds by the sender's clock when it sent this; 0 if
-    /// they have.
-    pub remaining_ms: u64,
-    /// Whether the times at which these leaders stopped are known, rather than the worst case.
-    pub known: bool,
-}
-
 /// Contents of a heartbeat.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct HeartbeatBody {
@@ -213,42 +205,6 @@
     pub advice_backlog_ms: u64,
 }
 
-/// The leader's word on a worker's lease that is no longer renewed.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct StoppedLeaseBound {
-    /// The worker.
-    pub worker: WorkerId,
-    /// The record in the ledger that the lease is no longer renewed.
-    pub record: Ticket,
-    /// Time until it has expired, in milliseconds by the leader's clock when it sent this; 0 if it has.
-    pub remaining_ms: u64,
-}
-
-/// An advice request in flight, as the leader tells it to its standbys.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-pub struct AdviceInFlight {
-    /// Instance that sends it to the policy service.
-    pub adviser: PeerAddress,
-    /// Workers in the request.
-    pub workers: Vec<WorkerId>,
-    /// Time until its answer is expected, in milliseconds.
-    pub expected_ms: u64,
-}
-
-/// What the leader knows from the policy service about a step with long-running tasks that are down or soon will
-/// be. Which workers may run a step does not change; permits expire and are left out.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-pub struct AdviceSummary {
-    /// The step.
-    pub step: StepKey,
-    /// Workers that may run it.
-    pub allowed: Vec<WorkerId>,
-    /// Workers that may not run it.
-    pub refused: Vec<WorkerId>,
-    /// Requests without an answer yet.
-    pub in_flight: Vec<AdviceInFlight>,
-}
-
 /// A call to a worker that a proxy sends for the leader.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct ProxiedCall {
@@ -407,6 +363,11 @@
         /// One bound for each worker.
         bounds: Vec<StoppedLeaseBound>,
     },
+    /// Workers with runs that the leader knows to run on although their entries are gone.
+    UnlistedWorkers {
+        /// The workers.
+        workers: Vec<UnlistedWorker>,
+    },
     /// A message that is sent through a hub, a member that relays messages between the leader and others.
     Relay {
         /// Sender of the message.
