fix(queue): an adviser whose request ends without an answer is late

Callers saw long-running tasks down for up to 12.2 s after crashes while five planned changes of leader followed.

Cause: an adviser ends a request to the policy service after the time that the leader gives it, and reports that it had no answer. This report often arrives before the leader's own scan, every 20 ms, finds the request expired. Only the scan marked the adviser as busy, so the next request for the same step could go through the same adviser, behind the first one, which the policy service still handles: one at a time for each machine. Now a request that ends without an answer after its expected time marks its adviser in the same way, also if a former leader made it. One that ends sooner, since the policy service was not reached, shows no backlog and does not.

The virtual site did not show this, because its policy calls never timed out for the caller. Now they do, at the adviser, after the time in the request, as in the instance's own client. It is stricter than before: answers that came later than that were delivered and are not any more, and the request takes its turn at the policy service as before.

long_running_tasks_are_back_in_time_after_crashes fails with the time-outs alone (12.2 s) and passes with the fix, closely.

Not reproduced: storms::a_task_that_lasts_has_its_permits_though_questions_of_a_leader_before_are_in_the_way passes with the time-outs, with the fix and without it.

--- a/crates/bankvalve_check/src/site/site_links.rs
+++ b/crates/bankvalve_check/src/site/site_links.rs
@@ -129,11 +129,14 @@
                     self.rules.breach("ADVICE", self.now_ms, &text);
                 }
                 let turn = self.take_advice_turn(node, &ask);
+                let limit = ask.time.as_millis() as u64;
                 if let Some(load) = self.load.as_mut() {
                     *load.advice.entry(ask.step).or_default() += 1;
                 }
                 let (delay, answer) = match (turn, self.policy_of(ask.step)) {
                     (None, _) => (REFUSAL_MS, AdviceAnswer::Busy),
+                    // The service handles the request all the same.
+                    (Some(delay), _) if delay > limit => (limit, AdviceAnswer::NoReply),
                     (Some(delay), Some(policy)) => {
                         (delay, policy.answer(&ask, self.now_ms + delay))
                     }
--- a/crates/bankvalve_queue/src/core/placement/advice.rs
+++ b/crates/bankvalve_queue/src/core/placement/advice.rs
@@ -388,7 +388,12 @@
         match answer {
             AdviceAnswer::Good { .. } => {}
             AdviceAnswer::Busy => self.counters.count("retries", "advice_busy"),
-            AdviceAnswer::NoReply => self.counters.count("retries", "advice_unanswered"),
+            AdviceAnswer::NoReply => {
+                self.counters.count("retries", "advice_unanswered");
+                if now >= request.expected {
+                    mark_late(&mut lead.adviser_busy, request.adviser, now);
+                }
+            }
         }
         advice.record_answer(request.workers, answer, now);
         if request.long {
@@ -473,12 +478,22 @@
         lead.placement_due |= !late_advisers.is_empty();
         self.counters
             .count_many("retries", "advice_unanswered", late_advisers.len() as u64);
-        // The backlog of the instance may be longer than estimated, for example because of requests of a
-        // previous leader. It would never shrink if each abandoned request were replaced by a new one there.
-        let free_at = now + MAX_ADVISER_BACKLOG + LATE_ANSWER_TIMEOUT;
         for adviser in late_advisers {
-            let busy = lead.adviser_busy.entry(adviser).or_insert(free_at);
-            *busy = (*busy).max(free_at);
+            mark_late(&mut lead.adviser_busy, adviser, now);
         }
     }
 }
+
+/// Marks an instance as busy through which a request had no answer in time.
+///
+/// Its backlog may be longer than estimated, for example because of requests of a previous leader. It would never
+/// shrink if each abandoned request were replaced by a new one there.
+pub(super) fn mark_late(
+    adviser_busy: &mut BTreeMap<PeerAddress, CoreTime>,
+    adviser: PeerAddress,
+    now: CoreTime,
+) {
+    let free_at = now + MAX_ADVISER_BACKLOG + LATE_ANSWER_TIMEOUT;
+    let busy = adviser_busy.entry(adviser).or_insert(free_at);
+    *busy = (*busy).max(free_at);
+}
--- a/crates/bankvalve_queue/src/core/placement/shared_advice.rs
+++ b/crates/bankvalve_queue/src/core/placement/shared_advice.rs
@@ -9,7 +9,7 @@
 use std::time::Duration;
 
 use crate::core::lead_state::LeadState;
-use crate::core::placement::advice::{InFlightAdvice, StepAdvice, LATE_ANSWER_TIMEOUT};
+use crate::core::placement::advice::{mark_late, InFlightAdvice, StepAdvice, LATE_ANSWER_TIMEOUT};
 use crate::core::EntryCore;
 use crate::ids::{CoreTime, StepKey, WorkerId};
 use crate::ledger::JobOutcome;
@@ -223,9 +223,16 @@
             return;
         };
         let advice = lead.advice.entry(step).or_default();
-        advice
+        let is_answered =
+            |request: &InFlightAdvice| request.adviser == adviser && request.workers == workers;
+        let mut answered = advice
             .in_flight
-            .retain(|request| request.adviser != adviser || request.workers != workers);
+            .iter()
+            .filter(|request| is_answered(request));
+        if answer == AdviceAnswer::NoReply && answered.any(|request| now >= request.expected) {
+            mark_late(&mut lead.adviser_busy, adviser, now);
+        }
+        advice.in_flight.retain(|request| !is_answered(request));
         let asked = workers.len();
         let result = answer.result_text(asked);
         advice.record_answer(workers, answer, now);
