test(site): workers leave while all instances are rolled in turn

Callers saw a long-running task down for 14 s while its worker left and instances were rolled. A long-running task may be down for nine seconds.

--- a/crates/bankvalve_check/tests/site/restart_handovers.rs
+++ b/crates/bankvalve_check/tests/site/restart_handovers.rs
@@ -37,6 +37,8 @@
 /// Time after the last unplanned loss before which a longer one is allowed, in milliseconds: four seconds, and
 /// three in which the task is watched.
 const CALM_MS: u64 = 7_000;
+/// Times from one instance to the next if all are rolled in turn, in milliseconds.
+const ROLL_GAPS_MS: [u64; 3] = [1_000, 1_500, 3_000];
 /// For each seed: distance and offset of the changes of leader, advice, lease limit, and the time until an address
 /// is used again.
 const SWEPT: [(u64, i64, AdviceRule, u64, u64); 4] = [
@@ -78,6 +80,7 @@
         planned: true,
         distance_ms,
         offset_ms,
+        roll_gap_ms: None,
         fate: AdviserFate::Sound,
         policy,
         lease_limit_ms,
@@ -220,3 +223,39 @@
         assert_eq!(times.breaches, [], "{changes}");
     }
 }
+
+/// Asserts that long-running tasks are back in time while all instances are rolled in turn.
+fn assert_rolled_in_time(departure: Departure) {
+    let mut by_gap = Sweep::new();
+    for gap_ms in ROLL_GAPS_MS {
+        let times = played(|seed| Play {
+            roll_gap_ms: Some(gap_ms),
+            ..swept(seed, departure)
+        });
+        println!(
+            "{departure:?}, rolled each {gap_ms} ms: {}",
+            times.figures()
+        );
+        by_gap.insert(gap_ms, times);
+    }
+    assert_within(&by_gap, MAX_DOWN_MS);
+}
+
+/// Guards against requests that are lost one after the other because each instance is stopped in its turn.
+#[test]
+fn long_running_tasks_are_back_in_time_after_announced_departures_while_all_instances_are_rolled() {
+    assert_rolled_in_time(Departure::Announced);
+}
+
+/// The same without announcement.
+#[test]
+fn long_running_tasks_are_back_in_time_after_unannounced_departures_while_all_instances_are_rolled()
+{
+    assert_rolled_in_time(Departure::Unannounced);
+}
+
+/// The same after crashes.
+#[test]
+fn long_running_tasks_are_back_in_time_after_crashes_while_all_instances_are_rolled() {
+    assert_rolled_in_time(Departure::Crash);
+}
--- a/crates/bankvalve_check/tests/site/rolling_site.rs
+++ b/crates/bankvalve_check/tests/site/rolling_site.rs
@@ -81,6 +81,9 @@
     pub(crate) distance_ms: u64,
     /// When the first one begins, from the end of the first worker, in milliseconds.
     pub(crate) offset_ms: i64,
+    /// Time from one instance to the next if all are stopped in turn as planned, in milliseconds. The first one is
+    /// stopped when the first change would begin.
+    pub(crate) roll_gap_ms: Option<u64>,
     pub(crate) fate: AdviserFate,
     pub(crate) policy: AdviceRule,
     pub(crate) lease_limit_ms: u64,
@@ -126,6 +129,8 @@
     /// When leaders end, and whether they are stopped as planned.
     changes: VecDeque<u64>,
     planned: bool,
+    /// Instances that are stopped as planned, and when.
+    rolls: VecDeque<(u64, usize)>,
     /// Until when instances are stopped or down.
     rolling: BTreeMap<usize, u64>,
     /// What becomes of the next adviser.
@@ -169,6 +174,7 @@
             world,
             changes: VecDeque::new(),
             planned: play.planned,
+            rolls: VecDeque::new(),
             rolling: BTreeMap::new(),
             fate: None,
             read_lines: 0,
@@ -184,6 +190,7 @@
             let now = self.world.now_ms;
             self.submit_short();
             self.change_leader();
+            self.roll_instances();
             self.end_adviser();
             self.world.run_until((now + STEP_MS).min(until_ms));
         }
@@ -223,6 +230,15 @@
         }
     }
 
+    /// Stops the instances that are due.
+    fn roll_instances(&mut self) {
+        let now = self.world.now_ms;
+        while self.rolls.front().is_some_and(|(at, _)| *at <= now) {
+            let (_, node) = self.rolls.pop_front().expect("an instance is due");
+            self.end_instance(node, true);
+        }
+    }
+
     /// Stops an instance as planned, or kills it. It is back after a time.
     fn end_instance(&mut self, node: usize, planned: bool) {
         if planned {
@@ -311,6 +327,10 @@
     site.changes = (0..play.changes)
         .map(|change| first_change + change * play.distance_ms)
         .collect();
+    if let Some(gap_ms) = play.roll_gap_ms {
+        let times = (first_change..).step_by(gap_ms as usize);
+        site.rolls = times.zip(0..ENTRIES).collect();
+    }
     let mut steps: Vec<(u64, bool, &String)> = Vec::new();
     for (address, at) in leaving.iter().zip((began..).step_by(GAP_MS as usize)) {
         steps.push((at, false, address));
@@ -331,8 +351,10 @@
         }
     }
     let runs = LASTING_TASKS.iter().sum::<u32>() as usize;
-    let is_over =
-        |site: &RollingSite| site.changes.is_empty() && site.lasting_runs().count() == runs;
+    let is_over = |site: &RollingSite| {
+        let is_calm = site.changes.is_empty() && site.rolls.is_empty();
+        is_calm && site.lasting_runs().count() == runs
+    };
     while site.world.now_ms < first_end + PATIENCE_MS && !is_over(&site) {
         let now = site.world.now_ms;
         site.run_until(now + 100);
