fix(queue): a new leader prepares restarts when former leases are about to expire

Callers saw a long-running task down for up to 7.3 s after a crash while five planned changes of leader followed.

Cause: permits and capacity for its restart are prepared from 1.5 s before its run can be declared lost. For a worker that has not answered a new leader, that moment was estimated as a whole lease, 5 s, after the leader began, though the leader knows when the leases of former leaders end and declares the run lost then. Without a change of leader the same worker's lease is known from its own clock, and the permits are there in time.

The estimate is now the time at which the run is declared lost.

--- a/crates/bankvalve_queue/src/core/placement/restart_preparation.rs
+++ b/crates/bankvalve_queue/src/core/placement/restart_preparation.rs
@@ -292,7 +292,7 @@
         let lease_left = if state.token_accepted {
             state.lease_left(self.now)
         } else {
-            self.lease_duration().saturating_sub(without_contact)
+            self.former_leases_expire_at(worker).saturating_sub(now)
         };
         let listed_left = if state.listed && !state.refused {
             terms.unresponsive_timeout.saturating_sub(without_contact)
