fix(queue): a successor does not request advice again that is on its way

Callers saw long-running tasks down for 6.4 s after crashes while five planned changes of leader followed, 5.2 s without a change.

Cause: a leader handed over the requests in flight for tasks that are down, not those for other steps that wait. Each successor requested advice for such a step again, and chose the instance by its last heartbeat, which did not show yet what the leader before had sent.

At the handover the successor is now told of all requests in flight, 64 steps at most as before, those with tasks that are down first. It counts their advisers as busy until the answers are expected.

--- a/crates/bankvalve_queue/src/core/placement/shared_advice.rs
+++ b/crates/bankvalve_queue/src/core/placement/shared_advice.rs
@@ -121,15 +121,21 @@
         }
     }
 
-    /// Tells a successor all that it needs about tasks that are down or soon will be.
+    /// Tells a successor all that it needs about tasks that are down or soon will be, and about all other requests
+    /// in flight, so that it does not send them again.
     pub(in crate::core) fn hand_over_advice(&mut self, successor: PeerAddress) {
         if !self.uses(PolicySwitch::SharedAdvice) {
             return;
         }
-        let mut steps = match self.lead.as_deref() {
-            Some(lead) => lead.steps_by_downtime(),
-            None => return,
+        let Some(lead) = self.lead.as_deref() else {
+            return;
         };
+        let mut steps = lead.steps_by_downtime();
+        let others = lead
+            .advice
+            .iter()
+            .filter(|(key, advice)| advice.is_in_flight() && !lead.restarting.contains_key(*key));
+        steps.extend(others.map(|(key, _)| *key));
         steps.truncate(MAX_HANDED_OVER_STEPS);
         self.send_summaries(successor, &steps);
     }
@@ -196,6 +202,8 @@
                 if is_open && now < until {
                     let ticket = self.take_ticket();
                     let (adviser, workers) = (request.adviser, request.workers);
+                    let busy = lead.adviser_busy.entry(adviser).or_insert(expected);
+                    *busy = (*busy).max(expected);
                     advice.in_flight.push(InFlightAdvice {
                         ticket,
                         adviser,
