fix(queue): a restart is planned where its permit is, not only its capacity

Callers saw a long-running task down for 6.3 s after a crash with five planned changes of leader and for 7.5 s while all instances were rolled, and for 0.7 s after an announced departure.

Cause: a restart is planned on the allowed workers whose capacity is free soonest, among many short tasks. Each time another worker came first, a permit for that worker was requested, for one worker each.

A restart is now planned where both the capacity and a permit are there soonest: a permit that is still valid then, one that is requested, or one that would have to be. So plans stay where permits come.

--- a/crates/bankvalve_queue/src/core/placement/capacity_reclaim.rs
+++ b/crates/bankvalve_queue/src/core/placement/capacity_reclaim.rs
@@ -129,11 +129,14 @@
 struct PlannedTask {
     worker_index: usize,
     plan: CapacityPlan,
+    /// Time until both the capacity and a permit are there.
+    ready_after: Duration,
 }
 
 impl PlannedTask {
-    fn rank(&self) -> (Duration, StopCost, usize) {
-        (self.plan.after, self.plan.cost, self.worker_index)
+    fn rank(&self) -> (Duration, Duration, StopCost, usize) {
+        let plan = &self.plan;
+        (self.ready_after, plan.after, plan.cost, self.worker_index)
     }
 }
 
@@ -317,11 +320,11 @@
         tasks: usize,
     ) -> Vec<CapacityPlan> {
         let respects = |entry: &Reservation| entry.terms.priority < step.yielding_priority;
-        self.plan_capacity(step, tasks, respects)
+        self.plan_capacity(step, tasks, respects, |_, _| Duration::ZERO)
     }
 
-    /// Plans capacity for long-running tasks that restart. It may be reserved for other steps, unless they
-    /// restart as well.
+    /// Plans capacity for long-running tasks that restart, where both the capacity and a permit are there soonest. It
+    /// may be reserved for other steps, unless they restart as well.
     pub(in crate::core) fn plan_restart(
         &self,
         step: &StepToPlace,
@@ -331,7 +334,8 @@
         let respects = |entry: &Reservation| {
             lead.is_some_and(|lead| lead.restarting.contains_key(&entry.step))
         };
-        self.plan_capacity(step, tasks, respects)
+        let until_permit = |id: &WorkerId, after| self.time_until_permit(step, id, after);
+        self.plan_capacity(step, tasks, respects, until_permit)
     }
 
     /// Plans capacity for tasks of a step, outside the reservations of the other steps for which `respects`
@@ -341,6 +345,7 @@
         step: &StepToPlace,
         tasks: usize,
         respects: impl Fn(&Reservation) -> bool,
+        until_permit: impl Fn(&WorkerId, Duration) -> Duration,
     ) -> Vec<CapacityPlan> {
         let now = self.now;
         if tasks == 0 {
@@ -374,7 +379,12 @@
             let worker = &planned_workers[worker_index];
             let may_take = worker.tasks_held < step.worker_limit() && !worker.has_trial;
             let plan = self.plan_on(step, worker).filter(|_| may_take)?;
-            Some(Reverse(PlannedTask { worker_index, plan }))
+            let ready_after = plan.after.max(until_permit(worker.id, plan.after));
+            Some(Reverse(PlannedTask {
+                worker_index,
+                plan,
+                ready_after,
+            }))
         };
         soonest.extend(
             (0..planned_workers.len())
@@ -382,9 +392,10 @@
         );
         let mut plans = Vec::new();
         while plans.len() < tasks {
-            let Some(Reverse(PlannedTask { worker_index, plan })) = soonest.pop() else {
+            let Some(Reverse(planned)) = soonest.pop() else {
                 break;
             };
+            let (worker_index, plan) = (planned.worker_index, planned.plan);
             planned_workers[worker_index].apply(step, &plan);
             // Trials are assigned first, each to a worker that takes no other task of the step.
             planned_workers[worker_index].has_trial = plans.len() < step.trial_count();
--- a/crates/bankvalve_queue/src/core/placement/mod.rs
+++ b/crates/bankvalve_queue/src/core/placement/mod.rs
@@ -4,6 +4,7 @@
 pub(crate) mod capacity_profile;
 pub(in crate::core) mod capacity_reclaim;
 pub(in crate::core) mod departing_tasks;
+pub(in crate::core) mod permit_wait;
 pub(in crate::core) mod planned_capacity;
 pub(crate) mod planned_start;
 pub(in crate::core) mod restart_preparation;
--- a/crates/bankvalve_queue/src/core/placement/restart_preparation.rs
+++ b/crates/bankvalve_queue/src/core/placement/restart_preparation.rs
@@ -351,7 +351,7 @@
         prepared.reservations = plans.len();
         prepared.free = plans.iter().filter(|plan| plan.after().is_zero()).count();
         if let Some(rule) = step.rule.filter(|_| !self.store_is_unavailable()) {
-            self.renew_permits_ahead(&step, rule, &plans);
+            self.renew_permits_ahead(&step, rule, &plans, wanted);
         }
         prepared.permits = self.count_permits(&step, &plans);
         self.stop_departing_runs(&step);
@@ -439,12 +439,14 @@
         plans
     }
 
-    /// Renews permits for workers whose capacity becomes free at about the time when the permits arrive.
+    /// Renews permits for workers whose capacity becomes free at about the time when the permits arrive. A request
+    /// includes workers for all `wanted` tasks, since those that are not due yet may be down soon after.
     fn renew_permits_ahead(
         &mut self,
         step: &StepToPlace,
         rule: AdviceRule,
         plans: &[CapacityPlan],
+        wanted: usize,
     ) {
         let now = self.now;
         let Some(lead) = self.lead.as_deref() else {
@@ -461,6 +463,11 @@
             |id: &&WorkerId| !advice.is_in_flight_for(id) && advice.permit(id, needed).is_none();
         let workers = plans.iter().filter(soon).map(CapacityPlan::worker);
         let mut workers_to_ask: Vec<WorkerId> = workers.filter(due).cloned().collect();
+        if !workers_to_ask.is_empty() && wanted > plans.len() {
+            let all = self.plan_restart(step, wanted);
+            let workers = all.iter().map(CapacityPlan::worker);
+            workers_to_ask.extend(workers.filter(due).cloned());
+        }
         workers_to_ask.sort_unstable();
         workers_to_ask.dedup();
         if !workers_to_ask.is_empty() && advice.may_retry(now) {
