fix(queue): a new leader stops runs that outlast their leaving worker

Callers waited for a task whose worker was about to leave: after a change of leader its run stayed there until the worker ended, seven seconds later, and began anew elsewhere only then.

Cause: runs that would not end before their worker leaves were stopped only at the moment at which a leader saw the announcement as a change. A new leader either finds the entry leaving already, or has not heard of the runs yet. The same holds for a run that is confirmed after the announcement.

Such runs are now examined when the worker confirms them to the leader. For a run of a former leader, whose start is not known, the progress that the worker reports counts as done.

--- a/crates/bankvalve_check/tests/site/departures.rs
+++ b/crates/bankvalve_check/tests/site/departures.rs
@@ -115,3 +115,45 @@
         assert_moves_in_time(seed, 6_000, SLOWER_POLICY, 10 * NOTICE_MS);
     }
 }
+
+/// Plays a worker that announces that it leaves. Returns whether its run, which outlasts it, is stopped in time.
+fn is_stopped_before_its_worker_ends(seed: u64, leader_ends: bool) -> bool {
+    let mut world = SiteWorld::new(SitePlan {
+        seed,
+        entries: 5,
+        strengths: Vec::new(),
+        broken: None,
+        without: None,
+        workers: 20,
+        good_percent: None,
+    });
+    world.configure(2);
+    world.run_until(1_000);
+    let mut job = job_of(LASTING, QUEUE, &[1], false);
+    job.steps[0].estimate_ms = 10 * NOTICE_MS;
+    world.work_ms.insert(LASTING, 10 * NOTICE_MS);
+    world.submit(job);
+    world.run_until(5_000);
+    let address = busy_worker(&world);
+    if leader_ends {
+        let leader = world.leader().expect("an instance leads");
+        world.kill(leader, AFTER_MS);
+    }
+    world.drain_worker(&address, NOTICE_MS);
+    world.run_until(5_000 + NOTICE_MS);
+    let stopped = !is_busy(&world, &address);
+    assert_kept(&world);
+    stopped
+}
+
+// Guards against a run that stays on a leaving worker until both end, because its leader has never known the worker
+// otherwise.
+#[test]
+fn a_run_that_outlasts_its_leaving_worker_is_stopped_by_a_new_leader() {
+    for seed in 1..5 {
+        for leader_ends in [false, true] {
+            let stopped = is_stopped_before_its_worker_ends(seed, leader_ends);
+            assert!(stopped, "seed {seed}, the leader ends: {leader_ends}");
+        }
+    }
+}
--- a/crates/bankvalve_queue/src/core/forecast/overdue_runs.rs
+++ b/crates/bankvalve_queue/src/core/forecast/overdue_runs.rs
@@ -81,6 +81,11 @@
         }
     }
 
+    /// Returns the part of an estimated run time that is done.
+    pub(in crate::core) fn done_of(&self, estimate: Duration) -> Duration {
+        estimate * self.percent.min(100) / 100
+    }
+
     /// Returns the remaining time of a run at its pace, or `None` if the pace is not known.
     pub(in crate::core) fn time_left(&self, ran: Duration) -> Option<Duration> {
         let known = self.percent > 0 && ran >= MIN_PACE_TIME;
--- a/crates/bankvalve_queue/src/core/orders.rs
+++ b/crates/bankvalve_queue/src/core/orders.rs
@@ -352,6 +352,7 @@
                 self.log_often("runs", "start", || {
                     (task.to_string(), format!("run {run} on {id}"))
                 });
+                self.stop_confirmed_runs(id);
                 return;
             }
             WorkerAnswer::NoReply => {
--- a/crates/bankvalve_queue/src/core/worker_entries.rs
+++ b/crates/bankvalve_queue/src/core/worker_entries.rs
@@ -7,7 +7,7 @@
 use super::worker_state::WorkerState;
 use super::EntryCore;
 use crate::customer::CustomerName;
-use crate::ids::{RunId, TaskKey, WorkerId};
+use crate::ids::{CoreTime, RunId, TaskKey, WorkerId};
 use crate::job::StepSpec;
 use crate::ledger::{JobOutcome, TaskPhase};
 use crate::store::WorkerRow;
@@ -279,42 +279,82 @@
         self.resend_requests();
     }
 
-    /// Stops the runs that would not end before their worker leaves.
+    /// Logs that a worker has announced its departure, and stops the runs that would not end before.
     fn begin_leaving(&mut self, id: &WorkerId) {
-        let now = self.now;
-        let Some(lead) = self.lead.as_deref() else {
-            return;
-        };
-        let Some(state) = lead.worker_states.get(id) else {
+        let stopped = self.stop_outlasting_runs(id, |_| true);
+        let lead = self.lead.as_deref();
+        let Some(state) = lead.and_then(|lead| lead.worker_states.get(id)) else {
             return;
         };
-        let time_left = Duration::from_millis(state.entry.remaining_ms.unwrap_or(u64::MAX / 2_000));
-        // A long-running task moves once there are permits and capacity elsewhere.
-        let outlasts_worker = |live: &LiveRun| match live.phase {
-            RunPhase::Running { since } if !live.lasting => {
-                let ran = now.saturating_sub(since);
-                let remaining = live
-                    .estimate
-                    .saturating_sub(ran)
-                    .max(live.estimate / MIN_REMAINING_DIVISOR);
-                remaining > time_left
-            }
-            _ => false,
-        };
-        let to_stop: Vec<TaskKey> = state
-            .runs
-            .iter()
-            .filter(|(_, live)| outlasts_worker(live))
-            .map(|(task, _)| *task)
-            .collect();
         let detail = format!(
-            "leaves in {time_left:?}, {} runs, {} of them stopped",
+            "leaves in {:?}, {} runs, {stopped} of them stopped",
+            state.time_left(),
             state.runs.len(),
-            to_stop.len()
         );
         self.log("workers", "leaving", id.to_string(), detail);
-        for task in to_stop {
-            self.stop_run(id, task);
+    }
+
+    /// Stops the runs that a leaving worker has just confirmed to this leader and that would not end before it
+    /// leaves: those of a former leader, and those that were ordered before the announcement.
+    pub(super) fn stop_confirmed_runs(&mut self, id: &WorkerId) {
+        let now = self.now;
+        let lead = self.lead.as_deref();
+        let state = lead.and_then(|lead| lead.worker_states.get(id));
+        if state.is_some_and(|state| state.entry.leaving) {
+            self.stop_outlasting_runs(id, |live| live.is_running_since(now));
+        }
+    }
+
+    /// Stops some of the runs that would not end before their worker leaves. Returns how many.
+    fn stop_outlasting_runs(
+        &mut self,
+        id: &WorkerId,
+        may_stop: impl Fn(&LiveRun) -> bool,
+    ) -> usize {
+        let now = self.now;
+        let lead = self.lead.as_deref();
+        let Some(state) = lead.and_then(|lead| lead.worker_states.get(id)) else {
+            return 0;
+        };
+        let outlasts_worker = |live: &LiveRun| {
+            let left = live.time_left(now);
+            left.is_some_and(|left| left > state.time_left())
+        };
+        let runs = state.runs.iter();
+        let to_stop: Vec<TaskKey> = runs
+            .filter(|(_, live)| may_stop(live) && outlasts_worker(live))
+            .map(|(task, _)| *task)
+            .collect();
+        for task in &to_stop {
+            self.stop_run(id, *task);
+        }
+        to_stop.len()
+    }
+}
+
+impl WorkerState {
+    /// Returns the minimum time until the worker leaves, as it has announced it.
+    fn time_left(&self) -> Duration {
+        Duration::from_millis(self.entry.remaining_ms.unwrap_or(u64::MAX / 2_000))
+    }
+}
+
+impl LiveRun {
+    /// Returns the estimated time that is left of a confirmed run, or `None` if it has no end of its own.
+    fn time_left(&self, now: CoreTime) -> Option<Duration> {
+        let RunPhase::Running { since } = self.phase else {
+            return None;
+        };
+        // A long-running task moves once there are permits and capacity elsewhere.
+        if self.lasting {
+            return None;
         }
+        // A run of a former leader has run for an unknown time before it was confirmed to this one.
+        let reported = self.progress.filter(|_| self.ordered_at.is_none());
+        let done = reported.map_or(Duration::ZERO, |progress| progress.done_of(self.estimate));
+        let left = self
+            .estimate
+            .saturating_sub(done.max(now.saturating_sub(since)));
+        Some(left.max(self.estimate / MIN_REMAINING_DIVISOR))
     }
 }
--- a/crates/bankvalve_queue/src/core/worker_reports.rs
+++ b/crates/bankvalve_queue/src/core/worker_reports.rs
@@ -52,6 +52,7 @@
         self.end_due_trials(id);
         self.end_missing_runs(id, sent_at, report);
         self.check_progress(id, sent_at, &report.running);
+        self.stop_confirmed_runs(id);
     }
 
     fn handle_end(&mut self, id: &WorkerId, end: &EndReport) {
