test(site): entries that are gone and back between placement and start

A worker's entry is removed between the placement of a task and its start, and the worker writes it again 10, 60 or 400 ms later: for a single task, a gang and a long-running task, at five distances, and with the leader killed while the entry is gone.

--- a/crates/bankvalve_check/tests/site/unusable_entries.rs
+++ b/crates/bankvalve_check/tests/site/unusable_entries.rs
@@ -33,6 +33,18 @@
     Process,
     /// It cannot be decoded.
     Unreadable,
+    /// It is gone, and the worker writes it again after so many milliseconds.
+    GoneAndBack(u64),
+}
+
+impl Change {
+    /// Time until the worker writes its entry again, in milliseconds.
+    fn gone_ms(self) -> Option<u64> {
+        match self {
+            Change::GoneAndBack(gone_ms) => Some(gone_ms),
+            _ => None,
+        }
+    }
 }
 
 const CHANGES: [Change; 4] = [
@@ -41,6 +53,12 @@
     Change::Process,
     Change::Unreadable,
 ];
+/// Entries that are back before the start is sent, and only after that.
+const RETURNS: [Change; 3] = [
+    Change::GoneAndBack(10),
+    Change::GoneAndBack(60),
+    Change::GoneAndBack(400),
+];
 
 /// What is started.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -105,10 +123,20 @@
             ..entry
         },
         Change::Unreadable => return world.spoil_entry(id),
+        Change::GoneAndBack(_) => return world.unlist_worker(&entry.address),
     };
     world.overwrite_with(id, entry);
 }
 
+/// Writes a worker's entry again if it is time.
+fn write_again(world: &mut SiteWorld, id: &WorkerId, back_at: &mut Option<u64>) {
+    if back_at.is_some_and(|at| world.now_ms >= at) {
+        *back_at = None;
+        let entry = living_worker(world, id).entry.clone();
+        world.overwrite_with(id, entry);
+    }
+}
+
 /// Changes the entry of the worker for which a task is placed, some time after that. Returns the time until all
 /// tasks of the job run, in milliseconds.
 fn time_until_running(kind: Kind, change: Change, trouble: Trouble, after_ms: u64) -> u64 {
@@ -143,20 +171,29 @@
         let leader = world.leader().expect("an instance leads");
         world.kill(leader, 3_000);
     }
+    let mut back_at = change.gone_ms().map(|gone_ms| changed_at + gone_ms);
     while world.now_ms < changed_at + 30_000 && running(&world).len() < tasks as usize {
+        write_again(&mut world, &worker, &mut back_at);
         run_for(&mut world, 5);
     }
     let delay_ms = world.now_ms - changed_at;
-    run_for(&mut world, 3_000);
+    for _ in 0..30 {
+        write_again(&mut world, &worker, &mut back_at);
+        run_for(&mut world, 100);
+    }
     assert_kept(&world);
     delay_ms
 }
 
-/// Plays each kind of change before the start. Returns the plays in which the tasks do not run in time.
-fn late_plays(trouble: Trouble, limit_ms: impl Fn(Kind) -> u64) -> Vec<(Kind, Change, u64, u64)> {
+/// Plays each of these changes before the start. Returns the plays in which the tasks do not run in time.
+fn late_plays(
+    changes: &[Change],
+    trouble: Trouble,
+    limit_ms: impl Fn(Kind) -> u64,
+) -> Vec<(Kind, Change, u64, u64)> {
     let mut late = Vec::new();
     for kind in [Kind::Single, Kind::Gang, Kind::Lasting] {
-        for change in CHANGES {
+        for change in changes.iter().copied() {
             for after_ms in (0..50).step_by(10) {
                 let delay_ms = time_until_running(kind, change, trouble, after_ms);
                 late.extend(
@@ -171,21 +208,38 @@
 /// Guards against a placed task that waits for as long as its worker's entry is not usable.
 #[test]
 fn a_task_whose_workers_entry_becomes_unusable_before_its_start_runs_elsewhere() {
-    let late = late_plays(Trouble::Nothing, |_| MAX_DELAY_MS);
+    let late = late_plays(&CHANGES, Trouble::Nothing, |_| MAX_DELAY_MS);
     assert_eq!(late, [], "kind, change, time after the placement, delay");
 }
 
 /// The same where the worker does not answer.
 #[test]
 fn a_task_whose_cut_off_workers_entry_becomes_unusable_runs_elsewhere() {
-    let late = late_plays(Trouble::WorkerCut, |_| MAX_DELAY_MS);
+    let late = late_plays(&CHANGES, Trouble::WorkerCut, |_| MAX_DELAY_MS);
     assert_eq!(late, [], "kind, change, time after the placement, delay");
 }
 
 /// The same under the next leader, which waits for the leases of a worker that it cannot reach.
 #[test]
 fn a_task_whose_workers_entry_becomes_unusable_runs_under_the_next_leader() {
-    let late = late_plays(Trouble::LeaderKilled, |kind| match kind {
+    let late = late_plays(&CHANGES, Trouble::LeaderKilled, |kind| match kind {
+        Kind::Lasting => MAX_AWAY_MS,
+        _ => MAX_UNREACHED_MS,
+    });
+    assert_eq!(late, [], "kind, change, time after the placement, delay");
+}
+
+/// Guards against a start that waits, or comes twice, though its worker's entry was away for a moment only.
+#[test]
+fn a_task_whose_workers_entry_is_gone_and_back_before_its_start_runs() {
+    let late = late_plays(&RETURNS, Trouble::Nothing, |_| MAX_DELAY_MS);
+    assert_eq!(late, [], "kind, change, time after the placement, delay");
+}
+
+/// The same under the next leader, which has read the entries while this one was away.
+#[test]
+fn a_task_whose_workers_entry_is_gone_and_back_runs_under_the_next_leader() {
+    let late = late_plays(&RETURNS, Trouble::LeaderKilled, |kind| match kind {
         Kind::Lasting => MAX_AWAY_MS,
         _ => MAX_UNREACHED_MS,
     });
