--- a/crates/bankvalve_check/src/site/mod.rs
+++ b/crates/bankvalve_check/src/site/mod.rs
@@ -64,8 +64,8 @@
 pub use site_processor::{NodeProcessor, StepTime};
 use site_random::run_episode;
 pub use site_random::{
-    print_site_log, run_broken_episode, run_crash_episode, run_loss_episode, run_short_episode,
-    run_site_episode, run_site_random, SiteBurden, SiteReport,
+    print_site_log, run_broken_episode, run_crash_episode, run_drawn_episode, run_loss_episode,
+    run_short_episode, run_site_episode, run_site_random, SiteBurden, SiteReport,
 };
 pub use site_recovery::LinkRecord;
 pub use site_restart_cuts::{LossMoment, RestartCut};
--- a/crates/bankvalve_check/src/site/site_random.rs
+++ b/crates/bankvalve_check/src/site/site_random.rs
@@ -285,6 +285,11 @@
     }
 }
 
+/// Runs the episode of a burden and a seed that the command `site` runs, with a guard taken away if asked.
+pub fn run_drawn_episode(seed: u64, broken: Option<SiteGuard>, burden: SiteBurden) -> SiteReport {
+    run_episode(seed, kinds_under(burden, seed), broken, burden)
+}
+
 pub(super) fn run_episode(
     seed: u64,
     kinds: &[SiteFault],
@@ -606,8 +611,7 @@
     let mut hold_limits: BTreeMap<u64, (u64, u64)> = BTreeMap::new();
     let mut number = seed;
     while done < events {
-        let kinds = kinds_under(burden, number);
-        let report = run_episode(number, kinds, broken, burden);
+        let report = run_drawn_episode(number, broken, burden);
         done += report.events;
         starts += report.starts;
         accepted += report.accepted;
--- a/crates/bankvalve_check/tests/site/main.rs
+++ b/crates/bankvalve_check/tests/site/main.rs
@@ -12,6 +12,7 @@
 mod customers;
 mod cut_reports;
 mod departures;
+mod drawn_series;
 mod early_cancels;
 mod evacuations;
 mod failing_workers;
