fix(queue): successors are told where a worker has answered, not what its entry says

A task ran twice: after a change of leader it was started on another worker while its own worker, without entry, ran on.

Cause: the leader told its standbys the address of its next call. While a worker does not answer, every second call goes to the entry's address, and that may be another worker's if another writer has changed the entry. There the leader itself takes no answer for the worker's end, but its successor cannot tell that the worker has never answered at that address.

The address where the process has answered is told now; the entry's only if it has answered nowhere.

--- a/crates/bankvalve_check/tests/site/main.rs
+++ b/crates/bankvalve_check/tests/site/main.rs
@@ -44,6 +44,7 @@
 mod suspect_backlog;
 mod table;
 mod takeover;
+mod unlisted_workers;
 mod unusable_entries;
 mod wide_gangs;
 mod workers;
--- a/crates/bankvalve_queue/src/core/unlisted_workers.rs
+++ b/crates/bankvalve_queue/src/core/unlisted_workers.rs
@@ -76,11 +76,11 @@
     fn unlisted_workers(&self) -> Vec<UnlistedWorker> {
         let states = self.lead.iter().flat_map(|lead| lead.worker_states.iter());
         let unlisted = states.filter(|(_, state)| {
-            !state.listed && !state.runs.is_empty() && !state.call_address().is_empty()
+            !state.listed && !state.runs.is_empty() && !state.process_address().is_empty()
         });
         let told = unlisted.map(|(id, state)| UnlistedWorker {
             worker: id.clone(),
-            address: state.call_address().to_owned(),
+            address: state.process_address().to_owned(),
             service: state.entry.service.clone(),
             domain: state.entry.domain.clone(),
         });
--- a/crates/bankvalve_queue/src/core/worker_state.rs
+++ b/crates/bankvalve_queue/src/core/worker_state.rs
@@ -423,6 +423,11 @@
         }
     }
 
+    /// Returns the address at which the process listens, as far as known: another writer may have changed the entry.
+    pub(super) fn process_address(&self) -> &str {
+        self.answered_at.as_ref().unwrap_or(&self.entry.address)
+    }
+
     /// Returns what an answer from an address shows about this process. Where it has never answered, another
     /// process or a refused connection is no evidence that it has ended; if it has answered nowhere, another
     /// process is evidence only once its entry is gone too.
