fix(queue): tasks are not blamed for a departure before a change of leader

Callers would wait longer for tasks that count as suspects although their worker had left as planned.

Cause: the end of a worker that has answered after its entry was removed is expected and counts against no task. A successor that has only been told where such a worker listens, and finds its port refusing, counted the end as a crash: it has never heard the worker. Nor does it know when the runs were ordered. Such an end counts as before the addresses were told: only what the former leader has recorded counts. A removal that is reported once more does not change when the entry went.

--- a/crates/bankvalve_check/tests/site/unlisted_workers.rs
+++ b/crates/bankvalve_check/tests/site/unlisted_workers.rs
@@ -12,8 +12,8 @@
 const UNLISTED_MS: u64 = 8_000;
 const AFTER_MS: u64 = 15_000;
 
-/// Returns a site whose long-running tasks run, and the address of a worker with one of them.
-fn site(seed: u64) -> (SiteWorld, String) {
+/// Returns a site whose tasks run for long, and the address of a worker with one of them.
+fn site(seed: u64, lasting: bool) -> (SiteWorld, String) {
     let mut world = SiteWorld::new(SitePlan {
         seed,
         entries: ENTRIES,
@@ -24,11 +24,13 @@
         good_percent: None,
     });
     world.looks_wait = true;
+    world.lines = Some(Vec::new());
     world.configure(2);
     world.run_until(1_000);
     let mut job = job_of(JOB, QUEUE, &[TASKS], false);
-    job.steps[0].lasting = true;
+    job.steps[0].lasting = lasting;
     job.steps[0].per_worker_limit = 1;
+    world.work_ms.insert(JOB, 10 * AFTER_MS);
     world.submit(job);
     world.run_until(UNLISTED_MS);
     let mut busy = world.workers.iter();
@@ -48,7 +50,7 @@
 fn a_worker_without_entry_is_called_where_it_has_answered() {
     for seed in 1..3 {
         for after_ms in (400..2_400).step_by(100) {
-            let (mut world, address) = site(seed);
+            let (mut world, address) = site(seed, true);
             let mut others = world.workers.keys().filter(|other| **other != address);
             let other = others.next_back().expect("another worker").clone();
             let worker = world.workers[&address].clone().expect("a worker");
@@ -68,3 +70,30 @@
         }
     }
 }
+
+/// Plays a worker that runs on without its entry and ends. Returns how often a task is blamed for that.
+fn blamed(seed: u64, leader_ends: bool) -> usize {
+    let (mut world, address) = site(seed, false);
+    world.unlist_worker(&address);
+    world.run_until(UNLISTED_MS + 3_000);
+    if leader_ends {
+        end_leader(&mut world);
+    }
+    world.crash_worker(&address, 2 * AFTER_MS);
+    world.run_until(UNLISTED_MS + AFTER_MS);
+    assert_kept(&world);
+    let lines = world.lines.iter().flatten();
+    let crashes = lines.filter(|(at, _, line)| *at > UNLISTED_MS && line.event == "crash");
+    crashes.count()
+}
+
+// Guards against tasks that become suspects because a successor does not know that their worker left as announced.
+#[test]
+fn tasks_are_not_blamed_for_a_departure_before_a_change_of_leader() {
+    for seed in 1..5 {
+        for leader_ends in [false, true] {
+            let blamed = blamed(seed, leader_ends);
+            assert_eq!(blamed, 0, "seed {seed}, the leader ends: {leader_ends}");
+        }
+    }
+}
--- a/crates/bankvalve_queue/src/core/suspects.rs
+++ b/crates/bankvalve_queue/src/core/suspects.rs
@@ -278,8 +278,12 @@
     ) -> Option<CrashEvidence> {
         let end_and_order = loss.ended_by.zip(live.ordered_at);
         let had_ended = end_and_order.is_some_and(|(ended, ordered)| ended <= ordered);
+        // The former leader knew whether the worker had left, and when the run was ordered, and has recorded what
+        // that shows.
+        let is_unheard = state.is_told && state.last_contact.is_none();
         let counts = live.may_have_started()
             && !had_ended
+            && !is_unheard
             && !state.left_as_announced()
             && live.known_run_time() < UNRELATED_AGE
             && self.enforces(SiteGuard::CrashBudget);
--- a/crates/bankvalve_queue/src/core/unlisted_workers.rs
+++ b/crates/bankvalve_queue/src/core/unlisted_workers.rs
@@ -40,6 +40,7 @@
         };
         let mut state = WorkerState::new(entry, false, now);
         state.unlisted_at = Some(*told_at);
+        state.is_told = true;
         state
     }
 }
--- a/crates/bankvalve_queue/src/core/worker_entries.rs
+++ b/crates/bankvalve_queue/src/core/worker_entries.rs
@@ -163,8 +163,10 @@
         let now = self.now;
         let lead = self.lead.as_deref_mut();
         if let Some(state) = lead.and_then(|lead| lead.worker_states.get_mut(id)) {
+            if state.listed {
+                state.unlisted_at = Some(now);
+            }
             state.listed = false;
-            state.unlisted_at = Some(now);
         }
         self.log("workers", "unlisted", id.to_string(), String::new());
     }
--- a/crates/bankvalve_queue/src/core/worker_state.rs
+++ b/crates/bankvalve_queue/src/core/worker_state.rs
@@ -167,6 +167,8 @@
     pub(super) entry_readable: bool,
     /// When the entry was last found to be removed.
     pub(super) unlisted_at: Option<CoreTime>,
+    /// Whether a former leader has told the worker's address, which no entry told any more.
+    pub(super) is_told: bool,
     /// Whether the worker's port refused the last poll.
     pub(super) refused: bool,
     /// When the port first refused a poll since the last contact.
@@ -239,6 +241,7 @@
             domain_evacuated: false,
             entry_readable: true,
             unlisted_at: None,
+            is_told: false,
             refused: false,
             refused_at: None,
             crash_evidence_stage: EvidenceStage::None,
