--- a/crates/bankvalve_queue/src/core/unlisted_workers.rs
+++ b/crates/bankvalve_queue/src/core/unlisted_workers.rs
@@ -55,6 +55,7 @@
         };
         let mut state = WorkerState::new(entry, false, now);
         state.unlisted_at = Some(*told_at);
+        state.is_told = true;
         state
     }
 }
@@ -95,23 +96,35 @@
         applies: impl Fn(TellReason) -> bool,
     ) -> Vec<UnlistedWorker> {
         let states = self.lead.iter().flat_map(|lead| lead.worker_states.iter());
-        let mut told: Vec<(TellReason, &WorkerId, &WorkerState)> = states
+        let mut to_tell: Vec<(TellReason, &WorkerId, &WorkerState)> = states
             .filter_map(|(id, state)| Some((self.tell_reason(id, state)?, id, state)))
             .filter(|(reason, ..)| applies(*reason))
             .collect();
-        told.sort_by_key(|(reason, id, _)| (*reason, *id));
-        told.truncate(most);
-        let told = told.into_iter().map(|(_, id, state)| UnlistedWorker {
-            worker: id.clone(),
-            address: state.call_address().to_owned(),
-            service: state.entry.service.clone(),
-            domain: state.entry.domain.clone(),
+        to_tell.sort_by_key(|(reason, id, _)| (*reason, *id));
+        to_tell.truncate(most);
+        let told = to_tell.into_iter().filter_map(|(_, id, state)| {
+            Some(UnlistedWorker {
+                worker: id.clone(),
+                address: self.address_to_tell(id, state)?.to_owned(),
+                service: state.entry.service.clone(),
+                domain: state.entry.domain.clone(),
+            })
         });
         told.collect()
     }
 
+    /// Returns where a worker listens: where it has answered this leader or a former one. What its entry says is
+    /// told only once the entry is gone, since another program may have written it.
+    fn address_to_tell<'a>(&'a self, id: &WorkerId, state: &'a WorkerState) -> Option<&'a str> {
+        let told = self.told_workers.recent(id, self.now);
+        let told = told.map(|(_, worker)| worker.address.as_str());
+        let of_entry = Some(state.entry.address.as_str());
+        let of_entry = of_entry.filter(|address| !state.listed && !address.is_empty());
+        state.answered_at.as_deref().or(told).or(of_entry)
+    }
+
     fn tell_reason(&self, id: &WorkerId, state: &WorkerState) -> Option<TellReason> {
-        if state.runs.is_empty() || state.call_address().is_empty() {
+        if state.runs.is_empty() || self.address_to_tell(id, state).is_none() {
             return None;
         }
         let without_contact = self.age(state.last_contact.unwrap_or(state.known_at));
--- a/crates/bankvalve_queue/src/core/worker_entries.rs
+++ b/crates/bankvalve_queue/src/core/worker_entries.rs
@@ -120,6 +120,7 @@
         state.domain_evacuated = domain_evacuated;
         state.entry = entry;
         state.listed = true;
+        state.is_told = false;
         state.entry_readable = true;
         let other_process = state.token_accepted && !state.entry_is_current();
         if other_process || address_changed {
@@ -163,8 +164,10 @@
         let now = self.now;
         let lead = self.lead.as_deref_mut();
         if let Some(state) = lead.and_then(|lead| lead.worker_states.get_mut(id)) {
+            if state.listed {
+                state.unlisted_at = Some(now);
+            }
             state.listed = false;
-            state.unlisted_at = Some(now);
         }
         self.log("workers", "unlisted", id.to_string(), String::new());
     }
