test(site): orders that never arrive at a worker that answers polls

Two of the waits without an end of docs/design/waits.md, as tests with fixed times: no start order arrives at the worker for which a task is placed, and no stop order either.

Cause: an order without an answer is repeated for as long as the worker answers polls.

--- a/crates/bankvalve_check/src/site/site_workers.rs
+++ b/crates/bankvalve_check/src/site/site_workers.rs
@@ -172,6 +172,15 @@
             && self.nodes[node].cut_from_workers_until <= now
     }
 
+    /// Tells whether an order does not arrive at a worker's address.
+    fn loses_order(&self, address: &str, call: &bankvalve_queue::WorkerCall) -> bool {
+        match call {
+            WorkerCall::Start(_) => self.starts_lost_at.contains(address),
+            WorkerCall::Stop { .. } => self.stops_lost_at.contains(address),
+            _ => false,
+        }
+    }
+
     pub(super) fn worker_arrives(
         &mut self,
         origin: (usize, u64, Ticket),
@@ -194,6 +203,12 @@
             self.after(delay, Later::Event { node, life, event });
             return;
         }
+        if self.loses_order(address, call) {
+            let answer = WorkerAnswer::NoReply;
+            let event = CoreEvent::Worker { ticket, answer };
+            self.after(SILENT_CALL_MS, Later::Event { node, life, event });
+            return;
+        }
         self.given_up_workers.remove(&connections);
         let connection = self.connection_to(node, address);
         if bound_to(call).is_some_and(|bound| connection != Some(bound)) {
--- a/crates/bankvalve_check/src/site/site_world.rs
+++ b/crates/bankvalve_check/src/site/site_world.rs
@@ -258,6 +258,10 @@
     pub crashed_keep_ids: bool,
     /// Until when a worker is cut off, by address.
     pub worker_cut_until: BTreeMap<String, u64>,
+    /// Addresses at which no start order arrives, while polls are answered.
+    pub starts_lost_at: BTreeSet<String>,
+    /// Addresses at which no stop order arrives, while polls are answered.
+    pub stops_lost_at: BTreeSet<String>,
     /// Whether a worker that is cut off shows as it does over real connections: the first call has no
     /// answer, and those after it need a new connection, which is not made in time, so that they are not
     /// sent. Else no call to it has an answer.
@@ -401,6 +405,8 @@
             crashing: BTreeMap::new(),
             crashed_keep_ids: false,
             worker_cut_until: BTreeMap::new(),
+            starts_lost_at: BTreeSet::new(),
+            stops_lost_at: BTreeSet::new(),
             cut_workers_take_no_connection: false,
             given_up_workers: BTreeSet::new(),
             worker_off_table_until: BTreeMap::new(),
--- a/crates/bankvalve_check/tests/site/main.rs
+++ b/crates/bankvalve_check/tests/site/main.rs
@@ -25,6 +25,7 @@
 mod jobs;
 mod lasting;
 mod leading;
+mod lost_orders;
 mod lost_workers;
 mod missed_leaders;
 mod other_writers;
