fix(queue): a placement pass also looks at steps with free capacity

Cause: a pass considered the 100 waiting steps with the first ranks, whatever they need. Over 100 steps that cannot start keep all others out of every pass: steps of a full service, with an absent label or resource, of gangs that are too wide, or refused by the policy service on all workers.

The bound of 100 stays, since it also limits what is started at once after an outage. Half of the places go by rank; the other half to steps for which capacity is free, in turns over the services, in the order of ranks within a service. Places left over go to the next ranks.

Tests: the six tests of steps that start beside a backlog failed without the selection (no start within 3,000 ms) and pass with it. Virtual worlds can have queues and workers of further services, and queues whose steps the policy service refuses everywhere.

--- a/crates/bankvalve_check/src/site/mod.rs
+++ b/crates/bankvalve_check/src/site/mod.rs
@@ -33,6 +33,7 @@
 mod site_return;
 mod site_rooms;
 mod site_rules;
+mod site_services;
 mod site_silence;
 mod site_storm_figures;
 mod site_storm_losses;
--- a/crates/bankvalve_check/src/site/site_config.rs
+++ b/crates/bankvalve_check/src/site/site_config.rs
@@ -9,7 +9,7 @@
 
 use super::site_calls::{OpenCall, PATIENCE_MS};
 use super::site_hard_load::{WorkKind, KINDS};
-use super::site_world::{SiteWorld, QUEUE, SERVICE, URGENT_QUEUE};
+use super::site_world::{SiteWorld, QUEUE, URGENT_QUEUE};
 
 /// Queues that ask for a key once there are customers.
 const KEYED: [&str; 2] = [QUEUE, URGENT_QUEUE];
@@ -19,6 +19,8 @@
 pub(super) struct SiteConfig {
     /// Queues with their priorities.
     queues: BTreeMap<String, u32>,
+    /// Services of queues that need another one than the usual.
+    pub(super) services: BTreeMap<String, String>,
     /// Size of a version as it is written, in bytes.
     bytes: usize,
     written: BTreeMap<u64, WrittenTable>,
@@ -65,6 +67,7 @@
         let named = queues.map(|(name, priority)| (name.to_owned(), priority));
         Self {
             queues: named.into(),
+            services: BTreeMap::new(),
             bytes: 0,
             written: BTreeMap::new(),
         }
@@ -197,7 +200,7 @@
             prefix: format!("/{name}/"),
             keyed: KEYED.contains(&name) && self.customers.are_any(),
             terms: JobTerms {
-                service: SERVICE.into(),
+                service: self.service_of(name).into(),
                 priority,
                 attempts: self.attempts,
                 stretch: kind.map_or(2.0, |kind| kind.stretch),
--- a/crates/bankvalve_check/src/site/site_links.rs
+++ b/crates/bankvalve_check/src/site/site_links.rs
@@ -164,7 +164,10 @@
     pub(super) fn policy_of(&self, step: StepKey) -> Option<SitePolicy> {
         let spec = self.specs.get(&step.job);
         let kind = spec.and_then(|spec| self.work_kind(&spec.queue));
-        let usual = self.policy.clone()?;
+        let mut usual = self.policy.clone()?;
+        if spec.is_some_and(|spec| self.refused_queues.contains(&spec.queue)) {
+            usual.good_percent = 0;
+        }
         Some(kind.map_or(usual, |kind| SitePolicy {
             good_percent: kind.good_percent,
             valid_ms: kind.advice.valid_ms,
--- a/crates/bankvalve_check/src/site/site_world.rs
+++ b/crates/bankvalve_check/src/site/site_world.rs
@@ -203,6 +203,8 @@
     pub restarts: RestartFigures,
     /// The policy service, if there is one.
     pub policy: Option<SitePolicy>,
+    /// Queues for whose steps the policy service refuses all workers.
+    pub refused_queues: BTreeSet<String>,
     /// What the policy service takes for an answer, one question of an instance at a time; if not
     /// set, some milliseconds whatever it is asked. Holds from the next configuration on.
     pub slow_advice: Option<AdviceRule>,
@@ -374,6 +376,7 @@
             processes: 0,
             restarts: RestartFigures::default(),
             policy,
+            refused_queues: BTreeSet::new(),
             slow_advice: None,
             urgent_advice: None,
             advice_turns: BTreeMap::new(),
--- a/crates/bankvalve_check/tests/site/main.rs
+++ b/crates/bankvalve_check/tests/site/main.rs
@@ -30,6 +30,7 @@
 mod outage;
 mod overload;
 mod permits;
+mod placement_backlog;
 mod priorities;
 mod random;
 mod recover;
--- a/crates/bankvalve_queue/src/core/placement/mod.rs
+++ b/crates/bankvalve_queue/src/core/placement/mod.rs
@@ -4,6 +4,7 @@
 pub(crate) mod capacity_profile;
 pub(in crate::core) mod capacity_reclaim;
 pub(in crate::core) mod departing_tasks;
+mod pass_selection;
 pub(in crate::core) mod planned_capacity;
 pub(crate) mod planned_start;
 pub(in crate::core) mod restart_preparation;
@@ -36,8 +37,6 @@
 use crate::policy::PolicySwitch;
 use crate::queue_table::AdviceRule;
 
-/// Maximum number of steps considered in one placement pass, in the order of their ranks.
-const MAX_STEPS_PER_PASS: usize = 100;
 /// Minimum time between two placement passes.
 const MIN_PLACEMENT_INTERVAL: Duration = Duration::from_millis(4);
 /// Added to [`MIN_PLACEMENT_INTERVAL`] for each step that the last pass considered, so that a long queue does
@@ -290,22 +289,18 @@
                 !advice.is_some_and(StepAdvice::awaits_first_answer)
             });
         }
-        ranked.truncate(MAX_STEPS_PER_PASS);
-        lead.next_placement += PLACEMENT_INTERVAL_PER_STEP * ranked.len() as u32;
         let largest_free = lead.max_free();
-        let considered = ranked.len() as u64;
+        let selected = self.select_steps(&ranked);
+        let Some(lead) = self.lead.as_deref_mut() else {
+            return;
+        };
+        lead.next_placement += PLACEMENT_INTERVAL_PER_STEP * selected.len() as u32;
+        let considered = selected.len() as u64;
         self.counters
             .count_many("placements", "steps_looked_at", considered);
-        for (_, key) in ranked {
-            if !self.may_fit(key, &largest_free) {
-                self.record_capacity_wait(key);
-                if !self.may_reclaim_capacity(key) {
-                    continue;
-                }
-            }
-            if let Some(step) = self.step_to_place(key) {
-                self.place_step(&step);
-            }
+        for step in selected {
+            self.consider_step(step.key, &largest_free);
+            self.record_passed_over(step);
         }
         self.refresh_placed_steps();
         self.record_backlog();
@@ -316,6 +311,19 @@
             .count_many("placements", "workers_scanned", scanned);
     }
 
+    /// Places a step, or does what it needs to be placed later.
+    fn consider_step(&mut self, key: StepKey, largest_free: &TaskSize) {
+        if !self.may_fit(key, largest_free) {
+            self.record_capacity_wait(key);
+            if !self.may_reclaim_capacity(key) {
+                return;
+            }
+        }
+        if let Some(step) = self.step_to_place(key) {
+            self.place_step(&step);
+        }
+    }
+
     /// Returns whether no task can be placed now.
     pub(in crate::core) fn placement_is_blocked(&self) -> bool {
         // Without a recent configuration, the customers' limits and the evacuations are unknown.
--- a/crates/bankvalve_queue/src/core/placement/waiting_steps.rs
+++ b/crates/bankvalve_queue/src/core/placement/waiting_steps.rs
@@ -32,6 +32,8 @@
     begin_ms: i64,
     /// Latest start with which the job still earns something, in Unix milliseconds.
     latest_useful_start_ms: i64,
+    /// When a placement pass last considered the step in vain, although workers had capacity for it.
+    pub(in crate::core) passed_over_at: Option<CoreTime>,
 }
 
 /// How late a job finishes at best.
@@ -99,6 +101,7 @@
             begin_ms: begin as i64,
             latest_start_ms: (begin + objective - remaining) as i64,
             latest_useful_start_ms: (begin + MAX_USEFUL_FACTOR * objective - remaining) as i64,
+            passed_over_at: None,
         }
     }
 
--- a/crates/bankvalve_queue/src/core/placement/worker_selection.rs
+++ b/crates/bankvalve_queue/src/core/placement/worker_selection.rs
@@ -31,6 +31,16 @@
 /// among the workers that may run it.
 const MIN_ADVICE_WORKERS_GANG: usize = 100;
 
+/// Returns whether a worker takes tasks of any step, as far as its lease and its entry say.
+pub(in crate::core) fn takes_tasks(state: &WorkerState) -> bool {
+    state.token_accepted
+        && !state.declared_lost
+        && state.listed
+        && state.has_usable_entry()
+        && state.lease_stop == LeaseStop::None
+        && state.takes_new_runs()
+}
+
 /// Returns whether a worker is eligible for tasks of a step, whatever free capacity it has.
 pub(in crate::core) fn is_eligible(
     (id, state): (&WorkerId, &WorkerState),
@@ -38,14 +48,8 @@
     now: CoreTime,
 ) -> bool {
     // Cheap checks that often fail come first, because this runs for all workers for each step.
-    let usable = state.token_accepted
-        && !state.declared_lost
-        && state.listed
-        && state.has_usable_entry()
-        && state.lease_stop == LeaseStop::None
-        && state.takes_new_runs()
-        && (now >= state.backoff_until || step.past_deadline);
-    if !usable
+    if !takes_tasks(state)
+        || (now < state.backoff_until && !step.past_deadline)
         || step.crashed_workers.contains(id)
         || !step.resources.fits(&state.entry.room)
         || !state.is_responsive(now)
