fix(queue): a late answer does not replace a later permit

An answer to a request of a former leader reaches the present one with what is left of its permits. If it came after the answer to a request of the present leader, it replaced permits that were valid for longer, and the step was advised once more.

Found by reading; no test failed before. The cost was one more request. The size that a comment gave for a summary was too small for sites with many workers.

--- a/crates/bankvalve_queue/src/core/placement/advice.rs
+++ b/crates/bankvalve_queue/src/core/placement/advice.rs
@@ -118,8 +118,15 @@
                 let valid = Duration::from_millis(valid_ms).saturating_sub(PERMIT_MARGIN);
                 self.answered.extend(workers);
                 for (worker, text) in permits {
-                    let until = now + valid;
-                    self.allowed.insert(worker, Permit { text, until });
+                    let permit = Permit {
+                        text,
+                        until: now + valid,
+                    };
+                    // The answer to a request of a former leader may come after a later one.
+                    let known = self.allowed.entry(worker).or_insert_with(|| permit.clone());
+                    if known.until < permit.until {
+                        *known = permit;
+                    }
                 }
             }
             AdviceAnswer::Busy => self.retry_at = now + BUSY_RETRY_DELAY,
--- a/crates/bankvalve_queue/src/core/placement/shared_advice.rs
+++ b/crates/bankvalve_queue/src/core/placement/shared_advice.rs
@@ -20,7 +20,7 @@
 /// Interval between two messages with summaries.
 const SHARE_INTERVAL: Duration = Duration::from_millis(250);
 /// Maximum number of summaries in a message, and in the last one before leadership is handed over. A summary
-/// takes about a kilobyte.
+/// takes some ten bytes for each worker about which the service has answered.
 const MAX_SHARED_STEPS: usize = 8;
 const MAX_HANDED_OVER_STEPS: usize = 64;
 /// Maximum number of summaries that a standby keeps.
