fix(queue): only the leader that an instance follows tells it of leases and addresses

The bounds on recorded leases and the addresses of workers were taken from any peer, so also from a leader that has been replaced and does not know it yet. For leases the number of the record protects; an old address of a worker that came back under its id elsewhere might have been taken for its own, so that another process there counted as proof of its end. Records of an earlier version all have the number 0, and a bound for one of them was applied to any other.

Found by reading, in a review of the change; no world that plays it was written, and no test failed before.

--- a/crates/bankvalve_queue/src/core/follower.rs
+++ b/crates/bankvalve_queue/src/core/follower.rs
@@ -43,6 +43,12 @@
 }
 
 impl EntryCore {
+    /// Returns whether a peer is the leader that this instance follows.
+    pub(super) fn follows(&self, peer: PeerAddress) -> bool {
+        let leader = self.leader.as_ref().filter(|_| self.lead.is_none());
+        leader.is_some_and(|leader| leader.address == peer)
+    }
+
     pub(super) fn handle_message(&mut self, from: PeerAddress, message: PeerMessage) {
         match message {
             PeerMessage::Heartbeat(heartbeat) => self.handle_heartbeat(from, heartbeat),
@@ -68,8 +74,8 @@
                 answer,
             } => self.receive_advice(from, step, workers, answer),
             PeerMessage::AdviceKnown { summaries } => self.handle_known_advice(summaries),
-            PeerMessage::LeaseBounds { bounds } => self.handle_lease_bounds(bounds),
-            PeerMessage::UnlistedWorkers { workers } => self.handle_unlisted_workers(workers),
+            PeerMessage::LeaseBounds { bounds } => self.handle_lease_bounds(from, bounds),
+            PeerMessage::UnlistedWorkers { workers } => self.handle_unlisted_workers(from, workers),
             PeerMessage::Relay { from, to, message } => self.handle_relayed(from, to, message),
             PeerMessage::Carry { ticket, call } => self.proxy_call(from, ticket, call),
             PeerMessage::Carried { ticket, answer } => self.handle_worker_answer(ticket, answer),
--- a/crates/bankvalve_queue/src/core/stopped_leases.rs
+++ b/crates/bankvalve_queue/src/core/stopped_leases.rs
@@ -138,7 +138,7 @@
             expires_at: now + left,
         };
         if let Some(lease) = self.leases.get_mut(&bound.worker) {
-            if lease.record == told.record {
+            if told.record > 0 && lease.record == told.record {
                 lease.expires_at = lease.expires_at.min(told.expires_at);
             }
         }
@@ -310,8 +310,12 @@
     }
 
     /// Handles the leader's word on leases that are no longer renewed.
-    pub(super) fn handle_lease_bounds(&mut self, bounds: Vec<StoppedLeaseBound>) {
-        if self.lead.is_some() || !self.enforces(SiteGuard::KnownHolds) {
+    pub(super) fn handle_lease_bounds(
+        &mut self,
+        from: PeerAddress,
+        bounds: Vec<StoppedLeaseBound>,
+    ) {
+        if !self.follows(from) || !self.enforces(SiteGuard::KnownHolds) {
             return;
         }
         for bound in bounds {
--- a/crates/bankvalve_queue/src/core/unlisted_workers.rs
+++ b/crates/bankvalve_queue/src/core/unlisted_workers.rs
@@ -142,9 +142,13 @@
     }
 
     /// Handles the leader's message about workers whose entries are gone or may go.
-    pub(super) fn handle_unlisted_workers(&mut self, workers: Vec<UnlistedWorker>) {
+    pub(super) fn handle_unlisted_workers(
+        &mut self,
+        from: PeerAddress,
+        workers: Vec<UnlistedWorker>,
+    ) {
         let now = self.now;
-        if self.lead.is_some() {
+        if !self.follows(from) {
             return;
         }
         let told = &mut self.told_workers.0;
