fix(queue): the selection counts all reservations and keeps its bound

A step with reservations on several workers was selected only if the last of them was free, so that reserved capacity could stay idle until the step came within the first ranks. Steps that were passed over before were compared with workers beyond the bound on comparisons, which left a pass without a limit.

Found by reading; no test fails without it.

--- a/crates/bankvalve_queue/src/core/placement/pass_selection.rs
+++ b/crates/bankvalve_queue/src/core/placement/pass_selection.rs
@@ -69,8 +69,8 @@
 /// Capacity that steps of this pass may use.
 struct FreeCapacity<'a> {
     workers: BTreeMap<&'a str, Vec<FreeWorker<'a>>>,
-    /// Capacity that each step with a reservation may use on one of the workers that have it.
-    reserved: BTreeMap<StepKey, TaskSize>,
+    /// Capacity that each step with reservations may use on the workers that have them.
+    reserved: BTreeMap<StepKey, Vec<TaskSize>>,
     unmet: UnmetDemands<'a>,
     /// Number of workers that may still be compared with steps.
     comparisons_left: usize,
@@ -92,7 +92,7 @@
             for reservation in state.reserved.iter().filter(|it| it.terms.until > now) {
                 let step = reservation.step;
                 let free = state.free_beside(|entry| entry.step == step, now);
-                capacity.reserved.insert(step, free);
+                capacity.reserved.entry(step).or_default().push(free);
             }
             let free = state.free_beside(|_| false, now);
             if free != TaskSize::default() {
@@ -105,10 +105,10 @@
         capacity
     }
 
-    /// Returns whether capacity that is reserved for a step is free.
+    /// Returns whether capacity that is reserved for a step is free on a worker.
     fn fits_reserved(&self, key: StepKey, demand: &StepDemand<'_>) -> bool {
-        let free = self.reserved.get(&key);
-        free.is_some_and(|free| demand.size.fits(free))
+        let mut free = self.reserved.get(&key).into_iter().flatten();
+        free.any(|free| demand.size.fits(free))
     }
 
     /// Takes capacity for up to `wanted` tasks on workers for which `may_run` holds. Returns whether the demand
@@ -260,6 +260,9 @@
         // Otherwise steps that cannot start for another reason than capacity would take it from those that can.
         passed_over.sort_unstable();
         for (_, position) in passed_over {
+            if capacity.comparisons_left == 0 {
+                break;
+            }
             let (_, key) = ranked[position];
             let Some((demand, _)) = self.demand_of(key) else {
                 continue;
