refactor(queue): answers of the policy service in a module of their own

The answers are in step_advice.rs now, moved without a change. Tests of departures and unlisted workers use the plan and the policy that others have.

--- a/crates/bankvalve_check/tests/site/departures.rs
+++ b/crates/bankvalve_check/tests/site/departures.rs
@@ -3,19 +3,18 @@
 use bankvalve_check::site::{job_of, SitePlan, SiteWorld, QUEUE};
 use bankvalve_queue::{AdviceRule, JobId};
 
-use crate::assert_kept;
+use crate::rolling_site::SLOW_POLICY;
+use crate::{assert_kept, plan_of};
 
-/// Time that the policy service takes for an answer about long-running tasks.
-const SLOW_POLICY: AdviceRule = AdviceRule {
-    decide_ms: 560.0,
-    each_ms: 8.0,
-    valid_ms: 2_000,
-};
 /// A policy service whose answers take longer than a task may be down.
 const SLOWER_POLICY: AdviceRule = AdviceRule {
     decide_ms: 3_000.0,
     ..SLOW_POLICY
 };
+const ENTRIES: usize = 5;
+const WORKERS: usize = 20;
+/// Share of workers that may run a step, in percent.
+const GOOD_PERCENT: u64 = 40;
 /// The job with long-running tasks, and their number.
 const LASTING: JobId = 1;
 const TASKS: u32 = 4;
@@ -35,13 +34,9 @@
     estimate_ms: u64,
 ) -> (SiteWorld, String) {
     let plan = SitePlan {
-        seed,
-        entries: 5,
-        strengths: Vec::new(),
-        broken: None,
-        without: None,
-        workers: 20,
-        good_percent: Some(40),
+        entries: ENTRIES,
+        good_percent: Some(GOOD_PERCENT),
+        ..plan_of(seed, WORKERS)
     };
     let mut world = SiteWorld::with_hold_limit(plan, lease_limit_ms);
     world.looks_wait = true;
@@ -119,13 +114,8 @@
 /// Plays a worker that announces that it leaves. Returns whether its run, which outlasts it, is stopped in time.
 fn is_stopped_before_its_worker_ends(seed: u64, leader_ends: bool) -> bool {
     let mut world = SiteWorld::new(SitePlan {
-        seed,
-        entries: 5,
-        strengths: Vec::new(),
-        broken: None,
-        without: None,
-        workers: 20,
-        good_percent: None,
+        entries: ENTRIES,
+        ..plan_of(seed, WORKERS)
     });
     world.configure(2);
     world.run_until(1_000);
--- a/crates/bankvalve_check/tests/site/unlisted_workers.rs
+++ b/crates/bankvalve_check/tests/site/unlisted_workers.rs
@@ -3,9 +3,10 @@
 use bankvalve_check::site::{job_of, SitePlan, SiteWorld, QUEUE};
 use bankvalve_queue::{JobId, WorkerEntry};
 
-use crate::assert_kept;
+use crate::{assert_kept, plan_of};
 
 const ENTRIES: usize = 5;
+const WORKERS: usize = 8;
 const TASKS: u32 = 3;
 const JOB: JobId = 1;
 /// When a worker loses its entry, in milliseconds.
@@ -15,13 +16,8 @@
 /// Returns a site whose tasks run for long, and the address of a worker with one of them.
 fn site(seed: u64, lasting: bool) -> (SiteWorld, String) {
     let mut world = SiteWorld::new(SitePlan {
-        seed,
         entries: ENTRIES,
-        strengths: Vec::new(),
-        broken: None,
-        without: None,
-        workers: 8,
-        good_percent: None,
+        ..plan_of(seed, WORKERS)
     });
     world.looks_wait = true;
     world.lines = Some(Vec::new());
--- a/crates/bankvalve_queue/src/core/mod.rs
+++ b/crates/bankvalve_queue/src/core/mod.rs
@@ -33,7 +33,7 @@
 //!   runs. `incarnation` distinguishes the processes of a worker, `unlisted_workers` tells standbys where workers without entries listen,
 //!   and `call_proxies` has standbys send calls.
 //! - Placement: `placement` decides which task runs on which worker. In its folder, `advice` queries the policy
-//!   service, `capacity_reclaim` preempts runs, and `restart_preparation` reserves capacity and gets permits for
+//!   service, `step_advice` has its answers for a step, `capacity_reclaim` preempts runs, and `restart_preparation` reserves capacity and gets permits for
 //!   long-running tasks. `suspects` isolates tasks that may crash workers, and `trial_runs` limits
 //!   how many of these run at the same time. `lost_contact` and
 //!   `restart_waits` report why tasks are not running.
--- a/crates/bankvalve_queue/src/core/placement/mod.rs
+++ b/crates/bankvalve_queue/src/core/placement/mod.rs
@@ -11,6 +11,7 @@
 pub(in crate::core) mod restart_preparation;
 pub(in crate::core) mod shared_advice;
 pub(in crate::core) mod speed_preference;
+pub(in crate::core) mod step_advice;
 pub(in crate::core) mod waiting_steps;
 pub(in crate::core) mod worker_selection;
 
@@ -19,10 +20,10 @@
 
 use crate::core::commit::Effect;
 use crate::core::live_run::{LiveRun, RunPhase};
-use crate::core::placement::advice::StepAdvice;
 use crate::core::placement::capacity_reclaim::MAX_CAPACITY_WAIT;
 use crate::core::placement::restart_preparation::is_prepared_restart;
 use crate::core::placement::speed_preference::SpeedPreference;
+use crate::core::placement::step_advice::StepAdvice;
 use crate::core::placement::waiting_steps::{Lateness, StepOrder, WaitingRank, FIRST_RANK};
 use crate::core::placement::worker_selection::{
     assign_workers, eligible_workers, first_advice_request, is_eligible, unasked_with_capacity,
--- a/crates/bankvalve_queue/src/core/placement/pass_selection.rs
+++ b/crates/bankvalve_queue/src/core/placement/pass_selection.rs
@@ -8,7 +8,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use crate::core::lead_state::LeadState;
-use crate::core::placement::advice::StepAdvice;
+use crate::core::placement::step_advice::StepAdvice;
 use crate::core::placement::waiting_steps::{Lateness, WaitingRank};
 use crate::core::placement::worker_selection::takes_tasks;
 use crate::core::EntryCore;
--- a/crates/bankvalve_queue/src/core/placement/restart_preparation.rs
+++ b/crates/bankvalve_queue/src/core/placement/restart_preparation.rs
@@ -15,9 +15,9 @@
 use std::time::Duration;
 
 use crate::core::lead_state::LeadState;
-use crate::core::placement::advice::StepAdvice;
 use crate::core::placement::capacity_reclaim::CapacityPlan;
 use crate::core::placement::departing_tasks::{unlisted_workers_depart, DepartingTask};
+use crate::core::placement::step_advice::StepAdvice;
 use crate::core::placement::worker_selection::{is_eligible, tasks_on, workers_with_most_free};
 use crate::core::placement::StepToPlace;
 use crate::core::worker_state::{ReservationTerms, WorkerState, UNRESPONSIVE_AFTER};
--- a/crates/bankvalve_queue/src/core/placement/shared_advice.rs
+++ b/crates/bankvalve_queue/src/core/placement/shared_advice.rs
@@ -9,7 +9,8 @@
 use std::time::Duration;
 
 use crate::core::lead_state::LeadState;
-use crate::core::placement::advice::{mark_late, InFlightAdvice, StepAdvice, LATE_ANSWER_TIMEOUT};
+use crate::core::placement::advice::{mark_late, LATE_ANSWER_TIMEOUT};
+use crate::core::placement::step_advice::{InFlightAdvice, StepAdvice};
 use crate::core::EntryCore;
 use crate::ids::{CoreTime, StepKey, WorkerId};
 use crate::ledger::JobOutcome;
--- a/crates/bankvalve_queue/src/core/placement/worker_selection.rs
+++ b/crates/bankvalve_queue/src/core/placement/worker_selection.rs
@@ -5,8 +5,9 @@
 
 use crate::core::lead_state::LeadState;
 use crate::core::live_run::RunLoad;
-use crate::core::placement::advice::{StepAdvice, MAX_ADVICE_WORKERS};
+use crate::core::placement::advice::MAX_ADVICE_WORKERS;
 use crate::core::placement::speed_preference::SpeedPreference;
+use crate::core::placement::step_advice::StepAdvice;
 use crate::core::placement::{Assignment, StepToPlace};
 use crate::core::worker_state::{LeaseStop, WorkerState};
 use crate::ids::{CoreTime, StepKey, WorkerId};
--- a/crates/bankvalve_queue/src/core/restart_waits.rs
+++ b/crates/bankvalve_queue/src/core/restart_waits.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use super::lost_contact::rounded;
-use super::placement::advice::StepAdvice;
+use super::placement::step_advice::StepAdvice;
 use super::task_waits::StartWait;
 use super::EntryCore;
 use crate::ids::{RunId, TaskKey};
