fix(link): an order on a connection that has ended is known not to be sent

What callers saw: an order to a worker that had restarted was reported as "no reply", so that it counted as possibly carried out. Its run then keeps its capacity until the worker's lists or its lease decide, although the order had never left the instance.

Cause: an idle connection was taken for open if hyper had not read its end yet. The runtime drives connections in the same thread; a call that came first was either handed back by hyper, which `send_request` reports like any other failure, or written to a closed connection.

It passed only where the process ended before its last answer was read. Ruled out: load as the cause, since the failure also comes in each run alone once the order of events is fixed.

Change: a call lets the runtime read the end of its connection first, and asks hyper for the request back. A request that comes back was not written. On an idle connection it then goes on a new one, after the process there has identified itself; calls bound to one connection and calls on a new one fail as not sent. The same for held connections (`send_held`).

Pooled connections are left as they are: their library does not give a request back, and their calls count as possibly received.

--- a/crates/bankvalve_link/src/client/held_connection.rs
+++ b/crates/bankvalve_link/src/client/held_connection.rs
@@ -6,10 +6,11 @@
 
 use bytes::Bytes;
 use http_body_util::Full;
+use hyper::body::Incoming;
 use hyper::client::conn::http1::{handshake, SendRequest};
 use hyper::header::{HeaderValue, HOST};
 use hyper::http::uri::Authority;
-use hyper::{Request, Uri};
+use hyper::{Request, Response, Uri};
 use hyper_util::rt::TokioIo;
 use socket2::SockRef;
 use tokio::net::TcpStream;
@@ -28,6 +29,14 @@
     pub(super) used_at: Instant,
 }
 
+/// How a request on a held connection went without a failure.
+pub(super) enum Sending {
+    /// The head of the reply.
+    Answered(Response<Incoming>),
+    /// Not sent: the connection had ended before.
+    Unsent(Request<Full<Bytes>>),
+}
+
 impl HeldConnection {
     /// Connects to an address and sets up HTTP/1 on the connection.
     pub(super) async fn connect(
@@ -36,7 +45,7 @@
         limits: &ClientLimits,
         counts: &Arc<ConnectionCounts>,
     ) -> Result<Self, CallEnd> {
-        let not_sent = |text: String| CallEnd::Failed(ClientFailure::NotSent(text));
+        let not_sent = |text: String| CallEnd::not_sent(text);
         let counted = OpenConnection::count(counts, limits.open);
         let counted = counted.ok_or_else(|| not_sent(limit_error(limits.open).to_string()))?;
         let connecting = TcpStream::connect(address.as_str());
@@ -67,6 +76,24 @@
             used_at: Instant::now(),
         })
     }
+
+    /// Sends a request and waits for the head of the reply.
+    ///
+    /// A request counts as unsent only if nothing of it was written.
+    pub(super) async fn send(&mut self, request: Request<Full<Bytes>>) -> Result<Sending, CallEnd> {
+        // Lets the runtime read the end of a connection that its peer has closed meanwhile.
+        tokio::task::yield_now().await;
+        if self.sender.ready().await.is_err() {
+            return Ok(Sending::Unsent(request));
+        }
+        match self.sender.try_send_request(request).await {
+            Ok(response) => Ok(Sending::Answered(response)),
+            Err(mut error) => match error.take_message() {
+                Some(request) => Ok(Sending::Unsent(request)),
+                None => Err(CallEnd::of(error.error())),
+            },
+        }
+    }
 }
 
 /// Puts a request into origin form: the URI holds only the path and query, and the `Host` header the address.
--- a/crates/bankvalve_link/src/client/mod.rs
+++ b/crates/bankvalve_link/src/client/mod.rs
@@ -17,7 +17,7 @@
 use hyper::{Method, Request, Response};
 
 use self::connection_pools::{ConnectionPool, ConnectionPools};
-use self::held_connection::{to_origin_form, HeldConnection};
+use self::held_connection::{to_origin_form, HeldConnection, Sending};
 
 pub use self::held_connection::HeldNumber;
 pub use self::open_connections::ConnectionCounts;
@@ -31,6 +31,8 @@
 const MAX_OPEN_CONNECTIONS: usize = 16_384;
 /// Default maximum size of a reply's body in bytes.
 const MAX_REPLY_BYTES: usize = 1 << 20;
+/// Error of a call whose new connection ended before the call was sent.
+const CLOSED_AT_ONCE: &str = "the new connection has ended";
 
 /// Limits and timeouts of a client's connections.
 #[derive(Clone, Copy, Debug)]
@@ -104,6 +106,19 @@
             _ => CallEnd::Failed(ClientFailure::NoReply(error.to_string())),
         }
     }
+
+    /// Returns the failure of a call that was not sent.
+    fn not_sent(text: impl Into<String>) -> Self {
+        CallEnd::Failed(ClientFailure::NotSent(text.into()))
+    }
+}
+
+/// How a request on a held connection ended without a failure.
+enum Exchange {
+    /// The complete reply.
+    Replied(HttpReply),
+    /// Not sent: the connection had ended before.
+    Unsent(Request<Full<Bytes>>),
 }
 
 /// Returns the kind of the I/O error that caused an error, or `None` if there is none.
@@ -219,8 +234,7 @@
         let request = to_origin_form(request, &address)?;
         let (held, generation) = self.pools.take_held(&address);
         let exchange = async {
-            let mut held = self.ready_connection(&address, held, only).await?;
-            let reply = self.exchange_on(&mut held, request).await?;
+            let (reply, held) = self.exchange_held(&address, held, only, request).await?;
             let number = held.number;
             self.pools.hold(&address, generation, held);
             Ok((reply, number))
@@ -230,27 +244,33 @@
         self.record_end(&address, generation, end)
     }
 
-    /// Returns the connection for a call: the held one if it is open, otherwise a new one.
+    /// Sends a request on the held connection if it is open, otherwise on a new one.
     ///
     /// Fails if `only` is given and is not the number of the open held connection.
-    async fn ready_connection(
+    async fn exchange_held(
         &self,
         address: &Authority,
         held: Option<HeldConnection>,
         only: Option<HeldNumber>,
-    ) -> Result<HeldConnection, CallEnd> {
+        mut request: Request<Full<Bytes>>,
+    ) -> Result<(HttpReply, HeldConnection), CallEnd> {
         let fits = |held: &HeldConnection| only.is_none_or(|only| held.number == only);
         if let Some(mut held) = held.filter(fits) {
-            if held.sender.ready().await.is_ok() {
-                return Ok(held);
+            match self.exchange_on(&mut held, request).await? {
+                Exchange::Replied(reply) => return Ok((reply, held)),
+                Exchange::Unsent(unsent) => request = unsent,
             }
         }
         if only.is_some() {
-            let text = "the requested connection has ended".to_owned();
-            return Err(CallEnd::Failed(ClientFailure::NotSent(text)));
+            return Err(CallEnd::not_sent("the requested connection has ended"));
         }
         let number = self.pools.next_number();
-        HeldConnection::connect(address, number, &self.limits, self.pools.counts()).await
+        let mut held =
+            HeldConnection::connect(address, number, &self.limits, self.pools.counts()).await?;
+        match self.exchange_on(&mut held, request).await? {
+            Exchange::Replied(reply) => Ok((reply, held)),
+            Exchange::Unsent(_) => Err(CallEnd::not_sent(CLOSED_AT_ONCE)),
+        }
     }
 
     /// Sends a GET request whose reply may take long to arrive.
@@ -344,15 +364,17 @@
         self.read_reply(response).await
     }
 
-    /// Sends a request on a held connection and reads its reply.
+    /// Sends a request on a held connection and reads its reply, or returns the request if the connection had
+    /// ended before.
     async fn exchange_on(
         &self,
         held: &mut HeldConnection,
         request: Request<Full<Bytes>>,
-    ) -> Result<HttpReply, CallEnd> {
-        let response = held.sender.send_request(request).await;
-        self.read_reply(response.map_err(|error| CallEnd::of(&error))?)
-            .await
+    ) -> Result<Exchange, CallEnd> {
+        match held.send(request).await? {
+            Sending::Answered(response) => Ok(Exchange::Replied(self.read_reply(response).await?)),
+            Sending::Unsent(request) => Ok(Exchange::Unsent(request)),
+        }
     }
 
     async fn read_reply(&self, response: Response<Incoming>) -> Result<HttpReply, CallEnd> {
--- a/crates/bankvalve_link/src/client/process_calls.rs
+++ b/crates/bankvalve_link/src/client/process_calls.rs
@@ -12,7 +12,10 @@
 use hyper::{Method, Request};
 
 use super::held_connection::{to_origin_form, HeldConnection};
-use super::{address_of, build_request, CallEnd, ClientFailure, HttpClient, HttpReply};
+use super::{
+    address_of, build_request, CallEnd, ClientFailure, Exchange, HttpClient, HttpReply,
+    CLOSED_AT_ONCE,
+};
 
 /// What tells a process from others at its address, such as its start time; `None` if it tells nothing.
 pub type ProcessTag = Option<u64>;
@@ -58,13 +61,6 @@
     pub time: Duration,
 }
 
-/// Returns an idle connection if it is still open.
-async fn ready(held: Option<HeldConnection>) -> Option<HeldConnection> {
-    let mut held = held?;
-    held.sender.ready().await.ok()?;
-    Some(held)
-}
-
 /// Result of the first request on a new connection.
 enum Identification {
     /// The expected process answered.
@@ -89,26 +85,53 @@
         time: Duration,
     ) -> Result<HttpReply, ClientFailure> {
         let (address, request) = call.request()?;
-        let (held, generation) = self.pools.take_identified(&address, check.expected);
-        let mut held = match ready(held).await {
-            Some(held) => held,
-            None => {
-                let identified = self.identify(&address, &check).await;
-                let held = match self.record_end(&address, generation, identified)? {
-                    Identification::Expected(held) => ready(Some(held)).await,
-                    Identification::Unknown(reply) => return Ok(reply),
-                };
-                let closed = || ClientFailure::NotSent("the connection has closed".into());
-                held.ok_or_else(closed)?
-            }
-        };
-        let exchange = tokio::time::timeout(time, self.exchange_on(&mut held, request));
-        let end = exchange.await.unwrap_or(Err(CallEnd::Unanswered));
-        if end.is_ok() {
+        let (idle, generation) = self.pools.take_identified(&address, check.expected);
+        let exchange = self.exchange_identified(&address, idle, request, &check, time);
+        let end = exchange.await;
+        let (reply, held) = self.record_end(&address, generation, end)?;
+        if let Some(held) = held {
             self.pools
                 .hold_identified(&address, generation, check.expected, held);
         }
-        self.record_end(&address, generation, end)
+        Ok(reply)
+    }
+
+    /// Sends a request on an idle connection to its process if that is still open, otherwise on a new one.
+    ///
+    /// Returns no connection if the reply is one to the check that shows no process.
+    async fn exchange_identified(
+        &self,
+        address: &Authority,
+        idle: Option<HeldConnection>,
+        mut request: Request<Full<Bytes>>,
+        check: &ProcessCheck<'_>,
+        time: Duration,
+    ) -> Result<(HttpReply, Option<HeldConnection>), CallEnd> {
+        if let Some(mut held) = idle {
+            match self.exchange_within(&mut held, request, time).await? {
+                Exchange::Replied(reply) => return Ok((reply, Some(held))),
+                Exchange::Unsent(unsent) => request = unsent,
+            }
+        }
+        let mut held = match self.identify(address, check).await? {
+            Identification::Expected(held) => held,
+            Identification::Unknown(reply) => return Ok((reply, None)),
+        };
+        match self.exchange_within(&mut held, request, time).await? {
+            Exchange::Replied(reply) => Ok((reply, Some(held))),
+            Exchange::Unsent(_) => Err(CallEnd::not_sent(CLOSED_AT_ONCE)),
+        }
+    }
+
+    /// Sends a request on a connection and waits for its reply for at most `time`.
+    async fn exchange_within(
+        &self,
+        held: &mut HeldConnection,
+        request: Request<Full<Bytes>>,
+        time: Duration,
+    ) -> Result<Exchange, CallEnd> {
+        let exchange = tokio::time::timeout(time, self.exchange_on(held, request));
+        exchange.await.unwrap_or(Err(CallEnd::Unanswered))
     }
 
     /// Opens a connection and finds out which process is at its other end.
@@ -122,22 +145,27 @@
         let exchange = async {
             let mut held =
                 HeldConnection::connect(address, number, &self.limits, self.pools.counts()).await?;
-            let reply = self.exchange_on(&mut held, request).await?;
-            Ok((held, reply))
+            match self.exchange_on(&mut held, request).await? {
+                Exchange::Replied(reply) => Ok((held, reply)),
+                Exchange::Unsent(_) => Err(CallEnd::not_sent(CLOSED_AT_ONCE)),
+            }
         };
-        let not_sent = |text: &str| CallEnd::Failed(ClientFailure::NotSent(text.to_owned()));
         let exchange = tokio::time::timeout(check.time, exchange).await;
         let (held, reply) = match exchange {
             Ok(Ok(answered)) => answered,
-            Ok(Err(CallEnd::Failed(ClientFailure::NoReply(text)))) => return Err(not_sent(&text)),
+            Ok(Err(CallEnd::Failed(ClientFailure::NoReply(text)))) => {
+                return Err(CallEnd::not_sent(text))
+            }
             Ok(Err(end @ CallEnd::Failed(_))) => return Err(end),
             Ok(Err(CallEnd::Unanswered)) | Err(_) => {
-                return Err(not_sent("the process did not identify itself in time"))
+                return Err(CallEnd::not_sent(
+                    "the process did not identify itself in time",
+                ))
             }
         };
         match (check.read)(&reply) {
             Some(found) if found == check.expected => Ok(Identification::Expected(held)),
-            Some(_) => Err(not_sent("another process answers at this address")),
+            Some(_) => Err(CallEnd::not_sent("another process answers at this address")),
             None => Ok(Identification::Unknown(reply)),
         }
     }
--- a/crates/bankvalve_link/tests/process_calls.rs
+++ b/crates/bankvalve_link/tests/process_calls.rs
@@ -2,6 +2,7 @@
 
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::mpsc::{self, Sender};
 use std::thread::{self, JoinHandle};
 use std::time::Duration;
 
@@ -27,16 +28,18 @@
     None
 }
 
-/// A process that accepts one connection and ends after a number of requests; it returns their paths.
+/// A process that accepts one connection and reads a number of requests. It ends when it is asked for their paths.
 struct TestProcess {
     address: SocketAddr,
     paths: JoinHandle<Vec<String>>,
+    end: Sender<()>,
 }
 
 /// Starts a process that identifies itself by a text; it does not answer requests with an empty text.
 fn process(address: &str, tag: &'static str, requests: usize) -> TestProcess {
     let listener = TcpListener::bind(address).expect("a port");
     let address = listener.local_addr().expect("an address");
+    let (end, has_ended) = mpsc::channel();
     let paths = thread::spawn(move || {
         let (mut stream, _) = listener.accept().expect("a connection");
         let mut paths = Vec::new();
@@ -52,13 +55,20 @@
             let answer = format!("HTTP/1.1 200 OK\r\ncontent-length: {length}\r\n\r\n{tag}");
             stream.write_all(answer.as_bytes()).expect("an answer");
         }
+        has_ended.recv().expect_err("the test drops the sender");
         paths
     });
-    TestProcess { address, paths }
+    TestProcess {
+        address,
+        paths,
+        end,
+    }
 }
 
 impl TestProcess {
+    /// Ends the process, and returns once its connection is closed.
     fn paths(self) -> Vec<String> {
+        drop(self.end);
         self.paths.join().expect("the paths")
     }
 }
