fix(queue): a long-running task is stopped before its worker leaves, also without a permit

What callers saw: a long-running task was down for five to six seconds although its worker had announced that it leaves in one second. Its run was stopped only once capacity and permits were there; where the worker left sooner, nothing reported the end of the run, and the lease had to expire before a start elsewhere.

Cause: a known departure was used for permits and capacity alone, not for the proof of the run's end.

Ruled out as proof: a refused port of a worker whose announced time has passed, since a worker may run on for longer and a cut may refuse.

Change: the leader remembers when a worker leaves at the earliest; a run there is stopped at the latest when the time left is that of a stop. The time left of runs that were confirmed later is counted from the announcement as well; it did not shrink before. Only announced departures are concerned, which the limit on tasks that are away does not count.

--- a/crates/bankvalve_check/tests/site/departures.rs
+++ b/crates/bankvalve_check/tests/site/departures.rs
@@ -21,6 +21,8 @@
 /// Time until the tasks run, and from the worker's announcement until it ends, in milliseconds.
 const START_MS: u64 = 15_000;
 const NOTICE_MS: u64 = 7_000;
+/// Shorter times from an announcement to the end of a worker, in milliseconds: the users name one and two seconds.
+const SHORT_NOTICES_MS: [u64; 3] = [1_000, 1_500, 2_000];
 /// Time after its end during which the site is observed, in milliseconds.
 const AFTER_MS: u64 = 15_000;
 /// Longest downtime of a task whose worker announced its departure, in milliseconds: a stop and a start.
@@ -78,20 +80,25 @@
     downtimes.max().expect("a task was down")
 }
 
-/// Plays the announced end of a worker with a long-running task.
+/// Plays the announced end of a worker with a long-running task, which is down for a stop and a start at most.
 fn assert_moves_in_time(seed: u64, lease_limit_ms: u64, policy: AdviceRule, estimate_ms: u64) {
-    let (mut world, address) = site(seed, lease_limit_ms, policy, estimate_ms);
-    world.drain_worker(&address, NOTICE_MS);
-    world.run_until(START_MS + NOTICE_MS);
-    world.crash_worker(&address, 2 * AFTER_MS);
-    world.run_until(START_MS + NOTICE_MS + AFTER_MS);
-    assert!(world.lasting.all_run());
-    let downtime_ms = longest_downtime(&world);
+    let (world, address) = site(seed, lease_limit_ms, policy, estimate_ms);
+    let downtime_ms = downtime_after(world, &address, NOTICE_MS);
     assert!(
         downtime_ms < MAX_DOWNTIME_MS,
         "seed {seed}: {downtime_ms} ms"
     );
+}
+
+/// Plays the announced end of a worker with a long-running task. Returns the longest downtime, in milliseconds.
+fn downtime_after(mut world: SiteWorld, address: &str, notice_ms: u64) -> u64 {
+    world.drain_worker(address, notice_ms);
+    world.run_until(START_MS + notice_ms);
+    world.crash_worker(address, 2 * AFTER_MS);
+    world.run_until(START_MS + notice_ms + AFTER_MS);
+    assert!(world.lasting.all_run());
     assert_kept(&world);
+    longest_downtime(&world)
 }
 
 // Guards against long-running tasks that stay on a worker until it ends, although it announced its departure.
@@ -111,6 +118,29 @@
     }
 }
 
+// Guards against a lease that is waited for, although the worker could still have reported the end of the run before
+// it left.
+#[test]
+fn a_long_running_task_is_stopped_in_time_on_a_worker_that_leaves_soon() {
+    for seed in 1..5 {
+        for notice_ms in SHORT_NOTICES_MS {
+            let (world, address) = site(seed, 6_000, SLOW_POLICY, 800);
+            let downtime_ms = downtime_after(world, &address, notice_ms);
+            assert!(
+                downtime_ms < MAX_DOWNTIME_MS,
+                "seed {seed}, {notice_ms} ms of notice: {downtime_ms} ms"
+            );
+            let (world, address) = site(seed, 6_000, SLOWER_POLICY, 800);
+            let downtime_ms = downtime_after(world, &address, notice_ms);
+            let limit_ms = SLOWER_POLICY.decide_ms as u64 + MAX_DOWNTIME_MS - notice_ms;
+            assert!(
+                downtime_ms < limit_ms,
+                "seed {seed}, {notice_ms} ms of notice, slower policy: {downtime_ms} ms, limit {limit_ms} ms"
+            );
+        }
+    }
+}
+
 /// Plays a worker that announces that it leaves. Returns whether its run, which outlasts it, is stopped in time.
 fn is_stopped_before_its_worker_ends(seed: u64, leader_ends: bool) -> bool {
     let mut world = SiteWorld::new(SitePlan {
--- a/crates/bankvalve_queue/src/core/placement/departing_tasks.rs
+++ b/crates/bankvalve_queue/src/core/placement/departing_tasks.rs
@@ -4,6 +4,9 @@
 //! tasks may start elsewhere. So capacity and permits are prepared while such a task still runs
 //! (`restart_preparation`), then its run is stopped, and the task starts elsewhere as soon as the worker has
 //! reported the end. The downtime is that of a stop and a start.
+//!
+//! Some workers leave sooner than permits or capacity are there. A run is then stopped just in time for the worker to
+//! report its end, so that the task waits for its permit but not for the lease.
 
 use std::time::Duration;
 
@@ -48,11 +51,13 @@
 }
 
 impl EntryCore {
-    /// Stops runs of a step on workers that leave, as many as can start elsewhere right after.
+    /// Stops runs of a step on workers that leave: as many as can start elsewhere right after, and all whose workers
+    /// have no more time left than a stop takes.
     pub(in crate::core) fn stop_departing_runs(&mut self, step: &StepToPlace) {
         if self.placement_is_blocked() || !self.uses(PolicySwitch::EarlyMove) {
             return;
         }
+        let now = self.now;
         let Some(lead) = self.lead.as_deref() else {
             return;
         };
@@ -65,6 +70,7 @@
         let ready = self.count_ready(step);
         let mut movable = ready.saturating_sub(restarting.tasks_down());
         let mut to_stop = Vec::new();
+        let mut due = Vec::new();
         for departing in restarting.departing() {
             let Some(state) = lead.worker_states.get(&departing.worker) else {
                 continue;
@@ -74,12 +80,16 @@
             let phase = state.runs.get(&departing.task).map(|live| &live.phase);
             match phase {
                 Some(RunPhase::Stopping { .. }) => movable = movable.saturating_sub(1),
-                Some(RunPhase::Running { .. }) if may_stop => to_stop.push(departing.clone()),
+                Some(RunPhase::Running { .. }) if may_stop => {
+                    let is_due = state.time_left(now) <= STOP_TIME;
+                    let stops = if is_due { &mut due } else { &mut to_stop };
+                    stops.push(departing.clone());
+                }
                 _ => {}
             }
         }
-        to_stop.truncate(movable);
-        for departing in to_stop {
+        to_stop.truncate(movable.saturating_sub(due.len()));
+        for departing in due.into_iter().chain(to_stop) {
             self.log_often("placer", "depart", || {
                 let detail = format!("stopped on {}, which leaves", departing.worker);
                 (departing.task.to_string(), detail)
--- a/crates/bankvalve_queue/src/core/worker_entries.rs
+++ b/crates/bankvalve_queue/src/core/worker_entries.rs
@@ -118,7 +118,7 @@
         let capacities = (state.entry.room, entry.room);
         state.service_in_use = self.services.contains(&entry.service);
         state.domain_evacuated = domain_evacuated;
-        state.entry = entry;
+        state.update_entry(entry, now);
         state.listed = true;
         state.is_told = false;
         state.entry_readable = true;
@@ -291,7 +291,7 @@
         };
         let detail = format!(
             "leaves in {:?}, {} runs, {stopped} of them stopped",
-            state.time_left(),
+            state.time_left(self.now),
             state.runs.len(),
         );
         self.log("workers", "leaving", id.to_string(), detail);
@@ -321,7 +321,7 @@
         };
         let outlasts_worker = |live: &LiveRun| {
             let left = live.time_left(now);
-            left.is_some_and(|left| left > state.time_left())
+            left.is_some_and(|left| left > state.time_left(now))
         };
         let runs = state.runs.iter();
         let to_stop: Vec<TaskKey> = runs
@@ -335,13 +335,6 @@
     }
 }
 
-impl WorkerState {
-    /// Returns the minimum time until the worker leaves, as it has announced it.
-    fn time_left(&self) -> Duration {
-        Duration::from_millis(self.entry.remaining_ms.unwrap_or(u64::MAX / 2_000))
-    }
-}
-
 impl LiveRun {
     /// Returns the estimated time that is left of a confirmed run, or `None` if it has no end of its own.
     fn time_left(&self, now: CoreTime) -> Option<Duration> {
--- a/crates/bankvalve_queue/src/core/worker_state.rs
+++ b/crates/bankvalve_queue/src/core/worker_state.rs
@@ -167,6 +167,8 @@
     pub(super) entry_readable: bool,
     /// When the entry was last found to be removed.
     pub(super) unlisted_at: Option<CoreTime>,
+    /// When the worker leaves at the earliest, if it has announced that and for when.
+    pub(super) leaves_at: Option<CoreTime>,
     /// Whether a former leader has told the worker's address, which no entry told any more.
     pub(super) is_told: bool,
     /// Whether the worker's port refused the last poll.
@@ -231,10 +233,19 @@
     pub(super) backoff_until: CoreTime,
 }
 
+impl WorkerEntry {
+    /// Returns when the worker leaves at the earliest, if its entry has just announced that.
+    fn leaves_at(&self, now: CoreTime) -> Option<CoreTime> {
+        let left = self.remaining_ms.filter(|_| self.leaving)?;
+        Some(now.saturating_add(Duration::from_millis(left)))
+    }
+}
+
 impl WorkerState {
     pub(super) fn new(entry: WorkerEntry, listed: bool, now: CoreTime) -> Self {
         Self {
             number: 0,
+            leaves_at: entry.leaves_at(now),
             entry,
             listed,
             service_in_use: true,
@@ -287,6 +298,7 @@
             domain_evacuated: before.domain_evacuated,
             entry_readable: before.entry_readable,
             unlisted_at: before.unlisted_at,
+            leaves_at: before.leaves_at,
             lease_stop: before.lease_stop,
             speed: before.speed,
             token_accepted: true,
@@ -295,6 +307,22 @@
         }
     }
 
+    /// Replaces the entry by one that was just read.
+    ///
+    /// An entry that is read again may still have the time left that was announced first.
+    pub(super) fn update_entry(&mut self, entry: WorkerEntry, now: CoreTime) {
+        let before = self.leaves_at.filter(|_| entry.leaving);
+        let after = entry.leaves_at(now);
+        self.leaves_at = before.into_iter().chain(after).min();
+        self.entry = entry;
+    }
+
+    /// Returns the minimum time until the worker leaves, as it has announced it.
+    pub(super) fn time_left(&self, now: CoreTime) -> Duration {
+        let left = self.leaves_at.map(|at| at.saturating_sub(now));
+        left.unwrap_or(Duration::MAX)
+    }
+
     /// Returns a summary for the log, written when the worker is declared lost.
     pub(super) fn summary(&self, now: CoreTime) -> String {
         let no_contact_for = now.saturating_sub(self.last_contact.unwrap_or(self.known_at));
