fix(queue): a successor does not take a former process's address for a worker's

What callers saw: a task ran twice. A worker ran on without its entry, started again under its id at another address and got another task there. The leader ended within 10 s. Its successor called the worker at the former address, took the answer of another worker there for its end, and started the task elsewhere at once.

Cause: standbys keep for 10 s what the leader told about workers without entries, under the worker's id. A run that was placed on the next process of that id was adopted with the address of the process before. The ledger is often complete when leadership begins, so runs are adopted before any entry has been read.

Change: a standby forgets what it was told of a worker when the ledger shows that a run was placed there since, because no run is placed on a worker without an entry. And as long as a new leader has not read all entries, another process at an address where the worker has not answered it is no evidence, as for workers whose entries exist.

What remains: a message about such a worker that arrives after the ledger's later event, for a worker whose next entry is gone as well. It does not say which part of the ledger its sender knew.

--- a/crates/bankvalve_check/src/site/site_restarts.rs
+++ b/crates/bankvalve_check/src/site/site_restarts.rs
@@ -145,6 +145,22 @@
         self.after(restart.down_ms, later);
     }
 
+    /// Two workers end, and each starts again under its id at the address of the other.
+    pub fn swap_addresses(&mut self, first: &str, second: &str) {
+        let (Some(from_first), Some(from_second)) =
+            (self.take_worker(first), self.take_worker(second))
+        else {
+            return;
+        };
+        for (address, mut worker) in [(first, from_second), (second, from_first)] {
+            self.break_waiting_looks(address);
+            self.worker_off_table_until.remove(address);
+            self.restarts.count += 1;
+            worker.entry.address = address.to_owned();
+            self.process_starts(address.to_owned(), &worker, WorkerRestart::default());
+        }
+    }
+
     /// The same at a later time.
     pub fn restart_worker_at(&mut self, at_ms: u64, address: &str, restart: WorkerRestart) {
         let address = address.to_owned();
--- a/crates/bankvalve_check/tests/site/unlisted_workers.rs
+++ b/crates/bankvalve_check/tests/site/unlisted_workers.rs
@@ -93,3 +93,54 @@
         }
     }
 }
+
+/// Plays a worker that is back at another address after it has run without an entry, and starts a task there. The
+/// leader ends; the worker's next entry goes so many milliseconds before, or stays.
+fn assert_runs_once_elsewhere(seed: u64, leader_ends: u64, gone_before_ms: Option<u64>) {
+    let (mut world, address) = site(seed, false);
+    world.store_delay_ms = 40;
+    let idle = world.workers.iter();
+    let mut idle = idle.filter(|(_, it)| it.as_ref().is_some_and(|it| it.runs().is_empty()));
+    let mut next_idle = || idle.next().expect("an idle worker").0.clone();
+    let (other, spare) = (next_idle(), next_idle());
+    // The spare worker takes tasks under the next leader only.
+    world.worker_cut_until.insert(spare, leader_ends);
+    world.unlist_worker(&address);
+    world.run_until(UNLISTED_MS + 1_000);
+    world.swap_addresses(&address, &other);
+    let mut job = job_of(JOB + 1, QUEUE, &[WORKERS as u32 - 1], false);
+    job.steps[0].per_worker_limit = 1;
+    world.work_ms.insert(JOB + 1, 10 * AFTER_MS);
+    world.submit(job);
+    world.run_until(leader_ends - gone_before_ms.unwrap_or(0));
+    let back = world.workers[&other].as_ref().expect("a worker");
+    assert!(!back.runs().is_empty(), "a task runs there");
+    if gone_before_ms.is_some() {
+        world.unlist_worker(&other);
+    }
+    world.run_until(leader_ends);
+    end_leader(&mut world);
+    world.run_until(UNLISTED_MS + 2 * AFTER_MS);
+    assert_kept(&world);
+}
+
+// Guards against a task that runs twice because a successor takes the answer at the address of a worker's former
+// process for the end of the process that runs the task.
+#[test]
+fn a_worker_that_is_back_elsewhere_is_not_called_at_its_former_address() {
+    for seed in 1..4 {
+        for after_ms in (2_000..5_000).step_by(500) {
+            assert_runs_once_elsewhere(seed, UNLISTED_MS + after_ms, None);
+        }
+    }
+}
+
+// The same where the entry of the later process goes before the leader has told its address.
+#[test]
+fn a_worker_that_is_back_elsewhere_without_entry_is_not_called_at_its_former_address() {
+    for seed in 1..4 {
+        for gone_before_ms in (5..300).step_by(25) {
+            assert_runs_once_elsewhere(seed, UNLISTED_MS + 3_000, Some(gone_before_ms));
+        }
+    }
+}
--- a/crates/bankvalve_queue/src/core/lease_renewal.rs
+++ b/crates/bankvalve_queue/src/core/lease_renewal.rs
@@ -402,6 +402,7 @@
             self.read_leader_row();
             return;
         }
+        let entries_known = lead.workers_known;
         // Answers of a process that another one has replaced are ignored.
         let Some(state) = lead.worker_states.get_incarnation_mut(&open.worker) else {
             return;
@@ -413,7 +414,7 @@
                 live.busy = false;
             }
         }
-        match state.evidence_in(answer, &open.address) {
+        match state.evidence_in(answer, &open.address, entries_known) {
             WorkerAnswer::OtherLife => {
                 self.declare_worker_lost(&id, ProcessEnd::OtherLife);
                 if let Some(state) = self
--- a/crates/bankvalve_queue/src/core/stopped_leases.rs
+++ b/crates/bankvalve_queue/src/core/stopped_leases.rs
@@ -165,7 +165,12 @@
             LedgerEvent::HoldResumed { worker } => {
                 self.stopped_leases.leases.remove(worker);
             }
-            event => self.book.apply(event),
+            event => {
+                if let LedgerEvent::Started { worker, .. } = event {
+                    self.told_workers.forget(worker);
+                }
+                self.book.apply(event);
+            }
         }
     }
 
--- a/crates/bankvalve_queue/src/core/unlisted_workers.rs
+++ b/crates/bankvalve_queue/src/core/unlisted_workers.rs
@@ -42,6 +42,12 @@
         told.filter(|(at, _)| now.saturating_sub(*at) < KEEP_TOLD)
     }
 
+    /// Forgets where a worker listens, because a run has been placed there since: then it has had an entry again, maybe
+    /// that of another process.
+    pub(super) fn forget(&mut self, id: &WorkerId) {
+        self.0.remove(id);
+    }
+
     /// Returns the initial state of a worker with runs that has no entry.
     pub(super) fn state_of(&self, id: &WorkerId, now: CoreTime) -> WorkerState {
         let Some((told_at, worker)) = self.recent(id, now) else {
--- a/crates/bankvalve_queue/src/core/worker_state.rs
+++ b/crates/bankvalve_queue/src/core/worker_state.rs
@@ -428,12 +428,18 @@
 
     /// Returns what an answer from an address shows about this process. Where it has never answered, another
     /// process or a refused connection is no evidence that it has ended; if it has answered nowhere, another
-    /// process is evidence only once its entry is gone too.
-    pub(super) fn evidence_in(&self, answer: WorkerAnswer, address: &str) -> WorkerAnswer {
+    /// process is evidence only once its entry is known to be gone too.
+    pub(super) fn evidence_in(
+        &self,
+        answer: WorkerAnswer,
+        address: &str,
+        entries_known: bool,
+    ) -> WorkerAnswer {
         let at_other_address = self.answered_at.as_deref().is_some_and(|at| at != address);
+        let may_be_listed = self.listed || !entries_known;
         match answer {
             WorkerAnswer::OtherLife
-                if self.answered_at.is_none() && self.listed && !self.runs.is_empty() =>
+                if self.answered_at.is_none() && may_be_listed && !self.runs.is_empty() =>
             {
                 WorkerAnswer::NoReply
             }
