fix(queue): a successor that reads a changed entry also calls where the worker has answered

What callers saw: a task ran twice. Another program had replaced the address in a worker's entry, and the worker was cut off while the leader was stopped as planned. The entry went after the change of leader. The successor took the answer of another worker at the entry's address for the end of the worker, which ran on.

Cause: the leader tells its successor where each worker with long-running tasks has answered, but the successor used that only until it had read an entry. From then on it called the entry's address alone, and once the entry was gone, another process there counted as evidence.

Change: the told address is kept beside the entry until the worker answers. Calls alternate between both, and only an answer at the told address is evidence, as with an address at which the worker has answered this leader.

--- a/crates/bankvalve_check/tests/site/unlisted_workers.rs
+++ b/crates/bankvalve_check/tests/site/unlisted_workers.rs
@@ -144,3 +144,31 @@
         }
     }
 }
+
+// Guards against a task that runs twice because a successor that was told where a worker has answered takes the answer
+// at the address in a changed entry for its end, once that entry is gone.
+#[test]
+fn a_worker_whose_changed_entry_goes_after_a_handover_is_called_where_it_has_answered() {
+    for seed in 1..3 {
+        for after_ms in (400..2_400).step_by(200) {
+            let (mut world, address) = site(seed, true);
+            let mut others = world.workers.keys().filter(|other| **other != address);
+            let other = others.next_back().expect("another worker").clone();
+            let worker = world.workers[&address].clone().expect("a worker");
+            let entry = WorkerEntry {
+                address: other,
+                ..worker.entry.clone()
+            };
+            world.overwrite_with(&worker.id, entry);
+            world.run_until(UNLISTED_MS + 300);
+            let cut_until = world.now_ms + after_ms + 3_000;
+            world.worker_cut_until.insert(address.clone(), cut_until);
+            let leader = world.leader().expect("an instance leads");
+            world.roll(leader, AFTER_MS);
+            world.run_until(UNLISTED_MS + 300 + after_ms);
+            world.unlist_worker(&address);
+            world.run_until(UNLISTED_MS + AFTER_MS);
+            assert_kept(&world);
+        }
+    }
+}
--- a/crates/bankvalve_queue/src/core/lease_renewal.rs
+++ b/crates/bankvalve_queue/src/core/lease_renewal.rs
@@ -429,6 +429,7 @@
                     } else {
                         // The next process may answer at the entry's address.
                         state.answered_at = None;
+                        state.told_address = None;
                         state.next_poll = now;
                     }
                 }
--- a/crates/bankvalve_queue/src/core/unlisted_workers.rs
+++ b/crates/bankvalve_queue/src/core/unlisted_workers.rs
@@ -62,8 +62,15 @@
         let mut state = WorkerState::new(entry, false, now);
         state.unlisted_at = Some(*told_at);
         state.is_told = true;
+        state.told_address = Some(worker.address.clone());
         state
     }
+
+    /// Returns where a worker listens according to the leader before.
+    pub(super) fn address_of(&self, id: &WorkerId, now: CoreTime) -> Option<String> {
+        self.recent(id, now)
+            .map(|(_, worker)| worker.address.clone())
+    }
 }
 
 impl EntryCore {
--- a/crates/bankvalve_queue/src/core/worker_entries.rs
+++ b/crates/bankvalve_queue/src/core/worker_entries.rs
@@ -93,6 +93,7 @@
             state.service_in_use = self.services.contains(&state.entry.service);
             state.domain_evacuated = domain_evacuated;
             state.lease_stop = self.stopped_leases.state_of(id);
+            state.told_address = self.told_workers.address_of(id, now);
             if let Some(slowness) = slowness {
                 state.start_slowness(*slowness);
             }
--- a/crates/bankvalve_queue/src/core/worker_state.rs
+++ b/crates/bankvalve_queue/src/core/worker_state.rs
@@ -169,6 +169,8 @@
     pub(super) unlisted_at: Option<CoreTime>,
     /// Whether a former leader has told the worker's address, which no entry told any more.
     pub(super) is_told: bool,
+    /// Where the worker listens according to the leader before.
+    pub(super) told_address: Option<String>,
     /// Whether the worker's port refused the last poll.
     pub(super) refused: bool,
     /// When the port first refused a poll since the last contact.
@@ -242,6 +244,7 @@
             entry_readable: true,
             unlisted_at: None,
             is_told: false,
+            told_address: None,
             refused: false,
             refused_at: None,
             crash_evidence_stage: EvidenceStage::None,
@@ -420,12 +423,18 @@
     /// Returns the address for the next call. Another writer may have changed the entry, so calls go to
     /// where the process has answered; while it does not, every second one goes to the entry's address.
     pub(super) fn call_address(&self) -> &str {
-        match &self.answered_at {
-            Some(answered) if self.unanswered % 2 == 0 => answered,
+        match self.known_address() {
+            Some(known) if self.unanswered % 2 == 0 => known,
             _ => &self.entry.address,
         }
     }
 
+    /// Returns where the process has answered this leader or, if it has not, a former one.
+    fn known_address(&self) -> Option<&str> {
+        let address = self.answered_at.as_deref();
+        address.or(self.told_address.as_deref())
+    }
+
     /// Returns what an answer from an address shows about this process. Where it has never answered, another
     /// process or a refused connection is no evidence that it has ended; if it has answered nowhere, another
     /// process is evidence only once its entry is known to be gone too.
@@ -435,7 +444,7 @@
         address: &str,
         entries_known: bool,
     ) -> WorkerAnswer {
-        let at_other_address = self.answered_at.as_deref().is_some_and(|at| at != address);
+        let at_other_address = self.known_address().is_some_and(|at| at != address);
         let may_be_listed = self.listed || !entries_known;
         match answer {
             WorkerAnswer::OtherLife
