fix(queue): an answer reaches a leader whose former process requested it

What callers saw: a long-running task was down for 12.5 s instead of 6.3 s where instances were stopped in turn and the policy service took 6 s. The answer came in time and was not used.

Cause: an adviser passes an answer on to the present leader unless that leader made the request. It compared addresses. An instance that requests advice, is stopped, and leads again after another leader knows the request from that leader, with a ticket of its own. It got the answer with the ticket of its former process alone, dropped it, and waited until the request was late.

Evidence: advice_handover::an_answer_reaches_a_leader_whose_former_process_has_requested_it failed before: "12459 ms, usually 6336 ms". The log shows no answer under the third leadership, which had inherited the request.

Change: the adviser keeps the epoch of a request beside its leader. A leader of another epoch gets the answer by step and workers.

--- a/crates/bankvalve_check/tests/site/advice_handover.rs
+++ b/crates/bankvalve_check/tests/site/advice_handover.rs
@@ -17,6 +17,11 @@
     each_ms: 100.0,
     valid_ms: 2_000,
 };
+/// Advice that takes so long that an instance is stopped and starts again meanwhile.
+const LONGEST_POLICY: AdviceRule = AdviceRule {
+    decide_ms: 6_000.0,
+    ..LONG_POLICY
+};
 const LASTING: JobId = 1;
 const WORKERS: usize = 30;
 const ENTRIES: usize = 5;
@@ -253,3 +258,24 @@
     }
     assert_eq!(late, [], "times of the change, each with the downtime");
 }
+
+/// Guards against an answer that is lost because the instance whose former process requested it leads again.
+#[test]
+fn an_answer_reaches_a_leader_whose_former_process_has_requested_it() {
+    for after_ms in [2_500, 3_000, 4_000] {
+        let mut world = site(LONGEST_POLICY);
+        end_worker(&mut world);
+        wait_for_adviser(&mut world);
+        let first = world.leader().expect("an instance leads");
+        world.roll(first, 300);
+        let at = world.now_ms + after_ms;
+        world.run_until(at);
+        let second = world.leader().expect("an instance leads");
+        assert_ne!(second, first);
+        world.roll(second, BACK_MS);
+        let at = world.now_ms + 500;
+        world.run_until(at);
+        assert_eq!(world.leader(), Some(first));
+        assert_not_prolonged(world, LONGEST_POLICY);
+    }
+}
--- a/crates/bankvalve_queue/src/core/advice_calls.rs
+++ b/crates/bankvalve_queue/src/core/advice_calls.rs
@@ -19,11 +19,20 @@
 /// Maximum number of answers that are kept.
 const MAX_KEPT_ANSWERS: usize = 64;
 
+/// The leadership in which a request was made.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+struct AdviceOrigin {
+    leader: PeerAddress,
+    /// Newest epoch that this instance knew then. An instance may lead again, with other tickets.
+    epoch: u64,
+}
+
 /// A request to the policy service without an answer yet.
 #[derive(Debug)]
 struct AdviceCall {
-    /// The leader that made the request, and its ticket.
-    origin: (PeerAddress, Ticket),
+    origin: AdviceOrigin,
+    /// The leader's ticket of the request.
+    ticket: Ticket,
     step: StepKey,
     workers: Vec<WorkerId>,
     /// When the answer is expected.
@@ -33,8 +42,7 @@
 /// An answer of the policy service.
 #[derive(Clone, Debug)]
 struct KeptAnswer {
-    /// The leader that made the request.
-    origin: PeerAddress,
+    origin: AdviceOrigin,
     step: StepKey,
     workers: Vec<WorkerId>,
     answer: AdviceAnswer,
@@ -109,8 +117,13 @@
         ticket: Ticket,
         ask: AdviceRequest,
     ) {
+        let (leader, leader_ticket) = origin;
         let call = AdviceCall {
-            origin,
+            origin: AdviceOrigin {
+                leader,
+                epoch: self.highest_epoch,
+            },
+            ticket: leader_ticket,
             step: ask.step,
             workers: ask.workers.clone(),
             expected: self.now + ask.time.saturating_sub(LATE_ANSWER_TIMEOUT),
@@ -124,9 +137,9 @@
         let Some(call) = self.advice_calls.open.remove(&ticket) else {
             return;
         };
-        let (origin, ticket) = call.origin;
+        let (origin, ticket) = (call.origin, call.ticket);
         let local = self.settings.address;
-        if origin == local && self.finish_advice(ticket, answer.clone()) {
+        if origin.leader == local && self.finish_advice(ticket, answer.clone()) {
             return;
         }
         let kept = KeptAnswer {
@@ -136,8 +149,8 @@
             answer: answer.clone(),
             arrived_at: self.now,
         };
-        if origin != local {
-            self.send_via_hub(origin, PeerMessage::Advised { ticket, answer });
+        if origin.leader != local {
+            self.send_via_hub(origin.leader, PeerMessage::Advised { ticket, answer });
         }
         if !self.uses(PolicySwitch::SharedAdvice) {
             return;
@@ -156,7 +169,7 @@
         }
     }
 
-    /// Gives the present leader an answer, unless that leader made the request.
+    /// Gives the present leader an answer, unless it made the request in this leadership.
     fn pass_to_leader(&mut self, kept: &KeptAnswer) {
         let local = self.settings.address;
         let (step, workers) = (kept.step, kept.workers.clone());
@@ -165,9 +178,11 @@
             self.receive_advice(local, step, workers, answer);
             return;
         }
-        let leader = self.leader.as_ref().map(|leader| leader.address);
-        let Some(leader) = leader.filter(|leader| *leader != kept.origin && *leader != local)
-        else {
+        let leader = self.leader.as_ref().filter(|leader| {
+            let made_it = leader.address == kept.origin.leader && leader.epoch == kept.origin.epoch;
+            !made_it && leader.address != local
+        });
+        let Some(leader) = leader.map(|leader| leader.address) else {
             return;
         };
         let message = PeerMessage::AdviceAnswered {
