fix(queue): a start that is answered after its worker's port has refused is known to have arrived

Callers saw a task that crashes its workers started three times after five of them had ended (BUDGET).

Cause: what is seen of a worker's end is committed when its port first refuses, and once more 400 ms later with its final weight. The answer to the start order may arrive in between: it was sent before the end and was on its way for longer than the refused poll. It was not committed, so if the leader was lost before the final evidence, its successor counted the order as one that may never have arrived, and such an end does not count.

Traced by the decision log of the failing world (end after 10 ms, leader killed 160 ms after the start): the port refuses 18 ms after the orders of runs 3 and 5, recorded as "order not answered"; the answers arrive 31 ms and 1 ms later, the leaders are lost before the 400 ms. Runs 2 and 4 alone leave a chance of 2,500 in a million, where 1,000 are allowed after two counted starts, so run 6 starts. With one of the other two confirmed it is 125, and the job fails.

Ruled out: that ends are noticed sooner since successors are told where workers without entries listen. Each end is noticed by the leader that ordered the run, after 16 to 19 ms, and all three lines that decide are older than these messages. The messages moved the draws of the answers' times (one in sixteen takes 3 to 60 ms).

Now the answer is committed when it arrives, as the same early crash with the order confirmed. Only an order that was sent before the refusal counts: a later copy may have been answered by another process. The final evidence said the same before, so nothing new counts against a healthy task. It costs one event for each late answer under a crash.

--- a/crates/bankvalve_check/src/site/site_workers.rs
+++ b/crates/bankvalve_check/src/site/site_workers.rs
@@ -282,6 +282,10 @@
         } else {
             2
         };
+        let delay = match call {
+            WorkerCall::Start(_) => self.start_answer_ms.unwrap_or(delay),
+            _ => delay,
+        };
         self.after(delay, Later::Event { node, life, event });
     }
 
--- a/crates/bankvalve_check/src/site/site_world.rs
+++ b/crates/bankvalve_check/src/site/site_world.rs
@@ -260,6 +260,8 @@
     pub crashed_keep_ids: bool,
     /// Until when a worker is cut off, by address.
     pub worker_cut_until: BTreeMap<String, u64>,
+    /// Time that answers to start orders take in place of the usual time, in milliseconds.
+    pub start_answer_ms: Option<u64>,
     /// Addresses at which no start order arrives, while polls are answered.
     pub starts_lost_at: BTreeSet<String>,
     /// Addresses at which no stop order arrives, while polls are answered.
@@ -408,6 +410,7 @@
             crashing: BTreeMap::new(),
             crashed_keep_ids: false,
             worker_cut_until: BTreeMap::new(),
+            start_answer_ms: None,
             starts_lost_at: BTreeSet::new(),
             stops_lost_at: BTreeSet::new(),
             cut_workers_take_no_connection: false,
--- a/crates/bankvalve_check/tests/site/guilty_tasks.rs
+++ b/crates/bankvalve_check/tests/site/guilty_tasks.rs
@@ -58,6 +58,7 @@
     first: (ALL_KILLED, 350 + UNSEEN_AFTER_MS),
     later: (Trouble::Nothing, 0),
     workers: 16,
+    start_answer_ms: None,
 };
 /// A single guilty task whose first three ends are ordinary.
 const SEEN: Sequence = Sequence {
@@ -141,6 +142,8 @@
 const LEADER_LOSSES: [Trouble; 3] = [KILLED, FROZEN, ALL_KILLED];
 /// Time from a worker's end until what was seen of it is committed at the latest, in milliseconds.
 const COMMITTED_AFTER_MS: u64 = 100;
+/// Times after which start orders are answered, in milliseconds.
+const START_ANSWERS_MS: [u64; 3] = [30, 60, 120];
 
 /// Guards against a guilty task, single or in a gang, that is started too often in calm.
 #[test]
@@ -168,6 +171,24 @@
     }
 }
 
+/// Guards against a run that counts as unanswered because its start was answered after its worker's port had refused.
+#[test]
+fn a_guilty_task_is_given_up_though_its_starts_are_answered_after_its_ends() {
+    for start_answer_ms in START_ANSWERS_MS {
+        let single = Sequence {
+            ages_ms: &[10],
+            first: (ALL_KILLED, 10 + UNSEEN_AFTER_MS),
+            start_answer_ms: Some(start_answer_ms),
+            ..UNSEEN
+        };
+        for later in LEADER_LOSSES {
+            let sequences = with_later(&[single, gang(single)], later);
+            let committed = |_: &Sequence| start_answer_ms + COMMITTED_AFTER_MS;
+            assert_kept_from(&sequences, Swept::Later, committed, 500, 50);
+        }
+    }
+}
+
 /// Guards against a guilty task that is started too often while leaders are lost before or with its later ends.
 #[test]
 fn a_guilty_task_is_given_up_though_leaders_are_lost_at_its_later_starts() {
--- a/crates/bankvalve_check/tests/site/guilty_worlds.rs
+++ b/crates/bankvalve_check/tests/site/guilty_worlds.rs
@@ -62,6 +62,8 @@
     /// What follows each later start, and after how many milliseconds.
     pub(crate) later: (Trouble, u64),
     pub(crate) workers: usize,
+    /// Time that answers to start orders take, in milliseconds; that of most is short and that of some drawn without it.
+    pub(crate) start_answer_ms: Option<u64>,
 }
 
 fn struck_step() -> StepKey {
@@ -200,6 +202,7 @@
     });
     world.spread_over_domains(4);
     world.looks_wait = true;
+    world.start_answer_ms = sequence.start_answer_ms;
     world.lines = Some(Vec::new());
     world.run_until(2_000);
     let task = struck_step().task(0);
--- a/crates/bankvalve_queue/src/core/lease_renewal.rs
+++ b/crates/bankvalve_queue/src/core/lease_renewal.rs
@@ -444,7 +444,7 @@
                     }
                 }
                 CallPurpose::Start { task, run } => {
-                    self.handle_start_answer(&id, task, run, &answer)
+                    self.handle_start_answer(&id, task, run, open.sent_at, &answer)
                 }
                 CallPurpose::Stop { task, run } => self.handle_stop_answer(&id, task, run, &answer),
             },
--- a/crates/bankvalve_queue/src/core/orders.rs
+++ b/crates/bankvalve_queue/src/core/orders.rs
@@ -7,7 +7,7 @@
 use super::live_run::{LiveRun, RunPhase};
 use super::EntryCore;
 use crate::guard::SiteGuard;
-use crate::ids::{TaskKey, WorkerId};
+use crate::ids::{CoreTime, TaskKey, WorkerId};
 use crate::ledger::{EndKind, JobOutcome, TaskPhase};
 use crate::policy::PolicySwitch;
 use crate::worker::{StartOrder, StartRefusal, WorkerAnswer, WorkerCall};
@@ -293,9 +293,13 @@
         id: &WorkerId,
         task: TaskKey,
         run: u64,
+        sent_at: CoreTime,
         answer: &WorkerAnswer,
     ) {
         self.apply_start_answer(id, task, run, answer);
+        if matches!(answer, WorkerAnswer::Done { .. }) {
+            self.confirm_crash_evidence(id, task, run, sent_at);
+        }
         self.send_waiting_starts(id);
     }
 
--- a/crates/bankvalve_queue/src/core/suspects.rs
+++ b/crates/bankvalve_queue/src/core/suspects.rs
@@ -208,16 +208,9 @@
             return;
         }
         let loss = lead.loss_of(id, state, None, now);
-        let is_recorded = |task: &TaskKey, run: RunId| {
-            let job = self.book.job(task.step.job);
-            let count = job.and_then(|job| job.task(*task)?.crash_count());
-            count.is_some_and(|count| count.has_end(run))
-        };
         let seen = |(task, live): (&TaskKey, &LiveRun)| {
-            let evidence = self.crash_evidence(state, &loss, task, live)?;
-            // Evidence that turned out to be weak replaces what was recorded of the same end before.
-            let counts = evidence.weight != CrashWeight::Weak || is_recorded(task, live.run);
-            counts.then_some((*task, live.run, evidence))
+            let evidence = self.evidence_to_commit(state, &loss, task, live)?;
+            Some((*task, live.run, evidence))
         };
         let seen: Vec<(TaskKey, RunId, CrashEvidence)> =
             state.runs.iter().filter_map(seen).collect();
@@ -236,6 +229,50 @@
         }
     }
 
+    /// Commits the first evidence of a worker's end again if a run's start order, sent before the port refused, is
+    /// answered after that. If this leader fails before the final evidence, a successor would otherwise count the
+    /// order as one that may never have arrived.
+    pub(super) fn confirm_crash_evidence(
+        &mut self,
+        id: &WorkerId,
+        task: TaskKey,
+        run: RunId,
+        sent_at: CoreTime,
+    ) {
+        let Some(lead) = self.lead.as_deref() else {
+            return;
+        };
+        let first = |state: &&WorkerState| state.crash_evidence_stage == EvidenceStage::First;
+        let Some(state) = lead.worker_states.get(id).filter(first) else {
+            return;
+        };
+        let live = state.runs.get(&task).filter(|live| live.run == run);
+        let sent_before = state.refused_at.is_some_and(|refused| sent_at < refused);
+        let Some(live) = live.filter(|_| sent_before) else {
+            return;
+        };
+        let loss = lead.loss_of(id, state, None, self.now);
+        if let Some(evidence) = self.evidence_to_commit(state, &loss, &task, live) {
+            self.commit_first_crash_evidence(task, run, evidence);
+        }
+    }
+
+    /// Returns the evidence of a worker's end against a run, or `None` if it is weak and nothing was recorded of
+    /// that end before. Otherwise it replaces what was recorded.
+    fn evidence_to_commit(
+        &self,
+        state: &WorkerState,
+        loss: &LossFacts,
+        task: &TaskKey,
+        live: &LiveRun,
+    ) -> Option<CrashEvidence> {
+        let evidence = self.crash_evidence(state, loss, task, live)?;
+        let job = self.book.job(task.step.job);
+        let count = job.and_then(|job| job.task(*task)?.crash_count());
+        let is_recorded = count.is_some_and(|count| count.has_end(live.run));
+        (evidence.weight != CrashWeight::Weak || is_recorded).then_some(evidence)
+    }
+
     /// Commits that a run's worker has ended, with the final weight of the evidence.
     fn commit_crash(&mut self, id: &WorkerId, task: TaskKey, run: RunId, evidence: CrashEvidence) {
         let lead = self.lead.as_deref_mut();
