fix(queue): what is prepared for a restart outlives the leaving worker

Callers saw a long-running task whose worker left without announcement down for up to 3.8 s, and for longer with some numbers of planned changes of leader than with others, although capacity and permits had been prepared while it still ran.

Cause: a task on a leaving worker counts as due for a restart while the worker answers. Once it has ended, its task counted as "unresponsive" until 1.5 s before the end of its lease, so its reservations were dropped and no permit was renewed. But another process at the worker's address may prove the end at any moment before.

Capacity was reserved and free for both tasks of a step until their workers refused. The end of the second one was proven 2.3 s later, with a valid permit on an allowed worker, and nothing reserved; the start waited 1.4 s for capacity and, as the permit expired meanwhile, 0.2 s for the next one.

Ruled out: requests lost with the leader (all were handed over and answered), and the time until the end was proven (the port was taken again 2 s after it).

Now the task of a worker that has left stays due. A successor that has not heard the worker itself reserves capacity once its entry is gone and its port refuses. What proves an end is as before: preparation decides about reservations and permits alone, and a task is placed once the ledger has its end.

--- a/crates/bankvalve_queue/src/core/placement/restart_preparation.rs
+++ b/crates/bankvalve_queue/src/core/placement/restart_preparation.rs
@@ -9,7 +9,9 @@
 //! for them that are valid until the start. None of this needs the table. Reservations are renewed until the
 //! start is decided.
 //!
-//! Tasks on a worker that leaves are prepared in the same way while they still run, see `departing_tasks`.
+//! Tasks on a worker that leaves are prepared in the same way while they still run, see `departing_tasks`, and
+//! after its end. Once a worker's entry is gone and its port refuses, capacity is reserved at once: another
+//! process at its address may prove its end long before its lease expires.
 
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -63,6 +65,8 @@
     departing: Vec<DepartingTask>,
     /// Number of tasks for which capacity is not reserved yet.
     later: usize,
+    /// Whether permits for them are renewed.
+    renews_permits: bool,
     /// What is prepared for them.
     prepared: PreparedCounts,
 }
@@ -119,7 +123,10 @@
     Departing(WorkerId),
     /// Its worker does not respond, but it is too early to reserve capacity.
     Unresponsive,
-    /// It is down, or its run can be declared lost soon.
+    /// Its worker has ended, but it is not known when the run can be declared lost, at the latest when the lease
+    /// has expired.
+    Ended,
+    /// It is down, its worker has left, or its run can be declared lost soon.
     Due,
 }
 
@@ -238,9 +245,14 @@
                 !task.is_suspect() || self.reaches_restart_deadline(spec, task, RESERVE_AHEAD);
             match self.restart_status(lead, task_key, task, terms) {
                 RestartStatus::Running => continue,
-                RestartStatus::Due if starts_soon => step.due.push(task_key),
+                RestartStatus::Ended if starts_soon => step.due.push(task_key),
+                RestartStatus::Due if starts_soon => {
+                    step.due.push(task_key);
+                    step.renews_permits = true;
+                }
                 RestartStatus::Departing(worker) if starts_soon => {
                     step.due.push(task_key);
+                    step.renews_permits = true;
                     step.departing.push(DepartingTask {
                         task: task_key,
                         worker,
@@ -282,8 +294,12 @@
             // The run was declared lost, but its end is not committed yet.
             return RestartStatus::Due;
         }
-        if state.is_responsive(now) && state.is_departing(terms.unlisted_depart) {
-            return RestartStatus::Departing(worker.clone());
+        if state.is_departing(terms.unlisted_depart) {
+            return if state.is_responsive(now) {
+                RestartStatus::Departing(worker.clone())
+            } else {
+                RestartStatus::Due
+            };
         }
         let without_contact = self.age(state.last_contact.unwrap_or(state.known_at));
         if without_contact < UNRESPONSIVE_AFTER.max(state.usual_response_gap()) && !state.refused {
@@ -301,6 +317,8 @@
         };
         if lease_left.max(listed_left) <= RESERVE_AHEAD {
             RestartStatus::Due
+        } else if state.refused && !state.listed {
+            RestartStatus::Ended
         } else {
             RestartStatus::Unresponsive
         }
@@ -330,6 +348,7 @@
         };
         let wanted = restarting.due.len() + restarting.later;
         let tasks = restarting.due.clone();
+        let renews_permits = restarting.renews_permits;
         let Some(step) = self.step_to_restart(key, tasks) else {
             return prepared;
         };
@@ -350,7 +369,8 @@
         *budget = budget.saturating_sub(each * plans.len() as u64);
         prepared.reservations = plans.len();
         prepared.free = plans.iter().filter(|plan| plan.after().is_zero()).count();
-        if let Some(rule) = step.rule.filter(|_| !self.store_is_unavailable()) {
+        let renews_permits = renews_permits && !self.store_is_unavailable();
+        if let Some(rule) = step.rule.filter(|_| renews_permits) {
             self.renew_permits_ahead(&step, rule, &plans, wanted);
         }
         prepared.permits = self.count_permits(&step, &plans);
