fix(queue): reservations of one worker do not block each other

A step without capacity reserves some and counts on runs that will have ended by then. When it looked for room, it left out the reservations of all other steps. With used and reserved capacity above the worker's size, none of them could start before nearly all runs there had ended.

Reservations now have the order in which they were planned, as those of planned starts had: a step may use what is reserved for steps that were planned later. What a later one counts on stays true, since it was planned beside the earlier ones. Capacity held for a step whose permit is on its way is not used by others. Among reservations with a priority, those of priority 0 come first, as before. The selection of a pass counts a step's own reservation in the same way.

Tried and dropped before it was merged: a step keeps its place while its tasks start one after the other. A wide step would then pass a gang that was planned before the rest of it.

Test: reserved_capacity, virtual site. While 80 jobs wait for one worker of four cores, 54% of the cores were in use where starts need permits; at least 75% are asked for. The same without permits passed before as well.

--- a/crates/bankvalve_check/tests/site/main.rs
+++ b/crates/bankvalve_check/tests/site/main.rs
@@ -36,6 +36,7 @@
 mod priorities;
 mod random;
 mod recover;
+mod reserved_capacity;
 mod restart_deadline;
 mod restart_handovers;
 mod restart_then_cut;
--- a/crates/bankvalve_queue/src/core/placement/capacity_reclaim.rs
+++ b/crates/bankvalve_queue/src/core/placement/capacity_reclaim.rs
@@ -208,6 +208,13 @@
             || claim.is_some_and(|claim| claim.until > self.now)
     }
 
+    /// Returns when the capacity that is reserved for a step was planned.
+    pub(in crate::core) fn capacity_planned_at(&self, key: StepKey) -> Option<CoreTime> {
+        let lead = self.lead.as_deref()?;
+        let claim = lead.capacity_claims.get(&key)?;
+        (claim.until > self.now).then_some(claim.since)
+    }
+
     /// Records that tasks of a step found no capacity.
     pub(in crate::core) fn record_capacity_wait(&mut self, key: StepKey) {
         let now = self.now;
@@ -587,7 +594,7 @@
         lead.capacity_claims.insert(step.key, claim);
         let terms = ReservationTerms {
             priority: self.reservation_priority(step),
-            planned_at: now,
+            planned_at: Some(now),
             from: now,
             until,
         };
--- a/crates/bankvalve_queue/src/core/placement/mod.rs
+++ b/crates/bankvalve_queue/src/core/placement/mod.rs
@@ -30,7 +30,7 @@
     workers_to_ask,
 };
 use crate::core::suspects::{SuspectHistory, TrialMode};
-use crate::core::worker_state::{Reservation, ReservationTerms, WorkerState};
+use crate::core::worker_state::{PlanOrder, Reservation, ReservationTerms, WorkerState};
 use crate::core::EntryCore;
 use crate::customer::CustomerName;
 use crate::ids::{CoreTime, RunId, StepKey, TaskKey, WorkerId};
@@ -101,8 +101,8 @@
     /// Room for tasks that the workers of an advice request are to have, for a step of the last priority where
     /// capacity is planned.
     pub(in crate::core) wanted_slots: Option<usize>,
-    /// When its start was planned.
-    pub(in crate::core) planned_at: Option<CoreTime>,
+    /// Place of its plan among those of other steps, if its start or capacity is planned.
+    pub(in crate::core) plan_order: Option<PlanOrder>,
     /// Longest time until capacity becomes free for which it is reserved.
     pub(in crate::core) max_capacity_wait: Duration,
     /// Smallest priority value of the steps whose reserved capacity this step may use.
@@ -127,11 +127,10 @@
         state.free_beside(may_use, now)
     }
 
-    /// Returns whether a reservation is the step's own, or was planned after its start.
+    /// Returns whether a reservation is the step's own, or was planned after its capacity.
     fn precedes(&self, entry: &Reservation) -> bool {
-        let planned_at = self.planned_at;
-        entry.step == self.key
-            || planned_at.is_some_and(|planned_at| entry.is_planned_after(planned_at, self.key))
+        let order = self.plan_order;
+        entry.step == self.key || order.is_some_and(|order| entry.is_planned_after(order))
     }
 
     /// Returns what other steps have reserved on a worker and this step may not use.
@@ -435,7 +434,7 @@
             past_deadline,
             expected_end: self.expected_end(key),
             wanted_slots: None,
-            planned_at: lead.and_then(|lead| lead.plans.planned_at(&key)),
+            plan_order: None,
             max_capacity_wait: MAX_CAPACITY_WAIT,
             yielding_priority: 0,
             plans_start,
@@ -446,6 +445,7 @@
             step.max_capacity_wait = step.max_capacity_wait.max(slack);
         }
         step.wanted_slots = self.wanted_slots(&step);
+        step.plan_order = self.plan_order(&step);
         step.yielding_priority = self.yielding_priority(&step);
         // If no other worker is eligible, the workers that already ended while they ran the task are eligible
         // again.
--- a/crates/bankvalve_queue/src/core/placement/pass_selection.rs
+++ b/crates/bankvalve_queue/src/core/placement/pass_selection.rs
@@ -11,6 +11,7 @@
 use crate::core::placement::step_advice::StepAdvice;
 use crate::core::placement::waiting_steps::{Lateness, WaitingRank};
 use crate::core::placement::worker_selection::takes_tasks;
+use crate::core::worker_state::Reservation;
 use crate::core::EntryCore;
 use crate::ids::{CoreTime, StepKey, WorkerId};
 use crate::job::TaskSize;
@@ -90,8 +91,10 @@
                 continue;
             }
             for reservation in state.reserved.iter().filter(|it| it.terms.until > now) {
-                let step = reservation.step;
-                let free = state.free_beside(|entry| entry.step == step, now);
+                let (step, order) = (reservation.step, reservation.order());
+                let is_behind =
+                    |entry: &Reservation| order.is_some_and(|order| entry.is_planned_after(order));
+                let free = state.free_beside(|entry| entry.step == step || is_behind(entry), now);
                 capacity.reserved.entry(step).or_default().push(free);
             }
             let free = state.free_beside(|_| false, now);
--- a/crates/bankvalve_queue/src/core/placement/planned_capacity.rs
+++ b/crates/bankvalve_queue/src/core/placement/planned_capacity.rs
@@ -14,7 +14,7 @@
 use crate::core::placement::waiting_steps::WaitingStep;
 use crate::core::placement::worker_selection::{is_eligible, unasked_for_plan};
 use crate::core::placement::StepToPlace;
-use crate::core::worker_state::ReservationTerms;
+use crate::core::worker_state::{PlanOrder, ReservationTerms};
 use crate::core::EntryCore;
 use crate::ids::{CoreTime, StepKey, TaskKey, WorkerId};
 use crate::job::TaskSize;
@@ -114,6 +114,18 @@
         }
     }
 
+    /// Returns the place of a step's plan among those of other steps.
+    pub(in crate::core) fn plan_order(&self, step: &StepToPlace) -> Option<PlanOrder> {
+        let lead = self.lead.as_deref()?;
+        let planned_at = lead.plans.planned_at(&step.key);
+        let planned_at = planned_at.or_else(|| self.capacity_planned_at(step.key))?;
+        Some(PlanOrder {
+            priority: self.reservation_priority(step),
+            planned_at,
+            step: step.key,
+        })
+    }
+
     /// Returns how much room for tasks the workers of an advice request are to have: enough although only a part
     /// of them is allowed. `None` for gangs and for steps that precede others.
     pub(in crate::core) fn wanted_slots(&self, step: &StepToPlace) -> Option<usize> {
@@ -282,7 +294,7 @@
         let start = PlannedStart::new(now, after, workers.collect());
         let terms = ReservationTerms {
             priority: self.reservation_priority(step),
-            planned_at: now,
+            planned_at: Some(now),
             from: start.from,
             until: start.until,
         };
--- a/crates/bankvalve_queue/src/core/worker_state.rs
+++ b/crates/bankvalve_queue/src/core/worker_state.rs
@@ -118,8 +118,8 @@
 pub(super) struct ReservationTerms {
     /// Priority of the step; steps of a smaller value may use the capacity.
     pub(super) priority: u32,
-    /// When it was planned.
-    pub(super) planned_at: CoreTime,
+    /// When it was planned, unless no other step may use the capacity.
+    pub(super) planned_at: Option<CoreTime>,
     /// When the step is expected to start. Until then, shorter runs may use the capacity.
     pub(super) from: CoreTime,
     pub(super) until: CoreTime,
@@ -130,18 +130,43 @@
     pub(super) fn always(now: CoreTime, until: CoreTime) -> Self {
         Self {
             priority: 0,
-            planned_at: now,
+            planned_at: None,
             from: now,
             until,
         }
     }
 }
 
+/// Place of a step's plan in the order in which plans get capacity.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct PlanOrder {
+    /// Priority of the step's reservations.
+    pub(super) priority: u32,
+    /// When its capacity was planned.
+    pub(super) planned_at: CoreTime,
+    pub(super) step: StepKey,
+}
+
 impl Reservation {
-    /// Returns whether it was planned after another step's start, which then comes first. If each planned start
-    /// waited for the capacity of the other, both would be planned again and again.
-    pub(super) fn is_planned_after(&self, planned_at: CoreTime, step: StepKey) -> bool {
-        self.terms.priority > 0 && (self.terms.planned_at, self.step) > (planned_at, step)
+    /// Returns whether it was planned after the capacity of another step, which then comes first. If each step
+    /// waited for the capacity of the other, neither could start before nearly all runs on the worker have ended.
+    ///
+    /// Capacity reserved with priority 0 comes before that of all others.
+    pub(super) fn is_planned_after(&self, other: PlanOrder) -> bool {
+        let may_yield = self.terms.priority > 0 || other.priority == 0;
+        let planned_at = self.terms.planned_at.filter(|_| may_yield);
+        planned_at
+            .is_some_and(|planned_at| (planned_at, self.step) > (other.planned_at, other.step))
+    }
+
+    /// Returns its place in the order of plans, unless no other step may use the capacity.
+    pub(super) fn order(&self) -> Option<PlanOrder> {
+        let planned_at = self.terms.planned_at?;
+        Some(PlanOrder {
+            priority: self.terms.priority,
+            planned_at,
+            step: self.step,
+        })
     }
 
     /// Returns whether a run that is expected to end at a time may use the reserved capacity. It may use all that
