fix(queue): a new leader polls all workers in turn

With many workers that do not answer, a new leader did not reach the others: with 320 silent workers of 330, the first start took 8.1 s after the change of leader, with 160 of 170 or 100 of 480 it took 1.0 s (virtual site).

At most 150 first polls are in flight, and they were taken in the order of worker ids. A worker without an answer is due again after 250 ms, which is less than a poll takes, so twice 150 silent workers with low ids took all places for ever. Now those that have been due for longest come first, as is done for workers that have stopped answering.

Test: first_polls; before, no start within 6 s after the change of leader where 3 s are allowed.

--- a/crates/bankvalve_check/tests/site/main.rs
+++ b/crates/bankvalve_check/tests/site/main.rs
@@ -16,6 +16,7 @@
 mod early_cancels;
 mod evacuations;
 mod failing_workers;
+mod first_polls;
 mod fleet;
 mod former_leader;
 mod guilty_tasks;
--- a/crates/bankvalve_queue/src/core/lease_renewal.rs
+++ b/crates/bankvalve_queue/src/core/lease_renewal.rs
@@ -129,7 +129,7 @@
             first_polls += usize::from(!state.token_accepted);
             unresponsive_polls += usize::from(state.token_accepted && is_unresponsive(state));
         }
-        let mut unresponsive_due = Vec::new();
+        let (mut first_due, mut unresponsive_due) = (Vec::new(), Vec::new());
         let mut expired = Vec::new();
         let mut forgotten = Vec::new();
         for (id, state) in lead.worker_states.iter() {
@@ -146,8 +146,7 @@
             } else if !state.poll_is_due(now) {
                 continue;
             } else if !state.token_accepted {
-                first_polls += 1;
-                due.extend((first_polls <= MAX_FIRST_POLLS).then(|| id.clone()));
+                first_due.push((state.next_poll, id.clone()));
             } else if unresponsive {
                 unresponsive_due.push((state.next_poll, id.clone()));
             } else {
@@ -156,6 +155,10 @@
         }
         let budget =
             MIN_UNRESPONSIVE_POLLS.max(lead.worker_states.len() / UNRESPONSIVE_POLL_DIVISOR);
+        // By the time at which they are due, so that workers that do not answer do not keep others waiting.
+        first_due.sort_unstable();
+        first_due.truncate(MAX_FIRST_POLLS.saturating_sub(first_polls));
+        due.extend(first_due.into_iter().map(|(_, id)| id));
         unresponsive_due.sort_unstable();
         unresponsive_due.truncate(budget.saturating_sub(unresponsive_polls));
         due.extend(unresponsive_due.into_iter().map(|(_, id)| id));
