fix(queue): a task whose start orders have no answer runs elsewhere

Callers saw an accepted job that never started (LOST): its task was placed on a worker that answers polls, but at which no start order arrives. A gang with a member there was broken and placed on the same worker again each time.

Cause: MAX_ORDER_TRIES bounds orders that are refused or not sent. An order without an answer may have arrived, so the task could not be placed elsewhere, and it was repeated without a bound. The end of the lease, which ends the wait for a silent worker, never came, since answered polls renew it.

Now a run whose start orders have had no answer for 2.5 s, while the worker answers polls, is stopped. A worker rejects a run that it was told to stop, also if the order arrives after that, so an answered stop and a newer list without the run prove that it never starts, and its task is placed again. The worker is in back-off then (3 s, doubled each time), so it is not chosen again. All starts that wait for such a worker are given up together unless one has arrived there since. A poll does not wait for an end while the list without the run is wanted. A run that is stopped for another reason while its orders are unanswered puts the worker in back-off as well: with the platform's time for a gang below 2.5 s, its members elsewhere end first.

Ruled out: placing the task elsewhere after the bound without a stop, since the order may be carried out later; counting orders in place of time, since their time-outs differ by a factor of ten; a worker that answers nothing, whose time begins anew and whose lease decides as before.

What remains: the back-off is the leader's own, so a change of leader may cost 2.5 s on the same worker once more.

--- a/crates/bankvalve_queue/src/core/lease_renewal.rs
+++ b/crates/bankvalve_queue/src/core/lease_renewal.rs
@@ -290,7 +290,8 @@
         let must_not_wait = !state.token_accepted
             || !in_contact
             || connection.is_none()
-            || state.awaits_further_ends();
+            || state.awaits_further_ends()
+            || state.awaits_absence();
         // After a lost answer the worker does not wait. A second wait would exceed the time since the last
         // contact within which its lease is renewed.
         let wait = if must_not_wait || !settled || state.unanswered > 0 {
--- a/crates/bankvalve_queue/src/core/live_run.rs
+++ b/crates/bankvalve_queue/src/core/live_run.rs
@@ -89,6 +89,8 @@
     pub(super) slowness: f64,
     /// Copies of the order that had no answer and may still be executed.
     pub(super) copies: u32,
+    /// When the first of the start orders was sent that have had no answer while the worker answers polls.
+    pub(super) unanswered_since: Option<CoreTime>,
     /// Whether an order for it is in flight.
     pub(super) busy: bool,
     /// When the next order may be sent.
@@ -144,6 +146,7 @@
             estimate: Duration::from_millis(spec.estimate_ms),
             slowness: 0.0,
             copies: 0,
+            unanswered_since: None,
             busy: false,
             next_at: now,
             tries: 0,
@@ -217,6 +220,13 @@
         }
     }
 
+    /// Returns whether the worker has confirmed its stop but neither its start nor its end. No end may follow that
+    /// answers a long poll.
+    pub(super) fn awaits_absence(&self) -> bool {
+        let is_stopped = matches!(self.phase, RunPhase::Stopping { confirmed: Some(_) });
+        is_stopped && !self.is_confirmed()
+    }
+
     /// Returns whether its start was confirmed at `at` or later.
     pub(super) fn is_running_since(&self, at: CoreTime) -> bool {
         matches!(self.phase, RunPhase::Running { since } if since >= at)
--- a/crates/bankvalve_queue/src/core/mod.rs
+++ b/crates/bankvalve_queue/src/core/mod.rs
@@ -86,6 +86,7 @@
 mod table_watch;
 mod task_waits;
 mod trial_runs;
+mod unanswered_starts;
 mod unlisted_workers;
 mod worker_entries;
 mod worker_map;
--- a/crates/bankvalve_queue/src/core/orders.rs
+++ b/crates/bankvalve_queue/src/core/orders.rs
@@ -152,6 +152,7 @@
         live.busy = true;
         live.tries += 1;
         live.ordered_at.get_or_insert(now);
+        live.unanswered_since.get_or_insert(now);
         let run = live.run;
         let order = StartOrder {
             task,
@@ -269,7 +270,7 @@
         let Some(live) = lead.and_then(|lead| lead.live_run(id, &task)) else {
             return;
         };
-        let (run, known_not_started) = (live.run, live.copies == 0);
+        let (run, known_not_started) = (live.run, !live.may_have_started());
         self.counters.count("order_refusals", kind);
         if known_not_started {
             let (how, saved) = (EndKind::NeverRan, String::new());
@@ -340,9 +341,16 @@
         };
         live.busy = false;
         live.answered |= matches!(answer, WorkerAnswer::Done { .. });
-        if live.phase != RunPhase::Ordered {
-            return;
+        let is_ordered = live.phase == RunPhase::Ordered;
+        if matches!(
+            answer,
+            WorkerAnswer::Done { .. } | WorkerAnswer::Refused { .. } | WorkerAnswer::Unwell
+        ) {
+            state.record_start_arrived(&task, now);
         }
+        let Some(live) = state.runs.get_mut(&task).filter(|_| is_ordered) else {
+            return;
+        };
         match answer {
             WorkerAnswer::Done { .. } => {
                 live.phase = RunPhase::Running { since: now };
@@ -358,8 +366,9 @@
             WorkerAnswer::NoReply => {
                 live.copies += 1;
                 live.next_at = now;
-                lead.schedule_order(now, id, task);
                 self.counters.count("retries", "order_unanswered");
+                lead.schedule_order(now, id, task);
+                self.give_up_unanswered_starts(id, task);
                 return;
             }
             WorkerAnswer::PortRefused | WorkerAnswer::NotSent if live.tries < MAX_ORDER_TRIES => {
@@ -419,7 +428,10 @@
         let Some(lead) = self.lead.as_deref_mut() else {
             return;
         };
-        let Some(live) = lead.live_run(id, &task) else {
+        let Some(state) = lead.worker_states.get_mut(id) else {
+            return;
+        };
+        let Some(live) = state.runs.get_mut(&task) else {
             return;
         };
         match live.phase {
@@ -436,9 +448,15 @@
             RunPhase::Proposed | RunPhase::Adopted => return,
             _ => {}
         }
+        let unanswered =
+            live.phase == RunPhase::Ordered && live.copies > 0 && live.unanswered_since.is_some();
         live.phase = RunPhase::Stopping { confirmed: None };
         live.next_at = now;
         live.busy = false;
+        if unanswered {
+            // A gang that ended without this member would be placed there again.
+            state.back_off_without_answer(now);
+        }
         lead.schedule_order(now, id, task);
         if keeps_resources {
             return;
--- a/crates/bankvalve_queue/src/core/worker_reports.rs
+++ b/crates/bankvalve_queue/src/core/worker_reports.rs
@@ -325,16 +325,17 @@
                     if is_ordered && !live.is_confirmed() {
                         live.began = now;
                     }
-                    if matches!(live.phase, RunPhase::Adopted | RunPhase::Ordered) {
-                        live.phase = RunPhase::Running { since: now };
-                        lead.dirty_jobs.insert(report.task.step.job);
-                        lead.started_jobs.insert(report.task.step.job);
-                    }
                     live.listed_at = Some(now);
                     live.unlisted_since = None;
                     if !report.saved.is_empty() && live.saved != report.saved {
                         live.saved.clone_from(&report.saved);
                     }
+                    if matches!(live.phase, RunPhase::Adopted | RunPhase::Ordered) {
+                        live.phase = RunPhase::Running { since: now };
+                        lead.dirty_jobs.insert(report.task.step.job);
+                        lead.started_jobs.insert(report.task.step.job);
+                        state.record_start_arrived(&report.task, now);
+                    }
                 }
                 Some(_) => {}
                 None => {
--- a/crates/bankvalve_queue/src/core/worker_state.rs
+++ b/crates/bankvalve_queue/src/core/worker_state.rs
@@ -25,7 +25,7 @@
 /// Consecutive failures, of different jobs, after which a worker is in back-off.
 const FAILURES_BEFORE_BACKOFF: u32 = 3;
 /// First back-off of a worker whose runs keep failing. It doubles each time.
-const FIRST_BACKOFF: Duration = Duration::from_secs(3);
+pub(super) const FIRST_BACKOFF: Duration = Duration::from_secs(3);
 /// Minimum weight of a new slowness measurement, so that about 20 tasks are averaged.
 const MIN_SLOWNESS_WEIGHT: f64 = 0.05;
 /// Number of tasks that the slowness measured by the previous leader counts for.
@@ -229,6 +229,8 @@
     /// Back-offs since the last success.
     backoffs: u32,
     pub(super) backoff_until: CoreTime,
+    /// When a start order last arrived, as shown by an answer or by the run in a list.
+    pub(super) start_arrived_at: Option<CoreTime>,
 }
 
 impl WorkerState {
@@ -275,6 +277,7 @@
             failed_job: 0,
             backoffs: 0,
             backoff_until: CoreTime::ZERO,
+            start_arrived_at: None,
         }
     }
 
@@ -449,6 +452,11 @@
         self.runs.values().any(|live| live.unlisted_since.is_some())
     }
 
+    /// Returns whether the next list will show whether the order of a run that is stopped has arrived.
+    pub(super) fn awaits_absence(&self) -> bool {
+        self.runs.values().any(LiveRun::awaits_absence)
+    }
+
     /// Records that an end was read of a run that had not ended at a time. The worker reports its ends in the
     /// order in which they occurred, so all that had occurred by then have been read.
     pub(super) fn record_ends_read(&mut self, not_ended_at: Option<CoreTime>) {
@@ -662,9 +670,14 @@
             return false;
         }
         self.failures = FAILURES_BEFORE_BACKOFF - 1;
+        self.start_backoff(now);
+        true
+    }
+
+    /// Starts the back-off, which doubles each time.
+    pub(super) fn start_backoff(&mut self, now: CoreTime) {
         let doublings = self.backoffs.min(MAX_BACKOFF_DOUBLINGS);
         self.backoffs += 1;
         self.backoff_until = now + FIRST_BACKOFF * 2_u32.pow(doublings);
-        true
     }
 }
