test(site): a long-running task stays where another process announced its departure

An entry may come from another process of its worker: a write of the former process that arrives late, or another program. A long-running task is then stopped on a worker that is sound and does not leave. Where other tasks of a step with `may_miss` are away, that breaks AVAIL.

Cause, by reading: `is_departing`, `stop_departing_runs` and `begin_leaving` use the announcement in the entry without `entry_is_current`, by which starts are kept from such a worker.

A change that adds this condition is not tried yet.

--- a/crates/bankvalve_check/tests/site/departures.rs
+++ b/crates/bankvalve_check/tests/site/departures.rs
@@ -1,7 +1,7 @@
 //! Workers that leave as planned: how soon the long-running tasks that run there run elsewhere.
 
 use bankvalve_check::site::{job_of, SitePlan, SiteWorld, QUEUE};
-use bankvalve_queue::{AdviceRule, JobId};
+use bankvalve_queue::{AdviceRule, JobId, ProcessStart, WorkerEntry};
 
 use crate::rolling_site::SLOW_POLICY;
 use crate::{assert_kept, plan_of};
@@ -147,3 +147,29 @@
         }
     }
 }
+
+// Guards against a long-running task that is stopped on a sound worker because its entry holds the announcement of a
+// former process, as a late write leaves it.
+#[test]
+fn a_long_running_task_stays_where_another_process_announced_its_departure() {
+    for seed in 1..4 {
+        let (mut world, address) = site(seed, 6_000, SLOW_POLICY, 800);
+        let worker = world.workers[&address].clone().expect("a worker");
+        let entry = WorkerEntry {
+            leaving: true,
+            remaining_ms: Some(NOTICE_MS),
+            started: Some(ProcessStart(7)),
+            ..worker.entry.clone()
+        };
+        world.overwrite_with(&worker.id, entry);
+        world.run_until(START_MS + NOTICE_MS);
+        let runs = world.workers[&address].as_ref().map(|it| it.runs().keys());
+        let runs: Vec<_> = runs.into_iter().flatten().collect();
+        assert_eq!(
+            runs,
+            worker.runs().keys().collect::<Vec<_>>(),
+            "seed {seed}"
+        );
+        assert_kept(&world);
+    }
+}
