fix(queue): an announcement of another process stops no run

What callers saw: a long-running task on a sound worker that does not leave was stopped and moved (AVAIL, where others of its step with `may_miss` are away). Its entry came from another process, such as a late write of the one before, and said that the worker leaves.

Cause: starts are kept from a worker whose entry is not that of the process that answers (`entry_is_current`), but stops and moves used its announcement all the same.

Now one function says whether a worker has announced that it leaves, and all stops use it. An end after such an announcement still counts as expected, so no task is blamed more than before.

The overview in core/mod.rs names the modules that were added.

--- a/crates/bankvalve_queue/src/core/mod.rs
+++ b/crates/bankvalve_queue/src/core/mod.rs
@@ -29,14 +29,15 @@
 //! - Admission: the modules in `admission` accept or refuse submitted jobs, by a forecast of when they would begin,
 //!   and apply the limits and shares of customers.
 //! - Forecast: the modules in `forecast` hold what the leader expects of running work.
-//! - Workers: `lease_renewal`, `worker_reports` and `orders` poll workers and start and stop
-//!   runs. `incarnation` distinguishes the processes of a worker, `unlisted_workers` tells standbys where workers without entries listen,
-//!   and `call_proxies` has standbys send calls.
-//! - Placement: `placement` decides which task runs on which worker. In its folder, `advice` queries the policy
-//!   service, `step_advice` has its answers for a step, `capacity_reclaim` preempts runs, and `restart_preparation` reserves capacity and gets permits for
-//!   long-running tasks. `suspects` isolates tasks that may crash workers, and `trial_runs` limits
-//!   how many of these run at the same time. `lost_contact` and
-//!   `restart_waits` report why tasks are not running.
+//! - Workers: `lease_renewal`, `worker_reports` and `orders` poll workers and start and stop runs.
+//!   `unanswered_starts` gives up starts that a worker does not answer. `incarnation` distinguishes the processes of a
+//!   worker, `unlisted_workers` tells standbys where workers without entries listen, and `call_proxies` has standbys
+//!   send calls.
+//! - Placement: `placement` decides which task runs on which worker. In its folder, `advice` queries the policy service,
+//!   `step_advice` has its answers for a step, `shared_advice` tells standbys of them, `capacity_reclaim` preempts runs,
+//!   `restart_preparation` reserves capacity and gets permits for long-running tasks, and `departing_tasks` moves those
+//!   whose workers leave. `suspects` isolates tasks that may crash workers, and `trial_runs` limits how many of these
+//!   run at the same time. `lost_contact` and `restart_waits` report why tasks are not running.
 //! - Configuration: `table_watch` and `table_pull` fetch the operator's configuration, and `denials` handles
 //!   requests that it denies. `evacuations` keeps tasks from starting in failure domains that the operator has
 //!   evacuated.
--- a/crates/bankvalve_queue/src/core/placement/departing_tasks.rs
+++ b/crates/bankvalve_queue/src/core/placement/departing_tasks.rs
@@ -52,7 +52,7 @@
     /// Returns whether the worker is leaving: it has announced that, or it responds although its entry is gone,
     /// if that means the same at present.
     pub(in crate::core) fn is_departing(&self, unlisted_depart: bool) -> bool {
-        self.entry.leaving || (unlisted_depart && self.left_as_announced())
+        self.has_announced_departure() || (unlisted_depart && self.has_outlived_entry())
     }
 }
 
@@ -82,7 +82,7 @@
                 continue;
             };
             // The limit on tasks that are away at once does not count those of a worker that is draining.
-            let may_stop = state.entry.leaving || step.spec.away_limit.is_none();
+            let may_stop = state.has_announced_departure() || step.spec.away_limit.is_none();
             let phase = state.runs.get(&departing.task).map(|live| &live.phase);
             match phase {
                 Some(RunPhase::Stopping { .. }) => movable = movable.saturating_sub(1),
--- a/crates/bankvalve_queue/src/core/worker_entries.rs
+++ b/crates/bankvalve_queue/src/core/worker_entries.rs
@@ -113,7 +113,7 @@
             self.skip_unreadable_entry(id, "its service is not in use, unlike the worker's");
             return;
         }
-        let leave_announced = entry.leaving && !state.entry.leaving;
+        let left_before = state.entry.leaving;
         let address_changed = state.entry.address != entry.address;
         let shrunk = !state.entry.room.fits(&entry.room);
         let capacities = (state.entry.room, entry.room);
@@ -123,6 +123,7 @@
         state.listed = true;
         state.is_told = false;
         state.entry_readable = true;
+        let leave_announced = !left_before && state.has_announced_departure();
         let other_process = state.token_accepted && !state.entry_is_current();
         if other_process || address_changed {
             state.next_poll = now;
@@ -304,7 +305,7 @@
         let now = self.now;
         let lead = self.lead.as_deref();
         let state = lead.and_then(|lead| lead.worker_states.get(id));
-        if state.is_some_and(|state| state.entry.leaving) {
+        if state.is_some_and(WorkerState::has_announced_departure) {
             self.stop_outlasting_runs(id, |live| live.is_running_since(now));
         }
     }
--- a/crates/bankvalve_queue/src/core/worker_state.rs
+++ b/crates/bankvalve_queue/src/core/worker_state.rs
@@ -373,12 +373,22 @@
             .is_some_and(|at| now.saturating_sub(at) < within)
     }
 
+    /// Returns whether the worker has announced that it leaves. An announcement of another process, such as a write of
+    /// the one before that arrives late, says nothing about the process that answers.
+    pub(super) fn has_announced_departure(&self) -> bool {
+        self.entry.leaving && self.entry_is_current()
+    }
+
+    /// Returns whether the worker still answered after its entry was removed.
+    pub(super) fn has_outlived_entry(&self) -> bool {
+        let outlived = self.last_contact.zip(self.unlisted_at);
+        !self.listed && outlived.is_some_and(|(contact, gone)| contact > gone)
+    }
+
     /// Returns whether the worker announced that it leaves, or still answered after its entry was
     /// removed. Its end is then expected.
     pub(super) fn left_as_announced(&self) -> bool {
-        let outlived = self.last_contact.zip(self.unlisted_at);
-        self.entry.leaving
-            || (!self.listed && outlived.is_some_and(|(contact, gone)| contact > gone))
+        self.entry.leaving || self.has_outlived_entry()
     }
 
     /// Returns whether a worker that has answered this leader no longer answers.
