--- a/crates/bankvalve_queue/src/core/placement/departing_tasks.rs
+++ b/crates/bankvalve_queue/src/core/placement/departing_tasks.rs
@@ -81,7 +81,7 @@
             let Some(state) = lead.worker_states.get(&departing.worker) else {
                 continue;
             };
-            // The limit on tasks that are away at once does not count those of a worker that is draining.
+            // A stop on a draining worker is exempt from the limit on tasks that are away at once.
             let may_stop = state.has_announced_departure() || step.spec.away_limit.is_none();
             let phase = state.runs.get(&departing.task).map(|live| &live.phase);
             match phase {
--- a/crates/bankvalve_queue/src/core/worker_entries.rs
+++ b/crates/bankvalve_queue/src/core/worker_entries.rs
@@ -306,6 +306,7 @@
         let lead = self.lead.as_deref();
         let state = lead.and_then(|lead| lead.worker_states.get(id));
         if state.is_some_and(WorkerState::has_announced_departure) {
+            // The list that was just handled confirms a run at the present moment.
             self.stop_outlasting_runs(id, |live| live.is_running_since(now));
         }
     }
--- a/crates/bankvalve_queue/src/core/worker_state.rs
+++ b/crates/bankvalve_queue/src/core/worker_state.rs
@@ -194,7 +194,7 @@
     pub(super) unlisted_at: Option<CoreTime>,
     /// When the worker leaves at the earliest, if it has announced that and for when.
     pub(super) leaves_at: Option<CoreTime>,
-    /// Whether a former leader has told the worker's address, which no entry told any more.
+    /// Whether this state was made from what the former leader told, for lack of an entry.
     pub(super) is_told: bool,
     /// Where the worker listens according to the leader before.
     pub(super) told_address: Option<String>,
