test(site): drawn restarts are counted over more worlds

As strict as before: each kind had to come once in eight worlds, now three times in 24, so that a kind that is drawn more seldom than that is noticed, and the chance of one world no longer decides.

--- a/crates/bankvalve_check/tests/site/restarts.rs
+++ b/crates/bankvalve_check/tests/site/restarts.rs
@@ -1,7 +1,7 @@
 //! Workers whose process ends and starts again under the same id: what belongs to one process of a worker
 //! must not be taken for the other's.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 
 use bankvalve_check::site::{
     job_of, run_restart_episode, LossMoment, SitePlan, SiteWorld, TaskCrash, WorkerRestart, QUEUE,
@@ -17,6 +17,9 @@
 /// Time in which the runs of a lost worker are given up and start again elsewhere, in milliseconds: the
 /// longest hold on the users' sites, by a clock that is 2% slow, the silence before, and a start.
 const GIVEN_UP_MS: u64 = 13_000;
+/// Drawn worlds that are played, and in how many of them each kind of cut comes once on average, or more often.
+const DRAWN_WORLDS: u64 = 24;
+const WORLDS_PER_CUT: u64 = 8;
 /// Pause of a leader in which another one takes over, in milliseconds.
 const PAUSE_MS: u64 = 1_800;
 
@@ -495,19 +498,27 @@
     }
 }
 
-/// Guards against drawn restarts that are never followed by a cut, with a leader lost before, between or after.
+/// Guards against drawn restarts that are seldom or never followed by a cut, with a leader lost before, between or after.
 #[test]
 fn drawn_restarts_are_followed_by_cuts_and_lost_leaders_at_all_moments() {
-    let mut played = BTreeSet::new();
-    for seed in 1..9 {
-        let cuts = run_restart_episode(seed, None).restarts.cuts;
-        let moments = cuts.keys().map(|cut| cut.loss.map(|(_, moment)| moment));
-        played.extend(moments.zip(cuts.keys().map(|cut| cut.twice)));
+    let mut played: BTreeMap<(Option<LossMoment>, bool), u64> = BTreeMap::new();
+    for seed in 1..=DRAWN_WORLDS {
+        for (cut, count) in run_restart_episode(seed, None).restarts.cuts {
+            let moment = cut.loss.map(|(_, moment)| moment);
+            *played.entry((moment, cut.twice)).or_default() += count;
+        }
     }
     let losses = LossMoment::ALL.into_iter().map(Some);
-    let moments = losses.chain([None]);
-    let all = moments.flat_map(|moment| [(moment, false), (moment, true)]);
-    assert_eq!(played, all.collect());
+    for moment in losses.chain([None]) {
+        for twice in [false, true] {
+            let count = played.get(&(moment, twice)).copied().unwrap_or(0);
+            println!("{moment:?}, twice: {twice}: {count}");
+            assert!(
+                count * WORLDS_PER_CUT >= DRAWN_WORLDS,
+                "{moment:?}, twice: {twice}: {played:?}"
+            );
+        }
+    }
 }
 
 /// Guards against a healthy job that is given up for restarts which it did not bring about.
